--- /dev/null
+++ b/agent/src/main/java/io/zinniawood/agent/package-info.java
@@ -0,0 +1,2 @@
+/** Agent process beside an endpoint. */
+package io.zinniawood.agent;
--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line. */
+package io.zinniawood.cli;
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/ValueOrigin.java
@@ -0,0 +1,10 @@
+package io.zinniawood.config;
+
+/**
+ * Origin of one merged value.
+ *
+ * @param file file name
+ * @param line line, counted from 1
+ * @param value value as text
+ */
+public record ValueOrigin(String file, int line, String value) {}
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/package-info.java
@@ -0,0 +1,2 @@
+/** Operator configuration and process settings. */
+package io.zinniawood.config;
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/settings/AgentSettings.java
@@ -0,0 +1,30 @@
+package io.zinniawood.config.settings;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.PoolId;
+import io.zinniawood.core.model.NodeAddress;
+import java.net.URI;
+
+/**
+ * Settings of an agent.
+ *
+ * @param endpoint id of the endpoint, equal to the id of its VM
+ * @param dataCentre data centre of the VM
+ * @param pool pool of the endpoint
+ * @param peers address of the own-protocol port
+ * @param platform base address of the platform
+ * @param backend the engine or plain service beside the agent
+ * @param keptOutputBytes memory for kept stage outputs in bytes
+ * @param tls certificates, none for plain TCP
+ */
+public record AgentSettings(
+    EndpointId endpoint,
+    DataCentreId dataCentre,
+    PoolId pool,
+    NodeAddress peers,
+    URI platform,
+    BackendSettings backend,
+    long keptOutputBytes,
+    Option<TlsSettings> tls) {}
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a process, read from a TOML file at start. */
+package io.zinniawood.config.settings;
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/agent/AgentTimer.java
@@ -0,0 +1,35 @@
+package io.zinniawood.core.agent;
+
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.SessionId;
+
+/** Timer of the agent. */
+public sealed interface AgentTimer {
+
+  /** The interval at which the engine's status is read. */
+  record StatusTick() implements AgentTimer {}
+
+  /**
+   * The deadline of a queued attempt.
+   *
+   * @param attempt attempt
+   */
+  record QueueDeadline(AttemptId attempt) implements AgentTimer {}
+
+  /**
+   * The wait before an answer is written to the table again.
+   *
+   * @param attempt attempt
+   */
+  record AnswerRetry(AttemptId attempt) implements AgentTimer {}
+
+  /** The wait before the controller lease is read again. */
+  record FencingRetry() implements AgentTimer {}
+
+  /**
+   * The time after which a session without frames is closed.
+   *
+   * @param session session
+   */
+  record SessionIdle(SessionId session) implements AgentTimer {}
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/agent/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of the agent role: events, effects, state and the reducer. */
+package io.zinniawood.core.agent;
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/configuration/ClusterConfiguration.java
@@ -0,0 +1,27 @@
+package io.zinniawood.core.configuration;
+
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.id.ModelId;
+import io.zinniawood.core.id.ServiceName;
+
+/**
+ * Merged configuration of the operators.
+ *
+ * @param clientAccounts client accounts by id
+ * @param models models by id
+ * @param services plain services by name
+ * @param objectives service-level objectives
+ * @param routing routing policy
+ * @param retries retry policy
+ * @param repair repair policy
+ */
+public record ClusterConfiguration(
+    Map<ClientAccountId, ClientAccount> clientAccounts,
+    Map<ModelId, ModelDefinition> models,
+    Map<ServiceName, ServiceDefinition> services,
+    Vector<Objective> objectives,
+    RoutingPolicy routing,
+    RetryPolicy retries,
+    RepairPolicy repair) {}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for ids. Depends on nothing. */
+package io.zinniawood.core.id;
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/message/Message.java
@@ -0,0 +1,428 @@
+package io.zinniawood.core.message;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.id.Epoch;
+import io.zinniawood.core.id.Fence;
+import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.id.IdempotencyKey;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.ModelId;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.model.CancelOutcome;
+import io.zinniawood.core.model.Capability;
+import io.zinniawood.core.model.ClaimRow;
+import io.zinniawood.core.model.EngineOrder;
+import io.zinniawood.core.model.FinishReason;
+import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.LoadReport;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.model.OrderOutcome;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.Priority;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.ServiceAnswer;
+import io.zinniawood.core.model.ServiceCall;
+import io.zinniawood.core.model.ServingState;
+import io.zinniawood.core.model.StageAddress;
+import io.zinniawood.core.model.VmEntry;
+
+/** Message between two of the system's own processes. */
+public sealed interface Message {
+  /** Calls the visitor's method for the type of this message. */
+  <R> R accept(MessageVisitor<R> visitor);
+
+  /**
+   * Announces the serving state, capability and load of an agent's endpoint.
+   *
+   * @param state serving state
+   * @param capability what the endpoint serves
+   * @param load present load
+   */
+  record Status(ServingState state, Capability capability, LoadReport load) implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitStatus(this);
+    }
+  }
+
+  /**
+   * Asks an agent to call its plain service.
+   *
+   * @param request request of the caller
+   * @param attempt attempt to run the request
+   * @param incarnation incarnation to which the attempt is bound
+   * @param clientAccount client account of the caller
+   * @param service called service
+   * @param call the call
+   * @param idempotency whether the call may run more than once
+   * @param key idempotency key of the caller
+   * @param fence fence of the key that the entry knows
+   * @param remainingMillis time until the deadline in milliseconds
+   * @param weight fair-share weight of the client account
+   */
+  record Dispatch(
+      RequestId request,
+      AttemptId attempt,
+      Incarnation incarnation,
+      ClientAccountId clientAccount,
+      ServiceName service,
+      ServiceCall call,
+      Idempotency idempotency,
+      Option<IdempotencyKey> key,
+      Fence fence,
+      long remainingMillis,
+      int weight)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitDispatch(this);
+    }
+  }
+
+  /**
+   * Returns the answer of a plain service.
+   *
+   * @param request request of the caller
+   * @param attempt attempt that ran
+   * @param answer answer of the service
+   * @param load load after the call
+   */
+  record DispatchReply(RequestId request, AttemptId attempt, ServiceAnswer answer, LoadReport load)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitDispatchReply(this);
+    }
+  }
+
+  /**
+   * Reports that an attempt was refused or failed.
+   *
+   * @param request request of the caller
+   * @param attempt refused attempt
+   * @param reason reason
+   * @param outcome whether this attempt ran: never completed
+   * @param claim claim row that stands in the way
+   */
+  record DispatchRefused(
+      RequestId request,
+      AttemptId attempt,
+      RefusalReason reason,
+      Outcome outcome,
+      Option<ClaimRow> claim)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitDispatchRefused(this);
+    }
+  }
+
+  /**
+   * Cancels an attempt; if it has not started, it never will.
+   *
+   * @param request request of the caller
+   * @param attempt attempt to cancel
+   */
+  record CancelDispatch(RequestId request, AttemptId attempt) implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitCancelDispatch(this);
+    }
+  }
+
+  /**
+   * Reports the state of a cancelled attempt.
+   *
+   * @param request request of the caller
+   * @param attempt cancelled attempt
+   * @param outcome state of the attempt
+   */
+  record CancelResult(RequestId request, AttemptId attempt, CancelOutcome outcome)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitCancelResult(this);
+    }
+  }
+
+  /**
+   * Opens a stage session, or moves it to a new epoch with a new chain.
+   *
+   * @param session session
+   * @param epoch epoch of the chain
+   * @param incarnation incarnation to which the stage is bound
+   * @param clientAccount client account of the caller
+   * @param model model
+   * @param chain stages in order of their layers
+   * @param stageIndex index of the receiver in the chain
+   * @param maxTokens most tokens of the answer
+   * @param priority priority of the request
+   * @param remainingMillis time until the deadline in milliseconds
+   * @param weight fair-share weight of the client account
+   * @param rebuildPositions positions that a new stage must rebuild before it goes on, 0 for a new
+   *     session
+   * @param importFrom agent from which a new stage may import the KV cache
+   */
+  record OpenSession(
+      SessionId session,
+      Epoch epoch,
+      Incarnation incarnation,
+      ClientAccountId clientAccount,
+      ModelId model,
+      Vector<StageAddress> chain,
+      int stageIndex,
+      int maxTokens,
+      Priority priority,
+      long remainingMillis,
+      int weight,
+      int rebuildPositions,
+      Option<NodeAddress> importFrom)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitOpenSession(this);
+    }
+  }
+
+  /**
+   * Confirms an epoch of a stage session.
+   *
+   * @param session session
+   * @param epoch confirmed epoch
+   * @param stageIndex index of the sender in the chain
+   * @param nextPosition first position that the stage has not run
+   */
+  record SessionOpened(SessionId session, Epoch epoch, int stageIndex, int nextPosition)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitSessionOpened(this);
+    }
+  }
+
+  /**
+   * Refuses to open a stage session.
+   *
+   * @param session session
+   * @param epoch refused epoch
+   * @param stageIndex index of the sender in the chain
+   * @param reason reason
+   */
+  record SessionRefused(SessionId session, Epoch epoch, int stageIndex, RefusalReason reason)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitSessionRefused(this);
+    }
+  }
+
+  /**
+   * Starts one position of a session at the first stage; position 0 is the prompt.
+   *
+   * @param session session
+   * @param epoch epoch of the chain
+   * @param position position of the step
+   * @param input prompt or token before
+   */
+  record StepInput(SessionId session, Epoch epoch, int position, Payload input) implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitStepInput(this);
+    }
+  }
+
+  /**
+   * Passes the output of a stage to the next stage.
+   *
+   * @param session session
+   * @param epoch epoch of the chain
+   * @param position position of the step
+   * @param payload output of the stage
+   */
+  record Activation(SessionId session, Epoch epoch, int position, Payload payload)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitActivation(this);
+    }
+  }
+
+  /**
+   * Returns the token of one position from the last stage.
+   *
+   * @param session session
+   * @param epoch epoch of the chain
+   * @param position position of the step
+   * @param text text of the token
+   * @param finish reason why the answer ends with this token
+   */
+  record Token(
+      SessionId session, Epoch epoch, int position, String text, Option<FinishReason> finish)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitToken(this);
+    }
+  }
+
+  /**
+   * Reports that a stage of a session cannot go on.
+   *
+   * @param session session
+   * @param epoch epoch of the chain
+   * @param stageIndex index of the failed stage
+   * @param reason reason
+   */
+  record StageFailed(SessionId session, Epoch epoch, int stageIndex, RefusalReason reason)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitStageFailed(this);
+    }
+  }
+
+  /**
+   * Asks a stage to send kept outputs again to the next stage.
+   *
+   * @param session session
+   * @param epoch epoch of the chain
+   * @param fromPosition first position
+   * @param toPositionExclusive position after the last one
+   */
+  record Replay(SessionId session, Epoch epoch, int fromPosition, int toPositionExclusive)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitReplay(this);
+    }
+  }
+
+  /**
+   * Ends a stage session and releases its memory.
+   *
+   * @param session session
+   */
+  record CloseSession(SessionId session) implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitCloseSession(this);
+    }
+  }
+
+  /**
+   * Asks an agent to export the KV cache of a session for a new stage.
+   *
+   * @param session session
+   */
+  record CacheRequest(SessionId session) implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitCacheRequest(this);
+    }
+  }
+
+  /**
+   * Returns the KV cache of a session.
+   *
+   * @param session session
+   * @param nextPosition first position that the cache does not cover
+   * @param cache exported KV cache, none if the agent does not hold the session
+   * @param keptOutputs outputs of the stage for all positions
+   */
+  record CacheSnapshot(
+      SessionId session, int nextPosition, Option<Payload> cache, Vector<Payload> keptOutputs)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitCacheSnapshot(this);
+    }
+  }
+
+  /**
+   * Passes an order to the endpoint's engine.
+   *
+   * @param order unique id of the order
+   * @param fencingNumber fencing number of the controller lease
+   * @param action what the engine has to do
+   */
+  record Order(AttemptId order, FencingNumber fencingNumber, EngineOrder action)
+      implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitOrder(this);
+    }
+  }
+
+  /**
+   * Reports the result of an order.
+   *
+   * @param order unique id of the order
+   * @param outcome result
+   * @param detail explanation for a person
+   */
+  record OrderResult(AttemptId order, OrderOutcome outcome, String detail) implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitOrderResult(this);
+    }
+  }
+
+  /**
+   * Asks a neighbour for its accepted configuration.
+   *
+   * @param known generation that the sender has
+   */
+  record ConfigurationRequest(Generation known) implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitConfigurationRequest(this);
+    }
+  }
+
+  /**
+   * Returns an accepted configuration.
+   *
+   * @param generation generation of the snapshot
+   * @param snapshot serialised snapshot
+   */
+  record ConfigurationSnapshot(Generation generation, Payload snapshot) implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitConfigurationSnapshot(this);
+    }
+  }
+
+  /**
+   * Passes the platform's VM list to an entry that does not poll.
+   *
+   * @param version version of the list, increasing
+   * @param vms VMs of the list
+   */
+  record VmListSnapshot(long version, Vector<VmEntry> vms) implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitVmListSnapshot(this);
+    }
+  }
+
+  /**
+   * Passes service-level counts to the entry that merges those of a data centre.
+   *
+   * @param source entry that counted
+   * @param sequence sequence number of the interval
+   * @param counts serialised counts
+   */
+  record ObjectiveCounts(String source, long sequence, Payload counts) implements Message {
+    @Override
+    public <R> R accept(MessageVisitor<R> visitor) {
+      return visitor.visitObjectiveCounts(this);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/message/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between the system's own processes, free of any codec. */
+package io.zinniawood.core.message;
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/model/Capability.java
@@ -0,0 +1,33 @@
+package io.zinniawood.core.model;
+
+import io.zinniawood.core.id.AcceleratorKind;
+import io.zinniawood.core.id.ModelId;
+import io.zinniawood.core.id.ServiceName;
+
+/** What an endpoint serves. */
+public sealed interface Capability {
+  /**
+   * A range of layers of a model.
+   *
+   * @param model the model
+   * @param layers the layers that the engine holds
+   * @param accelerator kind of accelerator
+   * @param tokensPerSecond nominal decode throughput of this range, over all sessions
+   * @param maxSessions most concurrent sessions
+   */
+  record ModelStage(
+      ModelId model,
+      LayerRange layers,
+      AcceleratorKind accelerator,
+      double tokensPerSecond,
+      int maxSessions)
+      implements Capability {}
+
+  /**
+   * A plain service.
+   *
+   * @param service the service
+   * @param maxConcurrent most concurrent calls
+   */
+  record PlainService(ServiceName service, int maxConcurrent) implements Capability {}
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/model/EngineOrder.java
@@ -0,0 +1,30 @@
+package io.zinniawood.core.model;
+
+import io.zinniawood.core.id.ModelId;
+
+/** Order that changes what a model engine holds or does. */
+public sealed interface EngineOrder {
+  /**
+   * Loads a version of a model's weights for a layer range.
+   *
+   * @param model the model
+   * @param version version of the weights
+   * @param layers layers to hold
+   */
+  record LoadModel(ModelId model, String version, LayerRange layers) implements EngineOrder {}
+
+  /**
+   * Loads an adapter for the model that the engine holds.
+   *
+   * @param model the model
+   * @param adapter name of the adapter
+   */
+  record LoadAdapter(ModelId model, String adapter) implements EngineOrder {}
+
+  /**
+   * Changes the role of the engine.
+   *
+   * @param role new role
+   */
+  record ChangeRole(EngineRole role) implements EngineOrder {}
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/model/ServingState.java
@@ -0,0 +1,11 @@
+package io.zinniawood.core.model;
+
+/** State that an agent announces for its endpoint. */
+public enum ServingState {
+  /** The endpoint is not ready yet. */
+  STARTING,
+  /** The endpoint takes new work. */
+  SERVING,
+  /** The endpoint finishes its work and takes no new work. */
+  LEAVING
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** Types shared by the reducers of all roles. */
+package io.zinniawood.core.runtime;
--- /dev/null
+++ b/load/src/main/java/io/zinniawood/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load generator. */
+package io.zinniawood.load;
--- /dev/null
+++ b/report/src/main/java/io/zinniawood/report/package-info.java
@@ -0,0 +1,2 @@
+/** Report models and renderers. */
+package io.zinniawood.report;
--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for outside systems. */
+package io.zinniawood.standin;
--- /dev/null
+++ b/telemetry/src/main/java/io/zinniawood/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Logs and metrics. */
+package io.zinniawood.telemetry;
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Messages and transport between the system's own processes. */
+package io.zinniawood.wire;
