Add the wire protocol and the single executable

Cause: the processes need a transport before a request can pass from an entry to the agents. Change: protobuf envelopes over Netty (NIO), a handshake with the protocol version and the identity of the process, acknowledged probes, optional mutual TLS. The launcher script carries the jar and replaces itself by the JVM.

--- /dev/null
+++ b/dist/src/main/launcher/launcher.sh
@@ -0,0 +1,19 @@
+#!/bin/sh
+# Replaces itself by the JVM that runs the jar appended to this script.
+# UsePerfData is off, as it maps a file that other processes can read.
+common="-XX:-UsePerfData -XX:+UseSerialGC -Djava.net.preferIPv4Stack=true"
+common="$common -Dio.netty.transport.noNative=true -Dio.netty.noUnsafe=false"
+case "$1" in
+  agent)
+    # An agent has 128 MB in all.
+    flags="-Xms24m -Xmx40m -Xss256k -XX:MaxDirectMemorySize=16m -XX:MaxMetaspaceSize=40m"
+    flags="$flags -XX:ReservedCodeCacheSize=16m -XX:TieredStopAtLevel=1"
+    flags="$flags -Dio.netty.allocator.type=unpooled"
+    ;;
+  entry)
+    flags="-Xms32m -Xmx256m -Xss512k -XX:MaxDirectMemorySize=64m -XX:ReservedCodeCacheSize=32m"
+    ;;
+  standin) flags="-Xmx192m" ;;
+  *) flags="-Xmx1g" ;;
+esac
+exec "${JAVA_HOME:+$JAVA_HOME/bin/}java" $common $flags $ZINNIAWOOD_JAVA_OPTIONS -jar "$0" "$@"
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/WireTiming.java
@@ -0,0 +1,39 @@
+package io.zinniawood.wire;
+
+/**
+ * Times of the wire protocol.
+ *
+ * @param connectMillis time to open a TCP connection, in milliseconds
+ * @param handshakeMillis time to complete the handshake, in milliseconds
+ * @param probeMillis silence after which a connection in use is probed, in milliseconds
+ * @param answerMillis time within which a probe must be acknowledged, in milliseconds
+ * @param activeWindowMillis time since the last message for which a connection counts as in use
+ * @param idleProbeMillis shortest interval of probes on an unused connection, in milliseconds
+ */
+public record WireTiming(
+    long connectMillis,
+    long handshakeMillis,
+    long probeMillis,
+    long answerMillis,
+    long activeWindowMillis,
+    long idleProbeMillis) {
+  /** Checks that all times are positive. */
+  public WireTiming {
+    if (connectMillis <= 0
+        || handshakeMillis <= 0
+        || probeMillis <= 0
+        || answerMillis <= 0
+        || activeWindowMillis <= 0
+        || idleProbeMillis <= 0) {
+      throw new IllegalArgumentException("all times must be positive");
+    }
+  }
+
+  /**
+   * Returns the default times. A connection in use that goes silent is detected within 700 ms,
+   * which leaves 600 ms of the recovery target of 1.3 s for a new connection and the repeated step.
+   */
+  public static WireTiming defaults() {
+    return new WireTiming(1_000, 2_000, 300, 400, 10_000, 5_000);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/Wires.java
@@ -0,0 +1,31 @@
+package io.zinniawood.wire;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.wire.internal.NettyWire;
+import java.util.function.Supplier;
+
+/** Creates wires. */
+public final class Wires {
+  private Wires() {}
+
+  /**
+   * Creates a wire over TCP.
+   *
+   * @param self identity of this process
+   * @param generation generation of the configuration that this process has
+   * @param timing times of the protocol
+   * @param tls certificates, none for plain TCP
+   * @param threads number of I/O threads, at least 1
+   * @return the wire, or an error if the certificates cannot be read
+   */
+  public static Either<WireError, Wire> overTcp(
+      WirePeer self,
+      Supplier<Generation> generation,
+      WireTiming timing,
+      Option<WireTls> tls,
+      int threads) {
+    return NettyWire.create(self, generation, timing, tls, threads);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/internal/ConnectionHandler.java
@@ -0,0 +1,262 @@
+package io.zinniawood.wire.internal;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.util.concurrent.Future;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.VmRole;
+import io.zinniawood.wire.WireConnection;
+import io.zinniawood.wire.WireError;
+import io.zinniawood.wire.WireListener;
+import io.zinniawood.wire.WireListener.CloseReason;
+import io.zinniawood.wire.WirePeer;
+import io.zinniawood.wire.generated.WireProto;
+import io.zinniawood.wire.generated.WireProto.Envelope;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Runs the handshake and the probes of one connection and passes its messages to the listener. */
+final class ConnectionHandler extends SimpleChannelInboundHandler<Envelope>
+    implements WireConnection {
+  static final int PROTOCOL_VERSION = 1;
+
+  private static final Logger LOGGER = System.getLogger(ConnectionHandler.class.getName());
+
+  /** Unsent bytes above which a peer that does not read is cut off. */
+  private static final long MAX_UNSENT_BYTES = 32L * 1024 * 1024;
+
+  private final WireContext wire;
+  private final WireListener listener;
+  private final Consumer<Either<WireError, WireConnection>> onHandshake;
+  private CloseReason closeReason = CloseReason.CLOSED;
+  private String failure = "connection closed during the handshake";
+  private volatile Channel channel;
+  private volatile WirePeer peer;
+  private LivenessProbe probe;
+  private Future<?> nextCheck;
+
+  ConnectionHandler(
+      WireContext wire,
+      WireListener listener,
+      Consumer<Either<WireError, WireConnection>> onHandshake) {
+    this.wire = wire;
+    this.listener = listener;
+    this.onHandshake = onHandshake;
+  }
+
+  @Override
+  public WirePeer peer() {
+    return peer;
+  }
+
+  @Override
+  public void send(Message message) {
+    Channel open = channel;
+    if (open == null || !open.isActive()) {
+      return;
+    }
+    if (open.bytesBeforeWritable() > MAX_UNSENT_BYTES) {
+      LOGGER.log(Level.WARNING, "peer {0} does not read, connection closed", peer.nodeId());
+      open.close();
+      return;
+    }
+    Envelope envelope = MessageEncoder.encode(message, wire.generation().get());
+    open.writeAndFlush(envelope)
+        .addListener(
+            result -> {
+              if (result.cause() instanceof io.netty.handler.codec.EncoderException invalid) {
+                LOGGER.log(Level.ERROR, "message not sent, connection closed", invalid);
+                open.close();
+              }
+            });
+    if (open.eventLoop().inEventLoop()) {
+      noteMessage();
+    } else {
+      open.eventLoop().execute(this::noteMessage);
+    }
+  }
+
+  @Override
+  public void close() {
+    Channel open = channel;
+    if (open != null) {
+      open.close();
+    }
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    channel = context.channel();
+    wire.budget().opened();
+    context.writeAndFlush(
+        Envelope.newBuilder()
+            .setGeneration(wire.generation().get().value())
+            .setHello(hello(wire.self()))
+            .build());
+    context
+        .executor()
+        .schedule(
+            () -> failHandshake(context), wire.timing().handshakeMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void failHandshake(ChannelHandlerContext context) {
+    if (peer == null) {
+      failure = "no handshake within %d ms".formatted(wire.timing().handshakeMillis());
+      context.close();
+    }
+  }
+
+  private static WireProto.Hello hello(WirePeer self) {
+    WireProto.Hello.Builder builder =
+        WireProto.Hello.newBuilder()
+            .setProtocolVersion(PROTOCOL_VERSION)
+            .setNodeId(self.nodeId())
+            .setRole(EnumCodec.encode(WireProto.VmRole.Kind.class, self.role()))
+            .setIncarnation(self.incarnation().value())
+            .setDataCentre(self.dataCentre().value());
+    self.agent().forEach(agent -> builder.setAgent(ValueEncoder.agent(agent)));
+    return builder.build();
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Envelope envelope) {
+    if (peer == null) {
+      completeHandshake(context, envelope);
+      return;
+    }
+    probe.onRead(wire.clockNanos().getAsLong());
+    switch (envelope.getBodyCase()) {
+      case PROBE:
+        context.writeAndFlush(
+            Envelope.newBuilder()
+                .setGeneration(wire.generation().get().value())
+                .setProbeAck(envelope.getProbe())
+                .build());
+        break;
+      case PROBE_ACK:
+        break;
+      default:
+        receive(context, envelope);
+    }
+  }
+
+  private void receive(ChannelHandlerContext context, Envelope envelope) {
+    noteMessage();
+    Either<WireError, Message> message = MessageDecoder.decode(envelope);
+    if (message.isLeft()) {
+      LOGGER.log(
+          Level.WARNING,
+          "connection to {0} closed: {1}",
+          peer.nodeId(),
+          message.getLeft().detail());
+      closeReason = CloseReason.PROTOCOL_ERROR;
+      context.close();
+      return;
+    }
+    listener.onMessage(this, message.get(), new Generation(envelope.getGeneration()));
+  }
+
+  private void completeHandshake(ChannelHandlerContext context, Envelope envelope) {
+    WireProto.Hello hello = envelope.getHello();
+    if (!envelope.hasHello() || hello.getProtocolVersion() != PROTOCOL_VERSION) {
+      failure =
+          "expected a handshake of protocol version %d, found %s of version %d"
+              .formatted(PROTOCOL_VERSION, envelope.getBodyCase(), hello.getProtocolVersion());
+      context.close();
+      return;
+    }
+    try {
+      peer = peer(hello);
+    } catch (DecodeException | IllegalArgumentException invalid) {
+      failure = "invalid handshake: " + invalid.getMessage();
+      context.close();
+      return;
+    }
+    long nowNanos = wire.clockNanos().getAsLong();
+    probe =
+        new LivenessProbe(
+            wire.timing(),
+            wire.budget(),
+            nowNanos,
+            sequence -> sendProbe(context, sequence),
+            () -> closeSilent(context));
+    scheduleCheck(nowNanos);
+    listener.onOpened(this);
+    onHandshake.accept(Either.right(this));
+  }
+
+  private static WirePeer peer(WireProto.Hello hello) {
+    return new WirePeer(
+        hello.getNodeId(),
+        EnumCodec.decode(VmRole.class, hello.getRole()),
+        new Incarnation(hello.getIncarnation()),
+        new DataCentreId(hello.getDataCentre()),
+        Option.when(hello.hasAgent(), () -> ValueDecoder.agent(hello.getAgent())));
+  }
+
+  private void sendProbe(ChannelHandlerContext context, long sequence) {
+    context.writeAndFlush(
+        Envelope.newBuilder()
+            .setGeneration(wire.generation().get().value())
+            .setProbe(WireProto.Probe.newBuilder().setSequence(sequence))
+            .build());
+  }
+
+  private void closeSilent(ChannelHandlerContext context) {
+    closeReason = CloseReason.SILENT;
+    context.close();
+  }
+
+  private void noteMessage() {
+    long nowNanos = wire.clockNanos().getAsLong();
+    if (probe != null && probe.onMessage(nowNanos)) {
+      scheduleCheck(nowNanos);
+    }
+  }
+
+  private void scheduleCheck(long nowNanos) {
+    if (nextCheck != null) {
+      nextCheck.cancel(false);
+    }
+    long delayNanos = Math.max(0, probe.dueNanos() - nowNanos);
+    nextCheck = channel.eventLoop().schedule(this::checkLiveness, delayNanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void checkLiveness() {
+    if (channel.isActive()) {
+      probe.check(wire.clockNanos().getAsLong());
+      scheduleCheck(wire.clockNanos().getAsLong());
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    wire.budget().closed();
+    if (nextCheck != null) {
+      nextCheck.cancel(false);
+    }
+    if (peer == null) {
+      onHandshake.accept(Either.left(new WireError(failure)));
+    } else {
+      listener.onClosed(this, closeReason);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (cause instanceof io.netty.handler.codec.DecoderException) {
+      closeReason = CloseReason.PROTOCOL_ERROR;
+    }
+    failure = String.valueOf(cause.getMessage());
+    LOGGER.log(Level.DEBUG, "connection failed", cause);
+    context.close();
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/internal/DecodeException.java
@@ -0,0 +1,10 @@
+package io.zinniawood.wire.internal;
+
+/** A frame that is well-formed protobuf but not a valid message. */
+final class DecodeException extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  DecodeException(String message) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/internal/EnumCodec.java
@@ -0,0 +1,31 @@
+package io.zinniawood.wire.internal;
+
+/** Maps enum constants of the protocol to those of the model by name. */
+final class EnumCodec {
+  private static final String UNSPECIFIED = "UNSPECIFIED";
+
+  private EnumCodec() {}
+
+  /** Returns the constant of the target type with the same name. */
+  static <T extends Enum<T>> T encode(Class<T> target, Enum<?> value) {
+    return Enum.valueOf(target, value.name());
+  }
+
+  /**
+   * Returns the constant of the target type with the same name.
+   *
+   * @throws DecodeException if the value is missing or newer than this process
+   */
+  static <T extends Enum<T>> T decode(Class<T> target, Enum<?> value) {
+    String name = value.name();
+    if (name.equals(UNSPECIFIED)) {
+      throw new DecodeException("%s is not set".formatted(target.getSimpleName()));
+    }
+    try {
+      return Enum.valueOf(target, name);
+    } catch (IllegalArgumentException unknown) {
+      throw new DecodeException(
+          "%s has the unknown value %s".formatted(target.getSimpleName(), name));
+    }
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/internal/LivenessProbe.java
@@ -0,0 +1,109 @@
+package io.zinniawood.wire.internal;
+
+import io.zinniawood.wire.WireTiming;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+
+/**
+ * Decides when to probe one connection and when it is silent. A connection is silent if a probe is
+ * not acknowledged in time, although the TCP connection is open. Not thread-safe.
+ */
+final class LivenessProbe {
+  private final WireTiming timing;
+  private final ProbeBudget budget;
+  private final LongConsumer sendProbe;
+  private final Runnable onSilent;
+  private long lastReadNanos;
+  private long lastMessageNanos;
+  private long probeSentNanos;
+  private long dueNanos;
+  private long sequence;
+  private boolean probeOutstanding;
+
+  /**
+   * Creates the probe of a connection whose handshake is complete.
+   *
+   * @param nowNanos monotonic time in nanoseconds
+   * @param sendProbe sends a probe with a sequence number
+   * @param onSilent called when the connection is silent
+   */
+  LivenessProbe(
+      WireTiming timing,
+      ProbeBudget budget,
+      long nowNanos,
+      LongConsumer sendProbe,
+      Runnable onSilent) {
+    this.timing = timing;
+    this.budget = budget;
+    this.sendProbe = sendProbe;
+    this.onSilent = onSilent;
+    this.lastReadNanos = nowNanos;
+    this.lastMessageNanos = nowNanos;
+    this.dueNanos = nowNanos + nanos(timing.probeMillis());
+  }
+
+  /** Notes that bytes arrived. */
+  void onRead(long nowNanos) {
+    lastReadNanos = nowNanos;
+    probeOutstanding = false;
+  }
+
+  /**
+   * Notes that a message other than a probe was sent or received.
+   *
+   * @return whether the next check must be scheduled again, since it is now due earlier
+   */
+  boolean onMessage(long nowNanos) {
+    boolean wasIdle = !active(nowNanos);
+    lastMessageNanos = nowNanos;
+    if (wasIdle) {
+      dueNanos = nowNanos + nanos(timing.probeMillis());
+    }
+    return wasIdle;
+  }
+
+  /** Returns the time of the next check in nanoseconds. */
+  long dueNanos() {
+    return dueNanos;
+  }
+
+  /** Sends a probe or reports silence if it is time to; sets the time of the next check. */
+  void check(long nowNanos) {
+    if (nowNanos - dueNanos > nanos(timing.probeMillis())) {
+      // The check itself is late: this process was paused, and acknowledgements may be unread.
+      probeOutstanding = false;
+      sendProbe(nowNanos);
+      return;
+    }
+    if (probeOutstanding) {
+      if (nowNanos - probeSentNanos >= nanos(timing.answerMillis())) {
+        onSilent.run();
+        return;
+      }
+      dueNanos = probeSentNanos + nanos(timing.answerMillis());
+      return;
+    }
+    long intervalNanos = nanos(active(nowNanos) ? timing.probeMillis() : budget.idleProbeMillis());
+    if (nowNanos - lastReadNanos >= intervalNanos) {
+      sendProbe(nowNanos);
+    } else {
+      dueNanos = lastReadNanos + intervalNanos;
+    }
+  }
+
+  private void sendProbe(long nowNanos) {
+    probeOutstanding = true;
+    probeSentNanos = nowNanos;
+    dueNanos = nowNanos + nanos(timing.answerMillis());
+    sequence++;
+    sendProbe.accept(sequence);
+  }
+
+  private boolean active(long nowNanos) {
+    return nowNanos - lastMessageNanos < nanos(timing.activeWindowMillis());
+  }
+
+  private static long nanos(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/internal/NettyWire.java
@@ -0,0 +1,166 @@
+package io.zinniawood.wire.internal;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.wire.Wire;
+import io.zinniawood.wire.WireConnection;
+import io.zinniawood.wire.WireError;
+import io.zinniawood.wire.WireListener;
+import io.zinniawood.wire.WirePeer;
+import io.zinniawood.wire.WireTiming;
+import io.zinniawood.wire.WireTls;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Wire over TCP with Netty's NIO transport. */
+public final class NettyWire implements Wire {
+  private static final long SHUTDOWN_MILLIS = 2_000;
+  private static final int FLUSH_AFTER_MESSAGES = 64;
+
+  private final WireContext context;
+  private final Option<TlsContexts> tls;
+  private final EventLoopGroup group;
+  private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+
+  private NettyWire(WireContext context, Option<TlsContexts> tls, int threads) {
+    this.context = context;
+    this.tls = tls;
+    this.group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+  }
+
+  /**
+   * Creates a wire.
+   *
+   * @param self identity of this process
+   * @param generation generation of the configuration that this process has
+   * @param timing times of the protocol
+   * @param tls certificates, none for plain TCP
+   * @param threads number of I/O threads
+   * @return the wire, or an error if the certificates cannot be read
+   */
+  public static Either<WireError, Wire> create(
+      WirePeer self,
+      Supplier<Generation> generation,
+      WireTiming timing,
+      Option<WireTls> tls,
+      int threads) {
+    WireContext context =
+        new WireContext(
+            self, generation, timing, new ProbeBudget(timing.idleProbeMillis()), System::nanoTime);
+    if (tls.isEmpty()) {
+      return Either.right(new NettyWire(context, Option.none(), threads));
+    }
+    return TlsContexts.load(tls.get())
+        .map(contexts -> new NettyWire(context, Option.some(contexts), threads));
+  }
+
+  @Override
+  public Either<WireError, NodeAddress> listen(NodeAddress address, WireListener listener) {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    tls.forEach(
+                        contexts ->
+                            channel
+                                .pipeline()
+                                .addLast(contexts.server().newHandler(channel.alloc())));
+                    addHandlers(channel, listener, ignored -> {});
+                  }
+                });
+    ChannelFuture bound =
+        bootstrap
+            .bind(new InetSocketAddress(address.host(), address.port()))
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      return Either.left(
+          new WireError("cannot listen on %s: %s".formatted(address, bound.cause().getMessage())));
+    }
+    channels.add(bound.channel());
+    return Either.right(address);
+  }
+
+  @Override
+  public CompletableFuture<Either<WireError, WireConnection>> connect(
+      NodeAddress address, WireListener listener) {
+    CompletableFuture<Either<WireError, WireConnection>> result = new CompletableFuture<>();
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) context.timing().connectMillis())
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    tls.forEach(
+                        contexts ->
+                            channel
+                                .pipeline()
+                                .addLast(contexts.client().newHandler(channel.alloc())));
+                    addHandlers(channel, listener, result::complete);
+                  }
+                });
+    bootstrap
+        .connect(address.host(), address.port())
+        .addListener(
+            connected -> {
+              if (!connected.isSuccess()) {
+                result.complete(
+                    Either.left(
+                        new WireError(
+                            "cannot connect to %s: %s"
+                                .formatted(address, connected.cause().getMessage()))));
+              }
+            });
+    return result;
+  }
+
+  private void addHandlers(
+      Channel channel,
+      WireListener listener,
+      Consumer<Either<WireError, WireConnection>> onHandshake) {
+    channels.add(channel);
+    channel
+        .pipeline()
+        .addLast(new FlushConsolidationHandler(FLUSH_AFTER_MESSAGES, true))
+        .addLast(new EnvelopeCodec())
+        .addLast(new ConnectionHandler(context, listener, onHandshake));
+  }
+
+  @Override
+  public void close() {
+    channels.close().awaitUninterruptibly(SHUTDOWN_MILLIS);
+    group
+        .shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(SHUTDOWN_MILLIS);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/internal/TlsContexts.java
@@ -0,0 +1,48 @@
+package io.zinniawood.wire.internal;
+
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslProvider;
+import io.vavr.control.Either;
+import io.zinniawood.wire.WireError;
+import io.zinniawood.wire.WireTls;
+import javax.net.ssl.SSLException;
+
+/**
+ * TLS contexts of both sides of a connection.
+ *
+ * @param client context for connections that this process opens
+ * @param server context for connections that this process accepts
+ */
+record TlsContexts(SslContext client, SslContext server) {
+  /** Reads the certificates; both sides require the other's certificate. */
+  static Either<WireError, TlsContexts> load(WireTls tls) {
+    try {
+      SslContext client =
+          SslContextBuilder.forClient()
+              .sslProvider(SslProvider.JDK)
+              .keyManager(tls.certificateChain().toFile(), tls.privateKey().toFile())
+              .trustManager(tls.trustedCertificates().toFile())
+              // Peers have IP numbers and no host names; the signing certificate identifies them.
+              .endpointIdentificationAlgorithm(null)
+              .build();
+      SslContext server =
+          SslContextBuilder.forServer(tls.certificateChain().toFile(), tls.privateKey().toFile())
+              .sslProvider(SslProvider.JDK)
+              .trustManager(tls.trustedCertificates().toFile())
+              .clientAuth(ClientAuth.REQUIRE)
+              .build();
+      return Either.right(new TlsContexts(client, server));
+    } catch (SSLException | IllegalArgumentException invalid) {
+      return Either.left(
+          new WireError(
+              "cannot read the TLS certificates %s, %s and %s: %s"
+                  .formatted(
+                      tls.certificateChain(),
+                      tls.privateKey(),
+                      tls.trustedCertificates(),
+                      invalid.getMessage())));
+    }
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/io/zinniawood/wire/NettyWireTest.java
@@ -0,0 +1,136 @@
+package io.zinniawood.wire;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.model.VmRole;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class NettyWireTest {
+  private static final long WAIT_SECONDS = 20;
+
+  private final Wire server = wire("server");
+  private final Wire client = wire("client");
+
+  private static Wire wire(String nodeId) {
+    WirePeer self =
+        new WirePeer(
+            nodeId, VmRole.ENTRY, new Incarnation(1), new DataCentreId("tampere"), Option.none());
+    return Wires.overTcp(self, () -> new Generation(3), WireTiming.defaults(), Option.none(), 1)
+        .get();
+  }
+
+  private static NodeAddress freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new NodeAddress("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  @AfterEach
+  void closeWires() {
+    client.close();
+    server.close();
+  }
+
+  // Guards against lost or reordered messages and a generation that is not passed on.
+  @Test
+  void messagesArriveInOrderWithTheGeneration() throws Exception {
+    Recorder received = new Recorder();
+    NodeAddress address = freeAddress();
+    server.listen(address, received).get();
+    WireConnection connection =
+        client.connect(address, new Recorder()).get(WAIT_SECONDS, TimeUnit.SECONDS).get();
+    assertThat(connection.peer().nodeId(), is("server"));
+    for (int i = 0; i < 1_000; i++) {
+      connection.send(new Message.CloseSession(new SessionId("s-" + i)));
+    }
+    for (int i = 0; i < 1_000; i++) {
+      assertThat(
+          received.events.poll(WAIT_SECONDS, TimeUnit.SECONDS),
+          equalTo("3 " + new Message.CloseSession(new SessionId("s-" + i))));
+    }
+  }
+
+  // Guards against a connection attempt that hangs or throws when nobody listens.
+  @Test
+  void refusedConnectionGivesTypedError() throws Exception {
+    Either<WireError, WireConnection> result =
+        client.connect(freeAddress(), new Recorder()).get(WAIT_SECONDS, TimeUnit.SECONDS);
+    assertThat(result.getLeft().detail(), containsString("cannot connect to 127.0.0.1:"));
+  }
+
+  // Guards against a peer of another protocol that is taken for a node.
+  @Test
+  void invalidHandshakeGivesTypedError() throws Exception {
+    try (ServerSocket listening = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      var result =
+          client.connect(new NodeAddress("127.0.0.1", listening.getLocalPort()), new Recorder());
+      try (Socket accepted = listening.accept()) {
+        accepted.getOutputStream().write(new byte[] {0, 0, 0, 2, 8, 1});
+        assertThat(
+            result.get(WAIT_SECONDS, TimeUnit.SECONDS).getLeft().detail(),
+            containsString("expected a handshake"));
+      }
+    }
+  }
+
+  // Guards against an open connection whose peer has vanished without a reset.
+  @Test
+  void silentConnectionIsClosedAsSilent() throws Exception {
+    try (ServerSocket listening = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      Recorder events = new Recorder();
+      var result = client.connect(new NodeAddress("127.0.0.1", listening.getLocalPort()), events);
+      try (Socket accepted = listening.accept()) {
+        echoHandshake(accepted);
+        result.get(WAIT_SECONDS, TimeUnit.SECONDS).get();
+        assertThat(events.events.poll(WAIT_SECONDS, TimeUnit.SECONDS), equalTo("closed SILENT"));
+      }
+    }
+  }
+
+  private static void echoHandshake(Socket accepted) throws IOException {
+    InputStream in = accepted.getInputStream();
+    byte[] length = in.readNBytes(4);
+    byte[] hello = in.readNBytes(length[3] & 0xff);
+    accepted.getOutputStream().write(length);
+    accepted.getOutputStream().write(hello);
+    accepted.getOutputStream().flush();
+  }
+
+  /** Records messages and the end of connections as text. */
+  private static final class Recorder implements WireListener {
+    private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+    @Override
+    public void onOpened(WireConnection connection) {}
+
+    @Override
+    public void onMessage(WireConnection connection, Message message, Generation generation) {
+      events.add(generation + " " + message);
+    }
+
+    @Override
+    public void onClosed(WireConnection connection, CloseReason reason) {
+      events.add("closed " + reason);
+    }
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/io/zinniawood/wire/internal/LivenessProbeTest.java
@@ -0,0 +1,79 @@
+package io.zinniawood.wire.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.zinniawood.wire.WireTiming;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class LivenessProbeTest {
+  private long nowNanos;
+  private int probes;
+  private boolean silent;
+  private final ProbeBudget budget = new ProbeBudget(5_000);
+  private final LivenessProbe probe =
+      new LivenessProbe(
+          WireTiming.defaults(), budget, 0, sequence -> probes++, () -> silent = true);
+
+  private void runUntil(long millis) {
+    long endNanos = TimeUnit.MILLISECONDS.toNanos(millis);
+    while (!silent && probe.dueNanos() <= endNanos) {
+      nowNanos = Math.max(nowNanos, probe.dueNanos());
+      probe.check(nowNanos);
+    }
+    nowNanos = endNanos;
+  }
+
+  // Guards against a silent connection that stays open beyond the recovery target.
+  @Test
+  void activeConnectionWithoutAcknowledgementIsSilentWithin700Millis() {
+    probe.onMessage(0);
+    runUntil(700);
+    assertThat(silent, is(true));
+    assertThat(probes, is(1));
+  }
+
+  // Guards against probes on a connection that carries traffic.
+  @Test
+  void trafficReplacesProbes() {
+    for (long millis = 100; millis <= 2_000; millis += 100) {
+      runUntil(millis);
+      probe.onMessage(nowNanos);
+      probe.onRead(nowNanos);
+    }
+    assertThat(probes, is(0));
+    assertThat(silent, is(false));
+  }
+
+  // Guards against blaming the peer for a pause of this process.
+  @Test
+  void pauseOfThisProcessDoesNotCloseTheConnection() {
+    probe.onMessage(0);
+    runUntil(300);
+    assertThat(probes, is(1));
+    nowNanos = TimeUnit.SECONDS.toNanos(30);
+    probe.check(nowNanos);
+    assertThat(silent, is(false));
+    assertThat(probes, is(2));
+  }
+
+  // Guards against idle probes that exceed the control budget of a node with many connections.
+  @Test
+  void idleProbesStayWithinTheBudget() {
+    for (int i = 0; i < 200; i++) {
+      budget.opened();
+    }
+    nowNanos = TimeUnit.SECONDS.toNanos(10);
+    probe.onRead(nowNanos);
+    probes = 0;
+    long endMillis = 10_000 + 100_000;
+    while (probe.dueNanos() <= TimeUnit.MILLISECONDS.toNanos(endMillis)) {
+      nowNanos = Math.max(nowNanos, probe.dueNanos());
+      probe.check(nowNanos);
+      probe.onRead(nowNanos);
+    }
+    assertThat(probes, lessThanOrEqualTo(5));
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/io/zinniawood/wire/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the codec and the liveness probe. */
+package io.zinniawood.wire.internal;
--- /dev/null
+++ b/wire/src/test/java/io/zinniawood/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of connections over loopback. */
+package io.zinniawood.wire;
