--- /dev/null
+++ b/load/src/main/java/io/zinniawood/load/Arrivals.java
@@ -0,0 +1,20 @@
+package io.zinniawood.load;
+
+import java.util.SplittableRandom;
+
+/** Gaps between the arrivals of a Poisson process. */
+final class Arrivals {
+  private final double requestsPerSecond;
+  private final SplittableRandom random;
+
+  Arrivals(double requestsPerSecond, long seed) {
+    this.requestsPerSecond = requestsPerSecond;
+    this.random = new SplittableRandom(seed);
+  }
+
+  /** Returns the next gap in nanoseconds. */
+  long nextGapNanos() {
+    double seconds = -Math.log(1 - random.nextDouble()) / requestsPerSecond;
+    return (long) (seconds * 1e9);
+  }
+}
--- /dev/null
+++ b/load/src/main/java/io/zinniawood/load/Timeline.java
@@ -0,0 +1,59 @@
+package io.zinniawood.load;
+
+import java.util.concurrent.atomic.AtomicLongArray;
+
+/** Counts tokens and completed requests in intervals of a run, to show recovery. */
+public final class Timeline {
+  private final long startNanos;
+  private final long intervalMillis;
+  private final AtomicLongArray tokens;
+  private final AtomicLongArray completed;
+
+  /**
+   * Creates a timeline.
+   *
+   * @param startNanos monotonic start time in nanoseconds
+   * @param intervalMillis length of an interval in milliseconds
+   * @param spanMillis length of the run in milliseconds; later counts go to the last interval
+   */
+  public Timeline(long startNanos, long intervalMillis, long spanMillis) {
+    this.startNanos = startNanos;
+    this.intervalMillis = intervalMillis;
+    int intervals = (int) (spanMillis / intervalMillis) + 1;
+    this.tokens = new AtomicLongArray(intervals);
+    this.completed = new AtomicLongArray(intervals);
+  }
+
+  void countToken(long nowNanos) {
+    tokens.incrementAndGet(index(nowNanos));
+  }
+
+  void countCompleted(long nowNanos) {
+    completed.incrementAndGet(index(nowNanos));
+  }
+
+  private int index(long nowNanos) {
+    long interval = (nowNanos - startNanos) / 1_000_000 / intervalMillis;
+    return (int) Math.max(0, Math.min(tokens.length() - 1L, interval));
+  }
+
+  /** Returns the counts so far. */
+  public Series series() {
+    long[] tokenCounts = new long[tokens.length()];
+    long[] completedCounts = new long[tokens.length()];
+    for (int i = 0; i < tokenCounts.length; i++) {
+      tokenCounts[i] = tokens.get(i);
+      completedCounts[i] = completed.get(i);
+    }
+    return new Series(intervalMillis, tokenCounts, completedCounts);
+  }
+
+  /**
+   * Counts of a run.
+   *
+   * @param intervalMillis length of an interval in milliseconds
+   * @param tokens tokens in each interval
+   * @param completed completed requests in each interval
+   */
+  public record Series(long intervalMillis, long[] tokens, long[] completed) {}
+}
--- a/load/src/main/java/io/zinniawood/load/package-info.java
+++ b/load/src/main/java/io/zinniawood/load/package-info.java
@@ -1,2 +1,2 @@
-/** Load generator. */
+/** Open-loop load generator and its results. Depends on no other module of the project. */
 package io.zinniawood.load;
