--- a/cli/src/main/java/io/zinniawood/cli/Main.java
+++ b/cli/src/main/java/io/zinniawood/cli/Main.java
@@ -1,11 +1,15 @@
 package io.zinniawood.cli;
 
+import java.util.List;
+
 /** Entry point of the executable. */
 public final class Main {
   private Main() {}
 
-  /** Runs the command that the arguments name. */
-  public static void main(String[] arguments) {
-    System.out.println("zinniawood");
+  /** Runs the command that the arguments name and exits with its code. */
+  public static void main(String[] arguments) throws InterruptedException {
+    List<Command> commands = List.of(new LoadCommand(), new VersionCommand());
+    ExitCode code = new CommandLine(commands).run(arguments, System.out, System.err);
+    System.exit(code.code());
   }
 }
--- a/cli/src/main/java/io/zinniawood/cli/package-info.java
+++ b/cli/src/main/java/io/zinniawood/cli/package-info.java
@@ -1,2 +1,2 @@
-/** Command line. */
+/** Command line. The only module that knows all others. */
 package io.zinniawood.cli;
