Add thin entry reducer

The entry's shell and the agents' tests need the entry's decisions. EntryReducer now handles membership, configuration, model sessions, plain service calls, deadlines and drain; a token replaces one session in a persistent map.

--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Answers.java
@@ -0,0 +1,137 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.model.FinishReason;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.core.model.ServiceAnswer;
+
+/** Ends requests: the one place that answers a caller and records the result. */
+final class Answers {
+  private Answers() {}
+
+  /** Refuses a request that was never opened. */
+  static void refuse(
+      Turn turn, RequestId request, ClientAccountId account, String target, Problem problem) {
+    turn.emit(new EntryEffect.ReplyProblem(request, problem));
+    turn.emit(
+        new EntryEffect.RecordResult(
+            new RequestResult(
+                request,
+                account,
+                target,
+                problem.outcome(),
+                Option.some(problem.type()),
+                0,
+                Option.none(),
+                Option.none(),
+                0,
+                0,
+                Option.none())));
+  }
+
+  /** Ends a model answer. */
+  static void finishModel(Turn turn, Session session, FinishReason reason) {
+    turn.emit(
+        new EntryEffect.FinishAnswer(
+            session.arrival().request(), reason, session.progress().nextPosition()));
+    endModel(turn, session, Outcome.COMPLETED, Option.none());
+  }
+
+  /** Fails a model request. */
+  static void failModel(Turn turn, Session session, Problem problem) {
+    turn.emit(new EntryEffect.ReplyProblem(session.arrival().request(), problem));
+    endModel(turn, session, problem.outcome(), Option.some(problem.type()));
+  }
+
+  /** Records a model request whose caller is gone. */
+  static void endModel(Turn turn, Session session, Outcome outcome, Option<ProblemType> problem) {
+    var arrival = session.arrival();
+    Progress progress = session.progress();
+    record(
+        turn,
+        new RequestResult(
+            arrival.request(),
+            arrival.clientAccount(),
+            arrival.model().value(),
+            outcome,
+            problem,
+            turn.nowNanos() - progress.arrivedNanos(),
+            progress.timeToFirstTokenNanos(),
+            progress.slowestGap(),
+            progress.nextPosition(),
+            Math.toIntExact(session.epoch().value()) + session.sessions() - 1,
+            session.chain().lastOption().map(stage -> stage.endpoint())));
+    turn.update(state -> state.withSessions(state.sessions().remove(session.id())));
+  }
+
+  /** Answers a service call. */
+  static void finishService(
+      Turn turn, ServiceRequest request, ServiceAnswer answer, Option<EndpointId> endpoint) {
+    turn.emit(new EntryEffect.ReplyService(request.arrival().request(), answer));
+    endService(turn, request, Outcome.COMPLETED, Option.none(), endpoint);
+  }
+
+  /** Fails a service call. */
+  static void failService(Turn turn, ServiceRequest request, Problem problem) {
+    turn.emit(new EntryEffect.ReplyProblem(request.arrival().request(), problem));
+    endService(
+        turn,
+        request,
+        problem.outcome(),
+        Option.some(problem.type()),
+        request.current().map(Attempt::endpoint));
+  }
+
+  /** Records a service call whose caller is gone or was answered. */
+  static void endService(
+      Turn turn,
+      ServiceRequest request,
+      Outcome outcome,
+      Option<ProblemType> problem,
+      Option<EndpointId> endpoint) {
+    var arrival = request.arrival();
+    request
+        .current()
+        .forEach(
+            attempt ->
+                turn.cancelTimer(new EntryTimer.AttemptTimeout(arrival.request(), attempt.id())));
+    record(
+        turn,
+        new RequestResult(
+            arrival.request(),
+            arrival.clientAccount(),
+            arrival.service().value(),
+            outcome,
+            problem,
+            turn.nowNanos() - request.arrivedNanos(),
+            Option.none(),
+            Option.none(),
+            0,
+            request.attempts(),
+            endpoint));
+  }
+
+  private static void record(Turn turn, RequestResult result) {
+    turn.cancelTimer(new EntryTimer.RequestDeadline(result.request()));
+    turn.emit(new EntryEffect.RecordResult(result));
+    if (result.outcome() == Outcome.UNKNOWN && result.problem().isDefined()) {
+      turn.incident(
+          IncidentKind.OUTCOME_UNKNOWN,
+          result.request().value(),
+          "%s of %s ended with outcome unknown (%s) after %d attempts"
+              .formatted(
+                  result.target(),
+                  result.clientAccount(),
+                  result.problem().get().slug(),
+                  result.attempts()));
+    }
+    turn.update(state -> state.withRequests(state.requests().remove(result.request())));
+    Admission.release(turn, result.clientAccount());
+    Drain.stopIfIdle(turn);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Configurations.java
@@ -0,0 +1,28 @@
+package io.zinniawood.core.entry;
+
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+
+/** Takes accepted configurations; only a higher generation takes effect. */
+final class Configurations {
+  private Configurations() {}
+
+  static void accepted(Turn turn, AcceptedConfiguration configuration) {
+    boolean newer =
+        turn.state()
+            .configuration()
+            .forAll(known -> known.generation().compareTo(configuration.generation()) < 0);
+    if (!newer) {
+      return;
+    }
+    turn.update(state -> state.withConfiguration(configuration));
+    turn.incident(
+        IncidentKind.CONFIGURATION_ACCEPTED,
+        "generation " + configuration.generation(),
+        "configuration %s is in force".formatted(configuration.digest()));
+    if (turn.state().lifecycle() == Lifecycle.STARTING) {
+      turn.update(state -> state.withLifecycle(Lifecycle.READY));
+      turn.emit(new EntryEffect.SetReadiness(Readiness.READY));
+    }
+    Membership.connectSubset(turn);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Drain.java
@@ -0,0 +1,33 @@
+package io.zinniawood.core.entry;
+
+/** Drain of the entry: readiness first, then the balancer's delay, then open requests. */
+final class Drain {
+  /** The platform's balancer checks readiness about once a second and drops an entry after two. */
+  private static final long GRACE_NANOS = 3_000_000_000L;
+
+  private Drain() {}
+
+  static void requested(Turn turn) {
+    if (turn.state().lifecycle().compareTo(Lifecycle.GRACE) >= 0) {
+      return;
+    }
+    turn.update(state -> state.withLifecycle(Lifecycle.GRACE));
+    turn.emit(new EntryEffect.SetReadiness(Readiness.DRAINING));
+    turn.startTimer(new EntryTimer.DrainGrace(), GRACE_NANOS);
+  }
+
+  static void graceEnded(Turn turn) {
+    if (turn.state().lifecycle() == Lifecycle.GRACE) {
+      turn.update(state -> state.withLifecycle(Lifecycle.DRAINING));
+      stopIfIdle(turn);
+    }
+  }
+
+  /** Stops the process once the last open request of a draining entry has ended. */
+  static void stopIfIdle(Turn turn) {
+    if (turn.state().lifecycle() == Lifecycle.DRAINING && turn.state().requests().isEmpty()) {
+      turn.update(state -> state.withLifecycle(Lifecycle.STOPPED));
+      turn.emit(new EntryEffect.Stop());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/EntryDispatch.java
@@ -0,0 +1,93 @@
+package io.zinniawood.core.entry;
+
+/** Dispatch list: one line for each type of event. */
+final class EntryDispatch implements EntryEventVisitor<Void> {
+  private final Turn turn;
+
+  EntryDispatch(Turn turn) {
+    this.turn = turn;
+  }
+
+  @Override
+  public Void visitModelRequestArrived(EntryEvent.ModelRequestArrived event) {
+    ModelRequests.arrived(turn, event);
+    return null;
+  }
+
+  @Override
+  public Void visitServiceRequestArrived(EntryEvent.ServiceRequestArrived event) {
+    ServiceRequests.arrived(turn, event);
+    return null;
+  }
+
+  @Override
+  public Void visitCallerDisconnected(EntryEvent.CallerDisconnected event) {
+    OpenRequests.callerGone(turn, event.request());
+    return null;
+  }
+
+  @Override
+  public Void visitAgentConnected(EntryEvent.AgentConnected event) {
+    Membership.connected(turn, event);
+    return null;
+  }
+
+  @Override
+  public Void visitAgentDisconnected(EntryEvent.AgentDisconnected event) {
+    Membership.disconnected(turn, event);
+    return null;
+  }
+
+  @Override
+  public Void visitAgentConnectFailed(EntryEvent.AgentConnectFailed event) {
+    Membership.connectFailed(turn, event.endpoint());
+    return null;
+  }
+
+  @Override
+  public Void visitAgentMessageReceived(EntryEvent.AgentMessageReceived event) {
+    if (turn.fleet().connectedAs(event.endpoint(), event.incarnation())) {
+      event.message().accept(new MessageDispatch(turn, event.endpoint()));
+    }
+    return null;
+  }
+
+  @Override
+  public Void visitClaimResolved(EntryEvent.ClaimResolved event) {
+    return null;
+  }
+
+  @Override
+  public Void visitVmListReceived(EntryEvent.VmListReceived event) {
+    Membership.listReceived(turn, event);
+    return null;
+  }
+
+  @Override
+  public Void visitConfigurationAccepted(EntryEvent.ConfigurationAccepted event) {
+    Configurations.accepted(turn, event.configuration());
+    return null;
+  }
+
+  @Override
+  public Void visitLeaseRead(EntryEvent.LeaseRead event) {
+    return null;
+  }
+
+  @Override
+  public Void visitLeaseUnavailable(EntryEvent.LeaseUnavailable event) {
+    return null;
+  }
+
+  @Override
+  public Void visitTimerFired(EntryEvent.TimerFired event) {
+    Timers.fired(turn, event.timer());
+    return null;
+  }
+
+  @Override
+  public Void visitDrainRequested(EntryEvent.DrainRequested event) {
+    Drain.requested(turn);
+    return null;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/MessageDispatch.java
@@ -0,0 +1,138 @@
+package io.zinniawood.core.entry;
+
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.message.MessageVisitor;
+
+/** Dispatch list of the messages that agents send; the others are ignored. */
+final class MessageDispatch implements MessageVisitor<Void> {
+  private final Turn turn;
+  private final EndpointId endpoint;
+
+  MessageDispatch(Turn turn, EndpointId endpoint) {
+    this.turn = turn;
+    this.endpoint = endpoint;
+  }
+
+  @Override
+  public Void visitStatus(Message.Status message) {
+    Membership.status(turn, endpoint, message);
+    return null;
+  }
+
+  @Override
+  public Void visitDispatch(Message.Dispatch message) {
+    return null;
+  }
+
+  @Override
+  public Void visitDispatchReply(Message.DispatchReply message) {
+    ServiceRequests.replied(turn, message);
+    return null;
+  }
+
+  @Override
+  public Void visitDispatchRefused(Message.DispatchRefused message) {
+    ServiceRequests.refused(turn, message);
+    return null;
+  }
+
+  @Override
+  public Void visitCancelDispatch(Message.CancelDispatch message) {
+    return null;
+  }
+
+  @Override
+  public Void visitCancelResult(Message.CancelResult message) {
+    return null;
+  }
+
+  @Override
+  public Void visitOpenSession(Message.OpenSession message) {
+    return null;
+  }
+
+  @Override
+  public Void visitSessionOpened(Message.SessionOpened message) {
+    StageSessions.opened(turn, endpoint, message);
+    return null;
+  }
+
+  @Override
+  public Void visitSessionRefused(Message.SessionRefused message) {
+    StageSessions.refused(turn, endpoint, message);
+    return null;
+  }
+
+  @Override
+  public Void visitStepInput(Message.StepInput message) {
+    return null;
+  }
+
+  @Override
+  public Void visitActivation(Message.Activation message) {
+    return null;
+  }
+
+  @Override
+  public Void visitToken(Message.Token message) {
+    StageSessions.token(turn, endpoint, message);
+    return null;
+  }
+
+  @Override
+  public Void visitStageFailed(Message.StageFailed message) {
+    StageSessions.stageFailed(turn, message);
+    return null;
+  }
+
+  @Override
+  public Void visitReplay(Message.Replay message) {
+    return null;
+  }
+
+  @Override
+  public Void visitCloseSession(Message.CloseSession message) {
+    return null;
+  }
+
+  @Override
+  public Void visitCacheRequest(Message.CacheRequest message) {
+    return null;
+  }
+
+  @Override
+  public Void visitCacheSnapshot(Message.CacheSnapshot message) {
+    return null;
+  }
+
+  @Override
+  public Void visitOrder(Message.Order message) {
+    return null;
+  }
+
+  @Override
+  public Void visitOrderResult(Message.OrderResult message) {
+    return null;
+  }
+
+  @Override
+  public Void visitConfigurationRequest(Message.ConfigurationRequest message) {
+    return null;
+  }
+
+  @Override
+  public Void visitConfigurationSnapshot(Message.ConfigurationSnapshot message) {
+    return null;
+  }
+
+  @Override
+  public Void visitVmListSnapshot(Message.VmListSnapshot message) {
+    return null;
+  }
+
+  @Override
+  public Void visitObjectiveCounts(Message.ObjectiveCounts message) {
+    return null;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/OpenRequest.java
@@ -0,0 +1,14 @@
+package io.zinniawood.core.entry;
+
+import io.zinniawood.core.id.SessionId;
+
+/** Request that has not been answered. */
+sealed interface OpenRequest permits OpenRequest.OfModel, ServiceRequest {
+
+  /**
+   * Model request; its state is in its session.
+   *
+   * @param session session
+   */
+  record OfModel(SessionId session) implements OpenRequest {}
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Progress.java
@@ -0,0 +1,56 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+
+/**
+ * Tokens of a session that were delivered to the caller.
+ *
+ * @param tokens texts by position; also the inputs that the first stage may need again
+ * @param arrivedNanos monotonic time of the request's arrival in nanoseconds
+ * @param firstTokenNanos monotonic time of the first token in nanoseconds, 0 before it
+ * @param lastTokenNanos monotonic time of the last token in nanoseconds
+ * @param movedNanos monotonic time of the last sign of progress in nanoseconds
+ * @param slowestGapNanos longest time between two tokens in nanoseconds
+ */
+record Progress(
+    Vector<String> tokens,
+    long arrivedNanos,
+    long firstTokenNanos,
+    long lastTokenNanos,
+    long movedNanos,
+    long slowestGapNanos) {
+
+  static Progress none(long nowNanos) {
+    return new Progress(Vector.empty(), nowNanos, 0, nowNanos, nowNanos, 0);
+  }
+
+  /** Returns the position whose token comes next. */
+  int nextPosition() {
+    return tokens.length();
+  }
+
+  Progress delivered(String text, long nowNanos) {
+    boolean first = tokens.isEmpty();
+    return new Progress(
+        tokens.append(text),
+        arrivedNanos,
+        first ? nowNanos : firstTokenNanos,
+        nowNanos,
+        nowNanos,
+        first ? 0 : Math.max(slowestGapNanos, nowNanos - lastTokenNanos));
+  }
+
+  Progress moved(long nowNanos) {
+    return new Progress(
+        tokens, arrivedNanos, firstTokenNanos, lastTokenNanos, nowNanos, slowestGapNanos);
+  }
+
+  Option<Long> timeToFirstTokenNanos() {
+    return Option.when(!tokens.isEmpty(), () -> firstTokenNanos - arrivedNanos);
+  }
+
+  Option<Long> slowestGap() {
+    return Option.when(tokens.length() > 1, () -> slowestGapNanos);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/ServiceRequest.java
@@ -0,0 +1,84 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Fence;
+import io.zinniawood.core.model.ClaimKey;
+import io.zinniawood.core.model.Idempotency;
+
+/**
+ * Open call of a plain service.
+ *
+ * @param arrival the request
+ * @param arrivedNanos monotonic time of its arrival in nanoseconds
+ * @param attempts attempts so far
+ * @param current attempt whose result is awaited
+ * @param fence fence for the next attempt
+ * @param avoid endpoints that refused or failed this request
+ * @param mayHaveRun whether an attempt was sent that did not certainly stay unstarted
+ */
+record ServiceRequest(
+    EntryEvent.ServiceRequestArrived arrival,
+    long arrivedNanos,
+    int attempts,
+    Option<Attempt> current,
+    Fence fence,
+    Set<EndpointId> avoid,
+    boolean mayHaveRun)
+    implements OpenRequest {
+
+  static ServiceRequest first(EntryEvent.ServiceRequestArrived arrival, long nowNanos) {
+    return new ServiceRequest(
+        arrival, nowNanos, 0, Option.none(), new Fence(0), HashSet.empty(), false);
+  }
+
+  boolean idempotent() {
+    return arrival.idempotency() == Idempotency.IDEMPOTENT;
+  }
+
+  /** Tells whether a claim row decides about this call. */
+  boolean claimed() {
+    return !idempotent() && arrival.key().isDefined();
+  }
+
+  ClaimKey claimKey() {
+    return new ClaimKey(arrival.clientAccount(), arrival.service(), arrival.key().get());
+  }
+
+  /** Returns this request with a new attempt in flight. */
+  ServiceRequest dispatched(Attempt attempt) {
+    return new ServiceRequest(
+        arrival, arrivedNanos, attempts + 1, Option.some(attempt), fence, avoid, mayHaveRun);
+  }
+
+  ServiceRequest withCurrent(Attempt attempt) {
+    return new ServiceRequest(
+        arrival, arrivedNanos, attempts, Option.some(attempt), fence, avoid, mayHaveRun);
+  }
+
+  /** Returns this request after its attempt certainly did not start and never will. */
+  ServiceRequest notStarted(Fence nextFence) {
+    return new ServiceRequest(
+        arrival,
+        arrivedNanos,
+        attempts,
+        Option.none(),
+        nextFence,
+        current.map(attempt -> avoid.add(attempt.endpoint())).getOrElse(avoid),
+        mayHaveRun);
+  }
+
+  /** Returns this request after its attempt was given up although it may run. */
+  ServiceRequest abandoned() {
+    return new ServiceRequest(
+        arrival,
+        arrivedNanos,
+        attempts,
+        Option.none(),
+        fence,
+        current.map(attempt -> avoid.add(attempt.endpoint())).getOrElse(avoid),
+        true);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Turn.java
@@ -0,0 +1,101 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.Vector;
+import io.zinniawood.core.configuration.ClusterConfiguration;
+import io.zinniawood.core.entry.membership.Member;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.runtime.Step;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.UnaryOperator;
+
+/**
+ * One application of the reducer: the state as it changes and the effects so far. It lives for one
+ * event and is never part of the state.
+ */
+final class Turn {
+  private final long nowNanos;
+  private final List<EntryEffect> effects = new ArrayList<>();
+  private EntryState state;
+
+  Turn(EntryState state, long nowNanos) {
+    this.state = state;
+    this.nowNanos = nowNanos;
+  }
+
+  long nowNanos() {
+    return nowNanos;
+  }
+
+  EntryState state() {
+    return state;
+  }
+
+  Fleet fleet() {
+    return state.fleet();
+  }
+
+  /** Returns the configuration; only called once one was accepted. */
+  ClusterConfiguration cluster() {
+    return state.cluster().get();
+  }
+
+  void update(UnaryOperator<EntryState> change) {
+    state = change.apply(state);
+  }
+
+  void emit(EntryEffect effect) {
+    effects.add(effect);
+  }
+
+  void send(EndpointId endpoint, Incarnation incarnation, Message message) {
+    effects.add(new EntryEffect.SendToAgent(endpoint, incarnation, message));
+  }
+
+  void startTimer(EntryTimer timer, long delayNanos) {
+    effects.add(new EntryEffect.StartTimer(timer, Math.max(0, delayNanos)));
+  }
+
+  void cancelTimer(EntryTimer timer) {
+    effects.add(new EntryEffect.CancelTimer(timer));
+  }
+
+  void incident(IncidentKind kind, String subject, String detail) {
+    effects.add(new EntryEffect.RecordIncident(new Incident(kind, subject, detail)));
+  }
+
+  /** Changes one endpoint; does nothing if it is not known. */
+  void updateMember(EndpointId endpoint, UnaryOperator<Member> change) {
+    state
+        .fleet()
+        .member(endpoint)
+        .forEach(member -> state = state.withFleet(state.fleet().with(change.apply(member))));
+  }
+
+  void putSession(Session session) {
+    state = state.withSessions(state.sessions().put(session.id(), session));
+  }
+
+  AttemptId nextAttempt() {
+    state = state.withIds(state.ids().next());
+    return state.ids().attempt();
+  }
+
+  SessionId nextSession() {
+    state = state.withIds(state.ids().next());
+    return state.ids().session();
+  }
+
+  double nextUnit() {
+    state = state.withIds(state.ids().next());
+    return state.ids().unit();
+  }
+
+  Step<EntryState, EntryEffect> finish() {
+    return new Step<>(state, Vector.ofAll(effects));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/limits/ConcurrencyLimit.java
@@ -0,0 +1,36 @@
+package io.zinniawood.core.entry.limits;
+
+/**
+ * Adaptive limit of the work that an entry has in flight at one endpoint: additive increase while
+ * the limit is used, multiplicative decrease on refusals and timeouts.
+ *
+ * @param value present limit, at least 1
+ * @param ceiling highest limit
+ */
+public record ConcurrencyLimit(double value, int ceiling) {
+  private static final double DECREASE = 0.8;
+
+  /** Returns a limit that starts at its ceiling. */
+  public static ConcurrencyLimit initial(int ceiling) {
+    int checked = Math.max(1, ceiling);
+    return new ConcurrencyLimit(checked, checked);
+  }
+
+  /** Returns the limit as a whole number, at least 1. */
+  public int whole() {
+    return Math.max(1, (int) value);
+  }
+
+  /** Returns the limit after a success with the given work in flight. */
+  public ConcurrencyLimit success(int inFlight) {
+    if (value >= ceiling || inFlight * 2 < whole()) {
+      return this;
+    }
+    return new ConcurrencyLimit(Math.min(ceiling, value + 1 / value), ceiling);
+  }
+
+  /** Returns the limit after a refusal for overload or a timeout. */
+  public ConcurrencyLimit overload() {
+    return new ConcurrencyLimit(Math.max(1, value * DECREASE), ceiling);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/membership/package-info.java
@@ -0,0 +1,2 @@
+/** View that an entry has of the endpoints: values and rules, without effects. */
+package io.zinniawood.core.entry.membership;
