--- /dev/null
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpModelEngine.java
@@ -0,0 +1,204 @@
+package io.zinniawood.engine.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.zinniawood.core.id.AcceleratorKind;
+import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.ModelId;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.model.Capability;
+import io.zinniawood.core.model.EngineOrder;
+import io.zinniawood.core.model.LayerRange;
+import io.zinniawood.core.model.LoadReport;
+import io.zinniawood.core.model.OrderOutcome;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.engine.EngineError;
+import io.zinniawood.engine.EngineStatus;
+import io.zinniawood.engine.ModelEngine;
+import io.zinniawood.engine.StepOutput;
+import java.net.URI;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+
+/**
+ * A model engine over HTTP. Each call sends at most one request; there are no retries and no
+ * redirects. The HTTP interface is described in {@code docs/standins.md}.
+ */
+public final class HttpModelEngine implements ModelEngine {
+  private static final MediaType BYTES = MediaType.get("application/octet-stream");
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final String NEXT_POSITION_HEADER = "Next-Position";
+  private final HttpUrl base;
+  private final HttpEngineSettings settings;
+  private final HttpCalls calls;
+
+  /**
+   * Creates the adapter with default settings.
+   *
+   * @param baseUri base of all paths, for example {@code http://127.0.0.1:8000}
+   * @param client client whose connection pool and threads are shared
+   */
+  public HttpModelEngine(URI baseUri, OkHttpClient client) {
+    this(baseUri, client, HttpEngineSettings.defaults());
+  }
+
+  /**
+   * Creates the adapter.
+   *
+   * @param baseUri base of all paths, for example {@code http://127.0.0.1:8000}
+   * @param client client whose connection pool and threads are shared
+   * @param settings timeouts and bounds
+   * @throws IllegalArgumentException if the URI is not an HTTP URI
+   */
+  public HttpModelEngine(URI baseUri, OkHttpClient client, HttpEngineSettings settings) {
+    this.base = BaseUrl.of(baseUri);
+    this.settings = Objects.requireNonNull(settings, "settings");
+    this.calls = new HttpCalls(client, settings);
+  }
+
+  @Override
+  public CompletableFuture<Either<EngineError, EngineStatus>> status() {
+    Request.Builder request = new Request.Builder().url(url("engine/status").build()).get();
+    return Responses.decode(
+        calls.send(request, settings.controlTimeoutMillis()), HttpModelEngine::decodeStatus);
+  }
+
+  @Override
+  public CompletableFuture<Either<EngineError, Vector<StepOutput>>> run(Vector<StepRequest> steps) {
+    if (steps.isEmpty()) {
+      return CompletableFuture.completedFuture(Either.right(Vector.empty()));
+    }
+    Request.Builder request =
+        new Request.Builder()
+            .url(url("engine/run").build())
+            .post(new OneShotBody(BatchCodec.TYPE, BatchCodec.encode(steps)));
+    return Responses.decode(
+        calls.send(request, settings.runTimeoutMillis()), response -> decodeRun(steps, response));
+  }
+
+  @Override
+  public CompletableFuture<Either<EngineError, Boolean>> close(SessionId session) {
+    Request.Builder request =
+        new Request.Builder().url(sessionUrl("engine/session", session)).delete();
+    return Responses.decode(
+        calls.send(request, settings.controlTimeoutMillis()), HttpModelEngine::decodeFlag);
+  }
+
+  @Override
+  public CompletableFuture<Either<EngineError, CacheExport>> exportCache(SessionId session) {
+    Request.Builder request = new Request.Builder().url(sessionUrl("engine/cache", session)).get();
+    return Responses.decode(
+        calls.send(request, settings.runTimeoutMillis()), HttpModelEngine::decodeExport);
+  }
+
+  @Override
+  public CompletableFuture<Either<EngineError, Boolean>> importCache(
+      SessionId session, CacheExport cache) {
+    Request.Builder request =
+        new Request.Builder()
+            .url(sessionUrl("engine/cache", session))
+            .header(NEXT_POSITION_HEADER, Integer.toString(cache.nextPosition()))
+            .put(new OneShotBody(BYTES, cache.cache().bytes()));
+    return Responses.decode(
+        calls.send(request, settings.runTimeoutMillis()), HttpModelEngine::decodeFlag);
+  }
+
+  @Override
+  public CompletableFuture<Either<EngineError, OrderOutcome>> order(
+      FencingNumber fencingNumber, EngineOrder order) {
+    Request.Builder request =
+        new Request.Builder()
+            .url(url("engine/orders").build())
+            .post(new OneShotBody(JSON, OrderCodec.encode(fencingNumber, order)));
+    return Responses.decode(calls.send(request, settings.orderTimeoutMillis()), OrderCodec::decode);
+  }
+
+  private HttpUrl.Builder url(String path) {
+    return base.newBuilder().addPathSegments(path);
+  }
+
+  private HttpUrl sessionUrl(String path, SessionId session) {
+    return url(path).addQueryParameter("session", session.value()).build();
+  }
+
+  static Either<EngineError, EngineStatus> decodeStatus(HttpResult.Response response)
+      throws MalformedResponseException {
+    if (response.status() != 200) {
+      return Responses.failure(response);
+    }
+    JsonNode root = Json.object(response.body());
+    JsonNode load = root.path("load");
+    try {
+      Capability.ModelStage capability =
+          new Capability.ModelStage(
+              new ModelId(Json.text(root, "model")),
+              new LayerRange(
+                  Json.integer(root, "fromLayer"), Json.integer(root, "toLayerExclusive")),
+              new AcceleratorKind(Json.text(root, "accelerator")),
+              Json.decimal(root, "tokensPerSecond"),
+              Json.integer(root, "maxSessions"));
+      LoadReport report =
+          new LoadReport(
+              Json.integer(load, "running"),
+              Json.integer(load, "queued"),
+              Json.integer(load, "concurrencyLimit"),
+              Json.decimal(load, "tokensPerSecond"));
+      return Either.right(new EngineStatus(capability, report));
+    } catch (IllegalArgumentException e) {
+      throw new MalformedResponseException("status is invalid: " + e.getMessage(), e);
+    }
+  }
+
+  /** The outputs must be those of the steps, in the same order. */
+  static Either<EngineError, Vector<StepOutput>> decodeRun(
+      Vector<StepRequest> steps, HttpResult.Response response) throws MalformedResponseException {
+    if (response.status() != 200) {
+      return Responses.failure(response);
+    }
+    Vector<StepOutput> outputs = BatchCodec.decode(response.body());
+    if (outputs.size() != steps.size()) {
+      throw new MalformedResponseException(
+          "%d outputs arrived for %d steps".formatted(outputs.size(), steps.size()));
+    }
+    for (int i = 0; i < steps.size(); i++) {
+      StepRequest step = steps.get(i);
+      StepOutput output = outputs.get(i);
+      if (!output.session().equals(step.session()) || output.position() != step.position()) {
+        throw new MalformedResponseException(
+            "output %d is of session %s position %d, but the step is of session %s position %d"
+                .formatted(
+                    i, output.session(), output.position(), step.session(), step.position()));
+      }
+    }
+    return Either.right(outputs);
+  }
+
+  static Either<EngineError, CacheExport> decodeExport(HttpResult.Response response)
+      throws MalformedResponseException {
+    if (response.status() != 200) {
+      return Responses.failure(response);
+    }
+    String text = response.headers().get(NEXT_POSITION_HEADER);
+    try {
+      int nextPosition = Integer.parseInt(text == null ? "" : text);
+      if (nextPosition >= 0) {
+        return Either.right(new CacheExport(nextPosition, Payload.wrap(response.body())));
+      }
+    } catch (NumberFormatException e) {
+      throw new MalformedResponseException(NEXT_POSITION_HEADER + " is invalid: " + text, e);
+    }
+    throw new MalformedResponseException(NEXT_POSITION_HEADER + " is negative: " + text);
+  }
+
+  static Either<EngineError, Boolean> decodeFlag(HttpResult.Response response)
+      throws MalformedResponseException {
+    return response.status() == 200
+        ? Either.right(Json.flag(Json.object(response.body()), "done"))
+        : Responses.failure(response);
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/io/zinniawood/engine/http/OrderCodec.java
@@ -0,0 +1,61 @@
+package io.zinniawood.engine.http;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import io.vavr.control.Either;
+import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.model.EngineOrder;
+import io.zinniawood.core.model.OrderOutcome;
+import io.zinniawood.engine.EngineError;
+
+/** Encodes orders and decodes their results. */
+final class OrderCodec {
+  private OrderCodec() {}
+
+  @JsonInclude(JsonInclude.Include.NON_NULL)
+  private record OrderBody(
+      long fencingNumber,
+      String order,
+      String model,
+      String version,
+      Integer fromLayer,
+      Integer toLayerExclusive,
+      String adapter,
+      String role) {}
+
+  static byte[] encode(FencingNumber fencingNumber, EngineOrder order) {
+    return Json.bytes(body(fencingNumber.value(), order));
+  }
+
+  private static OrderBody body(long fence, EngineOrder order) {
+    if (order instanceof EngineOrder.LoadModel load) {
+      return new OrderBody(
+          fence,
+          "load-model",
+          load.model().value(),
+          load.version(),
+          load.layers().fromLayer(),
+          load.layers().toLayerExclusive(),
+          null,
+          null);
+    }
+    if (order instanceof EngineOrder.LoadAdapter load) {
+      return new OrderBody(
+          fence, "load-adapter", load.model().value(), null, null, null, load.adapter(), null);
+    }
+    EngineOrder.ChangeRole change = (EngineOrder.ChangeRole) order;
+    return new OrderBody(fence, "change-role", null, null, null, null, null, change.role().name());
+  }
+
+  static Either<EngineError, OrderOutcome> decode(HttpResult.Response response)
+      throws MalformedResponseException {
+    if (response.status() != 200) {
+      return Responses.failure(response);
+    }
+    String outcome = Json.text(Json.object(response.body()), "outcome");
+    try {
+      return Either.right(OrderOutcome.valueOf(outcome));
+    } catch (IllegalArgumentException e) {
+      throw new MalformedResponseException("unknown order outcome \"" + outcome + "\"", e);
+    }
+  }
+}
