Add the entry process with callers' HTTP and effect execution

The reducer needs a shell that turns HTTP, wire, table and VM list into events. EntryProcess serves the chat API, the model list and plain services by Jooby, executes every effect of the reducer and keeps the accepted configuration. Tests with a scripted reducer cover whole and streamed answers, service calls, broken streams and refusals.

--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/EntryDependencies.java
@@ -0,0 +1,38 @@
+package io.zinniawood.entry;
+
+import io.zinniawood.config.settings.EntrySettings;
+import io.zinniawood.core.entry.EntryEffect;
+import io.zinniawood.core.entry.EntryEvent;
+import io.zinniawood.core.runtime.Reducer;
+import io.zinniawood.platform.Table;
+import io.zinniawood.platform.VmList;
+import io.zinniawood.wire.Wire;
+import java.lang.System.Logger;
+import java.util.function.LongSupplier;
+
+/**
+ * What an entry process works with.
+ *
+ * @param <S> state of the reducer
+ * @param settings settings of the process
+ * @param wire transport to agents and other entries; the process closes it
+ * @param generation generation that the wire stamps on messages; raised by the process
+ * @param table the platform's table
+ * @param vmList the platform's VM list
+ * @param configuration reads and parses configurations
+ * @param reducer decisions
+ * @param initialState state before the first event
+ * @param clockNanos monotonic clock in nanoseconds
+ * @param logger logger of the process
+ */
+public record EntryDependencies<S>(
+    EntrySettings settings,
+    Wire wire,
+    GenerationCell generation,
+    Table table,
+    VmList vmList,
+    ConfigurationFeed configuration,
+    Reducer<S, EntryEvent, EntryEffect> reducer,
+    S initialState,
+    LongSupplier clockNanos,
+    Logger logger) {}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/chat/ChatResponses.java
@@ -0,0 +1,127 @@
+package io.zinniawood.entry.internal.chat;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Seq;
+import io.zinniawood.core.id.ModelId;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.model.FinishReason;
+import java.nio.charset.StandardCharsets;
+
+/** Builds the JSON documents of chat answers for one request. */
+public final class ChatResponses {
+  /** Marks the end of a complete stream. */
+  public static final byte[] DONE = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final String id;
+  private final String model;
+  private final long createdSeconds;
+
+  /**
+   * Creates the builder of one request.
+   *
+   * @param request request
+   * @param model model
+   * @param createdSeconds wall-clock time of the request in seconds since the epoch
+   */
+  public ChatResponses(RequestId request, ModelId model, long createdSeconds) {
+    this.id = "chatcmpl-" + request.value();
+    this.model = model.value();
+    this.createdSeconds = createdSeconds;
+  }
+
+  /** Returns the first event of a stream, which names the role. */
+  public byte[] roleEvent() {
+    ObjectNode chunk = chunk();
+    choice(chunk).putObject("delta").put("role", "assistant").put("content", "");
+    return event(chunk);
+  }
+
+  /** Returns the event of one token. */
+  public byte[] tokenEvent(String text) {
+    ObjectNode chunk = chunk();
+    choice(chunk).putObject("delta").put("content", text);
+    return event(chunk);
+  }
+
+  /** Returns the event that gives the reason for the end. */
+  public byte[] finishEvent(FinishReason reason) {
+    ObjectNode chunk = chunk();
+    ObjectNode choice = choice(chunk);
+    choice.putObject("delta");
+    choice.put("finish_reason", reason.text());
+    return event(chunk);
+  }
+
+  /** Returns the event that gives the usage; it has no choices. */
+  public byte[] usageEvent(int promptTokens, int tokens) {
+    ObjectNode chunk = chunk();
+    chunk.putArray("choices");
+    usage(chunk, promptTokens, tokens);
+    return event(chunk);
+  }
+
+  /** Returns the document of a whole answer. */
+  public byte[] whole(String content, FinishReason reason, int promptTokens, int tokens) {
+    ObjectNode document = envelope("chat.completion");
+    ObjectNode choice = choice(document);
+    choice.putObject("message").put("role", "assistant").put("content", content);
+    choice.put("finish_reason", reason.text());
+    usage(document, promptTokens, tokens);
+    return bytes(document);
+  }
+
+  /** Returns the document that lists models. */
+  public static byte[] models(Seq<ModelId> models) {
+    ObjectNode document = MAPPER.createObjectNode().put("object", "list");
+    var data = document.putArray("data");
+    for (ModelId model : models) {
+      data.addObject()
+          .put("id", model.value())
+          .put("object", "model")
+          .put("created", 0)
+          .put("owned_by", "zinniawood");
+    }
+    return bytes(document);
+  }
+
+  private ObjectNode chunk() {
+    return envelope("chat.completion.chunk");
+  }
+
+  private ObjectNode envelope(String object) {
+    return MAPPER
+        .createObjectNode()
+        .put("id", id)
+        .put("object", object)
+        .put("created", createdSeconds)
+        .put("model", model);
+  }
+
+  private static ObjectNode choice(ObjectNode document) {
+    return document.putArray("choices").addObject().put("index", 0).putNull("finish_reason");
+  }
+
+  private static void usage(ObjectNode document, int promptTokens, int tokens) {
+    document
+        .putObject("usage")
+        .put("prompt_tokens", promptTokens)
+        .put("completion_tokens", tokens)
+        .put("total_tokens", promptTokens + tokens);
+  }
+
+  private static byte[] event(ObjectNode document) {
+    return ("data: " + document + "\n\n").getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static byte[] bytes(ObjectNode document) {
+    try {
+      return MAPPER.writeValueAsBytes(document);
+    } catch (JsonProcessingException fault) {
+      throw new IllegalStateException("a JSON tree can always be written", fault);
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/chat/package-info.java
@@ -0,0 +1,2 @@
+/** Request and response bodies of the chat API. */
+package io.zinniawood.entry.internal.chat;
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/AcceptedView.java
@@ -0,0 +1,73 @@
+package io.zinniawood.entry.internal.http;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.core.configuration.ClientAccount;
+import io.zinniawood.core.configuration.ClusterConfiguration;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Locale;
+
+/**
+ * Accepted configuration as the HTTP threads see it, with an index of the keys.
+ *
+ * @param accepted the configuration
+ * @param keys digest of each key with its client account
+ */
+public record AcceptedView(AcceptedConfiguration accepted, Vector<AccountKey> keys) {
+  /**
+   * Digest of one key.
+   *
+   * @param sha256Hex SHA-256 in lower-case hexadecimal, as ASCII bytes
+   * @param account client account of the key
+   */
+  public record AccountKey(byte[] sha256Hex, ClientAccount account) {}
+
+  /** Returns the view of a configuration. */
+  public static AcceptedView of(AcceptedConfiguration accepted) {
+    Vector<AccountKey> keys =
+        accepted
+            .cluster()
+            .clientAccounts()
+            .values()
+            .toVector()
+            .flatMap(account -> account.keySha256Hex().map(hex -> key(hex, account)));
+    return new AcceptedView(accepted, keys);
+  }
+
+  private static AccountKey key(String hex, ClientAccount account) {
+    byte[] ascii = hex.toLowerCase(Locale.ROOT).getBytes(StandardCharsets.US_ASCII);
+    return new AccountKey(ascii, account);
+  }
+
+  ClusterConfiguration cluster() {
+    return accepted.cluster();
+  }
+
+  /**
+   * Returns the client account of a key. Compares with every known key in constant time, so that
+   * the time tells nothing about the position or the digits of a match.
+   */
+  Option<ClientAccount> authenticate(String key) {
+    byte[] digest = sha256Hex(key).getBytes(StandardCharsets.US_ASCII);
+    Option<ClientAccount> found = Option.none();
+    for (AccountKey candidate : keys) {
+      if (MessageDigest.isEqual(candidate.sha256Hex(), digest)) {
+        found = Option.some(candidate.account());
+      }
+    }
+    return found;
+  }
+
+  private static String sha256Hex(String text) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException missing) {
+      throw new IllegalStateException("every Java platform provides SHA-256", missing);
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerReply.java
@@ -0,0 +1,20 @@
+package io.zinniawood.entry.internal.http;
+
+import io.zinniawood.core.model.FinishReason;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ServiceAnswer;
+
+/** Answer to one caller. Called on the event-loop thread only; never blocks. */
+public interface CallerReply {
+  /** Delivers one token. */
+  void token(String text);
+
+  /** Ends a model answer. */
+  void finish(FinishReason reason, int tokens);
+
+  /** Delivers the answer of a plain service and ends the request. */
+  void service(ServiceAnswer answer);
+
+  /** Ends the request with a problem. */
+  void problem(Problem problem);
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/PassedHeaders.java
@@ -0,0 +1,61 @@
+package io.zinniawood.entry.internal.http;
+
+import io.vavr.collection.Vector;
+import io.zinniawood.core.model.HttpHeader;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+
+/** Selects the header fields that pass between a caller and a plain service. */
+final class PassedHeaders {
+  /** Fields of one connection (RFC 9110, section 7.6.1) and fields that a new message sets anew. */
+  private static final Set<String> CONNECTION_FIELDS =
+      Set.of(
+          "connection",
+          "content-length",
+          "expect",
+          "host",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade");
+
+  /** Fields that the entry itself acts on; a service must not learn the caller's key. */
+  private static final Set<String> ENTRY_FIELDS =
+      Set.of("authorization", "x-request-deadline-ms", "x-request-priority");
+
+  private PassedHeaders() {}
+
+  static Vector<HttpHeader> ofRequest(Vector<HttpHeader> headers) {
+    return withoutConnectionFields(headers)
+        .filter(header -> !ENTRY_FIELDS.contains(lowerCase(header.name())));
+  }
+
+  static Vector<HttpHeader> ofResponse(Vector<HttpHeader> headers) {
+    return withoutConnectionFields(headers);
+  }
+
+  private static Vector<HttpHeader> withoutConnectionFields(Vector<HttpHeader> headers) {
+    Set<String> named = new HashSet<>();
+    for (HttpHeader header : headers) {
+      if ("connection".equals(lowerCase(header.name()))) {
+        Arrays.stream(header.value().split(",", -1))
+            .forEach(name -> named.add(lowerCase(name.trim())));
+      }
+    }
+    return headers.filter(
+        header -> {
+          String name = lowerCase(header.name());
+          return !CONNECTION_FIELDS.contains(name) && !named.contains(name);
+        });
+  }
+
+  private static String lowerCase(String text) {
+    return text.toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/ProblemDocument.java
@@ -0,0 +1,55 @@
+package io.zinniawood.entry.internal.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.jooby.Context;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.model.Problem;
+import java.util.Locale;
+
+/** Problem documents of RFC 9457. */
+public final class ProblemDocument {
+  private static final String TYPE_PREFIX = "urn:zinniawood:problem:";
+  private static final String MEDIA_TYPE = "application/problem+json";
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private ProblemDocument() {}
+
+  /** Returns the document of a problem as JSON. */
+  public static byte[] json(Problem problem, RequestId request) {
+    ObjectNode document =
+        MAPPER
+            .createObjectNode()
+            .put("type", TYPE_PREFIX + problem.type().slug())
+            .put("title", problem.type().slug().replace('-', ' '))
+            .put("status", problem.type().httpStatus())
+            .put("detail", problem.detail())
+            .put("instance", "urn:zinniawood:request:" + request.value())
+            .put("outcome", problem.outcome().text());
+    problem.retryAfterMillis().forEach(millis -> document.put("retryAfterMillis", millis));
+    try {
+      return MAPPER.writeValueAsBytes(document);
+    } catch (JsonProcessingException fault) {
+      throw new IllegalStateException("a JSON tree can always be written", fault);
+    }
+  }
+
+  /** Sends a problem as the whole response. */
+  static void send(Context context, Problem problem, RequestId request) {
+    problem
+        .retryAfterMillis()
+        .forEach(millis -> context.setResponseHeader("Retry-After", retryAfterSeconds(millis)));
+    context.setResponseHeader("X-Request-Id", request.value());
+    context.setResponseCode(problem.type().httpStatus());
+    context.setResponseType(MEDIA_TYPE);
+    context.send(json(problem, request));
+  }
+
+  // Retry-After has whole seconds; rounding up keeps the caller from coming too early.
+  private static String retryAfterSeconds(long millis) {
+    long seconds = Math.max(1, (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+    return String.format(Locale.ROOT, "%d", seconds);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/RequestHeaders.java
@@ -0,0 +1,106 @@
+package io.zinniawood.entry.internal.http;
+
+import io.jooby.Context;
+import io.jooby.Value;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.configuration.ClientAccount;
+import io.zinniawood.core.id.IdempotencyKey;
+import io.zinniawood.core.model.Priority;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import java.util.Locale;
+
+/** Reads the header fields of the callers' interface. */
+final class RequestHeaders {
+  /** A day; no caller waits longer, and the deadline in nanoseconds cannot overflow. */
+  static final long MAX_DEADLINE_MILLIS = 86_400_000;
+
+  private static final int MAX_KEY_CHARACTERS = 256;
+  private static final int MAX_DEADLINE_DIGITS = 8;
+  private static final String BEARER = "bearer ";
+
+  private RequestHeaders() {}
+
+  static Either<Problem, ClientAccount> authenticate(Context context, AcceptedView view) {
+    return single(context, "Authorization")
+        .flatMap(
+            header ->
+                header
+                    .filter(value -> value.toLowerCase(Locale.ROOT).startsWith(BEARER))
+                    .flatMap(value -> view.authenticate(value.substring(BEARER.length()).trim()))
+                    .toEither(
+                        Problem.notRun(
+                            ProblemType.UNAUTHENTICATED,
+                            "the Authorization header must hold a known key: Bearer <key>")));
+  }
+
+  static Either<Problem, Long> deadlineMillis(Context context, long defaultMillis) {
+    return single(context, "X-Request-Deadline-Ms")
+        .flatMap(
+            header ->
+                header.isEmpty()
+                    ? Either.right(Math.min(defaultMillis, MAX_DEADLINE_MILLIS))
+                    : parseDeadline(header.get()));
+  }
+
+  private static Either<Problem, Long> parseDeadline(String value) {
+    boolean digits =
+        !value.isEmpty()
+            && value.length() <= MAX_DEADLINE_DIGITS
+            && value.chars().allMatch(digit -> digit >= '0' && digit <= '9');
+    long millis = digits ? Long.parseLong(value) : 0;
+    return millis >= 1 && millis <= MAX_DEADLINE_MILLIS
+        ? Either.right(millis)
+        : Either.left(
+            bad("X-Request-Deadline-Ms must be an integer from 1 to " + MAX_DEADLINE_MILLIS));
+  }
+
+  static Either<Problem, Priority> priority(Context context, ClientAccount account) {
+    return single(context, "X-Request-Priority")
+        .flatMap(
+            header -> {
+              if (header.isEmpty()) {
+                return Either.right(account.priority());
+              }
+              for (Priority priority : Priority.values()) {
+                if (priority.name().equalsIgnoreCase(header.get())) {
+                  return Either.right(priority);
+                }
+              }
+              return Either.left(bad("X-Request-Priority must be interactive, normal or batch"));
+            });
+  }
+
+  static Either<Problem, Option<IdempotencyKey>> idempotencyKey(Context context) {
+    return single(context, "Idempotency-Key")
+        .flatMap(
+            header -> {
+              if (header.isEmpty()) {
+                return Either.right(Option.none());
+              }
+              String value = header.get();
+              return value.isBlank() || value.length() > MAX_KEY_CHARACTERS
+                  ? Either.left(
+                      bad(
+                          "Idempotency-Key must have 1 to %d characters"
+                              .formatted(MAX_KEY_CHARACTERS)))
+                  : Either.right(Option.some(new IdempotencyKey(value)));
+            });
+  }
+
+  // Two values of one of these fields leave open which the caller meant, so they are refused.
+  private static Either<Problem, Option<String>> single(Context context, String name) {
+    Value value = context.header(name);
+    if (value.isMissing()) {
+      return Either.right(Option.none());
+    }
+    return value.toList().size() > 1
+        ? Either.left(bad("header %s must be sent once".formatted(name)))
+        : Either.right(Option.some(value.value().trim()));
+  }
+
+  private static Problem bad(String detail) {
+    return Problem.notRun(ProblemType.BAD_REQUEST, detail);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/ServiceCalls.java
@@ -0,0 +1,74 @@
+package io.zinniawood.entry.internal.http;
+
+import io.jooby.Context;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.zinniawood.core.model.HttpHeader;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.core.model.ServiceCall;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Reads calls of plain services from HTTP requests. */
+final class ServiceCalls {
+  private static final String PREFIX = "/services/";
+
+  private ServiceCalls() {}
+
+  /** Reads the call; the path is the part below the service's name, at least a slash. */
+  static Either<Problem, ServiceCall> read(Context context, String serviceName) {
+    String path = context.getRequestPath();
+    int end = path.indexOf('/', PREFIX.length());
+    String below = end < 0 ? "/" : path.substring(end);
+    if (hasDotSegment(below)) {
+      return Either.left(bad("the path must not hold the segments . or .."));
+    }
+    String contentType = context.header("Content-Type").value("").toLowerCase(Locale.ROOT);
+    if (contentType.startsWith("multipart/")
+        || contentType.startsWith("application/x-www-form-urlencoded")) {
+      // Jooby decodes forms and does not keep their bytes, so they cannot be passed on unchanged.
+      return Either.left(bad("form bodies are not supported for service " + serviceName));
+    }
+    boolean hasBody =
+        !"0".equals(context.header("Content-Length").value("0"))
+            || !context.header("Transfer-Encoding").isMissing();
+    if (hasBody && "GET".equals(context.getMethod())) {
+      return Either.left(bad("a GET request must not have a body"));
+    }
+    byte[] body = hasBody ? context.body().bytes() : new byte[0];
+    return Either.right(
+        new ServiceCall(
+            context.getMethod(),
+            below + context.queryString(),
+            PassedHeaders.ofRequest(headers(context)),
+            Payload.wrap(body)));
+  }
+
+  // A dot segment could leave the path that the service's address allows.
+  private static boolean hasDotSegment(String path) {
+    for (String segment : path.split("/", -1)) {
+      String decoded = segment.toLowerCase(Locale.ROOT).replace("%2e", ".");
+      if (".".equals(decoded) || "..".equals(decoded)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static Vector<HttpHeader> headers(Context context) {
+    Vector<HttpHeader> headers = Vector.empty();
+    for (Map.Entry<String, List<String>> field : context.header().toMultimap().entrySet()) {
+      for (String value : field.getValue()) {
+        headers = headers.append(new HttpHeader(field.getKey(), value));
+      }
+    }
+    return headers;
+  }
+
+  private static Problem bad(String detail) {
+    return Problem.notRun(ProblemType.BAD_REQUEST, detail);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP for callers: authentication, request parsing, responses and problem documents. */
+package io.zinniawood.entry.internal.http;
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/link/AgentLinks.java
@@ -0,0 +1,73 @@
+package io.zinniawood.entry.internal.link;
+
+import io.zinniawood.core.entry.DisconnectReason;
+import io.zinniawood.core.entry.EntryEvent;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.wire.Wire;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Connections to agents, at most one for each endpoint. Used on the event-loop thread only. */
+public final class AgentLinks {
+  /** An agent sends its status at once; this covers connect, handshake and a busy agent. */
+  private static final long OPEN_TIMEOUT_MILLIS = 3_000;
+
+  private final Wire wire;
+  private final Consumer<EntryEvent> events;
+  private final PeerMessages shared;
+  private final Executor timeout =
+      CompletableFuture.delayedExecutor(OPEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  private final Map<EndpointId, AgentLink> links = new HashMap<>();
+
+  /**
+   * Creates an empty set of connections.
+   *
+   * @param wire transport
+   * @param events takes the events
+   * @param shared handles the messages that any process may send
+   */
+  public AgentLinks(Wire wire, Consumer<EntryEvent> events, PeerMessages shared) {
+    this.wire = wire;
+    this.events = events;
+    this.shared = shared;
+  }
+
+  /** Opens a connection; an older one to the same endpoint ends first. */
+  public void connect(EndpointId endpoint, NodeAddress address) {
+    disconnect(endpoint);
+    AgentLink link = new AgentLink(endpoint, events, shared);
+    links.values().removeIf(AgentLink::ended);
+    links.put(endpoint, link);
+    timeout.execute(link::endIfConnecting);
+    wire.connect(address, link)
+        .whenComplete(
+            (result, failure) -> {
+              if (failure != null || result.isLeft()) {
+                link.endIfConnecting();
+              }
+            });
+  }
+
+  /** Closes the connection to an endpoint, if there is one. */
+  public void disconnect(EndpointId endpoint) {
+    AgentLink link = links.remove(endpoint);
+    if (link != null) {
+      link.end(DisconnectReason.CLOSED);
+    }
+  }
+
+  /** Sends a message; drops it if that incarnation is not connected. */
+  public void send(EndpointId endpoint, Incarnation incarnation, Message message) {
+    AgentLink link = links.get(endpoint);
+    if (link != null) {
+      link.send(incarnation, message);
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/link/ConfigurationKeeper.java
@@ -0,0 +1,109 @@
+package io.zinniawood.entry.internal.link;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.message.Message.ConfigurationSnapshot;
+import io.zinniawood.entry.ConfigurationFeed;
+import io.zinniawood.entry.GenerationCell;
+import io.zinniawood.wire.WireConnection;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/**
+ * Keeps the newest accepted snapshot, passes it to neighbours that ask, and asks neighbours that
+ * have a newer one. Safe for use by several threads.
+ */
+public final class ConfigurationKeeper implements PeerMessages {
+  /** Keeps a burst of messages from one neighbour from asking for the same snapshot many times. */
+  private static final long REQUEST_INTERVAL_NANOS = 500_000_000;
+
+  private final ConfigurationFeed feed;
+  private final GenerationCell generation;
+  private final Consumer<AcceptedConfiguration> onAccepted;
+  private final LongSupplier clockNanos;
+  private final Logger logger;
+  private Option<ConfigurationSnapshot> newest = Option.none();
+  private Option<Long> lastRequestNanos = Option.none();
+
+  /**
+   * Creates a keeper without a snapshot.
+   *
+   * @param feed parses snapshots
+   * @param generation raised with each accepted snapshot
+   * @param onAccepted takes each newer configuration, in order of the generations
+   * @param clockNanos monotonic clock in nanoseconds
+   * @param logger logger
+   */
+  public ConfigurationKeeper(
+      ConfigurationFeed feed,
+      GenerationCell generation,
+      Consumer<AcceptedConfiguration> onAccepted,
+      LongSupplier clockNanos,
+      Logger logger) {
+    this.feed = feed;
+    this.generation = generation;
+    this.onAccepted = onAccepted;
+    this.clockNanos = clockNanos;
+    this.logger = logger;
+  }
+
+  /** Takes a snapshot into force if it is newer and valid; returns whether it was. */
+  public synchronized boolean accept(ConfigurationSnapshot snapshot) {
+    if (snapshot.generation().compareTo(generation.get()) <= 0) {
+      return false;
+    }
+    Either<String, AcceptedConfiguration> parsed = feed.parse(snapshot);
+    if (parsed.isLeft()) {
+      logger.log(
+          Level.ERROR,
+          "snapshot of generation {0} is invalid: {1}",
+          snapshot.generation(),
+          parsed.getLeft());
+      return false;
+    }
+    newest = Option.some(snapshot);
+    generation.raise(snapshot.generation());
+    onAccepted.accept(parsed.get());
+    return true;
+  }
+
+  /** Returns the newest snapshot. */
+  public synchronized Option<ConfigurationSnapshot> newest() {
+    return newest;
+  }
+
+  @Override
+  public boolean handle(WireConnection sender, Message message, Generation peerGeneration) {
+    if (message instanceof ConfigurationSnapshot snapshot) {
+      accept(snapshot);
+      return true;
+    }
+    if (message instanceof Message.ConfigurationRequest request) {
+      newest()
+          .filter(snapshot -> snapshot.generation().compareTo(request.known()) > 0)
+          .forEach(sender::send);
+      return true;
+    }
+    if (shouldRequest(peerGeneration)) {
+      sender.send(new Message.ConfigurationRequest(generation.get()));
+    }
+    return false;
+  }
+
+  private synchronized boolean shouldRequest(Generation peerGeneration) {
+    if (peerGeneration.compareTo(generation.get()) <= 0) {
+      return false;
+    }
+    long nowNanos = clockNanos.getAsLong();
+    if (lastRequestNanos.exists(last -> nowNanos - last < REQUEST_INTERVAL_NANOS)) {
+      return false;
+    }
+    lastRequestNanos = Option.some(nowNanos);
+    return true;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/link/package-info.java
@@ -0,0 +1,2 @@
+/** Wire connections to agents and to other entries. */
+package io.zinniawood.entry.internal.link;
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/ClaimReleaser.java
@@ -0,0 +1,141 @@
+package io.zinniawood.entry.internal.store;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.ClaimResolution;
+import io.zinniawood.core.entry.EntryEffect;
+import io.zinniawood.core.entry.EntryEvent;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Fence;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.ClaimRow;
+import io.zinniawood.core.model.ClaimState;
+import io.zinniawood.platform.PlatformError;
+import io.zinniawood.platform.Table;
+import io.zinniawood.platform.TableRow;
+import io.zinniawood.platform.TableWrite;
+import io.zinniawood.platform.claim.ClaimRowCodec;
+import io.zinniawood.platform.claim.ClaimRowFault;
+import io.zinniawood.platform.claim.ClaimRowKey;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.function.Consumer;
+
+/** Writes tombstones into claim rows and posts the result as an event. */
+public final class ClaimReleaser {
+  /** Fence of the attempt after the first release. */
+  private static final Fence FIRST_RELEASE = new Fence(1);
+
+  /** Each write after the first follows a conflict or a lost response; bounds the work. */
+  private static final int MAX_WRITES = 4;
+
+  private final VmId vm;
+  private final Table table;
+  private final Consumer<EntryEvent> events;
+  private final Logger logger;
+  private final ClaimRowCodec codec = new ClaimRowCodec();
+
+  /**
+   * Creates the releaser.
+   *
+   * @param vm the entry's VM, named as the owner of its tombstones
+   * @param table the platform's table
+   * @param events takes the events
+   * @param logger logger
+   */
+  public ClaimReleaser(VmId vm, Table table, Consumer<EntryEvent> events, Logger logger) {
+    this.vm = vm;
+    this.table = table;
+    this.events = events;
+    this.logger = logger;
+  }
+
+  /**
+   * Rules out every attempt up to the given one and posts ClaimResolved. A released row of an
+   * earlier attempt does not rule out this one, which may hold its fence; its fence is raised.
+   */
+  public void release(EntryEffect.ReleaseClaim release) {
+    write(release, 0, FIRST_RELEASE, MAX_WRITES);
+  }
+
+  private void write(
+      EntryEffect.ReleaseClaim release, long expectedVersion, Fence fence, int writesLeft) {
+    if (writesLeft == 0) {
+      post(release, new ClaimResolution.Unresolved());
+      return;
+    }
+    ClaimRow tombstone =
+        new ClaimRow(
+            new EndpointId(vm.value()),
+            new Incarnation(0),
+            release.attempt(),
+            release.requestDigest(),
+            ClaimState.RELEASED,
+            fence,
+            Option.none());
+    String key = ClaimRowKey.of(release.key());
+    Futures.complete(
+            table.write(key, expectedVersion, codec.encode(tombstone)), ClaimReleaser::lost)
+        .thenAccept(
+            result -> {
+              if (result.isLeft() && result.getLeft() instanceof PlatformError.ResponseLost) {
+                readBack(release, writesLeft - 1);
+              } else if (result.isLeft()) {
+                post(release, unresolved(result.getLeft()));
+              } else if (result.get() instanceof TableWrite.Conflict conflict) {
+                resolve(release, conflict.present(), writesLeft - 1);
+              } else {
+                post(release, new ClaimResolution.Released(fence));
+              }
+            });
+  }
+
+  private void readBack(EntryEffect.ReleaseClaim release, int writesLeft) {
+    Futures.complete(table.read(ClaimRowKey.of(release.key())), ClaimReleaser::lost)
+        .thenAccept(
+            result -> {
+              if (result.isLeft()) {
+                post(release, unresolved(result.getLeft()));
+              } else {
+                resolve(release, result.get(), writesLeft);
+              }
+            });
+  }
+
+  private void resolve(EntryEffect.ReleaseClaim release, Option<TableRow> row, int writesLeft) {
+    if (row.isEmpty()) {
+      write(release, 0, FIRST_RELEASE, writesLeft);
+      return;
+    }
+    Either<ClaimRowFault, ClaimRow> decoded = codec.decode(row.get().value().bytes());
+    if (decoded.isLeft()) {
+      logger.log(Level.ERROR, "table row {0}: {1}", row.get().key(), decoded.getLeft().detail());
+      post(release, new ClaimResolution.Unresolved());
+      return;
+    }
+    ClaimRow claim = decoded.get();
+    if (claim.state() != ClaimState.RELEASED) {
+      post(release, new ClaimResolution.Held(claim));
+    } else if (claim.attempt().equals(release.attempt())) {
+      post(release, new ClaimResolution.Released(claim.fence()));
+    } else {
+      write(release, row.get().version(), new Fence(claim.fence().value() + 1), writesLeft);
+    }
+  }
+
+  private ClaimResolution unresolved(PlatformError error) {
+    logger.log(Level.DEBUG, "claim not released: {0}", error.detail());
+    return new ClaimResolution.Unresolved();
+  }
+
+  private void post(EntryEffect.ReleaseClaim release, ClaimResolution resolution) {
+    AttemptId attempt = release.attempt();
+    events.accept(new EntryEvent.ClaimResolved(release.request(), attempt, resolution));
+  }
+
+  private static PlatformError lost(Throwable failure) {
+    return new PlatformError.ResponseLost("the table client failed: " + failure);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/LeaseStore.java
@@ -0,0 +1,89 @@
+package io.zinniawood.entry.internal.store;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.EntryEvent;
+import io.zinniawood.core.entry.LeaseRow;
+import io.zinniawood.platform.PlatformError;
+import io.zinniawood.platform.Table;
+import io.zinniawood.platform.TableRow;
+import io.zinniawood.platform.TableWrite;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/** Reads and writes the controller lease and posts the result as an event. */
+public final class LeaseStore {
+  private static final String KEY = "lease/controller";
+
+  private final Table table;
+  private final Consumer<EntryEvent> events;
+  private final Logger logger;
+
+  /**
+   * Creates the store.
+   *
+   * @param table the platform's table
+   * @param events takes the events
+   * @param logger logger
+   */
+  public LeaseStore(Table table, Consumer<EntryEvent> events, Logger logger) {
+    this.table = table;
+    this.events = events;
+    this.logger = logger;
+  }
+
+  /** Reads the lease; posts LeaseRead or LeaseUnavailable. */
+  public void read() {
+    Futures.complete(table.read(KEY), this::unavailable)
+        .thenAccept(result -> events.accept(result.fold(this::unavailableEvent, this::rowEvent)));
+  }
+
+  /**
+   * Writes the lease if its version is as expected; posts the row as it is afterwards. A lost
+   * response is resolved by a read: the reducer compares holder and renewal count of the row that
+   * it gets, so a write that took effect is seen as such.
+   */
+  public void write(long expectedVersion, LeaseRow row) {
+    CompletableFuture<Either<PlatformError, TableWrite>> written =
+        Futures.complete(
+            table.write(KEY, expectedVersion, LeaseRowCodec.encode(row)), this::unavailable);
+    written.thenAccept(
+        result -> {
+          if (result.isLeft() && result.getLeft() instanceof PlatformError.ResponseLost) {
+            read();
+          } else {
+            events.accept(result.fold(this::unavailableEvent, outcome -> writeEvent(outcome, row)));
+          }
+        });
+  }
+
+  private EntryEvent writeEvent(TableWrite outcome, LeaseRow row) {
+    if (outcome instanceof TableWrite.Written written) {
+      return new EntryEvent.LeaseRead(Option.some(row), written.version());
+    }
+    return rowEvent(((TableWrite.Conflict) outcome).present());
+  }
+
+  private EntryEvent rowEvent(Option<TableRow> row) {
+    if (row.isEmpty()) {
+      return new EntryEvent.LeaseRead(Option.none(), 0);
+    }
+    Either<String, LeaseRow> decoded = LeaseRowCodec.decode(row.get().value().bytes());
+    if (decoded.isLeft()) {
+      logger.log(Level.ERROR, "table row {0}: {1}", KEY, decoded.getLeft());
+      return new EntryEvent.LeaseUnavailable();
+    }
+    return new EntryEvent.LeaseRead(Option.some(decoded.get()), row.get().version());
+  }
+
+  private EntryEvent unavailableEvent(PlatformError error) {
+    logger.log(Level.DEBUG, "table row {0}: {1}", KEY, error.detail());
+    return new EntryEvent.LeaseUnavailable();
+  }
+
+  private PlatformError unavailable(Throwable failure) {
+    return new PlatformError.ResponseLost("the table client failed: " + failure);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/package-info.java
@@ -0,0 +1,2 @@
+/** Effects on the platform's table: release of claims and the controller lease. */
+package io.zinniawood.entry.internal.store;
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/CallerHttpTest.java
@@ -0,0 +1,139 @@
+package io.zinniawood.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.not;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.EntryEffect;
+import io.zinniawood.core.entry.EntryEvent;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.model.FinishReason;
+import io.zinniawood.core.model.HttpHeader;
+import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.core.model.ServiceAnswer;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.Test;
+
+class CallerHttpTest {
+  private static final String CHAT =
+      "{\"model\":\"assistant\",\"messages\":[{\"role\":\"user\",\"content\":\"fees?\"}]%s}";
+
+  private static Vector<EntryEffect> answer(EntryEvent event) {
+    if (event instanceof EntryEvent.ModelRequestArrived arrived) {
+      RequestId request = arrived.request();
+      return Vector.of(
+          new EntryEffect.ReplyToken(request, "No "),
+          new EntryEffect.ReplyToken(request, "fees"),
+          new EntryEffect.FinishAnswer(request, FinishReason.STOP, 2));
+    }
+    if (event instanceof EntryEvent.ServiceRequestArrived arrived) {
+      ServiceAnswer answer =
+          new ServiceAnswer(
+              201,
+              Vector.of(new HttpHeader("Content-Type", "text/plain"), new HttpHeader("X-A", "b")),
+              Payload.ofText("credited"));
+      return Vector.of(new EntryEffect.ReplyService(arrived.request(), answer));
+    }
+    return Vector.empty();
+  }
+
+  // Guards against an answer that clients of the chat API cannot read.
+  @Test
+  void answersWholeAndStreamed() {
+    try (EntryHarness entry = new EntryHarness(new FakePlatform(), CallerHttpTest::answer)) {
+      entry.ready();
+      HttpResponse<String> whole = entry.chat(CHAT.formatted(""));
+      assertThat(whole.statusCode(), equalTo(200));
+      assertThat(whole.body(), containsString("\"content\":\"No fees\""));
+      assertThat(whole.body(), containsString("\"finish_reason\":\"stop\""));
+      assertThat(whole.body(), containsString("\"completion_tokens\":2"));
+      HttpResponse<String> streamed =
+          entry.chat(
+              CHAT.formatted(",\"stream\":true,\"stream_options\":{\"include_usage\":true}"));
+      assertThat(
+          streamed.headers().firstValue("content-type").orElse(""),
+          containsString("text/event-stream"));
+      assertThat(streamed.body(), containsString("\"delta\":{\"content\":\"fees\"}"));
+      assertThat(streamed.body(), containsString("\"total_tokens\""));
+      assertThat(streamed.body().endsWith("data: [DONE]\n\n"), equalTo(true));
+      assertThat(
+          entry.send(entry.request("/v1/models")).body(), containsString("\"id\":\"assistant\""));
+    }
+  }
+
+  // Guards against a call that reaches the service changed, or with the caller's key.
+  @Test
+  void passesServiceCalls() {
+    try (EntryHarness entry = new EntryHarness(new FakePlatform(), CallerHttpTest::answer)) {
+      entry.ready();
+      HttpResponse<String> response =
+          entry.send(
+              entry
+                  .request("/services/credit/vouchers/7%20a?x=1")
+                  .header("Idempotency-Key", "k1")
+                  .header("Content-Type", "application/json")
+                  .POST(BodyPublishers.ofString("{\"cents\":120}")));
+      assertThat(response.statusCode(), equalTo(201));
+      assertThat(response.body(), equalTo("credited"));
+      assertThat(response.headers().firstValue("x-a").orElse(""), equalTo("b"));
+      EntryEvent.ServiceRequestArrived arrived =
+          entry.awaitEvent(EntryEvent.ServiceRequestArrived.class);
+      assertThat(arrived.call().pathAndQuery(), equalTo("/vouchers/7%20a?x=1"));
+      assertThat(arrived.call().body().text(), equalTo("{\"cents\":120}"));
+      assertThat(arrived.idempotency(), equalTo(Idempotency.NON_IDEMPOTENT));
+      assertThat(arrived.key().get().value(), equalTo("k1"));
+      assertThat(
+          arrived.call().headers().exists(field -> "authorization".equalsIgnoreCase(field.name())),
+          equalTo(false));
+    }
+  }
+
+  // Guards against a failure after the first token that looks like a complete answer.
+  @Test
+  void endsBrokenStreamsWithAnErrorEvent() {
+    Problem problem = Problem.unknown(ProblemType.ENDPOINT_FAILED, "stage lost");
+    try (EntryHarness entry =
+        new EntryHarness(
+            new FakePlatform(),
+            event ->
+                event instanceof EntryEvent.ModelRequestArrived arrived
+                    ? Vector.of(
+                        new EntryEffect.ReplyToken(arrived.request(), "No"),
+                        new EntryEffect.ReplyProblem(arrived.request(), problem))
+                    : Vector.empty())) {
+      entry.ready();
+      HttpResponse<String> response = entry.chat(CHAT.formatted(",\"stream\":true"));
+      assertThat(response.body(), containsString("event: error\ndata: {"));
+      assertThat(response.body(), containsString("\"outcome\":\"unknown\""));
+      assertThat(response.body(), not(containsString("[DONE]")));
+    }
+  }
+
+  // Guards against a refusal that does not tell the caller whether and when to retry.
+  @Test
+  void refusalsCarryOutcomeAndRetryAfter() {
+    Problem problem =
+        new Problem(ProblemType.OVERLOADED, "full", Outcome.NOT_RUN, Option.some(1_500L));
+    try (EntryHarness entry =
+        new EntryHarness(
+            new FakePlatform(),
+            event ->
+                event instanceof EntryEvent.ModelRequestArrived arrived
+                    ? Vector.of(new EntryEffect.ReplyProblem(arrived.request(), problem))
+                    : Vector.empty())) {
+      entry.ready();
+      HttpResponse<String> response = entry.chat(CHAT.formatted(""));
+      assertThat(response.statusCode(), equalTo(503));
+      assertThat(response.headers().firstValue("retry-after").orElse(""), equalTo("2"));
+      assertThat(response.body(), containsString("\"outcome\":\"not-run\""));
+    }
+  }
+}
