Add stand-ins for platform, engine and plain service

Tests of processes need outside systems with fault switches. The stand-ins serve the HTTP dialect of the adapters on loopback; the engine computes a deterministic model whose answer depends on every layer and position.

--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/engine/BatchRunner.java
@@ -0,0 +1,99 @@
+package io.zinniawood.standin.engine;
+
+import io.zinniawood.standin.engine.BatchScheduler.Work;
+import io.zinniawood.standin.engine.RunMessages.OutputBody;
+import io.zinniawood.standin.engine.RunMessages.StepBody;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+
+/** Turns the steps of a call into scheduled work and collects their outputs. */
+final class BatchRunner {
+  private final SessionStates states;
+  private final BatchScheduler scheduler;
+  private final PrefixCache cache;
+  private final FaultSwitch faults;
+  private final LongAdder finishedSteps = new LongAdder();
+
+  BatchRunner(
+      SessionStates states, BatchScheduler scheduler, PrefixCache cache, FaultSwitch faults) {
+    this.states = states;
+    this.scheduler = scheduler;
+    this.cache = cache;
+    this.faults = faults;
+  }
+
+  /** Runs the steps and delivers their outputs in the order of the steps. */
+  void run(List<StepBody> steps, Consumer<List<OutputBody>> delivery) {
+    OutputBody[] outputs = new OutputBody[steps.size()];
+    AtomicInteger missing = new AtomicInteger(outputs.length);
+    List<Work> work = new ArrayList<>();
+    for (int i = 0; i < outputs.length; i++) {
+      int index = i;
+      work.add(
+          work(
+              steps.get(i),
+              output -> {
+                outputs[index] = output;
+                if (missing.decrementAndGet() == 0) {
+                  delivery.accept(Arrays.asList(outputs));
+                }
+              }));
+    }
+    if (work.isEmpty()) {
+      delivery.accept(List.of());
+    }
+    scheduler.submit(work);
+  }
+
+  long finishedSteps() {
+    return finishedSteps.sum();
+  }
+
+  private Work work(StepBody step, Consumer<OutputBody> delivery) {
+    StepInput input =
+        states.held().first()
+            ? StepInput.ofText(step.position(), step.input())
+            : StepInput.ofActivation(step.input());
+    int prefillTokens = 0;
+    if (step.position() == 0) {
+      int cached = cache.use(input.prompt().blocks(), System.nanoTime());
+      int cachedTokens = cached * PromptBlocks.BLOCK_TOKENS;
+      prefillTokens = Math.max(1, input.prompt().tokens() - cachedTokens);
+    }
+    return new Work(
+        step.session(),
+        step.priority().ordinal(),
+        prefillTokens,
+        () -> delivery.accept(execute(step, input)),
+        () -> delivery.accept(OutputBody.failed(step, "the session was closed")));
+  }
+
+  private OutputBody execute(StepBody step, StepInput input) {
+    if (faults.takeStepFailure()) {
+      return OutputBody.failed(step, "the engine failed the step");
+    }
+    SessionStates.Held held = states.held();
+    Optional<Long> activation = states.run(step.session(), step.position(), input.value());
+    if (activation.isEmpty()) {
+      return OutputBody.failed(
+          step,
+          step.position() == 0
+              ? "the engine has its most sessions"
+              : "the session has no state on this engine");
+    }
+    finishedSteps.increment();
+    if (!held.last()) {
+      return OutputBody.activation(step, input.encodeActivation(activation.get()));
+    }
+    return OutputBody.token(
+        step,
+        ReferenceModel.token(activation.get()),
+        ReferenceModel.finish(
+            held.parameters(), activation.get(), step.position(), step.maxTokens()));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/engine/LoadMeter.java
@@ -0,0 +1,36 @@
+package io.zinniawood.standin.engine;
+
+import java.util.function.Supplier;
+
+/** Load report that lags: a reading is replaced only after the interval. */
+final class LoadMeter {
+  private final long intervalNanos;
+  private final Supplier<Reading> present;
+  private Reading last = new Reading(0, 0, 0);
+  private double lastTokensPerSecond;
+  private long lastNanos;
+
+  LoadMeter(long intervalMillis, Supplier<Reading> present, long nowNanos) {
+    this.intervalNanos = intervalMillis * 1_000_000;
+    this.present = present;
+    this.lastNanos = nowNanos;
+  }
+
+  /** Present values. */
+  record Reading(int running, int queued, long finishedSteps) {}
+
+  /** Load report in its JSON form. */
+  record LoadBody(int running, int queued, int concurrencyLimit, double tokensPerSecond) {}
+
+  synchronized LoadBody report(int concurrencyLimit, long nowNanos) {
+    long elapsedNanos = nowNanos - lastNanos;
+    if (elapsedNanos >= intervalNanos && elapsedNanos > 0) {
+      Reading reading = present.get();
+      long steps = reading.finishedSteps() - last.finishedSteps();
+      lastTokensPerSecond = steps * 1e9 / elapsedNanos;
+      last = reading;
+      lastNanos = nowNanos;
+    }
+    return new LoadBody(last.running(), last.queued(), concurrencyLimit, lastTokensPerSecond);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/engine/OrderDesk.java
@@ -0,0 +1,147 @@
+package io.zinniawood.standin.engine;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Carries out orders, one load at a time. */
+final class OrderDesk {
+  private final EngineSettings settings;
+  private final SessionStates states;
+  private final ScheduledExecutorService timer;
+  private final WeightClient weights;
+  private final Runnable afterLoad;
+  private long highestFencingNumber = Long.MIN_VALUE;
+  private boolean loading;
+  private String role = "MIXED";
+  private String adapter = "";
+
+  OrderDesk(
+      EngineSettings settings,
+      SessionStates states,
+      ScheduledExecutorService timer,
+      WeightClient weights,
+      Runnable afterLoad) {
+    this.settings = settings;
+    this.states = states;
+    this.timer = timer;
+    this.weights = weights;
+    this.afterLoad = afterLoad;
+  }
+
+  /** Outcome of an order. */
+  enum Outcome {
+    DONE,
+    STALE_FENCING_NUMBER,
+    FAILED
+  }
+
+  /** JSON body of an order; fields that the kind of order does not have are null. */
+  record OrderBody(
+      long fencingNumber,
+      String order,
+      String model,
+      String version,
+      int fromLayer,
+      int toLayerExclusive,
+      String adapter,
+      String role) {}
+
+  CompletableFuture<Outcome> carryOut(OrderBody order) {
+    synchronized (this) {
+      if (settings.fencing() == EngineSettings.Fencing.CHECKED) {
+        if (order.fencingNumber() < highestFencingNumber) {
+          return CompletableFuture.completedFuture(Outcome.STALE_FENCING_NUMBER);
+        }
+        highestFencingNumber = order.fencingNumber();
+      }
+    }
+    switch (String.valueOf(order.order())) {
+      case "load-model":
+        return loadModel(order);
+      case "load-adapter":
+        return CompletableFuture.completedFuture(loadAdapter(order));
+      case "change-role":
+        return CompletableFuture.completedFuture(changeRole(order));
+      default:
+        throw new IllegalArgumentException("unknown order \"" + order.order() + "\"");
+    }
+  }
+
+  synchronized boolean loading() {
+    return loading;
+  }
+
+  synchronized String role() {
+    return role;
+  }
+
+  synchronized String adapter() {
+    return adapter;
+  }
+
+  private CompletableFuture<Outcome> loadModel(OrderBody order) {
+    ModelParameters present = states.held().parameters();
+    int from = order.fromLayer();
+    int to = order.toLayerExclusive();
+    boolean fits = from >= 0 && to > from && to <= present.layers();
+    if (order.model() == null || order.version() == null || !fits) {
+      return CompletableFuture.completedFuture(Outcome.FAILED);
+    }
+    synchronized (this) {
+      if (loading) {
+        return CompletableFuture.completedFuture(Outcome.FAILED);
+      }
+      loading = true;
+    }
+    ModelParameters wanted =
+        new ModelParameters(order.model(), order.version(), present.layers(), present.stopEvery());
+    return weights
+        .transfer(order.model(), order.version())
+        .thenCompose(granted -> granted ? load(wanted, from, to) : failed())
+        .whenComplete((outcome, failure) -> endLoad());
+  }
+
+  private CompletableFuture<Outcome> load(ModelParameters wanted, int from, int to) {
+    CompletableFuture<Outcome> done = new CompletableFuture<>();
+    long loadMillis = settings.lag().loadMillisPerLayer() * (to - from);
+    Runnable finish =
+        () -> {
+          states.hold(wanted, from, to);
+          afterLoad.run();
+          done.complete(Outcome.DONE);
+        };
+    if (loadMillis == 0) {
+      finish.run();
+    } else {
+      timer.schedule(finish, loadMillis, TimeUnit.MILLISECONDS);
+    }
+    return done;
+  }
+
+  private static CompletableFuture<Outcome> failed() {
+    return CompletableFuture.completedFuture(Outcome.FAILED);
+  }
+
+  private synchronized void endLoad() {
+    loading = false;
+  }
+
+  private synchronized Outcome loadAdapter(OrderBody order) {
+    if (order.adapter() == null || !states.held().parameters().model().equals(order.model())) {
+      return Outcome.FAILED;
+    }
+    adapter = order.adapter();
+    return Outcome.DONE;
+  }
+
+  private synchronized Outcome changeRole(OrderBody order) {
+    switch (String.valueOf(order.role())) {
+      case "MIXED", "PREFILL", "DECODE":
+        role = order.role();
+        return Outcome.DONE;
+      default:
+        return Outcome.FAILED;
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/http/Exchange.java
@@ -0,0 +1,86 @@
+package io.zinniawood.standin.http;
+
+import io.jooby.Context;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** One request and its response. The response may be sent from any thread, once. */
+public final class Exchange {
+  private final Context context;
+  private final byte[] body;
+  private final ScheduledExecutorService scheduler;
+
+  Exchange(Context context, byte[] body, ScheduledExecutorService scheduler) {
+    this.context = context;
+    this.body = body;
+    this.scheduler = scheduler;
+  }
+
+  /** Returns the query parameter, or the empty text if it is missing. */
+  public String parameter(String name) {
+    return context.query(name).value("");
+  }
+
+  /** Returns the header field, or the empty text if it is missing. */
+  public String header(String name) {
+    return context.header(name).value("");
+  }
+
+  /** Returns the variable of the path. */
+  public String pathVariable(String name) {
+    return context.path(name).value("");
+  }
+
+  /** Returns the request body. */
+  public byte[] body() {
+    return body;
+  }
+
+  /** Sets a header field of the response. */
+  public Exchange responseHeader(String name, String value) {
+    context.setResponseHeader(name, value);
+    return this;
+  }
+
+  /** Sends a response with a body of bytes. */
+  public void respond(int status, String contentType, byte[] content) {
+    context.setResponseCode(status);
+    context.setResponseType(contentType);
+    context.send(content);
+  }
+
+  /** Sends a JSON response. */
+  public void respondJson(int status, Object value) {
+    respond(status, "application/json", Json.bytes(value));
+  }
+
+  /** Sends an RFC 9457 problem. */
+  public void respondProblem(int status, String detail) {
+    respond(status, "application/problem+json", Json.bytes(new Problem(status, detail)));
+  }
+
+  /** Runs a task after a delay in milliseconds, at once if the delay is 0. */
+  public void after(long delayMillis, Runnable task) {
+    if (delayMillis <= 0) {
+      task.run();
+    } else {
+      scheduler.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Runs a handler and answers an {@link IllegalArgumentException} with status 400. */
+  public void answer(StandInServer.Handler handler) {
+    try {
+      handler.handle(this);
+    } catch (IllegalArgumentException e) {
+      respondProblem(400, String.valueOf(e.getMessage()));
+    }
+  }
+
+  /** Closes the connection without a response. */
+  public void cut() {
+    ConnectionCut.cut(context);
+  }
+
+  private record Problem(int status, String detail) {}
+}
--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP server shared by the stand-ins. */
+package io.zinniawood.standin.http;
--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/platform/PlatformStandIn.java
@@ -0,0 +1,305 @@
+package io.zinniawood.standin.platform;
+
+import io.zinniawood.standin.http.Exchange;
+import io.zinniawood.standin.http.Json;
+import io.zinniawood.standin.http.Reply;
+import io.zinniawood.standin.http.StandInServer;
+import io.zinniawood.standin.http.TokenBucket;
+import io.zinniawood.standin.platform.PlatformFaults.ListingFault;
+import io.zinniawood.standin.platform.PlatformGate.Access;
+import io.zinniawood.standin.platform.VersionedStore.Versioned;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Stand-in for the platform with fault switches; see {@code docs/standins.md}. */
+public final class PlatformStandIn implements AutoCloseable {
+  private static final String ABSENT_HEADER = "Platform-Absent";
+  private final StandInServer server = new StandInServer("platform-standin");
+  private final VersionedStore table = new VersionedStore();
+  private final VersionedStore objects = new VersionedStore();
+  private final AtomicLong objectVersions = new AtomicLong();
+  private final VmDirectory vms;
+  private final TokenBucket weights;
+  private final PlatformGate gate;
+  private final int defaultPort;
+
+  /** Creates the stand-in; it listens after {@link #start(int)}. */
+  public PlatformStandIn(PlatformSettings settings) {
+    vms = new VmDirectory(server.scheduler(), settings.vmListDelayMillis(), settings.vms());
+    weights =
+        new TokenBucket(
+            settings.weightTransfersPerSecond(), settings.weightBurst(), System.nanoTime());
+    gate = new PlatformGate(settings);
+    defaultPort = settings.port();
+    addTableRoutes();
+    addObjectRoutes();
+    addOtherRoutes();
+    addControlRoutes();
+  }
+
+  /** Starts a stand-in on the port of its settings. */
+  public static PlatformStandIn launch(PlatformSettings settings) {
+    PlatformStandIn standIn = new PlatformStandIn(settings);
+    standIn.start(standIn.defaultPort);
+    return standIn;
+  }
+
+  /**
+   * Starts to listen on loopback.
+   *
+   * @param port TCP port, 0 for a free one
+   * @return port on which the stand-in listens
+   */
+  public int start(int port) {
+    return server.start(port);
+  }
+
+  /** Returns the port on which the stand-in listens. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Sets the faults of all services. */
+  public void setFaults(PlatformFaults faults) {
+    for (PlatformKind kind : PlatformKind.values()) {
+      gate.set(kind, faults);
+    }
+  }
+
+  /** Sets the faults of one service. */
+  public void setFaults(PlatformKind kind, PlatformFaults faults) {
+    gate.set(kind, faults);
+  }
+
+  /** Adds or replaces a VM; visible after the delay of the list. */
+  public void putVm(VmRecord vm) {
+    vms.put(vm);
+  }
+
+  /** Removes a VM; visible after the delay of the list. */
+  public void removeVm(String vm) {
+    vms.remove(vm);
+  }
+
+  /** Writes an object without HTTP, for example a configuration file of a test. */
+  public void putObject(String name, byte[] content) {
+    objects.put(name, objectVersions.incrementAndGet(), content);
+  }
+
+  /** Deletes an object without HTTP. */
+  public void deleteObject(String name) {
+    objects.delete(name);
+  }
+
+  /** Returns the number of requests that arrived at a service. */
+  public long received(PlatformKind kind) {
+    return gate.counters(kind).received();
+  }
+
+  /** Returns the number of reads that a service carried out. */
+  public long reads(PlatformKind kind) {
+    return gate.counters(kind).reads();
+  }
+
+  /** Returns the number of writes that a service carried out. */
+  public long writes(PlatformKind kind) {
+    return gate.counters(kind).writes();
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+
+  private void addTableRoutes() {
+    server.route(
+        "GET",
+        "/table/row",
+        exchange -> {
+          String key = required(exchange, "key");
+          gate.serve(exchange, PlatformKind.TABLE, Access.READ, () -> value(200, table.read(key)));
+        });
+    server.route(
+        "PUT",
+        "/table/row",
+        exchange -> {
+          String key = required(exchange, "key");
+          long expected = expectedVersion(exchange);
+          gate.serve(
+              exchange,
+              PlatformKind.TABLE,
+              Access.WRITE,
+              () -> writeRow(key, expected, exchange.body()));
+        });
+  }
+
+  private Reply writeRow(String key, long expected, byte[] body) {
+    VersionedStore.WriteResult result = table.writeIf(key, expected, body);
+    return result
+        .written()
+        .map(version -> Reply.bytes(200, new byte[0]).with("ETag", tag(version)))
+        .orElseGet(() -> value(412, result.present()));
+  }
+
+  private void addObjectRoutes() {
+    server.route(
+        "GET",
+        "/objects/object",
+        exchange -> {
+          String name = required(exchange, "name");
+          gate.serve(
+              exchange, PlatformKind.OBJECTS, Access.READ, () -> value(200, objects.read(name)));
+        });
+    server.route(
+        "PUT",
+        "/objects/object",
+        exchange -> {
+          String name = required(exchange, "name");
+          gate.serve(
+              exchange,
+              PlatformKind.OBJECTS,
+              Access.WRITE,
+              () -> writeObject(name, exchange.body()));
+        });
+    server.route(
+        "DELETE",
+        "/objects/object",
+        exchange -> {
+          String name = required(exchange, "name");
+          gate.serve(
+              exchange,
+              PlatformKind.OBJECTS,
+              Access.WRITE,
+              () -> objects.delete(name) ? Reply.bytes(204, new byte[0]) : absent(404));
+        });
+    server.route(
+        "GET",
+        "/objects/list",
+        exchange -> {
+          String prefix = exchange.parameter("prefix");
+          gate.serve(exchange, PlatformKind.OBJECTS, Access.READ, () -> listing(prefix));
+        });
+  }
+
+  private Reply writeObject(String name, byte[] body) {
+    long version = objectVersions.incrementAndGet();
+    objects.put(name, version, body);
+    return Reply.bytes(200, new byte[0]).with("ETag", tag(version));
+  }
+
+  private record ListedObject(String name, String version) {}
+
+  private record Listing(boolean complete, List<ListedObject> objects) {}
+
+  private Reply listing(String prefix) {
+    ListingFault fault = gate.faults(PlatformKind.OBJECTS).listings();
+    List<ListedObject> listed = new ArrayList<>();
+    int index = 0;
+    for (Map.Entry<String, Versioned> entry : objects.withPrefix(prefix).entrySet()) {
+      if (fault == ListingFault.NONE || index % 2 == 0) {
+        listed.add(new ListedObject(entry.getKey(), Long.toString(entry.getValue().version())));
+      }
+      index++;
+    }
+    return Reply.json(200, new Listing(fault != ListingFault.MARKED, listed));
+  }
+
+  private record TransferRequest(String model, String version) {}
+
+  private record TransferAnswer(boolean granted, long retryAfterMillis) {}
+
+  private void addOtherRoutes() {
+    server.route(
+        "GET",
+        "/vms",
+        exchange ->
+            gate.serve(
+                exchange, PlatformKind.VMS, Access.READ, () -> Reply.json(200, vms.listing())));
+    server.route(
+        "POST",
+        "/weights/transfers",
+        exchange -> {
+          Json.read(exchange.body(), TransferRequest.class);
+          gate.serve(exchange, PlatformKind.WEIGHTS, Access.WRITE, this::transfer);
+        });
+  }
+
+  private Reply transfer() {
+    long waitMillis = weights.takeOrWaitMillis(System.nanoTime());
+    return Reply.json(200, new TransferAnswer(waitMillis == 0, waitMillis));
+  }
+
+  private void addControlRoutes() {
+    server.route(
+        "POST",
+        "/control/faults",
+        exchange -> {
+          PlatformFaults faults = Json.read(exchange.body(), PlatformFaults.class);
+          String kind = exchange.parameter("kind");
+          if (kind.isEmpty()) {
+            setFaults(faults);
+          } else {
+            setFaults(PlatformKind.of(kind), faults);
+          }
+          exchange.respondJson(200, gate.allFaults());
+        });
+    server.route("GET", "/control/faults", exchange -> exchange.respondJson(200, gate.allFaults()));
+    server.route(
+        "GET", "/control/counters", exchange -> exchange.respondJson(200, gate.allCounters()));
+    server.route(
+        "POST",
+        "/control/vms",
+        exchange -> {
+          putVm(Json.read(exchange.body(), VmRecord.class));
+          exchange.respondJson(200, vms.listing());
+        });
+    server.route(
+        "DELETE",
+        "/control/vms",
+        exchange -> {
+          removeVm(required(exchange, "vm"));
+          exchange.respondJson(200, vms.listing());
+        });
+  }
+
+  private static Reply value(int status, Optional<Versioned> value) {
+    return value
+        .map(found -> Reply.bytes(status, found.content()).with("ETag", tag(found.version())))
+        .orElseGet(() -> absent(status == 200 ? 404 : status));
+  }
+
+  private static Reply absent(int status) {
+    return Reply.bytes(status, new byte[0]).with(ABSENT_HEADER, "true");
+  }
+
+  private static String tag(long version) {
+    return "\"" + version + "\"";
+  }
+
+  private static String required(Exchange exchange, String name) {
+    String value = exchange.parameter(name);
+    if (value.isEmpty()) {
+      throw new IllegalArgumentException("query parameter \"" + name + "\" is missing");
+    }
+    return value;
+  }
+
+  private static long expectedVersion(Exchange exchange) {
+    if (exchange.header("If-None-Match").equals("*")) {
+      return 0;
+    }
+    String tag = exchange.header("If-Match");
+    try {
+      long version = Long.parseLong(tag.replace("\"", ""));
+      if (version >= 1) {
+        return version;
+      }
+    } catch (NumberFormatException e) {
+      throw new IllegalArgumentException("If-Match has no version: \"" + tag + "\"", e);
+    }
+    throw new IllegalArgumentException("If-Match is below 1: " + tag);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/platform/VersionedStore.java
@@ -0,0 +1,45 @@
+package io.zinniawood.standin.platform;
+
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Values with versions that rise with every write, in the order of their names. */
+final class VersionedStore {
+  private final TreeMap<String, Versioned> values = new TreeMap<>();
+
+  record Versioned(long version, byte[] content) {}
+
+  /** Result of a conditional write: the new version, or the value in the way. */
+  record WriteResult(Optional<Long> written, Optional<Versioned> present) {}
+
+  synchronized Optional<Versioned> read(String name) {
+    return Optional.ofNullable(values.get(name));
+  }
+
+  synchronized WriteResult writeIf(String name, long expectedVersion, byte[] content) {
+    Versioned present = values.get(name);
+    long presentVersion = present == null ? 0 : present.version();
+    if (presentVersion != expectedVersion) {
+      return new WriteResult(Optional.empty(), Optional.ofNullable(present));
+    }
+    values.put(name, new Versioned(presentVersion + 1, content));
+    return new WriteResult(Optional.of(presentVersion + 1), Optional.empty());
+  }
+
+  synchronized void put(String name, long version, byte[] content) {
+    values.put(name, new Versioned(version, content));
+  }
+
+  synchronized boolean delete(String name) {
+    return values.remove(name) != null;
+  }
+
+  /** Returns the values whose names start with the prefix. */
+  synchronized TreeMap<String, Versioned> withPrefix(String prefix) {
+    TreeMap<String, Versioned> found = new TreeMap<>();
+    values.tailMap(prefix, true).entrySet().stream()
+        .takeWhile(entry -> entry.getKey().startsWith(prefix))
+        .forEach(entry -> found.put(entry.getKey(), entry.getValue()));
+    return found;
+  }
+}
