--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/AcceptanceCodec.java
@@ -0,0 +1,104 @@
+package io.zinniawood.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.zinniawood.core.acceptance.AcceptedRow;
+import io.zinniawood.core.acceptance.AcceptedSnapshot;
+import io.zinniawood.core.acceptance.FileVersion;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.model.Payload;
+import java.nio.charset.StandardCharsets;
+
+/** Serialises the accepted row and the snapshot object as JSON. */
+public final class AcceptanceCodec {
+  private static final int MAX_ROW_BYTES = 16 * 1024;
+
+  private AcceptanceCodec() {}
+
+  /** Serialises the row {@code config/accepted}. */
+  public static Payload encodeRow(AcceptedRow row) {
+    ObjectNode root = JsonNodeFactory.instance.objectNode();
+    root.put("generation", row.generation().value());
+    root.put("digest", row.digest());
+    root.put("object", row.objectName());
+    root.put("attempt", row.attempt().value());
+    return Payload.ofText(root.toString());
+  }
+
+  /** Reads the row {@code config/accepted}; never throws. */
+  public static Either<CodecError, AcceptedRow> decodeRow(Payload payload) {
+    return ConfigurationCodec.parse(payload, MAX_ROW_BYTES)
+        .flatMap(
+            root -> {
+              JsonNode generation = root.path("generation");
+              String attempt = root.path("attempt").asText("");
+              boolean valid =
+                  generation.isIntegralNumber()
+                      && generation.canConvertToLong()
+                      && generation.longValue() > 0
+                      && root.path("digest").isTextual()
+                      && root.path("object").isTextual()
+                      && validAttempt(attempt);
+              return valid
+                  ? Either.right(
+                      new AcceptedRow(
+                          new Generation(generation.longValue()),
+                          root.path("digest").textValue(),
+                          root.path("object").textValue(),
+                          new AttemptId(attempt)))
+                  : Either.left(
+                      new CodecError.Malformed(
+                          "expected an object with generation, digest, object and attempt"));
+            });
+  }
+
+  /** Serialises a snapshot; fails if it is larger than the bound of the configuration codec. */
+  public static Either<CodecError, Payload> encodeSnapshot(AcceptedSnapshot snapshot) {
+    ObjectNode root = JsonNodeFactory.instance.objectNode();
+    root.set("accepted", ConfigurationCodec.toJson(snapshot.configuration()));
+    ArrayNode files = root.putArray("files");
+    for (FileVersion file : snapshot.files()) {
+      files.addObject().put("name", file.name()).put("version", file.version());
+    }
+    byte[] bytes = root.toString().getBytes(StandardCharsets.UTF_8);
+    return bytes.length > ConfigurationCodec.MAX_BYTES
+        ? Either.left(new CodecError.TooLarge(bytes.length, ConfigurationCodec.MAX_BYTES))
+        : Either.right(Payload.wrap(bytes));
+  }
+
+  /** Reads a snapshot and checks its digest; never throws. */
+  public static Either<CodecError, AcceptedSnapshot> decodeSnapshot(Payload payload) {
+    return ConfigurationCodec.parse(payload, ConfigurationCodec.MAX_BYTES)
+        .flatMap(
+            root ->
+                ConfigurationCodec.fromJson(root.path("accepted"))
+                    .flatMap(
+                        accepted ->
+                            files(root.path("files"))
+                                .map(files -> new AcceptedSnapshot(accepted, files))));
+  }
+
+  private static Either<CodecError, Vector<FileVersion>> files(JsonNode array) {
+    Vector<JsonNode> items = Vector.ofAll(array);
+    boolean valid =
+        array.isArray()
+            && items.forAll(
+                item -> item.path("name").isTextual() && item.path("version").isTextual());
+    return valid
+        ? Either.right(
+            items.map(
+                item ->
+                    new FileVersion(
+                        item.path("name").textValue(), item.path("version").textValue())))
+        : Either.left(new CodecError.Malformed("expected a list of files with name and version"));
+  }
+
+  private static boolean validAttempt(String attempt) {
+    return !attempt.isBlank() && attempt.length() <= 256;
+  }
+}
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/ConfigurationCodec.java
@@ -0,0 +1,112 @@
+package io.zinniawood.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.zinniawood.config.internal.ClusterReader;
+import io.zinniawood.config.internal.ClusterWriter;
+import io.zinniawood.config.internal.Json;
+import io.zinniawood.config.internal.JsonTree;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.core.configuration.ClusterConfiguration;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.model.Payload;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Serialises accepted configurations as JSON. The canonical text of a configuration is a JSON
+ * object with the tables and keys of the folder, all defaults, and everything in a fixed order.
+ */
+public final class ConfigurationCodec {
+  /** Half of the frame bound of the own protocol (8 MiB), which leaves room for the envelope. */
+  public static final int MAX_BYTES = 4 * 1024 * 1024;
+
+  private ConfigurationCodec() {}
+
+  /** Returns the canonical text. */
+  public static String canonicalText(ClusterConfiguration cluster) {
+    return ClusterWriter.write(cluster).toString();
+  }
+
+  /** Returns the SHA-256 of the canonical text in lower-case hexadecimal. */
+  public static String digest(ClusterConfiguration cluster) {
+    return sha256Hex(canonicalText(cluster));
+  }
+
+  /** Serialises a configuration; fails if it has more than {@value #MAX_BYTES} bytes. */
+  public static Either<CodecError, Payload> encode(AcceptedConfiguration configuration) {
+    ObjectNode root = toJson(configuration);
+    byte[] bytes = root.toString().getBytes(StandardCharsets.UTF_8);
+    return bytes.length > MAX_BYTES
+        ? Either.left(new CodecError.TooLarge(bytes.length, MAX_BYTES))
+        : Either.right(Payload.wrap(bytes));
+  }
+
+  /** Reads a configuration and checks its digest; never throws. */
+  public static Either<CodecError, AcceptedConfiguration> decode(Payload payload) {
+    return parse(payload, MAX_BYTES).flatMap(ConfigurationCodec::fromJson);
+  }
+
+  static ObjectNode toJson(AcceptedConfiguration configuration) {
+    ObjectNode root = JsonNodeFactory.instance.objectNode();
+    root.put("generation", configuration.generation().value());
+    root.put("digest", configuration.digest());
+    root.set("cluster", ClusterWriter.write(configuration.cluster()));
+    return root;
+  }
+
+  static Either<CodecError, AcceptedConfiguration> fromJson(JsonNode root) {
+    JsonNode generation = root.path("generation");
+    JsonNode digest = root.path("digest");
+    JsonNode cluster = root.path("cluster");
+    boolean numbered = generation.isIntegralNumber() && generation.canConvertToLong();
+    if (!numbered || generation.longValue() < 1 || !digest.isTextual() || !cluster.isObject()) {
+      return Either.left(
+          new CodecError.Malformed(
+              "expected an object with generation (an integer from 1), digest and cluster"));
+    }
+    // The digest is taken over the text as received, so that a newer version of this program may
+    // add keys without making its snapshots unreadable to an older one.
+    String actual = sha256Hex(cluster.toString());
+    if (!actual.equals(digest.textValue())) {
+      return Either.left(new CodecError.DigestMismatch(digest.textValue(), actual));
+    }
+    Either<Vector<ConfigurationFault>, ClusterConfiguration> read =
+        ClusterReader.read(JsonTree.read(cluster));
+    return read.mapLeft(
+            faults -> (CodecError) new CodecError.Malformed(faults.head().text().trim()))
+        .map(
+            found ->
+                new AcceptedConfiguration(
+                    new Generation(generation.longValue()), digest.textValue(), found));
+  }
+
+  static Either<CodecError, JsonNode> parse(Payload payload, int maxBytes) {
+    if (payload.sizeBytes() > maxBytes) {
+      return Either.left(new CodecError.TooLarge(payload.sizeBytes(), maxBytes));
+    }
+    try {
+      JsonNode root = Json.MAPPER.readTree(payload.text());
+      return root != null && root.isObject()
+          ? Either.right(root)
+          : Either.left(new CodecError.Malformed("expected a JSON object"));
+    } catch (JsonProcessingException malformed) {
+      return Either.left(new CodecError.Malformed(malformed.getOriginalMessage()));
+    }
+  }
+
+  private static String sha256Hex(String text) {
+    try {
+      MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(sha256.digest(text.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException missing) {
+      throw new IllegalStateException("every Java platform has SHA-256", missing);
+    }
+  }
+}
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/internal/JsonTree.java
@@ -0,0 +1,48 @@
+package io.zinniawood.config.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+
+/** Reads a JSON object with the keys of the folder into a tree. */
+public final class JsonTree {
+  private JsonTree() {}
+
+  /** Returns the tree; keys that the schema does not know stay in it and are not read. */
+  public static ValueTree read(JsonNode root) {
+    Map<Vector<String>, Located> values = LinkedHashMap.empty();
+    Map<Vector<String>, Located> tables = LinkedHashMap.empty();
+    Vector<Vector<String>> pending = Vector.of(Vector.empty());
+    while (!pending.isEmpty()) {
+      Vector<String> path = pending.head();
+      pending = pending.tail();
+      JsonNode node = path.foldLeft(root, JsonNode::get);
+      for (var entry : node.properties()) {
+        Vector<String> child = path.append(entry.getKey());
+        JsonNode value = entry.getValue();
+        if (value.isObject() && child.size() <= 2) {
+          tables = tables.put(child, new Located("", 1, 1, ""));
+          pending = pending.append(child);
+        } else {
+          values = values.put(child, new Located("", 1, 1, plain(value)));
+        }
+      }
+    }
+    return new ValueTree(values, tables);
+  }
+
+  private static Object plain(JsonNode node) {
+    if (node.isArray()) {
+      return Vector.ofAll(node)
+          .map(item -> item.isTextual() ? item.textValue() : new Located.Unsupported("an item"));
+    }
+    if (node.isIntegralNumber() && node.canConvertToLong()) {
+      return node.longValue();
+    }
+    if (node.isFloatingPointNumber()) {
+      return node.doubleValue();
+    }
+    return node.isTextual() ? node.textValue() : new Located.Unsupported(node.getNodeType().name());
+  }
+}
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/internal/Located.java
@@ -0,0 +1,29 @@
+package io.zinniawood.config.internal;
+
+/**
+ * Value or table with its position.
+ *
+ * @param file file name
+ * @param line line, counted from 1
+ * @param column column, counted from 1
+ * @param value {@code Long}, {@code Double}, {@code String}, {@code Boolean}, a Vavr vector of
+ *     these, or an {@link Unsupported} value
+ */
+public record Located(String file, int line, int column, Object value) {
+  /**
+   * Value of a type that no key takes.
+   *
+   * @param type name of the type for a person
+   */
+  public record Unsupported(String type) {
+    @Override
+    public String toString() {
+      return type;
+    }
+  }
+
+  /** Returns the value as it is written in a file, shortened to 80 characters. */
+  public String text() {
+    return Texts.show(value);
+  }
+}
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/internal/Schema.java
@@ -0,0 +1,115 @@
+package io.zinniawood.config.internal;
+
+import io.vavr.Tuple2;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.config.ConfigurationFault;
+import io.zinniawood.core.id.ServiceName;
+
+/**
+ * Tables that a file may have.
+ *
+ * @param tables kinds of tables
+ */
+public record Schema(Vector<TableSpec> tables) {
+
+  /** Returns all faults of a document: unknown tables and keys, wrong types and ranges. */
+  public Vector<ConfigurationFault> check(TomlDocument document) {
+    Vector<ConfigurationFault> tableFaults =
+        document.tables().toVector().flatMap(entry -> checkTable(entry._1(), entry._2()));
+    Vector<ConfigurationFault> valueFaults =
+        document.values().toVector().flatMap(entry -> checkValue(entry));
+    return document.faults().appendAll(tableFaults).appendAll(valueFaults);
+  }
+
+  private Option<ConfigurationFault> checkTable(Vector<String> path, Located located) {
+    Option<TableSpec> spec = spec(path);
+    if (spec.isEmpty()) {
+      // Only the outermost unknown table is reported; its keys repeat the same fault.
+      return path.size() == 1 ? Option.of(unknownSection(path, located)) : Option.none();
+    }
+    if (spec.get().shape() == TableSpec.Shape.NAMED && path.size() == 2) {
+      return validId(path.last())
+          ? Option.none()
+          : Option.of(
+              fault(path, located, Texts.show(path.last()), "an id of 1 to 256 characters"));
+    }
+    if (path.size() < spec.get().depth()) {
+      return Option.none();
+    }
+    return path.size() == spec.get().depth()
+        ? Option.of(
+            spec.get()
+                .field(path.last())
+                .map(field -> fault(path, located, "a table", field.expected()))
+                .getOrElse(() -> unknownKey(path, located, spec.get())))
+        : Option.none();
+  }
+
+  private Option<ConfigurationFault> checkValue(Tuple2<Vector<String>, Located> entry) {
+    Vector<String> path = entry._1();
+    Located located = entry._2();
+    Option<TableSpec> spec = spec(path);
+    if (spec.isEmpty()) {
+      return path.size() == 1 ? Option.of(unknownSection(path, located)) : Option.none();
+    }
+    if (path.size() > spec.get().depth()) {
+      return Option.none();
+    }
+    if (path.size() < spec.get().depth()) {
+      return Option.of(fault(path, located, located.text(), "a table"));
+    }
+    Option<Field<?>> field = spec.get().field(path.last());
+    if (field.isEmpty()) {
+      return Option.of(unknownKey(path, located, spec.get()));
+    }
+    return field.get().convert().apply(located.value()).isDefined()
+        ? Option.none()
+        : Option.of(fault(path, located, located.text(), field.get().expected()));
+  }
+
+  private Option<TableSpec> spec(Vector<String> path) {
+    Option<TableSpec> named =
+        tables.find(
+            spec -> spec.shape() != TableSpec.Shape.ROOT && spec.name().equals(path.head()));
+    return named.orElse(
+        () ->
+            path.size() == 1
+                ? tables.find(spec -> spec.shape() == TableSpec.Shape.ROOT)
+                : Option.none());
+  }
+
+  private ConfigurationFault unknownSection(Vector<String> path, Located located) {
+    Vector<String> known =
+        tables.filter(spec -> spec.shape() != TableSpec.Shape.ROOT).map(TableSpec::name);
+    Vector<String> all =
+        known.appendAll(
+            tables.filter(spec -> spec.shape() == TableSpec.Shape.ROOT).flatMap(TableSpec::names));
+    return fault(path, located, "an unknown key", suggestion(path.last(), all));
+  }
+
+  private static ConfigurationFault unknownKey(
+      Vector<String> path, Located located, TableSpec spec) {
+    return fault(path, located, "an unknown key", suggestion(path.last(), spec.names()));
+  }
+
+  private static String suggestion(String name, Vector<String> known) {
+    return Nearest.to(name, known)
+        .map(nearest -> "the known key nearest to it, " + nearest)
+        .getOrElse(() -> "one of " + known.mkString(", "));
+  }
+
+  private static ConfigurationFault fault(
+      Vector<String> path, Located located, String found, String expected) {
+    return new ConfigurationFault(
+        located.file(), located.line(), located.column(), Texts.key(path), found, expected);
+  }
+
+  private static boolean validId(String id) {
+    try {
+      return !new ServiceName(id).value().isEmpty();
+    } catch (IllegalArgumentException refused) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/internal/Texts.java
@@ -0,0 +1,47 @@
+package io.zinniawood.config.internal;
+
+import io.vavr.collection.Vector;
+
+/** Text of values for messages. */
+public final class Texts {
+  private static final int MAX_CHARACTERS = 80;
+
+  private Texts() {}
+
+  /** Returns the value as it is written in TOML, shortened, on one line. */
+  public static String show(Object value) {
+    String text = full(value);
+    return text.length() <= MAX_CHARACTERS ? text : text.substring(0, MAX_CHARACTERS) + "...";
+  }
+
+  /** Returns the value as it is written in TOML, on one line. */
+  public static String full(Object value) {
+    if (value instanceof Vector<?> list) {
+      return list.map(Texts::full).mkString("[", ", ", "]");
+    }
+    if (value instanceof String string) {
+      return "\"" + clean(string) + "\"";
+    }
+    return clean(String.valueOf(value));
+  }
+
+  /** Replaces control characters, which would break a one-line message or a terminal. */
+  public static String clean(String text) {
+    StringBuilder cleaned = new StringBuilder(text.length());
+    text.codePoints()
+        .forEach(
+            point -> {
+              if (Character.isISOControl(point) || Character.getType(point) == Character.FORMAT) {
+                cleaned.append("\\u%04X".formatted(point));
+              } else {
+                cleaned.appendCodePoint(point);
+              }
+            });
+    return cleaned.toString();
+  }
+
+  /** Returns the path as a dotted key, with quotes where TOML needs them. */
+  public static String key(Vector<String> path) {
+    return path.map(part -> part.matches("[A-Za-z0-9_-]+") ? part : full(part)).mkString(".");
+  }
+}
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/internal/TomlDocument.java
@@ -0,0 +1,104 @@
+package io.zinniawood.config.internal;
+
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import io.zinniawood.config.ConfigurationFault;
+import java.util.List;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * Keys and tables of one TOML file.
+ *
+ * @param values value of each key
+ * @param tables position of each table
+ * @param faults faults of syntax and size
+ */
+public record TomlDocument(
+    Map<Vector<String>, Located> values,
+    Map<Vector<String>, Located> tables,
+    Vector<ConfigurationFault> faults) {
+
+  /** Files are small by design; the bound keeps a wrong upload from using the parser's memory. */
+  public static final int MAX_CHARACTERS = 256 * 1024;
+
+  /** Parses the text of a file; never throws. */
+  public static TomlDocument parse(String file, String text) {
+    if (text.length() > MAX_CHARACTERS) {
+      return failed(
+          new ConfigurationFault(
+              file,
+              1,
+              1,
+              "",
+              text.length() + " characters",
+              "at most %d characters".formatted(MAX_CHARACTERS)));
+    }
+    try {
+      return read(file, Toml.parse(text));
+    } catch (StackOverflowError deep) {
+      // The parser descends once for each level of nesting and has no bound of its own.
+      return failed(
+          new ConfigurationFault(file, 1, 1, "", "deeply nested values", "a flat TOML file"));
+    }
+  }
+
+  private static TomlDocument failed(ConfigurationFault fault) {
+    return new TomlDocument(LinkedHashMap.empty(), LinkedHashMap.empty(), Vector.of(fault));
+  }
+
+  private static TomlDocument read(String file, TomlParseResult result) {
+    if (result.hasErrors()) {
+      Vector<ConfigurationFault> faults =
+          Vector.ofAll(result.errors())
+              .map(
+                  error ->
+                      new ConfigurationFault(
+                          file,
+                          line(error.position()),
+                          column(error.position()),
+                          "",
+                          Texts.clean(String.valueOf(error.getMessage())),
+                          "valid TOML"));
+      return new TomlDocument(LinkedHashMap.empty(), LinkedHashMap.empty(), faults);
+    }
+    Map<Vector<String>, Located> values = LinkedHashMap.empty();
+    Map<Vector<String>, Located> tables = LinkedHashMap.empty();
+    for (List<String> path : result.keyPathSet(true)) {
+      Object value = result.get(path);
+      TomlPosition position = result.inputPositionOf(path);
+      Located located = new Located(file, line(position), column(position), plain(value));
+      if (value instanceof TomlTable) {
+        tables = tables.put(Vector.ofAll(path), located);
+      } else {
+        values = values.put(Vector.ofAll(path), located);
+      }
+    }
+    return new TomlDocument(values, tables, Vector.empty());
+  }
+
+  private static int line(TomlPosition position) {
+    return position == null ? 1 : Math.max(1, position.line());
+  }
+
+  private static int column(TomlPosition position) {
+    return position == null ? 1 : Math.max(1, position.column());
+  }
+
+  private static Object plain(Object value) {
+    if (value instanceof TomlArray array) {
+      return Vector.range(0, array.size()).map(index -> plain(array.get(index)));
+    }
+    if (value instanceof TomlTable) {
+      return new Located.Unsupported("a table");
+    }
+    if (value instanceof Long || value instanceof Double || value instanceof Boolean) {
+      return value;
+    }
+    return value instanceof String ? value : new Located.Unsupported("a date or time");
+  }
+}
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/internal/ValueTree.java
@@ -0,0 +1,46 @@
+package io.zinniawood.config.internal;
+
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.TreeSet;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+
+/**
+ * Values of one or more checked documents by path.
+ *
+ * @param values value of each key
+ * @param tables first position of each table
+ */
+public record ValueTree(Map<Vector<String>, Located> values, Map<Vector<String>, Located> tables) {
+
+  /** Returns the tree without values. */
+  public static ValueTree empty() {
+    return new ValueTree(LinkedHashMap.empty(), LinkedHashMap.empty());
+  }
+
+  /** Returns this tree with the values of a later document; they replace earlier ones. */
+  public ValueTree extend(TomlDocument later) {
+    return new ValueTree(later.values().merge(values), tables.merge(later.tables()));
+  }
+
+  /** Returns the ids of the tables {@code [section.<id>]} in the order of the ids. */
+  public Vector<String> ids(String section) {
+    return TreeSet.ofAll(
+            tables
+                .keySet()
+                .filter(path -> path.size() == 2 && path.head().equals(section))
+                .map(Vector::last))
+        .toVector();
+  }
+
+  /** Tells whether a table exists. */
+  public boolean hasTable(String section) {
+    return tables.containsKey(Vector.of(section));
+  }
+
+  /** Returns the position of a table or of the key at the path. */
+  public Option<Located> position(Vector<String> path) {
+    return values.get(path).orElse(() -> tables.get(path));
+  }
+}
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
@@ -0,0 +1,171 @@
+package io.zinniawood.config.settings;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.config.ConfigurationFault;
+import io.zinniawood.config.internal.Schema;
+import io.zinniawood.config.internal.SettingsSchema;
+import io.zinniawood.config.internal.TableReader;
+import io.zinniawood.config.internal.Texts;
+import io.zinniawood.config.internal.TomlDocument;
+import io.zinniawood.config.internal.ValueTree;
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.Function;
+
+/** Reads the settings file of a process; `docs/configuration.md` describes the keys. */
+public final class SettingsLoader {
+  private static final Vector<String> ROOT = Vector.empty();
+  private static final Vector<String> TLS = Vector.of("tls");
+  private static final Vector<String> ENGINE = Vector.of("engine");
+  private static final Vector<String> SERVICE = Vector.of("service");
+
+  private SettingsLoader() {}
+
+  /** Reads the settings of an entry, or returns every fault of the file. */
+  public static Either<Vector<ConfigurationFault>, EntrySettings> loadEntry(Path file) {
+    return load(file, SettingsSchema.ENTRY, SettingsLoader::entry);
+  }
+
+  /** Reads the settings of an agent, or returns every fault of the file. */
+  public static Either<Vector<ConfigurationFault>, AgentSettings> loadAgent(Path file) {
+    return load(file, SettingsSchema.AGENT, SettingsLoader::agent);
+  }
+
+  private static <T> Either<Vector<ConfigurationFault>, T> load(
+      Path file, Schema schema, Function<TableReader, Option<T>> build) {
+    Either<ConfigurationFault, String> text = text(file);
+    if (text.isLeft()) {
+      return Either.left(Vector.of(text.getLeft()));
+    }
+    TomlDocument document = TomlDocument.parse(file.toString(), text.get());
+    Vector<ConfigurationFault> faults = schema.check(document);
+    if (!document.faults().isEmpty()) {
+      return Either.left(faults);
+    }
+    TableReader reader = new TableReader(ValueTree.empty().extend(document), file.toString());
+    Option<T> settings = build.apply(reader);
+    Vector<ConfigurationFault> all = faults.appendAll(reader.faults()).distinct();
+    return all.isEmpty() && settings.isDefined()
+        ? Either.right(settings.get())
+        : Either.left(all.sortBy(ConfigurationFault::line));
+  }
+
+  private static Either<ConfigurationFault, String> text(Path file) {
+    try {
+      long sizeBytes = Files.size(file);
+      return sizeBytes > TomlDocument.MAX_CHARACTERS
+          ? Either.left(unreadable(file, "%d bytes".formatted(sizeBytes), "a small settings file"))
+          : Either.right(Files.readString(file));
+    } catch (CharacterCodingException invalid) {
+      return Either.left(unreadable(file, "bytes that are not UTF-8", "UTF-8 text"));
+    } catch (IOException failed) {
+      return Either.left(
+          unreadable(
+              file, "no readable file (%s)".formatted(failed.getClass().getSimpleName()), "TOML"));
+    }
+  }
+
+  private static ConfigurationFault unreadable(Path file, String found, String expected) {
+    return new ConfigurationFault(Texts.clean(file.toString()), 1, 1, "", found, expected);
+  }
+
+  private static Option<EntrySettings> entry(TableReader reader) {
+    var vm = reader.get(ROOT, SettingsSchema.VM);
+    var dataCentre = reader.get(ROOT, SettingsSchema.DATA_CENTRE);
+    var callers = reader.get(ROOT, SettingsSchema.CALLERS);
+    var admin = reader.get(ROOT, SettingsSchema.ADMIN);
+    var peers = reader.get(ROOT, SettingsSchema.PEERS);
+    var platform = reader.get(ROOT, SettingsSchema.PLATFORM);
+    var body = reader.get(ROOT, SettingsSchema.MAX_BODY_BYTES);
+    var drain = reader.get(ROOT, SettingsSchema.DRAIN_GRACE);
+    var poll = reader.get(ROOT, SettingsSchema.POLL);
+    Option<TlsSettings> tls = tls(reader);
+    if (callers.isDefined() && callers.equals(admin)) {
+      reader.add(
+          Vector.of(SettingsSchema.ADMIN.name()),
+          "\"%s\"".formatted(admin.get()),
+          "another address than callers");
+    }
+    if (!reader.faults().isEmpty()) {
+      return Option.none();
+    }
+    return Option.of(
+        new EntrySettings(
+            vm.get(),
+            dataCentre.get(),
+            callers.get(),
+            admin.get(),
+            peers.get(),
+            platform.get(),
+            Math.toIntExact(body.get()),
+            drain.get(),
+            poll.get(),
+            tls));
+  }
+
+  private static Option<AgentSettings> agent(TableReader reader) {
+    var endpoint = reader.get(ROOT, SettingsSchema.ENDPOINT);
+    var dataCentre = reader.get(ROOT, SettingsSchema.DATA_CENTRE);
+    var pool = reader.get(ROOT, SettingsSchema.POOL);
+    var peers = reader.get(ROOT, SettingsSchema.PEERS);
+    var platform = reader.get(ROOT, SettingsSchema.PLATFORM);
+    var kept = reader.get(ROOT, SettingsSchema.KEPT_OUTPUT_BYTES);
+    Option<TlsSettings> tls = tls(reader);
+    Option<BackendSettings> backend = backend(reader);
+    if (!reader.faults().isEmpty()) {
+      return Option.none();
+    }
+    return Option.of(
+        new AgentSettings(
+            endpoint.get(),
+            dataCentre.get(),
+            pool.get(),
+            peers.get(),
+            platform.get(),
+            backend.get(),
+            kept.get(),
+            tls));
+  }
+
+  private static Option<BackendSettings> backend(TableReader reader) {
+    boolean engine = reader.tree().hasTable("engine");
+    boolean service = reader.tree().hasTable("service");
+    if (engine == service) {
+      reader.add(
+          ENGINE,
+          engine ? "both [engine] and [service]" : "neither [engine] nor [service]",
+          "exactly one of them");
+      return Option.none();
+    }
+    if (engine) {
+      var address = reader.get(ENGINE, SettingsSchema.ADDRESS);
+      var fencing = reader.get(ENGINE, SettingsSchema.FENCING);
+      return address.flatMap(base -> fencing.map(check -> new BackendSettings.Engine(base, check)));
+    }
+    var address = reader.get(SERVICE, SettingsSchema.ADDRESS);
+    var name = reader.get(SERVICE, SettingsSchema.SERVICE);
+    var most = reader.get(SERVICE, SettingsSchema.MAX_CONCURRENT);
+    return address.flatMap(
+        base ->
+            name.flatMap(
+                id ->
+                    most.map(
+                        count -> new BackendSettings.Service(base, id, Math.toIntExact(count)))));
+  }
+
+  private static Option<TlsSettings> tls(TableReader reader) {
+    if (!reader.tree().hasTable("tls")) {
+      return Option.none();
+    }
+    var chain = reader.get(TLS, SettingsSchema.CERTIFICATE_CHAIN);
+    var key = reader.get(TLS, SettingsSchema.PRIVATE_KEY);
+    var trusted = reader.get(TLS, SettingsSchema.TRUSTED_CERTIFICATES);
+    return chain.flatMap(
+        first ->
+            key.flatMap(second -> trusted.map(third -> new TlsSettings(first, second, third))));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptancePhase.java
@@ -0,0 +1,90 @@
+package io.zinniawood.core.acceptance;
+
+import io.vavr.collection.Set;
+import io.vavr.collection.SortedMap;
+
+/** Step of the round in progress. */
+public sealed interface AcceptancePhase {
+  /** No round is in progress. */
+  record Idle() implements AcceptancePhase {}
+
+  /** The accepted row is being read. */
+  record ReadingRow() implements AcceptancePhase {}
+
+  /**
+   * The snapshot of a row is being read.
+   *
+   * @param row the row
+   */
+  record LoadingSnapshot(VersionedRow row) implements AcceptancePhase {}
+
+  /** The folder is being listed. */
+  record Listing() implements AcceptancePhase {}
+
+  /**
+   * Files are being read.
+   *
+   * @param listing version of each listed file
+   * @param pending names of the files that are still to be read
+   * @param files files that are known
+   */
+  record ReadingFiles(
+      SortedMap<String, String> listing, Set<String> pending, SortedMap<String, FolderFile> files)
+      implements AcceptancePhase {}
+
+  /**
+   * The folder is being listed for the second time.
+   *
+   * @param listing version of each file in the first listing
+   * @param files files that were read
+   */
+  record ListingAgain(SortedMap<String, String> listing, SortedMap<String, FolderFile> files)
+      implements AcceptancePhase {}
+
+  /**
+   * Files that are missing from the listing are being read, to confirm that they were removed.
+   *
+   * @param listing version of each listed file
+   * @param files files that were read
+   * @param pending names of the missing files that are still to be confirmed
+   */
+  record ConfirmingRemovals(
+      SortedMap<String, String> listing, SortedMap<String, FolderFile> files, Set<String> pending)
+      implements AcceptancePhase {}
+
+  /**
+   * The files are being merged.
+   *
+   * @param listing version of each listed file
+   * @param files files to merge
+   */
+  record Merging(SortedMap<String, String> listing, SortedMap<String, FolderFile> files)
+      implements AcceptancePhase {}
+
+  /**
+   * The snapshot is being written.
+   *
+   * @param proposal acceptance that is being written
+   * @param files files that were merged
+   */
+  record WritingSnapshot(Proposal proposal, SortedMap<String, FolderFile> files)
+      implements AcceptancePhase {}
+
+  /**
+   * The row is being written.
+   *
+   * @param proposal acceptance that is being written
+   * @param files files that were merged
+   */
+  record Committing(Proposal proposal, SortedMap<String, FolderFile> files)
+      implements AcceptancePhase {}
+
+  /**
+   * The row is being read back after the response to its write was lost.
+   *
+   * @param proposal acceptance that may have been written
+   * @param files files that were merged
+   */
+  record ReadingBack(Proposal proposal, SortedMap<String, FolderFile> files)
+      implements AcceptancePhase {}
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceReducer.java
@@ -0,0 +1,107 @@
+package io.zinniawood.core.acceptance;
+
+import io.zinniawood.core.runtime.Reducer;
+import io.zinniawood.core.runtime.Step;
+
+/** Decides how edits of the configuration folder become the accepted configuration. */
+public final class AcceptanceReducer
+    implements Reducer<AcceptanceState, AcceptanceEvent, AcceptanceEffect> {
+
+  @Override
+  public Step<AcceptanceState, AcceptanceEffect> reduce(
+      AcceptanceState state, long nowNanos, AcceptanceEvent event) {
+    return event.accept(new Dispatch(state, nowNanos));
+  }
+
+  private record Dispatch(AcceptanceState state, long nowNanos)
+      implements AcceptanceEventVisitor<Step<AcceptanceState, AcceptanceEffect>> {
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitStarted(AcceptanceEvent.Started event) {
+      return Rounds.start(state);
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitPollRequested(
+        AcceptanceEvent.PollRequested event) {
+      return Rounds.request(state);
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitTimerFired(
+        AcceptanceEvent.TimerFired event) {
+      return Rounds.timerFired(state, event.timer());
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitPollModeChanged(
+        AcceptanceEvent.PollModeChanged event) {
+      return Rounds.changeMode(state, event.mode());
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitNeighbourOffered(
+        AcceptanceEvent.NeighbourOffered event) {
+      return AcceptedRows.offered(state, event.configuration());
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitRowRead(AcceptanceEvent.RowRead event) {
+      return current(event.round()) ? AcceptedRows.rowRead(state, event) : Step.of(state);
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitSnapshotRead(
+        AcceptanceEvent.SnapshotRead event) {
+      return current(event.round()) ? AcceptedRows.snapshotRead(state, event) : Step.of(state);
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitFolderListed(
+        AcceptanceEvent.FolderListed event) {
+      return current(event.round()) ? FolderReads.listed(state, nowNanos, event) : Step.of(state);
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitFileRead(AcceptanceEvent.FileRead event) {
+      return current(event.round()) ? FolderReads.fileRead(state, nowNanos, event) : Step.of(state);
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitMergeFinished(
+        AcceptanceEvent.MergeFinished event) {
+      return current(event.round()) ? Proposals.merged(state, event.outcome()) : Step.of(state);
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitSnapshotWritten(
+        AcceptanceEvent.SnapshotWritten event) {
+      return current(event.round()) ? Proposals.snapshotWritten(state) : Step.of(state);
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitRowWritten(
+        AcceptanceEvent.RowWritten event) {
+      return current(event.round()) ? Proposals.rowWritten(state, event.version()) : Step.of(state);
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitRowConflicted(
+        AcceptanceEvent.RowConflicted event) {
+      return current(event.round()) ? Proposals.conflicted(state, event.present()) : Step.of(state);
+    }
+
+    @Override
+    public Step<AcceptanceState, AcceptanceEffect> visitStoreFailed(
+        AcceptanceEvent.StoreFailed event) {
+      return current(event.round())
+          ? Proposals.storeFailed(state, event.failure())
+          : Step.of(state);
+    }
+
+    /** Drops responses to a round that timed out. */
+    private boolean current(long round) {
+      return round == state.round() && !(state.phase() instanceof AcceptancePhase.Idle);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceState.java
@@ -0,0 +1,103 @@
+package io.zinniawood.core.acceptance;
+
+import io.vavr.collection.SortedMap;
+import io.vavr.collection.TreeMap;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.id.VmId;
+
+/**
+ * State of the acceptance.
+ *
+ * @param self entry that runs it
+ * @param random state of the random sequence for jitter and attempt ids
+ * @param round number of the present or last round
+ * @param failures failed rounds in a row
+ * @param mode whether the entry reads the folder
+ * @param pollNanos interval between rounds in nanoseconds
+ * @param repeat whether another round follows the present one at once
+ * @param phase step of the round in progress
+ * @param inForce configuration in force
+ * @param row accepted row as this round read it
+ * @param loadedObject snapshot object that {@code acceptedFiles} came from
+ * @param acceptedFiles version of each file of the accepted set
+ * @param texts files of the last valid merge
+ * @param evaluated listing that was last merged, with the row version at that time
+ * @param sightings last seen version of each file
+ * @param snapshots names of the snapshots that were in force, oldest first
+ */
+public record AcceptanceState(
+    VmId self,
+    long random,
+    long round,
+    int failures,
+    PollMode mode,
+    long pollNanos,
+    boolean repeat,
+    AcceptancePhase phase,
+    Option<AcceptedConfiguration> inForce,
+    Option<VersionedRow> row,
+    Option<String> loadedObject,
+    SortedMap<String, String> acceptedFiles,
+    SortedMap<String, FolderFile> texts,
+    Option<Evaluation> evaluated,
+    SortedMap<String, Sighting> sightings,
+    Vector<String> snapshots) {
+
+  /** An edit has to be in force everywhere within 6 s; 2 s leaves time for two rounds. */
+  static final long DEFAULT_POLL_NANOS = 2_000_000_000L;
+
+  /**
+   * Listing that was merged.
+   *
+   * @param listing version of each file
+   * @param rowVersion version of the accepted row that the result was compared with
+   */
+  public record Evaluation(SortedMap<String, String> listing, long rowVersion) {}
+
+  /** Returns the state before the first event. */
+  public static AcceptanceState initial(VmId self, long seed) {
+    return new AcceptanceState(
+        self,
+        seed,
+        0,
+        0,
+        PollMode.FOLLOWING,
+        DEFAULT_POLL_NANOS,
+        false,
+        new AcceptancePhase.Idle(),
+        Option.none(),
+        Option.none(),
+        Option.none(),
+        TreeMap.empty(),
+        TreeMap.empty(),
+        Option.none(),
+        TreeMap.empty(),
+        Vector.empty());
+  }
+
+  /** Returns the generation in force, 0 if there is none. */
+  public Generation generation() {
+    return inForce.map(AcceptedConfiguration::generation).getOrElse(new Generation(0));
+  }
+
+  /** Returns the version of the accepted row, 0 if it does not exist. */
+  public long rowVersion() {
+    return row.map(VersionedRow::version).getOrElse(0L);
+  }
+
+  /** Returns this state with another interval between rounds, in nanoseconds. */
+  public AcceptanceState withPollNanos(long value) {
+    return copy().pollNanos(value).build();
+  }
+
+  AcceptanceState withPhase(AcceptancePhase value) {
+    return copy().phase(value).build();
+  }
+
+  AcceptanceStateBuilder copy() {
+    return new AcceptanceStateBuilder(this);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
@@ -0,0 +1,217 @@
+package io.zinniawood.core.acceptance;
+
+import io.vavr.collection.SortedMap;
+import io.vavr.collection.TreeMap;
+import io.vavr.collection.TreeSet;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.runtime.Step;
+
+/** Writes a valid merge as the next generation. */
+final class Proposals {
+  /** A neighbour that is a few generations behind can still read the snapshot it knows. */
+  static final int KEPT_SNAPSHOTS = 16;
+
+  private Proposals() {}
+
+  static Step<AcceptanceState, AcceptanceEffect> merged(
+      AcceptanceState state, MergeOutcome outcome) {
+    if (!(state.phase() instanceof AcceptancePhase.Merging merging)) {
+      return Step.of(state);
+    }
+    if (outcome instanceof MergeOutcome.Invalid invalid) {
+      return reject(state, merging.listing(), invalid.faults());
+    }
+    MergeOutcome.Valid valid = (MergeOutcome.Valid) outcome;
+    if (state.row().exists(found -> found.row().digest().equals(valid.digest()))
+        && state.loadedObject().isDefined()) {
+      return Rounds.finish(
+          evaluated(state, merging.listing()).copy().texts(merging.files()).build());
+    }
+    return propose(state, merging, valid);
+  }
+
+  static Step<AcceptanceState, AcceptanceEffect> reject(
+      AcceptanceState state, SortedMap<String, String> listing, Vector<String> faults) {
+    Step<AcceptanceState, AcceptanceEffect> finished = Rounds.finish(evaluated(state, listing));
+    AcceptanceNotice notice =
+        new AcceptanceNotice.Rejected(state.generation(), faults, fileVersions(listing));
+    return new Step<>(
+        finished.state(),
+        Vector.<AcceptanceEffect>of(new AcceptanceEffect.Notify(notice))
+            .appendAll(finished.effects()));
+  }
+
+  static Step<AcceptanceState, AcceptanceEffect> snapshotWritten(AcceptanceState state) {
+    if (!(state.phase() instanceof AcceptancePhase.WritingSnapshot writing)) {
+      return Step.of(state);
+    }
+    Proposal proposal = writing.proposal();
+    return Step.of(
+        state.withPhase(new AcceptancePhase.Committing(proposal, writing.files())),
+        Rounds.stepTimer(),
+        new AcceptanceEffect.WriteRow(state.round(), proposal.expectedVersion(), proposal.row()));
+  }
+
+  static Step<AcceptanceState, AcceptanceEffect> rowWritten(AcceptanceState state, long version) {
+    if (state.phase() instanceof AcceptancePhase.Committing committing) {
+      return accepted(state, committing.proposal(), committing.files(), version);
+    }
+    if (state.phase() instanceof AcceptancePhase.ReadingBack back) {
+      return accepted(state, back.proposal(), back.files(), version);
+    }
+    return Step.of(state);
+  }
+
+  static Step<AcceptanceState, AcceptanceEffect> readBack(
+      AcceptanceState state, AcceptancePhase.ReadingBack back, Option<VersionedRow> row) {
+    AcceptedRow proposed = back.proposal().row();
+    if (ownAttempt(proposed, row)) {
+      return accepted(state, back.proposal(), back.files(), row.get().version());
+    }
+    if (row.map(VersionedRow::version).getOrElse(0L) > back.proposal().expectedVersion()) {
+      return lost(state, proposed, row);
+    }
+    // The write may still arrive. The next round proposes against the same row version, so at most
+    // one of the two writes takes effect; the snapshot has to stay.
+    return Rounds.retry(
+        state,
+        new AcceptanceNotice.StoreTrouble(
+            "generation %s was not written".formatted(proposed.generation()),
+            state.failures() + 1));
+  }
+
+  /** A client library may send a write twice; the second copy then conflicts with the first. */
+  static Step<AcceptanceState, AcceptanceEffect> conflicted(
+      AcceptanceState state, Option<VersionedRow> present) {
+    if (!(state.phase() instanceof AcceptancePhase.Committing committing)) {
+      return Step.of(state);
+    }
+    Proposal proposal = committing.proposal();
+    return ownAttempt(proposal.row(), present)
+        ? accepted(state, proposal, committing.files(), present.get().version())
+        : lost(state, proposal.row(), present);
+  }
+
+  static Step<AcceptanceState, AcceptanceEffect> storeFailed(
+      AcceptanceState state, StoreFailure failure) {
+    if (state.phase() instanceof AcceptancePhase.Committing committing
+        && failure.kind() == StoreFailure.Kind.RESPONSE_LOST) {
+      return Step.of(
+          state.withPhase(
+              new AcceptancePhase.ReadingBack(committing.proposal(), committing.files())),
+          Rounds.stepTimer(),
+          new AcceptanceEffect.ReadRow(state.round()));
+    }
+    return Rounds.retry(
+        state, new AcceptanceNotice.StoreTrouble(failure.detail(), state.failures() + 1));
+  }
+
+  private static Step<AcceptanceState, AcceptanceEffect> propose(
+      AcceptanceState state, AcceptancePhase.Merging merging, MergeOutcome.Valid valid) {
+    long random = Rounds.scramble(state.random());
+    Generation generation =
+        new Generation(
+            state.row().map(found -> found.row().generation().value()).getOrElse(0L) + 1);
+    AttemptId attempt =
+        new AttemptId("%s-%d-%s".formatted(state.self(), state.round(), Long.toHexString(random)));
+    // The attempt makes the name unique: two entries can merge the same text from different file
+    // versions, and neither may replace the object of the other.
+    String objectName = "accepted/%s-%s-%s".formatted(generation, valid.digest(), attempt);
+    AcceptedSnapshot snapshot =
+        new AcceptedSnapshot(
+            new AcceptedConfiguration(generation, valid.digest(), valid.cluster()),
+            fileVersions(merging.listing()));
+    Proposal proposal =
+        new Proposal(
+            state.rowVersion(),
+            new AcceptedRow(generation, valid.digest(), objectName, attempt),
+            snapshot);
+    return Step.of(
+        state
+            .copy()
+            .random(random)
+            .phase(new AcceptancePhase.WritingSnapshot(proposal, merging.files()))
+            .build(),
+        Rounds.stepTimer(),
+        new AcceptanceEffect.WriteSnapshot(state.round(), objectName, snapshot));
+  }
+
+  private static Step<AcceptanceState, AcceptanceEffect> accepted(
+      AcceptanceState state,
+      Proposal proposal,
+      SortedMap<String, FolderFile> files,
+      long rowVersion) {
+    AcceptedRow row = proposal.row();
+    TreeMap<String, String> versions = AcceptedRows.versions(proposal.snapshot().files());
+    Vector<String> changed = changedFiles(state.acceptedFiles(), versions);
+    Vector<String> snapshots = state.snapshots().append(row.objectName());
+    AcceptanceState written =
+        state
+            .copy()
+            .row(Option.of(new VersionedRow(rowVersion, row)))
+            .loadedObject(Option.of(row.objectName()))
+            .acceptedFiles(versions)
+            .texts(files)
+            .snapshots(snapshots.takeRight(KEPT_SNAPSHOTS))
+            .build();
+    Step<AcceptanceState, AcceptanceEffect> adopted =
+        AcceptedRows.adopt(evaluated(written, versions), proposal.snapshot().configuration());
+    Step<AcceptanceState, AcceptanceEffect> finished = Rounds.finish(adopted.state());
+    return new Step<>(
+        finished.state(),
+        adopted
+            .effects()
+            .append(
+                new AcceptanceEffect.Notify(
+                    new AcceptanceNotice.Accepted(row.generation(), changed)))
+            .appendAll(
+                snapshots.dropRight(KEPT_SNAPSHOTS).map(AcceptanceEffect.DeleteSnapshot::new))
+            .appendAll(finished.effects()));
+  }
+
+  private static boolean ownAttempt(AcceptedRow proposed, Option<VersionedRow> row) {
+    return row.exists(found -> found.row().attempt().equals(proposed.attempt()));
+  }
+
+  /**
+   * Another entry accepted first; the next round compares the folder with its result. The own
+   * snapshot is deleted only if the row shows the same generation of another entry: with a higher
+   * one, the own row may have been in force for a moment.
+   */
+  private static Step<AcceptanceState, AcceptanceEffect> lost(
+      AcceptanceState state, AcceptedRow proposed, Option<VersionedRow> present) {
+    Step<AcceptanceState, AcceptanceEffect> finished =
+        Rounds.finish(state.copy().repeat(true).build());
+    boolean neverInForce =
+        present.exists(found -> found.row().generation().equals(proposed.generation()));
+    Vector<AcceptanceEffect> deletion =
+        neverInForce
+            ? Vector.of(new AcceptanceEffect.DeleteSnapshot(proposed.objectName()))
+            : Vector.empty();
+    return new Step<>(finished.state(), deletion.appendAll(finished.effects()));
+  }
+
+  private static AcceptanceState evaluated(
+      AcceptanceState state, SortedMap<String, String> listing) {
+    return state
+        .copy()
+        .evaluated(Option.of(new AcceptanceState.Evaluation(listing, state.rowVersion())))
+        .build();
+  }
+
+  private static Vector<FileVersion> fileVersions(SortedMap<String, String> listing) {
+    return listing.toVector().map(entry -> new FileVersion(entry._1(), entry._2()));
+  }
+
+  private static Vector<String> changedFiles(
+      SortedMap<String, String> before, SortedMap<String, String> after) {
+    return TreeSet.ofAll(before.keySet())
+        .addAll(after.keySet())
+        .filter(name -> !before.get(name).equals(after.get(name)))
+        .toVector();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/acceptance/Rounds.java
@@ -0,0 +1,119 @@
+package io.zinniawood.core.acceptance;
+
+import io.vavr.collection.Vector;
+import io.zinniawood.core.runtime.Step;
+
+/** Starts and ends rounds, with backoff after failures. */
+final class Rounds {
+  /** Longer than the HTTP timeouts of the platform adapter, so its own errors come first. */
+  static final long STEP_TIMEOUT_NANOS = 10_000_000_000L;
+
+  static final long FIRST_BACKOFF_NANOS = 200_000_000L;
+  static final long LONGEST_BACKOFF_NANOS = 5_000_000_000L;
+  private static final int MAX_DOUBLINGS = 10;
+
+  private Rounds() {}
+
+  static Step<AcceptanceState, AcceptanceEffect> start(AcceptanceState state) {
+    if (!(state.phase() instanceof AcceptancePhase.Idle)) {
+      return Step.of(state);
+    }
+    AcceptanceState next =
+        state
+            .copy()
+            .round(state.round() + 1)
+            .repeat(false)
+            .phase(new AcceptancePhase.ReadingRow())
+            .build();
+    return Step.of(
+        next,
+        new AcceptanceEffect.CancelTimer(AcceptanceTimer.POLL),
+        stepTimer(),
+        new AcceptanceEffect.ReadRow(next.round()));
+  }
+
+  static Step<AcceptanceState, AcceptanceEffect> request(AcceptanceState state) {
+    return state.phase() instanceof AcceptancePhase.Idle
+        ? start(state)
+        : Step.of(state.copy().repeat(true).build());
+  }
+
+  static Step<AcceptanceState, AcceptanceEffect> timerFired(
+      AcceptanceState state, AcceptanceTimer timer) {
+    return switch (timer) {
+      case POLL -> start(state);
+      case STEP ->
+          state.phase() instanceof AcceptancePhase.Idle
+              ? Step.of(state)
+              : Proposals.storeFailed(
+                  state,
+                  new StoreFailure(
+                      StoreFailure.Kind.RESPONSE_LOST,
+                      "the store did not answer within %d ms"
+                          .formatted(STEP_TIMEOUT_NANOS / 1_000_000)));
+    };
+  }
+
+  static Step<AcceptanceState, AcceptanceEffect> changeMode(AcceptanceState state, PollMode mode) {
+    if (mode == state.mode()) {
+      return Step.of(state);
+    }
+    AcceptanceState next = state.copy().mode(mode).build();
+    return mode == PollMode.POLLING ? request(next) : Step.of(next);
+  }
+
+  /** Ends a round that answered; the next one follows after the poll interval. */
+  static Step<AcceptanceState, AcceptanceEffect> finish(AcceptanceState state) {
+    return idle(state.copy().failures(0).build(), state.pollNanos());
+  }
+
+  /** Ends a round that has to be repeated from its start, with backoff. */
+  static Step<AcceptanceState, AcceptanceEffect> retry(
+      AcceptanceState state, AcceptanceNotice notice) {
+    int doublings = Math.min(state.failures(), MAX_DOUBLINGS);
+    long delayNanos = Math.min(FIRST_BACKOFF_NANOS << doublings, LONGEST_BACKOFF_NANOS);
+    Step<AcceptanceState, AcceptanceEffect> ended =
+        idle(state.copy().failures(state.failures() + 1).repeat(false).build(), delayNanos);
+    return new Step<>(
+        ended.state(),
+        Vector.<AcceptanceEffect>of(new AcceptanceEffect.Notify(notice))
+            .appendAll(ended.effects()));
+  }
+
+  static AcceptanceEffect stepTimer() {
+    return new AcceptanceEffect.StartTimer(AcceptanceTimer.STEP, STEP_TIMEOUT_NANOS);
+  }
+
+  private static Step<AcceptanceState, AcceptanceEffect> idle(
+      AcceptanceState state, long delayNanos) {
+    long random = scramble(state.random());
+    AcceptanceState idle = state.copy().random(random).phase(new AcceptancePhase.Idle()).build();
+    Vector<AcceptanceEffect> cancel =
+        Vector.of(new AcceptanceEffect.CancelTimer(AcceptanceTimer.STEP));
+    if (state.repeat()) {
+      return new Step<>(start(idle).state(), cancel.appendAll(start(idle).effects()));
+    }
+    boolean needed = idle.mode() == PollMode.POLLING || idle.inForce().isEmpty();
+    if (!needed) {
+      return new Step<>(idle, cancel);
+    }
+    return new Step<>(
+        idle,
+        cancel.append(
+            new AcceptanceEffect.StartTimer(AcceptanceTimer.POLL, jitter(random, delayNanos))));
+  }
+
+  /** Returns 75% to 125% of the delay, so that entries that fail together retry apart. */
+  private static long jitter(long random, long delayNanos) {
+    long halfNanos = Math.max(1, delayNanos / 2);
+    return delayNanos - halfNanos / 2 + Long.remainderUnsigned(random, halfNanos);
+  }
+
+  /** Mixes the state of the random sequence (SplitMix64). */
+  static long scramble(long value) {
+    long mixed = value + 0x9E3779B97F4A7C15L;
+    mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+    return mixed ^ (mixed >>> 31);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/acceptance/AcceptanceExecutor.java
@@ -0,0 +1,284 @@
+package io.zinniawood.entry.acceptance;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.config.AcceptanceCodec;
+import io.zinniawood.config.CodecError;
+import io.zinniawood.config.ConfigurationCodec;
+import io.zinniawood.config.ConfigurationFault;
+import io.zinniawood.config.ConfigurationFile;
+import io.zinniawood.config.ConfigurationFolder;
+import io.zinniawood.config.MergedConfiguration;
+import io.zinniawood.core.acceptance.AcceptanceEffect;
+import io.zinniawood.core.acceptance.AcceptanceEffectVisitor;
+import io.zinniawood.core.acceptance.AcceptanceEvent;
+import io.zinniawood.core.acceptance.AcceptanceNotice;
+import io.zinniawood.core.acceptance.AcceptanceState;
+import io.zinniawood.core.acceptance.AcceptanceTimer;
+import io.zinniawood.core.acceptance.AcceptedSnapshot;
+import io.zinniawood.core.acceptance.FileVersion;
+import io.zinniawood.core.acceptance.FolderFile;
+import io.zinniawood.core.acceptance.MergeOutcome;
+import io.zinniawood.core.acceptance.StoreFailure;
+import io.zinniawood.core.acceptance.VersionedRow;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.platform.ObjectListing;
+import io.zinniawood.platform.ObjectStore;
+import io.zinniawood.platform.PlatformError;
+import io.zinniawood.platform.StoredObject;
+import io.zinniawood.platform.Table;
+import io.zinniawood.platform.TableRow;
+import io.zinniawood.platform.TableWrite;
+import io.zinniawood.runtime.EventLoop;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/** Carries out acceptance effects and posts the responses as events. */
+final class AcceptanceExecutor implements AcceptanceEffectVisitor<Void> {
+  static final String FOLDER = "config/";
+  static final String ROW_KEY = "config/accepted";
+  private static final String SUFFIX = ".toml";
+  private static final Logger LOGGER = System.getLogger(AcceptanceExecutor.class.getName());
+
+  private final EventLoop<AcceptanceState, AcceptanceEvent, AcceptanceEffect, AcceptanceTimer> loop;
+  private final Executor mergeExecutor;
+  private final ObjectStore objects;
+  private final Table table;
+  private final Consumer<AcceptedConfiguration> listener;
+  private final Consumer<AcceptanceNotice> notices;
+
+  AcceptanceExecutor(
+      EventLoop<AcceptanceState, AcceptanceEvent, AcceptanceEffect, AcceptanceTimer> loop,
+      Executor mergeExecutor,
+      ObjectStore objects,
+      Table table,
+      Consumer<AcceptedConfiguration> listener,
+      Consumer<AcceptanceNotice> notices) {
+    this.loop = loop;
+    this.mergeExecutor = mergeExecutor;
+    this.objects = objects;
+    this.table = table;
+    this.listener = listener;
+    this.notices = notices;
+  }
+
+  @Override
+  public Void visitReadRow(AcceptanceEffect.ReadRow effect) {
+    return post(
+        effect.round(),
+        table.read(ROW_KEY),
+        row ->
+            decode(row)
+                .fold(
+                    error -> rejected(effect.round(), error),
+                    found -> new AcceptanceEvent.RowRead(effect.round(), found)));
+  }
+
+  @Override
+  public Void visitReadSnapshot(AcceptanceEffect.ReadSnapshot effect) {
+    return post(
+        effect.round(),
+        objects.read(effect.objectName()),
+        object -> new AcceptanceEvent.SnapshotRead(effect.round(), object.flatMap(this::snapshot)));
+  }
+
+  @Override
+  public Void visitListFolder(AcceptanceEffect.ListFolder effect) {
+    return post(
+        effect.round(),
+        objects.list(FOLDER),
+        listing ->
+            new AcceptanceEvent.FolderListed(
+                effect.round(),
+                listing.completeness() == ObjectListing.Completeness.COMPLETE
+                    ? AcceptanceEvent.Completeness.COMPLETE
+                    : AcceptanceEvent.Completeness.PARTIAL,
+                listing
+                    .objects()
+                    .filter(object -> isConfigurationFile(object.name()))
+                    .map(
+                        object ->
+                            new FileVersion(
+                                object.name().substring(FOLDER.length()), object.version()))));
+  }
+
+  @Override
+  public Void visitReadFile(AcceptanceEffect.ReadFile effect) {
+    return post(
+        effect.round(),
+        objects.read(FOLDER + effect.name()),
+        object ->
+            new AcceptanceEvent.FileRead(
+                effect.round(),
+                effect.name(),
+                object.map(
+                    found ->
+                        new FolderFile(effect.name(), found.version(), found.content().text()))));
+  }
+
+  @Override
+  public Void visitMergeFiles(AcceptanceEffect.MergeFiles effect) {
+    // A merge of a large folder takes longer than an event may take.
+    CompletableFuture.supplyAsync(() -> merge(effect.files()), mergeExecutor)
+        .whenComplete(
+            (outcome, fault) ->
+                loop.post(
+                    new AcceptanceEvent.MergeFinished(
+                        effect.round(),
+                        fault == null
+                            ? outcome
+                            : new MergeOutcome.Invalid(
+                                Vector.of("the merge failed: " + fault.getMessage())))));
+    return null;
+  }
+
+  @Override
+  public Void visitWriteSnapshot(AcceptanceEffect.WriteSnapshot effect) {
+    Either<CodecError, Payload> encoded = AcceptanceCodec.encodeSnapshot(effect.snapshot());
+    if (encoded.isLeft()) {
+      loop.post(rejected(effect.round(), encoded.getLeft()));
+      return null;
+    }
+    return post(
+        effect.round(),
+        objects.write(effect.objectName(), encoded.get().bytes()),
+        version -> new AcceptanceEvent.SnapshotWritten(effect.round()));
+  }
+
+  @Override
+  public Void visitWriteRow(AcceptanceEffect.WriteRow effect) {
+    return post(
+        effect.round(),
+        table.write(
+            ROW_KEY, effect.expectedVersion(), AcceptanceCodec.encodeRow(effect.row()).bytes()),
+        result -> written(effect.round(), result));
+  }
+
+  @Override
+  public Void visitDeleteSnapshot(AcceptanceEffect.DeleteSnapshot effect) {
+    objects
+        .delete(effect.objectName())
+        .thenAccept(
+            result -> {
+              if (result.isLeft()) {
+                LOGGER.log(
+                    Level.DEBUG,
+                    "snapshot {0} was not deleted: {1}",
+                    effect.objectName(),
+                    result.getLeft().detail());
+              }
+            });
+    return null;
+  }
+
+  @Override
+  public Void visitPublish(AcceptanceEffect.Publish effect) {
+    listener.accept(effect.configuration());
+    return null;
+  }
+
+  @Override
+  public Void visitNotify(AcceptanceEffect.Notify effect) {
+    notices.accept(effect.notice());
+    return null;
+  }
+
+  @Override
+  public Void visitStartTimer(AcceptanceEffect.StartTimer effect) {
+    loop.startTimer(
+        effect.timer(), effect.delayNanos(), new AcceptanceEvent.TimerFired(effect.timer()));
+    return null;
+  }
+
+  @Override
+  public Void visitCancelTimer(AcceptanceEffect.CancelTimer effect) {
+    loop.cancelTimer(effect.timer());
+    return null;
+  }
+
+  private static boolean isConfigurationFile(String objectName) {
+    // Editors leave backup and lock files beside the file that they write.
+    String name = objectName.substring(FOLDER.length());
+    return name.endsWith(SUFFIX) && !name.startsWith(".") && !name.contains("/");
+  }
+
+  private static MergeOutcome merge(Vector<FolderFile> files) {
+    Either<Vector<ConfigurationFault>, MergedConfiguration> merged =
+        ConfigurationFolder.merge(
+            files.map(file -> new ConfigurationFile(file.name(), file.version(), file.text())));
+    return merged.fold(
+        faults -> new MergeOutcome.Invalid(faults.map(ConfigurationFault::text)),
+        found ->
+            new MergeOutcome.Valid(found.cluster(), ConfigurationCodec.digest(found.cluster())));
+  }
+
+  private static Either<CodecError, Option<VersionedRow>> decode(Option<TableRow> row) {
+    return row.isEmpty()
+        ? Either.right(Option.none())
+        : AcceptanceCodec.decodeRow(row.get().value())
+            .map(found -> Option.of(new VersionedRow(row.get().version(), found)));
+  }
+
+  private Option<AcceptedSnapshot> snapshot(StoredObject object) {
+    Either<CodecError, AcceptedSnapshot> decoded = AcceptanceCodec.decodeSnapshot(object.content());
+    if (decoded.isLeft()) {
+      LOGGER.log(
+          Level.WARNING, "snapshot {0} is damaged: {1}", object.name(), decoded.getLeft().detail());
+    }
+    return decoded.toOption();
+  }
+
+  private static AcceptanceEvent written(long round, TableWrite result) {
+    if (result instanceof TableWrite.Written written) {
+      return new AcceptanceEvent.RowWritten(round, written.version());
+    }
+    TableWrite.Conflict conflict = (TableWrite.Conflict) result;
+    return decode(conflict.present())
+        .fold(
+            error -> rejected(round, error),
+            found -> new AcceptanceEvent.RowConflicted(round, found));
+  }
+
+  private static AcceptanceEvent rejected(long round, CodecError error) {
+    return new AcceptanceEvent.StoreFailed(
+        round, new StoreFailure(StoreFailure.Kind.REJECTED, error.detail()));
+  }
+
+  private static StoreFailure failure(PlatformError error) {
+    if (error instanceof PlatformError.ResponseLost) {
+      return new StoreFailure(StoreFailure.Kind.RESPONSE_LOST, error.detail());
+    }
+    return new StoreFailure(
+        error instanceof PlatformError.Rejected
+            ? StoreFailure.Kind.REJECTED
+            : StoreFailure.Kind.UNAVAILABLE,
+        error.detail());
+  }
+
+  private <T> Void post(
+      long round,
+      CompletableFuture<Either<PlatformError, T>> response,
+      Function<T, AcceptanceEvent> event) {
+    response.whenComplete(
+        (result, fault) -> {
+          if (fault != null) {
+            loop.post(
+                new AcceptanceEvent.StoreFailed(
+                    round,
+                    new StoreFailure(
+                        StoreFailure.Kind.RESPONSE_LOST, String.valueOf(fault.getMessage()))));
+          } else {
+            loop.post(
+                result.fold(
+                    error -> new AcceptanceEvent.StoreFailed(round, failure(error)), event));
+          }
+        });
+    return null;
+  }
+}
