Add the agent's decisions

The agent role had events and effects but no reducer. AgentReducer dispatches to the gate, claims, stage sessions, transfer of KV caches, orders and leaving.

--- a/core/src/main/java/io/zinniawood/core/agent/AgentEffect.java
+++ b/core/src/main/java/io/zinniawood/core/agent/AgentEffect.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.model.ClaimKey;
 import io.zinniawood.core.model.ClaimRow;
 import io.zinniawood.core.model.EngineOrder;
+import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.model.Payload;
 import io.zinniawood.core.model.ServiceCall;
 import io.zinniawood.core.model.StageAddress;
@@ -46,6 +47,19 @@
     }
   }
 
+  /**
+   * Sends a message to the agent at an address, opening a connection if there is none.
+   *
+   * @param address address of the agent
+   * @param message the message
+   */
+  record SendToAddress(NodeAddress address, Message message) implements AgentEffect {
+    @Override
+    public <R> R accept(AgentEffectVisitor<R> visitor) {
+      return visitor.visitSendToAddress(this);
+    }
+  }
+
   /**
    * Calls the plain service once, without retries.
    *
@@ -79,11 +93,13 @@
   }
 
   /**
-   * Writes the answer of a finished call into its claim row.
+   * Writes the final state of an attempt into its claim row: its answer, or the release of a claim
+   * whose call did not start. Succeeds without a write if the row does not name the attempt as
+   * started.
    *
    * @param attempt attempt
    * @param key key of the claim
-   * @param row finished row
+   * @param row finished or released row
    */
   record StoreAnswer(AttemptId attempt, ClaimKey key, ClaimRow row) implements AgentEffect {
     @Override
--- a/core/src/main/java/io/zinniawood/core/agent/AgentEffectVisitor.java
+++ b/core/src/main/java/io/zinniawood/core/agent/AgentEffectVisitor.java
@@ -12,6 +12,9 @@
   /** Handles a {@link AgentEffect.SendToStage}. */
   R visitSendToStage(AgentEffect.SendToStage effect);
 
+  /** Handles a {@link AgentEffect.SendToAddress}. */
+  R visitSendToAddress(AgentEffect.SendToAddress effect);
+
   /** Handles a {@link AgentEffect.CallService}. */
   R visitCallService(AgentEffect.CallService effect);
 
--- a/core/src/main/java/io/zinniawood/core/agent/AgentTimer.java
+++ b/core/src/main/java/io/zinniawood/core/agent/AgentTimer.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.agent;
 
 import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.Epoch;
 import io.zinniawood.core.id.SessionId;
 
 /** Timer of the agent. */
@@ -32,4 +33,12 @@
    * @param session session
    */
   record SessionIdle(SessionId session) implements AgentTimer {}
+
+  /**
+   * The time within which the old stage must answer a request for its KV cache.
+   *
+   * @param session session
+   * @param epoch epoch of the import
+   */
+  record ImportDeadline(SessionId session, Epoch epoch) implements AgentTimer {}
 }
--- a/core/src/main/java/io/zinniawood/core/agent/ClaimWrite.java
+++ b/core/src/main/java/io/zinniawood/core/agent/ClaimWrite.java
@@ -15,6 +15,9 @@
    */
   record HeldByOther(ClaimRow row) implements ClaimWrite {}
 
+  /** The table was not reached; the row does not name this attempt. */
+  record NotWritten() implements ClaimWrite {}
+
   /** The table could not be read or written; the row may name this attempt. */
   record Unavailable() implements ClaimWrite {}
 }
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/agent/EvictedAttempts.java
@@ -0,0 +1,73 @@
+package io.zinniawood.core.agent;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import io.zinniawood.core.id.AttemptId;
+import java.util.Arrays;
+
+/**
+ * Digests of attempts whose results were dropped, at 8 bytes each. An attempt in this set must not
+ * run again.
+ *
+ * @param recent digests that are not sealed yet
+ * @param sealed full segments, oldest first
+ */
+record EvictedAttempts(Set<Long> recent, Vector<Segment> sealed) {
+  private static final int SEGMENT_SIZE = 4_096;
+
+  /** 256 segments of 4,096 digests take 8 MiB, a sixth of the agent's heap. */
+  private static final int MAX_SEGMENTS = 256;
+
+  /**
+   * Time for which a digest is kept. An entry sends an attempt again only within the caller's
+   * deadline, which is far shorter.
+   */
+  private static final long KEEP_NANOS = 600_000_000_000L;
+
+  /**
+   * Sorted digests.
+   *
+   * @param digests sorted digests, never changed
+   * @param sealedNanos time of the newest digest
+   */
+  record Segment(long[] digests, long sealedNanos) {}
+
+  static EvictedAttempts empty() {
+    return new EvictedAttempts(HashSet.empty(), Vector.empty());
+  }
+
+  boolean contains(AttemptId attempt) {
+    long digest = digest(attempt);
+    return recent.contains(digest)
+        || sealed.exists(segment -> Arrays.binarySearch(segment.digests, digest) >= 0);
+  }
+
+  /** Tells whether the memory holds only digests that are still needed. */
+  boolean full(long nowNanos) {
+    return sealed.size() >= MAX_SEGMENTS
+        && nowNanos - sealed.head().sealedNanos < KEEP_NANOS
+        && recent.size() >= SEGMENT_SIZE - 1;
+  }
+
+  EvictedAttempts add(AttemptId attempt, long nowNanos) {
+    Set<Long> more = recent.add(digest(attempt));
+    if (more.size() < SEGMENT_SIZE) {
+      return new EvictedAttempts(more, sealed);
+    }
+    long[] digests = more.toJavaStream().mapToLong(Long::longValue).sorted().toArray();
+    Vector<Segment> segments = sealed.append(new Segment(digests, nowNanos));
+    return new EvictedAttempts(
+        HashSet.empty(), segments.size() > MAX_SEGMENTS ? segments.tail() : segments);
+  }
+
+  /** FNV-1a with a final mix. */
+  private static long digest(AttemptId attempt) {
+    long hash = 0xcbf29ce484222325L;
+    for (int i = 0; i < attempt.value().length(); i++) {
+      hash = (hash ^ attempt.value().charAt(i)) * 0x100000001b3L;
+    }
+    hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
+    return hash ^ (hash >>> 29);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/agent/FinishedAttempts.java
@@ -0,0 +1,78 @@
+package io.zinniawood.core.agent;
+
+import io.vavr.Tuple2;
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.ServiceAnswer;
+
+/**
+ * Results of attempts that ended, bounded in number and bytes. Cancelled and refused attempts are
+ * among them, so that a late copy does not run.
+ *
+ * @param results results, oldest first
+ * @param bytes size of the answers in bytes
+ * @param evicted attempts whose results were dropped
+ */
+record FinishedAttempts(Map<AttemptId, Result> results, long bytes, EvictedAttempts evicted) {
+  private static final int MAX_RESULTS = 2_048;
+  private static final long MAX_BYTES = 4L << 20;
+
+  /** How an attempt ended. */
+  sealed interface Result {
+    /**
+     * The service answered.
+     *
+     * @param answer its answer
+     */
+    record Answered(ServiceAnswer answer) implements Result {}
+
+    /**
+     * The attempt was refused, cancelled or failed.
+     *
+     * @param reason reason
+     * @param outcome whether it ran
+     */
+    record Refused(RefusalReason reason, Outcome outcome) implements Result {}
+  }
+
+  static FinishedAttempts empty() {
+    return new FinishedAttempts(LinkedHashMap.empty(), 0, EvictedAttempts.empty());
+  }
+
+  Option<Result> get(AttemptId attempt) {
+    return results.get(attempt);
+  }
+
+  /** Tells whether the attempt ended without a call of the service. */
+  boolean notRun(AttemptId attempt) {
+    return results
+        .get(attempt)
+        .exists(
+            result ->
+                result instanceof Result.Refused refused && refused.outcome() == Outcome.NOT_RUN);
+  }
+
+  FinishedAttempts add(AttemptId attempt, Result result, long nowNanos) {
+    long size = sizeBytes(result) - results.get(attempt).map(r -> sizeBytes(r)).getOrElse(0L);
+    FinishedAttempts next =
+        new FinishedAttempts(results.put(attempt, result), bytes + size, evicted);
+    while (next.results.size() > MAX_RESULTS
+        || (next.bytes > MAX_BYTES && next.results.size() > 1)) {
+      Tuple2<AttemptId, Result> oldest = next.results.head();
+      next =
+          new FinishedAttempts(
+              next.results.remove(oldest._1),
+              next.bytes - sizeBytes(oldest._2),
+              next.evicted.add(oldest._1, nowNanos));
+    }
+    return next;
+  }
+
+  private static long sizeBytes(Result result) {
+    return result instanceof Result.Answered answered ? answered.answer().body().sizeBytes() : 0;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/agent/Leaving.java
@@ -0,0 +1,53 @@
+package io.zinniawood.core.agent;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.agent.GateState.Phase;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.ServingState;
+import io.zinniawood.core.runtime.Step;
+
+/** Leaves without interrupting work in progress. */
+final class Leaving {
+  private Leaving() {}
+
+  static Step<AgentState, AgentEffect> drain(AgentState state, long nowNanos) {
+    if (state.leaving()) {
+      return Step.of(state);
+    }
+    AgentState leaving =
+        state.withServing(ServingState.LEAVING).withGate(state.gate().withLeavingSince(nowNanos));
+    Step<AgentState, AgentEffect> step = Statuses.announce(leaving);
+    Vector<AttemptId> queued =
+        leaving
+            .gate()
+            .live()
+            .filterValues(attempt -> attempt.phase() == Phase.QUEUED)
+            .keySet()
+            .toVector();
+    for (AttemptId id : queued) {
+      step = Change.then(step, next -> refuseQueued(next, nowNanos, id));
+    }
+    return step;
+  }
+
+  private static Step<AgentState, AgentEffect> refuseQueued(
+      AgentState state, long nowNanos, AttemptId id) {
+    return state.gate().live().containsKey(id)
+        ? Ending.refuse(state, nowNanos, id, RefusalReason.LEAVING, Outcome.NOT_RUN, Option.none())
+        : Step.of(state);
+  }
+
+  /** Ends the process once nothing is in progress. */
+  static Step<AgentState, AgentEffect> stopIfDone(Step<AgentState, AgentEffect> step) {
+    AgentState state = step.state();
+    boolean done =
+        state.leaving()
+            && state.gate().idle()
+            && state.stages().sessions().isEmpty()
+            && state.orders().running().isEmpty();
+    return done ? step.and(new AgentEffect.Stop()) : step;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/agent/StageLinks.java
@@ -0,0 +1,94 @@
+package io.zinniawood.core.agent;
+
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import io.zinniawood.core.agent.StageSession.Positions;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.StageAddress;
+import io.zinniawood.core.runtime.Step;
+
+/** Connections to next stages: one fresh connection is tried before a stage counts as lost. */
+final class StageLinks {
+  private StageLinks() {}
+
+  static Step<AgentState, AgentEffect> connected(AgentState state, PeerId peer) {
+    StageState stages = state.stages();
+    if (stages.reconnecting().isEmpty()) {
+      return Step.of(state);
+    }
+    return Step.of(
+        state.withStages(
+            stages.withReconnecting(
+                stages.reconnecting().reject(entry -> entry._2.value().equals(peer.nodeId())))));
+  }
+
+  /** Frames on the ended connection may be lost: sends them again on a fresh connection. */
+  static Step<AgentState, AgentEffect> disconnected(AgentState state, PeerId peer) {
+    Seq<StageSession> affected =
+        sessionsTo(
+            state,
+            stage ->
+                stage.endpoint().value().equals(peer.nodeId())
+                    && stage.incarnation().equals(peer.incarnation()));
+    return resend(state, affected);
+  }
+
+  static Step<AgentState, AgentEffect> connectFailed(AgentState state, NodeAddress address) {
+    Seq<StageSession> affected = sessionsTo(state, stage -> stage.address().equals(address));
+    StageState stages = state.stages();
+    if (!stages.reconnecting().containsKey(address)) {
+      return resend(state, affected);
+    }
+    Vector<AgentEffect> failures =
+        affected
+            .toVector()
+            .map(
+                session ->
+                    StageSessions.failure(
+                        session, session.open().stageIndex() + 1, RefusalReason.PEER_UNREACHABLE));
+    return new Step<>(
+        state.withStages(stages.withReconnecting(stages.reconnecting().remove(address))), failures);
+  }
+
+  private static Step<AgentState, AgentEffect> resend(
+      AgentState state, Seq<StageSession> sessions) {
+    Step<AgentState, AgentEffect> step = Step.of(state);
+    for (StageSession session : sessions) {
+      StageAddress next = session.next().get();
+      Step<AgentState, AgentEffect> again =
+          StageFrames.sendAgain(step.state(), session, unconfirmed(session));
+      StageState stages = again.state().stages();
+      AgentState marked =
+          again.effects().isEmpty()
+              ? again.state()
+              : again
+                  .state()
+                  .withStages(
+                      stages.withReconnecting(
+                          stages.reconnecting().put(next.address(), next.endpoint())));
+      step = new Step<>(marked, step.effects().appendAll(again.effects()));
+    }
+    return step;
+  }
+
+  /** Returns the positions that may be lost: those of a replay, else the last one. */
+  private static Positions unconfirmed(StageSession session) {
+    int last = Math.min(session.done() - 1, session.requested());
+    if (session.resend().toExclusive() > 0 && session.resend().toExclusive() >= last) {
+      return new Positions(session.resend().from(), Math.max(last + 1, 0));
+    }
+    return last >= session.open().rebuildPositions() && last >= 0
+        ? new Positions(last, last + 1)
+        : Positions.NONE;
+  }
+
+  private static Seq<StageSession> sessionsTo(
+      AgentState state, java.util.function.Predicate<StageAddress> next) {
+    return state
+        .stages()
+        .sessions()
+        .values()
+        .filter(session -> !session.transferring() && session.next().exists(next));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/agent/StageSessions.java
@@ -0,0 +1,213 @@
+package io.zinniawood.core.agent;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.agent.EarlyFrames.Frame;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Capability;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.StageAddress;
+import io.zinniawood.core.runtime.Step;
+
+/** Opens, moves and closes stage sessions. */
+final class StageSessions {
+  /** An entry that lost its session without a message leaves it behind; its caller gave up. */
+  static final long IDLE_NANOS = 60_000_000_000L;
+
+  private StageSessions() {}
+
+  static Step<AgentState, AgentEffect> open(
+      AgentState state, long nowNanos, PeerId peer, Message.OpenSession open) {
+    Option<RefusalReason> misrouted = misrouted(state, peer, open);
+    if (misrouted.isDefined()) {
+      return refuse(state, peer, open, misrouted.get());
+    }
+    Option<StageSession> present = state.stages().sessions().get(open.session());
+    if (present.isDefined()) {
+      return reopen(state, nowNanos, peer, open, present.get());
+    }
+    Option<RefusalReason> reason = reasonToRefuse(state, open);
+    if (reason.isDefined()) {
+      return refuse(state, peer, open, reason.get());
+    }
+    AgentEffect idle =
+        new AgentEffect.StartTimer(new AgentTimer.SessionIdle(open.session()), IDLE_NANOS);
+    return Change.then(
+        Step.of(state, idle),
+        next ->
+            open.importFrom().isDefined() && open.rebuildPositions() > 0
+                ? StageTransfer.request(next, nowNanos, peer, open)
+                : create(next, nowNanos, peer, open));
+  }
+
+  private static Step<AgentState, AgentEffect> create(
+      AgentState state, long nowNanos, PeerId peer, Message.OpenSession open) {
+    StageSession session = StageSession.opened(peer, open, nowNanos, StageSession.NO_TRANSFER);
+    return opened(state.withStages(state.stages().withSession(session)), nowNanos, open.session());
+  }
+
+  /** Confirms the epoch and handles the frames that arrived before it was opened. */
+  static Step<AgentState, AgentEffect> opened(AgentState state, long nowNanos, SessionId id) {
+    StageSession session = state.stages().sessions().get(id).get();
+    EarlyFrames early = state.stages().early();
+    Step<AgentState, AgentEffect> step =
+        Step.of(
+            state.withStages(state.stages().withEarly(early.without(id))), confirmation(session));
+    for (Frame frame : early.of(id)) {
+      step = Change.then(step, next -> StageFrames.frame(next, nowNanos, frame));
+    }
+    return step;
+  }
+
+  private static AgentEffect confirmation(StageSession session) {
+    return new AgentEffect.Send(
+        session.opener(),
+        new Message.SessionOpened(
+            session.id(), session.epoch(), session.open().stageIndex(), session.done()));
+  }
+
+  private static Step<AgentState, AgentEffect> reopen(
+      AgentState state,
+      long nowNanos,
+      PeerId peer,
+      Message.OpenSession open,
+      StageSession session) {
+    if (!session.opener().equals(peer)
+        || !session.open().model().equals(open.model())
+        || !session.open().clientAccount().equals(open.clientAccount())) {
+      return refuse(state, peer, open, RefusalReason.UNKNOWN_SESSION);
+    }
+    int order = open.epoch().compareTo(session.epoch());
+    if (order < 0) {
+      return refuse(state, peer, open, RefusalReason.STALE_EPOCH);
+    }
+    if (order == 0) {
+      return session.transferring() ? Step.of(state) : Step.of(state, confirmation(session));
+    }
+    StageSession moved = session.reopened(open, nowNanos);
+    AgentState next = state.withStages(state.stages().withSession(moved));
+    return session.transferring()
+        ? StageTransfer.restart(next, nowNanos, moved)
+        : opened(next, nowNanos, open.session());
+  }
+
+  private static Option<RefusalReason> misrouted(
+      AgentState state, PeerId peer, Message.OpenSession open) {
+    if (!open.incarnation().equals(state.self().incarnation())) {
+      return Option.some(RefusalReason.WRONG_INCARNATION);
+    }
+    if (state.peers().get(peer).contains(PeerRole.AGENT)
+        || open.stageIndex() < 0
+        || open.stageIndex() >= open.chain().size()) {
+      return Option.some(RefusalReason.NOT_SERVED);
+    }
+    StageAddress own = open.chain().get(open.stageIndex());
+    boolean named =
+        own.endpoint().equals(state.self().endpoint())
+            && own.incarnation().equals(state.self().incarnation());
+    return named ? Option.none() : Option.some(RefusalReason.NOT_SERVED);
+  }
+
+  private static Option<RefusalReason> reasonToRefuse(AgentState state, Message.OpenSession open) {
+    if (state.stages().closed().contains(open.session())) {
+      return Option.some(RefusalReason.UNKNOWN_SESSION);
+    }
+    if (state.leaving()) {
+      return Option.some(RefusalReason.LEAVING);
+    }
+    if (!serves(state, open)) {
+      return Option.some(RefusalReason.NOT_SERVED);
+    }
+    if (open.remainingMillis() <= 0) {
+      return Option.some(RefusalReason.DEADLINE_EXCEEDED);
+    }
+    return state.stages().sessions().size() >= Statuses.limit(state)
+        ? Option.some(RefusalReason.OVERLOADED)
+        : Option.none();
+  }
+
+  private static boolean serves(AgentState state, Message.OpenSession open) {
+    return state
+        .capability()
+        .exists(
+            capability ->
+                capability instanceof Capability.ModelStage stage
+                    && stage.model().equals(open.model())
+                    && stage.layers().equals(open.chain().get(open.stageIndex()).layers()));
+  }
+
+  private static Step<AgentState, AgentEffect> refuse(
+      AgentState state, PeerId peer, Message.OpenSession open, RefusalReason reason) {
+    return Step.of(
+        state,
+        new AgentEffect.Send(
+            peer,
+            new Message.SessionRefused(open.session(), open.epoch(), open.stageIndex(), reason)));
+  }
+
+  /** The entry ends a session; a late message does not open it again. */
+  static Step<AgentState, AgentEffect> close(AgentState state, PeerId peer, SessionId id) {
+    Option<StageSession> session = state.stages().sessions().get(id);
+    if (session.isEmpty()) {
+      StageState stages = state.stages();
+      return Step.of(state.withStages(stages.withEarly(stages.early().without(id)).withClosed(id)));
+    }
+    if (!session.get().opener().equals(peer)) {
+      return Step.of(
+          state,
+          Change.log(NoticeKind.REFUSED, id, "close from %s, not the opener".formatted(peer)));
+    }
+    return remove(state.withStages(state.stages().withClosed(id)), session.get());
+  }
+
+  /** Removes a session and releases its memory here and on the engine. */
+  static Step<AgentState, AgentEffect> remove(AgentState state, StageSession session) {
+    StageState stages = state.stages();
+    StageState without =
+        stages
+            .withSessions(stages.sessions().remove(session.id()))
+            .withKeptBytes(stages.keptBytes() - session.kept().bytes())
+            .withExports(stages.exports().remove(session.id()))
+            .withReady(
+                session.pending().isEmpty() ? stages.ready() : stages.ready().remove(session.id()));
+    return Step.of(
+        state.withStages(without),
+        new AgentEffect.CloseEngineSession(session.id()),
+        new AgentEffect.CancelTimer(new AgentTimer.SessionIdle(session.id())));
+  }
+
+  /** Reports that a stage of the session cannot go on. */
+  static AgentEffect failure(StageSession session, int stageIndex, RefusalReason reason) {
+    return new AgentEffect.Send(
+        session.opener(),
+        new Message.StageFailed(session.id(), session.epoch(), stageIndex, reason));
+  }
+
+  /** Ends a session whose engine state is lost; the stage is rebuilt on another session id. */
+  static Step<AgentState, AgentEffect> fail(
+      AgentState state, StageSession session, RefusalReason reason, String detail) {
+    Step<AgentState, AgentEffect> removed =
+        remove(state.withStages(state.stages().withClosed(session.id())), session);
+    return removed
+        .and(failure(session, session.open().stageIndex(), reason))
+        .and(Change.log(NoticeKind.FAILED, session.id(), detail));
+  }
+
+  static Step<AgentState, AgentEffect> idle(AgentState state, long nowNanos, SessionId id) {
+    Option<StageSession> session = state.stages().sessions().get(id);
+    if (session.isEmpty()) {
+      return Step.of(state);
+    }
+    long idleNanos = nowNanos - session.get().lastFrameNanos();
+    if (idleNanos < IDLE_NANOS) {
+      return Step.of(
+          state,
+          new AgentEffect.StartTimer(new AgentTimer.SessionIdle(id), IDLE_NANOS - idleNanos));
+    }
+    return remove(state, session.get())
+        .and(
+            failure(
+                session.get(), session.get().open().stageIndex(), RefusalReason.UNKNOWN_SESSION))
+        .and(Change.log(NoticeKind.SESSION, id, "closed as idle"));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/agent/StageState.java
@@ -0,0 +1,183 @@
+package io.zinniawood.core.agent;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.LinkedHashSet;
+import io.vavr.collection.Map;
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.model.NodeAddress;
+
+/**
+ * State of the stage sessions.
+ *
+ * @param sessions open sessions
+ * @param ready sessions with pending inputs, in order of arrival
+ * @param stepsInFlight steps in the batch that the engine runs
+ * @param keptBytes size of all kept outputs in bytes
+ * @param early frames that wait for their session
+ * @param closed sessions that ended, a bounded number
+ * @param exports agents that asked for the KV cache of a session
+ * @param reconnecting addresses to which a fresh connection is tried, with the endpoint
+ * @param stepsDone steps that the engine finished since the last status interval
+ * @param tokensPerSecond decode throughput of the last status interval
+ */
+record StageState(
+    Map<SessionId, StageSession> sessions,
+    Vector<SessionId> ready,
+    int stepsInFlight,
+    long keptBytes,
+    EarlyFrames early,
+    Set<SessionId> closed,
+    Map<SessionId, Set<PeerId>> exports,
+    Map<NodeAddress, EndpointId> reconnecting,
+    int stepsDone,
+    double tokensPerSecond) {
+  private static final int MAX_CLOSED = 4_096;
+
+  static StageState initial() {
+    return new StageState(
+        HashMap.empty(),
+        Vector.empty(),
+        0,
+        0,
+        EarlyFrames.empty(),
+        LinkedHashSet.empty(),
+        HashMap.empty(),
+        HashMap.empty(),
+        0,
+        0);
+  }
+
+  StageState withSession(StageSession session) {
+    return withSessions(sessions.put(session.id(), session));
+  }
+
+  StageState withSessions(Map<SessionId, StageSession> value) {
+    return new StageState(
+        value,
+        ready,
+        stepsInFlight,
+        keptBytes,
+        early,
+        closed,
+        exports,
+        reconnecting,
+        stepsDone,
+        tokensPerSecond);
+  }
+
+  StageState withReady(Vector<SessionId> value) {
+    return new StageState(
+        sessions,
+        value,
+        stepsInFlight,
+        keptBytes,
+        early,
+        closed,
+        exports,
+        reconnecting,
+        stepsDone,
+        tokensPerSecond);
+  }
+
+  StageState withStepsInFlight(int value) {
+    return new StageState(
+        sessions,
+        ready,
+        value,
+        keptBytes,
+        early,
+        closed,
+        exports,
+        reconnecting,
+        stepsDone,
+        tokensPerSecond);
+  }
+
+  StageState withKeptBytes(long value) {
+    return new StageState(
+        sessions,
+        ready,
+        stepsInFlight,
+        value,
+        early,
+        closed,
+        exports,
+        reconnecting,
+        stepsDone,
+        tokensPerSecond);
+  }
+
+  StageState withEarly(EarlyFrames value) {
+    return new StageState(
+        sessions,
+        ready,
+        stepsInFlight,
+        keptBytes,
+        value,
+        closed,
+        exports,
+        reconnecting,
+        stepsDone,
+        tokensPerSecond);
+  }
+
+  StageState withClosed(SessionId session) {
+    Set<SessionId> more = closed.add(session);
+    return new StageState(
+        sessions,
+        ready,
+        stepsInFlight,
+        keptBytes,
+        early,
+        more.size() > MAX_CLOSED ? more.tail() : more,
+        exports,
+        reconnecting,
+        stepsDone,
+        tokensPerSecond);
+  }
+
+  StageState withExports(Map<SessionId, Set<PeerId>> value) {
+    return new StageState(
+        sessions,
+        ready,
+        stepsInFlight,
+        keptBytes,
+        early,
+        closed,
+        value,
+        reconnecting,
+        stepsDone,
+        tokensPerSecond);
+  }
+
+  StageState withReconnecting(Map<NodeAddress, EndpointId> value) {
+    return new StageState(
+        sessions,
+        ready,
+        stepsInFlight,
+        keptBytes,
+        early,
+        closed,
+        exports,
+        value,
+        stepsDone,
+        tokensPerSecond);
+  }
+
+  StageState withThroughput(int steps, double value) {
+    return new StageState(
+        sessions,
+        ready,
+        stepsInFlight,
+        keptBytes,
+        early,
+        closed,
+        exports,
+        reconnecting,
+        steps,
+        value);
+  }
+}
