--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/process/package-info.java
@@ -0,0 +1,2 @@
+/** Builds entry and agent processes from their settings. */
+package io.zinniawood.cli.process;
