Add the agent process

The agent's effects had no execution. AgentProcess drives the reducer on the event loop, keeps connections by process, claims keys with a read-back after a lost response and calls the engine or the service.

--- /dev/null
+++ b/agent/src/main/java/io/zinniawood/agent/AgentProcess.java
@@ -0,0 +1,138 @@
+package io.zinniawood.agent;
+
+import io.vavr.control.Either;
+import io.zinniawood.agent.internal.AgentEffects;
+import io.zinniawood.agent.internal.ClaimStore;
+import io.zinniawood.agent.internal.EngineCalls;
+import io.zinniawood.agent.internal.LeaseReader;
+import io.zinniawood.agent.internal.PeerConnections;
+import io.zinniawood.config.settings.AgentSettings;
+import io.zinniawood.core.agent.AgentEffect;
+import io.zinniawood.core.agent.AgentEvent;
+import io.zinniawood.core.agent.AgentReducer;
+import io.zinniawood.core.agent.AgentSelf;
+import io.zinniawood.core.agent.AgentState;
+import io.zinniawood.core.agent.AgentTimer;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.runtime.EventLoop;
+import io.zinniawood.wire.WireError;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Agent role: stands beside one endpoint and executes the effects of the agent's reducer. */
+public final class AgentProcess implements AutoCloseable {
+  private static final Logger LOGGER = System.getLogger(AgentProcess.class.getName());
+
+  /** Concurrency limit of plain service calls where the backend is an engine, which has none. */
+  private static final int NO_CALLS = 1;
+
+  /** Longest wait of a terminated process for work in progress. */
+  private static final long TERMINATION_WAIT_SECONDS = 120;
+
+  private final AgentDependencies dependencies;
+  private final EventLoop<AgentState, AgentEvent, AgentEffect, AgentTimer> loop;
+  private final PeerConnections connections;
+  private final CompletableFuture<Boolean> stopped = new CompletableFuture<>();
+
+  /** Creates a process that is not started. */
+  public AgentProcess(AgentDependencies dependencies) {
+    this.dependencies = dependencies;
+    this.loop =
+        new EventLoop<>(
+            "agent-loop",
+            AgentState.initial(self(dependencies), dependencies.seed()),
+            new AgentReducer(),
+            dependencies.clockNanos());
+    this.connections = new PeerConnections(dependencies.wire(), loop::post);
+  }
+
+  private static AgentSelf self(AgentDependencies dependencies) {
+    AgentSettings settings = dependencies.settings();
+    int maxConcurrent =
+        dependencies.backend() instanceof Backend.Service service
+            ? service.maxConcurrent()
+            : NO_CALLS;
+    return new AgentSelf(
+        settings.endpoint(),
+        dependencies.incarnation(),
+        settings.dataCentre(),
+        settings.pool(),
+        settings.peers(),
+        maxConcurrent,
+        settings.keptOutputBytes());
+  }
+
+  /**
+   * Starts the event loop and listens for other processes.
+   *
+   * @return the address of the own-protocol port, or why it could not be opened
+   */
+  public Either<WireError, NodeAddress> start() {
+    AgentEffects effects =
+        new AgentEffects(
+            connections,
+            new EngineCalls(dependencies.backend(), loop::post),
+            new ClaimStore(dependencies.table(), dependencies.codec(), loop::post),
+            new LeaseReader(dependencies.table(), loop::post),
+            new LoopTimers(),
+            () -> stopped.complete(true));
+    loop.start(effect -> effect.accept(effects));
+    Either<WireError, NodeAddress> listening =
+        dependencies.wire().listen(dependencies.settings().peers(), connections);
+    if (listening.isRight()) {
+      loop.post(new AgentEvent.TimerFired(new AgentTimer.StatusTick()));
+    }
+    return listening;
+  }
+
+  private final class LoopTimers implements AgentEffects.Timers {
+    @Override
+    public void start(AgentTimer timer, long delayNanos) {
+      loop.startTimer(timer, delayNanos, new AgentEvent.TimerFired(timer));
+    }
+
+    @Override
+    public void cancel(AgentTimer timer) {
+      loop.cancelTimer(timer);
+    }
+  }
+
+  /**
+   * Announces that the endpoint is leaving and lets work in progress finish.
+   *
+   * @return completes when nothing is in progress and the process may be closed
+   */
+  public CompletableFuture<Boolean> drain() {
+    loop.post(new AgentEvent.DrainRequested());
+    return stopped.copy();
+  }
+
+  /** Drains when the JVM is asked to terminate (SIGTERM), then closes. */
+  public void drainOnTermination() {
+    Runtime.getRuntime().addShutdownHook(new Thread(this::drainAndClose, "agent-termination"));
+  }
+
+  private void drainAndClose() {
+    try {
+      drain().get(TERMINATION_WAIT_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException late) {
+      LOGGER.log(Level.WARNING, "work was still in progress at termination", late);
+    }
+    close();
+  }
+
+  /** Closes the port and the connections at once. */
+  @Override
+  public void close() {
+    connections.close();
+    dependencies.wire().close();
+    loop.close();
+    stopped.complete(true);
+  }
+}
--- /dev/null
+++ b/agent/src/main/java/io/zinniawood/agent/internal/LeaseReader.java
@@ -0,0 +1,44 @@
+package io.zinniawood.agent.internal;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.agent.AgentEvent;
+import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.platform.PlatformError;
+import io.zinniawood.platform.Table;
+import io.zinniawood.platform.TableRow;
+import io.zinniawood.platform.lease.LeaseRowReader;
+import java.util.function.Consumer;
+
+/** Reads the fencing number of the controller lease and posts it as an event. */
+public final class LeaseReader {
+  private static final FencingNumber NEVER_HELD = new FencingNumber(0);
+
+  private final Table table;
+  private final Consumer<AgentEvent> events;
+  private final LeaseRowReader reader = new LeaseRowReader();
+
+  /** Creates a reader that posts to the given consumer. */
+  public LeaseReader(Table table, Consumer<AgentEvent> events) {
+    this.table = table;
+    this.events = events;
+  }
+
+  /** Reads the row; posts FencingNumberRead. */
+  public void read() {
+    Calls.guarded(
+            () -> table.read(LeaseRowReader.KEY),
+            fault -> new PlatformError.ResponseLost(fault.toString()))
+        .thenAccept(result -> events.accept(new AgentEvent.FencingNumberRead(number(result))));
+  }
+
+  private Option<FencingNumber> number(Either<PlatformError, Option<TableRow>> result) {
+    if (result.isLeft()) {
+      return Option.none();
+    }
+    return result
+        .get()
+        .map(row -> reader.fencingNumber(row.value().bytes()))
+        .getOrElse(Option.some(NEVER_HELD));
+  }
+}
