--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/local/LocalCluster.java
@@ -0,0 +1,128 @@
+package io.zinniawood.cli.local;
+
+import io.vavr.control.Option;
+import io.zinniawood.cli.process.EntryLauncher;
+import io.zinniawood.config.settings.EntrySettings;
+import io.zinniawood.core.entry.EntryState;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.entry.EntryProcess;
+import io.zinniawood.standin.platform.PlatformSettings;
+import io.zinniawood.standin.platform.PlatformStandIn;
+import io.zinniawood.standin.platform.VmRecord;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Stand-ins, agents and entries in one JVM on loopback. */
+public final class LocalCluster implements AutoCloseable {
+  private static final int MAX_BODY_BYTES = 1024 * 1024;
+  private static final long DRAIN_GRACE_MILLIS = 200;
+  private static final long POLL_MILLIS = 500;
+  private static final String ENTRY_POOL = "entries";
+
+  private final PlatformStandIn platform;
+  private final URI platformUri;
+  private final Map<String, LocalEndpoint> endpoints = new LinkedHashMap<>();
+  private final List<EntryProcess<EntryState>> entries = new ArrayList<>();
+  private final List<EntrySettings> entrySettings = new ArrayList<>();
+
+  private LocalCluster(ClusterPlan plan) {
+    platform =
+        new PlatformStandIn(
+            new PlatformSettings(0, plan.vmListDelayMillis(), 2, 4, 0, 0, List.of()));
+    platformUri = URI.create("http://127.0.0.1:" + platform.start(0));
+  }
+
+  /** Starts everything; the configuration may not be accepted yet. */
+  public static LocalCluster start(ClusterPlan plan) {
+    LocalCluster cluster = new LocalCluster(plan);
+    plan.files()
+        .forEach(
+            (name, text) ->
+                cluster.platform.putObject(
+                    "config/" + name, text.getBytes(StandardCharsets.UTF_8)));
+    plan.endpoints().forEach(cluster::addEndpoint);
+    for (String dataCentre : plan.entryDataCentres()) {
+      cluster.addEntry(dataCentre);
+    }
+    return cluster;
+  }
+
+  /** Starts an endpoint and registers its VM. */
+  public LocalEndpoint addEndpoint(EndpointPlan plan) {
+    LocalEndpoint endpoint = LocalEndpoint.start(plan, platformUri);
+    endpoints.put(plan.endpoint(), endpoint);
+    putVm(plan.endpoint(), "ENDPOINT", plan.dataCentre(), plan.pool(), endpoint.address());
+    return endpoint;
+  }
+
+  private void addEntry(String dataCentre) {
+    String vm = "entry-" + (entries.size() + 1);
+    EntrySettings settings =
+        new EntrySettings(
+            new VmId(vm),
+            new DataCentreId(dataCentre),
+            Ports.free(),
+            Ports.free(),
+            Ports.free(),
+            platformUri,
+            MAX_BODY_BYTES,
+            DRAIN_GRACE_MILLIS,
+            POLL_MILLIS,
+            Option.none());
+    EntryProcess<EntryState> entry =
+        EntryLauncher.create(settings)
+            .getOrElseThrow(error -> new IllegalStateException(error.detail()));
+    entry.start();
+    entries.add(entry);
+    entrySettings.add(settings);
+    putVm(vm, "ENTRY", dataCentre, ENTRY_POOL, settings.peers());
+  }
+
+  private void putVm(String vm, String role, String dataCentre, String pool, NodeAddress address) {
+    platform.putVm(
+        new VmRecord(vm, role, "LIVE", dataCentre, pool, address.host(), address.port()));
+  }
+
+  /** Returns the platform stand-in. */
+  public PlatformStandIn platform() {
+    return platform;
+  }
+
+  /** Returns the base address of the platform stand-in. */
+  public URI platformUri() {
+    return platformUri;
+  }
+
+  /** Returns the endpoints by id. */
+  public Map<String, LocalEndpoint> endpoints() {
+    return endpoints;
+  }
+
+  /** Returns the entries. */
+  public List<EntryProcess<EntryState>> entries() {
+    return entries;
+  }
+
+  /** Returns the base address of the callers' port of an entry. */
+  public URI callers(int entry) {
+    return URI.create("http://" + entrySettings.get(entry).callers());
+  }
+
+  /** Returns the base address of the operators' port of an entry. */
+  public URI admin(int entry) {
+    return URI.create("http://" + entrySettings.get(entry).admin());
+  }
+
+  @Override
+  public void close() {
+    entries.forEach(EntryProcess::close);
+    endpoints.values().forEach(LocalEndpoint::close);
+    platform.close();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/local/LocalEndpoint.java
@@ -0,0 +1,128 @@
+package io.zinniawood.cli.local;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.agent.AgentProcess;
+import io.zinniawood.cli.process.AgentLauncher;
+import io.zinniawood.config.settings.AgentSettings;
+import io.zinniawood.config.settings.BackendSettings;
+import io.zinniawood.config.settings.BackendSettings.FencingCheck;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.PoolId;
+import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.standin.engine.EngineStandIn;
+import io.zinniawood.standin.service.ServiceSettings;
+import io.zinniawood.standin.service.ServiceStandIn;
+import io.zinniawood.wire.WireError;
+import java.net.URI;
+import java.util.Optional;
+
+/** An endpoint stand-in with its agent. */
+public final class LocalEndpoint implements AutoCloseable {
+  private static final long KEPT_OUTPUT_BYTES = 16L * 1024 * 1024;
+
+  private final EndpointPlan plan;
+  private final NodeAddress address;
+  private final Optional<EngineStandIn> engine;
+  private final Optional<ServiceStandIn> service;
+  private final AgentProcess agent;
+
+  private LocalEndpoint(
+      EndpointPlan plan,
+      NodeAddress address,
+      Optional<EngineStandIn> engine,
+      Optional<ServiceStandIn> service,
+      AgentProcess agent) {
+    this.plan = plan;
+    this.address = address;
+    this.engine = engine;
+    this.service = service;
+    this.agent = agent;
+  }
+
+  /** Starts the stand-in and the agent of a plan. */
+  static LocalEndpoint start(EndpointPlan plan, URI platform) {
+    NodeAddress address = Ports.free();
+    if (plan instanceof EndpointPlan.Engine enginePlan) {
+      EngineStandIn engine = new EngineStandIn(enginePlan.engine());
+      BackendSettings backend =
+          new BackendSettings.Engine(base(engine.start(0)), FencingCheck.AGENT_ONLY);
+      return new LocalEndpoint(
+          plan,
+          address,
+          Optional.of(engine),
+          Optional.empty(),
+          agent(plan, address, platform, backend));
+    }
+    EndpointPlan.Service servicePlan = (EndpointPlan.Service) plan;
+    ServiceStandIn service = new ServiceStandIn(new ServiceSettings(0, servicePlan.callMillis()));
+    BackendSettings backend =
+        new BackendSettings.Service(
+            base(service.start(0)),
+            new ServiceName(servicePlan.service()),
+            servicePlan.maxConcurrent());
+    return new LocalEndpoint(
+        plan,
+        address,
+        Optional.empty(),
+        Optional.of(service),
+        agent(plan, address, platform, backend));
+  }
+
+  private static URI base(int port) {
+    return URI.create("http://127.0.0.1:" + port);
+  }
+
+  private static AgentProcess agent(
+      EndpointPlan plan, NodeAddress address, URI platform, BackendSettings backend) {
+    AgentSettings settings =
+        new AgentSettings(
+            new EndpointId(plan.endpoint()),
+            new DataCentreId(plan.dataCentre()),
+            new PoolId(plan.pool()),
+            address,
+            platform,
+            backend,
+            KEPT_OUTPUT_BYTES,
+            Option.none());
+    Either<WireError, AgentProcess> created = AgentLauncher.create(settings);
+    AgentProcess agent = created.getOrElseThrow(error -> new IllegalStateException(error.detail()));
+    agent.start().getOrElseThrow(error -> new IllegalStateException(error.detail()));
+    return agent;
+  }
+
+  /** Returns the plan. */
+  public EndpointPlan plan() {
+    return plan;
+  }
+
+  /** Returns the address of the agent. */
+  public NodeAddress address() {
+    return address;
+  }
+
+  /** Returns the engine stand-in, empty for a plain service. */
+  public Optional<EngineStandIn> engine() {
+    return engine;
+  }
+
+  /** Returns the service stand-in, empty for an engine. */
+  public Optional<ServiceStandIn> service() {
+    return service;
+  }
+
+  /** Returns the agent. */
+  public AgentProcess agent() {
+    return agent;
+  }
+
+  /** Ends the agent and the stand-in at once, as when the VM fails. */
+  @Override
+  public void close() {
+    agent.close();
+    engine.ifPresent(EngineStandIn::close);
+    service.ifPresent(ServiceStandIn::close);
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/local/package-info.java
@@ -0,0 +1,2 @@
+/** A whole system in one JVM on loopback, for the demonstration, tests and measurements. */
+package io.zinniawood.cli.local;
--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/process/AgentLauncher.java
@@ -0,0 +1,80 @@
+package io.zinniawood.cli.process;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.agent.AgentDependencies;
+import io.zinniawood.agent.AgentProcess;
+import io.zinniawood.agent.Backend;
+import io.zinniawood.config.settings.AgentSettings;
+import io.zinniawood.config.settings.BackendSettings;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.model.AgentIdentity;
+import io.zinniawood.core.model.VmRole;
+import io.zinniawood.engine.http.HttpModelEngine;
+import io.zinniawood.engine.http.HttpPlainServiceClient;
+import io.zinniawood.platform.claim.ClaimRowCodec;
+import io.zinniawood.platform.http.HttpPlatform;
+import io.zinniawood.wire.WireError;
+import io.zinniawood.wire.WirePeer;
+import io.zinniawood.wire.WireTiming;
+import io.zinniawood.wire.Wires;
+import java.security.SecureRandom;
+import okhttp3.OkHttpClient;
+
+/** Builds an agent process from its settings. */
+public final class AgentLauncher {
+  private static final int WIRE_THREADS = 1;
+
+  private AgentLauncher() {}
+
+  /** Returns an agent that is not started, or an error if its certificates cannot be read. */
+  public static Either<WireError, AgentProcess> create(AgentSettings settings) {
+    SecureRandom random = new SecureRandom();
+    Incarnation incarnation = new Incarnation(random.nextLong());
+    AgentIdentity identity =
+        new AgentIdentity(
+            settings.endpoint(),
+            incarnation,
+            settings.dataCentre(),
+            settings.pool(),
+            settings.peers());
+    WirePeer self =
+        new WirePeer(
+            settings.endpoint().value(),
+            VmRole.ENDPOINT,
+            incarnation,
+            settings.dataCentre(),
+            Option.some(identity));
+    OkHttpClient client = new OkHttpClient();
+    return Wires.overTcp(
+            self,
+            () -> new Generation(0),
+            WireTiming.defaults(),
+            EntryLauncher.tls(settings.tls()),
+            WIRE_THREADS)
+        .map(
+            wire ->
+                new AgentProcess(
+                    new AgentDependencies(
+                        settings,
+                        incarnation,
+                        random.nextLong(),
+                        wire,
+                        new HttpPlatform(settings.platform(), client).table(),
+                        new ClaimRowCodec(),
+                        backend(settings.backend(), client),
+                        System::nanoTime)));
+  }
+
+  private static Backend backend(BackendSettings settings, OkHttpClient client) {
+    if (settings instanceof BackendSettings.Service service) {
+      return new Backend.Service(
+          new HttpPlainServiceClient(service.address(), client),
+          service.service(),
+          service.maxConcurrent());
+    }
+    BackendSettings.Engine engine = (BackendSettings.Engine) settings;
+    return new Backend.Engine(new HttpModelEngine(engine.address(), client));
+  }
+}
