Bound callers' requests and cancel slow or vanished callers

A caller that does not read, leaves, pipelines or sends damaged input must not hold memory or engines, run a truncated request or receive another answer.

--- a/entry/src/main/java/io/zinniawood/entry/internal/chat/ChatRequestParser.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/chat/ChatRequestParser.java
@@ -16,7 +16,6 @@
 import io.zinniawood.entry.internal.chat.ChatRequestError.InvalidField;
 import io.zinniawood.entry.internal.chat.ChatRequestError.Malformed;
 import io.zinniawood.entry.internal.chat.ChatRequestError.Unsupported;
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.CharBuffer;
 import java.nio.charset.CharacterCodingException;
@@ -57,7 +56,12 @@
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
             .build();
     mapper =
-        JsonMapper.builder(factory).enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+        JsonMapper.builder(factory)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            // A double would turn 1e999 into Infinity, which is not JSON when the prompt is
+            // written.
+            .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
+            .build();
   }
 
   /** Parses a body. */
@@ -84,8 +88,8 @@
                   .formatted(
                       invalid.getLocation().getLineNr(), invalid.getLocation().getColumnNr());
       return Either.left(new Malformed("the body is not valid JSON" + position));
-    } catch (IOException invalid) {
-      return Either.left(new Malformed("the body cannot be read"));
+    } catch (NumberFormatException invalid) {
+      return Either.left(new Malformed("a number of the body is out of range"));
     }
   }
 
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/AcceptedView.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/AcceptedView.java
@@ -5,6 +5,7 @@
 import io.zinniawood.core.configuration.AcceptedConfiguration;
 import io.zinniawood.core.configuration.ClientAccount;
 import io.zinniawood.core.configuration.ClusterConfiguration;
+import io.zinniawood.core.model.Payload;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -24,7 +25,7 @@
    * @param sha256Hex SHA-256 in lower-case hexadecimal, as ASCII bytes
    * @param account client account of the key
    */
-  public record AccountKey(byte[] sha256Hex, ClientAccount account) {}
+  public record AccountKey(Payload sha256Hex, ClientAccount account) {}
 
   /** Returns the view of a configuration. */
   public static AcceptedView of(AcceptedConfiguration accepted) {
@@ -40,7 +41,7 @@
 
   private static AccountKey key(String hex, ClientAccount account) {
     byte[] ascii = hex.toLowerCase(Locale.ROOT).getBytes(StandardCharsets.US_ASCII);
-    return new AccountKey(ascii, account);
+    return new AccountKey(Payload.wrap(ascii), account);
   }
 
   ClusterConfiguration cluster() {
@@ -55,7 +56,7 @@
     byte[] digest = sha256Hex(key).getBytes(StandardCharsets.US_ASCII);
     Option<ClientAccount> found = Option.none();
     for (AccountKey candidate : keys) {
-      if (MessageDigest.isEqual(candidate.sha256Hex(), digest)) {
+      if (MessageDigest.isEqual(candidate.sha256Hex().bytes(), digest)) {
         found = Option.some(candidate.account());
       }
     }
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerChannel.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerChannel.java
@@ -2,7 +2,9 @@
 
 import io.jooby.Context;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.AttributeKey;
 import io.vavr.control.Option;
 import java.lang.reflect.Field;
@@ -16,6 +18,7 @@
 final class CallerChannel {
   private static final AttributeKey<AtomicBoolean> BUSY =
       AttributeKey.valueOf(CallerChannel.class, "busy");
+  private static final String STALLED_WRITES = "stalled-writes";
 
   private final Channel channel;
 
@@ -25,24 +28,45 @@
 
   /** Returns the connection of a context, none if Jooby's context has another form. */
   static Option<CallerChannel> of(Context context) {
+    return field(context, "ctx", ChannelHandlerContext.class)
+        .map(handler -> new CallerChannel(handler.channel()));
+  }
+
+  /**
+   * Returns whether Netty's decoder gave up on the request. Such a request lacks the header fields
+   * after the fault, among them possibly its idempotency key, and must not run.
+   */
+  static boolean decodingFailed(Context context) {
+    return field(context, "req", HttpRequest.class)
+        .exists(request -> request.decoderResult().isFailure());
+  }
+
+  private static <T> Option<T> field(Context context, String name, Class<T> type) {
     try {
-      Field field = context.getClass().getDeclaredField("ctx");
+      Field field = context.getClass().getDeclaredField(name);
       field.setAccessible(true);
-      return field.get(context) instanceof ChannelHandlerContext handler
-          ? Option.some(new CallerChannel(handler.channel()))
-          : Option.none();
+      return Option.of(field.get(context)).filter(type::isInstance).map(type::cast);
     } catch (ReflectiveOperationException | RuntimeException changed) {
       return Option.none();
     }
   }
 
   /**
-   * Marks the connection as occupied by a request. Returns false if another request occupies it:
-   * the caller pipelined, and Jooby would not keep the order of the answers.
+   * Returns whether an earlier request of this connection is open: the caller pipelined. Jooby
+   * would not keep the order of the answers, and the caller would take one answer for another.
    */
-  boolean occupy() {
+  boolean busy() {
+    AtomicBoolean flag = channel.attr(BUSY).get();
+    return flag != null && flag.get();
+  }
+
+  /** Marks the connection as busy; call on its I/O thread. */
+  void occupy() {
     channel.attr(BUSY).setIfAbsent(new AtomicBoolean());
-    return channel.attr(BUSY).get().compareAndSet(false, true);
+    channel.attr(BUSY).get().set(true);
+    if (channel.pipeline().get(STALLED_WRITES) == null) {
+      channel.pipeline().addFirst(STALLED_WRITES, new StalledWrites());
+    }
   }
 
   /** Allows the next request on the connection. */
@@ -52,10 +76,10 @@
 
   /** Runs a task when the connection is closed, at once if it is. */
   void onClosed(Runnable task) {
-    channel.closeFuture().addListener(closed -> task.run());
+    ChannelFuture unused = channel.closeFuture().addListener(closed -> task.run());
   }
 
   void close() {
-    channel.close();
+    ChannelFuture unused = channel.close();
   }
 }
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerRoutes.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerRoutes.java
@@ -40,6 +40,7 @@
   private final Consumer<EntryEvent> events;
   private final LongSupplier clockNanos;
   private final ChatRequestParser parser = new ChatRequestParser();
+  private final WaitingBytes waitingBytes = new WaitingBytes();
 
   /**
    * Creates the routes.
@@ -80,7 +81,18 @@
                 ids.next(),
                 bad("the request line or a header is malformed or too large")));
     application.error(
-        (context, cause, code) -> ProblemDocument.send(context, httpProblem(code), ids.next()));
+        (context, cause, code) -> {
+          if (!closedAsPipelined(context)) {
+            ProblemDocument.send(context, httpProblem(code), ids.next());
+          }
+        });
+  }
+
+  // The open request of the connection is cancelled by the close.
+  private static boolean closedAsPipelined(Context context) {
+    Option<CallerChannel> busy = CallerChannel.of(context).filter(CallerChannel::busy);
+    busy.forEach(CallerChannel::close);
+    return busy.isDefined();
   }
 
   private static Problem httpProblem(StatusCode code) {
@@ -106,7 +118,14 @@
       Context context, RequestId request, AcceptedView view, ClientAccount account) {}
 
   private Context respond(Context context, Handler handler) {
+    if (closedAsPipelined(context)) {
+      return context;
+    }
     RequestId request = ids.next();
+    Option<Problem> badHeader = RequestHeaders.check(context);
+    if (badHeader.isDefined()) {
+      return refuse(context, request, badHeader.get());
+    }
     Option<AcceptedView> view = configuration.get();
     if (view.isEmpty()) {
       return refuse(
@@ -181,21 +200,18 @@
   }
 
   private CallerReply chatReply(Call call, ChatRequest chat) {
-    RequestId request = call.request();
     ChatResponses responses =
         new ChatResponses(
-            request, chat.model(), TimeUnit.MILLISECONDS.toSeconds(System.currentTimeMillis()));
-    Option<CallerChannel> channel = CallerChannel.of(call.context());
-    Runnable onEnded = () -> ended(request, channel);
-    if (chat.delivery() == ChatRequest.Delivery.WHOLE) {
-      return new WholeReply(call.context(), request, responses, chat.promptTokens(), onEnded);
-    }
-    Runnable onTooSlow =
-        () -> {
-          openRequests.abandon(request);
-          channel.forEach(CallerChannel::close);
-        };
-    return new StreamReply(call.context(), request, responses, chat, onEnded, onTooSlow);
+            call.request(),
+            chat.model(),
+            TimeUnit.MILLISECONDS.toSeconds(System.currentTimeMillis()));
+    return chat.delivery() == ChatRequest.Delivery.WHOLE
+        ? new WholeReply(call.context(), slot(call), responses, chat.promptTokens())
+        : new StreamReply(call.context(), slot(call), responses, chat, waitingBytes.open());
+  }
+
+  private CallerSlot slot(Call call) {
+    return new CallerSlot(call.request(), openRequests, CallerChannel.of(call.context()));
   }
 
   private Option<Problem> service(Call call) {
@@ -210,7 +226,7 @@
     }
     return ServiceCalls.read(context, name)
         .flatMap(serviceCall -> serviceEvent(call, service.get(), serviceCall))
-        .fold(Option::some, event -> open(call, serviceReply(call), event));
+        .fold(Option::some, event -> open(call, new ServiceReply(context, slot(call)), event));
   }
 
   private Either<Problem, EntryEvent> serviceEvent(
@@ -240,35 +256,19 @@
                                             deadlineNanos(deadlineMillis)))));
   }
 
-  private CallerReply serviceReply(Call call) {
-    Option<CallerChannel> channel = CallerChannel.of(call.context());
-    ChatResponses unused = new ChatResponses(call.request(), new ModelId("none"), 0);
-    return new WholeReply(
-        call.context(), call.request(), unused, 0, () -> ended(call.request(), channel));
-  }
-
   private Option<Problem> open(Call call, CallerReply reply, EntryEvent event) {
-    Option<CallerChannel> channel = CallerChannel.of(call.context());
-    if (channel.exists(caller -> !caller.occupy())) {
-      channel.forEach(CallerChannel::close);
-      return Option.none();
-    }
     if (!openRequests.add(call.request(), reply)) {
-      channel.forEach(CallerChannel::release);
       return Option.some(
           Problem.notRunRetry(
               ProblemType.OVERLOADED, "the entry has too many open requests", RETRY_AFTER_MILLIS));
     }
+    Option<CallerChannel> channel = CallerChannel.of(call.context());
+    channel.forEach(CallerChannel::occupy);
     events.accept(event);
     channel.forEach(caller -> caller.onClosed(() -> openRequests.abandon(call.request())));
     return Option.none();
   }
 
-  private void ended(RequestId request, Option<CallerChannel> channel) {
-    openRequests.remove(request);
-    channel.forEach(CallerChannel::release);
-  }
-
   private long deadlineNanos(long deadlineMillis) {
     return clockNanos.getAsLong() + TimeUnit.MILLISECONDS.toNanos(deadlineMillis);
   }
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/HttpServer.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/HttpServer.java
@@ -11,7 +11,12 @@
 
 /** One HTTP port served by Jooby on Netty. Handlers run on the I/O threads and must not block. */
 public final class HttpServer implements AutoCloseable {
-  private static final int MAX_HEADER_BYTES = 16_384;
+  /**
+   * Limit of Netty's decoder. Above it, the request is cut off in the middle, so the routes refuse
+   * headers above {@link RequestHeaders#MAX_HEADER_BYTES}, which is well below.
+   */
+  private static final int MAX_DECODED_HEADER_BYTES = 65_536;
+
   private static final int MIN_BUFFER_BYTES = 16_384;
 
   private final NettyServer server;
@@ -40,7 +45,7 @@
     options.setMaxRequestSize(maxBodyBytes);
     // Bodies above the buffer size go to temporary files; a VM has no disk for them.
     options.setBufferSize(Math.max(MIN_BUFFER_BYTES, maxBodyBytes + 1));
-    options.setMaxHeaderSize(MAX_HEADER_BYTES);
+    options.setMaxHeaderSize(MAX_DECODED_HEADER_BYTES);
     options.setDefaultHeaders(false);
     options.setExpectContinue(true);
     options.setHttp2(false);
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/PassedHeaders.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/PassedHeaders.java
@@ -4,8 +4,11 @@
 import io.zinniawood.core.model.HttpHeader;
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /** Selects the header fields that pass between a caller and a plain service. */
 final class PassedHeaders {
@@ -29,6 +32,9 @@
   private static final Set<String> ENTRY_FIELDS =
       Set.of("authorization", "x-request-deadline-ms", "x-request-priority");
 
+  private static final Pattern NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
+  private static final Pattern VALUE = Pattern.compile("[\\t\\x20-\\x7e\\x80-\\xff]*");
+
   private PassedHeaders() {}
 
   static Vector<HttpHeader> ofRequest(Vector<HttpHeader> headers) {
@@ -36,8 +42,22 @@
         .filter(header -> !ENTRY_FIELDS.contains(lowerCase(header.name())));
   }
 
+  /**
+   * Selects the fields of an answer. Fields of one name become one list, as Jooby keeps one field
+   * for each name. Invalid fields are dropped: a line break in one would let a service forge the
+   * rest of the response.
+   */
   static Vector<HttpHeader> ofResponse(Vector<HttpHeader> headers) {
-    return withoutConnectionFields(headers);
+    Map<String, HttpHeader> joined = new LinkedHashMap<>();
+    for (HttpHeader header : withoutConnectionFields(headers)) {
+      if (NAME.matcher(header.name()).matches() && VALUE.matcher(header.value()).matches()) {
+        joined.merge(
+            lowerCase(header.name()),
+            header,
+            (first, next) -> new HttpHeader(first.name(), first.value() + ", " + next.value()));
+      }
+    }
+    return Vector.ofAll(joined.values());
   }
 
   private static Vector<HttpHeader> withoutConnectionFields(Vector<HttpHeader> headers) {
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/RequestHeaders.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/RequestHeaders.java
@@ -9,19 +9,43 @@
 import io.zinniawood.core.model.Priority;
 import io.zinniawood.core.model.Problem;
 import io.zinniawood.core.model.ProblemType;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 
 /** Reads the header fields of the callers' interface. */
 final class RequestHeaders {
   /** A day; no caller waits longer, and the deadline in nanoseconds cannot overflow. */
   static final long MAX_DEADLINE_MILLIS = 86_400_000;
 
+  /** Most bytes of all header fields; the usual limit of HTTP servers. */
+  static final int MAX_HEADER_BYTES = 16_384;
+
   private static final int MAX_KEY_CHARACTERS = 256;
   private static final int MAX_DEADLINE_DIGITS = 8;
   private static final String BEARER = "bearer ";
 
   private RequestHeaders() {}
 
+  /** Returns the problem of a header that is too large or was cut off, none if it is usable. */
+  static Option<Problem> check(Context context) {
+    if (CallerChannel.decodingFailed(context)) {
+      return Option.some(bad("the request line or a header is malformed or too large"));
+    }
+    long bytes = 0;
+    for (Map.Entry<String, List<String>> field : context.header().toMultimap().entrySet()) {
+      for (String value : field.getValue()) {
+        bytes += field.getKey().length() + value.length();
+      }
+    }
+    return bytes > MAX_HEADER_BYTES
+        ? Option.some(
+            Problem.notRun(
+                ProblemType.TOO_LARGE,
+                "the header fields must not exceed %d bytes".formatted(MAX_HEADER_BYTES)))
+        : Option.none();
+  }
+
   static Either<Problem, ClientAccount> authenticate(Context context, AcceptedView view) {
     return single(context, "Authorization")
         .flatMap(
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/ServiceReply.java
@@ -0,0 +1,67 @@
+package io.zinniawood.entry.internal.http;
+
+import io.jooby.Context;
+import io.zinniawood.core.model.FinishReason;
+import io.zinniawood.core.model.HttpHeader;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.core.model.ServiceAnswer;
+
+/** Passes the answer of a plain service on. */
+final class ServiceReply implements CallerReply {
+  private static final int MIN_FINAL_STATUS = 200;
+  private static final int MAX_STATUS = 599;
+
+  private final Context context;
+  private final CallerSlot slot;
+
+  ServiceReply(Context context, CallerSlot slot) {
+    this.context = context;
+    this.slot = slot;
+  }
+
+  @Override
+  public void token(String text) {
+    throw notModelRequest();
+  }
+
+  @Override
+  public void finish(FinishReason reason, int tokens) {
+    throw notModelRequest();
+  }
+
+  private IllegalStateException notModelRequest() {
+    return new IllegalStateException(
+        "request %s is a call of a plain service".formatted(slot.request()));
+  }
+
+  @Override
+  public void service(ServiceAnswer answer) {
+    if (answer.status() < MIN_FINAL_STATUS || answer.status() > MAX_STATUS) {
+      problem(
+          Problem.unknown(
+              ProblemType.ENDPOINT_FAILED,
+              "the service answered with the invalid status " + answer.status()));
+      return;
+    }
+    slot.end();
+    context.setResponseCode(answer.status());
+    for (HttpHeader header : PassedHeaders.ofResponse(answer.headers())) {
+      if ("content-type".equalsIgnoreCase(header.name())) {
+        context.setResponseType(header.value());
+      } else {
+        context.setResponseHeader(header.name(), header.value());
+      }
+    }
+    context.setResponseHeader("X-Request-Id", slot.request().value());
+    context.send(answer.body().bytes());
+    slot.release();
+  }
+
+  @Override
+  public void problem(Problem problem) {
+    slot.end();
+    ProblemDocument.send(context, problem, slot.request());
+    slot.release();
+  }
+}
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/WholeReply.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/WholeReply.java
@@ -1,9 +1,7 @@
 package io.zinniawood.entry.internal.http;
 
 import io.jooby.Context;
-import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.model.FinishReason;
-import io.zinniawood.core.model.HttpHeader;
 import io.zinniawood.core.model.Problem;
 import io.zinniawood.core.model.ServiceAnswer;
 import io.zinniawood.entry.internal.chat.ChatResponses;
@@ -11,23 +9,16 @@
 /** Sends one response when the answer is complete. */
 final class WholeReply implements CallerReply {
   private final Context context;
-  private final RequestId request;
+  private final CallerSlot slot;
   private final ChatResponses responses;
   private final int promptTokens;
-  private final Runnable onEnded;
   private final StringBuilder text = new StringBuilder();
 
-  WholeReply(
-      Context context,
-      RequestId request,
-      ChatResponses responses,
-      int promptTokens,
-      Runnable onEnded) {
+  WholeReply(Context context, CallerSlot slot, ChatResponses responses, int promptTokens) {
     this.context = context;
-    this.request = request;
+    this.slot = slot;
     this.responses = responses;
     this.promptTokens = promptTokens;
-    this.onEnded = onEnded;
   }
 
   @Override
@@ -37,30 +28,22 @@
 
   @Override
   public void finish(FinishReason reason, int tokens) {
-    onEnded.run();
-    context.setResponseHeader("X-Request-Id", request.value());
+    slot.end();
+    context.setResponseHeader("X-Request-Id", slot.request().value());
     context.setResponseType("application/json");
     context.send(responses.whole(text.toString(), reason, promptTokens, tokens));
+    slot.release();
   }
 
   @Override
   public void service(ServiceAnswer answer) {
-    onEnded.run();
-    context.setResponseCode(answer.status());
-    for (HttpHeader header : PassedHeaders.ofResponse(answer.headers())) {
-      if ("content-type".equalsIgnoreCase(header.name())) {
-        context.setResponseType(header.value());
-      } else {
-        context.setResponseHeader(header.name(), header.value());
-      }
-    }
-    context.setResponseHeader("X-Request-Id", request.value());
-    context.send(answer.body().bytes());
+    throw new IllegalStateException("request %s is a model request".formatted(slot.request()));
   }
 
   @Override
   public void problem(Problem problem) {
-    onEnded.run();
-    ProblemDocument.send(context, problem, request);
+    slot.end();
+    ProblemDocument.send(context, problem, slot.request());
+    slot.release();
   }
 }
--- a/entry/src/main/java/io/zinniawood/entry/internal/link/AgentLinks.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/link/AgentLinks.java
@@ -6,7 +6,9 @@
 import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.message.Message;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.entry.internal.Completions;
 import io.zinniawood.wire.Wire;
+import io.zinniawood.wire.WireError;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -46,13 +48,14 @@
     links.values().removeIf(AgentLink::ended);
     links.put(endpoint, link);
     timeout.execute(link::endIfConnecting);
-    wire.connect(address, link)
-        .whenComplete(
-            (result, failure) -> {
-              if (failure != null || result.isLeft()) {
-                link.endIfConnecting();
-              }
-            });
+    Completions.handle(
+        wire.connect(address, link),
+        failure -> new WireError("the wire failed: " + failure),
+        result -> {
+          if (result.isLeft()) {
+            link.endIfConnecting();
+          }
+        });
   }
 
   /** Closes the connection to an endpoint, if there is one. */
--- a/entry/src/main/java/io/zinniawood/entry/internal/store/ClaimReleaser.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/ClaimReleaser.java
@@ -12,6 +12,7 @@
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.ClaimRow;
 import io.zinniawood.core.model.ClaimState;
+import io.zinniawood.entry.internal.Completions;
 import io.zinniawood.platform.PlatformError;
 import io.zinniawood.platform.Table;
 import io.zinniawood.platform.TableRow;
@@ -76,32 +77,33 @@
             fence,
             Option.none());
     String key = ClaimRowKey.of(release.key());
-    Futures.complete(
-            table.write(key, expectedVersion, codec.encode(tombstone)), ClaimReleaser::lost)
-        .thenAccept(
-            result -> {
-              if (result.isLeft() && result.getLeft() instanceof PlatformError.ResponseLost) {
-                readBack(release, writesLeft - 1);
-              } else if (result.isLeft()) {
-                post(release, unresolved(result.getLeft()));
-              } else if (result.get() instanceof TableWrite.Conflict conflict) {
-                resolve(release, conflict.present(), writesLeft - 1);
-              } else {
-                post(release, new ClaimResolution.Released(fence));
-              }
-            });
+    Completions.handle(
+        table.write(key, expectedVersion, codec.encode(tombstone)),
+        ClaimReleaser::lost,
+        result -> {
+          if (result.isLeft() && result.getLeft() instanceof PlatformError.ResponseLost) {
+            readBack(release, writesLeft - 1);
+          } else if (result.isLeft()) {
+            post(release, unresolved(result.getLeft()));
+          } else if (result.get() instanceof TableWrite.Conflict conflict) {
+            resolve(release, conflict.present(), writesLeft - 1);
+          } else {
+            post(release, new ClaimResolution.Released(fence));
+          }
+        });
   }
 
   private void readBack(EntryEffect.ReleaseClaim release, int writesLeft) {
-    Futures.complete(table.read(ClaimRowKey.of(release.key())), ClaimReleaser::lost)
-        .thenAccept(
-            result -> {
-              if (result.isLeft()) {
-                post(release, unresolved(result.getLeft()));
-              } else {
-                resolve(release, result.get(), writesLeft);
-              }
-            });
+    Completions.handle(
+        table.read(ClaimRowKey.of(release.key())),
+        ClaimReleaser::lost,
+        result -> {
+          if (result.isLeft()) {
+            post(release, unresolved(result.getLeft()));
+          } else {
+            resolve(release, result.get(), writesLeft);
+          }
+        });
   }
 
   private void resolve(EntryEffect.ReleaseClaim release, Option<TableRow> row, int writesLeft) {
--- a/entry/src/main/java/io/zinniawood/entry/internal/store/LeaseStore.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/LeaseStore.java
@@ -4,13 +4,13 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.EntryEvent;
 import io.zinniawood.core.entry.LeaseRow;
+import io.zinniawood.entry.internal.Completions;
 import io.zinniawood.platform.PlatformError;
 import io.zinniawood.platform.Table;
 import io.zinniawood.platform.TableRow;
 import io.zinniawood.platform.TableWrite;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
 /** Reads and writes the controller lease and posts the result as an event. */
@@ -36,8 +36,10 @@
 
   /** Reads the lease; posts LeaseRead or LeaseUnavailable. */
   public void read() {
-    Futures.complete(table.read(KEY), this::unavailable)
-        .thenAccept(result -> events.accept(result.fold(this::unavailableEvent, this::rowEvent)));
+    Completions.handle(
+        table.read(KEY),
+        LeaseStore::lost,
+        result -> events.accept(result.fold(this::unavailable, this::rowEvent)));
   }
 
   /**
@@ -46,15 +48,14 @@
    * it gets, so a write that took effect is seen as such.
    */
   public void write(long expectedVersion, LeaseRow row) {
-    CompletableFuture<Either<PlatformError, TableWrite>> written =
-        Futures.complete(
-            table.write(KEY, expectedVersion, LeaseRowCodec.encode(row)), this::unavailable);
-    written.thenAccept(
+    Completions.handle(
+        table.write(KEY, expectedVersion, LeaseRowCodec.encode(row)),
+        LeaseStore::lost,
         result -> {
           if (result.isLeft() && result.getLeft() instanceof PlatformError.ResponseLost) {
             read();
           } else {
-            events.accept(result.fold(this::unavailableEvent, outcome -> writeEvent(outcome, row)));
+            events.accept(result.fold(this::unavailable, outcome -> writeEvent(outcome, row)));
           }
         });
   }
@@ -78,12 +79,12 @@
     return new EntryEvent.LeaseRead(Option.some(decoded.get()), row.get().version());
   }
 
-  private EntryEvent unavailableEvent(PlatformError error) {
+  private EntryEvent unavailable(PlatformError error) {
     logger.log(Level.DEBUG, "table row {0}: {1}", KEY, error.detail());
     return new EntryEvent.LeaseUnavailable();
   }
 
-  private PlatformError unavailable(Throwable failure) {
+  private static PlatformError lost(Throwable failure) {
     return new PlatformError.ResponseLost("the table client failed: " + failure);
   }
 }
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/internal/chat/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the chat request parser. */
+package io.zinniawood.entry.internal.chat;
