Bound the gate's memory and reopen sessions by epoch

A failed stage could not be rebuilt on the same agent, a repeated step could overtake its replay and one missed status request withdrew the endpoint. Closed sessions now carry their last epoch, frames beyond the next position wait for it, and three missed requests withdraw the endpoint.

--- a/core/src/main/java/io/zinniawood/core/agent/AgentReducer.java
+++ b/core/src/main/java/io/zinniawood/core/agent/AgentReducer.java
@@ -7,7 +7,7 @@
 public final class AgentReducer implements Reducer<AgentState, AgentEvent, AgentEffect> {
   @Override
   public Step<AgentState, AgentEffect> reduce(AgentState state, long nowNanos, AgentEvent event) {
-    return Leaving.stopIfDone(event.accept(new Events(state, nowNanos)));
+    return Leaving.stopIfDone(state, event.accept(new Events(state, nowNanos)));
   }
 
   private record Events(AgentState state, long nowNanos)
--- a/core/src/main/java/io/zinniawood/core/agent/AgentState.java
+++ b/core/src/main/java/io/zinniawood/core/agent/AgentState.java
@@ -16,6 +16,7 @@
  * @param capability what the endpoint serves, none until it reported for the first time
  * @param announcedLoad load that the last status carried
  * @param peers connected processes
+ * @param missedStatuses status requests in a row that the endpoint did not answer
  * @param gate plain service calls
  * @param stages stage sessions
  * @param orders engine orders
@@ -27,6 +28,7 @@
     Option<Capability> capability,
     LoadReport announcedLoad,
     Map<PeerId, PeerRole> peers,
+    int missedStatuses,
     GateState gate,
     StageState stages,
     OrderState orders) {
@@ -39,6 +41,7 @@
         Option.none(),
         LoadReport.idle(self.maxConcurrentCalls()),
         HashMap.empty(),
+        0,
         GateState.initial(),
         StageState.initial(),
         OrderState.initial());
@@ -50,40 +53,82 @@
 
   AgentState withSeed(long value) {
     return new AgentState(
-        self, value, serving, capability, announcedLoad, peers, gate, stages, orders);
+        self,
+        value,
+        serving,
+        capability,
+        announcedLoad,
+        peers,
+        missedStatuses,
+        gate,
+        stages,
+        orders);
   }
 
   AgentState withServing(ServingState value) {
     return new AgentState(
-        self, seed, value, capability, announcedLoad, peers, gate, stages, orders);
+        self, seed, value, capability, announcedLoad, peers, missedStatuses, gate, stages, orders);
   }
 
   AgentState withCapability(Capability value) {
     return new AgentState(
-        self, seed, serving, Option.some(value), announcedLoad, peers, gate, stages, orders);
+        self,
+        seed,
+        serving,
+        Option.some(value),
+        announcedLoad,
+        peers,
+        missedStatuses,
+        gate,
+        stages,
+        orders);
   }
 
   AgentState withAnnouncedLoad(LoadReport value) {
-    return new AgentState(self, seed, serving, capability, value, peers, gate, stages, orders);
+    return new AgentState(
+        self, seed, serving, capability, value, peers, missedStatuses, gate, stages, orders);
   }
 
   AgentState withPeers(Map<PeerId, PeerRole> value) {
     return new AgentState(
-        self, seed, serving, capability, announcedLoad, value, gate, stages, orders);
+        self,
+        seed,
+        serving,
+        capability,
+        announcedLoad,
+        value,
+        missedStatuses,
+        gate,
+        stages,
+        orders);
+  }
+
+  AgentState withMissedStatuses(int value) {
+    return new AgentState(
+        self, seed, serving, capability, announcedLoad, peers, value, gate, stages, orders);
   }
 
   AgentState withGate(GateState value) {
     return new AgentState(
-        self, seed, serving, capability, announcedLoad, peers, value, stages, orders);
+        self,
+        seed,
+        serving,
+        capability,
+        announcedLoad,
+        peers,
+        missedStatuses,
+        value,
+        stages,
+        orders);
   }
 
   AgentState withStages(StageState value) {
     return new AgentState(
-        self, seed, serving, capability, announcedLoad, peers, gate, value, orders);
+        self, seed, serving, capability, announcedLoad, peers, missedStatuses, gate, value, orders);
   }
 
   AgentState withOrders(OrderState value) {
     return new AgentState(
-        self, seed, serving, capability, announcedLoad, peers, gate, stages, value);
+        self, seed, serving, capability, announcedLoad, peers, missedStatuses, gate, stages, value);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/agent/EarlyFrames.java
+++ b/core/src/main/java/io/zinniawood/core/agent/EarlyFrames.java
@@ -7,7 +7,8 @@
 
 /**
  * Frames that arrived before their session or epoch was opened: the message that opens it comes
- * from the entry, the frame from the previous stage. Bounded in number, bytes and time.
+ * from the entry, the frame from the previous stage. Also frames that overtook earlier positions.
+ * Bounded in number, bytes and time.
  *
  * @param frames frames, oldest first
  * @param bytes size of the payloads in bytes
@@ -69,6 +70,10 @@
         : this;
   }
 
+  EarlyFrames without(Frame frame) {
+    return of(frames.remove(frame));
+  }
+
   EarlyFrames withoutOld(long nowNanos) {
     return frames.isEmpty()
         ? this
--- a/core/src/main/java/io/zinniawood/core/agent/Ending.java
+++ b/core/src/main/java/io/zinniawood/core/agent/Ending.java
@@ -15,7 +15,8 @@
 
 /** Ends attempts: remembers the result, answers, and hands the place and the key on. */
 final class Ending {
-  static final Result CANCELLED = new Result.Refused(RefusalReason.CANCELLED, Outcome.NOT_RUN);
+  static final Result CANCELLED =
+      new Result.Refused(RefusalReason.CANCELLED, Outcome.NOT_RUN, Option.none());
 
   private Ending() {}
 
@@ -23,8 +24,9 @@
   static Step<AgentState, AgentEffect> refuseNew(
       AgentState state, long nowNanos, Attempt attempt, RefusalReason reason) {
     Message.Dispatch work = attempt.dispatch();
-    Result result = new Result.Refused(reason, Outcome.NOT_RUN);
-    AgentState next = remember(state, nowNanos, work.attempt(), result);
+    Result result = new Result.Refused(reason, Outcome.NOT_RUN, Option.none());
+    boolean full = state.gate().finished().evicted().full(nowNanos);
+    AgentState next = full ? state : remember(state, nowNanos, work.attempt(), result);
     return Step.<AgentState, AgentEffect>of(next)
         .andAll(attempt.askers().toVector().map(peer -> Replies.result(next, peer, work, result)));
   }
@@ -45,7 +47,7 @@
             .map(peer -> Replies.refusal(peer, attempt.dispatch(), reason, outcome, claim));
     return Change.then(
         Step.<AgentState, AgentEffect>of(state).andAll(refusals),
-        next -> end(next, nowNanos, id, new Result.Refused(reason, outcome)));
+        next -> end(next, nowNanos, id, new Result.Refused(reason, outcome, claim)));
   }
 
   /** Answers a live attempt. */
--- a/core/src/main/java/io/zinniawood/core/agent/EvictedAttempts.java
+++ b/core/src/main/java/io/zinniawood/core/agent/EvictedAttempts.java
@@ -45,9 +45,7 @@
 
   /** Tells whether the memory holds only digests that are still needed. */
   boolean full(long nowNanos) {
-    return sealed.size() >= MAX_SEGMENTS
-        && nowNanos - sealed.head().sealedNanos < KEEP_NANOS
-        && recent.size() >= SEGMENT_SIZE - 1;
+    return sealed.size() >= MAX_SEGMENTS && nowNanos - sealed.head().sealedNanos < KEEP_NANOS;
   }
 
   EvictedAttempts add(AttemptId attempt, long nowNanos) {
@@ -56,9 +54,10 @@
       return new EvictedAttempts(more, sealed);
     }
     long[] digests = more.toJavaStream().mapToLong(Long::longValue).sorted().toArray();
-    Vector<Segment> segments = sealed.append(new Segment(digests, nowNanos));
-    return new EvictedAttempts(
-        HashSet.empty(), segments.size() > MAX_SEGMENTS ? segments.tail() : segments);
+    // While all segments are needed, the gate admits nothing; only live attempts exceed the bound.
+    Vector<Segment> kept =
+        sealed.size() >= MAX_SEGMENTS && !full(nowNanos) ? sealed.tail() : sealed;
+    return new EvictedAttempts(HashSet.empty(), kept.append(new Segment(digests, nowNanos)));
   }
 
   /** FNV-1a with a final mix. */
--- a/core/src/main/java/io/zinniawood/core/agent/FinishedAttempts.java
+++ b/core/src/main/java/io/zinniawood/core/agent/FinishedAttempts.java
@@ -5,6 +5,7 @@
 import io.vavr.collection.Map;
 import io.vavr.control.Option;
 import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.model.ClaimRow;
 import io.zinniawood.core.model.Outcome;
 import io.zinniawood.core.model.RefusalReason;
 import io.zinniawood.core.model.ServiceAnswer;
@@ -35,8 +36,10 @@
      *
      * @param reason reason
      * @param outcome whether it ran
+     * @param claim claim row that stood in the way
      */
-    record Refused(RefusalReason reason, Outcome outcome) implements Result {}
+    record Refused(RefusalReason reason, Outcome outcome, Option<ClaimRow> claim)
+        implements Result {}
   }
 
   static FinishedAttempts empty() {
@@ -73,6 +76,13 @@
   }
 
   private static long sizeBytes(Result result) {
-    return result instanceof Result.Answered answered ? answered.answer().body().sizeBytes() : 0;
+    if (result instanceof Result.Answered answered) {
+      return answered.answer().body().sizeBytes();
+    }
+    return ((Result.Refused) result)
+        .claim()
+        .flatMap(ClaimRow::answer)
+        .map(answer -> (long) answer.body().sizeBytes())
+        .getOrElse(0L);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/agent/Gate.java
+++ b/core/src/main/java/io/zinniawood/core/agent/Gate.java
@@ -17,6 +17,9 @@
 final class Gate {
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  /** A longer deadline is cut, so that its nanoseconds do not overflow. */
+  private static final long MAX_REMAINING_MILLIS = 86_400_000;
+
   /** Queue places for each place of the concurrency limit. */
   private static final int QUEUE_FACTOR = 4;
 
@@ -50,7 +53,8 @@
     if (live.isDefined()) {
       return Step.of(withAttempt(state, id, live.get().askedBy(peer)));
     }
-    long deadlineNanos = nowNanos + work.remainingMillis() * NANOS_PER_MILLI;
+    long remainingMillis = Math.min(work.remainingMillis(), MAX_REMAINING_MILLIS);
+    long deadlineNanos = nowNanos + remainingMillis * NANOS_PER_MILLI;
     return admit(
         state, nowNanos, new Attempt(work, HashSet.of(peer), Phase.QUEUED, deadlineNanos, 0));
   }
--- a/core/src/main/java/io/zinniawood/core/agent/Leaving.java
+++ b/core/src/main/java/io/zinniawood/core/agent/Leaving.java
@@ -40,14 +40,16 @@
         : Step.of(state);
   }
 
-  /** Ends the process once nothing is in progress. */
-  static Step<AgentState, AgentEffect> stopIfDone(Step<AgentState, AgentEffect> step) {
-    AgentState state = step.state();
-    boolean done =
-        state.leaving()
-            && state.gate().idle()
-            && state.stages().sessions().isEmpty()
-            && state.orders().running().isEmpty();
-    return done ? step.and(new AgentEffect.Stop()) : step;
+  /** Ends the process with the step after which nothing is in progress. */
+  static Step<AgentState, AgentEffect> stopIfDone(
+      AgentState before, Step<AgentState, AgentEffect> step) {
+    return done(step.state()) && !done(before) ? step.and(new AgentEffect.Stop()) : step;
+  }
+
+  private static boolean done(AgentState state) {
+    return state.leaving()
+        && state.gate().idle()
+        && state.stages().sessions().isEmpty()
+        && state.orders().running().isEmpty();
   }
 }
--- a/core/src/main/java/io/zinniawood/core/agent/Replies.java
+++ b/core/src/main/java/io/zinniawood/core/agent/Replies.java
@@ -30,7 +30,7 @@
               work.request(), work.attempt(), answered.answer(), Statuses.load(state)));
     }
     FinishedAttempts.Result.Refused refused = (FinishedAttempts.Result.Refused) result;
-    return refusal(peer, work, refused.reason(), refused.outcome(), Option.none());
+    return refusal(peer, work, refused.reason(), refused.outcome(), refused.claim());
   }
 
   static AgentEffect cancelled(PeerId peer, Message.CancelDispatch cancel, CancelOutcome outcome) {
--- a/core/src/main/java/io/zinniawood/core/agent/StageEngine.java
+++ b/core/src/main/java/io/zinniawood/core/agent/StageEngine.java
@@ -17,7 +17,7 @@
   /** Starts a batch of all pending steps if the engine runs none. */
   static Step<AgentState, AgentEffect> runNext(AgentState state) {
     StageState stages = state.stages();
-    if (stages.stepsInFlight() > 0 || stages.ready().isEmpty()) {
+    if (stages.batch().nonEmpty() || stages.ready().isEmpty()) {
       return Step.of(state);
     }
     int limit = Math.max(1, Statuses.limit(state));
@@ -38,7 +38,7 @@
       }
     }
     return Step.of(
-        state.withStages(next.withReady(left).withStepsInFlight(batch.size())),
+        state.withStages(next.withReady(left).withBatch(ready.take(limit))),
         new AgentEffect.RunSteps(batch));
   }
 
@@ -58,12 +58,13 @@
   }
 
   static Step<AgentState, AgentEffect> completed(AgentState state, Vector<StageResult> results) {
-    StageState idle = state.stages().withStepsInFlight(0);
-    Step<AgentState, AgentEffect> step = Step.of(state.withStages(idle));
+    Vector<SessionId> batch = state.stages().batch();
+    Step<AgentState, AgentEffect> step =
+        Step.of(state.withStages(state.stages().withBatch(Vector.empty())));
     for (StageResult result : results) {
       step = Change.then(step, next -> completedOne(next, result));
     }
-    step = Change.then(step, StageEngine::failMissing);
+    step = Change.then(step, next -> failMissing(next, batch));
     step = Change.then(step, StageEngine::runNext);
     return Change.then(step, StageTransfer::exportReady);
   }
@@ -136,9 +137,10 @@
   }
 
   /** Fails sessions for whose steps the engine gave no result. */
-  private static Step<AgentState, AgentEffect> failMissing(AgentState state) {
+  private static Step<AgentState, AgentEffect> failMissing(
+      AgentState state, Vector<SessionId> batch) {
     Step<AgentState, AgentEffect> step = Step.of(state);
-    for (StageSession session : state.stages().sessions().values()) {
+    for (StageSession session : batch.flatMap(id -> state.stages().sessions().get(id))) {
       if (session.running() > 0) {
         step =
             Change.then(
--- a/core/src/main/java/io/zinniawood/core/agent/StageFrames.java
+++ b/core/src/main/java/io/zinniawood/core/agent/StageFrames.java
@@ -16,7 +16,7 @@
   static Step<AgentState, AgentEffect> frame(AgentState state, long nowNanos, Frame frame) {
     Option<StageSession> present = state.stages().sessions().get(frame.session());
     if (present.isEmpty()) {
-      return state.stages().closed().contains(frame.session())
+      return state.stages().isClosed(frame.session(), frame.epoch())
           ? dropped(state, frame, "the session is closed")
           : keepEarly(state, frame);
     }
@@ -37,12 +37,17 @@
   private static Step<AgentState, AgentEffect> current(
       AgentState state, long nowNanos, Frame frame, StageSession session) {
     int position = frame.position();
-    if (position < 0 || position > session.accepted()) {
-      return dropped(state, frame, "the next position is " + session.accepted());
+    if (position < 0) {
+      return dropped(state, frame, "the position is negative");
+    }
+    if (position > session.accepted()) {
+      // A repeated step may overtake the replay of the positions before it.
+      return keepEarly(state, frame);
     }
     StageSession requested = session.requested(position, nowNanos);
     if (position == session.accepted()) {
-      return accept(state, requested, frame.payload());
+      return Change.then(
+          accept(state, requested, frame.payload()), next -> following(next, nowNanos, frame));
     }
     AgentState next = state.withStages(state.stages().withSession(requested));
     if (position >= session.done() || !requested.forwards(position)) {
@@ -61,6 +66,29 @@
     return StageEngine.runNext(state.withStages(ready));
   }
 
+  /** Accepts a frame that arrived before the positions below it. */
+  private static Step<AgentState, AgentEffect> following(
+      AgentState state, long nowNanos, Frame accepted) {
+    EarlyFrames early = state.stages().early();
+    if (early.frames().isEmpty()) {
+      return Step.of(state);
+    }
+    Option<Frame> next =
+        early
+            .of(accepted.session())
+            .find(
+                frame ->
+                    frame.position() == accepted.position() + 1
+                        && frame.epoch().equals(accepted.epoch()));
+    return next.map(
+            frame ->
+                frame(
+                    state.withStages(state.stages().withEarly(early.without(frame))),
+                    nowNanos,
+                    frame))
+        .getOrElse(() -> Step.of(state));
+  }
+
   private static boolean fromPrevious(StageSession session, Frame frame) {
     return session
         .previous()
--- a/core/src/main/java/io/zinniawood/core/agent/StageSessions.java
+++ b/core/src/main/java/io/zinniawood/core/agent/StageSessions.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import io.zinniawood.core.agent.EarlyFrames.Frame;
+import io.zinniawood.core.id.Epoch;
 import io.zinniawood.core.id.SessionId;
 import io.zinniawood.core.message.Message;
 import io.zinniawood.core.model.Capability;
@@ -14,6 +15,9 @@
   /** An entry that lost its session without a message leaves it behind; its caller gave up. */
   static final long IDLE_NANOS = 60_000_000_000L;
 
+  /** Closed by the entry: no epoch opens the session again. */
+  private static final Epoch NEVER_AGAIN = new Epoch(Long.MAX_VALUE);
+
   private StageSessions() {}
 
   static Step<AgentState, AgentEffect> open(
@@ -109,7 +113,7 @@
   }
 
   private static Option<RefusalReason> reasonToRefuse(AgentState state, Message.OpenSession open) {
-    if (state.stages().closed().contains(open.session())) {
+    if (state.stages().isClosed(open.session(), open.epoch())) {
       return Option.some(RefusalReason.UNKNOWN_SESSION);
     }
     if (state.leaving()) {
@@ -150,14 +154,32 @@
     Option<StageSession> session = state.stages().sessions().get(id);
     if (session.isEmpty()) {
       StageState stages = state.stages();
-      return Step.of(state.withStages(stages.withEarly(stages.early().without(id)).withClosed(id)));
+      return Step.of(
+          state.withStages(
+              stages.withEarly(stages.early().without(id)).withClosed(id, NEVER_AGAIN)));
     }
     if (!session.get().opener().equals(peer)) {
       return Step.of(
           state,
           Change.log(NoticeKind.REFUSED, id, "close from %s, not the opener".formatted(peer)));
     }
-    return remove(state.withStages(state.stages().withClosed(id)), session.get());
+    return remove(state.withStages(state.stages().withClosed(id, NEVER_AGAIN)), session.get());
+  }
+
+  /** An entry that runs again has lost the sessions of its earlier run. */
+  static Step<AgentState, AgentEffect> openerReplaced(AgentState state, PeerId peer) {
+    Step<AgentState, AgentEffect> step = Step.of(state);
+    for (StageSession session : state.stages().sessions().values()) {
+      PeerId opener = session.opener();
+      if (opener.nodeId().equals(peer.nodeId()) && !opener.equals(peer)) {
+        step = Change.then(step, next -> remove(closed(next, session), session));
+      }
+    }
+    return step;
+  }
+
+  private static AgentState closed(AgentState state, StageSession session) {
+    return state.withStages(state.stages().withClosed(session.id(), session.epoch()));
   }
 
   /** Removes a session and releases its memory here and on the engine. */
@@ -183,11 +205,10 @@
         new Message.StageFailed(session.id(), session.epoch(), stageIndex, reason));
   }
 
-  /** Ends a session whose engine state is lost; the stage is rebuilt on another session id. */
+  /** Ends a session whose engine state is lost; a later epoch may open it and rebuild it. */
   static Step<AgentState, AgentEffect> fail(
       AgentState state, StageSession session, RefusalReason reason, String detail) {
-    Step<AgentState, AgentEffect> removed =
-        remove(state.withStages(state.stages().withClosed(session.id())), session);
+    Step<AgentState, AgentEffect> removed = remove(closed(state, session), session);
     return removed
         .and(failure(session, session.open().stageIndex(), reason))
         .and(Change.log(NoticeKind.FAILED, session.id(), detail));
@@ -204,7 +225,7 @@
           state,
           new AgentEffect.StartTimer(new AgentTimer.SessionIdle(id), IDLE_NANOS - idleNanos));
     }
-    return remove(state, session.get())
+    return remove(closed(state, session.get()), session.get())
         .and(
             failure(
                 session.get(), session.get().open().stageIndex(), RefusalReason.UNKNOWN_SESSION))
--- a/core/src/main/java/io/zinniawood/core/agent/StageState.java
+++ b/core/src/main/java/io/zinniawood/core/agent/StageState.java
@@ -1,11 +1,12 @@
 package io.zinniawood.core.agent;
 
 import io.vavr.collection.HashMap;
-import io.vavr.collection.LinkedHashSet;
+import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.Map;
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Epoch;
 import io.zinniawood.core.id.SessionId;
 import io.zinniawood.core.model.NodeAddress;
 
@@ -14,10 +15,10 @@
  *
  * @param sessions open sessions
  * @param ready sessions with pending inputs, in order of arrival
- * @param stepsInFlight steps in the batch that the engine runs
+ * @param batch sessions with steps in the batch that the engine runs
  * @param keptBytes size of all kept outputs in bytes
  * @param early frames that wait for their session
- * @param closed sessions that ended, a bounded number
+ * @param closed last closed epoch of sessions that ended, a bounded number
  * @param exports agents that asked for the KV cache of a session
  * @param reconnecting addresses to which a fresh connection is tried, with the endpoint
  * @param stepsDone steps that the engine finished since the last status interval
@@ -26,10 +27,10 @@
 record StageState(
     Map<SessionId, StageSession> sessions,
     Vector<SessionId> ready,
-    int stepsInFlight,
+    Vector<SessionId> batch,
     long keptBytes,
     EarlyFrames early,
-    Set<SessionId> closed,
+    Map<SessionId, Epoch> closed,
     Map<SessionId, Set<PeerId>> exports,
     Map<NodeAddress, EndpointId> reconnecting,
     int stepsDone,
@@ -40,16 +41,21 @@
     return new StageState(
         HashMap.empty(),
         Vector.empty(),
-        0,
+        Vector.empty(),
         0,
         EarlyFrames.empty(),
-        LinkedHashSet.empty(),
+        LinkedHashMap.empty(),
         HashMap.empty(),
         HashMap.empty(),
         0,
         0);
   }
 
+  /** Tells whether an epoch of a session ended here. */
+  boolean isClosed(SessionId session, Epoch epoch) {
+    return closed.get(session).exists(last -> epoch.compareTo(last) <= 0);
+  }
+
   StageState withSession(StageSession session) {
     return withSessions(sessions.put(session.id(), session));
   }
@@ -58,7 +64,7 @@
     return new StageState(
         value,
         ready,
-        stepsInFlight,
+        batch,
         keptBytes,
         early,
         closed,
@@ -72,7 +78,7 @@
     return new StageState(
         sessions,
         value,
-        stepsInFlight,
+        batch,
         keptBytes,
         early,
         closed,
@@ -82,7 +88,7 @@
         tokensPerSecond);
   }
 
-  StageState withStepsInFlight(int value) {
+  StageState withBatch(Vector<SessionId> value) {
     return new StageState(
         sessions,
         ready,
@@ -100,7 +106,7 @@
     return new StageState(
         sessions,
         ready,
-        stepsInFlight,
+        batch,
         value,
         early,
         closed,
@@ -114,7 +120,7 @@
     return new StageState(
         sessions,
         ready,
-        stepsInFlight,
+        batch,
         keptBytes,
         value,
         closed,
@@ -124,12 +130,12 @@
         tokensPerSecond);
   }
 
-  StageState withClosed(SessionId session) {
-    Set<SessionId> more = closed.add(session);
+  StageState withClosed(SessionId session, Epoch epoch) {
+    Map<SessionId, Epoch> more = closed.put(session, epoch);
     return new StageState(
         sessions,
         ready,
-        stepsInFlight,
+        batch,
         keptBytes,
         early,
         more.size() > MAX_CLOSED ? more.tail() : more,
@@ -143,7 +149,7 @@
     return new StageState(
         sessions,
         ready,
-        stepsInFlight,
+        batch,
         keptBytes,
         early,
         closed,
@@ -157,7 +163,7 @@
     return new StageState(
         sessions,
         ready,
-        stepsInFlight,
+        batch,
         keptBytes,
         early,
         closed,
@@ -169,15 +175,6 @@
 
   StageState withThroughput(int steps, double value) {
     return new StageState(
-        sessions,
-        ready,
-        stepsInFlight,
-        keptBytes,
-        early,
-        closed,
-        exports,
-        reconnecting,
-        steps,
-        value);
+        sessions, ready, batch, keptBytes, early, closed, exports, reconnecting, steps, value);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/agent/Statuses.java
+++ b/core/src/main/java/io/zinniawood/core/agent/Statuses.java
@@ -12,6 +12,9 @@
 final class Statuses {
   static final long INTERVAL_NANOS = 1_000_000_000;
 
+  /** A busy endpoint may miss one status request; two more take 2 s. */
+  private static final int MAX_MISSED = 3;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private Statuses() {}
@@ -49,8 +52,10 @@
     if (role == PeerRole.AGENT) {
       return StageLinks.connected(next, peer);
     }
-    return Step.<AgentState, AgentEffect>of(next)
-        .andAll(message(next).map(status -> new AgentEffect.Send(peer, status)))
+    Step<AgentState, AgentEffect> step =
+        Step.<AgentState, AgentEffect>of(next)
+            .andAll(message(next).map(status -> new AgentEffect.Send(peer, status)));
+    return Change.then(step, now -> StageSessions.openerReplaced(now, peer))
         .andAll(
             next.stages()
                 .sessions()
@@ -105,10 +110,11 @@
   static Step<AgentState, AgentEffect> read(AgentState state, Capability capability) {
     boolean same =
         state.capability().contains(capability) && state.serving() != ServingState.STARTING;
+    AgentState answered = state.withMissedStatuses(0);
     if (same) {
-      return Step.of(state);
+      return Step.of(answered);
     }
-    Step<AgentState, AgentEffect> step = Step.of(state);
+    Step<AgentState, AgentEffect> step = Step.of(answered);
     if (state.capability().exists(before -> !sameHolding(before, capability))) {
       for (StageSession session : state.stages().sessions().values()) {
         step =
@@ -136,12 +142,13 @@
 
   /** The engine does not answer: takes no new work until it reports again. */
   static Step<AgentState, AgentEffect> unavailable(AgentState state) {
-    if (state.serving() != ServingState.SERVING) {
-      return Step.of(state);
+    AgentState missed = state.withMissedStatuses(state.missedStatuses() + 1);
+    if (state.serving() != ServingState.SERVING || missed.missedStatuses() < MAX_MISSED) {
+      return Step.of(missed);
     }
     return Change.then(
         Step.of(
-            state.withServing(ServingState.STARTING),
+            missed.withServing(ServingState.STARTING),
             Change.log(NoticeKind.STATE, state.self().endpoint(), "the engine does not answer")),
         Statuses::announce);
   }
