--- /dev/null
+++ b/engine/src/test/java/io/zinniawood/engine/http/HttpPlainServiceClientTest.java
@@ -0,0 +1,103 @@
+package io.zinniawood.engine.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.zinniawood.core.model.HttpHeader;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.ServiceAnswer;
+import io.zinniawood.core.model.ServiceCall;
+import io.zinniawood.engine.EngineError;
+import io.zinniawood.standin.service.ServiceFaults;
+import io.zinniawood.standin.service.ServiceSettings;
+import io.zinniawood.standin.service.ServiceStandIn;
+import java.net.URI;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import okhttp3.OkHttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpPlainServiceClientTest {
+  private final OkHttpClient client = new OkHttpClient();
+  private final ServiceStandIn standIn = ServiceStandIn.launch(ServiceSettings.unlimited());
+  private final HttpPlainServiceClient service = service("");
+
+  @AfterEach
+  void stop() {
+    standIn.close();
+    client.dispatcher().executorService().shutdown();
+    client.connectionPool().evictAll();
+  }
+
+  private HttpPlainServiceClient service(String path) {
+    return new HttpPlainServiceClient(
+        URI.create("http://127.0.0.1:" + standIn.port() + path), client);
+  }
+
+  private static ServiceCall credit(String reference) {
+    return new ServiceCall(
+        "POST",
+        "/credits",
+        Vector.of(
+            new HttpHeader("Content-Type", "application/json"), new HttpHeader("Host", "other")),
+        Payload.ofText("{\"reference\":\"" + reference + "\"}"));
+  }
+
+  private static ServiceCall get(String path) {
+    return new ServiceCall("GET", path, Vector.empty(), Payload.empty());
+  }
+
+  private static <T> Either<EngineError, T> await(CompletableFuture<Either<EngineError, T>> future)
+      throws Exception {
+    return future.get(20, TimeUnit.SECONDS);
+  }
+
+  private static <T> EngineError error(CompletableFuture<Either<EngineError, T>> future)
+      throws Exception {
+    return await(future).swap().getOrElseThrow(() -> new AssertionError("no error"));
+  }
+
+  // Guards against statuses of the service that are taken for errors of the transport.
+  @Test
+  void anyStatusIsAnAnswer() throws Exception {
+    ServiceAnswer booked = await(service.call(credit("r-1"), 5_000)).get();
+    assertThat(booked.status(), is(201));
+    assertThat(booked.body().text(), containsString("\"entry\":1"));
+    assertThat(await(service.call(get("/bins/7"), 5_000)).get().status(), is(200));
+    assertThat(await(service.call(get("/nowhere"), 5_000)).get().status(), is(404));
+    standIn.setFaults(ServiceFaults.outage());
+    assertThat(await(service.call(credit("r-2"), 5_000)).get().status(), is(503));
+    assertThat(await(service.healthy()), equalTo(Either.right(false)));
+    assertThat(standIn.bookings("r-2"), is(0));
+  }
+
+  // Guards against a credit that is posted twice after a lost response.
+  @Test
+  void lostResponsesAreReportedAndNotRepeated() throws Exception {
+    standIn.setFaults(ServiceFaults.cut(1));
+    assertThat(
+        error(service.call(credit("r-1"), 5_000)), instanceOf(EngineError.ResponseLost.class));
+    assertThat(standIn.bookings("r-1"), is(1));
+    standIn.setFaults(ServiceFaults.delay(5_000));
+    assertThat(error(service.call(credit("r-2"), 300)), instanceOf(EngineError.ResponseLost.class));
+    assertThat(standIn.bookings("r-2"), is(1));
+  }
+
+  // Guards against "unknown" for a call that certainly never left the agent.
+  @Test
+  void refusedConnectionsAndInvalidCallsAreNotSent() throws Exception {
+    assertThat(error(service.call(get("no-slash"), 5_000)), instanceOf(EngineError.NotSent.class));
+    assertThat(
+        error(service("/inner/").call(get("/../ledger"), 5_000)),
+        instanceOf(EngineError.NotSent.class));
+    assertThat(error(service.call(get("/ledger"), 0)), instanceOf(EngineError.NotSent.class));
+    standIn.close();
+    assertThat(error(service.call(credit("r-1"), 5_000)), instanceOf(EngineError.NotSent.class));
+  }
+}
