Add a fault-injecting TCP proxy for tests

Connections that go silent for good while new ones work cannot be produced by the stand-ins. The proxy delays, cuts, silences or half-opens existing connections and resets or holds new ones; its tests bring about each fault.

--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/proxy/FaultProxy.java
@@ -0,0 +1,197 @@
+package io.zinniawood.standin.proxy;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * TCP proxy on loopback with fault switches for tests. Switches for existing connections leave new
+ * ones alone.
+ */
+public final class FaultProxy implements AutoCloseable {
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final Set<Link> links = ConcurrentHashMap.newKeySet();
+  private final Set<Channel> clients = ConcurrentHashMap.newKeySet();
+  private final AtomicLong accepted = new AtomicLong();
+  private final String targetHost;
+  private final int targetPort;
+  private Channel listener;
+  private volatile NewConnections newConnections = NewConnections.FORWARD;
+  private volatile long delayToTargetMillis;
+  private volatile long delayToClientMillis;
+
+  /**
+   * Creates a proxy; it listens after {@link #start(int)}.
+   *
+   * @param targetHost IP number of the target
+   * @param targetPort TCP port of the target
+   */
+  public FaultProxy(String targetHost, int targetPort) {
+    this.targetHost = targetHost;
+    this.targetPort = targetPort;
+  }
+
+  /** Starts a proxy on a free port in front of a target on loopback. */
+  public static FaultProxy launch(int targetPort) {
+    FaultProxy proxy = new FaultProxy("127.0.0.1", targetPort);
+    proxy.start(0);
+    return proxy;
+  }
+
+  /**
+   * Starts to listen on loopback.
+   *
+   * @param port TCP port, 0 for a free one
+   * @return port on which the proxy listens
+   */
+  public synchronized int start(int port) {
+    if (listener != null) {
+      throw new IllegalStateException("the proxy was started before");
+    }
+    listener =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer())
+            .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+            .syncUninterruptibly()
+            .channel();
+    return port();
+  }
+
+  /** Returns the port on which the proxy listens. */
+  public synchronized int port() {
+    if (listener == null) {
+      throw new IllegalStateException("the proxy was not started");
+    }
+    return ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  /** Sets the delay of bytes in one direction in milliseconds, on all connections. */
+  public void setDelayMillis(Direction direction, long delayMillis) {
+    if (direction == Direction.TO_TARGET) {
+      delayToTargetMillis = delayMillis;
+    } else {
+      delayToClientMillis = delayMillis;
+    }
+  }
+
+  /** Sets what happens to new connections. */
+  public void setNewConnections(NewConnections treatment) {
+    newConnections = treatment;
+  }
+
+  /** Resets both sides of all existing connections. */
+  public void cut() {
+    links.forEach(Link::cut);
+  }
+
+  /** Makes a direction of all existing connections silent for good; nothing is closed. */
+  public void silence(Direction direction) {
+    links.forEach(link -> link.silence(direction));
+  }
+
+  /** Makes both directions of all existing connections silent for good; nothing is closed. */
+  public void silenceBoth() {
+    silence(Direction.TO_TARGET);
+    silence(Direction.TO_CLIENT);
+  }
+
+  /** Resets the target's side of all existing connections; the client's side stays open. */
+  public void halfOpenAtClient() {
+    links.forEach(link -> link.halfOpen(Direction.TO_TARGET));
+  }
+
+  /** Resets the client's side of all existing connections; the target's side stays open. */
+  public void halfOpenAtTarget() {
+    links.forEach(link -> link.halfOpen(Direction.TO_CLIENT));
+  }
+
+  /** Returns the number of connections that clients have open. */
+  public int connections() {
+    return clients.size();
+  }
+
+  /** Returns the number of connections that were accepted since the start. */
+  public long accepted() {
+    return accepted.get();
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  private ChannelInitializer<SocketChannel> initializer() {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel client) {
+        accepted.incrementAndGet();
+        clients.add(client);
+        client.closeFuture().addListener(done -> clients.remove(client));
+        if (newConnections == NewConnections.FORWARD) {
+          connect(client);
+        } else if (newConnections == NewConnections.RESET) {
+          client.eventLoop().execute(() -> Pump.reset(client));
+        }
+      }
+    };
+  }
+
+  private void connect(SocketChannel client) {
+    new Bootstrap()
+        .group(client.eventLoop())
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.AUTO_READ, false)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(new ChannelInboundHandlerAdapter())
+        .connect(targetHost, targetPort)
+        .addListener(
+            (ChannelFuture connected) -> {
+              if (connected.isSuccess()) {
+                join(client, connected.channel());
+              } else {
+                Pump.reset(client);
+              }
+            });
+  }
+
+  private void join(Channel client, Channel target) {
+    Pump toTarget = new Pump(client, target, () -> delayToTargetMillis);
+    Pump toClient = new Pump(target, client, () -> delayToClientMillis);
+    Link link = new Link(client, target, toTarget, toClient);
+    links.add(link);
+    client.closeFuture().addListener(done -> forgetClosed(link, client, target));
+    target.closeFuture().addListener(done -> forgetClosed(link, client, target));
+    client.pipeline().addLast(toTarget);
+    target.pipeline().addLast(toClient);
+    client.config().setAutoRead(true);
+    target.config().setAutoRead(true);
+  }
+
+  private void forgetClosed(Link link, Channel client, Channel target) {
+    if (!client.isOpen() && !target.isOpen()) {
+      links.remove(link);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/proxy/NewConnections.java
@@ -0,0 +1,11 @@
+package io.zinniawood.standin.proxy;
+
+/** What the proxy does with new connections. */
+public enum NewConnections {
+  /** They are connected to the target. */
+  FORWARD,
+  /** They are reset at once. */
+  RESET,
+  /** They are accepted and stay silent. */
+  HANG
+}
--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/proxy/Pump.java
@@ -0,0 +1,111 @@
+package io.zinniawood.standin.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Copies bytes in one direction in order, each after the present delay. All methods run on the
+ * event loop that both channels share.
+ */
+final class Pump extends ChannelInboundHandlerAdapter {
+  /** Bytes in flight above which the source is not read; bounds memory under a long delay. */
+  private static final long MAX_PENDING_BYTES = 4 << 20;
+
+  private final Channel source;
+  private final Channel destination;
+  private final LongSupplier delayMillis;
+  private long lastDueNanos = System.nanoTime();
+  private long pendingBytes;
+  private boolean silent;
+
+  Pump(Channel source, Channel destination, LongSupplier delayMillis) {
+    this.source = source;
+    this.destination = destination;
+    this.delayMillis = delayMillis;
+  }
+
+  /**
+   * Stops the direction for good. The source is not read any more, so its sender sees neither data
+   * nor a close on the other side, and its send buffer fills up.
+   */
+  void silence() {
+    silent = true;
+    source.config().setAutoRead(false);
+  }
+
+  /** Closes the source with a reset and stops the direction, so that the other side stays open. */
+  void abandonSource() {
+    silence();
+    reset(source);
+  }
+
+  static void reset(Channel channel) {
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    channel.close();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (silent || !destination.isActive()) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    int bytes = ((ByteBuf) message).readableBytes();
+    pendingBytes += bytes;
+    updateReading();
+    afterDelay(
+        () -> {
+          if (silent) {
+            ReferenceCountUtil.release(message);
+          } else {
+            destination.writeAndFlush(message).addListener(done -> written(bytes));
+          }
+        });
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    afterDelay(
+        () -> {
+          if (!silent) {
+            destination.close();
+          }
+        });
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    // Resets by either end are expected here; the close reaches the other side.
+    context.close();
+  }
+
+  private void written(int bytes) {
+    pendingBytes -= bytes;
+    updateReading();
+  }
+
+  private void updateReading() {
+    source.config().setAutoRead(!silent && pendingBytes < MAX_PENDING_BYTES);
+  }
+
+  /** Runs the task after the delay, but never before a task that was given earlier. */
+  private void afterDelay(Runnable task) {
+    long nowNanos = System.nanoTime();
+    long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis.getAsLong());
+    if (dueNanos - lastDueNanos < 0) {
+      dueNanos = lastDueNanos;
+    }
+    if (dueNanos - nowNanos <= 0) {
+      task.run();
+      return;
+    }
+    lastDueNanos = dueNanos;
+    source.eventLoop().schedule(task, dueNanos - nowNanos, TimeUnit.NANOSECONDS);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** TCP proxy with fault switches for tests. */
+package io.zinniawood.standin.proxy;
--- /dev/null
+++ b/standin/src/test/java/io/zinniawood/standin/proxy/FaultProxyTest.java
@@ -0,0 +1,187 @@
+package io.zinniawood.standin.proxy;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class FaultProxyTest {
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final BlockingQueue<String> targetEvents = new LinkedBlockingQueue<>();
+  private ServerSocket target;
+  private FaultProxy proxy;
+
+  @BeforeEach
+  void start() throws IOException {
+    target = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    threads.execute(this::acceptAll);
+    proxy = FaultProxy.launch(target.getLocalPort());
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    proxy.close();
+    target.close();
+    threads.shutdownNow();
+  }
+
+  private void acceptAll() {
+    while (!target.isClosed()) {
+      try {
+        Socket socket = target.accept();
+        threads.execute(() -> echo(socket));
+      } catch (IOException e) {
+        targetEvents.add("listener closed");
+      }
+    }
+  }
+
+  /** Sends each byte back plus one and records bytes and the end. */
+  private void echo(Socket socket) {
+    try (socket) {
+      for (int value = socket.getInputStream().read();
+          value >= 0;
+          value = socket.getInputStream().read()) {
+        targetEvents.add("byte " + value);
+        socket.getOutputStream().write(value + 1);
+      }
+      targetEvents.add("end");
+    } catch (IOException e) {
+      targetEvents.add("reset");
+    }
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), proxy.port());
+    socket.setSoTimeout(10_000);
+    return socket;
+  }
+
+  private Socket connectAndExchange() throws IOException {
+    Socket socket = connect();
+    assertThat(exchange(socket, 1), is(2));
+    targetEvents.clear();
+    return socket;
+  }
+
+  private static int exchange(Socket socket, int value) throws IOException {
+    socket.getOutputStream().write(value);
+    return socket.getInputStream().read();
+  }
+
+  private String targetEvent() throws InterruptedException {
+    return String.valueOf(targetEvents.poll(10, TimeUnit.SECONDS));
+  }
+
+  private static void assertSilent(Socket socket) throws IOException {
+    socket.setSoTimeout(200);
+    assertThrows(SocketTimeoutException.class, () -> socket.getInputStream().read());
+  }
+
+  // Guards against tests that pass because the proxy lost or reordered bytes by itself.
+  @Test
+  void forwardsBytesAndCloseWithAndWithoutDelay() throws Exception {
+    try (Socket socket = connectAndExchange()) {
+      proxy.setDelayMillis(Direction.TO_TARGET, 40);
+      proxy.setDelayMillis(Direction.TO_CLIENT, 40);
+      long startNanos = System.nanoTime();
+      assertThat(exchange(socket, 5), is(6));
+      assertThat(System.nanoTime() - startNanos, greaterThanOrEqualTo(80_000_000L));
+      socket.getOutputStream().write(new byte[] {7, 8});
+      proxy.setDelayMillis(Direction.TO_TARGET, 0);
+      socket.getOutputStream().write(9);
+    }
+    for (String expected : new String[] {"byte 5", "byte 7", "byte 8", "byte 9", "end"}) {
+      assertThat(targetEvent(), is(expected));
+    }
+  }
+
+  // Guards against a cut that looks like an orderly close to one of the ends.
+  @Test
+  void cutResetsBothSidesAndNewConnectionsWork() throws Exception {
+    try (Socket socket = connectAndExchange()) {
+      proxy.cut();
+      assertThrows(IOException.class, () -> readToEnd(socket));
+      assertThat(targetEvent(), is("reset"));
+    }
+    connectAndExchange().close();
+  }
+
+  private static void readToEnd(Socket socket) throws IOException {
+    if (socket.getInputStream().read() < 0) {
+      throw new AssertionError("orderly close instead of a reset");
+    }
+  }
+
+  // Guards against probes that are satisfied by one working direction.
+  @Test
+  void silenceInOneDirectionLeavesTheOther() throws Exception {
+    try (Socket socket = connectAndExchange()) {
+      proxy.silence(Direction.TO_CLIENT);
+      socket.getOutputStream().write(5);
+      assertThat(targetEvent(), is("byte 5"));
+      assertSilent(socket);
+    }
+  }
+
+  // Guards against code that detects a silent connection only when something closes it.
+  @Test
+  void silenceIsForGoodAndNewConnectionsWork() throws Exception {
+    try (Socket silent = connectAndExchange()) {
+      proxy.silenceBoth();
+      silent.getOutputStream().write(5);
+      assertSilent(silent);
+      connectAndExchange().close();
+      assertThat(targetEvent(), is("end"));
+      assertSilent(silent);
+      assertThat(targetEvents.isEmpty(), is(true));
+      assertThat(proxy.connections(), greaterThanOrEqualTo(1));
+    }
+  }
+
+  // Guards against a connection that only one end considers open.
+  @Test
+  void halfOpenClosesOneSideOnly() throws Exception {
+    try (Socket socket = connectAndExchange()) {
+      proxy.halfOpenAtClient();
+      assertThat(targetEvent(), is("reset"));
+      socket.getOutputStream().write(5);
+      assertSilent(socket);
+    }
+    try (Socket socket = connectAndExchange()) {
+      proxy.halfOpenAtTarget();
+      assertThrows(IOException.class, () -> readToEnd(socket));
+      assertThat(targetEvents.poll(200, TimeUnit.MILLISECONDS) == null, is(true));
+    }
+  }
+
+  // Guards against a client that waits for good on a proxy that drops its connections.
+  @Test
+  void newConnectionsCanBeResetOrHang() throws Exception {
+    try (Socket existing = connectAndExchange()) {
+      proxy.setNewConnections(NewConnections.RESET);
+      assertThrows(IOException.class, () -> exchange(connect(), 1));
+      proxy.setNewConnections(NewConnections.HANG);
+      try (Socket hanging = connect()) {
+        hanging.getOutputStream().write(1);
+        assertSilent(hanging);
+      }
+      assertThat(exchange(existing, 5), is(6));
+      assertThat(proxy.accepted(), is(3L));
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/io/zinniawood/standin/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the fault-injecting proxy. */
+package io.zinniawood.standin.proxy;
