--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/AgentCommand.java
@@ -0,0 +1,70 @@
+package io.zinniawood.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.zinniawood.agent.AgentProcess;
+import io.zinniawood.cli.process.AgentLauncher;
+import io.zinniawood.config.ConfigurationFault;
+import io.zinniawood.config.settings.AgentSettings;
+import io.zinniawood.config.settings.SettingsLoader;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.wire.WireError;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.ExecutionException;
+
+/** Runs an agent until it is asked to terminate. */
+@Parameters(commandDescription = "Run an agent beside an endpoint")
+final class AgentCommand extends HelpOption implements Command {
+  private static final long MAX_DRAIN_MILLIS = 120_000;
+
+  @Parameter(names = "--settings", description = "Settings file (TOML)", required = true)
+  private String settingsFile;
+
+  @Override
+  public String name() {
+    return "agent";
+  }
+
+  @Override
+  public String examples() {
+    return "zinniawood agent --settings agent.toml";
+  }
+
+  @Override
+  public ExitCode run(PrintStream out, PrintStream err) throws InterruptedException {
+    Either<Vector<ConfigurationFault>, AgentSettings> settings =
+        SettingsLoader.loadAgent(Path.of(settingsFile));
+    if (settings.isLeft()) {
+      Faults.print(settings.getLeft(), err);
+      return ExitCode.WRONG_USAGE;
+    }
+    Either<WireError, AgentProcess> created = AgentLauncher.create(settings.get());
+    if (created.isLeft()) {
+      err.println("zinniawood agent: " + created.getLeft().detail());
+      return ExitCode.WRONG_USAGE;
+    }
+    return serve(created.get(), err);
+  }
+
+  private static ExitCode serve(AgentProcess agent, PrintStream err) throws InterruptedException {
+    Termination termination = Termination.install(MAX_DRAIN_MILLIS);
+    try (agent) {
+      Either<WireError, NodeAddress> listening = agent.start();
+      if (listening.isLeft()) {
+        err.println("zinniawood agent: " + listening.getLeft().detail());
+        return ExitCode.FAILED;
+      }
+      termination.await();
+      agent.drain().get();
+      return ExitCode.DONE;
+    } catch (ExecutionException failure) {
+      err.println("zinniawood agent: " + failure.getMessage());
+      return ExitCode.FAILED;
+    } finally {
+      termination.finish();
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/Faults.java
@@ -0,0 +1,15 @@
+package io.zinniawood.cli;
+
+import io.vavr.collection.Vector;
+import io.zinniawood.config.ConfigurationFault;
+import java.io.PrintStream;
+
+/** Prints the faults of settings and configuration files. */
+final class Faults {
+  private Faults() {}
+
+  /** Prints one line for each fault. */
+  static void print(Vector<ConfigurationFault> faults, PrintStream err) {
+    faults.forEach(fault -> err.println(fault.text()));
+  }
+}
--- a/cli/src/main/java/io/zinniawood/cli/Main.java
+++ b/cli/src/main/java/io/zinniawood/cli/Main.java
@@ -8,7 +8,15 @@
 
   /** Runs the command that the arguments name and exits with its code. */
   public static void main(String[] arguments) throws InterruptedException {
-    List<Command> commands = List.of(new LoadCommand(), new DemoCommand(), new VersionCommand());
+    List<Command> commands =
+        List.of(
+            new EntryCommand(),
+            new AgentCommand(),
+            new CheckCommand(),
+            new LoadCommand(),
+            new StandinCommand(),
+            new DemoCommand(),
+            new VersionCommand());
     ExitCode code = new CommandLine(commands).run(arguments, System.out, System.err);
     System.exit(code.code());
   }
