--- a/core/src/main/java/io/zinniawood/core/entry/Admission.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Admission.java
@@ -15,71 +15,112 @@
 
   /**
    * Returns the reason to refuse a request; if there is none, counts the request for its account.
+   *
+   * @param target model or service
    */
-  static Option<Problem> admit(Turn turn, ClientAccountId id, long deadlineNanos) {
-    if (turn.state().lifecycle() == Lifecycle.STARTING) {
-      return Option.some(
-          Problem.notRunRetry(
-              ProblemType.NOT_READY, "the entry has no accepted configuration yet", 1_000));
-    }
-    if (turn.state().lifecycle().compareTo(Lifecycle.DRAINING) >= 0) {
-      return Option.some(
-          Problem.notRunRetry(ProblemType.NOT_READY, "the entry is about to stop", 1_000));
-    }
-    if (deadlineNanos - turn.nowNanos() <= 0) {
+  static Option<Problem> admit(Turn turn, ClientAccountId id, String target, long deadlineNanos) {
+    return notReady(turn)
+        .orElse(() -> tooLate(turn, target, deadlineNanos))
+        .orElse(
+            () ->
+                turn.cluster()
+                    .clientAccounts()
+                    .get(id)
+                    .map(account -> limit(turn, account))
+                    .getOrElse(
+                        () ->
+                            Option.some(
+                                Problem.notRun(
+                                    ProblemType.FORBIDDEN,
+                                    "client account %s is not configured".formatted(id)))));
+  }
+
+  private static Option<Problem> notReady(Turn turn) {
+    return switch (turn.state().lifecycle()) {
+      case STARTING ->
+          Option.some(
+              Problem.notRunRetry(
+                  ProblemType.NOT_READY, "the entry has no accepted configuration yet", 1_000));
+      case DRAINING, STOPPED ->
+          Option.some(
+              Problem.notRunRetry(ProblemType.NOT_READY, "the entry is about to stop", 1_000));
+      case READY, GRACE -> Option.none();
+    };
+  }
+
+  /** Refuses a request that cannot be answered in time, before it costs any capacity. */
+  private static Option<Problem> tooLate(Turn turn, String target, long deadlineNanos) {
+    long remainingNanos = deadlineNanos - turn.nowNanos();
+    if (remainingNanos <= 0) {
       return Option.some(
           Problem.notRun(ProblemType.DEADLINE_EXCEEDED, "the deadline had passed on arrival"));
     }
-    Option<ClientAccount> account = turn.cluster().clientAccounts().get(id);
-    if (account.isEmpty()) {
+    double expectedNanos = turn.state().usage().expectedNanos(target, turn.nowNanos());
+    if (expectedNanos > remainingNanos) {
       return Option.some(
-          Problem.notRun(
-              ProblemType.FORBIDDEN, "client account %s is not configured".formatted(id)));
+          Problem.notRunRetry(
+              ProblemType.OVERLOADED,
+              "%s takes %.0f ms at present, but the deadline is in %d ms"
+                  .formatted(
+                      target, expectedNanos / NANOS_PER_MILLI, remainingNanos / NANOS_PER_MILLI),
+              (long) (expectedNanos / NANOS_PER_MILLI)));
     }
-    return limit(turn, account.get());
+    return Option.none();
   }
 
   /** Applies this entry's share of the account's limits. */
   private static Option<Problem> limit(Turn turn, ClientAccount account) {
-    int entries = Math.max(1, turn.fleet().liveEntries());
+    int entries = turn.fleet().liveEntries();
     double rate = account.requestsPerSecond() / entries;
     double burst = Math.max(1, (double) account.burstRequests() / entries);
     int concurrent = Math.max(1, account.maxConcurrent() / entries);
     AccountUse use =
         turn.state()
-            .accounts()
-            .getOrElse(account.id(), AccountUse.fresh(burst, turn.nowNanos()))
+            .usage()
+            .account(account.id(), burst, turn.nowNanos())
             .refilled(rate, burst, turn.nowNanos());
     if (use.open() >= concurrent) {
-      return Option.some(
-          Problem.notRunRetry(
-              ProblemType.ACCOUNT_LIMIT,
-              "client account %s has %d open requests at this entry, its share of the limit is %d"
-                  .formatted(account.id(), use.open(), concurrent),
-              100));
+      return limited(
+          turn,
+          account,
+          use,
+          "client account %s has %d open requests at this entry, its share of the limit is %d"
+              .formatted(account.id(), use.open(), concurrent),
+          100);
     }
     if (use.tokens() < 1) {
-      long waitNanos = (long) ((1 - use.tokens()) * 1e9 / Math.max(1e-3, rate));
-      return Option.some(
-          Problem.notRunRetry(
-              ProblemType.ACCOUNT_LIMIT,
-              "client account %s exceeds %.1f requests/s, its share of the limit at this entry"
-                  .formatted(account.id(), rate),
-              waitNanos / NANOS_PER_MILLI + 1));
+      long waitMillis = (long) ((1 - use.tokens()) * 1e3 / Math.max(1e-3, rate)) + 1;
+      return limited(
+          turn,
+          account,
+          use,
+          "client account %s exceeds %.1f requests/s, its share of the limit at this entry"
+              .formatted(account.id(), rate),
+          waitMillis);
     }
-    turn.update(state -> state.withAccounts(state.accounts().put(account.id(), use.opened())));
+    turn.update(state -> state.withUsage(state.usage().with(account.id(), use.opened())));
     return Option.none();
   }
 
+  private static Option<Problem> limited(
+      Turn turn, ClientAccount account, AccountUse use, String detail, long retryAfterMillis) {
+    boolean due = use.reportDue(turn.nowNanos());
+    AccountUse next = due ? use.reported(turn.nowNanos()) : use;
+    turn.update(state -> state.withUsage(state.usage().with(account.id(), next)));
+    if (due) {
+      turn.incident(IncidentKind.ACCOUNT_LIMITED, account.id().value(), detail);
+    }
+    return Option.some(Problem.notRunRetry(ProblemType.ACCOUNT_LIMIT, detail, retryAfterMillis));
+  }
+
   /** Gives back the count of a request that ended. */
   static void release(Turn turn, ClientAccountId id) {
-    turn.update(
-        state ->
-            state
-                .accounts()
-                .get(id)
-                .map(use -> state.withAccounts(state.accounts().put(id, use.closed())))
-                .getOrElse(state));
+    turn.state()
+        .usage()
+        .accounts()
+        .get(id)
+        .forEach(
+            use -> turn.update(state -> state.withUsage(state.usage().with(id, use.closed()))));
   }
 
   /** Returns the fair-share weight of a client account. */
--- a/core/src/main/java/io/zinniawood/core/entry/Answers.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Answers.java
@@ -52,6 +52,14 @@
   static void endModel(Turn turn, Session session, Outcome outcome, Option<ProblemType> problem) {
     var arrival = session.arrival();
     Progress progress = session.progress();
+    sample(
+        turn,
+        arrival.model().value(),
+        outcome,
+        problem,
+        progress
+            .timeToFirstTokenNanos()
+            .getOrElse(() -> turn.nowNanos() - progress.arrivedNanos()));
     record(
         turn,
         new RequestResult(
@@ -95,11 +103,13 @@
       Option<ProblemType> problem,
       Option<EndpointId> endpoint) {
     var arrival = request.arrival();
-    request
-        .current()
-        .forEach(
-            attempt ->
-                turn.cancelTimer(new EntryTimer.AttemptTimeout(arrival.request(), attempt.id())));
+    Attempts.uncount(turn, request);
+    sample(
+        turn,
+        arrival.service().value(),
+        outcome,
+        problem,
+        turn.nowNanos() - request.arrivedNanos());
     record(
         turn,
         new RequestResult(
@@ -116,6 +126,15 @@
             endpoint));
   }
 
+  /** Feeds the estimate for early refusals; a passed deadline is a sample of a long duration. */
+  private static void sample(
+      Turn turn, String target, Outcome outcome, Option<ProblemType> problem, long durationNanos) {
+    if (outcome == Outcome.COMPLETED || problem.contains(ProblemType.DEADLINE_EXCEEDED)) {
+      turn.update(
+          state -> state.withUsage(state.usage().sampled(target, durationNanos, turn.nowNanos())));
+    }
+  }
+
   private static void record(Turn turn, RequestResult result) {
     turn.cancelTimer(new EntryTimer.RequestDeadline(result.request()));
     turn.emit(new EntryEffect.RecordResult(result));
--- a/core/src/main/java/io/zinniawood/core/entry/Attempt.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Attempt.java
@@ -3,6 +3,7 @@
 import io.zinniawood.core.id.AttemptId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.model.ClaimRow;
 
 /**
  * Attempt of a service call.
@@ -11,19 +12,37 @@
  * @param endpoint endpoint to which it was sent
  * @param incarnation incarnation to which it is bound
  * @param phase phase
- * @param owned whether this entry created the attempt; an attempt of another entry's request is
- *     joined to get its answer and must not be cancelled
- * @param sentNanos monotonic time at which it was sent, in nanoseconds
+ * @param origin whose attempt it is
+ * @param counted whether it counts as work in flight at the endpoint
  */
 record Attempt(
     AttemptId id,
     EndpointId endpoint,
     Incarnation incarnation,
     AttemptPhase phase,
-    boolean owned,
-    long sentNanos) {
+    AttemptOrigin origin,
+    boolean counted) {
+
+  /** Returns the attempt that holds a claim for another request. */
+  static Attempt holder(ClaimRow row) {
+    return new Attempt(
+        row.attempt(),
+        row.owner(),
+        row.incarnation(),
+        AttemptPhase.RELEASING,
+        AttemptOrigin.OTHER,
+        false);
+  }
 
   Attempt withPhase(AttemptPhase changed) {
-    return new Attempt(id, endpoint, incarnation, changed, owned, sentNanos);
+    return new Attempt(id, endpoint, incarnation, changed, origin, counted);
+  }
+
+  Attempt uncounted() {
+    return new Attempt(id, endpoint, incarnation, phase, origin, false);
+  }
+
+  boolean own() {
+    return origin == AttemptOrigin.OWN;
   }
 }
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/AttemptOrigin.java
@@ -0,0 +1,12 @@
+package io.zinniawood.core.entry;
+
+/** Tells whose attempt a request waits for. */
+enum AttemptOrigin {
+  /** The request's own attempt. */
+  OWN,
+  /**
+   * The attempt of another request with the same idempotency key. It is joined to get its answer
+   * and never cancelled.
+   */
+  OTHER
+}
--- a/core/src/main/java/io/zinniawood/core/entry/AttemptPhase.java
+++ b/core/src/main/java/io/zinniawood/core/entry/AttemptPhase.java
@@ -6,8 +6,8 @@
   SENT,
   /** A cancel was sent; its result or the answer is awaited. */
   CANCELLING,
-  /** The agent confirmed that the attempt runs; only its answer can end it. */
+  /** The attempt runs or may run, and only its answer or the deadline can end it. */
   RUNNING,
-  /** The table was asked to release the key. */
+  /** The table was asked to release the key or to show who holds it. */
   RELEASING
 }
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Attempts.java
@@ -0,0 +1,221 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.Fence;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+
+/** Sends attempts of service calls, cancels them and tries again where that is safe. */
+final class Attempts {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** A live agent answers a cancel at once; longer means that it cannot be reached. */
+  private static final long CANCEL_NANOS = 300 * NANOS_PER_MILLI;
+
+  private Attempts() {}
+
+  /** Sends a new attempt to the best endpoint. */
+  static void dispatch(Turn turn, ServiceRequest request) {
+    var arrival = request.arrival();
+    Option<Choosing> target =
+        Selection.service(turn, arrival.service(), request.avoid(), arrival.priority())
+            .orElse(
+                () ->
+                    Selection.service(
+                        turn,
+                        arrival.service(),
+                        request.withoutAvoided().avoid(),
+                        arrival.priority()));
+    if (target.isEmpty()) {
+      Answers.failService(turn, request, noEndpoint(turn, request));
+      return;
+    }
+    var member = target.get().stage().member();
+    Attempt attempt =
+        new Attempt(
+            turn.nextAttempt(),
+            member.endpoint(),
+            member.connection().incarnation().get(),
+            AttemptPhase.SENT,
+            AttemptOrigin.OWN,
+            true);
+    turn.updateMember(
+        member.endpoint(), known -> known.with(known.work().taken(target.get().nextPass())));
+    ServiceRequest sent = request.dispatched(attempt);
+    OpenRequests.put(turn, request.id(), sent);
+    send(turn, sent, attempt);
+    startTimer(turn, sent, timeoutNanos(turn, sent));
+  }
+
+  /** Sends an attempt to its endpoint; the gate there runs it at most once. */
+  static void send(Turn turn, ServiceRequest request, Attempt attempt) {
+    var arrival = request.arrival();
+    turn.send(
+        attempt.endpoint(),
+        attempt.incarnation(),
+        new Message.Dispatch(
+            arrival.request(),
+            attempt.id(),
+            attempt.incarnation(),
+            arrival.clientAccount(),
+            arrival.service(),
+            arrival.call(),
+            arrival.idempotency(),
+            arrival.key(),
+            request.fence(),
+            Math.max(0, arrival.deadlineNanos() - turn.nowNanos()) / NANOS_PER_MILLI,
+            Admission.weight(turn, arrival.clientAccount())));
+  }
+
+  static void timedOut(Turn turn, RequestId id, AttemptId attemptId) {
+    for (ServiceRequest request : OpenRequests.withAttempt(turn, id, attemptId)) {
+      Attempt attempt = request.current().get();
+      switch (attempt.phase()) {
+        case SENT -> {
+          Failures.failed(turn, attempt.endpoint());
+          unanswered(turn, request, attempt);
+        }
+        case CANCELLING -> unreachable(turn, request);
+        case RELEASING -> Claims.release(turn, request);
+        default -> {
+          if (request.claimed()
+              && !turn.fleet().connectedAs(attempt.endpoint(), attempt.incarnation())) {
+            Claims.release(turn, request);
+          }
+        }
+      }
+    }
+  }
+
+  private static void unanswered(Turn turn, ServiceRequest request, Attempt attempt) {
+    if (request.idempotent()) {
+      if (mayRetry(turn, request)) {
+        cancel(turn, request);
+        uncount(turn, request);
+        retryLater(turn, request.abandoned());
+      } else {
+        setPhase(turn, request, AttemptPhase.RUNNING);
+      }
+    } else if (!attempt.own()) {
+      Claims.release(turn, request);
+    } else if (turn.fleet().connectedAs(attempt.endpoint(), attempt.incarnation())) {
+      sendCancel(turn, request, attempt);
+      setPhase(turn, request, AttemptPhase.CANCELLING);
+      startTimer(turn, request, CANCEL_NANOS);
+    } else {
+      unreachable(turn, request);
+    }
+  }
+
+  /** Decides about an attempt whose agent cannot be reached or did not answer the cancel. */
+  static void unreachable(Turn turn, ServiceRequest request) {
+    if (request.claimed()) {
+      Claims.release(turn, request);
+    } else if (request.idempotent()) {
+      giveUpAndRetry(turn, request, "the endpoint of the attempt cannot be reached");
+    } else {
+      setPhase(turn, request, AttemptPhase.RUNNING);
+    }
+  }
+
+  /** Gives up an attempt of an idempotent call that may run, and tries again. */
+  static void giveUpAndRetry(Turn turn, ServiceRequest request, String detail) {
+    uncount(turn, request);
+    retry(turn, request.abandoned(), Problem.unknown(ProblemType.ENDPOINT_FAILED, detail));
+  }
+
+  /** Tries again after the present attempt certainly did not start and never will. */
+  static void notStarted(Turn turn, ServiceRequest request, Fence nextFence, Problem problem) {
+    uncount(turn, request);
+    retry(turn, request.notStarted(nextFence), problem);
+  }
+
+  /** Schedules the next attempt, or answers with the problem if there is none. */
+  private static void retry(Turn turn, ServiceRequest request, Problem problem) {
+    if (mayRetry(turn, request)) {
+      retryLater(turn, request);
+    } else {
+      Answers.failService(turn, request, truthful(request, problem));
+    }
+  }
+
+  private static boolean mayRetry(Turn turn, ServiceRequest request) {
+    return request.attempts() < turn.cluster().retries().maxAttempts()
+        && turn.state().lifecycle() != Lifecycle.STOPPED
+        && Retries.take(turn);
+  }
+
+  private static void retryLater(Turn turn, ServiceRequest request) {
+    OpenRequests.put(turn, request.id(), request);
+    turn.startTimer(
+        new EntryTimer.RetryDelay(request.id()), Retries.delayNanos(turn, request.attempts()));
+  }
+
+  static void delayOver(Turn turn, ServiceRequest request) {
+    if (request.current().isEmpty()) {
+      dispatch(turn, request);
+    }
+  }
+
+  /** Sends a cancel for the present attempt if it is the request's own. */
+  static void cancel(Turn turn, ServiceRequest request) {
+    request.current().filter(Attempt::own).forEach(attempt -> sendCancel(turn, request, attempt));
+  }
+
+  static void sendCancel(Turn turn, ServiceRequest request, Attempt attempt) {
+    turn.send(
+        attempt.endpoint(),
+        attempt.incarnation(),
+        new Message.CancelDispatch(request.id(), attempt.id()));
+  }
+
+  /** Gives back the count of the present attempt at its endpoint and stops its timer. */
+  static void uncount(Turn turn, ServiceRequest request) {
+    for (Attempt attempt : request.current()) {
+      turn.cancelTimer(new EntryTimer.AttemptTimeout(request.id(), attempt.id()));
+      if (attempt.counted()) {
+        turn.updateMember(attempt.endpoint(), member -> member.with(member.work().released()));
+      }
+    }
+  }
+
+  static void setPhase(Turn turn, ServiceRequest request, AttemptPhase phase) {
+    OpenRequests.put(
+        turn, request.id(), request.withCurrent(request.current().get().withPhase(phase)));
+  }
+
+  static void startTimer(Turn turn, ServiceRequest request, long delayNanos) {
+    turn.startTimer(
+        new EntryTimer.AttemptTimeout(request.id(), request.current().get().id()), delayNanos);
+  }
+
+  /** Returns the problem with the outcome that is true for the request as a whole. */
+  static Problem truthful(ServiceRequest request, Problem problem) {
+    return request.uncertain() ? Problem.unknown(problem.type(), problem.detail()) : problem;
+  }
+
+  /** Leaves time before the deadline to find out whether the attempt started. */
+  private static long timeoutNanos(Turn turn, ServiceRequest request) {
+    long remainingNanos = request.arrival().deadlineNanos() - turn.nowNanos();
+    return Math.min(
+        turn.cluster().retries().attemptTimeoutMillis() * NANOS_PER_MILLI,
+        Math.max(remainingNanos / 2, remainingNanos - 2 * CANCEL_NANOS));
+  }
+
+  private static Problem noEndpoint(Turn turn, ServiceRequest request) {
+    var service = request.arrival().service();
+    Problem problem =
+        Selection.serviceExists(turn, service)
+            ? Problem.notRunRetry(
+                ProblemType.OVERLOADED,
+                "every endpoint of %s is at its limit".formatted(service),
+                200)
+            : Problem.notRunRetry(
+                ProblemType.NO_ENDPOINT, "no endpoint serves %s".formatted(service), 500);
+    return truthful(request, problem);
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/entry/Configurations.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Configurations.java
@@ -22,7 +22,10 @@
     if (turn.state().lifecycle() == Lifecycle.STARTING) {
       turn.update(state -> state.withLifecycle(Lifecycle.READY));
       turn.emit(new EntryEffect.SetReadiness(Readiness.READY));
+      Leases.start(turn);
+      Maintenance.start(turn);
     }
+    turn.update(state -> state.withFleet(state.fleet().withoutPlans()));
     Membership.connectSubset(turn);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/EntryDispatch.java
+++ b/core/src/main/java/io/zinniawood/core/entry/EntryDispatch.java
@@ -34,26 +34,27 @@
 
   @Override
   public Void visitAgentDisconnected(EntryEvent.AgentDisconnected event) {
-    Membership.disconnected(turn, event);
+    Connections.disconnected(turn, event);
     return null;
   }
 
   @Override
   public Void visitAgentConnectFailed(EntryEvent.AgentConnectFailed event) {
-    Membership.connectFailed(turn, event.endpoint());
+    Connections.connectFailed(turn, event.endpoint());
     return null;
   }
 
   @Override
   public Void visitAgentMessageReceived(EntryEvent.AgentMessageReceived event) {
     if (turn.fleet().connectedAs(event.endpoint(), event.incarnation())) {
-      event.message().accept(new MessageDispatch(turn, event.endpoint()));
+      event.message().accept(new MessageDispatch(turn, event));
     }
     return null;
   }
 
   @Override
   public Void visitClaimResolved(EntryEvent.ClaimResolved event) {
+    Claims.resolved(turn, event);
     return null;
   }
 
@@ -71,11 +72,13 @@
 
   @Override
   public Void visitLeaseRead(EntryEvent.LeaseRead event) {
+    Leases.read(turn, event);
     return null;
   }
 
   @Override
   public Void visitLeaseUnavailable(EntryEvent.LeaseUnavailable event) {
+    Leases.unavailable(turn);
     return null;
   }
 
--- a/core/src/main/java/io/zinniawood/core/entry/EntryState.java
+++ b/core/src/main/java/io/zinniawood/core/entry/EntryState.java
@@ -5,9 +5,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.configuration.AcceptedConfiguration;
 import io.zinniawood.core.configuration.ClusterConfiguration;
-import io.zinniawood.core.entry.limits.AccountUse;
 import io.zinniawood.core.entry.membership.Hashing;
-import io.zinniawood.core.id.ClientAccountId;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.id.SessionId;
 
@@ -18,23 +16,23 @@
  * @param self this entry
  * @param ids source of ids and random numbers
  * @param lifecycle phase of the process
- * @param ticking whether the periodic timers were started
  * @param configuration configuration in force
  * @param fleet endpoints and entries
  * @param sessions stage sessions by id
  * @param requests open requests by id
- * @param accounts use by client account
+ * @param usage use of the entry
+ * @param controller lease and repair
  */
 public record EntryState(
     EntryNode self,
     IdSource ids,
     Lifecycle lifecycle,
-    boolean ticking,
     Option<AcceptedConfiguration> configuration,
     Fleet fleet,
     Map<SessionId, Session> sessions,
     Map<RequestId, OpenRequest> requests,
-    Map<ClientAccountId, AccountUse> accounts) {
+    Usage usage,
+    Controller controller) {
 
   /**
    * Returns the state of an entry that has just started.
@@ -47,12 +45,12 @@
         self,
         new IdSource(Hashing.combine(seed, Hashing.of(self.vm().value())), 0),
         Lifecycle.STARTING,
-        false,
         Option.none(),
         Fleet.empty(),
         HashMap.empty(),
         HashMap.empty(),
-        HashMap.empty());
+        Usage.none(),
+        Controller.idle());
   }
 
   /** Returns the number of requests that have not been answered. */
@@ -66,41 +64,41 @@
 
   EntryState withIds(IdSource changed) {
     return new EntryState(
-        self, changed, lifecycle, ticking, configuration, fleet, sessions, requests, accounts);
+        self, changed, lifecycle, configuration, fleet, sessions, requests, usage, controller);
   }
 
   EntryState withLifecycle(Lifecycle changed) {
     return new EntryState(
-        self, ids, changed, ticking, configuration, fleet, sessions, requests, accounts);
-  }
-
-  EntryState withTicking() {
-    return new EntryState(
-        self, ids, lifecycle, true, configuration, fleet, sessions, requests, accounts);
+        self, ids, changed, configuration, fleet, sessions, requests, usage, controller);
   }
 
   EntryState withConfiguration(AcceptedConfiguration changed) {
     return new EntryState(
-        self, ids, lifecycle, ticking, Option.some(changed), fleet, sessions, requests, accounts);
+        self, ids, lifecycle, Option.some(changed), fleet, sessions, requests, usage, controller);
   }
 
   EntryState withFleet(Fleet changed) {
     return new EntryState(
-        self, ids, lifecycle, ticking, configuration, changed, sessions, requests, accounts);
+        self, ids, lifecycle, configuration, changed, sessions, requests, usage, controller);
   }
 
   EntryState withSessions(Map<SessionId, Session> changed) {
     return new EntryState(
-        self, ids, lifecycle, ticking, configuration, fleet, changed, requests, accounts);
+        self, ids, lifecycle, configuration, fleet, changed, requests, usage, controller);
   }
 
   EntryState withRequests(Map<RequestId, OpenRequest> changed) {
     return new EntryState(
-        self, ids, lifecycle, ticking, configuration, fleet, sessions, changed, accounts);
+        self, ids, lifecycle, configuration, fleet, sessions, changed, usage, controller);
+  }
+
+  EntryState withUsage(Usage changed) {
+    return new EntryState(
+        self, ids, lifecycle, configuration, fleet, sessions, requests, changed, controller);
   }
 
-  EntryState withAccounts(Map<ClientAccountId, AccountUse> changed) {
+  EntryState withController(Controller changed) {
     return new EntryState(
-        self, ids, lifecycle, ticking, configuration, fleet, sessions, requests, changed);
+        self, ids, lifecycle, configuration, fleet, sessions, requests, usage, changed);
   }
 }
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Failures.java
@@ -0,0 +1,59 @@
+package io.zinniawood.core.entry;
+
+import io.zinniawood.core.entry.membership.Health;
+import io.zinniawood.core.entry.membership.Member;
+import io.zinniawood.core.entry.membership.Workload;
+import io.zinniawood.core.id.EndpointId;
+
+/** Keeps the health and the adaptive limit of endpoints. */
+final class Failures {
+  private Failures() {}
+
+  static void succeeded(Turn turn, EndpointId endpoint) {
+    turn.updateMember(
+        endpoint,
+        member -> {
+          Workload work = member.work();
+          Member limited = member.with(work.limited(work.limit().success(work.inFlight())));
+          return member.health().equals(Health.GOOD) ? limited : limited.with(Health.GOOD);
+        });
+  }
+
+  /** Lowers the limit of an endpoint that refused work for overload. */
+  static void overloaded(Turn turn, EndpointId endpoint) {
+    turn.updateMember(
+        endpoint,
+        member ->
+            member.with(member.work().limited(member.work().limit().overload(turn.nowNanos()))));
+  }
+
+  /** Counts a failure and ejects the endpoint if it fails repeatedly. */
+  static void failed(Turn turn, EndpointId endpoint) {
+    overloaded(turn, endpoint);
+    turn.updateMember(
+        endpoint,
+        member -> {
+          Health health = member.health().failed();
+          boolean eject = health.failures() >= Health.EJECT_AFTER && mayEject(turn, member);
+          return member.with(eject ? health.eject(turn.nowNanos()) : health);
+        });
+  }
+
+  /** Ejects at most the configured share of a pool, so that the others are not overrun. */
+  private static boolean mayEject(Turn turn, Member member) {
+    var pool =
+        turn.fleet()
+            .members()
+            .values()
+            .filter(
+                other ->
+                    other.connected()
+                        && other.placement().pool().equals(member.placement().pool()));
+    int ejected =
+        pool.count(
+            other ->
+                other.health().ejected(turn.nowNanos())
+                    && !other.endpoint().equals(member.endpoint()));
+    return ejected + 1 <= pool.size() * turn.cluster().routing().maxEjectedShare();
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/entry/Fleet.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Fleet.java
@@ -4,8 +4,11 @@
 import io.vavr.collection.Map;
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.membership.Member;
+import io.zinniawood.core.entry.routing.FlowPlan;
+import io.zinniawood.core.entry.routing.LinkPair;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.ModelId;
 
 /**
  * Endpoints and entries as this entry sees them.
@@ -13,11 +16,19 @@
  * @param listVersion version of the VM list, 0 before the first one
  * @param liveEntries live entries in the VM list
  * @param members endpoints by id
+ * @param degraded links that failed lately, with the monotonic time in nanoseconds until which they
+ *     are avoided
+ * @param plans flow of each model; forgotten when an endpoint's part in it changes
  */
-record Fleet(long listVersion, int liveEntries, Map<EndpointId, Member> members) {
+record Fleet(
+    long listVersion,
+    int liveEntries,
+    Map<EndpointId, Member> members,
+    Map<LinkPair, Long> degraded,
+    Map<ModelId, FlowPlan> plans) {
 
   static Fleet empty() {
-    return new Fleet(0, 1, HashMap.empty());
+    return new Fleet(0, 1, HashMap.empty(), HashMap.empty(), HashMap.empty());
   }
 
   Option<Member> member(EndpointId endpoint) {
@@ -30,6 +41,49 @@
   }
 
   Fleet with(Member member) {
-    return new Fleet(listVersion, liveEntries, members.put(member.endpoint(), member));
+    boolean samePart =
+        members
+            .get(member.endpoint())
+            .exists(
+                known ->
+                    known.takesWork() == member.takesWork()
+                        && known.serving().capability().equals(member.serving().capability()));
+    return new Fleet(
+        listVersion,
+        liveEntries,
+        members.put(member.endpoint(), member),
+        degraded,
+        samePart ? plans : HashMap.empty());
+  }
+
+  Fleet without(EndpointId endpoint) {
+    return new Fleet(listVersion, liveEntries, members.remove(endpoint), degraded, HashMap.empty());
+  }
+
+  /** Returns this fleet with a link that is avoided until the given time. */
+  Fleet withDegraded(LinkPair link, long untilNanos) {
+    return new Fleet(
+        listVersion, liveEntries, members, degraded.put(link, untilNanos), HashMap.empty());
+  }
+
+  /** Returns this fleet without the links whose time is over. */
+  Fleet withoutRecovered(long nowNanos) {
+    Map<LinkPair, Long> still = degraded.filterValues(until -> until - nowNanos > 0);
+    return still.size() == degraded.size()
+        ? this
+        : new Fleet(listVersion, liveEntries, members, still, HashMap.empty());
+  }
+
+  Fleet withPlan(ModelId model, FlowPlan plan) {
+    return new Fleet(listVersion, liveEntries, members, degraded, plans.put(model, plan));
+  }
+
+  Fleet withoutPlans() {
+    return new Fleet(listVersion, liveEntries, members, degraded, HashMap.empty());
+  }
+
+  /** Returns this fleet with the entries and placements of a VM list. */
+  Fleet listed(long version, int entries, Map<EndpointId, Member> listedMembers) {
+    return new Fleet(version, Math.max(1, entries), listedMembers, degraded, HashMap.empty());
   }
 }
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Leases.java
@@ -0,0 +1,91 @@
+package io.zinniawood.core.entry;
+
+import io.zinniawood.core.entry.lease.LeaseView;
+import io.zinniawood.core.id.FencingNumber;
+
+/** Takes and renews the controller lease. */
+final class Leases {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** Two renewals may be lost before the lease expires. */
+  private static final int TICKS_PER_LEASE = 3;
+
+  private Leases() {}
+
+  static void start(Turn turn) {
+    turn.startTimer(new EntryTimer.LeaseTick(), leaseNanos(turn) / TICKS_PER_LEASE);
+  }
+
+  static void tick(Turn turn) {
+    start(turn);
+    if (turn.state().lifecycle() != Lifecycle.READY) {
+      return;
+    }
+    LeaseView lease = turn.state().controller().lease();
+    if (lease.mine().isDefined() && lease.pending().isEmpty()) {
+      LeaseRow row = lease.mine().get();
+      write(turn, new LeaseRow(row.holder(), row.fencingNumber(), row.renewals() + 1));
+    } else {
+      turn.emit(new EntryEffect.ReadLease());
+    }
+  }
+
+  static void read(Turn turn, EntryEvent.LeaseRead event) {
+    storeState(turn, Controller.StoreState.AVAILABLE);
+    LeaseView before = turn.state().controller().lease();
+    LeaseView after = before.read(event.row(), event.version(), leaseNanos(turn), turn.nowNanos());
+    set(turn, after);
+    if (after.mine().isDefined()) {
+      if (before.mine().isEmpty()) {
+        taken(turn, after.mine().get());
+      }
+    } else if (after.expired(leaseNanos(turn), turn.nowNanos())
+        && turn.state().lifecycle() == Lifecycle.READY) {
+      long fencing = event.row().map(row -> row.fencingNumber().value()).getOrElse(0L) + 1;
+      write(turn, new LeaseRow(turn.state().self().vm(), new FencingNumber(fencing), 0));
+    }
+  }
+
+  static void unavailable(Turn turn) {
+    storeState(turn, Controller.StoreState.UNAVAILABLE);
+  }
+
+  /** Gives up the lease, as an agent has seen a higher fencing number. */
+  static void superseded(Turn turn) {
+    set(turn, turn.state().controller().lease().lost());
+  }
+
+  private static void taken(Turn turn, LeaseRow row) {
+    turn.incident(
+        IncidentKind.LEASE_TAKEN,
+        row.holder().value(),
+        "holds the controller lease with fencing number %s".formatted(row.fencingNumber()));
+    Membership.connectSubset(turn);
+  }
+
+  private static void write(Turn turn, LeaseRow row) {
+    LeaseView lease = turn.state().controller().lease();
+    set(turn, lease.writing(row, turn.nowNanos()));
+    turn.emit(new EntryEffect.WriteLease(lease.version(), row));
+  }
+
+  private static void set(Turn turn, LeaseView lease) {
+    turn.update(state -> state.withController(state.controller().with(lease)));
+  }
+
+  private static void storeState(Turn turn, Controller.StoreState next) {
+    if (turn.state().controller().store() != next) {
+      turn.update(state -> state.withController(state.controller().with(next)));
+      turn.incident(
+          IncidentKind.STORE_STATE,
+          "table",
+          next == Controller.StoreState.AVAILABLE
+              ? "the table answers again"
+              : "the table does not answer; the lease and keyed calls wait for it");
+    }
+  }
+
+  private static long leaseNanos(Turn turn) {
+    return turn.cluster().repair().leaseMillis() * NANOS_PER_MILLI;
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/entry/Membership.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Membership.java
@@ -2,22 +2,25 @@
 
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
 import io.zinniawood.core.configuration.ClusterConfiguration;
 import io.zinniawood.core.entry.membership.Link;
 import io.zinniawood.core.entry.membership.Member;
 import io.zinniawood.core.entry.membership.Placement;
 import io.zinniawood.core.entry.membership.SubsetSelection;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.message.Message;
 import io.zinniawood.core.model.AgentIdentity;
-import io.zinniawood.core.model.Capability;
+import io.zinniawood.core.model.ServingState;
 import io.zinniawood.core.model.VmEntry;
 import io.zinniawood.core.model.VmRole;
 import io.zinniawood.core.model.VmState;
 
-/** Keeps the view of endpoints up to date and decides which agents the entry connects to. */
+/** Combines the VM list, the agents' notices and the connections to one view of the endpoints. */
 final class Membership {
-  private static final long RECONNECT_NANOS = 200_000_000;
+  /** Endpoints of each pool to connect to as long as no configuration says otherwise. */
+  private static final int DEFAULT_SUBSET = 16;
 
   private Membership() {}
 
@@ -35,7 +38,7 @@
                 member ->
                     listed.contains(member.endpoint())
                         ? member
-                        : member.withPlacement(member.placement().unlisted()));
+                        : member.with(member.placement().unlisted()));
     for (VmEntry vm : endpoints) {
       EndpointId id = endpointId(vm);
       Placement placement =
@@ -44,23 +47,17 @@
       Member member =
           members
               .get(id)
-              .map(known -> known.withPlacement(placement))
+              .map(known -> known.with(placement))
               .getOrElse(() -> Member.unconnected(id, placement));
       members = members.put(id, member);
     }
-    Fleet fleet = new Fleet(event.version(), Math.max(1, entries), members);
+    Fleet fleet = turn.fleet().listed(event.version(), entries, members);
     turn.update(state -> state.withFleet(fleet));
     connectSubset(turn);
   }
 
   /** Connects to the chosen subset of each pool and leaves idle endpoints outside of it. */
   static void connectSubset(Turn turn) {
-    int subsetSize =
-        turn.state()
-            .cluster()
-            .map(ClusterConfiguration::routing)
-            .map(routing -> routing.subsetSize())
-            .getOrElse(16);
     Vector<Member> candidates =
         turn.fleet()
             .members()
@@ -68,68 +65,97 @@
             .filter(member -> member.placement().listed() && !member.leaving())
             .toVector();
     Set<EndpointId> chosen =
-        SubsetSelection.choose(turn.state().self().vm(), candidates, subsetSize);
-    for (Member member : turn.fleet().members().values()) {
-      if (chosen.contains(member.endpoint()) && member.link() == Link.IDLE) {
-        connect(turn, member);
+        SubsetSelection.choose(turn.state().self().vm(), candidates, subsetSize(turn));
+    for (Member member : candidates.sortBy(Member::endpoint)) {
+      if (chosen.contains(member.endpoint())) {
+        connectIfIdle(turn, member);
+      } else if (member.connected() && member.work().inFlight() == 0) {
+        turn.updateMember(member.endpoint(), known -> known.with(known.connection().to(Link.IDLE)));
+        turn.emit(new EntryEffect.DisconnectAgent(member.endpoint()));
       }
     }
   }
 
+  /** The holder of the lease needs to see every endpoint before it orders repairs. */
+  private static int subsetSize(Turn turn) {
+    return turn.state().controller().lease().mine().isDefined()
+        ? Integer.MAX_VALUE
+        : turn.state()
+            .cluster()
+            .map(ClusterConfiguration::routing)
+            .map(routing -> routing.subsetSize())
+            .getOrElse(DEFAULT_SUBSET);
+  }
+
   static void connected(Turn turn, EntryEvent.AgentConnected event) {
     AgentIdentity identity = event.identity();
+    EndpointId endpoint = identity.endpoint();
     Placement greeting =
         new Placement(identity.address(), identity.pool(), identity.dataCentre(), false, false);
     Member known =
-        turn.fleet()
-            .member(identity.endpoint())
-            .getOrElse(() -> Member.unconnected(identity.endpoint(), greeting));
-    Member member = known.connected(identity.incarnation(), ceiling(event.status().capability()));
+        turn.fleet().member(endpoint).getOrElse(() -> Member.unconnected(endpoint, greeting));
+    Option<Incarnation> before = known.connection().incarnation();
+    Member member =
+        known.opened(identity.incarnation(), event.status().capability(), turn.nowNanos());
     turn.update(state -> state.withFleet(state.fleet().with(member)));
-    status(turn, member.endpoint(), event.status());
+    status(turn, endpoint, event.status());
+    if (known.connection().failures() > 0) {
+      turn.incident(
+          IncidentKind.ENDPOINT_BACK,
+          endpoint.value(),
+          "connected after %d failures".formatted(known.connection().failures()));
+    }
+    if (before.contains(identity.incarnation())) {
+      SessionFailures.endpointBack(turn, endpoint, identity.incarnation());
+      Refusals.endpointBack(turn, endpoint, identity.incarnation());
+    } else {
+      before.forEach(gone -> SessionFailures.endpointLost(turn, endpoint, gone));
+      before.forEach(gone -> Refusals.incarnationGone(turn, endpoint, gone));
+    }
   }
 
   static void status(Turn turn, EndpointId endpoint, Message.Status status) {
+    boolean leaves =
+        status.state() == ServingState.LEAVING
+            && turn.fleet().member(endpoint).exists(member -> !member.leaving());
     turn.updateMember(
         endpoint,
         member ->
-            member.withStatus(status.state(), status.capability(), status.load(), turn.nowNanos()));
-  }
-
-  static void disconnected(Turn turn, EntryEvent.AgentDisconnected event) {
-    if (!turn.fleet().connectedAs(event.endpoint(), event.incarnation())) {
-      return;
+            member
+                .with(
+                    member
+                        .serving()
+                        .announced(
+                            status.state(), status.capability(), status.load(), turn.nowNanos()))
+                .with(
+                    member
+                        .work()
+                        .limited(
+                            member
+                                .work()
+                                .limit()
+                                .withCeiling(Member.ceiling(status.capability())))));
+    if (leaves) {
+      connectSubset(turn);
     }
-    turn.fleet().member(event.endpoint()).forEach(member -> connect(turn, member));
-  }
-
-  static void connectFailed(Turn turn, EndpointId endpoint) {
-    turn.updateMember(
-        endpoint, member -> member.withLink(Link.WAITING, member.connectFailures() + 1));
-    turn.startTimer(new EntryTimer.ReconnectDelay(endpoint), RECONNECT_NANOS);
-  }
-
-  static void reconnect(Turn turn, EndpointId endpoint) {
-    turn.fleet()
-        .member(endpoint)
-        .filter(member -> member.link() == Link.WAITING)
-        .forEach(member -> connect(turn, member));
   }
 
-  private static void connect(Turn turn, Member member) {
-    turn.updateMember(
-        member.endpoint(), known -> known.withLink(Link.CONNECTING, known.connectFailures()));
-    turn.emit(new EntryEffect.ConnectAgent(member.endpoint(), member.placement().address()));
-  }
-
-  private static int ceiling(Capability capability) {
-    if (capability instanceof Capability.ModelStage stage) {
-      return stage.maxSessions();
+  /** Takes the notice that an endpoint leaves; it comes before the VM list shows it. */
+  static void leaving(Turn turn, EndpointId endpoint) {
+    if (turn.fleet().member(endpoint).exists(member -> !member.leaving())) {
+      turn.updateMember(endpoint, member -> member.with(member.serving().leaving()));
+      connectSubset(turn);
     }
-    return ((Capability.PlainService) capability).maxConcurrent();
   }
 
   private static EndpointId endpointId(VmEntry vm) {
     return new EndpointId(vm.vm().value());
   }
+
+  /** Opens a connection unless there is one or one is on its way. */
+  static void connectIfIdle(Turn turn, Member member) {
+    if (member.connection().link() == Link.IDLE) {
+      Connections.connect(turn, member);
+    }
+  }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/MessageDispatch.java
+++ b/core/src/main/java/io/zinniawood/core/entry/MessageDispatch.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.entry;
 
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.message.Message;
 import io.zinniawood.core.message.MessageVisitor;
 
@@ -8,10 +9,12 @@
 final class MessageDispatch implements MessageVisitor<Void> {
   private final Turn turn;
   private final EndpointId endpoint;
+  private final Incarnation incarnation;
 
-  MessageDispatch(Turn turn, EndpointId endpoint) {
+  MessageDispatch(Turn turn, EntryEvent.AgentMessageReceived event) {
     this.turn = turn;
-    this.endpoint = endpoint;
+    this.endpoint = event.endpoint();
+    this.incarnation = event.incarnation();
   }
 
   @Override
@@ -27,13 +30,13 @@
 
   @Override
   public Void visitDispatchReply(Message.DispatchReply message) {
-    ServiceRequests.replied(turn, message);
+    ServiceRequests.replied(turn, endpoint, message);
     return null;
   }
 
   @Override
   public Void visitDispatchRefused(Message.DispatchRefused message) {
-    ServiceRequests.refused(turn, message);
+    Refusals.refused(turn, endpoint, message);
     return null;
   }
 
@@ -44,6 +47,7 @@
 
   @Override
   public Void visitCancelResult(Message.CancelResult message) {
+    Refusals.cancelled(turn, message);
     return null;
   }
 
@@ -54,13 +58,13 @@
 
   @Override
   public Void visitSessionOpened(Message.SessionOpened message) {
-    StageSessions.opened(turn, endpoint, message);
+    StageSessions.opened(turn, endpoint, incarnation, message);
     return null;
   }
 
   @Override
   public Void visitSessionRefused(Message.SessionRefused message) {
-    StageSessions.refused(turn, endpoint, message);
+    SessionFailures.refused(turn, endpoint, incarnation, message);
     return null;
   }
 
@@ -76,13 +80,13 @@
 
   @Override
   public Void visitToken(Message.Token message) {
-    StageSessions.token(turn, endpoint, message);
+    StageSessions.token(turn, endpoint, incarnation, message);
     return null;
   }
 
   @Override
   public Void visitStageFailed(Message.StageFailed message) {
-    StageSessions.stageFailed(turn, message);
+    SessionFailures.stageFailed(turn, endpoint, incarnation, message);
     return null;
   }
 
@@ -113,6 +117,7 @@
 
   @Override
   public Void visitOrderResult(Message.OrderResult message) {
+    Repair.result(turn, endpoint, message);
     return null;
   }
 
--- a/core/src/main/java/io/zinniawood/core/entry/ModelRequests.java
+++ b/core/src/main/java/io/zinniawood/core/entry/ModelRequests.java
@@ -1,9 +1,10 @@
 package io.zinniawood.core.entry;
 
+import io.vavr.collection.HashSet;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import io.zinniawood.core.configuration.ModelDefinition;
-import io.zinniawood.core.entry.routing.Stage;
+import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.Outcome;
 import io.zinniawood.core.model.Problem;
@@ -17,57 +18,52 @@
     if (turn.state().requests().containsKey(event.request())) {
       return;
     }
-    Option<Problem> refusal = Admission.admit(turn, event.clientAccount(), event.deadlineNanos());
+    String target = event.model().value();
+    Option<Problem> refusal =
+        Admission.admit(turn, event.clientAccount(), target, event.deadlineNanos());
     if (refusal.isDefined()) {
-      refuse(turn, event, refusal.get());
+      Answers.refuse(turn, event.request(), event.clientAccount(), target, refusal.get());
       return;
     }
-    Option<ModelDefinition> model = turn.cluster().models().get(event.model());
+    Retries.requested(turn);
+    Session session =
+        Session.first(turn.nextSession(), event, 1, Vector.empty(), Progress.none(turn.nowNanos()))
+            .withPhase(SessionPhase.DELAYED);
+    turn.putSession(session);
+    OpenRequests.put(turn, event.request(), new OpenRequest.OfModel(session.id()));
+    turn.startTimer(
+        new EntryTimer.RequestDeadline(event.request()), event.deadlineNanos() - turn.nowNanos());
+    route(turn, session);
+  }
+
+  /** Chooses a chain for a session without stages and opens it. */
+  static void route(Turn turn, Session session) {
+    var arrival = session.arrival();
+    Option<ModelDefinition> model = turn.cluster().models().get(arrival.model());
     if (model.isEmpty()) {
-      refuseOpened(
+      Answers.failModel(
           turn,
-          event,
+          session,
           Problem.notRun(
-              ProblemType.NOT_FOUND, "model %s is not configured".formatted(event.model())));
+              ProblemType.NOT_FOUND, "model %s is not configured".formatted(arrival.model())));
       return;
     }
     LayerRange all = new LayerRange(0, model.get().layers());
-    Option<Vector<Stage>> chain =
-        Selection.chain(turn, event.model(), all, event.prefixHash(), event.priority());
+    Option<Vector<Choosing>> chain = Selection.chain(turn, all, arrival, HashSet.empty());
     if (chain.isEmpty()) {
-      refuseOpened(
-          turn,
-          event,
-          Problem.notRunRetry(
-              ProblemType.NO_ENDPOINT,
-              "no chain of endpoints with free capacity covers layers [0, %d) of model %s"
-                  .formatted(all.toLayerExclusive(), event.model()),
-              500));
+      Answers.failModel(turn, session, noChain(turn, session, all));
       return;
     }
-    Session session =
-        Session.first(
-            turn.nextSession(),
-            event,
-            StageSessions.addresses(chain.get()),
-            1,
-            Progress.none(turn.nowNanos()));
-    turn.update(
-        state ->
-            state.withRequests(
-                state.requests().put(event.request(), new OpenRequest.OfModel(session.id()))));
-    turn.startTimer(
-        new EntryTimer.RequestDeadline(event.request()), event.deadlineNanos() - turn.nowNanos());
     StageSessions.take(turn, chain.get());
-    StageSessions.open(turn, session);
+    StageSessions.open(turn, session.opening(StageSessions.addresses(chain.get())));
   }
 
   static void deadline(Turn turn, Session session) {
     Problem problem =
-        session.stepSent()
+        session.inputSent()
             ? Problem.unknown(
                 ProblemType.DEADLINE_EXCEEDED,
-                "the deadline passed after %d tokens".formatted(session.progress().nextPosition()))
+                "the deadline passed after %d tokens".formatted(session.position()))
             : Problem.notRun(
                 ProblemType.DEADLINE_EXCEEDED, "the deadline passed before the prompt was sent");
     StageSessions.close(turn, session);
@@ -77,17 +73,21 @@
   static void callerGone(Turn turn, Session session) {
     StageSessions.close(turn, session);
     Answers.endModel(
-        turn, session, session.stepSent() ? Outcome.UNKNOWN : Outcome.NOT_RUN, Option.none());
+        turn, session, session.inputSent() ? Outcome.UNKNOWN : Outcome.NOT_RUN, Option.none());
   }
 
-  private static void refuse(Turn turn, EntryEvent.ModelRequestArrived event, Problem problem) {
-    Answers.refuse(turn, event.request(), event.clientAccount(), event.model().value(), problem);
-  }
-
-  /** Refuses a request that was already counted for its account. */
-  private static void refuseOpened(
-      Turn turn, EntryEvent.ModelRequestArrived event, Problem problem) {
-    Admission.release(turn, event.clientAccount());
-    refuse(turn, event, problem);
+  private static Problem noChain(Turn turn, Session session, LayerRange all) {
+    var model = session.arrival().model();
+    boolean served = Plans.of(turn, model).tokensPerSecond() > 0;
+    String detail =
+        served
+            ? "every chain of model %s is at its limit".formatted(model)
+            : "no chain of endpoints covers layers [0, %d) of model %s"
+                .formatted(all.toLayerExclusive(), model);
+    if (session.inputSent()) {
+      return Problem.unknown(ProblemType.ENDPOINT_FAILED, detail);
+    }
+    return Problem.notRunRetry(
+        served ? ProblemType.OVERLOADED : ProblemType.NO_ENDPOINT, detail, 500);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/OpenRequests.java
+++ b/core/src/main/java/io/zinniawood/core/entry/OpenRequests.java
@@ -1,30 +1,73 @@
 package io.zinniawood.core.entry;
 
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.RequestId;
+import java.util.function.Consumer;
 
-/** Ends open requests of either kind for reasons on the caller's side. */
+/** Finds open requests and ends them for reasons on the caller's side. */
 final class OpenRequests {
   private OpenRequests() {}
 
+  static void put(Turn turn, RequestId id, OpenRequest open) {
+    turn.update(state -> state.withRequests(state.requests().put(id, open)));
+  }
+
   static void callerGone(Turn turn, RequestId id) {
-    for (OpenRequest open : turn.state().requests().get(id)) {
-      if (open instanceof OpenRequest.OfModel model) {
-        turn.state()
-            .sessions()
-            .get(model.session())
-            .forEach(s -> ModelRequests.callerGone(turn, s));
-      } else if (open instanceof ServiceRequest call) {
-        ServiceRequests.callerGone(turn, call);
-      }
-    }
+    visit(
+        turn,
+        id,
+        session -> ModelRequests.callerGone(turn, session),
+        call -> ServiceRequests.callerGone(turn, call));
   }
 
   static void deadline(Turn turn, RequestId id) {
+    visit(
+        turn,
+        id,
+        session -> ModelRequests.deadline(turn, session),
+        call -> ServiceRequests.deadline(turn, call));
+  }
+
+  static void retryDelayOver(Turn turn, RequestId id) {
+    visit(
+        turn,
+        id,
+        session -> SessionRecovery.delayOver(turn, session),
+        call -> Attempts.delayOver(turn, call));
+  }
+
+  /** Returns the service call whose present attempt is the given one. */
+  static Option<ServiceRequest> withAttempt(Turn turn, RequestId id, AttemptId attempt) {
+    return turn.state()
+        .requests()
+        .get(id)
+        .filter(open -> open instanceof ServiceRequest)
+        .map(open -> (ServiceRequest) open)
+        .filter(request -> request.current().exists(current -> current.id().equals(attempt)));
+  }
+
+  /** Returns the service calls that wait for an endpoint, in a fixed order. */
+  static Vector<ServiceRequest> callsAt(Turn turn, EndpointId endpoint) {
+    return turn.state()
+        .requests()
+        .values()
+        .filter(open -> open instanceof ServiceRequest)
+        .map(open -> (ServiceRequest) open)
+        .filter(call -> call.current().exists(attempt -> attempt.endpoint().equals(endpoint)))
+        .toVector()
+        .sortBy(call -> call.arrival().request());
+  }
+
+  private static void visit(
+      Turn turn, RequestId id, Consumer<Session> ofModel, Consumer<ServiceRequest> ofService) {
     for (OpenRequest open : turn.state().requests().get(id)) {
       if (open instanceof OpenRequest.OfModel model) {
-        turn.state().sessions().get(model.session()).forEach(s -> ModelRequests.deadline(turn, s));
+        turn.state().sessions().get(model.session()).forEach(ofModel);
       } else if (open instanceof ServiceRequest call) {
-        ServiceRequests.deadline(turn, call);
+        ofService.accept(call);
       }
     }
   }
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Plans.java
@@ -0,0 +1,79 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.membership.Member;
+import io.zinniawood.core.entry.routing.FlowPlan;
+import io.zinniawood.core.entry.routing.FlowPlanner;
+import io.zinniawood.core.entry.routing.LinkCapacity;
+import io.zinniawood.core.entry.routing.LinkPair;
+import io.zinniawood.core.entry.routing.StageCapacity;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.ModelId;
+import io.zinniawood.core.model.Capability;
+
+/** Keeps the flow plan of each model; a plan is computed at its first use after a change. */
+final class Plans {
+  /**
+   * Failed links between two data centres that count as a failure of the link between the data
+   * centres; one alone may be the fault of an endpoint.
+   */
+  private static final int FAILED_PAIRS = 2;
+
+  /** Part of the unlimited capacity that a degraded link between data centres keeps. */
+  private static final double DEGRADED_PART = 0.01;
+
+  private Plans() {}
+
+  /** Returns the plan of a model over the endpoints that take work. */
+  static FlowPlan of(Turn turn, ModelId model) {
+    Option<FlowPlan> known = turn.fleet().plans().get(model);
+    if (known.isDefined()) {
+      return known.get();
+    }
+    int layers = turn.cluster().models().get(model).map(m -> m.layers()).getOrElse(0);
+    Vector<StageCapacity> stages =
+        turn.fleet()
+            .members()
+            .values()
+            .filter(Member::takesWork)
+            .flatMap(member -> capacity(member, model))
+            .toVector()
+            .sortBy(StageCapacity::endpoint);
+    FlowPlan plan = FlowPlanner.plan(stages, layers, links(turn.fleet(), stages));
+    turn.update(state -> state.withFleet(state.fleet().withPlan(model, plan)));
+    return plan;
+  }
+
+  private static Option<StageCapacity> capacity(Member member, ModelId model) {
+    return Selection.modelStage(member, model)
+        .map(
+            stage ->
+                new StageCapacity(
+                    member.endpoint(),
+                    member.placement().dataCentre(),
+                    stage.layers(),
+                    capacity(stage)));
+  }
+
+  /** Returns the capacity of a stage; an engine that states none counts by its sessions. */
+  static double capacity(Capability.ModelStage stage) {
+    return stage.tokensPerSecond() > 0 ? stage.tokensPerSecond() : Math.max(1, stage.maxSessions());
+  }
+
+  private static LinkCapacity links(Fleet fleet, Vector<StageCapacity> stages) {
+    if (fleet.degraded().size() < FAILED_PAIRS) {
+      return LinkCapacity.UNLIMITED;
+    }
+    double total = stages.map(StageCapacity::tokensPerSecond).sum().doubleValue();
+    return (from, to) ->
+        fleet.degraded().keySet().count(pair -> connects(fleet, pair, from, to)) >= FAILED_PAIRS
+            ? total * DEGRADED_PART
+            : Double.POSITIVE_INFINITY;
+  }
+
+  private static boolean connects(Fleet fleet, LinkPair pair, DataCentreId from, DataCentreId to) {
+    return fleet.member(pair.from()).exists(m -> m.placement().dataCentre().equals(from))
+        && fleet.member(pair.to()).exists(m -> m.placement().dataCentre().equals(to));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Refusals.java
@@ -0,0 +1,152 @@
+package io.zinniawood.core.entry;
+
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.CancelOutcome;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.core.model.RefusalReason;
+
+/** Reacts to refused and cancelled attempts and to lost endpoints of service calls. */
+final class Refusals {
+  private static final long RETRY_AFTER_MILLIS = 500;
+
+  private Refusals() {}
+
+  static void refused(Turn turn, EndpointId endpoint, Message.DispatchRefused message) {
+    for (ServiceRequest request :
+        OpenRequests.withAttempt(turn, message.request(), message.attempt())) {
+      if (message.reason() == RefusalReason.OVERLOADED) {
+        Failures.overloaded(turn, endpoint);
+      } else if (message.reason() == RefusalReason.LEAVING) {
+        Membership.leaving(turn, endpoint);
+      }
+      if (message.claim().isDefined() && request.claimed()) {
+        Claims.held(turn, request, message.claim().get());
+      } else if (message.outcome() == Outcome.NOT_RUN && request.current().get().own()) {
+        notRun(turn, request, message);
+      } else {
+        mayHaveRun(turn, endpoint, request, message);
+      }
+    }
+  }
+
+  /** The gate confirmed that the attempt was not started and never will be. */
+  private static void notRun(Turn turn, ServiceRequest request, Message.DispatchRefused message) {
+    String detail = "the endpoint refused the call: " + message.reason();
+    switch (message.reason()) {
+      case STORE_UNAVAILABLE -> {
+        Attempts.uncount(turn, request);
+        Answers.failService(
+            turn,
+            request.notStarted(request.fence()),
+            Attempts.truthful(
+                request.notStarted(request.fence()),
+                Problem.notRunRetry(
+                    ProblemType.STORE_UNAVAILABLE,
+                    "the call needs the store, which cannot be reached",
+                    1_000)));
+      }
+      case DIGEST_MISMATCH -> {
+        Attempts.uncount(turn, request);
+        Claims.keyReused(turn, request.notStarted(request.fence()));
+      }
+      case DEADLINE_EXCEEDED ->
+          Attempts.notStarted(
+              turn,
+              request,
+              request.fence(),
+              Problem.notRun(ProblemType.DEADLINE_EXCEEDED, detail));
+      default ->
+          Attempts.notStarted(
+              turn,
+              request,
+              request.fence(),
+              Problem.notRunRetry(ProblemType.OVERLOADED, detail, RETRY_AFTER_MILLIS));
+    }
+  }
+
+  private static void mayHaveRun(
+      Turn turn, EndpointId endpoint, ServiceRequest request, Message.DispatchRefused message) {
+    String detail = "the endpoint failed during the call: " + message.reason();
+    if (message.reason() == RefusalReason.ENDPOINT_FAILED) {
+      Failures.failed(turn, endpoint);
+    }
+    if (request.idempotent()) {
+      Attempts.giveUpAndRetry(turn, request, detail);
+    } else if (request.claimed()) {
+      Claims.release(turn, request);
+    } else {
+      Answers.failService(turn, request, Problem.unknown(ProblemType.ENDPOINT_FAILED, detail));
+    }
+  }
+
+  static void cancelled(Turn turn, Message.CancelResult message) {
+    for (ServiceRequest request :
+        OpenRequests.withAttempt(turn, message.request(), message.attempt())) {
+      if (!request.current().get().own()) {
+        continue;
+      }
+      if (message.outcome() == CancelOutcome.NOT_STARTED) {
+        Attempts.notStarted(
+            turn,
+            request,
+            request.fence(),
+            Problem.notRunRetry(
+                ProblemType.OVERLOADED, "the call did not start in time", RETRY_AFTER_MILLIS));
+      } else {
+        Attempts.setPhase(turn, request, AttemptPhase.RUNNING);
+        if (message.outcome() == CancelOutcome.FINISHED) {
+          Attempts.send(turn, request, request.current().get());
+        }
+      }
+    }
+  }
+
+  /** The endpoint cannot be reached; whether its attempts run is not known. */
+  static void endpointUnreachable(Turn turn, EndpointId endpoint) {
+    for (ServiceRequest request : OpenRequests.callsAt(turn, endpoint)) {
+      if (request.current().get().phase() != AttemptPhase.RELEASING) {
+        Attempts.unreachable(turn, request);
+      }
+    }
+  }
+
+  /** The incarnation is gone, and with it the attempts that it ran. */
+  static void incarnationGone(Turn turn, EndpointId endpoint, Incarnation gone) {
+    for (ServiceRequest request : OpenRequests.callsAt(turn, endpoint)) {
+      Attempt attempt = request.current().get();
+      if (!attempt.incarnation().equals(gone) || attempt.phase() == AttemptPhase.RELEASING) {
+        continue;
+      }
+      if (request.claimed() || request.idempotent()) {
+        Attempts.unreachable(turn, request);
+      } else {
+        Answers.failService(
+            turn,
+            request,
+            Problem.unknown(ProblemType.ENDPOINT_FAILED, "the endpoint restarted during the call"));
+      }
+    }
+  }
+
+  /** The same incarnation is connected again; messages of the old connection may be lost. */
+  static void endpointBack(Turn turn, EndpointId endpoint, Incarnation incarnation) {
+    for (ServiceRequest request : OpenRequests.callsAt(turn, endpoint)) {
+      Attempt attempt = request.current().get();
+      if (!attempt.incarnation().equals(incarnation)) {
+        continue;
+      }
+      boolean cancelSent =
+          attempt.phase() == AttemptPhase.CANCELLING
+              || (attempt.phase() == AttemptPhase.RUNNING && !request.idempotent());
+      if (attempt.own() && cancelSent) {
+        Attempts.sendCancel(turn, request, attempt);
+      } else if (attempt.phase() != AttemptPhase.RELEASING) {
+        Attempts.send(turn, request, attempt);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Retries.java
@@ -0,0 +1,34 @@
+package io.zinniawood.core.entry;
+
+import io.zinniawood.core.configuration.RetryPolicy;
+import io.zinniawood.core.entry.limits.Backoff;
+import io.zinniawood.core.entry.limits.RetryBudget;
+
+/** Applies the retry policy. Whether a retry is safe is the caller's decision. */
+final class Retries {
+  private Retries() {}
+
+  /** Counts a request for the budget. */
+  static void requested(Turn turn) {
+    RetryBudget next = turn.state().usage().retries().requested(turn.nowNanos());
+    turn.update(state -> state.withUsage(state.usage().with(next)));
+  }
+
+  /** Takes one retry from the budget if the budget allows it. */
+  static boolean take(Turn turn) {
+    RetryPolicy policy = turn.cluster().retries();
+    RetryBudget budget = turn.state().usage().retries();
+    if (!budget.allows(policy.budgetShare(), policy.budgetMinimum(), turn.nowNanos())) {
+      return false;
+    }
+    turn.update(state -> state.withUsage(state.usage().with(budget.retried(turn.nowNanos()))));
+    return true;
+  }
+
+  /** Returns the delay before the next attempt in nanoseconds. */
+  static long delayNanos(Turn turn, int attempts) {
+    RetryPolicy policy = turn.cluster().retries();
+    return Backoff.delayNanos(
+        attempts, policy.baseDelayMillis(), policy.maxDelayMillis(), turn.nextUnit());
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/entry/Selection.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Selection.java
@@ -5,6 +5,9 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.membership.Member;
 import io.zinniawood.core.entry.routing.ChainSelector;
+import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
+import io.zinniawood.core.entry.routing.Choice;
+import io.zinniawood.core.entry.routing.FlowPlan;
 import io.zinniawood.core.entry.routing.Stage;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.ModelId;
@@ -12,30 +15,91 @@
 import io.zinniawood.core.model.Capability;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.Priority;
-import java.util.Comparator;
+import java.util.function.ToDoubleFunction;
 
 /** Chooses endpoints for new work among those that take it. */
 final class Selection {
+  private static final LayerRange NO_LAYERS = new LayerRange(0, 1);
+
+  /** A new endpoint starts with this part of its share, so that a cold one fails few requests. */
+  private static final double FIRST_SHARE = 0.1;
+
+  /** An endpoint that the flow avoids is only used if no other chain is free. */
+  private static final double SPARE_SHARE = 0.01;
+
   private Selection() {}
 
-  /** Returns a chain for a range of a model's layers, or none if the range is not covered. */
-  static Option<Vector<Stage>> chain(
-      Turn turn, ModelId model, LayerRange range, long prefixHash, Priority priority) {
-    Vector<Stage> stages =
-        available(turn, priority).flatMap(member -> stage(member, model)).toVector();
-    return ChainSelector.choose(
-        stages, range, prefixHash, turn.cluster().routing().affinityLoadFactor());
+  /**
+   * Returns a chain for a range of a model's layers, or none if the range is not covered.
+   *
+   * @param range layers to cover
+   * @param arrival request that is routed
+   * @param avoid endpoints that must not be chosen
+   */
+  static Option<Vector<Choosing>> chain(
+      Turn turn, LayerRange range, EntryEvent.ModelRequestArrived arrival, Set<EndpointId> avoid) {
+    FlowPlan plan = Plans.of(turn, arrival.model());
+    Vector<Member> members =
+        available(turn, arrival.priority()).reject(member -> avoid.contains(member.endpoint()));
+    return chain(turn, range, arrival, plan, stages(turn, members, arrival, plan, 0))
+        .orElse(
+            () ->
+                chain(
+                    turn, range, arrival, plan, stages(turn, members, arrival, plan, SPARE_SHARE)));
+  }
+
+  private static Option<Vector<Choosing>> chain(
+      Turn turn,
+      LayerRange range,
+      EntryEvent.ModelRequestArrived arrival,
+      FlowPlan plan,
+      Vector<Stage> stages) {
+    return new ChainSelector(
+            stages,
+            range,
+            arrival.prefixHash(),
+            turn.cluster().routing().affinityLoadFactor(),
+            plan,
+            link -> turn.fleet().degraded().containsKey(link))
+        .choose();
   }
 
-  /** Returns the least loaded endpoint of a service, or none if all are excluded or full. */
-  static Option<Member> service(
+  private static Vector<Stage> stages(
+      Turn turn,
+      Vector<Member> members,
+      EntryEvent.ModelRequestArrived arrival,
+      FlowPlan plan,
+      double spareShare) {
+    return members
+        .flatMap(
+            member ->
+                modelStage(member, arrival.model())
+                    .map(
+                        stage ->
+                            new Stage(
+                                member,
+                                stage.layers(),
+                                ramp(turn, member)
+                                    * Math.max(
+                                        plan.share(member.endpoint()),
+                                        spareShare * Plans.capacity(stage)))))
+        .filter(stage -> stage.weight() > 0);
+  }
+
+  /** Returns an endpoint of a service with its next virtual time, or none if none is free. */
+  static Option<Choosing> service(
       Turn turn, ServiceName service, Set<EndpointId> avoid, Priority priority) {
-    return available(turn, priority)
-        .filter(member -> serves(member, service) && !avoid.contains(member.endpoint()))
-        .minBy(
-            Comparator.<Member>comparingDouble(
-                    member -> (member.inFlight() + 1.0) / member.limit().whole())
-                .thenComparing(Member::endpoint));
+    ToDoubleFunction<Member> weight = member -> member.work().limit().whole();
+    Vector<Stage> candidates =
+        available(turn, priority)
+            .filter(member -> serves(member, service) && !avoid.contains(member.endpoint()))
+            .map(
+                member ->
+                    new Stage(
+                        member, NO_LAYERS, ramp(turn, member) * weight.applyAsDouble(member)));
+    double earliestPass = Choice.earliestPass(candidates);
+    return Choice.smooth(candidates)
+        .map(stage -> new Choosing(stage, stage.nextPass(earliestPass)));
   }
 
   /** Tells whether an endpoint of the fleet serves the service, whether or not it is free. */
@@ -43,6 +107,15 @@
     return turn.fleet().members().values().exists(m -> m.takesWork() && serves(m, service));
   }
 
+  /** Returns what a member serves of a model. */
+  static Option<Capability.ModelStage> modelStage(Member member, ModelId model) {
+    return member
+        .serving()
+        .capability()
+        .filter(c -> c instanceof Capability.ModelStage stage && stage.model().equals(model))
+        .map(c -> (Capability.ModelStage) c);
+  }
+
   private static Vector<Member> available(Turn turn, Priority priority) {
     return turn.fleet()
         .members()
@@ -51,31 +124,31 @@
             member ->
                 member.takesWork()
                     && !member.health().ejected(turn.nowNanos())
-                    && member.inFlight() < limit(member, priority))
+                    && member.work().inFlight() < limit(member, priority))
         .toVector();
   }
 
   /** Lower priorities leave a part of the limit free for higher ones. */
   private static int limit(Member member, Priority priority) {
-    int whole = member.limit().whole();
+    int whole = member.work().limit().whole();
     return switch (priority) {
       case INTERACTIVE -> whole;
-      case NORMAL -> Math.max(1, whole * 9 / 10);
-      case BATCH -> Math.max(1, whole * 7 / 10);
+      case NORMAL -> whole - whole / 20;
+      case BATCH -> whole - whole / 5;
     };
   }
 
-  private static boolean serves(Member member, ServiceName service) {
-    return member
-        .capability()
-        .exists(c -> c instanceof Capability.PlainService plain && plain.service().equals(service));
+  /** Slow start: the share of a new endpoint grows linearly. */
+  private static double ramp(Turn turn, Member member) {
+    double slowStartNanos = turn.cluster().routing().slowStartMillis() * 1e6;
+    double served = turn.nowNanos() - member.serving().sinceNanos();
+    return slowStartNanos <= 0 ? 1 : Math.max(FIRST_SHARE, Math.min(1, served / slowStartNanos));
   }
 
-  private static Option<Stage> stage(Member member, ModelId model) {
+  private static boolean serves(Member member, ServiceName service) {
     return member
+        .serving()
         .capability()
-        .filter(c -> c instanceof Capability.ModelStage stage && stage.model().equals(model))
-        .map(c -> (Capability.ModelStage) c)
-        .map(c -> new Stage(member, c.layers(), Math.max(1e-6, c.tokensPerSecond())));
+        .exists(c -> c instanceof Capability.PlainService plain && plain.service().equals(service));
   }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/ServiceRequest.java
+++ b/core/src/main/java/io/zinniawood/core/entry/ServiceRequest.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Fence;
+import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.model.ClaimKey;
 import io.zinniawood.core.model.Idempotency;
 
@@ -17,7 +18,7 @@
  * @param current attempt whose result is awaited
  * @param fence fence for the next attempt
  * @param avoid endpoints that refused or failed this request
- * @param mayHaveRun whether an attempt was sent that did not certainly stay unstarted
+ * @param mayHaveRun whether an attempt was given up that may have run
  */
 record ServiceRequest(
     EntryEvent.ServiceRequestArrived arrival,
@@ -34,6 +35,10 @@
         arrival, nowNanos, 0, Option.none(), new Fence(0), HashSet.empty(), false);
   }
 
+  RequestId id() {
+    return arrival.request();
+  }
+
   boolean idempotent() {
     return arrival.idempotency() == Idempotency.IDEMPOTENT;
   }
@@ -47,6 +52,11 @@
     return new ClaimKey(arrival.clientAccount(), arrival.service(), arrival.key().get());
   }
 
+  /** Tells whether an attempt ran or may still run. */
+  boolean uncertain() {
+    return mayHaveRun || current.isDefined();
+  }
+
   /** Returns this request with a new attempt in flight. */
   ServiceRequest dispatched(Attempt attempt) {
     return new ServiceRequest(
@@ -61,24 +71,22 @@
   /** Returns this request after its attempt certainly did not start and never will. */
   ServiceRequest notStarted(Fence nextFence) {
     return new ServiceRequest(
-        arrival,
-        arrivedNanos,
-        attempts,
-        Option.none(),
-        nextFence,
-        current.map(attempt -> avoid.add(attempt.endpoint())).getOrElse(avoid),
-        mayHaveRun);
+        arrival, arrivedNanos, attempts, Option.none(), nextFence, avoided(), mayHaveRun);
   }
 
   /** Returns this request after its attempt was given up although it may run. */
   ServiceRequest abandoned() {
     return new ServiceRequest(
-        arrival,
-        arrivedNanos,
-        attempts,
-        Option.none(),
-        fence,
-        current.map(attempt -> avoid.add(attempt.endpoint())).getOrElse(avoid),
-        true);
+        arrival, arrivedNanos, attempts, Option.none(), fence, avoided(), true);
+  }
+
+  /** Returns this request with every endpoint allowed again. */
+  ServiceRequest withoutAvoided() {
+    return new ServiceRequest(
+        arrival, arrivedNanos, attempts, current, fence, HashSet.empty(), mayHaveRun);
+  }
+
+  private Set<EndpointId> avoided() {
+    return current.filter(Attempt::own).map(a -> avoid.add(a.endpoint())).getOrElse(avoid);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/SessionPhase.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionPhase.java
@@ -6,10 +6,22 @@
   OPENING,
   /** The input of the next position was sent. */
   RUNNING,
-  /** The input was repeated, as no token came in time. */
-  REPEATED,
   /** The same chain was opened again to find out which stage stopped. */
   PROBING,
+  /** The input was repeated after all stages had answered the probe. */
+  REPEATED,
   /** No replacement is available; the session waits for one. */
-  PARKED
+  PARKED,
+  /** The request waits for the delay before a new session. */
+  DELAYED;
+
+  /** Tells whether the token of a sent input is awaited. */
+  boolean awaitsToken() {
+    return this == RUNNING || this == REPEATED;
+  }
+
+  /** Tells whether the stages' confirmations are awaited. */
+  boolean awaitsStages() {
+    return this == OPENING || this == PROBING;
+  }
 }
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRebuild.java
@@ -0,0 +1,57 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.Vector;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.StageAddress;
+
+/** Brings the stages of a confirmed epoch to the awaited position and goes on from there. */
+final class SessionRebuild {
+  private SessionRebuild() {}
+
+  /**
+   * Asks for the missing inputs of each stage and repeats the awaited position. Stages that already
+   * ran a position return the kept output, so no surviving stage runs again.
+   */
+  static void resume(Turn turn, Session session) {
+    int position = session.position();
+    SessionPhase phase =
+        session.phase() == SessionPhase.PROBING ? SessionPhase.REPEATED : SessionPhase.RUNNING;
+    session
+        .retired()
+        .reject(stage -> SessionRecovery.sameRun(session.chain(), stage))
+        .forEach(stage -> StageSessions.closeStage(turn, session, stage));
+    Session running =
+        session
+            .withRetired(Vector.empty())
+            .withProgress(session.progress().moved(turn.nowNanos()))
+            .running(phase);
+    turn.putSession(running);
+    for (int index = 1; index < running.chain().length(); index++) {
+      replay(turn, running, index);
+    }
+    for (int missing = next(running, 0); missing < position; missing++) {
+      StageSessions.sendInput(turn, running, missing);
+    }
+    StageSessions.sendInput(turn, running, position);
+  }
+
+  /**
+   * Asks the preceding stage for the positions that a stage lacks. Positions that the preceding
+   * stage itself still has to run reach the stage as it runs them.
+   */
+  private static void replay(Turn turn, Session session, int index) {
+    int from = next(session, index);
+    int toExclusive = Math.min(session.position(), next(session, index - 1));
+    if (from < toExclusive) {
+      StageAddress preceding = session.chain().get(index - 1);
+      turn.send(
+          preceding.endpoint(),
+          preceding.incarnation(),
+          new Message.Replay(session.id(), session.epoch(), from, toExclusive));
+    }
+  }
+
+  private static int next(Session session, int index) {
+    return session.confirmed().getOrElse(index, 0);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
@@ -0,0 +1,241 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.model.LayerRange;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.core.model.StageAddress;
+
+/** Replaces lost or stalled stages, or gives the session up. */
+final class SessionRecovery {
+  /** Bounds the work for one request when its endpoints fail again and again. */
+  private static final int MAX_EPOCHS = 32;
+
+  private SessionRecovery() {}
+
+  /**
+   * Opens the same chain in the next epoch. The stages that answer are alive, and the positions
+   * that they report tell where the step stopped.
+   */
+  static void probe(Turn turn, Session session) {
+    Set<Integer> gone = disconnected(turn, session);
+    if (gone.nonEmpty()) {
+      replace(turn, session, gone);
+    } else {
+      nextEpoch(turn, session, session.chain(), SessionPhase.PROBING, HashSet.empty());
+    }
+  }
+
+  /** Replaces stages that answer but make no progress, if the endpoint or the budget allows it. */
+  static void blame(Turn turn, Session session, Set<Integer> stalled) {
+    boolean ejected =
+        stalled.exists(
+            index ->
+                turn.fleet()
+                    .member(session.chain().get(index).endpoint())
+                    .exists(member -> member.health().ejected(turn.nowNanos())));
+    stalled.forEach(index -> Failures.failed(turn, session.chain().get(index).endpoint()));
+    if (ejected || Retries.take(turn)) {
+      replace(turn, session, stalled);
+    } else {
+      probe(turn, session);
+    }
+  }
+
+  /** Replaces stages by others with the same layers, or by several that cover them together. */
+  static void replace(Turn turn, Session session, Set<Integer> lost) {
+    if (session.epoch().value() >= MAX_EPOCHS) {
+      giveUp(turn, session, "the session had %d chains".formatted(MAX_EPOCHS));
+      return;
+    }
+    if (lost.isEmpty()) {
+      nextEpoch(turn, session, session.chain(), SessionPhase.OPENING, HashSet.empty());
+      return;
+    }
+    Vector<StageAddress> chain = Vector.empty();
+    Set<EndpointId> fresh = HashSet.empty();
+    Vector<Choosing> taken = Vector.empty();
+    int index = 0;
+    while (index < session.chain().length()) {
+      StageAddress stage = session.chain().get(index);
+      if (!lost.contains(index)) {
+        chain = chain.append(stage);
+        index++;
+        continue;
+      }
+      int end = index;
+      while (end < session.chain().length() && lost.contains(end)) {
+        end++;
+      }
+      Option<Vector<Choosing>> found = substitute(turn, session, lost, index, end);
+      if (found.isEmpty()) {
+        park(turn, session, lost);
+        return;
+      }
+      Vector<StageAddress> addresses = StageSessions.addresses(found.get());
+      chain = chain.appendAll(addresses);
+      fresh = fresh.addAll(addresses.map(StageAddress::endpoint));
+      taken = taken.appendAll(found.get());
+      index = end;
+    }
+    StageSessions.take(turn, taken);
+    Vector<StageAddress> removed = lost.toVector().sorted().map(session.chain()::get);
+    removed.forEach(stage -> StageSessions.release(turn, stage));
+    Session retiring = session.withRetired(session.retired().appendAll(removed));
+    reportReplaced(turn, session, removed, fresh);
+    nextEpoch(turn, retiring, chain, SessionPhase.OPENING, fresh);
+  }
+
+  private static Option<Vector<Choosing>> substitute(
+      Turn turn, Session session, Set<Integer> lost, int from, int endExclusive) {
+    LayerRange range =
+        new LayerRange(
+            session.chain().get(from).layers().fromLayer(),
+            session.chain().get(endExclusive - 1).layers().toLayerExclusive());
+    Set<EndpointId> avoid = session.chain().map(StageAddress::endpoint).toSet();
+    Option<Vector<Choosing>> others = Selection.chain(turn, range, session.arrival(), avoid);
+    if (others.isDefined()) {
+      return others;
+    }
+    Set<EndpointId> survivors =
+        Vector.range(0, session.chain().length())
+            .reject(lost::contains)
+            .map(index -> session.chain().get(index).endpoint())
+            .toSet();
+    Vector<StageAddress> given = lost.toVector().map(session.chain()::get);
+    return Selection.chain(turn, range, session.arrival(), survivors)
+        .filter(chain -> !StageSessions.addresses(chain).exists(stage -> sameRun(given, stage)));
+  }
+
+  /** Tells whether one of the stages is the same run of the same endpoint. */
+  static boolean sameRun(Vector<StageAddress> stages, StageAddress wanted) {
+    return stages.exists(
+        stage ->
+            stage.endpoint().equals(wanted.endpoint())
+                && stage.incarnation().equals(wanted.incarnation()));
+  }
+
+  private static void nextEpoch(
+      Turn turn,
+      Session session,
+      Vector<StageAddress> chain,
+      SessionPhase phase,
+      Set<EndpointId> fresh) {
+    turn.cancelTimer(new EntryTimer.SessionProgress(session.id(), session.epoch()));
+    if (session.epoch().value() >= MAX_EPOCHS) {
+      giveUp(turn, session, "the session had %d chains".formatted(MAX_EPOCHS));
+    } else {
+      Set<EndpointId> rebuilt =
+          fresh.addAll(
+              session.phase().awaitsStages() || session.phase() == SessionPhase.PARKED
+                  ? session.fresh().filter(e -> chain.exists(s -> s.endpoint().equals(e)))
+                  : HashSet.empty());
+      StageSessions.open(turn, session.nextEpoch(chain, phase, rebuilt));
+    }
+  }
+
+  /**
+   * Waits for a stage to become available, or for the same one to take the session again. What was
+   * delivered stays delivered.
+   */
+  private static void park(Turn turn, Session session, Set<Integer> lost) {
+    Set<EndpointId> rebuilt = lost.map(index -> session.chain().get(index).endpoint());
+    Session parked =
+        session.parked(rebuilt).withProgress(session.progress().moved(turn.nowNanos()));
+    turn.putSession(parked);
+    SessionTimeouts.start(turn, parked);
+  }
+
+  /** Tries again to replace the stages that are gone. */
+  static void unpark(Turn turn, Session session) {
+    Set<Integer> gone = disconnected(turn, session).addAll(unservable(turn, session));
+    replace(turn, session, gone);
+  }
+
+  /** Starts the request again on a new session, as nothing was delivered; otherwise fails it. */
+  static void giveUp(Turn turn, Session session, String detail) {
+    int maxAttempts = turn.cluster().retries().maxAttempts();
+    boolean again =
+        session.position() == 0 && session.sessions() < maxAttempts && Retries.take(turn);
+    StageSessions.close(turn, session);
+    if (!again) {
+      Answers.failModel(turn, session, failure(session, detail));
+      return;
+    }
+    turn.update(state -> state.withSessions(state.sessions().remove(session.id())));
+    Session delayed =
+        Session.first(
+                turn.nextSession(),
+                session.arrival(),
+                session.sessions() + 1,
+                Vector.empty(),
+                session.progress().moved(turn.nowNanos()))
+            .withPhase(SessionPhase.DELAYED);
+    Session counted = session.inputSent() ? delayed.running(SessionPhase.DELAYED) : delayed;
+    turn.putSession(counted);
+    OpenRequests.put(turn, session.arrival().request(), new OpenRequest.OfModel(counted.id()));
+    turn.startTimer(
+        new EntryTimer.RetryDelay(session.arrival().request()),
+        Retries.delayNanos(turn, session.sessions()));
+  }
+
+  /** Opens the new session after its delay. */
+  static void delayOver(Turn turn, Session session) {
+    if (session.phase() == SessionPhase.DELAYED) {
+      ModelRequests.route(turn, session);
+    }
+  }
+
+  /** Counts a finished answer for the health and the limit of its stages. */
+  static void succeeded(Turn turn, Session session) {
+    session.chain().forEach(stage -> Failures.succeeded(turn, stage.endpoint()));
+  }
+
+  static Problem failure(Session session, String detail) {
+    return session.inputSent()
+        ? Problem.unknown(ProblemType.ENDPOINT_FAILED, detail)
+        : Problem.notRunRetry(ProblemType.OVERLOADED, detail, 500);
+  }
+
+  private static Set<Integer> disconnected(Turn turn, Session session) {
+    return Vector.range(0, session.chain().length())
+        .reject(
+            index -> {
+              StageAddress stage = session.chain().get(index);
+              return turn.fleet().connectedAs(stage.endpoint(), stage.incarnation());
+            })
+        .toSet();
+  }
+
+  /** Returns the stages whose endpoints no longer hold the layers. */
+  private static Set<Integer> unservable(Turn turn, Session session) {
+    return Vector.range(0, session.chain().length())
+        .reject(
+            index -> {
+              StageAddress stage = session.chain().get(index);
+              return turn.fleet()
+                  .member(stage.endpoint())
+                  .flatMap(member -> Selection.modelStage(member, session.arrival().model()))
+                  .exists(served -> served.layers().equals(stage.layers()));
+            })
+        .toSet();
+  }
+
+  private static void reportReplaced(
+      Turn turn, Session session, Vector<StageAddress> removed, Set<EndpointId> fresh) {
+    turn.incident(
+        IncidentKind.STAGE_REPLACED,
+        removed.map(stage -> stage.endpoint().value()).mkString(","),
+        "request %s goes on at position %d of epoch %d with %s"
+            .formatted(
+                session.arrival().request(),
+                session.position(),
+                session.epoch().value() + 1,
+                fresh.toVector().sorted().mkString(",")));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionTimeouts.java
@@ -0,0 +1,55 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.HashSet;
+import io.zinniawood.core.id.Epoch;
+import io.zinniawood.core.id.SessionId;
+
+/** Notices that a session makes no progress. */
+final class SessionTimeouts {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** The prompt is one long step and may wait behind others, so it gets a multiple of the time. */
+  private static final int PROMPT_FACTOR = 4;
+
+  /** A live agent confirms an epoch without the engine, so it gets a part of the time. */
+  private static final int CONFIRM_DIVISOR = 2;
+
+  private SessionTimeouts() {}
+
+  /** Starts the timer of an epoch; tokens do not restart it, it measures from the last one. */
+  static void start(Turn turn, Session session) {
+    turn.startTimer(
+        new EntryTimer.SessionProgress(session.id(), session.epoch()), timeoutNanos(turn, session));
+  }
+
+  static void fired(Turn turn, SessionId id, Epoch epoch) {
+    Session session = StageSessions.current(turn, id, epoch);
+    if (session == null) {
+      return;
+    }
+    long idleNanos = turn.nowNanos() - session.progress().movedNanos();
+    long remainingNanos = timeoutNanos(turn, session) - idleNanos;
+    if (remainingNanos > 0) {
+      turn.startTimer(new EntryTimer.SessionProgress(id, epoch), remainingNanos);
+      return;
+    }
+    switch (session.phase()) {
+      case RUNNING -> SessionRecovery.probe(turn, session);
+      case OPENING, PROBING -> SessionRecovery.replace(turn, session, session.unconfirmed());
+      case REPEATED -> SessionRecovery.blame(turn, session, HashSet.of(session.firstBehind()));
+      case PARKED -> SessionRecovery.unpark(turn, session);
+      default -> {
+        // The timer of the retry delay decides.
+      }
+    }
+  }
+
+  private static long timeoutNanos(Turn turn, Session session) {
+    long baseNanos = turn.cluster().routing().progressTimeoutMillis() * NANOS_PER_MILLI;
+    return switch (session.phase()) {
+      case OPENING, PROBING, PARKED -> baseNanos / CONFIRM_DIVISOR;
+      case RUNNING, REPEATED, DELAYED ->
+          session.position() == 0 ? baseNanos * PROMPT_FACTOR : baseNanos;
+    };
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/entry/StageSessions.java
+++ b/core/src/main/java/io/zinniawood/core/entry/StageSessions.java
@@ -1,145 +1,152 @@
 package io.zinniawood.core.entry;
 
 import io.vavr.collection.Vector;
-import io.zinniawood.core.entry.routing.Stage;
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Epoch;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.SessionId;
 import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.FinishReason;
+import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.model.Payload;
-import io.zinniawood.core.model.Problem;
-import io.zinniawood.core.model.ProblemType;
 import io.zinniawood.core.model.StageAddress;
 
 /** Drives stage sessions: opens epochs, sends inputs and delivers tokens. */
 final class StageSessions {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   private StageSessions() {}
 
-  static Vector<StageAddress> addresses(Vector<Stage> chain) {
-    return chain.map(
-        stage ->
-            new StageAddress(
-                stage.member().endpoint(),
-                stage.member().incarnation().get(),
-                stage.member().placement().address(),
-                stage.layers()));
+  static Vector<StageAddress> addresses(Vector<Choosing> chain) {
+    return chain
+        .map(Choosing::stage)
+        .map(
+            stage ->
+                new StageAddress(
+                    stage.member().endpoint(),
+                    stage.member().connection().incarnation().get(),
+                    stage.member().placement().address(),
+                    stage.layers()));
   }
 
   /** Counts one session at each stage. */
-  static void take(Turn turn, Vector<Stage> stages) {
-    for (Stage stage : stages) {
-      double nextPass = stage.member().pass() + 1 / stage.weight();
-      turn.updateMember(stage.member().endpoint(), member -> member.taken(nextPass));
+  static void take(Turn turn, Vector<Choosing> chain) {
+    for (Choosing choosing : chain) {
+      turn.updateMember(
+          choosing.stage().member().endpoint(),
+          member -> member.with(member.work().taken(choosing.nextPass())));
     }
   }
 
+  /** Gives back the count of one session at a stage. */
+  static void release(Turn turn, StageAddress stage) {
+    turn.updateMember(stage.endpoint(), member -> member.with(member.work().released()));
+  }
+
   /** Asks every stage to open the session's epoch. */
   static void open(Turn turn, Session session) {
-    turn.putSession(session);
-    for (int index = 0; index < session.chain().length(); index++) {
-      StageAddress stage = session.chain().get(index);
-      turn.send(stage.endpoint(), stage.incarnation(), openMessage(turn, session, index));
+    Session opening = session.withProgress(session.progress().moved(turn.nowNanos()));
+    turn.putSession(opening);
+    for (int index = 0; index < opening.chain().length(); index++) {
+      StageAddress stage = opening.chain().get(index);
+      turn.send(stage.endpoint(), stage.incarnation(), openMessage(turn, opening, index));
     }
-    turn.startTimer(
-        new EntryTimer.SessionProgress(session.id(), session.epoch()),
-        turn.cluster().routing().progressTimeoutMillis() * 1_000_000);
+    SessionTimeouts.start(turn, opening);
   }
 
-  static void opened(Turn turn, EndpointId sender, Message.SessionOpened message) {
-    Session session = turn.state().sessions().get(message.session()).getOrNull();
+  static void opened(
+      Turn turn, EndpointId sender, Incarnation incarnation, Message.SessionOpened message) {
+    Session session = current(turn, message.session(), message.epoch());
     if (session == null
-        || !session.epoch().equals(message.epoch())
-        || session.phase() != SessionPhase.OPENING
-        || !isStage(session, message.stageIndex(), sender)) {
+        || !session.isStage(message.stageIndex(), sender)
+        || !session.chain().get(message.stageIndex()).incarnation().equals(incarnation)) {
       return;
     }
+    int before = session.confirmed().getOrElse(message.stageIndex(), Integer.MAX_VALUE);
     Session confirmed = session.confirm(message.stageIndex(), message.nextPosition());
-    if (confirmed.allConfirmed()) {
-      sendStep(turn, confirmed);
-    } else {
-      turn.putSession(confirmed);
+    turn.putSession(confirmed);
+    if (session.phase().awaitsStages() && confirmed.allConfirmed()) {
+      SessionRebuild.resume(turn, confirmed);
+    } else if (session.phase().awaitsToken()
+        && before < session.position()
+        && message.nextPosition() >= session.position()) {
+      sendInput(turn, confirmed, session.position());
     }
   }
 
-  static void token(Turn turn, EndpointId sender, Message.Token message) {
-    Session session = turn.state().sessions().get(message.session()).getOrNull();
+  static void token(Turn turn, EndpointId sender, Incarnation incarnation, Message.Token message) {
+    Session session = current(turn, message.session(), message.epoch());
     if (session == null
-        || !session.epoch().equals(message.epoch())
-        || session.progress().nextPosition() != message.position()
-        || !session.stepSent()
-        || !session.chain().last().endpoint().equals(sender)) {
+        || session.position() != message.position()
+        || !session.phase().awaitsToken()
+        || !session.chain().last().endpoint().equals(sender)
+        || !session.chain().last().incarnation().equals(incarnation)) {
       return;
     }
     Session moved =
         session.withProgress(session.progress().delivered(message.text(), turn.nowNanos()));
     turn.emit(new EntryEffect.ReplyToken(session.arrival().request(), message.text()));
-    if (message.finish().isDefined()) {
+    Option<FinishReason> finish =
+        message
+            .finish()
+            .orElse(
+                Option.when(
+                    moved.position() >= session.arrival().maxTokens(), FinishReason.LENGTH));
+    if (finish.isDefined()) {
       close(turn, moved);
-      Answers.finishModel(turn, moved, message.finish().get());
+      SessionRecovery.succeeded(turn, moved);
+      Answers.finishModel(turn, moved, finish.get());
     } else {
-      sendStep(turn, moved);
-    }
-  }
-
-  static void refused(Turn turn, EndpointId sender, Message.SessionRefused message) {
-    Session session = turn.state().sessions().get(message.session()).getOrNull();
-    if (session != null
-        && session.epoch().equals(message.epoch())
-        && isStage(session, message.stageIndex(), sender)) {
-      fail(turn, session, "stage %d refused: %s".formatted(message.stageIndex(), message.reason()));
+      turn.putSession(moved.withPhase(SessionPhase.RUNNING));
+      sendInput(turn, moved, moved.position());
+      if (moved.position() == 1) {
+        SessionTimeouts.start(turn, moved);
+      }
     }
   }
 
-  static void stageFailed(Turn turn, Message.StageFailed message) {
-    Session session = turn.state().sessions().get(message.session()).getOrNull();
-    if (session != null && session.epoch().equals(message.epoch())) {
-      fail(turn, session, "stage %d failed: %s".formatted(message.stageIndex(), message.reason()));
-    }
+  /** Sends the input of a position to the first stage. */
+  static void sendInput(Turn turn, Session session, int position) {
+    StageAddress first = session.chain().head();
+    Payload input =
+        position == 0
+            ? session.arrival().prompt()
+            : Payload.ofText(session.progress().tokens().get(position - 1));
+    turn.send(
+        first.endpoint(),
+        first.incarnation(),
+        new Message.StepInput(session.id(), session.epoch(), position, input));
   }
 
-  /** Releases the stages and their counts. */
+  /** Releases all stages and their counts. */
   static void close(Turn turn, Session session) {
     for (StageAddress stage : session.chain()) {
-      turn.send(stage.endpoint(), stage.incarnation(), new Message.CloseSession(session.id()));
-      turn.updateMember(stage.endpoint(), member -> member.released());
+      closeStage(turn, session, stage);
+      release(turn, stage);
     }
+    session.retired().forEach(stage -> closeStage(turn, session, stage));
     turn.cancelTimer(new EntryTimer.SessionProgress(session.id(), session.epoch()));
   }
 
-  /** Fails a session that cannot go on. */
-  static void fail(Turn turn, Session session, String detail) {
-    close(turn, session);
-    Problem problem =
-        session.stepSent()
-            ? Problem.unknown(ProblemType.ENDPOINT_FAILED, detail)
-            : Problem.notRun(ProblemType.ENDPOINT_FAILED, detail);
-    Answers.failModel(turn, session, problem);
-  }
-
-  private static void sendStep(Turn turn, Session session) {
-    Session running = session.running();
-    turn.putSession(running);
-    StageAddress first = running.chain().head();
-    int position = running.progress().nextPosition();
-    turn.send(
-        first.endpoint(),
-        first.incarnation(),
-        new Message.StepInput(running.id(), running.epoch(), position, input(running, position)));
-  }
-
-  private static Payload input(Session session, int position) {
-    return position == 0
-        ? session.arrival().prompt()
-        : Payload.ofText(session.progress().tokens().get(position - 1));
+  static void closeStage(Turn turn, Session session, StageAddress stage) {
+    turn.send(stage.endpoint(), stage.incarnation(), new Message.CloseSession(session.id()));
   }
 
-  private static boolean isStage(Session session, int index, EndpointId endpoint) {
-    return index >= 0
-        && index < session.chain().length()
-        && session.chain().get(index).endpoint().equals(endpoint);
+  /** Returns the session if the epoch is its present one, otherwise null. */
+  static Session current(Turn turn, SessionId id, Epoch epoch) {
+    return turn.state()
+        .sessions()
+        .get(id)
+        .filter(session -> session.epoch().equals(epoch))
+        .getOrNull();
   }
 
   private static Message.OpenSession openMessage(Turn turn, Session session, int index) {
     var arrival = session.arrival();
     StageAddress stage = session.chain().get(index);
+    boolean fresh = session.fresh().contains(stage.endpoint());
     return new Message.OpenSession(
         session.id(),
         session.epoch(),
@@ -150,9 +157,22 @@
         index,
         arrival.maxTokens(),
         arrival.priority(),
-        Math.max(0, arrival.deadlineNanos() - turn.nowNanos()) / 1_000_000,
+        Math.max(0, arrival.deadlineNanos() - turn.nowNanos()) / NANOS_PER_MILLI,
         Admission.weight(turn, arrival.clientAccount()),
-        0,
-        io.vavr.control.Option.none());
+        fresh ? session.position() : 0,
+        fresh ? importSource(turn, session, stage) : Option.none());
+  }
+
+  /** Returns the retired stage with the same layers if its agent still answers. */
+  private static Option<NodeAddress> importSource(Turn turn, Session session, StageAddress stage) {
+    return session
+        .retired()
+        .findLast(
+            old ->
+                old.layers().equals(stage.layers())
+                    && !old.endpoint().equals(stage.endpoint())
+                    && turn.fleet().connectedAs(old.endpoint(), old.incarnation()))
+        .filter(old -> session.position() > 0)
+        .map(StageAddress::address);
   }
 }
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Usage.java
@@ -0,0 +1,47 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.zinniawood.core.entry.limits.AccountUse;
+import io.zinniawood.core.entry.limits.LatencyEstimate;
+import io.zinniawood.core.entry.limits.RetryBudget;
+import io.zinniawood.core.id.ClientAccountId;
+
+/**
+ * Use of the entry, from which limits follow.
+ *
+ * @param accounts use by client account
+ * @param retries budget of retries
+ * @param latencies estimates by model or service
+ */
+record Usage(
+    Map<ClientAccountId, AccountUse> accounts,
+    RetryBudget retries,
+    Map<String, LatencyEstimate> latencies) {
+
+  static Usage none() {
+    return new Usage(HashMap.empty(), RetryBudget.fresh(), HashMap.empty());
+  }
+
+  AccountUse account(ClientAccountId id, double burst, long nowNanos) {
+    return accounts.get(id).getOrElse(() -> AccountUse.fresh(burst, nowNanos));
+  }
+
+  Usage with(ClientAccountId id, AccountUse use) {
+    return new Usage(accounts.put(id, use), retries, latencies);
+  }
+
+  Usage with(RetryBudget changed) {
+    return new Usage(accounts, changed, latencies);
+  }
+
+  Usage sampled(String target, long durationNanos, long nowNanos) {
+    LatencyEstimate estimate =
+        latencies.getOrElse(target, LatencyEstimate.none()).sampled(durationNanos, nowNanos);
+    return new Usage(accounts, retries, latencies.put(target, estimate));
+  }
+
+  double expectedNanos(String target, long nowNanos) {
+    return latencies.get(target).map(known -> known.expectedNanos(nowNanos)).getOrElse(0.0);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/membership/Workload.java
@@ -0,0 +1,30 @@
+package io.zinniawood.core.entry.membership;
+
+import io.zinniawood.core.entry.limits.ConcurrencyLimit;
+
+/**
+ * Work of this entry at an endpoint.
+ *
+ * @param inFlight sessions and calls in flight
+ * @param limit adaptive limit of the work in flight
+ * @param pass virtual time of the smooth weighted selection
+ */
+public record Workload(int inFlight, ConcurrencyLimit limit, double pass) {
+  /** No work. */
+  public static final Workload NONE = new Workload(0, ConcurrencyLimit.initial(1), 0);
+
+  /** Returns this workload with one more piece in flight. */
+  public Workload taken(double nextPass) {
+    return new Workload(inFlight + 1, limit, nextPass);
+  }
+
+  /** Returns this workload with one piece less in flight. */
+  public Workload released() {
+    return new Workload(Math.max(0, inFlight - 1), limit, pass);
+  }
+
+  /** Returns this workload with another limit. */
+  public Workload limited(ConcurrencyLimit changed) {
+    return new Workload(inFlight, changed, pass);
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/entry/routing/ChainSelector.java
+++ b/core/src/main/java/io/zinniawood/core/entry/routing/ChainSelector.java
@@ -2,78 +2,93 @@
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
-import io.zinniawood.core.entry.membership.Hashing;
+import io.zinniawood.core.entry.membership.Member;
+import io.zinniawood.core.entry.routing.FlowPlan.Hop;
 import io.zinniawood.core.model.LayerRange;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** Chooses a chain of endpoints whose layer ranges join without gap or overlap. */
 public final class ChainSelector {
-  private ChainSelector() {}
+  private final Vector<Stage> stages;
+  private final LayerRange range;
+  private final long prefixHash;
+  private final double loadFactor;
+  private final FlowPlan plan;
+  private final Predicate<LinkPair> degraded;
 
   /**
-   * Returns a chain, or none if the stages do not cover the range.
+   * Prepares a choice.
    *
    * @param stages endpoints that may be chosen
    * @param range layers to cover
    * @param prefixHash hash of the start of the prompt
-   * @param affinityLoadFactor load relative to the mean up to which affinity holds
+   * @param loadFactor load relative to the mean up to which prefix affinity holds
+   * @param plan flow that the choice follows between data centres
+   * @param degraded tells which links to avoid if there is another way
    */
-  public static Option<Vector<Stage>> choose(
-      Vector<Stage> stages, LayerRange range, long prefixHash, double affinityLoadFactor) {
-    Set<Integer> useful = layersThatReachTheEnd(stages, range);
-    Vector<Stage> chain = Vector.empty();
+  public ChainSelector(
+      Vector<Stage> stages,
+      LayerRange range,
+      long prefixHash,
+      double loadFactor,
+      FlowPlan plan,
+      Predicate<LinkPair> degraded) {
+    this.stages = stages;
+    this.range = range;
+    this.prefixHash = prefixHash;
+    this.loadFactor = loadFactor;
+    this.plan = plan;
+    this.degraded = degraded;
+  }
+
+  /** Returns the chosen stages, or none if the stages do not cover the range. */
+  public Option<Vector<Choosing>> choose() {
+    Set<Integer> useful = boundariesThatReachTheEnd();
+    Vector<Choosing> chain = Vector.empty();
     int layer = range.fromLayer();
     while (layer < range.toLayerExclusive()) {
-      int from = layer;
-      Vector<Stage> candidates =
-          stages.filter(
-              stage ->
-                  stage.layers().fromLayer() == from
-                      && useful.contains(stage.layers().toLayerExclusive()));
-      if (candidates.isEmpty()) {
+      Vector<Stage> candidates = candidates(layer, useful, chain);
+      Option<Stage> chosen = Choice.byPrefix(candidates, prefixHash, loadFactor);
+      if (chosen.isEmpty()) {
         return Option.none();
       }
-      Stage stage = choose(candidates, prefixHash, affinityLoadFactor);
-      chain = chain.append(stage);
+      Stage stage = chosen.get();
+      chain = chain.append(new Choosing(stage, stage.nextPass(Choice.earliestPass(candidates))));
       layer = stage.layers().toLayerExclusive();
     }
     return Option.some(chain);
   }
 
-  /**
-   * Returns the candidate that the prefix prefers if its load is within the bound, otherwise the
-   * one with the earliest virtual time.
-   */
-  private static Stage choose(Vector<Stage> candidates, long prefixHash, double loadFactor) {
-    double weights = candidates.map(Stage::weight).sum().doubleValue();
-    double loads = candidates.map(stage -> stage.member().inFlight()).sum().doubleValue();
-    return candidates
-        .sorted(Comparator.comparingDouble(stage -> -affinity(stage, prefixHash)))
-        .headOption()
-        .filter(
+  private Vector<Stage> candidates(int layer, Set<Integer> useful, Vector<Choosing> chain) {
+    Vector<Stage> candidates =
+        stages.filter(
             stage ->
-                stage.member().inFlight() + 1
-                    <= Math.ceil(loadFactor * (loads + 1) * stage.weight() / weights))
-        .getOrElse(() -> earliest(candidates));
-  }
-
-  private static Stage earliest(Vector<Stage> candidates) {
-    return candidates
-        .minBy(
-            Comparator.comparingDouble(Stage::score)
-                .thenComparing(stage -> stage.member().endpoint()))
-        .get();
+                stage.layers().fromLayer() == layer
+                    && useful.contains(stage.layers().toLayerExclusive()));
+    if (chain.isEmpty()) {
+      return candidates;
+    }
+    Member previous = chain.last().stage().member();
+    Vector<Stage> sound =
+        candidates.reject(
+            stage -> degraded.test(new LinkPair(previous.endpoint(), stage.member().endpoint())));
+    Vector<Stage> usable = sound.isEmpty() ? candidates : sound;
+    Vector<Stage> planned = usable.flatMap(stage -> planned(layer, previous, stage)).toVector();
+    return planned.isEmpty() ? usable : planned;
   }
 
-  /** Weighted rendezvous hashing: the highest value wins, in proportion to the weights. */
-  private static double affinity(Stage stage, long prefixHash) {
-    long hash = Hashing.combine(prefixHash, Hashing.of(stage.member().endpoint().value()));
-    return stage.weight() / -Math.log(Math.max(Double.MIN_NORMAL, Hashing.unit(hash)));
+  /** Weighs a stage by the part of its flow that comes from the previous stage's data centre. */
+  private Option<Stage> planned(int layer, Member previous, Stage stage) {
+    Hop hop =
+        new Hop(layer, previous.placement().dataCentre(), stage.member().placement().dataCentre());
+    double part = plan.part(hop);
+    return Option.when(
+        part > 0, () -> new Stage(stage.member(), stage.layers(), stage.weight() * part));
   }
 
-  private static Set<Integer> layersThatReachTheEnd(Vector<Stage> stages, LayerRange range) {
+  private Set<Integer> boundariesThatReachTheEnd() {
     Set<Integer> useful = new HashSet<>();
     useful.add(range.toLayerExclusive());
     for (Stage stage : stages.sortBy(stage -> -stage.layers().fromLayer())) {
@@ -84,4 +99,12 @@
     }
     return useful;
   }
+
+  /**
+   * Chosen stage.
+   *
+   * @param stage the stage
+   * @param nextPass its virtual time after this choice
+   */
+  public record Choosing(Stage stage, double nextPass) {}
 }
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/routing/FlowPlan.java
@@ -0,0 +1,38 @@
+package io.zinniawood.core.entry.routing;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+
+/**
+ * Maximum flow of one model through the endpoints of an entry.
+ *
+ * @param tokensPerSecond value of the flow, the bound on throughput
+ * @param shares flow through each endpoint in tokens per second
+ * @param hops for each hop, the part of the flow into its target that takes this hop
+ */
+public record FlowPlan(
+    double tokensPerSecond, Map<EndpointId, Double> shares, Map<Hop, Double> hops) {
+  /** Plan of a model that no chain serves. */
+  public static final FlowPlan EMPTY = new FlowPlan(0, HashMap.empty(), HashMap.empty());
+
+  /** Returns the flow through an endpoint in tokens per second, 0 if the flow avoids it. */
+  public double share(EndpointId endpoint) {
+    return shares.getOrElse(endpoint, 0.0);
+  }
+
+  /** Returns the part of the flow into the hop's target that takes this hop, 0 to 1. */
+  public double part(Hop hop) {
+    return hops.getOrElse(hop, 0.0);
+  }
+
+  /**
+   * Passage between two stages at a layer boundary, within or between data centres.
+   *
+   * @param layer first layer after the boundary
+   * @param from data centre of the sending stage
+   * @param to data centre of the receiving stage
+   */
+  public record Hop(int layer, DataCentreId from, DataCentreId to) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/routing/FlowPlanner.java
@@ -0,0 +1,159 @@
+package io.zinniawood.core.entry.routing;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import io.zinniawood.core.entry.routing.FlowPlan.Hop;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.model.LayerRange;
+import java.util.LinkedHashMap;
+import org.jgrapht.alg.flow.PushRelabelMFImpl;
+import org.jgrapht.graph.DefaultWeightedEdge;
+import org.jgrapht.graph.SimpleDirectedWeightedGraph;
+
+/**
+ * Computes the maximum flow of tokens through layer ranges, endpoint capacities and links.
+ *
+ * <p>A vertex of the graph is a layer boundary in one data centre. Endpoints of one data centre
+ * with equal ranges form one edge whose capacity is the sum of theirs, and a link is an edge
+ * between two data centres at the same boundary. The flow of an edge is divided among its endpoints
+ * in proportion to their capacities, so that equal endpoints get equal work.
+ */
+public final class FlowPlanner {
+  private static final double SMALLEST_SHARE = 1e-9;
+  private static final double TOLERANCE = 1e-6;
+
+  private final Vector<StageCapacity> stages;
+  private final int layers;
+  private final LinkCapacity links;
+  private final double unlimited;
+  private final SimpleDirectedWeightedGraph<Object, DefaultWeightedEdge> graph =
+      new SimpleDirectedWeightedGraph<>(DefaultWeightedEdge.class);
+  private final java.util.Map<Group, DefaultWeightedEdge> groupEdges = new LinkedHashMap<>();
+
+  private FlowPlanner(Vector<StageCapacity> stages, int layers, LinkCapacity links) {
+    this.stages = stages;
+    this.layers = layers;
+    this.links = links;
+    this.unlimited = 1 + stages.map(StageCapacity::tokensPerSecond).sum().doubleValue();
+  }
+
+  /**
+   * Returns the maximum flow; one that uses no link between data centres if it is as large.
+   *
+   * @param stages endpoints of one model
+   * @param layers number of layers of the model
+   * @param links capacity of the links between data centres
+   */
+  public static FlowPlan plan(Vector<StageCapacity> stages, int layers, LinkCapacity links) {
+    Vector<StageCapacity> usable =
+        stages.filter(
+            stage -> stage.tokensPerSecond() > 0 && stage.layers().toLayerExclusive() <= layers);
+    if (usable.isEmpty()) {
+      return FlowPlan.EMPTY;
+    }
+    FlowPlan linked = new FlowPlanner(usable, layers, links).solve();
+    FlowPlan local = new FlowPlanner(usable, layers, (from, to) -> 0).solve();
+    return local.tokensPerSecond() >= linked.tokensPerSecond() * (1 - TOLERANCE) ? local : linked;
+  }
+
+  private FlowPlan solve() {
+    graph.addVertex(Terminal.SOURCE);
+    graph.addVertex(Terminal.SINK);
+    var groups = stages.groupBy(stage -> new Group(stage.dataCentre(), stage.layers()));
+    for (Group group : groups.keySet().toVector().sortBy(Group::sortKey)) {
+      addGroup(group, groups.get(group).get());
+    }
+    addLinks();
+    var flow = new PushRelabelMFImpl<>(graph).getMaximumFlow(Terminal.SOURCE, Terminal.SINK);
+    Map<EndpointId, Double> shares = HashMap.empty();
+    for (var entry : groupEdges.entrySet()) {
+      Vector<StageCapacity> members = groups.get(entry.getKey()).get();
+      double total = members.map(StageCapacity::tokensPerSecond).sum().doubleValue();
+      double used = flow.getFlowMap().getOrDefault(entry.getValue(), 0.0);
+      for (StageCapacity member : members) {
+        double share = used * member.tokensPerSecond() / total;
+        if (share > SMALLEST_SHARE) {
+          shares = shares.put(member.endpoint(), share);
+        }
+      }
+    }
+    return new FlowPlan(flow.getValue(), shares, hops(flow.getFlowMap()));
+  }
+
+  private Map<Hop, Double> hops(java.util.Map<DefaultWeightedEdge, Double> flow) {
+    Map<Hop, Double> hops = HashMap.empty();
+    for (Object vertex : graph.vertexSet()) {
+      if (!(vertex instanceof Boundary to) || to.layer() == 0) {
+        continue;
+      }
+      double inflow = 0;
+      for (DefaultWeightedEdge edge : graph.incomingEdgesOf(to)) {
+        inflow += flow.getOrDefault(edge, 0.0);
+      }
+      for (DefaultWeightedEdge edge : graph.incomingEdgesOf(to)) {
+        double used = flow.getOrDefault(edge, 0.0);
+        if (used > SMALLEST_SHARE && graph.getEdgeSource(edge) instanceof Boundary from) {
+          Hop hop = new Hop(to.layer(), from.dataCentre(), to.dataCentre());
+          hops = hops.put(hop, hops.getOrElse(hop, 0.0) + used / inflow);
+        }
+      }
+    }
+    return hops;
+  }
+
+  private void addGroup(Group group, Vector<StageCapacity> members) {
+    Boundary from = boundary(group.layers().fromLayer(), group.dataCentre());
+    Boundary to = boundary(group.layers().toLayerExclusive(), group.dataCentre());
+    DefaultWeightedEdge edge = graph.addEdge(from, to);
+    graph.setEdgeWeight(edge, members.map(StageCapacity::tokensPerSecond).sum().doubleValue());
+    groupEdges.put(group, edge);
+  }
+
+  private Boundary boundary(int layer, DataCentreId dataCentre) {
+    Boundary boundary = new Boundary(layer, dataCentre);
+    if (graph.addVertex(boundary)) {
+      if (layer == 0) {
+        graph.setEdgeWeight(graph.addEdge(Terminal.SOURCE, boundary), unlimited);
+      }
+      if (layer == layers) {
+        graph.setEdgeWeight(graph.addEdge(boundary, Terminal.SINK), unlimited);
+      }
+    }
+    return boundary;
+  }
+
+  private void addLinks() {
+    Vector<Boundary> inner =
+        Vector.ofAll(graph.vertexSet())
+            .filter(Boundary.class::isInstance)
+            .map(Boundary.class::cast)
+            .filter(boundary -> boundary.layer() > 0 && boundary.layer() < layers);
+    for (Boundary from : inner) {
+      for (Boundary to : inner) {
+        if (from.layer() != to.layer() || from.equals(to)) {
+          continue;
+        }
+        double capacity = links.tokensPerSecond(from.dataCentre(), to.dataCentre());
+        if (capacity > 0) {
+          graph.setEdgeWeight(graph.addEdge(from, to), Math.min(unlimited, capacity));
+        }
+      }
+    }
+  }
+
+  private enum Terminal {
+    SOURCE,
+    SINK
+  }
+
+  private record Boundary(int layer, DataCentreId dataCentre) {}
+
+  private record Group(DataCentreId dataCentre, LayerRange layers) {
+    String sortKey() {
+      return "%06d-%06d-%s"
+          .formatted(layers.fromLayer(), layers.toLayerExclusive(), dataCentre.value());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/routing/LinkPair.java
@@ -0,0 +1,11 @@
+package io.zinniawood.core.entry.routing;
+
+import io.zinniawood.core.id.EndpointId;
+
+/**
+ * Link between two stages.
+ *
+ * @param from sending endpoint
+ * @param to receiving endpoint
+ */
+public record LinkPair(EndpointId from, EndpointId to) {}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/FakeAgent.java
@@ -0,0 +1,300 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Epoch;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.CancelOutcome;
+import io.zinniawood.core.model.Capability;
+import io.zinniawood.core.model.ClaimKey;
+import io.zinniawood.core.model.ClaimRow;
+import io.zinniawood.core.model.FinishReason;
+import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.LayerRange;
+import io.zinniawood.core.model.LoadReport;
+import io.zinniawood.core.model.OrderOutcome;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.RequestDigest;
+import io.zinniawood.core.model.ServiceAnswer;
+import io.zinniawood.core.model.ServingState;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Agent with a stage engine or a plain service, as sections 3.3 and 3.4 of the design ask. */
+final class FakeAgent {
+  final EndpointId endpoint;
+  final Map<SessionId, Stage> sessions = new HashMap<>();
+  final Map<AttemptId, Call> calls = new HashMap<>();
+  final List<Message.Order> orders = new ArrayList<>();
+  Capability capability;
+  Incarnation incarnation = new Incarnation(1);
+  ServingState state = ServingState.SERVING;
+  boolean up = true;
+  boolean stalled;
+  boolean keepsOutputs = true;
+  private final World world;
+
+  FakeAgent(World world, String name, Capability capability) {
+    this.world = world;
+    this.endpoint = new EndpointId(name);
+    this.capability = capability;
+  }
+
+  Message.Status status() {
+    return new Message.Status(state, capability, LoadReport.idle(8));
+  }
+
+  void restart() {
+    sessions.clear();
+    calls.clear();
+    incarnation = new Incarnation(incarnation.value() + 1);
+    state = ServingState.SERVING;
+    stalled = false;
+    up = true;
+  }
+
+  void receive(Message message) {
+    if (message instanceof Message.OpenSession open) {
+      open(open);
+    } else if (message instanceof Message.StepInput input) {
+      step(input.session(), input.epoch(), input.position(), input.input().text());
+    } else if (message instanceof Message.Activation activation) {
+      step(
+          activation.session(),
+          activation.epoch(),
+          activation.position(),
+          activation.payload().text());
+    } else if (message instanceof Message.Replay replay) {
+      replay(replay);
+    } else if (message instanceof Message.CloseSession close) {
+      sessions.remove(close.session());
+    } else if (message instanceof Message.Dispatch dispatch) {
+      dispatch(dispatch);
+    } else if (message instanceof Message.CancelDispatch cancel) {
+      cancel(cancel);
+    } else if (message instanceof Message.Order order) {
+      orders.add(order);
+      world.toEntry(this, new Message.OrderResult(order.order(), OrderOutcome.DONE, "loaded"));
+    }
+  }
+
+  private void open(Message.OpenSession open) {
+    Stage stage = sessions.get(open.session());
+    RefusalReason refusal = null;
+    if (!open.incarnation().equals(incarnation)) {
+      refusal = RefusalReason.WRONG_INCARNATION;
+    } else if (stage == null && state == ServingState.LEAVING) {
+      refusal = RefusalReason.LEAVING;
+    } else if (stage != null && open.epoch().compareTo(stage.epoch) < 0) {
+      refusal = RefusalReason.STALE_EPOCH;
+    }
+    if (refusal != null) {
+      world.toEntry(
+          this,
+          new Message.SessionRefused(open.session(), open.epoch(), open.stageIndex(), refusal));
+      return;
+    }
+    if (stage == null) {
+      stage = new Stage();
+      open.importFrom().flatMap(from -> world.stageAt(from, open.session())).forEach(stage::copy);
+      sessions.put(open.session(), stage);
+    }
+    stage.epoch = open.epoch();
+    stage.open = open;
+    world.toEntry(
+        this,
+        new Message.SessionOpened(
+            open.session(), open.epoch(), open.stageIndex(), stage.kept.size()));
+  }
+
+  private void step(SessionId id, Epoch epoch, int position, String input) {
+    Stage stage = sessions.get(id);
+    if (stage == null || !stage.epoch.equals(epoch) || position > stage.kept.size()) {
+      return;
+    }
+    if (position < stage.kept.size()) {
+      output(stage, position);
+      return;
+    }
+    if (!stalled) {
+      LayerRange layers = stage.open.chain().get(stage.open.stageIndex()).layers();
+      String tag = "[" + layers.fromLayer() + "-" + layers.toLayerExclusive() + "]";
+      world.stepsRun(id);
+      stage.kept.add(input + tag);
+      world.after(3, this, () -> output(stage, position));
+    }
+  }
+
+  private void output(Stage stage, int position) {
+    if (sessions.get(stage.open.session()) != stage) {
+      return;
+    }
+    Message.OpenSession open = stage.open;
+    String text = stage.kept.get(position);
+    if (open.stageIndex() + 1 < open.chain().length()) {
+      world.toPeer(
+          this,
+          open.chain().get(open.stageIndex() + 1).endpoint(),
+          new Message.Activation(open.session(), stage.epoch, position, Payload.ofText(text)));
+      return;
+    }
+    world.toEntry(
+        this,
+        new Message.Token(
+            open.session(),
+            stage.epoch,
+            position,
+            World.token(text, position),
+            Option.when(position == Fixtures.TOKENS - 1, FinishReason.STOP)));
+  }
+
+  private void replay(Message.Replay replay) {
+    Stage stage = sessions.get(replay.session());
+    if (stage == null || !stage.epoch.equals(replay.epoch())) {
+      return;
+    }
+    if (!keepsOutputs || stage.kept.size() < replay.toPositionExclusive()) {
+      world.toEntry(
+          this,
+          new Message.StageFailed(
+              replay.session(),
+              replay.epoch(),
+              stage.open.stageIndex(),
+              RefusalReason.REPLAY_UNAVAILABLE));
+      return;
+    }
+    for (int p = replay.fromPosition(); p < replay.toPositionExclusive(); p++) {
+      output(stage, p);
+    }
+  }
+
+  private void dispatch(Message.Dispatch dispatch) {
+    Call call = calls.get(dispatch.attempt());
+    if (!dispatch.incarnation().equals(incarnation)) {
+      refuse(dispatch, RefusalReason.WRONG_INCARNATION, Option.none());
+    } else if (call != null && call.state == CallState.CANCELLED) {
+      refuse(dispatch, RefusalReason.CANCELLED, Option.none());
+    } else if (call != null) {
+      call.waiters.add(dispatch);
+      if (call.state == CallState.FINISHED) {
+        reply(call);
+      }
+    } else if (state == ServingState.LEAVING) {
+      refuse(dispatch, RefusalReason.LEAVING, Option.none());
+    } else {
+      Call queued = new Call();
+      queued.waiters.add(dispatch);
+      calls.put(dispatch.attempt(), queued);
+      world.after(5, this, () -> start(dispatch, queued));
+    }
+  }
+
+  private void start(Message.Dispatch dispatch, Call call) {
+    if (call.state != CallState.QUEUED) {
+      return;
+    }
+    if (stalled) {
+      world.after(50, this, () -> start(dispatch, call));
+      return;
+    }
+    if (dispatch.idempotency() == Idempotency.NON_IDEMPOTENT && dispatch.key().isDefined()) {
+      if (world.table.down) {
+        call.state = CallState.CANCELLED;
+        refuse(dispatch, RefusalReason.STORE_UNAVAILABLE, Option.none());
+        return;
+      }
+      String digest = RequestDigest.of(dispatch.call());
+      Option<ClaimRow> row =
+          world.table.claim(
+              key(dispatch), endpoint, incarnation, dispatch.attempt(), digest, dispatch.fence());
+      if (row.isDefined()) {
+        call.state = CallState.CANCELLED;
+        refuse(dispatch, RefusalReason.CLAIMED_BY_OTHER, row);
+        return;
+      }
+    }
+    call.state = CallState.RUNNING;
+    world.executed(dispatch);
+    world.after(30, this, () -> finish(dispatch, call));
+  }
+
+  private void finish(Message.Dispatch dispatch, Call call) {
+    call.state = CallState.FINISHED;
+    call.answer = new ServiceAnswer(200, Vector.empty(), dispatch.call().body());
+    if (world.table.claims.containsKey(key(dispatch)) && !world.table.down) {
+      world.table.finish(key(dispatch), call.answer);
+    }
+    reply(call);
+  }
+
+  private void reply(Call call) {
+    for (Message.Dispatch waiter : call.waiters) {
+      world.toEntry(
+          this,
+          new Message.DispatchReply(
+              waiter.request(), waiter.attempt(), call.answer, LoadReport.idle(8)));
+    }
+    call.waiters.clear();
+  }
+
+  private void cancel(Message.CancelDispatch cancel) {
+    Call call = calls.computeIfAbsent(cancel.attempt(), attempt -> new Call());
+    if (call.state == CallState.QUEUED) {
+      call.state = CallState.CANCELLED;
+    }
+    CancelOutcome outcome =
+        switch (call.state) {
+          case RUNNING -> CancelOutcome.RUNNING;
+          case FINISHED -> CancelOutcome.FINISHED;
+          default -> CancelOutcome.NOT_STARTED;
+        };
+    world.toEntry(this, new Message.CancelResult(cancel.request(), cancel.attempt(), outcome));
+  }
+
+  private void refuse(Message.Dispatch dispatch, RefusalReason reason, Option<ClaimRow> row) {
+    world.toEntry(
+        this,
+        new Message.DispatchRefused(
+            dispatch.request(), dispatch.attempt(), reason, Outcome.NOT_RUN, row));
+  }
+
+  private static ClaimKey key(Message.Dispatch dispatch) {
+    return new ClaimKey(
+        dispatch.clientAccount(),
+        dispatch.service(),
+        dispatch.key().getOrElse(new io.zinniawood.core.id.IdempotencyKey("none")));
+  }
+
+  /** Stage session. */
+  static final class Stage {
+    final List<String> kept = new ArrayList<>();
+    Epoch epoch = new Epoch(0);
+    Message.OpenSession open;
+
+    void copy(Stage other) {
+      kept.addAll(other.kept);
+    }
+  }
+
+  /** Attempt in the gate. */
+  static final class Call {
+    final List<Message.Dispatch> waiters = new ArrayList<>();
+    CallState state = CallState.QUEUED;
+    ServiceAnswer answer;
+  }
+
+  enum CallState {
+    QUEUED,
+    RUNNING,
+    FINISHED,
+    CANCELLED
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/FakeTable.java
@@ -0,0 +1,81 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Fence;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.model.ClaimKey;
+import io.zinniawood.core.model.ClaimRow;
+import io.zinniawood.core.model.ClaimState;
+import io.zinniawood.core.model.ServiceAnswer;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Table with the claim rows and the lease row. */
+final class FakeTable {
+  final Map<ClaimKey, ClaimRow> claims = new HashMap<>();
+  Option<LeaseRow> lease = Option.none();
+  long leaseVersion;
+  boolean down;
+
+  /** Claims the key for an attempt; returns the row that stands in the way, if any. */
+  Option<ClaimRow> claim(
+      ClaimKey key,
+      EndpointId owner,
+      Incarnation incarnation,
+      AttemptId attempt,
+      String digest,
+      Fence fence) {
+    ClaimRow row = claims.get(key);
+    boolean free =
+        row == null
+            ? fence.value() == 0
+            : row.state() == ClaimState.RELEASED && row.fence().equals(fence);
+    if (!free) {
+      return Option.of(row);
+    }
+    claims.put(
+        key,
+        new ClaimRow(
+            owner, incarnation, attempt, digest, ClaimState.STARTED, fence, Option.none()));
+    return Option.none();
+  }
+
+  void finish(ClaimKey key, ServiceAnswer answer) {
+    ClaimRow row = claims.get(key);
+    claims.put(
+        key,
+        new ClaimRow(
+            row.owner(),
+            row.incarnation(),
+            row.attempt(),
+            row.requestDigest(),
+            ClaimState.FINISHED,
+            row.fence(),
+            Option.some(answer)));
+  }
+
+  /** Rules an attempt out, or returns the row that stands. */
+  ClaimResolution release(EntryEffect.ReleaseClaim effect) {
+    if (down) {
+      return new ClaimResolution.Unresolved();
+    }
+    ClaimRow row = claims.get(effect.key());
+    if (row != null && row.state() != ClaimState.RELEASED) {
+      return new ClaimResolution.Held(row);
+    }
+    Fence next = new Fence(row == null ? 1 : row.fence().value() + 1);
+    claims.put(
+        effect.key(),
+        new ClaimRow(
+            new EndpointId("none"),
+            new Incarnation(0),
+            effect.attempt(),
+            effect.requestDigest(),
+            ClaimState.RELEASED,
+            next,
+            Option.none()));
+    return new ClaimResolution.Released(next);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/ModelRequestTest.java
@@ -0,0 +1,103 @@
+package io.zinniawood.core.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThan;
+
+import io.zinniawood.core.model.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** Tests of stage sessions and their recovery. */
+class ModelRequestTest {
+  private static final String WHOLE = "w0<m>ok w1<m>ok w2<m>ok w3<m>ok w4<m>ok w5<m>ok ";
+
+  // Guards against lost, repeated or reordered tokens without any fault.
+  @Test
+  void deliversTheWholeAnswerAndClosesEveryStage() {
+    World world = World.small();
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(200);
+    assertThat(world.text("m"), equalTo(WHOLE));
+    world.checks.end();
+    world.agents.values().forEach(agent -> assertThat(agent.sessions.size(), equalTo(0)));
+  }
+
+  // Guards against an answer that ends because one stage's process died.
+  @Test
+  void continuesAfterTheCrashOfEitherStage() {
+    for (String prefix : new String[] {"a", "b"}) {
+      World world = World.small();
+      world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+      world.run(30);
+      world.crash(busy(world, prefix));
+      long crashedNanos = world.nowNanos;
+      world.run(1_300);
+      assertThat(world.text("m"), equalTo(WHOLE));
+      EntryEffect.RecordResult result = world.effects(EntryEffect.RecordResult.class).get(0);
+      assertThat(result.result().outcome(), equalTo(Outcome.COMPLETED));
+      assertThat(result.result().slowestGapNanos().get(), lessThan(1_300 * Fixtures.MILLI));
+      assertThat(world.nowNanos - crashedNanos, equalTo(1_300 * Fixtures.MILLI));
+      world.checks.end();
+    }
+  }
+
+  // Guards against a session that waits for ever on an engine that accepts steps and does not run
+  // them while its agent answers.
+  @Test
+  void replacesStageThatStallsWithoutAnError() {
+    World world = World.small();
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    world.agent(busy(world, "b")).stalled = true;
+    world.run(1_300);
+    assertThat(world.text("m"), equalTo(WHOLE));
+    assertThat(
+        world.effects(EntryEffect.RecordIncident.class).stream()
+            .filter(effect -> effect.incident().kind() == IncidentKind.STAGE_REPLACED)
+            .toList(),
+        hasSize(1));
+  }
+
+  // Guards against blaming an endpoint for a connection that went silent on the way.
+  @Test
+  void keepsTheStageWhenOnlyItsConnectionWentSilent() {
+    World world = World.small();
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    String stage = busy(world, "a");
+    world.silence(stage);
+    world.dropConnection(stage, DisconnectReason.SILENT);
+    world.run(500);
+    assertThat(world.text("m"), equalTo(WHOLE));
+    assertThat(
+        world.effects(EntryEffect.RecordIncident.class).stream()
+            .filter(effect -> effect.incident().kind() == IncidentKind.STAGE_REPLACED)
+            .toList(),
+        hasSize(0));
+  }
+
+  // Guards against an untruthful ending: tokens were delivered and cannot be rebuilt.
+  @Test
+  void failsWithUnknownWhenOutputsAreNoLongerKept() {
+    World world = World.small();
+    world.agents.values().forEach(agent -> agent.keepsOutputs = false);
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    world.crash(busy(world, "b"));
+    world.run(1_500);
+    var problems = world.effects(EntryEffect.ReplyProblem.class);
+    assertThat(problems, hasSize(1));
+    assertThat(problems.get(0).problem().outcome(), equalTo(Outcome.UNKNOWN));
+    world.checks.end();
+  }
+
+  private static String busy(World world, String prefix) {
+    return world.agents.values().stream()
+        .filter(agent -> agent.endpoint.value().startsWith(prefix) && !agent.sessions.isEmpty())
+        .findFirst()
+        .orElseThrow()
+        .endpoint
+        .value();
+  }
+}
