--- /dev/null
+++ b/telemetry/src/main/java/io/zinniawood/telemetry/HdrReservoir.java
@@ -0,0 +1,70 @@
+package io.zinniawood.telemetry;
+
+import com.codahale.metrics.Reservoir;
+import com.codahale.metrics.Snapshot;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.Recorder;
+
+/**
+ * Reservoir of bounded size that covers the last one to two windows. Its histograms keep every
+ * value with two significant digits, so that high quantiles are exact to 1%.
+ */
+public final class HdrReservoir implements Reservoir {
+  private static final int SIGNIFICANT_DIGITS = 2;
+
+  /** Longer values are counted as this one. */
+  private static final long MAX_VALUE = TimeUnit.HOURS.toNanos(1);
+
+  private final long windowNanos;
+  private final LongSupplier clockNanos;
+  private final Recorder recorder = new Recorder(MAX_VALUE, SIGNIFICANT_DIGITS);
+  private Histogram present = new Histogram(MAX_VALUE, SIGNIFICANT_DIGITS);
+  private Histogram previous = new Histogram(MAX_VALUE, SIGNIFICANT_DIGITS);
+  private Histogram interval = recorder.getIntervalHistogram();
+  private long windowStartNanos;
+
+  /**
+   * Creates an empty reservoir.
+   *
+   * @param windowNanos length of a window in nanoseconds
+   * @param clockNanos monotonic clock in nanoseconds
+   */
+  public HdrReservoir(long windowNanos, LongSupplier clockNanos) {
+    this.windowNanos = windowNanos;
+    this.clockNanos = clockNanos;
+    this.windowStartNanos = clockNanos.getAsLong();
+  }
+
+  @Override
+  public void update(long value) {
+    recorder.recordValue(Math.max(0, Math.min(value, MAX_VALUE)));
+  }
+
+  @Override
+  public int size() {
+    return getSnapshot().size();
+  }
+
+  // Values that no snapshot collected before the window ended count to the next window.
+  @Override
+  public synchronized Snapshot getSnapshot() {
+    long elapsedNanos = clockNanos.getAsLong() - windowStartNanos;
+    if (elapsedNanos >= windowNanos) {
+      Histogram oldest = previous;
+      previous = present;
+      present = oldest;
+      present.reset();
+      if (elapsedNanos >= 2 * windowNanos) {
+        previous.reset();
+      }
+      windowStartNanos = clockNanos.getAsLong();
+    }
+    interval = recorder.getIntervalHistogram(interval);
+    present.add(interval);
+    Histogram both = present.copy();
+    both.add(previous);
+    return new HdrSnapshot(both);
+  }
+}
--- /dev/null
+++ b/telemetry/src/main/java/io/zinniawood/telemetry/LabelledCounters.java
@@ -0,0 +1,71 @@
+package io.zinniawood.telemetry;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Counters of one name with labels. The number of label combinations is bounded; further ones count
+ * as {@value #OTHER}, so that callers cannot fill the memory with new names.
+ */
+public final class LabelledCounters {
+  /** Label value of combinations beyond the bound. */
+  public static final String OTHER = "other";
+
+  private final MetricRegistry registry;
+  private final String base;
+  private final List<String> labelNames;
+  private final int maxCombinations;
+  private final Set<String> known = ConcurrentHashMap.newKeySet();
+
+  /**
+   * Creates the counters.
+   *
+   * @param registry registry
+   * @param base name without labels
+   * @param labelNames names of the labels
+   * @param maxCombinations most label combinations
+   */
+  public LabelledCounters(
+      MetricRegistry registry, String base, List<String> labelNames, int maxCombinations) {
+    this.registry = registry;
+    this.base = base;
+    this.labelNames = List.copyOf(labelNames);
+    this.maxCombinations = maxCombinations;
+  }
+
+  /** Adds one to the counter of a combination; the values are in the order of the label names. */
+  public void increment(String... values) {
+    if (values.length != labelNames.size()) {
+      throw new IllegalArgumentException(
+          "%s has %d labels, but %d values were given"
+              .formatted(base, labelNames.size(), values.length));
+    }
+    registry.counter(bounded(values)).inc();
+  }
+
+  private String bounded(String... values) {
+    String name = name(values);
+    if (known.contains(name)) {
+      return name;
+    }
+    synchronized (known) {
+      if (known.size() < maxCombinations) {
+        known.add(name);
+        return name;
+      }
+    }
+    String[] others = new String[values.length];
+    java.util.Arrays.fill(others, OTHER);
+    return name(others);
+  }
+
+  private String name(String... values) {
+    MetricLabel[] labels = new MetricLabel[values.length];
+    for (int index = 0; index < values.length; index++) {
+      labels[index] = new MetricLabel(labelNames.get(index), values[index]);
+    }
+    return MetricName.of(base, labels).text();
+  }
+}
--- /dev/null
+++ b/telemetry/src/main/java/io/zinniawood/telemetry/RepeatLimiter.java
@@ -0,0 +1,80 @@
+package io.zinniawood.telemetry;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.logging.Filter;
+import java.util.logging.LogRecord;
+
+/**
+ * Drops log records that repeat too often. Records with the same logger, level and unformatted
+ * message count as repeats. The first record after an interval with drops carries their number.
+ */
+public final class RepeatLimiter implements Filter {
+  /** Bounds the memory for different messages; the least recently used one is forgotten. */
+  private static final int MAX_MESSAGES = 1_024;
+
+  private final int maxPerInterval;
+  private final long intervalNanos;
+  private final LongSupplier clockNanos;
+  private final Map<Key, Count> counts =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Key, Count> eldest) {
+          return size() > MAX_MESSAGES;
+        }
+      };
+
+  private record Key(String logger, int level, String message) {}
+
+  private static final class Count {
+    long startNanos;
+    int passed;
+    int dropped;
+  }
+
+  /**
+   * Creates a limiter.
+   *
+   * @param maxPerInterval most records of one message in an interval
+   * @param intervalNanos length of an interval in nanoseconds
+   * @param clockNanos monotonic clock in nanoseconds
+   */
+  public RepeatLimiter(int maxPerInterval, long intervalNanos, LongSupplier clockNanos) {
+    this.maxPerInterval = maxPerInterval;
+    this.intervalNanos = intervalNanos;
+    this.clockNanos = clockNanos;
+  }
+
+  @Override
+  public synchronized boolean isLoggable(LogRecord logRecord) {
+    long nowNanos = clockNanos.getAsLong();
+    Key key = keyOf(logRecord);
+    Count count = counts.get(key);
+    if (count == null || nowNanos - count.startNanos >= intervalNanos) {
+      int dropped = count == null ? 0 : count.dropped;
+      Count next = new Count();
+      next.startNanos = nowNanos;
+      next.passed = 1;
+      counts.put(key, next);
+      if (dropped > 0) {
+        logRecord.setMessage(
+            logRecord.getMessage() + " (%d repeats were not logged)".formatted(dropped));
+      }
+      return true;
+    }
+    if (count.passed < maxPerInterval) {
+      count.passed++;
+      return true;
+    }
+    count.dropped++;
+    return false;
+  }
+
+  private static Key keyOf(LogRecord logRecord) {
+    return new Key(
+        String.valueOf(logRecord.getLoggerName()),
+        logRecord.getLevel().intValue(),
+        String.valueOf(logRecord.getMessage()));
+  }
+}
--- /dev/null
+++ b/telemetry/src/test/java/io/zinniawood/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of logs and metrics. */
+package io.zinniawood.telemetry;
