Add operators' HTTP, metrics and the relay between entries

The balancer and operators need health, readiness, metrics and reports on their own port, and only two entries of a data centre may poll the platform. AdminRoutes serves them; EntryRelay polls if rendezvous hashing chooses this entry and else takes the VM list and configuration from the two pollers.

--- a/entry/src/main/java/io/zinniawood/entry/ConfigurationFeed.java
+++ b/entry/src/main/java/io/zinniawood/entry/ConfigurationFeed.java
@@ -18,6 +18,17 @@
    */
   CompletableFuture<Either<String, Option<ConfigurationSnapshot>>> poll(Generation known);
 
+  /**
+   * Returns the accepted snapshot if its generation is higher than the known one, without a reading
+   * of the folder; called instead of {@link #poll} while other entries read it.
+   *
+   * @param known generation that the entry has
+   */
+  default CompletableFuture<Either<String, Option<ConfigurationSnapshot>>> follow(
+      Generation known) {
+    return CompletableFuture.completedFuture(Either.right(Option.none()));
+  }
+
   /** Parses a snapshot that came from {@link #poll} or from a neighbour. */
   Either<String, AcceptedConfiguration> parse(ConfigurationSnapshot snapshot);
 }
--- a/entry/src/main/java/io/zinniawood/entry/EntryDependencies.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryDependencies.java
@@ -1,5 +1,6 @@
 package io.zinniawood.entry;
 
+import com.codahale.metrics.MetricRegistry;
 import io.zinniawood.config.settings.EntrySettings;
 import io.zinniawood.core.entry.EntryEffect;
 import io.zinniawood.core.entry.EntryEvent;
@@ -22,6 +23,9 @@
  * @param configuration reads and parses configurations
  * @param reducer decisions
  * @param initialState state before the first event
+ * @param observer learns results and incidents
+ * @param reports report pages of the operators' port
+ * @param metrics registry of the process
  * @param clockNanos monotonic clock in nanoseconds
  * @param logger logger of the process
  */
@@ -34,5 +38,36 @@
     ConfigurationFeed configuration,
     Reducer<S, EntryEvent, EntryEffect> reducer,
     S initialState,
+    EntryObserver observer,
+    ReportSource reports,
+    MetricRegistry metrics,
     LongSupplier clockNanos,
-    Logger logger) {}
+    Logger logger) {
+  /** Creates dependencies without reports, with a registry of their own. */
+  public EntryDependencies(
+      EntrySettings settings,
+      Wire wire,
+      GenerationCell generation,
+      Table table,
+      VmList vmList,
+      ConfigurationFeed configuration,
+      Reducer<S, EntryEvent, EntryEffect> reducer,
+      S initialState,
+      LongSupplier clockNanos,
+      Logger logger) {
+    this(
+        settings,
+        wire,
+        generation,
+        table,
+        vmList,
+        configuration,
+        reducer,
+        initialState,
+        EntryObserver.none(),
+        ReportSource.none(),
+        new MetricRegistry(),
+        clockNanos,
+        logger);
+  }
+}
--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -1,15 +1,18 @@
 package io.zinniawood.entry;
 
+import io.vavr.control.Either;
 import io.vavr.control.Option;
 import io.zinniawood.config.settings.EntrySettings;
 import io.zinniawood.core.configuration.AcceptedConfiguration;
 import io.zinniawood.core.entry.EntryEffect;
 import io.zinniawood.core.entry.EntryEvent;
 import io.zinniawood.core.entry.EntryTimer;
-import io.zinniawood.core.entry.Incident;
 import io.zinniawood.core.entry.Readiness;
-import io.zinniawood.core.entry.RequestResult;
+import io.zinniawood.core.message.Message.ObjectiveCounts;
 import io.zinniawood.entry.internal.EntryEffects;
+import io.zinniawood.entry.internal.EntryRecords;
+import io.zinniawood.entry.internal.admin.AdminRoutes;
+import io.zinniawood.entry.internal.admin.EntryMetrics;
 import io.zinniawood.entry.internal.http.AcceptedView;
 import io.zinniawood.entry.internal.http.CallerRoutes;
 import io.zinniawood.entry.internal.http.HttpServer;
@@ -17,15 +20,20 @@
 import io.zinniawood.entry.internal.http.RequestIds;
 import io.zinniawood.entry.internal.link.AgentLinks;
 import io.zinniawood.entry.internal.link.ConfigurationKeeper;
+import io.zinniawood.entry.internal.relay.EntryRelay;
 import io.zinniawood.entry.internal.store.ClaimReleaser;
 import io.zinniawood.entry.internal.store.LeaseStore;
 import io.zinniawood.runtime.EventLoop;
+import io.zinniawood.wire.WireError;
 import java.lang.System.Logger.Level;
+import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 /**
  * Entry role: serves callers and operators and executes the effects of the entry's reducer.
@@ -37,17 +45,22 @@
   private static final int MAX_OPEN_REQUESTS = 4_096;
 
   private static final int CALLER_IO_THREADS = 2;
+  private static final int ADMIN_IO_THREADS = 1;
+  private static final int ADMIN_MAX_BODY_BYTES = 1_024;
 
   private final EntryDependencies<S> dependencies;
   private final EventLoop<S, EntryEvent, EntryEffect, EntryTimer> loop;
-  private final ScheduledExecutorService pollers;
+  private final ScheduledExecutorService ticker;
   private final OpenRequests openRequests;
   private final ConfigurationKeeper configuration;
+  private final EntryRelay relay;
+  private final EntryMetrics metrics;
   private final EntryEffects effects;
   private final AtomicReference<Option<AcceptedView>> view = new AtomicReference<>(Option.none());
   private final AtomicReference<Readiness> readiness = new AtomicReference<>(Readiness.STARTING);
   private final CompletableFuture<Boolean> stopped = new CompletableFuture<>();
   private Option<HttpServer> callers = Option.none();
+  private Option<HttpServer> admin = Option.none();
 
   /** Creates a process that is not started. */
   public EntryProcess(EntryDependencies<S> dependencies) {
@@ -58,7 +71,7 @@
             dependencies.initialState(),
             dependencies.reducer(),
             dependencies.clockNanos());
-    this.pollers = Executors.newSingleThreadScheduledExecutor(EntryProcess::pollerThread);
+    this.ticker = Executors.newSingleThreadScheduledExecutor(EntryProcess::tickerThread);
     this.openRequests =
         new OpenRequests(
             MAX_OPEN_REQUESTS, request -> loop.post(new EntryEvent.CallerDisconnected(request)));
@@ -69,26 +82,45 @@
             this::onAccepted,
             dependencies.clockNanos(),
             dependencies.logger());
+    this.relay = new EntryRelay(relayParts());
+    this.metrics = new EntryMetrics(dependencies.metrics(), dependencies.clockNanos());
     this.effects = new EntryEffects(targets());
   }
 
-  private static Thread pollerThread(Runnable task) {
-    Thread thread = new Thread(task, "entry-poller");
+  private static Thread tickerThread(Runnable task) {
+    Thread thread = new Thread(task, "entry-ticker");
     thread.setDaemon(true);
     return thread;
   }
 
+  private EntryRelay.Parts relayParts() {
+    return new EntryRelay.Parts(
+        dependencies.settings(),
+        dependencies.wire(),
+        dependencies.vmList(),
+        dependencies.configuration(),
+        configuration,
+        loop::post,
+        dependencies.observer(),
+        dependencies.clockNanos(),
+        new SecureRandom(),
+        dependencies.logger());
+  }
+
   private EntryEffects.Targets targets() {
     EntrySettings settings = dependencies.settings();
+    EntryRecords records =
+        new EntryRecords(
+            metrics, dependencies.observer(), dependencies.generation(), dependencies.logger());
     return new EntryEffects.Targets(
         openRequests,
         new AgentLinks(dependencies.wire(), loop::post, configuration),
         new ClaimReleaser(settings.vm(), dependencies.table(), loop::post, dependencies.logger()),
         new LeaseStore(dependencies.table(), loop::post, dependencies.logger()),
         new LoopTimers(),
-        readiness::set,
-        this::onResult,
-        this::onIncident,
+        this::setReadiness,
+        records::record,
+        records::record,
         () -> stopped.complete(true));
   }
 
@@ -104,35 +136,41 @@
     }
   }
 
-  /** Starts the event loop, the pollers and the ports; throws if a port is in use. */
+  /** Starts the event loop, the ports and the polls; throws if a port cannot be opened. */
   public void start() {
     EntrySettings settings = dependencies.settings();
     loop.start(effect -> effect.accept(effects));
-    CallerRoutes routes =
+    metrics.gauge("zinniawood_open_requests", openRequests::count);
+    metrics.gauge(
+        "zinniawood_configuration_generation", () -> dependencies.generation().get().value());
+    metrics.gauge("zinniawood_ready", () -> readiness.get() == Readiness.READY ? 1 : 0);
+    AdminRoutes adminRoutes = new AdminRoutes(readiness::get, metrics, dependencies.reports());
+    admin =
+        Option.some(
+            HttpServer.start(
+                settings.admin(), ADMIN_MAX_BODY_BYTES, ADMIN_IO_THREADS, adminRoutes::install));
+    CallerRoutes callerRoutes =
         new CallerRoutes(
             view::get, openRequests, new RequestIds(), loop::post, dependencies.clockNanos());
     callers =
         Option.some(
             HttpServer.start(
-                settings.callers(), settings.maxBodyBytes(), CALLER_IO_THREADS, routes::install));
-    pollers.scheduleWithFixedDelay(this::poll, 0, settings.pollMillis(), TimeUnit.MILLISECONDS);
+                settings.callers(),
+                settings.maxBodyBytes(),
+                CALLER_IO_THREADS,
+                callerRoutes::install));
+    Either<WireError, ?> listening = relay.listen();
+    if (listening.isLeft()) {
+      throw new IllegalStateException(
+          "cannot listen on %s: %s".formatted(settings.peers(), listening.getLeft().detail()));
+    }
+    ScheduledFuture<?> unused =
+        ticker.scheduleWithFixedDelay(this::tick, 0, settings.pollMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private void poll() {
+  private void tick() {
     try {
-      dependencies
-          .vmList()
-          .read()
-          .thenAccept(
-              result ->
-                  result.forEach(
-                      listing ->
-                          loop.post(
-                              new EntryEvent.VmListReceived(listing.version(), listing.vms()))));
-      dependencies
-          .configuration()
-          .poll(dependencies.generation().get())
-          .thenAccept(result -> result.forEach(found -> found.forEach(configuration::accept)));
+      relay.tick();
     } catch (RuntimeException fault) {
       // An exception would end the schedule and with it all later polls.
       dependencies.logger().log(Level.ERROR, "poll failed", fault);
@@ -142,16 +180,15 @@
   private void onAccepted(AcceptedConfiguration accepted) {
     view.set(Option.some(AcceptedView.of(accepted)));
     loop.post(new EntryEvent.ConfigurationAccepted(accepted));
+    dependencies.observer().onConfiguration(accepted);
+    relay.announceConfiguration();
   }
 
-  private void onResult(RequestResult result) {
-    dependencies.logger().log(Level.DEBUG, "request {0} ended", result.request());
-  }
-
-  private void onIncident(Incident incident) {
-    dependencies
-        .logger()
-        .log(Level.INFO, "{0} {1}: {2}", incident.kind(), incident.subject(), incident.detail());
+  private void setReadiness(Readiness next) {
+    Readiness previous = readiness.getAndSet(next);
+    if (previous != next) {
+      dependencies.logger().log(Level.INFO, "readiness is {0}, was {1}", next, previous);
+    }
   }
 
   /** Returns the present readiness. */
@@ -159,6 +196,16 @@
     return readiness.get();
   }
 
+  /** Runs a task with the present state on the event-loop thread; must not block. */
+  public void read(Consumer<S> reader) {
+    loop.read(reader);
+  }
+
+  /** Passes service-level counts to the entry that merges those of the data centre. */
+  public void publish(ObjectiveCounts counts) {
+    relay.publish(counts);
+  }
+
   /**
    * Starts the drain: readiness fails, requests in progress finish.
    *
@@ -172,8 +219,9 @@
   /** Closes the ports and connections at once. */
   @Override
   public void close() {
-    pollers.shutdownNow();
+    ticker.shutdownNow();
     callers.forEach(HttpServer::close);
+    admin.forEach(HttpServer::close);
     dependencies.wire().close();
     loop.close();
     stopped.complete(true);
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/ReportSource.java
@@ -0,0 +1,31 @@
+package io.zinniawood.entry;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.concurrent.CompletableFuture;
+
+/** Supplies the report pages of the operators' port. */
+public interface ReportSource {
+  /** Returns the names of the reports, for the index page; letters, digits and hyphens. */
+  Vector<String> names();
+
+  /**
+   * Renders a report; none if the name is unknown. Called on an I/O thread, so it must not block.
+   */
+  CompletableFuture<Option<String>> render(String name, ReportFormat format);
+
+  /** Returns a source without reports. */
+  static ReportSource none() {
+    return new ReportSource() {
+      @Override
+      public Vector<String> names() {
+        return Vector.empty();
+      }
+
+      @Override
+      public CompletableFuture<Option<String>> render(String name, ReportFormat format) {
+        return CompletableFuture.completedFuture(Option.none());
+      }
+    };
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/EntryRecords.java
@@ -0,0 +1,79 @@
+package io.zinniawood.entry.internal;
+
+import io.zinniawood.core.entry.Incident;
+import io.zinniawood.core.entry.RequestResult;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.entry.EntryObserver;
+import io.zinniawood.entry.GenerationCell;
+import io.zinniawood.entry.internal.admin.EntryMetrics;
+import io.zinniawood.telemetry.LogContext;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.TimeUnit;
+
+/** Passes results and incidents to metrics, log and observer. */
+public final class EntryRecords {
+  private final EntryMetrics metrics;
+  private final EntryObserver observer;
+  private final GenerationCell generation;
+  private final Logger logger;
+
+  /**
+   * Creates the records.
+   *
+   * @param metrics counts results and incidents
+   * @param observer learns them
+   * @param generation generation to name in log lines
+   * @param logger logger
+   */
+  public EntryRecords(
+      EntryMetrics metrics, EntryObserver observer, GenerationCell generation, Logger logger) {
+    this.metrics = metrics;
+    this.observer = observer;
+    this.generation = generation;
+    this.logger = logger;
+  }
+
+  /** Records the result of a request. */
+  public void record(RequestResult result) {
+    metrics.count(result);
+    observer.onResult(result);
+    // At design size an entry ends 64 requests/s, so only unusual ends are logged by default.
+    Level level = result.outcome() == Outcome.UNKNOWN ? Level.WARNING : Level.DEBUG;
+    if (logger.isLoggable(level)) {
+      logger.log(
+          level,
+          "request to {1} ended with {2} after {3} ms",
+          context(result),
+          result.target(),
+          result.problem().map(ProblemType::slug).getOrElse("an answer"),
+          TimeUnit.NANOSECONDS.toMillis(result.durationNanos()));
+    }
+  }
+
+  private LogContext context(RequestResult result) {
+    LogContext context =
+        LogContext.empty()
+            .withRequest(result.request().value())
+            .withClientAccount(result.clientAccount().value())
+            .withGeneration(generation.get().value())
+            .withOutcome(result.outcome().text());
+    return result
+        .endpoint()
+        .fold(() -> context, endpoint -> context.withEndpoint(endpoint.value()));
+  }
+
+  /** Records an incident. */
+  public void record(Incident incident) {
+    metrics.count(incident);
+    observer.onIncident(incident);
+    logger.log(
+        Level.INFO,
+        "{1} {2}: {3}",
+        LogContext.empty().withGeneration(generation.get().value()),
+        incident.kind(),
+        incident.subject(),
+        incident.detail());
+  }
+}
--- a/entry/src/main/java/io/zinniawood/entry/internal/link/ConfigurationKeeper.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/link/ConfigurationKeeper.java
@@ -77,6 +77,16 @@
     return newest;
   }
 
+  /** Returns the generation in force. */
+  public Generation generation() {
+    return generation.get();
+  }
+
+  /** Returns a message that asks for a newer snapshot and tells the generation in force. */
+  public Message.ConfigurationRequest request() {
+    return new Message.ConfigurationRequest(generation.get());
+  }
+
   @Override
   public boolean handle(WireConnection sender, Message message, Generation peerGeneration) {
     if (message instanceof ConfigurationSnapshot snapshot) {
@@ -87,12 +97,11 @@
       newest()
           .filter(snapshot -> snapshot.generation().compareTo(request.known()) > 0)
           .forEach(sender::send);
-      return true;
     }
     if (shouldRequest(peerGeneration)) {
-      sender.send(new Message.ConfigurationRequest(generation.get()));
+      sender.send(request());
     }
-    return false;
+    return message instanceof Message.ConfigurationRequest;
   }
 
   private synchronized boolean shouldRequest(Generation peerGeneration) {
