--- a/core/src/main/java/io/zinniawood/core/acceptance/FolderReads.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/FolderReads.java
@@ -21,7 +21,7 @@
           state, new AcceptanceNotice.Inconsistent("the listing of the folder is incomplete"));
     }
     TreeMap<String, String> listing = AcceptedRows.versions(event.files());
-    Sightings seen = Sightings.observe(state, nowNanos, listing);
+    Sightings seen = Sightings.observe(state, nowNanos, listing).forget(nowNanos, listing.keySet());
     Step<AcceptanceState, AcceptanceEffect> step;
     if (state.phase() instanceof AcceptancePhase.Listing) {
       step = firstListing(seen.state(), listing);
--- a/core/src/main/java/io/zinniawood/core/acceptance/Sightings.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/Sightings.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.acceptance;
 
+import io.vavr.collection.Set;
 import io.vavr.collection.SortedMap;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
@@ -21,6 +22,22 @@
     return result;
   }
 
+  /** Drops files that are gone for longer than two edits count as overlapping. */
+  Sightings forget(long nowNanos, Set<String> listed) {
+    return new Sightings(
+        state
+            .copy()
+            .sightings(
+                state
+                    .sightings()
+                    .filter(
+                        (name, seen) ->
+                            listed.contains(name)
+                                || nowNanos - seen.seenNanos() < FolderReads.OVERLAP_NANOS))
+            .build(),
+        notices);
+  }
+
   private Sightings observeFile(long nowNanos, String name, String version) {
     Option<Sighting> last = state.sightings().get(name);
     if (last.exists(seen -> seen.version().equals(version))) {
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/acceptance/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the acceptance of operator configuration. */
+package io.zinniawood.core.acceptance;
