--- a/cli/src/main/java/io/zinniawood/cli/AgentCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/AgentCommand.java
@@ -10,10 +10,12 @@
 import io.zinniawood.config.settings.AgentSettings;
 import io.zinniawood.config.settings.SettingsLoader;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.telemetry.JsonLogging;
 import io.zinniawood.wire.WireError;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.ExecutionException;
+import java.util.logging.Level;
 
 /** Runs an agent until it is asked to terminate. */
 @Parameters(commandDescription = "Run an agent beside an endpoint")
@@ -35,6 +37,7 @@
 
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws InterruptedException {
+    JsonLogging.install(err, Level.INFO);
     Either<Vector<ConfigurationFault>, AgentSettings> settings =
         SettingsLoader.loadAgent(Path.of(settingsFile));
     if (settings.isLeft()) {
--- a/cli/src/main/java/io/zinniawood/cli/DemoCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/DemoCommand.java
@@ -5,8 +5,10 @@
 import io.zinniawood.cli.local.DemoPlan;
 import io.zinniawood.cli.local.DemoRequests;
 import io.zinniawood.cli.local.LocalCluster;
+import io.zinniawood.telemetry.JsonLogging;
 import java.io.PrintStream;
 import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
 
 /** Starts the whole system on loopback and sends a request of each kind. */
 @Parameters(
@@ -30,6 +32,8 @@
 
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws InterruptedException {
+    // The demonstration prints its own lines; only errors of the roles show.
+    JsonLogging.install(err, Level.SEVERE);
     out.println("Starting 3 entries, 18 endpoints with agents and the platform on loopback.");
     try (LocalCluster cluster = LocalCluster.start(DemoPlan.plan())) {
       boolean answered = new DemoRequests(cluster, out).run();
--- a/cli/src/main/java/io/zinniawood/cli/EntryCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/EntryCommand.java
@@ -10,10 +10,12 @@
 import io.zinniawood.config.settings.SettingsLoader;
 import io.zinniawood.core.entry.EntryState;
 import io.zinniawood.entry.EntryProcess;
+import io.zinniawood.telemetry.JsonLogging;
 import io.zinniawood.wire.WireError;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.ExecutionException;
+import java.util.logging.Level;
 
 /** Runs an entry until it is asked to terminate. */
 @Parameters(commandDescription = "Run an entry")
@@ -36,6 +38,7 @@
 
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws InterruptedException {
+    JsonLogging.install(err, Level.INFO);
     Either<Vector<ConfigurationFault>, EntrySettings> settings =
         SettingsLoader.loadEntry(Path.of(settingsFile));
     if (settings.isLeft()) {
--- a/cli/src/main/java/io/zinniawood/cli/StandinCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/StandinCommand.java
@@ -11,11 +11,13 @@
 import io.zinniawood.standin.platform.PlatformStandIn;
 import io.zinniawood.standin.service.ServiceSettings;
 import io.zinniawood.standin.service.ServiceStandIn;
+import io.zinniawood.telemetry.JsonLogging;
 import java.io.PrintStream;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.logging.Level;
 
 /** Runs a stand-in for an outside system until it is asked to terminate. */
 @Parameters(commandDescription = "Run a stand-in: platform, engine or service")
@@ -71,6 +73,7 @@
 
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws InterruptedException {
+    JsonLogging.install(err, Level.INFO);
     Termination termination = Termination.install(MAX_STOP_MILLIS);
     try (AutoCloseable standin = start()) {
       out.printf("%s stand-in on http://127.0.0.1:%d (%s)%n", kinds.get(0), port, standin);
