Test the loss of stages and connections with real processes

Cause: the reducers were tested in virtual time only. Change: a harness starts entries and agents from the executable and keeps platform, engines and services in the test's JVM; each entry-to-agent connection passes a fault proxy.

--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/Caller.java
@@ -0,0 +1,214 @@
+package io.zinniawood.dist;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okhttp3.sse.EventSource;
+import okhttp3.sse.EventSourceListener;
+import okhttp3.sse.EventSources;
+
+/** A caller of the test. */
+final class Caller {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final MediaType JSON_TYPE = MediaType.get("application/json");
+  private static final long WAIT_SECONDS = 60;
+
+  private final OkHttpClient client =
+      new OkHttpClient.Builder()
+          .retryOnConnectionFailure(false)
+          .readTimeout(WAIT_SECONDS, TimeUnit.SECONDS)
+          .build();
+
+  /** A streamed answer as it arrives. */
+  static final class Stream {
+    final List<String> tokens = new CopyOnWriteArrayList<>();
+    final CompletableFuture<String> end = new CompletableFuture<>();
+
+    /** Waits until the answer has the given number of tokens. */
+    void awaitTokens(int count) {
+      await(() -> tokens.size() >= count || end.isDone());
+    }
+
+    /** Waits for the end: the finish reason, or the problem. */
+    String awaitEnd() throws Exception {
+      return end.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    String text() {
+      return String.join("", tokens);
+    }
+  }
+
+  /**
+   * Answer of a plain request.
+   *
+   * @param status HTTP status, 0 if the connection broke
+   * @param body body as JSON
+   */
+  record Answer(int status, JsonNode body) {
+    String outcome() {
+      return body.path("outcome").asText();
+    }
+  }
+
+  /** Waits until a condition holds. */
+  static void await(BooleanSupplier condition) {
+    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > endNanos) {
+        throw new AssertionError("the condition did not hold within " + WAIT_SECONDS + " s");
+      }
+      java.util.concurrent.locks.LockSupport.parkNanos(5_000_000);
+    }
+  }
+
+  /** Returns the prompt of a content as the entry passes it to the engines. */
+  static String prompt(String content) {
+    return "[{\"role\":\"user\",\"content\":\"" + content + "\"}]";
+  }
+
+  private static Request.Builder request(URI base, String path) {
+    return new Request.Builder()
+        .url(base.resolve(path).toString())
+        .header("Authorization", "Bearer " + RealCluster.KEY);
+  }
+
+  private static String chatBody(String content, int maxTokens, String mode) {
+    ObjectNode body = JSON.createObjectNode();
+    body.put("model", "assistant").put("max_tokens", maxTokens);
+    body.put("stream", mode.equals("stream"));
+    body.putArray("messages").addObject().put("role", "user").put("content", content);
+    return body.toString();
+  }
+
+  /** Streams a chat completion. */
+  Stream chat(RealCluster.Entry entry, String content, int maxTokens) {
+    Stream stream = new Stream();
+    Request request =
+        request(entry.callers(), "/v1/chat/completions")
+            .post(RequestBody.create(chatBody(content, maxTokens, "stream"), JSON_TYPE))
+            .build();
+    EventSources.createFactory(client).newEventSource(request, new Collector(stream));
+    return stream;
+  }
+
+  /** Asks for a whole chat completion. */
+  Answer wholeChat(RealCluster.Entry entry, String content, int maxTokens) {
+    return send(
+        request(entry.callers(), "/v1/chat/completions")
+            .post(RequestBody.create(chatBody(content, maxTokens, "whole"), JSON_TYPE))
+            .build());
+  }
+
+  /** Posts a credit with an idempotency key. */
+  Answer credit(RealCluster.Entry entry, String key, int amountCents) {
+    return send(creditRequest(entry, key, amountCents));
+  }
+
+  /** Posts a credit in the background. */
+  CompletableFuture<Answer> creditLater(RealCluster.Entry entry, String key, int amountCents) {
+    return CompletableFuture.supplyAsync(() -> credit(entry, key, amountCents));
+  }
+
+  private static Request creditRequest(RealCluster.Entry entry, String key, int amountCents) {
+    ObjectNode body =
+        JSON.createObjectNode().put("reference", key).put("amount_cents", amountCents);
+    return request(entry.callers(), "/services/credit/credits")
+        .header("Idempotency-Key", key)
+        .header("X-Request-Deadline-Ms", "10000")
+        .post(RequestBody.create(body.toString(), JSON_TYPE))
+        .build();
+  }
+
+  /** Reads a path of a base address. */
+  Answer get(URI base, String path) {
+    return send(request(base, path).get().build());
+  }
+
+  private Answer send(Request request) {
+    try (Response response = client.newCall(request).execute()) {
+      String body = response.body() == null ? "" : response.body().string();
+      return new Answer(response.code(), parse(body));
+    } catch (IOException broken) {
+      return new Answer(0, JSON.createObjectNode().put("broken", broken.toString()));
+    }
+  }
+
+  private static JsonNode parse(String body) {
+    try {
+      return JSON.readTree(body.isEmpty() ? "{}" : body);
+    } catch (IOException notJson) {
+      return JSON.createObjectNode().put("text", body);
+    }
+  }
+
+  /** Waits until an entry answers whole chats and credits of the endpoints that are there. */
+  void awaitModel(RealCluster.Entry entry) {
+    await(() -> wholeChat(entry, "ready?", 1).status() == 200);
+  }
+
+  /** Waits until an entry reaches the credit service. */
+  void awaitService(RealCluster.Entry entry) {
+    await(() -> get(entry.callers(), "/services/credit/ledger").status() == 200);
+  }
+
+  /** Collects the events of a stream. */
+  private static final class Collector extends EventSourceListener {
+    private final Stream stream;
+    private String finish = "broken";
+
+    Collector(Stream stream) {
+      this.stream = stream;
+    }
+
+    @Override
+    public void onEvent(EventSource source, String id, String type, String data) {
+      if (data.equals("[DONE]")) {
+        stream.end.complete(finish);
+        return;
+      }
+      JsonNode event = parse(data);
+      JsonNode choice = event.path("choices").path(0);
+      String token = choice.path("delta").path("content").asText("");
+      if (!token.isEmpty()) {
+        stream.tokens.add(token);
+      }
+      if (choice.hasNonNull("finish_reason")) {
+        finish = choice.path("finish_reason").asText();
+      }
+      if (event.has("outcome") || event.has("error")) {
+        stream.end.complete(data);
+      }
+    }
+
+    @Override
+    public void onClosed(EventSource source) {
+      stream.end.complete("closed without an end");
+    }
+
+    @Override
+    public void onFailure(EventSource source, Throwable failure, Response response) {
+      String problem = String.valueOf(failure);
+      try {
+        if (response != null && response.body() != null) {
+          problem = response.code() + " " + response.body().string();
+        }
+      } catch (IOException unreadable) {
+        problem = unreadable.toString();
+      }
+      stream.end.complete(problem);
+    }
+  }
+}
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/RealCluster.java
@@ -0,0 +1,179 @@
+package io.zinniawood.dist;
+
+import io.zinniawood.cli.local.DemoPlan;
+import io.zinniawood.cli.local.Ports;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.standin.engine.EngineSettings;
+import io.zinniawood.standin.engine.EngineStandIn;
+import io.zinniawood.standin.engine.ModelParameters;
+import io.zinniawood.standin.platform.PlatformSettings;
+import io.zinniawood.standin.platform.PlatformStandIn;
+import io.zinniawood.standin.platform.VmRecord;
+import io.zinniawood.standin.proxy.FaultProxy;
+import io.zinniawood.standin.service.ServiceSettings;
+import io.zinniawood.standin.service.ServiceStandIn;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Entries and agents as processes; platform, engines and services as stand-ins in this JVM. */
+final class RealCluster implements AutoCloseable {
+  static final String KEY = "it-key";
+  static final ModelParameters MODEL = new ModelParameters("assistant", "v1", 8, 0);
+
+  private static final String DATA_CENTRE = "tampere";
+
+  private final PlatformStandIn platform = new PlatformStandIn(PlatformSettings.unlimited());
+  private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
+  private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private final String name;
+
+  /**
+   * An endpoint with its agent; entries reach the agent through the proxy.
+   *
+   * @param agent agent process
+   * @param proxy proxy between the entries and the agent
+   * @param engine engine, null for a service
+   * @param service service, null for an engine
+   */
+  record Endpoint(
+      RoleProcess agent, FaultProxy proxy, EngineStandIn engine, ServiceStandIn service) {}
+
+  /**
+   * An entry.
+   *
+   * @param process entry process
+   * @param callers base address for callers
+   * @param admin base address for operators
+   */
+  record Entry(RoleProcess process, URI callers, URI admin) {}
+
+  /** Creates a cluster with a platform and the configuration, without VMs. */
+  RealCluster(String name) {
+    this.name = name;
+    platform.start(0);
+    putFile(
+        "10-base.toml",
+        """
+        [client_accounts.kiosk]
+        key_sha256 = ["%s"]
+        requests_per_second = 500
+        burst_requests = 500
+        max_concurrent = 500
+
+        [models.assistant]
+        layers = %d
+        max_tokens = 400
+
+        [services.credit]
+        idempotent_methods = ["GET"]
+        """
+            .formatted(DemoPlan.sha256Hex(KEY), MODEL.layers()));
+  }
+
+  PlatformStandIn platform() {
+    return platform;
+  }
+
+  Endpoint endpoint(String id) {
+    return endpoints.get(id);
+  }
+
+  Entry entry(String id) {
+    return entries.get(id);
+  }
+
+  /** Writes a file of the configuration folder. */
+  void putFile(String file, String text) {
+    platform.putObject("config/" + file, text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private String platformUri() {
+    return "http://127.0.0.1:" + platform.port();
+  }
+
+  /** Starts an engine without delay that holds a layer range, and its agent. */
+  void addEngine(String id, int fromLayer, int toLayerExclusive) {
+    EngineStandIn engine =
+        new EngineStandIn(EngineSettings.unlimited(MODEL, fromLayer, toLayerExclusive));
+    int port = engine.start(0);
+    String backend = "[engine]\naddress = \"http://127.0.0.1:%d\"\n".formatted(port);
+    add(id, "assistant-" + fromLayer, backend, engine, null);
+  }
+
+  /** Starts a credit service and its agent. */
+  void addService(String id) {
+    ServiceStandIn service = new ServiceStandIn(ServiceSettings.unlimited());
+    int port = service.start(0);
+    String backend =
+        "[service]\naddress = \"http://127.0.0.1:%d\"\nname = \"credit\"\n".formatted(port);
+    add(id, "credit", backend, null, service);
+  }
+
+  private void add(
+      String id, String pool, String backend, EngineStandIn engine, ServiceStandIn service) {
+    NodeAddress address = Ports.free();
+    RoleProcess agent =
+        RoleProcess.start(
+            "agent",
+            name + "-" + id,
+            """
+        endpoint = "%s"
+        data_centre = "%s"
+        pool = "%s"
+        peers = "%s"
+        platform = "%s"
+        %s
+        """
+                .formatted(id, DATA_CENTRE, pool, address, platformUri(), backend));
+    FaultProxy proxy = FaultProxy.launch(address.port());
+    endpoints.put(id, new Endpoint(agent, proxy, engine, service));
+    putVm(id, "ENDPOINT", pool, proxy.port());
+  }
+
+  private void putVm(String vm, String role, String pool, int port) {
+    platform.putVm(new VmRecord(vm, role, "LIVE", DATA_CENTRE, pool, "127.0.0.1", port));
+  }
+
+  /** Starts an entry. */
+  void addEntry(String id) {
+    NodeAddress callers = Ports.free();
+    NodeAddress admin = Ports.free();
+    NodeAddress peers = Ports.free();
+    RoleProcess process =
+        RoleProcess.start(
+            "entry",
+            name + "-" + id,
+            """
+        vm = "%s"
+        data_centre = "%s"
+        callers = "%s"
+        admin = "%s"
+        peers = "%s"
+        platform = "%s"
+        poll_ms = 300
+        drain_grace_ms = 500
+        """
+                .formatted(id, DATA_CENTRE, callers, admin, peers, platformUri()));
+    entries.put(
+        id, new Entry(process, URI.create("http://" + callers), URI.create("http://" + admin)));
+    putVm(id, "ENTRY", "entries", peers.port());
+  }
+
+  @Override
+  public void close() {
+    entries.values().forEach(entry -> entry.process().close());
+    for (Endpoint endpoint : endpoints.values()) {
+      endpoint.agent().close();
+      endpoint.proxy().close();
+      if (endpoint.engine() != null) {
+        endpoint.engine().close();
+      }
+      if (endpoint.service() != null) {
+        endpoint.service().close();
+      }
+    }
+    platform.close();
+  }
+}
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
@@ -0,0 +1,80 @@
+package io.zinniawood.dist;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+/** One process of the executable, with its log in a file. */
+final class RoleProcess implements AutoCloseable {
+  private static final Path BINARY = Path.of(System.getProperty("zinniawood.binary"));
+  private static final Path LOGS = BINARY.resolveSibling("it-logs");
+  private static final long WAIT_SECONDS = 60;
+
+  private final String name;
+  private final Process process;
+
+  private RoleProcess(String name, Process process) {
+    this.name = name;
+    this.process = process;
+  }
+
+  /** Starts a role with a settings file of the given text. */
+  static RoleProcess start(String role, String name, String settings) {
+    try {
+      Files.createDirectories(LOGS);
+      Path file = Files.writeString(LOGS.resolve(name + ".toml"), settings);
+      Process process =
+          new ProcessBuilder(BINARY.toString(), role, "--settings", file.toString())
+              .redirectErrorStream(true)
+              .redirectOutput(LOGS.resolve(name + ".log").toFile())
+              .start();
+      return new RoleProcess(name, process);
+    } catch (IOException failure) {
+      throw new UncheckedIOException("cannot start " + name, failure);
+    }
+  }
+
+  /** Sends a signal by name, for example STOP. */
+  void signal(String signal) {
+    try {
+      Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start();
+      if (kill.waitFor() != 0) {
+        throw new IllegalStateException("cannot send " + signal + " to " + name);
+      }
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Ends the process at once (SIGKILL). */
+  void kill() {
+    process.destroyForcibly();
+    exitCode();
+  }
+
+  /** Waits for the end of the process and returns its exit code. */
+  int exitCode() {
+    try {
+      if (!process.waitFor(WAIT_SECONDS, TimeUnit.SECONDS)) {
+        throw new IllegalStateException(name + " did not end within " + WAIT_SECONDS + " s");
+      }
+      return process.exitValue();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", interrupted);
+    }
+  }
+
+  boolean alive() {
+    return process.isAlive();
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+  }
+}
