--- a/core/src/test/java/io/zinniawood/core/entry/Checks.java
+++ b/core/src/test/java/io/zinniawood/core/entry/Checks.java
@@ -32,6 +32,7 @@
   private final Set<RequestId> modelRuns = new HashSet<>();
   private final Map<EndpointId, Incarnation> leaving = new HashMap<>();
   private final Set<List<String>> opened = new HashSet<>();
+  private boolean presentEpoch;
 
   Checks(World world) {
     this.world = world;
@@ -56,7 +57,14 @@
   }
 
   private void message(EntryEvent.AgentMessageReceived received) {
-    if (received.message() instanceof Message.Status status) {
+    if (received.message() instanceof Message.Token token) {
+      presentEpoch =
+          world
+              .state
+              .sessions()
+              .get(token.session())
+              .exists(session -> session.epoch().equals(token.epoch()));
+    } else if (received.message() instanceof Message.Status status) {
       status(received.endpoint(), received.incarnation(), status);
     } else if (received.message() instanceof Message.DispatchRefused refused
         && refused.outcome() == Outcome.NOT_RUN) {
@@ -77,6 +85,7 @@
     if (effect instanceof EntryEffect.ReplyToken token) {
       int position = tokens.merge(token.request(), 1, Integer::sum) - 1;
       require(!answered.contains(token.request()), "token after the end", effect);
+      require(presentEpoch, "token of an old epoch", effect);
       require(
           token.text().equals("w" + position + "<" + token.request() + ">ok"),
           "token out of order, of another request or of wrong layers at " + position,
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/ControllerTest.java
@@ -0,0 +1,113 @@
+package io.zinniawood.core.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.EngineOrder;
+import io.zinniawood.core.model.LayerRange;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests of the controller lease and of repair. */
+class ControllerTest {
+  private static final LeaseRow FOREIGN =
+      new LeaseRow(new VmId("entry-2"), new FencingNumber(4), 9);
+
+  private final World world = new World(7);
+
+  private void start() {
+    for (String name : List.of("a1", "a2", "a3")) {
+      world.add(name, Fixtures.stage(0, 4, 100));
+    }
+    world.add("b1", Fixtures.stage(4, Fixtures.LAYERS, 100));
+    world.start();
+  }
+
+  // Guards against taking a lease whose holder may still be alive, and against a takeover that
+  // does not raise the fencing number.
+  @Test
+  void takesTheLeaseOnlyAfterItDidNotChangeForTheLeaseTime() {
+    world.table.lease = Option.some(FOREIGN);
+    world.table.leaseVersion = 3;
+    start();
+    world.run(5_500);
+    assertThat(world.table.lease.get(), equalTo(FOREIGN));
+    world.run(4_500);
+    assertThat(world.table.lease.get().holder(), equalTo(Fixtures.ENTRY));
+    assertThat(world.table.lease.get().fencingNumber(), equalTo(new FencingNumber(5)));
+  }
+
+  // Guards against losing the lease to renewals that do not happen.
+  @Test
+  void renewsTheLease() {
+    start();
+    world.run(30_000);
+    assertThat(world.table.lease.get().fencingNumber(), equalTo(new FencingNumber(1)));
+    assertThat(world.table.lease.get().renewals(), greaterThan(8L));
+  }
+
+  // Guards against a lost layer range that nobody restores, and against taking the donor from a
+  // range that has no replica to spare.
+  @Test
+  void holderRestoresLostRangeFromSpareReplica() {
+    start();
+    world.run(15_000);
+    world.crash("b1");
+    world.run(5_000);
+    List<FakeAgent> ordered =
+        world.agents.values().stream().filter(agent -> !agent.orders.isEmpty()).toList();
+    assertThat(ordered, hasSize(1));
+    assertThat(ordered.get(0).endpoint.value().startsWith("a"), is(true));
+    EngineOrder.LoadModel load = (EngineOrder.LoadModel) ordered.get(0).orders.get(0).action();
+    assertThat(load.layers(), equalTo(new LayerRange(4, Fixtures.LAYERS)));
+    assertThat(ordered.get(0).orders.get(0).fencingNumber(), equalTo(new FencingNumber(1)));
+  }
+
+  // Guards against an order by a holder that was paused beyond its lease.
+  @Test
+  void pausedHolderGivesNoOrder() {
+    start();
+    world.run(15_000);
+    world.crash("b1");
+    world.run(600);
+    world.table.down = true;
+    world.nowNanos += 10_000 * Fixtures.MILLI;
+    int before = orders();
+    world.reduce(new EntryEvent.TimerFired(new EntryTimer.MaintenanceTick()));
+    assertThat(orders(), equalTo(before));
+    world.table.down = false;
+    world.table.lease = Option.some(FOREIGN);
+    world.table.leaseVersion += 5;
+    world.run(2_500);
+    assertThat(world.state.controller().lease().mine().isDefined(), is(false));
+    assertThat(orders(), equalTo(before));
+  }
+
+  // Guards against a holder that does not know of its lease, or that counts the lease time from a
+  // later moment than its write, when the response to the write is lost.
+  @Test
+  void readsBackTakeoverWhoseResponseWasLost() {
+    world.table.losesResponses = true;
+    start();
+    world.run(600);
+    assertThat(world.table.lease.get().holder(), equalTo(Fixtures.ENTRY));
+    assertThat(world.state.controller().lease().mine().isDefined(), is(false));
+    long writtenNanos = world.state.controller().lease().pending().get().sentNanos();
+    world.table.losesResponses = false;
+    world.run(2_000);
+    assertThat(world.table.lease.get().fencingNumber(), equalTo(new FencingNumber(1)));
+    assertThat(
+        world.state.controller().lease().validUntilNanos(),
+        equalTo(writtenNanos + 6_000 * Fixtures.MILLI));
+  }
+
+  private int orders() {
+    return world.agents.values().stream().mapToInt(agent -> agent.orders.size()).sum();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/DispatchDifferentialTest.java
@@ -0,0 +1,149 @@
+package io.zinniawood.core.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Capability;
+import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.LoadReport;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Compares the dispatch of the reducer with a naive version and with the flow plan. */
+class DispatchDifferentialTest {
+  private static final int[] CAPACITY = {2, 4, 8};
+
+  private final double[] pass = new double[CAPACITY.length];
+  private final int[] inFlight = new int[CAPACITY.length];
+  private final int[] others = new int[CAPACITY.length];
+
+  // Guards against a choice that ignores capacity, work in flight, hints or limits. The naive
+  // version recomputes the rule of the design with plain loops over arrays.
+  @Property(tries = 200, seed = "20261204")
+  void choosesLikeTheNaiveVersion(
+      @ForAll @Size(max = 60) List<@IntRange(max = 999) Integer> script) {
+    Arrays.fill(pass, 0);
+    Arrays.fill(inFlight, 0);
+    Arrays.fill(others, 0);
+    World world = world();
+    List<Message.Dispatch> open = new ArrayList<>();
+    Map<AttemptId, Integer> places = new HashMap<>();
+    int number = 0;
+    for (int code : script) {
+      if (code % 3 == 0 && !open.isEmpty()) {
+        Message.Dispatch done = open.remove(code / 3 % open.size());
+        int place = places.get(done.attempt());
+        inFlight[place]--;
+        others[place] = code / 100;
+        reply(world, done, place, code / 100);
+      } else {
+        int sent = world.effects.size();
+        String id = "c" + ++number;
+        world.reduce(
+            Fixtures.call(id, Idempotency.IDEMPOTENT, Option.none(), world.deadline(60_000)));
+        int expected = naive();
+        Option<EntryEffect.SendToAgent> send = dispatch(world, sent);
+        assertThat(
+            send.map(s -> s.endpoint().value()),
+            equalTo(Option.when(expected >= 0, () -> "s" + expected)));
+        for (EntryEffect.SendToAgent s : send) {
+          Message.Dispatch message = (Message.Dispatch) s.message();
+          open.add(message);
+          places.put(message.attempt(), expected);
+        }
+      }
+    }
+  }
+
+  private static World world() {
+    World world = new World(3);
+    for (int i = 0; i < CAPACITY.length; i++) {
+      world.add("s" + i, new Capability.PlainService(Fixtures.CREDIT, CAPACITY[i]));
+    }
+    world.start();
+    return world;
+  }
+
+  private static void reply(World world, Message.Dispatch done, int place, int running) {
+    FakeAgent agent = world.agent("s" + place);
+    world.reduce(
+        new EntryEvent.AgentMessageReceived(
+            agent.endpoint,
+            agent.incarnation,
+            new Message.DispatchReply(
+                done.request(),
+                done.attempt(),
+                new io.zinniawood.core.model.ServiceAnswer(
+                    200, io.vavr.collection.Vector.empty(), done.call().body()),
+                new LoadReport(running, 0, 8, 0))));
+  }
+
+  private static Option<EntryEffect.SendToAgent> dispatch(World world, int from) {
+    return io.vavr.collection.Vector.ofAll(world.effects.subList(from, world.effects.size()))
+        .filter(EntryEffect.SendToAgent.class::isInstance)
+        .map(EntryEffect.SendToAgent.class::cast)
+        .headOption();
+  }
+
+  /** Returns the endpoint with the earliest virtual finish, or -1 if all are full. */
+  private int naive() {
+    double earliest = 0;
+    for (int i = 0; i < CAPACITY.length; i++) {
+      if (inFlight[i] < CAPACITY[i]) {
+        earliest = Math.max(earliest, pass[i] - 1.0 / CAPACITY[i]);
+      }
+    }
+    int best = -1;
+    double bestScore = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < CAPACITY.length; i++) {
+      double load = inFlight[i] + 0.5 * Math.max(0, others[i] - inFlight[i]);
+      double score = Math.max(pass[i], earliest) + (1 + load) / CAPACITY[i];
+      if (inFlight[i] < CAPACITY[i] && score < bestScore) {
+        best = i;
+        bestScore = score;
+      }
+    }
+    if (best >= 0) {
+      pass[best] = Math.max(pass[best], earliest) + 1.0 / CAPACITY[best];
+      inFlight[best]++;
+    }
+    return best;
+  }
+
+  // Guards against chains that do not follow the flow: a slow replica would get as much work as a
+  // fast one and the throughput would stay below the bound.
+  @Example
+  void chainsFollowTheFlow() {
+    World world = new World(3);
+    world.add("fast", Fixtures.stage(0, 4, 300));
+    world.add("slow", Fixtures.stage(0, 4, 100));
+    world.add("end", Fixtures.stage(4, Fixtures.LAYERS, 1_000));
+    world.start();
+    for (int i = 0; i < 400; i++) {
+      world.reduce(Fixtures.prompt("m" + i, world.deadline(3_000)));
+      world.run(40);
+      world.reduce(new EntryEvent.CallerDisconnected(new RequestId("m" + i)));
+    }
+    double slow =
+        world.effects(EntryEffect.SendToAgent.class).stream()
+            .filter(
+                send ->
+                    send.message() instanceof Message.OpenSession
+                        && send.endpoint().value().equals("slow"))
+            .count();
+    assertThat(slow / 400, closeTo(0.25, 0.06));
+  }
+}
--- a/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
@@ -47,7 +47,10 @@
       case 14 -> world.dropConnection(name, DisconnectReason.CLOSED);
       case 15 -> world.leave(name);
       case 16 -> world.agent(name).stalled = !world.agent(name).stalled;
-      case 17 -> world.table.down = !world.table.down;
+      case 17 -> {
+        world.table.down = code / 20 % 2 == 0 && !world.table.down;
+        world.table.losesResponses = code / 20 % 2 == 1 && !world.table.losesResponses;
+      }
       case 18 -> disconnectCaller(world, code, number);
       default -> {
         world.agent(name).keepsOutputs = !world.agent(name).keepsOutputs;
@@ -70,6 +73,7 @@
 
   private static void heal(World world) {
     world.table.down = false;
+    world.table.losesResponses = false;
     world.brokenLinks.clear();
     NAMES.forEach(
         name -> {
--- a/core/src/test/java/io/zinniawood/core/entry/FakeTable.java
+++ b/core/src/test/java/io/zinniawood/core/entry/FakeTable.java
@@ -18,6 +18,7 @@
   Option<LeaseRow> lease = Option.none();
   long leaseVersion;
   boolean down;
+  boolean losesResponses;
 
   /** Claims the key for an attempt; returns the row that stands in the way, if any. */
   Option<ClaimRow> claim(
@@ -76,6 +77,6 @@
             ClaimState.RELEASED,
             next,
             Option.none()));
-    return new ClaimResolution.Released(next);
+    return losesResponses ? new ClaimResolution.Unresolved() : new ClaimResolution.Released(next);
   }
 }
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/LimitsTest.java
@@ -0,0 +1,159 @@
+package io.zinniawood.core.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.limits.Backoff;
+import io.zinniawood.core.entry.limits.ConcurrencyLimit;
+import io.zinniawood.core.entry.limits.LatencyEstimate;
+import io.zinniawood.core.entry.limits.RetryBudget;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.core.model.VmEntry;
+import io.zinniawood.core.model.VmRole;
+import io.zinniawood.core.model.VmState;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests of admission, adaptive limits and the retry budget. */
+class LimitsTest {
+  private final World world = new World(7);
+
+  // Guards against an account that gets its whole limit at each of several entries, and against a
+  // share that rounds down to no request at all.
+  @Test
+  void entryEnforcesItsShareButAtLeastOneRequest() {
+    assertThat(admitted(4, 9, 100), equalTo(2));
+    assertThat(admitted(4, 2, 100), equalTo(1));
+    assertThat(admitted(4, 100, 12), equalTo(3));
+    assertThat(admitted(1, 9, 100), equalTo(9));
+  }
+
+  private static int admitted(int entries, int concurrent, int burst) {
+    World world = new World(1);
+    for (String name : List.of("s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8")) {
+      world.add(name, Fixtures.credit());
+    }
+    world.start();
+    world.reduce(
+        new EntryEvent.ConfigurationAccepted(
+            Fixtures.accepted(
+                2,
+                Fixtures.cluster(
+                    Fixtures.account(0.001, burst, concurrent), Fixtures.retries(10)))));
+    Vector<VmEntry> vms =
+        Vector.range(0, entries).map(i -> Fixtures.vm("n" + i, VmRole.ENTRY, VmState.LIVE));
+    world.reduce(new EntryEvent.VmListReceived(100, vms));
+    for (int i = 0; i < 30; i++) {
+      world.reduce(
+          Fixtures.call("c" + i, Idempotency.IDEMPOTENT, Option.none(), world.deadline(900)));
+    }
+    return (int)
+        world.effects(EntryEffect.SendToAgent.class).stream()
+            .filter(send -> send.message() instanceof Message.Dispatch)
+            .count();
+  }
+
+  // Guards against taking a request that will miss its deadline, and against refusing for ever
+  // once a target was slow.
+  @Test
+  void refusesEarlyByDeadlineAndRecovers() {
+    world.add("s1", Fixtures.credit());
+    world.start();
+    for (int i = 0; i < 12; i++) {
+      call("c" + i, 900);
+      world.run(100);
+    }
+    call("short", 20);
+    assertThat(problems(), equalTo(List.of(ProblemType.OVERLOADED)));
+    world.run(3_000);
+    call("later", 20);
+    assertThat(problems(), hasSize(1));
+  }
+
+  // Guards against more work at an endpoint than it can take, and against a refusal that came from
+  // one full endpoint while another is free.
+  @Test
+  void refusesWorkBeyondTheConcurrencyOfAllEndpoints() {
+    world.add("s1", Fixtures.credit());
+    world.add("s2", Fixtures.credit());
+    world.start();
+    for (int i = 0; i < 20; i++) {
+      call("c" + i, 900);
+    }
+    assertThat(problems(), hasSize(4));
+    world.run(2_000);
+    world.checks.end();
+  }
+
+  // Guards against a limit that collapses on one burst of refusals or never grows again.
+  @Test
+  void concurrencyLimitFallsOncePerBurstAndGrowsBack() {
+    ConcurrencyLimit limit = ConcurrencyLimit.initial(20);
+    for (int i = 0; i < 10; i++) {
+      limit = limit.overload(1_000_000_000L + i);
+    }
+    assertThat(limit.value(), closeTo(16, 0.01));
+    for (int i = 0; i < 200; i++) {
+      limit = limit.success(limit.whole());
+    }
+    assertThat(limit.whole(), equalTo(20));
+    assertThat(ConcurrencyLimit.initial(1).overload(5).whole(), equalTo(1));
+  }
+
+  // Guards against retries that multiply an overload.
+  @Test
+  void retryBudgetIsShareOfRecentRequests() {
+    RetryBudget budget = RetryBudget.fresh();
+    for (int i = 0; i < 100; i++) {
+      budget = budget.requested(1);
+    }
+    int allowed = 0;
+    while (budget.allows(0.1, 3, 2)) {
+      budget = budget.retried(2);
+      allowed++;
+    }
+    assertThat(allowed, equalTo(13));
+    assertThat(budget.allows(0.1, 3, 6_000_000_000L), is(false));
+    assertThat(budget.allows(0.1, 3, 30_000_000_000L), is(true));
+  }
+
+  // Guards against retries in step and against delays without bound.
+  @Test
+  void delaysGrowWithJitterUpToTheMaximum() {
+    assertThat(Backoff.delayNanos(1, 100, 5_000, 0), equalTo(50_000_000L));
+    assertThat(Backoff.delayNanos(3, 100, 5_000, 0.999), greaterThan(390_000_000L));
+    assertThat(Backoff.delayNanos(60, 100, 5_000, 0.999), lessThan(5_000_000_001L));
+  }
+
+  // Guards against early refusals on the evidence of a few samples.
+  @Test
+  void estimateNeedsSamplesAndFades() {
+    LatencyEstimate estimate = LatencyEstimate.none();
+    for (int i = 0; i < 9; i++) {
+      estimate = estimate.sampled(100, 0);
+    }
+    assertThat(estimate.expectedNanos(0), equalTo(0.0));
+    estimate = estimate.sampled(100, 0);
+    assertThat(estimate.expectedNanos(0), closeTo(100, 1e-6));
+    assertThat(estimate.expectedNanos(2_000_000_000L), closeTo(25, 1e-6));
+  }
+
+  private void call(String id, long millis) {
+    world.reduce(Fixtures.call(id, Idempotency.IDEMPOTENT, Option.none(), world.deadline(millis)));
+  }
+
+  private List<ProblemType> problems() {
+    return world.effects(EntryEffect.ReplyProblem.class).stream()
+        .map(reply -> reply.problem().type())
+        .toList();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/MembershipTest.java
@@ -0,0 +1,149 @@
+package io.zinniawood.core.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.membership.Member;
+import io.zinniawood.core.entry.membership.SubsetSelection;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.ServingState;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Tests of the membership view. */
+class MembershipTest {
+  private final World world = World.small();
+
+  // Guards against a lagging list or a late status that brings a leaving endpoint back.
+  @Test
+  void leavingNoticeBeatsTheListAndLateStatus() {
+    world.leave("s1");
+    world.run(10);
+    world.agent("s1").state = ServingState.SERVING;
+    world.toEntry(world.agent("s1"), world.agent("s1").status());
+    world.list(world.agents.keySet(), Set.of());
+    world.run(10);
+    for (int i = 0; i < 20; i++) {
+      call("c" + i);
+      world.run(5);
+    }
+    assertThat(dispatches("s1"), equalTo(0));
+    assertThat(dispatches("s2"), equalTo(20));
+  }
+
+  // Guards against new work for an endpoint that only the list shows as leaving.
+  @Test
+  void listedLeavingEndpointGetsNoNewWork() {
+    world.list(world.agents.keySet(), Set.of(new EndpointId("s2")));
+    for (int i = 0; i < 10; i++) {
+      call("c" + i);
+      world.run(5);
+    }
+    assertThat(dispatches("s2"), equalTo(0));
+  }
+
+  // Guards against losing working endpoints to an empty or stale list.
+  @Test
+  void emptyOrOlderListTakesNoConnectedEndpointAway() {
+    world.list(Set.of(), Set.of());
+    world.reduce(new EntryEvent.VmListReceived(1, Vector.empty()));
+    world.run(2_000);
+    call("c");
+    world.run(100);
+    assertThat(world.effects(EntryEffect.ReplyService.class), hasSize(1));
+    assertThat(world.effects(EntryEffect.DisconnectAgent.class), hasSize(0));
+  }
+
+  // Guards against the ejection of a whole pool when a shared cause makes every call fail.
+  @Test
+  void ejectsAtMostTheConfiguredShareOfPool() {
+    world.agents.values().forEach(agent -> agent.stalled = true);
+    for (int i = 0; i < 60; i++) {
+      world.reduce(
+          Fixtures.call("c" + i, Idempotency.IDEMPOTENT, Option.none(), world.deadline(4_000)));
+      world.reduce(Fixtures.prompt("m" + i, world.deadline(4_000)));
+      world.run(50);
+    }
+    long ejected =
+        world
+            .state
+            .fleet()
+            .members()
+            .values()
+            .count(member -> member.health().ejected(world.nowNanos));
+    assertThat(ejected, greaterThan(0L));
+    assertThat(ejected, lessThanOrEqualTo(3L));
+  }
+
+  // Guards against a tight loop of connections to an endpoint that is down.
+  @Test
+  void reconnectsWithGrowingDelays() {
+    world.crash("s1");
+    world.run(20_000);
+    long tries =
+        world.effects(EntryEffect.ConnectAgent.class).stream()
+            .filter(connect -> connect.endpoint().value().equals("s1"))
+            .count();
+    assertThat(tries, lessThan(16L));
+    world.agent("s1").restart();
+    world.run(6_000);
+    assertThat(world.state.fleet().member(new EndpointId("s1")).get().connected(), is(true));
+  }
+
+  // Guards against a subset that loads some endpoints with most connections, and against one that
+  // changes more than needed when an endpoint joins.
+  @Test
+  void subsetIsBoundedBalancedAndStable() {
+    Vector<Member> members =
+        Vector.range(0, 40)
+            .map(
+                i -> {
+                  var vm =
+                      Fixtures.vm(
+                          "e" + i,
+                          io.zinniawood.core.model.VmRole.ENDPOINT,
+                          io.zinniawood.core.model.VmState.LIVE);
+                  return Member.unconnected(
+                      new EndpointId("e" + i),
+                      new io.zinniawood.core.entry.membership.Placement(
+                          vm.address(), vm.pool(), vm.dataCentre(), true, false));
+                });
+    Map<EndpointId, Integer> load = new HashMap<>();
+    for (int entry = 0; entry < 200; entry++) {
+      VmId self = new VmId("entry-" + entry);
+      var chosen = SubsetSelection.choose(self, members, 8);
+      assertThat(chosen.size(), equalTo(8));
+      chosen.forEach(id -> load.merge(id, 1, Integer::sum));
+      var fewer = SubsetSelection.choose(self, members.tail(), 8);
+      assertThat(chosen.diff(fewer).size(), lessThanOrEqualTo(1));
+    }
+    assertThat(load.size(), equalTo(40));
+    load.values().forEach(count -> assertThat(count, lessThan(80)));
+  }
+
+  private void call(String id) {
+    world.reduce(Fixtures.call(id, Idempotency.IDEMPOTENT, Option.none(), world.deadline(1_000)));
+  }
+
+  private int dispatches(String name) {
+    return (int)
+        world.effects(EntryEffect.SendToAgent.class).stream()
+            .filter(
+                send ->
+                    send.message() instanceof Message.Dispatch
+                        && send.endpoint().value().equals(name))
+            .count();
+  }
+}
--- a/core/src/test/java/io/zinniawood/core/entry/ModelRequestTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/ModelRequestTest.java
@@ -5,6 +5,10 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.lessThan;
 
+import io.vavr.control.Option;
+import io.zinniawood.core.id.Epoch;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.message.Message;
 import io.zinniawood.core.model.Outcome;
 import org.junit.jupiter.api.Test;
 
@@ -77,6 +81,40 @@
         hasSize(0));
   }
 
+  // Guards against tokens of an old epoch, of a wrong position, from a stage that is not the last,
+  // or of another session, which would reach the caller as wrong text.
+  @Test
+  void refusesTokensThatAreNotTheAwaitedOne() {
+    World world = World.small();
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    String last = busy(world, "b");
+    world.dropConnection(busy(world, "a"), DisconnectReason.CLOSED);
+    world.run(8);
+    Session session = world.state.sessions().values().head();
+    assertThat(session.phase(), equalTo(SessionPhase.RUNNING));
+    assertThat(session.epoch().value(), equalTo(2L));
+    int delivered = world.effects(EntryEffect.ReplyToken.class).size();
+    int position = session.position();
+    token(world, last, session.id(), 1, position);
+    token(world, last, session.id(), 3, position);
+    token(world, last, session.id(), 2, position - 1);
+    token(world, last, session.id(), 2, position + 1);
+    token(world, last, new SessionId("other"), 2, position);
+    token(world, busy(world, "a"), session.id(), 2, position);
+    assertThat(world.effects(EntryEffect.ReplyToken.class), hasSize(delivered));
+  }
+
+  private static void token(
+      World world, String sender, SessionId session, long epoch, int position) {
+    FakeAgent agent = world.agent(sender);
+    world.reduce(
+        new EntryEvent.AgentMessageReceived(
+            agent.endpoint,
+            agent.incarnation,
+            new Message.Token(session, new Epoch(epoch), position, "x", Option.none())));
+  }
+
   // Guards against an untruthful ending: tokens were delivered and cannot be rebuilt.
   @Test
   void failsWithUnknownWhenOutputsAreNoLongerKept() {
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/ServiceRequestTest.java
@@ -0,0 +1,194 @@
+package io.zinniawood.core.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests of service calls, idempotency keys and retries. */
+class ServiceRequestTest {
+  private static final Option<String> KEY = Option.some("k");
+
+  private final World world = World.small();
+
+  // Guards against a second run when a caller repeats a keyed call while the first one runs.
+  @Test
+  void secondCallWithTheSameKeyWaitsForTheFirst() {
+    call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(10);
+    call("c2", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(200);
+    assertThat(answers(), equalTo(List.of("c1", "c2")));
+    world.checks.end();
+  }
+
+  // Guards against running a finished call again instead of returning its kept answer.
+  @Test
+  void laterCallWithTheSameKeyGetsTheKeptAnswer() {
+    call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(100);
+    world.restart("s1");
+    world.restart("s2");
+    world.run(100);
+    call("c2", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(200);
+    assertThat(answers(), equalTo(List.of("c1", "c2")));
+    world.checks.end();
+  }
+
+  // Guards against answering a different request with the kept answer of the key.
+  @Test
+  void refusesTheKeyOfAnotherRequest() {
+    call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(100);
+    var other =
+        Fixtures.call("c2", Idempotency.NON_IDEMPOTENT, Option.some("x"), world.deadline(900));
+    world.reduce(
+        new EntryEvent.ServiceRequestArrived(
+            other.request(),
+            other.clientAccount(),
+            other.service(),
+            other.call(),
+            other.idempotency(),
+            Option.some(new io.zinniawood.core.id.IdempotencyKey("k")),
+            other.priority(),
+            other.deadlineNanos()));
+    world.run(100);
+    assertThat(problem("c2").type(), equalTo(ProblemType.KEY_REUSED));
+    assertThat(problem("c2").outcome(), equalTo(Outcome.NOT_RUN));
+  }
+
+  // Guards against running a keyed call without a claim when the table is down.
+  @Test
+  void refusesKeyedCallDuringStoreOutage() {
+    world.table.down = true;
+    call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    call("c2", Idempotency.NON_IDEMPOTENT, Option.none());
+    world.run(200);
+    assertThat(problem("c1").type(), equalTo(ProblemType.STORE_UNAVAILABLE));
+    assertThat(problem("c1").outcome(), equalTo(Outcome.NOT_RUN));
+    assertThat(answers(), equalTo(List.of("c2")));
+  }
+
+  // Guards against giving up a keyed call whose endpoint died before it started, and against a
+  // second start without a tombstone.
+  @Test
+  void rulesTheLostAttemptOutAndRunsElsewhere() {
+    call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(2);
+    world.crash(target("c1"));
+    world.run(1_500);
+    assertThat(answers(), equalTo(List.of("c1")));
+    assertThat(world.effects(EntryEffect.ReleaseClaim.class), hasSize(1));
+    world.checks.end();
+  }
+
+  // Guards against an untruthful not-run, and against a retry, after a call may have run.
+  @Test
+  void callThatMayHaveRunEndsUnknown() {
+    call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    call("c2", Idempotency.NON_IDEMPOTENT, Option.none());
+    world.run(20);
+    world.restart("s1");
+    world.restart("s2");
+    world.run(3_000);
+    assertThat(problem("c1").outcome(), equalTo(Outcome.UNKNOWN));
+    assertThat(problem("c2").outcome(), equalTo(Outcome.UNKNOWN));
+    assertThat(answers(), hasSize(0));
+    world.checks.end();
+  }
+
+  // Guards against a call that waits for the deadline at an endpoint that never starts it.
+  @Test
+  void cancelsCallThatDoesNotStartAndRunsItElsewhere() {
+    world.agent("s1").stalled = true;
+    world.agent("s2").stalled = true;
+    call("c1", Idempotency.NON_IDEMPOTENT, Option.none());
+    world.run(300);
+    String first = target("c1");
+    world.agent(first.equals("s1") ? "s2" : "s1").stalled = false;
+    world.run(700);
+    assertThat(answers(), equalTo(List.of("c1")));
+    assertThat(
+        world.agent(first).calls.values().iterator().next().state.name(), equalTo("CANCELLED"));
+    world.checks.end();
+  }
+
+  // Guards against a lost idempotent call when its endpoint dies.
+  @Test
+  void runsIdempotentCallAgainElsewhere() {
+    call("c1", Idempotency.IDEMPOTENT, Option.none());
+    world.run(20);
+    world.crash(target("c1"));
+    world.run(500);
+    assertThat(answers(), equalTo(List.of("c1")));
+    world.checks.end();
+  }
+
+  // Guards against an answer that claims certainty while another call with the key still runs.
+  @Test
+  void waitingCallEndsWithConflictAtItsDeadline() {
+    call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(10);
+    world.crash(target("c1"));
+    call("c2", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(3_000);
+    assertThat(problem("c2").type(), equalTo(ProblemType.IN_PROGRESS));
+    assertThat(problem("c2").outcome(), equalTo(Outcome.UNKNOWN));
+    assertThat(problem("c1").outcome(), equalTo(Outcome.UNKNOWN));
+    world.checks.end();
+  }
+
+  // Guards against work that goes on for a caller that is gone.
+  @Test
+  void cancelReachesTheAgentWhenTheCallerIsGone() {
+    call("c1", Idempotency.NON_IDEMPOTENT, Option.none());
+    world.run(2);
+    world.reduce(new EntryEvent.CallerDisconnected(new RequestId("c1")));
+    world.run(100);
+    FakeAgent agent = world.agent(target("c1"));
+    assertThat(agent.calls.values().iterator().next().state.name(), equalTo("CANCELLED"));
+    world.checks.end();
+  }
+
+  private void call(String id, Idempotency idempotency, Option<String> key) {
+    world.reduce(Fixtures.call(id, idempotency, key, world.deadline(2_000)));
+  }
+
+  private List<String> answers() {
+    return world.effects(EntryEffect.ReplyService.class).stream()
+        .map(reply -> reply.request().value())
+        .toList();
+  }
+
+  private Problem problem(String request) {
+    return world.effects(EntryEffect.ReplyProblem.class).stream()
+        .filter(reply -> reply.request().equals(new RequestId(request)))
+        .findFirst()
+        .orElseThrow()
+        .problem();
+  }
+
+  private String target(String request) {
+    EndpointId endpoint =
+        world.effects(EntryEffect.SendToAgent.class).stream()
+            .filter(
+                send ->
+                    send.message() instanceof Message.Dispatch dispatch
+                        && dispatch.request().equals(new RequestId(request)))
+            .findFirst()
+            .orElseThrow()
+            .endpoint();
+    return endpoint.value();
+  }
+}
--- a/core/src/test/java/io/zinniawood/core/entry/World.java
+++ b/core/src/test/java/io/zinniawood/core/entry/World.java
@@ -136,7 +136,7 @@
                             release.request(), release.attempt(), resolution)));
           });
     } else if (effect instanceof EntryEffect.ReadLease) {
-      schedule(2, this::leaseAnswer);
+      schedule(2, () -> leaseAnswer(table.down));
     } else if (effect instanceof EntryEffect.WriteLease write) {
       schedule(
           2,
@@ -145,14 +145,14 @@
               table.lease = Option.some(write.row());
               table.leaseVersion++;
             }
-            leaseAnswer();
+            leaseAnswer(table.down || table.losesResponses);
           });
     }
   }
 
-  private void leaseAnswer() {
+  private void leaseAnswer(boolean lost) {
     reduce(
-        table.down
+        lost
             ? new EntryEvent.LeaseUnavailable()
             : new EntryEvent.LeaseRead(table.lease, table.leaseVersion));
   }
@@ -331,10 +331,10 @@
     long end = nowNanos + millis * Fixtures.MILLI;
     while (!queue.isEmpty() && queue.peek().dueNanos() <= end) {
       Scheduled next = queue.poll();
-      nowNanos = next.dueNanos();
+      nowNanos = Math.max(nowNanos, next.dueNanos());
       next.action().run();
     }
-    nowNanos = end;
+    nowNanos = Math.max(nowNanos, end);
   }
 
   long deadline(long millis) {
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the routing rules. */
+package io.zinniawood.core.entry.routing;
