Let recovery exceed limits, refence keyed calls at once, bound incidents

Sessions of a lost replica found no room at full survivors, a call after a tombstone waited for the retry delay, a slow rebuild looked like a stall, and one crash recorded an incident per session. A late lease answer could make the holder drop its lease.

--- a/core/src/main/java/io/zinniawood/core/entry/Admission.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Admission.java
@@ -104,12 +104,8 @@
 
   private static Option<Problem> limited(
       Turn turn, ClientAccount account, AccountUse use, String detail, long retryAfterMillis) {
-    boolean due = use.reportDue(turn.nowNanos());
-    AccountUse next = due ? use.reported(turn.nowNanos()) : use;
-    turn.update(state -> state.withUsage(state.usage().with(account.id(), next)));
-    if (due) {
-      turn.incident(IncidentKind.ACCOUNT_LIMITED, account.id().value(), detail);
-    }
+    turn.update(state -> state.withUsage(state.usage().with(account.id(), use)));
+    turn.incidentOnce(IncidentKind.ACCOUNT_LIMITED, account.id().value(), detail);
     return Option.some(Problem.notRunRetry(ProblemType.ACCOUNT_LIMIT, detail, retryAfterMillis));
   }
 
--- a/core/src/main/java/io/zinniawood/core/entry/Attempts.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Attempts.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.entry;
 
+import io.vavr.collection.HashSet;
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
 import io.zinniawood.core.id.AttemptId;
@@ -16,6 +17,9 @@
   /** A live agent answers a cancel at once; longer means that it cannot be reached. */
   private static final long CANCEL_NANOS = 300 * NANOS_PER_MILLI;
 
+  /** Bounds the work for a key that several entries claim and release in turn. */
+  private static final int MAX_FENCED_ATTEMPTS = 16;
+
   private Attempts() {}
 
   /** Sends a new attempt to the best endpoint. */
@@ -26,10 +30,7 @@
             .orElse(
                 () ->
                     Selection.service(
-                        turn,
-                        arrival.service(),
-                        request.withoutAvoided().avoid(),
-                        arrival.priority()));
+                        turn, arrival.service(), HashSet.empty(), arrival.priority()));
     if (target.isEmpty()) {
       Answers.failService(turn, request, noEndpoint(turn, request));
       return;
@@ -51,6 +52,23 @@
     startTimer(turn, sent, timeoutNanos(turn, sent));
   }
 
+  /** Sends a new attempt with a fence that the claim row named, which needs no retry budget. */
+  static void dispatchWithFence(Turn turn, ServiceRequest request) {
+    if (request.attempts() < MAX_FENCED_ATTEMPTS) {
+      dispatch(turn, request);
+    } else {
+      Answers.failService(
+          turn,
+          request,
+          truthful(
+              request,
+              Problem.notRunRetry(
+                  ProblemType.IN_PROGRESS,
+                  "other calls with the same idempotency key were released again and again",
+                  1_000)));
+    }
+  }
+
   /** Sends an attempt to its endpoint; the gate there runs it at most once. */
   static void send(Turn turn, ServiceRequest request, Attempt attempt) {
     var arrival = request.arrival();
--- a/core/src/main/java/io/zinniawood/core/entry/Claims.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Claims.java
@@ -48,17 +48,23 @@
                 "the endpoint was lost before the call started",
                 1_000));
       } else if (event.resolution() instanceof ClaimResolution.Held held) {
-        held(turn, request, held.row());
+        read(turn, request, held.row());
       }
     }
   }
 
-  /** Decides by a row that stands in the table. */
-  static void held(Turn turn, ServiceRequest request, ClaimRow row) {
-    if (!row.requestDigest().equals(RequestDigest.of(request.arrival().call()))) {
+  /** Decides by a row that was read from the table. */
+  private static void read(Turn turn, ServiceRequest request, ClaimRow row) {
+    boolean own = request.current().exists(attempt -> attempt.id().equals(row.attempt()));
+    if (!own && !row.requestDigest().equals(RequestDigest.of(request.arrival().call()))) {
       keyReused(turn, request);
-      return;
+    } else {
+      held(turn, request, row);
     }
+  }
+
+  /** Decides by a row of the same request. */
+  static void held(Turn turn, ServiceRequest request, ClaimRow row) {
     switch (row.state()) {
       case FINISHED -> finished(turn, request, row);
       case RELEASED -> releasedRow(turn, request, row);
@@ -88,15 +94,14 @@
     }
   }
 
-  /** A higher fence than the attempt's rules the attempt out; otherwise it may still start. */
+  /**
+   * A higher fence than the attempt's rules the attempt out, and a new one with that fence may
+   * claim the key at once; otherwise the attempt may still start.
+   */
   private static void releasedRow(Turn turn, ServiceRequest request, ClaimRow row) {
     if (row.fence().compareTo(request.fence()) > 0) {
-      Attempts.notStarted(
-          turn,
-          request,
-          row.fence(),
-          Problem.notRunRetry(
-              ProblemType.ENDPOINT_FAILED, "an earlier attempt was ruled out", 1_000));
+      Attempts.uncount(turn, request);
+      Attempts.dispatchWithFence(turn, request.refenced(row.fence()));
     } else {
       poll(turn, request);
     }
--- a/core/src/main/java/io/zinniawood/core/entry/Leases.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Leases.java
@@ -35,11 +35,12 @@
     LeaseView before = turn.state().controller().lease();
     LeaseView after = before.read(event.row(), event.version(), leaseNanos(turn), turn.nowNanos());
     set(turn, after);
-    if (after.mine().isDefined()) {
-      if (before.mine().isEmpty()) {
-        taken(turn, after.mine().get());
-      }
-    } else if (after.expired(leaseNanos(turn), turn.nowNanos())
+    if (after.mine().isDefined() && before.mine().isEmpty()) {
+      taken(turn, after.mine().get());
+    } else if (after.mine().isEmpty() && before.mine().isDefined()) {
+      lost(turn, event);
+    } else if (after.mine().isEmpty()
+        && after.expired(leaseNanos(turn), turn.nowNanos())
         && turn.state().lifecycle() == Lifecycle.READY) {
       long fencing = event.row().map(row -> row.fencingNumber().value()).getOrElse(0L) + 1;
       write(turn, new LeaseRow(turn.state().self().vm(), new FencingNumber(fencing), 0));
@@ -63,6 +64,15 @@
     Membership.connectSubset(turn);
   }
 
+  private static void lost(Turn turn, EntryEvent.LeaseRead event) {
+    turn.incident(
+        IncidentKind.LEASE_TAKEN,
+        turn.state().self().vm().value(),
+        "lost the controller lease to %s"
+            .formatted(event.row().map(row -> row.holder().value()).getOrElse("no holder")));
+    Membership.connectSubset(turn);
+  }
+
   private static void write(Turn turn, LeaseRow row) {
     LeaseView lease = turn.state().controller().lease();
     set(turn, lease.writing(row, turn.nowNanos()));
--- a/core/src/main/java/io/zinniawood/core/entry/Maintenance.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Maintenance.java
@@ -4,6 +4,9 @@
 final class Maintenance {
   private static final long INTERVAL_NANOS = 500_000_000;
 
+  /** Incidents with one cause come within seconds; a cause that lasts is reported again. */
+  private static final long REPORT_INTERVAL_NANOS = 10_000_000_000L;
+
   private Maintenance() {}
 
   static void start(Turn turn) {
@@ -13,6 +16,12 @@
   static void tick(Turn turn) {
     start(turn);
     turn.update(state -> state.withFleet(state.fleet().withoutRecovered(turn.nowNanos())));
+    if (!turn.state().usage().reports().isEmpty()) {
+      turn.update(
+          state ->
+              state.withUsage(
+                  state.usage().withoutReportsBefore(turn.nowNanos() - REPORT_INTERVAL_NANOS)));
+    }
     Repair.tick(turn);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/Membership.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Membership.java
@@ -22,6 +22,9 @@
   /** Endpoints of each pool to connect to as long as no configuration says otherwise. */
   private static final int DEFAULT_SUBSET = 16;
 
+  /** Endpoints of each pool to which the holder of the lease connects. */
+  private static final int CONTROLLER_SUBSET = 512;
+
   private Membership() {}
 
   static void listReceived(Turn turn, EntryEvent.VmListReceived event) {
@@ -76,10 +79,13 @@
     }
   }
 
-  /** The holder of the lease needs to see every endpoint before it orders repairs. */
+  /**
+   * The holder of the lease needs to see every endpoint before it orders repairs. Pools above the
+   * bound get no repair, as connections to all of them would exceed the control budget of a node.
+   */
   private static int subsetSize(Turn turn) {
     return turn.state().controller().lease().mine().isDefined()
-        ? Integer.MAX_VALUE
+        ? CONTROLLER_SUBSET
         : turn.state()
             .cluster()
             .map(ClusterConfiguration::routing)
--- a/core/src/main/java/io/zinniawood/core/entry/ModelRequests.java
+++ b/core/src/main/java/io/zinniawood/core/entry/ModelRequests.java
@@ -49,7 +49,8 @@
       return;
     }
     LayerRange all = new LayerRange(0, model.get().layers());
-    Option<Vector<Choosing>> chain = Selection.chain(turn, all, arrival, HashSet.empty());
+    Option<Vector<Choosing>> chain =
+        Selection.chain(turn, all, arrival, HashSet.empty(), Headroom.ofNew(arrival.priority()));
     if (chain.isEmpty()) {
       Answers.failModel(turn, session, noChain(turn, session, all));
       return;
--- a/core/src/main/java/io/zinniawood/core/entry/Progress.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Progress.java
@@ -11,6 +11,7 @@
  * @param firstTokenNanos monotonic time of the first token in nanoseconds, 0 before it
  * @param lastTokenNanos monotonic time of the last token in nanoseconds
  * @param movedNanos monotonic time of the last sign of progress in nanoseconds
+ * @param reached sum of the stages' next positions when they were last probed
  * @param slowestGapNanos longest time between two tokens in nanoseconds
  */
 record Progress(
@@ -19,10 +20,11 @@
     long firstTokenNanos,
     long lastTokenNanos,
     long movedNanos,
+    int reached,
     long slowestGapNanos) {
 
   static Progress none(long nowNanos) {
-    return new Progress(Vector.empty(), nowNanos, 0, nowNanos, nowNanos, 0);
+    return new Progress(Vector.empty(), nowNanos, 0, nowNanos, nowNanos, 0, 0);
   }
 
   /** Returns the position whose token comes next. */
@@ -38,12 +40,24 @@
         first ? nowNanos : firstTokenNanos,
         nowNanos,
         nowNanos,
+        reached,
         first ? 0 : Math.max(slowestGapNanos, nowNanos - lastTokenNanos));
   }
 
   Progress moved(long nowNanos) {
     return new Progress(
-        tokens, arrivedNanos, firstTokenNanos, lastTokenNanos, nowNanos, slowestGapNanos);
+        tokens, arrivedNanos, firstTokenNanos, lastTokenNanos, nowNanos, reached, slowestGapNanos);
+  }
+
+  Progress probed(int nextReached) {
+    return new Progress(
+        tokens,
+        arrivedNanos,
+        firstTokenNanos,
+        lastTokenNanos,
+        movedNanos,
+        nextReached,
+        slowestGapNanos);
   }
 
   Option<Long> timeToFirstTokenNanos() {
--- a/core/src/main/java/io/zinniawood/core/entry/Refusals.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Refusals.java
@@ -23,7 +23,9 @@
       } else if (message.reason() == RefusalReason.LEAVING) {
         Membership.leaving(turn, endpoint);
       }
-      if (message.claim().isDefined() && request.claimed()) {
+      if (message.reason() == RefusalReason.DIGEST_MISMATCH) {
+        Claims.keyReused(turn, request);
+      } else if (message.claim().isDefined() && request.claimed()) {
         Claims.held(turn, request, message.claim().get());
       } else if (message.outcome() == Outcome.NOT_RUN && request.current().get().own()) {
         notRun(turn, request, message);
@@ -49,10 +51,6 @@
                     "the call needs the store, which cannot be reached",
                     1_000)));
       }
-      case DIGEST_MISMATCH -> {
-        Attempts.uncount(turn, request);
-        Claims.keyReused(turn, request.notStarted(request.fence()));
-      }
       case DEADLINE_EXCEEDED ->
           Attempts.notStarted(
               turn,
--- a/core/src/main/java/io/zinniawood/core/entry/Selection.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Selection.java
@@ -35,12 +35,17 @@
    * @param range layers to cover
    * @param arrival request that is routed
    * @param avoid endpoints that must not be chosen
+   * @param headroom part of the limits that may be used
    */
   static Option<Vector<Choosing>> chain(
-      Turn turn, LayerRange range, EntryEvent.ModelRequestArrived arrival, Set<EndpointId> avoid) {
+      Turn turn,
+      LayerRange range,
+      EntryEvent.ModelRequestArrived arrival,
+      Set<EndpointId> avoid,
+      Headroom headroom) {
     FlowPlan plan = Plans.of(turn, arrival.model());
     Vector<Member> members =
-        available(turn, arrival.priority()).reject(member -> avoid.contains(member.endpoint()));
+        available(turn, headroom).reject(member -> avoid.contains(member.endpoint()));
     return chain(turn, range, arrival, plan, stages(turn, members, arrival, plan, 0))
         .orElse(
             () ->
@@ -91,7 +96,7 @@
       Turn turn, ServiceName service, Set<EndpointId> avoid, Priority priority) {
     ToDoubleFunction<Member> weight = member -> member.work().limit().whole();
     Vector<Stage> candidates =
-        available(turn, priority)
+        available(turn, Headroom.ofNew(priority))
             .filter(member -> serves(member, service) && !avoid.contains(member.endpoint()))
             .map(
                 member ->
@@ -116,7 +121,7 @@
         .map(c -> (Capability.ModelStage) c);
   }
 
-  private static Vector<Member> available(Turn turn, Priority priority) {
+  private static Vector<Member> available(Turn turn, Headroom headroom) {
     return turn.fleet()
         .members()
         .values()
@@ -124,20 +129,10 @@
             member ->
                 member.takesWork()
                     && !member.health().ejected(turn.nowNanos())
-                    && member.work().inFlight() < limit(member, priority))
+                    && member.work().inFlight() < headroom.most(member.work().limit().whole()))
         .toVector();
   }
 
-  /** Lower priorities leave a part of the limit free for higher ones. */
-  private static int limit(Member member, Priority priority) {
-    int whole = member.work().limit().whole();
-    return switch (priority) {
-      case INTERACTIVE -> whole;
-      case NORMAL -> whole - whole / 20;
-      case BATCH -> whole - whole / 5;
-    };
-  }
-
   /** Slow start: the share of a new endpoint grows linearly. */
   private static double ramp(Turn turn, Member member) {
     double slowStartNanos = turn.cluster().routing().slowStartMillis() * 1e6;
--- a/core/src/main/java/io/zinniawood/core/entry/ServiceRequest.java
+++ b/core/src/main/java/io/zinniawood/core/entry/ServiceRequest.java
@@ -74,16 +74,16 @@
         arrival, arrivedNanos, attempts, Option.none(), nextFence, avoided(), mayHaveRun);
   }
 
-  /** Returns this request after its attempt was given up although it may run. */
-  ServiceRequest abandoned() {
+  /** Returns this request after its attempt was refused for its fence alone. */
+  ServiceRequest refenced(Fence nextFence) {
     return new ServiceRequest(
-        arrival, arrivedNanos, attempts, Option.none(), fence, avoided(), true);
+        arrival, arrivedNanos, attempts, Option.none(), nextFence, avoid, mayHaveRun);
   }
 
-  /** Returns this request with every endpoint allowed again. */
-  ServiceRequest withoutAvoided() {
+  /** Returns this request after its attempt was given up although it may run. */
+  ServiceRequest abandoned() {
     return new ServiceRequest(
-        arrival, arrivedNanos, attempts, current, fence, HashSet.empty(), mayHaveRun);
+        arrival, arrivedNanos, attempts, Option.none(), fence, avoided(), true);
   }
 
   private Set<EndpointId> avoided() {
--- a/core/src/main/java/io/zinniawood/core/entry/SessionRebuild.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRebuild.java
@@ -10,12 +10,15 @@
 
   /**
    * Asks for the missing inputs of each stage and repeats the awaited position. Stages that already
-   * ran a position return the kept output, so no surviving stage runs again.
+   * ran a position return the kept output, so no surviving stage runs again. A probe that finds the
+   * stages further than the one before shows a long rebuild, not a stalled stage.
    */
   static void resume(Turn turn, Session session) {
     int position = session.position();
-    SessionPhase phase =
-        session.phase() == SessionPhase.PROBING ? SessionPhase.REPEATED : SessionPhase.RUNNING;
+    int reached = session.confirmed().values().sum().intValue();
+    boolean stuck =
+        session.phase() == SessionPhase.PROBING && reached <= session.progress().reached();
+    SessionPhase phase = stuck ? SessionPhase.REPEATED : SessionPhase.RUNNING;
     session
         .retired()
         .reject(stage -> SessionRecovery.sameRun(session.chain(), stage))
@@ -23,7 +26,7 @@
     Session running =
         session
             .withRetired(Vector.empty())
-            .withProgress(session.progress().moved(turn.nowNanos()))
+            .withProgress(session.progress().moved(turn.nowNanos()).probed(reached))
             .running(phase);
     turn.putSession(running);
     for (int index = 1; index < running.chain().length(); index++) {
--- a/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
@@ -98,7 +98,8 @@
             session.chain().get(from).layers().fromLayer(),
             session.chain().get(endExclusive - 1).layers().toLayerExclusive());
     Set<EndpointId> avoid = session.chain().map(StageAddress::endpoint).toSet();
-    Option<Vector<Choosing>> others = Selection.chain(turn, range, session.arrival(), avoid);
+    Option<Vector<Choosing>> others =
+        Selection.chain(turn, range, session.arrival(), avoid, headroom(session));
     if (others.isDefined()) {
       return others;
     }
@@ -108,10 +109,14 @@
             .map(index -> session.chain().get(index).endpoint())
             .toSet();
     Vector<StageAddress> given = lost.toVector().map(session.chain()::get);
-    return Selection.chain(turn, range, session.arrival(), survivors)
+    return Selection.chain(turn, range, session.arrival(), survivors, headroom(session))
         .filter(chain -> !StageSessions.addresses(chain).exists(stage -> sameRun(given, stage)));
   }
 
+  private static Headroom headroom(Session session) {
+    return session.inputSent() ? Headroom.RECOVERY : Headroom.ofNew(session.arrival().priority());
+  }
+
   /** Tells whether one of the stages is the same run of the same endpoint. */
   static boolean sameRun(Vector<StageAddress> stages, StageAddress wanted) {
     return stages.exists(
@@ -144,6 +149,10 @@
    * delivered stays delivered.
    */
   private static void park(Turn turn, Session session, Set<Integer> lost) {
+    if (!session.inputSent() && disconnected(turn, session).isEmpty()) {
+      giveUp(turn, session, "no other endpoint has room for layers of the model");
+      return;
+    }
     Set<EndpointId> rebuilt = lost.map(index -> session.chain().get(index).endpoint());
     Session parked =
         session.parked(rebuilt).withProgress(session.progress().moved(turn.nowNanos()));
@@ -212,7 +221,7 @@
         .toSet();
   }
 
-  /** Returns the stages whose endpoints no longer hold the layers. */
+  /** Returns the stages whose endpoints no longer hold the layers or take no new session. */
   private static Set<Integer> unservable(Turn turn, Session session) {
     return Vector.range(0, session.chain().length())
         .reject(
@@ -220,6 +229,8 @@
               StageAddress stage = session.chain().get(index);
               return turn.fleet()
                   .member(stage.endpoint())
+                  .filter(
+                      member -> member.takesWork() || !session.fresh().contains(member.endpoint()))
                   .flatMap(member -> Selection.modelStage(member, session.arrival().model()))
                   .exists(served -> served.layers().equals(stage.layers()));
             })
@@ -228,7 +239,7 @@
 
   private static void reportReplaced(
       Turn turn, Session session, Vector<StageAddress> removed, Set<EndpointId> fresh) {
-    turn.incident(
+    turn.incidentOnce(
         IncidentKind.STAGE_REPLACED,
         removed.map(stage -> stage.endpoint().value()).mkString(","),
         "request %s goes on at position %d of epoch %d with %s"
--- a/core/src/main/java/io/zinniawood/core/entry/StageSessions.java
+++ b/core/src/main/java/io/zinniawood/core/entry/StageSessions.java
@@ -66,6 +66,9 @@
     }
     int before = session.confirmed().getOrElse(message.stageIndex(), Integer.MAX_VALUE);
     Session confirmed = session.confirm(message.stageIndex(), message.nextPosition());
+    if (message.nextPosition() > before) {
+      confirmed = confirmed.withProgress(confirmed.progress().moved(turn.nowNanos()));
+    }
     turn.putSession(confirmed);
     if (session.phase().awaitsStages() && confirmed.allConfirmed()) {
       SessionRebuild.resume(turn, confirmed);
--- a/core/src/main/java/io/zinniawood/core/entry/Turn.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Turn.java
@@ -68,6 +68,18 @@
     effects.add(new EntryEffect.RecordIncident(new Incident(kind, subject, detail)));
   }
 
+  /**
+   * Records an incident of a kind that may come in large numbers, at most once per subject until
+   * the reports are forgotten.
+   */
+  void incidentOnce(IncidentKind kind, String subject, String detail) {
+    String key = kind + " " + subject;
+    if (!state.usage().reports().containsKey(key)) {
+      state = state.withUsage(state.usage().reported(key, nowNanos));
+      incident(kind, subject, detail);
+    }
+  }
+
   /** Changes one endpoint; does nothing if it is not known. */
   void updateMember(EndpointId endpoint, UnaryOperator<Member> change) {
     state
--- a/core/src/main/java/io/zinniawood/core/entry/Usage.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Usage.java
@@ -13,14 +13,17 @@
  * @param accounts use by client account
  * @param retries budget of retries
  * @param latencies estimates by model or service
+ * @param reports monotonic time in nanoseconds of the last incident of kinds that may come in large
+ *     numbers, by kind and subject
  */
 record Usage(
     Map<ClientAccountId, AccountUse> accounts,
     RetryBudget retries,
-    Map<String, LatencyEstimate> latencies) {
+    Map<String, LatencyEstimate> latencies,
+    Map<String, Long> reports) {
 
   static Usage none() {
-    return new Usage(HashMap.empty(), RetryBudget.fresh(), HashMap.empty());
+    return new Usage(HashMap.empty(), RetryBudget.fresh(), HashMap.empty(), HashMap.empty());
   }
 
   AccountUse account(ClientAccountId id, double burst, long nowNanos) {
@@ -28,17 +31,27 @@
   }
 
   Usage with(ClientAccountId id, AccountUse use) {
-    return new Usage(accounts.put(id, use), retries, latencies);
+    return new Usage(accounts.put(id, use), retries, latencies, reports);
   }
 
   Usage with(RetryBudget changed) {
-    return new Usage(accounts, changed, latencies);
+    return new Usage(accounts, changed, latencies, reports);
   }
 
   Usage sampled(String target, long durationNanos, long nowNanos) {
     LatencyEstimate estimate =
         latencies.getOrElse(target, LatencyEstimate.none()).sampled(durationNanos, nowNanos);
-    return new Usage(accounts, retries, latencies.put(target, estimate));
+    return new Usage(accounts, retries, latencies.put(target, estimate), reports);
+  }
+
+  Usage reported(String incident, long nowNanos) {
+    return new Usage(accounts, retries, latencies, reports.put(incident, nowNanos));
+  }
+
+  /** Returns this use without reports from before the given time. */
+  Usage withoutReportsBefore(long nanos) {
+    return new Usage(
+        accounts, retries, latencies, reports.filterValues(reported -> reported - nanos >= 0));
   }
 
   double expectedNanos(String target, long nowNanos) {
--- a/core/src/main/java/io/zinniawood/core/entry/lease/LeaseView.java
+++ b/core/src/main/java/io/zinniawood/core/entry/lease/LeaseView.java
@@ -53,7 +53,9 @@
   }
 
   /**
-   * Returns this view after the row was read.
+   * Returns this view after the row was read. Only a row that confirms a pending write extends the
+   * validity, measured from when the write was sent. An answer to an earlier read may arrive after
+   * that and is ignored while the lease is valid.
    *
    * @param row row as it stands
    * @param readVersion its version
@@ -74,13 +76,22 @@
           taken ? nowNanos + leaseNanos : ordersFromNanos,
           Option.none());
     }
-    if (mine.isDefined() && mine.equals(row)) {
+    if (mine.isDefined() && row.exists(this::isMine)) {
       return new LeaseView(
-          row, readVersion, since, mine, validUntilNanos, ordersFromNanos, Option.none());
+          row, readVersion, since, row, validUntilNanos, ordersFromNanos, Option.none());
+    }
+    if (mine.isDefined() && readVersion < version && nowNanos - validUntilNanos < 0) {
+      return this;
     }
     return new LeaseView(row, readVersion, since, Option.none(), 0, 0, Option.none());
   }
 
+  private boolean isMine(LeaseRow row) {
+    return mine.exists(
+        held ->
+            held.holder().equals(row.holder()) && held.fencingNumber().equals(row.fencingNumber()));
+  }
+
   /** Tells whether the row has not changed for the lease time. */
   public boolean expired(long leaseNanos, long nowNanos) {
     return version != NEVER_READ
--- a/core/src/test/java/io/zinniawood/core/entry/FakeAgent.java
+++ b/core/src/test/java/io/zinniawood/core/entry/FakeAgent.java
@@ -217,7 +217,9 @@
               key(dispatch), endpoint, incarnation, dispatch.attempt(), digest, dispatch.fence());
       if (row.isDefined()) {
         call.state = CallState.CANCELLED;
-        refuse(dispatch, RefusalReason.CLAIMED_BY_OTHER, row);
+        boolean same = row.get().requestDigest().equals(digest);
+        refuse(
+            dispatch, same ? RefusalReason.CLAIMED_BY_OTHER : RefusalReason.DIGEST_MISMATCH, row);
         return;
       }
     }
--- a/core/src/test/java/io/zinniawood/core/entry/World.java
+++ b/core/src/test/java/io/zinniawood/core/entry/World.java
@@ -12,6 +12,7 @@
 import io.zinniawood.core.model.Capability;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.ServingState;
 import io.zinniawood.core.model.VmEntry;
 import io.zinniawood.core.model.VmRole;
 import io.zinniawood.core.model.VmState;
@@ -289,9 +290,12 @@
     }
   }
 
+  /** Announces that an endpoint leaves; a status from before arrives late. */
   void leave(String name) {
-    agent(name).state = io.zinniawood.core.model.ServingState.LEAVING;
+    Message.Status before = agent(name).status();
+    agent(name).state = ServingState.LEAVING;
     toEntry(agent(name), agent(name).status());
+    toEntry(agent(name), before);
   }
 
   void executed(Message.Dispatch dispatch) {
