--- a/core/src/test/java/io/zinniawood/core/entry/World.java
+++ b/core/src/test/java/io/zinniawood/core/entry/World.java
@@ -12,6 +12,7 @@
 import io.zinniawood.core.model.Capability;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.ServingState;
 import io.zinniawood.core.model.VmEntry;
 import io.zinniawood.core.model.VmRole;
 import io.zinniawood.core.model.VmState;
@@ -136,7 +137,7 @@
                             release.request(), release.attempt(), resolution)));
           });
     } else if (effect instanceof EntryEffect.ReadLease) {
-      schedule(2, this::leaseAnswer);
+      schedule(2, () -> leaseAnswer(table.down));
     } else if (effect instanceof EntryEffect.WriteLease write) {
       schedule(
           2,
@@ -145,14 +146,14 @@
               table.lease = Option.some(write.row());
               table.leaseVersion++;
             }
-            leaseAnswer();
+            leaseAnswer(table.down || table.losesResponses);
           });
     }
   }
 
-  private void leaseAnswer() {
+  private void leaseAnswer(boolean lost) {
     reduce(
-        table.down
+        lost
             ? new EntryEvent.LeaseUnavailable()
             : new EntryEvent.LeaseRead(table.lease, table.leaseVersion));
   }
@@ -289,9 +290,12 @@
     }
   }
 
+  /** Announces that an endpoint leaves; a status from before arrives late. */
   void leave(String name) {
-    agent(name).state = io.zinniawood.core.model.ServingState.LEAVING;
+    Message.Status before = agent(name).status();
+    agent(name).state = ServingState.LEAVING;
     toEntry(agent(name), agent(name).status());
+    toEntry(agent(name), before);
   }
 
   void executed(Message.Dispatch dispatch) {
@@ -331,10 +335,10 @@
     long end = nowNanos + millis * Fixtures.MILLI;
     while (!queue.isEmpty() && queue.peek().dueNanos() <= end) {
       Scheduled next = queue.poll();
-      nowNanos = next.dueNanos();
+      nowNanos = Math.max(nowNanos, next.dueNanos());
       next.action().run();
     }
-    nowNanos = end;
+    nowNanos = Math.max(nowNanos, end);
   }
 
   long deadline(long millis) {
