--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/agent/ClaimsTest.java
@@ -0,0 +1,177 @@
+package io.zinniawood.core.agent;
+
+import static io.zinniawood.core.agent.AgentDriver.ANSWER;
+import static io.zinniawood.core.agent.AgentDriver.all;
+import static io.zinniawood.core.agent.AgentDriver.keyed;
+import static io.zinniawood.core.agent.AgentDriver.sent;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.IdempotencyKey;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.CancelOutcome;
+import io.zinniawood.core.model.ClaimRow;
+import io.zinniawood.core.model.ClaimState;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.ServiceCall;
+import org.junit.jupiter.api.Test;
+
+class ClaimsTest {
+  private static final PeerId OTHER_ENTRY = new PeerId("entry-2", new Incarnation(2));
+
+  private final AgentDriver agent = AgentDriver.service(2);
+
+  private Vector<AgentEffect> written(String attempt, ClaimWrite result) {
+    return agent.apply(new AgentEvent.ClaimWritten(new AttemptId(attempt), result));
+  }
+
+  private Vector<AgentEffect> stored(String attempt, StoreWrite result) {
+    return agent.apply(new AgentEvent.AnswerStored(new AttemptId(attempt), result));
+  }
+
+  private Vector<AgentEffect> answered(String attempt) {
+    return agent.apply(new AgentEvent.ServiceAnswered(new AttemptId(attempt), ANSWER));
+  }
+
+  private static ClaimRow row(Vector<AgentEffect> effects) {
+    return all(effects, AgentEffect.StoreAnswer.class).single().row();
+  }
+
+  private static Message.DispatchRefused refused(Vector<AgentEffect> effects) {
+    return sent(effects, Message.DispatchRefused.class).single();
+  }
+
+  // Guards against a call before the claim, and against an answer that is not stored.
+  @Test
+  void claimPrecedesTheCallAndTheAnswerIsStored() {
+    Vector<AgentEffect> claiming = agent.receive(keyed("a1", "k", 0));
+    assertThat(claiming.size(), equalTo(1));
+    assertThat(
+        all(claiming, AgentEffect.WriteClaim.class).single().row().state(),
+        equalTo(ClaimState.STARTED));
+    assertThat(
+        all(written("a1", new ClaimWrite.Claimed()), AgentEffect.CallService.class).size(),
+        equalTo(1));
+    Vector<AgentEffect> ended = answered("a1");
+    assertThat(sent(ended, Message.DispatchReply.class).size(), equalTo(1));
+    assertThat(row(ended).answer(), equalTo(Option.some(ANSWER)));
+  }
+
+  // Guards against a lost answer when the table fails after the call.
+  @Test
+  void answerIsWrittenAgainUntilItIsStored() {
+    agent.receive(keyed("a1", "k", 0));
+    written("a1", new ClaimWrite.Claimed());
+    answered("a1");
+    stored("a1", StoreWrite.FAILED);
+    assertThat(row(agent.advanceMillis(400)).state(), equalTo(ClaimState.FINISHED));
+    stored("a1", StoreWrite.DONE);
+    assertThat(agent.state().gate().idle(), equalTo(true));
+  }
+
+  // Guards against a second call when another entry repeats the key while the first call runs.
+  @Test
+  void repeatThroughAnotherEntryWaitsForTheSameAnswer() {
+    agent.apply(new AgentEvent.PeerConnected(OTHER_ENTRY, PeerRole.ENTRY));
+    agent.receive(keyed("a1", "k", 0));
+    written("a1", new ClaimWrite.Claimed());
+    assertThat(
+        all(agent.receive(OTHER_ENTRY, keyed("b1", "k", 0)), AgentEffect.WriteClaim.class),
+        equalTo(Vector.empty()));
+    Message.CancelResult cancelled =
+        sent(agent.receive(OTHER_ENTRY, AgentDriver.cancel("b1")), Message.CancelResult.class)
+            .single();
+    assertThat(cancelled.outcome(), equalTo(CancelOutcome.RUNNING));
+    Vector<AgentEffect> ended = answered("a1");
+    assertThat(
+        all(ended, AgentEffect.Send.class).map(AgentEffect.Send::peer),
+        equalTo(Vector.of(AgentDriver.ENTRY, OTHER_ENTRY)));
+    assertThat(
+        sent(ended, Message.DispatchReply.class).map(Message.DispatchReply::answer),
+        equalTo(Vector.of(ANSWER, ANSWER)));
+  }
+
+  // Guards against answering another request with the kept answer of the key.
+  @Test
+  void keyWithAnotherBodyIsRefused() {
+    agent.receive(keyed("a1", "k", 0));
+    Message.Dispatch work = keyed("a2", "k", 0);
+    ServiceCall other =
+        new ServiceCall("POST", "/credits", Vector.empty(), Payload.ofText("another amount"));
+    Message.Dispatch changed =
+        new Message.Dispatch(
+            work.request(),
+            work.attempt(),
+            work.incarnation(),
+            work.clientAccount(),
+            work.service(),
+            other,
+            work.idempotency(),
+            Option.some(new IdempotencyKey("k")),
+            work.fence(),
+            work.remainingMillis(),
+            work.weight());
+    assertThat(refused(agent.receive(changed)).reason(), equalTo(RefusalReason.DIGEST_MISMATCH));
+  }
+
+  // Guards against a call during a store outage, and against a claim that stays started.
+  @Test
+  void storeOutageRefusesWithNotRunAndReleasesTheClaim() {
+    agent.receive(keyed("a1", "k", 0));
+    Vector<AgentEffect> effects = written("a1", new ClaimWrite.Unavailable());
+    assertThat(refused(effects).reason(), equalTo(RefusalReason.STORE_UNAVAILABLE));
+    assertThat(refused(effects).outcome(), equalTo(Outcome.NOT_RUN));
+    assertThat(row(effects).state(), equalTo(ClaimState.RELEASED));
+    assertThat(row(effects).fence().value(), equalTo(1L));
+    assertThat(
+        refused(agent.receive(keyed("a1", "k", 0))).reason(),
+        equalTo(RefusalReason.STORE_UNAVAILABLE));
+    agent.receive(keyed("a2", "k", 0));
+    Message.DispatchRefused second = refused(stored("a1", StoreWrite.DONE));
+    assertThat(second.reason(), equalTo(RefusalReason.CLAIMED_BY_OTHER));
+    assertThat(second.claim().map(ClaimRow::state), equalTo(Option.some(ClaimState.RELEASED)));
+  }
+
+  // Guards against a call after a cancel was confirmed while the claim was being written.
+  @Test
+  void cancelDuringTheClaimReleasesIt() {
+    agent.receive(keyed("a1", "k", 0));
+    assertThat(
+        sent(agent.receive(AgentDriver.cancel("a1")), Message.CancelResult.class)
+            .single()
+            .outcome(),
+        equalTo(CancelOutcome.NOT_STARTED));
+    Vector<AgentEffect> effects = written("a1", new ClaimWrite.Claimed());
+    assertThat(all(effects, AgentEffect.CallService.class), equalTo(Vector.empty()));
+    assertThat(row(effects).state(), equalTo(ClaimState.RELEASED));
+  }
+
+  // Guards against a call whose outcome is unknown that is run again for the same key.
+  @Test
+  void unknownOutcomeOfTheKeyIsReportedAsUnknown() {
+    Vector<AgentEffect> claiming = agent.receive(keyed("a1", "k", 0));
+    written("a1", new ClaimWrite.Claimed());
+    agent.apply(new AgentEvent.ServiceFailed(new AttemptId("a1"), Outcome.UNKNOWN, "lost"));
+    agent.receive(keyed("a2", "k", 0));
+    ClaimRow started = all(claiming, AgentEffect.WriteClaim.class).single().row();
+    Message.DispatchRefused second = refused(written("a2", new ClaimWrite.HeldByOther(started)));
+    assertThat(second.outcome(), equalTo(Outcome.UNKNOWN));
+    assertThat(second.reason(), equalTo(RefusalReason.ENDPOINT_FAILED));
+  }
+
+  // Guards against a keyed call that starts after its deadline because the table was slow.
+  @Test
+  void claimThatTakesLongerThanTheDeadlineIsReleased() {
+    agent.receive(keyed("a1", "k", 0));
+    agent.advanceMillis(10_000);
+    Vector<AgentEffect> effects = written("a1", new ClaimWrite.Claimed());
+    assertThat(refused(effects).reason(), equalTo(RefusalReason.DEADLINE_EXCEEDED));
+    assertThat(row(effects).state(), equalTo(ClaimState.RELEASED));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/agent/GateTest.java
@@ -0,0 +1,187 @@
+package io.zinniawood.core.agent;
+
+import static io.zinniawood.core.agent.AgentDriver.ANSWER;
+import static io.zinniawood.core.agent.AgentDriver.all;
+import static io.zinniawood.core.agent.AgentDriver.cancel;
+import static io.zinniawood.core.agent.AgentDriver.dispatch;
+import static io.zinniawood.core.agent.AgentDriver.sent;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.CancelOutcome;
+import io.zinniawood.core.model.LoadReport;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.ServingState;
+import org.junit.jupiter.api.Test;
+
+class GateTest {
+  private static AgentEvent answered(String attempt) {
+    return new AgentEvent.ServiceAnswered(new AttemptId(attempt), ANSWER);
+  }
+
+  private static Message.Dispatch of(String attempt, String account, long remainingMillis) {
+    return dispatch(attempt, account, Option.none(), 0, remainingMillis);
+  }
+
+  private static Vector<String> called(Vector<AgentEffect> effects) {
+    return all(effects, AgentEffect.CallService.class).map(call -> call.attempt().value());
+  }
+
+  private static RefusalReason refusal(Vector<AgentEffect> effects) {
+    Message.DispatchRefused refused = sent(effects, Message.DispatchRefused.class).single();
+    assertThat(refused.outcome(), equalTo(Outcome.NOT_RUN));
+    return refused.reason();
+  }
+
+  // Guards against work of an earlier run of the agent that starts in this one.
+  @Test
+  void dispatchForAnotherIncarnationIsRefused() {
+    AgentDriver agent = AgentDriver.service(1);
+    Message.Dispatch work = dispatch("a1");
+    Message.Dispatch old =
+        new Message.Dispatch(
+            work.request(),
+            work.attempt(),
+            new Incarnation(6),
+            work.clientAccount(),
+            work.service(),
+            work.call(),
+            work.idempotency(),
+            work.key(),
+            work.fence(),
+            work.remainingMillis(),
+            work.weight());
+    assertThat(refusal(agent.receive(old)), equalTo(RefusalReason.WRONG_INCARNATION));
+  }
+
+  // Guards against an entry that sends work before it knows what the agent serves.
+  @Test
+  void statusIsTheFirstMessageToAnEntry() {
+    AgentDriver agent = AgentDriver.service(3);
+    PeerId other = new PeerId("entry-2", new Incarnation(1));
+    Vector<AgentEffect> effects = agent.apply(new AgentEvent.PeerConnected(other, PeerRole.ENTRY));
+    Message.Status status = sent(effects, Message.Status.class).single();
+    assertThat(effects.size(), equalTo(1));
+    assertThat(status.state(), equalTo(ServingState.SERVING));
+    assertThat(status.load(), equalTo(LoadReport.idle(3)));
+  }
+
+  // Guards against a lost answer when the entry repeats the attempt after its answer.
+  @Test
+  void repeatOfFinishedAttemptGetsTheKeptAnswer() {
+    AgentDriver agent = AgentDriver.service(1);
+    agent.receive(dispatch("a1"));
+    agent.apply(answered("a1"));
+    Vector<AgentEffect> again = agent.receive(dispatch("a1"));
+    assertThat(called(again), equalTo(Vector.empty()));
+    assertThat(
+        sent(again, Message.DispatchReply.class).map(Message.DispatchReply::answer),
+        equalTo(Vector.of(ANSWER)));
+  }
+
+  // Guards against a refused attempt that runs when a copy of it arrives later.
+  @Test
+  void copyOfRefusedAttemptStaysRefused() {
+    AgentDriver agent = AgentDriver.service(1);
+    assertThat(
+        refusal(agent.receive(of("a1", "kiosk", 0))), equalTo(RefusalReason.DEADLINE_EXCEEDED));
+    assertThat(
+        refusal(agent.receive(of("a1", "kiosk", 5_000))), equalTo(RefusalReason.DEADLINE_EXCEEDED));
+  }
+
+  // Guards against a second run of an attempt whose result no longer fits into the memory.
+  @Test
+  void evictedAttemptDoesNotRunAgain() {
+    AgentDriver agent = AgentDriver.service(1);
+    for (int i = 0; i < 10_000; i++) {
+      agent.receive(dispatch("a" + i));
+      agent.apply(answered("a" + i));
+    }
+    for (String old : Vector.of("a0", "a5000", "a7000")) {
+      Vector<AgentEffect> effects = agent.receive(dispatch(old));
+      Message.DispatchRefused refused = sent(effects, Message.DispatchRefused.class).single();
+      assertThat(called(effects), equalTo(Vector.empty()));
+      assertThat(refused.reason(), equalTo(RefusalReason.RESULT_EVICTED));
+      assertThat(refused.outcome(), equalTo(Outcome.UNKNOWN));
+      Message.CancelResult cancelled =
+          sent(agent.receive(cancel(old)), Message.CancelResult.class).single();
+      assertThat(cancelled.outcome(), equalTo(CancelOutcome.FINISHED));
+    }
+  }
+
+  // Guards against admission while the memory of ended attempts is full, after which a copy could
+  // run again.
+  @Test
+  void fullMemoryOfEndedAttemptsRefusesNewWork() {
+    EvictedAttempts evicted = EvictedAttempts.empty();
+    for (int i = 0; i < 256 * 4_096; i++) {
+      evicted = evicted.add(new AttemptId("a" + i), i);
+    }
+    assertThat(evicted.full(2_000_000), equalTo(true));
+    assertThat(evicted.contains(new AttemptId("a0")), equalTo(true));
+    assertThat(evicted.full(700_000_000_000L), equalTo(false));
+  }
+
+  // Guards against a caller that waits although its deadline passed in the queue.
+  @Test
+  void queuedAttemptIsRefusedAtItsDeadline() {
+    AgentDriver agent = AgentDriver.service(1);
+    agent.receive(dispatch("a1"));
+    agent.receive(of("a2", "kiosk", 300));
+    assertThat(refusal(agent.advanceMillis(300)), equalTo(RefusalReason.DEADLINE_EXCEEDED));
+    assertThat(called(agent.apply(answered("a1"))), equalTo(Vector.empty()));
+  }
+
+  // Guards against queueing work that cannot start before its deadline.
+  @Test
+  void workThatTheQueueCannotServeInTimeIsRefusedEarly() {
+    AgentDriver agent = AgentDriver.service(1);
+    agent.receive(dispatch("a1"));
+    agent.advanceMillis(400);
+    agent.apply(answered("a1"));
+    agent.receive(dispatch("a2"));
+    agent.receive(dispatch("a3"));
+    assertThat(refusal(agent.receive(of("a4", "kiosk", 700))), equalTo(RefusalReason.OVERLOADED));
+    Vector<AgentEffect> served = agent.receive(of("a5", "kiosk", 2_000));
+    assertThat(sent(served, Message.DispatchRefused.class), equalTo(Vector.empty()));
+  }
+
+  // Guards against a large account that keeps a small one from being served.
+  @Test
+  void accountsAreServedInTurnByWeight() {
+    FairQueue queue = FairQueue.empty();
+    for (int i = 0; i < 6; i++) {
+      queue = queue.add(new ClientAccountId("large"), 2, new AttemptId("l" + i));
+    }
+    queue = queue.add(new ClientAccountId("small"), 1, new AttemptId("s0"));
+    queue = queue.add(new ClientAccountId("small"), 1, new AttemptId("s1"));
+    Vector<String> order = Vector.empty();
+    for (var next = queue.take(); next.isDefined(); next = next.get()._2.take()) {
+      order = order.append(next.get()._1.value());
+    }
+    assertThat(order, equalTo(Vector.of("l0", "l1", "s0", "l2", "l3", "s1", "l4", "l5")));
+  }
+
+  // Guards against a full queue of one account that refuses all others.
+  @Test
+  void fullQueueGivesPlaceToAccountWithFewer() {
+    AgentDriver agent = AgentDriver.service(1);
+    for (int i = 0; i < 65; i++) {
+      agent.receive(of("l" + i, "large", 60_000));
+    }
+    assertThat(
+        refusal(agent.receive(of("l65", "large", 60_000))), equalTo(RefusalReason.OVERLOADED));
+    Vector<AgentEffect> effects = agent.receive(of("s0", "small", 60_000));
+    assertThat(
+        sent(effects, Message.DispatchRefused.class).single().attempt().value(), equalTo("l64"));
+    agent.apply(answered("l0"));
+    assertThat(called(agent.apply(answered("l1"))), equalTo(Vector.of("s0")));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/agent/LeavingTest.java
@@ -0,0 +1,86 @@
+package io.zinniawood.core.agent;
+
+import static io.zinniawood.core.agent.AgentDriver.ANSWER;
+import static io.zinniawood.core.agent.AgentDriver.all;
+import static io.zinniawood.core.agent.AgentDriver.dispatch;
+import static io.zinniawood.core.agent.AgentDriver.keyed;
+import static io.zinniawood.core.agent.AgentDriver.sent;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.vavr.collection.Vector;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.ServingState;
+import org.junit.jupiter.api.Test;
+
+class LeavingTest {
+  private final AgentDriver agent = AgentDriver.service(1);
+
+  private static int stops(Vector<AgentEffect> effects) {
+    return all(effects, AgentEffect.Stop.class).size();
+  }
+
+  private static Vector<RefusalReason> reasons(Vector<AgentEffect> effects) {
+    return sent(effects, Message.DispatchRefused.class).map(Message.DispatchRefused::reason);
+  }
+
+  // Guards against an entry that sends new work because it did not hear of the drain, and against
+  // queued work that keeps its caller waiting for a refusal.
+  @Test
+  void drainAnnouncesLeavingToAllPeersAndRefusesQueuedWork() {
+    agent.apply(new AgentEvent.PeerConnected(new PeerId("e2", new Incarnation(2)), PeerRole.AGENT));
+    agent.receive(dispatch("a1"));
+    agent.receive(dispatch("a2"));
+    Vector<AgentEffect> effects = agent.apply(new AgentEvent.DrainRequested());
+    assertThat(
+        sent(effects, Message.Status.class).map(Message.Status::state),
+        equalTo(Vector.of(ServingState.LEAVING, ServingState.LEAVING)));
+    assertThat(reasons(effects), equalTo(Vector.of(RefusalReason.LEAVING)));
+    assertThat(reasons(agent.receive(dispatch("a3"))), equalTo(Vector.of(RefusalReason.LEAVING)));
+    assertThat(stops(effects), equalTo(0));
+    assertThat(
+        stops(agent.apply(new AgentEvent.ServiceAnswered(new AttemptId("a1"), ANSWER))),
+        equalTo(1));
+  }
+
+  // Guards against a process that ends before the answer of a keyed call is stored.
+  @Test
+  void drainWaitsForAnswersToBeStored() {
+    AttemptId id = new AttemptId("a1");
+    agent.receive(keyed("a1", "k", 0));
+    agent.apply(new AgentEvent.ClaimWritten(id, new ClaimWrite.Claimed()));
+    agent.apply(new AgentEvent.DrainRequested());
+    assertThat(stops(agent.apply(new AgentEvent.ServiceAnswered(id, ANSWER))), equalTo(0));
+    assertThat(stops(agent.apply(new AgentEvent.AnswerStored(id, StoreWrite.DONE))), equalTo(1));
+  }
+
+  // Guards against a drain that never ends because the table is down.
+  @Test
+  void drainGivesUpAnswersThatCannotBeStored() {
+    AttemptId id = new AttemptId("a1");
+    agent.receive(keyed("a1", "k", 0));
+    agent.apply(new AgentEvent.ClaimWritten(id, new ClaimWrite.Claimed()));
+    agent.apply(new AgentEvent.ServiceAnswered(id, ANSWER));
+    agent.apply(new AgentEvent.DrainRequested());
+    agent.advanceMillis(29_000);
+    assertThat(stops(agent.apply(new AgentEvent.AnswerStored(id, StoreWrite.FAILED))), equalTo(0));
+    agent.advanceMillis(1_000);
+    assertThat(stops(agent.apply(new AgentEvent.AnswerStored(id, StoreWrite.FAILED))), equalTo(1));
+  }
+
+  // Guards against an endpoint that stays in routing although its service does not answer, and
+  // against one that leaves routing because of a single lost response.
+  @Test
+  void threeMissedStatusesWithdrawTheEndpoint() {
+    Vector<AgentEffect> effects = Vector.empty();
+    for (int missed = 1; missed <= 3; missed++) {
+      assertThat(sent(effects, Message.Status.class), equalTo(Vector.empty()));
+      effects = agent.apply(new AgentEvent.EngineUnavailable());
+    }
+    assertThat(
+        sent(effects, Message.Status.class).single().state(), equalTo(ServingState.STARTING));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/agent/OrdersTest.java
@@ -0,0 +1,90 @@
+package io.zinniawood.core.agent;
+
+import static io.zinniawood.core.agent.AgentDriver.all;
+import static io.zinniawood.core.agent.AgentDriver.sent;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.EngineOrder;
+import io.zinniawood.core.model.EngineRole;
+import io.zinniawood.core.model.OrderOutcome;
+import org.junit.jupiter.api.Test;
+
+class OrdersTest {
+  private final AgentDriver agent = AgentDriver.service(1);
+
+  private Vector<AgentEffect> order(String id, long number) {
+    return agent.receive(
+        new Message.Order(
+            new AttemptId(id),
+            new FencingNumber(number),
+            new EngineOrder.ChangeRole(EngineRole.DECODE)));
+  }
+
+  private Vector<AgentEffect> read(Option<Long> number) {
+    return agent.apply(new AgentEvent.FencingNumberRead(number.map(FencingNumber::new)));
+  }
+
+  private Vector<AgentEffect> done(String id) {
+    return agent.apply(
+        new AgentEvent.OrderCompleted(new AttemptId(id), OrderOutcome.DONE, "changed"));
+  }
+
+  private static Vector<String> passed(Vector<AgentEffect> effects) {
+    return all(effects, AgentEffect.PassOrder.class).map(pass -> pass.order().value());
+  }
+
+  private static Vector<OrderOutcome> outcomes(Vector<AgentEffect> effects) {
+    return sent(effects, Message.OrderResult.class).map(Message.OrderResult::outcome);
+  }
+
+  // Guards against an order of an old holder that passes a restarted agent.
+  @Test
+  void ordersWaitUntilTheNumberIsRelearned() {
+    Vector<AgentEffect> effects = order("o1", 4);
+    assertThat(passed(effects), equalTo(Vector.empty()));
+    assertThat(all(effects, AgentEffect.ReadFencingNumber.class).size(), equalTo(1));
+    assertThat(
+        outcomes(read(Option.some(5L))), equalTo(Vector.of(OrderOutcome.STALE_FENCING_NUMBER)));
+    assertThat(passed(order("o2", 5)), equalTo(Vector.of("o2")));
+  }
+
+  // Guards against orders that pass unchecked while the table is down, and against no further read.
+  @Test
+  void ordersAreRefusedWhileTheTableCannotBeRead() {
+    order("o1", 4);
+    assertThat(outcomes(read(Option.none())), equalTo(Vector.of(OrderOutcome.FENCING_UNKNOWN)));
+    assertThat(
+        all(agent.advanceMillis(1_000), AgentEffect.ReadFencingNumber.class).size(), equalTo(1));
+  }
+
+  // Guards against an engine that ignores numbers and gets an old order after a new one.
+  @Test
+  void lowerNumberNeverFollowsHigherOne() {
+    read(Option.some(4L));
+    assertThat(passed(order("o1", 4)), equalTo(Vector.of("o1")));
+    assertThat(passed(order("o2", 4)), equalTo(Vector.empty()));
+    assertThat(passed(order("o3", 5)), equalTo(Vector.empty()));
+    Vector<AgentEffect> next = done("o1");
+    assertThat(
+        outcomes(next), equalTo(Vector.of(OrderOutcome.DONE, OrderOutcome.STALE_FENCING_NUMBER)));
+    assertThat(passed(next), equalTo(Vector.of("o3")));
+  }
+
+  // Guards against an order that the engine carries out twice when the entry repeats it.
+  @Test
+  void repeatedOrderGetsTheKeptResult() {
+    read(Option.some(1L));
+    order("o1", 1);
+    assertThat(order("o1", 1), equalTo(Vector.empty()));
+    done("o1");
+    Vector<AgentEffect> again = order("o1", 1);
+    assertThat(passed(again), equalTo(Vector.empty()));
+    assertThat(outcomes(again), equalTo(Vector.of(OrderOutcome.DONE)));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/agent/StageSessionTest.java
@@ -0,0 +1,299 @@
+package io.zinniawood.core.agent;
+
+import static io.zinniawood.core.agent.AgentDriver.all;
+import static io.zinniawood.core.agent.AgentDriver.sent;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.AcceleratorKind;
+import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Epoch;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.ModelId;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Capability;
+import io.zinniawood.core.model.LoadReport;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.Priority;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.StageAddress;
+import org.junit.jupiter.api.Test;
+
+class StageSessionTest {
+  private static final SessionId SESSION = new SessionId("s");
+  private static final PeerId PREVIOUS = new PeerId("e1", AgentDriver.RUN);
+  private static final PeerId NEXT = new PeerId("e3", AgentDriver.RUN);
+
+  /** The middle stage of three. */
+  private final AgentDriver agent = new AgentDriver(AgentDriver.self("e2", 1, 100));
+
+  StageSessionTest() {
+    agent.apply(new AgentEvent.PeerConnected(AgentDriver.ENTRY, PeerRole.ENTRY));
+    holding(1);
+  }
+
+  private Vector<AgentEffect> holding(int stage) {
+    return agent.apply(
+        new AgentEvent.EngineStatusRead(
+            new Capability.ModelStage(
+                EntryModel.MODEL, EntryModel.layers(stage), new AcceleratorKind("a"), 100, 2),
+            LoadReport.idle(2)));
+  }
+
+  private static Message.OpenSession open(
+      SessionId session, long epoch, ModelId model, int rebuild, Option<NodeAddress> importFrom) {
+    Vector<StageAddress> chain =
+        Vector.range(0, 3)
+            .map(
+                stage -> {
+                  String name = "e" + (stage + 1);
+                  return new StageAddress(
+                      new EndpointId(name),
+                      AgentDriver.RUN,
+                      AgentDriver.address(name),
+                      EntryModel.layers(stage));
+                });
+    return new Message.OpenSession(
+        session,
+        new Epoch(epoch),
+        AgentDriver.RUN,
+        new ClientAccountId("kiosk"),
+        model,
+        chain,
+        1,
+        10,
+        Priority.NORMAL,
+        5_000,
+        1,
+        rebuild,
+        importFrom);
+  }
+
+  private Vector<AgentEffect> open(long epoch) {
+    return open(epoch, 0);
+  }
+
+  private Vector<AgentEffect> open(long epoch, int rebuild) {
+    return agent.receive(open(SESSION, epoch, EntryModel.MODEL, rebuild, Option.none()));
+  }
+
+  private Vector<AgentEffect> frame(PeerId peer, long epoch, int position) {
+    return agent.receive(
+        peer, new Message.Activation(SESSION, new Epoch(epoch), position, Payload.ofText("input")));
+  }
+
+  private Vector<AgentEffect> frame(long epoch, int position) {
+    return frame(PREVIOUS, epoch, position);
+  }
+
+  private Vector<AgentEffect> finished(int position) {
+    return agent.apply(
+        new AgentEvent.StepsCompleted(
+            Vector.of(new StageResult.Output(SESSION, position, Payload.ofText("output")))));
+  }
+
+  private static Vector<Integer> ran(Vector<AgentEffect> effects) {
+    return all(effects, AgentEffect.RunSteps.class)
+        .flatMap(AgentEffect.RunSteps::steps)
+        .map(StageStep::position);
+  }
+
+  private static Vector<Integer> forwarded(Vector<AgentEffect> effects) {
+    return sent(effects, Message.Activation.class).map(Message.Activation::position);
+  }
+
+  private static Vector<RefusalReason> failures(Vector<AgentEffect> effects) {
+    return sent(effects, Message.StageFailed.class).map(Message.StageFailed::reason);
+  }
+
+  private static Vector<RefusalReason> refusals(Vector<AgentEffect> effects) {
+    return sent(effects, Message.SessionRefused.class).map(Message.SessionRefused::reason);
+  }
+
+  // Guards against a frame that is lost because it overtook the message that opens its session.
+  @Test
+  void frameBeforeItsSessionIsKept() {
+    assertThat(frame(1, 0), equalTo(Vector.empty()));
+    assertThat(ran(open(1)), equalTo(Vector.of(0)));
+    assertThat(forwarded(finished(0)), equalTo(Vector.of(0)));
+  }
+
+  // Guards against a second run of a position that the entry repeats.
+  @Test
+  void repeatedPositionReturnsTheKeptOutput() {
+    open(1);
+    frame(1, 0);
+    assertThat(frame(1, 0), equalTo(Vector.empty()));
+    finished(0);
+    Vector<AgentEffect> again = frame(1, 0);
+    assertThat(ran(again), equalTo(Vector.empty()));
+    assertThat(forwarded(again), equalTo(Vector.of(0)));
+  }
+
+  // Guards against frames of an old chain, of another sender and beyond the next position.
+  @Test
+  void onlyTheNextPositionOfTheCurrentEpochRuns() {
+    open(2);
+    assertThat(ran(frame(1, 0)), equalTo(Vector.empty()));
+    assertThat(ran(frame(NEXT, 2, 0)), equalTo(Vector.empty()));
+    assertThat(ran(frame(new PeerId("e1", new Incarnation(1)), 2, 0)), equalTo(Vector.empty()));
+    assertThat(ran(frame(2, 1)), equalTo(Vector.empty()));
+    assertThat(ran(frame(2, 0)), equalTo(Vector.of(0)));
+    assertThat(ran(finished(0)), equalTo(Vector.of(1)));
+    assertThat(refusals(open(1)), equalTo(Vector.of(RefusalReason.STALE_EPOCH)));
+  }
+
+  // Guards against one engine batch for each step instead of one for all that arrived meanwhile.
+  @Test
+  void stepsThatArriveDuringBatchFormTheNext() {
+    SessionId second = new SessionId("t");
+    open(1);
+    agent.receive(open(second, 1, EntryModel.MODEL, 0, Option.none()));
+    assertThat(ran(frame(1, 0)), equalTo(Vector.of(0)));
+    agent.receive(
+        PREVIOUS, new Message.Activation(second, new Epoch(1), 0, Payload.ofText("input")));
+    frame(1, 1);
+    Vector<AgentEffect> next = finished(0);
+    assertThat(all(next, AgentEffect.RunSteps.class).single().steps().size(), equalTo(2));
+  }
+
+  // Guards against replayed positions that reach the next stage, which ran them already.
+  @Test
+  void rebuiltPositionsRunOnceAndAreNotForwarded() {
+    open(2, 2);
+    frame(2, 0);
+    frame(2, 1);
+    assertThat(forwarded(finished(0)), equalTo(Vector.empty()));
+    assertThat(forwarded(finished(1)), equalTo(Vector.empty()));
+    frame(2, 2);
+    assertThat(forwarded(finished(2)), equalTo(Vector.of(2)));
+  }
+
+  // Guards against a replay that leaves out outputs which are no longer kept, and against kept
+  // outputs beyond the bound of 100 bytes.
+  @Test
+  void replayBeyondTheKeptOutputsIsUnavailable() {
+    open(1);
+    for (int position = 0; position < 40; position++) {
+      frame(1, position);
+      finished(position);
+      assertThat(agent.state().stages().keptBytes(), lessThanOrEqualTo(100L));
+    }
+    Vector<AgentEffect> all = agent.receive(new Message.Replay(SESSION, new Epoch(1), 0, 40));
+    assertThat(failures(all), equalTo(Vector.of(RefusalReason.REPLAY_UNAVAILABLE)));
+    assertThat(forwarded(all), equalTo(Vector.empty()));
+    Vector<AgentEffect> last = agent.receive(new Message.Replay(SESSION, new Epoch(1), 38, 40));
+    assertThat(forwarded(last), equalTo(Vector.of(38, 39)));
+  }
+
+  // Guards against sessions of other models, other layers, beyond the limit or while leaving.
+  @Test
+  void sessionsThatCannotBeServedAreRefused() {
+    ModelId other = new ModelId("other");
+    assertThat(
+        refusals(agent.receive(open(SESSION, 1, other, 0, Option.none()))),
+        equalTo(Vector.of(RefusalReason.NOT_SERVED)));
+    open(1);
+    assertThat(
+        refusals(agent.receive(open(SESSION, 2, other, 0, Option.none()))),
+        equalTo(Vector.of(RefusalReason.UNKNOWN_SESSION)));
+    agent.receive(open(new SessionId("t"), 1, EntryModel.MODEL, 0, Option.none()));
+    Message.OpenSession third = open(new SessionId("u"), 1, EntryModel.MODEL, 0, Option.none());
+    assertThat(refusals(agent.receive(third)), equalTo(Vector.of(RefusalReason.OVERLOADED)));
+    agent.apply(new AgentEvent.DrainRequested());
+    assertThat(refusals(agent.receive(third)), equalTo(Vector.of(RefusalReason.LEAVING)));
+    assertThat(sent(open(2), Message.SessionOpened.class).size(), equalTo(1));
+  }
+
+  // Guards against a closed session that a late message opens again.
+  @Test
+  void closedSessionStaysClosed() {
+    open(1);
+    Vector<AgentEffect> closed = agent.receive(new Message.CloseSession(SESSION));
+    assertThat(all(closed, AgentEffect.CloseEngineSession.class).size(), equalTo(1));
+    assertThat(refusals(open(2)), equalTo(Vector.of(RefusalReason.UNKNOWN_SESSION)));
+  }
+
+  // Guards against a failed step that leaves the session waiting, and against a session that
+  // cannot be rebuilt on the same endpoint.
+  @Test
+  void engineFailureIsReportedAndLaterEpochRebuilds() {
+    open(1);
+    frame(1, 0);
+    Vector<AgentEffect> failed =
+        agent.apply(
+            new AgentEvent.StepsCompleted(
+                Vector.of(new StageResult.Failed(SESSION, 0, "out of memory"))));
+    assertThat(failures(failed), equalTo(Vector.of(RefusalReason.ENDPOINT_FAILED)));
+    assertThat(refusals(open(1)), equalTo(Vector.of(RefusalReason.UNKNOWN_SESSION)));
+    assertThat(
+        sent(open(2), Message.SessionOpened.class).map(Message.SessionOpened::nextPosition),
+        equalTo(Vector.of(0)));
+  }
+
+  // Guards against an engine that changed its layers while sessions go on with lost state.
+  @Test
+  void changedLayersFailTheSessions() {
+    open(1);
+    assertThat(failures(holding(0)), equalTo(Vector.of(RefusalReason.NOT_SERVED)));
+  }
+
+  // Guards against memory that sessions of vanished entries hold for ever.
+  @Test
+  void idleSessionsAndThoseOfAnEarlierEntryRunAreClosed() {
+    open(1);
+    agent.advanceMillis(30_000);
+    frame(1, 0);
+    agent.advanceMillis(59_000);
+    assertThat(agent.state().stages().sessions().size(), equalTo(1));
+    agent.advanceMillis(2_000);
+    assertThat(agent.state().stages().sessions().size(), equalTo(0));
+    open(2);
+    PeerId restarted = new PeerId(AgentDriver.ENTRY.nodeId(), new Incarnation(99));
+    agent.apply(new AgentEvent.PeerConnected(restarted, PeerRole.ENTRY));
+    assertThat(agent.state().stages().sessions().size(), equalTo(0));
+  }
+
+  // Guards against a silent connection to the next stage that counts as a lost stage at once, and
+  // against endless tries when the stage is lost.
+  @Test
+  void oneFreshConnectionIsTriedBeforeTheNextStageFails() {
+    open(1);
+    frame(1, 0);
+    finished(0);
+    AgentEvent failed = new AgentEvent.PeerConnectFailed(AgentDriver.address("e3"));
+    assertThat(forwarded(agent.apply(failed)), equalTo(Vector.of(0)));
+    Vector<AgentEffect> second = agent.apply(failed);
+    assertThat(
+        sent(second, Message.StageFailed.class).map(f -> f.stageIndex() + " " + f.reason()),
+        equalTo(Vector.of("2 " + RefusalReason.PEER_UNREACHABLE)));
+    agent.apply(new AgentEvent.PeerConnected(NEXT, PeerRole.AGENT));
+    assertThat(
+        forwarded(agent.apply(new AgentEvent.PeerDisconnected(NEXT))), equalTo(Vector.of(0)));
+    assertThat(failures(agent.apply(failed)), equalTo(Vector.of(RefusalReason.PEER_UNREACHABLE)));
+  }
+
+  // Guards against a rebuild that waits for an old stage that never answers.
+  @Test
+  void importThatTakesTooLongFallsBackToReplay() {
+    Option<NodeAddress> old = Option.some(AgentDriver.address("e9"));
+    Vector<AgentEffect> asked = agent.receive(open(SESSION, 2, EntryModel.MODEL, 3, old));
+    assertThat(all(asked, AgentEffect.SendToAddress.class).size(), equalTo(1));
+    assertThat(sent(asked, Message.SessionOpened.class), equalTo(Vector.empty()));
+    assertThat(
+        sent(agent.advanceMillis(400), Message.SessionOpened.class)
+            .map(Message.SessionOpened::nextPosition),
+        equalTo(Vector.of(0)));
+    Vector<AgentEffect> late =
+        agent.receive(
+            new PeerId("e9", AgentDriver.RUN),
+            new Message.CacheSnapshot(SESSION, 3, Option.some(Payload.empty()), Vector.empty()));
+    assertThat(late, equalTo(Vector.empty()));
+  }
+}
--- a/core/src/test/java/io/zinniawood/core/agent/StageWorld.java
+++ b/core/src/test/java/io/zinniawood/core/agent/StageWorld.java
@@ -150,7 +150,9 @@
     engines.remove(victim);
     links.keySet().removeIf(link -> link.startsWith(victim) || link.endsWith(victim));
     for (String name : agents.keySet()) {
-      if (connected.remove(name + ">" + victim) | connected.remove(victim + ">" + name)) {
+      boolean outbound = connected.remove(name + ">" + victim);
+      boolean inbound = connected.remove(victim + ">" + name);
+      if (outbound || inbound) {
         apply(name, new AgentEvent.PeerDisconnected(peer(victim)));
       }
     }
@@ -161,7 +163,7 @@
     if (between.isEmpty()) {
       return;
     }
-    String[] ends = between.get(random.nextInt(between.size())).split(">");
+    String[] ends = between.get(random.nextInt(between.size())).split(">", 2);
     for (String link : List.of(ends[0] + ">" + ends[1], ends[1] + ">" + ends[0])) {
       links.remove(link);
       connected.remove(link);
@@ -182,7 +184,7 @@
 
   private void deliver(String link) {
     Message message = links.get(link).poll();
-    String[] ends = link.split(">");
+    String[] ends = link.split(">", 2);
     if (ends[1].equals(ENTRY)) {
       sessions.forEach(session -> session.onMessage(message));
     } else {
