--- /dev/null
+++ b/agent/src/test/java/io/zinniawood/agent/internal/ClaimStoreTest.java
@@ -0,0 +1,123 @@
+package io.zinniawood.agent.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.agent.internal.FakeTable.Fault;
+import io.zinniawood.core.agent.AgentEffect;
+import io.zinniawood.core.agent.AgentEvent;
+import io.zinniawood.core.agent.ClaimWrite;
+import io.zinniawood.core.agent.StoreWrite;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Fence;
+import io.zinniawood.core.id.IdempotencyKey;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.model.ClaimKey;
+import io.zinniawood.core.model.ClaimRow;
+import io.zinniawood.core.model.ClaimState;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.ServiceAnswer;
+import io.zinniawood.platform.claim.ClaimRowCodec;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ClaimStoreTest {
+  private static final ClaimKey KEY =
+      new ClaimKey(
+          new ClientAccountId("kiosk"), new ServiceName("credit"), new IdempotencyKey("k"));
+
+  private final FakeTable table = new FakeTable();
+  private final List<AgentEvent> events = new ArrayList<>();
+  private final ClaimStore store = new ClaimStore(table, new ClaimRowCodec(), events::add);
+
+  private static ClaimRow row(String attempt, ClaimState state, long fence) {
+    return new ClaimRow(
+        new EndpointId("e1"),
+        new Incarnation(7),
+        new AttemptId(attempt),
+        "digest",
+        state,
+        new Fence(fence),
+        state == ClaimState.FINISHED
+            ? Option.some(new ServiceAnswer(201, Vector.empty(), Payload.ofText("booked")))
+            : Option.none());
+  }
+
+  private ClaimWrite claim(String attempt, long fence) {
+    store.claim(
+        new AgentEffect.WriteClaim(
+            new AttemptId(attempt),
+            KEY,
+            row(attempt, ClaimState.STARTED, fence),
+            new Fence(fence)));
+    return ((AgentEvent.ClaimWritten) events.get(events.size() - 1)).result();
+  }
+
+  private StoreWrite store(String attempt, ClaimState state, long fence) {
+    store.store(
+        new AgentEffect.StoreAnswer(new AttemptId(attempt), KEY, row(attempt, state, fence)));
+    return ((AgentEvent.AnswerStored) events.get(events.size() - 1)).result();
+  }
+
+  private static ClaimWrite held(ClaimRow row) {
+    return new ClaimWrite.HeldByOther(row);
+  }
+
+  // Guards against a call that is refused although its claim took effect.
+  @Test
+  void lostResponseIsResolvedByReadingTheRowBack() {
+    table.failWrites(Fault.LOST_AFTER);
+    assertThat(claim("a1", 0), equalTo(new ClaimWrite.Claimed()));
+    assertThat(claim("a2", 0), equalTo(held(row("a1", ClaimState.STARTED, 0))));
+  }
+
+  // Guards against a call whose claim may or may not have taken effect.
+  @Test
+  void claimIsUnavailableWhenTheRowCannotTell() {
+    table.failWrites(Fault.LOST_BEFORE);
+    assertThat(claim("a1", 0), equalTo(new ClaimWrite.Unavailable()));
+    table.failWrites(Fault.LOST_AFTER);
+    table.failReads(Fault.UNAVAILABLE);
+    assertThat(claim("a1", 0), equalTo(new ClaimWrite.Unavailable()));
+    table.failWrites(Fault.UNAVAILABLE);
+    assertThat(claim("a3", 0), equalTo(new ClaimWrite.NotWritten()));
+  }
+
+  // Guards against a late attempt that starts after its key was released for the next one.
+  @Test
+  void releasedKeyIsClaimedWithItsFenceOnly() {
+    claim("a1", 0);
+    assertThat(store("a1", ClaimState.RELEASED, 1), equalTo(StoreWrite.DONE));
+    ClaimRow released = row("a1", ClaimState.RELEASED, 1);
+    assertThat(claim("a2", 0), equalTo(held(released)));
+    assertThat(claim("a2", 2), equalTo(held(released)));
+    assertThat(claim("a2", 1), equalTo(new ClaimWrite.Claimed()));
+  }
+
+  // Guards against an answer or a release that overwrites the row of another attempt.
+  @Test
+  void finalRowReplacesOnlyItsOwnStartedRow() {
+    claim("a1", 0);
+    assertThat(store("a9", ClaimState.FINISHED, 0), equalTo(StoreWrite.DONE));
+    assertThat(claim("a2", 0), equalTo(held(row("a1", ClaimState.STARTED, 0))));
+    assertThat(store("a1", ClaimState.FINISHED, 0), equalTo(StoreWrite.DONE));
+    assertThat(store("a1", ClaimState.RELEASED, 1), equalTo(StoreWrite.DONE));
+    assertThat(claim("a2", 0), equalTo(held(row("a1", ClaimState.FINISHED, 0))));
+  }
+
+  // Guards against an answer that counts as stored although the table did not take it.
+  @Test
+  void answerThatIsNotStoredFails() {
+    claim("a1", 0);
+    table.failWrites(Fault.LOST_BEFORE);
+    assertThat(store("a1", ClaimState.FINISHED, 0), equalTo(StoreWrite.FAILED));
+    table.failReads(Fault.UNAVAILABLE);
+    assertThat(store("a1", ClaimState.FINISHED, 0), equalTo(StoreWrite.FAILED));
+  }
+}
--- /dev/null
+++ b/agent/src/test/java/io/zinniawood/agent/internal/FakeTable.java
@@ -0,0 +1,73 @@
+package io.zinniawood.agent.internal;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.platform.PlatformError;
+import io.zinniawood.platform.Table;
+import io.zinniawood.platform.TableRow;
+import io.zinniawood.platform.TableWrite;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Table in memory whose next calls fail as chosen. */
+public final class FakeTable implements Table {
+  /** How a call fails. */
+  public enum Fault {
+    /** Not at all. */
+    NONE,
+    /** Nothing changes. */
+    UNAVAILABLE,
+    /** The write takes effect, its response is lost. */
+    LOST_AFTER,
+    /** The write takes no effect, its response is lost. */
+    LOST_BEFORE
+  }
+
+  private final ConcurrentHashMap<String, TableRow> rows = new ConcurrentHashMap<>();
+  private volatile Fault writeFault = Fault.NONE;
+  private volatile Fault readFault = Fault.NONE;
+
+  /** Sets how all writes fail. */
+  public void failWrites(Fault fault) {
+    writeFault = fault;
+  }
+
+  /** Sets how all reads fail. */
+  public void failReads(Fault fault) {
+    readFault = fault;
+  }
+
+  @Override
+  public CompletableFuture<Either<PlatformError, Option<TableRow>>> read(String key) {
+    return CompletableFuture.completedFuture(
+        readFault == Fault.NONE
+            ? Either.right(Option.of(rows.get(key)))
+            : Either.left(new PlatformError.Unavailable("down")));
+  }
+
+  @Override
+  public CompletableFuture<Either<PlatformError, TableWrite>> write(
+      String key, long expectedVersion, byte[] value) {
+    if (writeFault == Fault.UNAVAILABLE) {
+      return failed(new PlatformError.Unavailable("down"));
+    }
+    if (writeFault == Fault.LOST_BEFORE) {
+      return failed(new PlatformError.ResponseLost("lost"));
+    }
+    TableRow present = rows.get(key);
+    long version = present == null ? 0 : present.version();
+    if (version != expectedVersion) {
+      return CompletableFuture.completedFuture(
+          Either.right(new TableWrite.Conflict(Option.of(present))));
+    }
+    rows.put(key, new TableRow(key, version + 1, Payload.wrap(value)));
+    return writeFault == Fault.LOST_AFTER
+        ? failed(new PlatformError.ResponseLost("lost"))
+        : CompletableFuture.completedFuture(Either.right(new TableWrite.Written(version + 1)));
+  }
+
+  private static CompletableFuture<Either<PlatformError, TableWrite>> failed(PlatformError error) {
+    return CompletableFuture.completedFuture(Either.left(error));
+  }
+}
--- /dev/null
+++ b/agent/src/test/java/io/zinniawood/agent/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the agent process. */
+package io.zinniawood.agent;
