Test merge, codec and settings; keep parser failures out of the caller

Fuzzing showed that tomlj asserts on malformed escapes and that a table with an empty id raised IllegalArgumentException in the merge. Both are now faults with a line.

--- a/config/src/main/java/io/zinniawood/config/internal/Schema.java
+++ b/config/src/main/java/io/zinniawood/config/internal/Schema.java
@@ -105,7 +105,7 @@
         located.file(), located.line(), located.column(), Texts.key(path), found, expected);
   }
 
-  private static boolean validId(String id) {
+  static boolean validId(String id) {
     try {
       return !new ServiceName(id).value().isEmpty();
     } catch (IllegalArgumentException refused) {
--- a/config/src/main/java/io/zinniawood/config/internal/TomlDocument.java
+++ b/config/src/main/java/io/zinniawood/config/internal/TomlDocument.java
@@ -4,7 +4,9 @@
 import io.vavr.collection.Map;
 import io.vavr.collection.Vector;
 import io.zinniawood.config.ConfigurationFault;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import org.tomlj.Toml;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlParseResult;
@@ -38,13 +40,48 @@
               text.length() + " characters",
               "at most %d characters".formatted(MAX_CHARACTERS)));
     }
+    Optional<TomlParseResult> result = tryParse(text);
+    return result
+        .map(found -> read(file, found))
+        .orElseGet(
+            () ->
+                failed(
+                    new ConfigurationFault(
+                        file,
+                        firstFailingLine(text),
+                        1,
+                        "",
+                        "text that the parser cannot read",
+                        "valid TOML without malformed escapes or deep nesting")));
+  }
+
+  /**
+   * Returns no result where the parser itself fails: it descends once for each level of nesting
+   * without a bound, and it asserts that escapes in strings are well formed.
+   */
+  private static Optional<TomlParseResult> tryParse(String text) {
     try {
-      return read(file, Toml.parse(text));
-    } catch (StackOverflowError deep) {
-      // The parser descends once for each level of nesting and has no bound of its own.
-      return failed(
-          new ConfigurationFault(file, 1, 1, "", "deeply nested values", "a flat TOML file"));
+      return Optional.of(Toml.parse(text));
+    } catch (StackOverflowError | AssertionError | RuntimeException failure) {
+      return Optional.empty();
+    }
+  }
+
+  /** Finds the first line without which the text before it can be parsed. */
+  private static int firstFailingLine(String text) {
+    String[] lines = text.split("\n", -1);
+    int good = 0;
+    int bad = lines.length;
+    while (bad - good > 1) {
+      int middle = (good + bad) / 2;
+      String head = String.join("\n", Arrays.asList(lines).subList(0, middle));
+      if (tryParse(head).isPresent()) {
+        good = middle;
+      } else {
+        bad = middle;
+      }
     }
+    return bad;
   }
 
   private static TomlDocument failed(ConfigurationFault fault) {
--- a/config/src/main/java/io/zinniawood/config/internal/ValueTree.java
+++ b/config/src/main/java/io/zinniawood/config/internal/ValueTree.java
@@ -24,12 +24,16 @@
     return new ValueTree(later.values().merge(values), tables.merge(later.tables()));
   }
 
-  /** Returns the ids of the tables {@code [section.<id>]} in the order of the ids. */
+  /** Returns the valid ids of the tables {@code [section.<id>]} in the order of the ids. */
   public Vector<String> ids(String section) {
     return TreeSet.ofAll(
             tables
                 .keySet()
-                .filter(path -> path.size() == 2 && path.head().equals(section))
+                .filter(
+                    path ->
+                        path.size() == 2
+                            && path.head().equals(section)
+                            && Schema.validId(path.last()))
                 .map(Vector::last))
         .toVector();
   }
--- /dev/null
+++ b/config/src/test/java/io/zinniawood/config/Damage.java
@@ -0,0 +1,54 @@
+package io.zinniawood.config;
+
+import java.util.Random;
+
+/** Damages texts. */
+public final class Damage {
+  private static final String[] PIECES = {
+    "[",
+    "]",
+    "\"",
+    "'''",
+    "=",
+    "\n",
+    "\u0000",
+    "\u202e",
+    "{",
+    "}",
+    "1e999",
+    "nan",
+    "-0.0",
+    ",",
+    "[[models]]\n",
+    "models.chat.layers = 3\n",
+    "0x7fffffffffffffff",
+    "1979-05-27",
+    "\\u12",
+    "#",
+    "a.b.c.d = 1\n",
+    "\"\" = 2\n",
+    "[client_accounts.\" \"]\n",
+    "\ud83d\ude00",
+    ".",
+    "true"
+  };
+
+  private Damage() {}
+
+  /** Returns the text with up to three insertions, removals or repetitions at random places. */
+  public static String text(String text, Random random) {
+    StringBuilder damaged = new StringBuilder(text);
+    int changes = random.nextInt(4);
+    for (int i = 0; i < changes; i++) {
+      int at = random.nextInt(damaged.length() + 1);
+      int end = Math.min(damaged.length(), at + 1 + random.nextInt(12));
+      switch (random.nextInt(4)) {
+        case 0 -> damaged.delete(at, end);
+        case 1 -> damaged.insert(at, damaged.substring(at, end));
+        case 2 -> damaged.insert(at, PIECES[random.nextInt(PIECES.length)].repeat(600));
+        default -> damaged.insert(at, PIECES[random.nextInt(PIECES.length)]);
+      }
+    }
+    return damaged.toString();
+  }
+}
--- /dev/null
+++ b/config/src/test/java/io/zinniawood/config/MergePropertyTest.java
@@ -0,0 +1,144 @@
+package io.zinniawood.config;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.core.configuration.ClusterConfiguration;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.model.Payload;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+final class MergePropertyTest {
+  private static final String SEED = "20261204";
+
+  // Guards against a merge that keeps a replaced value, loses one, or names the wrong origin.
+  @Property(tries = 400, seed = SEED)
+  void mergeEqualsLineByLineMerge(@ForAll long seed) {
+    Vector<ConfigurationFile> files = new FolderGenerator(seed).files();
+    NaiveMerge naive = NaiveMerge.of(files);
+    MergedConfiguration merged = merge(files);
+    Map<String, String> origins = new TreeMap<>();
+    merged.origins().forEach((key, origin) -> origins.put(key, origin.file() + origin.line()));
+    assertThat(origins, equalTo(naive.origins));
+    ConfigurationFile single = new ConfigurationFile("all.toml", "1", naive.text());
+    assertThat(merged.cluster(), equalTo(merge(Vector.of(single)).cluster()));
+  }
+
+  // Guards against a result that depends on the order in which the store lists the files.
+  @Property(tries = 200, seed = SEED)
+  void orderOfListingDoesNotMatter(@ForAll long seed) {
+    Vector<ConfigurationFile> files = new FolderGenerator(seed).files();
+    assertThat(merge(files.shuffle()).cluster(), equalTo(merge(files).cluster()));
+  }
+
+  // Guards against a snapshot that reads back as another configuration.
+  @Property(tries = 400, seed = SEED)
+  void codecKeepsEveryConfiguration(@ForAll long seed) {
+    ClusterConfiguration cluster = merge(new FolderGenerator(seed).files()).cluster();
+    AcceptedConfiguration accepted =
+        new AcceptedConfiguration(new Generation(7), ConfigurationCodec.digest(cluster), cluster);
+    Payload payload = ConfigurationCodec.encode(accepted).get();
+    AcceptedConfiguration decoded =
+        ConfigurationCodec.decode(payload)
+            .getOrElseThrow(error -> new AssertionError(error.detail()));
+    assertThat(decoded, equalTo(accepted));
+    assertThat(ConfigurationCodec.digest(decoded.cluster()), is(accepted.digest()));
+  }
+
+  // Guards against an exception, or an unlocated fault, for any text that an operator may upload.
+  @Property(tries = 600, seed = SEED)
+  void damagedFilesGiveFaultsOrConfigurations(@ForAll long seed) {
+    Random random = new Random(seed);
+    Vector<ConfigurationFile> files = new FolderGenerator(seed).files();
+    Vector<ConfigurationFile> damaged =
+        files.map(
+            file -> new ConfigurationFile(file.name(), "1", Damage.text(file.text(), random)));
+    Either<Vector<ConfigurationFault>, MergedConfiguration> merged =
+        ConfigurationFolder.merge(damaged);
+    if (merged.isLeft()) {
+      assertThat(merged.getLeft().size(), greaterThanOrEqualTo(1));
+      for (ConfigurationFault fault : merged.getLeft()) {
+        assertThat(fault.text(), fault.line(), greaterThanOrEqualTo(1));
+        assertThat(fault.text(), fault.text().lines().count(), is(1L));
+        assertThat(fault.text(), fault.file().isEmpty(), is(false));
+      }
+    }
+  }
+
+  // Guards against an exception for any bytes that a neighbour or the store may return.
+  @Property(tries = 600, seed = SEED)
+  void damagedSnapshotsGiveTypedErrors(@ForAll long seed) {
+    Random random = new Random(seed);
+    ClusterConfiguration cluster = merge(new FolderGenerator(seed).files()).cluster();
+    AcceptedConfiguration accepted =
+        new AcceptedConfiguration(new Generation(7), ConfigurationCodec.digest(cluster), cluster);
+    byte[] bytes = ConfigurationCodec.encode(accepted).get().bytes();
+    Payload damaged =
+        Payload.ofText(Damage.text(new String(bytes, StandardCharsets.UTF_8), random));
+    ConfigurationCodec.decode(damaged)
+        .peek(decoded -> assertThat(decoded.cluster(), equalTo(cluster)));
+    AcceptanceCodec.decodeRow(damaged);
+    AcceptanceCodec.decodeSnapshot(damaged);
+    byte[] noise = new byte[random.nextInt(200)];
+    random.nextBytes(noise);
+    assertThat(ConfigurationCodec.decode(Payload.wrap(noise)).isLeft(), is(true));
+  }
+
+  private static MergedConfiguration merge(Vector<ConfigurationFile> files) {
+    return ConfigurationFolder.merge(files)
+        .getOrElseThrow(faults -> new AssertionError(faults.map(ConfigurationFault::text)));
+  }
+
+  /** Merges line by line without a parser; knows no types, defaults or checks. */
+  private static final class NaiveMerge {
+    final Map<String, Map<String, String>> tables = new TreeMap<>();
+    final Map<String, String> origins = new TreeMap<>();
+
+    static NaiveMerge of(Vector<ConfigurationFile> files) {
+      NaiveMerge merge = new NaiveMerge();
+      Map<String, String> texts = new TreeMap<>();
+      files.forEach(file -> texts.put(file.name(), file.text()));
+      for (String name : new TreeSet<>(texts.keySet())) {
+        merge.add(name, texts.get(name));
+      }
+      return merge;
+    }
+
+    private void add(String name, String text) {
+      String table = "";
+      int line = 0;
+      for (String content : text.split("\n", -1)) {
+        line++;
+        if (content.startsWith("[")) {
+          table = content.substring(1, content.length() - 1);
+          tables.computeIfAbsent(table, unused -> new TreeMap<>());
+        } else if (content.contains(" = ")) {
+          String key = content.substring(0, content.indexOf(" = "));
+          tables.get(table).put(key, content.substring(content.indexOf(" = ") + 3));
+          origins.put(table + "." + key, name + line);
+        }
+      }
+    }
+
+    String text() {
+      StringBuilder text = new StringBuilder();
+      tables.forEach(
+          (table, keys) -> {
+            text.append('[').append(table).append("]\n");
+            keys.forEach((key, value) -> text.append(key + " = " + value + "\n"));
+          });
+      return text.toString();
+    }
+  }
+}
--- /dev/null
+++ b/config/src/test/java/io/zinniawood/config/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of merging, codec and settings. */
+package io.zinniawood.config;
--- /dev/null
+++ b/config/src/test/java/io/zinniawood/config/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the settings files. */
+package io.zinniawood.config.settings;
