--- a/config/src/main/java/io/zinniawood/config/internal/TomlDocument.java
+++ b/config/src/main/java/io/zinniawood/config/internal/TomlDocument.java
@@ -25,8 +25,8 @@
     Map<Vector<String>, Located> tables,
     Vector<ConfigurationFault> faults) {
 
-  /** Files are small by design; the bound keeps a wrong upload from using the parser's memory. */
-  public static final int MAX_CHARACTERS = 256 * 1024;
+  /** A file with 1,900 client accounts has 272,000 characters; the bound leaves room for three. */
+  public static final int MAX_CHARACTERS = 1024 * 1024;
 
   /** Parses the text of a file; never throws. */
   public static TomlDocument parse(String file, String text) {
--- /dev/null
+++ b/report/src/main/java/io/zinniawood/report/TextRenderer.java
@@ -0,0 +1,100 @@
+package io.zinniawood.report;
+
+import io.vavr.collection.Vector;
+
+/** Writes a report as plain text for a terminal. */
+public final class TextRenderer implements Renderer {
+  @Override
+  public String render(Report report) {
+    StringBuilder text = new StringBuilder();
+    text.append(Wording.printable(report.title()))
+        .append("\nWritten ")
+        .append(Wording.second(report.writtenEpochMillis()))
+        .append(" by ")
+        .append(Wording.printable(report.writer()))
+        .append(".\n");
+    for (Section section : report.sections()) {
+      String title = Wording.printable(section.title());
+      text.append('\n').append(title).append('\n').append("-".repeat(title.length())).append('\n');
+      section.blocks().forEach(block -> text.append(block.accept(new Blocks())));
+    }
+    return text.toString();
+  }
+
+  private static final class Blocks implements BlockVisitor<String> {
+    @Override
+    public String visitLine(Block.Line line) {
+      return mark(line.tone()) + Wording.printable(line.text()) + "\n";
+    }
+
+    @Override
+    public String visitOutline(Block.Outline outline) {
+      return outline
+          .items()
+          .map(
+              item ->
+                  "  ".repeat(item.depth())
+                      + "- "
+                      + mark(item.tone())
+                      + Wording.printable(item.text())
+                      + "\n")
+          .mkString();
+    }
+
+    @Override
+    public String visitTable(Block.Table table) {
+      Vector<Vector<String>> rows =
+          table
+              .rows()
+              .prepend(table.columns().map(Block.Column::title))
+              .map(row -> row.map(Wording::printable));
+      Vector<Integer> widths =
+          Vector.range(0, table.columns().size())
+              .map(i -> rows.map(row -> row.get(i).length()).max().getOrElse(0));
+      return rows.map(row -> row(table, row, widths)).mkString();
+    }
+
+    @Override
+    public String visitPlot(Block.Plot plot) {
+      Vector<String> lines =
+          plot.series()
+              .filter(series -> !series.points().isEmpty())
+              .map(
+                  series ->
+                      "%s, %s: last %s, highest %s, limits %s\n"
+                          .formatted(
+                              Wording.printable(plot.title()),
+                              Wording.printable(series.name()),
+                              Wording.decimal(series.points().last().value()),
+                              Wording.decimal(series.points().map(Block.Point::value).max().get()),
+                              plot.limits()
+                                  .map(limit -> Wording.decimal(limit.value()))
+                                  .mkString(", ")));
+      return lines.isEmpty()
+          ? Wording.printable(plot.title()) + ": no values are known.\n"
+          : lines.mkString();
+    }
+
+    private static String row(Block.Table table, Vector<String> row, Vector<Integer> widths) {
+      Vector<String> cells =
+          Vector.range(0, row.size())
+              .map(
+                  i -> {
+                    String pad = " ".repeat(widths.get(i) - row.get(i).length());
+                    return table.columns().get(i).alignment() == Block.Alignment.RIGHT
+                        ? pad + row.get(i)
+                        : row.get(i) + pad;
+                  });
+      return cells.mkString("  ").stripTrailing() + "\n";
+    }
+
+    private static String mark(Tone tone) {
+      return switch (tone) {
+        case PLAIN, GOOD -> "";
+        case WARNING -> "[warning] ";
+        case BAD -> "[bad] ";
+        case UNKNOWN -> "[not known] ";
+      };
+    }
+  }
+}
--- /dev/null
+++ b/report/src/main/java/io/zinniawood/report/page/BurnReport.java
@@ -0,0 +1,230 @@
+package io.zinniawood.report.page;
+
+import io.vavr.collection.SortedMap;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.report.Block;
+import io.zinniawood.report.Report;
+import io.zinniawood.report.Section;
+import io.zinniawood.report.Tone;
+import io.zinniawood.report.Wording;
+import io.zinniawood.report.slo.Burn;
+import io.zinniawood.report.slo.BurnAlert;
+import io.zinniawood.report.slo.Counts;
+import io.zinniawood.report.slo.Indicator;
+import io.zinniawood.report.slo.ObjectiveCounts;
+import io.zinniawood.report.slo.ObjectiveTarget;
+import java.util.concurrent.TimeUnit;
+
+/** Report on service-level objectives and how fast their budgets are spent. */
+public final class BurnReport {
+  /** Counts are written every minute; three missed writes mean that figures are missing. */
+  public static final long OLD_MILLIS = TimeUnit.MINUTES.toMillis(3);
+
+  private static final long DAY_MILLIS = TimeUnit.DAYS.toMillis(1);
+
+  private BurnReport() {}
+
+  /**
+   * Figures of the report.
+   *
+   * @param nowEpochMillis time of writing in milliseconds since 1970
+   * @param writer process that writes
+   * @param targets objectives
+   * @param counts counts by name of the objective, summed over the data centres
+   * @param dataCentres age of the figures of each data centre
+   */
+  public record Figures(
+      long nowEpochMillis,
+      String writer,
+      Vector<ObjectiveTarget> targets,
+      SortedMap<String, ObjectiveCounts> counts,
+      Vector<DataCentreFigures> dataCentres) {}
+
+  /** Returns the report. */
+  public static Report of(Figures figures) {
+    Vector<Section> sections =
+        Vector.of(knowledge(figures))
+            .appendAll(figures.targets().map(target -> objective(figures, target)));
+    return new Report("Service levels", figures.nowEpochMillis(), figures.writer(), sections);
+  }
+
+  private static Section knowledge(Figures figures) {
+    Vector<Block> lines =
+        figures
+            .dataCentres()
+            .flatMap(dataCentre -> dataCentre.gap(figures.nowEpochMillis(), OLD_MILLIS));
+    String all =
+        "The figures of all %s are less than %s old."
+            .formatted(
+                Wording.count(figures.dataCentres().size(), "data centre"),
+                Wording.duration(OLD_MILLIS));
+    if (figures.dataCentres().isEmpty()) {
+      return Section.of(
+          "What this report knows",
+          new Block.Line(Tone.UNKNOWN, "No figures of any data centre have arrived."));
+    }
+    return new Section(
+        "What this report knows",
+        lines.isEmpty() ? Vector.of(new Block.Line(Tone.GOOD, all)) : lines);
+  }
+
+  private static Section objective(Figures figures, ObjectiveTarget target) {
+    ObjectiveCounts counts =
+        figures.counts().getOrElse(target.name(), ObjectiveCounts.empty(target.name()));
+    Section section = Section.of("%s (%s)".formatted(target.name(), target.target()));
+    Burn answered = Burn.of(target, Indicator.ANSWERED, counts, figures.nowEpochMillis());
+    section = describe(section, target, answered, "answered");
+    if (target.limitsLatency()) {
+      Burn latency = Burn.of(target, Indicator.LATENCY, counts, figures.nowEpochMillis());
+      section = describe(section, target, latency, "in time (" + times(target) + ")");
+    }
+    return section
+        .with(unknownOutcomes(target, counts, figures.nowEpochMillis()))
+        .with(plot(target, counts, figures.nowEpochMillis()));
+  }
+
+  private static Section describe(Section section, ObjectiveTarget target, Burn burn, String verb) {
+    Counts window = burn.window();
+    if (burn.budgetLeft().isEmpty()) {
+      return section.with(
+          new Block.Line(
+              Tone.UNKNOWN,
+              "No request was counted in %s, so nothing is known about requests %s."
+                  .formatted(Wording.count(target.windowDays(), "day"), verb)));
+    }
+    long total = window.total(burn.indicator());
+    long good = total - window.bad(burn.indicator());
+    String share =
+        "%s of %s in %s were %s; the objective is %s."
+            .formatted(
+                Wording.percent((double) good / total),
+                Wording.count(total, "request"),
+                Wording.count(target.windowDays(), "day"),
+                verb,
+                Wording.percent(burn.objectiveShare()));
+    Section described = section.with(new Block.Line(Tone.PLAIN, share)).with(budget(burn));
+    for (BurnAlert alert : burn.alerts()) {
+      described = described.with(alert(alert, burn));
+    }
+    return burn.causes().isEmpty() ? described : described.with(causes(burn));
+  }
+
+  private static Block budget(Burn burn) {
+    double left = burn.budgetLeft().get();
+    if (left <= 0) {
+      return new Block.Line(
+          Tone.BAD,
+          "The error budget is spent: %s of it was used.".formatted(Wording.percent(1 - left)));
+    }
+    String rest = "%s of the error budget is left. ".formatted(Wording.percent(left));
+    if (burn.burnLastHour().isEmpty()) {
+      return new Block.Line(Tone.PLAIN, rest + "No request came in the last hour.");
+    }
+    String pace =
+        burn.millisToExhaustion()
+            .map(
+                millis ->
+                    "At the rate of the last hour (%s times the sustainable rate) it lasts %s."
+                        .formatted(
+                            Wording.decimal(burn.burnLastHour().get()), Wording.duration(millis)))
+            .getOrElse("Nothing was spent in the last hour.");
+    boolean fast = burn.burnLastHour().exists(rate -> rate > 1);
+    return new Block.Line(fast ? Tone.WARNING : Tone.GOOD, rest + pace);
+  }
+
+  private static Block alert(BurnAlert alert, Burn burn) {
+    String what =
+        "The budget for requests %s is spent at %s times the sustainable rate or more, over %s and"
+            + " over the last %s. ";
+    String action =
+        alert.urgency() == BurnAlert.Urgency.NOW
+            ? "Look at the incidents now; the causes below tell where to start."
+            : "Plan time this week to remove the largest cause below.";
+    return new Block.Line(
+        alert.urgency() == BurnAlert.Urgency.NOW ? Tone.BAD : Tone.WARNING,
+        what.formatted(
+                burn.indicator() == Indicator.ANSWERED ? "without an answer" : "that are late",
+                Wording.decimal(alert.threshold()),
+                Wording.duration(alert.longWindowMillis()),
+                Wording.duration(alert.shortWindowMillis()))
+            + action);
+  }
+
+  private static Block causes(Burn burn) {
+    long bad = burn.window().bad(burn.indicator());
+    return new Block.Table(
+        Vector.of(
+            Block.Column.text("What spent the budget"),
+            Block.Column.number("requests"),
+            Block.Column.number("share")),
+        burn.causes()
+            .map(
+                cause ->
+                    Vector.of(
+                        cause._1(),
+                        Wording.grouped(cause._2()),
+                        Wording.percent((double) cause._2() / Math.max(1, bad)))));
+  }
+
+  private static Block unknownOutcomes(
+      ObjectiveTarget target, ObjectiveCounts counts, long nowEpochMillis) {
+    long unknown = counts.window(nowEpochMillis, DAY_MILLIS).unknown();
+    if (unknown == 0) {
+      return new Block.Line(
+          Tone.GOOD, "In the last 24 hours, no request ended with an unknown outcome.");
+    }
+    boolean over = unknown > target.maxUnknownPerDay();
+    return new Block.Line(
+        over ? Tone.BAD : Tone.WARNING,
+        ("In the last 24 hours, %s ended with an unknown outcome; %d a day are accepted. The"
+                + " system cannot tell whether these ran. %s")
+            .formatted(
+                Wording.count(unknown, "request"),
+                target.maxUnknownPerDay(),
+                "Compare the incidents with the records of the service."));
+  }
+
+  private static Block plot(ObjectiveTarget target, ObjectiveCounts counts, long nowEpochMillis) {
+    long lastHour = TimeUnit.MILLISECONDS.toHours(nowEpochMillis);
+    Vector<Block.Series> series =
+        Vector.of(Indicator.ANSWERED, Indicator.LATENCY)
+            .filter(indicator -> indicator == Indicator.ANSWERED || target.limitsLatency())
+            .map(indicator -> series(target, indicator, counts, lastHour));
+    return new Block.Plot(
+        "Burn rate by hour over 3 days",
+        "times the sustainable rate",
+        series.filter(line -> !line.points().isEmpty()),
+        Vector.of(new Block.Limit("sustainable", 1)));
+  }
+
+  private static Block.Series series(
+      ObjectiveTarget target, Indicator indicator, ObjectiveCounts counts, long lastHour) {
+    double share = indicator == Indicator.ANSWERED ? target.answeredShare() : target.latencyShare();
+    Vector<Block.Point> points =
+        counts
+            .hours()
+            .toVector()
+            .filter(entry -> entry._1() > lastHour - 72 && entry._1() <= lastHour)
+            .flatMap(entry -> point(entry._1(), entry._2().badShare(indicator), share));
+    return new Block.Series(indicator == Indicator.ANSWERED ? "without an answer" : "late", points);
+  }
+
+  private static Option<Block.Point> point(long hour, Option<Double> badShare, double share) {
+    return badShare.map(bad -> new Block.Point(TimeUnit.HOURS.toMillis(hour), bad / (1 - share)));
+  }
+
+  private static String times(ObjectiveTarget target) {
+    Vector<String> times =
+        target
+            .firstTokenMillis()
+            .map(millis -> "first token within %d ms".formatted(millis))
+            .toVector()
+            .appendAll(
+                target
+                    .tokenGapMillis()
+                    .map(millis -> "%d ms between tokens".formatted(millis))
+                    .toVector());
+    return times.mkString(", ");
+  }
+}
--- /dev/null
+++ b/report/src/main/java/io/zinniawood/report/page/FleetReport.java
@@ -0,0 +1,223 @@
+package io.zinniawood.report.page;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.report.Block;
+import io.zinniawood.report.Report;
+import io.zinniawood.report.Section;
+import io.zinniawood.report.Tone;
+import io.zinniawood.report.Wording;
+import java.util.concurrent.TimeUnit;
+
+/** Report on the fleet as one entry sees it now. */
+public final class FleetReport {
+  /** Endpoints report at least every few seconds; older evidence does not describe the present. */
+  public static final long OLD_MILLIS = TimeUnit.SECONDS.toMillis(15);
+
+  private static final int SHOWN_NAMES = 6;
+
+  private FleetReport() {}
+
+  /** State of an endpoint. */
+  public enum EndpointState {
+    /** Takes new work. */
+    SERVING("serving"),
+    /** Not ready yet. */
+    STARTING("starting"),
+    /** Finishes its work and takes no new work. */
+    LEAVING("leaving"),
+    /** Excluded after failures. */
+    EJECTED("excluded after failures"),
+    /** Does not answer. */
+    LOST("not answering");
+
+    private final String text;
+
+    EndpointState(String text) {
+      this.text = text;
+    }
+
+    /** Returns the state in words. */
+    public String text() {
+      return text;
+    }
+  }
+
+  /**
+   * One endpoint.
+   *
+   * @param id id
+   * @param dataCentre data centre
+   * @param serves layers of a model, or a service
+   * @param state state
+   * @param running pieces of work in progress
+   * @param limit most pieces of work that it gets now
+   * @param heardEpochMillis time of the last message in milliseconds since 1970
+   */
+  public record Endpoint(
+      String id,
+      String dataCentre,
+      String serves,
+      EndpointState state,
+      int running,
+      int limit,
+      long heardEpochMillis) {}
+
+  /**
+   * Range of layers, or a service.
+   *
+   * @param name name
+   * @param serving endpoints that serve it
+   * @param wanted endpoints that the configuration asks for
+   */
+  public record Range(String name, int serving, int wanted) {}
+
+  /**
+   * Figures of the report.
+   *
+   * @param nowEpochMillis time of writing in milliseconds since 1970
+   * @param writer entry that writes
+   * @param endpoints endpoints that the entry knows
+   * @param ranges layer ranges and services
+   * @param controller entry that holds the controller lease, none if it is not known
+   * @param otherEndpoints endpoints in the VM list that this entry is not connected to
+   */
+  public record Figures(
+      long nowEpochMillis,
+      String writer,
+      Vector<Endpoint> endpoints,
+      Vector<Range> ranges,
+      Option<String> controller,
+      int otherEndpoints) {}
+
+  /** Returns the report. */
+  public static Report of(Figures figures) {
+    return new Report(
+        "Fleet now",
+        figures.nowEpochMillis(),
+        figures.writer(),
+        Vector.of(summary(figures), ranges(figures), endpoints(figures)));
+  }
+
+  private static Section summary(Figures figures) {
+    Vector<Endpoint> serving =
+        figures.endpoints().filter(endpoint -> endpoint.state() == EndpointState.SERVING);
+    Vector<Block> lines =
+        Vector.of(
+            new Block.Line(
+                serving.isEmpty() ? Tone.BAD : Tone.PLAIN,
+                "%d of %s take new work."
+                    .formatted(
+                        serving.size(), Wording.count(figures.endpoints().size(), "endpoint"))));
+    lines =
+        lines
+            .appendAll(named(figures, EndpointState.LOST, Tone.BAD, lostText()))
+            .appendAll(named(figures, EndpointState.EJECTED, Tone.WARNING, ejectedText()))
+            .appendAll(named(figures, EndpointState.LEAVING, Tone.PLAIN, leavingText()));
+    lines =
+        lines.append(
+            figures
+                .controller()
+                .map(
+                    holder ->
+                        new Block.Line(
+                            Tone.PLAIN, "Entry %s controls the engines.".formatted(holder)))
+                .getOrElse(
+                    new Block.Line(
+                        Tone.UNKNOWN,
+                        "It is not known which entry controls the engines. Engines keep their"
+                            + " work, but lost replicas are not restored until it is known.")));
+    if (figures.otherEndpoints() > 0) {
+      lines =
+          lines.append(
+              new Block.Line(
+                  Tone.UNKNOWN,
+                  "%s more in the VM list belong to other entries; ask those for their state."
+                      .formatted(Wording.count(figures.otherEndpoints(), "endpoint"))));
+    }
+    return new Section("Summary", lines);
+  }
+
+  private static String lostText() {
+    return "%s does not answer. The system sends its work elsewhere and tries to connect again."
+        + " Check its VM if this lasts.";
+  }
+
+  private static String ejectedText() {
+    return "%s failed too often and gets little work until it recovers. Nothing to do unless it"
+        + " stays in this list.";
+  }
+
+  private static String leavingText() {
+    return "%s finishes its work and then stops.";
+  }
+
+  private static Vector<Block> named(
+      Figures figures, EndpointState state, Tone tone, String sentence) {
+    Vector<String> names =
+        figures.endpoints().filter(found -> found.state() == state).map(Endpoint::id);
+    return names.isEmpty()
+        ? Vector.empty()
+        : Vector.of(
+            new Block.Line(
+                tone,
+                sentence.formatted(
+                    (names.size() == 1 ? "Endpoint " : "Each of the endpoints ")
+                        + Wording.list(names, SHOWN_NAMES))));
+  }
+
+  private static Section ranges(Figures figures) {
+    Vector<Block> lines =
+        figures
+            .ranges()
+            .filter(range -> range.serving() < range.wanted())
+            .map(
+                range ->
+                    new Block.Line(
+                        range.serving() == 0 ? Tone.BAD : Tone.WARNING,
+                        range.serving() == 0
+                            ? "%s: no endpoint serves it, so its requests are refused as not run."
+                                .formatted(range.name())
+                            : "%s: %d of %d wanted endpoints serve it."
+                                .formatted(range.name(), range.serving(), range.wanted())));
+    return new Section(
+        "Models and services",
+        lines.isEmpty()
+            ? Vector.of(
+                figures.ranges().isEmpty()
+                    ? new Block.Line(Tone.UNKNOWN, "No model or service is configured.")
+                    : new Block.Line(Tone.GOOD, "All have as many endpoints as configured."))
+            : lines);
+  }
+
+  private static Section endpoints(Figures figures) {
+    Vector<Block.Column> columns =
+        Vector.of(
+            Block.Column.text("endpoint"),
+            Block.Column.text("data centre"),
+            Block.Column.text("serves"),
+            Block.Column.text("state"),
+            Block.Column.number("work"),
+            Block.Column.number("heard"));
+    return Section.of(
+        "Endpoints",
+        new Block.Table(
+            columns,
+            figures
+                .endpoints()
+                .sortBy(Endpoint::id)
+                .map(endpoint -> row(endpoint, figures.nowEpochMillis()))));
+  }
+
+  private static Vector<String> row(Endpoint endpoint, long nowEpochMillis) {
+    long ageMillis = nowEpochMillis - endpoint.heardEpochMillis();
+    boolean old = ageMillis > OLD_MILLIS && endpoint.state() != EndpointState.LOST;
+    return Vector.of(
+        endpoint.id(),
+        endpoint.dataCentre(),
+        endpoint.serves(),
+        endpoint.state().text() + (old ? " (when last heard)" : ""),
+        "%d of %d".formatted(endpoint.running(), endpoint.limit()),
+        Wording.duration(ageMillis) + " ago");
+  }
+}
--- /dev/null
+++ b/report/src/main/java/io/zinniawood/report/page/IncidentsReport.java
@@ -0,0 +1,142 @@
+package io.zinniawood.report.page;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.report.Block;
+import io.zinniawood.report.Report;
+import io.zinniawood.report.Section;
+import io.zinniawood.report.Tone;
+import io.zinniawood.report.Wording;
+
+/** Report on incidents, each cause followed to its effects. */
+public final class IncidentsReport {
+  private static final int SHOWN_CAUSES = 40;
+  private static final int SHOWN_EFFECTS = 12;
+  private static final int MAX_DEPTH = 6;
+
+  private IncidentsReport() {}
+
+  /**
+   * One incident.
+   *
+   * @param id id, unique in the report
+   * @param cause id of the incident that caused it, none if it has no known cause
+   * @param atEpochMillis time in milliseconds since 1970
+   * @param tone weight
+   * @param happened what happened, to whom, and what the system did: sentences
+   * @param advice what the reader may do now, none if nothing
+   */
+  public record Entry(
+      String id,
+      Option<String> cause,
+      long atEpochMillis,
+      Tone tone,
+      String happened,
+      Option<String> advice) {}
+
+  /**
+   * Figures of the report.
+   *
+   * @param nowEpochMillis time of writing in milliseconds since 1970
+   * @param writer process that writes
+   * @param sinceEpochMillis time since which incidents are known, in milliseconds since 1970
+   * @param incidents incidents in any order
+   * @param dropped older incidents that the bounded memory no longer holds
+   * @param dataCentres age of the figures of each data centre
+   */
+  public record Figures(
+      long nowEpochMillis,
+      String writer,
+      long sinceEpochMillis,
+      Vector<Entry> incidents,
+      long dropped,
+      Vector<DataCentreFigures> dataCentres) {}
+
+  /** Returns the report. */
+  public static Report of(Figures figures) {
+    Vector<Block> gaps =
+        figures
+            .dataCentres()
+            .flatMap(found -> found.gap(figures.nowEpochMillis(), BurnReport.OLD_MILLIS));
+    Section summary = new Section("Summary", gaps.prependAll(summary(figures)));
+    Vector<Section> sections =
+        figures.incidents().isEmpty()
+            ? Vector.of(summary)
+            : Vector.of(
+                summary, Section.of("Newest first, effects below their cause", outline(figures)));
+    return new Report("Incidents", figures.nowEpochMillis(), figures.writer(), sections);
+  }
+
+  private static Vector<Block> summary(Figures figures) {
+    String since = Wording.minute(figures.sinceEpochMillis());
+    Vector<Block> lines =
+        Vector.of(
+            figures.incidents().isEmpty()
+                ? new Block.Line(Tone.GOOD, "No incident since %s.".formatted(since))
+                : new Block.Line(
+                    Tone.PLAIN,
+                    "%s since %s, from %s."
+                        .formatted(
+                            Wording.count(figures.incidents().size(), "incident"),
+                            since,
+                            Wording.count(roots(figures).size(), "cause"))));
+    if (figures.dropped() > 0) {
+      lines =
+          lines.append(
+              new Block.Line(
+                  Tone.UNKNOWN,
+                  "%s older than that are no longer kept."
+                      .formatted(Wording.count(figures.dropped(), "incident"))));
+    }
+    return lines;
+  }
+
+  private static Block outline(Figures figures) {
+    Vector<Entry> roots = roots(figures);
+    Vector<Block.Item> items = roots.take(SHOWN_CAUSES).flatMap(root -> tree(figures, root, 0));
+    int hidden = roots.size() - SHOWN_CAUSES;
+    return new Block.Outline(
+        hidden > 0
+            ? items.append(
+                new Block.Item(
+                    0,
+                    Tone.PLAIN,
+                    "%s older than these are not shown.".formatted(Wording.count(hidden, "cause"))))
+            : items);
+  }
+
+  /** An incident whose cause is not in the report stands on its own. */
+  private static Vector<Entry> roots(Figures figures) {
+    io.vavr.collection.Set<String> known = figures.incidents().map(Entry::id).toSet();
+    return figures
+        .incidents()
+        .filter(entry -> !entry.cause().exists(cause -> known.contains(cause)))
+        .sortBy(entry -> -entry.atEpochMillis());
+  }
+
+  private static Vector<Block.Item> tree(Figures figures, Entry entry, int depth) {
+    String text =
+        Wording.second(entry.atEpochMillis())
+            + ": "
+            + entry.happened()
+            + entry.advice().map(advice -> " " + advice).getOrElse("");
+    Vector<Block.Item> items = Vector.of(new Block.Item(depth, entry.tone(), text));
+    if (depth >= MAX_DEPTH) {
+      return items;
+    }
+    Vector<Entry> effects =
+        figures
+            .incidents()
+            .filter(effect -> effect.cause().contains(entry.id()))
+            .sortBy(Entry::atEpochMillis);
+    items =
+        items.appendAll(
+            effects.take(SHOWN_EFFECTS).flatMap(effect -> tree(figures, effect, depth + 1)));
+    int hidden = effects.size() - SHOWN_EFFECTS;
+    return hidden > 0
+        ? items.append(
+            new Block.Item(
+                depth + 1, Tone.PLAIN, "%s more.".formatted(Wording.count(hidden, "effect"))))
+        : items;
+  }
+}
--- /dev/null
+++ b/report/src/main/java/io/zinniawood/report/page/package-info.java
@@ -0,0 +1,2 @@
+/** Reports: one class for each report turns figures into the report model. */
+package io.zinniawood.report.page;
--- /dev/null
+++ b/report/src/main/java/io/zinniawood/report/slo/package-info.java
@@ -0,0 +1,2 @@
+/** Counts, burn rates and alerts of service-level objectives. */
+package io.zinniawood.report.slo;
