--- a/dist/src/test/java/io/zinniawood/dist/StageFailureTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/StageFailureTest.java
@@ -2,11 +2,13 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
 import io.zinniawood.standin.engine.EngineFaults;
 import io.zinniawood.standin.engine.ReferenceModel;
+import io.zinniawood.standin.proxy.FaultProxy;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -43,10 +45,23 @@
     cluster.close();
   }
 
-  /** Returns the engine of a layer range that runs the open session. */
-  private String busy(String first, String second) {
-    Caller.await(() -> sessions(first) + sessions(second) > 0);
-    return sessions(first) > 0 ? first : second;
+  /** The engine of a layer range that runs the open session, and the one that can replace it. */
+  private final class Failover {
+    private final String failing;
+    private final String replacement;
+    private final long stepsBefore;
+
+    Failover(String first, String second) {
+      Caller.await(() -> sessions(first) + sessions(second) > 0);
+      failing = sessions(first) > 0 ? first : second;
+      replacement = sessions(first) > 0 ? second : first;
+      stepsBefore = cluster.endpoint(replacement).engine().executedSteps();
+    }
+
+    /** Checks that the fault came before the end of the answer. */
+    void assertReplaced() {
+      assertThat(cluster.endpoint(replacement).engine().executedSteps(), greaterThan(stepsBefore));
+    }
   }
 
   private int sessions(String engine) {
@@ -83,26 +98,32 @@
   @Test
   void answerGoesOnWhenTheLastStageIsKilled() throws Exception {
     Caller.Stream stream = startAnswer("kill last");
-    cluster.endpoint(busy("b-1", "b-2")).agent().kill();
+    Failover failover = new Failover("b-1", "b-2");
+    cluster.endpoint(failover.failing).agent().kill();
     assertWhole(stream, "kill last");
+    failover.assertReplaced();
   }
 
   // Guards against an answer that is lost when the stage that takes the entry's input is killed.
   @Test
   void answerGoesOnWhenTheFirstStageIsKilled() throws Exception {
     Caller.Stream stream = startAnswer("kill first");
-    cluster.endpoint(busy("a-1", "a-2")).agent().kill();
+    Failover failover = new Failover("a-1", "a-2");
+    cluster.endpoint(failover.failing).agent().kill();
     assertWhole(stream, "kill first");
+    failover.assertReplaced();
   }
 
   // Guards against an answer that hangs when a stage is paused and its connections stay open.
   @Test
   void answerGoesOnWhenStagePauses() throws Exception {
     Caller.Stream stream = startAnswer("pause");
-    RoleProcess paused = cluster.endpoint(busy("b-1", "b-2")).agent();
+    Failover failover = new Failover("b-1", "b-2");
+    RoleProcess paused = cluster.endpoint(failover.failing).agent();
     paused.signal("STOP");
     try {
       assertWhole(stream, "pause");
+      failover.assertReplaced();
     } finally {
       paused.signal("CONT");
     }
@@ -112,15 +133,18 @@
   @Test
   void answerGoesOnWhenConnectionGoesSilent() throws Exception {
     Caller.Stream stream = startAnswer("silence");
-    cluster.endpoint(busy("b-1", "b-2")).proxy().silenceBoth();
+    FaultProxy proxy = cluster.endpoint(new Failover("b-1", "b-2").failing).proxy();
+    long connectionsBefore = proxy.accepted();
+    proxy.silenceBoth();
     assertWhole(stream, "silence");
+    assertThat(proxy.accepted(), greaterThan(connectionsBefore));
   }
 
   // Guards against a graceful shutdown of a stage that cuts off an answer in progress.
   @Test
   void answerGoesOnWhenStageLeaves() throws Exception {
     Caller.Stream stream = startAnswer("leave");
-    RoleProcess leaving = cluster.endpoint(busy("b-1", "b-2")).agent();
+    RoleProcess leaving = cluster.endpoint(new Failover("b-1", "b-2").failing).agent();
     leaving.signal("TERM");
     assertWhole(stream, "leave");
     assertThat(leaving.exitCode(), is(0));
