--- a/core/src/main/java/io/zinniawood/core/entry/Failures.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Failures.java
@@ -1,20 +1,31 @@
 package io.zinniawood.core.entry;
 
+import io.zinniawood.core.entry.limits.ConcurrencyLimit;
 import io.zinniawood.core.entry.membership.Health;
 import io.zinniawood.core.entry.membership.Member;
 import io.zinniawood.core.entry.membership.Workload;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.model.LoadReport;
 
 /** Keeps the health and the adaptive limit of endpoints. */
 final class Failures {
   private Failures() {}
 
+  /**
+   * Counts a success. The limit falls if the agent reports that more work waits than runs at its
+   * limit, as new work would wait for a whole service time.
+   */
   static void succeeded(Turn turn, EndpointId endpoint) {
     turn.updateMember(
         endpoint,
         member -> {
           Workload work = member.work();
-          Member limited = member.with(work.limited(work.limit().success(work.inFlight())));
+          LoadReport load = member.serving().load();
+          ConcurrencyLimit limit =
+              load.queued() > load.concurrencyLimit()
+                  ? work.limit().overload(turn.nowNanos())
+                  : work.limit().success(work.inFlight());
+          Member limited = member.with(work.limited(limit));
           return member.health().equals(Health.GOOD) ? limited : limited.with(Health.GOOD);
         });
   }
--- a/core/src/main/java/io/zinniawood/core/entry/SessionFailures.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionFailures.java
@@ -16,6 +16,9 @@
   /** A failed link is avoided for this time; a new session tries it again afterwards. */
   private static final long LINK_AVOIDED_NANOS = 10_000_000_000L;
 
+  /** Failed links of one sender from which the sender is taken for the cause. */
+  private static final int SENDER_FAULT_LINKS = 2;
+
   private SessionFailures() {}
 
   static void refused(
@@ -27,10 +30,11 @@
       return;
     }
     switch (message.reason()) {
-      case STALE_EPOCH -> SessionRecovery.replace(turn, session, HashSet.empty());
+      case STALE_EPOCH -> SessionRecovery.replace(turn, session, HashSet.empty(), OldStage.LOST);
       case DEADLINE_EXCEEDED -> ModelRequests.deadline(turn, session);
       case OVERLOADED, LEAVING -> crowdedOut(turn, session, message);
-      default -> SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()));
+      default ->
+          SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()), OldStage.LOST);
     }
   }
 
@@ -43,7 +47,7 @@
       Membership.leaving(turn, endpoint);
     }
     if (session.inputSent() || Retries.take(turn)) {
-      SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()));
+      SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()), OldStage.LOST);
     } else {
       StageSessions.close(turn, session);
       Answers.failModel(
@@ -73,33 +77,49 @@
       case REPLAY_UNAVAILABLE ->
           SessionRecovery.giveUp(
               turn, session, "endpoint %s no longer keeps the outputs to replay".formatted(sender));
-      case PEER_UNREACHABLE -> {
-        long untilNanos = turn.nowNanos() + LINK_AVOIDED_NANOS;
-        LinkPair link = new LinkPair(sender, failed);
-        turn.update(state -> state.withFleet(state.fleet().withDegraded(link, untilNanos)));
-        SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()));
-      }
+      case PEER_UNREACHABLE -> unreachablePeer(turn, session, sender, message.stageIndex());
       case ENDPOINT_FAILED -> {
         Failures.failed(turn, failed);
-        SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()));
+        SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()), OldStage.LOST);
       }
-      default -> SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()));
+      default ->
+          SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()), OldStage.LOST);
     }
   }
 
+  /**
+   * Replaces the stage behind a failed link, or the sender if it reaches other stages neither; the
+   * fault is then more likely its own.
+   */
+  private static void unreachablePeer(
+      Turn turn, Session session, EndpointId sender, int failedIndex) {
+    EndpointId failed = session.chain().get(failedIndex).endpoint();
+    long untilNanos = turn.nowNanos() + LINK_AVOIDED_NANOS;
+    turn.update(
+        state ->
+            state.withFleet(state.fleet().withDegraded(new LinkPair(sender, failed), untilNanos)));
+    int failedLinks = turn.fleet().degraded().keySet().count(link -> link.from().equals(sender));
+    int lost =
+        failedLinks >= SENDER_FAULT_LINKS
+            ? session.indexOf(sender).getOrElse(failedIndex)
+            : failedIndex;
+    SessionRecovery.replace(turn, session, HashSet.of(lost), OldStage.ANSWERS);
+  }
+
   /** Replaces the stages of an endpoint that cannot be reached or runs in a new incarnation. */
   static void endpointLost(Turn turn, EndpointId endpoint, Incarnation lost) {
     for (Session session : sessionsAt(turn, endpoint, lost)) {
       session
           .indexOf(endpoint)
-          .forEach(index -> SessionRecovery.replace(turn, session, HashSet.of(index)));
+          .forEach(
+              index -> SessionRecovery.replace(turn, session, HashSet.of(index), OldStage.LOST));
     }
   }
 
   /** Continues the sessions of an endpoint whose connection was replaced. */
   static void endpointBack(Turn turn, EndpointId endpoint, Incarnation incarnation) {
     for (Session session : sessionsAt(turn, endpoint, incarnation)) {
-      SessionRecovery.replace(turn, session, HashSet.empty());
+      SessionRecovery.replace(turn, session, HashSet.empty(), OldStage.LOST);
     }
   }
 
--- a/core/src/main/java/io/zinniawood/core/entry/SessionRebuild.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRebuild.java
@@ -1,6 +1,5 @@
 package io.zinniawood.core.entry;
 
-import io.vavr.collection.Vector;
 import io.zinniawood.core.message.Message;
 import io.zinniawood.core.model.StageAddress;
 
@@ -19,13 +18,8 @@
     boolean stuck =
         session.phase() == SessionPhase.PROBING && reached <= session.progress().reached();
     SessionPhase phase = stuck ? SessionPhase.REPEATED : SessionPhase.RUNNING;
-    session
-        .retired()
-        .reject(stage -> SessionRecovery.sameRun(session.chain(), stage))
-        .forEach(stage -> StageSessions.closeStage(turn, session, stage));
     Session running =
-        session
-            .withRetired(Vector.empty())
+        StageSessions.closeRetired(turn, session)
             .withProgress(session.progress().moved(turn.nowNanos()).probed(reached))
             .running(phase);
     turn.putSession(running);
--- a/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
@@ -25,7 +25,7 @@
   static void probe(Turn turn, Session session) {
     Set<Integer> gone = disconnected(turn, session);
     if (gone.nonEmpty()) {
-      replace(turn, session, gone);
+      replace(turn, session, gone, OldStage.LOST);
     } else {
       nextEpoch(turn, session, session.chain(), SessionPhase.PROBING, HashSet.empty());
     }
@@ -41,14 +41,14 @@
                     .exists(member -> member.health().ejected(turn.nowNanos())));
     stalled.forEach(index -> Failures.failed(turn, session.chain().get(index).endpoint()));
     if (ejected || Retries.take(turn)) {
-      replace(turn, session, stalled);
+      replace(turn, session, stalled, OldStage.LOST);
     } else {
       probe(turn, session);
     }
   }
 
   /** Replaces stages by others with the same layers, or by several that cover them together. */
-  static void replace(Turn turn, Session session, Set<Integer> lost) {
+  static void replace(Turn turn, Session session, Set<Integer> lost, OldStage old) {
     if (session.epoch().value() >= MAX_EPOCHS) {
       giveUp(turn, session, "the session had %d chains".formatted(MAX_EPOCHS));
       return;
@@ -86,7 +86,12 @@
     StageSessions.take(turn, taken);
     Vector<StageAddress> removed = lost.toVector().sorted().map(session.chain()::get);
     removed.forEach(stage -> StageSessions.release(turn, stage));
-    Session retiring = session.withRetired(session.retired().appendAll(removed));
+    Session retiring = session;
+    if (old == OldStage.ANSWERS) {
+      retiring = session.withRetired(session.retired().appendAll(removed));
+    } else {
+      removed.forEach(stage -> StageSessions.closeStage(turn, session, stage));
+    }
     reportReplaced(turn, session, removed, fresh);
     nextEpoch(turn, retiring, chain, SessionPhase.OPENING, fresh);
   }
@@ -163,7 +168,7 @@
   /** Tries again to replace the stages that are gone. */
   static void unpark(Turn turn, Session session) {
     Set<Integer> gone = disconnected(turn, session).addAll(unservable(turn, session));
-    replace(turn, session, gone);
+    replace(turn, session, gone, OldStage.LOST);
   }
 
   /** Starts the request again on a new session, as nothing was delivered; otherwise fails it. */
--- a/core/src/main/java/io/zinniawood/core/entry/SessionTimeouts.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionTimeouts.java
@@ -14,6 +14,9 @@
   /** A live agent confirms an epoch without the engine, so it gets a part of the time. */
   private static final int CONFIRM_DIVISOR = 2;
 
+  /** A stage that imports a KV cache confirms afterwards, and the cache has to be copied. */
+  private static final int IMPORT_FACTOR = 2;
+
   private SessionTimeouts() {}
 
   /** Starts the timer of an epoch; tokens do not restart it, it measures from the last one. */
@@ -35,7 +38,7 @@
     }
     switch (session.phase()) {
       case RUNNING -> SessionRecovery.probe(turn, session);
-      case OPENING, PROBING -> SessionRecovery.replace(turn, session, session.unconfirmed());
+      case OPENING, PROBING -> unconfirmed(turn, session);
       case REPEATED -> SessionRecovery.blame(turn, session, HashSet.of(session.firstBehind()));
       case PARKED -> SessionRecovery.unpark(turn, session);
       default -> {
@@ -44,12 +47,27 @@
     }
   }
 
+  /** Replaces the stages that did not confirm. A KV import that took too long is not repeated. */
+  private static void unconfirmed(Turn turn, Session session) {
+    SessionRecovery.replace(
+        turn, StageSessions.closeRetired(turn, session), session.unconfirmed(), OldStage.LOST);
+  }
+
   private static long timeoutNanos(Turn turn, Session session) {
     long baseNanos = turn.cluster().routing().progressTimeoutMillis() * NANOS_PER_MILLI;
     return switch (session.phase()) {
-      case OPENING, PROBING, PARKED -> baseNanos / CONFIRM_DIVISOR;
+      case OPENING -> importing(session) ? baseNanos * IMPORT_FACTOR : baseNanos / CONFIRM_DIVISOR;
+      case PROBING, PARKED -> baseNanos / CONFIRM_DIVISOR;
       case RUNNING, REPEATED, DELAYED ->
           session.position() == 0 ? baseNanos * PROMPT_FACTOR : baseNanos;
     };
   }
+
+  private static boolean importing(Session session) {
+    return session.position() > 0
+        && session.retired().nonEmpty()
+        && session
+            .unconfirmed()
+            .exists(index -> session.fresh().contains(session.chain().get(index).endpoint()));
+  }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/StageSessions.java
+++ b/core/src/main/java/io/zinniawood/core/entry/StageSessions.java
@@ -133,6 +133,15 @@
     turn.cancelTimer(new EntryTimer.SessionProgress(session.id(), session.epoch()));
   }
 
+  /** Closes the session at the stages of earlier epochs that are not in the chain again. */
+  static Session closeRetired(Turn turn, Session session) {
+    session
+        .retired()
+        .reject(stage -> SessionRecovery.sameRun(session.chain(), stage))
+        .forEach(stage -> closeStage(turn, session, stage));
+    return session.withRetired(Vector.empty());
+  }
+
   static void closeStage(Turn turn, Session session, StageAddress stage) {
     turn.send(stage.endpoint(), stage.incarnation(), new Message.CloseSession(session.id()));
   }
