Weigh endpoints by the token times of their sessions; end failed keyed calls at once

A slow engine or link that does not fail kept its share of the flow, and a keyed call whose service failed was looked up again and again until its deadline.

--- a/core/src/main/java/io/zinniawood/core/entry/Claims.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Claims.java
@@ -142,6 +142,15 @@
     return joined;
   }
 
+  /** Reads the row at once the first time, and after the poll interval when that did not help. */
+  static void readLater(Turn turn, ServiceRequest request) {
+    if (request.current().get().phase() == AttemptPhase.RUNNING) {
+      poll(turn, request);
+    } else {
+      release(turn, request);
+    }
+  }
+
   private static void poll(Turn turn, ServiceRequest request) {
     Attempts.setPhase(turn, request, AttemptPhase.RELEASING);
     Attempts.startTimer(turn, request, POLL_NANOS);
--- a/core/src/main/java/io/zinniawood/core/entry/Fleet.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Fleet.java
@@ -6,6 +6,7 @@
 import io.zinniawood.core.entry.membership.Member;
 import io.zinniawood.core.entry.routing.FlowPlan;
 import io.zinniawood.core.entry.routing.LinkPair;
+import io.zinniawood.core.entry.routing.StepSpeeds;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.id.ModelId;
@@ -19,16 +20,18 @@
  * @param degraded links that failed lately, with the monotonic time in nanoseconds until which they
  *     are avoided
  * @param plans flow of each model; forgotten when an endpoint's part in it changes
+ * @param speeds time between tokens by endpoint
  */
 record Fleet(
     long listVersion,
     int liveEntries,
     Map<EndpointId, Member> members,
     Map<LinkPair, Long> degraded,
-    Map<ModelId, FlowPlan> plans) {
+    Map<ModelId, FlowPlan> plans,
+    StepSpeeds speeds) {
 
   static Fleet empty() {
-    return new Fleet(0, 1, HashMap.empty(), HashMap.empty(), HashMap.empty());
+    return new Fleet(0, 1, HashMap.empty(), HashMap.empty(), HashMap.empty(), StepSpeeds.NONE);
   }
 
   Option<Member> member(EndpointId endpoint) {
@@ -53,17 +56,24 @@
         liveEntries,
         members.put(member.endpoint(), member),
         degraded,
-        samePart ? plans : HashMap.empty());
+        samePart ? plans : HashMap.empty(),
+        speeds);
   }
 
   Fleet without(EndpointId endpoint) {
-    return new Fleet(listVersion, liveEntries, members.remove(endpoint), degraded, HashMap.empty());
+    return new Fleet(
+        listVersion,
+        liveEntries,
+        members.remove(endpoint),
+        degraded,
+        HashMap.empty(),
+        speeds.without(endpoint));
   }
 
   /** Returns this fleet with a link that is avoided until the given time. */
   Fleet withDegraded(LinkPair link, long untilNanos) {
     return new Fleet(
-        listVersion, liveEntries, members, degraded.put(link, untilNanos), HashMap.empty());
+        listVersion, liveEntries, members, degraded.put(link, untilNanos), HashMap.empty(), speeds);
   }
 
   /** Returns this fleet without the links whose time is over. */
@@ -71,19 +81,24 @@
     Map<LinkPair, Long> still = degraded.filterValues(until -> until - nowNanos > 0);
     return still.size() == degraded.size()
         ? this
-        : new Fleet(listVersion, liveEntries, members, still, HashMap.empty());
+        : new Fleet(listVersion, liveEntries, members, still, HashMap.empty(), speeds);
   }
 
   Fleet withPlan(ModelId model, FlowPlan plan) {
-    return new Fleet(listVersion, liveEntries, members, degraded, plans.put(model, plan));
+    return new Fleet(listVersion, liveEntries, members, degraded, plans.put(model, plan), speeds);
+  }
+
+  Fleet withSpeeds(StepSpeeds changed) {
+    return new Fleet(listVersion, liveEntries, members, degraded, plans, changed);
   }
 
   Fleet withoutPlans() {
-    return new Fleet(listVersion, liveEntries, members, degraded, HashMap.empty());
+    return new Fleet(listVersion, liveEntries, members, degraded, HashMap.empty(), speeds);
   }
 
   /** Returns this fleet with the entries and placements of a VM list. */
   Fleet listed(long version, int entries, Map<EndpointId, Member> listedMembers) {
-    return new Fleet(version, Math.max(1, entries), listedMembers, degraded, HashMap.empty());
+    return new Fleet(
+        version, Math.max(1, entries), listedMembers, degraded, HashMap.empty(), speeds);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/Membership.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Membership.java
@@ -115,6 +115,9 @@
       SessionFailures.endpointBack(turn, endpoint, identity.incarnation());
       Refusals.endpointBack(turn, endpoint, identity.incarnation());
     } else {
+      turn.update(
+          state ->
+              state.withFleet(state.fleet().withSpeeds(state.fleet().speeds().without(endpoint))));
       before.forEach(gone -> SessionFailures.endpointLost(turn, endpoint, gone));
       before.forEach(gone -> Refusals.incarnationGone(turn, endpoint, gone));
     }
--- a/core/src/main/java/io/zinniawood/core/entry/Progress.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Progress.java
@@ -64,6 +64,11 @@
     return Option.when(!tokens.isEmpty(), () -> firstTokenNanos - arrivedNanos);
   }
 
+  /** Returns the mean time between two tokens; only called once there are two. */
+  double meanGapNanos() {
+    return (double) (lastTokenNanos - firstTokenNanos) / (tokens.length() - 1);
+  }
+
   Option<Long> slowestGap() {
     return Option.when(tokens.length() > 1, () -> slowestGapNanos);
   }
--- a/core/src/main/java/io/zinniawood/core/entry/Refusals.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Refusals.java
@@ -66,6 +66,10 @@
     }
   }
 
+  /**
+   * The attempt may have run. If the service failed, nobody will know more; if the agent no longer
+   * has the result, the claim row may hold the answer.
+   */
   private static void mayHaveRun(
       Turn turn, EndpointId endpoint, ServiceRequest request, Message.DispatchRefused message) {
     String detail = "the endpoint failed during the call: " + message.reason();
@@ -74,8 +78,8 @@
     }
     if (request.idempotent()) {
       Attempts.giveUpAndRetry(turn, request, detail);
-    } else if (request.claimed()) {
-      Claims.release(turn, request);
+    } else if (request.claimed() && message.reason() != RefusalReason.ENDPOINT_FAILED) {
+      Claims.readLater(turn, request);
     } else {
       Answers.failService(turn, request, Problem.unknown(ProblemType.ENDPOINT_FAILED, detail));
     }
--- a/core/src/main/java/io/zinniawood/core/entry/Selection.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Selection.java
@@ -8,6 +8,7 @@
 import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
 import io.zinniawood.core.entry.routing.Choice;
 import io.zinniawood.core.entry.routing.FlowPlan;
+import io.zinniawood.core.entry.routing.Guidance;
 import io.zinniawood.core.entry.routing.Stage;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.ModelId;
@@ -59,14 +60,15 @@
       EntryEvent.ModelRequestArrived arrival,
       FlowPlan plan,
       Vector<Stage> stages) {
-    return new ChainSelector(
-            stages,
-            range,
-            arrival.prefixHash(),
-            turn.cluster().routing().affinityLoadFactor(),
+    Guidance guidance =
+        new Guidance(
+            turn.state().self().dataCentre(),
             plan,
-            link -> turn.fleet().degraded().containsKey(link))
-        .choose();
+            link -> turn.fleet().degraded().containsKey(link),
+            turn.fleet().speeds(),
+            arrival.prefixHash(),
+            turn.cluster().routing().affinityLoadFactor());
+    return new ChainSelector(stages, range, guidance).choose();
   }
 
   private static Vector<Stage> stages(
--- a/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
@@ -5,6 +5,8 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
+import io.zinniawood.core.entry.routing.StepSpeeds;
+import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.Problem;
@@ -16,6 +18,9 @@
   /** Bounds the work for one request when its endpoints fail again and again. */
   private static final int MAX_EPOCHS = 32;
 
+  /** A mean over fewer tokens says little about a stage. */
+  private static final int SPEED_TOKENS = 4;
+
   private SessionRecovery() {}
 
   /**
@@ -205,9 +210,29 @@
     }
   }
 
-  /** Counts a finished answer for the health and the limit of its stages. */
+  /** Counts a finished answer for the health, the limit and the speed of its stages. */
   static void succeeded(Turn turn, Session session) {
     session.chain().forEach(stage -> Failures.succeeded(turn, stage.endpoint()));
+    boolean undisturbed = session.epoch().value() == 1;
+    if (undisturbed && session.position() >= SPEED_TOKENS) {
+      sampleSpeeds(turn, session);
+    }
+  }
+
+  private static void sampleSpeeds(Turn turn, Session session) {
+    double gapNanos = session.progress().meanGapNanos();
+    StepSpeeds speeds = turn.fleet().speeds();
+    DataCentreId from = turn.state().self().dataCentre();
+    for (StageAddress stage : session.chain()) {
+      speeds = speeds.sampled(new StepSpeeds.Step(from, stage.endpoint()), gapNanos);
+      from =
+          turn.fleet()
+              .member(stage.endpoint())
+              .map(member -> member.placement().dataCentre())
+              .getOrElse(from);
+    }
+    StepSpeeds sampled = speeds;
+    turn.update(state -> state.withFleet(state.fleet().withSpeeds(sampled)));
   }
 
   static Problem failure(Session session, String detail) {
--- a/core/src/main/java/io/zinniawood/core/entry/routing/ChainSelector.java
+++ b/core/src/main/java/io/zinniawood/core/entry/routing/ChainSelector.java
@@ -4,43 +4,28 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.membership.Member;
 import io.zinniawood.core.entry.routing.FlowPlan.Hop;
+import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.model.LayerRange;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.function.Predicate;
 
 /** Chooses a chain of endpoints whose layer ranges join without gap or overlap. */
 public final class ChainSelector {
   private final Vector<Stage> stages;
   private final LayerRange range;
-  private final long prefixHash;
-  private final double loadFactor;
-  private final FlowPlan plan;
-  private final Predicate<LinkPair> degraded;
+  private final Guidance guidance;
 
   /**
    * Prepares a choice.
    *
    * @param stages endpoints that may be chosen
    * @param range layers to cover
-   * @param prefixHash hash of the start of the prompt
-   * @param loadFactor load relative to the mean up to which prefix affinity holds
-   * @param plan flow that the choice follows between data centres
-   * @param degraded tells which links to avoid if there is another way
+   * @param guidance what guides the choice
    */
-  public ChainSelector(
-      Vector<Stage> stages,
-      LayerRange range,
-      long prefixHash,
-      double loadFactor,
-      FlowPlan plan,
-      Predicate<LinkPair> degraded) {
+  public ChainSelector(Vector<Stage> stages, LayerRange range, Guidance guidance) {
     this.stages = stages;
     this.range = range;
-    this.prefixHash = prefixHash;
-    this.loadFactor = loadFactor;
-    this.plan = plan;
-    this.degraded = degraded;
+    this.guidance = guidance;
   }
 
   /** Returns the chosen stages, or none if the stages do not cover the range. */
@@ -50,7 +35,8 @@
     int layer = range.fromLayer();
     while (layer < range.toLayerExclusive()) {
       Vector<Stage> candidates = candidates(layer, useful, chain);
-      Option<Stage> chosen = Choice.byPrefix(candidates, prefixHash, loadFactor);
+      Option<Stage> chosen =
+          Choice.byPrefix(candidates, guidance.prefixHash(), guidance.loadFactor());
       if (chosen.isEmpty()) {
         return Option.none();
       }
@@ -68,26 +54,30 @@
                 stage.layers().fromLayer() == layer
                     && useful.contains(stage.layers().toLayerExclusive()));
     if (chain.isEmpty()) {
-      return candidates;
+      return guidance.speeds().weigh(guidance.entry(), candidates);
     }
     Member previous = chain.last().stage().member();
+    DataCentreId from = previous.placement().dataCentre();
     Vector<Stage> sound =
         candidates.reject(
-            stage -> degraded.test(new LinkPair(previous.endpoint(), stage.member().endpoint())));
+            stage ->
+                guidance
+                    .degraded()
+                    .test(new LinkPair(previous.endpoint(), stage.member().endpoint())));
     Vector<Stage> usable = sound.isEmpty() ? candidates : sound;
-    Vector<Stage> planned = usable.flatMap(stage -> planned(layer, previous, stage)).toVector();
-    return planned.isEmpty() ? usable : planned;
+    Vector<Stage> planned = usable.flatMap(stage -> planned(layer, from, stage)).toVector();
+    return guidance.speeds().weigh(from, planned.isEmpty() ? usable : planned);
   }
 
   /** Weighs a stage by the part of its flow that comes from the previous stage's data centre. */
-  private Option<Stage> planned(int layer, Member previous, Stage stage) {
-    Hop hop =
-        new Hop(layer, previous.placement().dataCentre(), stage.member().placement().dataCentre());
-    double part = plan.part(hop);
+  private Option<Stage> planned(int layer, DataCentreId from, Stage stage) {
+    double part =
+        guidance.plan().part(new Hop(layer, from, stage.member().placement().dataCentre()));
     return Option.when(
         part > 0, () -> new Stage(stage.member(), stage.layers(), stage.weight() * part));
   }
 
+  /** Returns the layer boundaries from which some chain of the stages reaches the range's end. */
   private Set<Integer> boundariesThatReachTheEnd() {
     Set<Integer> useful = new HashSet<>();
     useful.add(range.toLayerExclusive());
--- a/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
@@ -54,6 +54,7 @@
       case 18 -> disconnectCaller(world, code, number);
       default -> {
         world.agent(name).keepsOutputs = !world.agent(name).keepsOutputs;
+        world.agent(name).failsCalls = !world.agent(name).failsCalls;
         world.brokenLinks.add(
             List.of(world.agent("a1").endpoint, world.agent("b" + (1 + code / 20 % 2)).endpoint));
       }
--- a/core/src/test/java/io/zinniawood/core/entry/ServiceRequestTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/ServiceRequestTest.java
@@ -6,8 +6,12 @@
 
 import io.vavr.control.Option;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Fence;
+import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.ClaimRow;
+import io.zinniawood.core.model.ClaimState;
 import io.zinniawood.core.model.Idempotency;
 import io.zinniawood.core.model.Outcome;
 import io.zinniawood.core.model.Problem;
@@ -124,6 +128,32 @@
     world.checks.end();
   }
 
+  // Guards against a tombstone that is taken for conclusive although the attempt has its fence.
+  @Test
+  void releasedRowWithTheFenceOfTheAttemptDecidesNothing() {
+    world.agent("s1").stalled = true;
+    world.agent("s2").stalled = true;
+    call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(2);
+    world.crash(target("c1"));
+    world.run(2);
+    EntryEffect.ReleaseClaim release = world.effects(EntryEffect.ReleaseClaim.class).get(0);
+    ClaimRow row =
+        new ClaimRow(
+            new EndpointId("s1"),
+            new Incarnation(1),
+            release.attempt(),
+            release.requestDigest(),
+            ClaimState.RELEASED,
+            new Fence(0),
+            Option.none());
+    int sent = world.effects(EntryEffect.SendToAgent.class).size();
+    world.reduce(
+        new EntryEvent.ClaimResolved(
+            release.request(), release.attempt(), new ClaimResolution.Held(row)));
+    assertThat(world.effects(EntryEffect.SendToAgent.class), hasSize(sent));
+  }
+
   // Guards against a lost idempotent call when its endpoint dies.
   @Test
   void runsIdempotentCallAgainElsewhere() {
@@ -146,6 +176,14 @@
     assertThat(problem("c2").type(), equalTo(ProblemType.IN_PROGRESS));
     assertThat(problem("c2").outcome(), equalTo(Outcome.UNKNOWN));
     assertThat(problem("c1").outcome(), equalTo(Outcome.UNKNOWN));
+    long cancels =
+        world.effects(EntryEffect.SendToAgent.class).stream()
+            .filter(
+                send ->
+                    send.message() instanceof Message.CancelDispatch cancel
+                        && cancel.request().value().equals("c2"))
+            .count();
+    assertThat(cancels, equalTo(0L));
     world.checks.end();
   }
 
