--- a/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
@@ -5,6 +5,8 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
+import io.zinniawood.core.entry.routing.StepSpeeds;
+import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.Problem;
@@ -16,6 +18,9 @@
   /** Bounds the work for one request when its endpoints fail again and again. */
   private static final int MAX_EPOCHS = 32;
 
+  /** A mean over fewer tokens says little about a stage. */
+  private static final int SPEED_TOKENS = 4;
+
   private SessionRecovery() {}
 
   /**
@@ -25,7 +30,7 @@
   static void probe(Turn turn, Session session) {
     Set<Integer> gone = disconnected(turn, session);
     if (gone.nonEmpty()) {
-      replace(turn, session, gone);
+      replace(turn, session, gone, OldStage.LOST);
     } else {
       nextEpoch(turn, session, session.chain(), SessionPhase.PROBING, HashSet.empty());
     }
@@ -41,14 +46,14 @@
                     .exists(member -> member.health().ejected(turn.nowNanos())));
     stalled.forEach(index -> Failures.failed(turn, session.chain().get(index).endpoint()));
     if (ejected || Retries.take(turn)) {
-      replace(turn, session, stalled);
+      replace(turn, session, stalled, OldStage.LOST);
     } else {
       probe(turn, session);
     }
   }
 
   /** Replaces stages by others with the same layers, or by several that cover them together. */
-  static void replace(Turn turn, Session session, Set<Integer> lost) {
+  static void replace(Turn turn, Session session, Set<Integer> lost, OldStage old) {
     if (session.epoch().value() >= MAX_EPOCHS) {
       giveUp(turn, session, "the session had %d chains".formatted(MAX_EPOCHS));
       return;
@@ -86,7 +91,12 @@
     StageSessions.take(turn, taken);
     Vector<StageAddress> removed = lost.toVector().sorted().map(session.chain()::get);
     removed.forEach(stage -> StageSessions.release(turn, stage));
-    Session retiring = session.withRetired(session.retired().appendAll(removed));
+    Session retiring = session;
+    if (old == OldStage.ANSWERS) {
+      retiring = session.withRetired(session.retired().appendAll(removed));
+    } else {
+      removed.forEach(stage -> StageSessions.closeStage(turn, session, stage));
+    }
     reportReplaced(turn, session, removed, fresh);
     nextEpoch(turn, retiring, chain, SessionPhase.OPENING, fresh);
   }
@@ -163,7 +173,7 @@
   /** Tries again to replace the stages that are gone. */
   static void unpark(Turn turn, Session session) {
     Set<Integer> gone = disconnected(turn, session).addAll(unservable(turn, session));
-    replace(turn, session, gone);
+    replace(turn, session, gone, OldStage.LOST);
   }
 
   /** Starts the request again on a new session, as nothing was delivered; otherwise fails it. */
@@ -200,9 +210,29 @@
     }
   }
 
-  /** Counts a finished answer for the health and the limit of its stages. */
+  /** Counts a finished answer for the health, the limit and the speed of its stages. */
   static void succeeded(Turn turn, Session session) {
     session.chain().forEach(stage -> Failures.succeeded(turn, stage.endpoint()));
+    boolean undisturbed = session.epoch().value() == 1;
+    if (undisturbed && session.position() >= SPEED_TOKENS) {
+      sampleSpeeds(turn, session);
+    }
+  }
+
+  private static void sampleSpeeds(Turn turn, Session session) {
+    double gapNanos = session.progress().meanGapNanos();
+    StepSpeeds speeds = turn.fleet().speeds();
+    DataCentreId from = turn.state().self().dataCentre();
+    for (StageAddress stage : session.chain()) {
+      speeds = speeds.sampled(new StepSpeeds.Step(from, stage.endpoint()), gapNanos);
+      from =
+          turn.fleet()
+              .member(stage.endpoint())
+              .map(member -> member.placement().dataCentre())
+              .getOrElse(from);
+    }
+    StepSpeeds sampled = speeds;
+    turn.update(state -> state.withFleet(state.fleet().withSpeeds(sampled)));
   }
 
   static Problem failure(Session session, String detail) {
