Flush responses that another request's handler sends

With several callers a batch was never answered: Jooby leaves the flush on an event-loop thread to the end of the channel's read, which had passed when another call's batch carried the step.

--- /dev/null
+++ b/standin/src/main/java/io/zinniawood/standin/http/ChannelAccess.java
@@ -0,0 +1,45 @@
+package io.zinniawood.standin.http;
+
+import io.jooby.Context;
+import io.jooby.ForwardingContext;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import java.lang.reflect.Field;
+
+/**
+ * Access to the Netty channel of a request. Jooby has no public access to it, so the field of its
+ * context is read by reflection.
+ */
+final class ChannelAccess {
+  private ChannelAccess() {}
+
+  /** Closes the connection. */
+  static void close(Context context) {
+    channel(context).close();
+  }
+
+  /**
+   * Flushes the connection. On an event-loop thread Jooby leaves the flush to the end of the
+   * channel's read, which does not come when another request's handler sends the response.
+   */
+  static void flushIfOnEventLoop(Context context) {
+    Channel channel = channel(context);
+    if (channel.eventLoop().inEventLoop()) {
+      channel.flush();
+    }
+  }
+
+  private static Channel channel(Context context) {
+    Context target = context;
+    while (target instanceof ForwardingContext forwarding) {
+      target = forwarding.getDelegate();
+    }
+    try {
+      Field field = target.getClass().getDeclaredField("ctx");
+      field.setAccessible(true);
+      return ((ChannelHandlerContext) field.get(target)).channel();
+    } catch (ReflectiveOperationException e) {
+      throw new IllegalStateException("this version of Jooby hides the Netty channel", e);
+    }
+  }
+}
--- a/standin/src/main/java/io/zinniawood/standin/http/Exchange.java
+++ b/standin/src/main/java/io/zinniawood/standin/http/Exchange.java
@@ -47,6 +47,7 @@
     context.setResponseCode(status);
     context.setResponseType(contentType);
     context.send(content);
+    ChannelAccess.flushIfOnEventLoop(context);
   }
 
   /** Sends a JSON response. */
@@ -79,7 +80,7 @@
 
   /** Closes the connection without a response. */
   public void cut() {
-    ConnectionCut.cut(context);
+    ChannelAccess.close(context);
   }
 
   private record Problem(int status, String detail) {}
