--- /dev/null
+++ b/report/src/test/java/io/zinniawood/report/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the renderers. */
+package io.zinniawood.report;
--- /dev/null
+++ b/report/src/test/java/io/zinniawood/report/page/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the reports. */
+package io.zinniawood.report.page;
--- /dev/null
+++ b/report/src/test/java/io/zinniawood/report/slo/BurnTest.java
@@ -0,0 +1,87 @@
+package io.zinniawood.report.slo;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class BurnTest {
+  private static final long NOW = TimeUnit.DAYS.toMillis(20_000) + TimeUnit.HOURS.toMillis(12) - 1;
+  private static final ObjectiveTarget TARGET =
+      new ObjectiveTarget("kiosk", "chat", 0.99, Option.none(), Option.none(), 0.95, 0, 28);
+  private static final Observation GOOD =
+      new Observation(Observation.Answer.ANSWERED, Observation.Latency.NOT_MEASURED, Option.none());
+  private static final Observation BAD =
+      new Observation(
+          Observation.Answer.NOT_ANSWERED,
+          Observation.Latency.NOT_MEASURED,
+          Option.of("no capacity"));
+
+  // Guards against an alert that waits for hours while every tenth request fails.
+  @Test
+  void fastAlertNeedsBothWindows() {
+    ObjectiveCounts failing = traffic(60, 20);
+    assertThat(burn(failing).alerts(), contains(BurnAlert.FAST, BurnAlert.SLOW, BurnAlert.STEADY));
+    ObjectiveCounts ended = ObjectiveCounts.empty("kiosk");
+    ended = add(ended, 60, 6, 20);
+    ended = add(ended, 6, 0, 0);
+    assertThat(
+        "the fast alert ends within 5 min of the cause",
+        burn(ended).alerts().contains(BurnAlert.FAST),
+        is(false));
+  }
+
+  // Guards against an alert for a rate that the budget allows.
+  @Test
+  void sustainableRateRaisesNoAlert() {
+    assertThat(burn(traffic(360, 0)).alerts(), is(Vector.empty()));
+    Burn quiet = burn(ObjectiveCounts.empty("kiosk"));
+    assertThat(quiet.alerts(), is(Vector.empty()));
+    assertThat("nothing is claimed without requests", quiet.budgetLeft(), is(Option.none()));
+  }
+
+  // Guards against a wrong time to exhaustion, on which an operator plans the night.
+  @Test
+  void exhaustionFollowsFromTheRateOfTheLastHour() {
+    ObjectiveCounts counts = ObjectiveCounts.empty("kiosk");
+    for (int i = 0; i < 9_900; i++) {
+      counts = counts.with(NOW - TimeUnit.DAYS.toMillis(2), GOOD);
+    }
+    for (int i = 0; i < 100; i++) {
+      counts = counts.with(NOW, i < 2 ? BAD : GOOD);
+    }
+    Burn burn = burn(counts);
+    // 2 of 10,000 failed and 100 may fail, so 98 % is left; the last hour burns at 2.
+    assertThat(burn.budgetLeft().get(), closeTo(0.98, 1e-9));
+    assertThat(burn.burnLastHour().get(), closeTo(2, 1e-9));
+    assertThat(
+        burn.millisToExhaustion().get() / 1e3, closeTo(0.98 * TimeUnit.DAYS.toSeconds(28) / 2, 1));
+    assertThat(burn.causes().head()._1(), is("no capacity"));
+  }
+
+  private static Burn burn(ObjectiveCounts counts) {
+    return Burn.of(TARGET, Indicator.ANSWERED, counts, NOW);
+  }
+
+  private static ObjectiveCounts traffic(int minutes, int badPercent) {
+    return add(ObjectiveCounts.empty("kiosk"), minutes, 0, badPercent);
+  }
+
+  /** Adds 50 requests for each minute of the past between the two ages. */
+  private static ObjectiveCounts add(
+      ObjectiveCounts counts, int fromAgeMinutes, int toAgeMinutes, int badPercent) {
+    ObjectiveCounts result = counts;
+    for (int minute = toAgeMinutes; minute < fromAgeMinutes; minute++) {
+      for (int i = 0; i < 50; i++) {
+        long atMillis = NOW - TimeUnit.MINUTES.toMillis(minute);
+        result = result.with(atMillis, i * 2 < badPercent ? BAD : GOOD);
+      }
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/report/src/test/java/io/zinniawood/report/slo/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of counts and burn rates. */
+package io.zinniawood.report.slo;
