Answer every request that waits for one attempt

Cause: an agent kept only the entry, not the request, of each dispatch that attached to a running attempt. The reply named the first request, so a repeat of the key through another entry, or a second one through the same entry, waited until its deadline and got 409 in-progress (IdempotencyTest.concurrentRepeatsThroughTwoEntriesBookOnce). Change: an attempt keeps (entry, request) pairs and replies to each; a cancel before the start also tells the other waiting requests.

--- a/core/src/main/java/io/zinniawood/core/agent/Claims.java
+++ b/core/src/main/java/io/zinniawood/core/agent/Claims.java
@@ -58,7 +58,11 @@
     Result result = new Result.Answered(row.answer().get());
     AgentState next = Ending.remember(state, nowNanos, work.attempt(), result);
     return Step.<AgentState, AgentEffect>of(next)
-        .andAll(attempt.askers().toVector().map(peer -> Replies.result(next, peer, work, result)));
+        .andAll(
+            attempt
+                .askers()
+                .toVector()
+                .map(asker -> Replies.result(next, asker, work.attempt(), result)));
   }
 
   private static Step<AgentState, AgentEffect> attachToLive(
--- a/core/src/main/java/io/zinniawood/core/agent/Ending.java
+++ b/core/src/main/java/io/zinniawood/core/agent/Ending.java
@@ -28,7 +28,11 @@
     boolean full = state.gate().finished().evicted().full(nowNanos);
     AgentState next = full ? state : remember(state, nowNanos, work.attempt(), result);
     return Step.<AgentState, AgentEffect>of(next)
-        .andAll(attempt.askers().toVector().map(peer -> Replies.result(next, peer, work, result)));
+        .andAll(
+            attempt
+                .askers()
+                .toVector()
+                .map(asker -> Replies.result(next, asker, work.attempt(), result)));
   }
 
   /** Refuses or fails a live attempt. */
@@ -44,7 +48,7 @@
         attempt
             .askers()
             .toVector()
-            .map(peer -> Replies.refusal(peer, attempt.dispatch(), reason, outcome, claim));
+            .map(asker -> Replies.refusal(asker, id, reason, outcome, claim));
     return Change.then(
         Step.<AgentState, AgentEffect>of(state).andAll(refusals),
         next -> end(next, nowNanos, id, new Result.Refused(reason, outcome, claim)));
@@ -57,10 +61,7 @@
     Result result = new Result.Answered(answer);
     Step<AgentState, AgentEffect> ended = end(state, nowNanos, id, result);
     Vector<AgentEffect> replies =
-        attempt
-            .askers()
-            .toVector()
-            .map(peer -> Replies.result(ended.state(), peer, attempt.dispatch(), result));
+        attempt.askers().toVector().map(asker -> Replies.result(ended.state(), asker, id, result));
     return new Step<>(ended.state(), replies.appendAll(ended.effects()));
   }
 
--- a/core/src/main/java/io/zinniawood/core/agent/Gate.java
+++ b/core/src/main/java/io/zinniawood/core/agent/Gate.java
@@ -2,6 +2,7 @@
 
 import io.vavr.Tuple2;
 import io.vavr.collection.HashSet;
+import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import io.zinniawood.core.agent.GateState.Attempt;
 import io.zinniawood.core.agent.GateState.Phase;
@@ -37,26 +38,36 @@
       return Step.of(
           state,
           Replies.refusal(
-              peer, work, RefusalReason.WRONG_INCARNATION, Outcome.NOT_RUN, Option.none()));
+              Asker.of(peer, work),
+              id,
+              RefusalReason.WRONG_INCARNATION,
+              Outcome.NOT_RUN,
+              Option.none()));
     }
     Option<FinishedAttempts.Result> ended = state.gate().finished().get(id);
     if (ended.isDefined()) {
-      return Step.of(state, Replies.result(state, peer, work, ended.get()));
+      return Step.of(state, Replies.result(state, Asker.of(peer, work), id, ended.get()));
     }
     if (state.gate().finished().evicted().contains(id)) {
       return Step.of(
           state,
           Replies.refusal(
-              peer, work, RefusalReason.RESULT_EVICTED, Outcome.UNKNOWN, Option.none()));
+              Asker.of(peer, work),
+              id,
+              RefusalReason.RESULT_EVICTED,
+              Outcome.UNKNOWN,
+              Option.none()));
     }
     Option<Attempt> live = state.gate().live().get(id);
     if (live.isDefined()) {
-      return Step.of(withAttempt(state, id, live.get().askedBy(peer)));
+      return Step.of(withAttempt(state, id, live.get().askedBy(Asker.of(peer, work))));
     }
     long remainingMillis = Math.min(work.remainingMillis(), MAX_REMAINING_MILLIS);
     long deadlineNanos = nowNanos + remainingMillis * NANOS_PER_MILLI;
     return admit(
-        state, nowNanos, new Attempt(work, HashSet.of(peer), Phase.QUEUED, deadlineNanos, 0));
+        state,
+        nowNanos,
+        new Attempt(work, HashSet.of(Asker.of(peer, work)), Phase.QUEUED, deadlineNanos, 0));
   }
 
   /** Admits an attempt that is not in the state. */
@@ -230,20 +241,38 @@
       PeerId peer,
       Message.CancelDispatch cancel,
       Attempt attempt) {
-    AgentEffect notStarted = Replies.cancelled(peer, cancel, CancelOutcome.NOT_STARTED);
+    Vector<AgentEffect> notStarted =
+        otherAskers(attempt, new Asker(peer, cancel.request()))
+            .prepend(Replies.cancelled(peer, cancel, CancelOutcome.NOT_STARTED));
     return switch (attempt.phase()) {
       case QUEUED ->
           Change.then(
-              Step.of(state, notStarted),
+              new Step<>(state, notStarted),
               next -> Ending.end(next, nowNanos, cancel.attempt(), Ending.CANCELLED));
       case CLAIMING ->
-          Step.of(Claims.abandon(state, nowNanos, attempt, Ending.CANCELLED), notStarted);
+          new Step<>(Claims.abandon(state, nowNanos, attempt, Ending.CANCELLED), notStarted);
       // A waiter shares the run of another attempt, so "not started" would be untrue for its key.
       case WAITING, CALLING, ABANDONED ->
           Step.of(state, Replies.cancelled(peer, cancel, CancelOutcome.RUNNING));
     };
   }
 
+  /** Tells the other requests that wait for a cancelled attempt that it did not run. */
+  private static Vector<AgentEffect> otherAskers(Attempt attempt, Asker cancelling) {
+    return attempt
+        .askers()
+        .remove(cancelling)
+        .toVector()
+        .map(
+            asker ->
+                Replies.refusal(
+                    asker,
+                    attempt.dispatch().attempt(),
+                    RefusalReason.CANCELLED,
+                    Outcome.NOT_RUN,
+                    Option.none()));
+  }
+
   static AgentState withAttempt(AgentState state, AttemptId id, Attempt attempt) {
     return state.withGate(state.gate().withLive(state.gate().live().put(id, attempt)));
   }
--- a/core/src/main/java/io/zinniawood/core/agent/GateState.java
+++ b/core/src/main/java/io/zinniawood/core/agent/GateState.java
@@ -50,14 +50,14 @@
    * Attempt that has not ended.
    *
    * @param dispatch the work
-   * @param askers entries that wait for the result
+   * @param askers requests that wait for the result
    * @param phase phase
    * @param deadlineNanos time after which the call must not start
    * @param startedNanos time at which the call started
    */
   record Attempt(
       Message.Dispatch dispatch,
-      Set<PeerId> askers,
+      Set<Asker> askers,
       Phase phase,
       long deadlineNanos,
       long startedNanos) {
@@ -69,8 +69,8 @@
       return new Attempt(dispatch, askers, Phase.CALLING, deadlineNanos, nowNanos);
     }
 
-    Attempt askedBy(PeerId peer) {
-      return new Attempt(dispatch, askers.add(peer), phase, deadlineNanos, startedNanos);
+    Attempt askedBy(Asker asker) {
+      return new Attempt(dispatch, askers.add(asker), phase, deadlineNanos, startedNanos);
     }
   }
 
--- a/core/src/main/java/io/zinniawood/core/agent/Replies.java
+++ b/core/src/main/java/io/zinniawood/core/agent/Replies.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.agent;
 
 import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
 import io.zinniawood.core.message.Message;
 import io.zinniawood.core.model.CancelOutcome;
 import io.zinniawood.core.model.ClaimRow;
@@ -12,25 +13,26 @@
   private Replies() {}
 
   static AgentEffect refusal(
-      PeerId peer,
-      Message.Dispatch work,
+      Asker asker,
+      AttemptId attempt,
       RefusalReason reason,
       Outcome outcome,
       Option<ClaimRow> claim) {
     return new AgentEffect.Send(
-        peer, new Message.DispatchRefused(work.request(), work.attempt(), reason, outcome, claim));
+        asker.peer(),
+        new Message.DispatchRefused(asker.request(), attempt, reason, outcome, claim));
   }
 
   static AgentEffect result(
-      AgentState state, PeerId peer, Message.Dispatch work, FinishedAttempts.Result result) {
+      AgentState state, Asker asker, AttemptId attempt, FinishedAttempts.Result result) {
     if (result instanceof FinishedAttempts.Result.Answered answered) {
       return new AgentEffect.Send(
-          peer,
+          asker.peer(),
           new Message.DispatchReply(
-              work.request(), work.attempt(), answered.answer(), Statuses.load(state)));
+              asker.request(), attempt, answered.answer(), Statuses.load(state)));
     }
     FinishedAttempts.Result.Refused refused = (FinishedAttempts.Result.Refused) result;
-    return refusal(peer, work, refused.reason(), refused.outcome(), refused.claim());
+    return refusal(asker, attempt, refused.reason(), refused.outcome(), refused.claim());
   }
 
   static AgentEffect cancelled(PeerId peer, Message.CancelDispatch cancel, CancelOutcome outcome) {
