Let taken requests wait for an endpoint; wake waiting sessions at once

A request that had been taken failed when its retry found every endpoint busy, and a session without a stage polled although an endpoint had come back.

--- a/core/src/main/java/io/zinniawood/core/entry/Attempts.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Attempts.java
@@ -22,7 +22,10 @@
 
   private Attempts() {}
 
-  /** Sends a new attempt to the best endpoint. */
+  /**
+   * Sends a new attempt to the best endpoint. If there is none, a request that was taken before
+   * waits for one until its deadline; a new one is refused, as its caller can still go elsewhere.
+   */
   static void dispatch(Turn turn, ServiceRequest request) {
     var arrival = request.arrival();
     Option<Choosing> target =
@@ -32,7 +35,11 @@
                     Selection.service(
                         turn, arrival.service(), HashSet.empty(), arrival.priority()));
     if (target.isEmpty()) {
-      Answers.failService(turn, request, noEndpoint(turn, request));
+      if (request.attempts() > 0) {
+        retryLater(turn, request);
+      } else {
+        Answers.failService(turn, request, noEndpoint(turn, request));
+      }
       return;
     }
     var member = target.get().stage().member();
--- a/core/src/main/java/io/zinniawood/core/entry/Membership.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Membership.java
@@ -124,6 +124,7 @@
   }
 
   static void status(Turn turn, EndpointId endpoint, Message.Status status) {
+    boolean tookWork = turn.fleet().member(endpoint).exists(Member::takesWork);
     boolean leaves =
         status.state() == ServingState.LEAVING
             && turn.fleet().member(endpoint).exists(member -> !member.leaving());
@@ -147,6 +148,9 @@
     if (leaves) {
       connectSubset(turn);
     }
+    if (!tookWork && turn.fleet().member(endpoint).exists(Member::takesWork)) {
+      SessionFailures.endpointAvailable(turn);
+    }
   }
 
   /** Takes the notice that an endpoint leaves; it comes before the VM list shows it. */
--- a/core/src/main/java/io/zinniawood/core/entry/ModelRequests.java
+++ b/core/src/main/java/io/zinniawood/core/entry/ModelRequests.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.configuration.ModelDefinition;
 import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
+import io.zinniawood.core.id.ModelId;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.Outcome;
 import io.zinniawood.core.model.Problem;
@@ -27,7 +28,12 @@
     }
     Retries.requested(turn);
     Session session =
-        Session.first(turn.nextSession(), event, 1, Vector.empty(), Progress.none(turn.nowNanos()))
+        Session.first(
+                turn.nextSession(),
+                bounded(turn, event),
+                1,
+                Vector.empty(),
+                Progress.none(turn.nowNanos()))
             .withPhase(SessionPhase.DELAYED);
     turn.putSession(session);
     OpenRequests.put(turn, event.request(), new OpenRequest.OfModel(session.id()));
@@ -36,7 +42,31 @@
     route(turn, session);
   }
 
-  /** Chooses a chain for a session without stages and opens it. */
+  /** Limits the answer to the most tokens of the model, which also bounds the kept tokens. */
+  private static EntryEvent.ModelRequestArrived bounded(
+      Turn turn, EntryEvent.ModelRequestArrived event) {
+    int most =
+        turn.cluster()
+            .models()
+            .get(event.model())
+            .map(ModelDefinition::maxTokens)
+            .getOrElse(event.maxTokens());
+    return new EntryEvent.ModelRequestArrived(
+        event.request(),
+        event.clientAccount(),
+        event.model(),
+        event.prompt(),
+        event.prefixHash(),
+        event.promptTokens(),
+        Math.max(1, Math.min(most, event.maxTokens())),
+        event.priority(),
+        event.deadlineNanos());
+  }
+
+  /**
+   * Chooses a chain for a session without stages and opens it. If there is none, a request that was
+   * taken before waits for one until its deadline, and a new one is refused.
+   */
   static void route(Turn turn, Session session) {
     var arrival = session.arrival();
     Option<ModelDefinition> model = turn.cluster().models().get(arrival.model());
@@ -51,8 +81,14 @@
     LayerRange all = new LayerRange(0, model.get().layers());
     Option<Vector<Choosing>> chain =
         Selection.chain(turn, all, arrival, HashSet.empty(), Headroom.ofNew(arrival.priority()));
+    if (chain.isEmpty() && session.sessions() > 1) {
+      turn.startTimer(
+          new EntryTimer.RetryDelay(arrival.request()),
+          Retries.delayNanos(turn, session.sessions()));
+      return;
+    }
     if (chain.isEmpty()) {
-      Answers.failModel(turn, session, noChain(turn, session, all));
+      Answers.failModel(turn, session, noChain(turn, arrival.model(), all));
       return;
     }
     StageSessions.take(turn, chain.get());
@@ -77,17 +113,13 @@
         turn, session, session.inputSent() ? Outcome.UNKNOWN : Outcome.NOT_RUN, Option.none());
   }
 
-  private static Problem noChain(Turn turn, Session session, LayerRange all) {
-    var model = session.arrival().model();
+  private static Problem noChain(Turn turn, ModelId model, LayerRange all) {
     boolean served = Plans.of(turn, model).tokensPerSecond() > 0;
     String detail =
         served
             ? "every chain of model %s is at its limit".formatted(model)
             : "no chain of endpoints covers layers [0, %d) of model %s"
                 .formatted(all.toLayerExclusive(), model);
-    if (session.inputSent()) {
-      return Problem.unknown(ProblemType.ENDPOINT_FAILED, detail);
-    }
     return Problem.notRunRetry(
         served ? ProblemType.OVERLOADED : ProblemType.NO_ENDPOINT, detail, 500);
   }
--- a/core/src/main/java/io/zinniawood/core/entry/Repair.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Repair.java
@@ -46,16 +46,19 @@
     }
   }
 
+  /**
+   * Takes the result of an order. The grace time starts again, in which a loaded range shows up in
+   * the endpoint's status, or the cause of a failure may pass.
+   */
   static void result(Turn turn, EndpointId endpoint, Message.OrderResult message) {
     Option<Controller.Order> order = orders(turn).get(message.order());
     if (order.isEmpty() || !order.get().endpoint().equals(endpoint)) {
       return;
     }
     setOrders(turn, orders(turn).remove(message.order()));
+    setShort(turn, shortSince(turn).put(order.get().model(), turn.nowNanos()));
     if (message.outcome() == OrderOutcome.STALE_FENCING_NUMBER) {
       Leases.superseded(turn);
-    } else if (message.outcome() != OrderOutcome.DONE) {
-      setShort(turn, shortSince(turn).put(order.get().model(), turn.nowNanos()));
     }
   }
 
--- a/core/src/main/java/io/zinniawood/core/entry/SessionFailures.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionFailures.java
@@ -123,6 +123,18 @@
     }
   }
 
+  /** Continues the sessions that wait for a stage, as an endpoint has become available. */
+  static void endpointAvailable(Turn turn) {
+    Vector<Session> parked =
+        turn.state()
+            .sessions()
+            .values()
+            .filter(session -> session.phase() == SessionPhase.PARKED)
+            .toVector()
+            .sortBy(Session::id);
+    parked.forEach(session -> SessionRecovery.unpark(turn, session));
+  }
+
   private static Vector<Session> sessionsAt(
       Turn turn, EndpointId endpoint, Incarnation incarnation) {
     return turn.state()
--- a/core/src/test/java/io/zinniawood/core/entry/Checks.java
+++ b/core/src/test/java/io/zinniawood/core/entry/Checks.java
@@ -201,10 +201,6 @@
                     null));
   }
 
-  boolean completed(String request) {
-    return answered.contains(new RequestId(request)) && !notRun.contains(new RequestId(request));
-  }
-
   private static void require(boolean holds, String message, EntryEffect effect) {
     if (!holds) {
       throw new AssertionError(effect == null ? message : message + ": " + effect);
--- a/core/src/test/java/io/zinniawood/core/entry/DispatchDifferentialTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/DispatchDifferentialTest.java
@@ -40,7 +40,11 @@
     Arrays.fill(pass, 0);
     Arrays.fill(inFlight, 0);
     Arrays.fill(others, 0);
-    World world = world();
+    World world = new World(3);
+    for (int i = 0; i < CAPACITY.length; i++) {
+      world.add("s" + i, new Capability.PlainService(Fixtures.CREDIT, CAPACITY[i]));
+    }
+    world.start();
     List<Message.Dispatch> open = new ArrayList<>();
     Map<AttemptId, Integer> places = new HashMap<>();
     int number = 0;
@@ -66,15 +70,6 @@
     }
   }
 
-  private static World world() {
-    World world = new World(3);
-    for (int i = 0; i < CAPACITY.length; i++) {
-      world.add("s" + i, new Capability.PlainService(Fixtures.CREDIT, CAPACITY[i]));
-    }
-    world.start();
-    return world;
-  }
-
   private static void reply(World world, Message.Dispatch done, int place, int running) {
     FakeAgent agent = world.agent("s" + place);
     world.reduce(
--- a/core/src/test/java/io/zinniawood/core/entry/FakeAgent.java
+++ b/core/src/test/java/io/zinniawood/core/entry/FakeAgent.java
@@ -13,6 +13,7 @@
 import io.zinniawood.core.model.Capability;
 import io.zinniawood.core.model.ClaimKey;
 import io.zinniawood.core.model.ClaimRow;
+import io.zinniawood.core.model.ClaimState;
 import io.zinniawood.core.model.FinishReason;
 import io.zinniawood.core.model.Idempotency;
 import io.zinniawood.core.model.LayerRange;
@@ -107,7 +108,10 @@
     }
     if (stage == null) {
       stage = new Stage();
-      open.importFrom().flatMap(from -> world.stageAt(from, open.session())).forEach(stage::copy);
+      List<String> kept = stage.kept;
+      open.importFrom()
+          .flatMap(from -> world.stageAt(from, open.session()))
+          .forEach(old -> kept.addAll(old.kept));
       sessions.put(open.session(), stage);
     }
     stage.epoch = open.epoch();
@@ -217,9 +221,16 @@
         return;
       }
       String digest = RequestDigest.of(dispatch.call());
-      Option<ClaimRow> row =
-          world.table.claim(
-              key(dispatch), endpoint, incarnation, dispatch.attempt(), digest, dispatch.fence());
+      ClaimRow claim =
+          new ClaimRow(
+              endpoint,
+              incarnation,
+              dispatch.attempt(),
+              digest,
+              ClaimState.STARTED,
+              dispatch.fence(),
+              Option.none());
+      Option<ClaimRow> row = world.table.claim(key(dispatch), claim);
       if (row.isDefined()) {
         call.state = CallState.CANCELLED;
         boolean same = row.get().requestDigest().equals(digest);
@@ -301,10 +312,6 @@
     final List<String> kept = new ArrayList<>();
     Epoch epoch = new Epoch(0);
     Message.OpenSession open;
-
-    void copy(Stage other) {
-      kept.addAll(other.kept);
-    }
   }
 
   /** Attempt in the gate. */
--- a/core/src/test/java/io/zinniawood/core/entry/FakeTable.java
+++ b/core/src/test/java/io/zinniawood/core/entry/FakeTable.java
@@ -1,7 +1,6 @@
 package io.zinniawood.core.entry;
 
 import io.vavr.control.Option;
-import io.zinniawood.core.id.AttemptId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Fence;
 import io.zinniawood.core.id.Incarnation;
@@ -20,27 +19,17 @@
   boolean down;
   boolean losesResponses;
 
-  /** Claims the key for an attempt; returns the row that stands in the way, if any. */
-  Option<ClaimRow> claim(
-      ClaimKey key,
-      EndpointId owner,
-      Incarnation incarnation,
-      AttemptId attempt,
-      String digest,
-      Fence fence) {
+  /** Claims the key with a row; returns the row that stands in the way, if any. */
+  Option<ClaimRow> claim(ClaimKey key, ClaimRow claim) {
     ClaimRow row = claims.get(key);
     boolean free =
         row == null
-            ? fence.value() == 0
-            : row.state() == ClaimState.RELEASED && row.fence().equals(fence);
-    if (!free) {
-      return Option.of(row);
+            ? claim.fence().value() == 0
+            : row.state() == ClaimState.RELEASED && row.fence().equals(claim.fence());
+    if (free) {
+      claims.put(key, claim);
     }
-    claims.put(
-        key,
-        new ClaimRow(
-            owner, incarnation, attempt, digest, ClaimState.STARTED, fence, Option.none()));
-    return Option.none();
+    return free ? Option.none() : Option.of(row);
   }
 
   void finish(ClaimKey key, ServiceAnswer answer) {
--- a/core/src/test/java/io/zinniawood/core/entry/LimitsTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/LimitsTest.java
@@ -149,8 +149,7 @@
   }
 
   private List<ProblemType> problems() {
-    return world.effects(EntryEffect.ReplyProblem.class).stream()
-        .map(reply -> reply.problem().type())
-        .toList();
+    var replies = world.effects(EntryEffect.ReplyProblem.class);
+    return replies.stream().map(reply -> reply.problem().type()).toList();
   }
 }
