--- a/core/src/main/java/io/zinniawood/core/entry/Repair.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Repair.java
@@ -26,7 +26,14 @@
   private Repair() {}
 
   static void tick(Turn turn) {
-    if (!turn.state().controller().lease().mayOrder(turn.nowNanos()) || !seesFleet(turn)) {
+    if (!turn.state().controller().lease().mayOrder(turn.nowNanos())) {
+      return;
+    }
+    if (!seesFleet(turn)) {
+      turn.incidentOnce(
+          IncidentKind.RANGE_UNDERSERVED,
+          turn.state().self().vm().value(),
+          "no repair: this entry does not reach enough listed endpoints to judge their layers");
       return;
     }
     setOrders(
@@ -39,16 +46,19 @@
     }
   }
 
+  /**
+   * Takes the result of an order. The grace time starts again, in which a loaded range shows up in
+   * the endpoint's status, or the cause of a failure may pass.
+   */
   static void result(Turn turn, EndpointId endpoint, Message.OrderResult message) {
     Option<Controller.Order> order = orders(turn).get(message.order());
     if (order.isEmpty() || !order.get().endpoint().equals(endpoint)) {
       return;
     }
     setOrders(turn, orders(turn).remove(message.order()));
+    setShort(turn, shortSince(turn).put(order.get().model(), turn.nowNanos()));
     if (message.outcome() == OrderOutcome.STALE_FENCING_NUMBER) {
       Leases.superseded(turn);
-    } else if (message.outcome() != OrderOutcome.DONE) {
-      setShort(turn, shortSince(turn).put(order.get().model(), turn.nowNanos()));
     }
   }
 
@@ -93,6 +103,11 @@
   private static void order(Turn turn, ModelDefinition model, LayerRange range) {
     Option<Member> donor = donor(turn, model, range);
     if (donor.isEmpty()) {
+      turn.incidentOnce(
+          IncidentKind.RANGE_UNDERSERVED,
+          model.id().value(),
+          "layers [%d, %d) are not repaired: no idle endpoint has layers with replicas to spare"
+              .formatted(range.fromLayer(), range.toLayerExclusive()));
       return;
     }
     Member member = donor.get();
