--- a/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
+++ b/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
@@ -69,8 +69,9 @@
     }
   }
 
-  boolean alive() {
-    return process.isAlive();
+  /** Returns the processor time and memory that the process has used. */
+  ProcessUse use() {
+    return ProcessUse.of(process.pid());
   }
 
   @Override
