--- a/dist/src/test/java/io/zinniawood/dist/CostBenchmark.java
+++ b/dist/src/test/java/io/zinniawood/dist/CostBenchmark.java
@@ -32,7 +32,7 @@
     PrintStream out = System.out;
     out.printf(
         Locale.ROOT,
-        "CostBenchmark: %d rounds, %.0f requests/s, answers of %d and %d tokens, %d ms each, seed %d%n",
+        "CostBenchmark: %d rounds, %.0f requests/s, %d and %d tokens, %d ms each, seed %d%n",
         ROUNDS,
         REQUESTS_PER_SECOND,
         SHORT_TOKENS,
