--- a/core/src/main/java/io/zinniawood/core/entry/Progress.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Progress.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
+import io.zinniawood.core.id.Epoch;
 
 /**
  * Tokens of a session that were delivered to the caller.
@@ -11,6 +12,7 @@
  * @param firstTokenNanos monotonic time of the first token in nanoseconds, 0 before it
  * @param lastTokenNanos monotonic time of the last token in nanoseconds
  * @param movedNanos monotonic time of the last sign of progress in nanoseconds
+ * @param tokenEpoch epoch of the last token, 0 before the first one
  * @param reached sum of the stages' next positions when they were last probed
  * @param slowestGapNanos longest time between two tokens in nanoseconds
  */
@@ -20,11 +22,12 @@
     long firstTokenNanos,
     long lastTokenNanos,
     long movedNanos,
+    long tokenEpoch,
     int reached,
     long slowestGapNanos) {
 
   static Progress none(long nowNanos) {
-    return new Progress(Vector.empty(), nowNanos, 0, nowNanos, nowNanos, 0, 0);
+    return new Progress(Vector.empty(), nowNanos, 0, nowNanos, nowNanos, 0, 0, 0);
   }
 
   /** Returns the position whose token comes next. */
@@ -32,7 +35,7 @@
     return tokens.length();
   }
 
-  Progress delivered(String text, long nowNanos) {
+  Progress delivered(String text, Epoch epoch, long nowNanos) {
     boolean first = tokens.isEmpty();
     return new Progress(
         tokens.append(text),
@@ -40,13 +43,21 @@
         first ? nowNanos : firstTokenNanos,
         nowNanos,
         nowNanos,
+        epoch.value(),
         reached,
         first ? 0 : Math.max(slowestGapNanos, nowNanos - lastTokenNanos));
   }
 
   Progress moved(long nowNanos) {
     return new Progress(
-        tokens, arrivedNanos, firstTokenNanos, lastTokenNanos, nowNanos, reached, slowestGapNanos);
+        tokens,
+        arrivedNanos,
+        firstTokenNanos,
+        lastTokenNanos,
+        nowNanos,
+        tokenEpoch,
+        reached,
+        slowestGapNanos);
   }
 
   Progress probed(int nextReached) {
@@ -56,6 +67,7 @@
         firstTokenNanos,
         lastTokenNanos,
         movedNanos,
+        tokenEpoch,
         nextReached,
         slowestGapNanos);
   }
--- a/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
@@ -4,18 +4,16 @@
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
-import io.zinniawood.core.entry.routing.ChainSelector.Choosing;
 import io.zinniawood.core.entry.routing.StepSpeeds;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
-import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.Problem;
 import io.zinniawood.core.model.ProblemType;
 import io.zinniawood.core.model.StageAddress;
 
 /** Replaces lost or stalled stages, or gives the session up. */
 final class SessionRecovery {
-  /** Bounds the work for one request when its endpoints fail again and again. */
+  /** Epochs without a token; bounds the work for a request whose endpoints fail repeatedly. */
   private static final int MAX_EPOCHS = 32;
 
   /** A mean over fewer tokens says little about a stage. */
@@ -28,6 +26,9 @@
    * that they report tell where the step stopped.
    */
   static void probe(Turn turn, Session session) {
+    if (exhausted(turn, session)) {
+      return;
+    }
     Set<Integer> gone = disconnected(turn, session);
     if (gone.nonEmpty()) {
       replace(turn, session, gone, OldStage.LOST);
@@ -52,43 +53,22 @@
     }
   }
 
-  /** Replaces stages by others with the same layers, or by several that cover them together. */
+  /** Replaces stages and goes on in the next epoch, or waits until there are substitutes. */
   static void replace(Turn turn, Session session, Set<Integer> lost, OldStage old) {
-    if (session.epoch().value() >= MAX_EPOCHS) {
-      giveUp(turn, session, "the session had %d chains".formatted(MAX_EPOCHS));
+    if (exhausted(turn, session)) {
       return;
     }
     if (lost.isEmpty()) {
       nextEpoch(turn, session, session.chain(), SessionPhase.OPENING, HashSet.empty());
       return;
     }
-    Vector<StageAddress> chain = Vector.empty();
-    Set<EndpointId> fresh = HashSet.empty();
-    Vector<Choosing> taken = Vector.empty();
-    int index = 0;
-    while (index < session.chain().length()) {
-      StageAddress stage = session.chain().get(index);
-      if (!lost.contains(index)) {
-        chain = chain.append(stage);
-        index++;
-        continue;
-      }
-      int end = index;
-      while (end < session.chain().length() && lost.contains(end)) {
-        end++;
-      }
-      Option<Vector<Choosing>> found = substitute(turn, session, lost, index, end);
-      if (found.isEmpty()) {
-        park(turn, session, lost);
-        return;
-      }
-      Vector<StageAddress> addresses = StageSessions.addresses(found.get());
-      chain = chain.appendAll(addresses);
-      fresh = fresh.addAll(addresses.map(StageAddress::endpoint));
-      taken = taken.appendAll(found.get());
-      index = end;
+    Option<ChainRepair> found = ChainRepair.of(turn, session, lost);
+    if (found.isEmpty()) {
+      park(turn, session, lost);
+      return;
     }
-    StageSessions.take(turn, taken);
+    ChainRepair repair = found.get();
+    StageSessions.take(turn, repair.substitutes());
     Vector<StageAddress> removed = lost.toVector().sorted().map(session.chain()::get);
     removed.forEach(stage -> StageSessions.release(turn, stage));
     Session retiring = session;
@@ -97,34 +77,8 @@
     } else {
       removed.forEach(stage -> StageSessions.closeStage(turn, session, stage));
     }
-    reportReplaced(turn, session, removed, fresh);
-    nextEpoch(turn, retiring, chain, SessionPhase.OPENING, fresh);
-  }
-
-  private static Option<Vector<Choosing>> substitute(
-      Turn turn, Session session, Set<Integer> lost, int from, int endExclusive) {
-    LayerRange range =
-        new LayerRange(
-            session.chain().get(from).layers().fromLayer(),
-            session.chain().get(endExclusive - 1).layers().toLayerExclusive());
-    Set<EndpointId> avoid = session.chain().map(StageAddress::endpoint).toSet();
-    Option<Vector<Choosing>> others =
-        Selection.chain(turn, range, session.arrival(), avoid, headroom(session));
-    if (others.isDefined()) {
-      return others;
-    }
-    Set<EndpointId> survivors =
-        Vector.range(0, session.chain().length())
-            .reject(lost::contains)
-            .map(index -> session.chain().get(index).endpoint())
-            .toSet();
-    Vector<StageAddress> given = lost.toVector().map(session.chain()::get);
-    return Selection.chain(turn, range, session.arrival(), survivors, headroom(session))
-        .filter(chain -> !StageSessions.addresses(chain).exists(stage -> sameRun(given, stage)));
-  }
-
-  private static Headroom headroom(Session session) {
-    return session.inputSent() ? Headroom.RECOVERY : Headroom.ofNew(session.arrival().priority());
+    reportReplaced(turn, session, removed, repair.fresh());
+    nextEpoch(turn, retiring, repair.chain(), SessionPhase.OPENING, repair.fresh());
   }
 
   /** Tells whether one of the stages is the same run of the same endpoint. */
@@ -142,16 +96,21 @@
       SessionPhase phase,
       Set<EndpointId> fresh) {
     turn.cancelTimer(new EntryTimer.SessionProgress(session.id(), session.epoch()));
-    if (session.epoch().value() >= MAX_EPOCHS) {
-      giveUp(turn, session, "the session had %d chains".formatted(MAX_EPOCHS));
-    } else {
-      Set<EndpointId> rebuilt =
-          fresh.addAll(
-              session.phase().awaitsStages() || session.phase() == SessionPhase.PARKED
-                  ? session.fresh().filter(e -> chain.exists(s -> s.endpoint().equals(e)))
-                  : HashSet.empty());
-      StageSessions.open(turn, session.nextEpoch(chain, phase, rebuilt));
+    Set<EndpointId> rebuilt =
+        fresh.addAll(
+            session.phase().awaitsStages() || session.phase() == SessionPhase.PARKED
+                ? session.fresh().filter(e -> chain.exists(s -> s.endpoint().equals(e)))
+                : HashSet.empty());
+    StageSessions.open(turn, session.nextEpoch(chain, phase, rebuilt));
+  }
+
+  /** Gives up a session whose chains brought no token for too long. */
+  private static boolean exhausted(Turn turn, Session session) {
+    boolean exhausted = session.epoch().value() - session.progress().tokenEpoch() >= MAX_EPOCHS;
+    if (exhausted) {
+      giveUp(turn, session, "%d chains brought no token".formatted(MAX_EPOCHS));
     }
+    return exhausted;
   }
 
   /**
--- a/core/src/main/java/io/zinniawood/core/entry/StageSessions.java
+++ b/core/src/main/java/io/zinniawood/core/entry/StageSessions.java
@@ -89,7 +89,8 @@
       return;
     }
     Session moved =
-        session.withProgress(session.progress().delivered(message.text(), turn.nowNanos()));
+        session.withProgress(
+            session.progress().delivered(message.text(), session.epoch(), turn.nowNanos()));
     turn.emit(new EntryEffect.ReplyToken(session.arrival().request(), message.text()));
     Option<FinishReason> finish =
         message
