Test drain, relay, agent links and store effects

A link that closed itself while opening recursed without end, and a replaced link could report a failure for its successor; both are fixed. The grace of a drain follows the settings, an accepted configuration is taken at once, and responses ask callers to reconnect while the entry drains. Tests cover silent pollers, lost table responses, fences of repeated releases and replaced links.

--- a/entry/src/main/java/io/zinniawood/entry/EntryDependencies.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryDependencies.java
@@ -20,7 +20,7 @@
  * @param generation generation that the wire stamps on messages; raised by the process
  * @param table the platform's table
  * @param vmList the platform's VM list
- * @param configuration reads and parses configurations
+ * @param configuration reads and parses configurations; the process closes it
  * @param reducer decisions
  * @param initialState state before the first event
  * @param observer learns results and incidents
--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -29,6 +29,7 @@
 import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -127,7 +128,11 @@
   private final class LoopTimers implements EntryEffects.Timers {
     @Override
     public void start(EntryTimer timer, long delayNanos, EntryEvent event) {
-      loop.startTimer(timer, delayNanos, event);
+      // The settings know how long the balancer takes to notice; the reducer has a default.
+      boolean grace = timer instanceof EntryTimer.DrainGrace;
+      long graceMillis = dependencies.settings().drainGraceMillis();
+      loop.startTimer(
+          timer, grace ? TimeUnit.MILLISECONDS.toNanos(graceMillis) : delayNanos, event);
     }
 
     @Override
@@ -151,7 +156,12 @@
                 settings.admin(), ADMIN_MAX_BODY_BYTES, ADMIN_IO_THREADS, adminRoutes::install));
     CallerRoutes callerRoutes =
         new CallerRoutes(
-            view::get, openRequests, new RequestIds(), loop::post, dependencies.clockNanos());
+            view::get,
+            readiness::get,
+            openRequests,
+            new RequestIds(),
+            loop::post,
+            dependencies.clockNanos());
     callers =
         Option.some(
             HttpServer.start(
@@ -164,6 +174,7 @@
       throw new IllegalStateException(
           "cannot listen on %s: %s".formatted(settings.peers(), listening.getLeft().detail()));
     }
+    dependencies.configuration().onNewer(this::collectConfiguration);
     ScheduledFuture<?> unused =
         ticker.scheduleWithFixedDelay(this::tick, 0, settings.pollMillis(), TimeUnit.MILLISECONDS);
   }
@@ -177,6 +188,14 @@
     }
   }
 
+  private void collectConfiguration() {
+    try {
+      ticker.execute(relay::collectConfiguration);
+    } catch (RejectedExecutionException closed) {
+      dependencies.logger().log(Level.DEBUG, "entry is closed, configuration not taken");
+    }
+  }
+
   private void onAccepted(AcceptedConfiguration accepted) {
     view.set(Option.some(AcceptedView.of(accepted)));
     loop.post(new EntryEvent.ConfigurationAccepted(accepted));
@@ -223,6 +242,7 @@
     callers.forEach(HttpServer::close);
     admin.forEach(HttpServer::close);
     dependencies.wire().close();
+    dependencies.configuration().close();
     loop.close();
     stopped.complete(true);
   }
--- a/entry/src/main/java/io/zinniawood/entry/acceptance/SyncedFeed.java
+++ b/entry/src/main/java/io/zinniawood/entry/acceptance/SyncedFeed.java
@@ -18,10 +18,11 @@
 import java.util.function.Consumer;
 
 /** Feed of an entry that accepts edits with a {@link ConfigurationSync}. */
-public final class SyncedFeed implements ConfigurationFeed, AutoCloseable {
+public final class SyncedFeed implements ConfigurationFeed {
   private final ConfigurationSync sync;
   private final AtomicReference<Option<AcceptedConfiguration>> latest =
       new AtomicReference<>(Option.none());
+  private final AtomicReference<Runnable> onNewer = new AtomicReference<>(() -> {});
 
   /**
    * Creates and starts a feed.
@@ -40,19 +41,34 @@
       Consumer<AcceptanceNotice> notices) {
     this.sync =
         new ConfigurationSync(
-            settings.vm(),
-            seed,
-            settings.pollMillis(),
-            objects,
-            table,
-            accepted -> latest.set(Option.some(accepted)),
-            notices);
+            settings.vm(), seed, settings.pollMillis(), objects, table, this::publish, notices);
     sync.start();
   }
 
+  private void publish(AcceptedConfiguration accepted) {
+    latest.set(Option.some(accepted));
+    onNewer.get().run();
+  }
+
+  @Override
+  public void onNewer(Runnable task) {
+    onNewer.set(task);
+  }
+
   @Override
   public CompletableFuture<Either<String, Option<ConfigurationSnapshot>>> poll(Generation known) {
     sync.setPolling(PollMode.POLLING);
+    return newest(known);
+  }
+
+  @Override
+  public CompletableFuture<Either<String, Option<ConfigurationSnapshot>>> follow(Generation known) {
+    sync.setPolling(PollMode.FOLLOWING);
+    return newest(known);
+  }
+
+  @Override
+  public CompletableFuture<Either<String, Option<ConfigurationSnapshot>>> newest(Generation known) {
     Option<AcceptedConfiguration> newer =
         latest.get().filter(accepted -> accepted.generation().compareTo(known) > 0);
     return CompletableFuture.completedFuture(
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerRoutes.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerRoutes.java
@@ -9,6 +9,7 @@
 import io.zinniawood.core.configuration.ModelDefinition;
 import io.zinniawood.core.configuration.ServiceDefinition;
 import io.zinniawood.core.entry.EntryEvent;
+import io.zinniawood.core.entry.Readiness;
 import io.zinniawood.core.id.ModelId;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.id.ServiceName;
@@ -35,6 +36,7 @@
   private static final int MAX_NAME_CHARACTERS = 256;
 
   private final Supplier<Option<AcceptedView>> configuration;
+  private final Supplier<Readiness> readiness;
   private final OpenRequests openRequests;
   private final RequestIds ids;
   private final Consumer<EntryEvent> events;
@@ -46,6 +48,7 @@
    * Creates the routes.
    *
    * @param configuration accepted configuration, none before the first
+   * @param readiness readiness of the process
    * @param openRequests open requests
    * @param ids source of request ids
    * @param events takes the events
@@ -53,11 +56,13 @@
    */
   public CallerRoutes(
       Supplier<Option<AcceptedView>> configuration,
+      Supplier<Readiness> readiness,
       OpenRequests openRequests,
       RequestIds ids,
       Consumer<EntryEvent> events,
       LongSupplier clockNanos) {
     this.configuration = configuration;
+    this.readiness = readiness;
     this.openRequests = openRequests;
     this.ids = ids;
     this.events = events;
@@ -121,6 +126,10 @@
     if (closedAsPipelined(context)) {
       return context;
     }
+    if (readiness.get() == Readiness.DRAINING) {
+      // The caller's next request goes through the balancer to another entry.
+      context.setResponseHeader("Connection", "close");
+    }
     RequestId request = ids.next();
     Option<Problem> badHeader = RequestHeaders.check(context);
     if (badHeader.isDefined()) {
--- a/entry/src/main/java/io/zinniawood/entry/internal/link/AgentLink.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/link/AgentLink.java
@@ -83,16 +83,32 @@
 
   /** Ends the link and posts the event of the end, once. */
   synchronized void end(DisconnectReason reason) {
+    if (phase == Phase.ENDED) {
+      return;
+    }
     if (phase == Phase.OPEN) {
       events.accept(
           new EntryEvent.AgentDisconnected(endpoint, identity.get().incarnation(), reason));
-    } else if (phase == Phase.CONNECTING) {
+    } else {
       events.accept(new EntryEvent.AgentConnectFailed(endpoint));
     }
     phase = Phase.ENDED;
     connection.forEach(WireConnection::close);
   }
 
+  /**
+   * Ends the link because a newer one replaces it. A link that is not open yet ends without an
+   * event; the newer one reports for both.
+   */
+  synchronized void replace() {
+    if (phase == Phase.CONNECTING) {
+      phase = Phase.ENDED;
+      connection.forEach(WireConnection::close);
+    } else {
+      end(DisconnectReason.CLOSED);
+    }
+  }
+
   /** Ends the link if it is not open yet. */
   synchronized void endIfConnecting() {
     if (phase == Phase.CONNECTING) {
--- a/entry/src/main/java/io/zinniawood/entry/internal/link/AgentLinks.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/link/AgentLinks.java
@@ -1,5 +1,6 @@
 package io.zinniawood.entry.internal.link;
 
+import io.vavr.control.Option;
 import io.zinniawood.core.entry.DisconnectReason;
 import io.zinniawood.core.entry.EntryEvent;
 import io.zinniawood.core.id.EndpointId;
@@ -43,10 +44,9 @@
 
   /** Opens a connection; an older one to the same endpoint ends first. */
   public void connect(EndpointId endpoint, NodeAddress address) {
-    disconnect(endpoint);
     AgentLink link = new AgentLink(endpoint, events, shared);
     links.values().removeIf(AgentLink::ended);
-    links.put(endpoint, link);
+    Option.of(links.put(endpoint, link)).forEach(AgentLink::replace);
     timeout.execute(link::endIfConnecting);
     Completions.handle(
         wire.connect(address, link),
--- a/entry/src/main/java/io/zinniawood/entry/internal/relay/EntryRelay.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/relay/EntryRelay.java
@@ -7,6 +7,7 @@
 import io.zinniawood.core.entry.EntryEvent;
 import io.zinniawood.core.id.Generation;
 import io.zinniawood.core.message.Message;
+import io.zinniawood.core.message.Message.ConfigurationSnapshot;
 import io.zinniawood.core.message.Message.ObjectiveCounts;
 import io.zinniawood.core.message.Message.VmListSnapshot;
 import io.zinniawood.core.model.VmEntry;
@@ -22,6 +23,7 @@
 import io.zinniawood.wire.WireError;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -189,9 +191,13 @@
     takeConfiguration(parts.feed().poll(parts.keeper().generation()));
   }
 
+  /** Takes a configuration that the feed has accepted meanwhile, without a poll. */
+  public void collectConfiguration() {
+    takeConfiguration(parts.feed().newest(parts.keeper().generation()));
+  }
+
   private void takeConfiguration(
-      java.util.concurrent.CompletableFuture<Either<String, Option<Message.ConfigurationSnapshot>>>
-          found) {
+      CompletableFuture<Either<String, Option<ConfigurationSnapshot>>> found) {
     Completions.handle(
         found,
         failure -> "the configuration feed failed: " + failure,
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/AgentLinksTest.java
@@ -0,0 +1,154 @@
+package io.zinniawood.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+
+import io.vavr.collection.Vector;
+import io.zinniawood.core.entry.DisconnectReason;
+import io.zinniawood.core.entry.EntryEffect;
+import io.zinniawood.core.entry.EntryEvent;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.CancelOutcome;
+import io.zinniawood.core.model.Capability;
+import io.zinniawood.core.model.LoadReport;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.model.ServingState;
+import io.zinniawood.wire.WireListener;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+// Ends a test that hangs; no verdict depends on it.
+@Timeout(60)
+class AgentLinksTest {
+  private static final EndpointId ENDPOINT = new EndpointId("e1");
+  private static final NodeAddress ADDRESS = new NodeAddress("127.0.0.1", 9_001);
+  private static final Message STATUS =
+      new Message.Status(
+          ServingState.SERVING,
+          new Capability.PlainService(new ServiceName("credit"), 4),
+          LoadReport.idle(4));
+  private static final Message CANCEL =
+      new Message.CancelDispatch(new RequestId("r"), new AttemptId("a"));
+
+  private EntryHarness entry;
+
+  @BeforeEach
+  void start() {
+    entry = new EntryHarness(new FakePlatform(), AgentLinksTest::script).ready();
+  }
+
+  // A model request connects; each message of the agent sends a cancel to incarnations 1 and 2.
+  private static Vector<EntryEffect> script(EntryEvent event) {
+    if (event instanceof EntryEvent.ModelRequestArrived arrived) {
+      return Vector.of(
+          arrived.prompt().text().contains("leave")
+              ? new EntryEffect.DisconnectAgent(ENDPOINT)
+              : new EntryEffect.ConnectAgent(ENDPOINT, ADDRESS));
+    }
+    if (event instanceof EntryEvent.AgentMessageReceived) {
+      return Vector.of(
+          new EntryEffect.SendToAgent(ENDPOINT, new Incarnation(1), CANCEL),
+          new EntryEffect.SendToAgent(ENDPOINT, new Incarnation(2), CANCEL));
+    }
+    return Vector.empty();
+  }
+
+  @AfterEach
+  void stop() {
+    entry.close();
+  }
+
+  private void tell(String word) {
+    String body = "{\"model\":\"assistant\",\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}";
+    CompletableFuture<?> unused =
+        entry.client.sendAsync(
+            entry
+                .request("/v1/chat/completions")
+                .POST(HttpRequest.BodyPublishers.ofString(body.formatted(word)))
+                .build(),
+            HttpResponse.BodyHandlers.discarding());
+  }
+
+  private FakeWire.Link connect(String endpoint, long incarnation) throws InterruptedException {
+    entry.wire.peers.put(ADDRESS, FakeWire.agent(endpoint, incarnation, ADDRESS));
+    tell("connect");
+    return entry.wire.links.take();
+  }
+
+  // Guards against work for an old incarnation that reaches a restarted agent.
+  @Test
+  void sendsOnlyToTheConnectedIncarnation() throws InterruptedException {
+    FakeWire.Link link = connect("e1", 2);
+    link.receive(STATUS, 1);
+    EntryEvent.AgentConnected connected = entry.awaitEvent(EntryEvent.AgentConnected.class);
+    assertThat(connected.identity().incarnation(), equalTo(new Incarnation(2)));
+    link.receive(
+        new Message.CancelResult(new RequestId("r"), new AttemptId("a"), CancelOutcome.NOT_STARTED),
+        1);
+    assertThat(link.sent.take(), equalTo(CANCEL));
+    assertThat(link.sent.isEmpty(), equalTo(true));
+    link.listener.onClosed(link, WireListener.CloseReason.SILENT);
+    EntryEvent.AgentDisconnected ended = entry.awaitEvent(EntryEvent.AgentDisconnected.class);
+    assertThat(ended.reason(), equalTo(DisconnectReason.SILENT));
+  }
+
+  // Guards against a late end of an old connection that is taken for the end of the new one.
+  @Test
+  void replacedConnectionEndsBeforeTheNewOneOpens() throws InterruptedException {
+    FakeWire.Link old = connect("e1", 1);
+    old.receive(STATUS, 1);
+    entry.awaitEvent(EntryEvent.AgentConnected.class);
+    FakeWire.Link replacement = connect("e1", 1);
+    replacement.receive(STATUS, 1);
+    entry.awaitEvent(EntryEvent.AgentDisconnected.class);
+    entry.awaitEvent(EntryEvent.AgentConnected.class);
+    old.listener.onClosed(old, WireListener.CloseReason.SILENT);
+    old.receive(STATUS, 1);
+    tell("leave");
+    EntryEvent.AgentDisconnected ended = entry.awaitEvent(EntryEvent.AgentDisconnected.class);
+    assertThat(ended.reason(), equalTo(DisconnectReason.CLOSED));
+  }
+
+  // Guards against requests for one endpoint that go to another process at its old address.
+  @Test
+  void otherProcessAtTheAddressIsRefused() throws InterruptedException {
+    connect("e2", 1).receive(STATUS, 1);
+    assertThat(entry.awaitEvent(EntryEvent.AgentConnectFailed.class).endpoint(), equalTo(ENDPOINT));
+    entry.wire.peers.clear();
+    tell("connect");
+    entry.awaitEvent(EntryEvent.AgentConnectFailed.class);
+  }
+
+  // Guards against an entry that stays on an old configuration while its agents have a newer one,
+  // and against agents that cannot get the configuration from the entry.
+  @Test
+  void configurationPassesInBothDirections() throws InterruptedException {
+    FakeWire.Link link = connect("e1", 1);
+    link.receive(STATUS, 1);
+    link.receive(STATUS, 5);
+    Message request = link.sent.take();
+    assertThat(request, equalTo(new Message.ConfigurationRequest(new Generation(1))));
+    link.receive(FakePlatform.snapshot(5), 5);
+    EntryHarness.await(() -> entry.generation.get().value() == 5);
+    link.receive(FakePlatform.snapshot(4), 4);
+    link.receive(new Message.ConfigurationRequest(new Generation(3)), 3);
+    Message answer = link.sent.take();
+    while (!(answer instanceof Message.ConfigurationSnapshot)) {
+      answer = link.sent.take();
+    }
+    assertThat(answer, instanceOf(Message.ConfigurationSnapshot.class));
+    assertThat(entry.generation.get(), equalTo(new Generation(5)));
+  }
+}
--- a/entry/src/test/java/io/zinniawood/entry/CallerHttpTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/CallerHttpTest.java
@@ -21,7 +21,10 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
+// Ends a test that hangs; no verdict depends on it.
+@Timeout(60)
 class CallerHttpTest {
   private static final String CHAT =
       "{\"model\":\"assistant\",\"messages\":[{\"role\":\"user\",\"content\":\"fees?\"}]%s}";
--- a/entry/src/test/java/io/zinniawood/entry/EntryHarness.java
+++ b/entry/src/test/java/io/zinniawood/entry/EntryHarness.java
@@ -1,5 +1,6 @@
 package io.zinniawood.entry;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import io.zinniawood.config.settings.EntrySettings;
@@ -17,10 +18,12 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 /** Entry process on loopback whose reducer is a script of the test. */
 final class EntryHarness implements AutoCloseable {
@@ -35,6 +38,13 @@
   final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
   EntryHarness(FakePlatform platform, Function<EntryEvent, Vector<EntryEffect>> script) {
+    this(platform, script, System::nanoTime);
+  }
+
+  EntryHarness(
+      FakePlatform platform,
+      Function<EntryEvent, Vector<EntryEffect>> script,
+      LongSupplier clockNanos) {
     this.platform = platform;
     this.settings =
         new EntrySettings(
@@ -62,11 +72,27 @@
                   return new Step<>(state + 1, withReadiness(event, script.apply(event)));
                 },
                 0,
-                System::nanoTime,
+                EntryObserver.none(),
+                new SampleReports(),
+                new MetricRegistry(),
+                clockNanos,
                 System.getLogger("entry-test")));
     process.start();
   }
 
+  private static final class SampleReports implements ReportSource {
+    @Override
+    public Vector<String> names() {
+      return Vector.of("today");
+    }
+
+    @Override
+    public CompletableFuture<Option<String>> render(String name, ReportFormat format) {
+      return CompletableFuture.completedFuture(
+          "today".equals(name) ? Option.some("report as " + format) : Option.none());
+    }
+  }
+
   private static Vector<EntryEffect> withReadiness(EntryEvent event, Vector<EntryEffect> effects) {
     return event instanceof EntryEvent.ConfigurationAccepted
         ? effects.prepend(new EntryEffect.SetReadiness(Readiness.READY))
@@ -125,6 +151,10 @@
     }
   }
 
+  HttpResponse<String> admin(String path) {
+    return send(HttpRequest.newBuilder(URI.create("http://" + settings.admin() + path)));
+  }
+
   HttpResponse<String> chat(String body) {
     return send(request("/v1/chat/completions").POST(HttpRequest.BodyPublishers.ofString(body)));
   }
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/EntryRelayTest.java
@@ -0,0 +1,110 @@
+package io.zinniawood.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.not;
+
+import io.vavr.collection.Vector;
+import io.zinniawood.core.entry.EntryEvent;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.id.PoolId;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.model.VmEntry;
+import io.zinniawood.core.model.VmRole;
+import io.zinniawood.core.model.VmState;
+import java.util.function.LongSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+// Ends a test that hangs; no verdict depends on it.
+@Timeout(60)
+class EntryRelayTest {
+  private static VmEntry vm(int number, String dataCentre) {
+    return new VmEntry(
+        new VmId("entry-" + number),
+        VmRole.ENTRY,
+        VmState.LIVE,
+        new DataCentreId(dataCentre),
+        new PoolId("entries"),
+        new NodeAddress("127.0.0.1", 9_100 + number));
+  }
+
+  private static EntryHarness start(Vector<VmEntry> vms, LongSupplier clockNanos) {
+    FakePlatform platform = new FakePlatform();
+    platform.vms = vms;
+    EntryHarness entry = new EntryHarness(platform, event -> Vector.empty(), clockNanos);
+    vms.forEach(vm -> entry.wire.peers.put(vm.address(), FakeWire.entry(vm.vm().value())));
+    return entry.ready();
+  }
+
+  // Among these entries, entry-1 has neither of the two highest ranks.
+  private static Vector<VmEntry> followerList() {
+    return Vector.range(1, 40).map(number -> vm(number, "helsinki-a"));
+  }
+
+  private static void assertNoOlderList(EntryHarness entry, long version) {
+    entry.events.stream()
+        .filter(EntryEvent.VmListReceived.class::isInstance)
+        .map(EntryEvent.VmListReceived.class::cast)
+        .forEach(event -> assertThat(event.version(), greaterThan(version)));
+  }
+
+  // Guards against each entry polling the platform, which would exceed its rate. The clock stands
+  // still, so the pollers never count as silent.
+  @Test
+  void followerStopsPollingAndTakesTheListOfItsPollers() throws InterruptedException {
+    try (EntryHarness entry = start(followerList(), () -> 0)) {
+      FakeWire.Link first = entry.wire.links.take();
+      FakeWire.Link second = entry.wire.links.take();
+      EntryHarness.await(() -> entry.platform.follows.get() > 0);
+      int polls = entry.platform.polls.get();
+      int follows = entry.platform.follows.get();
+      first.receive(new Message.VmListSnapshot(5, followerList()), 1);
+      second.receive(new Message.VmListSnapshot(3, followerList()), 1);
+      first.receive(new Message.VmListSnapshot(6, followerList().take(20)), 1);
+      EntryEvent.VmListReceived received = entry.awaitEvent(EntryEvent.VmListReceived.class);
+      while (received.version() != 6) {
+        assertThat(received.version(), not(equalTo(3L)));
+        received = entry.awaitEvent(EntryEvent.VmListReceived.class);
+      }
+      EntryHarness.await(() -> entry.platform.follows.get() > follows + 5);
+      assertThat(entry.platform.polls.get(), equalTo(polls));
+      assertNoOlderList(entry, 6);
+    }
+  }
+
+  // Guards against entries that learn nothing more after the loss of both pollers.
+  @Test
+  void followerPollsAgainWhenItsPollersAreSilent() throws InterruptedException {
+    try (EntryHarness entry = start(followerList(), System::nanoTime)) {
+      entry.wire.links.take();
+      entry.wire.links.take();
+      int polls = entry.platform.polls.get();
+      EntryHarness.await(() -> entry.platform.polls.get() > polls + 2);
+    }
+  }
+
+  // Guards against a poller that keeps the list and the configuration to itself.
+  @Test
+  void pollerPassesListAndGenerationOn() throws InterruptedException {
+    try (EntryHarness entry =
+        start(Vector.of(vm(1, "helsinki-a"), vm(9, "tampere")), System::nanoTime)) {
+      entry.awaitEvent(EntryEvent.VmListReceived.class);
+      FakeWire.Link follower = entry.wire.accept(FakeWire.entry("entry-5"));
+      assertThat(follower.sent.take(), equalTo(new Message.VmListSnapshot(1, entry.platform.vms)));
+      assertThat(
+          follower.sent.take(), equalTo(new Message.ConfigurationRequest(new Generation(1))));
+      follower.receive(new Message.ConfigurationRequest(new Generation(0)), 0);
+      Message answer = follower.sent.take();
+      while (answer instanceof Message.ConfigurationRequest) {
+        answer = follower.sent.take();
+      }
+      assertThat(answer, equalTo(FakePlatform.snapshot(1)));
+      assertThat(entry.wire.links.isEmpty(), equalTo(true));
+    }
+  }
+}
--- a/entry/src/test/java/io/zinniawood/entry/FakePlatform.java
+++ b/entry/src/test/java/io/zinniawood/entry/FakePlatform.java
@@ -49,6 +49,7 @@
 
   final Map<String, TableRow> rows = new ConcurrentHashMap<>();
   final AtomicInteger polls = new AtomicInteger();
+  final AtomicInteger follows = new AtomicInteger();
   volatile NextWrite nextWrite = NextWrite.NORMAL;
   volatile Vector<VmEntry> vms = Vector.empty();
   volatile Option<ConfigurationSnapshot> folder = Option.some(snapshot(1));
@@ -104,6 +105,12 @@
     return CompletableFuture.completedFuture(Either.right(newer));
   }
 
+  @Override
+  public CompletableFuture<Either<String, Option<ConfigurationSnapshot>>> follow(Generation known) {
+    follows.incrementAndGet();
+    return newest(known);
+  }
+
   @Override
   public Either<String, AcceptedConfiguration> parse(ConfigurationSnapshot snapshot) {
     return "snapshot".equals(snapshot.snapshot().text())
--- a/entry/src/test/java/io/zinniawood/entry/HostileCallerTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/HostileCallerTest.java
@@ -19,7 +19,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
+// Ends a test that hangs; no verdict depends on it.
+@Timeout(60)
 class HostileCallerTest {
   private static final String CHAT =
       "{\"model\":\"assistant\",\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]%s}";
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/StoreEffectsTest.java
@@ -0,0 +1,129 @@
+package io.zinniawood.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.ClaimResolution;
+import io.zinniawood.core.entry.EntryEffect;
+import io.zinniawood.core.entry.EntryEvent;
+import io.zinniawood.core.entry.LeaseRow;
+import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Fence;
+import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.IdempotencyKey;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.ClaimKey;
+import io.zinniawood.core.model.ClaimRow;
+import io.zinniawood.core.model.ClaimState;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.entry.FakePlatform.NextWrite;
+import io.zinniawood.entry.internal.store.ClaimReleaser;
+import io.zinniawood.entry.internal.store.LeaseStore;
+import io.zinniawood.platform.TableRow;
+import io.zinniawood.platform.claim.ClaimRowCodec;
+import io.zinniawood.platform.claim.ClaimRowKey;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.junit.jupiter.api.Test;
+
+class StoreEffectsTest {
+  private static final System.Logger LOGGER = System.getLogger("store-test");
+  private static final ClaimKey KEY =
+      new ClaimKey(
+          new ClientAccountId("kiosks"), new ServiceName("credit"), new IdempotencyKey("k"));
+
+  private final FakePlatform platform = new FakePlatform();
+  private final Deque<EntryEvent> events = new ArrayDeque<>();
+  private final VmId vm = new VmId("entry-1");
+  private final ClaimReleaser releaser = new ClaimReleaser(vm, platform, events::add, LOGGER);
+  private final LeaseStore lease = new LeaseStore(platform, events::add, LOGGER);
+
+  private ClaimResolution release(String attempt, NextWrite mode) {
+    platform.nextWrite = mode;
+    releaser.release(
+        new EntryEffect.ReleaseClaim(new RequestId("r"), new AttemptId(attempt), KEY, "d"));
+    return ((EntryEvent.ClaimResolved) events.remove()).resolution();
+  }
+
+  private void claim(ClaimState state) {
+    ClaimRow row =
+        new ClaimRow(
+            new EndpointId("e1"),
+            new Incarnation(1),
+            new AttemptId("a1"),
+            "d",
+            state,
+            new Fence(0),
+            Option.none());
+    String key = ClaimRowKey.of(KEY);
+    platform.rows.put(key, new TableRow(key, 1, Payload.wrap(new ClaimRowCodec().encode(row))));
+  }
+
+  // Guards against an attempt with the fence of an earlier release that runs after not-run was
+  // reported for it.
+  @Test
+  void eachReleaseRaisesTheFence() {
+    assertThat(
+        release("a1", NextWrite.NORMAL), equalTo(new ClaimResolution.Released(new Fence(1))));
+    assertThat(
+        release("a1", NextWrite.NORMAL), equalTo(new ClaimResolution.Released(new Fence(1))));
+    assertThat(
+        release("a2", NextWrite.NORMAL), equalTo(new ClaimResolution.Released(new Fence(2))));
+  }
+
+  // Guards against a lost response that is taken for a failure or for a success without a check.
+  @Test
+  void lostResponsesAreResolvedByReadingBack() {
+    assertThat(
+        release("a1", NextWrite.LOSE_RESPONSE_AFTER_WRITE),
+        equalTo(new ClaimResolution.Released(new Fence(1))));
+    platform.rows.clear();
+    assertThat(
+        release("a1", NextWrite.LOSE_REQUEST), equalTo(new ClaimResolution.Released(new Fence(1))));
+    platform.rows.clear();
+    claim(ClaimState.STARTED);
+    assertThat(release("a1", NextWrite.LOSE_REQUEST), instanceOf(ClaimResolution.Held.class));
+  }
+
+  // Guards against not-run for a call that an agent has claimed, or during an outage.
+  @Test
+  void startedClaimsAndOutagesAreNotReleased() {
+    claim(ClaimState.STARTED);
+    assertThat(release("a1", NextWrite.NORMAL), instanceOf(ClaimResolution.Held.class));
+    assertThat(release("a1", NextWrite.UNAVAILABLE), equalTo(new ClaimResolution.Unresolved()));
+    String key = ClaimRowKey.of(KEY);
+    platform.rows.put(key, new TableRow(key, 1, Payload.ofText("{")));
+    assertThat(release("a1", NextWrite.NORMAL), equalTo(new ClaimResolution.Unresolved()));
+  }
+
+  private EntryEvent write(long expectedVersion, LeaseRow row, NextWrite mode) {
+    platform.nextWrite = mode;
+    lease.write(expectedVersion, row);
+    return events.remove();
+  }
+
+  // Guards against two holders: each writer must see the row that stands, also after a lost
+  // response or a conflict.
+  @Test
+  void leaseWritesReportTheRowThatStands() {
+    LeaseRow mine = new LeaseRow(vm, new FencingNumber(1), 0);
+    LeaseRow other = new LeaseRow(new VmId("entry-2"), new FencingNumber(2), 0);
+    lease.read();
+    assertThat(events.remove(), equalTo(new EntryEvent.LeaseRead(Option.none(), 0)));
+    EntryEvent present = new EntryEvent.LeaseRead(Option.some(mine), 1);
+    assertThat(write(0, mine, NextWrite.LOSE_RESPONSE_AFTER_WRITE), equalTo(present));
+    assertThat(write(0, other, NextWrite.NORMAL), equalTo(present));
+    assertThat(write(1, other, NextWrite.LOSE_REQUEST), equalTo(present));
+    assertThat(write(1, other, NextWrite.UNAVAILABLE), equalTo(new EntryEvent.LeaseUnavailable()));
+    assertThat(
+        write(1, other, NextWrite.NORMAL),
+        equalTo(new EntryEvent.LeaseRead(Option.some(other), 2)));
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/internal/relay/PollerChoiceTest.java
@@ -0,0 +1,77 @@
+package io.zinniawood.entry.internal.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Vector;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.PoolId;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.model.VmEntry;
+import io.zinniawood.core.model.VmRole;
+import io.zinniawood.core.model.VmState;
+import org.junit.jupiter.api.Test;
+
+class PollerChoiceTest {
+  private static final DataCentreId HERE = new DataCentreId("helsinki-a");
+
+  private static VmEntry vm(int number, VmRole role, VmState state, String dataCentre) {
+    return new VmEntry(
+        new VmId("entry-" + number),
+        role,
+        state,
+        new DataCentreId(dataCentre),
+        new PoolId("p"),
+        new NodeAddress("127.0.0.1", 9_000));
+  }
+
+  private static Vector<VmEntry> live(int count) {
+    return Vector.range(1, count + 1)
+        .map(number -> vm(number, VmRole.ENTRY, VmState.LIVE, "helsinki-a"));
+  }
+
+  // Guards against two entries that see the same list and choose differently.
+  @Test
+  void choiceDoesNotDependOnTheOrderOfTheList() {
+    Vector<VmEntry> pollers = PollerChoice.pollers(live(20), HERE);
+    assertThat(pollers.size(), equalTo(2));
+    assertThat(PollerChoice.pollers(live(20).reverse(), HERE), equalTo(pollers));
+  }
+
+  // Guards against a change of all pollers when one other entry leaves.
+  @Test
+  void choiceKeepsPollersWhenOthersLeave() {
+    Vector<VmEntry> pollers = PollerChoice.pollers(live(20), HERE);
+    VmEntry other = live(20).removeAll(pollers).head();
+    assertThat(PollerChoice.pollers(live(20).remove(other), HERE), equalTo(pollers));
+    assertThat(
+        PollerChoice.pollers(live(20).remove(pollers.head()), HERE).head(),
+        equalTo(pollers.last()));
+  }
+
+  // Guards against pollers that cannot poll: endpoints, leaving VMs, other data centres.
+  @Test
+  void onlyLiveEntriesOfTheDataCentreAreChosen() {
+    Vector<VmEntry> vms =
+        Vector.of(
+            vm(1, VmRole.ENDPOINT, VmState.LIVE, "helsinki-a"),
+            vm(2, VmRole.ENTRY, VmState.LEAVING, "helsinki-a"),
+            vm(3, VmRole.ENTRY, VmState.LIVE, "tampere"));
+    assertThat(PollerChoice.pollers(vms, HERE).isEmpty(), equalTo(true));
+  }
+
+  // Guards against a hash that always picks the same entry in every data centre.
+  @Test
+  void choiceSpreadsOverDataCentres() {
+    Vector<VmEntry> vms =
+        Vector.range(0, 400)
+            .map(number -> vm(number % 20, VmRole.ENTRY, VmState.LIVE, "dc-" + number / 20));
+    HashSet<VmId> first =
+        HashSet.range(0, 20)
+            .map(number -> PollerChoice.pollers(vms, new DataCentreId("dc-" + number)).head().vm());
+    assertThat(first.size(), greaterThan(8));
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/internal/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the choice of polling entries. */
+package io.zinniawood.entry.internal.relay;
