--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Failures.java
@@ -0,0 +1,78 @@
+package io.zinniawood.core.entry;
+
+import io.zinniawood.core.entry.limits.ConcurrencyLimit;
+import io.zinniawood.core.entry.membership.Health;
+import io.zinniawood.core.entry.membership.Member;
+import io.zinniawood.core.entry.membership.Workload;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.model.LoadReport;
+
+/** Keeps the health and the adaptive limit of endpoints. */
+final class Failures {
+  private Failures() {}
+
+  /**
+   * Counts a success. The limit falls if the agent reports that more work waits than runs at its
+   * limit, as new work would wait for a whole service time.
+   */
+  static void succeeded(Turn turn, EndpointId endpoint) {
+    turn.updateMember(
+        endpoint,
+        member -> {
+          Workload work = member.work();
+          LoadReport load = member.serving().load();
+          ConcurrencyLimit limit =
+              load.queued() > load.concurrencyLimit()
+                  ? work.limit().overload(turn.nowNanos())
+                  : work.limit().success(work.inFlight());
+          Member limited = member.with(work.limited(limit));
+          return member.health().equals(Health.GOOD) ? limited : limited.with(Health.GOOD);
+        });
+  }
+
+  /** Lowers the limit of an endpoint that refused work for overload. */
+  static void overloaded(Turn turn, EndpointId endpoint) {
+    turn.updateMember(
+        endpoint,
+        member ->
+            member.with(member.work().limited(member.work().limit().overload(turn.nowNanos()))));
+  }
+
+  /** Counts a failure and ejects the endpoint if it fails repeatedly. */
+  static void failed(Turn turn, EndpointId endpoint) {
+    overloaded(turn, endpoint);
+    for (Member member : turn.fleet().member(endpoint)) {
+      Health health = member.health().failed();
+      boolean repeatedly = health.failures() >= Health.EJECT_AFTER;
+      boolean eject = repeatedly && mayEject(turn, member);
+      turn.updateMember(
+          endpoint, known -> known.with(eject ? health.eject(turn.nowNanos()) : health));
+      if (repeatedly) {
+        turn.incidentOnce(
+            IncidentKind.ENDPOINT_LOST,
+            endpoint.value(),
+            eject
+                ? "ejected for a while after %d failures in a row".formatted(health.failures())
+                : "fails, but keeps its work, as the largest share of its pool is ejected");
+      }
+    }
+  }
+
+  /** Ejects at most the configured share of a pool, so that the others are not overrun. */
+  private static boolean mayEject(Turn turn, Member member) {
+    var pool =
+        turn.fleet()
+            .members()
+            .values()
+            .filter(
+                other ->
+                    other.connected()
+                        && other.placement().pool().equals(member.placement().pool()));
+    int ejected =
+        pool.count(
+            other ->
+                other.health().ejected(turn.nowNanos())
+                    && !other.endpoint().equals(member.endpoint()));
+    return ejected + 1 <= pool.size() * turn.cluster().routing().maxEjectedShare();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionFailures.java
@@ -0,0 +1,154 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Vector;
+import io.zinniawood.core.entry.routing.LinkPair;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.core.model.RefusalReason;
+import io.zinniawood.core.model.StageAddress;
+
+/** Reacts to refusals and failures that stages report, and to lost endpoints. */
+final class SessionFailures {
+  /** A failed link is avoided for this time; a new session tries it again afterwards. */
+  private static final long LINK_AVOIDED_NANOS = 10_000_000_000L;
+
+  /** Failed links of one sender from which the sender is taken for the cause. */
+  private static final int SENDER_FAULT_LINKS = 2;
+
+  private SessionFailures() {}
+
+  static void refused(
+      Turn turn, EndpointId sender, Incarnation incarnation, Message.SessionRefused message) {
+    Session session = StageSessions.current(turn, message.session(), message.epoch());
+    if (session == null
+        || !session.isStage(message.stageIndex(), sender)
+        || !session.chain().get(message.stageIndex()).incarnation().equals(incarnation)) {
+      return;
+    }
+    switch (message.reason()) {
+      case STALE_EPOCH -> SessionRecovery.replace(turn, session, HashSet.empty(), OldStage.LOST);
+      case DEADLINE_EXCEEDED -> ModelRequests.deadline(turn, session);
+      case OVERLOADED, LEAVING -> crowdedOut(turn, session, message);
+      default ->
+          SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()), OldStage.LOST);
+    }
+  }
+
+  /** A stage without room is replaced as a retry, so that overload does not multiply. */
+  private static void crowdedOut(Turn turn, Session session, Message.SessionRefused message) {
+    EndpointId endpoint = session.chain().get(message.stageIndex()).endpoint();
+    if (message.reason() == RefusalReason.OVERLOADED) {
+      Failures.overloaded(turn, endpoint);
+    } else {
+      Membership.leaving(turn, endpoint);
+    }
+    if (session.inputSent() || Retries.take(turn)) {
+      SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()), OldStage.LOST);
+    } else {
+      StageSessions.close(turn, session);
+      Answers.failModel(
+          turn,
+          session,
+          Problem.notRunRetry(
+              ProblemType.OVERLOADED, "endpoint %s has no room".formatted(endpoint), 500));
+    }
+  }
+
+  static void stageFailed(
+      Turn turn, EndpointId sender, Incarnation incarnation, Message.StageFailed message) {
+    Session session = StageSessions.current(turn, message.session(), message.epoch());
+    if (session == null
+        || !session
+            .chain()
+            .exists(s -> s.endpoint().equals(sender) && s.incarnation().equals(incarnation))
+        || message.stageIndex() < 0
+        || message.stageIndex() >= session.chain().length()) {
+      return;
+    }
+    EndpointId failed = session.chain().get(message.stageIndex()).endpoint();
+    switch (message.reason()) {
+      case STALE_EPOCH -> {
+        // The present epoch is newer than the frame that was refused.
+      }
+      case REPLAY_UNAVAILABLE ->
+          SessionRecovery.giveUp(
+              turn, session, "endpoint %s no longer keeps the outputs to replay".formatted(sender));
+      case PEER_UNREACHABLE -> unreachablePeer(turn, session, sender, message.stageIndex());
+      case ENDPOINT_FAILED -> {
+        Failures.failed(turn, failed);
+        SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()), OldStage.LOST);
+      }
+      default ->
+          SessionRecovery.replace(turn, session, HashSet.of(message.stageIndex()), OldStage.LOST);
+    }
+  }
+
+  /**
+   * Replaces the stage behind a failed link, or the sender if it reaches other stages neither; the
+   * fault is then more likely its own.
+   */
+  private static void unreachablePeer(
+      Turn turn, Session session, EndpointId sender, int failedIndex) {
+    EndpointId failed = session.chain().get(failedIndex).endpoint();
+    long untilNanos = turn.nowNanos() + LINK_AVOIDED_NANOS;
+    turn.update(
+        state ->
+            state.withFleet(state.fleet().withDegraded(new LinkPair(sender, failed), untilNanos)));
+    int failedLinks = turn.fleet().degraded().keySet().count(link -> link.from().equals(sender));
+    int lost =
+        failedLinks >= SENDER_FAULT_LINKS
+            ? session.indexOf(sender).getOrElse(failedIndex)
+            : failedIndex;
+    SessionRecovery.replace(turn, session, HashSet.of(lost), OldStage.ANSWERS);
+  }
+
+  /** Replaces the stages of an endpoint that cannot be reached or runs in a new incarnation. */
+  static void endpointLost(Turn turn, EndpointId endpoint, Incarnation lost) {
+    for (Session session : sessionsAt(turn, endpoint, lost)) {
+      session
+          .indexOf(endpoint)
+          .forEach(
+              index -> SessionRecovery.replace(turn, session, HashSet.of(index), OldStage.LOST));
+    }
+  }
+
+  /** Continues the sessions of an endpoint whose connection was replaced. */
+  static void endpointBack(Turn turn, EndpointId endpoint, Incarnation incarnation) {
+    for (Session session : sessionsAt(turn, endpoint, incarnation)) {
+      SessionRecovery.replace(turn, session, HashSet.empty(), OldStage.LOST);
+    }
+  }
+
+  /** Continues the sessions that wait for a stage, as an endpoint has become available. */
+  static void endpointAvailable(Turn turn) {
+    Vector<Session> parked =
+        turn.state()
+            .sessions()
+            .values()
+            .filter(session -> session.phase() == SessionPhase.PARKED)
+            .toVector()
+            .sortBy(Session::id);
+    parked.forEach(session -> SessionRecovery.unpark(turn, session));
+  }
+
+  private static Vector<Session> sessionsAt(
+      Turn turn, EndpointId endpoint, Incarnation incarnation) {
+    return turn.state()
+        .sessions()
+        .values()
+        .filter(
+            session ->
+                session.phase() != SessionPhase.PARKED
+                    && session.chain().exists(stage -> isAt(stage, endpoint, incarnation)))
+        .toVector()
+        .sortBy(Session::id);
+  }
+
+  private static boolean isAt(StageAddress stage, EndpointId endpoint, Incarnation incarnation) {
+    return stage.endpoint().equals(endpoint) && stage.incarnation().equals(incarnation);
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/entry/limits/AccountUse.java
+++ b/core/src/main/java/io/zinniawood/core/entry/limits/AccountUse.java
@@ -9,7 +9,6 @@
  * @param open open requests
  */
 public record AccountUse(double tokens, long refilledNanos, int open) {
-
   /** Returns the use of an account that has not been seen before. */
   public static AccountUse fresh(double burst, long nowNanos) {
     return new AccountUse(burst, nowNanos, 0);
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/ModelRequestTest.java
@@ -0,0 +1,204 @@
+package io.zinniawood.core.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.sameInstance;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.id.Epoch;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.RefusalReason;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests of stage sessions and their recovery. */
+class ModelRequestTest {
+  private static final String WHOLE = "w0<m>ok w1<m>ok w2<m>ok w3<m>ok w4<m>ok w5<m>ok ";
+
+  // Guards against lost, repeated or reordered tokens without any fault.
+  @Test
+  void deliversTheWholeAnswerAndClosesEveryStage() {
+    World world = World.small();
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(200);
+    assertThat(world.text("m"), equalTo(WHOLE));
+    world.checks.end();
+    world.agents.values().forEach(agent -> assertThat(agent.sessions.size(), equalTo(0)));
+  }
+
+  // Guards against an answer that ends because one stage's process died.
+  @Test
+  void continuesAfterTheCrashOfEitherStage() {
+    for (String prefix : new String[] {"a", "b"}) {
+      World world = World.small();
+      world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+      world.run(30);
+      world.crash(busy(world, prefix));
+      world.run(1_300);
+      assertThat(world.text("m"), equalTo(WHOLE));
+      EntryEffect.RecordResult result = world.effects(EntryEffect.RecordResult.class).get(0);
+      assertThat(result.result().outcome(), equalTo(Outcome.COMPLETED));
+      assertThat(result.result().slowestGapNanos().get(), lessThan(1_300 * Fixtures.MILLI));
+      world.checks.end();
+    }
+  }
+
+  // Guards against a session that waits for ever on an engine that accepts steps and does not run
+  // them while its agent answers.
+  @Test
+  void replacesStageThatStallsWithoutAnError() {
+    World world = World.small();
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    world.agent(busy(world, "b")).stalled = true;
+    world.run(1_300);
+    assertThat(world.text("m"), equalTo(WHOLE));
+    assertThat(world.incidents(IncidentKind.STAGE_REPLACED), equalTo(1L));
+  }
+
+  // Guards against blaming an endpoint for a connection that went silent on the way.
+  @Test
+  void keepsTheStageWhenOnlyItsConnectionWentSilent() {
+    World world = World.small();
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    String stage = busy(world, "a");
+    world.silence(stage);
+    world.dropConnection(stage, DisconnectReason.SILENT);
+    world.run(500);
+    assertThat(world.text("m"), equalTo(WHOLE));
+    assertThat(world.incidents(IncidentKind.STAGE_REPLACED), equalTo(0L));
+  }
+
+  // Guards against tokens of an old epoch, of a wrong position, from a stage that is not the last,
+  // or of another session, which would reach the caller as wrong text.
+  @Test
+  void refusesTokensThatAreNotTheAwaitedOne() {
+    World world = World.small();
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    String last = busy(world, "b");
+    world.dropConnection(busy(world, "a"), DisconnectReason.CLOSED);
+    world.run(8);
+    Session session = world.state.sessions().values().head();
+    assertThat(session.phase(), equalTo(SessionPhase.RUNNING));
+    assertThat(session.epoch().value(), equalTo(2L));
+    int delivered = world.effects(EntryEffect.ReplyToken.class).size();
+    int position = session.position();
+    token(world, last, session.id(), 1, position);
+    token(world, last, session.id(), 3, position);
+    token(world, last, session.id(), 2, position - 1);
+    token(world, last, session.id(), 2, position + 1);
+    token(world, last, new SessionId("other"), 2, position);
+    token(world, busy(world, "a"), session.id(), 2, position);
+    assertThat(world.effects(EntryEffect.ReplyToken.class), hasSize(delivered));
+  }
+
+  private static void token(
+      World world, String sender, SessionId session, long epoch, int position) {
+    world.reduce(tokenEvent(world, sender, session, epoch, position));
+  }
+
+  private static EntryEvent tokenEvent(
+      World world, String sender, SessionId session, long epoch, int position) {
+    FakeAgent agent = world.agent(sender);
+    return new EntryEvent.AgentMessageReceived(
+        agent.endpoint,
+        agent.incarnation,
+        new Message.Token(
+            session, new Epoch(epoch), position, "w" + position + "<m>ok", Option.none()));
+  }
+
+  // Guards against a rebuild by running every position again although the old stage still answers.
+  @Test
+  void importsTheCacheWhenOnlyTheLinkFailed() {
+    World world = World.small();
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    String first = busy(world, "a");
+    world.brokenLinks.add(
+        List.of(world.agent(first).endpoint, world.agent(busy(world, "b")).endpoint));
+    world.run(500);
+    assertThat(world.text("m"), equalTo(WHOLE));
+    assertThat(world.sent(Message.OpenSession.class, m -> m.importFrom().isDefined()), hasSize(1));
+    assertThat(world.sent(Message.Replay.class, m -> true), hasSize(0));
+    world.checks.end();
+  }
+
+  // Guards against failing a request of which nothing was delivered and that can start again.
+  @Test
+  void startsAgainOnNewSessionWhenNothingWasDelivered() {
+    World world = World.small();
+    world.agents.values().forEach(agent -> agent.stepMillis = 100);
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(20);
+    FakeAgent first = world.agent(busy(world, "a"));
+    SessionId session = first.sessions.keySet().iterator().next();
+    world.toEntry(
+        first, new Message.StageFailed(session, new Epoch(1), 0, RefusalReason.REPLAY_UNAVAILABLE));
+    world.run(2_500);
+    assertThat(world.text("m"), equalTo(WHOLE));
+    assertThat(world.sent(Message.OpenSession.class, m -> m.session().equals(session)), hasSize(2));
+    world.checks.end();
+  }
+
+  // Guards against a cost of each token that grows with the rest of the state.
+  @Test
+  void tokenChangesOneSessionAndSharesEverythingElse() {
+    World world = World.small();
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    EntryState before = world.state;
+    Session session = before.sessions().values().head();
+    world.reduce(tokenEvent(world, busy(world, "b"), session.id(), 1, session.position()));
+    EntryState after = world.state;
+    assertThat(
+        after,
+        equalTo(
+            before.withSessions(
+                before.sessions().put(session.id(), after.sessions().values().head()))));
+    assertThat(after.fleet(), sameInstance(before.fleet()));
+    assertThat(after.requests(), sameInstance(before.requests()));
+    assertThat(after.usage(), sameInstance(before.usage()));
+  }
+
+  // Guards against sessions for a replica that is slow without failing.
+  @Test
+  void slowReplicaGetsFewSessions() {
+    World world = World.small();
+    world.agent("b1").stepMillis = 90;
+    for (int i = 0; i < 60; i++) {
+      world.reduce(Fixtures.prompt("m" + i, world.deadline(3_000)));
+      world.run(300);
+    }
+    assertThat(world.sentTo("b1", Message.OpenSession.class), lessThan(15));
+  }
+
+  // Guards against an untruthful ending: tokens were delivered and cannot be rebuilt.
+  @Test
+  void failsWithUnknownWhenOutputsAreNoLongerKept() {
+    World world = World.small();
+    world.agents.values().forEach(agent -> agent.keepsOutputs = false);
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    world.crash(busy(world, "b"));
+    world.run(1_500);
+    var problems = world.effects(EntryEffect.ReplyProblem.class);
+    assertThat(problems, hasSize(1));
+    assertThat(problems.get(0).problem().outcome(), equalTo(Outcome.UNKNOWN));
+    world.checks.end();
+  }
+
+  private static String busy(World world, String prefix) {
+    return world.agents.values().stream()
+        .filter(agent -> agent.endpoint.value().startsWith(prefix) && !agent.sessions.isEmpty())
+        .findFirst()
+        .orElseThrow()
+        .endpoint
+        .value();
+  }
+}
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/CostBenchmark.java
@@ -0,0 +1,133 @@
+package io.zinniawood.dist;
+
+import io.zinniawood.load.LatencyLimits;
+import io.zinniawood.load.LoadGenerator;
+import io.zinniawood.load.LoadPlan;
+import io.zinniawood.load.LoadResult;
+import io.zinniawood.load.Workload;
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Measures the processor time of an entry and an agent for each request and token, and their memory
+ * at rest. Entries and agents are processes; engines without delay run in this JVM. Each round has
+ * a run with short and one with long answers, so that two unknowns can be told apart.
+ */
+public final class CostBenchmark {
+  private static final int SHORT_TOKENS = 1;
+  private static final int LONG_TOKENS = 101;
+  private static final double REQUESTS_PER_SECOND = 40;
+  private static final long RUN_MILLIS = 6_000;
+  private static final long IDLE_MILLIS = 5_000;
+  private static final int ROUNDS = 5;
+  private static final long SEED = 20_261_204;
+
+  private CostBenchmark() {}
+
+  /** Runs the benchmark and prints its figures. */
+  public static void main(String[] arguments) throws InterruptedException {
+    PrintStream out = System.out;
+    out.printf(
+        Locale.ROOT,
+        "CostBenchmark: %d rounds, %.0f requests/s, answers of %d and %d tokens, %d ms each, seed %d%n",
+        ROUNDS,
+        REQUESTS_PER_SECOND,
+        SHORT_TOKENS,
+        LONG_TOKENS,
+        RUN_MILLIS,
+        SEED);
+    try (RealCluster cluster = new RealCluster("cost")) {
+      cluster.addEngine("a-1", 0, 4);
+      cluster.addEngine("b-1", 4, 8);
+      cluster.addEntry("entry-1");
+      RealCluster.Entry entry = cluster.entry("entry-1");
+      new Caller().awaitModel(entry);
+      RoleProcess agent = cluster.endpoint("a-1").agent();
+      printIdle(out, entry.process(), agent);
+      // The first run lets the JIT compiler finish and is not counted.
+      run(entry, LONG_TOKENS);
+      double[][] slopes = new double[ROUNDS][];
+      for (int round = 0; round < ROUNDS; round++) {
+        slopes[round] = round(entry, agent);
+      }
+      print(out, "entry, microseconds for each request", slopes, 0);
+      print(out, "entry, microseconds for each token", slopes, 1);
+      print(out, "agent, microseconds for each request", slopes, 2);
+      print(out, "agent, microseconds for each token", slopes, 3);
+      out.printf(
+          Locale.ROOT,
+          "resident after load: entry %.1f MB, agent %.1f MB%n",
+          entry.process().use().residentBytes() / 1e6,
+          agent.use().residentBytes() / 1e6);
+    }
+  }
+
+  private static void printIdle(PrintStream out, RoleProcess entry, RoleProcess agent)
+      throws InterruptedException {
+    ProcessUse entryBefore = entry.use();
+    ProcessUse agentBefore = agent.use();
+    TimeUnit.MILLISECONDS.sleep(IDLE_MILLIS);
+    out.printf(
+        Locale.ROOT,
+        "at rest: entry %.1f MB and %.2f%% of a core, agent %.1f MB and %.2f%% of a core%n",
+        entry.use().residentBytes() / 1e6,
+        (entry.use().cpuMillis() - entryBefore.cpuMillis()) * 100.0 / IDLE_MILLIS,
+        agent.use().residentBytes() / 1e6,
+        (agent.use().cpuMillis() - agentBefore.cpuMillis()) * 100.0 / IDLE_MILLIS);
+  }
+
+  /** Returns microseconds for a request and a token of the entry, then of the agent. */
+  private static double[] round(RealCluster.Entry entry, RoleProcess agent)
+      throws InterruptedException {
+    Cost shortCost = cost(entry, agent, SHORT_TOKENS);
+    Cost longCost = cost(entry, agent, LONG_TOKENS);
+    int moreTokens = LONG_TOKENS - SHORT_TOKENS;
+    double entryToken = (longCost.entryMicros() - shortCost.entryMicros()) / moreTokens;
+    double agentToken = (longCost.agentMicros() - shortCost.agentMicros()) / moreTokens;
+    return new double[] {
+      shortCost.entryMicros() - entryToken * SHORT_TOKENS,
+      entryToken,
+      shortCost.agentMicros() - agentToken * SHORT_TOKENS,
+      agentToken
+    };
+  }
+
+  /** Processor time for each completed request. */
+  private record Cost(double entryMicros, double agentMicros) {}
+
+  private static Cost cost(RealCluster.Entry entry, RoleProcess agent, int tokens)
+      throws InterruptedException {
+    ProcessUse entryBefore = entry.process().use();
+    ProcessUse agentBefore = agent.use();
+    LoadResult result = run(entry, tokens);
+    double completed = result.completed();
+    return new Cost(
+        (entry.process().use().cpuMillis() - entryBefore.cpuMillis()) * 1_000 / completed,
+        (agent.use().cpuMillis() - agentBefore.cpuMillis()) * 1_000 / completed);
+  }
+
+  private static LoadResult run(RealCluster.Entry entry, int tokens) throws InterruptedException {
+    Workload chat =
+        new Workload(
+            "chat",
+            RealCluster.KEY,
+            REQUESTS_PER_SECOND,
+            new Workload.Call.Chat("assistant", 10, tokens, 30_000));
+    return new LoadGenerator(LatencyLimits.designSize())
+        .run(new LoadPlan(entry.callers(), List.of(chat), RUN_MILLIS, 30_000, SEED));
+  }
+
+  private static void print(PrintStream out, String name, double[][] slopes, int index) {
+    double[] values = Arrays.stream(slopes).mapToDouble(slope -> slope[index]).sorted().toArray();
+    out.printf(
+        Locale.ROOT,
+        "%s: minimum %.1f, median %.1f, maximum %.1f%n",
+        name,
+        values[0],
+        values[values.length / 2],
+        values[values.length - 1]);
+  }
+}
