Send a replay again after a lost connection

A check for gaps in the chain test showed that a connection which ended during a replay lost its positions: only the last requested position was sent again.

--- a/core/src/main/java/io/zinniawood/core/agent/EvictedAttempts.java
+++ b/core/src/main/java/io/zinniawood/core/agent/EvictedAttempts.java
@@ -25,13 +25,20 @@
    */
   private static final long KEEP_NANOS = 600_000_000_000L;
 
-  /**
-   * Sorted digests.
-   *
-   * @param digests sorted digests, never changed
-   * @param sealedNanos time of the newest digest
-   */
-  record Segment(long[] digests, long sealedNanos) {}
+  /** Sorted digests that are never changed. */
+  static final class Segment {
+    private final long[] digests;
+    private final long sealedNanos;
+
+    private Segment(long[] digests, long sealedNanos) {
+      this.digests = digests;
+      this.sealedNanos = sealedNanos;
+    }
+
+    private boolean contains(long digest) {
+      return Arrays.binarySearch(digests, digest) >= 0;
+    }
+  }
 
   static EvictedAttempts empty() {
     return new EvictedAttempts(HashSet.empty(), Vector.empty());
@@ -39,8 +46,7 @@
 
   boolean contains(AttemptId attempt) {
     long digest = digest(attempt);
-    return recent.contains(digest)
-        || sealed.exists(segment -> Arrays.binarySearch(segment.digests, digest) >= 0);
+    return recent.contains(digest) || sealed.exists(segment -> segment.contains(digest));
   }
 
   /** Tells whether the memory holds only digests that are still needed. */
--- a/core/src/main/java/io/zinniawood/core/agent/StageEngine.java
+++ b/core/src/main/java/io/zinniawood/core/agent/StageEngine.java
@@ -23,7 +23,7 @@
     int limit = Math.max(1, Statuses.limit(state));
     Vector<SessionId> ready = stages.ready();
     if (ready.size() > limit) {
-      ready = ready.sortBy(id -> stages.sessions().get(id).get().open().priority().ordinal());
+      ready = ready.sortBy(id -> stages.sessions().get(id).get().open().priority());
     }
     StageState next = stages;
     Vector<SessionId> left = ready.drop(limit);
--- a/core/src/main/java/io/zinniawood/core/agent/StageLinks.java
+++ b/core/src/main/java/io/zinniawood/core/agent/StageLinks.java
@@ -91,8 +91,9 @@
   /** Returns the positions that may be lost: those of a replay, else the last one. */
   private static Positions unconfirmed(StageSession session) {
     int last = Math.min(session.done() - 1, session.requested());
-    if (session.resend().toExclusive() > 0 && session.resend().toExclusive() >= last) {
-      return new Positions(session.resend().from(), Math.max(last + 1, 0));
+    int resent = session.resend().toExclusive();
+    if (resent > 0 && resent >= last) {
+      return new Positions(session.resend().from(), Math.max(last + 1, resent));
     }
     return last >= session.open().rebuildPositions() && last >= 0
         ? new Positions(last, last + 1)
--- a/core/src/main/java/io/zinniawood/core/agent/TokenOutput.java
+++ b/core/src/main/java/io/zinniawood/core/agent/TokenOutput.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.agent;
 
+import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import io.zinniawood.core.model.FinishReason;
 import io.zinniawood.core.model.Payload;
@@ -13,10 +14,12 @@
  * @param finish reason why the answer ends
  */
 record TokenOutput(String text, Option<FinishReason> finish) {
+  private static final byte NO_FINISH = 0;
+
   Payload encode() {
     byte[] utf8 = text.getBytes(StandardCharsets.UTF_8);
     byte[] bytes = new byte[utf8.length + 1];
-    bytes[0] = (byte) (finish.map(FinishReason::ordinal).getOrElse(-1) + 1);
+    bytes[0] = finish.map(TokenOutput::code).getOrElse(NO_FINISH);
     System.arraycopy(utf8, 0, bytes, 1, utf8.length);
     return Payload.wrap(bytes);
   }
@@ -24,12 +27,22 @@
   /** Decodes a kept output; one that another agent sent may be malformed. */
   static Option<TokenOutput> decode(Payload payload) {
     byte[] bytes = payload.bytes();
-    if (bytes.length == 0 || bytes[0] < 0 || bytes[0] > FinishReason.values().length) {
+    if (bytes.length == 0) {
       return Option.none();
     }
     Option<FinishReason> finish =
-        bytes[0] == 0 ? Option.none() : Option.some(FinishReason.values()[bytes[0] - 1]);
+        Vector.of(FinishReason.values()).find(reason -> code(reason) == bytes[0]);
+    if (finish.isEmpty() && bytes[0] != NO_FINISH) {
+      return Option.none();
+    }
     return Option.some(
         new TokenOutput(new String(bytes, 1, bytes.length - 1, StandardCharsets.UTF_8), finish));
   }
+
+  private static byte code(FinishReason reason) {
+    return switch (reason) {
+      case STOP -> 1;
+      case LENGTH -> 2;
+    };
+  }
 }
--- a/core/src/test/java/io/zinniawood/core/agent/ClaimsTest.java
+++ b/core/src/test/java/io/zinniawood/core/agent/ClaimsTest.java
@@ -10,6 +10,8 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Fence;
 import io.zinniawood.core.id.IdempotencyKey;
 import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.message.Message;
@@ -152,6 +154,41 @@
     assertThat(row(effects).state(), equalTo(ClaimState.RELEASED));
   }
 
+  // Guards against a repeat that waits for an attempt which ended without a call.
+  @Test
+  void repeatTakesOverWhenTheFirstAttemptDoesNotRun() {
+    agent.receive(keyed("a1", "k", 0));
+    agent.receive(keyed("b1", "k", 0));
+    agent.receive(AgentDriver.cancel("a1"));
+    Vector<AgentEffect> effects =
+        written("a1", new ClaimWrite.HeldByOther(elsewhere(ClaimState.RELEASED)));
+    assertThat(
+        all(effects, AgentEffect.WriteClaim.class).map(claim -> claim.attempt().value()),
+        equalTo(Vector.of("b1")));
+  }
+
+  private static ClaimRow elsewhere(ClaimState state) {
+    return new ClaimRow(
+        new EndpointId("e9"),
+        new Incarnation(9),
+        new AttemptId("z1"),
+        "digest",
+        state,
+        new Fence(3),
+        Option.none());
+  }
+
+  // Guards against a claim of another agent that is taken for a free key.
+  @Test
+  void claimOfAnotherAgentIsReportedWithItsRow() {
+    agent.receive(keyed("a1", "k", 0));
+    ClaimRow row = elsewhere(ClaimState.RELEASED);
+    Message.DispatchRefused first = refused(written("a1", new ClaimWrite.HeldByOther(row)));
+    assertThat(first.reason(), equalTo(RefusalReason.CLAIMED_BY_OTHER));
+    assertThat(first.claim(), equalTo(Option.some(row)));
+    assertThat(refused(agent.receive(keyed("a1", "k", 0))), equalTo(first));
+  }
+
   // Guards against a call whose outcome is unknown that is run again for the same key.
   @Test
   void unknownOutcomeOfTheKeyIsReportedAsUnknown() {
--- a/core/src/test/java/io/zinniawood/core/agent/StageSessionTest.java
+++ b/core/src/test/java/io/zinniawood/core/agent/StageSessionTest.java
@@ -279,6 +279,49 @@
     assertThat(failures(agent.apply(failed)), equalTo(Vector.of(RefusalReason.PEER_UNREACHABLE)));
   }
 
+  // Guards against the output of an old chain's step that reaches the new chain unasked.
+  @Test
+  void stepInFlightAtReopeningIsForwardedWhenItIsRepeated() {
+    open(1);
+    frame(1, 0);
+    open(2);
+    assertThat(forwarded(finished(0)), equalTo(Vector.empty()));
+    assertThat(forwarded(frame(2, 0)), equalTo(Vector.of(0)));
+  }
+
+  // Guards against two adjacent new stages: the second waits for outputs that the first still
+  // rebuilds.
+  @Test
+  void replayOfPositionsNotYetRunFollowsTheirRun() {
+    open(2, 2);
+    frame(2, 0);
+    agent.receive(new Message.Replay(SESSION, new Epoch(2), 0, 2));
+    frame(2, 1);
+    assertThat(forwarded(finished(0)), equalTo(Vector.of(0)));
+    assertThat(forwarded(finished(1)), equalTo(Vector.of(1)));
+  }
+
+  private Vector<Integer> exported(int nextPosition) {
+    agent.receive(NEXT, new Message.CacheRequest(SESSION));
+    Vector<AgentEffect> effects =
+        agent.apply(
+            new AgentEvent.CacheExported(
+                SESSION, Option.some(Payload.ofText("cache")), nextPosition));
+    return sent(effects, Message.CacheSnapshot.class)
+        .filter(snapshot -> snapshot.cache().isDefined())
+        .map(Message.CacheSnapshot::nextPosition);
+  }
+
+  // Guards against a cache whose kept outputs belong to other positions.
+  @Test
+  void cacheThatDoesNotMatchTheFinishedPositionsIsNotSent() {
+    open(1);
+    frame(1, 0);
+    finished(0);
+    assertThat(exported(2), equalTo(Vector.empty()));
+    assertThat(exported(1), equalTo(Vector.of(1)));
+  }
+
   // Guards against a rebuild that waits for an old stage that never answers.
   @Test
   void importThatTakesTooLongFallsBackToReplay() {
--- a/core/src/test/java/io/zinniawood/core/agent/StageWorld.java
+++ b/core/src/test/java/io/zinniawood/core/agent/StageWorld.java
@@ -35,6 +35,8 @@
   private final List<Runnable> tasks = new ArrayList<>();
   private final Map<Payload, List<Payload>> exported = new HashMap<>();
   private final List<EntryModel> sessions = new ArrayList<>();
+  private final Map<String, Integer> highestSent = new HashMap<>();
+  private boolean failNextBatch;
 
   StageWorld(Random random, int sessionCount, int tokens) {
     this.random = random;
@@ -122,7 +124,7 @@
 
   private void fault() {
     EntryModel session = sessions.get(random.nextInt(sessions.size()));
-    switch (random.nextInt(5)) {
+    switch (random.nextInt(6)) {
       case 0 -> cut();
       case 1 -> {
         if (!session.done()) {
@@ -130,6 +132,7 @@
         }
       }
       case 2 -> kill();
+      case 4 -> failNextBatch = true;
       case 3 -> {
         if (!session.done()) {
           session.onStall();
@@ -184,6 +187,7 @@
 
   private void deliver(String link) {
     Message message = links.get(link).poll();
+    checkNoGap(link, message);
     String[] ends = link.split(">", 2);
     if (ends[1].equals(ENTRY)) {
       sessions.forEach(session -> session.onMessage(message));
@@ -192,6 +196,21 @@
     }
   }
 
+  /** In each epoch a link carries no position before the one below it. */
+  private void checkNoGap(String link, Message message) {
+    if (message instanceof Message.Activation a) {
+      checkNoGap(link + a.session() + a.epoch(), a.position());
+    } else if (message instanceof Message.Token t) {
+      checkNoGap(link + t.session() + t.epoch(), t.position());
+    }
+  }
+
+  private void checkNoGap(String stream, int position) {
+    Integer highest = highestSent.get(stream);
+    assertThat("no gap on " + stream, highest == null || position <= highest + 1);
+    highestSent.merge(stream, position, Math::max);
+  }
+
   private void apply(String name, AgentEvent event) {
     if (agents.containsKey(name)) {
       handle(name, agents.get(name).apply(event));
@@ -210,7 +229,7 @@
     } else if (effect instanceof AgentEffect.SendToAddress send) {
       toAddress(name, send.address(), send.message());
     } else if (effect instanceof AgentEffect.RunSteps run) {
-      onEngine(name, engine -> new AgentEvent.StepsCompleted(engine.run(run.steps())));
+      onEngine(name, engine -> new AgentEvent.StepsCompleted(run(engine, run.steps())));
     } else if (effect instanceof AgentEffect.CloseEngineSession close) {
       engines.get(name).close(close.session());
     } else if (effect instanceof AgentEffect.ExportCache export) {
@@ -225,6 +244,15 @@
     }
   }
 
+  private Vector<StageResult> run(FakeEngine engine, Vector<StageStep> steps) {
+    if (!failNextBatch) {
+      return engine.run(steps);
+    }
+    failNextBatch = false;
+    return steps.map(
+        step -> new StageResult.Failed(step.session(), step.position(), "engine restarted"));
+  }
+
   private AgentEvent export(FakeEngine engine, SessionId session) {
     List<Payload> cache = engine.export(session);
     Payload handle = Payload.ofText("cache-" + exported.size());
