--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/Usage.java
@@ -0,0 +1,73 @@
+package io.zinniawood.core.entry;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.zinniawood.core.configuration.ClusterConfiguration;
+import io.zinniawood.core.entry.limits.AccountUse;
+import io.zinniawood.core.entry.limits.LatencyEstimate;
+import io.zinniawood.core.entry.limits.RetryBudget;
+import io.zinniawood.core.id.ClientAccountId;
+
+/**
+ * Use of the entry, from which limits follow.
+ *
+ * @param accounts use by client account
+ * @param retries budget of retries
+ * @param latencies estimates by model or service
+ * @param reports monotonic time in nanoseconds of the last incident of kinds that may come in large
+ *     numbers, by kind and subject
+ */
+record Usage(
+    Map<ClientAccountId, AccountUse> accounts,
+    RetryBudget retries,
+    Map<String, LatencyEstimate> latencies,
+    Map<String, Long> reports) {
+
+  static Usage none() {
+    return new Usage(HashMap.empty(), RetryBudget.fresh(), HashMap.empty(), HashMap.empty());
+  }
+
+  AccountUse account(ClientAccountId id, double burst, long nowNanos) {
+    return accounts.get(id).getOrElse(() -> AccountUse.fresh(burst, nowNanos));
+  }
+
+  Usage with(ClientAccountId id, AccountUse use) {
+    return new Usage(accounts.put(id, use), retries, latencies, reports);
+  }
+
+  Usage with(RetryBudget changed) {
+    return new Usage(accounts, changed, latencies, reports);
+  }
+
+  Usage sampled(String target, long durationNanos, long nowNanos) {
+    LatencyEstimate estimate =
+        latencies.getOrElse(target, LatencyEstimate.none()).sampled(durationNanos, nowNanos);
+    return new Usage(accounts, retries, latencies.put(target, estimate), reports);
+  }
+
+  Usage reported(String incident, long nowNanos) {
+    return new Usage(accounts, retries, latencies, reports.put(incident, nowNanos));
+  }
+
+  /** Returns this use without reports from before the given time. */
+  Usage withoutReportsBefore(long nanos) {
+    return new Usage(
+        accounts, retries, latencies, reports.filterValues(reported -> reported - nanos >= 0));
+  }
+
+  /** Returns this use without idle accounts and targets that the configuration lacks. */
+  Usage restrictedTo(ClusterConfiguration cluster) {
+    return new Usage(
+        accounts.filter((id, use) -> use.open() > 0 || cluster.clientAccounts().containsKey(id)),
+        retries,
+        latencies.filterKeys(
+            target ->
+                cluster.models().keySet().exists(model -> model.value().equals(target))
+                    || cluster.services().keySet().exists(name -> name.value().equals(target))),
+        reports);
+  }
+
+  double expectedNanos(String target, long nowNanos) {
+    return latencies.get(target).map(known -> known.expectedNanos(nowNanos)).getOrElse(0.0);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/ServiceRequestTest.java
@@ -0,0 +1,223 @@
+package io.zinniawood.core.entry;
+
+import static io.zinniawood.core.entry.Fixtures.ACCOUNT;
+import static io.zinniawood.core.entry.Fixtures.CREDIT;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Fence;
+import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.ClaimRow;
+import io.zinniawood.core.model.ClaimState;
+import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.core.model.ServiceCall;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests of service calls, idempotency keys and retries. */
+class ServiceRequestTest {
+  private static final Option<String> KEY = Option.some("k");
+
+  private final World world = World.small();
+
+  // Guards against a second run when a caller repeats a keyed call while the first one runs.
+  @Test
+  void secondCallWithTheSameKeyWaitsForTheFirst() {
+    world.call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(10);
+    world.call("c2", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(200);
+    assertThat(answers(), equalTo(List.of("c1", "c2")));
+    world.checks.end();
+  }
+
+  // Guards against running a finished call again instead of returning its kept answer.
+  @Test
+  void laterCallWithTheSameKeyGetsTheKeptAnswer() {
+    world.call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(100);
+    world.restart("s1");
+    world.restart("s2");
+    world.run(100);
+    world.call("c2", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(200);
+    assertThat(answers(), equalTo(List.of("c1", "c2")));
+    world.checks.end();
+  }
+
+  // Guards against answering a different request with the kept answer of the key.
+  @Test
+  void refusesTheKeyOfAnotherRequest() {
+    world.call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(100);
+    var other = Fixtures.call("c2", Idempotency.NON_IDEMPOTENT, KEY, world.deadline(900));
+    var body = new ServiceCall("POST", "/credit", Vector.empty(), Payload.ofText("other"));
+    world.reduce(
+        new EntryEvent.ServiceRequestArrived(
+            other.request(),
+            ACCOUNT,
+            CREDIT,
+            body,
+            other.idempotency(),
+            other.key(),
+            other.priority(),
+            other.deadlineNanos()));
+    world.run(100);
+    assertThat(problem("c2").type(), equalTo(ProblemType.KEY_REUSED));
+    assertThat(problem("c2").outcome(), equalTo(Outcome.NOT_RUN));
+  }
+
+  // Guards against running a keyed call without a claim when the table is down.
+  @Test
+  void refusesKeyedCallDuringStoreOutage() {
+    world.table.down = true;
+    world.call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.call("c2", Idempotency.NON_IDEMPOTENT, Option.none());
+    world.run(200);
+    assertThat(problem("c1").type(), equalTo(ProblemType.STORE_UNAVAILABLE));
+    assertThat(problem("c1").outcome(), equalTo(Outcome.NOT_RUN));
+    assertThat(answers(), equalTo(List.of("c2")));
+  }
+
+  // Guards against giving up a keyed call whose endpoint died before it started, and against a
+  // second start without a tombstone.
+  @Test
+  void rulesTheLostAttemptOutAndRunsElsewhere() {
+    world.call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(2);
+    world.crash(target("c1"));
+    world.run(1_500);
+    assertThat(answers(), equalTo(List.of("c1")));
+    assertThat(world.effects(EntryEffect.ReleaseClaim.class), hasSize(1));
+    world.checks.end();
+  }
+
+  // Guards against an untruthful not-run, and against a retry, after a call may have run.
+  @Test
+  void callThatMayHaveRunEndsUnknown() {
+    world.call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.call("c2", Idempotency.NON_IDEMPOTENT, Option.none());
+    world.run(20);
+    world.restart("s1");
+    world.restart("s2");
+    world.run(3_000);
+    assertThat(problem("c1").outcome(), equalTo(Outcome.UNKNOWN));
+    assertThat(problem("c2").outcome(), equalTo(Outcome.UNKNOWN));
+    assertThat(answers(), hasSize(0));
+    world.checks.end();
+  }
+
+  // Guards against a call that waits for the deadline at an endpoint that never starts it.
+  @Test
+  void cancelsCallThatDoesNotStartAndRunsItElsewhere() {
+    world.agent("s1").stalled = true;
+    world.agent("s2").stalled = true;
+    world.call("c1", Idempotency.NON_IDEMPOTENT, Option.none());
+    world.run(300);
+    String first = target("c1");
+    world.agent(first.equals("s1") ? "s2" : "s1").stalled = false;
+    world.run(700);
+    assertThat(answers(), equalTo(List.of("c1")));
+    assertThat(
+        world.agent(first).calls.values().iterator().next().state.name(), equalTo("CANCELLED"));
+    world.checks.end();
+  }
+
+  // Guards against a tombstone that is taken for conclusive although the attempt has its fence.
+  @Test
+  void releasedRowWithTheFenceOfTheAttemptDecidesNothing() {
+    world.agent("s1").stalled = true;
+    world.agent("s2").stalled = true;
+    world.call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(2);
+    world.crash(target("c1"));
+    world.run(2);
+    EntryEffect.ReleaseClaim release = world.effects(EntryEffect.ReleaseClaim.class).get(0);
+    ClaimRow row =
+        new ClaimRow(
+            new EndpointId("s1"),
+            new Incarnation(1),
+            release.attempt(),
+            release.requestDigest(),
+            ClaimState.RELEASED,
+            new Fence(0),
+            Option.none());
+    int sent = world.effects(EntryEffect.SendToAgent.class).size();
+    world.reduce(
+        new EntryEvent.ClaimResolved(
+            release.request(), release.attempt(), new ClaimResolution.Held(row)));
+    assertThat(world.effects(EntryEffect.SendToAgent.class), hasSize(sent));
+  }
+
+  // Guards against a lost idempotent call when its endpoint dies.
+  @Test
+  void runsIdempotentCallAgainElsewhere() {
+    world.call("c1", Idempotency.IDEMPOTENT, Option.none());
+    world.run(20);
+    world.crash(target("c1"));
+    world.run(500);
+    assertThat(answers(), equalTo(List.of("c1")));
+    world.checks.end();
+  }
+
+  // Guards against an answer that claims certainty while another call with the key still runs.
+  @Test
+  void waitingCallEndsWithConflictAtItsDeadline() {
+    world.call("c1", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(10);
+    world.crash(target("c1"));
+    world.call("c2", Idempotency.NON_IDEMPOTENT, KEY);
+    world.run(3_000);
+    assertThat(problem("c2").type(), equalTo(ProblemType.IN_PROGRESS));
+    assertThat(problem("c2").outcome(), equalTo(Outcome.UNKNOWN));
+    assertThat(problem("c1").outcome(), equalTo(Outcome.UNKNOWN));
+    assertThat(
+        world.sent(Message.CancelDispatch.class, m -> m.request().value().equals("c2")),
+        hasSize(0));
+    world.checks.end();
+  }
+
+  // Guards against work that goes on for a caller that is gone.
+  @Test
+  void cancelReachesTheAgentWhenTheCallerIsGone() {
+    world.call("c1", Idempotency.NON_IDEMPOTENT, Option.none());
+    world.run(2);
+    world.reduce(new EntryEvent.CallerDisconnected(new RequestId("c1")));
+    world.run(100);
+    FakeAgent agent = world.agent(target("c1"));
+    assertThat(agent.calls.values().iterator().next().state.name(), equalTo("CANCELLED"));
+    world.checks.end();
+  }
+
+  private List<String> answers() {
+    return world.effects(EntryEffect.ReplyService.class).stream()
+        .map(reply -> reply.request().value())
+        .toList();
+  }
+
+  private Problem problem(String request) {
+    return world.effects(EntryEffect.ReplyProblem.class).stream()
+        .filter(reply -> reply.request().equals(new RequestId(request)))
+        .findFirst()
+        .orElseThrow()
+        .problem();
+  }
+
+  private String target(String request) {
+    return world
+        .sent(Message.Dispatch.class, dispatch -> dispatch.request().value().equals(request))
+        .get(0)
+        .endpoint()
+        .value();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/StreamReply.java
@@ -0,0 +1,106 @@
+package io.zinniawood.entry.internal.http;
+
+import io.jooby.Context;
+import io.jooby.Sender;
+import io.vavr.control.Option;
+import io.zinniawood.core.model.FinishReason;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ServiceAnswer;
+import io.zinniawood.entry.internal.chat.ChatRequest;
+import io.zinniawood.entry.internal.chat.ChatResponses;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/** Streams an answer as server-sent events. */
+final class StreamReply implements CallerReply {
+  private final Context context;
+  private final CallerSlot slot;
+  private final ChatResponses responses;
+  private final ChatRequest chat;
+  private final WaitingBytes.Stream waiting;
+  private Option<Sender> sender = Option.none();
+
+  StreamReply(
+      Context context,
+      CallerSlot slot,
+      ChatResponses responses,
+      ChatRequest chat,
+      WaitingBytes.Stream waiting) {
+    this.context = context;
+    this.slot = slot;
+    this.responses = responses;
+    this.chat = chat;
+    this.waiting = waiting;
+  }
+
+  @Override
+  public void token(String text) {
+    if (sender.isEmpty()) {
+      write(join(responses.roleEvent(), responses.tokenEvent(text)));
+    } else {
+      write(responses.tokenEvent(text));
+    }
+  }
+
+  @Override
+  public void finish(FinishReason reason, int tokens) {
+    ByteArrayOutputStream end = new ByteArrayOutputStream();
+    if (sender.isEmpty()) {
+      end.writeBytes(responses.roleEvent());
+    }
+    end.writeBytes(responses.finishEvent(reason));
+    if (chat.delivery() == ChatRequest.Delivery.STREAM_WITH_USAGE) {
+      end.writeBytes(responses.usageEvent(chat.promptTokens(), tokens));
+    }
+    end.writeBytes(ChatResponses.DONE);
+    endWith(end.toByteArray());
+  }
+
+  @Override
+  public void service(ServiceAnswer answer) {
+    throw new IllegalStateException("request %s is a model request".formatted(slot.request()));
+  }
+
+  @Override
+  public void problem(Problem problem) {
+    if (sender.isEmpty()) {
+      slot.end();
+      ProblemDocument.send(context, problem, slot.request());
+      slot.release();
+      return;
+    }
+    // Without [DONE], so that a client that ignores the event does not take the answer as whole.
+    String json = new String(ProblemDocument.json(problem, slot.request()), StandardCharsets.UTF_8);
+    endWith(("event: error\ndata: " + json + "\n\n").getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void endWith(byte[] bytes) {
+    if (write(bytes)) {
+      slot.end();
+      sender.forEach(Sender::close);
+      slot.release();
+    }
+  }
+
+  private boolean write(byte[] bytes) {
+    if (!waiting.add(bytes.length)) {
+      slot.cancel();
+      return false;
+    }
+    if (sender.isEmpty()) {
+      context.setResponseHeader("X-Request-Id", slot.request().value());
+      context.setResponseHeader("Cache-Control", "no-cache");
+      context.setResponseType("text/event-stream");
+      sender = Option.some(context.responseSender());
+    }
+    sender.get().write(bytes, (written, failure) -> waiting.written(bytes.length));
+    return true;
+  }
+
+  private static byte[] join(byte[] first, byte[] second) {
+    ByteArrayOutputStream joined = new ByteArrayOutputStream(first.length + second.length);
+    joined.writeBytes(first);
+    joined.writeBytes(second);
+    return joined.toByteArray();
+  }
+}
