--- a/config/src/main/java/io/zinniawood/config/ConfigurationFolder.java
+++ b/config/src/main/java/io/zinniawood/config/ConfigurationFolder.java
@@ -7,11 +7,16 @@
 import io.zinniawood.config.internal.ClusterReader;
 import io.zinniawood.config.internal.FolderSchema;
 import io.zinniawood.config.internal.Located;
+import io.zinniawood.config.internal.TextFiles;
 import io.zinniawood.config.internal.Texts;
 import io.zinniawood.config.internal.TomlDocument;
 import io.zinniawood.config.internal.ValueTree;
 import io.zinniawood.core.configuration.ClusterConfiguration;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Comparator;
+import java.util.stream.Stream;
 
 /** Merges the files of the configuration folder. */
 public final class ConfigurationFolder {
@@ -44,6 +49,43 @@
         : Either.left(sorted(all));
   }
 
+  /**
+   * Tells whether a file of the folder is merged. Editors leave backup and lock files beside the
+   * file that they write; those start with a dot or have another ending.
+   */
+  public static boolean isMerged(String name) {
+    return name.endsWith(".toml") && !name.startsWith(".") && !name.contains("/");
+  }
+
+  /** Reads a folder on disk; files that cannot be read become faults. */
+  public static FolderContent read(Path folder) {
+    Vector<Path> paths;
+    try (Stream<Path> listed = Files.list(folder)) {
+      paths = Vector.ofAll(listed.sorted().toList());
+    } catch (IOException failed) {
+      return new FolderContent(
+          Vector.empty(),
+          Vector.empty(),
+          Vector.of(TextFiles.unreadable(folder.toString(), failed, "a readable folder")));
+    }
+    Vector<ConfigurationFile> files = Vector.empty();
+    Vector<ConfigurationFault> faults = Vector.empty();
+    for (Path path : paths.filter(path -> isMerged(fileName(path)))) {
+      Either<ConfigurationFault, String> text = TextFiles.read(path, fileName(path));
+      if (text.isRight()) {
+        files = files.append(new ConfigurationFile(fileName(path), "", text.get()));
+      } else {
+        faults = faults.append(text.getLeft());
+      }
+    }
+    return new FolderContent(
+        files, paths.map(ConfigurationFolder::fileName).filter(name -> !isMerged(name)), faults);
+  }
+
+  private static String fileName(Path path) {
+    return String.valueOf(path.getFileName());
+  }
+
   private static Map<String, ValueOrigin> origins(ValueTree tree) {
     TreeMap<String, ValueOrigin> origins = TreeMap.empty();
     for (Vector<String> path : tree.values().keySet()) {
--- /dev/null
+++ b/config/src/main/java/io/zinniawood/config/internal/TextFiles.java
@@ -0,0 +1,47 @@
+package io.zinniawood.config.internal;
+
+import io.vavr.control.Either;
+import io.zinniawood.config.ConfigurationFault;
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Reads small text files and turns failures into faults. */
+public final class TextFiles {
+  private TextFiles() {}
+
+  /**
+   * Reads a file as UTF-8.
+   *
+   * @param file the file
+   * @param name name to use in a fault
+   */
+  public static Either<ConfigurationFault, String> read(Path file, String name) {
+    try {
+      long sizeBytes = Files.size(file);
+      // A character has at most four bytes in UTF-8; the parser checks the number of characters.
+      return sizeBytes > 4L * TomlDocument.MAX_CHARACTERS
+          ? Either.left(
+              fault(
+                  name,
+                  "%d bytes".formatted(sizeBytes),
+                  "at most %d characters".formatted(TomlDocument.MAX_CHARACTERS)))
+          : Either.right(Files.readString(file));
+    } catch (CharacterCodingException invalid) {
+      return Either.left(fault(name, "bytes that are not UTF-8", "UTF-8 text"));
+    } catch (IOException failed) {
+      return Either.left(unreadable(name, failed, "a TOML file"));
+    }
+  }
+
+  /** Returns the fault of a file or folder that cannot be read. */
+  public static ConfigurationFault unreadable(String name, IOException failed, String expected) {
+    return fault(
+        name, "nothing readable (%s)".formatted(failed.getClass().getSimpleName()), expected);
+  }
+
+  private static ConfigurationFault fault(String name, String found, String expected) {
+    return new ConfigurationFault(Texts.clean(name), 1, 1, "", found, expected);
+  }
+}
--- a/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
+++ b/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
@@ -7,12 +7,9 @@
 import io.zinniawood.config.internal.Schema;
 import io.zinniawood.config.internal.SettingsSchema;
 import io.zinniawood.config.internal.TableReader;
-import io.zinniawood.config.internal.Texts;
+import io.zinniawood.config.internal.TextFiles;
 import io.zinniawood.config.internal.TomlDocument;
 import io.zinniawood.config.internal.ValueTree;
-import java.io.IOException;
-import java.nio.charset.CharacterCodingException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.function.Function;
 
@@ -37,7 +34,7 @@
 
   private static <T> Either<Vector<ConfigurationFault>, T> load(
       Path file, Schema schema, Function<TableReader, Option<T>> build) {
-    Either<ConfigurationFault, String> text = text(file);
+    Either<ConfigurationFault, String> text = TextFiles.read(file, file.toString());
     if (text.isLeft()) {
       return Either.left(Vector.of(text.getLeft()));
     }
@@ -54,25 +51,6 @@
         : Either.left(all.sortBy(ConfigurationFault::line));
   }
 
-  private static Either<ConfigurationFault, String> text(Path file) {
-    try {
-      long sizeBytes = Files.size(file);
-      return sizeBytes > TomlDocument.MAX_CHARACTERS
-          ? Either.left(unreadable(file, "%d bytes".formatted(sizeBytes), "a small settings file"))
-          : Either.right(Files.readString(file));
-    } catch (CharacterCodingException invalid) {
-      return Either.left(unreadable(file, "bytes that are not UTF-8", "UTF-8 text"));
-    } catch (IOException failed) {
-      return Either.left(
-          unreadable(
-              file, "no readable file (%s)".formatted(failed.getClass().getSimpleName()), "TOML"));
-    }
-  }
-
-  private static ConfigurationFault unreadable(Path file, String found, String expected) {
-    return new ConfigurationFault(Texts.clean(file.toString()), 1, 1, "", found, expected);
-  }
-
   private static Option<EntrySettings> entry(TableReader reader) {
     var vm = reader.get(ROOT, SettingsSchema.VM);
     var dataCentre = reader.get(ROOT, SettingsSchema.DATA_CENTRE);
--- a/entry/src/main/java/io/zinniawood/entry/acceptance/AcceptanceExecutor.java
+++ b/entry/src/main/java/io/zinniawood/entry/acceptance/AcceptanceExecutor.java
@@ -43,7 +43,6 @@
 final class AcceptanceExecutor implements AcceptanceEffectVisitor<Void> {
   static final String FOLDER = "config/";
   static final String ROW_KEY = "config/accepted";
-  private static final String SUFFIX = ".toml";
   private static final Logger LOGGER = System.getLogger(AcceptanceExecutor.class.getName());
 
   private final EventLoop<AcceptanceState, AcceptanceEvent, AcceptanceEffect, AcceptanceTimer> loop;
@@ -101,7 +100,9 @@
                     : AcceptanceEvent.Completeness.PARTIAL,
                 listing
                     .objects()
-                    .filter(object -> isConfigurationFile(object.name()))
+                    .filter(
+                        object ->
+                            ConfigurationFolder.isMerged(object.name().substring(FOLDER.length())))
                     .map(
                         object ->
                             new FileVersion(
@@ -125,16 +126,8 @@
   @Override
   public Void visitMergeFiles(AcceptanceEffect.MergeFiles effect) {
     // A merge of a large folder takes longer than an event may take.
-    CompletableFuture.supplyAsync(() -> merge(effect.files()), mergeExecutor)
-        .whenComplete(
-            (outcome, fault) ->
-                loop.post(
-                    new AcceptanceEvent.MergeFinished(
-                        effect.round(),
-                        fault == null
-                            ? outcome
-                            : new MergeOutcome.Invalid(
-                                Vector.of("the merge failed: " + fault.getMessage())))));
+    mergeExecutor.execute(
+        () -> loop.post(new AcceptanceEvent.MergeFinished(effect.round(), merge(effect.files()))));
     return null;
   }
 
@@ -162,18 +155,19 @@
 
   @Override
   public Void visitDeleteSnapshot(AcceptanceEffect.DeleteSnapshot effect) {
-    objects
-        .delete(effect.objectName())
-        .thenAccept(
-            result -> {
-              if (result.isLeft()) {
-                LOGGER.log(
-                    Level.DEBUG,
-                    "snapshot {0} was not deleted: {1}",
-                    effect.objectName(),
-                    result.getLeft().detail());
-              }
-            });
+    var unused =
+        objects
+            .delete(effect.objectName())
+            .thenAccept(
+                result -> {
+                  if (result.isLeft()) {
+                    LOGGER.log(
+                        Level.DEBUG,
+                        "snapshot {0} was not deleted: {1}",
+                        effect.objectName(),
+                        result.getLeft().detail());
+                  }
+                });
     return null;
   }
 
@@ -202,16 +196,17 @@
     return null;
   }
 
-  private static boolean isConfigurationFile(String objectName) {
-    // Editors leave backup and lock files beside the file that they write.
-    String name = objectName.substring(FOLDER.length());
-    return name.endsWith(SUFFIX) && !name.startsWith(".") && !name.contains("/");
-  }
-
   private static MergeOutcome merge(Vector<FolderFile> files) {
-    Either<Vector<ConfigurationFault>, MergedConfiguration> merged =
-        ConfigurationFolder.merge(
-            files.map(file -> new ConfigurationFile(file.name(), file.version(), file.text())));
+    Either<Vector<ConfigurationFault>, MergedConfiguration> merged;
+    try {
+      merged =
+          ConfigurationFolder.merge(
+              files.map(file -> new ConfigurationFile(file.name(), file.version(), file.text())));
+    } catch (RuntimeException fault) {
+      // Without an answer the round would wait for its timeout and the operator would see nothing.
+      LOGGER.log(Level.ERROR, "merge failed", fault);
+      return new MergeOutcome.Invalid(Vector.of("the merge failed: " + fault));
+    }
     return merged.fold(
         faults -> new MergeOutcome.Invalid(faults.map(ConfigurationFault::text)),
         found ->
@@ -265,20 +260,21 @@
       long round,
       CompletableFuture<Either<PlatformError, T>> response,
       Function<T, AcceptanceEvent> event) {
-    response.whenComplete(
-        (result, fault) -> {
-          if (fault != null) {
-            loop.post(
-                new AcceptanceEvent.StoreFailed(
-                    round,
-                    new StoreFailure(
-                        StoreFailure.Kind.RESPONSE_LOST, String.valueOf(fault.getMessage()))));
-          } else {
-            loop.post(
-                result.fold(
-                    error -> new AcceptanceEvent.StoreFailed(round, failure(error)), event));
-          }
-        });
+    var unused =
+        response.whenComplete(
+            (result, fault) -> {
+              if (fault != null) {
+                loop.post(
+                    new AcceptanceEvent.StoreFailed(
+                        round,
+                        new StoreFailure(
+                            StoreFailure.Kind.RESPONSE_LOST, String.valueOf(fault.getMessage()))));
+              } else {
+                loop.post(
+                    result.fold(
+                        error -> new AcceptanceEvent.StoreFailed(round, failure(error)), event));
+              }
+            });
     return null;
   }
 }
--- a/entry/src/main/java/io/zinniawood/entry/acceptance/ConfigurationSync.java
+++ b/entry/src/main/java/io/zinniawood/entry/acceptance/ConfigurationSync.java
@@ -24,7 +24,6 @@
 public final class ConfigurationSync implements AutoCloseable {
   private final EventLoop<AcceptanceState, AcceptanceEvent, AcceptanceEffect, AcceptanceTimer> loop;
   private final ExecutorService mergeExecutor;
-  private final AcceptanceExecutor executor;
 
   /**
    * Creates a synchronisation that is not started.
@@ -63,12 +62,14 @@
               thread.setDaemon(true);
               return thread;
             });
-    this.executor = new AcceptanceExecutor(loop, mergeExecutor, objects, table, listener, notices);
+    AcceptanceExecutor executor =
+        new AcceptanceExecutor(loop, mergeExecutor, objects, table, listener, notices);
+    // Set here, so that events which are posted before the start are handled too.
+    loop.start(effect -> effect.accept(executor));
   }
 
   /** Reads the accepted configuration and, if the mode is polling, the folder. */
   public void start() {
-    loop.start(effect -> effect.accept(executor));
     loop.post(new AcceptanceEvent.Started());
   }
 
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/acceptance/ConfigurationSyncTest.java
@@ -0,0 +1,119 @@
+package io.zinniawood.entry.acceptance;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import io.zinniawood.core.acceptance.AcceptanceNotice;
+import io.zinniawood.core.acceptance.PollMode;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.core.id.VmId;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class ConfigurationSyncTest {
+  /** Far above what a round takes, so that only a hang ends a test. */
+  private static final long PATIENCE_SECONDS = 20;
+
+  private final MemoryPlatform platform = new MemoryPlatform();
+
+  // Guards against an edit that reaches the entry which accepted it and no other.
+  @Test
+  void editsReachEveryEntryInOrder() throws InterruptedException {
+    Node first = new Node("v1", 1);
+    Node second = new Node("v2", 2);
+    try (first.sync;
+        second.sync) {
+      platform.put("config/a.toml", "[services.credit]\n");
+      platform.put("config/a.toml~", "not TOML");
+      first.sync.setPolling(PollMode.POLLING);
+      second.sync.setPolling(PollMode.POLLING);
+      AcceptedConfiguration one = first.next();
+      assertThat(one.generation().value(), is(1L));
+      assertThat(second.next(), equalTo(one));
+      platform.put("config/b.toml", "[services.refill]\n");
+      AcceptedConfiguration two = first.next();
+      assertThat(two.generation().value(), is(2L));
+      assertThat(two.cluster().services().size(), is(2));
+      assertThat(second.next(), equalTo(two));
+    }
+  }
+
+  // Guards against an entry that does not poll and takes no configuration of its neighbour, or
+  // an older one.
+  @Test
+  void followingEntryTakesHigherGenerationsOfNeighbours() throws InterruptedException {
+    Node polling = new Node("v1", 1);
+    Node following = new Node("v2", 2);
+    try (polling.sync;
+        following.sync) {
+      platform.put("config/a.toml", "[services.credit]\n");
+      polling.sync.setPolling(PollMode.POLLING);
+      AcceptedConfiguration one = polling.next();
+      following.sync.start();
+      assertThat(following.next(), equalTo(one));
+      platform.put("config/a.toml", "[services.refill]\n");
+      AcceptedConfiguration two = polling.next();
+      following.sync.offer(two);
+      following.sync.offer(one);
+      assertThat(following.next(), equalTo(two));
+      following.sync.pollNow();
+      polling.sync.pollNow();
+    }
+    assertThat(following.published.isEmpty(), is(true));
+  }
+
+  // Guards against a second generation after a response of the table was lost.
+  @Test
+  void lostResponseMakesOneGeneration() throws InterruptedException {
+    Node node = new Node("v1", 1);
+    try (node.sync) {
+      platform.loseWriteResponses(1);
+      platform.put("config/a.toml", "[services.credit]\n");
+      node.sync.setPolling(PollMode.POLLING);
+      assertThat(node.next().generation().value(), is(1L));
+      platform.put("config/a.toml", "[services.refill]\n");
+      assertThat(node.next().generation().value(), is(2L));
+    }
+  }
+
+  // Guards against a rejected edit of which the operator sees no place to correct.
+  @Test
+  void invalidEditIsReportedWithItsPlace() throws InterruptedException {
+    Node node = new Node("v1", 1);
+    try (node.sync) {
+      platform.put("config/a.toml", "[services.credit]\nkey_retention_hours = 0\n");
+      node.sync.setPolling(PollMode.POLLING);
+      AcceptanceNotice notice = node.notices.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      assertThat(
+          ((AcceptanceNotice.Rejected) notice).faults(),
+          contains(
+              "a.toml:2:1: services.credit.key_retention_hours: found 0, expected an integer from"
+                  + " 1 to 8784"));
+    }
+    assertThat(node.published.isEmpty(), is(true));
+  }
+
+  private final class Node {
+    final BlockingQueue<AcceptedConfiguration> published = new LinkedBlockingQueue<>();
+    final BlockingQueue<AcceptanceNotice> notices = new LinkedBlockingQueue<>();
+    final ConfigurationSync sync;
+
+    Node(String vm, long seed) {
+      sync =
+          new ConfigurationSync(
+              new VmId(vm), seed, 20, platform, platform.table(), published::add, notices::add);
+    }
+
+    AcceptedConfiguration next() throws InterruptedException {
+      AcceptedConfiguration next = published.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      if (next == null) {
+        throw new AssertionError("no configuration was published; notices: " + notices);
+      }
+      return next;
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/acceptance/MemoryPlatform.java
@@ -0,0 +1,112 @@
+package io.zinniawood.entry.acceptance;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.platform.ObjectListing;
+import io.zinniawood.platform.ObjectStore;
+import io.zinniawood.platform.ObjectVersion;
+import io.zinniawood.platform.PlatformError;
+import io.zinniawood.platform.StoredObject;
+import io.zinniawood.platform.Table;
+import io.zinniawood.platform.TableRow;
+import io.zinniawood.platform.TableWrite;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** Object store and table in memory that answer on other threads. */
+final class MemoryPlatform implements ObjectStore {
+  private final TreeMap<String, StoredObject> objects = new TreeMap<>();
+  private final TreeMap<String, TableRow> rows = new TreeMap<>();
+  private long versions;
+  private int lostWrites;
+
+  /** Loses the responses to the next writes of the table. */
+  synchronized void loseWriteResponses(int count) {
+    lostWrites = count;
+  }
+
+  synchronized void put(String name, String text) {
+    versions++;
+    objects.put(name, new StoredObject(name, Long.toString(versions), Payload.ofText(text)));
+  }
+
+  @Override
+  public CompletableFuture<Either<PlatformError, ObjectListing>> list(String prefix) {
+    return answer(
+        () ->
+            new ObjectListing(
+                Vector.ofAll(objects.values())
+                    .filter(object -> object.name().startsWith(prefix))
+                    .map(object -> new ObjectVersion(object.name(), object.version())),
+                ObjectListing.Completeness.COMPLETE));
+  }
+
+  @Override
+  public CompletableFuture<Either<PlatformError, Option<StoredObject>>> read(String name) {
+    return answer(() -> Option.of(objects.get(name)));
+  }
+
+  @Override
+  public CompletableFuture<Either<PlatformError, String>> write(String name, byte[] content) {
+    return answer(
+        () -> {
+          put(name, Payload.wrap(content).text());
+          return objects.get(name).version();
+        });
+  }
+
+  @Override
+  public CompletableFuture<Either<PlatformError, Boolean>> delete(String name) {
+    return answer(() -> objects.remove(name) != null);
+  }
+
+  /** Returns the table, whose methods clash with those of the object store. */
+  Table table() {
+    return new Table() {
+      @Override
+      public CompletableFuture<Either<PlatformError, Option<TableRow>>> read(String key) {
+        return answer(() -> Option.of(rows.get(key)));
+      }
+
+      @Override
+      public CompletableFuture<Either<PlatformError, TableWrite>> write(
+          String key, long expectedVersion, byte[] value) {
+        return answer(() -> compareAndSet(key, expectedVersion, value))
+            .thenApply(result -> loseResponse() ? lost() : result);
+      }
+    };
+  }
+
+  private TableWrite compareAndSet(String key, long expectedVersion, byte[] value) {
+    Option<TableRow> present = Option.of(rows.get(key));
+    if (present.map(TableRow::version).getOrElse(0L) != expectedVersion) {
+      return new TableWrite.Conflict(present);
+    }
+    rows.put(key, new TableRow(key, expectedVersion + 1, Payload.wrap(value)));
+    return new TableWrite.Written(expectedVersion + 1);
+  }
+
+  private synchronized boolean loseResponse() {
+    if (lostWrites == 0) {
+      return false;
+    }
+    lostWrites--;
+    return true;
+  }
+
+  private static <T> Either<PlatformError, T> lost() {
+    return Either.left(new PlatformError.ResponseLost("the connection closed"));
+  }
+
+  private <T> CompletableFuture<Either<PlatformError, T>> answer(Supplier<T> result) {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          synchronized (this) {
+            return Either.right(result.get());
+          }
+        });
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/acceptance/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the configuration synchronisation. */
+package io.zinniawood.entry.acceptance;
