--- a/config/src/main/java/io/zinniawood/config/ConfigurationFolder.java
+++ b/config/src/main/java/io/zinniawood/config/ConfigurationFolder.java
@@ -20,6 +20,9 @@
 
 /** Merges the files of the configuration folder. */
 public final class ConfigurationFolder {
+  /** A file that is not TOML has a fault in each line; nobody reads more than this. */
+  static final int MAX_FAULTS = 1_000;
+
   private ConfigurationFolder() {}
 
   /**
@@ -98,13 +101,28 @@
     return origins;
   }
 
+  /** Sorts the faults and replaces those beyond the bound by one that counts them. */
   private static Vector<ConfigurationFault> sorted(Vector<ConfigurationFault> faults) {
-    return faults
-        .distinct()
-        .sorted(
-            Comparator.comparing(ConfigurationFault::file)
-                .thenComparingInt(ConfigurationFault::line)
-                .thenComparingInt(ConfigurationFault::column)
-                .thenComparing(ConfigurationFault::key));
+    Vector<ConfigurationFault> all =
+        faults
+            .distinct()
+            .sorted(
+                Comparator.comparing(ConfigurationFault::file)
+                    .thenComparingInt(ConfigurationFault::line)
+                    .thenComparingInt(ConfigurationFault::column)
+                    .thenComparing(ConfigurationFault::key));
+    if (all.size() <= MAX_FAULTS) {
+      return all;
+    }
+    ConfigurationFault next = all.get(MAX_FAULTS);
+    return all.take(MAX_FAULTS)
+        .append(
+            new ConfigurationFault(
+                next.file(),
+                next.line(),
+                next.column(),
+                "",
+                "%d more faults from here on".formatted(all.size() - MAX_FAULTS),
+                "none"));
   }
 }
--- a/config/src/test/java/io/zinniawood/config/ConfigurationFolderTest.java
+++ b/config/src/test/java/io/zinniawood/config/ConfigurationFolderTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 
@@ -148,6 +149,18 @@
                 + " to 10000"));
   }
 
+  // Guards against memory that grows with every line of a file of another kind.
+  @Test
+  void faultsAreBoundedAndCounted() {
+    StringBuilder text = new StringBuilder("[repair]\n");
+    for (int i = 0; i < 1500; i++) {
+      text.append("key").append(i).append(" = 1\n");
+    }
+    Vector<String> faults = faults(file("a.toml", text.toString()));
+    assertThat(faults.size(), is(ConfigurationFolder.MAX_FAULTS + 1));
+    assertThat(faults.last(), containsString("found 500 more faults from here on"));
+  }
+
   private static ConfigurationFile file(String name, String text) {
     return new ConfigurationFile(name, "1", text);
   }
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceNotice.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceNotice.java
@@ -13,6 +13,13 @@
    */
   record Accepted(Generation generation, Vector<String> changedFiles) implements AcceptanceNotice {}
 
+  /**
+   * The folder was read and equals what is in force, for example after a rejected edit was undone.
+   *
+   * @param inForce generation in force
+   */
+  record Unchanged(Generation inForce) implements AcceptanceNotice {}
+
   /**
    * The folder was not accepted; the configuration in force stays.
    *
--- a/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
@@ -28,21 +28,16 @@
     MergeOutcome.Valid valid = (MergeOutcome.Valid) outcome;
     if (state.row().exists(found -> found.row().digest().equals(valid.digest()))
         && state.loadedObject().isDefined()) {
-      return Rounds.finish(
-          evaluated(state, merging.listing()).copy().texts(merging.files()).build());
+      return unchanged(state, merging);
     }
     return propose(state, merging, valid);
   }
 
   static Step<AcceptanceState, AcceptanceEffect> reject(
       AcceptanceState state, SortedMap<String, String> listing, Vector<String> faults) {
-    Step<AcceptanceState, AcceptanceEffect> finished = Rounds.finish(evaluated(state, listing));
-    AcceptanceNotice notice =
-        new AcceptanceNotice.Rejected(state.generation(), faults, fileVersions(listing));
-    return new Step<>(
-        finished.state(),
-        Vector.<AcceptanceEffect>of(new AcceptanceEffect.Notify(notice))
-            .appendAll(finished.effects()));
+    return notified(
+        Rounds.finish(evaluated(state, listing)),
+        new AcceptanceNotice.Rejected(state.generation(), faults, fileVersions(listing)));
   }
 
   static Step<AcceptanceState, AcceptanceEffect> snapshotWritten(AcceptanceState state) {
@@ -173,6 +168,20 @@
             .appendAll(finished.effects()));
   }
 
+  private static Step<AcceptanceState, AcceptanceEffect> unchanged(
+      AcceptanceState state, AcceptancePhase.Merging merging) {
+    AcceptanceState known =
+        evaluated(state, merging.listing()).copy().texts(merging.files()).build();
+    return notified(Rounds.finish(known), new AcceptanceNotice.Unchanged(state.generation()));
+  }
+
+  private static Step<AcceptanceState, AcceptanceEffect> notified(
+      Step<AcceptanceState, AcceptanceEffect> step, AcceptanceNotice notice) {
+    return new Step<>(
+        step.state(),
+        Vector.<AcceptanceEffect>of(new AcceptanceEffect.Notify(notice)).appendAll(step.effects()));
+  }
+
   private static boolean ownAttempt(AcceptedRow proposed, Option<VersionedRow> row) {
     return row.exists(found -> found.row().attempt().equals(proposed.attempt()));
   }
--- a/core/src/test/java/io/zinniawood/core/acceptance/AcceptancePropertyTest.java
+++ b/core/src/test/java/io/zinniawood/core/acceptance/AcceptancePropertyTest.java
@@ -7,6 +7,8 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.acceptance.AcceptanceWorld.Fault;
 import io.zinniawood.core.acceptance.AcceptanceWorld.Node;
+import java.util.EnumSet;
+import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -14,6 +16,8 @@
 
 final class AcceptancePropertyTest {
   private static final String SEED = "20261204";
+  private static final List<Fault> FAULTS =
+      List.copyOf(EnumSet.complementOf(EnumSet.of(Fault.NONE)));
 
   // Guards against reverts, skipped generations, lost edits and entries that never agree, under
   // random interleavings of edits, store faults and restarts.
@@ -26,7 +30,7 @@
     world.faults =
         effect ->
             random.nextInt(100) < faultPercent
-                ? Fault.values()[1 + random.nextInt(Fault.values().length - 1)]
+                ? FAULTS.get(random.nextInt(FAULTS.size()))
                 : Fault.NONE;
     int edits = 1 + random.nextInt(25);
     for (int i = 0; i < edits; i++) {
@@ -38,7 +42,14 @@
       if (random.nextInt(6) == 0) {
         offer(world, random);
       }
+      if (random.nextInt(6) == 0) {
+        world.deliver(
+            world.nodes.get(random.nextInt(entries)),
+            new AcceptanceEvent.PollModeChanged(PollMode.FOLLOWING));
+      }
     }
+    world.nodes.forEach(
+        node -> world.deliver(node, new AcceptanceEvent.PollModeChanged(PollMode.POLLING)));
     world.settle();
 
     MergeOutcome expected = AcceptanceWorld.merge(world.store.folder().values().toVector());
--- a/core/src/test/java/io/zinniawood/core/acceptance/AcceptanceScenariosTest.java
+++ b/core/src/test/java/io/zinniawood/core/acceptance/AcceptanceScenariosTest.java
@@ -150,6 +150,10 @@
     AcceptanceNotice.Rejected rejected = (AcceptanceNotice.Rejected) rejections.get(0);
     assertThat(rejected.faults(), contains("a.toml:1:1: found bad"));
     assertThat(rejected.inForce(), is(new Generation(1)));
+    world.store.remove("a.toml");
+    world.settle();
+    assertThat(
+        world.nodes.get(0).notices, hasItem(new AcceptanceNotice.Unchanged(new Generation(1))));
   }
 
   // Guards against a removal that never takes effect.
--- a/entry/src/main/java/io/zinniawood/entry/acceptance/AcceptanceExecutor.java
+++ b/entry/src/main/java/io/zinniawood/entry/acceptance/AcceptanceExecutor.java
@@ -23,6 +23,8 @@
 import io.zinniawood.core.acceptance.StoreFailure;
 import io.zinniawood.core.acceptance.VersionedRow;
 import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.core.configuration.ClusterConfiguration;
+import io.zinniawood.core.id.Generation;
 import io.zinniawood.core.model.Payload;
 import io.zinniawood.platform.ObjectListing;
 import io.zinniawood.platform.ObjectStore;
@@ -209,8 +211,18 @@
     }
     return merged.fold(
         faults -> new MergeOutcome.Invalid(faults.map(ConfigurationFault::text)),
-        found ->
-            new MergeOutcome.Valid(found.cluster(), ConfigurationCodec.digest(found.cluster())));
+        found -> valid(found.cluster()));
+  }
+
+  /** Refuses what a snapshot could not hold, so that the operator sees it as a rejected edit. */
+  private static MergeOutcome valid(ClusterConfiguration cluster) {
+    String digest = ConfigurationCodec.digest(cluster);
+    Either<CodecError, Payload> encoded =
+        ConfigurationCodec.encode(
+            new AcceptedConfiguration(new Generation(Long.MAX_VALUE), digest, cluster));
+    return encoded.isLeft()
+        ? new MergeOutcome.Invalid(Vector.of(encoded.getLeft().detail()))
+        : new MergeOutcome.Valid(cluster, digest);
   }
 
   private static Either<CodecError, Option<VersionedRow>> decode(Option<TableRow> row) {
