--- a/cli/src/main/java/io/zinniawood/cli/LoadCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/LoadCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import io.zinniawood.cli.bench.Scenarios;
 import io.zinniawood.load.LatencyLimits;
 import io.zinniawood.load.LoadGenerator;
 import io.zinniawood.load.LoadJsonRenderer;
@@ -9,6 +10,7 @@
 import io.zinniawood.load.LoadResult;
 import io.zinniawood.load.LoadTextRenderer;
 import io.zinniawood.load.Workload;
+import io.zinniawood.telemetry.JsonLogging;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
@@ -16,16 +18,22 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.logging.Level;
 
 /** Sends load to an entry and prints latencies and outcomes. */
 @Parameters(commandDescription = "Send open-loop load to an entry and print the result")
 final class LoadCommand extends HelpOption implements Command {
-  @Parameter(names = "--target", description = "Base address of the callers' port", required = true)
+  @Parameter(names = "--target", description = "Base address of the callers' port")
   private String target;
 
-  @Parameter(names = "--key", description = "API key of a client account", required = true)
+  @Parameter(names = "--key", description = "API key of a client account")
   private String key;
 
+  @Parameter(
+      names = "--scenario",
+      description = "Run bound, overload or recovery on a local cluster, with the naive policy")
+  private String scenario;
+
   @Parameter(names = "--rate", description = "Chat requests per second, 0 for none")
   private double chatsPerSecond = 1;
 
@@ -66,11 +74,19 @@
     return """
         zinniawood load --target http://127.0.0.1:8080 --key demo-kiosk --rate 20
         zinniawood load --target http://127.0.0.1:8080 --key demo-kiosk --rate 0 --post-rate 5
+        zinniawood load --scenario bound --seed 1
         """;
   }
 
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws InterruptedException {
+    if (scenario != null) {
+      return runScenario(out, err);
+    }
+    if (target == null || key == null) {
+      err.println("zinniawood load: --target and --key, or --scenario, are required");
+      return ExitCode.WRONG_USAGE;
+    }
     LoadPlan plan;
     try {
       plan = plan();
@@ -91,6 +107,22 @@
     return ExitCode.DONE;
   }
 
+  private ExitCode runScenario(PrintStream out, PrintStream err) throws InterruptedException {
+    JsonLogging.install(err, Level.SEVERE);
+    Scenarios scenarios = new Scenarios(out, seed);
+    switch (scenario) {
+      case "bound" -> scenarios.bound();
+      case "overload" -> scenarios.overload();
+      case "recovery" -> scenarios.recovery();
+      default -> {
+        err.println(
+            "zinniawood load: --scenario must be bound, overload or recovery, found " + scenario);
+        return ExitCode.WRONG_USAGE;
+      }
+    }
+    return ExitCode.DONE;
+  }
+
   private LoadPlan plan() {
     List<Workload> workloads = new ArrayList<>();
     if (chatsPerSecond > 0) {
--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/bench/NaiveReducer.java
@@ -0,0 +1,208 @@
+package io.zinniawood.cli.bench;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.EntryEffect;
+import io.zinniawood.core.entry.EntryEvent;
+import io.zinniawood.core.entry.Readiness;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Epoch;
+import io.zinniawood.core.id.SessionId;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Capability;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.Problem;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.core.model.StageAddress;
+import io.zinniawood.core.model.VmEntry;
+import io.zinniawood.core.model.VmRole;
+import io.zinniawood.core.runtime.Reducer;
+import io.zinniawood.core.runtime.Step;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Naive policy for comparisons: round robin over all endpoints of a layer range, no limits, no
+ * subset, and a blind retry from the start whenever something fails. It serves model requests only.
+ */
+public final class NaiveReducer implements Reducer<NaiveState, EntryEvent, EntryEffect> {
+  private static final Epoch EPOCH = new Epoch(1);
+  private static final int MAX_ATTEMPTS = 10;
+  private static final int DEFAULT_WEIGHT = 1;
+
+  /** Returns the state before the first event. */
+  static NaiveState initialState() {
+    return new NaiveState();
+  }
+
+  @Override
+  public Step<NaiveState, EntryEffect> reduce(NaiveState state, long nowNanos, EntryEvent event) {
+    List<EntryEffect> effects = new ArrayList<>();
+    if (event instanceof EntryEvent.ModelRequestArrived arrival) {
+      start(state, new NaiveState.Chat(arrival), effects);
+    } else if (event instanceof EntryEvent.AgentMessageReceived received) {
+      message(state, received, effects);
+    } else if (event instanceof EntryEvent.AgentConnected connected) {
+      if (connected.status().capability() instanceof Capability.ModelStage stage) {
+        state.agents.put(
+            connected.identity().endpoint(), new NaiveState.Agent(connected.identity(), stage));
+      }
+    } else if (event instanceof EntryEvent.AgentDisconnected lost) {
+      state.agents.remove(lost.endpoint());
+      reconnect(state, lost.endpoint(), effects);
+      for (SessionId session : List.copyOf(state.chats.keySet())) {
+        if (state.chats.get(session).uses(lost.endpoint(), lost.incarnation())) {
+          restart(state, session, effects);
+        }
+      }
+    } else if (event instanceof EntryEvent.AgentConnectFailed failed) {
+      reconnect(state, failed.endpoint(), effects);
+    } else if (event instanceof EntryEvent.VmListReceived list) {
+      list.vms().forEach(vm -> learn(state, vm, effects));
+    } else if (event instanceof EntryEvent.ConfigurationAccepted) {
+      effects.add(new EntryEffect.SetReadiness(Readiness.READY));
+    } else if (event instanceof EntryEvent.DrainRequested) {
+      effects.add(new EntryEffect.Stop());
+    }
+    return new Step<>(state, Vector.ofAll(effects));
+  }
+
+  private static void learn(NaiveState state, VmEntry vm, List<EntryEffect> effects) {
+    EndpointId endpoint = new EndpointId(vm.vm().value());
+    if (vm.role() == VmRole.ENDPOINT && state.known.put(endpoint, vm) == null) {
+      effects.add(new EntryEffect.ConnectAgent(endpoint, vm.address()));
+    }
+  }
+
+  private static void reconnect(NaiveState state, EndpointId endpoint, List<EntryEffect> effects) {
+    VmEntry vm = state.known.get(endpoint);
+    if (vm != null) {
+      effects.add(new EntryEffect.ConnectAgent(endpoint, vm.address()));
+    }
+  }
+
+  private static void start(NaiveState state, NaiveState.Chat chat, List<EntryEffect> effects) {
+    chat.attempts++;
+    chat.opened = 0;
+    chat.position = 0;
+    chat.chain = chain(state, chat);
+    if (chat.chain.isEmpty() || chat.attempts > MAX_ATTEMPTS) {
+      effects.add(
+          new EntryEffect.ReplyProblem(
+              chat.request(), Problem.unknown(ProblemType.NO_ENDPOINT, "no chain of endpoints")));
+      return;
+    }
+    state.sessions++;
+    SessionId session = new SessionId("naive-" + chat.request() + "-" + state.sessions);
+    state.chats.put(session, chat);
+    for (int index = 0; index < chat.chain.size(); index++) {
+      send(chat.chain.get(index), open(chat, session, index), effects);
+    }
+  }
+
+  private static List<StageAddress> chain(NaiveState state, NaiveState.Chat chat) {
+    List<StageAddress> chain = new ArrayList<>();
+    int layer = 0;
+    while (true) {
+      int from = layer;
+      List<NaiveState.Agent> candidates =
+          state.agents.values().stream()
+              .filter(agent -> agent.stage().model().equals(chat.arrival.model()))
+              .filter(agent -> agent.stage().layers().fromLayer() == from)
+              .toList();
+      if (candidates.isEmpty()) {
+        return chain;
+      }
+      int turn = state.turns.merge(from, 1, Integer::sum);
+      NaiveState.Agent agent = candidates.get(Math.floorMod(turn, candidates.size()));
+      chain.add(
+          new StageAddress(
+              agent.identity().endpoint(),
+              agent.identity().incarnation(),
+              agent.identity().address(),
+              agent.stage().layers()));
+      layer = agent.stage().layers().toLayerExclusive();
+    }
+  }
+
+  private static Message open(NaiveState.Chat chat, SessionId session, int index) {
+    EntryEvent.ModelRequestArrived arrival = chat.arrival;
+    return new Message.OpenSession(
+        session,
+        EPOCH,
+        chat.chain.get(index).incarnation(),
+        chat.clientAccount(),
+        arrival.model(),
+        Vector.ofAll(chat.chain),
+        index,
+        arrival.maxTokens(),
+        arrival.priority(),
+        Long.MAX_VALUE / 2_000_000,
+        DEFAULT_WEIGHT,
+        0,
+        Option.none());
+  }
+
+  private static void message(
+      NaiveState state, EntryEvent.AgentMessageReceived received, List<EntryEffect> effects) {
+    if (received.message() instanceof Message.SessionOpened opened) {
+      NaiveState.Chat chat = state.chats.get(opened.session());
+      if (chat != null) {
+        chat.opened++;
+        if (chat.opened == chat.chain.size()) {
+          step(chat, opened.session(), chat.arrival.prompt(), effects);
+        }
+      }
+    } else if (received.message() instanceof Message.Token token) {
+      token(state, token, effects);
+    } else if (received.message() instanceof Message.SessionRefused refused) {
+      restart(state, refused.session(), effects);
+    } else if (received.message() instanceof Message.StageFailed failed) {
+      restart(state, failed.session(), effects);
+    }
+  }
+
+  private static void token(NaiveState state, Message.Token token, List<EntryEffect> effects) {
+    NaiveState.Chat chat = state.chats.get(token.session());
+    if (chat == null || token.position() != chat.position) {
+      return;
+    }
+    chat.position++;
+    // The model is deterministic, so a restarted answer repeats the tokens that were delivered.
+    if (chat.position > chat.delivered) {
+      chat.delivered = chat.position;
+      effects.add(new EntryEffect.ReplyToken(chat.request(), token.text()));
+    }
+    if (token.finish().isDefined()) {
+      effects.add(
+          new EntryEffect.FinishAnswer(chat.request(), token.finish().get(), chat.delivered));
+      close(state, token.session(), effects);
+    } else {
+      step(chat, token.session(), Payload.ofText(token.text()), effects);
+    }
+  }
+
+  private static void step(
+      NaiveState.Chat chat, SessionId session, Payload input, List<EntryEffect> effects) {
+    send(chat.chain.get(0), new Message.StepInput(session, EPOCH, chat.position, input), effects);
+  }
+
+  private static void restart(NaiveState state, SessionId session, List<EntryEffect> effects) {
+    NaiveState.Chat chat = state.chats.get(session);
+    if (chat != null) {
+      close(state, session, effects);
+      start(state, chat, effects);
+    }
+  }
+
+  private static void close(NaiveState state, SessionId session, List<EntryEffect> effects) {
+    NaiveState.Chat chat = state.chats.remove(session);
+    for (StageAddress stage : chat.chain) {
+      send(stage, new Message.CloseSession(session), effects);
+    }
+  }
+
+  private static void send(StageAddress stage, Message message, List<EntryEffect> effects) {
+    effects.add(new EntryEffect.SendToAgent(stage.endpoint(), stage.incarnation(), message));
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/bench/Scenarios.java
@@ -0,0 +1,119 @@
+package io.zinniawood.cli.bench;
+
+import io.zinniawood.cli.local.LocalCluster;
+import io.zinniawood.load.LoadResult;
+import io.zinniawood.load.WorkloadResult;
+import java.io.PrintStream;
+import java.util.Locale;
+
+/** Load scenarios that compare the decisions of this project with the naive policy. */
+public final class Scenarios {
+  private static final double[] LOAD_SHARES = {0.5, 0.7, 0.8, 0.9, 0.95, 1.0};
+  private static final double[] OVERLOAD_FACTORS = {1, 2, 10};
+  private static final double RECOVERY_SHARE = 0.6;
+  private static final long RUN_MILLIS = 8_000;
+  private static final long RECOVERY_RUN_MILLIS = 12_000;
+
+  private final PrintStream out;
+  private final long seed;
+
+  /** Creates the scenarios with an output and a seed. */
+  public Scenarios(PrintStream out, long seed) {
+    this.out = out;
+    this.seed = seed;
+  }
+
+  /** Prints throughput at rising shares of the maximum-flow bound. */
+  public void bound() throws InterruptedException {
+    printBound();
+    for (double share : LOAD_SHARES) {
+      for (EntryPolicy policy : EntryPolicy.values()) {
+        double rate = BenchPlan.boundRequestsPerSecond() * share;
+        LoadResult result = ScenarioRun.run(policy, rate, RUN_MILLIS, seed, cluster -> {});
+        line("share %.2f %-5s %s", share, policy, summary(result));
+      }
+    }
+  }
+
+  /** Prints goodput at and beyond the bound. */
+  public void overload() throws InterruptedException {
+    printBound();
+    for (double factor : OVERLOAD_FACTORS) {
+      for (EntryPolicy policy : EntryPolicy.values()) {
+        double rate = BenchPlan.boundRequestsPerSecond() * factor;
+        LoadResult result = ScenarioRun.run(policy, rate, RUN_MILLIS, seed, cluster -> {});
+        line("load %.0fx %-5s %s", factor, policy, summary(result));
+      }
+    }
+  }
+
+  /** Prints the time until tokens flow again after faults at 0.6 of the bound. */
+  public void recovery() throws InterruptedException {
+    printBound();
+    recovery("stage killed", cluster -> kill(cluster, "large-1"));
+    recovery(
+        "connection silent", cluster -> cluster.endpoints().get("large-1").link().silenceBoth());
+    recovery(
+        "half of a range killed",
+        cluster -> {
+          kill(cluster, "medium-1");
+          kill(cluster, "small-1");
+          kill(cluster, "tiny-1");
+        });
+  }
+
+  private static void kill(LocalCluster cluster, String endpoint) {
+    cluster.endpoints().get(endpoint).close();
+  }
+
+  private void recovery(String name, ScenarioRun.Fault fault) throws InterruptedException {
+    for (EntryPolicy policy : EntryPolicy.values()) {
+      double rate = BenchPlan.boundRequestsPerSecond() * RECOVERY_SHARE;
+      LoadResult result = ScenarioRun.run(policy, rate, RECOVERY_RUN_MILLIS, seed, fault);
+      line("%s %-5s %s", name, policy, summary(result));
+      line("  tokens in 100 ms around the fault: %s", aroundFault(result));
+    }
+  }
+
+  private static String aroundFault(LoadResult result) {
+    long[] tokens = result.timeline().tokens();
+    int middle = (int) (RECOVERY_RUN_MILLIS / 2 / result.timeline().intervalMillis());
+    StringBuilder text = new StringBuilder();
+    for (int i = middle - 5; i < middle + 35 && i < tokens.length; i++) {
+      text.append(i == middle ? "| " : "").append(tokens[i]).append(' ');
+    }
+    return text.toString().strip();
+  }
+
+  private void printBound() {
+    line(
+        "maximum-flow bound %.0f tokens/s, %.2f requests/s of %d tokens; seed %d",
+        BenchPlan.boundTokensPerSecond(),
+        BenchPlan.boundRequestsPerSecond(),
+        BenchPlan.MAX_TOKENS,
+        seed);
+  }
+
+  private static String summary(LoadResult result) {
+    WorkloadResult chat = result.workloads().get(0);
+    double seconds = result.plan().durationMillis() / 1_000.0;
+    double bound = BenchPlan.boundRequestsPerSecond();
+    return String.format(
+        Locale.ROOT,
+        "sent %.1f/s, completed %.1f/s (%.3f of bound), goodput %.1f/s (%.3f of bound), first token"
+            + " p95 %.0f ms, between tokens p95 %.1f ms, broken %d, problems %s",
+        chat.sent() / seconds,
+        chat.completed() / seconds,
+        chat.completed() / seconds / bound,
+        chat.withinObjective() / seconds,
+        chat.withinObjective() / seconds / bound,
+        chat.firstTokenMicros().getValueAtPercentile(95) / 1_000.0,
+        chat.tokenGapMicros().getValueAtPercentile(95) / 1_000.0,
+        chat.broken(),
+        chat.problems());
+  }
+
+  private void line(String format, Object... values) {
+    out.println(String.format(Locale.ROOT, format, values));
+  }
+}
--- a/cli/src/main/java/io/zinniawood/cli/local/DemoPlan.java
+++ b/cli/src/main/java/io/zinniawood/cli/local/DemoPlan.java
@@ -35,9 +35,11 @@
       endpoints.add(engine(dataCentre, 3, "small", 18, 22));
       endpoints.add(engine(dataCentre, 4, "tiny", 22, 24));
       endpoints.add(
-          new EndpointPlan.Service(dataCentre + "-credit", dataCentre, "credit", "credit", 5, 16));
+          new EndpointPlan.Service(
+              dataCentre + "-credit", dataCentre, "credit", 0, "credit", 5, 16));
       endpoints.add(
-          new EndpointPlan.Service(dataCentre + "-refill", dataCentre, "refill", "refill", 5, 16));
+          new EndpointPlan.Service(
+              dataCentre + "-refill", dataCentre, "refill", 0, "refill", 5, 16));
     }
     return new ClusterPlan(DATA_CENTRES, endpoints, files(), 200);
   }
@@ -61,6 +63,7 @@
         "%s-%02d".formatted(dataCentre, number),
         dataCentre,
         "assistant-%d".formatted(fromLayer),
+        0,
         settings);
   }
 
--- a/cli/src/main/java/io/zinniawood/cli/local/EndpointPlan.java
+++ b/cli/src/main/java/io/zinniawood/cli/local/EndpointPlan.java
@@ -13,15 +13,20 @@
   /** Returns the pool. */
   String pool();
 
+  /** Returns the added delay of the link to the endpoint in milliseconds, one way. */
+  long linkMillis();
+
   /**
    * A model engine.
    *
    * @param endpoint id of the endpoint
    * @param dataCentre data centre
    * @param pool pool
+   * @param linkMillis added delay of the link to the endpoint in milliseconds, one way
    * @param engine settings of the engine stand-in
    */
-  record Engine(String endpoint, String dataCentre, String pool, EngineSettings engine)
+  record Engine(
+      String endpoint, String dataCentre, String pool, long linkMillis, EngineSettings engine)
       implements EndpointPlan {}
 
   /**
@@ -30,6 +35,7 @@
    * @param endpoint id of the endpoint
    * @param dataCentre data centre
    * @param pool pool
+   * @param linkMillis added delay of the link to the endpoint in milliseconds, one way
    * @param service name of the service
    * @param callMillis time of each call in milliseconds
    * @param maxConcurrent most concurrent calls
@@ -38,6 +44,7 @@
       String endpoint,
       String dataCentre,
       String pool,
+      long linkMillis,
       String service,
       long callMillis,
       int maxConcurrent)
--- a/cli/src/main/java/io/zinniawood/cli/local/LocalCluster.java
+++ b/cli/src/main/java/io/zinniawood/cli/local/LocalCluster.java
@@ -1,9 +1,9 @@
 package io.zinniawood.cli.local;
 
+import io.vavr.control.Either;
 import io.vavr.control.Option;
 import io.zinniawood.cli.process.EntryLauncher;
 import io.zinniawood.config.settings.EntrySettings;
-import io.zinniawood.core.entry.EntryState;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
@@ -11,6 +11,7 @@
 import io.zinniawood.standin.platform.PlatformSettings;
 import io.zinniawood.standin.platform.PlatformStandIn;
 import io.zinniawood.standin.platform.VmRecord;
+import io.zinniawood.wire.WireError;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -28,10 +29,20 @@
   private final PlatformStandIn platform;
   private final URI platformUri;
   private final Map<String, LocalEndpoint> endpoints = new LinkedHashMap<>();
-  private final List<EntryProcess<EntryState>> entries = new ArrayList<>();
+  private final List<EntryProcess<?>> entries = new ArrayList<>();
   private final List<EntrySettings> entrySettings = new ArrayList<>();
 
-  private LocalCluster(ClusterPlan plan) {
+  private final EntryFactory entryFactory;
+
+  /** Builds an entry that is not started. */
+  @FunctionalInterface
+  public interface EntryFactory {
+    /** Returns the entry of the given settings. */
+    Either<WireError, ? extends EntryProcess<?>> create(EntrySettings settings);
+  }
+
+  private LocalCluster(ClusterPlan plan, EntryFactory entryFactory) {
+    this.entryFactory = entryFactory;
     platform =
         new PlatformStandIn(
             new PlatformSettings(0, plan.vmListDelayMillis(), 2, 4, 0, 0, List.of()));
@@ -40,7 +51,12 @@
 
   /** Starts everything; the configuration may not be accepted yet. */
   public static LocalCluster start(ClusterPlan plan) {
-    LocalCluster cluster = new LocalCluster(plan);
+    return start(plan, EntryLauncher::create);
+  }
+
+  /** Starts everything with entries of another factory, for comparisons. */
+  public static LocalCluster start(ClusterPlan plan, EntryFactory entryFactory) {
+    LocalCluster cluster = new LocalCluster(plan, entryFactory);
     plan.files()
         .forEach(
             (name, text) ->
@@ -75,8 +91,9 @@
             DRAIN_GRACE_MILLIS,
             POLL_MILLIS,
             Option.none());
-    EntryProcess<EntryState> entry =
-        EntryLauncher.create(settings)
+    EntryProcess<?> entry =
+        entryFactory
+            .create(settings)
             .getOrElseThrow(error -> new IllegalStateException(error.detail()));
     entry.start();
     entries.add(entry);
@@ -105,7 +122,7 @@
   }
 
   /** Returns the entries. */
-  public List<EntryProcess<EntryState>> entries() {
+  public List<EntryProcess<?>> entries() {
     return entries;
   }
 
--- a/cli/src/main/java/io/zinniawood/cli/local/LocalEndpoint.java
+++ b/cli/src/main/java/io/zinniawood/cli/local/LocalEndpoint.java
@@ -13,6 +13,8 @@
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.standin.engine.EngineStandIn;
+import io.zinniawood.standin.proxy.Direction;
+import io.zinniawood.standin.proxy.FaultProxy;
 import io.zinniawood.standin.service.ServiceSettings;
 import io.zinniawood.standin.service.ServiceStandIn;
 import io.zinniawood.wire.WireError;
@@ -24,19 +26,19 @@
   private static final long KEPT_OUTPUT_BYTES = 16L * 1024 * 1024;
 
   private final EndpointPlan plan;
-  private final NodeAddress address;
+  private final FaultProxy link;
   private final Optional<EngineStandIn> engine;
   private final Optional<ServiceStandIn> service;
   private final AgentProcess agent;
 
   private LocalEndpoint(
       EndpointPlan plan,
-      NodeAddress address,
+      FaultProxy link,
       Optional<EngineStandIn> engine,
       Optional<ServiceStandIn> service,
       AgentProcess agent) {
     this.plan = plan;
-    this.address = address;
+    this.link = link;
     this.engine = engine;
     this.service = service;
     this.agent = agent;
@@ -45,16 +47,17 @@
   /** Starts the stand-in and the agent of a plan. */
   static LocalEndpoint start(EndpointPlan plan, URI platform) {
     NodeAddress address = Ports.free();
+    FaultProxy link = link(address, plan.linkMillis());
     if (plan instanceof EndpointPlan.Engine enginePlan) {
       EngineStandIn engine = new EngineStandIn(enginePlan.engine());
       BackendSettings backend =
           new BackendSettings.Engine(base(engine.start(0)), FencingCheck.AGENT_ONLY);
       return new LocalEndpoint(
           plan,
-          address,
+          link,
           Optional.of(engine),
           Optional.empty(),
-          agent(plan, address, platform, backend));
+          agent(plan, address, link, platform, backend));
     }
     EndpointPlan.Service servicePlan = (EndpointPlan.Service) plan;
     ServiceStandIn service = new ServiceStandIn(new ServiceSettings(0, servicePlan.callMillis()));
@@ -65,18 +68,29 @@
             servicePlan.maxConcurrent());
     return new LocalEndpoint(
         plan,
-        address,
+        link,
         Optional.empty(),
         Optional.of(service),
-        agent(plan, address, platform, backend));
+        agent(plan, address, link, platform, backend));
   }
 
   private static URI base(int port) {
     return URI.create("http://127.0.0.1:" + port);
   }
 
+  private static FaultProxy link(NodeAddress address, long delayMillis) {
+    FaultProxy link = FaultProxy.launch(address.port());
+    link.setDelayMillis(Direction.TO_TARGET, delayMillis);
+    link.setDelayMillis(Direction.TO_CLIENT, delayMillis);
+    return link;
+  }
+
   private static AgentProcess agent(
-      EndpointPlan plan, NodeAddress address, URI platform, BackendSettings backend) {
+      EndpointPlan plan,
+      NodeAddress address,
+      FaultProxy link,
+      URI platform,
+      BackendSettings backend) {
     AgentSettings settings =
         new AgentSettings(
             new EndpointId(plan.endpoint()),
@@ -87,7 +101,8 @@
             backend,
             KEPT_OUTPUT_BYTES,
             Option.none());
-    Either<WireError, AgentProcess> created = AgentLauncher.create(settings);
+    Either<WireError, AgentProcess> created =
+        AgentLauncher.create(settings, new NodeAddress(address.host(), link.port()));
     AgentProcess agent = created.getOrElseThrow(error -> new IllegalStateException(error.detail()));
     agent.start().getOrElseThrow(error -> new IllegalStateException(error.detail()));
     return agent;
@@ -98,9 +113,14 @@
     return plan;
   }
 
-  /** Returns the address of the agent. */
+  /** Returns the address at which others reach the agent. */
   public NodeAddress address() {
-    return address;
+    return new NodeAddress("127.0.0.1", link.port());
+  }
+
+  /** Returns the link through which others reach the agent. */
+  public FaultProxy link() {
+    return link;
   }
 
   /** Returns the engine stand-in, empty for a plain service. */
@@ -121,6 +141,7 @@
   /** Ends the agent and the stand-in at once, as when the VM fails. */
   @Override
   public void close() {
+    link.close();
     agent.close();
     engine.ifPresent(EngineStandIn::close);
     service.ifPresent(ServiceStandIn::close);
--- a/cli/src/main/java/io/zinniawood/cli/process/AgentLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/AgentLauncher.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.id.Generation;
 import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.model.AgentIdentity;
+import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.model.VmRole;
 import io.zinniawood.engine.http.HttpModelEngine;
 import io.zinniawood.engine.http.HttpPlainServiceClient;
@@ -30,15 +31,20 @@
 
   /** Returns an agent that is not started, or an error if its certificates cannot be read. */
   public static Either<WireError, AgentProcess> create(AgentSettings settings) {
+    return create(settings, settings.peers());
+  }
+
+  /**
+   * Returns an agent that is not started and tells others to reach it at another address than the
+   * one on which it listens, for links with faults or delay.
+   */
+  public static Either<WireError, AgentProcess> create(
+      AgentSettings settings, NodeAddress advertised) {
     SecureRandom random = new SecureRandom();
     Incarnation incarnation = new Incarnation(random.nextLong());
     AgentIdentity identity =
         new AgentIdentity(
-            settings.endpoint(),
-            incarnation,
-            settings.dataCentre(),
-            settings.pool(),
-            settings.peers());
+            settings.endpoint(), incarnation, settings.dataCentre(), settings.pool(), advertised);
     WirePeer self =
         new WirePeer(
             settings.endpoint().value(),
--- a/cli/src/main/java/io/zinniawood/cli/process/EntryLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/EntryLauncher.java
@@ -5,11 +5,14 @@
 import io.zinniawood.config.settings.EntrySettings;
 import io.zinniawood.config.settings.TlsSettings;
 import io.zinniawood.core.acceptance.AcceptanceNotice;
+import io.zinniawood.core.entry.EntryEffect;
+import io.zinniawood.core.entry.EntryEvent;
 import io.zinniawood.core.entry.EntryNode;
 import io.zinniawood.core.entry.EntryReducer;
 import io.zinniawood.core.entry.EntryState;
 import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.model.VmRole;
+import io.zinniawood.core.runtime.Reducer;
 import io.zinniawood.entry.EntryDependencies;
 import io.zinniawood.entry.EntryProcess;
 import io.zinniawood.entry.GenerationCell;
@@ -36,6 +39,23 @@
   /** Returns an entry that is not started, or an error if its certificates cannot be read. */
   public static Either<WireError, EntryProcess<EntryState>> create(EntrySettings settings) {
     long seed = new SecureRandom().nextLong();
+    EntryNode self = new EntryNode(settings.vm(), settings.dataCentre());
+    return create(settings, seed, new EntryReducer(), EntryState.initial(self, seed));
+  }
+
+  /**
+   * Returns an entry with other decisions, for comparisons.
+   *
+   * @param settings settings of the entry
+   * @param seed seed that differs between two starts of one VM
+   * @param reducer decisions
+   * @param initialState state before the first event
+   */
+  public static <S> Either<WireError, EntryProcess<S>> create(
+      EntrySettings settings,
+      long seed,
+      Reducer<S, EntryEvent, EntryEffect> reducer,
+      S initialState) {
     GenerationCell generation = new GenerationCell();
     WirePeer self =
         new WirePeer(
@@ -45,27 +65,34 @@
             settings.dataCentre(),
             Option.none());
     return Wires.overTcp(self, generation, WireTiming.defaults(), tls(settings.tls()), WIRE_THREADS)
-        .map(wire -> create(settings, wire, generation, seed));
+        .map(
+            wire ->
+                new EntryProcess<>(
+                    dependencies(settings, wire, generation, seed, reducer, initialState)));
   }
 
-  private static EntryProcess<EntryState> create(
-      EntrySettings settings, Wire wire, GenerationCell generation, long seed) {
+  private static <S> EntryDependencies<S> dependencies(
+      EntrySettings settings,
+      Wire wire,
+      GenerationCell generation,
+      long seed,
+      Reducer<S, EntryEvent, EntryEffect> reducer,
+      S initialState) {
     HttpPlatform platform = new HttpPlatform(settings.platform(), new OkHttpClient());
     SyncedFeed feed =
         new SyncedFeed(
             settings, seed, platform.objectStore(), platform.table(), EntryLauncher::log);
-    return new EntryProcess<>(
-        new EntryDependencies<>(
-            settings,
-            wire,
-            generation,
-            platform.table(),
-            platform.vmList(),
-            feed,
-            new EntryReducer(),
-            EntryState.initial(new EntryNode(settings.vm(), settings.dataCentre()), seed),
-            System::nanoTime,
-            LOGGER));
+    return new EntryDependencies<>(
+        settings,
+        wire,
+        generation,
+        platform.table(),
+        platform.vmList(),
+        feed,
+        reducer,
+        initialState,
+        System::nanoTime,
+        LOGGER);
   }
 
   private static void log(AcceptanceNotice notice) {
--- a/load/src/main/java/io/zinniawood/load/RequestSender.java
+++ b/load/src/main/java/io/zinniawood/load/RequestSender.java
@@ -103,7 +103,7 @@
     try {
       JsonNode problem = JSON.readTree(document);
       String type = problem.path("type").asText("status-" + status);
-      return type.substring(type.lastIndexOf('/') + 1)
+      return type.substring(Math.max(type.lastIndexOf('/'), type.lastIndexOf(':')) + 1)
           + " "
           + problem.path("outcome").asText("no-outcome");
     } catch (JsonProcessingException notJson) {
--- a/wire/src/main/java/io/zinniawood/wire/internal/NettyWire.java
+++ b/wire/src/main/java/io/zinniawood/wire/internal/NettyWire.java
@@ -110,6 +110,9 @@
   @Override
   public CompletableFuture<Either<WireError, WireConnection>> connect(
       NodeAddress address, WireListener listener) {
+    if (group.isShuttingDown()) {
+      return CompletableFuture.completedFuture(Either.left(new WireError("the wire is closed")));
+    }
     CompletableFuture<Either<WireError, WireConnection>> result = new CompletableFuture<>();
     Bootstrap bootstrap =
         new Bootstrap()
