Allow work on its way above an endpoint's limit; document contracts; test the drain

With a limit equal to the endpoint's concurrency the endpoint idled for a round trip after each call.

--- a/core/src/main/java/io/zinniawood/core/entry/Attempts.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Attempts.java
@@ -96,6 +96,10 @@
             Admission.weight(turn, arrival.clientAccount())));
   }
 
+  /**
+   * Moves an attempt that did not answer in time to its next phase; ignores attempts that have
+   * ended.
+   */
   static void timedOut(Turn turn, RequestId id, AttemptId attemptId) {
     for (ServiceRequest request : OpenRequests.withAttempt(turn, id, attemptId)) {
       Attempt attempt = request.current().get();
@@ -180,6 +184,7 @@
         new EntryTimer.RetryDelay(request.id()), Retries.delayNanos(turn, request.attempts()));
   }
 
+  /** Sends the next attempt after its delay, unless one is in flight already. */
   static void delayOver(Turn turn, ServiceRequest request) {
     if (request.current().isEmpty()) {
       dispatch(turn, request);
@@ -191,6 +196,7 @@
     request.current().filter(Attempt::own).forEach(attempt -> sendCancel(turn, request, attempt));
   }
 
+  /** Sends a cancel; if it arrives before the attempt starts, the attempt never will. */
   static void sendCancel(Turn turn, ServiceRequest request, Attempt attempt) {
     turn.send(
         attempt.endpoint(),
@@ -213,6 +219,7 @@
         turn, request.id(), request.withCurrent(request.current().get().withPhase(phase)));
   }
 
+  /** Starts or restarts the timer of the request's present attempt. */
   static void startTimer(Turn turn, ServiceRequest request, long delayNanos) {
     turn.startTimer(
         new EntryTimer.AttemptTimeout(request.id(), request.current().get().id()), delayNanos);
--- a/core/src/main/java/io/zinniawood/core/entry/Configurations.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Configurations.java
@@ -6,6 +6,7 @@
 final class Configurations {
   private Configurations() {}
 
+  /** Puts a configuration in force if its generation is higher than the present one. */
   static void accepted(Turn turn, AcceptedConfiguration configuration) {
     boolean newer =
         turn.state()
--- a/core/src/main/java/io/zinniawood/core/entry/Connections.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Connections.java
@@ -18,6 +18,7 @@
 
   private Connections() {}
 
+  /** Opens a connection; the result comes as an event. */
   static void connect(Turn turn, Member member) {
     turn.updateMember(
         member.endpoint(), known -> known.with(known.connection().to(Link.CONNECTING)));
@@ -44,6 +45,7 @@
     }
   }
 
+  /** Blames the endpoint, as a new connection cannot be opened, and tries again later. */
   static void connectFailed(Turn turn, EndpointId endpoint) {
     if (turn.fleet()
         .member(endpoint)
@@ -59,7 +61,7 @@
     turn.startTimer(
         new EntryTimer.ReconnectDelay(endpoint),
         Backoff.delayNanos(failures, RECONNECT_BASE_MILLIS, RECONNECT_MAX_MILLIS, turn.nextUnit()));
-    if (failures == 1) {
+    if (failures == 1 && !member.leaving()) {
       turn.incident(
           IncidentKind.ENDPOINT_LOST,
           endpoint.value(),
@@ -72,6 +74,7 @@
     Refusals.endpointUnreachable(turn, endpoint);
   }
 
+  /** Connects again after the backoff, or forgets an endpoint that left the list. */
   static void delayOver(Turn turn, EndpointId endpoint) {
     for (Member member : turn.fleet().member(endpoint)) {
       if (member.connection().link() != Link.WAITING) {
--- a/core/src/main/java/io/zinniawood/core/entry/Drain.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Drain.java
@@ -7,6 +7,7 @@
 
   private Drain() {}
 
+  /** Fails the readiness probe while requests are still taken. */
   static void requested(Turn turn) {
     if (turn.state().lifecycle().compareTo(Lifecycle.GRACE) >= 0) {
       return;
@@ -16,6 +17,7 @@
     turn.startTimer(new EntryTimer.DrainGrace(), GRACE_NANOS);
   }
 
+  /** Refuses new requests once the balancer has had time to notice. */
   static void graceEnded(Turn turn) {
     if (turn.state().lifecycle() == Lifecycle.GRACE) {
       turn.update(state -> state.withLifecycle(Lifecycle.DRAINING));
--- a/core/src/main/java/io/zinniawood/core/entry/EndpointOverview.java
+++ b/core/src/main/java/io/zinniawood/core/entry/EndpointOverview.java
@@ -33,6 +33,7 @@
     int limit,
     LoadReport load) {
 
+  /** Returns the overview of an endpoint at the given monotonic time. */
   static EndpointOverview of(Member member, long nowNanos) {
     return new EndpointOverview(
         member.endpoint(),
--- a/core/src/main/java/io/zinniawood/core/entry/Fleet.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Fleet.java
@@ -43,6 +43,7 @@
     return members.get(endpoint).exists(member -> member.connectedAs(incarnation));
   }
 
+  /** Returns this fleet with an endpoint changed; plans stay unless the endpoint's part changed. */
   Fleet with(Member member) {
     boolean samePart =
         members
@@ -60,6 +61,7 @@
         speeds);
   }
 
+  /** Returns this fleet without an endpoint and what was learned about it. */
   Fleet without(EndpointId endpoint) {
     return new Fleet(
         listVersion,
@@ -92,6 +94,7 @@
     return new Fleet(listVersion, liveEntries, members, degraded, plans, changed);
   }
 
+  /** Returns this fleet without plans, so that each is computed again at its next use. */
   Fleet withoutPlans() {
     return new Fleet(listVersion, liveEntries, members, degraded, HashMap.empty(), speeds);
   }
--- a/core/src/main/java/io/zinniawood/core/entry/Leases.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Leases.java
@@ -12,10 +12,14 @@
 
   private Leases() {}
 
+  /** Starts the timer at which the lease is renewed or checked. */
   static void start(Turn turn) {
     turn.startTimer(new EntryTimer.LeaseTick(), leaseNanos(turn) / TICKS_PER_LEASE);
   }
 
+  /**
+   * Renews the lease if this entry holds it and knows the result of its last write; else reads it.
+   */
   static void tick(Turn turn) {
     start(turn);
     if (turn.state().lifecycle() != Lifecycle.READY) {
@@ -47,6 +51,7 @@
     }
   }
 
+  /** Keeps the view: a write without an answer may have taken effect and is read back. */
   static void unavailable(Turn turn) {
     storeState(turn, Controller.StoreState.UNAVAILABLE);
   }
--- a/core/src/main/java/io/zinniawood/core/entry/Maintenance.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Maintenance.java
@@ -9,10 +9,12 @@
 
   private Maintenance() {}
 
+  /** Starts the timer of the next run. */
   static void start(Turn turn) {
     turn.startTimer(new EntryTimer.MaintenanceTick(), INTERVAL_NANOS);
   }
 
+  /** Forgets what is out of date and lets the holder of the lease repair. */
   static void tick(Turn turn) {
     start(turn);
     turn.update(state -> state.withFleet(state.fleet().withoutRecovered(turn.nowNanos())));
--- a/core/src/main/java/io/zinniawood/core/entry/Membership.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Membership.java
@@ -123,6 +123,7 @@
     }
   }
 
+  /** Takes the status of an agent and reacts if the endpoint leaves or becomes available. */
   static void status(Turn turn, EndpointId endpoint, Message.Status status) {
     boolean tookWork = turn.fleet().member(endpoint).exists(Member::takesWork);
     boolean leaves =
@@ -144,7 +145,7 @@
                             member
                                 .work()
                                 .limit()
-                                .withCeiling(Member.ceiling(status.capability())))));
+                                .withNominal(Member.nominalLimit(status.capability())))));
     if (leaves) {
       connectSubset(turn);
     }
--- a/core/src/main/java/io/zinniawood/core/entry/ModelRequests.java
+++ b/core/src/main/java/io/zinniawood/core/entry/ModelRequests.java
@@ -95,6 +95,7 @@
     StageSessions.open(turn, session.opening(StageSessions.addresses(chain.get())));
   }
 
+  /** Ends a request at its deadline; it did not run if no input was sent. */
   static void deadline(Turn turn, Session session) {
     Problem problem =
         session.inputSent()
@@ -107,6 +108,7 @@
     Answers.failModel(turn, session, problem);
   }
 
+  /** Stops the work for a caller that is gone and records the result. */
   static void callerGone(Turn turn, Session session) {
     StageSessions.close(turn, session);
     Answers.endModel(
--- a/core/src/main/java/io/zinniawood/core/entry/OpenRequests.java
+++ b/core/src/main/java/io/zinniawood/core/entry/OpenRequests.java
@@ -15,6 +15,7 @@
     turn.update(state -> state.withRequests(state.requests().put(id, open)));
   }
 
+  /** Ends a request whose caller is gone; ignores requests that have ended. */
   static void callerGone(Turn turn, RequestId id) {
     visit(
         turn,
@@ -23,6 +24,7 @@
         call -> ServiceRequests.callerGone(turn, call));
   }
 
+  /** Ends a request whose deadline has passed; ignores requests that have ended. */
   static void deadline(Turn turn, RequestId id) {
     visit(
         turn,
@@ -31,6 +33,7 @@
         call -> ServiceRequests.deadline(turn, call));
   }
 
+  /** Continues a request after its retry delay; ignores requests that have ended. */
   static void retryDelayOver(Turn turn, RequestId id) {
     visit(
         turn,
--- a/core/src/main/java/io/zinniawood/core/entry/Progress.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Progress.java
@@ -35,6 +35,7 @@
     return tokens.length();
   }
 
+  /** Returns this progress after the next token was sent to the caller. */
   Progress delivered(String text, Epoch epoch, long nowNanos) {
     boolean first = tokens.isEmpty();
     return new Progress(
@@ -48,6 +49,7 @@
         first ? 0 : Math.max(slowestGapNanos, nowNanos - lastTokenNanos));
   }
 
+  /** Returns this progress after a sign of life that is not a token. */
   Progress moved(long nowNanos) {
     return new Progress(
         tokens,
@@ -60,6 +62,7 @@
         slowestGapNanos);
   }
 
+  /** Returns this progress after a probe that found the stages at the given positions in sum. */
   Progress probed(int nextReached) {
     return new Progress(
         tokens,
--- a/core/src/main/java/io/zinniawood/core/entry/Refusals.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Refusals.java
@@ -15,6 +15,7 @@
 
   private Refusals() {}
 
+  /** Decides what follows from a refused attempt; ignores attempts that have ended. */
   static void refused(Turn turn, EndpointId endpoint, Message.DispatchRefused message) {
     for (ServiceRequest request :
         OpenRequests.withAttempt(turn, message.request(), message.attempt())) {
@@ -85,6 +86,7 @@
     }
   }
 
+  /** Decides what follows from the result of a cancel; ignores attempts that have ended. */
   static void cancelled(Turn turn, Message.CancelResult message) {
     for (ServiceRequest request :
         OpenRequests.withAttempt(turn, message.request(), message.attempt())) {
--- a/core/src/main/java/io/zinniawood/core/entry/Repair.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Repair.java
@@ -25,6 +25,7 @@
 
   private Repair() {}
 
+  /** Gives the orders that are due, if this entry surely holds the lease and sees the fleet. */
   static void tick(Turn turn) {
     if (!turn.state().controller().lease().mayOrder(turn.nowNanos())) {
       return;
--- a/core/src/main/java/io/zinniawood/core/entry/ServiceRequests.java
+++ b/core/src/main/java/io/zinniawood/core/entry/ServiceRequests.java
@@ -38,6 +38,7 @@
     }
   }
 
+  /** Answers the caller with the result of the present attempt; later results are ignored. */
   static void replied(Turn turn, EndpointId endpoint, Message.DispatchReply message) {
     turn.updateMember(endpoint, member -> member.with(member.serving().loaded(message.load())));
     for (ServiceRequest request :
@@ -47,6 +48,7 @@
     }
   }
 
+  /** Ends a call at its deadline; it did not run only if no attempt may have started. */
   static void deadline(Turn turn, ServiceRequest request) {
     Attempts.cancel(turn, request);
     boolean held = request.current().exists(attempt -> !attempt.own());
@@ -62,6 +64,7 @@
     Answers.failService(turn, request, problem);
   }
 
+  /** Cancels the work for a caller that is gone and records the result. */
   static void callerGone(Turn turn, ServiceRequest request) {
     Attempts.cancel(turn, request);
     Answers.endService(
--- a/core/src/main/java/io/zinniawood/core/entry/Session.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Session.java
@@ -40,6 +40,7 @@
     boolean inputSent,
     Progress progress) {
 
+  /** Returns a new session in its first epoch. */
   static Session first(
       SessionId id,
       EntryEvent.ModelRequestArrived arrival,
@@ -128,6 +129,7 @@
         progress);
   }
 
+  /** Returns this session after a stage confirmed the epoch at its next position. */
   Session confirm(int stageIndex, int nextPosition) {
     return new Session(
         id,
--- a/core/src/main/java/io/zinniawood/core/entry/SessionFailures.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionFailures.java
@@ -21,6 +21,7 @@
 
   private SessionFailures() {}
 
+  /** Replaces a stage that refused the present epoch; refusals of older epochs are ignored. */
   static void refused(
       Turn turn, EndpointId sender, Incarnation incarnation, Message.SessionRefused message) {
     Session session = StageSessions.current(turn, message.session(), message.epoch());
@@ -58,6 +59,7 @@
     }
   }
 
+  /** Replaces a stage that a stage of the chain reports as failed in the present epoch. */
   static void stageFailed(
       Turn turn, EndpointId sender, Incarnation incarnation, Message.StageFailed message) {
     Session session = StageSessions.current(turn, message.session(), message.epoch());
--- a/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
@@ -194,6 +194,7 @@
     turn.update(state -> state.withFleet(state.fleet().withSpeeds(sampled)));
   }
 
+  /** Returns the problem of a session that is given up; it did not run if no input was sent. */
   static Problem failure(Session session, String detail) {
     return session.inputSent()
         ? Problem.unknown(ProblemType.ENDPOINT_FAILED, detail)
--- a/core/src/main/java/io/zinniawood/core/entry/SessionTimeouts.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionTimeouts.java
@@ -25,6 +25,7 @@
         new EntryTimer.SessionProgress(session.id(), session.epoch()), timeoutNanos(turn, session));
   }
 
+  /** Acts if the session made no progress in time; otherwise waits for the rest of the time. */
   static void fired(Turn turn, SessionId id, Epoch epoch) {
     Session session = StageSessions.current(turn, id, epoch);
     if (session == null) {
--- a/core/src/main/java/io/zinniawood/core/entry/StageSessions.java
+++ b/core/src/main/java/io/zinniawood/core/entry/StageSessions.java
@@ -19,6 +19,7 @@
 
   private StageSessions() {}
 
+  /** Returns the stages bound to the present incarnations of their endpoints. */
   static Vector<StageAddress> addresses(Vector<Choosing> chain) {
     return chain
         .map(Choosing::stage)
@@ -56,6 +57,7 @@
     SessionTimeouts.start(turn, opening);
   }
 
+  /** Counts a confirmation of the present epoch and goes on once all stages confirmed it. */
   static void opened(
       Turn turn, EndpointId sender, Incarnation incarnation, Message.SessionOpened message) {
     Session session = current(turn, message.session(), message.epoch());
@@ -79,6 +81,7 @@
     }
   }
 
+  /** Delivers the token of the next position in the present epoch and refuses every other one. */
   static void token(Turn turn, EndpointId sender, Incarnation incarnation, Message.Token message) {
     Session session = current(turn, message.session(), message.epoch());
     if (session == null
@@ -143,6 +146,7 @@
     return session.withRetired(Vector.empty());
   }
 
+  /** Lets a stage release what it holds of the session. */
   static void closeStage(Turn turn, Session session, StageAddress stage) {
     turn.send(stage.endpoint(), stage.incarnation(), new Message.CloseSession(session.id()));
   }
--- a/core/src/main/java/io/zinniawood/core/entry/Turn.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Turn.java
@@ -52,6 +52,7 @@
     effects.add(effect);
   }
 
+  /** Sends a message to one incarnation of an agent; the shell drops it if it is not connected. */
   void send(EndpointId endpoint, Incarnation incarnation, Message message) {
     effects.add(new EntryEffect.SendToAgent(endpoint, incarnation, message));
   }
@@ -102,6 +103,7 @@
     return state.ids().session();
   }
 
+  /** Draws a random number in [0, 1) from the state. */
   double nextUnit() {
     state = state.withIds(state.ids().next());
     return state.ids().unit();
--- a/core/src/main/java/io/zinniawood/core/entry/Usage.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Usage.java
@@ -39,6 +39,7 @@
     return new Usage(accounts, changed, latencies, reports);
   }
 
+  /** Returns this use after a request took the given time. */
   Usage sampled(String target, long durationNanos, long nowNanos) {
     LatencyEstimate estimate =
         latencies.getOrElse(target, LatencyEstimate.none()).sampled(durationNanos, nowNanos);
@@ -67,6 +68,7 @@
         reports);
   }
 
+  /** Returns the time that a request takes at present in nanoseconds, 0 if it is not known. */
   double expectedNanos(String target, long nowNanos) {
     return latencies.get(target).map(known -> known.expectedNanos(nowNanos)).getOrElse(0.0);
   }
--- a/core/src/main/java/io/zinniawood/core/entry/limits/ConcurrencyLimit.java
+++ b/core/src/main/java/io/zinniawood/core/entry/limits/ConcurrencyLimit.java
@@ -5,10 +5,10 @@
  * the limit is used, multiplicative decrease on refusals and timeouts.
  *
  * @param value present limit, at least 1
- * @param ceiling highest limit
+ * @param nominal most work that the endpoint says it runs at once
  * @param decreasedNanos monotonic time of the last decrease in nanoseconds
  */
-public record ConcurrencyLimit(double value, int ceiling, long decreasedNanos) {
+public record ConcurrencyLimit(double value, int nominal, long decreasedNanos) {
   private static final double DECREASE = 0.8;
 
   /**
@@ -17,12 +17,21 @@
    */
   private static final long DECREASE_INTERVAL_NANOS = 100_000_000;
 
-  /** Returns a limit that starts at its ceiling. */
-  public static ConcurrencyLimit initial(int ceiling) {
-    int checked = Math.max(1, ceiling);
+  /** Returns a limit that starts at the work that the endpoint says it runs at once. */
+  public static ConcurrencyLimit initial(int nominal) {
+    int checked = Math.max(1, nominal);
     return new ConcurrencyLimit(checked, checked, Long.MIN_VALUE / 2);
   }
 
+  /**
+   * Returns the highest limit. It is half above the nominal one: work on its way to or from the
+   * endpoint counts as in flight, and without some work that waits there the endpoint would idle
+   * for a round trip after each piece.
+   */
+  public int ceiling() {
+    return nominal + (nominal + 1) / 2;
+  }
+
   /** Returns the limit as a whole number, at least 1. */
   public int whole() {
     return Math.max(1, (int) value);
@@ -30,10 +39,10 @@
 
   /** Returns the limit after a success with the given work in flight. */
   public ConcurrencyLimit success(int inFlight) {
-    if (value >= ceiling || inFlight * 2 < whole()) {
+    if (value >= ceiling() || inFlight * 2 < whole()) {
       return this;
     }
-    return new ConcurrencyLimit(Math.min(ceiling, value + 1 / value), ceiling, decreasedNanos);
+    return new ConcurrencyLimit(Math.min(ceiling(), value + 1 / value), nominal, decreasedNanos);
   }
 
   /** Returns the limit after a refusal for overload or a timeout. */
@@ -41,16 +50,11 @@
     if (nowNanos - decreasedNanos < DECREASE_INTERVAL_NANOS) {
       return this;
     }
-    return new ConcurrencyLimit(Math.max(1, value * DECREASE), ceiling, nowNanos);
+    return new ConcurrencyLimit(Math.max(1, value * DECREASE), nominal, nowNanos);
   }
 
-  /** Returns the limit with another ceiling. */
-  public ConcurrencyLimit withCeiling(int changed) {
-    int checked = Math.max(1, changed);
-    if (checked == ceiling) {
-      return this;
-    }
-    double next = value >= ceiling ? checked : Math.min(value, checked);
-    return new ConcurrencyLimit(next, checked, decreasedNanos);
+  /** Returns the limit of an endpoint that says it runs another amount at once. */
+  public ConcurrencyLimit withNominal(int changed) {
+    return Math.max(1, changed) == nominal ? this : initial(changed);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/membership/Member.java
+++ b/core/src/main/java/io/zinniawood/core/entry/membership/Member.java
@@ -89,12 +89,12 @@
     if (connection.incarnation().contains(current)) {
       return with(open);
     }
-    ConcurrencyLimit limit = ConcurrencyLimit.initial(ceiling(capability));
+    ConcurrencyLimit limit = ConcurrencyLimit.initial(nominalLimit(capability));
     return new Member(endpoint, placement, open, Serving.NOTHING, work.limited(limit), Health.GOOD);
   }
 
   /** Returns the most concurrent sessions or calls of a capability. */
-  public static int ceiling(Capability capability) {
+  public static int nominalLimit(Capability capability) {
     if (capability instanceof Capability.ModelStage stage) {
       return stage.maxSessions();
     }
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/DrainTest.java
@@ -0,0 +1,39 @@
+package io.zinniawood.core.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.ProblemType;
+import org.junit.jupiter.api.Test;
+
+/** Tests of the drain of an entry. */
+class DrainTest {
+  // Guards against a stop that interrupts a request, and against refusing requests that the
+  // balancer sends before it has noticed the drain.
+  @Test
+  void takesRequestsDuringGraceAndStopsAfterTheLastOne() {
+    World world = World.small();
+    world.reduce(new EntryEvent.DrainRequested());
+    assertThat(
+        world.effects(EntryEffect.SetReadiness.class),
+        contains(
+            new EntryEffect.SetReadiness(Readiness.READY),
+            new EntryEffect.SetReadiness(Readiness.DRAINING)));
+    world.run(2_980);
+    world.reduce(Fixtures.prompt("m", world.deadline(3_000)));
+    world.run(30);
+    world.call("late", Idempotency.IDEMPOTENT, Option.none());
+    var refused = world.effects(EntryEffect.ReplyProblem.class).get(0).problem();
+    assertThat(refused.type(), equalTo(ProblemType.NOT_READY));
+    assertThat(refused.outcome(), equalTo(Outcome.NOT_RUN));
+    assertThat(world.effects(EntryEffect.Stop.class), hasSize(0));
+    world.run(200);
+    assertThat(world.effects(EntryEffect.FinishAnswer.class), hasSize(1));
+    assertThat(world.effects(EntryEffect.Stop.class), hasSize(1));
+  }
+}
