--- a/core/src/main/java/io/zinniawood/core/entry/Selection.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Selection.java
@@ -46,7 +46,9 @@
       Headroom headroom) {
     FlowPlan plan = Plans.of(turn, arrival.model());
     Vector<Member> members =
-        available(turn, headroom).reject(member -> avoid.contains(member.endpoint()));
+        available(turn, headroom)
+            .filter(member -> TokenPace.allows(turn, member, arrival.model(), headroom))
+            .reject(member -> avoid.contains(member.endpoint()));
     return chain(turn, range, arrival, plan, stages(turn, members, arrival, plan, 0))
         .orElse(
             () ->
--- a/core/src/test/java/io/zinniawood/core/entry/LimitsTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/LimitsTest.java
@@ -91,6 +91,28 @@
     world.checks.end();
   }
 
+  // Guards against so many sessions at one endpoint that all of them miss the objective, or against
+  // each of several entries filling the endpoint on its own.
+  @Test
+  void boundsSessionsByTheTokenGapOfTheObjective() {
+    world.add("a1", Fixtures.stage(0, Fixtures.LAYERS, 40));
+    world.start();
+    prompts(10);
+    assertThat(world.sentTo("a1", Message.OpenSession.class), equalTo(4));
+    world.run(200);
+    Vector<VmEntry> vms =
+        Vector.range(0, 5).map(i -> Fixtures.vm("n" + i, VmRole.ENTRY, VmState.LIVE));
+    world.reduce(new EntryEvent.VmListReceived(100, vms));
+    prompts(10);
+    assertThat(world.sentTo("a1", Message.OpenSession.class), equalTo(5));
+  }
+
+  private void prompts(int count) {
+    for (int i = 0; i < count; i++) {
+      world.reduce(Fixtures.prompt("m" + world.effects.size(), world.deadline(900)));
+    }
+  }
+
   // Guards against a limit that collapses on one burst of refusals or never grows again.
   @Test
   void concurrencyLimitFallsOncePerBurstAndGrowsBack() {
