--- a/core/src/test/java/io/zinniawood/core/entry/LimitsTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/LimitsTest.java
@@ -91,6 +91,28 @@
     world.checks.end();
   }
 
+  // Guards against so many sessions at one endpoint that all of them miss the objective, or against
+  // each of several entries filling the endpoint on its own.
+  @Test
+  void boundsSessionsByTheTokenGapOfTheObjective() {
+    world.add("a1", Fixtures.stage(0, Fixtures.LAYERS, 40));
+    world.start();
+    prompts(10);
+    assertThat(world.sentTo("a1", Message.OpenSession.class), equalTo(4));
+    world.run(200);
+    Vector<VmEntry> vms =
+        Vector.range(0, 5).map(i -> Fixtures.vm("n" + i, VmRole.ENTRY, VmState.LIVE));
+    world.reduce(new EntryEvent.VmListReceived(100, vms));
+    prompts(10);
+    assertThat(world.sentTo("a1", Message.OpenSession.class), equalTo(5));
+  }
+
+  private void prompts(int count) {
+    for (int i = 0; i < count; i++) {
+      world.reduce(Fixtures.prompt("m" + world.effects.size(), world.deadline(900)));
+    }
+  }
+
   // Guards against a limit that collapses on one burst of refusals or never grows again.
   @Test
   void concurrencyLimitFallsOncePerBurstAndGrowsBack() {
@@ -99,10 +121,10 @@
       limit = limit.overload(1_000_000_000L + i);
     }
     assertThat(limit.value(), closeTo(16, 0.01));
-    for (int i = 0; i < 200; i++) {
+    for (int i = 0; i < 400; i++) {
       limit = limit.success(limit.whole());
     }
-    assertThat(limit.whole(), equalTo(20));
+    assertThat(limit.whole(), equalTo(30));
     assertThat(ConcurrencyLimit.initial(1).overload(5).whole(), equalTo(1));
   }
 
--- a/core/src/test/java/io/zinniawood/core/entry/ServiceRequestTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/ServiceRequestTest.java
@@ -1,13 +1,11 @@
 package io.zinniawood.core.entry;
 
-import static io.zinniawood.core.entry.Fixtures.ACCOUNT;
-import static io.zinniawood.core.entry.Fixtures.CREDIT;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 
-import io.vavr.collection.Vector;
 import io.vavr.control.Option;
+import io.zinniawood.core.id.AttemptId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Fence;
 import io.zinniawood.core.id.Incarnation;
@@ -17,10 +15,8 @@
 import io.zinniawood.core.model.ClaimState;
 import io.zinniawood.core.model.Idempotency;
 import io.zinniawood.core.model.Outcome;
-import io.zinniawood.core.model.Payload;
 import io.zinniawood.core.model.Problem;
 import io.zinniawood.core.model.ProblemType;
-import io.zinniawood.core.model.ServiceCall;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -60,18 +56,7 @@
   void refusesTheKeyOfAnotherRequest() {
     world.call("c1", Idempotency.NON_IDEMPOTENT, KEY);
     world.run(100);
-    var other = Fixtures.call("c2", Idempotency.NON_IDEMPOTENT, KEY, world.deadline(900));
-    var body = new ServiceCall("POST", "/credit", Vector.empty(), Payload.ofText("other"));
-    world.reduce(
-        new EntryEvent.ServiceRequestArrived(
-            other.request(),
-            ACCOUNT,
-            CREDIT,
-            body,
-            other.idempotency(),
-            other.key(),
-            other.priority(),
-            other.deadlineNanos()));
+    world.call("c2", Idempotency.NON_IDEMPOTENT, Option.some("k/other"));
     world.run(100);
     assertThat(problem("c2").type(), equalTo(ProblemType.KEY_REUSED));
     assertThat(problem("c2").outcome(), equalTo(Outcome.NOT_RUN));
@@ -133,7 +118,8 @@
     world.checks.end();
   }
 
-  // Guards against a tombstone that is taken for conclusive although the attempt has its fence.
+  // Guards against a tombstone that is taken for conclusive although the attempt has its fence, and
+  // against joining a call of another request.
   @Test
   void releasedRowWithTheFenceOfTheAttemptDecidesNothing() {
     world.agent("s1").stalled = true;
@@ -143,20 +129,27 @@
     world.crash(target("c1"));
     world.run(2);
     EntryEffect.ReleaseClaim release = world.effects(EntryEffect.ReleaseClaim.class).get(0);
+    int sent = world.effects(EntryEffect.SendToAgent.class).size();
+    resolve(release, release.attempt(), release.requestDigest(), ClaimState.RELEASED);
+    assertThat(world.effects(EntryEffect.SendToAgent.class), hasSize(sent));
+    resolve(release, new AttemptId("other"), "other digest", ClaimState.STARTED);
+    assertThat(problem("c1").type(), equalTo(ProblemType.KEY_REUSED));
+  }
+
+  private void resolve(
+      EntryEffect.ReleaseClaim release, AttemptId holder, String digest, ClaimState state) {
     ClaimRow row =
         new ClaimRow(
             new EndpointId("s1"),
             new Incarnation(1),
-            release.attempt(),
-            release.requestDigest(),
-            ClaimState.RELEASED,
+            holder,
+            digest,
+            state,
             new Fence(0),
             Option.none());
-    int sent = world.effects(EntryEffect.SendToAgent.class).size();
     world.reduce(
         new EntryEvent.ClaimResolved(
             release.request(), release.attempt(), new ClaimResolution.Held(row)));
-    assertThat(world.effects(EntryEffect.SendToAgent.class), hasSize(sent));
   }
 
   // Guards against a lost idempotent call when its endpoint dies.
