--- a/standin/src/main/java/io/zinniawood/standin/http/ChannelAccess.java
+++ b/standin/src/main/java/io/zinniawood/standin/http/ChannelAccess.java
@@ -29,7 +29,7 @@
     }
   }
 
-  private static Channel channel(Context context) {
+  static Channel channel(Context context) {
     Context target = context;
     while (target instanceof ForwardingContext forwarding) {
       target = forwarding.getDelegate();
--- a/standin/src/main/java/io/zinniawood/standin/http/StandInServer.java
+++ b/standin/src/main/java/io/zinniawood/standin/http/StandInServer.java
@@ -5,7 +5,14 @@
 import io.jooby.Jooby;
 import io.jooby.ServerOptions;
 import io.jooby.netty.NettyServer;
+import io.netty.channel.Channel;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 
 /** HTTP server of one stand-in; handlers run on event-loop threads and must not block. */
 public final class StandInServer implements AutoCloseable {
@@ -15,8 +22,11 @@
   /** Request bodies above this size in bytes go through a temporary file, which is slow. */
   private static final int BODY_MEMORY_BYTES = 1 << 20;
 
+  private static final long MAX_STOP_NANOS = 5_000_000_000L;
+
   private final Jooby application = new Jooby();
   private final ScheduledThreadPoolExecutor scheduler;
+  private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
   private NettyServer server;
 
   /** Creates a server whose delays run on a daemon thread of the given name. */
@@ -53,6 +63,10 @@
   }
 
   private Object dispatch(Context context, Handler handler) throws Exception {
+    Channel channel = ChannelAccess.channel(context);
+    if (channels.add(channel)) {
+      channel.closeFuture().addListener(closed -> channels.remove(channel));
+    }
     Exchange exchange = new Exchange(context, context.body().bytes(), scheduler);
     return context.detach(
         detached -> {
@@ -96,11 +110,30 @@
     return server.getOptions().getPort();
   }
 
+  /** Stops to listen and closes all connections, as the end of a process does. */
   @Override
   public synchronized void close() {
     scheduler.shutdownNow();
     if (server != null) {
       server.stop();
+      channels.forEach(channel -> channel.close().awaitUninterruptibly());
+      awaitRefusal(server.getOptions().getPort());
+    }
+  }
+
+  /** Jooby stops in the background; waits until new connections are refused. */
+  private static void awaitRefusal(int port) {
+    long deadlineNanos = System.nanoTime() + MAX_STOP_NANOS;
+    while (System.nanoTime() - deadlineNanos < 0) {
+      try (Socket probe = new Socket(InetAddress.getLoopbackAddress(), port)) {
+        probe.setSoLinger(true, 0);
+        TimeUnit.MILLISECONDS.sleep(1);
+      } catch (IOException e) {
+        return;
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
     }
   }
 }
--- a/standin/src/main/java/io/zinniawood/standin/proxy/Link.java
+++ b/standin/src/main/java/io/zinniawood/standin/proxy/Link.java
@@ -17,31 +17,30 @@
   }
 
   void silence(Direction direction) {
-    client.eventLoop().execute(() -> pump(direction).silence());
+    onEventLoop(() -> pump(direction).silence());
   }
 
   /** Resets one side; the other side stays open and never hears of it. */
   void halfOpen(Direction towardsClosedSide) {
-    client
-        .eventLoop()
-        .execute(
-            () -> {
-              pump(towardsClosedSide).silence();
-              pump(towardsClosedSide == Direction.TO_TARGET
-                      ? Direction.TO_CLIENT
-                      : Direction.TO_TARGET)
-                  .abandonSource();
-            });
+    onEventLoop(
+        () -> {
+          pump(towardsClosedSide).silence();
+          pump(towardsClosedSide == Direction.TO_TARGET ? Direction.TO_CLIENT : Direction.TO_TARGET)
+              .abandonSource();
+        });
   }
 
   void cut() {
-    client
-        .eventLoop()
-        .execute(
-            () -> {
-              Pump.reset(client);
-              Pump.reset(target);
-            });
+    onEventLoop(
+        () -> {
+          Pump.reset(client);
+          Pump.reset(target);
+        });
+  }
+
+  /** Runs the task and waits for its end, so that a fault is in force when its switch returns. */
+  private void onEventLoop(Runnable task) {
+    client.eventLoop().submit(task).syncUninterruptibly();
   }
 
   private Pump pump(Direction direction) {
--- a/standin/src/main/java/io/zinniawood/standin/proxy/Pump.java
+++ b/standin/src/main/java/io/zinniawood/standin/proxy/Pump.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -20,7 +22,7 @@
   private final Channel source;
   private final Channel destination;
   private final LongSupplier delayMillis;
-  private long lastDueNanos = System.nanoTime();
+  private final Deque<Delayed> waiting = new ArrayDeque<>();
   private long pendingBytes;
   private boolean silent;
 
@@ -46,8 +48,10 @@
   }
 
   static void reset(Channel channel) {
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.close();
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      channel.close();
+    }
   }
 
   @Override
@@ -94,18 +98,39 @@
     source.config().setAutoRead(!silent && pendingBytes < MAX_PENDING_BYTES);
   }
 
-  /** Runs the task after the delay, but never before a task that was given earlier. */
+  private record Delayed(Runnable task, long dueNanos) {}
+
+  /**
+   * Runs the task after the delay, but never before a task that was given earlier. Scheduled tasks
+   * of the event loop alone keep no order when their deadlines are about equal, hence the queue.
+   */
   private void afterDelay(Runnable task) {
     long nowNanos = System.nanoTime();
     long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis.getAsLong());
-    if (dueNanos - lastDueNanos < 0) {
-      dueNanos = lastDueNanos;
-    }
-    if (dueNanos - nowNanos <= 0) {
+    if (waiting.isEmpty() && dueNanos - nowNanos <= 0) {
       task.run();
       return;
     }
-    lastDueNanos = dueNanos;
-    source.eventLoop().schedule(task, dueNanos - nowNanos, TimeUnit.NANOSECONDS);
+    waiting.addLast(new Delayed(task, dueNanos));
+    if (waiting.size() == 1) {
+      scheduleNext(nowNanos);
+    }
+  }
+
+  private void scheduleNext(long nowNanos) {
+    long delayNanos = Math.max(0, waiting.getFirst().dueNanos() - nowNanos);
+    source.eventLoop().schedule(this::runDue, delayNanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void runDue() {
+    long nowNanos = System.nanoTime();
+    while (!waiting.isEmpty() && waiting.getFirst().dueNanos() - nowNanos <= 0) {
+      Runnable task = waiting.getFirst().task();
+      task.run();
+      waiting.removeFirst();
+    }
+    if (!waiting.isEmpty()) {
+      scheduleNext(nowNanos);
+    }
   }
 }
