--- /dev/null
+++ b/standin/src/test/java/io/zinniawood/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the engine stand-in. */
+package io.zinniawood.standin.engine;
--- /dev/null
+++ b/standin/src/test/java/io/zinniawood/standin/platform/VmDirectoryTest.java
@@ -0,0 +1,29 @@
+package io.zinniawood.standin.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.Test;
+
+class VmDirectoryTest {
+  private static final VmRecord VM =
+      new VmRecord("vm-1", "ENTRY", "LIVE", "assen", "entries", "127.0.0.1", 7000);
+
+  // Guards against tests of a lagging list that see changes at once.
+  @Test
+  void changesBecomeVisibleAfterTheDelay() throws Exception {
+    ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
+    VmDirectory directory = new VmDirectory(scheduler, 200, List.of());
+    long startNanos = System.nanoTime();
+    directory.put(VM);
+    while (directory.listing().vms().isEmpty()) {
+      Thread.onSpinWait();
+    }
+    assertThat(System.nanoTime() - startNanos >= 200_000_000L, is(true));
+    assertThat(directory.listing().version(), is(2L));
+    scheduler.shutdownNow();
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/io/zinniawood/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the platform stand-in. */
+package io.zinniawood.standin.platform;
