Bound the wait of calls in the client's queue

OkHttp's call timeout begins when a call leaves its queue, so calls behind a silent server waited without bound. A waiting call is now abandoned after its timeout and then certainly never sent; an atomic state decides between abandoning and sending just before the first byte. Tests also cover statuses after which OkHttp might repeat a request.

--- a/engine/src/main/java/io/zinniawood/engine/http/HttpCalls.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpCalls.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.Dispatcher;
@@ -21,7 +22,9 @@
 /** Sends each request at most once and tells whether it may have reached the server. */
 final class HttpCalls {
   private final OkHttpClient client;
+  private final int maxConcurrentCalls;
   private final int maxResponseBytes;
+  private final AtomicInteger inProgress = new AtomicInteger();
 
   HttpCalls(OkHttpClient base, HttpEngineSettings settings) {
     Dispatcher dispatcher = new Dispatcher(base.dispatcher().executorService());
@@ -41,9 +44,9 @@
             // The call timeout, set for each call, bounds reads and writes as well.
             .readTimeout(0, TimeUnit.MILLISECONDS)
             .writeTimeout(0, TimeUnit.MILLISECONDS)
-            .eventListenerFactory(SendMonitor::of)
-            .addNetworkInterceptor(HttpCalls::withoutImmediateRetry)
+            .addNetworkInterceptor(HttpCalls::sendOnce)
             .build();
+    this.maxConcurrentCalls = settings.maxConcurrentCalls();
     this.maxResponseBytes = settings.maxResponseBytes();
   }
 
@@ -54,18 +57,28 @@
     try {
       Call call = client.newCall(request);
       call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+      int present = inProgress.incrementAndGet();
       call.enqueue(new Completion(future, monitor));
+      if (present > maxConcurrentCalls) {
+        boundWait(call, monitor, future, timeoutMillis);
+      }
     } catch (RejectedExecutionException e) {
+      inProgress.decrementAndGet();
       future.complete(new HttpResult.NotSent("the HTTP client is shut down"));
     }
     return future;
   }
 
   /**
-   * OkHttp repeats a request after a 503 with {@code Retry-After: 0} even when retries are off, so
-   * the value is raised to 1 before OkHttp sees it.
+   * Runs after the connection is made and before the first byte is sent. OkHttp repeats a request
+   * after a 503 with {@code Retry-After: 0} even when retries are off, so the value is raised to 1;
+   * the monitor refuses any second sending.
    */
-  private static Response withoutImmediateRetry(Interceptor.Chain chain) throws IOException {
+  private static Response sendOnce(Interceptor.Chain chain) throws IOException {
+    SendMonitor monitor = chain.request().tag(SendMonitor.class);
+    if (monitor == null || !monitor.startSending()) {
+      throw new IOException("the call was abandoned or sent before");
+    }
     Response response = chain.proceed(chain.request());
     String retryAfter = response.header("Retry-After");
     if (response.code() == 503 && retryAfter != null && retryAfter.matches("0+")) {
@@ -74,6 +87,24 @@
     return response;
   }
 
+  /**
+   * Bounds the time in the queue of OkHttp, whose call timeout begins only when the call leaves the
+   * queue.
+   */
+  private static void boundWait(
+      Call call, SendMonitor monitor, CompletableFuture<HttpResult> future, long timeoutMillis) {
+    CompletableFuture.delayedExecutor(timeoutMillis, TimeUnit.MILLISECONDS)
+        .execute(
+            () -> {
+              if (monitor.abandon()) {
+                call.cancel();
+                future.complete(
+                    new HttpResult.NotSent(
+                        "too many calls are in progress; waited %d ms".formatted(timeoutMillis)));
+              }
+            });
+  }
+
   private final class Completion implements Callback {
     private final CompletableFuture<HttpResult> future;
     private final SendMonitor monitor;
@@ -85,6 +116,7 @@
 
     @Override
     public void onFailure(Call call, IOException failure) {
+      inProgress.decrementAndGet();
       if (failure instanceof InterruptedIOException) {
         // Idle connections may have gone silent for good like this one; new ones are tried next.
         client.connectionPool().evictAll();
@@ -105,6 +137,7 @@
         }
         result = new HttpResult.Lost(call.request().url().redact() + ": " + e);
       }
+      inProgress.decrementAndGet();
       future.complete(result);
     }
 
--- a/engine/src/main/java/io/zinniawood/engine/http/HttpEngineSettings.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpEngineSettings.java
@@ -9,7 +9,8 @@
  * @param controlTimeoutMillis time of a status, close or health call in milliseconds
  * @param orderTimeoutMillis time of an order in milliseconds; loads of weights take long
  * @param maxResponseBytes most bytes of a response body; a longer one is an error
- * @param maxConcurrentCalls most calls in progress; further calls wait within their timeout
+ * @param maxConcurrentCalls most calls in progress; a further call waits for at most its timeout
+ *     before it is sent
  */
 public record HttpEngineSettings(
     long connectTimeoutMillis,
--- a/engine/src/test/java/io/zinniawood/engine/http/HttpPlainServiceClientTest.java
+++ b/engine/src/test/java/io/zinniawood/engine/http/HttpPlainServiceClientTest.java
@@ -13,12 +13,15 @@
 import io.zinniawood.core.model.ServiceAnswer;
 import io.zinniawood.core.model.ServiceCall;
 import io.zinniawood.engine.EngineError;
+import io.zinniawood.standin.http.StandInServer;
 import io.zinniawood.standin.service.ServiceFaults;
 import io.zinniawood.standin.service.ServiceSettings;
 import io.zinniawood.standin.service.ServiceStandIn;
 import java.net.URI;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import okhttp3.OkHttpClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -100,4 +103,35 @@
     standIn.close();
     assertThat(error(service.call(credit("r-1"), 5_000)), instanceOf(EngineError.NotSent.class));
   }
+
+  // Guards against a call that OkHttp repeats by itself: 503 with Retry-After: 0, or a redirect.
+  @Test
+  void statusesThatInviteRepetitionAreAnsweredOnce() throws Exception {
+    AtomicInteger calls = new AtomicInteger();
+    try (StandInServer server = new StandInServer("inviting")) {
+      for (String method : List.of("GET", "POST")) {
+        server.route(
+            method,
+            "/{status}",
+            exchange -> {
+              calls.incrementAndGet();
+              exchange
+                  .responseHeader("Retry-After", "0")
+                  .responseHeader("Location", "/200")
+                  .respondProblem(Integer.parseInt(exchange.pathVariable("status")), "again");
+            });
+      }
+      URI uri = URI.create("http://127.0.0.1:" + server.start(0));
+      HttpPlainServiceClient inviting = new HttpPlainServiceClient(uri, client);
+      for (String status : List.of("503", "302", "307", "308", "408", "421", "401")) {
+        for (String method : List.of("GET", "POST")) {
+          ServiceCall call = new ServiceCall(method, "/" + status, Vector.empty(), Payload.empty());
+          calls.set(0);
+          assertThat(
+              await(inviting.call(call, 5_000)).get().status(), is(Integer.parseInt(status)));
+          assertThat(method + " " + status, calls.get(), is(1));
+        }
+      }
+    }
+  }
 }
