Keep failures of delayed tasks and loads from getting lost

A task that failed in the scheduler, or an unreadable answer of the weight store, left a batch or a load unfinished without a trace. Delayed tasks now run in a timer that logs failures, and a failed load ends the order.

--- a/standin/src/main/java/io/zinniawood/standin/engine/BatchRunner.java
+++ b/standin/src/main/java/io/zinniawood/standin/engine/BatchRunner.java
@@ -67,7 +67,7 @@
     }
     return new Work(
         step.session(),
-        step.priority().ordinal(),
+        step.priority().rank(),
         prefillTokens,
         () -> delivery.accept(execute(step, input)),
         () -> delivery.accept(OutputBody.failed(step, "the session was closed")));
--- a/standin/src/main/java/io/zinniawood/standin/engine/BatchScheduler.java
+++ b/standin/src/main/java/io/zinniawood/standin/engine/BatchScheduler.java
@@ -1,11 +1,10 @@
 package io.zinniawood.standin.engine;
 
+import io.zinniawood.standin.http.DelayTimer;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongUnaryOperator;
 
@@ -15,7 +14,7 @@
  * so that late wake-ups of the scheduler do not add up.
  */
 final class BatchScheduler {
-  private final ScheduledExecutorService timer;
+  private final DelayTimer timer;
   private final int maxBatchSteps;
   private final int prefillChunkTokens;
   private final PriorityQueue<Work> waiting =
@@ -36,7 +35,7 @@
   }
 
   BatchScheduler(
-      ScheduledExecutorService timer,
+      DelayTimer timer,
       EngineSettings.Limits limits,
       CostModel cost,
       LongUnaryOperator faultCost,
@@ -125,15 +124,14 @@
       }
       if (delayNanos > 0) {
         List<Work> finished = batch;
-        timer.schedule(
+        timer.afterNanos(
+            delayNanos,
             () ->
                 gate.accept(
                     () -> {
                       finish(finished);
                       startBatches();
-                    }),
-            delayNanos,
-            TimeUnit.NANOSECONDS);
+                    }));
         return;
       }
       finish(batch);
--- a/standin/src/main/java/io/zinniawood/standin/engine/EngineSpeed.java
+++ b/standin/src/main/java/io/zinniawood/standin/engine/EngineSpeed.java
@@ -22,19 +22,15 @@
    * @throws IllegalArgumentException if the kind is unknown
    */
   public static EngineSpeed ofKind(String kind) {
-    switch (kind) {
-      case "large":
-        return new EngineSpeed(64_000, 640_000, 500);
-      case "medium":
-        return new EngineSpeed(32_000, 320_000, 500);
-      case "small":
-        return new EngineSpeed(16_000, 160_000, 800);
-      case "tiny":
-        return new EngineSpeed(8_000, 80_000, 1_000);
-      default:
-        throw new IllegalArgumentException(
-            "accelerator kind must be large, medium, small or tiny, but is " + kind);
-    }
+    return switch (kind) {
+      case "large" -> new EngineSpeed(64_000, 640_000, 500);
+      case "medium" -> new EngineSpeed(32_000, 320_000, 500);
+      case "small" -> new EngineSpeed(16_000, 160_000, 800);
+      case "tiny" -> new EngineSpeed(8_000, 80_000, 1_000);
+      default ->
+          throw new IllegalArgumentException(
+              "accelerator kind must be large, medium, small or tiny, but is " + kind);
+    };
   }
 
   /** Returns the decode throughput of a range of layers; without a delay a nominal figure. */
--- a/standin/src/main/java/io/zinniawood/standin/engine/EngineStandIn.java
+++ b/standin/src/main/java/io/zinniawood/standin/engine/EngineStandIn.java
@@ -6,6 +6,7 @@
 import io.zinniawood.standin.http.Json;
 import io.zinniawood.standin.http.StandInServer;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 /** Stand-in for a model engine with fault switches; see {@code docs/standins.md}. */
 public final class EngineStandIn implements AutoCloseable {
@@ -30,17 +31,17 @@
     cache = new PrefixCache(settings.limits().prefixCacheTokens(), events);
     scheduler =
         new BatchScheduler(
-            server.scheduler(),
+            server.timer(),
             settings.limits(),
             (decode, prefill) ->
                 settings.speed().costNanos(states.held().layers(), decode, prefill),
             this::costWithFaults,
             faults::whenThawed);
     runner = new BatchRunner(states, scheduler, cache, faults);
-    weights = new WeightClient(settings.platform(), server.scheduler());
+    weights = new WeightClient(settings.platform(), server.timer());
     orders =
         new OrderDesk(
-            settings, states, server.scheduler(), weights, () -> cache.clear(System.nanoTime()));
+            settings, states, server.timer(), weights, () -> cache.clear(System.nanoTime()));
     load =
         new LoadMeter(
             settings.lag().loadReportMillis(),
@@ -156,10 +157,12 @@
     route(
         "POST",
         "/engine/orders",
-        exchange ->
-            orders
-                .carryOut(Json.read(exchange.body(), OrderDesk.OrderBody.class))
-                .thenAccept(outcome -> exchange.respondJson(200, new OrderAnswer(outcome))));
+        exchange -> {
+          CompletableFuture<OrderDesk.Outcome> unused =
+              orders
+                  .carryOut(Json.read(exchange.body(), OrderDesk.OrderBody.class))
+                  .whenComplete((outcome, failure) -> answerOrder(exchange, outcome, failure));
+        });
     route(
         "GET",
         "/events",
@@ -170,6 +173,14 @@
         });
   }
 
+  private static void answerOrder(Exchange exchange, OrderDesk.Outcome outcome, Throwable failure) {
+    if (failure == null) {
+      exchange.respondJson(200, new OrderAnswer(outcome));
+    } else {
+      exchange.respondProblem(500, "the order failed: " + failure);
+    }
+  }
+
   private StatusBody status() {
     SessionStates.Held held = states.held();
     return new StatusBody(
--- a/standin/src/main/java/io/zinniawood/standin/engine/OrderDesk.java
+++ b/standin/src/main/java/io/zinniawood/standin/engine/OrderDesk.java
@@ -1,14 +1,15 @@
 package io.zinniawood.standin.engine;
 
+import io.zinniawood.standin.http.DelayTimer;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 
 /** Carries out orders, one load at a time. */
 final class OrderDesk {
+  private static final Set<String> ROLES = Set.of("MIXED", "PREFILL", "DECODE");
   private final EngineSettings settings;
   private final SessionStates states;
-  private final ScheduledExecutorService timer;
+  private final DelayTimer timer;
   private final WeightClient weights;
   private final Runnable afterLoad;
   private long highestFencingNumber = Long.MIN_VALUE;
@@ -19,7 +20,7 @@
   OrderDesk(
       EngineSettings settings,
       SessionStates states,
-      ScheduledExecutorService timer,
+      DelayTimer timer,
       WeightClient weights,
       Runnable afterLoad) {
     this.settings = settings;
@@ -56,16 +57,12 @@
         highestFencingNumber = order.fencingNumber();
       }
     }
-    switch (String.valueOf(order.order())) {
-      case "load-model":
-        return loadModel(order);
-      case "load-adapter":
-        return CompletableFuture.completedFuture(loadAdapter(order));
-      case "change-role":
-        return CompletableFuture.completedFuture(changeRole(order));
-      default:
-        throw new IllegalArgumentException("unknown order \"" + order.order() + "\"");
-    }
+    return switch (String.valueOf(order.order())) {
+      case "load-model" -> loadModel(order);
+      case "load-adapter" -> CompletableFuture.completedFuture(loadAdapter(order));
+      case "change-role" -> CompletableFuture.completedFuture(changeRole(order));
+      default -> throw new IllegalArgumentException("unknown order \"" + order.order() + "\"");
+    };
   }
 
   synchronized boolean loading() {
@@ -114,7 +111,7 @@
     if (loadMillis == 0) {
       finish.run();
     } else {
-      timer.schedule(finish, loadMillis, TimeUnit.MILLISECONDS);
+      timer.afterMillis(loadMillis, finish);
     }
     return done;
   }
@@ -136,12 +133,10 @@
   }
 
   private synchronized Outcome changeRole(OrderBody order) {
-    switch (String.valueOf(order.role())) {
-      case "MIXED", "PREFILL", "DECODE":
-        role = order.role();
-        return Outcome.DONE;
-      default:
-        return Outcome.FAILED;
+    if (!ROLES.contains(String.valueOf(order.role()))) {
+      return Outcome.FAILED;
     }
+    role = order.role();
+    return Outcome.DONE;
   }
 }
--- a/standin/src/main/java/io/zinniawood/standin/engine/RunMessages.java
+++ b/standin/src/main/java/io/zinniawood/standin/engine/RunMessages.java
@@ -9,9 +9,20 @@
 
   /** Priorities, highest first. */
   enum StepPriority {
-    INTERACTIVE,
-    NORMAL,
-    BATCH
+    INTERACTIVE(0),
+    NORMAL(1),
+    BATCH(2);
+
+    private final int rank;
+
+    StepPriority(int rank) {
+      this.rank = rank;
+    }
+
+    /** Returns 0 for the highest priority. */
+    int rank() {
+      return rank;
+    }
   }
 
   record RunBody(List<StepBody> steps) {
--- a/standin/src/main/java/io/zinniawood/standin/engine/WeightClient.java
+++ b/standin/src/main/java/io/zinniawood/standin/engine/WeightClient.java
@@ -1,13 +1,12 @@
 package io.zinniawood.standin.engine;
 
+import io.zinniawood.standin.http.DelayTimer;
 import io.zinniawood.standin.http.Json;
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.MediaType;
@@ -20,11 +19,11 @@
 final class WeightClient {
   private static final MediaType JSON = MediaType.get("application/json");
   private final Optional<URI> platform;
-  private final ScheduledExecutorService timer;
+  private final DelayTimer timer;
   private final OkHttpClient client =
       new OkHttpClient.Builder().callTimeout(Duration.ofSeconds(5)).build();
 
-  WeightClient(Optional<URI> platform, ScheduledExecutorService timer) {
+  WeightClient(Optional<URI> platform, DelayTimer timer) {
     this.platform = platform;
     this.timer = timer;
   }
@@ -65,9 +64,12 @@
               }
 
               @Override
-              public void onResponse(Call call, Response response) throws IOException {
+              public void onResponse(Call call, Response response) {
                 try (response) {
                   handle(request, response, granted);
+                } catch (IOException | IllegalArgumentException e) {
+                  // An unreadable answer ends the load; the controller may order it again.
+                  granted.complete(false);
                 }
               }
             });
@@ -83,7 +85,7 @@
     if (answer.granted()) {
       granted.complete(true);
     } else {
-      timer.schedule(() -> ask(request, granted), answer.retryAfterMillis(), TimeUnit.MILLISECONDS);
+      timer.afterMillis(answer.retryAfterMillis(), () -> ask(request, granted));
     }
   }
 }
--- a/standin/src/main/java/io/zinniawood/standin/http/ChannelAccess.java
+++ b/standin/src/main/java/io/zinniawood/standin/http/ChannelAccess.java
@@ -3,6 +3,7 @@
 import io.jooby.Context;
 import io.jooby.ForwardingContext;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import java.lang.reflect.Field;
 
@@ -15,7 +16,7 @@
 
   /** Closes the connection. */
   static void close(Context context) {
-    channel(context).close();
+    ChannelFuture unused = channel(context).close();
   }
 
   /**
--- a/standin/src/main/java/io/zinniawood/standin/http/Exchange.java
+++ b/standin/src/main/java/io/zinniawood/standin/http/Exchange.java
@@ -1,19 +1,17 @@
 package io.zinniawood.standin.http;
 
 import io.jooby.Context;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 
 /** One request and its response. The response may be sent from any thread, once. */
 public final class Exchange {
   private final Context context;
   private final byte[] body;
-  private final ScheduledExecutorService scheduler;
+  private final DelayTimer timer;
 
-  Exchange(Context context, byte[] body, ScheduledExecutorService scheduler) {
+  Exchange(Context context, byte[] body, DelayTimer timer) {
     this.context = context;
     this.body = body;
-    this.scheduler = scheduler;
+    this.timer = timer;
   }
 
   /** Returns the query parameter, or the empty text if it is missing. */
@@ -65,7 +63,7 @@
     if (delayMillis <= 0) {
       task.run();
     } else {
-      scheduler.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+      timer.afterMillis(delayMillis, task);
     }
   }
 
--- a/standin/src/main/java/io/zinniawood/standin/http/StandInServer.java
+++ b/standin/src/main/java/io/zinniawood/standin/http/StandInServer.java
@@ -11,7 +11,6 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
 /** HTTP server of one stand-in; handlers run on event-loop threads and must not block. */
@@ -25,22 +24,13 @@
   private static final long MAX_STOP_NANOS = 5_000_000_000L;
 
   private final Jooby application = new Jooby();
-  private final ScheduledThreadPoolExecutor scheduler;
+  private final DelayTimer timer;
   private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
   private NettyServer server;
 
   /** Creates a server whose delays run on a daemon thread of the given name. */
   public StandInServer(String name) {
-    scheduler =
-        new ScheduledThreadPoolExecutor(
-            1,
-            task -> {
-              Thread thread = new Thread(task, name + "-scheduler");
-              thread.setDaemon(true);
-              return thread;
-            });
-    scheduler.setRemoveOnCancelPolicy(true);
-    scheduler.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+    timer = new DelayTimer(name + "-timer");
     application.setExecutionMode(ExecutionMode.EVENT_LOOP);
     application.setName(name);
   }
@@ -67,7 +57,7 @@
     if (channels.add(channel)) {
       channel.closeFuture().addListener(closed -> channels.remove(channel));
     }
-    Exchange exchange = new Exchange(context, context.body().bytes(), scheduler);
+    Exchange exchange = new Exchange(context, context.body().bytes(), timer);
     return context.detach(
         detached -> {
           exchange.answer(handler);
@@ -75,9 +65,9 @@
         });
   }
 
-  /** Returns the scheduler for delayed work of the stand-in. */
-  public ScheduledThreadPoolExecutor scheduler() {
-    return scheduler;
+  /** Returns the timer for delayed work of the stand-in. */
+  public DelayTimer timer() {
+    return timer;
   }
 
   /**
@@ -113,7 +103,7 @@
   /** Stops to listen and closes all connections, as the end of a process does. */
   @Override
   public synchronized void close() {
-    scheduler.shutdownNow();
+    timer.close();
     if (server != null) {
       server.stop();
       channels.forEach(channel -> channel.close().awaitUninterruptibly());
--- a/standin/src/main/java/io/zinniawood/standin/platform/PlatformStandIn.java
+++ b/standin/src/main/java/io/zinniawood/standin/platform/PlatformStandIn.java
@@ -28,7 +28,7 @@
 
   /** Creates the stand-in; it listens after {@link #start(int)}. */
   public PlatformStandIn(PlatformSettings settings) {
-    vms = new VmDirectory(server.scheduler(), settings.vmListDelayMillis(), settings.vms());
+    vms = new VmDirectory(server.timer(), settings.vmListDelayMillis(), settings.vms());
     weights =
         new TokenBucket(
             settings.weightTransfersPerSecond(), settings.weightBurst(), System.nanoTime());
--- a/standin/src/main/java/io/zinniawood/standin/platform/VersionedStore.java
+++ b/standin/src/main/java/io/zinniawood/standin/platform/VersionedStore.java
@@ -1,6 +1,7 @@
 package io.zinniawood.standin.platform;
 
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 /** Values with versions that rise with every write, in the order of their names. */
@@ -35,7 +36,7 @@
   }
 
   /** Returns the values whose names start with the prefix. */
-  synchronized TreeMap<String, Versioned> withPrefix(String prefix) {
+  synchronized SortedMap<String, Versioned> withPrefix(String prefix) {
     TreeMap<String, Versioned> found = new TreeMap<>();
     values.tailMap(prefix, true).entrySet().stream()
         .takeWhile(entry -> entry.getKey().startsWith(prefix))
--- a/standin/src/main/java/io/zinniawood/standin/platform/VmDirectory.java
+++ b/standin/src/main/java/io/zinniawood/standin/platform/VmDirectory.java
@@ -1,20 +1,19 @@
 package io.zinniawood.standin.platform;
 
+import io.zinniawood.standin.http.DelayTimer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 
 /** VM list whose changes become visible after a delay. */
 final class VmDirectory {
-  private final ScheduledExecutorService scheduler;
+  private final DelayTimer timer;
   private final long delayMillis;
   private final TreeMap<String, VmRecord> visible = new TreeMap<>();
   private long version = 1;
 
-  VmDirectory(ScheduledExecutorService scheduler, long delayMillis, List<VmRecord> initial) {
-    this.scheduler = scheduler;
+  VmDirectory(DelayTimer timer, long delayMillis, List<VmRecord> initial) {
+    this.timer = timer;
     this.delayMillis = delayMillis;
     initial.forEach(vm -> visible.put(vm.vm(), vm));
   }
@@ -37,7 +36,7 @@
     if (delayMillis <= 0) {
       apply(change);
     } else {
-      scheduler.schedule(() -> apply(change), delayMillis, TimeUnit.MILLISECONDS);
+      timer.afterMillis(delayMillis, () -> apply(change));
     }
   }
 
--- a/standin/src/main/java/io/zinniawood/standin/proxy/Pump.java
+++ b/standin/src/main/java/io/zinniawood/standin/proxy/Pump.java
@@ -2,12 +2,14 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -50,7 +52,7 @@
   static void reset(Channel channel) {
     if (channel.isOpen()) {
       channel.config().setOption(ChannelOption.SO_LINGER, 0);
-      channel.close();
+      ChannelFuture unused = channel.close();
     }
   }
 
@@ -68,7 +70,8 @@
           if (silent) {
             ReferenceCountUtil.release(message);
           } else {
-            destination.writeAndFlush(message).addListener(done -> written(bytes));
+            ChannelFuture unused =
+                destination.writeAndFlush(message).addListener(done -> written(bytes));
           }
         });
   }
@@ -78,7 +81,7 @@
     afterDelay(
         () -> {
           if (!silent) {
-            destination.close();
+            ChannelFuture unused = destination.close();
           }
         });
   }
@@ -86,7 +89,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     // Resets by either end are expected here; the close reaches the other side.
-    context.close();
+    ChannelFuture unused = context.close();
   }
 
   private void written(int bytes) {
@@ -119,7 +122,7 @@
 
   private void scheduleNext(long nowNanos) {
     long delayNanos = Math.max(0, waiting.getFirst().dueNanos() - nowNanos);
-    source.eventLoop().schedule(this::runDue, delayNanos, TimeUnit.NANOSECONDS);
+    Future<?> unused = source.eventLoop().schedule(this::runDue, delayNanos, TimeUnit.NANOSECONDS);
   }
 
   private void runDue() {
--- a/standin/src/test/java/io/zinniawood/standin/engine/EngineStandInTest.java
+++ b/standin/src/test/java/io/zinniawood/standin/engine/EngineStandInTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.not;
 
 import io.zinniawood.standin.engine.BatchScheduler.Work;
+import io.zinniawood.standin.http.DelayTimer;
 import io.zinniawood.standin.http.Json;
 import io.zinniawood.standin.platform.PlatformKind;
 import io.zinniawood.standin.platform.PlatformSettings;
@@ -19,9 +20,7 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -59,7 +58,7 @@
   // Guards against capacity that exceeds the speed of the accelerator, or that ignores priority.
   @Test
   void batchesTakeTheirCostAndServeHighPriorityFirst() throws Exception {
-    ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    DelayTimer timer = new DelayTimer("test");
     LinkedBlockingQueue<String> order = new LinkedBlockingQueue<>();
     BatchScheduler scheduler =
         new BatchScheduler(
@@ -85,7 +84,7 @@
         finished,
         contains("cancelled", "interactive 4", "interactive 5", "batch 0", "batch 1", "batch 2"));
     assertThat(System.nanoTime() - startNanos, greaterThanOrEqualTo(50_000_000L));
-    timer.shutdownNow();
+    timer.close();
   }
 
   // Guards against a prefix cache that grows without bound or that hides lost events.
--- a/standin/src/test/java/io/zinniawood/standin/platform/VmDirectoryTest.java
+++ b/standin/src/test/java/io/zinniawood/standin/platform/VmDirectoryTest.java
@@ -3,9 +3,8 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import io.zinniawood.standin.http.DelayTimer;
 import java.util.List;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.Test;
 
 class VmDirectoryTest {
@@ -15,8 +14,8 @@
   // Guards against tests of a lagging list that see changes at once.
   @Test
   void changesBecomeVisibleAfterTheDelay() throws Exception {
-    ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
-    VmDirectory directory = new VmDirectory(scheduler, 200, List.of());
+    DelayTimer timer = new DelayTimer("test");
+    VmDirectory directory = new VmDirectory(timer, 200, List.of());
     long startNanos = System.nanoTime();
     directory.put(VM);
     while (directory.listing().vms().isEmpty()) {
@@ -24,6 +23,6 @@
     }
     assertThat(System.nanoTime() - startNanos >= 200_000_000L, is(true));
     assertThat(directory.listing().version(), is(2L));
-    scheduler.shutdownNow();
+    timer.close();
   }
 }
