--- a/standin/src/main/java/io/zinniawood/standin/proxy/Pump.java
+++ b/standin/src/main/java/io/zinniawood/standin/proxy/Pump.java
@@ -2,10 +2,14 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -20,7 +24,7 @@
   private final Channel source;
   private final Channel destination;
   private final LongSupplier delayMillis;
-  private long lastDueNanos = System.nanoTime();
+  private final Deque<Delayed> waiting = new ArrayDeque<>();
   private long pendingBytes;
   private boolean silent;
 
@@ -46,8 +50,10 @@
   }
 
   static void reset(Channel channel) {
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.close();
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      ChannelFuture unused = channel.close();
+    }
   }
 
   @Override
@@ -64,7 +70,8 @@
           if (silent) {
             ReferenceCountUtil.release(message);
           } else {
-            destination.writeAndFlush(message).addListener(done -> written(bytes));
+            ChannelFuture unused =
+                destination.writeAndFlush(message).addListener(done -> written(bytes));
           }
         });
   }
@@ -74,7 +81,7 @@
     afterDelay(
         () -> {
           if (!silent) {
-            destination.close();
+            ChannelFuture unused = destination.close();
           }
         });
   }
@@ -82,7 +89,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     // Resets by either end are expected here; the close reaches the other side.
-    context.close();
+    ChannelFuture unused = context.close();
   }
 
   private void written(int bytes) {
@@ -94,18 +101,39 @@
     source.config().setAutoRead(!silent && pendingBytes < MAX_PENDING_BYTES);
   }
 
-  /** Runs the task after the delay, but never before a task that was given earlier. */
+  private record Delayed(Runnable task, long dueNanos) {}
+
+  /**
+   * Runs the task after the delay, but never before a task that was given earlier. Scheduled tasks
+   * of the event loop alone keep no order when their deadlines are about equal, hence the queue.
+   */
   private void afterDelay(Runnable task) {
     long nowNanos = System.nanoTime();
     long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis.getAsLong());
-    if (dueNanos - lastDueNanos < 0) {
-      dueNanos = lastDueNanos;
-    }
-    if (dueNanos - nowNanos <= 0) {
+    if (waiting.isEmpty() && dueNanos - nowNanos <= 0) {
       task.run();
       return;
     }
-    lastDueNanos = dueNanos;
-    source.eventLoop().schedule(task, dueNanos - nowNanos, TimeUnit.NANOSECONDS);
+    waiting.addLast(new Delayed(task, dueNanos));
+    if (waiting.size() == 1) {
+      scheduleNext(nowNanos);
+    }
+  }
+
+  private void scheduleNext(long nowNanos) {
+    long delayNanos = Math.max(0, waiting.getFirst().dueNanos() - nowNanos);
+    Future<?> unused = source.eventLoop().schedule(this::runDue, delayNanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void runDue() {
+    long nowNanos = System.nanoTime();
+    while (!waiting.isEmpty() && waiting.getFirst().dueNanos() - nowNanos <= 0) {
+      Runnable task = waiting.getFirst().task();
+      task.run();
+      waiting.removeFirst();
+    }
+    if (!waiting.isEmpty()) {
+      scheduleNext(nowNanos);
+    }
   }
 }
