--- a/core/src/main/java/io/zinniawood/core/entry/Selection.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Selection.java
@@ -45,9 +45,10 @@
       Set<EndpointId> avoid,
       Headroom headroom) {
     FlowPlan plan = Plans.of(turn, arrival.model());
+    TokenPace pace = TokenPace.of(turn, arrival.model());
     Vector<Member> members =
         available(turn, headroom)
-            .filter(member -> TokenPace.allows(turn, member, arrival.model(), headroom))
+            .filter(member -> pace.allows(member, headroom))
             .reject(member -> avoid.contains(member.endpoint()));
     return chain(turn, range, arrival, plan, stages(turn, members, arrival, plan, 0))
         .orElse(
--- a/core/src/test/java/io/zinniawood/core/entry/World.java
+++ b/core/src/test/java/io/zinniawood/core/entry/World.java
@@ -127,17 +127,7 @@
     } else if (effect instanceof EntryEffect.CancelTimer cancel) {
       timers.remove(cancel.timer());
     } else if (effect instanceof EntryEffect.ReleaseClaim release) {
-      schedule(
-          2,
-          () -> {
-            ClaimResolution resolution = table.release(release);
-            schedule(
-                2,
-                () ->
-                    reduce(
-                        new EntryEvent.ClaimResolved(
-                            release.request(), release.attempt(), resolution)));
-          });
+      schedule(2, () -> release(release));
     } else if (effect instanceof EntryEffect.ReadLease) {
       schedule(2, () -> leaseAnswer(table.down));
     } else if (effect instanceof EntryEffect.WriteLease write) {
@@ -153,6 +143,12 @@
     }
   }
 
+  private void release(EntryEffect.ReleaseClaim release) {
+    var result =
+        new EntryEvent.ClaimResolved(release.request(), release.attempt(), table.release(release));
+    schedule(2, () -> reduce(result));
+  }
+
   private void leaseAnswer(boolean lost) {
     reduce(
         lost
