--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -45,6 +45,11 @@
   /** Bounds the memory of open requests; 64 requests/s for 60 s fit. */
   private static final int MAX_OPEN_REQUESTS = 4_096;
 
+  private static final long STOP_CHECK_MILLIS = 10;
+
+  /** Five seconds in all; a caller that reads slower than that does not hold the process. */
+  private static final int STOP_CHECKS = 500;
+
   private static final int CALLER_IO_THREADS = 2;
   private static final int ADMIN_IO_THREADS = 1;
   private static final int ADMIN_MAX_BODY_BYTES = 1_024;
@@ -122,7 +127,7 @@
         this::setReadiness,
         records::record,
         records::record,
-        () -> stopped.complete(true));
+        () -> stopWhenWritten(STOP_CHECKS));
   }
 
   private final class LoopTimers implements EntryEffects.Timers {
@@ -188,6 +193,21 @@
     }
   }
 
+  // Netty drops queued writes when its loops shut down, so the last answers must be sent before.
+  private void stopWhenWritten(int checksLeft) {
+    if (openRequests.writing() == 0 || checksLeft == 0) {
+      stopped.complete(true);
+      return;
+    }
+    try {
+      ScheduledFuture<?> unused =
+          ticker.schedule(
+              () -> stopWhenWritten(checksLeft - 1), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException closed) {
+      stopped.complete(true);
+    }
+  }
+
   private void collectConfiguration() {
     try {
       ticker.execute(relay::collectConfiguration);
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerChannel.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerChannel.java
@@ -1,6 +1,7 @@
 package io.zinniawood.entry.internal.http;
 
 import io.jooby.Context;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -8,6 +9,7 @@
 import io.netty.util.AttributeKey;
 import io.vavr.control.Option;
 import java.lang.reflect.Field;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
@@ -74,6 +76,22 @@
     channel.attr(BUSY).get().set(false);
   }
 
+  /** Runs a task when all bytes that were written before are sent, or their connection is gone. */
+  void onWritten(Runnable task) {
+    try {
+      channel
+          .eventLoop()
+          .execute(
+              () -> {
+                // Its future completes after those of all earlier writes.
+                ChannelFuture unused =
+                    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> task.run());
+              });
+    } catch (RejectedExecutionException closed) {
+      task.run();
+    }
+  }
+
   /** Runs a task when the connection is closed, at once if it is. */
   void onClosed(Runnable task) {
     ChannelFuture unused = channel.closeFuture().addListener(closed -> task.run());
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerSlot.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerSlot.java
@@ -21,12 +21,18 @@
 
   /** Removes the request, so that later effects find none; call before the last write. */
   void end() {
+    openRequests.beginWriting();
     openRequests.remove(request);
   }
 
   /** Allows the next request on the connection; call after the last write. */
   void release() {
     channel.forEach(CallerChannel::release);
+    if (channel.isDefined()) {
+      channel.get().onWritten(openRequests::endWriting);
+    } else {
+      openRequests.endWriting();
+    }
   }
 
   /** Cancels the request and closes the connection. */
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/OpenRequests.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/OpenRequests.java
@@ -13,6 +13,7 @@
   private final Consumer<RequestId> onAbandoned;
   private final ConcurrentMap<RequestId, CallerReply> replies = new ConcurrentHashMap<>();
   private final AtomicInteger open = new AtomicInteger();
+  private final AtomicInteger writing = new AtomicInteger();
 
   /**
    * Creates an empty set.
@@ -54,6 +55,21 @@
     }
   }
 
+  /** Counts a response whose last bytes are about to be written. */
+  void beginWriting() {
+    writing.incrementAndGet();
+  }
+
+  /** Ends the count of a response whose bytes are sent or dropped. */
+  void endWriting() {
+    writing.decrementAndGet();
+  }
+
+  /** Returns the number of responses that have ended but are not sent yet. */
+  public int writing() {
+    return writing.get();
+  }
+
   /** Returns the number of open requests. */
   public int count() {
     return open.get();
--- a/entry/src/test/java/io/zinniawood/entry/AdminHttpTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/AdminHttpTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
@@ -105,6 +106,7 @@
                     new EntryEffect.StartTimer(new EntryTimer.DrainGrace(), Long.MAX_VALUE));
               } else if (event instanceof EntryEvent.TimerFired) {
                 return Vector.of(
+                    new EntryEffect.ReplyToken(open.get(), "x".repeat(4_000_000)),
                     new EntryEffect.FinishAnswer(open.get(), FinishReason.STOP, 0),
                     new EntryEffect.Stop());
               }
@@ -121,7 +123,7 @@
       assertThat(entry.admin("/readyz").body(), containsString("draining"));
       assertThat(stopped.join(), equalTo(true));
       entry.process.close();
-      assertThat(answer.join().statusCode(), equalTo(200));
+      assertThat(answer.join().body().length(), greaterThan(4_000_000));
     }
   }
 }
--- a/entry/src/test/java/io/zinniawood/entry/CallerHttpTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/CallerHttpTest.java
@@ -89,6 +89,11 @@
       assertThat(response.headers().firstValue("x-a").orElse(""), equalTo("b"));
       EntryEvent.ServiceRequestArrived arrived =
           entry.awaitEvent(EntryEvent.ServiceRequestArrived.class);
+      HttpResponse<String> head =
+          entry.send(entry.request("/services/credit/a").method("HEAD", BodyPublishers.noBody()));
+      assertThat(head.statusCode(), equalTo(201));
+      // A body after the HEAD answer would be read as the start of the next answer.
+      assertThat(entry.send(entry.request("/v1/models")).statusCode(), equalTo(200));
       assertThat(arrived.call().pathAndQuery(), equalTo("/vouchers/7%20a?x=1"));
       assertThat(arrived.call().body().text(), equalTo("{\"cents\":120}"));
       assertThat(arrived.idempotency(), equalTo(Idempotency.NON_IDEMPOTENT));
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the bounds on callers. */
+package io.zinniawood.entry.internal.http;
