--- a/config/src/main/java/io/zinniawood/config/internal/JsonTree.java
+++ b/config/src/main/java/io/zinniawood/config/internal/JsonTree.java
@@ -1,7 +1,7 @@
 package io.zinniawood.config.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import io.vavr.collection.Vector;
 
@@ -11,8 +11,8 @@
 
   /** Returns the tree; keys that the schema does not know stay in it and are not read. */
   public static ValueTree read(JsonNode root) {
-    Map<Vector<String>, Located> values = LinkedHashMap.empty();
-    Map<Vector<String>, Located> tables = LinkedHashMap.empty();
+    Map<Vector<String>, Located> values = HashMap.empty();
+    Map<Vector<String>, Located> tables = HashMap.empty();
     Vector<Vector<String>> pending = Vector.of(Vector.empty());
     while (!pending.isEmpty()) {
       Vector<String> path = pending.head();
--- a/config/src/main/java/io/zinniawood/config/internal/TomlDocument.java
+++ b/config/src/main/java/io/zinniawood/config/internal/TomlDocument.java
@@ -1,6 +1,6 @@
 package io.zinniawood.config.internal;
 
-import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import io.vavr.collection.Vector;
 import io.zinniawood.config.ConfigurationFault;
@@ -85,7 +85,7 @@
   }
 
   private static TomlDocument failed(ConfigurationFault fault) {
-    return new TomlDocument(LinkedHashMap.empty(), LinkedHashMap.empty(), Vector.of(fault));
+    return new TomlDocument(HashMap.empty(), HashMap.empty(), Vector.of(fault));
   }
 
   private static TomlDocument read(String file, TomlParseResult result) {
@@ -101,10 +101,10 @@
                           "",
                           Texts.clean(String.valueOf(error.getMessage())),
                           "valid TOML"));
-      return new TomlDocument(LinkedHashMap.empty(), LinkedHashMap.empty(), faults);
+      return new TomlDocument(HashMap.empty(), HashMap.empty(), faults);
     }
-    Map<Vector<String>, Located> values = LinkedHashMap.empty();
-    Map<Vector<String>, Located> tables = LinkedHashMap.empty();
+    Map<Vector<String>, Located> values = HashMap.empty();
+    Map<Vector<String>, Located> tables = HashMap.empty();
     for (List<String> path : result.keyPathSet(true)) {
       Object value = result.get(path);
       TomlPosition position = result.inputPositionOf(path);
--- a/config/src/main/java/io/zinniawood/config/internal/ValueTree.java
+++ b/config/src/main/java/io/zinniawood/config/internal/ValueTree.java
@@ -1,6 +1,6 @@
 package io.zinniawood.config.internal;
 
-import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import io.vavr.collection.TreeSet;
 import io.vavr.collection.Vector;
@@ -16,12 +16,15 @@
 
   /** Returns the tree without values. */
   public static ValueTree empty() {
-    return new ValueTree(LinkedHashMap.empty(), LinkedHashMap.empty());
+    return new ValueTree(HashMap.empty(), HashMap.empty());
   }
 
   /** Returns this tree with the values of a later document; they replace earlier ones. */
   public ValueTree extend(TomlDocument later) {
-    return new ValueTree(later.values().merge(values), tables.merge(later.tables()));
+    // Merging in the other direction would copy the whole tree for each file.
+    return new ValueTree(
+        later.values().foldLeft(values, (merged, entry) -> merged.put(entry)),
+        tables.merge(later.tables()));
   }
 
   /** Returns the valid ids of the tables {@code [section.<id>]} in the order of the ids. */
