--- a/cli/src/main/java/io/zinniawood/cli/bench/BenchPlan.java
+++ b/cli/src/main/java/io/zinniawood/cli/bench/BenchPlan.java
@@ -101,6 +101,13 @@
         layers = %d
         min_replicas_per_layer = 1
         max_tokens = 256
+
+        [objectives.assistant]
+        target = "assistant"
+        answered_share = 0.999
+        first_token_ms = 1300
+        token_gap_ms = 73
+        latency_share = 0.95
         """
             .formatted(DemoPlan.sha256Hex(KEY), MODEL.layers()));
   }
