--- a/cli/src/main/java/io/zinniawood/cli/local/LocalCluster.java
+++ b/cli/src/main/java/io/zinniawood/cli/local/LocalCluster.java
@@ -98,7 +98,12 @@
     entry.start();
     entries.add(entry);
     entrySettings.add(settings);
-    putVm(vm, "ENTRY", dataCentre, ENTRY_POOL, settings.peers());
+    putEntryVm(vm, dataCentre, settings.peers());
+  }
+
+  /** Registers the VM of an entry that runs elsewhere. */
+  public void putEntryVm(String vm, String dataCentre, NodeAddress peers) {
+    putVm(vm, "ENTRY", dataCentre, ENTRY_POOL, peers);
   }
 
   private void putVm(String vm, String role, String dataCentre, String pool, NodeAddress address) {
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/ControlBenchmark.java
@@ -0,0 +1,149 @@
+package io.zinniawood.dist;
+
+import io.zinniawood.cli.local.ClusterPlan;
+import io.zinniawood.cli.local.DemoPlan;
+import io.zinniawood.cli.local.EndpointPlan;
+import io.zinniawood.cli.local.LocalCluster;
+import io.zinniawood.cli.local.Ports;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.standin.engine.EngineSettings;
+import io.zinniawood.standin.platform.PlatformKind;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+
+/**
+ * Measures what control costs an entry at rest: bytes between own processes, reads and writes of
+ * the store, processor time and memory, for 10, 40 and 160 replicas. The entry is a process; agents
+ * run in this JVM.
+ */
+public final class ControlBenchmark {
+  private static final int[] REPLICAS = {10, 40, 160};
+  private static final long SETTLE_MILLIS = 20_000;
+  private static final long WINDOW_MILLIS = 30_000;
+
+  /** Headers of IP and TCP with the timestamp option, for each segment. */
+  private static final int HEADER_BYTES = 52;
+
+  private static final int RANGE_LAYERS = 12;
+
+  private ControlBenchmark() {}
+
+  /** Runs the benchmark and prints its figures. */
+  public static void main(String[] arguments) throws Exception {
+    PrintStream out = System.out;
+    out.printf(
+        Locale.ROOT,
+        "ControlBenchmark: one entry at rest, poll 2 s, window %d ms after %d ms%n",
+        WINDOW_MILLIS,
+        SETTLE_MILLIS);
+    for (int replicas : REPLICAS) {
+      measure(out, replicas);
+    }
+  }
+
+  private static void measure(PrintStream out, int replicas) throws Exception {
+    try (LocalCluster cluster = LocalCluster.start(plan(replicas))) {
+      NodeAddress admin = Ports.free();
+      NodeAddress peers = Ports.free();
+      String settings =
+          """
+          vm = "entry-1"
+          data_centre = "tampere"
+          callers = "%s"
+          admin = "%s"
+          peers = "%s"
+          platform = "%s"
+          """
+              .formatted(Ports.free(), admin, peers, cluster.platformUri());
+      try (RoleProcess entry = RoleProcess.start("entry", "control-" + replicas, settings)) {
+        cluster.putEntryVm("entry-1", "tampere", peers);
+        TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+        Sample before = Sample.of(entry, admin, cluster);
+        TimeUnit.MILLISECONDS.sleep(WINDOW_MILLIS);
+        print(out, replicas, before, Sample.of(entry, admin, cluster));
+      }
+    }
+  }
+
+  private static ClusterPlan plan(int replicas) {
+    List<EndpointPlan> endpoints = new ArrayList<>();
+    for (int i = 0; i < replicas; i++) {
+      int fromLayer = i % 2 * RANGE_LAYERS;
+      EngineSettings engine =
+          EngineSettings.unlimited(DemoPlan.MODEL, fromLayer, fromLayer + RANGE_LAYERS);
+      endpoints.add(
+          new EndpointPlan.Engine("e-" + i, "tampere", "assistant-" + fromLayer, 0, engine));
+    }
+    String models = "[models.assistant]\nlayers = 24\n";
+    return new ClusterPlan(List.of(), endpoints, Map.of("10-models.toml", models), 100);
+  }
+
+  private static void print(PrintStream out, int replicas, Sample before, Sample after) {
+    double seconds = WINDOW_MILLIS / 1_000.0;
+    long segments = after.frames() - before.frames();
+    out.printf(
+        Locale.ROOT,
+        "%d replicas: peers %.0f B/s and %.1f segments/s (%.0f B/s with headers),"
+            + " store %.2f reads/s and %.2f writes/s,"
+            + " processor %.2f%% of a core, resident %.1f MB%n",
+        replicas,
+        (after.bytes() - before.bytes()) / seconds,
+        segments / seconds,
+        (after.bytes() - before.bytes() + segments * HEADER_BYTES) / seconds,
+        (after.reads() - before.reads()) / seconds,
+        (after.writes() - before.writes()) / seconds,
+        (after.use().cpuMillis() - before.use().cpuMillis()) / (10 * seconds),
+        after.use().residentBytes() / 1e6);
+  }
+
+  /**
+   * Counters at one time.
+   *
+   * @param use processor time and memory of the entry
+   * @param bytes bytes between the entry and its peers
+   * @param frames segments between the entry and its peers
+   * @param reads reads of the store by all processes
+   * @param writes writes of the store by all processes
+   */
+  private record Sample(ProcessUse use, long bytes, long frames, long reads, long writes) {
+    static Sample of(RoleProcess entry, NodeAddress admin, LocalCluster cluster)
+        throws IOException {
+      Request request =
+          new Request.Builder().url(URI.create("http://" + admin + "/metrics").toString()).build();
+      String text;
+      try (Response response = new OkHttpClient().newCall(request).execute()) {
+        text = response.body().string();
+      }
+      long reads = 0;
+      long writes = 0;
+      for (PlatformKind kind : PlatformKind.values()) {
+        reads += cluster.platform().reads(kind);
+        writes += cluster.platform().writes(kind);
+      }
+      return new Sample(
+          entry.use(),
+          gauge(text, "peer_received_bytes") + gauge(text, "peer_sent_bytes"),
+          gauge(text, "peer_received_frames") + gauge(text, "peer_sent_frames"),
+          reads,
+          writes);
+    }
+
+    private static long gauge(String text, String name) {
+      return text.lines()
+          .filter(line -> line.startsWith("zinniawood_" + name + " "))
+          .map(line -> line.substring(line.lastIndexOf(' ') + 1))
+          .mapToLong(value -> (long) Double.parseDouble(value))
+          .findFirst()
+          .orElseThrow(() -> new IllegalStateException("no metric " + name));
+    }
+  }
+}
--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -151,6 +151,12 @@
     EntrySettings settings = dependencies.settings();
     loop.start(effect -> effect.accept(effects));
     metrics.gauge("zinniawood_open_requests", openRequests::count);
+    metrics.gauge(
+        "zinniawood_peer_received_bytes", () -> dependencies.wire().traffic().receivedBytes());
+    metrics.gauge("zinniawood_peer_sent_bytes", () -> dependencies.wire().traffic().sentBytes());
+    metrics.gauge(
+        "zinniawood_peer_received_frames", () -> dependencies.wire().traffic().receivedFrames());
+    metrics.gauge("zinniawood_peer_sent_frames", () -> dependencies.wire().traffic().sentFrames());
     metrics.gauge(
         "zinniawood_configuration_generation", () -> dependencies.generation().get().value());
     metrics.gauge("zinniawood_ready", () -> readiness.get() == Readiness.READY ? 1 : 0);
--- a/wire/src/main/java/io/zinniawood/wire/Wire.java
+++ b/wire/src/main/java/io/zinniawood/wire/Wire.java
@@ -16,6 +16,11 @@
   CompletableFuture<Either<WireError, WireConnection>> connect(
       NodeAddress address, WireListener listener);
 
+  /** Returns the traffic of all connections since the start. */
+  default WireTraffic traffic() {
+    return WireTraffic.none();
+  }
+
   /** Closes all connections and ports. */
   @Override
   void close();
--- a/wire/src/main/java/io/zinniawood/wire/internal/NettyWire.java
+++ b/wire/src/main/java/io/zinniawood/wire/internal/NettyWire.java
@@ -27,6 +27,7 @@
 import io.zinniawood.wire.WirePeer;
 import io.zinniawood.wire.WireTiming;
 import io.zinniawood.wire.WireTls;
+import io.zinniawood.wire.WireTraffic;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +42,7 @@
   private final WireContext context;
   private final Option<TlsContexts> tls;
   private final EventLoopGroup group;
+  private final TrafficMeter meter = new TrafficMeter();
   private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
 
   private NettyWire(WireContext context, Option<TlsContexts> tls, int threads) {
@@ -154,11 +156,17 @@
     channels.add(channel);
     channel
         .pipeline()
+        .addLast(meter)
         .addLast(new FlushConsolidationHandler(FLUSH_AFTER_MESSAGES, true))
         .addLast(new EnvelopeCodec())
         .addLast(new ConnectionHandler(context, listener, onHandshake));
   }
 
+  @Override
+  public WireTraffic traffic() {
+    return meter.traffic();
+  }
+
   @Override
   public void close() {
     channels.close().awaitUninterruptibly(SHUTDOWN_MILLIS);
