--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/MemoryBenchmark.java
@@ -0,0 +1,67 @@
+package io.zinniawood.dist;
+
+import io.zinniawood.load.LatencyLimits;
+import io.zinniawood.load.LoadGenerator;
+import io.zinniawood.load.LoadPlan;
+import io.zinniawood.load.LoadResult;
+import io.zinniawood.load.Workload;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Measures the resident memory of an entry and of an agent of a plain service before and after many
+ * calls; 128 MB is the limit of an agent.
+ */
+public final class MemoryBenchmark {
+  private static final double CALLS_PER_SECOND = 1_000;
+  private static final long RUN_MILLIS = 30_000;
+  private static final long REST_MILLIS = 12_000;
+  private static final long SEED = 7;
+
+  private MemoryBenchmark() {}
+
+  /** Runs the benchmark and prints its figures. */
+  public static void main(String[] arguments) throws InterruptedException {
+    PrintStream out = System.out;
+    out.printf(
+        Locale.ROOT,
+        "MemoryBenchmark: %.0f reads/s for %d ms, then %d ms of rest, seed %d%n",
+        CALLS_PER_SECOND,
+        RUN_MILLIS,
+        REST_MILLIS,
+        SEED);
+    try (RealCluster cluster = new RealCluster("memory")) {
+      cluster.addService("c-1");
+      cluster.addEntry("entry-1");
+      RealCluster.Entry entry = cluster.entry("entry-1");
+      new Caller().awaitService(entry);
+      RoleProcess agent = cluster.endpoint("c-1").agent();
+      TimeUnit.MILLISECONDS.sleep(REST_MILLIS);
+      print(out, "before", entry, agent);
+      Workload reads =
+          new Workload(
+              "reads",
+              RealCluster.KEY,
+              CALLS_PER_SECOND,
+              new Workload.Call.Get("credit", "/bins/b-1", 5_000));
+      LoadResult result =
+          new LoadGenerator(LatencyLimits.designSize())
+              .run(new LoadPlan(entry.callers(), List.of(reads), RUN_MILLIS, 10_000, SEED));
+      print(out, "after %d calls".formatted(result.completed()), entry, agent);
+      TimeUnit.MILLISECONDS.sleep(REST_MILLIS);
+      print(out, "at rest again", entry, agent);
+    }
+  }
+
+  private static void print(
+      PrintStream out, String when, RealCluster.Entry entry, RoleProcess agent) {
+    out.printf(
+        Locale.ROOT,
+        "%s: entry %.1f MB, agent %.1f MB%n",
+        when,
+        entry.process().use().residentBytes() / 1e6,
+        agent.use().residentBytes() / 1e6);
+  }
+}
--- a/dist/src/test/java/io/zinniawood/dist/RealCluster.java
+++ b/dist/src/test/java/io/zinniawood/dist/RealCluster.java
@@ -58,8 +58,8 @@
         """
         [client_accounts.kiosk]
         key_sha256 = ["%s"]
-        requests_per_second = 500
-        burst_requests = 500
+        requests_per_second = 5000
+        burst_requests = 5000
         max_concurrent = 500
 
         [models.assistant]
