Collect results and incidents of an entry and supply its reports

EntryReports collects on a thread of its own, renders the five reports, and exchanges counts so that each interval is added once whichever entry merges. The holder of the controller lease writes the reports to the object store.

--- a/cli/src/main/java/io/zinniawood/cli/CheckCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/CheckCommand.java
@@ -2,28 +2,39 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import io.vavr.collection.Vector;
 import io.vavr.control.Either;
-import io.zinniawood.config.ConfigurationFault;
-import io.zinniawood.config.ConfigurationFile;
+import io.vavr.control.Option;
+import io.zinniawood.config.AcceptanceCodec;
+import io.zinniawood.config.CheckReport;
+import io.zinniawood.config.CodecError;
 import io.zinniawood.config.ConfigurationFolder;
-import io.zinniawood.config.MergedConfiguration;
-import java.io.IOException;
+import io.zinniawood.core.acceptance.AcceptedRow;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.platform.PlatformError;
+import io.zinniawood.platform.StoredObject;
+import io.zinniawood.platform.TableRow;
+import io.zinniawood.platform.http.HttpPlatform;
 import java.io.PrintStream;
-import java.nio.file.Files;
+import java.net.URI;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.Stream;
+import okhttp3.HttpUrl;
+import okhttp3.OkHttpClient;
 
-/** Checks a configuration folder and prints the merged result. */
+/** Checks a configuration folder and prints the merged result and what it would change. */
 @Parameters(commandDescription = "Check a configuration folder and print the merged result")
 final class CheckCommand extends HelpOption implements Command {
-  private static final String SUFFIX = ".toml";
+  private static final String ROW = "config/accepted";
 
   @Parameter(description = "DIR", required = true)
   private List<String> folders = new ArrayList<>();
 
+  @Parameter(
+      names = "--platform",
+      description = "Base URL of the platform, to show changes against the accepted configuration")
+  private String platform;
+
   @Override
   public String name() {
     return "check";
@@ -31,47 +42,66 @@
 
   @Override
   public String examples() {
-    return "zinniawood check config/";
+    return """
+        zinniawood check config/
+        zinniawood check config/ --platform http://127.0.0.1:7070
+        """;
   }
 
   @Override
   public ExitCode run(PrintStream out, PrintStream err) {
-    Vector<ConfigurationFile> files;
-    try {
-      files = read(Path.of(folders.get(0)));
-    } catch (IOException unreadable) {
-      err.println("zinniawood check: cannot read " + unreadable.getMessage());
+    if (folders.size() != 1 || (platform != null && HttpUrl.parse(platform) == null)) {
+      err.println("zinniawood check: name one folder, and the platform as an HTTP URL");
       return ExitCode.WRONG_USAGE;
     }
-    Either<Vector<ConfigurationFault>, MergedConfiguration> merged =
-        ConfigurationFolder.merge(files);
-    if (merged.isLeft()) {
-      Faults.print(merged.getLeft(), err);
-      err.println("%d faults in %d files".formatted(merged.getLeft().size(), files.size()));
+    Either<String, Option<AcceptedConfiguration>> accepted =
+        platform == null ? Either.right(Option.none()) : accepted();
+    CheckReport report =
+        CheckReport.of(
+            ConfigurationFolder.read(Path.of(folders.get(0))), accepted.getOrElse(Option.none()));
+    report.lines().forEach(report.valid() ? out::println : err::println);
+    if (!report.valid()) {
       return ExitCode.WRONG_USAGE;
     }
-    merged
-        .get()
-        .origins()
-        .toVector()
-        .sortBy(origin -> origin._1())
-        .forEach(
-            origin ->
-                out.printf(
-                    "%s = %s  (%s:%d)%n",
-                    origin._1(), origin._2().value(), origin._2().file(), origin._2().line()));
-    out.printf("%d files, no faults%n", files.size());
+    if (accepted.isLeft()) {
+      err.println("zinniawood check: changes are not known: " + accepted.getLeft());
+      return ExitCode.FAILED;
+    }
+    if (platform != null && accepted.get().isEmpty()) {
+      out.println("No configuration was accepted yet, so every value is new.");
+    }
     return ExitCode.DONE;
   }
 
-  private static Vector<ConfigurationFile> read(Path folder) throws IOException {
-    List<ConfigurationFile> files = new ArrayList<>();
-    try (Stream<Path> entries = Files.list(folder)) {
-      for (Path file : entries.filter(path -> path.toString().endsWith(SUFFIX)).sorted().toList()) {
-        files.add(
-            new ConfigurationFile(file.getFileName().toString(), "file", Files.readString(file)));
+  private Either<String, Option<AcceptedConfiguration>> accepted() {
+    OkHttpClient client = new OkHttpClient();
+    try {
+      HttpPlatform found = new HttpPlatform(URI.create(platform), client);
+      Either<PlatformError, Option<TableRow>> row = found.table().read(ROW).join();
+      if (row.isLeft()) {
+        return Either.left(row.getLeft().detail());
       }
+      return row.get().isEmpty()
+          ? Either.right(Option.none())
+          : AcceptanceCodec.decodeRow(row.get().get().value())
+              .mapLeft(CodecError::detail)
+              .flatMap(accepted -> snapshot(found, accepted));
+    } finally {
+      // Idle threads of the client would keep the process alive for a minute.
+      client.dispatcher().executorService().shutdown();
+      client.connectionPool().evictAll();
     }
-    return Vector.ofAll(files);
+  }
+
+  private static Either<String, Option<AcceptedConfiguration>> snapshot(
+      HttpPlatform platform, AcceptedRow row) {
+    Either<PlatformError, Option<StoredObject>> object =
+        platform.objectStore().read(row.objectName()).join();
+    return object
+        .mapLeft(PlatformError::detail)
+        .flatMap(found -> found.toEither("%s is missing".formatted(row.objectName())))
+        .flatMap(
+            found -> AcceptanceCodec.decodeSnapshot(found.content()).mapLeft(CodecError::detail))
+        .map(snapshot -> Option.some(snapshot.configuration()));
   }
 }
--- a/cli/src/main/java/io/zinniawood/cli/DemoCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/DemoCommand.java
@@ -39,7 +39,7 @@
       boolean answered = new DemoRequests(cluster, out).run();
       if (keep) {
         out.println("Callers:   " + cluster.callers(0));
-        out.println("Operators: " + cluster.admin(0) + "/reports/fleet");
+        out.println("Reports:   " + cluster.admin(0) + "/reports");
         out.println("Press Ctrl-C to stop.");
         new CountDownLatch(1).await();
       }
--- a/cli/src/main/java/io/zinniawood/cli/Main.java
+++ b/cli/src/main/java/io/zinniawood/cli/Main.java
@@ -13,6 +13,7 @@
             new EntryCommand(),
             new AgentCommand(),
             new CheckCommand(),
+            new ReportCommand(),
             new LoadCommand(),
             new StandinCommand(),
             new DemoCommand(),
--- a/cli/src/main/java/io/zinniawood/cli/process/EntryLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/EntryLauncher.java
@@ -1,19 +1,24 @@
 package io.zinniawood.cli.process;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import io.zinniawood.config.settings.EntrySettings;
 import io.zinniawood.config.settings.TlsSettings;
 import io.zinniawood.core.acceptance.AcceptanceNotice;
+import io.zinniawood.core.acceptance.PollMode;
 import io.zinniawood.core.entry.EntryNode;
 import io.zinniawood.core.entry.EntryReducer;
 import io.zinniawood.core.entry.EntryState;
 import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.message.Message;
 import io.zinniawood.core.model.VmRole;
 import io.zinniawood.entry.EntryDependencies;
 import io.zinniawood.entry.EntryProcess;
 import io.zinniawood.entry.GenerationCell;
 import io.zinniawood.entry.acceptance.SyncedFeed;
+import io.zinniawood.entry.reporting.EntryLink;
+import io.zinniawood.entry.reporting.EntryReports;
 import io.zinniawood.platform.http.HttpPlatform;
 import io.zinniawood.wire.Wire;
 import io.zinniawood.wire.WireError;
@@ -24,6 +29,8 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.security.SecureRandom;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import okhttp3.OkHttpClient;
 
 /** Builds an entry process from its settings. */
@@ -51,21 +58,70 @@
   private static EntryProcess<EntryState> create(
       EntrySettings settings, Wire wire, GenerationCell generation, long seed) {
     HttpPlatform platform = new HttpPlatform(settings.platform(), new OkHttpClient());
+    // The feed needs the reports for its notices and the reports need the feed.
+    AtomicReference<Consumer<PollMode>> folderReading = new AtomicReference<>(mode -> {});
+    EntryReports reports =
+        new EntryReports(
+            new EntryReports.Parts(
+                settings.vm().value(),
+                settings.dataCentre().value(),
+                Long.toHexString(seed),
+                platform.objectStore(),
+                platform.table(),
+                mode -> folderReading.get().accept(mode),
+                System::currentTimeMillis,
+                System::nanoTime));
     SyncedFeed feed =
         new SyncedFeed(
-            settings, seed, platform.objectStore(), platform.table(), EntryLauncher::log);
-    return new EntryProcess<>(
-        new EntryDependencies<>(
             settings,
-            wire,
-            generation,
+            seed,
+            platform.objectStore(),
             platform.table(),
-            platform.vmList(),
-            feed,
-            new EntryReducer(),
-            EntryState.initial(new EntryNode(settings.vm(), settings.dataCentre()), seed),
-            System::nanoTime,
-            LOGGER));
+            notice -> {
+              log(notice);
+              reports.onNotice(notice);
+            });
+    folderReading.set(feed::setOwnReading);
+    EntryProcess<EntryState> process =
+        new EntryProcess<>(dependencies(settings, wire, generation, seed, platform, feed, reports));
+    reports.start(new ProcessLink(process));
+    return process;
+  }
+
+  private static EntryDependencies<EntryState> dependencies(
+      EntrySettings settings,
+      Wire wire,
+      GenerationCell generation,
+      long seed,
+      HttpPlatform platform,
+      SyncedFeed feed,
+      EntryReports reports) {
+    return new EntryDependencies<>(
+        settings,
+        wire,
+        generation,
+        platform.table(),
+        platform.vmList(),
+        feed,
+        new EntryReducer(),
+        EntryState.initial(new EntryNode(settings.vm(), settings.dataCentre()), seed),
+        reports,
+        reports,
+        new MetricRegistry(),
+        System::nanoTime,
+        LOGGER);
+  }
+
+  private record ProcessLink(EntryProcess<EntryState> process) implements EntryLink {
+    @Override
+    public void readState(Consumer<EntryState> reader) {
+      process.read(reader);
+    }
+
+    @Override
+    public void publish(Message.ObjectiveCounts counts) {
+      process.publish(counts);
+    }
   }
 
   private static void log(AcceptanceNotice notice) {
--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -81,6 +81,7 @@
             dependencies.configuration(),
             dependencies.generation(),
             this::onAccepted,
+            dependencies.observer()::onPeerGeneration,
             dependencies.clockNanos(),
             dependencies.logger());
     this.relay = new EntryRelay(relayParts());
@@ -244,6 +245,7 @@
     dependencies.wire().close();
     dependencies.configuration().close();
     loop.close();
+    dependencies.observer().close();
     stopped.complete(true);
   }
 }
--- a/entry/src/main/java/io/zinniawood/entry/acceptance/SyncedFeed.java
+++ b/entry/src/main/java/io/zinniawood/entry/acceptance/SyncedFeed.java
@@ -22,6 +22,7 @@
   private final ConfigurationSync sync;
   private final AtomicReference<Option<AcceptedConfiguration>> latest =
       new AtomicReference<>(Option.none());
+  private final AtomicReference<PollMode> ownReading = new AtomicReference<>(PollMode.FOLLOWING);
   private final AtomicReference<Runnable> onNewer = new AtomicReference<>(() -> {});
 
   /**
@@ -61,9 +62,20 @@
     return newest(known);
   }
 
+  /**
+   * Sets whether this entry reads the folder even if others read it too, for example because it
+   * publishes rejected edits. {@code FOLLOWING}, the mode at the start, lets the relay decide.
+   */
+  public void setOwnReading(PollMode mode) {
+    ownReading.set(mode);
+    if (mode == PollMode.POLLING) {
+      sync.setPolling(mode);
+    }
+  }
+
   @Override
   public CompletableFuture<Either<String, Option<ConfigurationSnapshot>>> follow(Generation known) {
-    sync.setPolling(PollMode.FOLLOWING);
+    sync.setPolling(ownReading.get());
     return newest(known);
   }
 
--- a/entry/src/main/java/io/zinniawood/entry/internal/link/ConfigurationKeeper.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/link/ConfigurationKeeper.java
@@ -11,6 +11,7 @@
 import io.zinniawood.wire.WireConnection;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -25,6 +26,7 @@
   private final ConfigurationFeed feed;
   private final GenerationCell generation;
   private final Consumer<AcceptedConfiguration> onAccepted;
+  private final BiConsumer<String, Generation> onPeerGeneration;
   private final LongSupplier clockNanos;
   private final Logger logger;
   private Option<ConfigurationSnapshot> newest = Option.none();
@@ -36,6 +38,7 @@
    * @param feed parses snapshots
    * @param generation raised with each accepted snapshot
    * @param onAccepted takes each newer configuration, in order of the generations
+   * @param onPeerGeneration learns the node id and generation of the sender of each message
    * @param clockNanos monotonic clock in nanoseconds
    * @param logger logger
    */
@@ -43,11 +46,13 @@
       ConfigurationFeed feed,
       GenerationCell generation,
       Consumer<AcceptedConfiguration> onAccepted,
+      BiConsumer<String, Generation> onPeerGeneration,
       LongSupplier clockNanos,
       Logger logger) {
     this.feed = feed;
     this.generation = generation;
     this.onAccepted = onAccepted;
+    this.onPeerGeneration = onPeerGeneration;
     this.clockNanos = clockNanos;
     this.logger = logger;
   }
@@ -89,6 +94,7 @@
 
   @Override
   public boolean handle(WireConnection sender, Message message, Generation peerGeneration) {
+    onPeerGeneration.accept(sender.peer().nodeId(), peerGeneration);
     if (message instanceof ConfigurationSnapshot snapshot) {
       accept(snapshot);
       return true;
--- a/entry/src/main/java/io/zinniawood/entry/internal/relay/EntryRelay.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/relay/EntryRelay.java
@@ -102,7 +102,7 @@
       if (message instanceof VmListSnapshot list) {
         take(new VmListing(list.version(), list.vms()));
       } else if (message instanceof ObjectiveCounts counts) {
-        parts.observer().onObjectiveCounts(counts);
+        parts.observer().onObjectiveCounts(counts, connection::send);
       }
       // Also for the two types above, as their envelope may carry a higher generation.
       parts.keeper().handle(connection, message, peerGeneration);
@@ -139,7 +139,10 @@
     Option<VmEntry> first = pollers().headOption();
     boolean remote = first.exists(vm -> !isSelf(vm)) && peers.send(first.get().vm(), counts);
     if (!remote && first.forAll(this::isSelf)) {
-      parts.observer().onObjectiveCounts(counts);
+      parts
+          .observer()
+          .onObjectiveCounts(
+              counts, reply -> parts.observer().onObjectiveCounts(reply, unused -> {}));
     }
   }
 
--- a/entry/src/main/java/io/zinniawood/entry/internal/store/LeaseRowCodec.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/LeaseRowCodec.java
@@ -10,7 +10,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** JSON form of the controller lease. */
-final class LeaseRowCodec {
+public final class LeaseRowCodec {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private LeaseRowCodec() {}
@@ -25,7 +25,8 @@
         .getBytes(StandardCharsets.UTF_8);
   }
 
-  static Either<String, LeaseRow> decode(byte[] value) {
+  /** Reads a row; never throws. */
+  public static Either<String, LeaseRow> decode(byte[] value) {
     try {
       JsonNode json = MAPPER.readTree(value);
       boolean valid =
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/AccountLog.java
@@ -0,0 +1,101 @@
+package io.zinniawood.entry.reporting;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
+import io.zinniawood.core.entry.EntryOverview;
+import io.zinniawood.core.entry.RequestResult;
+import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.report.page.AccountsReport;
+
+/** Counts the requests of each client account at this entry. Confined to one thread. */
+final class AccountLog {
+  /** About twice the client accounts of the design size. */
+  static final int MAX_ACCOUNTS = 4_096;
+
+  /** Stands for the accounts beyond the bound. */
+  static final ClientAccountId OTHERS = new ClientAccountId("all-others");
+
+  private final long sinceEpochMillis;
+  private Map<ClientAccountId, Totals> totals = HashMap.empty();
+
+  private record Totals(long requests, long answered, long limited, long overloaded, long unknown) {
+    static final Totals NONE = new Totals(0, 0, 0, 0, 0);
+
+    Totals with(RequestResult result) {
+      boolean failed = result.problem().isDefined();
+      boolean wasUnknown = result.outcome() == Outcome.UNKNOWN;
+      boolean wasLimited = result.problem().contains(ProblemType.ACCOUNT_LIMIT);
+      boolean wasOverloaded =
+          !wasUnknown
+              && result
+                  .problem()
+                  .exists(
+                      type -> type == ProblemType.OVERLOADED || type == ProblemType.NO_ENDPOINT);
+      return new Totals(
+          requests + 1,
+          answered + (failed || wasUnknown ? 0 : 1),
+          limited + (wasLimited ? 1 : 0),
+          overloaded + (wasOverloaded ? 1 : 0),
+          unknown + (wasUnknown ? 1 : 0));
+    }
+  }
+
+  AccountLog(long sinceEpochMillis) {
+    this.sinceEpochMillis = sinceEpochMillis;
+  }
+
+  void add(RequestResult result) {
+    ClientAccountId id = result.clientAccount();
+    ClientAccountId kept = totals.containsKey(id) || totals.size() < MAX_ACCOUNTS - 1 ? id : OTHERS;
+    totals = totals.put(kept, totals.getOrElse(kept, Totals.NONE).with(result));
+  }
+
+  int size() {
+    return totals.size();
+  }
+
+  AccountsReport.Figures figures(
+      String writer,
+      long nowEpochMillis,
+      Option<AcceptedConfiguration> configuration,
+      Option<EntryOverview> overview) {
+    int entries = overview.map(EntryOverview::liveEntries).getOrElse(1);
+    Vector<AccountsReport.Account> accounts =
+        totals
+            .toVector()
+            .map(
+                found -> {
+                  int limit =
+                      configuration
+                          .flatMap(present -> present.cluster().clientAccounts().get(found._1()))
+                          .map(account -> Math.max(1, account.maxConcurrent() / entries))
+                          .getOrElse(0);
+                  int open =
+                      overview
+                          .flatMap(present -> present.openByAccount().get(found._1()))
+                          .getOrElse(0);
+                  return account(found._1(), found._2(), open, limit);
+                })
+            .sortBy(AccountsReport.Account::id);
+    return new AccountsReport.Figures(
+        nowEpochMillis, writer, sinceEpochMillis, accounts, Vector.empty());
+  }
+
+  private static AccountsReport.Account account(
+      ClientAccountId id, Totals found, int open, int limit) {
+    return new AccountsReport.Account(
+        id.value(),
+        found.requests(),
+        found.answered(),
+        found.limited(),
+        found.overloaded(),
+        found.unknown(),
+        open,
+        limit);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/CountsCollector.java
@@ -0,0 +1,147 @@
+package io.zinniawood.entry.reporting;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.platform.ObjectStore;
+import io.zinniawood.platform.PlatformError;
+import io.zinniawood.platform.StoredObject;
+import io.zinniawood.report.slo.CountsError;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+
+/**
+ * Merges the counts of the entries of a data centre into one object. Each write starts from a read
+ * of the object, and a delta is forgotten only after a later read has shown it. A lost response, a
+ * change of the merging entry, or two entries that merge for a while therefore lose no counts and
+ * add none twice. Confined to the thread of the executor.
+ */
+final class CountsCollector {
+  /** About 2 KB each; 52 entries fill it in 13 min, and then keep their deltas themselves. */
+  static final int MAX_DELTAS = 4_096;
+
+  private static final Logger LOGGER = System.getLogger(CountsCollector.class.getName());
+
+  private final String dataCentre;
+  private final ObjectStore objects;
+  private final Executor executor;
+  private Option<StoredCounts> stored = Option.none();
+  private Map<String, Vector<CountsDelta>> unconfirmed = HashMap.empty();
+  private int deltas;
+  private boolean flushing;
+
+  CountsCollector(String dataCentre, ObjectStore objects, Executor executor) {
+    this.dataCentre = dataCentre;
+    this.objects = objects;
+    this.executor = executor;
+  }
+
+  /**
+   * Takes a delta.
+   *
+   * @return receipt for the source, none before the object was read for the first time
+   */
+  Option<CountsReceipt> offer(CountsDelta delta) {
+    if (stored.isEmpty()) {
+      return Option.none();
+    }
+    Vector<CountsDelta> known = unconfirmed.getOrElse(delta.source(), Vector.empty());
+    long before = received(delta.source());
+    boolean next =
+        delta.sequence() == before + 1
+            || (delta.sequence() > before && delta.sequence() == delta.oldestKept());
+    if (next && deltas < MAX_DELTAS) {
+      unconfirmed = unconfirmed.put(delta.source(), known.append(delta));
+      deltas++;
+    }
+    return Option.some(
+        new CountsReceipt(
+            delta.source(), received(delta.source()), stored.get().sequence(delta.source())));
+  }
+
+  private long received(String source) {
+    return unconfirmed
+        .get(source)
+        .map(found -> found.last().sequence())
+        .getOrElse(() -> stored.get().sequence(source));
+  }
+
+  /** Returns the number of deltas that the object store is not known to have. */
+  int unconfirmed() {
+    return deltas;
+  }
+
+  /** Reads the object, adds what it lacks and writes it; does nothing while one is in progress. */
+  void flush(long nowEpochMillis) {
+    if (flushing) {
+      return;
+    }
+    flushing = true;
+    var unused =
+        objects
+            .read(StoredCounts.objectName(dataCentre))
+            .exceptionally(fault -> Either.left(new PlatformError.Unavailable(fault.toString())))
+            .thenComposeAsync(result -> merge(result, nowEpochMillis), executor)
+            .exceptionally(fault -> Either.left(new PlatformError.Unavailable(fault.toString())))
+            .thenAcceptAsync(this::ended, executor);
+  }
+
+  private CompletableFuture<Either<PlatformError, String>> merge(
+      Either<PlatformError, Option<StoredObject>> result, long nowEpochMillis) {
+    if (result.isLeft()) {
+      return CompletableFuture.completedFuture(Either.left(result.getLeft()));
+    }
+    StoredCounts present =
+        result
+            .get()
+            .map(object -> decode(object).getOrElse(StoredCounts.empty(dataCentre)))
+            .getOrElse(StoredCounts.empty(dataCentre));
+    confirm(present);
+    StoredCounts merged =
+        unconfirmed
+            .values()
+            .flatMap(found -> found)
+            .foldLeft(present, (sum, delta) -> sum.plus(delta, nowEpochMillis))
+            .written(nowEpochMillis);
+    Either<CountsError, byte[]> encoded = merged.encode();
+    return encoded.isRight()
+        ? objects.write(StoredCounts.objectName(dataCentre), encoded.get())
+        : CompletableFuture.completedFuture(
+            Either.left(new PlatformError.Rejected(encoded.getLeft().detail())));
+  }
+
+  private static Either<CountsError, StoredCounts> decode(StoredObject object) {
+    Either<CountsError, StoredCounts> decoded = StoredCounts.decode(object.content().bytes());
+    if (decoded.isLeft()) {
+      LOGGER.log(
+          Level.WARNING,
+          "{0} is damaged and is written anew: {1}",
+          object.name(),
+          decoded.getLeft().detail());
+    }
+    return decoded;
+  }
+
+  private void confirm(StoredCounts present) {
+    stored = Option.some(present);
+    unconfirmed =
+        unconfirmed
+            .map(
+                (source, found) ->
+                    io.vavr.Tuple.of(
+                        source, found.filter(delta -> delta.sequence() > present.sequence(source))))
+            .filterValues(found -> !found.isEmpty());
+    deltas = unconfirmed.values().map(Vector::size).sum().intValue();
+  }
+
+  private void ended(Either<PlatformError, String> result) {
+    flushing = false;
+    if (result.isLeft()) {
+      LOGGER.log(Level.WARNING, "service-level counts not stored: {0}", result.getLeft().detail());
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/CountsDelta.java
@@ -0,0 +1,64 @@
+package io.zinniawood.entry.reporting;
+
+import io.vavr.collection.SortedMap;
+import io.vavr.collection.TreeMap;
+import io.vavr.control.Either;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.report.slo.Counts;
+import io.zinniawood.report.slo.CountsCodec;
+import io.zinniawood.report.slo.CountsError;
+import io.zinniawood.report.slo.CountsSnapshot;
+import io.zinniawood.report.slo.ObjectiveCounts;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Requests that one entry counted in one interval.
+ *
+ * @param source VM and incarnation of the entry
+ * @param sequence number of the interval, from 1, without gaps
+ * @param oldestKept lowest sequence that the entry can still send
+ * @param objectives counts by name of the objective
+ */
+record CountsDelta(
+    String source, long sequence, long oldestKept, SortedMap<String, ObjectiveCounts> objectives) {
+
+  /**
+   * Returns the message. It carries minutes only, as the hours follow from them, and the sequence
+   * inside the counts is the oldest kept one.
+   */
+  Either<CountsError, Message.ObjectiveCounts> toMessage(long nowEpochMillis) {
+    SortedMap<String, ObjectiveCounts> minutes =
+        objectives.mapValues(
+            counts -> new ObjectiveCounts(counts.objective(), counts.minutes(), TreeMap.empty()));
+    return CountsCodec.encode(new CountsSnapshot(source, oldestKept, nowEpochMillis, minutes))
+        .map(bytes -> new Message.ObjectiveCounts(source, sequence, Payload.wrap(bytes)));
+  }
+
+  /** Reads a message; never throws. */
+  static Either<CountsError, CountsDelta> of(Message.ObjectiveCounts message) {
+    return CountsCodec.decode(message.counts().bytes())
+        .flatMap(
+            snapshot ->
+                snapshot.source().equals(message.source())
+                        && message.sequence() > 0
+                        && snapshot.sequence() <= message.sequence()
+                    ? Either.right(
+                        new CountsDelta(
+                            message.source(),
+                            message.sequence(),
+                            snapshot.sequence(),
+                            snapshot.objectives().mapValues(CountsDelta::withHours)))
+                    : Either.left(
+                        new CountsError.Malformed("source or sequence differ from the message's")));
+  }
+
+  private static ObjectiveCounts withHours(ObjectiveCounts counts) {
+    TreeMap<Long, Counts> hours = TreeMap.empty();
+    for (var minute : counts.minutes()) {
+      long hour = TimeUnit.MINUTES.toHours(minute._1());
+      hours = hours.put(hour, hours.getOrElse(hour, Counts.NONE).plus(minute._2()));
+    }
+    return new ObjectiveCounts(counts.objective(), counts.minutes(), hours);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/CountsReceipt.java
@@ -0,0 +1,32 @@
+package io.zinniawood.entry.reporting;
+
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.Payload;
+
+/**
+ * Answer of the merging entry to a delta.
+ *
+ * @param source entry whose counts are acknowledged
+ * @param received sequence up to which the merging entry has all deltas in memory
+ * @param stored sequence up to which a read of the object store showed them
+ */
+record CountsReceipt(String source, long received, long stored) {
+  private static final String PREFIX = "stored ";
+
+  Message.ObjectiveCounts toMessage() {
+    return new Message.ObjectiveCounts(source, received, Payload.ofText(PREFIX + stored));
+  }
+
+  /** Reads a message; none if it is no receipt. */
+  static Option<CountsReceipt> of(Message.ObjectiveCounts message) {
+    if (message.counts().bytes().length > 64) {
+      return Option.none();
+    }
+    return Option.some(message.counts().text())
+        .filter(text -> text.startsWith(PREFIX))
+        .flatMap(text -> Try.of(() -> Long.parseLong(text.substring(PREFIX.length()))).toOption())
+        .map(stored -> new CountsReceipt(message.source(), message.sequence(), stored));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/package-info.java
@@ -0,0 +1,2 @@
+/** Collects figures of an entry, merges them over all entries, and supplies the reports. */
+package io.zinniawood.entry.reporting;
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/reporting/MemoryStore.java
@@ -0,0 +1,87 @@
+package io.zinniawood.entry.reporting;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.model.Payload;
+import io.zinniawood.platform.ObjectListing;
+import io.zinniawood.platform.ObjectStore;
+import io.zinniawood.platform.ObjectVersion;
+import io.zinniawood.platform.PlatformError;
+import io.zinniawood.platform.StoredObject;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** Object store in memory that answers at once, with an outage and lost responses to writes. */
+final class MemoryStore implements ObjectStore {
+  private final TreeMap<String, StoredObject> objects = new TreeMap<>();
+  private long versions;
+  private boolean down;
+  private int lostResponses;
+  private int writes;
+
+  synchronized void setDown(boolean outage) {
+    down = outage;
+  }
+
+  synchronized void loseNextWriteResponse() {
+    lostResponses = 1;
+  }
+
+  synchronized int writes() {
+    return writes;
+  }
+
+  synchronized Option<String> text(String name) {
+    return Option.of(objects.get(name)).map(object -> object.content().text());
+  }
+
+  @Override
+  public CompletableFuture<Either<PlatformError, ObjectListing>> list(String prefix) {
+    return answer(
+        () ->
+            new ObjectListing(
+                Vector.ofAll(objects.values())
+                    .filter(object -> object.name().startsWith(prefix))
+                    .map(object -> new ObjectVersion(object.name(), object.version())),
+                ObjectListing.Completeness.COMPLETE));
+  }
+
+  @Override
+  public CompletableFuture<Either<PlatformError, Option<StoredObject>>> read(String name) {
+    return answer(() -> Option.of(objects.get(name)));
+  }
+
+  @Override
+  public synchronized CompletableFuture<Either<PlatformError, String>> write(
+      String name, byte[] content) {
+    CompletableFuture<Either<PlatformError, String>> answer =
+        answer(
+            () -> {
+              writes++;
+              versions++;
+              String version = Long.toString(versions);
+              objects.put(name, new StoredObject(name, version, Payload.wrap(content)));
+              return version;
+            });
+    if (lostResponses > 0) {
+      lostResponses--;
+      return CompletableFuture.completedFuture(
+          Either.left(new PlatformError.ResponseLost("the connection closed")));
+    }
+    return answer;
+  }
+
+  @Override
+  public CompletableFuture<Either<PlatformError, Boolean>> delete(String name) {
+    return answer(() -> objects.remove(name) != null);
+  }
+
+  private synchronized <T> CompletableFuture<Either<PlatformError, T>> answer(Supplier<T> result) {
+    return CompletableFuture.completedFuture(
+        down
+            ? Either.left(new PlatformError.Unavailable("outage"))
+            : Either.right(result.get()));
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/reporting/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the reports of an entry. */
+package io.zinniawood.entry.reporting;
