Group serving endpoints in the fleet report and test the merged counts

At 360 px the fleet page showed six rows for each of 18 endpoints, and a plot with one hour of values showed nothing. Endpoints that serve are grouped by data centre, a single point is drawn, and a card starts with its name.

--- a/cli/src/main/java/io/zinniawood/cli/DemoCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/DemoCommand.java
@@ -40,6 +40,7 @@
       if (keep) {
         out.println("Callers:   " + cluster.callers(0));
         out.println("Reports:   " + cluster.admin(0) + "/reports");
+        out.println("Platform:  " + cluster.platformUri());
         out.println("Press Ctrl-C to stop.");
         new CountDownLatch(1).await();
       }
--- a/entry/src/main/java/io/zinniawood/entry/reporting/PeerGenerations.java
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/PeerGenerations.java
@@ -6,7 +6,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-/** Remembers the configuration generation of each peer. Safe for use by several threads. */
+/**
+ * Remembers the configuration generation of each peer. Agents use no configuration and send 0, so
+ * they are left out. Safe for use by several threads.
+ */
 final class PeerGenerations {
   /** Peers of the holder of the controller lease, which connects to all 5,500 endpoints. */
   static final int MAX_PEERS = 8_192;
@@ -19,6 +22,9 @@
   private record Heard(long generation, long atEpochMillis) {}
 
   void heard(String node, Generation generation, long nowEpochMillis) {
+    if (generation.value() == 0) {
+      return;
+    }
     if (peers.size() < MAX_PEERS || peers.containsKey(node)) {
       peers.put(node, new Heard(generation.value(), nowEpochMillis));
     }
--- /dev/null
+++ b/entry/src/test/java/io/zinniawood/entry/reporting/EntryReportsTest.java
@@ -0,0 +1,170 @@
+package io.zinniawood.entry.reporting;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.core.acceptance.AcceptanceNotice;
+import io.zinniawood.core.acceptance.FileVersion;
+import io.zinniawood.core.entry.Incident;
+import io.zinniawood.core.entry.IncidentKind;
+import io.zinniawood.core.entry.RequestResult;
+import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.ProblemType;
+import io.zinniawood.entry.ReportFormat;
+import io.zinniawood.platform.PlatformError;
+import io.zinniawood.platform.Table;
+import io.zinniawood.platform.TableRow;
+import io.zinniawood.platform.TableWrite;
+import io.zinniawood.report.Report;
+import io.zinniawood.report.Section;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class EntryReportsTest {
+  private static final long NOW = 1_796_364_000_000L;
+  private static final String FAULT =
+      "20-models.toml:3:10: models.<b>x</b>.layers: found 0, expected 1 to 1000";
+
+  private final MemoryStore store = new MemoryStore();
+  private final EntryReports reports =
+      new EntryReports(
+          new EntryReports.Parts(
+              "entry-1", "helsinki-a", "a", store, new NoTable(), mode -> {}, () -> NOW, () -> 0));
+
+  /** Table in an outage. */
+  private static final class NoTable implements Table {
+    @Override
+    public CompletableFuture<Either<PlatformError, Option<TableRow>>> read(String key) {
+      return CompletableFuture.completedFuture(
+          Either.left(new PlatformError.Unavailable("outage")));
+    }
+
+    @Override
+    public CompletableFuture<Either<PlatformError, TableWrite>> write(
+        String key, long expectedVersion, byte[] value) {
+      return CompletableFuture.completedFuture(
+          Either.left(new PlatformError.Unavailable("outage")));
+    }
+  }
+
+  @AfterEach
+  void close() {
+    reports.close();
+  }
+
+  private String render(String name, ReportFormat format) {
+    return reports.render(name, format).join().get();
+  }
+
+  private static RequestResult result(String account, Option<ProblemType> problem) {
+    return new RequestResult(
+        new RequestId("r"),
+        new ClientAccountId(account),
+        "assistant",
+        problem.isDefined() ? Outcome.NOT_RUN : Outcome.COMPLETED,
+        problem,
+        1_000_000,
+        Option.none(),
+        Option.none(),
+        1,
+        1,
+        Option.none());
+  }
+
+  // Guards against markup in a file or an id that runs in the operator's browser, and against a
+  // rejected edit without its place, found value and expected value.
+  @Test
+  void rejectedEditIsShownWithItsPlaceAndEscaped() {
+    reports.onNotice(
+        new AcceptanceNotice.Rejected(
+            new Generation(1),
+            Vector.of(FAULT),
+            Vector.of(new FileVersion("20-<script>.toml", "7"))));
+    for (String name : Vector.of("configuration", "incidents")) {
+      String html = render(name, ReportFormat.HTML);
+      assertThat(html, containsString("20-models.toml:3:10: models.&lt;b&gt;x&lt;/b&gt;.layers"));
+      assertThat(html, not(containsString("<b>x")));
+      assertThat(html, not(containsString("<script>")));
+      assertThat(render(name, ReportFormat.TEXT), containsString("found 0, expected 1 to 1000"));
+    }
+  }
+
+  // Guards against memory that grows with each distinct subject, and against a flood of one kind
+  // that displaces the other incidents.
+  @Test
+  void floodsOfIncidentsAndAccountsAreBounded() {
+    IncidentLog incidents = new IncidentLog(NOW);
+    incidents.add(new Incident(IncidentKind.LEASE_TAKEN, "entry-1", "holds the lease"), NOW);
+    for (int i = 0; i < 5_000; i++) {
+      incidents.add(new Incident(IncidentKind.ENDPOINT_LOST, "e" + i, "x".repeat(10_000)), NOW + i);
+    }
+    assertThat(
+        incidents.figures("entry-1", NOW).incidents().size(), is(IncidentLog.MAX_PER_KIND + 1));
+    assertThat(incidents.figures("entry-1", NOW).dropped(), is(5_000L - IncidentLog.MAX_PER_KIND));
+    AccountLog accounts = new AccountLog(NOW);
+    for (int i = 0; i < 10_000; i++) {
+      accounts.add(result("account-" + i, Option.none()));
+    }
+    assertThat(accounts.size(), is(AccountLog.MAX_ACCOUNTS));
+    assertThat(
+        accounts
+            .figures("entry-1", NOW, Option.none(), Option.none())
+            .accounts()
+            .map(found -> found.requests())
+            .sum()
+            .longValue(),
+        is(10_000L));
+  }
+
+  // Guards against refusals that count as answers in the accounts report.
+  @Test
+  void accountsTellWhyRequestsWereRefused() {
+    reports.onResult(result("kiosk", Option.none()));
+    reports.onResult(result("kiosk", Option.some(ProblemType.ACCOUNT_LIMIT)));
+    reports.onResult(result("kiosk", Option.some(ProblemType.OVERLOADED)));
+    String text = render("accounts", ReportFormat.TEXT);
+    assertThat(text, containsString("kiosk reached its own limit: 1 request"));
+    assertThat(text, containsString("kiosk: 1 request was refused"));
+    assertThat(render("accounts", ReportFormat.JSON), containsString("\"kiosk\""));
+  }
+
+  // Guards against reports that claim knowledge of a store that is down or of an event loop that
+  // does not answer.
+  @Test
+  void reportsSayWhatIsNotKnown() {
+    store.setDown(true);
+    assertThat(
+        render("burn", ReportFormat.TEXT),
+        containsString("[not known] The object store does not answer (outage)."));
+    assertThat(
+        render("fleet", ReportFormat.TEXT),
+        containsString("[not known] Entry entry-1 does not tell its state."));
+    assertThat(reports.render("keys", ReportFormat.TEXT).join(), is(Option.none()));
+  }
+
+  // Guards against a write in each round, and against a failed write that is never repeated.
+  @Test
+  void reportsAreWrittenWhenTheyChangedOrFailedBefore() {
+    ReportFiles files = new ReportFiles(store, Runnable::run);
+    Report report =
+        new Report("Fleet", NOW, "entry-1", Vector.of(new Section("Summary", Vector.empty())));
+    store.setDown(true);
+    files.write("fleet", report);
+    store.setDown(false);
+    files.write("fleet", report);
+    files.write("fleet", new Report("Fleet", NOW + 30_000, "entry-1", report.sections()));
+    assertThat(store.writes(), is(2));
+    assertThat(store.text("reports/fleet.txt").isDefined(), is(true));
+    files.write("fleet", new Report("Fleet", NOW + 60_000, "entry-1", Vector.empty()));
+    assertThat(store.writes(), is(4));
+  }
+}
--- a/entry/src/test/java/io/zinniawood/entry/reporting/MemoryStore.java
+++ b/entry/src/test/java/io/zinniawood/entry/reporting/MemoryStore.java
@@ -80,8 +80,6 @@
 
   private synchronized <T> CompletableFuture<Either<PlatformError, T>> answer(Supplier<T> result) {
     return CompletableFuture.completedFuture(
-        down
-            ? Either.left(new PlatformError.Unavailable("outage"))
-            : Either.right(result.get()));
+        down ? Either.left(new PlatformError.Unavailable("outage")) : Either.right(result.get()));
   }
 }
--- a/entry/src/test/java/io/zinniawood/entry/reporting/MergedCountsTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/reporting/MergedCountsTest.java
@@ -21,8 +21,7 @@
 /** Counts of three entries in two data centres, with fakes and a clock of the test. */
 final class MergedCountsTest {
   private static final Observation ANSWERED =
-      new Observation(
-          Observation.Answer.ANSWERED, Observation.Latency.NOT_MEASURED, Option.none());
+      new Observation(Observation.Answer.ANSWERED, Observation.Latency.NOT_MEASURED, Option.none());
   private static final Observation FAILED =
       new Observation(
           Observation.Answer.NOT_ANSWERED,
@@ -90,8 +89,13 @@
     assertThat(total().requests(), is(130L));
     assertThat(total().failureCauses().get("overloaded"), is(Option.some(13L)));
     int bytes =
-        CountsDelta.of(first.endInterval(nowMillis).last()).get().toMessage(nowMillis).get()
-            .counts().bytes().length;
+        CountsDelta.of(first.endInterval(nowMillis).last())
+            .get()
+            .toMessage(nowMillis)
+            .get()
+            .counts()
+            .bytes()
+            .length;
     assertThat(bytes, lessThan(2_000));
   }
 
@@ -198,8 +202,7 @@
   @Test
   void deltasAreBoundedWhileNobodyMerges() {
     for (int round = 0; round < CountsSender.MAX_KEPT + 25; round++) {
-      assertThat(
-          first.endInterval(nowMillis).size() <= CountsSender.MAX_MESSAGES, is(true));
+      assertThat(first.endInterval(nowMillis).size() <= CountsSender.MAX_MESSAGES, is(true));
     }
     assertThat(first.kept(), is(CountsSender.MAX_KEPT));
     assertThat(first.dropped(), is(25L));
@@ -208,6 +211,7 @@
     helsinki.flush(nowMillis);
     exchange(first, helsinki);
     helsinki.flush(nowMillis);
+    exchange(first, helsinki);
     assertThat(first.kept() < CountsSender.MAX_KEPT, is(true));
   }
 
--- a/report/src/main/java/io/zinniawood/report/HtmlRenderer.java
+++ b/report/src/main/java/io/zinniawood/report/HtmlRenderer.java
@@ -28,7 +28,9 @@
       overflow:hidden}tr{display:block;border:1px solid var(--line);border-radius:.4rem;
       margin:.5rem 0;padding:.25rem}td{display:flex;justify-content:space-between;gap:1rem;
       border:0;padding:.15rem .4rem}td::before{content:attr(data-label);font-weight:600;
-      text-align:left}td.n,td{text-align:right}}
+      text-align:left}td.n,td{text-align:right}
+      td:first-child{justify-content:flex-start;font-weight:600;text-align:left}
+      td:first-child::before{content:none}}
       """;
 
   @Override
--- a/report/src/main/java/io/zinniawood/report/SvgPlot.java
+++ b/report/src/main/java/io/zinniawood/report/SvgPlot.java
@@ -54,7 +54,12 @@
     svg.append(text(2, TOP + 8, "start", Wording.decimal(topValue)))
         .append(text(2, HEIGHT - BOTTOM, "start", "0"))
         .append(text(LEFT, HEIGHT - 8, "start", Wording.minute(fromMillis)))
-        .append(text(WIDTH - 2, HEIGHT - 8, "end", Wording.minute(toMillis)))
+        .append(
+            text(
+                WIDTH - 2,
+                HEIGHT - 8,
+                "end",
+                fromMillis == toMillis ? "" : Wording.minute(toMillis)))
         .append(
             line(LEFT, y(0), WIDTH - 2, y(0), "stroke=\"currentColor\" stroke-opacity=\"0.5\""));
     for (Block.Limit limit : plot.limits()) {
@@ -94,6 +99,16 @@
   }
 
   private String polyline(Block.Series series, String colour) {
+    if (series.points().size() == 1) {
+      // A line through one point is not drawn.
+      Block.Point only = series.points().head();
+      return String.format(
+          Locale.ROOT,
+          "<circle cx=\"%.1f\" cy=\"%.1f\" r=\"3\" fill=\"%s\"/>\n",
+          x(only.epochMillis()),
+          y(only.value()),
+          colour);
+    }
     int stride = Math.max(1, (series.points().size() + MAX_POINTS - 1) / MAX_POINTS);
     // The largest value of each group stays visible; an average would hide a short peak.
     String points =
--- a/report/src/main/java/io/zinniawood/report/page/AccountsReport.java
+++ b/report/src/main/java/io/zinniawood/report/page/AccountsReport.java
@@ -99,17 +99,23 @@
           lines.append(
               new Block.Line(
                   Tone.WARNING,
-                  ("%s reached its own limit: %s were refused as not run. Raise its limits if that"
+                  ("%s reached its own limit: %s %s refused as not run. Raise its limits if that"
                           + " load is wanted.")
-                      .formatted(account.id(), Wording.count(account.limited(), "request"))));
+                      .formatted(
+                          account.id(),
+                          Wording.count(account.limited(), "request"),
+                          were(account.limited()))));
     }
     if (account.overloaded() > 0) {
       lines =
           lines.append(
               new Block.Line(
                   Tone.BAD,
-                  "%s: %s were refused as not run because the system had no capacity."
-                      .formatted(account.id(), Wording.count(account.overloaded(), "request"))));
+                  "%s: %s %s refused as not run because the system had no capacity."
+                      .formatted(
+                          account.id(),
+                          Wording.count(account.overloaded(), "request"),
+                          were(account.overloaded()))));
     }
     if (account.unknown() > 0) {
       lines =
@@ -123,6 +129,10 @@
     return lines;
   }
 
+  private static String were(long count) {
+    return count == 1 ? "was" : "were";
+  }
+
   private static Section table(Vector<Account> accounts) {
     Vector<Block.Column> columns =
         Vector.of(
--- a/report/src/main/java/io/zinniawood/report/page/FleetReport.java
+++ b/report/src/main/java/io/zinniawood/report/page/FleetReport.java
@@ -1,5 +1,6 @@
 package io.zinniawood.report.page;
 
+import io.vavr.Tuple;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import io.zinniawood.report.Block;
@@ -15,6 +16,7 @@
   public static final long OLD_MILLIS = TimeUnit.SECONDS.toMillis(15);
 
   private static final int SHOWN_NAMES = 6;
+  private static final int SHOWN_ENDPOINTS = 50;
 
   private FleetReport() {}
 
@@ -96,7 +98,7 @@
         "Fleet now",
         figures.nowEpochMillis(),
         figures.writer(),
-        Vector.of(summary(figures), ranges(figures), endpoints(figures)));
+        Vector.of(summary(figures), ranges(figures), attention(figures), serving(figures)));
   }
 
   private static Section summary(Figures figures) {
@@ -190,23 +192,75 @@
             : lines);
   }
 
-  private static Section endpoints(Figures figures) {
+  /** Lists each endpoint that does not simply serve; a fleet is too long for a list of all. */
+  private static Section attention(Figures figures) {
+    Vector<Endpoint> found =
+        figures
+            .endpoints()
+            .filter(endpoint -> !servesNow(endpoint, figures.nowEpochMillis()))
+            .sortBy(Endpoint::id);
+    if (found.isEmpty()) {
+      return Section.of("Endpoints that do not take new work", new Block.Line(Tone.GOOD, "None."));
+    }
     Vector<Block.Column> columns =
         Vector.of(
             Block.Column.text("endpoint"),
+            Block.Column.text("state"),
             Block.Column.text("data centre"),
             Block.Column.text("serves"),
-            Block.Column.text("state"),
             Block.Column.number("work"),
             Block.Column.number("heard"));
+    Section section =
+        Section.of(
+            "Endpoints that do not take new work",
+            new Block.Table(
+                columns,
+                found
+                    .take(SHOWN_ENDPOINTS)
+                    .map(endpoint -> row(endpoint, figures.nowEpochMillis()))));
+    int hidden = found.size() - SHOWN_ENDPOINTS;
+    return hidden <= 0
+        ? section
+        : section.with(
+            new Block.Line(
+                Tone.PLAIN, "%s more are not shown.".formatted(Wording.count(hidden, "endpoint"))));
+  }
+
+  private static boolean servesNow(Endpoint endpoint, long nowEpochMillis) {
+    return endpoint.state() == EndpointState.SERVING
+        && nowEpochMillis - endpoint.heardEpochMillis() <= OLD_MILLIS;
+  }
+
+  private static Section serving(Figures figures) {
+    Vector<Vector<String>> rows =
+        figures
+            .endpoints()
+            .filter(endpoint -> servesNow(endpoint, figures.nowEpochMillis()))
+            .groupBy(endpoint -> Tuple.of(endpoint.dataCentre(), endpoint.serves()))
+            .toVector()
+            .sortBy(group -> group._1())
+            .map(
+                group ->
+                    Vector.of(
+                        group._1()._1() + ", " + group._1()._2(),
+                        Wording.grouped(group._2().size()),
+                        "%s of %s"
+                            .formatted(
+                                Wording.grouped(
+                                    group._2().map(Endpoint::running).sum().longValue()),
+                                Wording.grouped(
+                                    group._2().map(Endpoint::limit).sum().longValue()))));
+    if (rows.isEmpty()) {
+      return Section.of("Endpoints that take new work", new Block.Line(Tone.BAD, "None."));
+    }
     return Section.of(
-        "Endpoints",
+        "Endpoints that take new work",
         new Block.Table(
-            columns,
-            figures
-                .endpoints()
-                .sortBy(Endpoint::id)
-                .map(endpoint -> row(endpoint, figures.nowEpochMillis()))));
+            Vector.of(
+                Block.Column.text("data centre and what they serve"),
+                Block.Column.number("endpoints"),
+                Block.Column.number("work")),
+            rows));
   }
 
   private static Vector<String> row(Endpoint endpoint, long nowEpochMillis) {
@@ -214,9 +268,9 @@
     boolean old = ageMillis > OLD_MILLIS && endpoint.state() != EndpointState.LOST;
     return Vector.of(
         endpoint.id(),
+        endpoint.state().text() + (old ? " (when last heard)" : ""),
         endpoint.dataCentre(),
         endpoint.serves(),
-        endpoint.state().text() + (old ? " (when last heard)" : ""),
         "%d of %d".formatted(endpoint.running(), endpoint.limit()),
         Wording.duration(ageMillis) + " ago");
   }
