--- a/entry/src/main/java/io/zinniawood/entry/reporting/EntryReports.java
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/EntryReports.java
@@ -179,7 +179,7 @@
             incidents.add(
                 new Incident(
                     IncidentKind.CONFIGURATION_REJECTED,
-                    rejected.files().map(FileVersion::name).headOption().getOrElse("the folder"),
+                    file(rejected),
                     rejected.faults().headOption().getOrElse("")),
                 now());
           }
@@ -192,6 +192,16 @@
         });
   }
 
+  /** Returns the file of the first fault, which starts with {@code file:line:}. */
+  private static String file(AcceptanceNotice.Rejected rejected) {
+    String fault = rejected.faults().headOption().getOrElse("");
+    return rejected
+        .files()
+        .map(FileVersion::name)
+        .find(name -> fault.startsWith(name + ":"))
+        .getOrElse("the folder");
+  }
+
   private boolean isNew(AcceptanceNotice.Rejected rejected) {
     return !lastVerdict.exists(
         last ->
--- a/entry/src/test/java/io/zinniawood/entry/reporting/EntryReportsTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/reporting/EntryReportsTest.java
@@ -88,7 +88,11 @@
         new AcceptanceNotice.Rejected(
             new Generation(1),
             Vector.of(FAULT),
-            Vector.of(new FileVersion("20-<script>.toml", "7"))));
+            Vector.of(
+                new FileVersion("10-<script>.toml", "7"), new FileVersion("20-models.toml", "8"))));
+    assertThat(
+        render("incidents", ReportFormat.TEXT),
+        containsString("An edit of 20-models.toml was not accepted"));
     for (String name : Vector.of("configuration", "incidents")) {
       String html = render(name, ReportFormat.HTML);
       assertThat(html, containsString("20-models.toml:3:10: models.&lt;b&gt;x&lt;/b&gt;.layers"));
--- a/report/src/main/java/io/zinniawood/report/page/ConfigurationReport.java
+++ b/report/src/main/java/io/zinniawood/report/page/ConfigurationReport.java
@@ -179,7 +179,8 @@
     if (figures.nodes().isEmpty()) {
       return Section.of(
           "Other processes",
-          new Block.Line(Tone.UNKNOWN, "This process hears from no other process."));
+          new Block.Line(
+              Tone.UNKNOWN, "This process hears from no other process that uses a configuration."));
     }
     Section section =
         Section.of(
--- a/report/src/main/java/io/zinniawood/report/page/IncidentKindText.java
+++ b/report/src/main/java/io/zinniawood/report/page/IncidentKindText.java
@@ -29,7 +29,7 @@
   /** A layer range has fewer replicas than configured. */
   RANGE_UNDERSERVED(
       Tone.WARNING,
-      "%s has fewer replicas than configured.",
+      "%s: layers have fewer replicas than configured, or this cannot be judged.",
       "Add endpoints if no order to restore it follows."),
   /** An engine order was given. */
   ORDER_GIVEN(Tone.PLAIN, "The controller ordered a change of endpoint %s.", ""),
@@ -43,7 +43,7 @@
   /** The platform's store became unavailable or available. */
   STORE_STATE(
       Tone.WARNING,
-      "The state of the store %s changed.",
+      "The state of the platform's %s changed.",
       "While the store is down, calls with an idempotency key are refused as not run."),
   /** A client account reached its limit. */
   ACCOUNT_LIMITED(
