--- a/cli/src/main/java/io/zinniawood/cli/process/EntryLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/EntryLauncher.java
@@ -1,22 +1,27 @@
 package io.zinniawood.cli.process;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import io.zinniawood.config.settings.EntrySettings;
 import io.zinniawood.config.settings.TlsSettings;
 import io.zinniawood.core.acceptance.AcceptanceNotice;
+import io.zinniawood.core.acceptance.PollMode;
 import io.zinniawood.core.entry.EntryEffect;
 import io.zinniawood.core.entry.EntryEvent;
 import io.zinniawood.core.entry.EntryNode;
 import io.zinniawood.core.entry.EntryReducer;
 import io.zinniawood.core.entry.EntryState;
 import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.message.Message;
 import io.zinniawood.core.model.VmRole;
 import io.zinniawood.core.runtime.Reducer;
 import io.zinniawood.entry.EntryDependencies;
 import io.zinniawood.entry.EntryProcess;
 import io.zinniawood.entry.GenerationCell;
 import io.zinniawood.entry.acceptance.SyncedFeed;
+import io.zinniawood.entry.reporting.EntryLink;
+import io.zinniawood.entry.reporting.EntryReports;
 import io.zinniawood.platform.http.HttpPlatform;
 import io.zinniawood.wire.Wire;
 import io.zinniawood.wire.WireError;
@@ -27,6 +32,8 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.security.SecureRandom;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import okhttp3.OkHttpClient;
 
 /** Builds an entry process from its settings. */
@@ -39,12 +46,13 @@
   /** Returns an entry that is not started, or an error if its certificates cannot be read. */
   public static Either<WireError, EntryProcess<EntryState>> create(EntrySettings settings) {
     long seed = new SecureRandom().nextLong();
-    EntryNode self = new EntryNode(settings.vm(), settings.dataCentre());
-    return create(settings, seed, new EntryReducer(), EntryState.initial(self, seed));
+    GenerationCell generation = new GenerationCell();
+    return wire(settings, generation, seed)
+        .map(wire -> withReports(settings, wire, generation, seed));
   }
 
   /**
-   * Returns an entry with other decisions, for comparisons.
+   * Returns an entry with other decisions and without reports, for comparisons.
    *
    * @param settings settings of the entry
    * @param seed seed that differs between two starts of one VM
@@ -57,6 +65,26 @@
       Reducer<S, EntryEvent, EntryEffect> reducer,
       S initialState) {
     GenerationCell generation = new GenerationCell();
+    HttpPlatform platform = new HttpPlatform(settings.platform(), new OkHttpClient());
+    return wire(settings, generation, seed)
+        .map(
+            wire ->
+                new EntryProcess<>(
+                    new EntryDependencies<>(
+                        settings,
+                        wire,
+                        generation,
+                        platform.table(),
+                        platform.vmList(),
+                        feed(settings, seed, platform, EntryLauncher::log),
+                        reducer,
+                        initialState,
+                        System::nanoTime,
+                        LOGGER)));
+  }
+
+  private static Either<WireError, Wire> wire(
+      EntrySettings settings, GenerationCell generation, long seed) {
     WirePeer self =
         new WirePeer(
             settings.vm().value(),
@@ -64,35 +92,74 @@
             new Incarnation(seed),
             settings.dataCentre(),
             Option.none());
-    return Wires.overTcp(self, generation, WireTiming.defaults(), tls(settings.tls()), WIRE_THREADS)
-        .map(
-            wire ->
-                new EntryProcess<>(
-                    dependencies(settings, wire, generation, seed, reducer, initialState)));
+    return Wires.overTcp(
+        self, generation, WireTiming.defaults(), tls(settings.tls()), WIRE_THREADS);
   }
 
-  private static <S> EntryDependencies<S> dependencies(
+  private static SyncedFeed feed(
       EntrySettings settings,
-      Wire wire,
-      GenerationCell generation,
       long seed,
-      Reducer<S, EntryEvent, EntryEffect> reducer,
-      S initialState) {
+      HttpPlatform platform,
+      Consumer<AcceptanceNotice> notices) {
+    return new SyncedFeed(settings, seed, platform.objectStore(), platform.table(), notices);
+  }
+
+  private static EntryProcess<EntryState> withReports(
+      EntrySettings settings, Wire wire, GenerationCell generation, long seed) {
     HttpPlatform platform = new HttpPlatform(settings.platform(), new OkHttpClient());
+    // The feed needs the reports for its notices and the reports need the feed.
+    AtomicReference<Consumer<PollMode>> folderReading = new AtomicReference<>(mode -> {});
+    EntryReports reports =
+        new EntryReports(
+            new EntryReports.Parts(
+                settings.vm().value(),
+                settings.dataCentre().value(),
+                Long.toHexString(seed),
+                platform.objectStore(),
+                platform.table(),
+                mode -> folderReading.get().accept(mode),
+                System::currentTimeMillis,
+                System::nanoTime));
     SyncedFeed feed =
-        new SyncedFeed(
-            settings, seed, platform.objectStore(), platform.table(), EntryLauncher::log);
-    return new EntryDependencies<>(
-        settings,
-        wire,
-        generation,
-        platform.table(),
-        platform.vmList(),
-        feed,
-        reducer,
-        initialState,
-        System::nanoTime,
-        LOGGER);
+        feed(
+            settings,
+            seed,
+            platform,
+            notice -> {
+              log(notice);
+              reports.onNotice(notice);
+            });
+    folderReading.set(feed::setOwnReading);
+    EntryProcess<EntryState> process =
+        new EntryProcess<>(
+            new EntryDependencies<>(
+                settings,
+                wire,
+                generation,
+                platform.table(),
+                platform.vmList(),
+                feed,
+                new EntryReducer(),
+                EntryState.initial(new EntryNode(settings.vm(), settings.dataCentre()), seed),
+                reports,
+                reports,
+                new MetricRegistry(),
+                System::nanoTime,
+                LOGGER));
+    reports.start(new ProcessLink(process));
+    return process;
+  }
+
+  private record ProcessLink(EntryProcess<EntryState> process) implements EntryLink {
+    @Override
+    public void readState(Consumer<EntryState> reader) {
+      process.read(reader);
+    }
+
+    @Override
+    public void publish(Message.ObjectiveCounts counts) {
+      process.publish(counts);
+    }
   }
 
   private static void log(AcceptanceNotice notice) {
