Join old intervals of the stored counts

The object of a data centre had 1,574,374 bytes with 16 objectives and 28 days, and it is read and written every 30 s.

--- a/entry/src/main/java/io/zinniawood/entry/reporting/StoredCounts.java
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/StoredCounts.java
@@ -78,7 +78,10 @@
     return new StoredCounts(
         sources.filterValues(mark -> nowEpochMillis - mark.atEpochMillis() <= FORGET_MILLIS),
         new CountsSnapshot(
-            counts.source(), counts.sequence() + 1, nowEpochMillis, counts.objectives()));
+            counts.source(),
+            counts.sequence() + 1,
+            nowEpochMillis,
+            counts.objectives().mapValues(found -> CoarseCounts.of(found, nowEpochMillis))));
   }
 
   Either<CountsError, byte[]> encode() {
--- a/report/src/main/java/io/zinniawood/report/page/BurnReport.java
+++ b/report/src/main/java/io/zinniawood/report/page/BurnReport.java
@@ -55,9 +55,11 @@
             .dataCentres()
             .flatMap(dataCentre -> dataCentre.gap(figures.nowEpochMillis(), OLD_MILLIS));
     String all =
-        "The figures of all %s are less than %s old."
+        "The figures of %s are less than %s old."
             .formatted(
-                Wording.count(figures.dataCentres().size(), "data centre"),
+                figures.dataCentres().size() == 1
+                    ? "the only data centre"
+                    : "all " + Wording.count(figures.dataCentres().size(), "data centre"),
                 Wording.duration(OLD_MILLIS));
     if (figures.dataCentres().isEmpty()) {
       return Section.of(
--- a/report/src/main/java/io/zinniawood/report/page/FleetReport.java
+++ b/report/src/main/java/io/zinniawood/report/page/FleetReport.java
@@ -108,9 +108,11 @@
         Vector.of(
             new Block.Line(
                 serving.isEmpty() ? Tone.BAD : Tone.PLAIN,
-                "%d of %s take new work."
+                "%d of %s %s new work."
                     .formatted(
-                        serving.size(), Wording.count(figures.endpoints().size(), "endpoint"))));
+                        serving.size(),
+                        Wording.count(figures.endpoints().size(), "endpoint"),
+                        figures.endpoints().size() == 1 ? "takes" : "take")));
     lines =
         lines
             .appendAll(named(figures, EndpointState.LOST, Tone.BAD, lostText()))
