Rule out the key before a keyed call is refused after admission

Cause: an entry without an endpoint answered not-run to a repeat whose earlier copy had run through another entry (IdempotencyTest agentCrashDuringCallIsUnknownAndNeverRunsAgain). Refusals by admission name the limit of what they say.

--- a/core/src/main/java/io/zinniawood/core/entry/AttemptPhase.java
+++ b/core/src/main/java/io/zinniawood/core/entry/AttemptPhase.java
@@ -9,5 +9,7 @@
   /** The attempt runs or may run, and only its answer or the deadline can end it. */
   RUNNING,
   /** The table was asked to release the key or to show who holds it. */
-  RELEASING
+  RELEASING,
+  /** The call is refused; the table was asked to rule its key out before the answer. */
+  EXCLUDING
 }
--- a/core/src/main/java/io/zinniawood/core/entry/Attempts.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Attempts.java
@@ -38,7 +38,7 @@
       if (request.attempts() > 0) {
         retryLater(turn, request);
       } else {
-        Answers.failService(turn, request, noEndpoint(turn, request));
+        Exclusions.refuse(turn, request, noEndpoint(turn, request));
       }
       return;
     }
@@ -64,7 +64,7 @@
     if (request.attempts() < MAX_FENCED_ATTEMPTS) {
       dispatch(turn, request);
     } else {
-      Answers.failService(
+      Exclusions.refuse(
           turn,
           request,
           truthful(
@@ -110,6 +110,7 @@
         }
         case CANCELLING -> unreachable(turn, request);
         case RELEASING -> Claims.release(turn, request);
+        case EXCLUDING -> Exclusions.unconfirmed(turn, request);
         default -> {
           if (request.claimed()
               && !turn.fleet().connectedAs(attempt.endpoint(), attempt.incarnation())) {
@@ -163,12 +164,23 @@
     retry(turn, request.notStarted(nextFence), problem);
   }
 
+  /** Tries again after a tombstone ruled the key out, or answers with the problem. */
+  static void released(Turn turn, ServiceRequest request, Fence nextFence, Problem problem) {
+    uncount(turn, request);
+    ServiceRequest ended = request.notStarted(nextFence);
+    if (mayRetry(turn, ended)) {
+      retryLater(turn, ended);
+    } else {
+      Answers.failService(turn, ended, truthful(ended, problem));
+    }
+  }
+
   /** Schedules the next attempt, or answers with the problem if there is none. */
   private static void retry(Turn turn, ServiceRequest request, Problem problem) {
     if (mayRetry(turn, request)) {
       retryLater(turn, request);
     } else {
-      Answers.failService(turn, request, truthful(request, problem));
+      Exclusions.refuse(turn, request, truthful(request, problem));
     }
   }
 
@@ -178,10 +190,20 @@
         && Retries.take(turn);
   }
 
+  /** Waits before the next attempt, unless a keyed call then has no time to rule its key out. */
   private static void retryLater(Turn turn, ServiceRequest request) {
     OpenRequests.put(turn, request.id(), request);
-    turn.startTimer(
-        new EntryTimer.RetryDelay(request.id()), Retries.delayNanos(turn, request.attempts()));
+    long delayNanos = Retries.delayNanos(turn, request.attempts());
+    long remainingNanos = request.arrival().deadlineNanos() - turn.nowNanos();
+    if (request.claimed() && delayNanos + Exclusions.RESERVE_NANOS > remainingNanos) {
+      Exclusions.refuse(
+          turn,
+          request,
+          Problem.notRun(
+              ProblemType.DEADLINE_EXCEEDED, "the deadline leaves no time for another attempt"));
+    } else {
+      turn.startTimer(new EntryTimer.RetryDelay(request.id()), delayNanos);
+    }
   }
 
   /** Sends the next attempt after its delay, unless one is in flight already. */
--- a/core/src/main/java/io/zinniawood/core/entry/Claims.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Claims.java
@@ -23,23 +23,33 @@
   /** Asks the table to rule out the present attempt, or to show who holds the key. */
   static void release(Turn turn, ServiceRequest request) {
     Attempts.setPhase(turn, request, AttemptPhase.RELEASING);
+    emitRelease(turn, request);
+    Attempts.startTimer(turn, request, POLL_NANOS);
+  }
+
+  /** Asks the table for a tombstone against the request's present attempt. */
+  static void emitRelease(Turn turn, ServiceRequest request) {
     turn.emit(
         new EntryEffect.ReleaseClaim(
             request.id(),
             request.current().get().id(),
             request.claimKey(),
             RequestDigest.of(request.arrival().call())));
-    Attempts.startTimer(turn, request, POLL_NANOS);
   }
 
   static void resolved(Turn turn, EntryEvent.ClaimResolved event) {
     for (ServiceRequest request :
         OpenRequests.withAttempt(turn, event.request(), event.attempt())) {
-      if (request.current().get().phase() != AttemptPhase.RELEASING) {
+      AttemptPhase phase = request.current().get().phase();
+      if (phase == AttemptPhase.EXCLUDING) {
+        Exclusions.resolved(turn, request, event.resolution());
+        continue;
+      }
+      if (phase != AttemptPhase.RELEASING) {
         continue;
       }
       if (event.resolution() instanceof ClaimResolution.Released released) {
-        Attempts.notStarted(
+        Attempts.released(
             turn,
             request,
             released.nextFence(),
@@ -54,7 +64,7 @@
   }
 
   /** Decides by a row that was read from the table. */
-  private static void read(Turn turn, ServiceRequest request, ClaimRow row) {
+  static void read(Turn turn, ServiceRequest request, ClaimRow row) {
     boolean own = request.current().exists(attempt -> attempt.id().equals(row.attempt()));
     if (!own && !row.requestDigest().equals(RequestDigest.of(request.arrival().call()))) {
       keyReused(turn, request);
--- a/core/src/main/java/io/zinniawood/core/entry/Refusals.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Refusals.java
@@ -47,10 +47,12 @@
             request.notStarted(request.fence()),
             Attempts.truthful(
                 request.notStarted(request.fence()),
-                Problem.notRunRetry(
-                    ProblemType.STORE_UNAVAILABLE,
-                    "the call needs the store, which cannot be reached",
-                    1_000)));
+                Exclusions.ofThisCopy(
+                    request.arrival(),
+                    Problem.notRunRetry(
+                        ProblemType.STORE_UNAVAILABLE,
+                        "the call needs the store, which cannot be reached",
+                        1_000))));
       }
       case DEADLINE_EXCEEDED ->
           Attempts.notStarted(
--- a/core/src/main/java/io/zinniawood/core/entry/ServiceRequest.java
+++ b/core/src/main/java/io/zinniawood/core/entry/ServiceRequest.java
@@ -8,6 +8,7 @@
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.model.ClaimKey;
 import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.Problem;
 
 /**
  * Open call of a plain service.
@@ -19,6 +20,7 @@
  * @param fence fence for the next attempt
  * @param avoid endpoints that refused or failed this request
  * @param mayHaveRun whether an attempt was given up that may have run
+ * @param refusal problem with which the call is refused once its key is ruled out
  */
 record ServiceRequest(
     EntryEvent.ServiceRequestArrived arrival,
@@ -27,12 +29,13 @@
     Option<Attempt> current,
     Fence fence,
     Set<EndpointId> avoid,
-    boolean mayHaveRun)
+    boolean mayHaveRun,
+    Option<Problem> refusal)
     implements OpenRequest {
 
   static ServiceRequest first(EntryEvent.ServiceRequestArrived arrival, long nowNanos) {
     return new ServiceRequest(
-        arrival, nowNanos, 0, Option.none(), new Fence(0), HashSet.empty(), false);
+        arrival, nowNanos, 0, Option.none(), new Fence(0), HashSet.empty(), false, Option.none());
   }
 
   RequestId id() {
@@ -60,30 +63,48 @@
   /** Returns this request with a new attempt in flight. */
   ServiceRequest dispatched(Attempt attempt) {
     return new ServiceRequest(
-        arrival, arrivedNanos, attempts + 1, Option.some(attempt), fence, avoid, mayHaveRun);
+        arrival,
+        arrivedNanos,
+        attempts + 1,
+        Option.some(attempt),
+        fence,
+        avoid,
+        mayHaveRun,
+        refusal);
   }
 
   ServiceRequest withCurrent(Attempt attempt) {
     return new ServiceRequest(
-        arrival, arrivedNanos, attempts, Option.some(attempt), fence, avoid, mayHaveRun);
+        arrival, arrivedNanos, attempts, Option.some(attempt), fence, avoid, mayHaveRun, refusal);
+  }
+
+  ServiceRequest withoutCurrent() {
+    return new ServiceRequest(
+        arrival, arrivedNanos, attempts, Option.none(), fence, avoid, mayHaveRun, refusal);
+  }
+
+  /** Returns this request with the problem that ends it once its key is ruled out. */
+  ServiceRequest refused(Problem problem) {
+    return new ServiceRequest(
+        arrival, arrivedNanos, attempts, current, fence, avoid, mayHaveRun, Option.some(problem));
   }
 
   /** Returns this request after its attempt certainly did not start and never will. */
   ServiceRequest notStarted(Fence nextFence) {
     return new ServiceRequest(
-        arrival, arrivedNanos, attempts, Option.none(), nextFence, avoided(), mayHaveRun);
+        arrival, arrivedNanos, attempts, Option.none(), nextFence, avoided(), mayHaveRun, refusal);
   }
 
   /** Returns this request after its attempt was refused for its fence alone. */
   ServiceRequest refenced(Fence nextFence) {
     return new ServiceRequest(
-        arrival, arrivedNanos, attempts, Option.none(), nextFence, avoid, mayHaveRun);
+        arrival, arrivedNanos, attempts, Option.none(), nextFence, avoid, mayHaveRun, refusal);
   }
 
   /** Returns this request after its attempt was given up although it may run. */
   ServiceRequest abandoned() {
     return new ServiceRequest(
-        arrival, arrivedNanos, attempts, Option.none(), fence, avoided(), true);
+        arrival, arrivedNanos, attempts, Option.none(), fence, avoided(), true, refusal);
   }
 
   private Set<EndpointId> avoided() {
--- a/core/src/main/java/io/zinniawood/core/entry/ServiceRequests.java
+++ b/core/src/main/java/io/zinniawood/core/entry/ServiceRequests.java
@@ -19,7 +19,12 @@
     Option<Problem> refusal =
         Admission.admit(turn, event.clientAccount(), target, event.deadlineNanos());
     if (refusal.isDefined()) {
-      Answers.refuse(turn, event.request(), event.clientAccount(), target, refusal.get());
+      Answers.refuse(
+          turn,
+          event.request(),
+          event.clientAccount(),
+          target,
+          Exclusions.ofThisCopy(event, refusal.get()));
       return;
     }
     Retries.requested(turn);
@@ -33,8 +38,11 @@
       Answers.failService(
           turn,
           request,
-          Problem.notRun(
-              ProblemType.NOT_FOUND, "service %s is not configured".formatted(event.service())));
+          Exclusions.ofThisCopy(
+              event,
+              Problem.notRun(
+                  ProblemType.NOT_FOUND,
+                  "service %s is not configured".formatted(event.service()))));
     }
   }
 
@@ -51,6 +59,12 @@
   /** Ends a call at its deadline; it did not run only if no attempt may have started. */
   static void deadline(Turn turn, ServiceRequest request) {
     Attempts.cancel(turn, request);
+    boolean excluding =
+        request.current().exists(attempt -> attempt.phase() == AttemptPhase.EXCLUDING);
+    if (excluding || (request.claimed() && request.current().isEmpty())) {
+      Exclusions.unconfirmed(turn, request);
+      return;
+    }
     boolean held = request.current().exists(attempt -> !attempt.own());
     Problem problem;
     if (held) {
--- a/core/src/main/java/io/zinniawood/core/entry/Usage.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Usage.java
@@ -6,6 +6,7 @@
 import io.zinniawood.core.entry.limits.AccountUse;
 import io.zinniawood.core.entry.limits.LatencyEstimate;
 import io.zinniawood.core.entry.limits.RetryBudget;
+import io.zinniawood.core.entry.limits.WriteBudget;
 import io.zinniawood.core.id.ClientAccountId;
 
 /**
@@ -16,15 +17,22 @@
  * @param latencies estimates by model or service
  * @param reports monotonic time in nanoseconds of the last incident of kinds that may come in large
  *     numbers, by kind and subject
+ * @param exclusions budget of tombstones for refused calls
  */
 record Usage(
     Map<ClientAccountId, AccountUse> accounts,
     RetryBudget retries,
     Map<String, LatencyEstimate> latencies,
-    Map<String, Long> reports) {
+    Map<String, Long> reports,
+    WriteBudget exclusions) {
 
   static Usage none() {
-    return new Usage(HashMap.empty(), RetryBudget.fresh(), HashMap.empty(), HashMap.empty());
+    return new Usage(
+        HashMap.empty(),
+        RetryBudget.fresh(),
+        HashMap.empty(),
+        HashMap.empty(),
+        WriteBudget.fresh());
   }
 
   AccountUse account(ClientAccountId id, double burst, long nowNanos) {
@@ -32,28 +40,36 @@
   }
 
   Usage with(ClientAccountId id, AccountUse use) {
-    return new Usage(accounts.put(id, use), retries, latencies, reports);
+    return new Usage(accounts.put(id, use), retries, latencies, reports, exclusions);
   }
 
   Usage with(RetryBudget changed) {
-    return new Usage(accounts, changed, latencies, reports);
+    return new Usage(accounts, changed, latencies, reports, exclusions);
+  }
+
+  Usage with(WriteBudget changed) {
+    return new Usage(accounts, retries, latencies, reports, changed);
   }
 
   /** Returns this use after a request took the given time. */
   Usage sampled(String target, long durationNanos, long nowNanos) {
     LatencyEstimate estimate =
         latencies.getOrElse(target, LatencyEstimate.none()).sampled(durationNanos, nowNanos);
-    return new Usage(accounts, retries, latencies.put(target, estimate), reports);
+    return new Usage(accounts, retries, latencies.put(target, estimate), reports, exclusions);
   }
 
   Usage reported(String incident, long nowNanos) {
-    return new Usage(accounts, retries, latencies, reports.put(incident, nowNanos));
+    return new Usage(accounts, retries, latencies, reports.put(incident, nowNanos), exclusions);
   }
 
   /** Returns this use without reports from before the given time. */
   Usage withoutReportsBefore(long nanos) {
     return new Usage(
-        accounts, retries, latencies, reports.filterValues(reported -> reported - nanos >= 0));
+        accounts,
+        retries,
+        latencies,
+        reports.filterValues(reported -> reported - nanos >= 0),
+        exclusions);
   }
 
   /** Returns this use without idle accounts and targets that the configuration lacks. */
@@ -65,7 +81,8 @@
             target ->
                 cluster.models().keySet().exists(model -> model.value().equals(target))
                     || cluster.services().keySet().exists(name -> name.value().equals(target))),
-        reports);
+        reports,
+        exclusions);
   }
 
   /** Returns the time that a request takes at present in nanoseconds, 0 if it is not known. */
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/entry/limits/WriteBudget.java
@@ -0,0 +1,31 @@
+package io.zinniawood.core.entry.limits;
+
+/**
+ * Budget of table writes for each second.
+ *
+ * @param windowStartNanos monotonic start of the present second in nanoseconds
+ * @param used writes in the present second
+ */
+public record WriteBudget(long windowStartNanos, int used) {
+  private static final long WINDOW_NANOS = 1_000_000_000L;
+
+  /** Returns the budget of an entry that has just started. */
+  public static WriteBudget fresh() {
+    return new WriteBudget(0, 0);
+  }
+
+  /** Tells whether one more write is within the budget. */
+  public boolean allows(int writesPerSecond, long nowNanos) {
+    return at(nowNanos).used < writesPerSecond;
+  }
+
+  /** Returns the budget after one more write. */
+  public WriteBudget taken(long nowNanos) {
+    WriteBudget moved = at(nowNanos);
+    return new WriteBudget(moved.windowStartNanos, moved.used + 1);
+  }
+
+  private WriteBudget at(long nowNanos) {
+    return nowNanos - windowStartNanos < WINDOW_NANOS ? this : new WriteBudget(nowNanos, 0);
+  }
+}
