Let the opening side alone probe unused connections

Cause: both sides probed an unused connection every 5 s, and only the entry's own probes were within its budget. An entry at rest with 160 replicas exchanged 3,904 B/s with headers, above the 2 KB/s for control. Change: the side that opened a connection probes it; the accepting side probes after 12 times as long, to release connections whose other side has vanished.

--- a/wire/src/main/java/io/zinniawood/wire/internal/ConnectionHandler.java
+++ b/wire/src/main/java/io/zinniawood/wire/internal/ConnectionHandler.java
@@ -34,6 +34,7 @@
   private static final long MAX_UNSENT_BYTES = 32L * 1024 * 1024;
 
   private final WireContext wire;
+  private final ConnectionSide side;
   private final WireListener listener;
   private final Consumer<Either<WireError, WireConnection>> onHandshake;
   private CloseReason closeReason = CloseReason.CLOSED;
@@ -45,9 +46,11 @@
 
   ConnectionHandler(
       WireContext wire,
+      ConnectionSide side,
       WireListener listener,
       Consumer<Either<WireError, WireConnection>> onHandshake) {
     this.wire = wire;
+    this.side = side;
     this.listener = listener;
     this.onHandshake = onHandshake;
   }
@@ -185,6 +188,7 @@
         new LivenessProbe(
             wire.timing(),
             wire.budget(),
+            side,
             nowNanos,
             sequence -> sendProbe(context, sequence),
             () -> closeSilent(context));
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/internal/ConnectionSide.java
@@ -0,0 +1,9 @@
+package io.zinniawood.wire.internal;
+
+/** Side of a connection that this process is on. */
+enum ConnectionSide {
+  /** This process opened the connection. */
+  OPENED,
+  /** The other process opened the connection. */
+  ACCEPTED
+}
--- a/wire/src/main/java/io/zinniawood/wire/internal/LivenessProbe.java
+++ b/wire/src/main/java/io/zinniawood/wire/internal/LivenessProbe.java
@@ -11,6 +11,7 @@
 final class LivenessProbe {
   private final WireTiming timing;
   private final ProbeBudget budget;
+  private final ConnectionSide side;
   private final LongConsumer sendProbe;
   private final Runnable onSilent;
   private long lastReadNanos;
@@ -23,6 +24,7 @@
   /**
    * Creates the probe of a connection whose handshake is complete.
    *
+   * @param side side of the connection that this process is on
    * @param nowNanos monotonic time in nanoseconds
    * @param sendProbe sends a probe with a sequence number
    * @param onSilent called when the connection is silent
@@ -30,11 +32,13 @@
   LivenessProbe(
       WireTiming timing,
       ProbeBudget budget,
+      ConnectionSide side,
       long nowNanos,
       LongConsumer sendProbe,
       Runnable onSilent) {
     this.timing = timing;
     this.budget = budget;
+    this.side = side;
     this.sendProbe = sendProbe;
     this.onSilent = onSilent;
     this.lastReadNanos = nowNanos;
@@ -83,7 +87,8 @@
       dueNanos = probeSentNanos + nanos(timing.answerMillis());
       return;
     }
-    long intervalNanos = nanos(active(nowNanos) ? timing.probeMillis() : budget.idleProbeMillis());
+    long intervalNanos =
+        nanos(active(nowNanos) ? timing.probeMillis() : budget.idleProbeMillis(side));
     if (nowNanos - lastReadNanos >= intervalNanos) {
       sendProbe(nowNanos);
     } else {
--- a/wire/src/main/java/io/zinniawood/wire/internal/NettyWire.java
+++ b/wire/src/main/java/io/zinniawood/wire/internal/NettyWire.java
@@ -94,7 +94,7 @@
                             channel
                                 .pipeline()
                                 .addLast(contexts.server().newHandler(channel.alloc())));
-                    addHandlers(channel, listener, ignored -> {});
+                    addHandlers(channel, ConnectionSide.ACCEPTED, listener, ignored -> {});
                   }
                 });
     ChannelFuture bound =
@@ -131,7 +131,7 @@
                             channel
                                 .pipeline()
                                 .addLast(contexts.client().newHandler(channel.alloc())));
-                    addHandlers(channel, listener, result::complete);
+                    addHandlers(channel, ConnectionSide.OPENED, listener, result::complete);
                   }
                 });
     bootstrap
@@ -151,6 +151,7 @@
 
   private void addHandlers(
       Channel channel,
+      ConnectionSide side,
       WireListener listener,
       Consumer<Either<WireError, WireConnection>> onHandshake) {
     channels.add(channel);
@@ -159,7 +160,7 @@
         .addLast(meter)
         .addLast(new FlushConsolidationHandler(FLUSH_AFTER_MESSAGES, true))
         .addLast(new EnvelopeCodec())
-        .addLast(new ConnectionHandler(context, listener, onHandshake));
+        .addLast(new ConnectionHandler(context, side, listener, onHandshake));
   }
 
   @Override
--- a/wire/src/main/java/io/zinniawood/wire/internal/ProbeBudget.java
+++ b/wire/src/main/java/io/zinniawood/wire/internal/ProbeBudget.java
@@ -9,6 +9,12 @@
 final class ProbeBudget {
   private static final long MILLIS_PER_CONNECTION = 100;
 
+  /**
+   * The side that opened a connection probes it for both. The accepting side probes rarely, only to
+   * release connections whose other side has vanished.
+   */
+  private static final long ACCEPTED_FACTOR = 12;
+
   private final AtomicInteger connections = new AtomicInteger();
   private final long shortestMillis;
 
@@ -24,7 +30,10 @@
     connections.decrementAndGet();
   }
 
-  long idleProbeMillis() {
-    return Math.max(shortestMillis, connections.get() * MILLIS_PER_CONNECTION);
+  /** Returns the interval of probes on an unused connection of the given side. */
+  long idleProbeMillis(ConnectionSide side) {
+    long shortest =
+        side == ConnectionSide.OPENED ? shortestMillis : shortestMillis * ACCEPTED_FACTOR;
+    return Math.max(shortest, connections.get() * MILLIS_PER_CONNECTION);
   }
 }
--- a/wire/src/test/java/io/zinniawood/wire/internal/LivenessProbeTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/internal/LivenessProbeTest.java
@@ -15,7 +15,12 @@
   private final ProbeBudget budget = new ProbeBudget(5_000);
   private final LivenessProbe probe =
       new LivenessProbe(
-          WireTiming.defaults(), budget, 0, sequence -> probes++, () -> silent = true);
+          WireTiming.defaults(),
+          budget,
+          ConnectionSide.OPENED,
+          0,
+          sequence -> probes++,
+          () -> silent = true);
 
   private void runUntil(long millis) {
     long endNanos = TimeUnit.MILLISECONDS.toNanos(millis);
