--- a/entry/src/main/java/io/zinniawood/entry/reporting/EntryReports.java
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/EntryReports.java
@@ -12,7 +12,6 @@
 import io.zinniawood.core.entry.EntryState;
 import io.zinniawood.core.entry.Incident;
 import io.zinniawood.core.entry.IncidentKind;
-import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.entry.RequestResult;
 import io.zinniawood.core.id.Generation;
 import io.zinniawood.core.message.Message;
@@ -20,12 +19,8 @@
 import io.zinniawood.entry.ReportFormat;
 import io.zinniawood.entry.ReportSource;
 import io.zinniawood.entry.acceptance.AcceptanceJournal;
-import io.zinniawood.entry.internal.store.LeaseRowCodec;
 import io.zinniawood.platform.ObjectStore;
-import io.zinniawood.platform.PlatformError;
 import io.zinniawood.platform.Table;
-import io.zinniawood.platform.TableRow;
-import io.zinniawood.platform.lease.LeaseRowReader;
 import io.zinniawood.report.HtmlRenderer;
 import io.zinniawood.report.JsonRenderer;
 import io.zinniawood.report.Report;
@@ -57,8 +52,6 @@
   /** An entry that got no counts for two rounds no longer merges those of its data centre. */
   private static final long MERGING_MILLIS = 2_500L * COUNTS_TICKS;
 
-  private static final long STATE_WAIT_MILLIS = 1_000;
-
   /** Results that wait for the thread; at 64 requests/s it is reached after 2 min of standstill. */
   private static final int MAX_WAITING = 8_192;
 
@@ -74,6 +67,7 @@
   private final CountsReader reader;
   private final ReportFiles files;
   private final ReportPages pages;
+  private final Moments moments;
   private Option<EntryLink> link = Option.none();
   private Option<AcceptedConfiguration> configuration = Option.none();
   private Option<AcceptanceNotice> lastVerdict = Option.none();
@@ -128,6 +122,7 @@
             parts.dataCentre(),
             nowMillis,
             new ReportPages.Collected(journal, peers, incidents, accounts, sender, reader));
+    this.moments = new Moments(parts, executor);
     // Entries that start together must not all write in the same second.
     this.ticks = Math.floorMod(source.hashCode(), STORE_TICKS);
   }
@@ -277,46 +272,7 @@
   }
 
   private CompletableFuture<ReportPages.Moment> moment() {
-    CompletableFuture<Option<EntryState>> state = new CompletableFuture<>();
-    link.forEach(entry -> entry.readState(found -> state.complete(Option.some(found))));
-    if (link.isEmpty()) {
-      state.complete(Option.none());
-    }
-    // Without an answer, for example of a closed event loop, the report says what it lacks.
-    return state
-        .completeOnTimeout(Option.none(), STATE_WAIT_MILLIS, TimeUnit.MILLISECONDS)
-        .thenApplyAsync(
-            found -> found.map(s -> EntryOverview.of(s, parts.clockNanos().getAsLong())), executor)
-        .thenComposeAsync(
-            overview ->
-                controller(overview)
-                    .thenApplyAsync(
-                        controller ->
-                            new ReportPages.Moment(now(), configuration, overview, controller),
-                        executor),
-            executor);
-  }
-
-  private CompletableFuture<Option<String>> controller(Option<EntryOverview> overview) {
-    if (overview.exists(EntryReports::holds)) {
-      return CompletableFuture.completedFuture(Option.some(parts.vm()));
-    }
-    return parts
-        .table()
-        .read(LeaseRowReader.KEY)
-        .exceptionally(fault -> Either.left(new PlatformError.Unavailable(fault.toString())))
-        .thenApply(
-            result ->
-                result
-                    .getOrElse(Option.none())
-                    .map(TableRow::value)
-                    .flatMap(row -> LeaseRowCodec.decode(row.bytes()).toOption())
-                    .map(LeaseRow::holder)
-                    .map(vm -> vm.value()));
-  }
-
-  private static boolean holds(EntryOverview overview) {
-    return overview.leaseFencingNumber().isDefined();
+    return moments.read(link, configuration);
   }
 
   private void tickSafely() {
@@ -353,7 +309,7 @@
   private void lead(EntryState state, boolean storeRound, boolean configurationRound) {
     EntryOverview overview = EntryOverview.of(state, parts.clockNanos().getAsLong());
     boolean before = holder;
-    holder = holds(overview);
+    holder = Moments.holds(overview);
     if (holder != before) {
       files.forget();
       // The holder publishes rejected edits, so it must see them itself.
