Test the outcome of keyed calls that the entry refuses

Cause: no test covered a keyed call that is refused after its admission. Change: RepeatedKeyTest brings about each case in virtual time; EntryInvariantsTest runs two entries with one table under random faults. Conclusion: the property exempts later runs of copies that were still open at their entry at the time of the not-run.

--- a/core/src/test/java/io/zinniawood/core/entry/Checks.java
+++ b/core/src/test/java/io/zinniawood/core/entry/Checks.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.id.AttemptId;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.IdempotencyKey;
 import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.id.SessionId;
@@ -9,6 +10,7 @@
 import io.zinniawood.core.model.CancelOutcome;
 import io.zinniawood.core.model.Idempotency;
 import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.ProblemType;
 import io.zinniawood.core.model.ServingState;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -28,6 +30,7 @@
   private final Map<RequestId, AttemptId> live = new HashMap<>();
   private final Map<RequestId, Integer> executions = new HashMap<>();
   private final Map<String, AttemptId> keyed = new HashMap<>();
+  private final Map<RequestId, String> keys = new HashMap<>();
   private final Map<SessionId, RequestId> sessions = new HashMap<>();
   private final Set<RequestId> modelRuns = new HashSet<>();
   private final Map<EndpointId, Incarnation> leaving = new HashMap<>();
@@ -43,6 +46,10 @@
       arrived.add(request.request());
     } else if (event instanceof EntryEvent.ServiceRequestArrived request) {
       arrived.add(request.request());
+      request.key().forEach(key -> keys.put(request.request(), key.value()));
+      request.key().forEach(key -> world.table.lastCopies.put(key.value(), request.request()));
+      request.key().forEach(key -> world.table.openAtNotRun.remove(key.value()));
+      world.table.openCopies.add(request.request());
     } else if (event instanceof EntryEvent.CallerDisconnected caller) {
       gone.add(caller.request());
     } else if (event instanceof EntryEvent.ClaimResolved resolved
@@ -97,6 +104,7 @@
       answer(reply.request(), effect);
     } else if (effect instanceof EntryEffect.ReplyProblem problem) {
       answer(problem.request(), effect);
+      keyNotRun(problem);
       if (problem.problem().outcome() == Outcome.NOT_RUN) {
         notRun.add(problem.request());
       }
@@ -118,10 +126,24 @@
 
   private void answer(RequestId request, EntryEffect effect) {
     require(arrived.contains(request), "answer without a request", effect);
+    world.table.openCopies.remove(request);
     require(answered.add(request), "second answer", effect);
     require(!gone.contains(request), "answer to a caller that is gone", effect);
   }
 
+  /** Checks that a not-run for the last copy of a key, if it speaks of all copies, is true. */
+  private void keyNotRun(EntryEffect.ReplyProblem reply) {
+    String key = keys.get(reply.request());
+    if (key != null
+        && reply.problem().outcome() == Outcome.NOT_RUN
+        && reply.problem().type() != ProblemType.KEY_REUSED
+        && !reply.problem().detail().contains("earlier copy")
+        && reply.request().equals(world.table.lastCopies.get(key))) {
+      require(!world.table.ran.contains(key), "a copy of the key ran before", reply);
+      world.table.openAtNotRun.put(key, Set.copyOf(world.table.openCopies));
+    }
+  }
+
   private void sent(EntryEffect.SendToAgent send) {
     if (send.message() instanceof Message.OpenSession open) {
       boolean first =
@@ -159,6 +181,14 @@
     int runs = executions.merge(dispatch.request(), 1, Integer::sum);
     if (dispatch.idempotency() == Idempotency.NON_IDEMPOTENT) {
       require(runs == 1, "non-idempotent request ran twice: " + dispatch.request(), null);
+      for (String key : dispatch.key().map(IdempotencyKey::value)) {
+        world.table.ran.add(key);
+        Set<RequestId> open = world.table.openAtNotRun.get(key);
+        require(
+            open == null || open.contains(dispatch.request()),
+            "key ran after not-run " + key,
+            null);
+      }
       dispatch
           .key()
           .forEach(
--- a/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
@@ -44,6 +44,34 @@
     world.checks.end();
   }
 
+  // Guards against not-run for the last copy of a key when a copy has run or runs later through
+  // another entry. Refusals whose detail names an earlier copy are exempt, and so are later runs of
+  // copies that were still open at their entry (decision 9). Changes tried that make it fail:
+  // - answer without a tombstone, or beyond its budget not-run (Exclusions.refuse);
+  // - take an unresolved release for a tombstone (Exclusions.resolved);
+  // - answer not-run for an attempt whose agent cannot be reached (Attempts.unreachable).
+  @Property(tries = 400, seed = "20261204")
+  void notRunHoldsOverTwoEntries(@ForAll("scripts") List<Integer> script) {
+    List<World> worlds = World.pair();
+    int number = 0;
+    for (int code : script) {
+      World entry = worlds.get(code % 2);
+      String name = List.copyOf(entry.agents.keySet()).get(code / 2 % 2).value();
+      switch (code / 4 % 10) {
+        case 0 -> entry.crash(name);
+        case 1 -> entry.restart(name);
+        case 2 -> entry.leave(name);
+        case 3 -> entry.agent(name).stalled = !entry.agent(name).stalled;
+        case 4 -> entry.table.down = !entry.table.down;
+        default ->
+            entry.call(
+                "c" + ++number, Idempotency.NON_IDEMPOTENT, Option.some("k" + code / 40 % 2));
+      }
+      World.run(worlds, code / 80 % 60 * (code / 4_800 % 8 == 0 ? 40 : 1));
+    }
+    World.run(worlds, 5_000);
+  }
+
   @Provide
   Arbitrary<List<Integer>> scripts() {
     return Arbitraries.integers()
--- a/core/src/test/java/io/zinniawood/core/entry/FakeTable.java
+++ b/core/src/test/java/io/zinniawood/core/entry/FakeTable.java
@@ -4,12 +4,15 @@
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Fence;
 import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.model.ClaimKey;
 import io.zinniawood.core.model.ClaimRow;
 import io.zinniawood.core.model.ClaimState;
 import io.zinniawood.core.model.ServiceAnswer;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /** Table with the claim rows and the lease row. */
 final class FakeTable {
@@ -17,6 +20,11 @@
   Option<LeaseRow> lease = Option.none();
   long leaseVersion;
   boolean down;
+  boolean silent;
+  final Map<String, RequestId> lastCopies = new HashMap<>();
+  final Map<String, Set<RequestId>> openAtNotRun = new HashMap<>();
+  final Set<RequestId> openCopies = new HashSet<>();
+  final Set<String> ran = new HashSet<>();
   boolean losesResponses;
 
   /** Claims the key with a row; returns the row that stands in the way, if any. */
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/entry/RepeatedKeyTest.java
@@ -0,0 +1,123 @@
+package io.zinniawood.core.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.model.Idempotency;
+import io.zinniawood.core.model.Outcome;
+import io.zinniawood.core.model.ProblemType;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests of the outcome of keyed calls that the entry refuses after their admission. */
+class RepeatedKeyTest {
+  private final World world = World.small();
+
+  // Guards against a refusal for ever, or without a tombstone, when the key is free.
+  @Test
+  void freeKeyIsNotRun() {
+    leave();
+    keyed("c1", "k", 100);
+    assertEnded("c1", ProblemType.NO_ENDPOINT, Outcome.NOT_RUN);
+    assertThat(world.effects(EntryEffect.ReleaseClaim.class), hasSize(1));
+  }
+
+  // Guards against not-run for a key whose first copy finished, runs or was lost, or is another's.
+  @Test
+  void heldKeyDecidesByItsRow() {
+    keyed("finished", "f", 100);
+    keyed("running", "r", 10);
+    leave();
+    keyed("f2", "f", 5);
+    keyed("r2", "r", 5);
+    keyed("other", "f/other", 100);
+    assertThat(
+        world.effects(EntryEffect.ReplyService.class).stream()
+            .map(r -> r.request().value())
+            .toList(),
+        equalTo(List.of("finished", "f2", "running", "r2")));
+    assertEnded("other", ProblemType.KEY_REUSED, Outcome.NOT_RUN);
+  }
+
+  // Guards against not-run for a key that a dead incarnation started.
+  @Test
+  void keyOfDeadIncarnationIsUnknown() {
+    keyed("c1", "k", 10);
+    for (String name : List.of("s1", "s2")) {
+      world.restart(name);
+      world.leave(name);
+    }
+    world.run(1_500);
+    keyed("c2", "k", 100);
+    assertEnded("c2", ProblemType.ENDPOINT_FAILED, Outcome.UNKNOWN);
+  }
+
+  // Guards against not-run, or a wait to the deadline, when the table is down or silent.
+  @Test
+  void unansweredTableIsUnknown() {
+    leave();
+    world.table.down = true;
+    keyed("down", "k", 10);
+    assertEnded("down", ProblemType.STORE_UNAVAILABLE, Outcome.UNKNOWN);
+    world.table.silent = true;
+    keyed("silent", "k", 1_000);
+    assertEnded("silent", ProblemType.STORE_UNAVAILABLE, Outcome.UNKNOWN);
+    world.reduce(
+        Fixtures.call("late", Idempotency.NON_IDEMPOTENT, Option.some("k"), world.deadline(50)));
+    world.run(50);
+    assertEnded("late", ProblemType.STORE_UNAVAILABLE, Outcome.UNKNOWN);
+  }
+
+  // Guards against not-run without a tombstone when no attempt started before the deadline.
+  @Test
+  void notStartedAttemptsAreRuledOut() {
+    world.agent("s1").stalled = true;
+    world.agent("s2").stalled = true;
+    keyed("c1", "k", 2_000);
+    assertThat(world.problem("c1").outcome(), equalTo(Outcome.NOT_RUN));
+    assertThat(world.effects(EntryEffect.ReleaseClaim.class), hasSize(1));
+    world.checks.end();
+  }
+
+  // Guards against tombstones that take the table's writes under overload.
+  @Test
+  void tombstonesAreBounded() {
+    leave();
+    for (int i = 0; i < 64; i++) {
+      keyed("c" + i, "k" + i, 10);
+    }
+    assertThat(world.effects(EntryEffect.ReleaseClaim.class), hasSize(10));
+    assertEnded("c63", ProblemType.STORE_UNAVAILABLE, Outcome.UNKNOWN);
+    world.run(400);
+    keyed("next", "n", 10);
+    assertEnded("next", ProblemType.NO_ENDPOINT, Outcome.NOT_RUN);
+  }
+
+  // Guards against table writes, or a claim about earlier copies, in a refusal by admission.
+  @Test
+  void refusalByAdmissionSpeaksOfThisCopy() {
+    keyed("c1", "k", 100);
+    world.reduce(Fixtures.call("c2", Idempotency.NON_IDEMPOTENT, Option.some("k"), world.nowNanos));
+    assertThat(world.problem("c2").detail(), containsString("earlier copy"));
+    assertThat(world.effects(EntryEffect.ReleaseClaim.class), hasSize(0));
+  }
+
+  private void leave() {
+    world.leave("s1");
+    world.leave("s2");
+    world.run(2);
+  }
+
+  private void keyed(String id, String key, long runMillis) {
+    world.call(id, Idempotency.NON_IDEMPOTENT, Option.some(key));
+    world.run(runMillis);
+  }
+
+  private void assertEnded(String request, ProblemType type, Outcome outcome) {
+    assertThat(world.problem(request).type(), equalTo(type));
+    assertThat(world.problem(request).outcome(), equalTo(outcome));
+  }
+}
