Share the HTTP client code of platform and engine in a module

Cause: platform.http and engine.http held the same eight small classes twice, so a fault had to be found and fixed in both.

Responses takes the constructors of a layer's errors; PlatformResponses and EngineResponses keep the meaning of statuses. The existing tests drive the adapters against the stand-ins and stay where they are; the fuzz tests change only names.

--- a/engine/src/main/java/io/zinniawood/engine/http/BatchCodec.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/BatchCodec.java
@@ -12,6 +12,7 @@
 import io.zinniawood.core.model.Payload;
 import io.zinniawood.engine.ModelEngine.StepRequest;
 import io.zinniawood.engine.StepOutput;
+import io.zinniawood.http.MalformedResponseException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/engine/src/main/java/io/zinniawood/engine/http/HttpEngineSettings.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpEngineSettings.java
@@ -1,5 +1,7 @@
 package io.zinniawood.engine.http;
 
+import io.zinniawood.http.HttpCallSettings;
+
 /**
  * Settings of the HTTP adapters of engines and plain services.
  *
@@ -31,6 +33,10 @@
     }
   }
 
+  HttpCallSettings calls() {
+    return new HttpCallSettings(connectTimeoutMillis, maxResponseBytes, maxConcurrentCalls);
+  }
+
   /**
    * Returns the defaults: 500 ms to connect, 30 s for a batch, 1 s for a status, 120 s for an
    * order, 64 MiB per response, 64 calls.
--- a/engine/src/main/java/io/zinniawood/engine/http/HttpModelEngine.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpModelEngine.java
@@ -17,6 +17,11 @@
 import io.zinniawood.engine.EngineStatus;
 import io.zinniawood.engine.ModelEngine;
 import io.zinniawood.engine.StepOutput;
+import io.zinniawood.http.HttpCalls;
+import io.zinniawood.http.HttpResult;
+import io.zinniawood.http.Json;
+import io.zinniawood.http.MalformedResponseException;
+import io.zinniawood.http.OneShotBody;
 import java.net.URI;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
@@ -58,13 +63,13 @@
   public HttpModelEngine(URI baseUri, OkHttpClient client, HttpEngineSettings settings) {
     this.base = BaseUrl.of(baseUri);
     this.settings = Objects.requireNonNull(settings, "settings");
-    this.calls = new HttpCalls(client, settings);
+    this.calls = new HttpCalls(client, settings.calls());
   }
 
   @Override
   public CompletableFuture<Either<EngineError, EngineStatus>> status() {
     Request.Builder request = new Request.Builder().url(url("engine/status").build()).get();
-    return Responses.decode(
+    return EngineResponses.decode(
         calls.send(request, settings.controlTimeoutMillis()), HttpModelEngine::decodeStatus);
   }
 
@@ -77,7 +82,7 @@
         new Request.Builder()
             .url(url("engine/run").build())
             .post(new OneShotBody(BatchCodec.TYPE, BatchCodec.encode(steps)));
-    return Responses.decode(
+    return EngineResponses.decode(
         calls.send(request, settings.runTimeoutMillis()), response -> decodeRun(steps, response));
   }
 
@@ -85,14 +90,14 @@
   public CompletableFuture<Either<EngineError, Boolean>> close(SessionId session) {
     Request.Builder request =
         new Request.Builder().url(sessionUrl("engine/session", session)).delete();
-    return Responses.decode(
+    return EngineResponses.decode(
         calls.send(request, settings.controlTimeoutMillis()), HttpModelEngine::decodeFlag);
   }
 
   @Override
   public CompletableFuture<Either<EngineError, CacheExport>> exportCache(SessionId session) {
     Request.Builder request = new Request.Builder().url(sessionUrl("engine/cache", session)).get();
-    return Responses.decode(
+    return EngineResponses.decode(
         calls.send(request, settings.runTimeoutMillis()), HttpModelEngine::decodeExport);
   }
 
@@ -104,7 +109,7 @@
             .url(sessionUrl("engine/cache", session))
             .header(NEXT_POSITION_HEADER, Integer.toString(cache.nextPosition()))
             .put(new OneShotBody(BYTES, cache.cache().bytes()));
-    return Responses.decode(
+    return EngineResponses.decode(
         calls.send(request, settings.runTimeoutMillis()), HttpModelEngine::decodeFlag);
   }
 
@@ -115,7 +120,8 @@
         new Request.Builder()
             .url(url("engine/orders").build())
             .post(new OneShotBody(JSON, OrderCodec.encode(fencingNumber, order)));
-    return Responses.decode(calls.send(request, settings.orderTimeoutMillis()), OrderCodec::decode);
+    return EngineResponses.decode(
+        calls.send(request, settings.orderTimeoutMillis()), OrderCodec::decode);
   }
 
   private HttpUrl.Builder url(String path) {
@@ -129,7 +135,7 @@
   static Either<EngineError, EngineStatus> decodeStatus(HttpResult.Response response)
       throws MalformedResponseException {
     if (response.status() != 200) {
-      return Responses.failure(response);
+      return EngineResponses.failure(response);
     }
     JsonNode root = Json.object(response.body());
     JsonNode load = root.path("load");
@@ -158,7 +164,7 @@
   static Either<EngineError, Vector<StepOutput>> decodeRun(
       Vector<StepRequest> steps, HttpResult.Response response) throws MalformedResponseException {
     if (response.status() != 200) {
-      return Responses.failure(response);
+      return EngineResponses.failure(response);
     }
     Vector<StepOutput> outputs = BatchCodec.decode(response.body());
     if (outputs.size() != steps.size()) {
@@ -181,7 +187,7 @@
   static Either<EngineError, CacheExport> decodeExport(HttpResult.Response response)
       throws MalformedResponseException {
     if (response.status() != 200) {
-      return Responses.failure(response);
+      return EngineResponses.failure(response);
     }
     String text = response.headers().get(NEXT_POSITION_HEADER);
     try {
@@ -199,6 +205,6 @@
       throws MalformedResponseException {
     return response.status() == 200
         ? Either.right(Json.flag(Json.object(response.body()), "done"))
-        : Responses.failure(response);
+        : EngineResponses.failure(response);
   }
 }
--- a/engine/src/main/java/io/zinniawood/engine/http/HttpPlainServiceClient.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpPlainServiceClient.java
@@ -8,6 +8,9 @@
 import io.zinniawood.core.model.ServiceCall;
 import io.zinniawood.engine.EngineError;
 import io.zinniawood.engine.PlainServiceClient;
+import io.zinniawood.http.HttpCalls;
+import io.zinniawood.http.HttpResult;
+import io.zinniawood.http.OneShotBody;
 import java.net.URI;
 import java.util.Locale;
 import java.util.Objects;
@@ -70,7 +73,7 @@
     this.base = BaseUrl.of(baseUri);
     this.healthPath = Objects.requireNonNull(healthPath, "healthPath");
     this.settings = Objects.requireNonNull(settings, "settings");
-    this.calls = new HttpCalls(client, settings);
+    this.calls = new HttpCalls(client, settings.calls());
   }
 
   @Override
@@ -87,14 +90,14 @@
       return CompletableFuture.completedFuture(
           Either.left(new EngineError.NotSent("the timeout passed before the call")));
     }
-    return Responses.decode(
+    return EngineResponses.decode(
         calls.send(request, timeoutMillis), response -> Either.right(answer(response)));
   }
 
   @Override
   public CompletableFuture<Either<EngineError, Boolean>> healthy() {
     Request.Builder request = new Request.Builder().url(url(healthPath)).get();
-    return Responses.decode(
+    return EngineResponses.decode(
         calls.send(request, settings.controlTimeoutMillis()),
         response -> Either.right(response.status() >= 200 && response.status() < 300));
   }
--- a/engine/src/main/java/io/zinniawood/engine/http/OrderCodec.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/OrderCodec.java
@@ -6,6 +6,9 @@
 import io.zinniawood.core.model.EngineOrder;
 import io.zinniawood.core.model.OrderOutcome;
 import io.zinniawood.engine.EngineError;
+import io.zinniawood.http.HttpResult;
+import io.zinniawood.http.Json;
+import io.zinniawood.http.MalformedResponseException;
 
 /** Encodes orders and decodes their results. */
 final class OrderCodec {
@@ -49,7 +52,7 @@
   static Either<EngineError, OrderOutcome> decode(HttpResult.Response response)
       throws MalformedResponseException {
     if (response.status() != 200) {
-      return Responses.failure(response);
+      return EngineResponses.failure(response);
     }
     String outcome = Json.text(Json.object(response.body()), "outcome");
     try {
--- a/engine/src/test/java/io/zinniawood/engine/http/ResponseFuzzTest.java
+++ b/engine/src/test/java/io/zinniawood/engine/http/ResponseFuzzTest.java
@@ -10,6 +10,7 @@
 import io.zinniawood.engine.EngineError;
 import io.zinniawood.engine.ModelEngine.StepRequest;
 import io.zinniawood.engine.StepOutput;
+import io.zinniawood.http.HttpResult;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -41,7 +42,7 @@
   void everyBatchAnswerIsValueOrTypedError(@ForAll("cborBodies") byte[] body) {
     HttpResult.Response response = response(200, "1", body);
     Either<EngineError, Vector<StepOutput>> result =
-        Responses.decode(response, value -> HttpModelEngine.decodeRun(STEPS, value));
+        EngineResponses.decode(response, value -> HttpModelEngine.decodeRun(STEPS, value));
     if (result.isRight()) {
       assertAnswers(result.get());
     }
@@ -60,10 +61,10 @@
       @ForAll("jsonBodies") byte[] body, @ForAll int status, @ForAll("positions") String position) {
     HttpResult.Response response =
         response(status % 2 == 0 ? 200 : 100 + Math.floorMod(status, 500), position, body);
-    Responses.decode(response, HttpModelEngine::decodeStatus);
-    Responses.decode(response, HttpModelEngine::decodeFlag);
-    Responses.decode(response, HttpModelEngine::decodeExport);
-    Responses.decode(response, OrderCodec::decode);
+    EngineResponses.decode(response, HttpModelEngine::decodeStatus);
+    EngineResponses.decode(response, HttpModelEngine::decodeFlag);
+    EngineResponses.decode(response, HttpModelEngine::decodeExport);
+    EngineResponses.decode(response, OrderCodec::decode);
   }
 
   private static HttpResult.Response response(int status, String position, byte[] body) {
--- a/engine/src/main/java/io/zinniawood/engine/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -1,4 +1,4 @@
-package io.zinniawood.engine.http;
+package io.zinniawood.http;
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
@@ -20,13 +20,19 @@
 import okio.BufferedSource;
 
 /** Sends each request at most once and tells whether it may have reached the server. */
-final class HttpCalls {
+public final class HttpCalls {
   private final OkHttpClient client;
   private final int maxConcurrentCalls;
   private final int maxResponseBytes;
   private final AtomicInteger inProgress = new AtomicInteger();
 
-  HttpCalls(OkHttpClient base, HttpEngineSettings settings) {
+  /**
+   * Creates the calls.
+   *
+   * @param base client whose connection pool and threads are shared
+   * @param settings timeout to connect and bounds
+   */
+  public HttpCalls(OkHttpClient base, HttpCallSettings settings) {
     Dispatcher dispatcher = new Dispatcher(base.dispatcher().executorService());
     dispatcher.setMaxRequests(settings.maxConcurrentCalls());
     dispatcher.setMaxRequestsPerHost(settings.maxConcurrentCalls());
@@ -50,7 +56,13 @@
     this.maxResponseBytes = settings.maxResponseBytes();
   }
 
-  CompletableFuture<HttpResult> send(Request.Builder builder, long timeoutMillis) {
+  /**
+   * Sends a request; the future always completes with a value.
+   *
+   * @param builder request
+   * @param timeoutMillis time of the whole call in milliseconds
+   */
+  public CompletableFuture<HttpResult> send(Request.Builder builder, long timeoutMillis) {
     SendMonitor monitor = new SendMonitor();
     Request request = builder.tag(SendMonitor.class, monitor).build();
     CompletableFuture<HttpResult> future = new CompletableFuture<>();
--- a/engine/src/main/java/io/zinniawood/engine/http/HttpResult.java
+++ b/http/src/main/java/io/zinniawood/http/HttpResult.java
@@ -1,9 +1,9 @@
-package io.zinniawood.engine.http;
+package io.zinniawood.http;
 
 import okhttp3.Headers;
 
 /** Result of one HTTP call. */
-sealed interface HttpResult {
+public sealed interface HttpResult {
   /**
    * A whole response arrived.
    *
--- a/engine/src/main/java/io/zinniawood/engine/http/Json.java
+++ b/http/src/main/java/io/zinniawood/http/Json.java
@@ -1,16 +1,17 @@
-package io.zinniawood.engine.http;
+package io.zinniawood.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 
 /** Reads JSON response bodies with checks. */
-final class Json {
+public final class Json {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private Json() {}
 
-  static byte[] bytes(Object value) {
+  /** Returns the JSON form of a value. */
+  public static byte[] bytes(Object value) {
     try {
       return MAPPER.writeValueAsBytes(value);
     } catch (IOException e) {
@@ -18,7 +19,8 @@
     }
   }
 
-  static JsonNode object(byte[] body) throws MalformedResponseException {
+  /** Parses a body that must be a JSON object. */
+  public static JsonNode object(byte[] body) throws MalformedResponseException {
     JsonNode node;
     try {
       node = MAPPER.readTree(body);
@@ -31,7 +33,8 @@
     return node;
   }
 
-  static JsonNode array(JsonNode parent, String field) throws MalformedResponseException {
+  /** Returns a field that must be an array. */
+  public static JsonNode array(JsonNode parent, String field) throws MalformedResponseException {
     JsonNode node = parent.path(field);
     if (!node.isArray()) {
       throw new MalformedResponseException("field \"" + field + "\" is not an array");
@@ -39,7 +42,8 @@
     return node;
   }
 
-  static String text(JsonNode parent, String field) throws MalformedResponseException {
+  /** Returns a field that must be a text. */
+  public static String text(JsonNode parent, String field) throws MalformedResponseException {
     JsonNode node = parent.path(field);
     if (!node.isTextual()) {
       throw new MalformedResponseException("field \"" + field + "\" is not a text");
@@ -47,7 +51,8 @@
     return node.textValue();
   }
 
-  static double decimal(JsonNode parent, String field) throws MalformedResponseException {
+  /** Returns a field that must be a number. */
+  public static double decimal(JsonNode parent, String field) throws MalformedResponseException {
     JsonNode node = parent.path(field);
     if (!node.isNumber()) {
       throw new MalformedResponseException("field \"" + field + "\" is not a number");
@@ -55,7 +60,8 @@
     return node.doubleValue();
   }
 
-  static int integer(JsonNode parent, String field) throws MalformedResponseException {
+  /** Returns a field that must be a whole number in the range of int. */
+  public static int integer(JsonNode parent, String field) throws MalformedResponseException {
     long value = number(parent, field);
     if (value != (int) value) {
       throw new MalformedResponseException("field \"" + field + "\" is out of range: " + value);
@@ -63,7 +69,8 @@
     return (int) value;
   }
 
-  static long number(JsonNode parent, String field) throws MalformedResponseException {
+  /** Returns a field that must be a whole number in the range of long. */
+  public static long number(JsonNode parent, String field) throws MalformedResponseException {
     JsonNode node = parent.path(field);
     if (!node.isIntegralNumber() || !node.canConvertToLong()) {
       throw new MalformedResponseException("field \"" + field + "\" is not a whole number");
@@ -71,7 +78,8 @@
     return node.longValue();
   }
 
-  static boolean flag(JsonNode parent, String field) throws MalformedResponseException {
+  /** Returns a field that must be true or false. */
+  public static boolean flag(JsonNode parent, String field) throws MalformedResponseException {
     JsonNode node = parent.path(field);
     if (!node.isBoolean()) {
       throw new MalformedResponseException("field \"" + field + "\" is not true or false");
--- a/engine/src/main/java/io/zinniawood/engine/http/NoDelaySocketFactory.java
+++ b/http/src/main/java/io/zinniawood/http/NoDelaySocketFactory.java
@@ -1,4 +1,4 @@
-package io.zinniawood.engine.http;
+package io.zinniawood.http;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/engine/src/main/java/io/zinniawood/engine/http/OneShotBody.java
+++ b/http/src/main/java/io/zinniawood/http/OneShotBody.java
@@ -1,4 +1,4 @@
-package io.zinniawood.engine.http;
+package io.zinniawood.http;
 
 import java.io.IOException;
 import okhttp3.MediaType;
@@ -6,11 +6,17 @@
 import okio.BufferedSink;
 
 /** Request body that OkHttp never sends a second time. */
-final class OneShotBody extends RequestBody {
+public final class OneShotBody extends RequestBody {
   private final MediaType type;
   private final byte[] bytes;
 
-  OneShotBody(MediaType type, byte[] bytes) {
+  /**
+   * Creates the body.
+   *
+   * @param type media type, null for none
+   * @param bytes content
+   */
+  public OneShotBody(MediaType type, byte[] bytes) {
     this.type = type;
     this.bytes = bytes;
   }
--- a/engine/src/main/java/io/zinniawood/engine/http/SendMonitor.java
+++ b/http/src/main/java/io/zinniawood/http/SendMonitor.java
@@ -1,4 +1,4 @@
-package io.zinniawood.engine.http;
+package io.zinniawood.http;
 
 import java.util.concurrent.atomic.AtomicReference;
 
--- /dev/null
+++ b/http/src/test/java/io/zinniawood/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of HTTP calls and of the reading of their responses. */
+package io.zinniawood.http;
