--- a/report/src/main/java/io/zinniawood/report/page/BurnReport.java
+++ b/report/src/main/java/io/zinniawood/report/page/BurnReport.java
@@ -18,7 +18,7 @@
 
 /** Report on service-level objectives and how fast their budgets are spent. */
 public final class BurnReport {
-  /** Counts are written every minute; three missed writes mean that figures are missing. */
+  /** Counts are written every 30 s; a change of the writer may take two rounds more. */
   public static final long OLD_MILLIS = TimeUnit.MINUTES.toMillis(3);
 
   private static final long DAY_MILLIS = TimeUnit.DAYS.toMillis(1);
