--- a/core/src/test/java/io/zinniawood/core/entry/FakeAgent.java
+++ b/core/src/test/java/io/zinniawood/core/entry/FakeAgent.java
@@ -159,7 +159,7 @@
             open.session(),
             stage.epoch,
             position,
-            World.token(text, position),
+            Fixtures.token(text, position),
             Option.when(position == Fixtures.TOKENS - 1, FinishReason.STOP)));
   }
 
--- a/core/src/test/java/io/zinniawood/core/entry/Fixtures.java
+++ b/core/src/test/java/io/zinniawood/core/entry/Fixtures.java
@@ -122,4 +122,20 @@
         Priority.NORMAL,
         deadlineNanos);
   }
+
+  /**
+   * Returns the token that follows from the output of all layers. It shows whether each layer ran
+   * once and in order, and whether the input was the token of the position before.
+   */
+  static String token(String output, int position) {
+    String input = output.substring(0, output.indexOf('['));
+    int layer = 0;
+    for (String range : output.substring(input.length()).replace("[", "").split("]", 0)) {
+      String[] bounds = range.split("-", 2);
+      layer = Integer.parseInt(bounds[0]) == layer ? Integer.parseInt(bounds[1]) : -1;
+    }
+    boolean follows = position == 0 || input.startsWith("w" + (position - 1) + "<");
+    String request = input.replaceAll(".*<|>.*", "");
+    return "w" + position + "<" + request + ">" + (layer == LAYERS && follows ? "ok" : "wrong");
+  }
 }
--- a/core/src/test/java/io/zinniawood/core/entry/World.java
+++ b/core/src/test/java/io/zinniawood/core/entry/World.java
@@ -323,27 +323,6 @@
     toEntry(agent(name), before);
   }
 
-  /**
-   * Returns the token that follows from the output of all layers. It shows whether each layer ran
-   * once and in order, and whether the input was the token of the position before.
-   */
-  static String token(String output, int position) {
-    String input = output.substring(0, output.indexOf('['));
-    int layer = 0;
-    for (String range : output.substring(input.length()).replace("[", "").split("]", 0)) {
-      String[] bounds = range.split("-", 2);
-      layer = Integer.parseInt(bounds[0]) == layer ? Integer.parseInt(bounds[1]) : -1;
-    }
-    boolean follows = position == 0 || input.startsWith("w" + (position - 1) + "<");
-    String request = input.replaceAll(".*<|>.*", "");
-    return "w"
-        + position
-        + "<"
-        + request
-        + ">"
-        + (layer == Fixtures.LAYERS && follows ? "ok" : "wrong");
-  }
-
   void schedule(long millis, Runnable action) {
     queue.add(new Scheduled(nowNanos + millis * Fixtures.MILLI, ++sequence, action));
   }
