--- a/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
@@ -47,7 +47,8 @@
   // Guards against not-run for the last copy of a key when a copy has run or runs later through
   // another entry. Refusals whose detail names an earlier copy are exempt, and so are later runs of
   // copies that were still open at their entry (decision 9). Changes tried that make it fail:
-  // - answer without a tombstone, or beyond its budget not-run (Exclusions.refuse);
+  // - answer without a tombstone (Exclusions.refuse);
+  // - answer not-run beyond the budget, with a budget of 0 (Exclusions.refuse);
   // - take an unresolved release for a tombstone (Exclusions.resolved);
   // - answer not-run for an attempt whose agent cannot be reached (Attempts.unreachable).
   @Property(tries = 400, seed = "20261204")
