Keep the JSON form of the lease row in one class

Cause: the entry's LeaseRowCodec and platform's LeaseRowReader repeated the field names and checks of the same table row, so a change of one could leave agents unable to read the fencing number.

Change: platform.lease.LeaseRowCodec holds the key, writes the row and reads it whole (entries) or its fencing number only (agents).

Conclusion: one description of the row is left; rows that entries write are read as before.

--- a/agent/src/main/java/io/zinniawood/agent/internal/LeaseReader.java
+++ b/agent/src/main/java/io/zinniawood/agent/internal/LeaseReader.java
@@ -7,7 +7,7 @@
 import io.zinniawood.platform.PlatformError;
 import io.zinniawood.platform.Table;
 import io.zinniawood.platform.TableRow;
-import io.zinniawood.platform.lease.LeaseRowReader;
+import io.zinniawood.platform.lease.LeaseRowCodec;
 import java.util.function.Consumer;
 
 /** Reads the fencing number of the controller lease and posts it as an event. */
@@ -16,7 +16,6 @@
 
   private final Table table;
   private final Consumer<AgentEvent> events;
-  private final LeaseRowReader reader = new LeaseRowReader();
 
   /** Creates a reader that posts to the given consumer. */
   public LeaseReader(Table table, Consumer<AgentEvent> events) {
@@ -28,7 +27,7 @@
   public void read() {
     Calls.deliver(
         Calls.guarded(
-            () -> table.read(LeaseRowReader.KEY),
+            () -> table.read(LeaseRowCodec.KEY),
             fault -> new PlatformError.ResponseLost(fault.toString())),
         result -> events.accept(new AgentEvent.FencingNumberRead(number(result))));
   }
@@ -39,7 +38,7 @@
     }
     return result
         .get()
-        .map(row -> reader.fencingNumber(row.value().bytes()))
+        .map(row -> LeaseRowCodec.fencingNumber(row.value().bytes()))
         .getOrElse(Option.some(NEVER_HELD));
   }
 }
--- a/entry/src/main/java/io/zinniawood/entry/internal/store/LeaseStore.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/LeaseStore.java
@@ -9,14 +9,14 @@
 import io.zinniawood.platform.Table;
 import io.zinniawood.platform.TableRow;
 import io.zinniawood.platform.TableWrite;
-import io.zinniawood.platform.lease.LeaseRowReader;
+import io.zinniawood.platform.lease.LeaseRowCodec;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.function.Consumer;
 
 /** Reads and writes the controller lease and posts the result as an event. */
 public final class LeaseStore {
-  private static final String KEY = LeaseRowReader.KEY;
+  private static final String KEY = LeaseRowCodec.KEY;
 
   private final Table table;
   private final Consumer<EntryEvent> events;
