Bound slow requests and connections of an entry; close its port for sure

Cause: a caller that sent its request slowly held its connection for ever, and the number of connections had no limit. After Jooby's stop() the port still took connections: in a trial of the former close(), 7 of 14 connections made right after it succeeded; 300 ms later none did.

Change: a handler on the listening channel closes connections above 8,192 and times each request from its first byte (the first one from the connection) to the end of its body: 10 s and the time of the largest body at 32 KiB/s. Jooby does not give out the listening channel, so a request to a random path of the own port finds it. close() closes the listening channel, waits until the system refuses connections and then closes those that are open.

Conclusion: HttpServerTest covers slow headers and bodies, silent connections, repeated requests, the bound on connections and the closed port. Idle connections after a finished request have no time limit yet, and a slow request is closed without an answer.

--- /dev/null
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/AcceptedConnections.java
@@ -0,0 +1,42 @@
+package io.zinniawood.entry.internal.http;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Handler of a listening channel. Closes new connections above a bound at once and adds {@link
+ * SlowRequests} to the others.
+ */
+final class AcceptedConnections extends ChannelInboundHandlerAdapter {
+  private final int maxConnections;
+  private final long maxRequestMillis;
+  private final Set<Channel> open = ConcurrentHashMap.newKeySet();
+
+  AcceptedConnections(int maxConnections, long maxRequestMillis) {
+    this.maxConnections = maxConnections;
+    this.maxRequestMillis = maxRequestMillis;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    Channel connection = (Channel) message;
+    if (open.size() >= maxConnections) {
+      // The connection has no event loop yet, so close() would fail.
+      connection.unsafe().closeForcibly();
+      return;
+    }
+    open.add(connection);
+    ChannelFuture unused = connection.closeFuture().addListener(closed -> open.remove(connection));
+    connection.pipeline().addFirst(new SlowRequests(maxRequestMillis));
+    context.fireChannelRead(connection);
+  }
+
+  /** Closes all open connections and waits until they are closed. */
+  void closeAll() {
+    open.forEach(connection -> connection.close().awaitUninterruptibly());
+  }
+}
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerChannel.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerChannel.java
@@ -97,6 +97,11 @@
     ChannelFuture unused = channel.closeFuture().addListener(closed -> task.run());
   }
 
+  /** Returns the listening channel that accepted this connection. */
+  Channel parent() {
+    return channel.parent();
+  }
+
   void close() {
     ChannelFuture unused = channel.close();
   }
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/HttpServer.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/HttpServer.java
@@ -5,6 +5,7 @@
 import io.jooby.ServerOptions;
 import io.jooby.StartupSummary;
 import io.jooby.netty.NettyServer;
+import io.netty.channel.Channel;
 import io.zinniawood.core.model.NodeAddress;
 import java.util.List;
 import java.util.function.Consumer;
@@ -19,12 +20,40 @@
 
   private static final int MIN_BUFFER_BYTES = 16_384;
 
+  /**
+   * Twice the most open requests of an entry, so that connections without a request do not keep
+   * callers out before the bound on requests does.
+   */
+  private static final int MAX_CONNECTIONS = 8_192;
+
+  /** Time to connect and to send the header; longer than several retransmissions of a segment. */
+  private static final long MAX_HEADER_MILLIS = 10_000;
+
+  /** Slowest transfer of the largest body; a body of 1 MiB, the default bound, gets 32 s. */
+  private static final long MIN_BODY_BYTES_PER_SECOND = 32_768;
+
   private final NettyServer server;
+  private final NodeAddress address;
+  private final Channel listener;
+  private final AcceptedConnections connections;
 
-  private HttpServer(NettyServer server) {
+  private HttpServer(
+      NettyServer server, NodeAddress address, Channel listener, AcceptedConnections connections) {
     this.server = server;
+    this.address = address;
+    this.listener = listener;
+    this.connections = connections;
   }
 
+  /**
+   * Bounds of a server.
+   *
+   * @param maxBodyBytes largest request body in bytes
+   * @param maxConnections most open connections; further ones are closed at once
+   * @param maxRequestMillis time to receive a whole request in milliseconds
+   */
+  record Limits(int maxBodyBytes, int maxConnections, long maxRequestMillis) {}
+
   /**
    * Starts a server; throws an unchecked exception if the address is in use.
    *
@@ -35,8 +64,42 @@
    */
   public static HttpServer start(
       NodeAddress address, int maxBodyBytes, int ioThreads, Consumer<Jooby> routes) {
+    long maxRequestMillis = MAX_HEADER_MILLIS + 1_000L * maxBodyBytes / MIN_BODY_BYTES_PER_SECOND;
+    Limits limits = new Limits(maxBodyBytes, MAX_CONNECTIONS, maxRequestMillis);
+    return start(address, limits, ioThreads, routes);
+  }
+
+  static HttpServer start(
+      NodeAddress address, Limits limits, int ioThreads, Consumer<Jooby> routes) {
     // Jooby's own shutdown hook would close the port on SIGTERM, before the drain.
     System.setProperty("jooby.useShutdownHook", "false");
+    ListeningChannel listening = new ListeningChannel();
+    Jooby application = new Jooby();
+    application.setExecutionMode(ExecutionMode.EVENT_LOOP);
+    application.setStartupSummary(List.of(StartupSummary.NONE));
+    listening.install(application);
+    routes.accept(application);
+    NettyServer server = new NettyServer();
+    server.setOptions(options(address, limits.maxBodyBytes(), ioThreads));
+    server.start(application);
+    try {
+      Channel listener = listening.find(address);
+      AcceptedConnections connections =
+          new AcceptedConnections(limits.maxConnections(), limits.maxRequestMillis());
+      // On another thread the handler would miss connections that are accepted in the meantime. A
+      // connection accepted before, during the start, is not bounded.
+      listener
+          .eventLoop()
+          .submit(() -> listener.pipeline().addFirst(connections))
+          .syncUninterruptibly();
+      return new HttpServer(server, address, listener, connections);
+    } catch (IllegalStateException e) {
+      server.stop();
+      throw e;
+    }
+  }
+
+  private static ServerOptions options(NodeAddress address, int maxBodyBytes, int ioThreads) {
     ServerOptions options = new ServerOptions();
     options.setHost(address.host());
     options.setPort(address.port());
@@ -49,18 +112,14 @@
     options.setDefaultHeaders(false);
     options.setExpectContinue(true);
     options.setHttp2(false);
-    Jooby application = new Jooby();
-    application.setExecutionMode(ExecutionMode.EVENT_LOOP);
-    application.setStartupSummary(List.of(StartupSummary.NONE));
-    routes.accept(application);
-    NettyServer server = new NettyServer();
-    server.setOptions(options);
-    server.start(application);
-    return new HttpServer(server);
+    return options;
   }
 
+  /** Closes the port, then all connections at once. */
   @Override
   public void close() {
+    ListeningChannel.close(listener, address);
+    connections.closeAll();
     server.stop();
   }
 }
