--- a/entry/src/main/java/io/zinniawood/entry/reporting/Moments.java
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/Moments.java
@@ -6,10 +6,9 @@
 import io.zinniawood.core.entry.EntryOverview;
 import io.zinniawood.core.entry.EntryState;
 import io.zinniawood.core.entry.LeaseRow;
-import io.zinniawood.entry.internal.store.LeaseRowCodec;
 import io.zinniawood.platform.PlatformError;
 import io.zinniawood.platform.TableRow;
-import io.zinniawood.platform.lease.LeaseRowReader;
+import io.zinniawood.platform.lease.LeaseRowCodec;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -63,7 +62,7 @@
     }
     return parts
         .table()
-        .read(LeaseRowReader.KEY)
+        .read(LeaseRowCodec.KEY)
         .exceptionally(fault -> Either.left(new PlatformError.Unavailable(fault.toString())))
         .thenApply(
             result ->
