Record the open fault of keyed copies at two entries as a known failing test

Cause: the random-fault property exempted copies of a key that are still open at their entry, although such a copy can run after another entry answered not-run. Seen: 'key ran after not-run k0'.

--- a/core/src/test/java/io/zinniawood/core/entry/Checks.java
+++ b/core/src/test/java/io/zinniawood/core/entry/Checks.java
@@ -185,7 +185,7 @@
         world.table.ran.add(key);
         Set<RequestId> open = world.table.openAtNotRun.get(key);
         require(
-            open == null || open.contains(dispatch.request()),
+            open == null || world.table.openCopiesMayRun && open.contains(dispatch.request()),
             "key ran after not-run " + key,
             null);
       }
--- a/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.RandomDistribution;
+import net.jqwik.api.Tag;
 
 /**
  * Feeds random requests and faults into the reducer. {@link Checks} holds the invariants after each
@@ -53,7 +54,21 @@
   // - answer not-run for an attempt whose agent cannot be reached (Attempts.unreachable).
   @Property(tries = 400, seed = "20261204")
   void notRunHoldsOverTwoEntries(@ForAll("scripts") List<Integer> script) {
+    copiesOverTwoEntries(World.pair(), script);
+  }
+
+  // Guards against not-run for one copy of a key while an older copy, whose caller may have given
+  // up,
+  // is still open at another entry and runs later. Known to fail: see KNOWN-RED.txt.
+  @Tag("known-red")
+  @Property(tries = 400, seed = "20261204")
+  void notRunHoldsForOpenCopiesAtOtherEntry(@ForAll("scripts") List<Integer> script) {
     List<World> worlds = World.pair();
+    worlds.get(0).table.openCopiesMayRun = false;
+    copiesOverTwoEntries(worlds, script);
+  }
+
+  private static void copiesOverTwoEntries(List<World> worlds, List<Integer> script) {
     int number = 0;
     for (int code : script) {
       World entry = worlds.get(code % 2);
--- a/core/src/test/java/io/zinniawood/core/entry/FakeTable.java
+++ b/core/src/test/java/io/zinniawood/core/entry/FakeTable.java
@@ -17,6 +17,10 @@
 /** Table with the claim rows and the lease row. */
 final class FakeTable {
   final Map<ClaimKey, ClaimRow> claims = new HashMap<>();
+
+  /** Whether a copy that was open when another copy was answered not-run may run later. */
+  boolean openCopiesMayRun = true;
+
   Option<LeaseRow> lease = Option.none();
   long leaseVersion;
   boolean down;
