--- a/dist/src/test/java/io/zinniawood/dist/RealCluster.java
+++ b/dist/src/test/java/io/zinniawood/dist/RealCluster.java
@@ -24,10 +24,14 @@
 
   private static final String DATA_CENTRE = "tampere";
 
+  /** Shorter than the default, so that the tests wait less. */
+  private static final long FAST_POLL_MILLIS = 300;
+
   private final PlatformStandIn platform = new PlatformStandIn(PlatformSettings.unlimited());
   private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private final String name;
+  private final long pollMillis;
 
   /**
    * An endpoint with its agent; entries reach the agent through the proxy.
@@ -51,7 +55,13 @@
 
   /** Creates a cluster with a platform and the configuration, without VMs. */
   RealCluster(String name) {
+    this(name, FAST_POLL_MILLIS);
+  }
+
+  /** Creates a cluster whose entries poll the platform at an interval in milliseconds. */
+  RealCluster(String name, long pollMillis) {
     this.name = name;
+    this.pollMillis = pollMillis;
     platform.start(0);
     putFile(
         "10-base.toml",
@@ -152,10 +162,10 @@
         admin = "%s"
         peers = "%s"
         platform = "%s"
-        poll_ms = 300
+        poll_ms = %d
         drain_grace_ms = 500
         """
-                .formatted(id, DATA_CENTRE, callers, admin, peers, platformUri()));
+                .formatted(id, DATA_CENTRE, callers, admin, peers, platformUri(), pollMillis));
     entries.put(
         id, new Entry(process, URI.create("http://" + callers), URI.create("http://" + admin)));
     putVm(id, "ENTRY", "entries", peers.port());
