--- a/core/src/test/java/io/zinniawood/core/entry/ServiceRequestTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/ServiceRequestTest.java
@@ -11,6 +11,7 @@
 import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.message.Message;
+import io.zinniawood.core.model.CancelOutcome;
 import io.zinniawood.core.model.ClaimRow;
 import io.zinniawood.core.model.ClaimState;
 import io.zinniawood.core.model.Idempotency;
@@ -87,6 +88,29 @@
     world.checks.end();
   }
 
+  // Guards against a not-run that a restarted agent gives for what its earlier run may have
+  // started.
+  @Test
+  void ignoresTheCancelResultOfAnotherIncarnation() {
+    world.call("c1", Idempotency.NON_IDEMPOTENT, Option.none());
+    EntryEffect.SendToAgent send =
+        world.effects(EntryEffect.SendToAgent.class).stream()
+            .filter(effect -> effect.message() instanceof Message.Dispatch)
+            .findFirst()
+            .get();
+    Message.Dispatch dispatch = (Message.Dispatch) send.message();
+    world.reduce(
+        new EntryEvent.AgentMessageReceived(
+            send.endpoint(),
+            new Incarnation(send.incarnation().value() + 1),
+            new Message.CancelResult(
+                dispatch.request(), dispatch.attempt(), CancelOutcome.NOT_STARTED)));
+    assertThat(world.state.requests().get(dispatch.request()).isDefined(), equalTo(true));
+    assertThat(world.effects(EntryEffect.ReplyProblem.class), hasSize(0));
+    world.run(200);
+    assertThat(answers(), equalTo(List.of("c1")));
+  }
+
   // Guards against an untruthful not-run, and against a retry, after a call may have run.
   @Test
   void callThatMayHaveRunEndsUnknown() {
