Call what stands beside an agent an endpoint throughout

Cause: Backend and BackendSettings used another word than the glossary for an endpoint. Change: EndpointClient and EndpointSettings; no behaviour changes.

--- a/agent/src/main/java/io/zinniawood/agent/AgentDependencies.java
+++ b/agent/src/main/java/io/zinniawood/agent/AgentDependencies.java
@@ -16,7 +16,7 @@
  * @param wire transport to other processes; the process closes it
  * @param table the platform's table
  * @param codec codec of claim rows
- * @param backend the engine or plain service
+ * @param endpointClient the engine or plain service
  * @param clockNanos monotonic clock in nanoseconds
  */
 public record AgentDependencies(
@@ -26,5 +26,5 @@
     Wire wire,
     Table table,
     ClaimRowCodec codec,
-    Backend backend,
+    EndpointClient endpointClient,
     LongSupplier clockNanos) {}
--- a/agent/src/main/java/io/zinniawood/agent/AgentProcess.java
+++ b/agent/src/main/java/io/zinniawood/agent/AgentProcess.java
@@ -27,7 +27,9 @@
 public final class AgentProcess implements AutoCloseable {
   private static final Logger LOGGER = System.getLogger(AgentProcess.class.getName());
 
-  /** Concurrency limit of plain service calls where the backend is an engine, which has none. */
+  /**
+   * Concurrency limit of plain service calls where the endpoint is a model engine, which has none.
+   */
   private static final int NO_CALLS = 1;
 
   /** Longest wait of a terminated process for work in progress. */
@@ -53,7 +55,7 @@
   private static AgentSelf self(AgentDependencies dependencies) {
     AgentSettings settings = dependencies.settings();
     int maxConcurrent =
-        dependencies.backend() instanceof Backend.Service service
+        dependencies.endpointClient() instanceof EndpointClient.Service service
             ? service.maxConcurrent()
             : NO_CALLS;
     return new AgentSelf(
@@ -75,7 +77,7 @@
     AgentEffects effects =
         new AgentEffects(
             connections,
-            new EngineCalls(dependencies.backend(), loop::post),
+            new EngineCalls(dependencies.endpointClient(), loop::post),
             new ClaimStore(dependencies.table(), dependencies.codec(), loop::post),
             new LeaseReader(dependencies.table(), loop::post),
             new LoopTimers(),
--- a/agent/src/main/java/io/zinniawood/agent/Backend.java
+++ b/agent/src/main/java/io/zinniawood/agent/EndpointClient.java
@@ -5,13 +5,13 @@
 import io.zinniawood.engine.PlainServiceClient;
 
 /** Client of what stands beside an agent. */
-public sealed interface Backend {
+public sealed interface EndpointClient {
   /**
    * A model engine.
    *
    * @param engine the engine
    */
-  record Engine(ModelEngine engine) implements Backend {}
+  record Engine(ModelEngine engine) implements EndpointClient {}
 
   /**
    * A plain service.
@@ -21,5 +21,5 @@
    * @param maxConcurrent most concurrent calls, at least 1
    */
   record Service(PlainServiceClient client, ServiceName service, int maxConcurrent)
-      implements Backend {}
+      implements EndpointClient {}
 }
--- a/agent/src/main/java/io/zinniawood/agent/internal/EngineCalls.java
+++ b/agent/src/main/java/io/zinniawood/agent/internal/EngineCalls.java
@@ -3,7 +3,7 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import io.zinniawood.agent.Backend;
+import io.zinniawood.agent.EndpointClient;
 import io.zinniawood.core.agent.AgentEffect;
 import io.zinniawood.core.agent.AgentEvent;
 import io.zinniawood.core.agent.StageResult;
@@ -29,14 +29,14 @@
 public final class EngineCalls {
   private static final Logger LOGGER = System.getLogger(EngineCalls.class.getName());
 
-  private final Backend backend;
+  private final EndpointClient endpointClient;
   private final Consumer<AgentEvent> events;
   private final ConcurrentHashMap<SessionId, CompletableFuture<?>> releases =
       new ConcurrentHashMap<>();
 
   /** Creates calls that post to the given consumer. */
-  public EngineCalls(Backend backend, Consumer<AgentEvent> events) {
-    this.backend = backend;
+  public EngineCalls(EndpointClient endpointClient, Consumer<AgentEvent> events) {
+    this.endpointClient = endpointClient;
     this.events = events;
   }
 
@@ -46,7 +46,7 @@
 
   /** Calls the plain service once. */
   public void call(AgentEffect.CallService effect) {
-    if (!(backend instanceof Backend.Service service)) {
+    if (!(endpointClient instanceof EndpointClient.Service service)) {
       events.accept(
           new AgentEvent.ServiceFailed(
               effect.attempt(), Outcome.NOT_RUN, "no plain service stands beside this agent"));
@@ -74,7 +74,7 @@
   }
 
   private CompletableFuture<AgentEvent> status() {
-    if (backend instanceof Backend.Engine engine) {
+    if (endpointClient instanceof EndpointClient.Engine engine) {
       return Calls.guarded(() -> engine.engine().status(), EngineCalls::lost)
           .thenApply(
               result ->
@@ -83,7 +83,7 @@
                       status ->
                           new AgentEvent.EngineStatusRead(status.capability(), status.load())));
     }
-    Backend.Service service = (Backend.Service) backend;
+    EndpointClient.Service service = (EndpointClient.Service) endpointClient;
     Capability capability = new Capability.PlainService(service.service(), service.maxConcurrent());
     LoadReport idle = LoadReport.idle(service.maxConcurrent());
     return Calls.guarded(() -> service.client().healthy(), EngineCalls::lost)
@@ -96,7 +96,7 @@
 
   private <R> CompletableFuture<Either<EngineError, R>> onEngine(
       java.util.function.Function<ModelEngine, CompletableFuture<Either<EngineError, R>>> call) {
-    if (backend instanceof Backend.Engine engine) {
+    if (endpointClient instanceof EndpointClient.Engine engine) {
       return Calls.guarded(() -> call.apply(engine.engine()), EngineCalls::lost);
     }
     return CompletableFuture.completedFuture(
--- a/cli/src/main/java/io/zinniawood/cli/local/LocalEndpoint.java
+++ b/cli/src/main/java/io/zinniawood/cli/local/LocalEndpoint.java
@@ -5,8 +5,8 @@
 import io.zinniawood.agent.AgentProcess;
 import io.zinniawood.cli.process.AgentLauncher;
 import io.zinniawood.config.settings.AgentSettings;
-import io.zinniawood.config.settings.BackendSettings;
-import io.zinniawood.config.settings.BackendSettings.FencingCheck;
+import io.zinniawood.config.settings.EndpointSettings;
+import io.zinniawood.config.settings.EndpointSettings.FencingCheck;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.PoolId;
@@ -50,19 +50,19 @@
     FaultProxy link = link(address, plan.linkMillis());
     if (plan instanceof EndpointPlan.Engine enginePlan) {
       EngineStandIn engine = new EngineStandIn(enginePlan.engine());
-      BackendSettings backend =
-          new BackendSettings.Engine(base(engine.start(0)), FencingCheck.AGENT_ONLY);
+      EndpointSettings endpointSettings =
+          new EndpointSettings.Engine(base(engine.start(0)), FencingCheck.AGENT_ONLY);
       return new LocalEndpoint(
           plan,
           link,
           Optional.of(engine),
           Optional.empty(),
-          agent(plan, address, link, platform, backend));
+          agent(plan, address, link, platform, endpointSettings));
     }
     EndpointPlan.Service servicePlan = (EndpointPlan.Service) plan;
     ServiceStandIn service = new ServiceStandIn(new ServiceSettings(0, servicePlan.callMillis()));
-    BackendSettings backend =
-        new BackendSettings.Service(
+    EndpointSettings endpointSettings =
+        new EndpointSettings.Service(
             base(service.start(0)),
             new ServiceName(servicePlan.service()),
             servicePlan.maxConcurrent());
@@ -71,7 +71,7 @@
         link,
         Optional.empty(),
         Optional.of(service),
-        agent(plan, address, link, platform, backend));
+        agent(plan, address, link, platform, endpointSettings));
   }
 
   private static URI base(int port) {
@@ -90,7 +90,7 @@
       NodeAddress address,
       FaultProxy link,
       URI platform,
-      BackendSettings backend) {
+      EndpointSettings endpointSettings) {
     AgentSettings settings =
         new AgentSettings(
             new EndpointId(plan.endpoint()),
@@ -98,7 +98,7 @@
             new PoolId(plan.pool()),
             address,
             platform,
-            backend,
+            endpointSettings,
             KEPT_OUTPUT_BYTES,
             Option.none());
     Either<WireError, AgentProcess> created =
--- a/cli/src/main/java/io/zinniawood/cli/process/AgentLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/AgentLauncher.java
@@ -4,9 +4,9 @@
 import io.vavr.control.Option;
 import io.zinniawood.agent.AgentDependencies;
 import io.zinniawood.agent.AgentProcess;
-import io.zinniawood.agent.Backend;
+import io.zinniawood.agent.EndpointClient;
 import io.zinniawood.config.settings.AgentSettings;
-import io.zinniawood.config.settings.BackendSettings;
+import io.zinniawood.config.settings.EndpointSettings;
 import io.zinniawood.core.id.Generation;
 import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.model.AgentIdentity;
@@ -69,18 +69,18 @@
                         wire,
                         new HttpPlatform(settings.platform(), client).table(),
                         new ClaimRowCodec(),
-                        backend(settings.backend(), client),
+                        client(settings.endpointSettings(), client),
                         System::nanoTime)));
   }
 
-  private static Backend backend(BackendSettings settings, OkHttpClient client) {
-    if (settings instanceof BackendSettings.Service service) {
-      return new Backend.Service(
+  private static EndpointClient client(EndpointSettings settings, OkHttpClient client) {
+    if (settings instanceof EndpointSettings.Service service) {
+      return new EndpointClient.Service(
           new HttpPlainServiceClient(service.address(), client),
           service.service(),
           service.maxConcurrent());
     }
-    BackendSettings.Engine engine = (BackendSettings.Engine) settings;
-    return new Backend.Engine(new HttpModelEngine(engine.address(), client));
+    EndpointSettings.Engine engine = (EndpointSettings.Engine) settings;
+    return new EndpointClient.Engine(new HttpModelEngine(engine.address(), client));
   }
 }
--- a/config/src/main/java/io/zinniawood/config/internal/SettingsSchema.java
+++ b/config/src/main/java/io/zinniawood/config/internal/SettingsSchema.java
@@ -1,7 +1,7 @@
 package io.zinniawood.config.internal;
 
 import io.vavr.collection.Vector;
-import io.zinniawood.config.settings.BackendSettings.FencingCheck;
+import io.zinniawood.config.settings.EndpointSettings.FencingCheck;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.PoolId;
--- a/config/src/main/java/io/zinniawood/config/settings/AgentSettings.java
+++ b/config/src/main/java/io/zinniawood/config/settings/AgentSettings.java
@@ -15,7 +15,7 @@
  * @param pool pool of the endpoint
  * @param peers address of the own-protocol port
  * @param platform base address of the platform
- * @param backend the engine or plain service beside the agent
+ * @param endpointSettings the engine or plain service beside the agent
  * @param keptOutputBytes memory for kept stage outputs in bytes
  * @param tls certificates, none for plain TCP
  */
@@ -25,6 +25,6 @@
     PoolId pool,
     NodeAddress peers,
     URI platform,
-    BackendSettings backend,
+    EndpointSettings endpointSettings,
     long keptOutputBytes,
     Option<TlsSettings> tls) {}
--- a/config/src/main/java/io/zinniawood/config/settings/BackendSettings.java
+++ b/config/src/main/java/io/zinniawood/config/settings/EndpointSettings.java
@@ -4,14 +4,14 @@
 import java.net.URI;
 
 /** What stands beside an agent. */
-public sealed interface BackendSettings {
+public sealed interface EndpointSettings {
   /**
    * A model engine.
    *
    * @param address base address
    * @param fencing whether the engine refuses old fencing numbers
    */
-  record Engine(URI address, FencingCheck fencing) implements BackendSettings {}
+  record Engine(URI address, FencingCheck fencing) implements EndpointSettings {}
 
   /**
    * A plain service.
@@ -20,7 +20,7 @@
    * @param service name of the service
    * @param maxConcurrent most concurrent calls
    */
-  record Service(URI address, ServiceName service, int maxConcurrent) implements BackendSettings {}
+  record Service(URI address, ServiceName service, int maxConcurrent) implements EndpointSettings {}
 
   /** Tells whether an engine checks fencing numbers. */
   enum FencingCheck {
--- a/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
+++ b/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
@@ -93,7 +93,7 @@
     var platform = reader.get(ROOT, SettingsSchema.PLATFORM);
     var kept = reader.get(ROOT, SettingsSchema.KEPT_OUTPUT_BYTES);
     Option<TlsSettings> tls = tls(reader);
-    Option<BackendSettings> backend = backend(reader);
+    Option<EndpointSettings> endpointSettings = endpointSettings(reader);
     if (!reader.faults().isEmpty()) {
       return Option.none();
     }
@@ -104,12 +104,12 @@
             pool.get(),
             peers.get(),
             platform.get(),
-            backend.get(),
+            endpointSettings.get(),
             kept.get(),
             tls));
   }
 
-  private static Option<BackendSettings> backend(TableReader reader) {
+  private static Option<EndpointSettings> endpointSettings(TableReader reader) {
     boolean engine = reader.tree().hasTable("engine");
     boolean service = reader.tree().hasTable("service");
     if (engine == service) {
@@ -122,7 +122,8 @@
     if (engine) {
       var address = reader.get(ENGINE, SettingsSchema.ADDRESS);
       var fencing = reader.get(ENGINE, SettingsSchema.FENCING);
-      return address.flatMap(base -> fencing.map(check -> new BackendSettings.Engine(base, check)));
+      return address.flatMap(
+          base -> fencing.map(check -> new EndpointSettings.Engine(base, check)));
     }
     var address = reader.get(SERVICE, SettingsSchema.ADDRESS);
     var name = reader.get(SERVICE, SettingsSchema.SERVICE);
@@ -132,7 +133,7 @@
             name.flatMap(
                 id ->
                     most.map(
-                        count -> new BackendSettings.Service(base, id, Math.toIntExact(count)))));
+                        count -> new EndpointSettings.Service(base, id, Math.toIntExact(count)))));
   }
 
   private static Option<TlsSettings> tls(TableReader reader) {
--- a/config/src/test/java/io/zinniawood/config/settings/SettingsLoaderTest.java
+++ b/config/src/test/java/io/zinniawood/config/settings/SettingsLoaderTest.java
@@ -53,15 +53,16 @@
 
   // Guards against an agent that does not know what stands beside it.
   @Test
-  void agentNeedsExactlyOneBackend() throws IOException {
+  void agentNeedsExactlyOneEndpointTable() throws IOException {
     String engine = "[engine]\naddress = \"http://127.0.0.1:7001\"\nfencing = \"engine-checks\"\n";
     String service = "[service]\naddress = \"http://127.0.0.1:7002\"\nname = \"credit\"\n";
-    BackendSettings backend = SettingsLoader.loadAgent(write(AGENT + engine)).get().backend();
+    EndpointSettings endpointSettings =
+        SettingsLoader.loadAgent(write(AGENT + engine)).get().endpointSettings();
     assertThat(
-        backend,
+        endpointSettings,
         equalTo(
-            new BackendSettings.Engine(
-                URI.create("http://127.0.0.1:7001"), BackendSettings.FencingCheck.ENGINE_CHECKS)));
+            new EndpointSettings.Engine(
+                URI.create("http://127.0.0.1:7001"), EndpointSettings.FencingCheck.ENGINE_CHECKS)));
     assertThat(SettingsLoader.loadAgent(write(AGENT + service)).isRight(), is(true));
     assertThat(
         agentFaults(AGENT + engine + service),
--- a/dist/src/test/java/io/zinniawood/dist/RealCluster.java
+++ b/dist/src/test/java/io/zinniawood/dist/RealCluster.java
@@ -108,21 +108,25 @@
     EngineStandIn engine =
         new EngineStandIn(EngineSettings.unlimited(MODEL, fromLayer, toLayerExclusive));
     int port = engine.start(0);
-    String backend = "[engine]\naddress = \"http://127.0.0.1:%d\"\n".formatted(port);
-    add(id, "assistant-" + fromLayer, backend, engine, null);
+    String endpointSettings = "[engine]\naddress = \"http://127.0.0.1:%d\"\n".formatted(port);
+    add(id, "assistant-" + fromLayer, endpointSettings, engine, null);
   }
 
   /** Starts a credit service and its agent. */
   void addService(String id) {
     ServiceStandIn service = new ServiceStandIn(ServiceSettings.unlimited());
     int port = service.start(0);
-    String backend =
+    String endpointSettings =
         "[service]\naddress = \"http://127.0.0.1:%d\"\nname = \"credit\"\n".formatted(port);
-    add(id, "credit", backend, null, service);
+    add(id, "credit", endpointSettings, null, service);
   }
 
   private void add(
-      String id, String pool, String backend, EngineStandIn engine, ServiceStandIn service) {
+      String id,
+      String pool,
+      String endpointSettings,
+      EngineStandIn engine,
+      ServiceStandIn service) {
     NodeAddress address = Ports.free();
     RoleProcess agent =
         RoleProcess.start(
@@ -136,7 +140,7 @@
         platform = "%s"
         %s
         """
-                .formatted(id, DATA_CENTRE, pool, address, platformUri(), backend));
+                .formatted(id, DATA_CENTRE, pool, address, platformUri(), endpointSettings));
     FaultProxy proxy = FaultProxy.launch(address.port());
     endpoints.put(id, new Endpoint(agent, proxy, engine, service));
     putVm(id, "ENDPOINT", pool, proxy.port());
--- a/entry/src/test/java/io/zinniawood/entry/AdminHttpTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/AdminHttpTest.java
@@ -32,7 +32,7 @@
 
   // Guards against a balancer that sends callers to an entry without a configuration.
   @Test
-  void readinessIsHonestBeforeTheFirstConfiguration() {
+  void readinessFailsBeforeTheFirstConfiguration() {
     FakePlatform platform = new FakePlatform();
     platform.folder = Option.none();
     try (EntryHarness entry = new EntryHarness(platform, event -> Vector.empty())) {
