Remove the agent's unused termination hook

Cause: the command line handles SIGTERM for both roles (Termination), and nothing called AgentProcess.drainOnTermination. Change: the hook, its wait and its logger are removed; behaviour is unchanged.

--- a/agent/src/main/java/io/zinniawood/agent/AgentProcess.java
+++ b/agent/src/main/java/io/zinniawood/agent/AgentProcess.java
@@ -16,25 +16,15 @@
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.runtime.EventLoop;
 import io.zinniawood.wire.WireError;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 /** Agent role: stands beside one endpoint and executes the effects of the agent's reducer. */
 public final class AgentProcess implements AutoCloseable {
-  private static final Logger LOGGER = System.getLogger(AgentProcess.class.getName());
-
   /**
    * Concurrency limit of plain service calls where the endpoint is a model engine, which has none.
    */
   private static final int NO_CALLS = 1;
 
-  /** Longest wait of a terminated process for work in progress. */
-  private static final long TERMINATION_WAIT_SECONDS = 120;
-
   private final AgentDependencies dependencies;
   private final EventLoop<AgentState, AgentEvent, AgentEffect, AgentTimer> loop;
   private final PeerConnections connections;
@@ -113,22 +103,6 @@
     return stopped.copy();
   }
 
-  /** Drains when the JVM is asked to terminate (SIGTERM), then closes. */
-  public void drainOnTermination() {
-    Runtime.getRuntime().addShutdownHook(new Thread(this::drainAndClose, "agent-termination"));
-  }
-
-  private void drainAndClose() {
-    try {
-      drain().get(TERMINATION_WAIT_SECONDS, TimeUnit.SECONDS);
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-    } catch (ExecutionException | TimeoutException late) {
-      LOGGER.log(Level.WARNING, "work was still in progress at termination", late);
-    }
-    close();
-  }
-
   /** Closes the port and the connections at once. */
   @Override
   public void close() {
