Move the interfaces to table, objects and VM list to the module store

The folder platform/ is to hold only the adapter to the users' platform. The interfaces and the HTTP adapter of the project's own stand-ins are product code, so they move to a module named for what they are. No behaviour changes.

--- a/agent/src/main/java/io/zinniawood/agent/AgentDependencies.java
+++ b/agent/src/main/java/io/zinniawood/agent/AgentDependencies.java
@@ -2,8 +2,8 @@
 
 import io.zinniawood.config.settings.AgentSettings;
 import io.zinniawood.core.id.Incarnation;
-import io.zinniawood.platform.Table;
-import io.zinniawood.platform.claim.ClaimRowCodec;
+import io.zinniawood.store.Table;
+import io.zinniawood.store.claim.ClaimRowCodec;
 import io.zinniawood.wire.Wire;
 import java.util.function.LongSupplier;
 
--- a/agent/src/main/java/io/zinniawood/agent/internal/LeaseReader.java
+++ b/agent/src/main/java/io/zinniawood/agent/internal/LeaseReader.java
@@ -4,10 +4,10 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.agent.AgentEvent;
 import io.zinniawood.core.id.FencingNumber;
-import io.zinniawood.platform.PlatformError;
-import io.zinniawood.platform.Table;
-import io.zinniawood.platform.TableRow;
-import io.zinniawood.platform.lease.LeaseRowCodec;
+import io.zinniawood.store.PlatformError;
+import io.zinniawood.store.Table;
+import io.zinniawood.store.TableRow;
+import io.zinniawood.store.lease.LeaseRowCodec;
 import java.util.function.Consumer;
 
 /** Reads the fencing number of the controller lease and posts it as an event. */
--- a/agent/src/test/java/io/zinniawood/agent/internal/ClaimStoreTest.java
+++ b/agent/src/test/java/io/zinniawood/agent/internal/ClaimStoreTest.java
@@ -22,7 +22,7 @@
 import io.zinniawood.core.model.ClaimState;
 import io.zinniawood.core.model.Payload;
 import io.zinniawood.core.model.ServiceAnswer;
-import io.zinniawood.platform.claim.ClaimRowCodec;
+import io.zinniawood.store.claim.ClaimRowCodec;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/agent/src/test/java/io/zinniawood/agent/internal/FakeTable.java
+++ b/agent/src/test/java/io/zinniawood/agent/internal/FakeTable.java
@@ -3,10 +3,10 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import io.zinniawood.core.model.Payload;
-import io.zinniawood.platform.PlatformError;
-import io.zinniawood.platform.Table;
-import io.zinniawood.platform.TableRow;
-import io.zinniawood.platform.TableWrite;
+import io.zinniawood.store.PlatformError;
+import io.zinniawood.store.Table;
+import io.zinniawood.store.TableRow;
+import io.zinniawood.store.TableWrite;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
--- a/cli/src/main/java/io/zinniawood/cli/process/EntryLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/EntryLauncher.java
@@ -22,7 +22,7 @@
 import io.zinniawood.entry.acceptance.SyncedFeed;
 import io.zinniawood.entry.reporting.EntryLink;
 import io.zinniawood.entry.reporting.EntryReports;
-import io.zinniawood.platform.http.HttpPlatform;
+import io.zinniawood.store.http.HttpPlatform;
 import io.zinniawood.wire.Wire;
 import io.zinniawood.wire.WireError;
 import io.zinniawood.wire.WirePeer;
--- a/entry/src/main/java/io/zinniawood/entry/reporting/CountsReader.java
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/CountsReader.java
@@ -6,13 +6,13 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import io.zinniawood.platform.ObjectStore;
-import io.zinniawood.platform.ObjectVersion;
-import io.zinniawood.platform.PlatformError;
-import io.zinniawood.platform.StoredObject;
 import io.zinniawood.report.page.DataCentreFigures;
 import io.zinniawood.report.slo.CountsSnapshot;
 import io.zinniawood.report.slo.ObjectiveCounts;
+import io.zinniawood.store.ObjectStore;
+import io.zinniawood.store.ObjectVersion;
+import io.zinniawood.store.PlatformError;
+import io.zinniawood.store.StoredObject;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 
--- a/platform/src/main/java/io/zinniawood/platform/ObjectVersion.java
+++ b/store/src/main/java/io/zinniawood/store/ObjectVersion.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform;
+package io.zinniawood.store;
 
 /**
  * Name and version of an object.
--- a/platform/src/main/java/io/zinniawood/platform/PlatformError.java
+++ b/store/src/main/java/io/zinniawood/store/PlatformError.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform;
+package io.zinniawood.store;
 
 /** Failure of a call to the platform. */
 public sealed interface PlatformError {
--- a/platform/src/main/java/io/zinniawood/platform/Table.java
+++ b/store/src/main/java/io/zinniawood/store/Table.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform;
+package io.zinniawood.store;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
--- a/platform/src/main/java/io/zinniawood/platform/VmListing.java
+++ b/store/src/main/java/io/zinniawood/store/VmListing.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform;
+package io.zinniawood.store;
 
 import io.vavr.collection.Vector;
 import io.zinniawood.core.model.VmEntry;
--- a/platform/src/main/java/io/zinniawood/platform/claim/ClaimRowCodec.java
+++ b/store/src/main/java/io/zinniawood/store/claim/ClaimRowCodec.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.claim;
+package io.zinniawood.store.claim;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/platform/src/main/java/io/zinniawood/platform/claim/ClaimRowFault.java
+++ b/store/src/main/java/io/zinniawood/store/claim/ClaimRowFault.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.claim;
+package io.zinniawood.store.claim;
 
 /**
  * Reason why a table row is not a valid claim row.
--- a/platform/src/main/java/io/zinniawood/platform/claim/ClaimRowKey.java
+++ b/store/src/main/java/io/zinniawood/store/claim/ClaimRowKey.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.claim;
+package io.zinniawood.store.claim;
 
 import io.zinniawood.core.model.ClaimKey;
 import java.net.URLEncoder;
--- a/platform/src/main/java/io/zinniawood/platform/claim/package-info.java
+++ b/store/src/main/java/io/zinniawood/store/claim/package-info.java
@@ -1,2 +1,2 @@
 /** Key and JSON form of the table rows that claim idempotency keys; used by entries and agents. */
-package io.zinniawood.platform.claim;
+package io.zinniawood.store.claim;
--- a/platform/src/main/java/io/zinniawood/platform/http/GuardedCalls.java
+++ b/store/src/main/java/io/zinniawood/store/http/GuardedCalls.java
@@ -1,8 +1,8 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import io.zinniawood.http.HttpCalls;
 import io.zinniawood.http.HttpResult;
-import io.zinniawood.platform.http.Circuit.Permit;
+import io.zinniawood.store.http.Circuit.Permit;
 import java.util.concurrent.CompletableFuture;
 import okhttp3.Request;
 
--- a/platform/src/main/java/io/zinniawood/platform/http/HttpObjectStore.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.collection.Vector;
@@ -9,11 +9,11 @@
 import io.zinniawood.http.Json;
 import io.zinniawood.http.MalformedResponseException;
 import io.zinniawood.http.OneShotBody;
-import io.zinniawood.platform.ObjectListing;
-import io.zinniawood.platform.ObjectStore;
-import io.zinniawood.platform.ObjectVersion;
-import io.zinniawood.platform.PlatformError;
-import io.zinniawood.platform.StoredObject;
+import io.zinniawood.store.ObjectListing;
+import io.zinniawood.store.ObjectStore;
+import io.zinniawood.store.ObjectVersion;
+import io.zinniawood.store.PlatformError;
+import io.zinniawood.store.StoredObject;
 import java.util.concurrent.CompletableFuture;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
--- a/platform/src/main/java/io/zinniawood/platform/http/HttpPlatform.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpPlatform.java
@@ -1,11 +1,11 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import io.zinniawood.http.HttpCallSettings;
 import io.zinniawood.http.HttpCalls;
-import io.zinniawood.platform.ObjectStore;
-import io.zinniawood.platform.Table;
-import io.zinniawood.platform.VmList;
-import io.zinniawood.platform.WeightStore;
+import io.zinniawood.store.ObjectStore;
+import io.zinniawood.store.Table;
+import io.zinniawood.store.VmList;
+import io.zinniawood.store.WeightStore;
 import java.net.URI;
 import java.util.Objects;
 import java.util.SplittableRandom;
--- a/platform/src/main/java/io/zinniawood/platform/http/HttpPlatformSettings.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpPlatformSettings.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 /**
  * Settings of the HTTP adapter.
--- a/platform/src/main/java/io/zinniawood/platform/http/HttpTable.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpTable.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -6,10 +6,10 @@
 import io.zinniawood.http.HttpResult;
 import io.zinniawood.http.MalformedResponseException;
 import io.zinniawood.http.OneShotBody;
-import io.zinniawood.platform.PlatformError;
-import io.zinniawood.platform.Table;
-import io.zinniawood.platform.TableRow;
-import io.zinniawood.platform.TableWrite;
+import io.zinniawood.store.PlatformError;
+import io.zinniawood.store.Table;
+import io.zinniawood.store.TableRow;
+import io.zinniawood.store.TableWrite;
 import java.util.concurrent.CompletableFuture;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
--- a/platform/src/main/java/io/zinniawood/platform/http/HttpVmList.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpVmList.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.collection.Vector;
@@ -13,9 +13,9 @@
 import io.zinniawood.http.HttpResult;
 import io.zinniawood.http.Json;
 import io.zinniawood.http.MalformedResponseException;
-import io.zinniawood.platform.PlatformError;
-import io.zinniawood.platform.VmList;
-import io.zinniawood.platform.VmListing;
+import io.zinniawood.store.PlatformError;
+import io.zinniawood.store.VmList;
+import io.zinniawood.store.VmListing;
 import java.util.concurrent.CompletableFuture;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
--- a/platform/src/main/java/io/zinniawood/platform/http/HttpWeightStore.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpWeightStore.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
@@ -6,8 +6,8 @@
 import io.zinniawood.http.Json;
 import io.zinniawood.http.MalformedResponseException;
 import io.zinniawood.http.OneShotBody;
-import io.zinniawood.platform.PlatformError;
-import io.zinniawood.platform.WeightStore;
+import io.zinniawood.store.PlatformError;
+import io.zinniawood.store.WeightStore;
 import java.util.concurrent.CompletableFuture;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
--- a/platform/src/main/java/io/zinniawood/platform/http/Paths.java
+++ b/store/src/main/java/io/zinniawood/store/http/Paths.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import io.zinniawood.http.HttpResult.Response;
 import io.zinniawood.http.MalformedResponseException;
--- a/platform/src/main/java/io/zinniawood/platform/http/package-info.java
+++ b/store/src/main/java/io/zinniawood/store/http/package-info.java
@@ -1,2 +1,2 @@
 /** HTTP adapter of the platform interfaces. */
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
--- a/platform/src/main/java/io/zinniawood/platform/lease/LeaseRowCodec.java
+++ b/store/src/main/java/io/zinniawood/store/lease/LeaseRowCodec.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.lease;
+package io.zinniawood.store.lease;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/platform/src/main/java/io/zinniawood/platform/lease/package-info.java
+++ b/store/src/main/java/io/zinniawood/store/lease/package-info.java
@@ -1,2 +1,2 @@
 /** Key and JSON form of the controller lease; read by agents, read and written by entries. */
-package io.zinniawood.platform.lease;
+package io.zinniawood.store.lease;
--- a/platform/src/main/java/io/zinniawood/platform/package-info.java
+++ b/store/src/main/java/io/zinniawood/store/package-info.java
@@ -1,2 +1,2 @@
 /** Interfaces to the platform services and their HTTP adapter. */
-package io.zinniawood.platform;
+package io.zinniawood.store;
--- a/platform/src/test/java/io/zinniawood/platform/claim/ClaimRowCodecTest.java
+++ b/store/src/test/java/io/zinniawood/store/claim/ClaimRowCodecTest.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.claim;
+package io.zinniawood.store.claim;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
--- /dev/null
+++ b/store/src/test/java/io/zinniawood/store/claim/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the claim row codec. */
+package io.zinniawood.store.claim;
--- a/platform/src/test/java/io/zinniawood/platform/http/CircuitTest.java
+++ b/store/src/test/java/io/zinniawood/store/http/CircuitTest.java
@@ -1,15 +1,15 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
-import io.zinniawood.platform.PlatformError;
-import io.zinniawood.platform.http.Circuit.Permit;
 import io.zinniawood.standin.platform.PlatformFaults;
 import io.zinniawood.standin.platform.PlatformKind;
 import io.zinniawood.standin.platform.PlatformSettings;
 import io.zinniawood.standin.platform.PlatformStandIn;
+import io.zinniawood.store.PlatformError;
+import io.zinniawood.store.http.Circuit.Permit;
 import java.net.URI;
 import java.util.HashSet;
 import java.util.Set;
--- a/platform/src/test/java/io/zinniawood/platform/http/ConnectionFaultTest.java
+++ b/store/src/test/java/io/zinniawood/store/http/ConnectionFaultTest.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
@@ -7,9 +7,6 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import io.zinniawood.platform.PlatformError;
-import io.zinniawood.platform.TableRow;
-import io.zinniawood.platform.TableWrite;
 import io.zinniawood.standin.platform.PlatformFaults;
 import io.zinniawood.standin.platform.PlatformKind;
 import io.zinniawood.standin.platform.PlatformSettings;
@@ -17,6 +14,9 @@
 import io.zinniawood.standin.proxy.Direction;
 import io.zinniawood.standin.proxy.FaultProxy;
 import io.zinniawood.standin.proxy.NewConnections;
+import io.zinniawood.store.PlatformError;
+import io.zinniawood.store.TableRow;
+import io.zinniawood.store.TableWrite;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
--- a/platform/src/test/java/io/zinniawood/platform/http/FaultSwitchTest.java
+++ b/store/src/test/java/io/zinniawood/store/http/FaultSwitchTest.java
@@ -1,14 +1,14 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
 import io.vavr.control.Either;
-import io.zinniawood.platform.PlatformError;
 import io.zinniawood.standin.platform.PlatformFaults;
 import io.zinniawood.standin.platform.PlatformKind;
 import io.zinniawood.standin.platform.PlatformSettings;
 import io.zinniawood.standin.platform.PlatformStandIn;
+import io.zinniawood.store.PlatformError;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
--- a/platform/src/test/java/io/zinniawood/platform/http/ResponseFuzzTest.java
+++ b/store/src/test/java/io/zinniawood/store/http/ResponseFuzzTest.java
@@ -1,9 +1,9 @@
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
 
 import io.vavr.control.Either;
 import io.zinniawood.http.HttpResult;
 import io.zinniawood.http.Responses;
-import io.zinniawood.platform.PlatformError;
+import io.zinniawood.store.PlatformError;
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
--- a/platform/src/test/java/io/zinniawood/platform/http/package-info.java
+++ b/store/src/test/java/io/zinniawood/store/http/package-info.java
@@ -1,2 +1,2 @@
 /** Tests of the HTTP adapter of the platform interfaces. */
-package io.zinniawood.platform.http;
+package io.zinniawood.store.http;
--- a/platform/src/test/java/io/zinniawood/platform/lease/LeaseRowCodecTest.java
+++ b/store/src/test/java/io/zinniawood/store/lease/LeaseRowCodecTest.java
@@ -1,4 +1,4 @@
-package io.zinniawood.platform.lease;
+package io.zinniawood.store.lease;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
--- a/platform/src/test/java/io/zinniawood/platform/lease/package-info.java
+++ b/store/src/test/java/io/zinniawood/store/lease/package-info.java
@@ -1,2 +1,2 @@
 /** Tests of the JSON form of the controller lease. */
-package io.zinniawood.platform.lease;
+package io.zinniawood.store.lease;
