--- a/cli/src/main/java/io/zinniawood/cli/Main.java
+++ b/cli/src/main/java/io/zinniawood/cli/Main.java
@@ -12,6 +12,7 @@
         List.of(
             new EntryCommand(),
             new AgentCommand(),
+            new RelayCommand(),
             new CheckCommand(),
             new ReportCommand(),
             new LoadCommand(),
--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/RelayCommand.java
@@ -0,0 +1,79 @@
+package io.zinniawood.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.zinniawood.cli.process.RelayLauncher;
+import io.zinniawood.config.ConfigurationFault;
+import io.zinniawood.config.settings.RelaySettings;
+import io.zinniawood.config.settings.SettingsLoader;
+import io.zinniawood.relay.RelayProcess;
+import io.zinniawood.telemetry.DecisionLog;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.List;
+import sun.misc.Signal;
+
+/** Runs a relay until it is asked to terminate. */
+@Parameters(commandDescription = "Run an entry to endpoints that run paths of layers themselves")
+final class RelayCommand extends HelpOption implements Command {
+  /** Longest drain in milliseconds; the platform kills the process after its own grace time. */
+  private static final long MAX_DRAIN_MILLIS = 60_000;
+
+  @Parameter(names = "--settings", description = "Settings file (TOML)", required = true)
+  private String settingsFile;
+
+  @Override
+  public String name() {
+    return "relay";
+  }
+
+  @Override
+  public String examples() {
+    return "zinniawood relay --settings relay.toml";
+  }
+
+  @Override
+  public ExitCode run(PrintStream out, PrintStream err) throws InterruptedException {
+    Either<Vector<ConfigurationFault>, RelaySettings> settings = load();
+    if (settings.isLeft()) {
+      Faults.print(settings.getLeft(), err);
+      return ExitCode.WRONG_USAGE;
+    }
+    DecisionLog log = new DecisionLog(out, Instant::now, System::nanoTime);
+    Termination termination = Termination.install(MAX_DRAIN_MILLIS);
+    Signal.handle(new Signal("HUP"), signal -> reload(log));
+    try (RelayProcess relay = RelayLauncher.start(settings.get(), log)) {
+      log.add("process-started", List.of("vm", settings.get().vm().value()));
+      termination.await();
+      relay.terminate();
+      relay.awaitStopped();
+      log.add("process-stopped", List.of("vm", settings.get().vm().value()));
+      return ExitCode.DONE;
+    } catch (RuntimeException failure) {
+      err.println("zinniawood relay: " + failure.getMessage());
+      return ExitCode.FAILED;
+    } finally {
+      log.close();
+      termination.finish();
+    }
+  }
+
+  private Either<Vector<ConfigurationFault>, RelaySettings> load() {
+    return SettingsLoader.loadRelay(Path.of(settingsFile));
+  }
+
+  // Addresses and names of a process do not change while it runs, so a reload only checks the file.
+  private void reload(DecisionLog log) {
+    Either<Vector<ConfigurationFault>, RelaySettings> settings = load();
+    log.add(
+        "settings-reloaded",
+        List.of(
+            "valid",
+            settings.isRight(),
+            "faults",
+            settings.isLeft() ? settings.getLeft().mkString("; ") : ""));
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
@@ -0,0 +1,44 @@
+package io.zinniawood.cli.process;
+
+import io.zinniawood.config.settings.RelaySettings;
+import io.zinniawood.config.settings.RelaySettings.FirstStart;
+import io.zinniawood.core.relay.RelaySelf;
+import io.zinniawood.platform.PlatformDialect;
+import io.zinniawood.platform.UsersPlatform;
+import io.zinniawood.relay.RelayAddresses;
+import io.zinniawood.relay.RelayProcess;
+import io.zinniawood.telemetry.DecisionLog;
+
+/** Creates a relay from its settings. */
+public final class RelayLauncher {
+  private RelayLauncher() {}
+
+  /**
+   * Starts a relay on the users' platform.
+   *
+   * @throws InterruptedException if the thread is interrupted while the ports are bound
+   */
+  public static RelayProcess start(RelaySettings settings, DecisionLog log)
+      throws InterruptedException {
+    RelaySelf self =
+        new RelaySelf(
+            settings.vm(),
+            settings.dataCentre(),
+            settings.firstStart() == FirstStart.TRUE,
+            System.nanoTime());
+    RelayProcess relay =
+        new RelayProcess(
+            self,
+            new RelayAddresses(settings.callers(), settings.admin()),
+            new PlatformDialect(),
+            log);
+    relay.start(
+        client ->
+            new UsersPlatform(
+                settings.store(),
+                client,
+                relay.eventLoop(),
+                decision -> log.add(decision.event(), decision.fields())));
+    return relay;
+  }
+}
--- a/config/src/main/java/io/zinniawood/config/internal/SettingsSchema.java
+++ b/config/src/main/java/io/zinniawood/config/internal/SettingsSchema.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.Vector;
 import io.zinniawood.config.settings.EndpointSettings.FencingCheck;
+import io.zinniawood.config.settings.RelaySettings.FirstStart;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.PoolId;
@@ -108,6 +109,24 @@
                       POLL)),
               TLS));
 
+  /** Address of the platform's store, without a scheme. */
+  public static final Field<NodeAddress> STORE = address("store", 9000);
+
+  /** Whether the whole system starts for the first time. */
+  public static final Field<FirstStart> FIRST_START =
+      Field.choice(
+              "first_start", FirstStart.values(), value -> value.name().toLowerCase(Locale.ROOT))
+          .or(FirstStart.FALSE);
+
+  /** Schema of a relay's settings. */
+  public static final Schema RELAY =
+      new Schema(
+          Vector.of(
+              new TableSpec(
+                  "",
+                  TableSpec.Shape.ROOT,
+                  Vector.of(VM, DATA_CENTRE, CALLERS, ADMIN, STORE, FIRST_START))));
+
   /** Schema of an agent's settings. */
   public static final Schema AGENT =
       new Schema(
--- a/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
+++ b/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
@@ -32,6 +32,11 @@
     return load(file, SettingsSchema.AGENT, SettingsLoader::agent);
   }
 
+  /** Reads the settings of a relay, or returns every fault of the file. */
+  public static Either<Vector<ConfigurationFault>, RelaySettings> loadRelay(Path file) {
+    return load(file, SettingsSchema.RELAY, SettingsLoader::relay);
+  }
+
   private static <T> Either<Vector<ConfigurationFault>, T> load(
       Path file, Schema schema, Function<TableReader, Option<T>> build) {
     Either<ConfigurationFault, String> text = TextFiles.read(file, file.toString());
@@ -85,6 +90,31 @@
             tls));
   }
 
+  private static Option<RelaySettings> relay(TableReader reader) {
+    var vm = reader.get(ROOT, SettingsSchema.VM);
+    var dataCentre = reader.get(ROOT, SettingsSchema.DATA_CENTRE);
+    var callers = reader.get(ROOT, SettingsSchema.CALLERS);
+    var admin = reader.get(ROOT, SettingsSchema.ADMIN);
+    var store = reader.get(ROOT, SettingsSchema.STORE);
+    var firstStart = reader.get(ROOT, SettingsSchema.FIRST_START);
+    if (callers.isDefined() && callers.equals(admin)) {
+      reader.add(
+          Vector.of(SettingsSchema.ADMIN.name()),
+          "\"%s\"".formatted(admin.get()),
+          "another address than callers");
+    }
+    return reader.faults().isEmpty()
+        ? Option.of(
+            new RelaySettings(
+                vm.get(),
+                dataCentre.get(),
+                callers.get(),
+                admin.get(),
+                store.get(),
+                firstStart.get()))
+        : Option.none();
+  }
+
   private static Option<AgentSettings> agent(TableReader reader) {
     var endpoint = reader.get(ROOT, SettingsSchema.ENDPOINT);
     var dataCentre = reader.get(ROOT, SettingsSchema.DATA_CENTRE);
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/fleet/EndpointRecord.java
@@ -0,0 +1,187 @@
+package io.zinniawood.core.fleet;
+
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.model.LayerRange;
+import java.util.Optional;
+
+/**
+ * What a process knows of one endpoint: its entry in the list and what requests showed. Confined to
+ * the reducer that owns it.
+ */
+public final class EndpointRecord {
+  /** Weight of the newest observation in the averages. */
+  private static final double AVERAGE_WEIGHT = 0.15;
+
+  /** Largest slowness; keeps a slow endpoint in reach of a test request. */
+  private static final double MAX_SLOWNESS = 12;
+
+  private FleetEndpoint entry;
+  private int inFlight;
+  private long lastProgressNanos;
+  private double slowness = 1;
+  private double failureShare;
+  private double latencyMillis;
+  private boolean suspected;
+  private long suspectedAtNanos;
+  private long suspectedUntilNanos;
+  private int strikes;
+  private boolean leaving;
+  private long removalNanos;
+  private boolean removalPlanned;
+  private Optional<LayerRange> ordered = Optional.empty();
+  private long orderedUntilNanos;
+
+  EndpointRecord(FleetEndpoint entry) {
+    this.entry = entry;
+  }
+
+  /** Returns the id. */
+  public EndpointId id() {
+    return entry.id();
+  }
+
+  /** Returns the newest entry of the list. */
+  public FleetEndpoint entry() {
+    return entry;
+  }
+
+  /** Takes a newer entry; a restart of the endpoint clears what was known of the one before. */
+  void update(FleetEndpoint newer, long nowNanos, long beatGraceNanos) {
+    if (!newer.sameStart(entry)) {
+      slowness = 1;
+      failureShare = 0;
+      latencyMillis = 0;
+      leaving = false;
+      suspected = false;
+      ordered = Optional.empty();
+    } else if (suspected
+        && newer.rowVersion() > entry.rowVersion()
+        && nowNanos - suspectedAtNanos > beatGraceNanos) {
+      suspected = false;
+    }
+    if (newer.layers().isPresent() && newer.ordersAccepted() >= entry.ordersAccepted()) {
+      ordered = Optional.empty();
+    }
+    entry = newer;
+    removalPlanned = false;
+  }
+
+  /** Tells whether new requests may go to the endpoint. */
+  public boolean usable(long nowNanos) {
+    return !entry.draining() && !leaving && !suspectedAt(nowNanos);
+  }
+
+  /** Tells whether the endpoint stays in the fleet as far as the list and its answers show. */
+  public boolean stays() {
+    return !entry.draining() && !leaving && !removalPlanned;
+  }
+
+  /** Tells whether the endpoint is avoided after a failure. */
+  public boolean suspectedAt(long nowNanos) {
+    return suspected && nowNanos - suspectedUntilNanos < 0;
+  }
+
+  /** Avoids the endpoint for a time that doubles with each failure in a row. */
+  void suspect(long nowNanos, long baseNanos, int maxDoublings) {
+    suspected = true;
+    suspectedAtNanos = nowNanos;
+    suspectedUntilNanos = nowNanos + (baseNanos << Math.min(strikes, maxDoublings));
+    strikes++;
+  }
+
+  /** Notes that the endpoint itself said it is leaving. */
+  public void markLeaving() {
+    leaving = true;
+  }
+
+  void planRemoval(long atNanos) {
+    if (!removalPlanned) {
+      removalPlanned = true;
+      removalNanos = atNanos;
+    }
+  }
+
+  boolean removalDue(long nowNanos) {
+    return removalPlanned && nowNanos - removalNanos >= 0;
+  }
+
+  /** Returns the requests of this process whose path includes the endpoint. */
+  public int inFlight() {
+    return inFlight;
+  }
+
+  /** Counts a request that starts to use the endpoint. */
+  public void requestStarted() {
+    inFlight++;
+  }
+
+  /** Counts a request that no longer uses the endpoint. */
+  public void requestEnded() {
+    inFlight--;
+  }
+
+  /** Returns the time at which a request last advanced through the endpoint, in nanoseconds. */
+  public long lastProgressNanos() {
+    return lastProgressNanos;
+  }
+
+  /**
+   * Notes that a request advanced through the endpoint.
+   *
+   * @param nowNanos present time in nanoseconds
+   * @param ratio time that it took against the expected time
+   */
+  public void progressed(long nowNanos, double ratio) {
+    lastProgressNanos = nowNanos;
+    strikes = 0;
+    slowness += AVERAGE_WEIGHT * (Math.max(1, Math.min(MAX_SLOWNESS, ratio)) - slowness);
+  }
+
+  /** Returns how much slower than expected requests advance through the endpoint; 1 or more. */
+  public double slowness() {
+    return slowness;
+  }
+
+  /** Notes an answer of a plain service. */
+  public void answered(boolean failed, double millis) {
+    failureShare += AVERAGE_WEIGHT * ((failed ? 1 : 0) - failureShare);
+    latencyMillis += (latencyMillis == 0 ? 1 : AVERAGE_WEIGHT) * (millis - latencyMillis);
+    if (!failed) {
+      strikes = 0;
+    }
+  }
+
+  /** Returns the recent share of failures, 0 to 1. */
+  public double failureShare() {
+    return failureShare;
+  }
+
+  /** Returns the recent time of an answer in milliseconds; 0 if there was none. */
+  public double latencyMillis() {
+    return latencyMillis;
+  }
+
+  /** Returns the layers that the endpoint holds or was ordered to hold. */
+  public Optional<LayerRange> plannedLayers(long nowNanos) {
+    if (entry.layers().isPresent()) {
+      return entry.layers();
+    }
+    return nowNanos - orderedUntilNanos < 0 ? ordered : Optional.empty();
+  }
+
+  /** Tells whether an order is on its way or being carried out. */
+  public boolean orderOpen(long nowNanos) {
+    return ordered.isPresent() && nowNanos - orderedUntilNanos < 0;
+  }
+
+  /** Notes an order that was given. */
+  public void ordered(LayerRange layers, long untilNanos) {
+    ordered = Optional.of(layers);
+    orderedUntilNanos = untilNanos;
+  }
+
+  /** Notes that the last order was refused; the next one may follow at the given time. */
+  public void orderRefused(long nextNanos) {
+    orderedUntilNanos = nextNanos;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/path/LayerPlacement.java
@@ -0,0 +1,154 @@
+package io.zinniawood.core.path;
+
+import io.zinniawood.core.id.AcceleratorKind;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.model.LayerRange;
+import io.zinniawood.core.route.AcceleratorProfile;
+import io.zinniawood.core.route.EngineProfile;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Chooses layers for empty endpoints. Endpoints that hold layers keep them, so a loss costs no load
+ * beyond the one that replaces it. An empty endpoint takes the range that is covered least: first
+ * over the whole fleet, as a layer that nobody holds stops every request, then in its own data
+ * centre, so that paths stay there. Among equals it takes the range that joins the ends of others.
+ */
+public final class LayerPlacement {
+  /** Memory kept free for requests, in tokens of all held layers: thirty usual requests. */
+  private static final int RESERVED_REQUESTS = 30;
+
+  /** Holders of a layer beyond which one more in the whole fleet is of no use. */
+  private static final int FLEET_COVER = 2;
+
+  private final EngineProfile engine;
+
+  /** Creates a placement for the engines of one service. */
+  public LayerPlacement(EngineProfile engine) {
+    this.engine = engine;
+  }
+
+  /** Returns the number of layers that an endpoint of a kind takes; 0 if the kind is unknown. */
+  public int layersOf(AcceleratorKind kind) {
+    AcceleratorProfile accelerator = engine.accelerator(kind).orElse(null);
+    if (accelerator == null) {
+      return 0;
+    }
+    int usualTokens = engine.usualPromptTokens() + engine.usualAnswerTokens();
+    int held = engine.layers();
+    while (held > 0
+        && engine.tokensBeside(accelerator, held) < (double) RESERVED_REQUESTS * usualTokens) {
+      held--;
+    }
+    return held;
+  }
+
+  /**
+   * Returns the ranges for the empty endpoints, in the order in which they should be loaded.
+   *
+   * @param holdings all endpoints of the service that serve and stay
+   */
+  public Map<EndpointId, LayerRange> fill(List<Holding> holdings) {
+    Coverage coverage = new Coverage(holdings);
+    List<Holding> empty = new ArrayList<>();
+    for (Holding holding : holdings) {
+      if (holding.layers().isEmpty() && layersOf(holding.accelerator()) > 0) {
+        empty.add(holding);
+      }
+    }
+    empty.sort(
+        Comparator.comparing((Holding holding) -> -layersOf(holding.accelerator()))
+            .thenComparing(holding -> slowness(holding.accelerator()))
+            .thenComparing(Holding::endpoint));
+    Map<EndpointId, LayerRange> chosen = new LinkedHashMap<>();
+    for (Holding holding : empty) {
+      LayerRange range = coverage.leastCovered(holding);
+      coverage.add(holding.dataCentre(), range);
+      chosen.put(holding.endpoint(), range);
+    }
+    return chosen;
+  }
+
+  private double slowness(AcceleratorKind kind) {
+    return engine.accelerator(kind).map(AcceleratorProfile::stepFactor).orElse(0.0);
+  }
+
+  /** Holders of each layer. */
+  private final class Coverage {
+    private final int[] fleet = new int[engine.layers()];
+    private final Map<DataCentreId, int[]> byCentre = new HashMap<>();
+    private final Map<DataCentreId, int[]> edgesByCentre = new HashMap<>();
+
+    Coverage(List<Holding> holdings) {
+      for (Holding holding : holdings) {
+        holding.layers().ifPresent(range -> add(holding.dataCentre(), range));
+      }
+    }
+
+    void add(DataCentreId dataCentre, LayerRange range) {
+      int[] own = centre(dataCentre);
+      int to = Math.min(engine.layers(), range.toLayerExclusive());
+      for (int layer = range.fromLayer(); layer < to; layer++) {
+        fleet[layer]++;
+        own[layer]++;
+      }
+      int[] edges = edges(dataCentre);
+      if (range.fromLayer() <= engine.layers()) {
+        edges[range.fromLayer()]++;
+        edges[to]++;
+      }
+    }
+
+    private int[] centre(DataCentreId dataCentre) {
+      return byCentre.computeIfAbsent(dataCentre, id -> new int[engine.layers()]);
+    }
+
+    private int[] edges(DataCentreId dataCentre) {
+      return edgesByCentre.computeIfAbsent(
+          dataCentre,
+          id -> {
+            int[] edges = new int[engine.layers() + 1];
+            edges[0] = 1;
+            edges[engine.layers()] = 1;
+            return edges;
+          });
+    }
+
+    LayerRange leastCovered(Holding holding) {
+      int length = layersOf(holding.accelerator());
+      int[] own = centre(holding.dataCentre());
+      int[] edges = edges(holding.dataCentre());
+      int best = 0;
+      double bestCost = Double.POSITIVE_INFINITY;
+      for (int from = 0; from + length <= engine.layers(); from++) {
+        double cost = 0;
+        for (int layer = from; layer < from + length; layer++) {
+          cost -= fleet[layer] == 0 ? UNCOVERED_GAIN : 0;
+          cost -= fleet[layer] < FLEET_COVER ? THIN_GAIN : 0;
+          cost -= 1.0 / ((1 + own[layer]) * (1 + own[layer]));
+        }
+        cost -= edges[from] > 0 ? JOIN_GAIN : 0;
+        cost -= edges[from + length] > 0 ? JOIN_GAIN : 0;
+        if (cost < bestCost) {
+          bestCost = cost;
+          best = from;
+        }
+      }
+      return new LayerRange(best, best + length);
+    }
+  }
+
+  /** Gain for a layer that nobody holds, in holders of a layer in the own data centre. */
+  private static final double UNCOVERED_GAIN = 100;
+
+  /** Gain for a layer that fewer than {@link #FLEET_COVER} endpoints hold. */
+  private static final double THIN_GAIN = 0.2;
+
+  /** Gain for a range that begins or ends where another one does. */
+  private static final double JOIN_GAIN = 0.05;
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/path/PathPlanner.java
@@ -0,0 +1,218 @@
+package io.zinniawood.core.path;
+
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.model.LayerRange;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Finds the cheapest path through all layers by dynamic programming over layer boundaries and data
+ * centres. A path changes endpoints only where some endpoint's range begins or ends; between two
+ * such layers a change never lowers the cost.
+ */
+public final class PathPlanner {
+  private final int layers;
+  private final PathCosts costs;
+
+  /**
+   * Creates a planner.
+   *
+   * @param layers layers of the model
+   * @param costs fixed costs
+   */
+  public PathPlanner(int layers, PathCosts costs) {
+    this.layers = layers;
+    this.costs = costs;
+  }
+
+  /**
+   * Returns the cheapest path; none if some layer has no candidate.
+   *
+   * @param candidates endpoints that may be used
+   * @param home data centre in which the request starts
+   */
+  public Optional<LayerPath> cheapest(List<PathCandidate> candidates, DataCentreId home) {
+    return new Search(candidates, home, Optional.empty()).run();
+  }
+
+  /**
+   * Returns the cheapest path that keeps its first part; none if there is none.
+   *
+   * @param candidates endpoints that may be used
+   * @param first part that receives the request and stays as it is
+   * @param dataCentre data centre of the first part
+   */
+  public Optional<LayerPath> continued(
+      List<PathCandidate> candidates, PathPart first, DataCentreId dataCentre) {
+    List<PathCandidate> others = new ArrayList<>();
+    for (PathCandidate candidate : candidates) {
+      if (!candidate.endpoint().equals(first.endpoint())) {
+        others.add(candidate);
+      }
+    }
+    return new Search(others, dataCentre, Optional.of(first)).run();
+  }
+
+  /** One search; holds the tables of the dynamic program. */
+  private final class Search {
+    private final List<PathCandidate> candidates;
+    private final List<DataCentreId> dataCentres = new ArrayList<>();
+    private final int[] centreOf;
+    private final int home;
+    private final int startLayer;
+    private final Optional<PathPart> first;
+    private final int[] boundaries;
+    private final double[][] cost;
+    private final int[][] lastCandidate;
+    private final int[][] lastBoundary;
+    private final int[][] lastCentre;
+
+    Search(List<PathCandidate> candidates, DataCentreId homeCentre, Optional<PathPart> first) {
+      this.candidates = candidates;
+      this.first = first;
+      this.home = indexOf(homeCentre);
+      this.centreOf = new int[candidates.size()];
+      TreeSet<Integer> edges = new TreeSet<>();
+      this.startLayer = first.map(part -> part.layers().toLayerExclusive()).orElse(0);
+      edges.add(startLayer);
+      edges.add(layers);
+      for (int index = 0; index < candidates.size(); index++) {
+        PathCandidate candidate = candidates.get(index);
+        centreOf[index] = indexOf(candidate.dataCentre());
+        addEdge(edges, candidate.layers().fromLayer());
+        addEdge(edges, candidate.layers().toLayerExclusive());
+      }
+      this.boundaries = edges.stream().mapToInt(Integer::intValue).toArray();
+      this.cost = new double[boundaries.length][dataCentres.size()];
+      this.lastCandidate = new int[boundaries.length][dataCentres.size()];
+      this.lastBoundary = new int[boundaries.length][dataCentres.size()];
+      this.lastCentre = new int[boundaries.length][dataCentres.size()];
+      for (double[] row : cost) {
+        Arrays.fill(row, Double.POSITIVE_INFINITY);
+      }
+    }
+
+    private void addEdge(TreeSet<Integer> edges, int layer) {
+      if (layer > startLayer && layer < layers) {
+        edges.add(layer);
+      }
+    }
+
+    private int indexOf(DataCentreId dataCentre) {
+      int index = dataCentres.indexOf(dataCentre);
+      if (index < 0) {
+        dataCentres.add(dataCentre);
+        index = dataCentres.size() - 1;
+      }
+      return index;
+    }
+
+    Optional<LayerPath> run() {
+      if (startLayer >= layers) {
+        return first.map(part -> new LayerPath(List.of(part)));
+      }
+      for (int from = 0; from < boundaries.length - 1; from++) {
+        for (int index = 0; index < candidates.size(); index++) {
+          extend(from, index);
+        }
+      }
+      return trace();
+    }
+
+    private void extend(int from, int index) {
+      PathCandidate candidate = candidates.get(index);
+      LayerRange held = candidate.layers();
+      int start = boundaries[from];
+      if (held.fromLayer() > start || held.toLayerExclusive() <= start) {
+        return;
+      }
+      int centre = centreOf[index];
+      int before = from == 0 ? home : cheapestBefore(from, centre);
+      double base = from == 0 ? startCost(centre) : cost[from][before] + crossing(before, centre);
+      if (Double.isInfinite(base)) {
+        return;
+      }
+      for (int to = from + 1;
+          to < boundaries.length && boundaries[to] <= held.toLayerExclusive();
+          to++) {
+        double total =
+            base + costs.partMillis() + (boundaries[to] - start) * candidate.millisPerLayer();
+        if (total < cost[to][centre]) {
+          cost[to][centre] = total;
+          lastCandidate[to][centre] = index;
+          lastBoundary[to][centre] = from;
+          lastCentre[to][centre] = before;
+        }
+      }
+    }
+
+    private double startCost(int centre) {
+      if (centre == home) {
+        return 0;
+      }
+      return first.isPresent() ? costs.crossingMillis() : costs.entryCrossingMillis();
+    }
+
+    private double crossing(int before, int centre) {
+      return before == centre ? 0 : costs.crossingMillis();
+    }
+
+    private int cheapestBefore(int boundary, int centre) {
+      int best = centre;
+      double bestCost = cost[boundary][centre];
+      for (int other = 0; other < dataCentres.size(); other++) {
+        double total = cost[boundary][other] + crossing(other, centre);
+        if (total < bestCost) {
+          best = other;
+          bestCost = total;
+        }
+      }
+      return best;
+    }
+
+    private Optional<LayerPath> trace() {
+      int boundary = boundaries.length - 1;
+      int centre = 0;
+      for (int other = 1; other < dataCentres.size(); other++) {
+        if (cost[boundary][other] < cost[boundary][centre]) {
+          centre = other;
+        }
+      }
+      if (Double.isInfinite(cost[boundary][centre])) {
+        return Optional.empty();
+      }
+      List<PathPart> parts = new ArrayList<>();
+      while (boundary > 0) {
+        PathCandidate candidate = candidates.get(lastCandidate[boundary][centre]);
+        int from = lastBoundary[boundary][centre];
+        prepend(parts, candidate, new LayerRange(boundaries[from], boundaries[boundary]));
+        centre = lastCentre[boundary][centre];
+        boundary = from;
+      }
+      first.ifPresent(part -> parts.add(0, part));
+      return parts.size() > LayerPath.MAX_PARTS
+          ? Optional.empty()
+          : Optional.of(new LayerPath(parts));
+    }
+
+    // An endpoint holds all layers between two of its parts, so the parts in between are merged
+    // into one; no endpoint may appear twice in a path.
+    private void prepend(List<PathPart> parts, PathCandidate candidate, LayerRange range) {
+      int last = -1;
+      for (int index = 0; index < parts.size(); index++) {
+        if (parts.get(index).endpoint().equals(candidate.endpoint())) {
+          last = index;
+        }
+      }
+      LayerRange merged = range;
+      if (last >= 0) {
+        merged = new LayerRange(range.fromLayer(), parts.get(last).layers().toLayerExclusive());
+        parts.subList(0, last + 1).clear();
+      }
+      parts.add(0, new PathPart(candidate.endpoint(), candidate.address(), merged));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/Deadlines.java
@@ -0,0 +1,38 @@
+package io.zinniawood.core.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Ends requests whose time is over. */
+final class Deadlines {
+  private Deadlines() {}
+
+  static void check(RelayTurn turn) {
+    List<OpenRequest> expired = new ArrayList<>();
+    for (OpenRequest open : turn.state.open.values()) {
+      if (turn.nowNanos - open.deadlineNanos >= 0) {
+        expired.add(open);
+      }
+    }
+    for (OpenRequest open : expired) {
+      expire(turn, open);
+    }
+  }
+
+  private static void expire(RelayTurn turn, OpenRequest open) {
+    int attempt = open.attempt;
+    boolean sent = open.target.isPresent();
+    if (open.possibleRuns == 0) {
+      Outcomes.refuse(turn, open, "deadline");
+      return;
+    }
+    Outcomes.finish(turn, open, open.headRelayed ? "broken-off" : "unknown", "deadline");
+    if (sent) {
+      turn.emit(new RelayEffect.CancelAttempt(open.id, attempt));
+    }
+    turn.emit(
+        open.headRelayed
+            ? new RelayEffect.AbortAnswer(open.id)
+            : new RelayEffect.Answer(open.id, OwnAnswer.timedOut()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/Endpoints.java
@@ -0,0 +1,97 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.fleet.EndpointRecord;
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.EndpointId;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Keeps the view of the endpoints and logs what changes in it. */
+final class Endpoints {
+  private Endpoints() {}
+
+  static void listed(RelayTurn turn, RelayEvent.EndpointsListed event) {
+    Set<EndpointId> present = new HashSet<>();
+    for (FleetEndpoint endpoint : event.endpoints()) {
+      present.add(endpoint.id());
+      logChange(turn, endpoint);
+    }
+    for (EndpointRecord known : turn.state.fleet.all()) {
+      if (!present.contains(known.id())) {
+        logRemoval(turn, known.id());
+      }
+    }
+    turn.state.fleet.list(event.endpoints(), turn.nowNanos);
+  }
+
+  static void changed(RelayTurn turn, RelayEvent.EndpointsChanged event) {
+    List<FleetEndpoint> changed = event.changed();
+    for (FleetEndpoint endpoint : changed) {
+      logChange(turn, endpoint);
+    }
+    for (EndpointId id : event.removed()) {
+      logRemoval(turn, id);
+    }
+    turn.state.fleet.change(changed, event.removed(), turn.nowNanos);
+  }
+
+  static void storeLost(RelayTurn turn) {
+    turn.log("store-lost", "routesVersion", turn.state.routesVersion());
+    turn.state.fleet.storeLost();
+  }
+
+  static void storeRegained(RelayTurn turn) {
+    turn.log("store-regained", "routesVersion", turn.state.routesVersion());
+    turn.state.fleet.storeRegained(turn.nowNanos);
+  }
+
+  /** Avoids an endpoint for a while and logs why. */
+  static void suspect(RelayTurn turn, EndpointRecord endpoint, String reason) {
+    turn.log(
+        "endpoint-suspected",
+        "endpoint",
+        endpoint.id().value(),
+        "reason",
+        reason,
+        "rowVersion",
+        endpoint.entry().rowVersion(),
+        "inFlight",
+        endpoint.inFlight());
+    turn.state.fleet.suspect(endpoint, turn.nowNanos);
+  }
+
+  private static void logChange(RelayTurn turn, FleetEndpoint endpoint) {
+    FleetEndpoint before =
+        turn.state.fleet.find(endpoint.id()).map(EndpointRecord::entry).orElse(null);
+    boolean same =
+        before != null
+            && before.draining() == endpoint.draining()
+            && before.layers().equals(endpoint.layers())
+            && before.sameStart(endpoint);
+    if (same) {
+      return;
+    }
+    turn.log(
+        "endpoint-listed",
+        "endpoint",
+        endpoint.id().value(),
+        "address",
+        endpoint.address().toString(),
+        "service",
+        endpoint.service().value(),
+        "dataCentre",
+        endpoint.dataCentre().value(),
+        "draining",
+        endpoint.draining(),
+        "layers",
+        endpoint.layers().map(Object::toString).orElse("none"),
+        "rowVersion",
+        endpoint.rowVersion());
+  }
+
+  private static void logRemoval(RelayTurn turn, EndpointId id) {
+    turn.log(
+        "endpoint-removed", "endpoint", id.value(), "known", turn.state.fleet.find(id).isPresent());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/PathText.java
@@ -0,0 +1,23 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.path.LayerPath;
+import io.zinniawood.core.path.PathPart;
+import java.util.StringJoiner;
+
+/** Short text of a path for log lines. */
+final class PathText {
+  private PathText() {}
+
+  static String of(LayerPath path) {
+    StringJoiner text = new StringJoiner(",");
+    for (PathPart part : path.parts()) {
+      text.add(
+          part.endpoint().value()
+              + "="
+              + part.layers().fromLayer()
+              + "-"
+              + part.layers().toLayerExclusive());
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -0,0 +1,199 @@
+package io.zinniawood.core.relay;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.LeaseRow;
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.route.RouteTable;
+import java.util.List;
+import java.util.Optional;
+
+/** Input of the relay's reducer. An event dispatches itself through a {@link Visitor}. */
+public sealed interface RelayEvent {
+  /** Calls the visitor's method for this event. */
+  void accept(Visitor visitor);
+
+  /** A version of the routing table was read. */
+  record RoutesRead(RouteTable routes) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.routesRead(this);
+    }
+  }
+
+  /** The whole list of endpoints was read. */
+  record EndpointsListed(List<FleetEndpoint> endpoints) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.endpointsListed(this);
+    }
+  }
+
+  /** Some entries of the list of endpoints have changed. */
+  record EndpointsChanged(List<FleetEndpoint> changed, List<EndpointId> removed)
+      implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.endpointsChanged(this);
+    }
+  }
+
+  /** The platform's store stopped answering. */
+  record StoreLost() implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.storeLost(this);
+    }
+  }
+
+  /** The platform's store answers again. */
+  record StoreRegained() implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.storeRegained(this);
+    }
+  }
+
+  /** A caller's request is complete. */
+  record RequestArrived(RelayId id, CallerRequest request) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.requestArrived(this);
+    }
+  }
+
+  /** The caller closed its connection. */
+  record CallerLeft(RelayId id) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.callerLeft(this);
+    }
+  }
+
+  /** An endpoint answered: the head of a stream, or a whole answer of another kind. */
+  record Answered(RelayId id, int attempt, AnswerSummary answer) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.answered(this);
+    }
+  }
+
+  /** An attempt ended without a whole answer. */
+  record AttemptBroken(RelayId id, int attempt, BreakCause cause, long lastEventId)
+      implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.attemptBroken(this);
+    }
+  }
+
+  /** An event of a stream was passed on. */
+  record StreamAdvanced(RelayId id, int attempt) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.streamAdvanced(this);
+    }
+  }
+
+  /** The whole answer of an endpoint was passed on. */
+  record AnswerRelayed(RelayId id, int attempt) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.answerRelayed(this);
+    }
+  }
+
+  /** An order to hold layers was answered or given up. */
+  record OrderAnswered(EndpointId endpoint, OrderResult result) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.orderAnswered(this);
+    }
+  }
+
+  /** A change of a request's path was answered or given up. */
+  record RepathAnswered(
+      RelayId id, int attempt, OrderResult result, Optional<NodeAddress> endpointAtFault)
+      implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.repathAnswered(this);
+    }
+  }
+
+  /** The row of the controller lease was read, or a write to it was answered. */
+  record LeaseRead(Option<LeaseRow> row, long version) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.leaseRead(this);
+    }
+  }
+
+  /** Time has passed; comes every few tens of milliseconds. */
+  record Tick() implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.tick(this);
+    }
+  }
+
+  /** The process was asked to terminate. */
+  record TerminationAsked() implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.terminationAsked(this);
+    }
+  }
+
+  /** One method for each event. */
+  interface Visitor {
+    /** Handles {@link RoutesRead}. */
+    void routesRead(RoutesRead event);
+
+    /** Handles {@link EndpointsListed}. */
+    void endpointsListed(EndpointsListed event);
+
+    /** Handles {@link EndpointsChanged}. */
+    void endpointsChanged(EndpointsChanged event);
+
+    /** Handles {@link StoreLost}. */
+    void storeLost(StoreLost event);
+
+    /** Handles {@link StoreRegained}. */
+    void storeRegained(StoreRegained event);
+
+    /** Handles {@link RequestArrived}. */
+    void requestArrived(RequestArrived event);
+
+    /** Handles {@link CallerLeft}. */
+    void callerLeft(CallerLeft event);
+
+    /** Handles {@link Answered}. */
+    void answered(Answered event);
+
+    /** Handles {@link AttemptBroken}. */
+    void attemptBroken(AttemptBroken event);
+
+    /** Handles {@link StreamAdvanced}. */
+    void streamAdvanced(StreamAdvanced event);
+
+    /** Handles {@link AnswerRelayed}. */
+    void answerRelayed(AnswerRelayed event);
+
+    /** Handles {@link OrderAnswered}. */
+    void orderAnswered(OrderAnswered event);
+
+    /** Handles {@link RepathAnswered}. */
+    void repathAnswered(RepathAnswered event);
+
+    /** Handles {@link LeaseRead}. */
+    void leaseRead(LeaseRead event);
+
+    /** Handles {@link Tick}. */
+    void tick(Tick event);
+
+    /** Handles {@link TerminationAsked}. */
+    void terminationAsked(TerminationAsked event);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayId.java
@@ -0,0 +1,18 @@
+package io.zinniawood.core.relay;
+
+/**
+ * Identifies a request within one start of a relay.
+ *
+ * @param value counts up from 1
+ */
+public record RelayId(long value) implements Comparable<RelayId> {
+  @Override
+  public int compareTo(RelayId other) {
+    return Long.compare(value, other.value);
+  }
+
+  @Override
+  public String toString() {
+    return Long.toString(value);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayTurn.java
@@ -0,0 +1,37 @@
+package io.zinniawood.core.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One application of the reducer: the state, the time and the effects so far. */
+final class RelayTurn {
+  final RelayState state;
+  final long nowNanos;
+  private final List<RelayEffect> effects = new ArrayList<>();
+
+  RelayTurn(RelayState state, long nowNanos) {
+    this.state = state;
+    this.nowNanos = nowNanos;
+  }
+
+  void emit(RelayEffect effect) {
+    effects.add(effect);
+  }
+
+  void log(String event, Object... namesAndValues) {
+    effects.add(new RelayEffect.Record(Decision.of(event, namesAndValues)));
+  }
+
+  List<RelayEffect> effects() {
+    return effects;
+  }
+
+  long millisSince(long nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos - nanos);
+  }
+
+  long millisUntil(long nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nanos - nowNanos);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/Waiting.java
@@ -0,0 +1,77 @@
+package io.zinniawood.core.relay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Requests that wait for an endpoint: who goes first, and who is told to come back. */
+final class Waiting {
+  /** Most requests that wait; each one costs a check in every tick. */
+  private static final int MAX_WAITING = 512;
+
+  /**
+   * Longest wait of a request that has not run, in milliseconds; callers leave after two seconds.
+   */
+  private static final long MAX_WAIT_MILLIS = 1_200;
+
+  /** Longest wait of a stream whose caller has a part of it. */
+  private static final long MAX_RESUME_WAIT_MILLIS = 1_500;
+
+  private static final Comparator<OpenRequest> ORDER =
+      Comparator.comparing((OpenRequest open) -> !open.headRelayed)
+          .thenComparingInt(open -> open.priority)
+          .thenComparingLong(open -> open.arrivedNanos);
+
+  private Waiting() {}
+
+  /** Sends a new request, or lets it wait if others are in use, or refuses it. */
+  static void admit(RelayTurn turn, OpenRequest open) {
+    Dispatcher.Result result = Dispatcher.dispatch(turn, open);
+    if (result == Dispatcher.Result.SENT) {
+      return;
+    }
+    if (result == Dispatcher.Result.NONE_LEFT && !open.headRelayed) {
+      Outcomes.refuse(turn, open, "no-endpoint");
+      return;
+    }
+    if (turn.state.waiting.size() >= MAX_WAITING) {
+      Outcomes.refuse(turn, open, "queue-full");
+      return;
+    }
+    open.phase = OpenRequest.Phase.WAITING;
+    turn.state.waiting.add(open);
+    turn.log("request-waiting", "request", open.logId(), "waiting", turn.state.waiting.size());
+  }
+
+  /** Tries the waiting requests in order and refuses those that have waited too long. */
+  static void retry(RelayTurn turn) {
+    if (turn.state.waiting.isEmpty()) {
+      return;
+    }
+    List<OpenRequest> candidates = new ArrayList<>(turn.state.waiting);
+    candidates.sort(ORDER);
+    for (OpenRequest open : candidates) {
+      if (open.phase != OpenRequest.Phase.WAITING || !turn.state.open.containsKey(open.id)) {
+        turn.state.waiting.remove(open);
+        continue;
+      }
+      Dispatcher.Result result = Dispatcher.dispatch(turn, open);
+      if (result == Dispatcher.Result.SENT) {
+        turn.state.waiting.remove(open);
+      } else if (turn.nowNanos - waitEndNanos(open) >= 0) {
+        turn.state.waiting.remove(open);
+        Outcomes.refuse(turn, open, "no-capacity");
+      }
+    }
+  }
+
+  private static long waitEndNanos(OpenRequest open) {
+    if (open.headRelayed) {
+      return open.lastProgressNanos + TimeUnit.MILLISECONDS.toNanos(MAX_RESUME_WAIT_MILLIS);
+    }
+    long quarterNanos = (open.deadlineNanos - open.arrivedNanos) / 4;
+    return open.arrivedNanos
+        + Math.min(quarterNanos, TimeUnit.MILLISECONDS.toNanos(MAX_WAIT_MILLIS));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/route/EngineProfile.java
@@ -0,0 +1,65 @@
+package io.zinniawood.core.route;
+
+import io.zinniawood.core.id.AcceleratorKind;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Timing and memory of a service's model engines. Times are of a whole model on the base
+ * accelerator.
+ *
+ * @param layers layers of the model
+ * @param layerMegabytes memory of one layer in megabytes
+ * @param loadSeconds time to load all layers, in seconds
+ * @param loadsAtOnce loads that run side by side without slowing each other
+ * @param stepMillis time of one token step in milliseconds
+ * @param stepsPerPass token steps of one pass
+ * @param readTokensPerSecond prompt tokens read in a second
+ * @param tokenCacheBytes memory of one token in all layers, in bytes
+ * @param activationBytes bytes that one token hands to the next endpoint
+ * @param usualPromptTokens mean prompt in tokens
+ * @param usualAnswerTokens mean answer in tokens
+ * @param accelerators accelerators by kind
+ */
+public record EngineProfile(
+    int layers,
+    double layerMegabytes,
+    double loadSeconds,
+    int loadsAtOnce,
+    double stepMillis,
+    int stepsPerPass,
+    double readTokensPerSecond,
+    double tokenCacheBytes,
+    double activationBytes,
+    int usualPromptTokens,
+    int usualAnswerTokens,
+    Map<AcceleratorKind, AcceleratorProfile> accelerators) {
+  /** Copies the accelerators. */
+  public EngineProfile {
+    accelerators = Map.copyOf(accelerators);
+  }
+
+  /** Returns the accelerator of a kind; none if the profile does not list it. */
+  public Optional<AcceleratorProfile> accelerator(AcceleratorKind kind) {
+    return Optional.ofNullable(accelerators.get(kind));
+  }
+
+  /** Returns the time of one pass through one layer in milliseconds. */
+  public double passMillisPerLayer(AcceleratorProfile accelerator) {
+    return stepMillis * stepsPerPass * accelerator.stepFactor() / layers;
+  }
+
+  /** Returns the time to read a prompt through one layer in milliseconds. */
+  public double readMillisPerLayer(AcceleratorProfile accelerator, int promptTokens) {
+    return 1_000.0 * promptTokens / readTokensPerSecond * accelerator.readFactor() / layers;
+  }
+
+  /** Returns the tokens that fit beside a number of layers. */
+  public double tokensBeside(AcceleratorProfile accelerator, int heldLayers) {
+    double freeBytes =
+        (accelerator.memoryMegabytes() - heldLayers * layerMegabytes) * BYTES_PER_MEGABYTE;
+    return freeBytes / (tokenCacheBytes / layers * heldLayers);
+  }
+
+  private static final double BYTES_PER_MEGABYTE = 1_000_000;
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/route/RouteTable.java
@@ -0,0 +1,106 @@
+package io.zinniawood.core.route;
+
+import io.zinniawood.core.id.ServiceName;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the routes, services, keys and limits. Immutable. */
+public final class RouteTable {
+  private final long version;
+  private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
+  private final Map<ServiceName, RoutedService> services = new HashMap<>();
+  private final boolean keysRequired;
+  private final Map<String, AccountKey> accountsByKey;
+  private final RequestLimits limits;
+
+  /**
+   * Creates a table.
+   *
+   * @param version version; a higher one replaces a lower one
+   * @param routes all routes
+   * @param services all services
+   * @param keysRequired whether requests need a key, except on routes that are open to all
+   * @param accountsByKey holders of the API keys
+   * @param limits limits of callers
+   */
+  public RouteTable(
+      long version,
+      List<Route> routes,
+      List<RoutedService> services,
+      boolean keysRequired,
+      Map<String, AccountKey> accountsByKey,
+      RequestLimits limits) {
+    this.version = version;
+    for (Route route : routes) {
+      routesByHost
+          .computeIfAbsent(route.host(), host -> new HashMap<>())
+          .put(route.pathPrefix(), route);
+    }
+    services.forEach(service -> this.services.put(service.name(), service));
+    this.keysRequired = keysRequired;
+    this.accountsByKey = Map.copyOf(accountsByKey);
+    this.limits = limits;
+  }
+
+  /** Returns the version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the limits of callers. */
+  public RequestLimits limits() {
+    return limits;
+  }
+
+  /** Returns all services. */
+  public Collection<RoutedService> services() {
+    return services.values();
+  }
+
+  /** Returns a service; none if no route version names it. */
+  public Optional<RoutedService> service(ServiceName name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns the holder of a key; none if no account holds it. */
+  public Optional<AccountKey> account(String key) {
+    return Optional.ofNullable(accountsByKey.get(key));
+  }
+
+  /** Tells whether requests need a key, except on routes that are open to all. */
+  public boolean keysRequired() {
+    return keysRequired;
+  }
+
+  /**
+   * Returns the route with the longest prefix of the path.
+   *
+   * @param host value of the Host header, with or without a port
+   * @param path path without the query
+   */
+  public Optional<Route> match(String host, String path) {
+    Map<String, Route> byPrefix = routesByHost.get(hostName(host));
+    if (byPrefix == null) {
+      return Optional.empty();
+    }
+    for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      Route route = byPrefix.get(path.substring(0, end + 1));
+      if (route != null) {
+        return Optional.of(route);
+      }
+      if (end == 0) {
+        break;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static String hostName(String host) {
+    int colon = host.indexOf(':');
+    return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/ControlAnswer.java
@@ -0,0 +1,9 @@
+package io.zinniawood.relay;
+
+/**
+ * Answer to a control call.
+ *
+ * @param status HTTP status
+ * @param body body
+ */
+public record ControlAnswer(int status, byte[] body) {}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -0,0 +1,269 @@
+package io.zinniawood.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.vavr.control.Either;
+import io.zinniawood.core.model.NodeAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Client of control calls to the store and the endpoints. Each call is sent at most once. A call
+ * without an answer in time closes its connection, as the connection may be silent for good.
+ */
+public final class ControlClient {
+  /** Time to open a connection, in milliseconds; the platform's networks answer within a few. */
+  private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+  /** Longest answer in bytes: a full page of rows is one megabyte before its encoding. */
+  private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+  /** Kept connections for each address. */
+  private static final int MAX_KEPT = 4;
+
+  private static final String JSON = "application/json";
+
+  private final EventLoop loop;
+  private final Map<NodeAddress, Deque<Channel>> kept = new HashMap<>();
+
+  /** Creates a client whose calls and answers are on one event loop. */
+  public ControlClient(EventLoop loop) {
+    this.loop = loop;
+  }
+
+  /**
+   * Makes a call.
+   *
+   * @param address address of the server
+   * @param method HTTP method
+   * @param uri path and query
+   * @param headers headers besides those of the connection and the body
+   * @param body JSON body; empty for none
+   * @param timeoutMillis longest time until the answer, in milliseconds
+   * @param receiver gets the answer or the failure, on the event loop
+   */
+  public void call(
+      NodeAddress address,
+      HttpMethod method,
+      String uri,
+      Map<String, String> headers,
+      byte[] body,
+      long timeoutMillis,
+      Consumer<Either<ControlFailure, ControlAnswer>> receiver) {
+    Call call =
+        new Call(address, request(address, method, uri, headers, body), timeoutMillis, receiver);
+    Channel channel = takeKept(address);
+    if (channel != null) {
+      call.send(channel);
+      return;
+    }
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(new Initializer(address));
+    ChannelFuture connected = bootstrap.connect(address.host(), address.port());
+    connected.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            call.send(connected.channel());
+          } else {
+            call.fail(ControlFailure.NOT_SENT);
+          }
+        });
+  }
+
+  private static FullHttpRequest request(
+      NodeAddress address,
+      HttpMethod method,
+      String uri,
+      Map<String, String> headers,
+      byte[] body) {
+    ByteBuf content = Unpooled.wrappedBuffer(body);
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, content);
+    request.headers().set(HttpHeaderNames.HOST, address.toString());
+    headers.forEach(request.headers()::set);
+    if (body.length > 0) {
+      request.headers().set(HttpHeaderNames.CONTENT_TYPE, JSON);
+      request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    }
+    return request;
+  }
+
+  private Channel takeKept(NodeAddress address) {
+    Deque<Channel> channels = kept.get(address);
+    while (channels != null && !channels.isEmpty()) {
+      Channel channel = channels.pollLast();
+      if (channel.isActive()) {
+        return channel;
+      }
+    }
+    return null;
+  }
+
+  private void keep(NodeAddress address, Channel channel) {
+    Deque<Channel> channels = kept.computeIfAbsent(address, key -> new ArrayDeque<>());
+    if (channel.isActive() && channels.size() < MAX_KEPT) {
+      channels.addLast(channel);
+    } else {
+      channel.close();
+    }
+  }
+
+  private void forget(NodeAddress address, Channel channel) {
+    Deque<Channel> channels = kept.get(address);
+    if (channels != null) {
+      channels.remove(channel);
+      if (channels.isEmpty()) {
+        kept.remove(address);
+      }
+    }
+  }
+
+  private final class Initializer extends ChannelInitializer<Channel> {
+    private final NodeAddress address;
+
+    Initializer(NodeAddress address) {
+      this.address = address;
+    }
+
+    @Override
+    protected void initChannel(Channel channel) {
+      channel
+          .pipeline()
+          .addLast(new HttpClientCodec())
+          .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+          .addLast(new AnswerHandler(address));
+    }
+  }
+
+  private final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final NodeAddress address;
+    private Call call;
+
+    AnswerHandler(NodeAddress address) {
+      this.address = address;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      Call answered = call;
+      call = null;
+      if (answered == null || response.decoderResult().isFailure()) {
+        context.close();
+        if (answered != null) {
+          answered.fail(ControlFailure.UNKNOWN);
+        }
+        return;
+      }
+      boolean keepAlive = HttpUtil.isKeepAlive(response);
+      if (keepAlive) {
+        keep(address, context.channel());
+      } else {
+        context.close();
+      }
+      answered.succeed(
+          new ControlAnswer(response.status().code(), ByteBufUtil.getBytes(response.content())));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      forget(address, context.channel());
+      if (call != null) {
+        Call lost = call;
+        call = null;
+        lost.fail(ControlFailure.UNKNOWN);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      // The connection is closed below, and the call then fails in channelInactive.
+      context.close();
+    }
+  }
+
+  /** One call; ends exactly once. */
+  private final class Call {
+    private final NodeAddress address;
+    private final FullHttpRequest request;
+    private final Consumer<Either<ControlFailure, ControlAnswer>> receiver;
+    private final ScheduledFuture<?> timeout;
+    private Channel channel;
+    private boolean ended;
+
+    Call(
+        NodeAddress address,
+        FullHttpRequest request,
+        long timeoutMillis,
+        Consumer<Either<ControlFailure, ControlAnswer>> receiver) {
+      this.address = address;
+      this.request = request;
+      this.receiver = receiver;
+      this.timeout = loop.schedule(this::timedOut, timeoutMillis, TimeUnit.MILLISECONDS);
+    }
+
+    void send(Channel opened) {
+      if (ended) {
+        keep(address, opened);
+        return;
+      }
+      channel = opened;
+      opened.pipeline().get(AnswerHandler.class).call = this;
+      opened.writeAndFlush(request);
+    }
+
+    private void timedOut() {
+      if (channel == null) {
+        fail(ControlFailure.NOT_SENT);
+        return;
+      }
+      channel.pipeline().get(AnswerHandler.class).call = null;
+      channel.close();
+      fail(ControlFailure.UNKNOWN);
+    }
+
+    void succeed(ControlAnswer answer) {
+      end(Either.right(answer));
+    }
+
+    void fail(ControlFailure failure) {
+      end(Either.left(failure));
+    }
+
+    private void end(Either<ControlFailure, ControlAnswer> result) {
+      if (!ended) {
+        ended = true;
+        timeout.cancel(false);
+        receiver.accept(result);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/PlatformLink.java
@@ -0,0 +1,36 @@
+package io.zinniawood.relay;
+
+import io.zinniawood.core.entry.LeaseRow;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.path.LayerPath;
+import io.zinniawood.core.relay.CallerRequest;
+import io.zinniawood.core.relay.PlacementOrder;
+import io.zinniawood.core.relay.RelayEvent;
+import io.zinniawood.core.relay.RelayId;
+import java.util.function.Consumer;
+
+/**
+ * Link to one platform: its store and the control calls of its endpoints. All methods are called on
+ * the event-loop thread, and events are handed over on it.
+ */
+public interface PlatformLink {
+  /** Begins to read routes and endpoints; their changes come as events. */
+  void start(Consumer<RelayEvent> events);
+
+  /** Gives an order; its result comes as {@link RelayEvent.OrderAnswered}. */
+  void order(PlacementOrder order);
+
+  /** Changes the path of a request; the result comes as {@link RelayEvent.RepathAnswered}. */
+  void repath(RelayId id, int attempt, CallerRequest request, NodeAddress first, LayerPath path);
+
+  /** Reads the controller lease; the row comes as {@link RelayEvent.LeaseRead}. */
+  void readLease();
+
+  /**
+   * Writes the controller lease; the row as it then stands comes as {@link RelayEvent.LeaseRead}.
+   *
+   * @param expectedVersion version that the row must have; 0 if it must not exist
+   * @param row the new row
+   */
+  void writeLease(long expectedVersion, LeaseRow row);
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
@@ -0,0 +1,80 @@
+package io.zinniawood.relay;
+
+import com.codahale.metrics.MetricRegistry;
+import io.zinniawood.core.relay.Decision;
+import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.telemetry.DecisionLog;
+import io.zinniawood.telemetry.LabelledCounters;
+import io.zinniawood.telemetry.PrometheusText;
+import java.util.List;
+
+/** Metrics of a relay; each decision counts once, under the name and outcome of its log line. */
+public final class RelayMetrics {
+  /** Most combinations of labels; names of events and outcomes are few. */
+  private static final int MAX_COMBINATIONS = 256;
+
+  private final MetricRegistry registry = new MetricRegistry();
+  private final LabelledCounters decisions =
+      new LabelledCounters(
+          registry,
+          "relay_decisions_total",
+          List.of("event", "outcome", "reason"),
+          MAX_COMBINATIONS);
+  private PrometheusText text;
+
+  /** Creates the metrics of a relay. */
+  public RelayMetrics(RelayState state, DecisionLog log) {
+    gauge("relay_requests_open", state::openRequests);
+    gauge("relay_requests_waiting", state::waitingRequests);
+    gauge("relay_routes_version", state::routesVersion);
+    gauge("relay_endpoints", state::endpoints);
+    gauge("relay_lease_held", () -> state.holdsLease() ? 1 : 0);
+    gauge("relay_store_available", () -> state.storeAvailable() ? 1 : 0);
+    gauge("relay_log_lines_dropped_total", log::droppedLines);
+  }
+
+  private void gauge(String name, com.codahale.metrics.Gauge<Number> gauge) {
+    registry.register(name, gauge);
+  }
+
+  /** Counts a decision. */
+  public void count(Decision decision) {
+    decisions.increment(decision.event(), field(decision, "outcome"), field(decision, "reason"));
+    if ("request-ended".equals(decision.event())) {
+      registry.histogram("relay_request_millis").update(millis(decision));
+    }
+  }
+
+  /** Counts an event of a stream that was passed on. */
+  public void streamAdvanced() {
+    registry.counter("relay_stream_events_total").inc();
+  }
+
+  private static String field(Decision decision, String name) {
+    List<Object> fields = decision.fields();
+    for (int index = 0; index + 1 < fields.size(); index += 2) {
+      if (name.equals(fields.get(index))) {
+        return String.valueOf(fields.get(index + 1));
+      }
+    }
+    return "-";
+  }
+
+  private static long millis(Decision decision) {
+    List<Object> fields = decision.fields();
+    for (int index = 0; index + 1 < fields.size(); index += 2) {
+      if ("millis".equals(fields.get(index)) && fields.get(index + 1) instanceof Number number) {
+        return number.longValue();
+      }
+    }
+    return 0;
+  }
+
+  /** Returns the metrics in the Prometheus text format; on the event loop only. */
+  public String render() {
+    if (text == null) {
+      text = new PrometheusText(registry);
+    }
+    return text.render();
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -0,0 +1,192 @@
+package io.zinniawood.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.RelayEffect;
+import io.zinniawood.core.relay.RelayEvent;
+import io.zinniawood.core.relay.RelaySelf;
+import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.core.route.RequestLimits;
+import io.zinniawood.relay.internal.AdminHandler;
+import io.zinniawood.relay.internal.ByteArrival;
+import io.zinniawood.relay.internal.CallerHandler;
+import io.zinniawood.relay.internal.RelayShell;
+import io.zinniawood.telemetry.DecisionLog;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** A running relay: its listeners, its event loop and its clock. */
+public final class RelayProcess implements AutoCloseable {
+  /** Time between two ticks in milliseconds; bounds how late a deadline or silence is noticed. */
+  private static final long TICK_MILLIS = 25;
+
+  /** Time between two looks for idle connections, in milliseconds. */
+  private static final long IDLE_CHECK_MILLIS = 500;
+
+  /** Time after the order to terminate in which idle connections stay open, in milliseconds. */
+  private static final long IDLE_CLOSE_MILLIS = 2_500;
+
+  private static final int BACKLOG = 1_024;
+  private static final int MAX_LINE_BYTES = 8_192;
+
+  private final RelayAddresses addresses;
+  private final DecisionLog log;
+  private final RelayMetrics metrics;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop;
+  private final RelayShell shell;
+  private final Set<CallerHandler> callers = new HashSet<>();
+  private final List<Channel> listeners = new ArrayList<>();
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private boolean ready;
+
+  /**
+   * Creates a relay that does not listen yet.
+   *
+   * @param self what the relay knows of itself
+   * @param addresses addresses to listen on
+   * @param dialect headers of the platform
+   * @param log log of decisions
+   */
+  public RelayProcess(
+      RelaySelf self, RelayAddresses addresses, HeaderDialect dialect, DecisionLog log) {
+    this.addresses = addresses;
+    this.log = log;
+    this.loop = (EventLoop) group.next();
+    this.shell = new RelayShell(new RelayState(self), dialect, loop, new ProcessOutlets());
+    this.metrics = new RelayMetrics(shell.state(), log);
+  }
+
+  /**
+   * Begins to listen and to read the platform.
+   *
+   * @param platform makes the link to the platform on the relay's event loop
+   * @throws InterruptedException if the thread is interrupted while the ports are bound
+   */
+  public void start(Function<ControlClient, PlatformLink> platform) throws InterruptedException {
+    listeners.add(bind(addresses.admin(), new AdminInitializer()));
+    listeners.add(bind(addresses.callers(), new CallerInitializer()));
+    loop.execute(() -> shell.start(platform.apply(new ControlClient(loop))));
+    loop.scheduleAtFixedRate(
+        () -> shell.post(new RelayEvent.Tick()), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(
+        this::checkIdle, IDLE_CHECK_MILLIS, IDLE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private Channel bind(NodeAddress address, ChannelInitializer<Channel> initializer)
+      throws InterruptedException {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(initializer)
+        .bind(address.host(), address.port())
+        .sync()
+        .channel();
+  }
+
+  /** Returns the event loop on which everything runs. */
+  public EventLoop eventLoop() {
+    return loop;
+  }
+
+  private void checkIdle() {
+    long nowNanos = System.nanoTime();
+    for (CallerHandler caller : List.copyOf(callers)) {
+      caller.checkIdle(nowNanos);
+    }
+  }
+
+  /** Begins to drain: fails readiness, finishes what is in progress, then stops. */
+  public void terminate() {
+    loop.execute(
+        () -> {
+          shell.post(new RelayEvent.TerminationAsked());
+          loop.schedule(
+              () -> List.copyOf(callers).forEach(CallerHandler::closeIfIdle),
+              IDLE_CLOSE_MILLIS,
+              TimeUnit.MILLISECONDS);
+        });
+  }
+
+  /** Waits until the drain is complete. */
+  public void awaitStopped() throws InterruptedException {
+    stopped.await();
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    log.close();
+  }
+
+  private final class ProcessOutlets implements RelayShell.Outlets {
+    @Override
+    public void readiness(boolean nowReady) {
+      ready = nowReady;
+    }
+
+    @Override
+    public void stop() {
+      stopped.countDown();
+    }
+
+    @Override
+    public void decided(RelayEffect.Record decision) {
+      metrics.count(decision.decision());
+      log.add(decision.decision().event(), decision.decision().fields());
+    }
+
+    @Override
+    public void streamAdvanced() {
+      metrics.streamAdvanced();
+    }
+  }
+
+  private final class CallerInitializer extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel channel) {
+      RequestLimits limits = shell.limits();
+      CallerHandler caller = new CallerHandler(shell);
+      callers.add(caller);
+      channel.closeFuture().addListener(closed -> callers.remove(caller));
+      channel
+          .pipeline()
+          .addLast(new ByteArrival(caller))
+          .addLast(
+              new HttpServerCodec(
+                  new HttpDecoderConfig()
+                      .setMaxInitialLineLength(MAX_LINE_BYTES)
+                      .setMaxHeaderSize(limits.maxHeaderBytes())))
+          .addLast(caller);
+    }
+  }
+
+  private final class AdminInitializer extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel channel) {
+      channel
+          .pipeline()
+          .addLast(new HttpServerCodec())
+          .addLast(new AdminHandler(() -> ready, metrics::render));
+    }
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerEvents.java
@@ -0,0 +1,24 @@
+package io.zinniawood.relay.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import io.zinniawood.core.relay.RelayId;
+import io.zinniawood.core.route.RequestLimits;
+
+/** What connections of callers report to the shell. */
+public interface CallerEvents {
+  /** Returns the limits in force. */
+  RequestLimits limits();
+
+  /** Tells whether the process is ending, so that connections are not kept. */
+  boolean draining();
+
+  /** Takes a complete request. */
+  void requestComplete(CallerHandler caller, HttpRequest head, ByteBuf body);
+
+  /** The caller closed its connection before the answer was complete. */
+  void callerLeft(RelayId id);
+
+  /** The caller's connection takes bytes again, or no longer. */
+  void writabilityChanged(RelayId id, boolean writable);
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerExchange.java
@@ -0,0 +1,75 @@
+package io.zinniawood.relay.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import io.zinniawood.core.relay.CallerRequest;
+import io.zinniawood.core.relay.RelayId;
+
+/** One request of a caller and the connection that waits for its answer. */
+public final class CallerExchange {
+  private final RelayId id;
+  private final HttpRequest head;
+  private final CallerRequest request;
+  private final ByteBuf body;
+  private final CallerHandler caller;
+  private EventStreamSplitter splitter;
+  private boolean headWritten;
+
+  /**
+   * Creates an exchange.
+   *
+   * @param id id of the request within this process
+   * @param head head that the caller sent
+   * @param request what it says to the router
+   * @param body whole body; released when the exchange ends
+   * @param caller connection of the caller
+   */
+  CallerExchange(
+      RelayId id, HttpRequest head, CallerRequest request, ByteBuf body, CallerHandler caller) {
+    this.id = id;
+    this.head = head;
+    this.request = request;
+    this.body = body;
+    this.caller = caller;
+  }
+
+  /** Returns the id. */
+  public RelayId id() {
+    return id;
+  }
+
+  /** Returns the head that the caller sent. */
+  public HttpRequest head() {
+    return head;
+  }
+
+  /** Returns what the head says to the router. */
+  public CallerRequest request() {
+    return request;
+  }
+
+  /** Returns the body. */
+  public ByteBuf body() {
+    return body;
+  }
+
+  CallerHandler caller() {
+    return caller;
+  }
+
+  /** Returns the splitter of the answer's events; one for all attempts, as it keeps their order. */
+  EventStreamSplitter splitter() {
+    if (splitter == null) {
+      splitter = new EventStreamSplitter(request.resumeAfter());
+    }
+    return splitter;
+  }
+
+  boolean headWritten() {
+    return headWritten;
+  }
+
+  void markHeadWritten() {
+    headWritten = true;
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -0,0 +1,342 @@
+package io.zinniawood.relay.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import io.zinniawood.core.relay.OwnAnswer;
+import io.zinniawood.relay.HopHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+
+/**
+ * Connection of one caller. Serves one request at a time; what a caller sends ahead waits. Answers
+ * are written by the shell through the methods of this class.
+ */
+public final class CallerHandler extends ChannelInboundHandlerAdapter {
+  /** Messages that a caller may send ahead of its answer; more stop the reading. */
+  private static final int MAX_AHEAD = 64;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private final CallerEvents events;
+  private final Deque<Object> ahead = new ArrayDeque<>();
+  private ChannelHandlerContext context;
+  private HttpRequest head;
+  private ByteBuf body;
+  private CallerExchange exchange;
+  private boolean keepAlive;
+  private boolean closing;
+  private long lastActivityNanos = System.nanoTime();
+  private long headStartedNanos;
+  private boolean headStarted;
+
+  /** Creates a handler that reports to the shell. */
+  public CallerHandler(CallerEvents events) {
+    this.events = events;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    this.context = added;
+  }
+
+  /** Notes that bytes have arrived, before they are decoded. */
+  void bytesArrived() {
+    lastActivityNanos = System.nanoTime();
+    if (exchange == null && head == null && !headStarted) {
+      headStarted = true;
+      headStartedNanos = lastActivityNanos;
+    }
+  }
+
+  /** Closes the connection if it has been idle, or busy with one head, for too long. */
+  public void checkIdle(long nowNanos) {
+    if (exchange != null || closing) {
+      return;
+    }
+    long nanosPerMilli = 1_000_000;
+    long idleNanos = events.limits().idleTimeoutMillis() * nanosPerMilli;
+    long headNanos = events.limits().headerTimeoutMillis() * nanosPerMilli;
+    if (headStarted && nowNanos - headStartedNanos >= headNanos) {
+      refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+    } else if (nowNanos - lastActivityNanos >= idleNanos) {
+      if (head == null) {
+        closing = true;
+        context.close();
+      } else {
+        refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
+      }
+    }
+  }
+
+  /** Closes the connection unless a request is in progress or arriving. */
+  public void closeIfIdle() {
+    if (exchange == null && head == null && !headStarted && !closing) {
+      closing = true;
+      context.close();
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext read, Object message) {
+    if (closing) {
+      ReferenceCountUtil.release(message);
+    } else if (exchange != null) {
+      ahead.addLast(message);
+      if (ahead.size() >= MAX_AHEAD) {
+        context.channel().config().setAutoRead(false);
+      }
+    } else {
+      take(message);
+    }
+  }
+
+  private void take(Object message) {
+    if (message instanceof HttpRequest request) {
+      if (!begin(request)) {
+        ReferenceCountUtil.release(message);
+        return;
+      }
+    }
+    if (message instanceof HttpContent content) {
+      addContent(content);
+    }
+  }
+
+  private boolean begin(HttpRequest request) {
+    headStarted = false;
+    if (request.decoderResult().isFailure()) {
+      Throwable cause = request.decoderResult().cause();
+      boolean tooLong =
+          cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+      refuseAndClose(
+          tooLong
+              ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+              : HttpResponseStatus.BAD_REQUEST);
+      return false;
+    }
+    if (HttpUtil.getContentLength(request, 0L) > events.limits().maxBodyBytes()) {
+      refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      return false;
+    }
+    head = request;
+    keepAlive = HttpUtil.isKeepAlive(request);
+    body = Unpooled.EMPTY_BUFFER;
+    if (HttpUtil.is100ContinueExpected(request)) {
+      context.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+    return true;
+  }
+
+  private void addContent(HttpContent content) {
+    try {
+      if (head == null) {
+        return;
+      }
+      if (content.decoderResult().isFailure()) {
+        refuseAndClose(HttpResponseStatus.BAD_REQUEST);
+        return;
+      }
+      ByteBuf bytes = content.content();
+      if (body.readableBytes() + bytes.readableBytes() > events.limits().maxBodyBytes()) {
+        refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        return;
+      }
+      if (bytes.isReadable()) {
+        if (body == Unpooled.EMPTY_BUFFER) {
+          body = context.alloc().buffer(bytes.readableBytes());
+        }
+        body.writeBytes(bytes);
+      }
+    } finally {
+      content.release();
+    }
+    if (content instanceof LastHttpContent) {
+      complete();
+    }
+  }
+
+  private void complete() {
+    HttpRequest complete = head;
+    ByteBuf whole = body;
+    head = null;
+    body = null;
+    events.requestComplete(this, complete, whole);
+  }
+
+  /** Keeps the exchange from the moment at which it is opened: it may be answered at once. */
+  void opened(CallerExchange opened) {
+    exchange = opened;
+  }
+
+  /** Answers without an endpoint. */
+  public void answerOwn(OwnAnswer answer) {
+    String reason = "{\"reason\":\"" + answer.reason() + "\"}";
+    ByteBuf content = Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8);
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), content);
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    answer
+        .retryAfterMillis()
+        .ifPresent(
+            millis ->
+                response
+                    .headers()
+                    .set(
+                        HttpHeaderNames.RETRY_AFTER,
+                        String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)));
+    markClose(response);
+    context.write(response);
+    finished();
+  }
+
+  /** Writes an endpoint's whole answer. */
+  public void answerWhole(HttpResponse upstream, ByteBuf content) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, upstream.status(), content);
+    HopHeaders.copy(upstream.headers(), response.headers());
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    markClose(response);
+    context.write(response);
+    finished();
+  }
+
+  /** Writes the head of an endpoint's stream. */
+  public void beginStream(HttpResponse upstream) {
+    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstream.status());
+    HopHeaders.copy(upstream.headers(), response.headers());
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    markClose(response);
+    context.write(response);
+  }
+
+  /** Writes bytes of a stream without flushing them. */
+  public void writeStream(ByteBuf bytes) {
+    context.write(new DefaultHttpContent(bytes));
+  }
+
+  /** Flushes what was written. */
+  public void flush() {
+    context.flush();
+  }
+
+  /** Ends a stream as complete. */
+  public void endStream() {
+    context.write(LastHttpContent.EMPTY_LAST_CONTENT);
+    finished();
+  }
+
+  /** Closes the connection, so that an answer that has begun does not look complete. */
+  public void abort() {
+    release();
+    closing = true;
+    context.close();
+  }
+
+  /** Tells whether the connection takes more bytes. */
+  public boolean writable() {
+    return context.channel().isWritable();
+  }
+
+  private void markClose(HttpResponse response) {
+    if (!keepAlive || events.draining()) {
+      keepAlive = false;
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  private void finished() {
+    release();
+    lastActivityNanos = System.nanoTime();
+    if (!keepAlive) {
+      closing = true;
+      context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      return;
+    }
+    context.flush();
+    context.executor().execute(this::takeAhead);
+  }
+
+  private void takeAhead() {
+    while (exchange == null && !closing && !ahead.isEmpty()) {
+      take(ahead.pollFirst());
+    }
+    if (ahead.size() < MAX_AHEAD) {
+      context.channel().config().setAutoRead(true);
+    }
+  }
+
+  private void release() {
+    if (exchange != null) {
+      exchange.body().release();
+      exchange = null;
+    }
+  }
+
+  private void refuseAndClose(HttpResponseStatus status) {
+    closing = true;
+    dropPartialRequest();
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void dropPartialRequest() {
+    head = null;
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext changed) {
+    if (exchange != null) {
+      events.writabilityChanged(exchange.id(), changed.channel().isWritable());
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext inactive) {
+    closing = true;
+    dropPartialRequest();
+    ahead.forEach(ReferenceCountUtil::release);
+    ahead.clear();
+    if (exchange != null) {
+      CallerExchange left = exchange;
+      release();
+      events.callerLeft(left.id());
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext caught, Throwable cause) {
+    // A reset by the caller; channelInactive follows and reports it.
+    caught.close();
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnections.java
@@ -0,0 +1,182 @@
+package io.zinniawood.relay.internal;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AttributeKey;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.BreakCause;
+import io.zinniawood.core.relay.SendTerms;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Connections to the endpoints: opens, keeps and gives them to attempts. */
+public final class EndpointConnections {
+  /** Time to open a connection, in milliseconds; an endpoint without power never answers. */
+  private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
+  /** Idle time after which a connection is not used again, if the endpoint names none. */
+  private static final long DEFAULT_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+  /** Time before an endpoint's own idle timeout at which a connection is no longer used. */
+  private static final long IDLE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  /** Kept connections for each endpoint. */
+  private static final int MAX_KEPT = 48;
+
+  private static final AttributeKey<Kept> KEPT = AttributeKey.valueOf("zinniawood.kept");
+
+  private final EventLoop loop;
+  private final EndpointEvents events;
+  private final Map<NodeAddress, Deque<Channel>> kept = new HashMap<>();
+
+  /** When a kept connection was last used, and how long it may be idle. */
+  private record Kept(NodeAddress address, long untilNanos) {}
+
+  /** Creates an empty table on an event loop. */
+  public EndpointConnections(EventLoop loop, EndpointEvents events) {
+    this.loop = loop;
+    this.events = events;
+  }
+
+  /** Sends a request on a kept or a new connection. */
+  public void send(EndpointExchange exchange, HttpRequest head) {
+    if (exchange.terms().connection() == SendTerms.ConnectionUse.ANY) {
+      Channel channel = takeKept(exchange.address());
+      if (channel != null) {
+        write(exchange, channel, head);
+        return;
+      }
+    }
+    ChannelFuture connected =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(new Initializer())
+            .connect(exchange.address().host(), exchange.address().port());
+    exchange.channel(connected.channel());
+    connected.addListener(
+        done -> {
+          if (exchange.ended()) {
+            connected.channel().close();
+          } else if (done.isSuccess()) {
+            write(exchange, connected.channel(), head);
+          } else {
+            events.broken(exchange, BreakCause.NOT_SENT);
+          }
+        });
+  }
+
+  /** Gives an attempt up. */
+  public void cancel(EndpointExchange exchange) {
+    Channel channel = exchange.channel();
+    if (channel == null) {
+      return;
+    }
+    EndpointHandler handler = channel.pipeline().get(EndpointHandler.class);
+    if (handler == null) {
+      channel.close();
+    } else {
+      handler.abandon(channel.pipeline().context(handler));
+    }
+  }
+
+  private void write(EndpointExchange exchange, Channel channel, HttpRequest head) {
+    exchange.channel(channel);
+    exchange.markSent();
+    channel.pipeline().get(EndpointHandler.class).begin(exchange);
+    ByteBuf body = exchange.caller().body();
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            head.protocolVersion(),
+            head.method(),
+            head.uri(),
+            body.retainedDuplicate(),
+            head.headers(),
+            io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
+    channel.writeAndFlush(request);
+  }
+
+  private Channel takeKept(NodeAddress address) {
+    Deque<Channel> channels = kept.get(address);
+    long nowNanos = System.nanoTime();
+    while (channels != null && !channels.isEmpty()) {
+      Channel channel = channels.pollLast();
+      Kept use = channel.attr(KEPT).get();
+      if (channel.isActive() && nowNanos - use.untilNanos() < 0) {
+        return channel;
+      }
+      channel.close();
+    }
+    return null;
+  }
+
+  /** Takes a connection back after a whole answer. */
+  void release(NodeAddress address, Channel channel, HttpResponse answer, boolean reusable) {
+    Deque<Channel> channels = kept.computeIfAbsent(address, key -> new ArrayDeque<>());
+    if (!reusable || !channel.isActive() || channels.size() >= MAX_KEPT) {
+      channel.close();
+      return;
+    }
+    channel.attr(KEPT).set(new Kept(address, System.nanoTime() + idleNanos(answer)));
+    channels.addLast(channel);
+  }
+
+  void closed(Channel channel) {
+    Kept use = channel.attr(KEPT).get();
+    if (use != null) {
+      Deque<Channel> channels = kept.get(use.address());
+      if (channels != null) {
+        channels.remove(channel);
+        if (channels.isEmpty()) {
+          kept.remove(use.address());
+        }
+      }
+    }
+  }
+
+  private static long idleNanos(HttpResponse answer) {
+    String keepAlive = answer.headers().get("Keep-Alive", "");
+    int at = keepAlive.indexOf("timeout=");
+    if (at < 0) {
+      return DEFAULT_IDLE_NANOS;
+    }
+    int from = at + "timeout=".length();
+    int to = from;
+    while (to < keepAlive.length() && Character.isDigit(keepAlive.charAt(to))) {
+      to++;
+    }
+    if (to == from || to - from > 6) {
+      return DEFAULT_IDLE_NANOS;
+    }
+    long seconds = Long.parseLong(keepAlive.substring(from, to));
+    return Math.max(0, TimeUnit.SECONDS.toNanos(seconds) - IDLE_MARGIN_NANOS);
+  }
+
+  private final class Initializer extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel channel) {
+      channel
+          .pipeline()
+          .addLast(new HttpRequestEncoder())
+          .addLast(new HttpResponseDecoder())
+          .addLast(new EndpointHandler(events, EndpointConnections.this));
+    }
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointEvents.java
@@ -0,0 +1,29 @@
+package io.zinniawood.relay.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.zinniawood.core.relay.BreakCause;
+
+/** What connections to endpoints report to the shell about one attempt. */
+public interface EndpointEvents {
+  /** Tells whether an answer belongs to another request and is to be skipped. */
+  boolean belongsToOther(EndpointExchange exchange, HttpResponse head);
+
+  /** The head of a stream has arrived; its content follows. */
+  void streamBegun(EndpointExchange exchange, HttpResponse head);
+
+  /** Content of a stream has arrived; not released by the receiver. */
+  void streamContent(EndpointExchange exchange, ByteBuf content);
+
+  /** All content that is at hand was handed over. */
+  void streamPaused(EndpointExchange exchange);
+
+  /** The stream has ended as complete. */
+  void streamEnded(EndpointExchange exchange);
+
+  /** A whole answer has arrived; its content is released by the receiver. */
+  void answered(EndpointExchange exchange, HttpResponse head, ByteBuf content);
+
+  /** The attempt has ended without a whole answer. */
+  void broken(EndpointExchange exchange, BreakCause cause);
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -0,0 +1,73 @@
+package io.zinniawood.relay.internal;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpResponse;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.SendTerms;
+
+/** One attempt of a request at an endpoint. */
+public final class EndpointExchange {
+  private final CallerExchange caller;
+  private final int attempt;
+  private final NodeAddress address;
+  private final SendTerms terms;
+  private Channel channel;
+  private boolean ended;
+  private boolean sent;
+  private HttpResponse streamHead;
+
+  EndpointExchange(CallerExchange caller, int attempt, NodeAddress address, SendTerms terms) {
+    this.caller = caller;
+    this.attempt = attempt;
+    this.address = address;
+    this.terms = terms;
+  }
+
+  CallerExchange caller() {
+    return caller;
+  }
+
+  int attempt() {
+    return attempt;
+  }
+
+  NodeAddress address() {
+    return address;
+  }
+
+  SendTerms terms() {
+    return terms;
+  }
+
+  Channel channel() {
+    return channel;
+  }
+
+  void channel(Channel used) {
+    this.channel = used;
+  }
+
+  boolean ended() {
+    return ended;
+  }
+
+  void markEnded() {
+    ended = true;
+  }
+
+  boolean sent() {
+    return sent;
+  }
+
+  void markSent() {
+    sent = true;
+  }
+
+  HttpResponse streamHead() {
+    return streamHead;
+  }
+
+  void streamHead(HttpResponse head) {
+    this.streamHead = head;
+  }
+}
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -0,0 +1,184 @@
+package io.zinniawood.relay.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.zinniawood.core.relay.BreakCause;
+
+/**
+ * Connection to one endpoint; carries one request at a time. An answer that names another request
+ * is skipped, and bytes that no request waits for close the connection.
+ */
+final class EndpointHandler extends ChannelInboundHandlerAdapter {
+  /** Longest answer that is kept whole, in bytes. */
+  private static final int MAX_WHOLE_BYTES = 16 * 1024 * 1024;
+
+  private static final String EVENT_STREAM = "text/event-stream";
+
+  private final EndpointEvents events;
+  private final EndpointConnections connections;
+  private EndpointExchange exchange;
+  private HttpResponse head;
+  private ByteBuf content;
+  private boolean skipping;
+  private boolean streaming;
+  private boolean reusable;
+  private boolean failed;
+
+  EndpointHandler(EndpointEvents events, EndpointConnections connections) {
+    this.events = events;
+    this.connections = connections;
+  }
+
+  /** Takes the connection for an attempt. */
+  void begin(EndpointExchange begun) {
+    exchange = begun;
+    head = null;
+    skipping = false;
+    streaming = false;
+  }
+
+  /** Gives the attempt up; its endpoint stops when the connection closes. */
+  void abandon(ChannelHandlerContext context) {
+    exchange = null;
+    dropContent();
+    context.close();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    try {
+      if (exchange == null) {
+        context.close();
+        return;
+      }
+      if (message instanceof HttpResponse response) {
+        headArrived(context, response);
+      }
+      if (message instanceof HttpContent part && exchange != null) {
+        contentArrived(context, part);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void headArrived(ChannelHandlerContext context, HttpResponse response) {
+    if (response.decoderResult().isFailure()) {
+      fail(context, BreakCause.INVALID_ANSWER);
+      return;
+    }
+    skipping =
+        response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+            || events.belongsToOther(exchange, response);
+    if (skipping) {
+      return;
+    }
+    head = response;
+    boolean framed =
+        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+    reusable = framed && HttpUtil.isKeepAlive(response);
+    String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+    streaming =
+        exchange.terms().streaming()
+            && response.status().codeClass() == HttpStatusClass.SUCCESS
+            && type.startsWith(EVENT_STREAM);
+    if (streaming) {
+      exchange.streamHead(response);
+      events.streamBegun(exchange, response);
+    } else {
+      content = context.alloc().buffer();
+    }
+  }
+
+  private void contentArrived(ChannelHandlerContext context, HttpContent part) {
+    boolean last = part instanceof LastHttpContent;
+    if (skipping) {
+      skipping = !last;
+      return;
+    }
+    if (head == null) {
+      return;
+    }
+    if (part.decoderResult().isFailure()) {
+      fail(context, BreakCause.INVALID_ANSWER);
+      return;
+    }
+    if (streaming) {
+      events.streamContent(exchange, part.content());
+    } else if (content.readableBytes() + part.content().readableBytes() > MAX_WHOLE_BYTES) {
+      fail(context, BreakCause.INVALID_ANSWER);
+      return;
+    } else {
+      content.writeBytes(part.content());
+    }
+    if (last && exchange != null) {
+      complete(context);
+    }
+  }
+
+  private void complete(ChannelHandlerContext context) {
+    EndpointExchange complete = exchange;
+    HttpResponse answered = head;
+    // A connection that ends its answer by closing may have failed before the last byte.
+    if (failed) {
+      fail(context, BreakCause.CONNECTION_LOST);
+      return;
+    }
+    exchange = null;
+    head = null;
+    ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content;
+    content = null;
+    connections.release(complete.address(), context.channel(), answered, reusable);
+    if (streaming) {
+      events.streamEnded(complete);
+    } else {
+      events.answered(complete, answered, whole);
+    }
+  }
+
+  private void fail(ChannelHandlerContext context, BreakCause cause) {
+    EndpointExchange lost = exchange;
+    exchange = null;
+    dropContent();
+    context.close();
+    if (lost != null) {
+      events.broken(lost, cause);
+    }
+  }
+
+  private void dropContent() {
+    if (content != null) {
+      content.release();
+      content = null;
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (exchange != null && streaming) {
+      events.streamPaused(exchange);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    connections.closed(context.channel());
+    fail(context, BreakCause.CONNECTION_LOST);
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    // A reset: what the decoder then takes for the end of an answer without a length is none.
+    failed = true;
+    fail(context, BreakCause.CONNECTION_LOST);
+  }
+}
--- /dev/null
+++ b/telemetry/src/main/java/io/zinniawood/telemetry/DecisionLog.java
@@ -0,0 +1,202 @@
+package io.zinniawood.telemetry;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Writes one JSON line for each decision. The caller never waits: lines go through a bounded queue
+ * to a thread of their own, and what exceeds the queue or the budget of a second is dropped and
+ * counted. The number of dropped lines is written once there is room again.
+ */
+public final class DecisionLog implements AutoCloseable {
+  /** Lines that may wait for the output. */
+  static final int MAX_QUEUED_LINES = 8_192;
+
+  /** Lines in one second; ten a request at the design size of 64 requests a second, three times. */
+  static final int MAX_LINES_PER_SECOND = 2_000;
+
+  private static final long NANOS_PER_SECOND = 1_000_000_000;
+
+  /** Pause between two writes, so that lines are written in batches. */
+  private static final long BATCH_NANOS = 100_000_000;
+
+  private final OutputStream output;
+  private final Supplier<Instant> clock;
+  private final LongSupplier nanoClock;
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Condition changed = lock.newCondition();
+  private final Deque<Line> queue = new ArrayDeque<>();
+  private final Thread writer;
+  private long secondStartNanos;
+  private int linesInSecond;
+  private long droppedLines;
+  private long droppedInAll;
+  private boolean closed;
+
+  private record Line(Instant time, String event, List<Object> fields) {}
+
+  /**
+   * Creates a log and starts its writer.
+   *
+   * @param output where the lines go; may block
+   * @param clock time of day for the lines
+   * @param nanoClock monotonic clock in nanoseconds
+   */
+  public DecisionLog(OutputStream output, Supplier<Instant> clock, LongSupplier nanoClock) {
+    this.output = output;
+    this.clock = clock;
+    this.nanoClock = nanoClock;
+    this.secondStartNanos = nanoClock.getAsLong();
+    this.writer = new Thread(this::writeAll, "decision-log");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  /**
+   * Adds a line unless the budget is used up.
+   *
+   * @param event name of the event
+   * @param fields names and values by turns
+   */
+  public void add(String event, List<Object> fields) {
+    lock.lock();
+    try {
+      if (withinBudget() && queue.size() < MAX_QUEUED_LINES) {
+        queue.addLast(new Line(clock.get(), event, fields));
+      } else {
+        droppedLines++;
+        droppedInAll++;
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns the number of lines that were dropped since the start. */
+  public long droppedLines() {
+    lock.lock();
+    try {
+      return droppedInAll;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private boolean withinBudget() {
+    long nowNanos = nanoClock.getAsLong();
+    if (nowNanos - secondStartNanos >= NANOS_PER_SECOND) {
+      secondStartNanos = nowNanos;
+      linesInSecond = 0;
+    }
+    linesInSecond++;
+    return linesInSecond <= MAX_LINES_PER_SECOND;
+  }
+
+  private void writeAll() {
+    StringBuilder text = new StringBuilder();
+    while (true) {
+      List<Line> lines = nextBatch();
+      if (lines.isEmpty()) {
+        return;
+      }
+      text.setLength(0);
+      for (Line line : lines) {
+        append(text, line);
+      }
+      try {
+        output.write(text.toString().getBytes(StandardCharsets.UTF_8));
+        output.flush();
+      } catch (IOException gone) {
+        // Nobody reads the log any more; there is no other place to say so.
+        return;
+      }
+    }
+  }
+
+  private List<Line> nextBatch() {
+    lock.lock();
+    try {
+      long waitNanos = BATCH_NANOS;
+      while (!closed && (queue.isEmpty() || waitNanos > 0)) {
+        waitNanos = changed.awaitNanos(Math.max(waitNanos, BATCH_NANOS));
+      }
+      List<Line> lines = new ArrayList<>(queue);
+      queue.clear();
+      if (droppedLines > 0) {
+        lines.add(new Line(clock.get(), "log-lines-dropped", List.of("lines", droppedLines)));
+        droppedLines = 0;
+      }
+      return lines;
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return List.of();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private static void append(StringBuilder text, Line line) {
+    text.append("{\"timestamp\":\"").append(line.time()).append("\",\"event\":");
+    appendText(text, line.event());
+    List<Object> fields = line.fields();
+    for (int index = 0; index + 1 < fields.size(); index += 2) {
+      text.append(',');
+      appendText(text, String.valueOf(fields.get(index)));
+      text.append(':');
+      appendValue(text, fields.get(index + 1));
+    }
+    text.append("}\n");
+  }
+
+  private static void appendValue(StringBuilder text, Object value) {
+    if (value instanceof Number || value instanceof Boolean) {
+      text.append(value);
+    } else {
+      appendText(text, String.valueOf(value));
+    }
+  }
+
+  private static void appendText(StringBuilder text, String value) {
+    text.append('"');
+    for (int index = 0; index < value.length(); index++) {
+      char next = value.charAt(index);
+      if (next == '"' || next == '\\') {
+        text.append('\\').append(next);
+      } else if (next < ' ') {
+        text.append(String.format("\\u%04x", (int) next));
+      } else {
+        text.append(next);
+      }
+    }
+    text.append('"');
+  }
+
+  /** Writes what is queued and ends the writer. */
+  @Override
+  public void close() {
+    lock.lock();
+    try {
+      closed = true;
+      changed.signalAll();
+    } finally {
+      lock.unlock();
+    }
+    try {
+      writer.join(CLOSE_WAIT_MILLIS);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static final long CLOSE_WAIT_MILLIS = 500;
+}
