Count accepted orders apart from heartbeats

Cause: the row of an endpoint and its report name two counters alike. The relay now counts accepted orders since the start of an endpoint and reads the report when it is unsure.

--- a/core/src/main/java/io/zinniawood/core/fleet/EndpointRecord.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/EndpointRecord.java
@@ -30,6 +30,8 @@
   private boolean removalPlanned;
   private Optional<LayerRange> ordered = Optional.empty();
   private long orderedUntilNanos;
+  private long ordersAccepted;
+  private boolean ordersUncertain;
 
   EndpointRecord(FleetEndpoint entry) {
     this.entry = entry;
@@ -54,12 +56,14 @@
       leaving = false;
       suspected = false;
       ordered = Optional.empty();
+      ordersAccepted = 0;
+      ordersUncertain = false;
     } else if (suspected
         && newer.rowVersion() > entry.rowVersion()
         && nowNanos - suspectedAtNanos > beatGraceNanos) {
       suspected = false;
     }
-    if (newer.layers().isPresent() && newer.ordersAccepted() >= entry.ordersAccepted()) {
+    if (newer.layers().isPresent()) {
       ordered = Optional.empty();
     }
     entry = newer;
@@ -180,8 +184,35 @@
     orderedUntilNanos = untilNanos;
   }
 
-  /** Notes that the last order was refused; the next one may follow at the given time. */
-  public void orderRefused(long nextNanos) {
-    orderedUntilNanos = nextNanos;
+  /** Returns the orders that the endpoint has accepted since its start, as far as is known. */
+  public long ordersAccepted() {
+    return ordersAccepted;
+  }
+
+  /** Tells whether the number of accepted orders must be read from the endpoint. */
+  public boolean ordersUncertain() {
+    return ordersUncertain;
+  }
+
+  /** Notes that the endpoint accepted an order. */
+  public void orderAccepted() {
+    ordersAccepted++;
+  }
+
+  /** Notes that the endpoint refused an order: it knows of another number of orders. */
+  public void orderRefused() {
+    ordersUncertain = true;
+    ordered = Optional.empty();
+  }
+
+  /** Notes that an order has no answer: it may be carried out now, later or never. */
+  public void orderUnanswered() {
+    ordersUncertain = true;
+  }
+
+  /** Takes the number of accepted orders that the endpoint reports. */
+  public void ordersReported(long accepted) {
+    ordersAccepted = accepted;
+    ordersUncertain = false;
   }
 }
--- a/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
@@ -19,7 +19,6 @@
  * @param draining whether it is leaving
  * @param accelerator kind of its accelerator; none for a plain service
  * @param layers layers that it holds; none if it holds none
- * @param ordersAccepted orders that it has accepted since its start
  * @param startedMillis Unix time of its start in milliseconds; 0 if unknown
  * @param rowVersion version of the store at which the entry was written
  */
@@ -32,7 +31,6 @@
     boolean draining,
     Optional<AcceleratorKind> accelerator,
     Optional<LayerRange> layers,
-    long ordersAccepted,
     long startedMillis,
     long rowVersion) {
   /** Tells whether both entries are of one start of the endpoint. */
--- a/core/src/main/java/io/zinniawood/core/relay/Placements.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Placements.java
@@ -18,9 +18,6 @@
   /** Time between two looks at the fleet, in nanoseconds. */
   private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
-  /** Pause after an order that the endpoint refused. */
-  private static final long REFUSED_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
   /** Time for the list to show loaded layers: a heartbeat, the list's lag and a poll. */
   private static final long SHOWN_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
@@ -79,6 +76,10 @@
   private static void order(
       RelayTurn turn, EngineProfile engine, EndpointId id, LayerRange layers) {
     EndpointRecord endpoint = turn.state.fleet.find(id).orElseThrow();
+    if (endpoint.ordersUncertain()) {
+      turn.emit(new RelayEffect.ReadReport(id, endpoint.entry().address()));
+      return;
+    }
     double loadSeconds = engine.loadSeconds() * layers.layers() / engine.layers();
     endpoint.ordered(layers, turn.nowNanos + SHOWN_NANOS + (long) (loadSeconds * NANOS_PER_SECOND));
     FencingNumber fence = turn.state.lease.mine().get().fencingNumber();
@@ -89,23 +90,35 @@
         "layers",
         layers.toString(),
         "ordersAccepted",
-        endpoint.entry().ordersAccepted(),
+        endpoint.ordersAccepted(),
         "fence",
         fence.value());
     turn.emit(
         new RelayEffect.Order(
             new PlacementOrder(
-                id, endpoint.entry().address(), layers, endpoint.entry().ordersAccepted(), fence)));
+                id, endpoint.entry().address(), layers, endpoint.ordersAccepted(), fence)));
   }
 
   static void answered(RelayTurn turn, RelayEvent.OrderAnswered event) {
     turn.log(
         "order-answered", "endpoint", event.endpoint().value(), "result", event.result().name());
-    if (event.result() == OrderResult.REFUSED) {
-      turn.state
-          .fleet
-          .find(event.endpoint())
-          .ifPresent(endpoint -> endpoint.orderRefused(turn.nowNanos + REFUSED_PAUSE_NANOS));
+    EndpointRecord endpoint = turn.state.fleet.find(event.endpoint()).orElse(null);
+    if (endpoint == null) {
+      return;
     }
+    if (event.result() == OrderResult.ACCEPTED) {
+      endpoint.orderAccepted();
+    } else if (event.result() == OrderResult.REFUSED) {
+      endpoint.orderRefused();
+    } else {
+      endpoint.orderUnanswered();
+    }
+  }
+
+  static void reported(RelayTurn turn, RelayEvent.ReportRead event) {
+    turn.state
+        .fleet
+        .find(event.endpoint())
+        .ifPresent(endpoint -> endpoint.ordersReported(event.ordersAccepted()));
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEffect.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEffect.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.entry.LeaseRow;
+import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.route.RequestLimits;
@@ -67,6 +68,14 @@
     }
   }
 
+  /** Reads the report of an endpoint. */
+  record ReadReport(EndpointId endpoint, NodeAddress address) implements RelayEffect {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.readReport(this);
+    }
+  }
+
   /** Reads the row of the controller lease. */
   record ReadLease() implements RelayEffect {
     @Override
@@ -138,6 +147,9 @@
     /** Carries out {@link Order}. */
     void order(Order effect);
 
+    /** Carries out {@link ReadReport}. */
+    void readReport(ReadReport effect);
+
     /** Carries out {@link ReadLease}. */
     void readLease(ReadLease effect);
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -112,6 +112,14 @@
     }
   }
 
+  /** An endpoint reported how many orders it has accepted. */
+  record ReportRead(EndpointId endpoint, long ordersAccepted) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.reportRead(this);
+    }
+  }
+
   /** A change of a request's path was answered or given up. */
   record RepathAnswered(
       RelayId id, int attempt, OrderResult result, Optional<NodeAddress> endpointAtFault)
@@ -184,6 +192,9 @@
     /** Handles {@link OrderAnswered}. */
     void orderAnswered(OrderAnswered event);
 
+    /** Handles {@link ReportRead}. */
+    void reportRead(ReportRead event);
+
     /** Handles {@link RepathAnswered}. */
     void repathAnswered(RepathAnswered event);
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -75,6 +75,11 @@
       Placements.answered(turn, event);
     }
 
+    @Override
+    public void reportRead(RelayEvent.ReportRead event) {
+      Placements.reported(turn, event);
+    }
+
     @Override
     public void repathAnswered(RelayEvent.RepathAnswered event) {
       Streams.repathAnswered(turn, event);
--- a/relay/src/main/java/io/zinniawood/relay/PlatformLink.java
+++ b/relay/src/main/java/io/zinniawood/relay/PlatformLink.java
@@ -1,6 +1,7 @@
 package io.zinniawood.relay;
 
 import io.zinniawood.core.entry.LeaseRow;
+import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.relay.CallerRequest;
@@ -23,6 +24,9 @@
   /** Changes the path of a request; the result comes as {@link RelayEvent.RepathAnswered}. */
   void repath(RelayId id, int attempt, CallerRequest request, NodeAddress first, LayerPath path);
 
+  /** Reads the report of an endpoint; it comes as {@link RelayEvent.ReportRead} if it answers. */
+  void readReport(EndpointId endpoint, NodeAddress address);
+
   /** Reads the controller lease; the row comes as {@link RelayEvent.LeaseRead}. */
   void readLease();
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayShell.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayShell.java
@@ -307,6 +307,11 @@
     platform.order(effect.order());
   }
 
+  @Override
+  public void readReport(RelayEffect.ReadReport effect) {
+    platform.readReport(effect.endpoint(), effect.address());
+  }
+
   @Override
   public void readLease(RelayEffect.ReadLease effect) {
     platform.readLease();
