Bound paths by the memory of endpoints; place layers once the list is complete

Cause: layers filled the memory of endpoints, which left room for 30 requests each, and all relays preferred the same endpoint (20 times the mean); engines preempted 241 requests. Layers were also placed on the first endpoints of a list that filled over four seconds.

--- a/core/src/main/java/io/zinniawood/core/fleet/EndpointRecord.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/EndpointRecord.java
@@ -17,6 +17,7 @@
 
   private FleetEndpoint entry;
   private int inFlight;
+  private long tokensInFlight;
   private long lastProgressNanos;
   private double slowness = 1;
   private double failureShare;
@@ -114,14 +115,21 @@
     return inFlight;
   }
 
+  /** Returns the tokens of the requests of this process whose path includes the endpoint. */
+  public long tokensInFlight() {
+    return tokensInFlight;
+  }
+
   /** Counts a request that starts to use the endpoint. */
-  public void requestStarted() {
+  public void requestStarted(long tokens) {
     inFlight++;
+    tokensInFlight += tokens;
   }
 
   /** Counts a request that no longer uses the endpoint. */
-  public void requestEnded() {
+  public void requestEnded(long tokens) {
     inFlight--;
+    tokensInFlight -= tokens;
   }
 
   /** Returns the time at which a request last advanced through the endpoint, in nanoseconds. */
--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -40,12 +40,18 @@
   private boolean storeAway;
   private long regainedNanos;
   private boolean everRegained;
+  private long newestNanos;
 
   /** Tells whether the list was read at least once. */
   public boolean listed() {
     return listed;
   }
 
+  /** Returns the time at which an endpoint was last seen for the first time, in nanoseconds. */
+  public long newestNanos() {
+    return newestNanos;
+  }
+
   /** Returns all endpoints. */
   public Collection<EndpointRecord> all() {
     return records.values();
@@ -99,6 +105,7 @@
       EndpointRecord known = records.get(endpoint.id());
       if (known == null) {
         records.put(endpoint.id(), new EndpointRecord(endpoint));
+        newestNanos = nowNanos;
       } else if (endpoint.rowVersion() >= known.entry().rowVersion()) {
         known.update(endpoint, nowNanos, BEAT_GRACE_NANOS);
       }
--- a/core/src/main/java/io/zinniawood/core/path/LayerPlacement.java
+++ b/core/src/main/java/io/zinniawood/core/path/LayerPlacement.java
@@ -18,10 +18,14 @@
  * beyond the one that replaces it. An empty endpoint takes the range that is covered least: first
  * over the whole fleet, as a layer that nobody holds stops every request, then in its own data
  * centre, so that paths stay there. Among equals it takes the range that joins the ends of others.
+ * Fast endpoints choose first, so that paths without slow ones exist.
  */
 public final class LayerPlacement {
-  /** Memory kept free for requests, in tokens of all held layers: thirty usual requests. */
-  private static final int RESERVED_REQUESTS = 30;
+  /**
+   * Usual requests whose tokens must fit beside the layers. Fewer layers leave more memory: at 30
+   * the fleet holds 5.2 copies of 32 requests, at 60 it holds 4.6 copies of 62.
+   */
+  private static final int RESERVED_REQUESTS = 60;
 
   /** Holders of a layer beyond which one more in the whole fleet is of no use. */
   private static final int FLEET_COVER = 2;
@@ -62,8 +66,8 @@
       }
     }
     empty.sort(
-        Comparator.comparing((Holding holding) -> -layersOf(holding.accelerator()))
-            .thenComparing(holding -> slowness(holding.accelerator()))
+        Comparator.comparing((Holding holding) -> slowness(holding.accelerator()))
+            .thenComparing(holding -> -layersOf(holding.accelerator()))
             .thenComparing(Holding::endpoint));
     Map<EndpointId, LayerRange> chosen = new LinkedHashMap<>();
     for (Holding holding : empty) {
--- a/core/src/main/java/io/zinniawood/core/relay/CallerRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CallerRequest.java
@@ -24,4 +24,9 @@
     OptionalLong deadlineMillis,
     int promptTokens,
     int maxAnswerTokens,
-    long resumeAfter) {}
+    long resumeAfter) {
+  /** Returns the tokens that the request takes at most in the memory of each endpoint. */
+  public long tokens() {
+    return (long) promptTokens + maxAnswerTokens;
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
+++ b/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
@@ -13,9 +13,15 @@
   /** The holder renews three times within a lease. */
   private static final long RENEWAL_NANOS = LEASE_NANOS / 3;
 
+  /** The holder reads the table once in so many renewals, to see the other relays. */
+  private static final int HOLDER_READ_TICKS = 4;
+
   /** Others read half as often: each call to the store costs. */
   private static final long READ_NANOS = LEASE_NANOS / 2;
 
+  /** Time between two signs of presence; three of them fit into the time of absence. */
+  private static final long PRESENCE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
   private ControllerLease() {}
 
   /** Tells whether this relay surely holds the lease now. */
@@ -24,15 +30,26 @@
     return lease.mine().isDefined() && turn.nowNanos - lease.validUntilNanos() < 0;
   }
 
+  /** Shows the presence of this relay to the others, who share limits with it. */
+  private static void showPresence(RelayTurn turn) {
+    RelayState state = turn.state;
+    if (turn.nowNanos - state.presenceTickNanos >= 0) {
+      state.presenceTickNanos = turn.nowNanos + PRESENCE_NANOS;
+      turn.emit(new RelayEffect.ShowPresence(state.self.vm(), ++state.presences));
+    }
+  }
+
   static void tick(RelayTurn turn) {
     RelayState state = turn.state;
     if (!state.ready || turn.nowNanos - state.leaseTickNanos < 0) {
       return;
     }
+    showPresence(turn);
     LeaseView lease = state.lease;
     boolean holder = lease.mine().isDefined();
     state.leaseTickNanos = turn.nowNanos + (holder ? RENEWAL_NANOS : READ_NANOS);
-    if (holder && lease.pending().isEmpty()) {
+    state.holderTicks++;
+    if (holder && lease.pending().isEmpty() && state.holderTicks % HOLDER_READ_TICKS != 0) {
       LeaseRow row = lease.mine().get();
       write(turn, new LeaseRow(row.holder(), row.fencingNumber(), row.renewals() + 1));
     } else {
--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -32,9 +32,9 @@
 
   private static Result dispatchModel(RelayTurn turn, OpenRequest open, EngineProfile engine) {
     PathChoice choice = new PathChoice(turn, engine, open.service);
-    Optional<LayerPath> path = choice.best(open.excluded);
+    Optional<LayerPath> path = choice.best(open.excluded, open.request.tokens());
     if (path.isEmpty()) {
-      return Result.NONE_LEFT;
+      return choice.existsIfEmpty(open.excluded) ? Result.ALL_BUSY : Result.NONE_LEFT;
     }
     open.path = path;
     open.expectedGapMillis = choice.expectedGapMillis(path.get());
--- a/core/src/main/java/io/zinniawood/core/relay/PathChoice.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathChoice.java
@@ -19,17 +19,23 @@
 
 /** Chooses the path of a model request by expected pass time, load and data centre. */
 final class PathChoice {
-  /** Handover between two endpoints and the wait for a pass in progress, in milliseconds. */
-  private static final double PART_MILLIS = 2;
+  /** Handover of an event between two endpoints, in milliseconds. */
+  private static final double PART_MILLIS = 1;
 
   /** Activations of a usual prompt through the pipe between data centres, in milliseconds. */
-  private static final double CROSSING_MILLIS = 12;
+  private static final double CROSSING_MILLIS = 10;
 
   /** Events of a stream that come from another data centre, in milliseconds. */
   private static final double ENTRY_CROSSING_MILLIS = 3;
 
-  /** Growth of an endpoint's pass time by each request that this relay has there. */
-  private static final double LOAD_WEIGHT = 0.06;
+  /** Share of an endpoint's memory beyond which no further request is sent there. */
+  private static final double MAX_MEMORY_SHARE = 0.95;
+
+  /** Cost of an endpoint whose memory is full, against an empty one; a full one preempts requests. */
+  private static final double CROWDING_WEIGHT = 4;
+
+  /** Makes memory count only when it is nearly full. */
+  private static final double CROWDING_POWER = 6;
 
   /** Spread of the random factor that keeps relays from choosing the same path. */
   private static final double JITTER = 0.3;
@@ -51,8 +57,21 @@
             engine.layers(), new PathCosts(PART_MILLIS, CROSSING_MILLIS, ENTRY_CROSSING_MILLIS));
   }
 
-  Optional<LayerPath> best(Set<EndpointId> excluded) {
-    return planner.cheapest(candidates(excluded), turn.state.self.dataCentre());
+  /**
+   * Returns the best path along endpoints with room.
+   *
+   * @param excluded endpoints that the request must avoid
+   * @param tokens tokens of the request
+   */
+  Optional<LayerPath> best(Set<EndpointId> excluded, long tokens) {
+    return planner.cheapest(candidates(excluded, tokens), turn.state.self.dataCentre());
+  }
+
+  /** Tells whether a path would exist if all endpoints had room. */
+  boolean existsIfEmpty(Set<EndpointId> excluded) {
+    return planner
+        .cheapest(candidates(excluded, Long.MIN_VALUE), turn.state.self.dataCentre())
+        .isPresent();
   }
 
   /** Returns the best path that keeps its first part; none if there is none. */
@@ -63,10 +82,10 @@
             .find(first.endpoint())
             .map(endpoint -> endpoint.entry().dataCentre())
             .orElse(turn.state.self.dataCentre());
-    return planner.continued(candidates(excluded), first, dataCentre);
+    return planner.continued(candidates(excluded, 0), first, dataCentre);
   }
 
-  private List<PathCandidate> candidates(Set<EndpointId> excluded) {
+  private List<PathCandidate> candidates(Set<EndpointId> excluded, long tokens) {
     List<PathCandidate> candidates = new ArrayList<>();
     for (EndpointRecord endpoint : endpoints) {
       Optional<LayerRange> layers = endpoint.entry().layers();
@@ -74,7 +93,11 @@
         continue;
       }
       double jitter = 1 + JITTER * turn.state.random.nextDouble();
-      double load = 1 + LOAD_WEIGHT * endpoint.inFlight();
+      double used = memoryShare(endpoint, tokens);
+      if (used >= MAX_MEMORY_SHARE) {
+        continue;
+      }
+      double crowding = 1 + CROWDING_WEIGHT * Math.pow(Math.max(0, used), CROWDING_POWER);
       double slowness = endpoint.slowness() * endpoint.slowness();
       candidates.add(
           new PathCandidate(
@@ -82,20 +105,40 @@
               endpoint.entry().address(),
               endpoint.entry().dataCentre(),
               layers.get(),
-              passMillis(endpoint) * load * jitter * slowness));
+              WAIT_FACTOR * passMillis(endpoint) * crowding * jitter * slowness));
     }
     return candidates;
   }
 
+  /**
+   * Returns the share of an endpoint's memory that requests take with one more, if all relays use it
+   * as this one does.
+   */
+  private double memoryShare(EndpointRecord endpoint, long moreTokens) {
+    double capacity =
+        accelerator(endpoint)
+            .map(kind -> engine.tokensBeside(kind, endpoint.entry().layers().get().layers()))
+            .orElse(0.0);
+    double tokens = (double) endpoint.tokensInFlight() * turn.state.relays.count() + moreTokens;
+    return capacity <= 0 ? 1 : tokens / capacity;
+  }
+
+  /** Returns the time of a pass through one layer, if all relays use the endpoint as this one. */
   private double passMillis(EndpointRecord endpoint) {
-    return accelerator(endpoint).map(engine::passMillisPerLayer).orElse(1.0);
+    double relays = turn.state.relays.count();
+    return accelerator(endpoint)
+        .map(
+            kind ->
+                engine.passMillisPerLayer(
+                    kind, endpoint.inFlight() * relays, endpoint.tokensInFlight() * relays))
+        .orElse(1.0);
   }
 
   private Optional<AcceleratorProfile> accelerator(EndpointRecord endpoint) {
     return endpoint.entry().accelerator().flatMap(engine::accelerator);
   }
 
-  /** Returns the expected time between two events of a stream on an unloaded path. */
+  /** Returns the expected time between two events of a stream on a path at its present load. */
   double expectedGapMillis(LayerPath path) {
     double millis = 0;
     for (PathPart part : path.parts()) {
@@ -105,7 +148,7 @@
     return millis;
   }
 
-  /** Returns the expected time to the first event of a stream on an unloaded path. */
+  /** Returns the expected time to the first event of a stream on a path at its present load. */
   double expectedFirstMillis(LayerPath path, int promptTokens) {
     double millis = 0;
     for (PathPart part : path.parts()) {
--- a/core/src/main/java/io/zinniawood/core/relay/Placements.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Placements.java
@@ -21,6 +21,9 @@
   /** Time for the list to show loaded layers: a heartbeat, the list's lag and a poll. */
   private static final long SHOWN_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
+  /** Time without a new endpoint after which the list counts as complete at the first start. */
+  private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private Placements() {}
@@ -33,6 +36,11 @@
       return;
     }
     state.placementTickNanos = turn.nowNanos + INTERVAL_NANOS;
+    // Layers that are placed while the list still fills would have to stay where they are.
+    boolean filling = turn.nowNanos - state.fleet.newestNanos() < QUIET_NANOS;
+    if (state.self.firstStart() && !state.requestSeen && filling) {
+      return;
+    }
     for (RoutedService service : state.routes.get().services()) {
       service.engine().ifPresent(engine -> place(turn, service, engine));
     }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEffect.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEffect.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.route.RequestLimits;
@@ -92,6 +93,14 @@
     }
   }
 
+  /** Writes the row that shows the presence of this relay. */
+  record ShowPresence(VmId vm, long beat) implements RelayEffect {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.showPresence(this);
+    }
+  }
+
   /** Applies limits to new requests. */
   record ApplyLimits(RequestLimits limits) implements RelayEffect {
     @Override
@@ -156,6 +165,9 @@
     /** Carries out {@link WriteLease}. */
     void writeLease(WriteLease effect);
 
+    /** Carries out {@link ShowPresence}. */
+    void showPresence(ShowPresence effect);
+
     /** Carries out {@link ApplyLimits}. */
     void applyLimits(ApplyLimits effect);
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -4,9 +4,11 @@
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.route.RouteTable;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Input of the relay's reducer. An event dispatches itself through a {@link Visitor}. */
@@ -138,6 +140,14 @@
     }
   }
 
+  /** The rows with which relays show their presence were read. */
+  record PresencesRead(Map<VmId, Long> versions) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.presencesRead(this);
+    }
+  }
+
   /** Time has passed; comes every few tens of milliseconds. */
   record Tick() implements RelayEvent {
     @Override
@@ -201,6 +211,9 @@
     /** Handles {@link LeaseRead}. */
     void leaseRead(LeaseRead event);
 
+    /** Handles {@link PresencesRead}. */
+    void presencesRead(PresencesRead event);
+
     /** Handles {@link Tick}. */
     void tick(Tick event);
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -90,6 +90,11 @@
       ControllerLease.read(turn, event);
     }
 
+    @Override
+    public void presencesRead(RelayEvent.PresencesRead event) {
+      turn.state.relays.read(event.versions(), turn.nowNanos);
+    }
+
     @Override
     public void tick(RelayEvent.Tick event) {
       turn.state.fleet.removeDue(turn.nowNanos);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -19,9 +19,13 @@
   final RetryBudget retryBudget = new RetryBudget();
   final SplittableRandom random;
   Optional<RouteTable> routes = Optional.empty();
+  final RelayCensus relays = new RelayCensus();
   LeaseView lease = LeaseView.unknown();
   long leaseTickNanos;
   long placementTickNanos;
+  long presenceTickNanos;
+  long presences;
+  long holderTicks;
   boolean requestSeen;
   boolean ready;
   boolean terminating;
--- a/core/src/main/java/io/zinniawood/core/relay/Usage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Usage.java
@@ -1,6 +1,5 @@
 package io.zinniawood.core.relay;
 
-import io.zinniawood.core.fleet.EndpointRecord;
 import io.zinniawood.core.path.PathPart;
 
 /** Counts the requests in flight at each endpoint. */
@@ -10,10 +9,10 @@
   static void begin(RelayTurn turn, OpenRequest open) {
     if (open.path.isPresent()) {
       for (PathPart part : open.path.get().parts()) {
-        turn.state.fleet.find(part.endpoint()).ifPresent(EndpointRecord::requestStarted);
+        turn.state.fleet.find(part.endpoint()).ifPresent(endpoint -> endpoint.requestStarted(open.request.tokens()));
       }
     } else {
-      open.target.flatMap(turn.state.fleet::find).ifPresent(EndpointRecord::requestStarted);
+      open.target.flatMap(turn.state.fleet::find).ifPresent(endpoint -> endpoint.requestStarted(open.request.tokens()));
     }
   }
 
@@ -21,10 +20,10 @@
   static void end(RelayTurn turn, OpenRequest open) {
     if (open.path.isPresent()) {
       for (PathPart part : open.path.get().parts()) {
-        turn.state.fleet.find(part.endpoint()).ifPresent(EndpointRecord::requestEnded);
+        turn.state.fleet.find(part.endpoint()).ifPresent(endpoint -> endpoint.requestEnded(open.request.tokens()));
       }
     } else {
-      open.target.flatMap(turn.state.fleet::find).ifPresent(EndpointRecord::requestEnded);
+      open.target.flatMap(turn.state.fleet::find).ifPresent(endpoint -> endpoint.requestEnded(open.request.tokens()));
     }
     open.path = java.util.Optional.empty();
     open.target = java.util.Optional.empty();
--- a/core/src/main/java/io/zinniawood/core/route/EngineProfile.java
+++ b/core/src/main/java/io/zinniawood/core/route/EngineProfile.java
@@ -13,6 +13,8 @@
  * @param loadSeconds time to load all layers, in seconds
  * @param loadsAtOnce loads that run side by side without slowing each other
  * @param stepMillis time of one token step in milliseconds
+ * @param stepMillisPerRequest time that each request in a step adds, in milliseconds
+ * @param stepMillisPerContextToken time that each token of context adds to a step, in milliseconds
  * @param stepsPerPass token steps of one pass
  * @param readTokensPerSecond prompt tokens read in a second
  * @param tokenCacheBytes memory of one token in all layers, in bytes
@@ -27,6 +29,8 @@
     double loadSeconds,
     int loadsAtOnce,
     double stepMillis,
+    double stepMillisPerRequest,
+    double stepMillisPerContextToken,
     int stepsPerPass,
     double readTokensPerSecond,
     double tokenCacheBytes,
@@ -44,9 +48,18 @@
     return Optional.ofNullable(accelerators.get(kind));
   }
 
-  /** Returns the time of one pass through one layer in milliseconds. */
-  public double passMillisPerLayer(AcceleratorProfile accelerator) {
-    return stepMillis * stepsPerPass * accelerator.stepFactor() / layers;
+  /**
+   * Returns the time of one pass through one layer in milliseconds.
+   *
+   * @param accelerator accelerator of the endpoint
+   * @param requests requests that write in the pass
+   * @param contextTokens tokens of all of them
+   */
+  public double passMillisPerLayer(
+      AcceleratorProfile accelerator, double requests, double contextTokens) {
+    double step =
+        stepMillis + requests * stepMillisPerRequest + contextTokens * stepMillisPerContextToken;
+    return step * stepsPerPass * accelerator.stepFactor() / layers;
   }
 
   /** Returns the time to read a prompt through one layer in milliseconds. */
--- a/relay/src/main/java/io/zinniawood/relay/PlatformLink.java
+++ b/relay/src/main/java/io/zinniawood/relay/PlatformLink.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.relay.CallerRequest;
@@ -27,9 +28,15 @@
   /** Reads the report of an endpoint; it comes as {@link RelayEvent.ReportRead} if it answers. */
   void readReport(EndpointId endpoint, NodeAddress address);
 
-  /** Reads the controller lease; the row comes as {@link RelayEvent.LeaseRead}. */
+  /**
+   * Reads the controller lease; the row comes as {@link RelayEvent.LeaseRead}, and the relays
+   * that show their presence as {@link RelayEvent.PresencesRead}.
+   */
   void readLease();
 
+  /** Writes the row that shows a relay's presence. */
+  void showPresence(VmId vm, long beat);
+
   /**
    * Writes the controller lease; the row as it then stands comes as {@link RelayEvent.LeaseRead}.
    *
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayShell.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayShell.java
@@ -322,6 +322,11 @@
     platform.writeLease(effect.expectedVersion(), effect.row());
   }
 
+  @Override
+  public void showPresence(RelayEffect.ShowPresence effect) {
+    platform.showPresence(effect.vm(), effect.beat());
+  }
+
   @Override
   public void applyLimits(RelayEffect.ApplyLimits effect) {
     limits = effect.limits();
