--- a/core/src/main/java/io/zinniawood/core/relay/PathChoice.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathChoice.java
@@ -31,7 +31,9 @@
   /** Share of an endpoint's memory beyond which no further request is sent there. */
   private static final double MAX_MEMORY_SHARE = 0.95;
 
-  /** Cost of an endpoint whose memory is full, against an empty one; a full one preempts requests. */
+  /**
+   * Cost of an endpoint whose memory is full, against an empty one; a full one preempts requests.
+   */
   private static final double CROWDING_WEIGHT = 4;
 
   /** Makes memory count only when it is nearly full. */
@@ -111,8 +113,8 @@
   }
 
   /**
-   * Returns the share of an endpoint's memory that requests take with one more, if all relays use it
-   * as this one does.
+   * Returns the share of an endpoint's memory that requests take with one more, if all relays use
+   * it as this one does.
    */
   private double memoryShare(EndpointRecord endpoint, long moreTokens) {
     double capacity =
--- a/core/src/main/java/io/zinniawood/core/relay/Usage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Usage.java
@@ -9,10 +9,15 @@
   static void begin(RelayTurn turn, OpenRequest open) {
     if (open.path.isPresent()) {
       for (PathPart part : open.path.get().parts()) {
-        turn.state.fleet.find(part.endpoint()).ifPresent(endpoint -> endpoint.requestStarted(open.request.tokens()));
+        turn.state
+            .fleet
+            .find(part.endpoint())
+            .ifPresent(endpoint -> endpoint.requestStarted(open.request.tokens()));
       }
     } else {
-      open.target.flatMap(turn.state.fleet::find).ifPresent(endpoint -> endpoint.requestStarted(open.request.tokens()));
+      open.target
+          .flatMap(turn.state.fleet::find)
+          .ifPresent(endpoint -> endpoint.requestStarted(open.request.tokens()));
     }
   }
 
@@ -20,10 +25,15 @@
   static void end(RelayTurn turn, OpenRequest open) {
     if (open.path.isPresent()) {
       for (PathPart part : open.path.get().parts()) {
-        turn.state.fleet.find(part.endpoint()).ifPresent(endpoint -> endpoint.requestEnded(open.request.tokens()));
+        turn.state
+            .fleet
+            .find(part.endpoint())
+            .ifPresent(endpoint -> endpoint.requestEnded(open.request.tokens()));
       }
     } else {
-      open.target.flatMap(turn.state.fleet::find).ifPresent(endpoint -> endpoint.requestEnded(open.request.tokens()));
+      open.target
+          .flatMap(turn.state.fleet::find)
+          .ifPresent(endpoint -> endpoint.requestEnded(open.request.tokens()));
     }
     open.path = java.util.Optional.empty();
     open.target = java.util.Optional.empty();
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.zinniawood.core.fleet}. */
+package io.zinniawood.core.fleet;
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/path/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.zinniawood.core.path}. */
+package io.zinniawood.core.path;
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -0,0 +1,219 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.AcceleratorKind;
+import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.LayerRange;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.route.AcceleratorProfile;
+import io.zinniawood.core.route.AccountKey;
+import io.zinniawood.core.route.EngineProfile;
+import io.zinniawood.core.route.RequestLimits;
+import io.zinniawood.core.route.Route;
+import io.zinniawood.core.route.RouteKind;
+import io.zinniawood.core.route.RouteTable;
+import io.zinniawood.core.route.RoutedService;
+import io.zinniawood.core.route.ServiceShare;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/** Drives one relay in virtual time and collects its effects. */
+final class RelayHarness {
+  static final DataCentreId HOME = new DataCentreId("home");
+  static final ServiceName MODEL = new ServiceName("model");
+  static final ServiceName PLAIN = new ServiceName("plain");
+  static final String KEY = "key-1";
+  static final AcceleratorKind KIND = new AcceleratorKind("gpu");
+  static final int LAYERS = 10;
+  private static final long SEED = 7;
+
+  private final RelayState state =
+      new RelayState(new RelaySelf(new VmId("relay-1"), HOME, false, SEED));
+  private final RelayReducer reducer = new RelayReducer();
+  private final List<RelayEffect> effects = new ArrayList<>();
+  private long nowNanos = TimeUnit.SECONDS.toNanos(100);
+  private long rowVersion = 1;
+  private long nextRequest;
+
+  /** Creates a relay that knows its routes. */
+  RelayHarness() {
+    post(new RelayEvent.RoutesRead(routes(1)));
+  }
+
+  static RouteTable routes(long version) {
+    return routes(version, Map.of(KEY, new AccountKey(new ClientAccountId("account"), -1)));
+  }
+
+  static RouteTable routes(long version, Map<String, AccountKey> keys) {
+    return new RouteTable(
+        version,
+        List.of(
+            route("stream", RouteKind.STREAMING, MODEL, 20_000, 2),
+            route("read", RouteKind.IDEMPOTENT, PLAIN, 800, 2),
+            route("book", RouteKind.NON_IDEMPOTENT, PLAIN, 800, 1)),
+        List.of(
+            new RoutedService(MODEL, 100, Optional.of(engine())),
+            new RoutedService(PLAIN, 100, Optional.empty())),
+        true,
+        keys,
+        RequestLimits.DEFAULT);
+  }
+
+  private static Route route(
+      String name, RouteKind kind, ServiceName service, long timeoutMillis, int maxAttempts) {
+    return new Route(
+        name,
+        "host",
+        "/" + name + "/",
+        kind,
+        timeoutMillis,
+        500,
+        250,
+        1,
+        List.of(new ServiceShare(service, 1)),
+        maxAttempts,
+        false,
+        kind == RouteKind.STREAMING);
+  }
+
+  static EngineProfile engine() {
+    return new EngineProfile(
+        LAYERS,
+        1_000,
+        10,
+        2,
+        1,
+        0.005,
+        0.000005,
+        4,
+        100_000,
+        100_000,
+        10_000,
+        500,
+        200,
+        Map.of(KIND, new AcceleratorProfile(KIND, 20_000, 1, 1)));
+  }
+
+  /** Returns a model endpoint with layers in the list. */
+  FleetEndpoint model(String id, int from, int to) {
+    return endpoint(id, MODEL, Optional.of(new LayerRange(from, to)), false);
+  }
+
+  /** Returns an empty model endpoint. */
+  FleetEndpoint empty(String id) {
+    return endpoint(id, MODEL, Optional.empty(), false);
+  }
+
+  /** Returns an endpoint of the plain service. */
+  FleetEndpoint plain(String id) {
+    return endpoint(id, PLAIN, Optional.empty(), false);
+  }
+
+  FleetEndpoint endpoint(
+      String id, ServiceName service, Optional<LayerRange> layers, boolean draining) {
+    return new FleetEndpoint(
+        new EndpointId(id),
+        service,
+        new NodeAddress("10.0.0.1", 2_000 + Math.abs(id.hashCode() % 10_000)),
+        HOME,
+        6,
+        draining,
+        service.equals(MODEL) ? Optional.of(KIND) : Optional.empty(),
+        layers,
+        1,
+        rowVersion++);
+  }
+
+  void list(FleetEndpoint... endpoints) {
+    post(new RelayEvent.EndpointsListed(List.of(endpoints)));
+  }
+
+  void post(RelayEvent event) {
+    reducer.reduce(state, nowNanos, event).effects().forEach(effects::add);
+  }
+
+  void passMillis(long millis) {
+    long endNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+    while (nowNanos < endNanos) {
+      nowNanos += TimeUnit.MILLISECONDS.toNanos(5);
+      post(new RelayEvent.Tick());
+    }
+  }
+
+  RelayId request(String route) {
+    return request(route, Optional.of(KEY), 1_500);
+  }
+
+  RelayId request(String route, Optional<String> key, long deadlineMillis) {
+    RelayId id = new RelayId(++nextRequest);
+    post(
+        new RelayEvent.RequestArrived(
+            id,
+            new CallerRequest(
+                Optional.of(new RequestId("caller-" + nextRequest)),
+                "host",
+                "/" + route + "/x",
+                key,
+                OptionalLong.of(deadlineMillis),
+                500,
+                200,
+                0)));
+    return id;
+  }
+
+  <T extends RelayEffect> List<T> all(Class<T> type) {
+    return effects.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  <T extends RelayEffect> T last(Class<T> type) {
+    List<T> found = all(type);
+    if (found.isEmpty()) {
+      throw new AssertionError("no %s among %s".formatted(type.getSimpleName(), effects));
+    }
+    return found.get(found.size() - 1);
+  }
+
+  List<RelayEffect.Send> sends(RelayId id) {
+    return all(RelayEffect.Send.class).stream().filter(send -> send.id().equals(id)).toList();
+  }
+
+  Optional<OwnAnswer> ownAnswer(RelayId id) {
+    return all(RelayEffect.Answer.class).stream()
+        .filter(answer -> answer.id().equals(id))
+        .map(RelayEffect.Answer::answer)
+        .findFirst();
+  }
+
+  RelayState state() {
+    return state;
+  }
+
+  void answered(RelayId id, int attempt, int status) {
+    post(
+        new RelayEvent.Answered(
+            id, attempt, new AnswerSummary(status, true, false, Optional.empty())));
+  }
+
+  void notRun(RelayId id, int attempt) {
+    post(
+        new RelayEvent.Answered(
+            id, attempt, new AnswerSummary(503, false, true, Optional.empty())));
+  }
+
+  void broken(RelayId id, int attempt, BreakCause cause) {
+    post(new RelayEvent.AttemptBroken(id, attempt, cause, 0));
+  }
+
+  void advance(RelayId id, int attempt) {
+    post(new RelayEvent.StreamAdvanced(id, attempt));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.zinniawood.core.relay}. */
+package io.zinniawood.core.relay;
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/route/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.zinniawood.core.route}. */
+package io.zinniawood.core.route;
--- a/relay/src/main/java/io/zinniawood/relay/PlatformLink.java
+++ b/relay/src/main/java/io/zinniawood/relay/PlatformLink.java
@@ -29,8 +29,8 @@
   void readReport(EndpointId endpoint, NodeAddress address);
 
   /**
-   * Reads the controller lease; the row comes as {@link RelayEvent.LeaseRead}, and the relays
-   * that show their presence as {@link RelayEvent.PresencesRead}.
+   * Reads the controller lease; the row comes as {@link RelayEvent.LeaseRead}, and the relays that
+   * show their presence as {@link RelayEvent.PresencesRead}.
    */
   void readLease();
 
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EventStreamSplitterTest.java
@@ -0,0 +1,67 @@
+package io.zinniawood.relay.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+final class EventStreamSplitterTest {
+  private static final long SEED = 20_261_204;
+
+  private final EventStreamSplitter splitter = new EventStreamSplitter(0);
+  private final StringBuilder passedOn = new StringBuilder();
+
+  private void take(String text) {
+    ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    splitter.take(
+        bytes,
+        event -> {
+          passedOn.append(event.toString(StandardCharsets.UTF_8));
+          event.release();
+        });
+    bytes.release();
+  }
+
+  // Half an event must never reach a caller, as its endpoint may break off within it.
+  @Test
+  void keepsAPartUntilItsEventEnds() {
+    take("id: 1\ndata: a\n\nid: 2\nda");
+    assertThat(passedOn.toString(), is("id: 1\ndata: a\n\n"));
+    assertThat(splitter.hasPart(), is(true));
+    take("ta: b\n\n");
+    assertThat(passedOn.toString(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    assertThat(splitter.hasPart(), is(false));
+  }
+
+  // A resumed stream may repeat events; each must reach the caller once.
+  @Test
+  void dropsEventsThatTheCallerHas() {
+    take("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+    splitter.dropPart();
+    take("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    assertThat(passedOn.toString(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
+    assertThat(splitter.lastId(), is(3L));
+  }
+
+  // Bytes are passed on unchanged wherever the network cuts them.
+  @Test
+  void passesTheSameBytesForAnyCut() {
+    StringBuilder all = new StringBuilder();
+    for (int id = 1; id <= 200; id++) {
+      all.append(": x\r\nid:").append(id).append("\r\ndata: line ").append(id).append("\r\n\r\n");
+    }
+    Random random = new Random(SEED);
+    int from = 0;
+    while (from < all.length()) {
+      int to = Math.min(all.length(), from + 1 + random.nextInt(40));
+      take(all.substring(from, to));
+      from = to;
+    }
+    assertThat("seed " + SEED, passedOn.toString(), is(all.toString()));
+    assertThat(splitter.lastId(), is(200L));
+  }
+}
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.zinniawood.relay.internal}. */
+package io.zinniawood.relay.internal;
