Give slow accelerators chains of their own; count expected tokens

Cause: requests were counted with the most answer tokens that a caller names (600) although answers have 210, so 40 in 100 of the memory stayed empty; one slow part makes a request hold the memory of all other parts longer.

--- a/core/src/main/java/io/zinniawood/core/path/LayerPlacement.java
+++ b/core/src/main/java/io/zinniawood/core/path/LayerPlacement.java
@@ -16,8 +16,9 @@
 /**
  * Chooses layers for empty endpoints. Endpoints that hold layers keep them, so a loss costs no load
  * beyond the one that replaces it. An empty endpoint takes the range that is covered least: first
- * over the whole fleet, as a layer that nobody holds stops every request, then in its own data
- * centre, so that paths stay there. Among equals it takes the range that joins the ends of others.
+ * over the whole fleet, as a layer that nobody holds stops every request, then among endpoints of its
+ * class of speed in its own data centre and in the fleet: a path is as slow as its slowest parts, so
+ * slow endpoints form paths of their own. Among equals it takes the range that joins the ends of others.
  * Fast endpoints choose first, so that paths without slow ones exist.
  */
 public final class LayerPlacement {
@@ -68,11 +69,12 @@
     empty.sort(
         Comparator.comparing((Holding holding) -> slowness(holding.accelerator()))
             .thenComparing(holding -> -layersOf(holding.accelerator()))
+            .thenComparing(Holding::dataCentre)
             .thenComparing(Holding::endpoint));
     Map<EndpointId, LayerRange> chosen = new LinkedHashMap<>();
     for (Holding holding : empty) {
       LayerRange range = coverage.leastCovered(holding);
-      coverage.add(holding.dataCentre(), range);
+      coverage.add(holding, range);
       chosen.put(holding.endpoint(), range);
     }
     return chosen;
@@ -82,40 +84,50 @@
     return engine.accelerator(kind).map(AcceleratorProfile::stepFactor).orElse(0.0);
   }
 
+  private boolean isSlow(AcceleratorKind kind) {
+    return engine.accelerator(kind).map(engine::isSlow).orElse(false);
+  }
+
+  /** Endpoints of one class of speed in one data centre, or in all. */
+  private record Group(DataCentreId dataCentre, boolean slow) {}
+
   /** Holders of each layer. */
   private final class Coverage {
     private final int[] fleet = new int[engine.layers()];
-    private final Map<DataCentreId, int[]> byCentre = new HashMap<>();
-    private final Map<DataCentreId, int[]> edgesByCentre = new HashMap<>();
+    private final Map<Group, int[]> byClass = new HashMap<>();
+    private final Map<Group, int[]> edgesByClass = new HashMap<>();
 
     Coverage(List<Holding> holdings) {
       for (Holding holding : holdings) {
-        holding.layers().ifPresent(range -> add(holding.dataCentre(), range));
+        holding.layers().ifPresent(range -> add(holding, range));
       }
     }
 
-    void add(DataCentreId dataCentre, LayerRange range) {
-      int[] own = centre(dataCentre);
+    void add(Holding holding, LayerRange range) {
+      int[] own = holders(holding.dataCentre(), holding);
+      int[] ofClass = holders(ANYWHERE, holding);
       int to = Math.min(engine.layers(), range.toLayerExclusive());
       for (int layer = range.fromLayer(); layer < to; layer++) {
         fleet[layer]++;
         own[layer]++;
+        ofClass[layer]++;
       }
-      int[] edges = edges(dataCentre);
+      int[] edges = edges(holding);
       if (range.fromLayer() <= engine.layers()) {
         edges[range.fromLayer()]++;
         edges[to]++;
       }
     }
 
-    private int[] centre(DataCentreId dataCentre) {
-      return byCentre.computeIfAbsent(dataCentre, id -> new int[engine.layers()]);
+    private int[] holders(DataCentreId dataCentre, Holding holding) {
+      return byClass.computeIfAbsent(
+          new Group(dataCentre, isSlow(holding.accelerator())), group -> new int[engine.layers()]);
     }
 
-    private int[] edges(DataCentreId dataCentre) {
-      return edgesByCentre.computeIfAbsent(
-          dataCentre,
-          id -> {
+    private int[] edges(Holding holding) {
+      return edgesByClass.computeIfAbsent(
+          new Group(holding.dataCentre(), isSlow(holding.accelerator())),
+          group -> {
             int[] edges = new int[engine.layers() + 1];
             edges[0] = 1;
             edges[engine.layers()] = 1;
@@ -125,8 +137,9 @@
 
     LayerRange leastCovered(Holding holding) {
       int length = layersOf(holding.accelerator());
-      int[] own = centre(holding.dataCentre());
-      int[] edges = edges(holding.dataCentre());
+      int[] own = holders(holding.dataCentre(), holding);
+      int[] ofClass = holders(ANYWHERE, holding);
+      int[] edges = edges(holding);
       int best = 0;
       double bestCost = Double.POSITIVE_INFINITY;
       for (int from = 0; from + length <= engine.layers(); from++) {
@@ -135,6 +148,7 @@
           cost -= fleet[layer] == 0 ? UNCOVERED_GAIN : 0;
           cost -= fleet[layer] < FLEET_COVER ? THIN_GAIN : 0;
           cost -= 1.0 / ((1 + own[layer]) * (1 + own[layer]));
+          cost -= CLASS_GAIN / ((1 + ofClass[layer]) * (1 + ofClass[layer]));
         }
         cost -= edges[from] > 0 ? JOIN_GAIN : 0;
         cost -= edges[from + length] > 0 ? JOIN_GAIN : 0;
@@ -153,6 +167,12 @@
   /** Gain for a layer that fewer than {@link #FLEET_COVER} endpoints hold. */
   private static final double THIN_GAIN = 0.2;
 
+  /** Gain for a layer that no endpoint of the same class of speed holds in any data centre. */
+  private static final double CLASS_GAIN = 0.5;
+
+  /** Stands for all data centres in the counts of holders. */
+  private static final DataCentreId ANYWHERE = new DataCentreId("*");
+
   /** Gain for a range that begins or ends where another one does. */
   private static final double JOIN_GAIN = 0.05;
 }
--- a/core/src/main/java/io/zinniawood/core/relay/CallerRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CallerRequest.java
@@ -25,8 +25,13 @@
     int promptTokens,
     int maxAnswerTokens,
     long resumeAfter) {
-  /** Returns the tokens that the request takes at most in the memory of each endpoint. */
-  public long tokens() {
-    return (long) promptTokens + maxAnswerTokens;
+  /**
+   * Returns the tokens that the request is expected to take in the memory of each endpoint. Callers
+   * name a most that few answers reach.
+   *
+   * @param usualAnswerTokens mean answer in tokens
+   */
+  public long expectedTokens(int usualAnswerTokens) {
+    return (long) promptTokens + Math.min(maxAnswerTokens, usualAnswerTokens);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -32,7 +32,8 @@
 
   private static Result dispatchModel(RelayTurn turn, OpenRequest open, EngineProfile engine) {
     PathChoice choice = new PathChoice(turn, engine, open.service);
-    Optional<LayerPath> path = choice.best(open.excluded, open.request.tokens());
+    open.tokens = open.request.expectedTokens(engine.usualAnswerTokens());
+    Optional<LayerPath> path = choice.best(open.excluded, open.tokens);
     if (path.isEmpty()) {
       return choice.existsIfEmpty(open.excluded) ? Result.ALL_BUSY : Result.NONE_LEFT;
     }
@@ -91,6 +92,10 @@
         endpoint.entry().rowVersion(),
         "routesVersion",
         turn.state.routesVersion(),
+        "promptTokens",
+        open.request.promptTokens(),
+        "maxAnswerTokens",
+        open.request.maxAnswerTokens(),
         "deadlineMillis",
         terms.deadlineMillis(),
         "resumeAfter",
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -40,6 +40,7 @@
   int sends;
   Optional<EndpointId> target = Optional.empty();
   Optional<LayerPath> path = Optional.empty();
+  long tokens;
   double expectedGapMillis;
   double expectedFirstMillis;
   long sentNanos;
--- a/core/src/main/java/io/zinniawood/core/relay/PathChoice.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathChoice.java
@@ -36,6 +36,9 @@
    */
   private static final double CROWDING_WEIGHT = 4;
 
+  /** Weight of held memory against the time of a path; chosen paths then fill evenly. */
+  private static final double MEMORY_PRICE = 1;
+
   /** Makes memory count only when it is nearly full. */
   private static final double CROWDING_POWER = 6;
 
@@ -60,13 +63,68 @@
   }
 
   /**
-   * Returns the best path along endpoints with room.
+   * Returns the best path along endpoints with room. A slow part makes a request hold the memory of
+   * all other parts longer, so paths with and without the slower accelerators are compared by their
+   * time and by the memory that they hold for that time.
    *
    * @param excluded endpoints that the request must avoid
    * @param tokens tokens of the request
    */
   Optional<LayerPath> best(Set<EndpointId> excluded, long tokens) {
-    return planner.cheapest(candidates(excluded, tokens), turn.state.self.dataCentre());
+    List<PathCandidate> all = candidates(excluded, tokens);
+    Optional<LayerPath> best = Optional.empty();
+    double bestCost = Double.POSITIVE_INFINITY;
+    for (SpeedClass speed : SpeedClass.values()) {
+      List<PathCandidate> candidates = new ArrayList<>();
+      for (PathCandidate candidate : all) {
+        if (speed.includes(isSlow(candidate.endpoint()))) {
+          candidates.add(candidate);
+        }
+      }
+      Optional<LayerPath> path = planner.cheapest(candidates, turn.state.self.dataCentre());
+      double cost = path.map(this::costOfHolding).orElse(Double.POSITIVE_INFINITY);
+      if (cost < bestCost) {
+        bestCost = cost;
+        best = path;
+      }
+    }
+    return best;
+  }
+
+  /** Which accelerators a path may use. */
+  private enum SpeedClass {
+    FAST,
+    SLOW,
+    ANY;
+
+    boolean includes(boolean slow) {
+      return this == ANY || slow == (this == SLOW);
+    }
+  }
+
+  private boolean isSlow(EndpointId endpoint) {
+    return turn.state
+        .fleet
+        .find(endpoint)
+        .flatMap(this::accelerator)
+        .map(engine::isSlow)
+        .orElse(false);
+  }
+
+  /** Returns the time between two events of a path, dearer the fuller the memory that it holds. */
+  private double costOfHolding(LayerPath path) {
+    double price = 0;
+    for (PathPart part : path.parts()) {
+      double used =
+          turn.state
+              .fleet
+              .find(part.endpoint())
+              .map(endpoint -> memoryShare(endpoint, 0))
+              .orElse(1.0);
+      double scarcity = used * used / (1 - Math.min(used, MAX_MEMORY_SHARE));
+      price += scarcity * part.layers().layers() / engine.layers();
+    }
+    return expectedGapMillis(path) * (1 + MEMORY_PRICE * price);
   }
 
   /** Tells whether a path would exist if all endpoints had room. */
--- a/core/src/main/java/io/zinniawood/core/relay/Usage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Usage.java
@@ -12,12 +12,12 @@
         turn.state
             .fleet
             .find(part.endpoint())
-            .ifPresent(endpoint -> endpoint.requestStarted(open.request.tokens()));
+            .ifPresent(endpoint -> endpoint.requestStarted(open.tokens));
       }
     } else {
       open.target
           .flatMap(turn.state.fleet::find)
-          .ifPresent(endpoint -> endpoint.requestStarted(open.request.tokens()));
+          .ifPresent(endpoint -> endpoint.requestStarted(open.tokens));
     }
   }
 
@@ -28,12 +28,12 @@
         turn.state
             .fleet
             .find(part.endpoint())
-            .ifPresent(endpoint -> endpoint.requestEnded(open.request.tokens()));
+            .ifPresent(endpoint -> endpoint.requestEnded(open.tokens));
       }
     } else {
       open.target
           .flatMap(turn.state.fleet::find)
-          .ifPresent(endpoint -> endpoint.requestEnded(open.request.tokens()));
+          .ifPresent(endpoint -> endpoint.requestEnded(open.tokens));
     }
     open.path = java.util.Optional.empty();
     open.target = java.util.Optional.empty();
--- a/core/src/main/java/io/zinniawood/core/route/EngineProfile.java
+++ b/core/src/main/java/io/zinniawood/core/route/EngineProfile.java
@@ -62,6 +62,18 @@
     return step * stepsPerPass * accelerator.stepFactor() / layers;
   }
 
+  /** Tells whether an accelerator is much slower than the fastest kind of the profile. */
+  public boolean isSlow(AcceleratorProfile accelerator) {
+    double fastest = accelerator.stepFactor();
+    for (AcceleratorProfile other : accelerators.values()) {
+      fastest = Math.min(fastest, other.stepFactor());
+    }
+    return accelerator.stepFactor() > SLOW_FACTOR * fastest;
+  }
+
+  /** Steps of a slow accelerator take longer than the fastest kind's by more than this factor. */
+  private static final double SLOW_FACTOR = 3;
+
   /** Returns the time to read a prompt through one layer in milliseconds. */
   public double readMillisPerLayer(AcceleratorProfile accelerator, int promptTokens) {
     return 1_000.0 * promptTokens / readTokensPerSecond * accelerator.readFactor() / layers;
