--- a/core/src/main/java/io/zinniawood/core/relay/Outcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Outcomes.java
@@ -9,10 +9,10 @@
   private static final int MAX_SENDS = 5;
 
   /** Shortest Retry-After: callers that come back sooner meet the same state. */
-  private static final int RETRY_AFTER_MILLIS = 1_000;
+  private static final int RETRY_AFTER_MILLIS = 2_000;
 
   /** Random part of Retry-After, so that refused callers do not come back at one moment. */
-  private static final int RETRY_AFTER_SPREAD_MILLIS = 2_000;
+  private static final int RETRY_AFTER_SPREAD_MILLIS = 3_000;
 
   private static final int SERVER_ERROR = 500;
 
--- a/core/src/main/java/io/zinniawood/core/relay/Waiting.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Waiting.java
@@ -1,8 +1,11 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.id.ServiceName;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** Requests that wait for an endpoint: who goes first, and who is told to come back. */
@@ -11,9 +14,13 @@
   private static final int MAX_WAITING = 512;
 
   /**
-   * Longest wait of a request that has not run, in milliseconds; callers leave after two seconds.
+   * Longest wait of a request that has not run, against the target latency of its route. Whoever
+   * waits longer would be late, and would make those behind late too.
    */
-  private static final long MAX_WAIT_MILLIS = 1_200;
+  private static final double MAX_WAIT_SHARE = 0.6;
+
+  /** Requests of a service that are tried in one tick although the one before found no room. */
+  private static final int MAX_MISSES = 2;
 
   /** Longest wait of a stream whose caller has a part of it. */
   private static final long MAX_RESUME_WAIT_MILLIS = 1_500;
@@ -51,15 +58,19 @@
     }
     List<OpenRequest> candidates = new ArrayList<>(turn.state.waiting);
     candidates.sort(ORDER);
+    Map<ServiceName, Integer> misses = new HashMap<>();
     for (OpenRequest open : candidates) {
       if (open.phase != OpenRequest.Phase.WAITING || !turn.state.open.containsKey(open.id)) {
         turn.state.waiting.remove(open);
         continue;
       }
-      Dispatcher.Result result = Dispatcher.dispatch(turn, open);
-      if (result == Dispatcher.Result.SENT) {
+      boolean tried = misses.getOrDefault(open.service, 0) < MAX_MISSES;
+      if (tried && Dispatcher.dispatch(turn, open) == Dispatcher.Result.SENT) {
         turn.state.waiting.remove(open);
-      } else if (turn.nowNanos - waitEndNanos(open) >= 0) {
+        continue;
+      }
+      misses.merge(open.service, 1, Integer::sum);
+      if (turn.nowNanos - waitEndNanos(open) >= 0) {
         turn.state.waiting.remove(open);
         Outcomes.refuse(turn, open, "no-capacity");
       }
@@ -70,8 +81,7 @@
     if (open.headRelayed) {
       return open.lastProgressNanos + TimeUnit.MILLISECONDS.toNanos(MAX_RESUME_WAIT_MILLIS);
     }
-    long quarterNanos = (open.deadlineNanos - open.arrivedNanos) / 4;
-    return open.arrivedNanos
-        + Math.min(quarterNanos, TimeUnit.MILLISECONDS.toNanos(MAX_WAIT_MILLIS));
+    double waitMillis = MAX_WAIT_SHARE * open.route.targetLatencyMillis();
+    return open.arrivedNanos + (long) (waitMillis * TimeUnit.MILLISECONDS.toNanos(1));
   }
 }
