Test the relay as a process against stand-ins; end streams that break within an event as broken

The stand-ins speak the users' store and endpoints on loopback. The test of a broken stream failed first: an endpoint that broke off within an event but ended its answer in good form had the part passed on. It is now resumed elsewhere.

--- a/core/src/main/java/io/zinniawood/core/path/LayerPlacement.java
+++ b/core/src/main/java/io/zinniawood/core/path/LayerPlacement.java
@@ -16,10 +16,10 @@
 /**
  * Chooses layers for empty endpoints. Endpoints that hold layers keep them, so a loss costs no load
  * beyond the one that replaces it. An empty endpoint takes the range that is covered least: first
- * over the whole fleet, as a layer that nobody holds stops every request, then among endpoints of its
- * class of speed in its own data centre and in the fleet: a path is as slow as its slowest parts, so
- * slow endpoints form paths of their own. Among equals it takes the range that joins the ends of others.
- * Fast endpoints choose first, so that paths without slow ones exist.
+ * over the whole fleet, as a layer that nobody holds stops every request, then among endpoints of
+ * its class of speed in its own data centre and in the fleet: a path is as slow as its slowest
+ * parts, so slow endpoints form paths of their own. Among equals it takes the range that joins the
+ * ends of others. Fast endpoints choose first, so that paths without slow ones exist.
  */
 public final class LayerPlacement {
   /**
--- a/core/src/main/java/io/zinniawood/core/relay/Arrivals.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Arrivals.java
@@ -13,6 +13,9 @@
   /** Time after which a caller may come back while this relay knows no routes. */
   private static final long STARTING_RETRY_MILLIS = 1_000;
 
+  /** Time after which a caller may come back on a new connection, which leads to another relay. */
+  private static final long DRAINING_RETRY_MILLIS = 200;
+
   private Arrivals() {}
 
   static void arrived(RelayTurn turn, RelayEvent.RequestArrived event) {
@@ -22,6 +25,10 @@
       refuse(turn, event, OwnAnswer.notRun("starting", STARTING_RETRY_MILLIS));
       return;
     }
+    if (Lifecycle.drainingLong(turn)) {
+      refuse(turn, event, OwnAnswer.notRun("draining", DRAINING_RETRY_MILLIS));
+      return;
+    }
     RouteTable routes = turn.state.routes.get();
     Optional<Route> route = routes.match(request.host(), request.path());
     if (route.isEmpty()) {
--- a/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
@@ -8,6 +8,9 @@
   /** Time in which the balancer notices: it asks every second and needs two misses. */
   private static final long BALANCER_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
 
+  /** Time after the order to terminate in which new requests are taken. */
+  private static final long ACCEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_800);
+
   private Lifecycle() {}
 
   /** Takes a newer version of the routing table; older ones are ignored. */
@@ -52,6 +55,11 @@
     updateReadiness(turn);
   }
 
+  /** Tells whether a drain has lasted so long that a new request might not end in time. */
+  static boolean drainingLong(RelayTurn turn) {
+    return turn.state.terminating && turn.nowNanos - turn.state.terminationNanos >= ACCEPT_NANOS;
+  }
+
   /** Ends the process once the balancer has noticed and nothing is in progress. */
   static void tick(RelayTurn turn) {
     RelayState state = turn.state;
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -0,0 +1,209 @@
+package io.zinniawood.dist;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import io.zinniawood.cli.local.Ports;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.dist.users.EndpointStandIn;
+import io.zinniawood.dist.users.StoreStandIn;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A relay as a process; the store and the endpoints as stand-ins in this JVM. */
+final class RelayTest {
+  private static final long WAIT_SECONDS = 60;
+  private static final String MANIFEST =
+      """
+      {"version":%d,"routes":[
+        {"name":"ask","host":"127.0.0.1","prefix":"/ask/","kind":"streaming","timeout_ms":20000,
+         "target_latency_ms":500,"priority":1,"service":"model","max_attempts":2,"public":false,
+         "sticky":true,"resumable":true,"target_gap_ms":250},
+        {"name":"book","host":"127.0.0.1","prefix":"/book/","kind":"non_idempotent",
+         "timeout_ms":5000,"target_latency_ms":500,"priority":1,"service":"plain","max_attempts":1},
+        {"name":"read","host":"127.0.0.1","prefix":"/read/","kind":"idempotent",
+         "timeout_ms":5000,"target_latency_ms":500,"priority":1,"service":"plain","max_attempts":2}],
+       "services":[
+        {"name":"model","health_path":"/health","max_connections":100,"engine":{"slots":10,
+         "kv_token_bytes":100000,"stride":4,"models":[{"name":"m","load_s":0.1}],"step_ms":1,
+         "per_seq_ms":0.005,"context_per_k":0.005,"read_per_s":100000,"loads_at_once":6,
+         "usual":{"prompt":500,"answer":200},"layers":10,"layer_mb":1000,"activation_bytes":10000,
+         "kinds":[{"name":"gpu","megabytes":20000,"pace":1,"read_x":1}]}},
+        {"name":"plain","health_path":"/health","max_connections":100}],
+       "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,
+        "idle_timeout_ms":15000},
+       "tenants":[{"name":"account","api_keys":["%s"]}]}
+      """;
+
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final AtomicInteger requests = new AtomicInteger();
+  private final NodeAddress callers = Ports.free();
+  private final NodeAddress admin = Ports.free();
+  private StoreStandIn store;
+  private EndpointStandIn first;
+  private EndpointStandIn second;
+  private EndpointStandIn plain;
+  private RoleProcess relay;
+
+  @BeforeEach
+  void start() throws Exception {
+    store = new StoreStandIn();
+    store.put("op", "config", MANIFEST.formatted(1, "key"));
+    first = new EndpointStandIn(store, "first", "model", "gpu");
+    second = new EndpointStandIn(store, "second", "model", "gpu");
+    plain = new EndpointStandIn(store, "plain", "plain", "");
+    relay = startRelay();
+    awaitTrue(() -> readiness() == 200);
+  }
+
+  private RoleProcess startRelay() {
+    return RoleProcess.start(
+        "relay",
+        "relay",
+        """
+        vm = "relay-1"
+        data_centre = "home"
+        callers = "%s"
+        admin = "%s"
+        store = "%s"
+        first_start = "true"
+        """
+            .formatted(callers, admin, store.address()));
+  }
+
+  @AfterEach
+  void stop() {
+    relay.close();
+    first.close();
+    second.close();
+    plain.close();
+    store.close();
+  }
+
+  private int readiness() throws IOException, InterruptedException {
+    try {
+      return get("http://" + admin + "/readiness").statusCode();
+    } catch (IOException starting) {
+      return 0;
+    }
+  }
+
+  private HttpResponse<String> get(String uri) throws IOException, InterruptedException {
+    return client.send(
+        HttpRequest.newBuilder(URI.create(uri)).build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private HttpResponse<String> call(String path, String key)
+      throws IOException, InterruptedException {
+    return client.send(
+        HttpRequest.newBuilder(URI.create("http://" + callers + path))
+            .header("Attempt-Id", "request-" + requests.incrementAndGet())
+            .header("Authorization", "Token " + key)
+            .header("Deadline-Ms", "10000")
+            .header("Token-Counts", "100,40")
+            .POST(HttpRequest.BodyPublishers.ofString("{\"text\":1}"))
+            .build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
+  private static void awaitTrue(Callable<Boolean> condition) throws Exception {
+    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+    while (!condition.call()) {
+      if (System.nanoTime() - endNanos > 0) {
+        throw new AssertionError("condition did not hold within " + WAIT_SECONDS + " s");
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+  }
+
+  private static String allEvents() {
+    StringBuilder events = new StringBuilder();
+    for (int event = 1; event <= 40; event++) {
+      events.append("id: %d\ndata: token %d\n\n".formatted(event, event));
+    }
+    return events.toString();
+  }
+
+  // The whole path: the relay places the layers, then streams a whole answer.
+  @Test
+  void placesLayersAndStreamsAWholeAnswer() throws Exception {
+    awaitTrue(() -> call("/ask/x", "key").statusCode() == 200);
+    HttpResponse<String> answer = call("/ask/x", "key");
+    assertThat(answer.body(), is(allEvents()));
+    assertThat(
+        answer.headers().firstValue("Replica-Signature").orElseThrow(),
+        containsString("signed-by-"));
+  }
+
+  // A caller must see no gap, no repeat and no part of an event where a stream changes endpoints.
+  @Test
+  void resumesABrokenStreamWithoutGapOrRepeat() throws Exception {
+    awaitTrue(() -> call("/ask/x", "key").statusCode() == 200);
+    awaitTrue(
+        () -> {
+          first.breakAfter(10);
+          second.breakAfter(Integer.MAX_VALUE);
+          HttpResponse<String> answer = call("/ask/x", "key");
+          assertThat(answer.body(), is(allEvents()));
+          return first.paths().size() > 1 && second.paths().size() > 1;
+        });
+  }
+
+  // A call that an endpoint ran must not run again, whatever its answer.
+  @Test
+  void failedNonIdempotentCallRunsOnceAndIsPassedOn() throws Exception {
+    plain.setFailing(true);
+    HttpResponse<String> answer = call("/book/x", "key");
+    assertThat(answer.statusCode(), is(500));
+    assertThat(plain.runs().get("request-" + requests.get()), is(1));
+  }
+
+  // Keys that the operator takes away stop working, also after the store was away.
+  @Test
+  void newRoutesReachTheRelayAfterAnOutage() throws Exception {
+    assertThat(call("/read/x", "key").statusCode(), is(200));
+    store.setAway(true);
+    assertThat(call("/read/x", "key").statusCode(), is(200));
+    store.setAway(false);
+    store.put("op", "config", MANIFEST.formatted(9, "other"));
+    awaitTrue(() -> call("/read/x", "key").statusCode() == 401);
+    assertThat(call("/read/x", "other").statusCode(), is(200));
+  }
+
+  // A drained relay fails readiness first and ends with exit code 0.
+  @Test
+  void drainsOnTermination() throws Exception {
+    relay.signal("TERM");
+    awaitTrue(() -> readiness() != 200);
+    assertThat(relay.exitCode(), is(0));
+  }
+
+  // A reload of settings must not end the process, as the JVM's default for the signal would.
+  @Test
+  void surviveSignalsToReload() throws Exception {
+    relay.signal("HUP");
+    assertThat(call("/read/x", "key").statusCode(), is(200));
+    assertThat(readiness(), is(200));
+  }
+
+  // Metrics and readiness share an address; callers must not see them.
+  @Test
+  void servesMetricsOnTheAdminAddressOnly() throws Exception {
+    call("/read/x", "key");
+    assertThat(get("http://" + admin + "/metrics").body(), containsString("relay_requests_open"));
+    assertThat(call("/metrics", "key").statusCode(), is(404));
+    assertThat(call("/metrics", "key").body(), not(containsString("relay_requests_open")));
+  }
+}
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
@@ -0,0 +1,166 @@
+package io.zinniawood.dist.users;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.zinniawood.core.model.NodeAddress;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Endpoint of the users' platform: accepts orders to hold layers, answers plain calls, and streams
+ * events for requests with a path.
+ */
+public final class EndpointStandIn implements AutoCloseable {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int EVENTS = 40;
+  private static final long EVENT_MILLIS = 5;
+
+  private final StoreStandIn store;
+  private final String id;
+  private final String service;
+  private final String kind;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final HttpServer server;
+  private final AtomicInteger orders = new AtomicInteger();
+  private final AtomicInteger beats = new AtomicInteger();
+  private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+  private final List<String> paths = new CopyOnWriteArrayList<>();
+  private volatile String layers = "";
+  private volatile int breakAfterEvents = Integer.MAX_VALUE;
+  private volatile boolean failing;
+
+  /** Starts an endpoint and enters it into the list. */
+  public EndpointStandIn(StoreStandIn store, String id, String service, String kind)
+      throws IOException {
+    this.store = store;
+    this.id = id;
+    this.service = service;
+    this.kind = kind;
+    server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    server.setExecutor(threads);
+    server.createContext("/", this::serve);
+    server.createContext("/order", this::order);
+    server.createContext("/report", exchange -> json(exchange, 200, report()));
+    server.start();
+    beat("ready");
+  }
+
+  private NodeAddress address() {
+    return new NodeAddress("127.0.0.1", server.getAddress().getPort());
+  }
+
+  /** Writes the row of the endpoint. */
+  public void beat(String state) {
+    String held = layers.isEmpty() ? "" : ",\"kind\":\"%s\",\"layers\":%s".formatted(kind, layers);
+    String empty = layers.isEmpty() && !kind.isEmpty() ? ",\"kind\":\"%s\"".formatted(kind) : "";
+    store.put(
+        "servers",
+        id,
+        ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"home\",\"version\":\"v1\",\"slots\":6,"
+                + "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":%d,\"born\":1%s%s}")
+            .formatted(service, address(), state, beats.incrementAndGet(), held, empty));
+  }
+
+  /** Makes streams break off after a number of events. */
+  public void breakAfter(int events) {
+    breakAfterEvents = events;
+  }
+
+  /** Makes plain calls fail. */
+  public void setFailing(boolean nowFailing) {
+    failing = nowFailing;
+  }
+
+  /** Returns how often requests ran, by their id. */
+  public Map<String, Integer> runs() {
+    return runs;
+  }
+
+  /** Returns the paths of the requests that ran. */
+  public List<String> paths() {
+    return paths;
+  }
+
+  private String report() {
+    return "{\"sequence\":%d}".formatted(orders.get());
+  }
+
+  private void order(HttpExchange exchange) throws IOException {
+    JsonNode body = MAPPER.readTree(exchange.getRequestBody().readAllBytes());
+    if (body.path("expected_rev").asInt(orders.get()) != orders.get()) {
+      json(exchange, 409, "{}");
+      return;
+    }
+    orders.incrementAndGet();
+    layers =
+        "{\"from\":%d,\"to\":%d,\"version\":1}"
+            .formatted(body.path("from").asInt(), body.path("to").asInt());
+    json(exchange, 202, "{}");
+    beat("ready");
+  }
+
+  private void json(HttpExchange exchange, int status, String text) throws IOException {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    exchange.sendResponseHeaders(status, bytes.length);
+    exchange.getResponseBody().write(bytes);
+    exchange.close();
+  }
+
+  private void serve(HttpExchange exchange) throws IOException {
+    exchange.getRequestBody().readAllBytes();
+    String request = exchange.getRequestHeaders().getFirst("Attempt-Id");
+    String path = exchange.getRequestHeaders().getFirst("Hops");
+    if (!id.equals(exchange.getRequestHeaders().getFirst("Expect-Replica"))) {
+      json(exchange, 421, "{}");
+      return;
+    }
+    runs.merge(request, 1, Integer::sum);
+    exchange.getResponseHeaders().set("Attempt-Id", request);
+    exchange.getResponseHeaders().set("Replica-Signature", "signed-by-" + id);
+    if (path == null) {
+      json(exchange, failing ? 500 : 200, "{\"by\":\"" + id + "\"}");
+      return;
+    }
+    paths.add(path);
+    stream(exchange);
+  }
+
+  private void stream(HttpExchange exchange) throws IOException {
+    String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
+    int from = last == null ? 1 : Integer.parseInt(last) + 1;
+    exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+    exchange.sendResponseHeaders(200, 0);
+    try (OutputStream output = exchange.getResponseBody()) {
+      for (int event = from; event <= EVENTS; event++) {
+        if (event - from >= breakAfterEvents) {
+          output.write("id: 999\ndata: ha".getBytes(StandardCharsets.UTF_8));
+          output.flush();
+          throw new IOException("broken off");
+        }
+        output.write(
+            "id: %d\ndata: token %d\n\n".formatted(event, event).getBytes(StandardCharsets.UTF_8));
+        output.flush();
+        Thread.sleep(EVENT_MILLIS);
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    threads.shutdownNow();
+  }
+}
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/users/StoreStandIn.java
@@ -0,0 +1,160 @@
+package io.zinniawood.dist.users;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.zinniawood.core.model.NodeAddress;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** Tables of the users' store, with conditional writes, ranges and the feed of changes. */
+public final class StoreStandIn implements AutoCloseable {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final long POLL_MILLIS = 20;
+
+  private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final HttpServer server;
+  private long version = 1;
+  private volatile boolean away;
+
+  private record Row(String value, long version) {}
+
+  /** Starts a store on a free port of loopback. */
+  public StoreStandIn() throws IOException {
+    server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    server.setExecutor(threads);
+    server.createContext("/rows-get", exchange -> answer(exchange, this::get));
+    server.createContext("/rows-feed", exchange -> answer(exchange, this::feed));
+    server.createContext("/rows-tx", exchange -> answer(exchange, this::transact));
+    server.start();
+  }
+
+  /** Returns the address of the store. */
+  public NodeAddress address() {
+    return new NodeAddress("127.0.0.1", server.getAddress().getPort());
+  }
+
+  /** Makes the store refuse all calls, or serve them again. */
+  public void setAway(boolean nowAway) {
+    away = nowAway;
+  }
+
+  /** Writes a row as the operator or an endpoint does. */
+  public synchronized void put(String table, String key, String json) {
+    String value = Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8));
+    tables.computeIfAbsent(table, name -> new TreeMap<>()).put(key, new Row(value, ++version));
+  }
+
+  /** Drops a row. */
+  public synchronized void remove(String table, String key) {
+    tables.computeIfAbsent(table, name -> new TreeMap<>()).put(key, new Row(null, ++version));
+  }
+
+  private interface Handler {
+    Answer handle(Map<String, String> query, JsonNode body) throws InterruptedException;
+  }
+
+  private record Answer(int status, JsonNode body) {}
+
+  private void answer(HttpExchange exchange, Handler handler) throws IOException {
+    Answer answer;
+    try {
+      byte[] request = exchange.getRequestBody().readAllBytes();
+      JsonNode body = request.length == 0 ? MAPPER.createObjectNode() : MAPPER.readTree(request);
+      answer =
+          away
+              ? new Answer(503, MAPPER.createObjectNode())
+              : handler.handle(query(exchange.getRequestURI().getQuery()), body);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      answer = new Answer(503, MAPPER.createObjectNode());
+    }
+    byte[] bytes = answer.body().toString().getBytes(StandardCharsets.UTF_8);
+    exchange.getResponseHeaders().set("Content-Type", "application/json");
+    exchange.sendResponseHeaders(answer.status(), bytes.length);
+    exchange.getResponseBody().write(bytes);
+    exchange.close();
+  }
+
+  private static Map<String, String> query(String text) {
+    Map<String, String> query = new HashMap<>();
+    for (String pair : text == null ? new String[0] : text.split("&")) {
+      int equals = pair.indexOf('=');
+      query.put(pair.substring(0, equals), pair.substring(equals + 1));
+    }
+    return query;
+  }
+
+  private synchronized Answer get(Map<String, String> query, JsonNode body) {
+    return rows(query.get("table"), 0, false);
+  }
+
+  private Answer feed(Map<String, String> query, JsonNode body) throws InterruptedException {
+    long after = Long.parseLong(query.get("after"));
+    long waitMillis = Long.parseLong(query.getOrDefault("wait_ms", "0"));
+    Answer answer = changes(query.get("table"), after);
+    while (answer.body().path("rows").isEmpty() && waitMillis > 0 && !away) {
+      Thread.sleep(POLL_MILLIS);
+      waitMillis -= POLL_MILLIS;
+      answer = changes(query.get("table"), after);
+    }
+    return answer;
+  }
+
+  private synchronized Answer changes(String table, long after) {
+    return rows(table, after, true);
+  }
+
+  private Answer rows(String table, long after, boolean withDeleted) {
+    ObjectNode answer = MAPPER.createObjectNode().put("truncated", false).put("ver", version);
+    ArrayNode rows = answer.putArray("rows");
+    tables
+        .getOrDefault(table, new TreeMap<>())
+        .forEach(
+            (key, row) -> {
+              if (row.version() > after && (row.value() != null || withDeleted)) {
+                ObjectNode found = rows.addObject().put("table", table).put("key", key);
+                found.put("value", row.value()).put("ver", row.version());
+                found.put("deleted", row.value() == null);
+              }
+            });
+    return new Answer(200, answer);
+  }
+
+  private synchronized Answer transact(Map<String, String> query, JsonNode body) {
+    for (JsonNode expected : body.path("expected_rev")) {
+      Row row =
+          tables
+              .getOrDefault(expected.path("table").asText(), new TreeMap<>())
+              .get(expected.path("key").asText());
+      long found = row == null || row.value() == null ? 0 : row.version();
+      if (found != expected.path("ver").asLong()) {
+        return new Answer(412, rows(expected.path("table").asText(), 0, false).body());
+      }
+    }
+    version++;
+    for (JsonNode write : body.path("writes")) {
+      tables
+          .computeIfAbsent(write.path("table").asText(), name -> new TreeMap<>())
+          .put(write.path("key").asText(), new Row(write.path("value").asText(), version));
+    }
+    return new Answer(200, MAPPER.createObjectNode().put("ver", version));
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    threads.shutdownNow();
+  }
+}
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -271,7 +271,8 @@
   private void finished() {
     release();
     lastActivityNanos = System.nanoTime();
-    if (!keepAlive) {
+    // The head of a stream may have promised to keep the connection before the drain began.
+    if (!keepAlive || events.draining()) {
       closing = true;
       context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
       return;
--- a/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
@@ -45,13 +45,6 @@
     scanned = 0;
   }
 
-  /** Returns the bytes of the part that is kept and forgets them. */
-  public ByteBuf takePart() {
-    ByteBuf part = Unpooled.copiedBuffer(pending);
-    dropPart();
-    return part;
-  }
-
   /**
    * Takes bytes and hands over each whole event.
    *
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayShell.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayShell.java
@@ -181,8 +181,10 @@
     if (exchange.ended() || !caller.headWritten()) {
       return;
     }
+    // An endpoint that breaks off within an event may still end its answer in good form.
     if (caller.splitter().hasPart()) {
-      caller.caller().writeStream(caller.splitter().takePart());
+      broken(exchange, BreakCause.INVALID_ANSWER);
+      return;
     }
     exchange.markEnded();
     attempts.remove(caller.id(), exchange);
