--- a/config/src/test/java/io/zinniawood/config/DocumentationTest.java
+++ b/config/src/test/java/io/zinniawood/config/DocumentationTest.java
@@ -29,7 +29,12 @@
     Vector<TableSpec> agent =
         SettingsSchema.AGENT.tables().filter(table -> !table.name().equals("tls"));
     Vector<Field<?>> fields =
-        FolderSchema.SCHEMA.tables().appendAll(entry).appendAll(agent).flatMap(TableSpec::fields);
+        FolderSchema.SCHEMA
+            .tables()
+            .appendAll(entry)
+            .appendAll(agent)
+            .appendAll(SettingsSchema.RELAY.tables())
+            .flatMap(TableSpec::fields);
     assertThat(rows.map(row -> row.get(1)), is(fields.map(field -> "`" + field.name() + "`")));
     for (int i = 0; i < rows.size(); i++) {
       check(rows.get(i), fields.get(i));
