--- /dev/null
+++ b/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
@@ -0,0 +1,84 @@
+package io.zinniawood.telemetry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+final class DecisionLogTest {
+  private static final Instant TIME = Instant.parse("2026-12-04T00:00:00Z");
+
+  /** Output whose reader has stalled. */
+  private static final class StalledOutput extends OutputStream {
+    private final CountDownLatch released = new CountDownLatch(1);
+    private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+
+    @Override
+    public void write(int value) throws IOException {
+      write(new byte[] {(byte) value}, 0, 1);
+    }
+
+    @Override
+    public void write(byte[] bytes, int offset, int length) throws IOException {
+      try {
+        released.await();
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        throw new IOException(interrupted);
+      }
+      written.write(bytes, offset, length);
+    }
+  }
+
+  // A reader that stalls standard output must not stall a request, and what is lost is counted.
+  @Test
+  void stalledReaderNeitherBlocksNorHidesTheLoss() {
+    StalledOutput output = new StalledOutput();
+    long[] nowNanos = {0};
+    DecisionLog log = new DecisionLog(output, () -> TIME, () -> nowNanos[0]);
+    for (int line = 0; line < 30_000; line++) {
+      nowNanos[0] += 1_000_000;
+      log.add("event", List.of("line", line));
+    }
+    assertThat(log.droppedLines(), greaterThan(0L));
+    output.released.countDown();
+    log.close();
+    String text = output.written.toString(StandardCharsets.UTF_8);
+    assertThat(text, containsString("\"event\":\"log-lines-dropped\""));
+  }
+
+  // The volume under overload is bounded by the budget of a second.
+  @Test
+  void linesBeyondTheBudgetOfASecondAreDropped() {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    DecisionLog log = new DecisionLog(output, () -> TIME, () -> 0);
+    for (int line = 0; line < DecisionLog.MAX_LINES_PER_SECOND + 7; line++) {
+      log.add("event", List.of());
+    }
+    log.close();
+    assertThat(log.droppedLines(), is(7L));
+  }
+
+  // A line must stay one line of valid JSON whatever a caller sends as its id.
+  @Test
+  void fieldsAreEscaped() {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    DecisionLog log = new DecisionLog(output, () -> TIME, () -> 0);
+    log.add("event", List.of("request", "a\"b\\c\nd", "ready", true, "millis", 5));
+    log.close();
+    assertThat(
+        output.toString(StandardCharsets.UTF_8),
+        is(
+            "{\"timestamp\":\"2026-12-04T00:00:00Z\",\"event\":\"event\","
+                + "\"request\":\"a\\\"b\\\\c\\u000ad\",\"ready\":true,\"millis\":5}\n"));
+  }
+}
