--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/ExplainCommand.java
@@ -0,0 +1,59 @@
+package io.zinniawood.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.zinniawood.cli.explain.RequestStory;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Tells the story of one request from the logs of relays. */
+@Parameters(commandDescription = "Tell the story of a request from log files or standard input")
+final class ExplainCommand extends HelpOption implements Command {
+  @Parameter(description = "REQUEST-ID [FILE...]", required = true)
+  private List<String> words = new ArrayList<>();
+
+  @Override
+  public String name() {
+    return "explain";
+  }
+
+  @Override
+  public String examples() {
+    return "zinniawood explain 9c41d07be2a35f68 relay-1.log relay-2.log";
+  }
+
+  @Override
+  public ExitCode run(PrintStream out, PrintStream err) {
+    RequestStory story = new RequestStory(words.get(0));
+    try {
+      if (words.size() == 1) {
+        story.read(
+            "-", new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8)));
+      }
+      for (String file : words.subList(1, words.size())) {
+        try (BufferedReader log = Files.newBufferedReader(Path.of(file))) {
+          story.read(file, log);
+        }
+      }
+    } catch (IOException failure) {
+      err.println("zinniawood explain: cannot read " + failure.getMessage());
+      return ExitCode.WRONG_USAGE;
+    }
+    if (story.unreadable() > 0) {
+      err.println("zinniawood explain: %d lines skipped".formatted(story.unreadable()));
+    }
+    if (!story.found()) {
+      err.println("zinniawood explain: no line names request " + words.get(0));
+      return ExitCode.FAILED;
+    }
+    story.tell().forEach(out::println);
+    return ExitCode.DONE;
+  }
+}
--- a/cli/src/main/java/io/zinniawood/cli/Main.java
+++ b/cli/src/main/java/io/zinniawood/cli/Main.java
@@ -15,6 +15,7 @@
             new RelayCommand(),
             new CheckCommand(),
             new ReportCommand(),
+            new ExplainCommand(),
             new LoadCommand(),
             new StandinCommand(),
             new DemoCommand(),
--- /dev/null
+++ b/cli/src/main/java/io/zinniawood/cli/explain/RequestStory.java
@@ -0,0 +1,111 @@
+package io.zinniawood.cli.explain;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Lines of one request, collected from the logs of any number of processes. */
+public final class RequestStory {
+  private static final String TIMESTAMP = "timestamp";
+  private static final String EVENT = "event";
+  private static final String REQUEST = "request";
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final String request;
+  private final List<Line> lines = new ArrayList<>();
+  private long unreadable;
+
+  private record Line(String source, String timestamp, String event, JsonNode fields) {}
+
+  /** Creates the story of a request, without lines. */
+  public RequestStory(String request) {
+    this.request = request;
+  }
+
+  /**
+   * Takes the lines of one log.
+   *
+   * @param source name of the log, shown with its lines
+   * @param log the lines
+   * @throws IOException if the log cannot be read to its end
+   */
+  public void read(String source, BufferedReader log) throws IOException {
+    for (String text = log.readLine(); text != null; text = log.readLine()) {
+      Optional<JsonNode> json = parse(text);
+      if (json.isEmpty()) {
+        unreadable++;
+      } else if (request.equals(json.get().path(REQUEST).asText())) {
+        lines.add(
+            new Line(
+                source,
+                json.get().path(TIMESTAMP).asText(""),
+                json.get().path(EVENT).asText(""),
+                json.get()));
+      }
+    }
+  }
+
+  private Optional<JsonNode> parse(String text) {
+    try {
+      JsonNode json = mapper.readTree(text);
+      return json != null && json.isObject() ? Optional.of(json) : Optional.empty();
+    } catch (IOException invalid) {
+      // Counted by the caller: a log that was cut ends within a line.
+      return Optional.empty();
+    }
+  }
+
+  /** Tells whether any line names the request. */
+  public boolean found() {
+    return !lines.isEmpty();
+  }
+
+  /** Returns the number of lines that are not JSON objects. */
+  public long unreadable() {
+    return unreadable;
+  }
+
+  /** Returns the lines in the order of their time, each as one line of text, and the cause last. */
+  public List<String> tell() {
+    lines.sort(Comparator.comparing(Line::timestamp));
+    List<String> story = new ArrayList<>();
+    for (Line line : lines) {
+      StringBuilder text = new StringBuilder();
+      text.append(line.timestamp()).append("  ").append(line.source()).append("  ");
+      text.append(line.event());
+      for (Map.Entry<String, JsonNode> field : line.fields().properties()) {
+        String name = field.getKey();
+        if (!name.equals(TIMESTAMP) && !name.equals(EVENT) && !name.equals(REQUEST)) {
+          text.append(' ').append(name).append('=').append(field.getValue().asText());
+        }
+      }
+      story.add(text.toString());
+    }
+    story.add("cause: " + cause());
+    return story;
+  }
+
+  private String cause() {
+    for (int index = lines.size() - 1; index >= 0; index--) {
+      JsonNode fields = lines.get(index).fields();
+      switch (lines.get(index).event()) {
+        case "request-ended" -> {
+          return fields.path("outcome").asText() + ", " + fields.path("reason").asText();
+        }
+        case "request-refused" -> {
+          return "refused on arrival, " + fields.path("reason").asText();
+        }
+        default -> {
+          // Earlier lines say how it came to the end.
+        }
+      }
+    }
+    return "not in these logs; the process may have ended with the request in progress";
+  }
+}
--- /dev/null
+++ b/cli/src/test/java/io/zinniawood/cli/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.zinniawood.cli.explain}. */
+package io.zinniawood.cli.explain;
