--- a/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
@@ -71,7 +71,7 @@
 
   // A late answer of the store must not undo what a newer one said.
   @Test
-  void olderEntryDoesNotReplaceANewerOne() {
+  void olderEntryDoesNotReplaceNewerOne() {
     fleet.list(List.of(endpoint(true, 1, 5)), 0);
     fleet.change(List.of(endpoint(false, 1, 4)), List.of(), millis(10));
     assertThat(fleet.find(ID).orElseThrow().usable(millis(20)), is(false));
--- a/core/src/test/java/io/zinniawood/core/path/PathPlannerTest.java
+++ b/core/src/test/java/io/zinniawood/core/path/PathPlannerTest.java
@@ -66,7 +66,7 @@
 
   // Guards against paths with a gap.
   @Test
-  void findsNoPathIfALayerIsMissing() {
+  void findsNoPathIfAnyLayerIsMissing() {
     List<PathCandidate> candidates =
         List.of(candidate("a", HERE, 0, 5, 1), candidate("b", HERE, 6, 10, 1));
     assertThat(new PathPlanner(10, COSTS).cheapest(candidates, HERE), equalTo(Optional.empty()));
@@ -84,7 +84,7 @@
 
   // Guards against a changed path whose first part differs, which engines refuse.
   @Test
-  void keepsTheFirstPartOfAContinuedPath() {
+  void keepsTheFirstPartOfContinuedPaths() {
     List<PathCandidate> candidates =
         List.of(
             candidate("first", HERE, 0, 8, 1),
@@ -100,7 +100,7 @@
   // Every path must run each layer once and in order: LayerPath checks it on construction. A path
   // must exist whenever each layer has a holder, as the naive walk finds it.
   @Test
-  void findsAPathWheneverEveryLayerHasAHolder() {
+  void findsPathsWheneverEveryLayerHasSomeHolder() {
     Random random = new Random(SEED);
     for (int round = 0; round < 500; round++) {
       List<PathCandidate> candidates = new ArrayList<>();
--- a/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
@@ -37,7 +37,7 @@
 
   // A kept connection may be closing; its loss would leave the outcome of the call unknown.
   @Test
-  void nonIdempotentCallUsesAFreshConnection() {
+  void nonIdempotentCallsUseFreshConnections() {
     relay.list(relay.plain("a"));
     RelayId id = relay.request("book");
     assertThat(relay.sends(id).get(0).terms().connection(), is(SendTerms.ConnectionUse.FRESH));
@@ -142,7 +142,7 @@
 
   // Layers of a model that are placed twice in a path would make a wrong token.
   @Test
-  void streamIsSentAlongAWholePath() {
+  void streamsAreSentAlongWholePaths() {
     relay.list(relay.model("a", 0, 5), relay.model("b", 4, 10));
     RelayId id = relay.request("stream", Optional.of(RelayHarness.KEY), 20_000);
     assertThat(
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPlacementsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPlacementsTest.java
@@ -43,7 +43,7 @@
 
   // A late order is made to fail by the number of orders that it expects.
   @Test
-  void orderIsGivenAgainWithTheReportedNumberAfterARefusal() {
+  void orderIsGivenAgainWithTheReportedNumberAfterRefusal() {
     relay.list(relay.empty("a"));
     takeLease();
     relay.passMillis(300);
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
@@ -37,7 +37,7 @@
 
   // A dead part stalls its streams for seconds; they must go on along another path well before.
   @Test
-  void streamsThatShareASilentPartAreLedAroundIt() {
+  void streamsAreLedAroundTheSilentPartThatTheyShare() {
     relay.list(relay.model("a", 0, 5), relay.model("b", 5, 10), relay.model("c", 5, 10));
     List<RelayId> ids = startStreams(12);
     advanceAll(ids, 5);
--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -27,8 +27,8 @@
   private static final String MANIFEST =
       """
       {"version":%d,"routes":[
-        {"name":"ask","host":"127.0.0.1","prefix":"/ask/","kind":"streaming","timeout_ms":20000,
-         "target_latency_ms":500,"priority":1,"service":"model","max_attempts":2,"public":false,
+        {"name":"ask","host":"127.0.0.1","prefix":"/ask/","kind":"streaming",
+         "timeout_ms":20000,"target_latency_ms":500,"priority":1,"service":"model","max_attempts":2,"public":false,
          "sticky":true,"resumable":true,"target_gap_ms":250},
         {"name":"book","host":"127.0.0.1","prefix":"/book/","kind":"non_idempotent",
          "timeout_ms":5000,"target_latency_ms":500,"priority":1,"service":"plain","max_attempts":1},
@@ -138,7 +138,7 @@
 
   // The whole path: the relay places the layers, then streams a whole answer.
   @Test
-  void placesLayersAndStreamsAWholeAnswer() throws Exception {
+  void placesLayersAndStreamsWholeAnswers() throws Exception {
     awaitTrue(() -> call("/ask/x", "key").statusCode() == 200);
     HttpResponse<String> answer = call("/ask/x", "key");
     assertThat(answer.body(), is(allEvents()));
@@ -149,7 +149,7 @@
 
   // A caller must see no gap, no repeat and no part of an event where a stream changes endpoints.
   @Test
-  void resumesABrokenStreamWithoutGapOrRepeat() throws Exception {
+  void resumesBrokenStreamsWithoutGapOrRepeat() throws Exception {
     awaitTrue(() -> call("/ask/x", "key").statusCode() == 200);
     awaitTrue(
         () -> {
--- a/relay/src/test/java/io/zinniawood/relay/internal/EventStreamSplitterTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EventStreamSplitterTest.java
@@ -28,7 +28,7 @@
 
   // Half an event must never reach a caller, as its endpoint may break off within it.
   @Test
-  void keepsAPartUntilItsEventEnds() {
+  void keepsPartsUntilTheirEventEnds() {
     take("id: 1\ndata: a\n\nid: 2\nda");
     assertThat(passedOn.toString(), is("id: 1\ndata: a\n\n"));
     assertThat(splitter.hasPart(), is(true));
--- a/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
+++ b/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
@@ -58,7 +58,7 @@
 
   // The volume under overload is bounded by the budget of a second.
   @Test
-  void linesBeyondTheBudgetOfASecondAreDropped() {
+  void linesBeyondTheBudgetOfEachSecondAreDropped() {
     ByteArrayOutputStream output = new ByteArrayOutputStream();
     DecisionLog log = new DecisionLog(output, () -> TIME, () -> 0);
     for (int line = 0; line < DecisionLog.MAX_LINES_PER_SECOND + 7; line++) {
