--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -28,12 +28,14 @@
       """
       {"version":%d,"routes":[
         {"name":"ask","host":"127.0.0.1","prefix":"/ask/","kind":"streaming",
-         "timeout_ms":20000,"target_latency_ms":500,"priority":1,"service":"model","max_attempts":2,"public":false,
+         "timeout_ms":20000,"target_latency_ms":500,"priority":1,"service":"model",
+         "max_attempts":2,"public":false,
          "sticky":true,"resumable":true,"target_gap_ms":250},
         {"name":"book","host":"127.0.0.1","prefix":"/book/","kind":"non_idempotent",
          "timeout_ms":5000,"target_latency_ms":500,"priority":1,"service":"plain","max_attempts":1},
         {"name":"read","host":"127.0.0.1","prefix":"/read/","kind":"idempotent",
-         "timeout_ms":5000,"target_latency_ms":500,"priority":1,"service":"plain","max_attempts":2}],
+         "timeout_ms":5000,"target_latency_ms":500,"priority":1,"service":"plain",
+         "max_attempts":2}],
        "services":[
         {"name":"model","health_path":"/health","max_connections":100,"engine":{"slots":10,
          "kv_token_bytes":100000,"stride":4,"models":[{"name":"m","load_s":0.1}],"step_ms":1,
