--- a/core/src/main/java/io/zinniawood/core/relay/AnswerSummary.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerSummary.java
@@ -13,6 +13,7 @@
  */
 public record AnswerSummary(
     int status, boolean signed, boolean notRun, Optional<NodeAddress> endpointAtFault) {
+  /** Status of an endpoint that is another one than expected, or lacks the layers. */
   private static final int MISDIRECTED = 421;
 
   /** Tells whether the answer is a success of the endpoint. */
@@ -24,9 +25,4 @@
   public boolean certainlyNotRun() {
     return notRun || status == MISDIRECTED;
   }
-
-  /** Tells whether the endpoint is another one than expected, or lacks the layers. */
-  public boolean misdirected() {
-    return status == MISDIRECTED;
-  }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.route.RouteTable;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Start, readiness and end of a relay. */
@@ -20,7 +21,7 @@
       return;
     }
     turn.log("routes-accepted", "version", routes.version(), "before", turn.state.routesVersion());
-    turn.state.routes = java.util.Optional.of(routes);
+    turn.state.routes = Optional.of(routes);
     turn.emit(new RelayEffect.ApplyLimits(routes.limits()));
     updateReadiness(turn);
   }
--- a/core/src/main/java/io/zinniawood/core/relay/Outcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Outcomes.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.fleet.EndpointRecord;
+import java.util.Locale;
 import java.util.Optional;
 
 /** Decides what follows when an attempt ends: pass on, send again, resume, or answer the caller. */
@@ -120,7 +121,7 @@
     } else {
       note(turn, open, true);
     }
-    retry(turn, open, event.cause().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'));
+    retry(turn, open, event.cause().name().toLowerCase(Locale.ROOT).replace('_', '-'));
   }
 
   /** Ends the attempt and sends the request again where that is allowed. */
