Take ports for tests and the demonstration outside the range of connections

The log of agent a-2 says 'cannot listen on 127.0.0.1:35591: Address already in use': the port was an ephemeral one, and a connection of another process took it before the agent listened. Ports now come from below the ephemeral range.

--- a/cli/src/main/java/io/zinniawood/cli/local/Ports.java
+++ b/cli/src/main/java/io/zinniawood/cli/local/Ports.java
@@ -2,22 +2,44 @@
 
 import io.zinniawood.core.model.NodeAddress;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Finds free ports on loopback. */
 public final class Ports {
   private static final String LOOPBACK = "127.0.0.1";
 
+  /**
+   * Ports below the range from which Linux takes the local ports of connections: one of those could
+   * take the port before its listener does.
+   */
+  private static final int FIRST_PORT = 12_000;
+
+  private static final int LAST_PORT = 32_000;
+  private static final int MAX_TRIES = 200;
+
   private Ports() {}
 
   /** Returns a loopback address whose port was free a moment ago. */
   public static NodeAddress free() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
-      return new NodeAddress(LOOPBACK, socket.getLocalPort());
-    } catch (IOException none) {
-      throw new UncheckedIOException("no free port on loopback", none);
+    for (int count = 0; count < MAX_TRIES; count++) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      if (isFree(port)) {
+        return new NodeAddress(LOOPBACK, port);
+      }
+    }
+    throw new IllegalStateException(
+        "no free port on loopback after %d tries from %d to %d"
+            .formatted(MAX_TRIES, FIRST_PORT, LAST_PORT));
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(LOOPBACK))) {
+      return socket.isBound();
+    } catch (IOException taken) {
+      // Another port is tried.
+      return false;
     }
   }
 }
--- /dev/null
+++ b/cli/src/test/java/io/zinniawood/cli/local/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.zinniawood.cli.local}. */
+package io.zinniawood.cli.local;
