Bound repeats after signed failures by the retry budget

Cause: Outcomes.failureAnswered took a repeat out of the budget but ignored the answer, so repeats after a signed 5xx were bounded by the attempts of the route alone. The new test repeats 200 failing calls; it failed before the change (200 repeats against a bound of 46) and passes now: without budget the endpoint's own failure goes to the caller.

--- a/core/src/main/java/io/zinniawood/core/relay/Outcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Outcomes.java
@@ -57,8 +57,9 @@
 
   private static void failureAnswered(RelayTurn turn, OpenRequest open, AnswerSummary answer) {
     boolean again = answer.status() >= SERVER_ERROR && !open.headRelayed && mayRunAgain(turn, open);
-    if (again && otherEndpointLeft(turn, open)) {
-      turn.state.retryBudget.take(open.service, turn.nowNanos);
+    if (again
+        && otherEndpointLeft(turn, open)
+        && turn.state.retryBudget.take(open.service, turn.nowNanos)) {
       open.target.ifPresent(open.excluded::add);
       endAttempt(turn, open, "failure-" + answer.status());
       Waiting.admit(turn, open);
--- a/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
@@ -79,6 +79,24 @@
     assertThat(repeats <= 0.15 * 200 + 16, is(true));
   }
 
+  // A repeat after a signed failure counts like any other; without budget the failure is passed on.
+  @Test
+  void repeatsOfFailedCallsAreBoundedByTheBudget() {
+    relay.list(relay.plain("a"), relay.plain("b"));
+    for (int count = 0; count < 200; count++) {
+      RelayId id = relay.request("read");
+      relay.answered(id, 1, 500);
+      if (relay.sends(id).size() > 1) {
+        relay.answered(id, 2, 500);
+      }
+      RelayEffect.RelayAnswer passedOn = relay.last(RelayEffect.RelayAnswer.class);
+      assertThat(passedOn.id(), is(id));
+      relay.post(new RelayEvent.AnswerRelayed(id, passedOn.attempt()));
+    }
+    int repeats = relay.all(RelayEffect.Send.class).size() - 200;
+    assertThat(repeats <= 0.15 * 200 + 16, is(true));
+  }
+
   // An answer that an endpoint did not sign may be of another request.
   @Test
   void unsignedSuccessIsNotPassedOn() {
