Check endpoints for their report before they are avoided for silent streams

Now the parts of a silent stream are asked for their report; only an endpoint that gives none, or that the first endpoint of a path names as dead, is avoided, and an answer ends that.

--- a/core/src/main/java/io/zinniawood/core/fleet/EndpointRecord.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/EndpointRecord.java
@@ -25,6 +25,9 @@
   private boolean suspected;
   private long suspectedAtNanos;
   private long suspectedUntilNanos;
+  private boolean silent;
+  private boolean checkOpen;
+  private long checkedNanos;
   private int strikes;
   private boolean leaving;
   private long removalNanos;
@@ -89,11 +92,52 @@
   /** Avoids the endpoint for a time that doubles with each failure in a row. */
   void suspect(long nowNanos, long baseNanos, int maxDoublings) {
     suspected = true;
+    silent = false;
     suspectedAtNanos = nowNanos;
     suspectedUntilNanos = nowNanos + (baseNanos << Math.min(strikes, maxDoublings));
     strikes++;
   }
 
+  /** Notes that the suspicion is for a lack of answers, which an answer ends. */
+  void markSilent() {
+    silent = true;
+  }
+
+  /** Tells whether the endpoint is avoided because it does not answer. */
+  public boolean silentAt(long nowNanos) {
+    return silent && suspectedAt(nowNanos);
+  }
+
+  /** Tells whether no check is open and the last one began long enough ago. */
+  public boolean checkDue(long nowNanos, long intervalNanos) {
+    return !checkOpen && (checkedNanos == 0 || nowNanos - checkedNanos >= intervalNanos);
+  }
+
+  /** Notes that the endpoint was asked for its report. */
+  public void checkStarted(long nowNanos) {
+    checkOpen = true;
+    checkedNanos = nowNanos;
+  }
+
+  /**
+   * Notes that the endpoint answered a check: it is no longer avoided for its silence.
+   *
+   * @param reportedSlowness factor by which it says it runs slower than usual
+   */
+  public void checkAnswered(double reportedSlowness) {
+    checkOpen = false;
+    if (silent) {
+      silent = false;
+      suspected = false;
+    }
+    slowness = Math.max(1, Math.min(MAX_SLOWNESS, Math.max(slowness, reportedSlowness)));
+  }
+
+  /** Notes that a check had no answer. */
+  public void checkMissed() {
+    checkOpen = false;
+  }
+
   /** Notes that the endpoint itself said it is leaving. */
   public void markLeaving() {
     leaving = true;
--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -150,6 +150,7 @@
   /** Avoids an endpoint that failed or fell silent. */
   public void suspect(EndpointRecord endpoint, long nowNanos) {
     endpoint.suspect(nowNanos, SUSPECT_NANOS, MAX_DOUBLINGS);
+    endpoint.markSilent();
   }
 
   /** Avoids an endpoint that refused a request without running it. */
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointReport.java
@@ -0,0 +1,27 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.model.NodeAddress;
+import java.util.List;
+
+/**
+ * What an endpoint reports of itself; at most some hundred milliseconds old.
+ *
+ * @param ordersAccepted orders that it has accepted since its start
+ * @param slowness factor by which it runs slower than usual; 1 if it runs as usual
+ * @param stalled requests that entered their path here and wait for a dead part of it
+ */
+public record EndpointReport(long ordersAccepted, double slowness, List<Stalled> stalled) {
+  /** Copies the list. */
+  public EndpointReport {
+    stalled = List.copyOf(stalled);
+  }
+
+  /**
+   * A request that waits for a dead part of its path.
+   *
+   * @param request id that the caller gave it
+   * @param deadPart address of the part
+   */
+  public record Stalled(RequestId request, NodeAddress deadPart) {}
+}
--- a/core/src/main/java/io/zinniawood/core/relay/Endpoints.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Endpoints.java
@@ -48,6 +48,13 @@
 
   /** Avoids an endpoint for a while and logs why. */
   static void suspect(RelayTurn turn, EndpointRecord endpoint, String reason) {
+    if (!endpoint.silentAt(turn.nowNanos)) {
+      logSuspicion(turn, endpoint, reason);
+    }
+    turn.state.fleet.suspect(endpoint, turn.nowNanos);
+  }
+
+  private static void logSuspicion(RelayTurn turn, EndpointRecord endpoint, String reason) {
     turn.log(
         "endpoint-suspected",
         "endpoint",
@@ -58,7 +65,6 @@
         endpoint.entry().rowVersion(),
         "inFlight",
         endpoint.inFlight());
-    turn.state.fleet.suspect(endpoint, turn.nowNanos);
   }
 
   private static void logChange(RelayTurn turn, FleetEndpoint endpoint) {
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
@@ -0,0 +1,101 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.fleet.EndpointRecord;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.path.LayerPath;
+import io.zinniawood.core.path.PathPart;
+import io.zinniawood.core.route.EngineProfile;
+import io.zinniawood.core.route.RoutedService;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** Changes the paths of streams that use an endpoint which does not answer. */
+final class PathRepair {
+  /** Most changes of path of one request. */
+  private static final int MAX_REPATHS = 4;
+
+  private PathRepair() {}
+
+  /** Leads every stream around an endpoint. */
+  static void leadAround(RelayTurn turn, EndpointId culprit) {
+    for (OpenRequest open : new ArrayList<>(turn.state.open.values())) {
+      if (open.path.isPresent() && open.path.get().contains(culprit)) {
+        if (open.path.get().first().endpoint().equals(culprit)) {
+          if (open.route.repeatable() && open.possibleRuns < open.route.maxAttempts()) {
+            Outcomes.retry(turn, open, "first-endpoint-silent");
+          }
+        } else {
+          repath(turn, open, Set.of(culprit));
+        }
+      }
+    }
+  }
+
+  private static void repath(RelayTurn turn, OpenRequest open, Set<EndpointId> avoid) {
+    Optional<EngineProfile> engine =
+        turn.state
+            .routes
+            .flatMap(routes -> routes.service(open.service))
+            .flatMap(RoutedService::engine);
+    if (engine.isEmpty() || open.repaths >= MAX_REPATHS) {
+      return;
+    }
+    PathChoice choice = new PathChoice(turn, engine.get(), open.service);
+    Set<EndpointId> excluded = new HashSet<>(open.excluded);
+    excluded.addAll(avoid);
+    PathPart first = open.path.orElseThrow().first();
+    Optional<LayerPath> path = choice.continued(first, excluded);
+    if (path.isEmpty()) {
+      turn.log("repath-impossible", "request", open.logId(), "avoid", avoid.toString());
+      return;
+    }
+    turn.log(
+        "path-changed",
+        "request",
+        open.logId(),
+        "from",
+        PathText.of(open.path.get()),
+        "to",
+        PathText.of(path.get()),
+        "silentMillis",
+        turn.millisSince(open.lastProgressNanos));
+    Optional<EndpointId> target = open.target;
+    Usage.end(open);
+    open.target = target;
+    open.path = path;
+    Usage.begin(turn, open);
+    open.excluded.addAll(avoid);
+    open.repaths++;
+    open.repathOpen = true;
+    open.expectedGapMillis = choice.expectedGapMillis(path.get());
+    open.expectedFirstMillis = choice.expectedFirstMillis(path.get(), open.request.promptTokens());
+    turn.emit(new RelayEffect.Repath(open.id, open.attempt, first.address(), path.get()));
+  }
+
+  static void repathAnswered(RelayTurn turn, RelayEvent.RepathAnswered event) {
+    OpenRequest open = turn.state.open.get(event.id());
+    if (open == null || open.attempt != event.attempt() || !open.repathOpen) {
+      return;
+    }
+    open.repathOpen = false;
+    turn.log(
+        "path-change-answered",
+        "request",
+        open.logId(),
+        "result",
+        event.result().name(),
+        "endpointAtFault",
+        event.endpointAtFault().map(Object::toString).orElse("-"),
+        "silentMillis",
+        turn.millisSince(open.lastProgressNanos));
+    if (event.result() == OrderResult.REFUSED && open.path.isPresent()) {
+      Optional<EndpointRecord> atFault = event.endpointAtFault().flatMap(turn.state.fleet::at);
+      if (atFault.isPresent()) {
+        turn.state.fleet.refused(atFault.get(), turn.nowNanos);
+        repath(turn, open, Set.of(atFault.get().id()));
+      }
+    }
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/relay/Placements.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Placements.java
@@ -122,11 +122,4 @@
       endpoint.orderUnanswered();
     }
   }
-
-  static void reported(RelayTurn turn, RelayEvent.ReportRead event) {
-    turn.state
-        .fleet
-        .find(event.endpoint())
-        .ifPresent(endpoint -> endpoint.ordersReported(event.ordersAccepted()));
-  }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -114,14 +114,22 @@
     }
   }
 
-  /** An endpoint reported how many orders it has accepted. */
-  record ReportRead(EndpointId endpoint, long ordersAccepted) implements RelayEvent {
+  /** An endpoint gave its report: it lives. */
+  record ReportRead(EndpointId endpoint, EndpointReport report) implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
       visitor.reportRead(this);
     }
   }
 
+  /** An endpoint gave no report in time, even on a new connection. */
+  record ReportMissing(EndpointId endpoint) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.reportMissing(this);
+    }
+  }
+
   /** A change of a request's path was answered or given up. */
   record RepathAnswered(
       RelayId id, int attempt, OrderResult result, Optional<NodeAddress> endpointAtFault)
@@ -205,6 +213,9 @@
     /** Handles {@link ReportRead}. */
     void reportRead(ReportRead event);
 
+    /** Handles {@link ReportMissing}. */
+    void reportMissing(ReportMissing event);
+
     /** Handles {@link RepathAnswered}. */
     void repathAnswered(RepathAnswered event);
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -77,12 +77,17 @@
 
     @Override
     public void reportRead(RelayEvent.ReportRead event) {
-      Placements.reported(turn, event);
+      EndpointChecks.answered(turn, event);
+    }
+
+    @Override
+    public void reportMissing(RelayEvent.ReportMissing event) {
+      EndpointChecks.missed(turn, event);
     }
 
     @Override
     public void repathAnswered(RelayEvent.RepathAnswered event) {
-      Streams.repathAnswered(turn, event);
+      PathRepair.repathAnswered(turn, event);
     }
 
     @Override
@@ -98,6 +103,7 @@
     @Override
     public void tick(RelayEvent.Tick event) {
       turn.state.fleet.removeDue(turn.nowNanos);
+      EndpointChecks.tick(turn);
       Deadlines.check(turn);
       Streams.checkSilence(turn);
       Waiting.retry(turn);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -21,6 +21,13 @@
   Optional<RouteTable> routes = Optional.empty();
   final RelayCensus relays = new RelayCensus();
   LeaseView lease = LeaseView.unknown();
+
+  /** Time of the last tick; 0 before the first one. */
+  long tickNanos;
+
+  /** Until then this process catches up after a pause. */
+  long caughtUpNanos;
+
   long leaseTickNanos;
   long placementTickNanos;
   long presenceTickNanos;
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -149,6 +149,11 @@
     }
   }
 
+  /** Lets time pass without a tick, as if the process was paused. */
+  void skipMillis(long millis) {
+    nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
   RelayId request(String route) {
     return request(route, Optional.of(KEY), 1_500);
   }
--- a/relay/src/main/java/io/zinniawood/relay/ControlClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -117,6 +117,14 @@
     return request;
   }
 
+  /** Closes the kept connections to an address, which may be silent for good. */
+  public void closeKept(NodeAddress address) {
+    Deque<Channel> channels = kept.remove(address);
+    if (channels != null) {
+      channels.forEach(Channel::close);
+    }
+  }
+
   private Channel takeKept(NodeAddress address) {
     Deque<Channel> channels = kept.get(address);
     while (channels != null && !channels.isEmpty()) {
--- a/relay/src/main/java/io/zinniawood/relay/PlatformLink.java
+++ b/relay/src/main/java/io/zinniawood/relay/PlatformLink.java
@@ -25,7 +25,10 @@
   /** Changes the path of a request; the result comes as {@link RelayEvent.RepathAnswered}. */
   void repath(RelayId id, int attempt, CallerRequest request, NodeAddress first, LayerPath path);
 
-  /** Reads the report of an endpoint; it comes as {@link RelayEvent.ReportRead} if it answers. */
+  /**
+   * Reads the report of an endpoint; it comes as {@link RelayEvent.ReportRead}, or as {@link
+   * RelayEvent.ReportMissing} if there is none.
+   */
   void readReport(EndpointId endpoint, NodeAddress address);
 
   /**
