Count the transfers that wait for the pipes between data centres

Cause: a path that crosses cost a fixed 10 ms, while a prompt holds a pipe of 5,500 Mbit/s for 27 ms; relays filled all pipes and every stream that crossed waited for seconds. Each relay now counts its transfers (times the relays that are present), adds the backlog to the cost of a crossing and takes no crossing whose pipe is more than 150 ms behind.

--- a/core/src/main/java/io/zinniawood/core/path/PathPlanner.java
+++ b/core/src/main/java/io/zinniawood/core/path/PathPlanner.java
@@ -153,11 +153,13 @@
       if (centre == home) {
         return 0;
       }
-      return first.isPresent() ? costs.crossingMillis() : costs.entryCrossingMillis();
+      return first.isPresent() ? crossing(home, centre) : costs.entryCrossingMillis();
     }
 
     private double crossing(int before, int centre) {
-      return before == centre ? 0 : costs.crossingMillis();
+      return before == centre
+          ? 0
+          : costs.crossing().between(dataCentres.get(before), dataCentres.get(centre));
     }
 
     private int cheapestBefore(int boundary, int centre) {
--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -38,6 +38,7 @@
       return choice.existsIfEmpty(open.excluded) ? Result.ALL_BUSY : Result.NONE_LEFT;
     }
     open.path = path;
+    choice.chosen(path.get(), open.tokens);
     open.expectedGapMillis = choice.expectedGapMillis(path.get());
     open.expectedFirstMillis = choice.expectedFirstMillis(path.get(), open.request.promptTokens());
     PathPart first = path.get().first();
--- a/core/src/main/java/io/zinniawood/core/relay/PathChoice.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathChoice.java
@@ -22,8 +22,14 @@
   /** Handover of an event between two endpoints, in milliseconds. */
   private static final double PART_MILLIS = 1;
 
-  /** Activations of a usual prompt through the pipe between data centres, in milliseconds. */
-  private static final double CROSSING_MILLIS = 10;
+  /**
+   * Transfers that may wait for a pipe between data centres, in milliseconds: a first event that
+   * waits longer comes late, as targets are some hundred milliseconds.
+   */
+  private static final double MAX_PIPE_BACKLOG_MILLIS = 150;
+
+  /** Cost of a crossing against the time for which it holds the pipe: others wait behind it. */
+  private static final double CROSSING_WEIGHT = 2;
 
   /** Events of a stream that come from another data centre, in milliseconds. */
   private static final double ENTRY_CROSSING_MILLIS = 3;
@@ -59,7 +65,32 @@
     this.endpoints = turn.state.fleet.of(service);
     this.planner =
         new PathPlanner(
-            engine.layers(), new PathCosts(PART_MILLIS, CROSSING_MILLIS, ENTRY_CROSSING_MILLIS));
+            engine.layers(), new PathCosts(PART_MILLIS, this::crossingCost, ENTRY_CROSSING_MILLIS));
+  }
+
+  private double crossingCost(DataCentreId from, DataCentreId to) {
+    double backlog = turn.state.pipes.backlogMillis(from, to, turn.nowNanos);
+    return backlog > MAX_PIPE_BACKLOG_MILLIS
+        ? Double.POSITIVE_INFINITY
+        : backlog + CROSSING_WEIGHT * engine.pipeMillis(usualTokens());
+  }
+
+  private double usualTokens() {
+    return engine.usualPromptTokens() + engine.usualAnswerTokens();
+  }
+
+  /** Counts the transfers of a path between data centres, if all relays choose as this one does. */
+  void chosen(LayerPath path, double tokens) {
+    Optional<DataCentreId> before = Optional.empty();
+    for (PathPart part : path.parts()) {
+      Optional<DataCentreId> here =
+          turn.state.fleet.find(part.endpoint()).map(endpoint -> endpoint.entry().dataCentre());
+      if (before.isPresent() && here.isPresent() && !before.equals(here)) {
+        double millis = engine.pipeMillis(tokens) * turn.state.relays.count();
+        turn.state.pipes.transfer(before.get(), here.get(), millis, turn.nowNanos);
+      }
+      before = here;
+    }
   }
 
   /**
--- a/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
@@ -65,6 +65,7 @@
     Usage.end(open);
     open.target = target;
     open.path = path;
+    choice.chosen(path.get(), open.tokens);
     Usage.begin(turn, open);
     open.excluded.addAll(avoid);
     open.repaths++;
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/PipeLoads.java
@@ -0,0 +1,31 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.id.DataCentreId;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Transfers that wait for the pipes between data centres. A pipe carries one prompt after another,
+ * so each path that crosses delays all that cross after it.
+ */
+final class PipeLoads {
+  private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+  private final Map<Pipe, Long> idleAtNanos = new HashMap<>();
+
+  private record Pipe(DataCentreId from, DataCentreId to) {}
+
+  /** Adds a transfer that holds a pipe for some milliseconds. */
+  void transfer(DataCentreId from, DataCentreId to, double millis, long nowNanos) {
+    Pipe pipe = new Pipe(from, to);
+    long startNanos = Math.max(nowNanos, idleAtNanos.getOrDefault(pipe, nowNanos));
+    idleAtNanos.put(pipe, startNanos + (long) (millis * NANOS_PER_MILLI));
+  }
+
+  /** Returns the time until a pipe is free, in milliseconds. */
+  double backlogMillis(DataCentreId from, DataCentreId to, long nowNanos) {
+    long idle = idleAtNanos.getOrDefault(new Pipe(from, to), nowNanos);
+    return Math.max(0, idle - nowNanos) / NANOS_PER_MILLI;
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -17,6 +17,7 @@
   final Map<RelayId, OpenRequest> open = new LinkedHashMap<>();
   final List<OpenRequest> waiting = new ArrayList<>();
   final RetryBudget retryBudget = new RetryBudget();
+  final PipeLoads pipes = new PipeLoads();
   final SplittableRandom random;
   Optional<RouteTable> routes = Optional.empty();
   final RelayCensus relays = new RelayCensus();
--- a/core/src/main/java/io/zinniawood/core/route/EngineProfile.java
+++ b/core/src/main/java/io/zinniawood/core/route/EngineProfile.java
@@ -19,6 +19,7 @@
  * @param readTokensPerSecond prompt tokens read in a second
  * @param tokenCacheBytes memory of one token in all layers, in bytes
  * @param activationBytes bytes that one token hands to the next endpoint
+ * @param pipeMegabitsPerSecond bandwidth of the pipe between two data centres
  * @param usualPromptTokens mean prompt in tokens
  * @param usualAnswerTokens mean answer in tokens
  * @param accelerators accelerators by kind
@@ -35,6 +36,7 @@
     double readTokensPerSecond,
     double tokenCacheBytes,
     double activationBytes,
+    double pipeMegabitsPerSecond,
     int usualPromptTokens,
     int usualAnswerTokens,
     Map<AcceleratorKind, AcceleratorProfile> accelerators) {
@@ -79,6 +81,18 @@
     return 1_000.0 * promptTokens / readTokensPerSecond * accelerator.readFactor() / layers;
   }
 
+  /** Returns the time for which tokens hold the pipe between two data centres, in milliseconds. */
+  public double pipeMillis(double tokens) {
+    return pipeMegabitsPerSecond <= 0
+        ? 0
+        : tokens * activationBytes * BITS_PER_BYTE / (pipeMegabitsPerSecond * BITS_PER_KILOBIT);
+  }
+
+  private static final double BITS_PER_BYTE = 8;
+
+  /** Bits that a bandwidth of one megabit a second carries in a millisecond. */
+  private static final double BITS_PER_KILOBIT = 1_000;
+
   /** Returns the tokens that fit beside a number of layers. */
   public double tokensBeside(AcceleratorProfile accelerator, int heldLayers) {
     double freeBytes =
--- a/core/src/test/java/io/zinniawood/core/path/LayerPlacementTest.java
+++ b/core/src/test/java/io/zinniawood/core/path/LayerPlacementTest.java
@@ -34,6 +34,7 @@
           164_000,
           845_373,
           42_268,
+          19_000,
           774,
           210,
           Map.of(
--- a/core/src/test/java/io/zinniawood/core/path/PathPlannerTest.java
+++ b/core/src/test/java/io/zinniawood/core/path/PathPlannerTest.java
@@ -17,7 +17,7 @@
 final class PathPlannerTest {
   private static final DataCentreId HERE = new DataCentreId("here");
   private static final DataCentreId THERE = new DataCentreId("there");
-  private static final PathCosts COSTS = new PathCosts(1, 10, 3);
+  private static final PathCosts COSTS = new PathCosts(1, (from, to) -> 10, 3);
   private static final long SEED = 20_261_204;
 
   private static PathCandidate candidate(
@@ -55,6 +55,19 @@
         is(List.of("a=0-5", "b=5-10")));
   }
 
+  // Guards against paths through a pipe that is full.
+  @Test
+  void avoidsCrossingsThatAreNotAllowed() {
+    List<PathCandidate> candidates =
+        List.of(
+            candidate("a", HERE, 0, 5, 1),
+            candidate("b", THERE, 0, 10, 9),
+            candidate("c", THERE, 5, 10, 1));
+    PathCosts full = new PathCosts(1, (from, to) -> Double.POSITIVE_INFINITY, 3);
+    assertThat(
+        text(new PathPlanner(10, full).cheapest(candidates, HERE)), is(List.of("b=0-5", "c=5-10")));
+  }
+
   // Guards against refusals when only another data centre holds some layers.
   @Test
   void crossesForLayersThatTheOwnDataCentreLacks() {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -29,6 +29,7 @@
 /** Drives one relay in virtual time and collects its effects. */
 final class RelayHarness {
   static final DataCentreId HOME = new DataCentreId("home");
+  static final DataCentreId AWAY = new DataCentreId("away");
   static final ServiceName MODEL = new ServiceName("model");
   static final ServiceName PLAIN = new ServiceName("plain");
   static final String KEY = "key-1";
@@ -98,6 +99,7 @@
         100_000,
         100_000,
         10_000,
+        1_000,
         500,
         200,
         Map.of(KIND, new AcceleratorProfile(KIND, 20_000, 1, 1)));
@@ -108,6 +110,22 @@
     return endpoint(id, MODEL, Optional.of(new LayerRange(from, to)), false);
   }
 
+  /** Returns a model endpoint with layers in another data centre. */
+  FleetEndpoint remoteModel(String id, int from, int to) {
+    FleetEndpoint near = model(id, from, to);
+    return new FleetEndpoint(
+        near.id(),
+        near.service(),
+        near.address(),
+        AWAY,
+        near.slots(),
+        near.draining(),
+        near.accelerator(),
+        near.layers(),
+        near.startedMillis(),
+        near.rowVersion());
+  }
+
   /** Returns an empty model endpoint. */
   FleetEndpoint empty(String id) {
     return endpoint(id, MODEL, Optional.empty(), false);
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
@@ -0,0 +1,59 @@
+package io.zinniawood.core.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.zinniawood.core.path.LayerPath;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Plays loads on paths between data centres: the pipe of 1,000 Mbit/s carries 17 prompts a second.
+ */
+final class RelayPathsTest {
+  private static final double TOKENS = 700;
+
+  private final RelayHarness relay = new RelayHarness();
+
+  private RelayId stream() {
+    return relay.request("stream", Optional.of(RelayHarness.KEY), 20_000);
+  }
+
+  // A pipe that is sent more than it carries delays every stream that crosses, for good.
+  @Test
+  void crossingsStayWithinTheBandwidthOfThePipe() {
+    relay.list(relay.model("a", 0, 5), relay.remoteModel("b", 5, 10));
+    int sent = 0;
+    for (int tenth = 0; tenth < 50; tenth++) {
+      for (int count = 0; count < 5; count++) {
+        RelayId id = stream();
+        if (!relay.sends(id).isEmpty()) {
+          sent++;
+          relay.answered(id, 1, 200);
+          relay.post(new RelayEvent.AnswerRelayed(id, 1));
+        }
+      }
+      relay.passMillis(100);
+    }
+    sent = relay.all(RelayEffect.Send.class).size();
+    double carriedInFiveSeconds = 5_000 / RelayHarness.engine().pipeMillis(TOKENS);
+    // Three transfers may wait when the load ends.
+    assertThat((double) sent, lessThanOrEqualTo(carriedInFiveSeconds + 3));
+    assertThat((double) sent, greaterThan(0.8 * carriedInFiveSeconds));
+  }
+
+  // A whole path in another data centre takes no bandwidth of the pipe.
+  @Test
+  void pathsThatStayInOneDataCentreArePreferred() {
+    relay.list(relay.model("a", 0, 5), relay.remoteModel("b", 0, 5), relay.remoteModel("c", 5, 10));
+    for (int count = 0; count < 10; count++) {
+      LayerPath path = relay.sends(stream()).get(0).terms().path().orElseThrow();
+      assertThat(
+          path.parts().stream().map(part -> part.endpoint().value()).toList(),
+          is(List.of("b", "c")));
+    }
+  }
+}
