Add a fault soak of the relay; ignore reloads until the settings are read

The soak runs three relays as processes behind fault proxies (delay, reset, half open, silent, new connections reset) on the ways from callers, to the store and to endpoints, sends them signals in series that overlap, takes the store away and changes the key. It checks whole and own answers, order of stream events, runs of each request, the truth of refusals, that no older routes come back, exit codes and recovery within 12 s.

Before main the JVM cannot; the soak starts such a process again.

--- a/cli/src/main/java/io/zinniawood/cli/RelayCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/RelayCommand.java
@@ -15,10 +15,15 @@
 import java.time.Instant;
 import java.util.List;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Runs a relay until it is asked to terminate. */
 @Parameters(commandDescription = "Run an entry to endpoints that run paths of layers themselves")
 final class RelayCommand extends HelpOption implements Command {
+  static final String NAME = "relay";
+
+  private static final Signal RELOAD = new Signal("HUP");
+
   /** Longest drain in milliseconds; the platform kills the process after its own grace time. */
   private static final long MAX_DRAIN_MILLIS = 60_000;
 
@@ -27,7 +32,7 @@
 
   @Override
   public String name() {
-    return "relay";
+    return NAME;
   }
 
   @Override
@@ -35,6 +40,14 @@
     return "zinniawood relay --settings relay.toml";
   }
 
+  /**
+   * Ignores the signal to reload until the settings are read: it would end the JVM, and the
+   * platform sends it at any time.
+   */
+  static void ignoreReloads() {
+    Signal.handle(RELOAD, SignalHandler.SIG_IGN);
+  }
+
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws InterruptedException {
     Either<Vector<ConfigurationFault>, RelaySettings> settings = load();
@@ -44,7 +57,7 @@
     }
     DecisionLog log = new DecisionLog(out, Instant::now, System::nanoTime);
     Termination termination = Termination.install(MAX_DRAIN_MILLIS);
-    Signal.handle(new Signal("HUP"), signal -> reload(log));
+    Signal.handle(RELOAD, signal -> reload(log));
     try (RelayProcess relay = RelayLauncher.start(settings.get(), log)) {
       log.add("process-started", List.of("vm", settings.get().vm().value()));
       termination.await();
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
@@ -123,7 +123,7 @@
 
   // After a pause of this process all answers are late; that says nothing about the endpoints.
   @Test
-  void missingReportsAfterAPauseAreNoReasonToAvoidEndpoints() {
+  void missingReportsAfterPauseAreNoReasonToAvoidEndpoints() {
     relay.list(relay.model("a", 0, 10));
     relay.passMillis(20);
     relay.skipMillis(2_000);
--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -9,6 +9,7 @@
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.dist.users.EndpointStandIn;
 import io.zinniawood.dist.users.StoreStandIn;
+import io.zinniawood.dist.users.UsersRoutes;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -24,29 +25,6 @@
 /** A relay as a process; the store and the endpoints as stand-ins in this JVM. */
 final class RelayTest {
   private static final long WAIT_SECONDS = 60;
-  private static final String MANIFEST =
-      """
-      {"version":%d,"routes":[
-        {"name":"ask","host":"127.0.0.1","prefix":"/ask/","kind":"streaming",
-         "timeout_ms":20000,"target_latency_ms":500,"priority":1,"service":"model",
-         "max_attempts":2,"public":false,
-         "sticky":true,"resumable":true,"target_gap_ms":250},
-        {"name":"book","host":"127.0.0.1","prefix":"/book/","kind":"non_idempotent",
-         "timeout_ms":5000,"target_latency_ms":500,"priority":1,"service":"plain","max_attempts":1},
-        {"name":"read","host":"127.0.0.1","prefix":"/read/","kind":"idempotent",
-         "timeout_ms":5000,"target_latency_ms":500,"priority":1,"service":"plain",
-         "max_attempts":2}],
-       "services":[
-        {"name":"model","health_path":"/health","max_connections":100,"engine":{"slots":10,
-         "kv_token_bytes":100000,"stride":4,"models":[{"name":"m","load_s":0.1}],"step_ms":1,
-         "per_seq_ms":0.005,"context_per_k":0.005,"read_per_s":100000,"loads_at_once":6,
-         "usual":{"prompt":500,"answer":200},"layers":10,"layer_mb":1000,"activation_bytes":10000,
-         "kinds":[{"name":"gpu","megabytes":20000,"pace":1,"read_x":1}]}},
-        {"name":"plain","health_path":"/health","max_connections":100}],
-       "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,
-        "idle_timeout_ms":15000},
-       "tenants":[{"name":"account","api_keys":["%s"]}]}
-      """;
 
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -62,7 +40,7 @@
   @BeforeEach
   void start() throws Exception {
     store = new StoreStandIn();
-    store.put("op", "config", MANIFEST.formatted(1, "key"));
+    store.put("op", "config", UsersRoutes.json(1, "key"));
     first = new EndpointStandIn(store, "first", "model", "gpu");
     second = new EndpointStandIn(store, "second", "model", "gpu");
     plain = new EndpointStandIn(store, "plain", "plain", "");
@@ -179,7 +157,7 @@
     store.setAway(true);
     assertThat(call("/read/x", "key").statusCode(), is(200));
     store.setAway(false);
-    store.put("op", "config", MANIFEST.formatted(9, "other"));
+    store.put("op", "config", UsersRoutes.json(9, "other"));
     awaitTrue(() -> call("/read/x", "key").statusCode() == 401);
     assertThat(call("/read/x", "other").statusCode(), is(200));
   }
--- a/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
+++ b/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** One process of the executable, with its log in a file. */
-final class RoleProcess implements AutoCloseable {
+public final class RoleProcess implements AutoCloseable {
   private static final Path BINARY = Path.of(System.getProperty("zinniawood.binary"));
   private static final Path LOGS = BINARY.resolveSibling("it-logs");
   private static final long WAIT_SECONDS = 60;
@@ -21,7 +21,7 @@
   }
 
   /** Starts a role with a settings file of the given text. */
-  static RoleProcess start(String role, String name, String settings) {
+  public static RoleProcess start(String role, String name, String settings) {
     try {
       Files.createDirectories(LOGS);
       Path file = Files.writeString(LOGS.resolve(name + ".toml"), settings);
@@ -37,7 +37,7 @@
   }
 
   /** Sends a signal by name, for example STOP. */
-  void signal(String signal) {
+  public void signal(String signal) {
     try {
       Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start();
       if (kill.waitFor() != 0) {
@@ -51,13 +51,18 @@
   }
 
   /** Ends the process at once (SIGKILL). */
-  void kill() {
+  public void kill() {
     process.destroyForcibly();
     exitCode();
   }
 
+  /** Tells whether the process runs. */
+  public boolean alive() {
+    return process.isAlive();
+  }
+
   /** Waits for the end of the process and returns its exit code. */
-  int exitCode() {
+  public int exitCode() {
     try {
       if (!process.waitFor(WAIT_SECONDS, TimeUnit.SECONDS)) {
         throw new IllegalStateException(name + " did not end within " + WAIT_SECONDS + " s");
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
@@ -0,0 +1,115 @@
+package io.zinniawood.dist.soak;
+
+import io.zinniawood.dist.soak.SoakCluster.Relay;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** Plays seeds of the soak: {@code benchmark.sh soak.RelaySoak FIRST-SEED LAST-SEED}. */
+public final class RelaySoak {
+  private static final long START_SECONDS = 30;
+  private static final long FAULTS_SECONDS = 10;
+
+  /** Time after the last fault within which all relays serve again; the users' page gives 12 s. */
+  private static final long RECOVERY_SECONDS = 12;
+
+  private static final int CALLERS = 12;
+  private static final int MAX_PAUSE_MILLIS = 40;
+  private static final int MAX_FAULT_GAP_MILLIS = 500;
+
+  /** Longest fault, and the drain of a relay that was ended by the last one. */
+  private static final long LAST_FAULT_MILLIS = 9_000;
+
+  private RelaySoak() {}
+
+  /** Plays the seeds of the arguments and ends with 1 if a promise was broken. */
+  public static void main(String[] args) throws Exception {
+    PrintStream output = System.out;
+    int failures = 0;
+    for (long seed = Long.parseLong(args[0]); seed <= Long.parseLong(args[1]); seed++) {
+      List<String> violations = play(seed);
+      output.println("seed " + seed + ": " + (violations.isEmpty() ? "kept" : violations));
+      failures += violations.isEmpty() ? 0 : 1;
+    }
+    output.println(failures + " seeds with broken promises");
+    System.exit(failures == 0 ? 0 : 1);
+  }
+
+  /** Plays one seed and returns the broken promises. */
+  static List<String> play(long seed) throws IOException, InterruptedException {
+    Violations violations = new Violations();
+    ScheduledExecutorService timers = Executors.newScheduledThreadPool(CALLERS + 8);
+    try (SoakCluster cluster = new SoakCluster(violations);
+        SoakCaller caller = new SoakCaller(cluster, violations)) {
+      violations.check(
+          await(START_SECONDS, () -> allServe(cluster, caller)), "not all relays serve at first");
+      for (int number = 0; number < CALLERS; number++) {
+        Random random = new Random(seed * 1_000 + number);
+        timers.execute(() -> callUntilShutdown(timers, cluster, caller, random));
+      }
+      SoakFaults faults = new SoakFaults(cluster, new Random(seed), timers, violations);
+      Random gaps = new Random(~seed);
+      long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(FAULTS_SECONDS);
+      while (System.nanoTime() - endNanos < 0) {
+        faults.next();
+        TimeUnit.MILLISECONDS.sleep(gaps.nextInt(MAX_FAULT_GAP_MILLIS));
+      }
+      TimeUnit.MILLISECONDS.sleep(LAST_FAULT_MILLIS);
+      violations.check(
+          await(RECOVERY_SECONDS, () -> allServe(cluster, caller)),
+          "not all relays serve within %d s after the faults".formatted(RECOVERY_SECONDS));
+      timers.shutdownNow();
+      timers.awaitTermination(RECOVERY_SECONDS, TimeUnit.SECONDS);
+      caller.checkRuns();
+      violations.check(caller.sentRequests() > 0, "no request was sent");
+    } finally {
+      timers.shutdownNow();
+    }
+    return violations.all();
+  }
+
+  private static void callUntilShutdown(
+      ScheduledExecutorService timers, SoakCluster cluster, SoakCaller caller, Random random) {
+    SoakCaller.Kind[] kinds = SoakCaller.Kind.values();
+    while (!timers.isShutdown()) {
+      Relay relay = cluster.relays.get(random.nextInt(cluster.relays.size()));
+      // Some callers still use the key before the present one.
+      int key = cluster.routesVersion() - (random.nextInt(4) == 0 ? 1 : 0);
+      caller.call(relay, kinds[random.nextInt(kinds.length)], key);
+      try {
+        TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+      } catch (InterruptedException stopped) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  private static boolean allServe(SoakCluster cluster, SoakCaller caller) {
+    for (Relay relay : cluster.relays) {
+      for (SoakCaller.Kind kind : SoakCaller.Kind.values()) {
+        if (caller.call(relay, kind, cluster.routesVersion()) != 200) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  private static boolean await(long seconds, BooleanSupplier condition)
+      throws InterruptedException {
+    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - endNanos > 0) {
+        return false;
+      }
+      TimeUnit.MILLISECONDS.sleep(100);
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/soak/RelaySoakTest.java
@@ -0,0 +1,17 @@
+package io.zinniawood.dist.soak;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A short soak with fixed seeds, and each seed that ever failed. */
+final class RelaySoakTest {
+  // Guards the promises to callers while processes, connections and the store fail together.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2})
+  void promisesHoldUnderFaults(long seed) throws Exception {
+    assertThat("seed " + seed, RelaySoak.play(seed), empty());
+  }
+}
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
@@ -0,0 +1,166 @@
+package io.zinniawood.dist.soak;
+
+import io.zinniawood.cli.local.Ports;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.dist.RoleProcess;
+import io.zinniawood.dist.users.EndpointStandIn;
+import io.zinniawood.dist.users.StoreStandIn;
+import io.zinniawood.dist.users.UsersRoutes;
+import io.zinniawood.standin.proxy.FaultProxy;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Relays as processes, a store and endpoints, with a fault proxy before each of them. */
+final class SoakCluster implements AutoCloseable {
+  private static final int RELAYS = 3;
+
+  /** Exit code of a process that a signal to reload has ended. */
+  private static final int HANGUP_EXIT_CODE = 129;
+
+  /** Exit code of a process that has no handler yet for the signal to terminate. */
+  private static final int TERMINATION_EXIT_CODE = 143;
+
+  /** A JVM that has not reached its first statement cannot ignore a signal. */
+  private static final long STARTING_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  private final Violations violations;
+
+  final StoreStandIn store = new StoreStandIn();
+  final List<Relay> relays = new ArrayList<>();
+  final List<EndpointStandIn> endpoints = new ArrayList<>();
+
+  /** Proxies between relays and endpoints. */
+  final List<FaultProxy> endpointProxies = new ArrayList<>();
+
+  private final AtomicInteger routesVersion = new AtomicInteger();
+
+  /** A relay with the proxies on its way from callers and to the store. */
+  final class Relay {
+    final int number;
+    final NodeAddress callers = Ports.free();
+    final NodeAddress admin = Ports.free();
+    final FaultProxy callerProxy = FaultProxy.launch(callers.port());
+    final FaultProxy storeProxy = FaultProxy.launch(store.address().port());
+
+    /** Counts the starts; beliefs of a relay last as long as its process. */
+    final AtomicInteger incarnation = new AtomicInteger();
+
+    private RoleProcess process;
+    private long startedNanos;
+
+    Relay(int number) {
+      this.number = number;
+      start();
+    }
+
+    synchronized void start() {
+      incarnation.incrementAndGet();
+      startedNanos = System.nanoTime();
+      process =
+          RoleProcess.start(
+              "relay",
+              "soak-relay-%d.%d".formatted(number, incarnation.get()),
+              """
+              vm = "relay-%d"
+              data_centre = "home"
+              callers = "%s"
+              admin = "%s"
+              store = "127.0.0.1:%d"
+              first_start = "%s"
+              """
+                  .formatted(number, callers, admin, storeProxy.port(), incarnation.get() == 1));
+    }
+
+    /**
+     * Sends a signal; a process that has ended by itself is started again, as the platform does.
+     */
+    synchronized void signal(String signal) {
+      if (process.alive()) {
+        process.signal(signal);
+      } else {
+        int code = process.exitCode();
+        boolean beforeMain =
+            code == HANGUP_EXIT_CODE && System.nanoTime() - startedNanos < STARTING_NANOS;
+        violations.check(
+            beforeMain, "relay %d.%d ended with %d".formatted(number, incarnation.get(), code));
+        start();
+      }
+    }
+
+    /** Ends the process in good order and starts it again. */
+    synchronized void replace() {
+      signal("CONT");
+      boolean starting = System.nanoTime() - startedNanos < STARTING_NANOS;
+      signal("TERM");
+      int code = process.exitCode();
+      violations.check(
+          code == 0 || starting && code == TERMINATION_EXIT_CODE,
+          "relay %d.%d drained with exit code %d".formatted(number, incarnation.get(), code));
+      start();
+    }
+
+    synchronized RoleProcess process() {
+      return process;
+    }
+
+    String url(String path) {
+      return "http://127.0.0.1:" + callerProxy.port() + path;
+    }
+  }
+
+  SoakCluster(Violations violations) throws IOException {
+    this.violations = violations;
+    changeKey();
+    addEndpoint("first", "model", "gpu");
+    addEndpoint("second", "model", "gpu");
+    addEndpoint("third", "model", "gpu");
+    addEndpoint("plain-1", "plain", "");
+    addEndpoint("plain-2", "plain", "");
+    for (int number = 1; number <= RELAYS; number++) {
+      relays.add(new Relay(number));
+    }
+  }
+
+  private void addEndpoint(String id, String service, String kind) throws IOException {
+    EndpointStandIn endpoint = new EndpointStandIn(store, id, service, kind);
+    FaultProxy proxy = FaultProxy.launch(endpoint.address().port());
+    endpoint.advertise(new NodeAddress("127.0.0.1", proxy.port()));
+    endpoints.add(endpoint);
+    endpointProxies.add(proxy);
+  }
+
+  /** Replaces the only API key by that of the next version of the routes. */
+  int changeKey() {
+    int version = routesVersion.incrementAndGet();
+    store.put("op", "config", UsersRoutes.json(version, key(version)));
+    return version;
+  }
+
+  int routesVersion() {
+    return routesVersion.get();
+  }
+
+  static String key(int version) {
+    return "key-" + version;
+  }
+
+  /** Returns how often endpoints ran a request. */
+  int runs(String request) {
+    return endpoints.stream().mapToInt(one -> one.runs().getOrDefault(request, 0)).sum();
+  }
+
+  @Override
+  public void close() {
+    for (Relay relay : relays) {
+      relay.process().close();
+      relay.callerProxy.close();
+      relay.storeProxy.close();
+    }
+    endpointProxies.forEach(FaultProxy::close);
+    endpoints.forEach(EndpointStandIn::close);
+    store.close();
+  }
+}
--- /dev/null
+++ b/dist/src/test/java/io/zinniawood/dist/soak/Violations.java
@@ -0,0 +1,23 @@
+package io.zinniawood.dist.soak;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Broken promises that a run has found. */
+final class Violations {
+  private final List<String> found = new CopyOnWriteArrayList<>();
+
+  void add(String violation) {
+    found.add(violation);
+  }
+
+  void check(boolean holds, String violation) {
+    if (!holds) {
+      add(violation);
+    }
+  }
+
+  List<String> all() {
+    return List.copyOf(found);
+  }
+}
--- a/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
@@ -39,6 +39,7 @@
   private volatile String layers = "";
   private volatile int breakAfterEvents = Integer.MAX_VALUE;
   private volatile boolean failing;
+  private volatile NodeAddress advertised;
 
   /** Starts an endpoint and enters it into the list. */
   public EndpointStandIn(StoreStandIn store, String id, String service, String kind)
@@ -53,10 +54,18 @@
     server.createContext("/order", this::order);
     server.createContext("/report", exchange -> json(exchange, 200, report()));
     server.start();
+    advertised = address();
     beat("ready");
   }
 
-  private NodeAddress address() {
+  /** Enters another address into the list, for example that of a proxy before this endpoint. */
+  public void advertise(NodeAddress address) {
+    advertised = address;
+    beat("ready");
+  }
+
+  /** Returns the address on which the endpoint listens. */
+  public NodeAddress address() {
     return new NodeAddress("127.0.0.1", server.getAddress().getPort());
   }
 
@@ -69,7 +78,7 @@
         id,
         ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"home\",\"version\":\"v1\",\"slots\":6,"
                 + "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":%d,\"born\":1%s%s}")
-            .formatted(service, address(), state, beats.incrementAndGet(), held, empty));
+            .formatted(service, advertised, state, beats.incrementAndGet(), held, empty));
   }
 
   /** Makes streams break off after a number of events. */
@@ -129,7 +138,8 @@
     exchange.getResponseHeaders().set("Attempt-Id", request);
     exchange.getResponseHeaders().set("Replica-Signature", "signed-by-" + id);
     if (path == null) {
-      json(exchange, failing ? 500 : 200, "{\"by\":\"" + id + "\"}");
+      json(
+          exchange, failing ? 500 : 200, "{\"by\":\"" + id + "\",\"request\":\"" + request + "\"}");
       return;
     }
     paths.add(path);
