Restart relays that end before main in the soak, as the platform does

It now looks every 300 ms, and allows code 129 only if a reload was sent in the first three seconds of that process.

--- a/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
@@ -18,6 +18,9 @@
   /** Time after the last fault within which all relays serve again; the users' page gives 12 s. */
   private static final long RECOVERY_SECONDS = 12;
 
+  /** Time between two looks for a process that has ended by itself. */
+  private static final long RESTART_MILLIS = 300;
+
   private static final int CALLERS = 12;
   private static final int MAX_PAUSE_MILLIS = 40;
   private static final int MAX_FAULT_GAP_MILLIS = 500;
@@ -49,7 +52,7 @@
   static List<String> play(long seed, long recoverySeconds)
       throws IOException, InterruptedException {
     Violations violations = new Violations();
-    ScheduledExecutorService timers = Executors.newScheduledThreadPool(CALLERS + 8);
+    ScheduledExecutorService timers = Executors.newScheduledThreadPool(CALLERS + 20);
     try (SoakCluster cluster = new SoakCluster(violations);
         SoakCaller caller = new SoakCaller(cluster, violations)) {
       violations.check(
@@ -58,6 +61,10 @@
         Random random = new Random(seed * 1_000 + number);
         timers.execute(() -> callUntilShutdown(timers, cluster, caller, random));
       }
+      for (Relay relay : cluster.relays) {
+        timers.scheduleWithFixedDelay(
+            relay::restartIfEnded, RESTART_MILLIS, RESTART_MILLIS, TimeUnit.MILLISECONDS);
+      }
       SoakFaults faults = new SoakFaults(cluster, new Random(seed), timers);
       Random gaps = new Random(~seed);
       long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(FAULTS_SECONDS);
--- a/dist/src/test/java/io/zinniawood/dist/soak/RelaySoakTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/RelaySoakTest.java
@@ -11,9 +11,12 @@
   /** Only ends a run that hangs; runs by hand hold the relays to the users' bound. */
   private static final long RECOVERY_SECONDS = 120;
 
+  // Seeds 2, 11, 14 and 15 failed once: a reload that came before main had ended a relay, and the
+  // soak
+  // did not start it again, as the platform does.
   // Guards the promises to callers while processes, connections and the store fail together.
   @ParameterizedTest
-  @ValueSource(longs = {1, 2})
+  @ValueSource(longs = {1, 2, 11, 14, 15})
   void promisesHoldUnderFaults(long seed) throws Exception {
     assertThat("seed " + seed, RelaySoak.play(seed, RECOVERY_SECONDS), empty());
   }
--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
@@ -50,6 +50,7 @@
 
     private RoleProcess process;
     private long startedNanos;
+    private boolean hangupWhileStarting;
 
     Relay(int number) {
       this.number = number;
@@ -59,6 +60,7 @@
     synchronized void start() {
       incarnation.incrementAndGet();
       startedNanos = System.nanoTime();
+      hangupWhileStarting = false;
       process =
           RoleProcess.start(
               "relay",
@@ -74,26 +76,33 @@
                   .formatted(number, callers, admin, storeProxy.port(), incarnation.get() == 1));
     }
 
-    /**
-     * Sends a signal; a process that has ended by itself is started again, as the platform does.
-     */
+    /** Sends a signal. */
     synchronized void signal(String signal) {
+      restartIfEnded();
+      hangupWhileStarting |= signal.equals("HUP") && starting();
+      process.signal(signal);
+    }
+
+    /** Starts a process that has ended by itself again, as the platform does. */
+    synchronized void restartIfEnded() {
       if (process.alive()) {
-        process.signal(signal);
-      } else {
-        int code = process.exitCode();
-        boolean beforeMain =
-            code == HANGUP_EXIT_CODE && System.nanoTime() - startedNanos < STARTING_NANOS;
-        violations.check(
-            beforeMain, "relay %d.%d ended with %d".formatted(number, incarnation.get(), code));
-        start();
+        return;
       }
+      int code = process.exitCode();
+      violations.check(
+          code == HANGUP_EXIT_CODE && hangupWhileStarting,
+          "relay %d.%d ended with %d".formatted(number, incarnation.get(), code));
+      start();
+    }
+
+    private boolean starting() {
+      return System.nanoTime() - startedNanos < STARTING_NANOS;
     }
 
     /** Ends the process in good order and starts it again. */
     synchronized void replace() {
       signal("CONT");
-      boolean starting = System.nanoTime() - startedNanos < STARTING_NANOS;
+      boolean starting = starting();
       signal("TERM");
       int code = process.exitCode();
       violations.check(
