Reroute streams that have begun over busier links

The limit protects the first event of a new request. A stream that has begun is late already and otherwise waits for the engines' stall of 3 s.

Change: such a stream may use links with up to 1,000 ms of backlog.

--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -31,7 +31,7 @@
   }
 
   private static Result dispatchModel(RelayTurn turn, OpenRequest open, EngineProfile engine) {
-    PathSelector selector = new PathSelector(turn, engine, open.service);
+    PathSelector selector = new PathSelector(turn, engine, open);
     open.expectedTokens = open.request.expectedTokens(engine.meanAnswerTokens());
     Optional<LayerPath> path = selector.best(open.excluded, open.expectedTokens);
     if (path.isEmpty()) {
--- a/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
@@ -45,7 +45,7 @@
     if (engine.isEmpty() || open.repaths >= MAX_REPATHS) {
       return;
     }
-    PathSelector selector = new PathSelector(turn, engine.get(), open.service);
+    PathSelector selector = new PathSelector(turn, engine.get(), open);
     Set<EndpointId> excluded = new HashSet<>(open.excluded);
     excluded.addAll(avoid);
     PathPart first = open.path.orElseThrow().first();
--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -3,7 +3,6 @@
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
-import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.path.PathCandidate;
@@ -23,11 +22,18 @@
   private static final double HANDOVER_MILLIS = 1;
 
   /**
-   * Maximum backlog of the link between two data centres for it to be used. Beyond it the first
-   * event would miss its target latency, which is a few hundred milliseconds.
+   * Maximum backlog of the link between two data centres for a new request to use it. Beyond it the
+   * first event would miss its target latency, which is a few hundred milliseconds.
    */
   private static final double MAX_LINK_BACKLOG_MILLIS = 150;
 
+  /**
+   * Maximum backlog of a link for a stream that has begun. Such a stream is late already, and the
+   * engines keep it waiting for about 3,000 ms at a dead endpoint, while callers give up after
+   * 2,000 ms without an event.
+   */
+  private static final double MAX_RESUMED_LINK_BACKLOG_MILLIS = 1_000;
+
   /** Factor on the time a transfer occupies a link, as later transfers queue behind it. */
   private static final double TRANSFER_TIME_WEIGHT = 2;
 
@@ -59,11 +65,14 @@
   private final EngineProfile engine;
   private final List<TrackedEndpoint> endpoints;
   private final PathPlanner planner;
+  private final double maxLinkBacklogMillis;
 
-  PathSelector(RelayTurn turn, EngineProfile engine, ServiceName service) {
+  PathSelector(RelayTurn turn, EngineProfile engine, OpenRequest open) {
     this.turn = turn;
+    this.maxLinkBacklogMillis =
+        open.headRelayed ? MAX_RESUMED_LINK_BACKLOG_MILLIS : MAX_LINK_BACKLOG_MILLIS;
     this.engine = engine;
-    this.endpoints = turn.state.fleet.ofService(service);
+    this.endpoints = turn.state.fleet.ofService(open.service);
     this.planner =
         new PathPlanner(
             engine.layers(),
@@ -72,7 +81,7 @@
 
   private double dataCentreHopCost(DataCentreId from, DataCentreId to) {
     double backlog = turn.state.linkBacklogs.backlogMillis(from, to, turn.nowNanos);
-    return backlog > MAX_LINK_BACKLOG_MILLIS
+    return backlog > maxLinkBacklogMillis
         ? Double.POSITIVE_INFINITY
         : backlog + TRANSFER_TIME_WEIGHT * engine.linkTransferMillis(meanTokens());
   }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
@@ -70,6 +70,19 @@
     }
   }
 
+  // The link to the other data centre carries a prompt in 56 ms. With the limit for new requests,
+  // 150 ms, only four of the streams would be rerouted and the others stall until they break off.
+  @Test
+  void streamsAreReroutedOverBusyLinkWhileCallersWait() {
+    relay.list(relay.model("a", 0, 5), relay.model("b", 5, 10));
+    List<RelayRequestId> ids = startStreams(12);
+    advanceAll(ids, 5);
+    relay.list(relay.model("a", 0, 5), relay.model("b", 5, 10), relay.remoteModel("c", 5, 10));
+    relay.advanceMillis(400);
+    relay.post(new RelayEvent.ReportMissing(new EndpointId("b")));
+    assertThat(relay.effectsOf(RelayEffect.Repath.class), hasSize(12));
+  }
+
   // Streams also stall when the fleet is overloaded. Avoiding endpoints then would remove remaining
   // capacity, and reading prompts again would use up the rest.
   @Test
