Resume streams after the last event that the caller has

Cause: when the relay itself ended an attempt (first endpoint silent, silent connection, path changes exhausted), it did not know the stream's position: only a failed connection reported it. The next attempt started from the first event, the endpoint made all tokens again, the relay dropped them as duplicates, and the caller gave up after 2.4 s of silence.

Change: each advance of a stream carries the id of its last event.

The test fails without the change (resumes after 0 in place of 41).

--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -91,8 +91,12 @@
     }
   }
 
-  /** One or more events of a stream were relayed to the caller. */
-  record StreamAdvanced(RelayRequestId id, int attempt) implements RelayEvent {
+  /**
+   * One or more events of a stream were relayed to the caller.
+   *
+   * @param lastEventId id of the last event that was relayed completely
+   */
+  record StreamAdvanced(RelayRequestId id, int attempt, long lastEventId) implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
       visitor.streamAdvanced(this);
--- a/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
@@ -39,6 +39,8 @@
     if (open == null || open.attempt != event.attempt()) {
       return;
     }
+    // An attempt that the relay itself ends reports no position.
+    open.lastEventId = Math.max(open.lastEventId, event.lastEventId());
     double gapMillis = (turn.nowNanos - open.lastProgressNanos) / NANOS_PER_MILLI;
     double expected =
         open.firstEventRelayed ? open.expectedGapMillis : open.expectedFirstEventMillis;
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -44,6 +44,7 @@
   private long nowNanos = TimeUnit.SECONDS.toNanos(100);
   private long rowVersion = 1;
   private long nextRequest;
+  private long lastEventId;
 
   /** Creates a relay with a routing table but no endpoints. */
   RelayHarness() {
@@ -238,6 +239,6 @@
   }
 
   void streamAdvanced(RelayRequestId id, int attempt) {
-    post(new RelayEvent.StreamAdvanced(id, attempt));
+    post(new RelayEvent.StreamAdvanced(id, attempt, ++lastEventId));
   }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
@@ -83,6 +83,20 @@
     assertThat(relay.effectsOf(RelayEffect.Repath.class), hasSize(12));
   }
 
+  // A stream that starts again from its first event repeats all tokens that the caller has, and the
+  // caller gives up meanwhile.
+  @Test
+  void streamWithSilentFirstEndpointResumesAfterLastEvent() {
+    relay.list(relay.model("a", 0, 10));
+    RelayRequestId id = startStreams(1).get(0);
+    relay.list(relay.model("a", 0, 10), relay.model("b", 0, 10));
+    relay.post(new RelayEvent.StreamAdvanced(id, 1, 41));
+    relay.advanceMillis(600);
+    relay.post(new RelayEvent.ReportMissing(new EndpointId("a")));
+    assertThat(relay.sends(id), hasSize(2));
+    assertThat(relay.sends(id).get(1).options().resumeAfter(), is(41L));
+  }
+
   // Streams also stall when the fleet is overloaded. Avoiding endpoints then would remove remaining
   // capacity, and reading prompts again would use up the rest.
   @Test
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -191,7 +191,9 @@
     boolean valid = caller.splitter().split(content, writer);
     if (caller.splitter().lastId() != previousId) {
       listener.streamAdvanced();
-      post(new RelayEvent.StreamAdvanced(caller.id(), exchange.attempt()));
+      post(
+          new RelayEvent.StreamAdvanced(
+              caller.id(), exchange.attempt(), caller.splitter().lastId()));
     }
     if (!valid) {
       connections.cancel(exchange);
