Do not use an endpoint that answered 421 until it writes its entry again

Cause: endpoints that crash and restart are listed with their old layers until their first heartbeat. Each request sent through them is refused with 421. Such an endpoint was avoided for 400 ms and then tried again, each refusal used up retry budget, and callers were refused for it.

Change: an endpoint at fault for a 421 is not used until its entry has a newer row version.

The test fails without the change (3 sends through the endpoint in place of 1).

--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -12,6 +12,9 @@
   /** Weight of a new sample in the exponential moving averages. */
   private static final double NEW_SAMPLE_WEIGHT = 0.15;
 
+  /** Lower than the version of any row. */
+  private static final long NO_VERSION = -1;
+
   /** Upper bound of the slowdown factor; a slow endpoint still gets requests that measure it. */
   private static final double MAX_SLOWDOWN_FACTOR = 12;
 
@@ -25,6 +28,7 @@
   private boolean suspected;
   private long suspectedAtNanos;
   private long suspectedUntilNanos;
+  private long refutedRowVersion = NO_VERSION;
   private boolean unresponsive;
   private boolean checkPending;
   private long checkStartedNanos;
@@ -79,7 +83,10 @@
 
   /** Returns whether new requests may be sent to the endpoint. */
   public boolean usable(long nowNanos) {
-    return !entry.draining() && !leaving && !suspectedAt(nowNanos);
+    return !entry.draining()
+        && !leaving
+        && !suspectedAt(nowNanos)
+        && entry.rowVersion() > refutedRowVersion;
   }
 
   /** Returns whether neither the endpoint list nor the endpoint itself says that it is leaving. */
@@ -106,6 +113,14 @@
     consecutiveFailures++;
   }
 
+  /**
+   * Records that the endpoint is another one than its entry says, or holds other layers, as after a
+   * restart. It is not used until it writes its entry again.
+   */
+  public void entryRefuted() {
+    refutedRowVersion = entry.rowVersion();
+  }
+
   /** Marks the endpoint as avoided for lack of response; an answered check ends the avoidance. */
   void markUnresponsive() {
     unresponsive = true;
--- a/core/src/main/java/io/zinniawood/core/relay/AnswerSummary.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerSummary.java
@@ -22,8 +22,13 @@
     return signed && status >= 200 && status < 300;
   }
 
+  /** Returns whether the endpoint at fault is not the expected one or does not hold the layers. */
+  public boolean misdirected() {
+    return status == MISDIRECTED;
+  }
+
   /** Returns whether this endpoint did not run the request and never will. */
   public boolean certainlyNotRun() {
-    return notRun || status == MISDIRECTED;
+    return notRun || misdirected();
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -102,7 +102,11 @@
               answer.status(),
               "rowVersion",
               endpoint.entry().rowVersion());
-          turn.state.fleet.avoidAfterRefusal(endpoint, turn.nowNanos);
+          if (answer.misdirected()) {
+            endpoint.entryRefuted();
+          } else {
+            turn.state.fleet.avoidAfterRefusal(endpoint, turn.nowNanos);
+          }
           open.excluded.add(endpoint.id());
         });
     endAttempt(turn, open, "not-run-" + answer.status());
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -228,6 +228,13 @@
             id, attempt, new AnswerSummary(status, true, false, Optional.empty())));
   }
 
+  /** Posts the answer of a path on which an endpoint does not hold its layers. */
+  void misdirected(RelayRequestId id, int attempt, NodeAddress endpointAtFault) {
+    post(
+        new RelayEvent.AnswerReceived(
+            id, attempt, new AnswerSummary(421, false, false, Optional.of(endpointAtFault))));
+  }
+
   void notRun(RelayRequestId id, int attempt) {
     post(
         new RelayEvent.AnswerReceived(
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
@@ -5,6 +5,8 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.path.LayerPath;
 import java.util.List;
 import java.util.Optional;
@@ -55,4 +57,34 @@
           is(List.of("b", "c")));
     }
   }
+
+  // An endpoint that restarts is listed with its old layers until its first heartbeat. Each request
+  // that is sent through it meanwhile is refused, and its repeats use up the retry budget.
+  @Test
+  void endpointWithoutItsLayersIsNotUsedUntilListedAnew() {
+    FleetEndpoint restarted = relay.model("b", 5, 10);
+    relay.list(relay.model("a", 0, 5), restarted, relay.model("c", 5, 10));
+    for (int count = 0; count < 20; count++) {
+      RelayRequestId id = stream();
+      if (path(id, 0).contains(restarted.id())) {
+        relay.misdirected(id, 1, restarted.address());
+      }
+      relay.advanceMillis(100);
+    }
+    RelayRequestId later = stream();
+    assertThat(misdirectedSends(restarted.id()), is(1L));
+    assertThat(path(later, 0).contains(restarted.id()), is(false));
+    relay.list(relay.model("a", 0, 5), relay.model("b", 5, 10));
+    assertThat(path(stream(), 0).contains(restarted.id()), is(true));
+  }
+
+  private long misdirectedSends(EndpointId endpoint) {
+    return relay.effectsOf(RelayEffect.Send.class).stream()
+        .filter(send -> send.options().path().orElseThrow().contains(endpoint))
+        .count();
+  }
+
+  private LayerPath path(RelayRequestId id, int send) {
+    return relay.sends(id).get(send).options().path().orElseThrow();
+  }
 }
