--- a/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
@@ -24,12 +24,13 @@
         new RelayParameters(
             settings.vm(),
             settings.dataCentre(),
+            settings.peers(),
             settings.firstStart() == FirstStart.TRUE,
             System.nanoTime());
     RelayProcess relay =
         new RelayProcess(
             parameters,
-            new RelayAddresses(settings.callers(), settings.admin()),
+            new RelayAddresses(settings.callers(), settings.admin(), settings.peers()),
             new PlatformHeaderCodec(),
             log);
     relay.start(
@@ -37,7 +38,6 @@
             new UsersPlatformClient(
                 settings.store(),
                 client,
-                relay.eventLoop(),
                 decision -> log.add(decision.event(), decision.fields())));
     return relay;
   }
--- a/config/src/main/java/io/zinniawood/config/internal/SettingsSchema.java
+++ b/config/src/main/java/io/zinniawood/config/internal/SettingsSchema.java
@@ -1,6 +1,7 @@
 package io.zinniawood.config.internal;
 
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
 import io.zinniawood.config.settings.EndpointSettings.FencingCheck;
 import io.zinniawood.config.settings.RelaySettings.FirstStart;
 import io.zinniawood.core.id.DataCentreId;
@@ -40,6 +41,9 @@
   /** Listen address of the peer protocol. */
   public static final Field<NodeAddress> PEERS = address("peers", 8090);
 
+  /** Listen address for the datagrams of other relays. */
+  public static final Field<Option<NodeAddress>> RELAY_PEERS = requiredAddress("peers").optional();
+
   /** Base address of the platform. */
   public static final Field<URI> PLATFORM =
       uri("platform").withDefault(URI.create("http://127.0.0.1:9000"));
@@ -129,7 +133,7 @@
               new TableSpec(
                   "",
                   TableSpec.Shape.ROOT,
-                  Vector.of(VM, DATA_CENTRE, CALLERS, ADMIN, STORE, FIRST_START))));
+                  Vector.of(VM, DATA_CENTRE, CALLERS, ADMIN, STORE, RELAY_PEERS, FIRST_START))));
 
   /** Schema of the settings file of an agent. */
   public static final Schema AGENT =
@@ -147,11 +151,14 @@
   private SettingsSchema() {}
 
   private static Field<NodeAddress> address(String name, int port) {
+    return requiredAddress(name).withDefault(new NodeAddress("127.0.0.1", port));
+  }
+
+  private static Field<NodeAddress> requiredAddress(String name) {
     return Field.parsed(
-            name,
-            "an IP address and a port from 1 to 65535, as in \"127.0.0.1:8080\"",
-            SettingsSchema::parseAddress)
-        .withDefault(new NodeAddress("127.0.0.1", port));
+        name,
+        "an IP address and a port from 1 to 65535, as in \"127.0.0.1:8080\"",
+        SettingsSchema::parseAddress);
   }
 
   private static NodeAddress parseAddress(String text) {
--- a/config/src/main/java/io/zinniawood/config/settings/RelaySettings.java
+++ b/config/src/main/java/io/zinniawood/config/settings/RelaySettings.java
@@ -3,6 +3,7 @@
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
+import java.util.Optional;
 
 /**
  * Settings of a relay process.
@@ -12,6 +13,7 @@
  * @param callers listen address of the HTTP port for callers
  * @param admin listen address of the HTTP port for readiness and metrics
  * @param store address of the platform's store
+ * @param peers UDP address for messages of other relays; empty to exchange none
  * @param firstStart whether the whole system, not only this process, starts for the first time
  */
 public record RelaySettings(
@@ -20,6 +22,7 @@
     NodeAddress callers,
     NodeAddress admin,
     NodeAddress store,
+    Optional<NodeAddress> peers,
     FirstStart firstStart) {
   /**
    * Whether the whole system starts for the first time. On a first start all layers are loaded at
--- a/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
+++ b/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
@@ -96,6 +96,7 @@
     var callers = reader.get(ROOT, SettingsSchema.CALLERS);
     var admin = reader.get(ROOT, SettingsSchema.ADMIN);
     var store = reader.get(ROOT, SettingsSchema.STORE);
+    var peers = reader.get(ROOT, SettingsSchema.RELAY_PEERS);
     var firstStart = reader.get(ROOT, SettingsSchema.FIRST_START);
     if (callers.isDefined() && callers.equals(admin)) {
       reader.addFault(
@@ -111,6 +112,7 @@
                 callers.get(),
                 admin.get(),
                 store.get(),
+                peers.get().toJavaOptional(),
                 firstStart.get()))
         : Option.none();
   }
--- a/config/src/test/java/io/zinniawood/config/settings/SettingsLoaderTest.java
+++ b/config/src/test/java/io/zinniawood/config/settings/SettingsLoaderTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
@@ -18,6 +19,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -51,6 +53,22 @@
                 Option.none())));
   }
 
+  // A relay without an address for messages must not open a port.
+  @Test
+  void relayExchangesMessagesOnlyWithAddress() throws IOException {
+    String required = "vm = \"v1\"\ndata_centre = \"tampere\"\n";
+    assertThat(SettingsLoader.loadRelay(write(required)).get().peers(), equalTo(Optional.empty()));
+    assertThat(
+        SettingsLoader.loadRelay(write(required + "peers = \"10.1.0.40:7340\"\n")).get().peers(),
+        equalTo(Optional.of(new NodeAddress("10.1.0.40", 7_340))));
+    assertThat(
+        SettingsLoader.loadRelay(write(required + "peers = \"front\"\n"))
+            .getLeft()
+            .map(Object::toString)
+            .asJava(),
+        contains(containsString("key=peers, found=\"front\", expected=an IP address and a port")));
+  }
+
   // Guards against an agent without an endpoint, or with an ambiguous one.
   @Test
   void agentNeedsExactlyOneEndpointTable() throws IOException {
--- a/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
@@ -31,6 +31,21 @@
     Optional<LayerRange> layers,
     long startedMillis,
     long rowVersion) {
+  /** Returns this entry as of another version of its row. */
+  public FleetEndpoint withRowVersion(long version) {
+    return new FleetEndpoint(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        draining,
+        accelerator,
+        layers,
+        startedMillis,
+        version);
+  }
+
   /** Returns whether both entries belong to the same process start at the same address. */
   public boolean sameIncarnation(FleetEndpoint other) {
     return startedMillis == other.startedMillis && address.equals(other.address);
--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -151,6 +151,21 @@
     }
   }
 
+  /** Returns the time for which missing entries may still reappear, in milliseconds. */
+  public long reappearanceGraceMillis(long nowNanos) {
+    long leftNanos = storeRegainedNanos + REAPPEARANCE_GRACE_NANOS - nowNanos;
+    return storeEverRegained ? Math.max(0, TimeUnit.NANOSECONDS.toMillis(leftNanos)) : 0;
+  }
+
+  /** Lets missing entries reappear for at least the given time, in milliseconds. */
+  public void extendReappearanceGrace(long millis, long nowNanos) {
+    if (millis > reappearanceGraceMillis(nowNanos)) {
+      storeEverRegained = true;
+      storeRegainedNanos =
+          nowNanos + TimeUnit.MILLISECONDS.toNanos(millis) - REAPPEARANCE_GRACE_NANOS;
+    }
+  }
+
   /** Returns whether the store does not answer. */
   public boolean storeUnavailable() {
     return storeUnavailable;
--- a/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
+++ b/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
@@ -1,8 +1,11 @@
 package io.zinniawood.core.relay;
 
+import io.vavr.control.Option;
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.entry.lease.LeaseView;
 import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.VmId;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -16,17 +19,17 @@
   /** Renewal interval of the holder: three renewals within one lease duration. */
   private static final long RENEWAL_INTERVAL_NANOS = LEASE_NANOS / 3;
 
-  /** On every fourth tick the holder reads the table instead of renewing, to see other relays. */
-  private static final int HOLDER_READ_INTERVAL_TICKS = 4;
+  /** On every seventh tick the holder reads the table instead of renewing, to see other relays. */
+  private static final int HOLDER_READ_INTERVAL_TICKS = 7;
 
   /** Read interval of the other relays; longer than the renewals to limit calls to the store. */
   private static final long READ_INTERVAL_NANOS = LEASE_NANOS / 2;
 
   /**
-   * Interval between presence heartbeats; three of them fit into the absence timeout of {@link
-   * RelayPresence}.
+   * Interval between presence heartbeats, and between reads of a relay that the holder tells of its
+   * renewals. Three heartbeats fit into the absence timeout of {@link Peers}.
    */
-  private static final long PRESENCE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(4);
+  private static final long PRESENCE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(9);
 
   private ControllerLease() {}
 
@@ -41,7 +44,9 @@
     RelayState state = turn.state;
     if (turn.nowNanos - state.nextPresenceNanos >= 0) {
       state.nextPresenceNanos = turn.nowNanos + PRESENCE_INTERVAL_NANOS;
-      turn.emit(new RelayEffect.WritePresence(state.parameters.vm(), ++state.presenceHeartbeats));
+      turn.emit(
+          new RelayEffect.WritePresence(
+              state.parameters.vm(), state.parameters.peerAddress(), ++state.presenceHeartbeats));
     }
   }
 
@@ -53,6 +58,9 @@
     writePresence(turn);
     LeaseView lease = state.lease;
     boolean holder = lease.heldRow().isDefined();
+    if (!holder && toldByHolder(turn)) {
+      return;
+    }
     state.nextLeaseTickNanos =
         turn.nowNanos + (holder ? RENEWAL_INTERVAL_NANOS : READ_INTERVAL_NANOS);
     state.leaseTicks++;
@@ -62,24 +70,68 @@
       LeaseRow row = lease.heldRow().get();
       write(turn, new LeaseRow(row.holder(), row.fencingNumber(), row.renewals() + 1));
     } else {
+      state.nextLeaseReadNanos = turn.nowNanos + PRESENCE_INTERVAL_NANOS;
       turn.emit(new RelayEffect.ReadLease());
     }
   }
 
-  static void leaseRead(RelayTurn turn, RelayEvent.LeaseRead event) {
+  /** Returns whether the holder's messages tell of its renewals and no read is due. */
+  private static boolean toldByHolder(RelayTurn turn) {
+    RelayState state = turn.state;
+    return state.leaseNoticeReceived
+        && turn.nowNanos - state.leaseNoticeNanos < READ_INTERVAL_NANOS
+        && turn.nowNanos - state.nextLeaseReadNanos < 0;
+  }
+
+  /** Returns the lease for the messages to other relays; empty if this relay does not hold it. */
+  static Optional<LeaseNotice> notice(RelayTurn turn) {
+    return held(turn)
+        ? turn.state
+            .lease
+            .heldRow()
+            .toJavaOptional()
+            .map(
+                row ->
+                    new LeaseNotice(
+                        row.fencingNumber(), row.renewals(), turn.state.lease.version()))
+        : Optional.empty();
+  }
+
+  /** Takes over the lease row from a message of its holder, like a read of that row. */
+  static void heard(RelayTurn turn, VmId holder, LeaseNotice notice) {
+    RelayState state = turn.state;
+    if (notice.rowVersion() < state.lease.version()) {
+      return;
+    }
+    state.leaseNoticeReceived = true;
+    state.leaseNoticeNanos = turn.nowNanos;
+    if (notice.rowVersion() > state.lease.version()) {
+      applyRow(
+          turn,
+          Option.some(new LeaseRow(holder, notice.fencingNumber(), notice.renewals())),
+          notice.rowVersion());
+    }
+  }
+
+  private static void applyRow(RelayTurn turn, Option<LeaseRow> row, long version) {
     LeaseView before = turn.state.lease;
-    LeaseView after = before.afterRead(event.row(), event.version(), LEASE_NANOS, turn.nowNanos);
+    LeaseView after = before.afterRead(row, version, LEASE_NANOS, turn.nowNanos);
     turn.state.lease = after;
     if (after.heldRow().isDefined() != before.heldRow().isDefined()) {
       turn.log(
           after.heldRow().isDefined() ? "lease-taken" : "lease-lost",
           "holder",
-          event.row().map(row -> row.holder().value()).getOrElse("-"),
+          row.map(read -> read.holder().value()).getOrElse("-"),
           "fence",
-          event.row().map(row -> row.fencingNumber().value()).getOrElse(0L),
+          row.map(read -> read.fencingNumber().value()).getOrElse(0L),
           "rowVersion",
-          event.version());
+          version);
     }
+  }
+
+  static void leaseRead(RelayTurn turn, RelayEvent.LeaseRead event) {
+    applyRow(turn, event.row(), event.version());
+    LeaseView after = turn.state.lease;
     if (after.heldRow().isEmpty()
         && after.expired(LEASE_NANOS, turn.nowNanos)
         && turn.state.ready) {
--- a/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
+++ b/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
@@ -11,9 +11,9 @@
 final class FleetUpdates {
   private FleetUpdates() {}
 
-  static void endpointsListed(RelayTurn turn, RelayEvent.EndpointsListed event) {
+  static void endpointsListed(RelayTurn turn, List<FleetEndpoint> endpoints) {
     Set<EndpointId> present = new HashSet<>();
-    for (FleetEndpoint endpoint : event.endpoints()) {
+    for (FleetEndpoint endpoint : endpoints) {
       present.add(endpoint.id());
       logChange(turn, endpoint);
     }
@@ -22,18 +22,18 @@
         logRemoval(turn, known.id());
       }
     }
-    turn.state.fleet.replaceAll(event.endpoints(), turn.nowNanos);
+    turn.state.fleet.replaceAll(endpoints, turn.nowNanos);
   }
 
-  static void endpointsChanged(RelayTurn turn, RelayEvent.EndpointsChanged event) {
-    List<FleetEndpoint> changed = event.changed();
+  static void endpointsChanged(
+      RelayTurn turn, List<FleetEndpoint> changed, List<EndpointId> removed) {
     for (FleetEndpoint endpoint : changed) {
       logChange(turn, endpoint);
     }
-    for (EndpointId id : event.removed()) {
+    for (EndpointId id : removed) {
       logRemoval(turn, id);
     }
-    turn.state.fleet.applyChanges(changed, event.removed(), turn.nowNanos);
+    turn.state.fleet.applyChanges(changed, removed, turn.nowNanos);
   }
 
   static void storeLost(RelayTurn turn) {
--- a/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
@@ -18,8 +18,7 @@
   private Lifecycle() {}
 
   /** Applies a newer version of the routing table; ignores others. */
-  static void routesRead(RelayTurn turn, RelayEvent.RoutesRead event) {
-    RouteTable routes = event.routes();
+  static void routesRead(RelayTurn turn, RouteTable routes) {
     if (turn.state.routes.isPresent() && routes.version() <= turn.state.routesVersion()) {
       return;
     }
--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -102,7 +102,7 @@
       Optional<DataCentreId> current =
           turn.state.fleet.find(part.endpoint()).map(endpoint -> endpoint.entry().dataCentre());
       if (previous.isPresent() && current.isPresent() && !previous.equals(current)) {
-        double millis = engine.linkTransferMillis(tokens) * turn.state.relays.count();
+        double millis = engine.linkTransferMillis(tokens) * turn.state.peers.count(turn.nowNanos);
         turn.state.linkBacklogs.addTransfer(previous.get(), current.get(), millis, turn.nowNanos);
       }
       previous = current;
@@ -230,7 +230,8 @@
         accelerator(endpoint)
             .map(profile -> engine.tokenCapacity(profile, endpoint.entry().layers().get().layers()))
             .orElse(0.0);
-    double tokens = (double) endpoint.tokensInFlight() * turn.state.relays.count() + moreTokens;
+    double tokens =
+        (double) endpoint.tokensInFlight() * turn.state.peers.count(turn.nowNanos) + moreTokens;
     return capacity <= 0 ? 1 : tokens / capacity;
   }
 
@@ -239,7 +240,7 @@
    * endpoint equally.
    */
   private double passMillis(TrackedEndpoint endpoint) {
-    double relays = turn.state.relays.count();
+    double relays = turn.state.peers.count(turn.nowNanos);
     return accelerator(endpoint)
         .map(
             profile ->
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
@@ -0,0 +1,72 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.model.NodeAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Exchanges messages with the other relays, so that each knows what the others know. */
+final class PeerExchange {
+  /** Interval between messages to each relay. */
+  private static final long MESSAGE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+  /** Minimum time between reads of the presence rows because of an unknown sender. */
+  private static final long UNKNOWN_SENDER_READ_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private PeerExchange() {}
+
+  static void tick(RelayTurn turn) {
+    int live = turn.state.peers.count(turn.nowNanos);
+    if (live != turn.state.loggedLiveRelays) {
+      turn.state.loggedLiveRelays = live;
+      turn.log("relays-live", "count", live);
+    }
+    if (turn.state.fleet.listLoaded() && turn.nowNanos - turn.state.nextPeerMessageNanos >= 0) {
+      send(turn, Optional.empty());
+    }
+  }
+
+  /** Sends a message to all other relays. */
+  static void send(RelayTurn turn, Optional<SharedRead> read) {
+    RelayState state = turn.state;
+    state.nextPeerMessageNanos = turn.nowNanos + MESSAGE_INTERVAL_NANOS;
+    List<NodeAddress> receivers = state.peers.receivers(turn.nowNanos);
+    if (receivers.isEmpty() || state.parameters.peerAddress().isEmpty()) {
+      return;
+    }
+    turn.emit(
+        new RelayEffect.SendToPeers(
+            receivers,
+            new PeerMessage(
+                state.parameters.vm(),
+                state.failedEndpointReads == 0,
+                state.routesVersion(),
+                state.routeReads.ageMillis(turn.nowNanos),
+                ControllerLease.notice(turn),
+                read)));
+  }
+
+  static void messageReceived(RelayTurn turn, RelayEvent.PeerMessageReceived event) {
+    RelayState state = turn.state;
+    PeerMessage message = event.message();
+    if (message.vm().equals(state.parameters.vm())) {
+      return;
+    }
+    if (!state.peers.heard(message, event.sender(), turn.nowNanos)) {
+      readUnknownSender(turn, event);
+      return;
+    }
+    StoreReads.peerRead(turn, message);
+    message.lease().ifPresent(lease -> ControllerLease.heard(turn, message.vm(), lease));
+  }
+
+  private static void readUnknownSender(RelayTurn turn, RelayEvent.PeerMessageReceived event) {
+    if (turn.nowNanos - turn.state.nextUnknownSenderReadNanos < 0) {
+      return;
+    }
+    turn.state.nextUnknownSenderReadNanos = turn.nowNanos + UNKNOWN_SENDER_READ_INTERVAL_NANOS;
+    turn.log(
+        "peer-unknown", "vm", event.message().vm().value(), "address", event.sender().toString());
+    turn.emit(new RelayEffect.ReadLease());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
@@ -0,0 +1,23 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.id.VmId;
+import java.util.Optional;
+
+/**
+ * State that a relay sends to other relays.
+ *
+ * @param vm VM of the sender
+ * @param storeAvailable whether the sender's last read of the store succeeded
+ * @param routesVersion version of the routing table that the sender applies; 0 if it has none
+ * @param routesAgeMillis time since a read confirmed that version as the newest one, in
+ *     milliseconds
+ * @param lease controller lease, if the sender holds it
+ * @param read changes of the endpoint list, if the sender has just read them from the store
+ */
+public record PeerMessage(
+    VmId vm,
+    boolean storeAvailable,
+    long routesVersion,
+    long routesAgeMillis,
+    Optional<LeaseNotice> lease,
+    Optional<SharedRead> read) {}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/Peers.java
@@ -0,0 +1,109 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.NodeAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The other relays. Their presence rows in the store give their addresses; the messages that they
+ * send show that they live.
+ */
+final class Peers {
+  /** Time without a message after which a relay counts as gone: eight message intervals. */
+  private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+  /** Time without a new version of its row after which a relay gets no messages any more. */
+  private static final long ABSENCE_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+  /** Maximum number of relays that receive messages; bounds the traffic between relays. */
+  private static final int MAX_RECEIVERS = 64;
+
+  private final Map<VmId, Peer> peersByVm = new HashMap<>();
+
+  private static final class Peer {
+    Optional<NodeAddress> address = Optional.empty();
+    long rowVersion = -1;
+    long rowChangedNanos;
+    boolean heard;
+    long heardNanos;
+    boolean storeAvailable;
+  }
+
+  /** Applies the presence rows; relays without a row are removed. */
+  void rowsRead(Map<VmId, PresenceRow> rows, VmId self, long nowNanos) {
+    rows.forEach(
+        (vm, row) -> {
+          if (!vm.equals(self)) {
+            Peer peer = peersByVm.computeIfAbsent(vm, id -> new Peer());
+            peer.address = row.peerAddress();
+            if (peer.rowVersion != row.version()) {
+              peer.rowVersion = row.version();
+              peer.rowChangedNanos = nowNanos;
+            }
+          }
+        });
+    peersByVm.keySet().retainAll(rows.keySet());
+  }
+
+  /**
+   * Records a message.
+   *
+   * @return whether the sender is a relay whose presence row lists that address
+   */
+  boolean heard(PeerMessage message, NodeAddress from, long nowNanos) {
+    Peer peer = peersByVm.get(message.vm());
+    if (peer == null || !peer.address.equals(Optional.of(from))) {
+      return false;
+    }
+    peer.heard = true;
+    peer.heardNanos = nowNanos;
+    peer.storeAvailable = message.storeAvailable();
+    return true;
+  }
+
+  /** Returns the addresses of the relays that receive messages. */
+  List<NodeAddress> receivers(long nowNanos) {
+    List<NodeAddress> addresses = new ArrayList<>();
+    for (Peer peer : peersByVm.values()) {
+      boolean present = alive(peer, nowNanos) || nowNanos - peer.rowChangedNanos < ABSENCE_NANOS;
+      if (present && peer.address.isPresent() && addresses.size() < MAX_RECEIVERS) {
+        addresses.add(peer.address.get());
+      }
+    }
+    return addresses;
+  }
+
+  /** Returns the number of live relays that can read the store and come before this one by id. */
+  int readersBefore(VmId self, long nowNanos) {
+    int readers = 0;
+    for (Map.Entry<VmId, Peer> entry : peersByVm.entrySet()) {
+      Peer peer = entry.getValue();
+      if (alive(peer, nowNanos)
+          && peer.storeAvailable
+          && entry.getKey().value().compareTo(self.value()) < 0) {
+        readers++;
+      }
+    }
+    return readers;
+  }
+
+  /** Returns the number of live relays, including this one. */
+  int count(long nowNanos) {
+    int live = 1;
+    for (Peer peer : peersByVm.values()) {
+      boolean present =
+          peer.heard ? alive(peer, nowNanos) : nowNanos - peer.rowChangedNanos < ABSENCE_NANOS;
+      live += present ? 1 : 0;
+    }
+    return live;
+  }
+
+  private static boolean alive(Peer peer, long nowNanos) {
+    return peer.heard && nowNanos - peer.heardNanos < SILENCE_NANOS;
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEffect.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEffect.java
@@ -6,6 +6,8 @@
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.route.RequestLimits;
+import java.util.List;
+import java.util.Optional;
 
 /** Output of the relay's reducer, carried out by a {@link Visitor}. */
 public sealed interface RelayEffect {
@@ -78,6 +80,46 @@
     }
   }
 
+  /** Reads the complete endpoint list. */
+  record ListEndpoints() implements RelayEffect {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.listEndpoints(this);
+    }
+  }
+
+  /** Reads the changes of the endpoint list after a version of the store. */
+  record ReadEndpointChanges(long afterVersion) implements RelayEffect {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.readEndpointChanges(this);
+    }
+  }
+
+  /** Reads the routing table. */
+  record ReadRoutes() implements RelayEffect {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.readRoutes(this);
+    }
+  }
+
+  /** Reads the routing table if it changes after a version of the store, within a time. */
+  record AwaitRoutes(long afterVersion, long waitMillis) implements RelayEffect {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.awaitRoutes(this);
+    }
+  }
+
+  /** Sends a message to other relays; it may get lost. */
+  record SendToPeers(List<NodeAddress> receivers, PeerMessage message) implements RelayEffect {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.sendToPeers(this);
+    }
+  }
+
   /** Reads the controller lease row. */
   record ReadLease() implements RelayEffect {
     @Override
@@ -95,7 +137,8 @@
   }
 
   /** Writes the presence row of this relay with an increasing heartbeat number. */
-  record WritePresence(VmId vm, long heartbeat) implements RelayEffect {
+  record WritePresence(VmId vm, Optional<NodeAddress> peerAddress, long heartbeat)
+      implements RelayEffect {
     @Override
     public void accept(Visitor visitor) {
       visitor.writePresence(this);
@@ -160,6 +203,21 @@
     /** Carries out {@link ReadReport}. */
     void readReport(ReadReport effect);
 
+    /** Carries out {@link ListEndpoints}. */
+    void listEndpoints(ListEndpoints effect);
+
+    /** Carries out {@link ReadEndpointChanges}. */
+    void readEndpointChanges(ReadEndpointChanges effect);
+
+    /** Carries out {@link ReadRoutes}. */
+    void readRoutes(ReadRoutes effect);
+
+    /** Carries out {@link AwaitRoutes}. */
+    void awaitRoutes(AwaitRoutes effect);
+
+    /** Carries out {@link SendToPeers}. */
+    void sendToPeers(SendToPeers effect);
+
     /** Carries out {@link ReadLease}. */
     void readLease(ReadLease effect);
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -16,24 +16,54 @@
   /** Calls the visitor's method for this event. */
   void accept(Visitor visitor);
 
-  /** A version of the routing table was read. */
-  record RoutesRead(RouteTable routes) implements RelayEvent {
+  /**
+   * The store answered a read of the routes.
+   *
+   * @param routes routing table, if a new one was read
+   * @param storeVersion version of the store at the time of the answer
+   */
+  record RoutesAnswered(Optional<RouteTable> routes, long storeVersion) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.routesAnswered(this);
+    }
+  }
+
+  /** A read of the routes gave no rows. */
+  record RoutesReadFailed(StoreReadFailure cause) implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
-      visitor.routesRead(this);
+      visitor.routesReadFailed(this);
     }
   }
 
-  /** The complete endpoint list was read. */
-  record EndpointsListed(List<FleetEndpoint> endpoints) implements RelayEvent {
+  /**
+   * The complete endpoint list was read.
+   *
+   * @param version version of the store that the list shows
+   * @param storeMillis time of the store's steady clock, in milliseconds
+   */
+  record EndpointsListed(List<FleetEndpoint> endpoints, long version, long storeMillis)
+      implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
       visitor.endpointsListed(this);
     }
   }
 
-  /** Entries of the endpoint list were added, changed or removed. */
-  record EndpointsChanged(List<FleetEndpoint> changed, List<EndpointId> removed)
+  /**
+   * The store answered which entries of the endpoint list were added, changed or removed.
+   *
+   * @param afterVersion version of the store after which the changes begin
+   * @param version version of the store up to which the changes are complete
+   * @param storeMillis time of the store's steady clock, in milliseconds
+   */
+  record EndpointsChanged(
+      List<FleetEndpoint> changed,
+      List<EndpointId> removed,
+      long afterVersion,
+      long version,
+      long storeMillis)
       implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
@@ -41,19 +71,19 @@
     }
   }
 
-  /** The platform's store stopped responding. */
-  record StoreLost() implements RelayEvent {
+  /** A read of the endpoint list gave no rows. */
+  record EndpointsReadFailed(StoreReadFailure cause) implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
-      visitor.storeLost(this);
+      visitor.endpointsReadFailed(this);
     }
   }
 
-  /** The platform's store responds again. */
-  record StoreRegained() implements RelayEvent {
+  /** A message of another relay was received. */
+  record PeerMessageReceived(PeerMessage message, NodeAddress sender) implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
-      visitor.storeRegained(this);
+      visitor.peerMessageReceived(this);
     }
   }
 
@@ -153,8 +183,8 @@
     }
   }
 
-  /** The versions of the relays' presence rows were read. */
-  record PresencesRead(Map<VmId, Long> versions) implements RelayEvent {
+  /** The relays' presence rows were read. */
+  record PresencesRead(Map<VmId, PresenceRow> rows) implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
       visitor.presencesRead(this);
@@ -179,8 +209,11 @@
 
   /** Handler with one method for each event type. */
   interface Visitor {
-    /** Handles {@link RoutesRead}. */
-    void routesRead(RoutesRead event);
+    /** Handles {@link RoutesAnswered}. */
+    void routesAnswered(RoutesAnswered event);
+
+    /** Handles {@link RoutesReadFailed}. */
+    void routesReadFailed(RoutesReadFailed event);
 
     /** Handles {@link EndpointsListed}. */
     void endpointsListed(EndpointsListed event);
@@ -188,11 +221,11 @@
     /** Handles {@link EndpointsChanged}. */
     void endpointsChanged(EndpointsChanged event);
 
-    /** Handles {@link StoreLost}. */
-    void storeLost(StoreLost event);
+    /** Handles {@link EndpointsReadFailed}. */
+    void endpointsReadFailed(EndpointsReadFailed event);
 
-    /** Handles {@link StoreRegained}. */
-    void storeRegained(StoreRegained event);
+    /** Handles {@link PeerMessageReceived}. */
+    void peerMessageReceived(PeerMessageReceived event);
 
     /** Handles {@link RequestArrived}. */
     void requestArrived(RequestArrived event);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -15,29 +15,34 @@
 
   private record EventHandler(RelayTurn turn) implements RelayEvent.Visitor {
     @Override
-    public void routesRead(RelayEvent.RoutesRead event) {
-      Lifecycle.routesRead(turn, event);
+    public void routesAnswered(RelayEvent.RoutesAnswered event) {
+      StoreReads.routesAnswered(turn, event);
+    }
+
+    @Override
+    public void routesReadFailed(RelayEvent.RoutesReadFailed event) {
+      StoreReads.routesReadFailed(turn, event);
     }
 
     @Override
     public void endpointsListed(RelayEvent.EndpointsListed event) {
-      FleetUpdates.endpointsListed(turn, event);
+      StoreReads.endpointsListed(turn, event);
       Lifecycle.updateReadiness(turn);
     }
 
     @Override
     public void endpointsChanged(RelayEvent.EndpointsChanged event) {
-      FleetUpdates.endpointsChanged(turn, event);
+      StoreReads.endpointsChanged(turn, event);
     }
 
     @Override
-    public void storeLost(RelayEvent.StoreLost event) {
-      FleetUpdates.storeLost(turn);
+    public void endpointsReadFailed(RelayEvent.EndpointsReadFailed event) {
+      StoreReads.endpointsReadFailed(turn, event);
     }
 
     @Override
-    public void storeRegained(RelayEvent.StoreRegained event) {
-      FleetUpdates.storeRegained(turn);
+    public void peerMessageReceived(RelayEvent.PeerMessageReceived event) {
+      PeerExchange.messageReceived(turn, event);
     }
 
     @Override
@@ -97,12 +102,15 @@
 
     @Override
     public void presencesRead(RelayEvent.PresencesRead event) {
-      turn.state.relays.update(event.versions(), turn.nowNanos);
+      RelayState state = turn.state;
+      state.peers.rowsRead(event.rows(), state.parameters.vm(), turn.nowNanos);
     }
 
     @Override
     public void tick(RelayEvent.Tick event) {
       turn.state.fleet.removeExpired(turn.nowNanos);
+      StoreReads.tick(turn);
+      PeerExchange.tick(turn);
       EndpointHealthChecks.tick(turn);
       Deadlines.check(turn);
       StreamMonitor.checkStalledStreams(turn);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -20,7 +20,10 @@
   final LinkBacklogs linkBacklogs = new LinkBacklogs();
   final SplittableRandom random;
   Optional<RouteTable> routes = Optional.empty();
-  final RelayPresence relays = new RelayPresence();
+  final Peers peers = new Peers();
+  final StoreClock storeClock = new StoreClock();
+  final StoreReadTimes endpointReads = new StoreReadTimes();
+  final StoreReadTimes routeReads = new StoreReadTimes();
   LeaseView lease = LeaseView.unknown();
 
   /** Time of the last tick; 0 before the first tick. */
@@ -29,11 +32,24 @@
   /** Time until which this process catches up after a pause. */
   long catchUpEndNanos;
 
+  /** Version of the store up to which the endpoint list is known; -1 if it must be read whole. */
+  long endpointsVersion = -1;
+
+  /** Version of the store up to which the routes are known; -1 if they must be read whole. */
+  long routesStoreVersion = -1;
+
+  int failedEndpointReads;
+  int loggedLiveRelays = 1;
+  long nextPeerMessageNanos;
+  long nextUnknownSenderReadNanos;
   long nextLeaseTickNanos;
   long nextPlacementTickNanos;
   long nextPresenceNanos;
   long presenceHeartbeats;
   long leaseTicks;
+  long nextLeaseReadNanos;
+  boolean leaseNoticeReceived;
+  long leaseNoticeNanos;
   boolean anyRequestReceived;
   boolean ready;
   boolean terminating;
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
@@ -0,0 +1,35 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.EndpointId;
+import java.util.List;
+
+/**
+ * All changes of the endpoint list after one version of the store and up to another, read by one
+ * relay for the others.
+ *
+ * @param afterVersion version of the store after which the changes begin
+ * @param version version of the store up to which the changes are complete
+ * @param storeMillis time of the store's steady clock at which it answered, in milliseconds
+ * @param graceMillis time for which entries missing from the list may still reappear
+ * @param changed entries that are new or differ in more than their row version
+ * @param heartbeats entries of which only the row version changed
+ * @param removed ids of the entries that are no longer listed
+ */
+public record SharedRead(
+    long afterVersion,
+    long version,
+    long storeMillis,
+    long graceMillis,
+    List<FleetEndpoint> changed,
+    List<Heartbeat> heartbeats,
+    List<EndpointId> removed) {
+  public SharedRead {
+    changed = List.copyOf(changed);
+    heartbeats = List.copyOf(heartbeats);
+    removed = List.copyOf(removed);
+  }
+
+  /** Entry of the endpoint list of which only the row version changed. */
+  public record Heartbeat(EndpointId endpoint, long rowVersion) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReadFailure.java
@@ -0,0 +1,9 @@
+package io.zinniawood.core.relay;
+
+/** Why a read of the store gave no rows. */
+public enum StoreReadFailure {
+  /** The store did not answer, or refused. */
+  UNAVAILABLE,
+  /** The store no longer has the changes after the given version. */
+  HISTORY_GONE
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -0,0 +1,248 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.fleet.TrackedEndpoint;
+import io.zinniawood.core.id.EndpointId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Keeps the routes and the endpoint list up to date. Calls to the store are limited and shared by
+ * all relays, so one relay reads and sends what it read to the others. Every relay reads for itself
+ * as soon as its view is older than that explains, in the order of the relays' ids, so no relay
+ * depends on another one.
+ */
+final class StoreReads {
+  /**
+   * Interval between reads of the endpoints. A long poll would return at once, as rows change with
+   * each heartbeat. A draining endpoint must be noticed within two seconds.
+   */
+  private static final long ENDPOINTS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Time for which the store holds a long poll of the routes open. */
+  static final long ROUTES_WAIT_MILLIS = 700;
+
+  /** Age of the routes, beyond a long poll, after which a relay reads them itself. */
+  private static final long ROUTES_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  /** Time that a relay waits for another relay's read before it reads itself. */
+  private static final long FOLLOWER_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+  /** Additional wait for each further relay that would read first. */
+  private static final long RANK_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /** Maximum number of additional waits; bounds the age of the view if several relays fail. */
+  private static final int MAX_RANK_DELAYS = 2;
+
+  /** Consecutive failed reads of the endpoints after which the store counts as lost. */
+  private static final int FAILURES_UNTIL_LOST = 2;
+
+  /** Maximum number of entries in a message between relays, so that it fits into a packet. */
+  private static final int MAX_ENTRIES_PER_MESSAGE = 60;
+
+  /** Entries that take the space of one changed entry, relative to a heartbeat. */
+  private static final int CHANGED_ENTRY_WEIGHT = 4;
+
+  private StoreReads() {}
+
+  static void tick(RelayTurn turn) {
+    RelayState state = turn.state;
+    int rank = state.peers.readersBefore(state.parameters.vm(), turn.nowNanos);
+    long rankDelayNanos =
+        rank == 0
+            ? 0
+            : FOLLOWER_DELAY_NANOS + Math.min(rank - 1, MAX_RANK_DELAYS) * RANK_DELAY_NANOS;
+    if (state.endpointReads.due(ENDPOINTS_INTERVAL_NANOS + rankDelayNanos, turn.nowNanos)) {
+      state.endpointReads.sent();
+      turn.emit(
+          state.endpointsVersion < 0
+              ? new RelayEffect.ListEndpoints()
+              : new RelayEffect.ReadEndpointChanges(state.endpointsVersion));
+    }
+    long routesMaxAgeNanos =
+        rank == 0
+            ? 0
+            : TimeUnit.MILLISECONDS.toNanos(ROUTES_WAIT_MILLIS)
+                + ROUTES_MARGIN_NANOS
+                + rankDelayNanos;
+    if (state.routeReads.due(routesMaxAgeNanos, turn.nowNanos)) {
+      state.routeReads.sent();
+      turn.emit(
+          state.routesStoreVersion < 0
+              ? new RelayEffect.ReadRoutes()
+              : new RelayEffect.AwaitRoutes(
+                  state.routesStoreVersion, rank == 0 ? ROUTES_WAIT_MILLIS : 0));
+    }
+  }
+
+  static void endpointsListed(RelayTurn turn, RelayEvent.EndpointsListed event) {
+    answered(turn, event.storeMillis());
+    turn.state.endpointsVersion = event.version();
+    FleetUpdates.endpointsListed(turn, event.endpoints());
+  }
+
+  static void endpointsChanged(RelayTurn turn, RelayEvent.EndpointsChanged event) {
+    answered(turn, event.storeMillis());
+    List<SharedRead> reads = sharedReads(turn, event);
+    turn.state.endpointsVersion = event.version();
+    FleetUpdates.endpointsChanged(turn, event.changed(), event.removed());
+    for (SharedRead read : reads) {
+      PeerExchange.send(turn, Optional.of(read));
+    }
+  }
+
+  private static void answered(RelayTurn turn, long storeMillis) {
+    RelayState state = turn.state;
+    state.storeClock.observe(storeMillis, turn.nowNanos);
+    state.endpointReads.answered(turn.nowNanos);
+    available(turn);
+  }
+
+  private static void available(RelayTurn turn) {
+    turn.state.failedEndpointReads = 0;
+    if (turn.state.fleet.storeUnavailable()) {
+      FleetUpdates.storeRegained(turn);
+    }
+  }
+
+  static void endpointsReadFailed(RelayTurn turn, RelayEvent.EndpointsReadFailed event) {
+    RelayState state = turn.state;
+    if (event.cause() == StoreReadFailure.HISTORY_GONE) {
+      state.endpointsVersion = -1;
+      state.endpointReads.answered(turn.nowNanos);
+      state.endpointReads.invalidate();
+      return;
+    }
+    state.endpointReads.failed(turn.nowNanos);
+    state.failedEndpointReads++;
+    if (state.failedEndpointReads >= FAILURES_UNTIL_LOST && !state.fleet.storeUnavailable()) {
+      FleetUpdates.storeLost(turn);
+    }
+  }
+
+  static void routesAnswered(RelayTurn turn, RelayEvent.RoutesAnswered event) {
+    turn.state.routeReads.answered(turn.nowNanos);
+    turn.state.routesStoreVersion = Math.max(turn.state.routesStoreVersion, event.storeVersion());
+    boolean newer =
+        event.routes().filter(routes -> routes.version() > turn.state.routesVersion()).isPresent();
+    event.routes().ifPresent(routes -> Lifecycle.routesRead(turn, routes));
+    if (newer) {
+      PeerExchange.send(turn, Optional.empty());
+    }
+  }
+
+  static void routesReadFailed(RelayTurn turn, RelayEvent.RoutesReadFailed event) {
+    if (event.cause() == StoreReadFailure.HISTORY_GONE) {
+      turn.state.routesStoreVersion = -1;
+      turn.state.routeReads.answered(turn.nowNanos);
+      turn.state.routeReads.invalidate();
+    } else {
+      turn.state.routeReads.failed(turn.nowNanos);
+    }
+  }
+
+  /** Applies what another relay read. */
+  static void peerRead(RelayTurn turn, PeerMessage message) {
+    RelayState state = turn.state;
+    if (message.routesVersion() == state.routesVersion()) {
+      state.routeReads.confirmed(
+          turn.nowNanos - TimeUnit.MILLISECONDS.toNanos(message.routesAgeMillis()));
+    } else if (message.routesVersion() > state.routesVersion()) {
+      state.routeReads.invalidate();
+    }
+    message.read().ifPresent(read -> applyRead(turn, read));
+  }
+
+  private static void applyRead(RelayTurn turn, SharedRead read) {
+    RelayState state = turn.state;
+    if (state.endpointsVersion < 0) {
+      return;
+    }
+    if (read.afterVersion() > state.endpointsVersion || !knowsAll(turn, read)) {
+      // A message was lost.
+      state.endpointReads.invalidate();
+      return;
+    }
+    state.storeClock.observe(read.storeMillis(), turn.nowNanos);
+    long ageMillis = state.storeClock.ageMillis(read.storeMillis(), turn.nowNanos);
+    state.endpointReads.confirmed(turn.nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis));
+    if (read.version() <= state.endpointsVersion) {
+      return;
+    }
+    available(turn);
+    state.fleet.extendReappearanceGrace(read.graceMillis(), turn.nowNanos);
+    state.endpointsVersion = read.version();
+    List<FleetEndpoint> changed = new ArrayList<>(read.changed());
+    for (SharedRead.Heartbeat heartbeat : read.heartbeats()) {
+      state
+          .fleet
+          .find(heartbeat.endpoint())
+          .ifPresent(known -> changed.add(known.entry().withRowVersion(heartbeat.rowVersion())));
+    }
+    FleetUpdates.endpointsChanged(turn, changed, read.removed());
+  }
+
+  private static boolean knowsAll(RelayTurn turn, SharedRead read) {
+    for (SharedRead.Heartbeat heartbeat : read.heartbeats()) {
+      if (turn.state.fleet.find(heartbeat.endpoint()).isEmpty()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /**
+   * Splits the changes into messages. The entries are in the order of their versions, so each
+   * message is complete up to the version of its last entry.
+   */
+  private static List<SharedRead> sharedReads(RelayTurn turn, RelayEvent.EndpointsChanged event) {
+    List<FleetEndpoint> entries = new ArrayList<>(event.changed());
+    entries.sort((left, right) -> Long.compare(left.rowVersion(), right.rowVersion()));
+    long graceMillis = turn.state.fleet.reappearanceGraceMillis(turn.nowNanos);
+    List<SharedRead> reads = new ArrayList<>();
+    List<FleetEndpoint> changed = new ArrayList<>();
+    List<SharedRead.Heartbeat> heartbeats = new ArrayList<>();
+    // Removals go into the first message: a relay that lacks it reads the store from there on.
+    List<EndpointId> removed = event.removed();
+    long after = event.afterVersion();
+    for (FleetEndpoint entry : entries) {
+      int weight = changed.size() * CHANGED_ENTRY_WEIGHT + heartbeats.size();
+      if (weight >= MAX_ENTRIES_PER_MESSAGE) {
+        long version = entry.rowVersion() - 1;
+        reads.add(
+            new SharedRead(
+                after, version, event.storeMillis(), graceMillis, changed, heartbeats, removed));
+        after = version;
+        changed.clear();
+        heartbeats.clear();
+        removed = List.of();
+      }
+      if (onlyHeartbeat(turn, entry)) {
+        heartbeats.add(new SharedRead.Heartbeat(entry.id(), entry.rowVersion()));
+      } else {
+        changed.add(entry);
+      }
+    }
+    reads.add(
+        new SharedRead(
+            after,
+            event.version(),
+            event.storeMillis(),
+            graceMillis,
+            changed,
+            heartbeats,
+            removed));
+    return reads;
+  }
+
+  private static boolean onlyHeartbeat(RelayTurn turn, FleetEndpoint entry) {
+    return turn.state
+        .fleet
+        .find(entry.id())
+        .map(TrackedEndpoint::entry)
+        .filter(known -> known.withRowVersion(entry.rowVersion()).equals(entry))
+        .isPresent();
+  }
+}
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -35,10 +35,13 @@
   static final String KEY = "key-1";
   static final AcceleratorKind KIND = new AcceleratorKind("gpu");
   static final int LAYERS = 10;
+  static final NodeAddress ADDRESS = new NodeAddress("10.0.1.1", 7_340);
   private static final long SEED = 7;
+  private static final long STORE_CLOCK_OFFSET_MILLIS = 5_000_000;
 
   private final RelayState state =
-      new RelayState(new RelayParameters(new VmId("relay-1"), LOCAL, false, SEED));
+      new RelayState(
+          new RelayParameters(new VmId("relay-1"), LOCAL, Optional.of(ADDRESS), false, SEED));
   private final RelayReducer reducer = new RelayReducer();
   private final List<RelayEffect> effects = new ArrayList<>();
   private long nowNanos = TimeUnit.SECONDS.toNanos(100);
@@ -48,7 +51,7 @@
 
   /** Creates a relay with a routing table but no endpoints. */
   RelayHarness() {
-    post(new RelayEvent.RoutesRead(routes(1)));
+    post(new RelayEvent.RoutesAnswered(Optional.of(routes(1)), 1));
   }
 
   static RouteTable routes(long version) {
@@ -153,7 +156,12 @@
   }
 
   void list(FleetEndpoint... endpoints) {
-    post(new RelayEvent.EndpointsListed(List.of(endpoints)));
+    post(new RelayEvent.EndpointsListed(List.of(endpoints), rowVersion, storeMillis()));
+  }
+
+  /** Returns the time of the store's clock. */
+  long storeMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos) + STORE_CLOCK_OFFSET_MILLIS;
   }
 
   void post(RelayEvent event) {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
@@ -136,8 +136,8 @@
   @Test
   void revokedKeyStaysRefusedAfterOlderRoutingTable() {
     relay.list(relay.plain("a"));
-    relay.post(new RelayEvent.RoutesRead(RelayHarness.routes(3, Map.of())));
-    relay.post(new RelayEvent.RoutesRead(RelayHarness.routes(2)));
+    relay.post(new RelayEvent.RoutesAnswered(Optional.of(RelayHarness.routes(3, Map.of())), 3));
+    relay.post(new RelayEvent.RoutesAnswered(Optional.of(RelayHarness.routes(2)), 4));
     RelayRequestId id = relay.request("read");
     assertThat(relay.localAnswer(id).orElseThrow().status(), is(401));
   }
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -0,0 +1,219 @@
+package io.zinniawood.core.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import io.vavr.control.Option;
+import io.zinniawood.core.entry.LeaseRow;
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.NodeAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests what a relay takes over from the messages of the relay that reads the store for it. */
+final class RelayPeersTest {
+  /** Comes before the tested relay, so that it reads the store first. */
+  private static final VmId READER = new VmId("relay-0");
+
+  private static final NodeAddress READER_ADDRESS = new NodeAddress("10.0.1.9", 7_340);
+  private static final long ROUTES_VERSION = 1;
+  private static final long MESSAGE_INTERVAL_MILLIS = 250;
+
+  private final RelayHarness relay = new RelayHarness();
+  private final FleetEndpoint endpoint = relay.plain("p");
+  private long version = 1_000;
+
+  @BeforeEach
+  void startWithReader() {
+    relay.post(new RelayEvent.EndpointsListed(List.of(endpoint), version, relay.storeMillis()));
+    relay.post(
+        new RelayEvent.PresencesRead(
+            Map.of(READER, new PresenceRow(7, Optional.of(READER_ADDRESS)))));
+    receive(read(0, List.of()));
+  }
+
+  private SharedRead read(long ageMillis, List<FleetEndpoint> changed) {
+    long after = version;
+    version += 10;
+    return new SharedRead(
+        after, version, relay.storeMillis() - ageMillis, 0, changed, List.of(), List.of());
+  }
+
+  private void receive(SharedRead read) {
+    receive(READER_ADDRESS, Optional.of(read), Optional.empty());
+  }
+
+  private void receive(NodeAddress sender, Optional<SharedRead> read, Optional<LeaseNotice> lease) {
+    relay.post(
+        new RelayEvent.PeerMessageReceived(
+            new PeerMessage(READER, true, ROUTES_VERSION, 0, lease, read), sender));
+  }
+
+  private int storeReads() {
+    return relay.effectsOf(RelayEffect.ReadEndpointChanges.class).size()
+        + relay.effectsOf(RelayEffect.ListEndpoints.class).size()
+        + relay.effectsOf(RelayEffect.AwaitRoutes.class).size()
+        + relay.effectsOf(RelayEffect.ReadRoutes.class).size();
+  }
+
+  private void readsAreSharedFor(long millis) {
+    for (long elapsed = 0; elapsed < millis; elapsed += MESSAGE_INTERVAL_MILLIS) {
+      receive(read(0, List.of()));
+      relay.advanceMillis(MESSAGE_INTERVAL_MILLIS);
+    }
+  }
+
+  // Calls to the store are limited for all relays together.
+  @Test
+  void relayReadsNothingThatAnotherOneShares() {
+    readsAreSharedFor(10_000);
+    assertThat(storeReads(), is(0));
+  }
+
+  // The reader may die at any time; a draining endpoint must be noticed within two seconds.
+  @Test
+  void relayReadsItselfSoonAfterReaderFellSilent() {
+    readsAreSharedFor(2_000);
+    relay.advanceMillis(1_200);
+    assertThat(relay.effectsOf(RelayEffect.ReadEndpointChanges.class), hasSize(1));
+    assertThat(relay.effectsOf(RelayEffect.AwaitRoutes.class), hasSize(1));
+  }
+
+  // Datagrams get lost. The changes in a lost one are in no later one.
+  @Test
+  void relayReadsItselfAfterLostMessage() {
+    read(0, List.of());
+    receive(read(0, List.of()));
+    relay.advanceMillis(25);
+    RelayEffect.ReadEndpointChanges own = relay.lastEffect(RelayEffect.ReadEndpointChanges.class);
+    assertThat(own.afterVersion(), is(1_010L));
+  }
+
+  // A reader that was suspended between its read and its message sends what it read before. Its own
+  // clock did not advance meanwhile.
+  @Test
+  void answerHeldBackByPausedReaderDoesNotCountAsFresh() {
+    relay.advanceMillis(400);
+    receive(read(3_000, List.of()));
+    relay.advanceMillis(400);
+    assertThat(relay.effectsOf(RelayEffect.ReadEndpointChanges.class), hasSize(1));
+  }
+
+  // A draining endpoint gets no new work, whichever relay read that it is leaving.
+  @Test
+  void sharedReadStopsRequestsToDrainingEndpoint() {
+    receive(
+        read(
+            0,
+            List.of(
+                relay
+                    .endpoint("p", RelayHarness.PLAIN, Optional.empty(), true)
+                    .withRowVersion(1_015))));
+    RelayRequestId id = relay.request("book");
+    assertThat(relay.sends(id), empty());
+    assertThat(relay.localAnswer(id).isPresent(), is(true));
+  }
+
+  // An older read that arrives late must not bring back an endpoint that has left.
+  @Test
+  void lateSharedReadDoesNotBringBackRemovedEndpoint() {
+    SharedRead late = read(0, List.of(endpoint.withRowVersion(1_012)));
+    SharedRead removal =
+        new SharedRead(
+            1_010, 1_030, relay.storeMillis(), 0, List.of(), List.of(), List.of(endpoint.id()));
+    receive(removal);
+    receive(late);
+    RelayRequestId id = relay.request("book");
+    assertThat(relay.sends(id), empty());
+  }
+
+  // Only relays that the store lists are believed.
+  @Test
+  void messageFromUnlistedAddressIsIgnored() {
+    FleetEndpoint draining =
+        relay.endpoint("p", RelayHarness.PLAIN, Optional.empty(), true).withRowVersion(1_015);
+    receive(
+        new NodeAddress("10.0.1.66", 7_340),
+        Optional.of(read(0, List.of(draining))),
+        Optional.empty());
+    assertThat(relay.sends(relay.request("book")), hasSize(1));
+    assertThat(relay.effectsOf(RelayEffect.ReadLease.class), not(empty()));
+  }
+
+  // A holder that was paused learns from the messages of the new holder that it lost the lease.
+  @Test
+  void replacedHolderGivesNoOrders() {
+    relay.post(new RelayEvent.LeaseRead(Option.none(), 0));
+    LeaseRow own = relay.lastEffect(RelayEffect.WriteLease.class).row();
+    relay.post(new RelayEvent.LeaseRead(Option.some(own), 2_000));
+    receive(
+        READER_ADDRESS,
+        Optional.of(read(0, List.of(relay.empty("e").withRowVersion(1_015)))),
+        Optional.of(new LeaseNotice(new FencingNumber(own.fencingNumber().value() + 1), 0, 2_500)));
+    relay.advanceMillis(1_000);
+    assertThat(relay.effectsOf(RelayEffect.Order.class), empty());
+  }
+
+  // The renewals that the holder tells of keep the others from taking the lease; its silence lets
+  // them take it.
+  @Test
+  void leaseIsTakenOnlyAfterHolderFellSilent() {
+    relay.post(
+        new RelayEvent.LeaseRead(
+            Option.some(new LeaseRow(READER, new FencingNumber(3), 1)), 2_000));
+    for (int renewal = 2; renewal < 12; renewal++) {
+      receive(
+          READER_ADDRESS,
+          Optional.empty(),
+          Optional.of(new LeaseNotice(new FencingNumber(3), renewal, 2_000 + renewal)));
+      relay.advanceMillis(1_300);
+    }
+    Option<LeaseRow> row = Option.some(new LeaseRow(READER, new FencingNumber(3), 11));
+    relay.post(new RelayEvent.LeaseRead(row, 2_011));
+    assertThat(relay.effectsOf(RelayEffect.WriteLease.class), empty());
+    relay.advanceMillis(4_000);
+    relay.post(new RelayEvent.LeaseRead(row, 2_011));
+    assertThat(
+        relay.lastEffect(RelayEffect.WriteLease.class).row().fencingNumber(),
+        is(new FencingNumber(4)));
+  }
+
+  // All relays must end up with the same list, however the changes are split into messages.
+  @Test
+  void readerSendsWhatItReadInCompleteSteps() {
+    RelayHarness reader = new RelayHarness();
+    reader.post(
+        new RelayEvent.PresencesRead(
+            Map.of(new VmId("relay-2"), new PresenceRow(3, Optional.of(READER_ADDRESS)))));
+    reader.post(new RelayEvent.EndpointsListed(List.of(), 100, reader.storeMillis()));
+    List<FleetEndpoint> changed = new ArrayList<>();
+    for (int index = 0; index < 40; index++) {
+      changed.add(reader.plain("p" + index).withRowVersion(101 + index));
+    }
+    reader.post(
+        new RelayEvent.EndpointsChanged(
+            changed, List.of(new EndpointId("gone")), 100, 200, reader.storeMillis()));
+    long known = 100;
+    int entries = 0;
+    for (RelayEffect.SendToPeers sent : reader.effectsOf(RelayEffect.SendToPeers.class)) {
+      if (sent.message().read().isPresent()) {
+        SharedRead read = sent.message().read().get();
+        assertThat(read.afterVersion(), is(known));
+        known = read.version();
+        entries += read.changed().size();
+      }
+    }
+    assertThat(known, is(200L));
+    assertThat(entries, is(40));
+  }
+}
--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
@@ -48,6 +48,7 @@
     final int number;
     final NodeAddress callersAddress = Ports.free();
     final NodeAddress adminAddress = Ports.free();
+    private final NodeAddress peersAddress = Ports.free();
     final FaultProxy callerProxy = FaultProxy.launch(callersAddress.port());
     final FaultProxy storeProxy = FaultProxy.launch(store.address().port());
 
@@ -77,6 +78,7 @@
               callers = "%s"
               admin = "%s"
               store = "127.0.0.1:%d"
+              peers = "%s"
               first_start = "%s"
               """
                   .formatted(
@@ -84,6 +86,7 @@
                       callersAddress,
                       adminAddress,
                       storeProxy.port(),
+                      peersAddress,
                       incarnation.get() == 1));
     }
 
--- a/dist/src/test/java/io/zinniawood/dist/users/StoreStandIn.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/StoreStandIn.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 
 /**
  * In-memory stand-in for the store of the users' platform: reads of whole tables, transactions with
@@ -121,6 +122,7 @@
 
   private Answer rows(String table, long after, boolean withDeleted) {
     ObjectNode answer = MAPPER.createObjectNode().put("truncated", false).put("ver", version);
+    answer.put("now_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
     ArrayNode rows = answer.putArray("rows");
     tables
         .getOrDefault(table, new TreeMap<>())
--- a/relay/src/main/java/io/zinniawood/relay/PlatformClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/PlatformClient.java
@@ -9,6 +9,7 @@
 import io.zinniawood.core.relay.PlacementOrder;
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayRequestId;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -16,9 +17,38 @@
  * called on the event-loop thread, and events are delivered on it.
  */
 public interface PlatformClient {
-  /** Starts reading routes and endpoints; each change is delivered as an event. */
+  /** Sets the receiver of all events. */
   void start(Consumer<RelayEvent> events);
 
+  /**
+   * Reads the complete endpoint list, which is delivered as {@link RelayEvent.EndpointsListed}, or
+   * {@link RelayEvent.EndpointsReadFailed}.
+   */
+  void listEndpoints();
+
+  /**
+   * Reads the changes of the endpoint list, which are delivered as {@link
+   * RelayEvent.EndpointsChanged}, or {@link RelayEvent.EndpointsReadFailed}.
+   *
+   * @param afterVersion version of the store after which the changes begin
+   */
+  void readEndpointChanges(long afterVersion);
+
+  /**
+   * Reads the routes, which are delivered as {@link RelayEvent.RoutesAnswered}, or {@link
+   * RelayEvent.RoutesReadFailed}.
+   */
+  void readRoutes();
+
+  /**
+   * Reads the routes once they change, or answers without routes when the wait is over. Delivers
+   * the same events as {@link #readRoutes}.
+   *
+   * @param afterVersion version of the store after which a change counts
+   * @param waitMillis longest time to wait for a change, in milliseconds
+   */
+  void awaitRoutes(long afterVersion, long waitMillis);
+
   /** Sends an order; the result is delivered as {@link RelayEvent.OrderAnswered}. */
   void sendOrder(PlacementOrder order);
 
@@ -38,8 +68,12 @@
    */
   void readLease();
 
-  /** Writes the presence row of a relay with an increasing heartbeat number. */
-  void writePresence(VmId vm, long heartbeat);
+  /**
+   * Writes the presence row of a relay with an increasing heartbeat number.
+   *
+   * @param peerAddress address for messages of other relays; empty if it receives none
+   */
+  void writePresence(VmId vm, Optional<NodeAddress> peerAddress, long heartbeat);
 
   /**
    * Writes the controller lease if its row has the expected version. The row in the store, whether
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -20,6 +20,7 @@
 import io.zinniawood.relay.internal.AdminHandler;
 import io.zinniawood.relay.internal.ByteArrivalHandler;
 import io.zinniawood.relay.internal.CallerHandler;
+import io.zinniawood.relay.internal.PeerChannel;
 import io.zinniawood.relay.internal.RelayRuntime;
 import io.zinniawood.telemetry.DecisionLog;
 import java.util.ArrayList;
@@ -82,8 +83,9 @@
   public void start(Function<ControlClient, PlatformClient> platform) throws InterruptedException {
     listeners.add(bind(addresses.admin(), new AdminInitializer()));
     listeners.add(bind(addresses.callers(), new CallerInitializer()));
-    loop.execute(() -> runtime.start(platform.apply(new ControlClient(loop))));
-    loop.scheduleAtFixedRate(runtime::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    RelayRuntime.PeerSender peerSender = bindPeers();
+    loop.execute(() -> runtime.start(platform.apply(new ControlClient(loop)), peerSender));
+    loop.scheduleAtFixedRate(runtime::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(
         this::checkCallerTimeouts,
         TIMEOUT_CHECK_MILLIS,
@@ -91,6 +93,19 @@
         TimeUnit.MILLISECONDS);
   }
 
+  private RelayRuntime.PeerSender bindPeers() throws InterruptedException {
+    if (addresses.peers().isEmpty()) {
+      return (receivers, message) -> {};
+    }
+    PeerChannel channel =
+        PeerChannel.bind(
+            loop,
+            addresses.peers().get(),
+            (message, sender) -> runtime.post(new RelayEvent.PeerMessageReceived(message, sender)),
+            sender -> log.add("peer-message-ignored", List.of("sender", sender.toString())));
+    return channel::send;
+  }
+
   private Channel bind(NodeAddress address, ChannelInitializer<Channel> initializer)
       throws InterruptedException {
     return new ServerBootstrap()
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -4,8 +4,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
+import io.zinniawood.core.relay.PeerMessage;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayReducer;
@@ -18,6 +20,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -41,6 +44,7 @@
   private long lastTickNanos = System.nanoTime();
   private RequestLimits limits = RequestLimits.DEFAULT;
   private PlatformClient platform;
+  private PeerSender peers;
   private boolean processingEvents;
   private boolean draining;
   private long lastRequestId;
@@ -78,12 +82,24 @@
     this.connections = new EndpointConnectionPool(loop, this);
   }
 
-  /** Starts reading the platform's store. */
-  public void start(PlatformClient client) {
+  /**
+   * Connects the platform and the other relays; ticks may be posted from then on.
+   *
+   * @param peerSender sends messages to other relays
+   */
+  public void start(PlatformClient client, PeerSender peerSender) {
     platform = client;
+    peers = peerSender;
     client.start(this::post);
   }
 
+  /** Sends messages to other relays. */
+  @FunctionalInterface
+  public interface PeerSender {
+    /** Sends a message to each of the addresses; it may get lost. */
+    void send(List<NodeAddress> receivers, PeerMessage message);
+  }
+
   /** Returns the state for metrics; must be read on the event loop. */
   public RelayState state() {
     return state;
@@ -347,6 +363,31 @@
     platform.readReport(effect.endpoint(), effect.address());
   }
 
+  @Override
+  public void listEndpoints(RelayEffect.ListEndpoints effect) {
+    platform.listEndpoints();
+  }
+
+  @Override
+  public void readEndpointChanges(RelayEffect.ReadEndpointChanges effect) {
+    platform.readEndpointChanges(effect.afterVersion());
+  }
+
+  @Override
+  public void readRoutes(RelayEffect.ReadRoutes effect) {
+    platform.readRoutes();
+  }
+
+  @Override
+  public void awaitRoutes(RelayEffect.AwaitRoutes effect) {
+    platform.awaitRoutes(effect.afterVersion(), effect.waitMillis());
+  }
+
+  @Override
+  public void sendToPeers(RelayEffect.SendToPeers effect) {
+    peers.send(effect.receivers(), effect.message());
+  }
+
   @Override
   public void readLease(RelayEffect.ReadLease effect) {
     platform.readLease();
@@ -359,7 +400,7 @@
 
   @Override
   public void writePresence(RelayEffect.WritePresence effect) {
-    platform.writePresence(effect.vm(), effect.heartbeat());
+    platform.writePresence(effect.vm(), effect.peerAddress(), effect.heartbeat());
   }
 
   @Override
--- /dev/null
+++ b/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
@@ -0,0 +1,155 @@
+package io.zinniawood.wire;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.AcceleratorKind;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.LayerRange;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.LeaseNotice;
+import io.zinniawood.core.relay.PeerMessage;
+import io.zinniawood.core.relay.SharedRead;
+import io.zinniawood.wire.generated.RelayProto;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Encodes and decodes the datagrams between relays; {@code relay.proto} describes them. */
+public final class PeerMessageCodec {
+  private PeerMessageCodec() {}
+
+  /** Returns the bytes of a message. */
+  public static byte[] encode(PeerMessage message) {
+    RelayProto.PeerMessage.Builder builder =
+        RelayProto.PeerMessage.newBuilder()
+            .setVm(message.vm().value())
+            .setStoreAvailable(message.storeAvailable())
+            .setRoutesVersion(message.routesVersion())
+            .setRoutesAgeMillis((int) Math.min(Integer.MAX_VALUE, message.routesAgeMillis()));
+    message
+        .lease()
+        .ifPresent(
+            lease ->
+                builder.setLease(
+                    RelayProto.LeaseNotice.newBuilder()
+                        .setFencingNumber(lease.fencingNumber().value())
+                        .setRenewals(lease.renewals())
+                        .setRowVersion(lease.rowVersion())));
+    message.read().ifPresent(read -> builder.setRead(encodeRead(read)));
+    return builder.build().toByteArray();
+  }
+
+  private static RelayProto.SharedRead encodeRead(SharedRead read) {
+    RelayProto.SharedRead.Builder builder =
+        RelayProto.SharedRead.newBuilder()
+            .setAfterVersion(read.afterVersion())
+            .setVersion(read.version())
+            .setStoreMillis(read.storeMillis())
+            .setGraceMillis((int) read.graceMillis());
+    for (FleetEndpoint endpoint : read.changed()) {
+      builder.addChanged(encodeEndpoint(endpoint));
+    }
+    for (SharedRead.Heartbeat heartbeat : read.heartbeats()) {
+      builder.addHeartbeats(
+          RelayProto.Heartbeat.newBuilder()
+              .setId(heartbeat.endpoint().value())
+              .setRowVersion(heartbeat.rowVersion()));
+    }
+    for (EndpointId removed : read.removed()) {
+      builder.addRemoved(removed.value());
+    }
+    return builder.build();
+  }
+
+  private static RelayProto.Endpoint encodeEndpoint(FleetEndpoint endpoint) {
+    RelayProto.Endpoint.Builder builder =
+        RelayProto.Endpoint.newBuilder()
+            .setId(endpoint.id().value())
+            .setService(endpoint.service().value())
+            .setHost(endpoint.address().host())
+            .setPort(endpoint.address().port())
+            .setDataCentre(endpoint.dataCentre().value())
+            .setSlots(endpoint.slots())
+            .setDraining(endpoint.draining())
+            .setStartedMillis(endpoint.startedMillis())
+            .setRowVersion(endpoint.rowVersion());
+    endpoint.accelerator().ifPresent(kind -> builder.setAccelerator(kind.value()));
+    endpoint
+        .layers()
+        .ifPresent(
+            layers ->
+                builder
+                    .setFromLayer(layers.fromLayer())
+                    .setToLayerExclusive(layers.toLayerExclusive()));
+    return builder.build();
+  }
+
+  /** Decodes a datagram; returns empty if it is no valid message. */
+  public static Optional<PeerMessage> decode(byte[] bytes) {
+    try {
+      RelayProto.PeerMessage message = RelayProto.PeerMessage.parseFrom(bytes);
+      return Optional.of(
+          new PeerMessage(
+              new VmId(message.getVm()),
+              message.getStoreAvailable(),
+              message.getRoutesVersion(),
+              Integer.toUnsignedLong(message.getRoutesAgeMillis()),
+              message.hasLease()
+                  ? Optional.of(
+                      new LeaseNotice(
+                          new FencingNumber(message.getLease().getFencingNumber()),
+                          message.getLease().getRenewals(),
+                          message.getLease().getRowVersion()))
+                  : Optional.empty(),
+              message.hasRead() ? Optional.of(decodeRead(message.getRead())) : Optional.empty()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException invalid) {
+      return Optional.empty();
+    }
+  }
+
+  private static SharedRead decodeRead(RelayProto.SharedRead read) {
+    List<FleetEndpoint> changed = new ArrayList<>();
+    for (RelayProto.Endpoint endpoint : read.getChangedList()) {
+      changed.add(decodeEndpoint(endpoint));
+    }
+    List<SharedRead.Heartbeat> heartbeats = new ArrayList<>();
+    for (RelayProto.Heartbeat heartbeat : read.getHeartbeatsList()) {
+      heartbeats.add(
+          new SharedRead.Heartbeat(new EndpointId(heartbeat.getId()), heartbeat.getRowVersion()));
+    }
+    List<EndpointId> removed = new ArrayList<>();
+    for (String id : read.getRemovedList()) {
+      removed.add(new EndpointId(id));
+    }
+    return new SharedRead(
+        read.getAfterVersion(),
+        read.getVersion(),
+        read.getStoreMillis(),
+        Integer.toUnsignedLong(read.getGraceMillis()),
+        changed,
+        heartbeats,
+        removed);
+  }
+
+  private static FleetEndpoint decodeEndpoint(RelayProto.Endpoint endpoint) {
+    return new FleetEndpoint(
+        new EndpointId(endpoint.getId()),
+        new ServiceName(endpoint.getService()),
+        new NodeAddress(endpoint.getHost(), endpoint.getPort()),
+        new DataCentreId(endpoint.getDataCentre()),
+        endpoint.getSlots(),
+        endpoint.getDraining(),
+        endpoint.getAccelerator().isEmpty()
+            ? Optional.empty()
+            : Optional.of(new AcceleratorKind(endpoint.getAccelerator())),
+        endpoint.getToLayerExclusive() == 0
+            ? Optional.empty()
+            : Optional.of(new LayerRange(endpoint.getFromLayer(), endpoint.getToLayerExclusive())),
+        endpoint.getStartedMillis(),
+        endpoint.getRowVersion());
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -0,0 +1,86 @@
+package io.zinniawood.wire;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.AcceleratorKind;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.LayerRange;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.LeaseNotice;
+import io.zinniawood.core.relay.PeerMessage;
+import io.zinniawood.core.relay.SharedRead;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+final class PeerMessageCodecTest {
+  private static FleetEndpoint endpoint(
+      Optional<AcceleratorKind> accelerator, Optional<LayerRange> layers) {
+    return new FleetEndpoint(
+        new EndpointId("i-0123456789"),
+        new ServiceName("service"),
+        new NodeAddress("10.1.64.12", 8_429),
+        new DataCentreId("helsinki-a"),
+        134,
+        true,
+        accelerator,
+        layers,
+        1_796_000_000_123L,
+        1_234_567);
+  }
+
+  private static PeerMessage message(SharedRead read) {
+    return new PeerMessage(
+        new VmId("front-helsinki-a-1"),
+        true,
+        17,
+        350,
+        Optional.of(new LeaseNotice(new FencingNumber(3), 40, 99)),
+        Optional.of(read));
+  }
+
+  @Test
+  void decodedMessageEqualsEncodedOne() {
+    PeerMessage message =
+        message(
+            new SharedRead(
+                100,
+                110,
+                5_000_000_000L,
+                2_200,
+                List.of(
+                    endpoint(
+                        Optional.of(new AcceleratorKind("l4")), Optional.of(new LayerRange(0, 9))),
+                    endpoint(Optional.empty(), Optional.empty())),
+                List.of(new SharedRead.Heartbeat(new EndpointId("i-1"), 105)),
+                List.of(new EndpointId("i-2"))));
+    assertThat(PeerMessageCodec.decode(PeerMessageCodec.encode(message)), is(Optional.of(message)));
+  }
+
+  // Fragments of a datagram are lost together, so a message must fit into one packet.
+  @Test
+  void largestMessageFitsIntoPacket() {
+    List<SharedRead.Heartbeat> heartbeats = new ArrayList<>();
+    for (int index = 0; index < 60; index++) {
+      heartbeats.add(new SharedRead.Heartbeat(new EndpointId("i-%010d".formatted(index)), 999_999));
+    }
+    byte[] bytes =
+        PeerMessageCodec.encode(
+            message(new SharedRead(1, 2, 5_000_000_000L, 0, List.of(), heartbeats, List.of())));
+    assertThat(bytes.length, lessThanOrEqualTo(1_400));
+  }
+
+  @Test
+  void bytesThatAreNoMessageAreRejected() {
+    assertThat(PeerMessageCodec.decode(new byte[] {(byte) 0xff, 1, 2}), is(Optional.empty()));
+    assertThat(PeerMessageCodec.decode(new byte[0]), is(Optional.empty()));
+  }
+}
