Blame the endpoint on the path for a 421, not another one at its address

Cause: a restarted endpoint has a new id at its old address, and both entries are listed for some seconds. The endpoint at fault was looked up by address in the whole list, which gave either entry; if it was the new, empty one, the old one was used on.

Change: the endpoint at fault is looked up among those of the attempt.

Two of the four cases of the test fail without the change (21 sends in place of 1).

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -88,7 +88,7 @@
     Optional<TrackedEndpoint> atFault =
         answer
             .endpointAtFault()
-            .flatMap(turn.state.fleet::atAddress)
+            .flatMap(open::endpointInUseAt)
             .or(() -> open.target.flatMap(turn.state.fleet::find));
     atFault.ifPresent(
         endpoint -> {
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -4,6 +4,7 @@
 import io.zinniawood.core.id.ClientAccountId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.route.Route;
 import io.zinniawood.core.route.RouteKind;
@@ -86,6 +87,19 @@
     return route.kind() == RouteKind.STREAMING;
   }
 
+  /**
+   * Returns the endpoint of the current attempt at an address. After a restart the list may have
+   * two endpoints at one address for some seconds.
+   */
+  Optional<TrackedEndpoint> endpointInUseAt(NodeAddress address) {
+    for (TrackedEndpoint endpoint : endpointsInUse) {
+      if (endpoint.entry().address().equals(address)) {
+        return Optional.of(endpoint);
+      }
+    }
+    return Optional.empty();
+  }
+
   boolean uses(EndpointId endpoint) {
     return path.isPresent()
         ? path.get().contains(endpoint)
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests path selection across data centres. The link between them has 1,000 Mbit/s and carries 17
@@ -78,6 +80,37 @@
     assertThat(path(stream(), 0).contains(restarted.id()), is(true));
   }
 
+  // A restarted endpoint has another id at the same address, and both are listed until the old
+  // entry
+  // lapses. The endpoint at fault is the one that the path names, not the one that answers there.
+  @ParameterizedTest
+  @ValueSource(strings = {"p", "q", "x", "y"})
+  void entryOfEndpointBeforeItsRestartIsRefuted(String idAfterRestart) {
+    FleetEndpoint before = relay.model("b", 5, 10);
+    FleetEndpoint empty = relay.empty(idAfterRestart);
+    FleetEndpoint after =
+        new FleetEndpoint(
+            empty.id(),
+            empty.service(),
+            before.address(),
+            empty.dataCentre(),
+            empty.slots(),
+            empty.draining(),
+            empty.accelerator(),
+            empty.layers(),
+            2,
+            empty.rowVersion());
+    relay.list(relay.model("a", 0, 5), before, after, relay.model("c", 5, 10));
+    for (int count = 0; count < 20; count++) {
+      RelayRequestId id = stream();
+      if (path(id, 0).contains(before.id())) {
+        relay.misdirected(id, 1, before.address());
+      }
+      relay.advanceMillis(100);
+    }
+    assertThat(misdirectedSends(before.id()), is(1L));
+  }
+
   private long misdirectedSends(EndpointId endpoint) {
     return relay.effectsOf(RelayEffect.Send.class).stream()
         .filter(send -> send.options().path().orElseThrow().contains(endpoint))
