Bound the memory of answers that endpoints send without end

Cause: the users report servers in trouble that send bytes without end, in a head or a body. A head is cut off by the decoder at 8 KiB. A body was buffered up to 16 MiB for each attempt and an event up to 1 MiB for each stream, so a few bodies exceed a relay's 64 MiB of direct memory, and a few hundred streams its 160 MiB of heap.

Change: all buffered answers share 16 MiB, one may have 4 MiB; an event may have 64 KiB; a response of the store or an endpoint's report 2 MiB in place of 8 (a page of rows has 1 MiB before base64).

EndlessAnswerTest plays heads, status lines, bodies, many bodies and events without end; the event test fails with the former limit.

--- a/relay/src/main/java/io/zinniawood/relay/ControlClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -40,7 +40,7 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
   /** Maximum response size; a full page of rows is one megabyte before base64 encoding. */
-  private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+  private static final int MAX_RESPONSE_BYTES = 2 * 1024 * 1024;
 
   /** Maximum number of idle pooled connections per address. */
   private static final int MAX_POOLED_PER_ADDRESS = 4;
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -38,10 +38,18 @@
   /** Maximum number of idle pooled connections per endpoint. */
   private static final int MAX_POOLED_PER_ENDPOINT = 48;
 
+  /** Maximum size of an answer that is buffered until it is complete. */
+  private static final int MAX_BUFFERED_ANSWER_BYTES = 4 * 1024 * 1024;
+
+  /** Maximum size of all buffered answers; a quarter of a relay's direct memory. */
+  private static final long MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
+
   private static final AttributeKey<PoolEntry> POOL_ENTRY = AttributeKey.valueOf("zinniawood.kept");
 
   private final EventLoop loop;
   private final EndpointListener listener;
+  private final BufferedAnswers buffered =
+      new BufferedAnswers(MAX_BUFFERED_BYTES, MAX_BUFFERED_ANSWER_BYTES);
   private final Map<NodeAddress, Deque<Channel>> pool = new HashMap<>();
 
   /** Address of a pooled connection and the {@link System#nanoTime} until which it is reusable. */
@@ -176,7 +184,7 @@
           .pipeline()
           .addLast(new HttpRequestEncoder())
           .addLast(new HttpResponseDecoder())
-          .addLast(new EndpointHandler(listener, EndpointConnectionPool.this));
+          .addLast(new EndpointHandler(listener, EndpointConnectionPool.this, buffered));
     }
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -18,13 +18,11 @@
  * another request, and closes the connection if it receives data while no request is open.
  */
 final class EndpointHandler extends ChannelInboundHandlerAdapter {
-  /** Maximum size of an answer that is buffered until it is complete. */
-  private static final int MAX_BUFFERED_ANSWER_BYTES = 16 * 1024 * 1024;
-
   private static final String EVENT_STREAM = "text/event-stream";
 
   private final EndpointListener listener;
   private final EndpointConnectionPool connections;
+  private final BufferedAnswers buffered;
   private EndpointExchange exchange;
   private HttpResponse head;
   private ByteBuf content;
@@ -33,9 +31,11 @@
   private boolean reusable;
   private boolean connectionFailed;
 
-  EndpointHandler(EndpointListener listener, EndpointConnectionPool connections) {
+  EndpointHandler(
+      EndpointListener listener, EndpointConnectionPool connections, BufferedAnswers buffered) {
     this.listener = listener;
     this.connections = connections;
+    this.buffered = buffered;
   }
 
   /** Assigns the connection to an attempt. */
@@ -114,8 +114,7 @@
     }
     if (streaming) {
       listener.streamContentReceived(exchange, part.content());
-    } else if (content.readableBytes() + part.content().readableBytes()
-        > MAX_BUFFERED_ANSWER_BYTES) {
+    } else if (!buffered.tryReserve(content.readableBytes(), part.content().readableBytes())) {
       fail(context, AttemptFailureCause.INVALID_ANSWER);
       return;
     } else {
@@ -138,6 +137,7 @@
     head = null;
     ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content;
     content = null;
+    buffered.release(whole.readableBytes());
     connections.release(complete.address(), context.channel(), answered, reusable);
     if (streaming) {
       listener.streamCompleted(complete);
@@ -158,6 +158,7 @@
 
   private void dropContent() {
     if (content != null) {
+      buffered.release(content.readableBytes());
       content.release();
       content = null;
     }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
@@ -11,8 +11,11 @@
  * relays part of an event.
  */
 public final class EventStreamSplitter {
-  /** Maximum event size; the platform's largest events are below one kilobyte. */
-  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+  /**
+   * Maximum event size. Hundreds of streams buffer an incomplete event each, so an endpoint that
+   * sends an event without end must not fill the memory; usual events are below one kilobyte.
+   */
+  private static final int MAX_EVENT_BYTES = 64 * 1024;
 
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
@@ -0,0 +1,159 @@
+package io.zinniawood.relay.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.core.relay.SendOptions;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Plays endpoints in trouble that send bytes without end until the relay closes. */
+final class EndlessAnswerTest {
+  private static final int CHUNK_BYTES = 16 * 1024;
+  private static final int MAX_TOTAL_BYTES = 1024 * 1024;
+  private static final int MAX_ANSWER_BYTES = 256 * 1024;
+
+  /** Bytes after which an endpoint that is still read counts as endless. */
+  private static final long ENDLESS_BYTES = 8 * 1024 * 1024;
+
+  private final BufferedAnswers buffered = new BufferedAnswers(MAX_TOTAL_BYTES, MAX_ANSWER_BYTES);
+  private final FakeListener listener = new FakeListener();
+
+  private EmbeddedChannel connection() {
+    EndpointHandler handler =
+        new EndpointHandler(listener, new EndpointConnectionPool(null, listener), buffered);
+    EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), handler);
+    handler.beginExchange(
+        new EndpointExchange(
+            null,
+            1,
+            new NodeAddress("10.0.0.1", 80),
+            new SendOptions(
+                new EndpointId("e"),
+                1_000,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                SendOptions.ConnectionUse.ANY,
+                false)));
+    return channel;
+  }
+
+  private static ByteBuf bytes(String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+  }
+
+  private static ByteBuf filler() {
+    return bytes("x".repeat(CHUNK_BYTES));
+  }
+
+  /** Sends filler until the relay closes, and returns the number of bytes that it took. */
+  private static long sendUntilClosed(EmbeddedChannel channel) {
+    long sent = 0;
+    while (channel.isActive() && sent < ENDLESS_BYTES) {
+      channel.writeInbound(filler());
+      sent += CHUNK_BYTES;
+    }
+    return sent;
+  }
+
+  @Test
+  void endlessHeadIsCutOff() {
+    EmbeddedChannel channel = connection();
+    channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nX-Filler: "));
+    assertThat(sendUntilClosed(channel), lessThanOrEqualTo((long) MAX_ANSWER_BYTES));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+  }
+
+  @Test
+  void endlessStatusLineIsCutOff() {
+    EmbeddedChannel channel = connection();
+    assertThat(sendUntilClosed(channel), lessThanOrEqualTo((long) MAX_ANSWER_BYTES));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+  }
+
+  @Test
+  void endlessBodyIsCutOff() {
+    EmbeddedChannel channel = connection();
+    channel.writeInbound(bytes("HTTP/1.1 200 OK\r\n\r\n"));
+    assertThat(sendUntilClosed(channel), lessThanOrEqualTo((long) MAX_ANSWER_BYTES + CHUNK_BYTES));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+    assertThat(buffered.totalBytes(), is(0L));
+  }
+
+  // Each body alone would be short enough; all together must not fill the memory.
+  @Test
+  void endlessBodiesTogetherStayWithinMemory() {
+    List<EmbeddedChannel> channels = new ArrayList<>();
+    for (int count = 0; count < 40; count++) {
+      EmbeddedChannel channel = connection();
+      channel.writeInbound(bytes("HTTP/1.1 200 OK\r\n\r\n"));
+      channels.add(channel);
+    }
+    for (int round = 0; round < 8; round++) {
+      for (EmbeddedChannel channel : channels) {
+        if (channel.isActive()) {
+          channel.writeInbound(filler());
+        }
+      }
+      assertThat(buffered.totalBytes(), lessThanOrEqualTo((long) MAX_TOTAL_BYTES));
+    }
+    channels.forEach(EmbeddedChannel::close);
+    assertThat(buffered.totalBytes(), is(0L));
+  }
+
+  @Test
+  void endlessEventIsCutOff() {
+    EventStreamSplitter splitter = new EventStreamSplitter(0);
+    long sent = 0;
+    boolean valid = true;
+    while (valid && sent < ENDLESS_BYTES) {
+      valid = splitter.split(filler(), event -> {});
+      sent += CHUNK_BYTES;
+    }
+    assertThat(sent, lessThanOrEqualTo((long) MAX_ANSWER_BYTES));
+  }
+
+  private static final class FakeListener implements EndpointListener {
+    final List<AttemptFailureCause> failures = new ArrayList<>();
+
+    @Override
+    public boolean belongsToOtherRequest(EndpointExchange exchange, HttpResponse head) {
+      return false;
+    }
+
+    @Override
+    public void streamStarted(EndpointExchange exchange, HttpResponse head) {}
+
+    @Override
+    public void streamContentReceived(EndpointExchange exchange, ByteBuf content) {}
+
+    @Override
+    public void streamReadComplete(EndpointExchange exchange) {}
+
+    @Override
+    public void streamCompleted(EndpointExchange exchange) {}
+
+    @Override
+    public void answerReceived(EndpointExchange exchange, HttpResponse head, ByteBuf content) {
+      content.release();
+    }
+
+    @Override
+    public void attemptFailed(EndpointExchange exchange, AttemptFailureCause cause) {
+      failures.add(cause);
+    }
+  }
+}
