Test that a relay takes its own list before it believes messages

Guards against a server that has left and is used again after a restart of a relay: messages from before its removal may still arrive. The test passes on the code as it is.

--- a/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -137,6 +137,29 @@
     assertThat(relay.sends(id), empty());
   }
 
+  // A relay that has just started may get messages from before an endpoint left. It takes its list
+  // from the store before it believes any of them.
+  @Test
+  void relayWithoutListOfItsOwnTakesNothingOver() {
+    RelayHarness started = new RelayHarness();
+    started.post(
+        new RelayEvent.PresencesRead(
+            Map.of(READER, new PresenceRow(7, Optional.of(READER_ADDRESS)))));
+    started.post(
+        new RelayEvent.PeerMessageReceived(
+            new PeerMessage(
+                READER,
+                true,
+                ROUTES_VERSION,
+                0,
+                Optional.empty(),
+                Optional.of(read(0, List.of(endpoint.withRowVersion(1_015))))),
+            READER_ADDRESS));
+    assertThat(started.state().endpoints(), is(0));
+    started.advanceMillis(25);
+    assertThat(started.effectsOf(RelayEffect.ListEndpoints.class), hasSize(1));
+  }
+
   // Only relays that the store lists are believed.
   @Test
   void messageFromUnlistedAddressIsIgnored() {
