--- a/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
@@ -24,6 +24,7 @@
     List<FleetEndpoint> changed,
     List<Heartbeat> heartbeats,
     List<EndpointId> removed) {
+  /** Copies the lists. */
   public SharedRead {
     changed = List.copyOf(changed);
     heartbeats = List.copyOf(heartbeats);
--- a/relay/src/main/java/io/zinniawood/relay/internal/PeerChannel.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/PeerChannel.java
@@ -82,9 +82,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      // An unreachable receiver may surface as an error here; the channel stays usable.
+      // The channel stays usable: a datagram that got lost is replaced by the next one.
       System.getLogger(PeerChannel.class.getName())
-          .log(System.Logger.Level.DEBUG, "datagram channel failed", cause);
+          .log(System.Logger.Level.WARNING, "datagram from another relay failed", cause);
     }
   }
 }
