Count the live relays once for each path selection

The count became a loop over all relays when they began to exchange messages, and each path selection asked for it several times for every endpoint. It cannot change within a selection, so the selector takes it once. Decisions are the same.

--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -67,10 +67,14 @@
   private final PathPlanner planner;
   private final double maxLinkBacklogMillis;
 
+  /** Number of live relays, which are assumed to load endpoints and links like this one. */
+  private final int relays;
+
   PathSelector(RelayTurn turn, EngineProfile engine, OpenRequest open) {
     this.turn = turn;
     this.maxLinkBacklogMillis =
         open.headRelayed ? MAX_RESUMED_LINK_BACKLOG_MILLIS : MAX_LINK_BACKLOG_MILLIS;
+    this.relays = turn.state.peers.count(turn.nowNanos);
     this.engine = engine;
     this.endpoints = turn.state.fleet.ofService(open.service);
     this.planner =
@@ -102,7 +106,7 @@
       Optional<DataCentreId> current =
           turn.state.fleet.find(part.endpoint()).map(endpoint -> endpoint.entry().dataCentre());
       if (previous.isPresent() && current.isPresent() && !previous.equals(current)) {
-        double millis = engine.linkTransferMillis(tokens) * turn.state.peers.count(turn.nowNanos);
+        double millis = engine.linkTransferMillis(tokens) * relays;
         turn.state.linkBacklogs.addTransfer(previous.get(), current.get(), millis, turn.nowNanos);
       }
       previous = current;
@@ -230,8 +234,7 @@
         accelerator(endpoint)
             .map(profile -> engine.tokenCapacity(profile, endpoint.entry().layers().get().layers()))
             .orElse(0.0);
-    double tokens =
-        (double) endpoint.tokensInFlight() * turn.state.peers.count(turn.nowNanos) + moreTokens;
+    double tokens = (double) endpoint.tokensInFlight() * relays + moreTokens;
     return capacity <= 0 ? 1 : tokens / capacity;
   }
 
@@ -240,12 +243,13 @@
    * endpoint equally.
    */
   private double passMillis(TrackedEndpoint endpoint) {
-    double relays = turn.state.peers.count(turn.nowNanos);
     return accelerator(endpoint)
         .map(
             profile ->
                 engine.passMillisPerLayer(
-                    profile, endpoint.inFlight() * relays, endpoint.tokensInFlight() * relays))
+                    profile,
+                    (double) endpoint.inFlight() * relays,
+                    (double) endpoint.tokensInFlight() * relays))
         .orElse(1.0);
   }
 
