Remove what the messages between relays left behind or wrote twice

- RelayProcess.eventLoop has no caller since the reads of the store are decided in the reducer.
- The address for messages stood in RelayParameters and in RelayAddresses; the process takes it from the parameters.
- FleetView computed the time for which entries may reappear in two places; one private method serves both.
- A constant of StoreReads is private, a test comment is wrapped again.

Behaviour is the same.

--- a/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
@@ -30,7 +30,7 @@
     RelayProcess relay =
         new RelayProcess(
             parameters,
-            new RelayAddresses(settings.callers(), settings.admin(), settings.peers()),
+            new RelayAddresses(settings.callers(), settings.admin()),
             new PlatformHeaderCodec(),
             log);
     relay.start(
--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -118,15 +118,11 @@
         known.update(endpoint, nowNanos, MAX_HEARTBEAT_LAG_NANOS);
       }
     }
-    boolean withinGrace =
-        storeEverRegained && nowNanos - storeRegainedNanos < REAPPEARANCE_GRACE_NANOS;
+    long graceNanos = reappearanceGraceNanos(nowNanos);
     for (EndpointId id : removed) {
       TrackedEndpoint known = endpointsById.get(id);
       if (known != null) {
-        known.scheduleRemoval(
-            withinGrace && !known.entry().draining()
-                ? storeRegainedNanos + REAPPEARANCE_GRACE_NANOS
-                : nowNanos);
+        known.scheduleRemoval(known.entry().draining() ? nowNanos : nowNanos + graceNanos);
       }
     }
     removeExpired(nowNanos);
@@ -153,8 +149,13 @@
 
   /** Returns the time for which missing entries may still reappear, in milliseconds. */
   public long reappearanceGraceMillis(long nowNanos) {
-    long leftNanos = storeRegainedNanos + REAPPEARANCE_GRACE_NANOS - nowNanos;
-    return storeEverRegained ? Math.max(0, TimeUnit.NANOSECONDS.toMillis(leftNanos)) : 0;
+    return TimeUnit.NANOSECONDS.toMillis(reappearanceGraceNanos(nowNanos));
+  }
+
+  private long reappearanceGraceNanos(long nowNanos) {
+    return storeEverRegained
+        ? Math.max(0, storeRegainedNanos + REAPPEARANCE_GRACE_NANOS - nowNanos)
+        : 0;
   }
 
   /** Lets missing entries reappear for at least the given time, in milliseconds. */
--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -22,7 +22,7 @@
   private static final long ENDPOINTS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /** Time for which the store holds a long poll of the routes open. */
-  static final long ROUTES_WAIT_MILLIS = 700;
+  private static final long ROUTES_WAIT_MILLIS = 700;
 
   /** Age of the routes, beyond a long poll, after which a relay reads them itself. */
   private static final long ROUTES_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
@@ -80,9 +80,8 @@
     assertThat(path(stream(), 0).contains(restarted.id()), is(true));
   }
 
-  // A restarted endpoint has another id at the same address, and both are listed until the old
-  // entry
-  // lapses. The endpoint at fault is the one that the path names, not the one that answers there.
+  // A restarted endpoint has another id at the same address. Both are listed until the old entry
+  // lapses, and the endpoint at fault is the one that the path names.
   @ParameterizedTest
   @ValueSource(strings = {"p", "q", "x", "y"})
   void entryOfEndpointBeforeItsRestartIsRefuted(String idAfterRestart) {
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -26,6 +26,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +47,7 @@
   private static final int MAX_REQUEST_LINE_BYTES = 8_192;
 
   private final RelayAddresses addresses;
+  private final Optional<NodeAddress> peerAddress;
   private final DecisionLog log;
   private final RelayMetrics metrics;
   private final EventLoopGroup group =
@@ -61,13 +63,14 @@
    * Creates a relay that does not listen yet.
    *
    * @param parameters start parameters of this relay
-   * @param addresses addresses to listen on
+   * @param addresses addresses to listen on for HTTP
    * @param codec codec of the platform's headers
    * @param log decision log; closed with the process
    */
   public RelayProcess(
       RelayParameters parameters, RelayAddresses addresses, HeaderCodec codec, DecisionLog log) {
     this.addresses = addresses;
+    this.peerAddress = parameters.peerAddress();
     this.log = log;
     this.loop = (EventLoop) group.next();
     this.runtime = new RelayRuntime(new RelayState(parameters), codec, loop, new ProcessListener());
@@ -94,13 +97,13 @@
   }
 
   private RelayRuntime.PeerSender bindPeers() throws InterruptedException {
-    if (addresses.peers().isEmpty()) {
+    if (peerAddress.isEmpty()) {
       return (receivers, message) -> {};
     }
     PeerChannel channel =
         PeerChannel.bind(
             loop,
-            addresses.peers().get(),
+            peerAddress.get(),
             (message, sender) -> runtime.post(new RelayEvent.PeerMessageReceived(message, sender)),
             sender -> log.add("peer-message-ignored", List.of("sender", sender.toString())));
     return channel::send;
@@ -120,11 +123,6 @@
         .channel();
   }
 
-  /** Returns the event loop that runs all of the relay's work. */
-  public EventLoop eventLoop() {
-    return loop;
-  }
-
   private void checkCallerTimeouts() {
     long nowNanos = System.nanoTime();
     for (CallerHandler caller : List.copyOf(callers)) {
