--- a/core/src/main/java/io/zinniawood/core/relay/CallerRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CallerRequest.java
@@ -1,6 +1,8 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.id.PromptPartId;
 import io.zinniawood.core.id.RequestId;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -16,6 +18,8 @@
  * @param promptTokens prompt length in tokens; 0 for a plain service
  * @param maxAnswerTokens maximum answer length in tokens; 0 for a plain service
  * @param resumeAfter id of the last stream event that the caller received; 0 if none
+ * @param sharedParts parts of the prompt that other requests may share, in order; without the last
+ *     part, which belongs to this request alone
  */
 public record CallerRequest(
     Optional<RequestId> id,
@@ -25,7 +29,13 @@
     OptionalLong deadlineMillis,
     int promptTokens,
     int maxAnswerTokens,
-    long resumeAfter) {
+    long resumeAfter,
+    List<PromptPartId> sharedParts) {
+  /** Makes an unmodifiable copy of the list. */
+  public CallerRequest {
+    sharedParts = List.copyOf(sharedParts);
+  }
+
   /**
    * Returns the number of tokens that the request is expected to occupy in the memory of each
    * endpoint. The caller's maximum is capped at the mean answer length, as few answers reach it.
--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -100,6 +100,8 @@
         open.request.promptTokens(),
         "maxAnswerTokens",
         open.request.maxAnswerTokens(),
+        "sharedParts",
+        open.logSharedParts(),
         "deadlineMillis",
         options.deadlineMillis(),
         "resumeAfter",
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.StringJoiner;
 
 /** Mutable state of a request in progress. Only the reducer may access it. */
 final class OpenRequest {
@@ -110,4 +111,11 @@
   String logId() {
     return request.id().map(Object::toString).orElse("-");
   }
+
+  /** Returns the shared parts of the prompt for log lines. */
+  String logSharedParts() {
+    StringJoiner parts = new StringJoiner(",");
+    request.sharedParts().forEach(part -> parts.add(part.value()));
+    return parts.toString();
+  }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -5,6 +5,7 @@
 import io.zinniawood.core.id.ClientAccountId;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.PromptPartId;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.VmId;
@@ -25,6 +26,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** Runs one relay reducer in simulated time and records its effects. */
 final class RelayHarness {
@@ -186,6 +188,11 @@
   }
 
   RelayRequestId request(String route, Optional<String> key, long deadlineMillis) {
+    return request(route, key, deadlineMillis, List.of());
+  }
+
+  private RelayRequestId request(
+      String route, Optional<String> key, long deadlineMillis, List<PromptPartId> sharedParts) {
     RelayRequestId id = new RelayRequestId(++nextRequest);
     post(
         new RelayEvent.RequestArrived(
@@ -198,10 +205,17 @@
                 OptionalLong.of(deadlineMillis),
                 500,
                 200,
-                0)));
+                0,
+                sharedParts)));
     return id;
   }
 
+  /** Posts a request for a stream whose prompt contains the given shared parts. */
+  RelayRequestId stream(String... sharedParts) {
+    return request(
+        "stream", Optional.of(KEY), 20_000, Stream.of(sharedParts).map(PromptPartId::new).toList());
+  }
+
   <T extends RelayEffect> List<T> effectsOf(Class<T> type) {
     return effects.stream().filter(type::isInstance).map(type::cast).toList();
   }
