--- a/telemetry/src/main/java/io/zinniawood/telemetry/DecisionLog.java
+++ b/telemetry/src/main/java/io/zinniawood/telemetry/DecisionLog.java
@@ -30,6 +30,12 @@
   /** Interval between two writes, so that lines are written in batches. */
   private static final long BATCH_INTERVAL_NANOS = 100_000_000;
 
+  /**
+   * Maximum size of a write of several lines. Pipes keep a write of up to 4,096 bytes (PIPE_BUF)
+   * whole; readers lost parts of larger ones.
+   */
+  private static final int MAX_WRITE_CHARACTERS = 4_096;
+
   private final OutputStream output;
   private final Supplier<Instant> clock;
   private final LongSupplier nanoClock;
@@ -112,13 +118,17 @@
       if (lines.isEmpty()) {
         return;
       }
-      text.setLength(0);
-      for (Line line : lines) {
-        appendLine(text, line);
-      }
       try {
-        output.write(text.toString().getBytes(StandardCharsets.UTF_8));
-        output.flush();
+        for (Line line : lines) {
+          int wholeLines = text.length();
+          appendLine(text, line);
+          if (text.length() > MAX_WRITE_CHARACTERS && wholeLines > 0) {
+            write(text.substring(0, wholeLines));
+            text.delete(0, wholeLines);
+          }
+        }
+        write(text.toString());
+        text.setLength(0);
       } catch (IOException exception) {
         // The output is closed or broken; there is no other log to report this to.
         return;
@@ -126,6 +136,11 @@
     }
   }
 
+  private void write(String lines) throws IOException {
+    output.write(lines.getBytes(StandardCharsets.UTF_8));
+    output.flush();
+  }
+
   private List<Line> nextBatch() {
     lock.lock();
     try {
--- a/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
+++ b/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
@@ -2,14 +2,17 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
@@ -56,6 +59,34 @@
     assertThat(text, containsString("\"event\":\"log-lines-dropped\""));
   }
 
+  // Readers of a pipe lose parts of large writes, and with them lines of the most eventful moments.
+  @Test
+  void manyLinesAreWrittenAsSmallWritesOfWholeLines() {
+    List<String> writes = new ArrayList<>();
+    OutputStream output =
+        new OutputStream() {
+          @Override
+          public void write(int value) {
+            throw new AssertionError("expected whole arrays, got the single byte " + value);
+          }
+
+          @Override
+          public void write(byte[] bytes, int offset, int length) {
+            writes.add(new String(bytes, offset, length, StandardCharsets.UTF_8));
+          }
+        };
+    DecisionLog log = new DecisionLog(output, () -> TIME, () -> 0);
+    for (int line = 0; line < 500; line++) {
+      log.add("event", List.of("line", line, "text", "x".repeat(line)));
+    }
+    log.close();
+    assertThat(String.join("", writes).lines().count(), is(500L));
+    for (String write : writes) {
+      assertThat(write.length(), lessThanOrEqualTo(4_096));
+      assertThat(write, endsWith("}\n"));
+    }
+  }
+
   // The rate limit bounds the volume of the log under overload.
   @Test
   void linesOverTheRateLimitAreDropped() {
