Hold back requests with a part of a prompt under which endpoints crash

Cause: a crash counted against the endpoint only. Each request that was cut before its first event was sent to the next endpoint at once, with whatever had crashed the first one, and new requests with the same part of the prompt went to endpoints that were still whole. Class of fault: a retry that treats every failure as the server's, never as the request's.

Why this works: the relays tell each other which requests without an event an endpoint had when it crashed (a lost connection counts only once the endpoint gives no report). A first event of any request clears its parts; what is left after two crashes is the cause, and requests with it get 503 at once, as they have not run. Requests cut before their first event wait until they are cleared, at most 0.8 s. One relay sends a single trial request after 10 s, then after 30 s and longer each time; its first event releases the part everywhere.

--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -137,6 +137,16 @@
         && (checkStartedNanos == 0 || nowNanos - checkStartedNanos >= intervalNanos);
   }
 
+  /** Returns whether the endpoint was asked for its report and has not answered yet. */
+  public boolean checkPending() {
+    return checkPending;
+  }
+
+  /** Returns the monotonic time in nanoseconds at which the last check began. */
+  public long checkStartedNanos() {
+    return checkStartedNanos;
+  }
+
   /** Records that the endpoint was asked for its report. */
   public void checkStarted(long nowNanos) {
     checkPending = true;
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/quarantine/CrashReport.java
@@ -0,0 +1,17 @@
+package io.zinniawood.core.quarantine;
+
+import java.util.List;
+
+/**
+ * What a router knows of a crash.
+ *
+ * @param crash crash
+ * @param ageMillis time since the crash, in milliseconds
+ * @param candidates parts that may have caused it
+ */
+public record CrashReport(CrashId crash, long ageMillis, List<CrashCandidate> candidates) {
+  /** Makes an unmodifiable copy of the list. */
+  public CrashReport {
+    candidates = List.copyOf(candidates);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/quarantine/HeldPartNotice.java
@@ -0,0 +1,14 @@
+package io.zinniawood.core.quarantine;
+
+import io.zinniawood.core.id.PromptPartId;
+
+/**
+ * Part that a router holds back.
+ *
+ * @param part part
+ * @param crashes number of crashes that it is taken to have caused
+ * @param failedTrials number of trial requests with it that crashed an endpoint as well
+ * @param lastCrashAgeMillis time since the last of these crashes, in milliseconds
+ */
+public record HeldPartNotice(
+    PromptPartId part, int crashes, int failedTrials, long lastCrashAgeMillis) {}
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -29,6 +29,9 @@
       handleNotRun(turn, open, answer);
     } else if (answer.success()) {
       recordResult(turn, open, false);
+      if (!open.streaming()) {
+        CrashWatch.answerBegun(turn, open);
+      }
       relayAnswer(turn, open, answer);
     } else if (!answer.signed()) {
       recordResult(turn, open, true);
@@ -127,6 +130,9 @@
     } else {
       recordResult(turn, open, true);
     }
+    if (event.cause() == AttemptFailureCause.CONNECTION_LOST) {
+      CrashWatch.connectionLost(turn, open);
+    }
     retry(turn, open, event.cause().name().toLowerCase(Locale.ROOT).replace('_', '-'));
   }
 
@@ -163,6 +169,16 @@
    * states whether the request may have run.
    */
   static void refuse(RelayTurn turn, OpenRequest open, String reason) {
+    refuse(turn, open, reason, 0);
+  }
+
+  /**
+   * Ends a request that is at no endpoint, as above.
+   *
+   * @param minRetryAfterMillis time, in milliseconds, before which a repeat would be refused as
+   *     well
+   */
+  static void refuse(RelayTurn turn, OpenRequest open, String reason, long minRetryAfterMillis) {
     if (open.headRelayed) {
       complete(turn, open, "broken-off", reason);
       turn.emit(new RelayEffect.AbortAnswer(open.id));
@@ -171,7 +187,8 @@
       turn.emit(new RelayEffect.AnswerLocally(open.id, LocalAnswer.unknownOutcome(reason)));
     } else {
       long retryAfterMillis =
-          RETRY_AFTER_MILLIS + turn.state.random.nextInt(RETRY_AFTER_SPREAD_MILLIS);
+          Math.max(RETRY_AFTER_MILLIS, minRetryAfterMillis)
+              + turn.state.random.nextInt(RETRY_AFTER_SPREAD_MILLIS);
       complete(turn, open, "not-run", reason);
       turn.emit(
           new RelayEffect.AnswerLocally(open.id, LocalAnswer.notRun(reason, retryAfterMillis)));
@@ -223,6 +240,7 @@
     if (open.target.isPresent()) {
       turn.emit(new RelayEffect.CancelAttempt(open.id, open.attempt));
     }
+    CrashWatch.trialEnded(turn, open);
     EndpointUsage.end(open);
   }
 
@@ -246,6 +264,7 @@
         open.repaths,
         "millis",
         turn.millisSince(open.arrivedNanos));
+    CrashWatch.trialEnded(turn, open);
     EndpointUsage.end(open);
     turn.state.open.remove(open.id);
     turn.state.waiting.remove(open);
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
@@ -0,0 +1,257 @@
+package io.zinniawood.core.relay;
+
+import io.zinniawood.core.fleet.TrackedEndpoint;
+import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.quarantine.CrashCandidate;
+import io.zinniawood.core.quarantine.CrashId;
+import io.zinniawood.core.quarantine.PromptPartQuarantine;
+import io.zinniawood.core.quarantine.QuarantineChange;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.StringJoiner;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Observes which endpoints crash and which requests were there, and keeps requests with a part that
+ * crashes endpoints from being sent. A lost connection alone is no crash: the endpoint is asked for
+ * its report first.
+ */
+final class CrashWatch {
+  /** Time after which a lost connection is dropped as evidence if no report was decided. */
+  private static final long UNDECIDED_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+  /** Time for the messages of the other relays about the same crash to arrive. */
+  private static final long PEER_MESSAGES_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
+  /**
+   * Maximum time for which a likely cause of a crash waits for evidence in its favour, before it is
+   * sent again as the only one of its kind.
+   */
+  static final long MAX_SUSPECT_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+  /** Maximum number of requests that had waited longer than a likely cause of a crash. */
+  private static final int LIKELY_CAUSE_MAX_RANK = 1;
+
+  private CrashWatch() {}
+
+  /** Handles the loss of an attempt's connection to the endpoint that runs it. */
+  static void connectionLost(RelayTurn turn, OpenRequest open) {
+    Optional<TrackedEndpoint> endpoint = open.target.flatMap(turn.state.fleet::find);
+    if (endpoint.isEmpty() || open.path.isEmpty()) {
+      return;
+    }
+    PendingCrash pending = pendingCrash(turn, endpoint.get());
+    if (!open.firstEventRelayed) {
+      pending.candidates.addAll(candidates(turn, open));
+      open.lostInCrash = Optional.of(pending.id);
+      open.lostNanos = turn.nowNanos;
+    }
+  }
+
+  private static PendingCrash pendingCrash(RelayTurn turn, TrackedEndpoint endpoint) {
+    PendingCrash known = turn.state.pendingCrashes.get(endpoint.id());
+    if (known != null && !overdue(turn, known)) {
+      return known;
+    }
+    PendingCrash pending = new PendingCrash(crashId(endpoint), turn.nowNanos);
+    turn.state.pendingCrashes.put(endpoint.id(), pending);
+    EndpointHealthChecks.checkNow(turn, endpoint);
+    return pending;
+  }
+
+  private static CrashId crashId(TrackedEndpoint endpoint) {
+    return new CrashId(endpoint.id(), endpoint.entry().startedMillis());
+  }
+
+  private static boolean overdue(RelayTurn turn, PendingCrash pending) {
+    return turn.nowNanos - pending.atNanos >= UNDECIDED_NANOS;
+  }
+
+  private static List<CrashCandidate> candidates(RelayTurn turn, OpenRequest open) {
+    List<CrashCandidate> candidates = new ArrayList<>();
+    for (PromptPartId part : open.request.sharedParts()) {
+      candidates.add(new CrashCandidate(part, turn.millisSince(open.sentNanos), candidates.size()));
+    }
+    return candidates;
+  }
+
+  /** Handles the report of an endpoint: it has not crashed, unless it has started again since. */
+  static void reportRead(RelayTurn turn, TrackedEndpoint endpoint, long startedMillis) {
+    PendingCrash pending = turn.state.pendingCrashes.get(endpoint.id());
+    if (pending == null) {
+      return;
+    }
+    if (startedMillis != 0 && startedMillis != pending.id.startedMillis()) {
+      confirmed(turn, endpoint);
+    } else if (endpoint.checkStartedNanos() - pending.atNanos < 0) {
+      // The report may be from before the connection was lost.
+      EndpointHealthChecks.checkNow(turn, endpoint);
+    } else {
+      turn.state.pendingCrashes.remove(endpoint.id());
+    }
+  }
+
+  /** Handles an endpoint that gives no report: it has crashed or fell silent. */
+  static void confirmed(RelayTurn turn, TrackedEndpoint endpoint) {
+    PendingCrash pending = turn.state.pendingCrashes.remove(endpoint.id());
+    if (pending == null || overdue(turn, pending)) {
+      pending = new PendingCrash(crashId(endpoint), turn.nowNanos);
+    }
+    for (OpenRequest open : turn.state.open.values()) {
+      if (open.target.filter(endpoint.id()::equals).isPresent()
+          && open.path.isPresent()
+          && !open.firstEventRelayed) {
+        pending.candidates.addAll(candidates(turn, open));
+        open.lostInCrash = Optional.of(pending.id);
+        open.lostNanos = turn.nowNanos;
+      }
+    }
+    if (pending.candidates.isEmpty()) {
+      return;
+    }
+    turn.log(
+        "endpoint-crashed",
+        "endpoint",
+        endpoint.id().value(),
+        "startedMillis",
+        pending.id.startedMillis(),
+        "candidates",
+        format(pending.candidates),
+        "ageMillis",
+        turn.millisSince(pending.atNanos));
+    apply(
+        turn,
+        turn.state.quarantine.crashed(
+            pending.id, pending.atNanos, pending.candidates, turn.nowNanos));
+    PeerExchange.send(turn, Optional.empty());
+  }
+
+  /** Drops lost connections for which no report was decided, as after a pause of this process. */
+  static void tick(RelayTurn turn) {
+    turn.state.pendingCrashes.values().removeIf(pending -> overdue(turn, pending));
+  }
+
+  /** Handles the first event of an attempt, or a complete answer. */
+  static void answerBegun(RelayTurn turn, OpenRequest open) {
+    open.lostInCrash = Optional.empty();
+    if (!open.request.sharedParts().isEmpty()) {
+      apply(turn, turn.state.quarantine.firstEvent(open.request.sharedParts(), turn.nowNanos));
+    }
+  }
+
+  /**
+   * Returns whether a request that was cut by a crash before its first event must not be sent yet,
+   * as it may be the cause.
+   */
+  static boolean mustWait(RelayTurn turn, OpenRequest open) {
+    if (open.lostInCrash.isEmpty() || open.request.sharedParts().isEmpty()) {
+      return false;
+    }
+    long waitedNanos = turn.nowNanos - open.lostNanos;
+    if (waitedNanos >= MAX_SUSPECT_WAIT_NANOS) {
+      return false;
+    }
+    CrashId crash = open.lostInCrash.get();
+    PendingCrash pending = turn.state.pendingCrashes.get(crash.endpoint());
+    boolean undecided = pending != null && pending.id.equals(crash);
+    return undecided
+        || waitedNanos < PEER_MESSAGES_NANOS
+        || turn.state.quarantine.likelyCause(
+            crash, open.request.sharedParts(), LIKELY_CAUSE_MAX_RANK);
+  }
+
+  /**
+   * Returns the part for which a request must be refused. One relay may send a single request with
+   * a held part, once a trial is due; that request is marked as the trial.
+   */
+  static Optional<PromptPartId> heldPart(RelayTurn turn, OpenRequest open) {
+    PromptPartQuarantine quarantine = turn.state.quarantine;
+    if (open.trialOf.isPresent()) {
+      return Optional.empty();
+    }
+    Optional<PromptPartId> part = quarantine.heldPart(open.request.sharedParts());
+    if (part.isPresent()
+        && quarantine.trialDue(part.get(), turn.nowNanos)
+        && turn.state.peers.firstOfLive(turn.state.parameters.vm(), turn.nowNanos)) {
+      quarantine.trialStarted(part.get());
+      open.trialOf = part;
+      turn.log("prompt-part-trial", "part", part.get().value(), "request", open.logId());
+      return Optional.empty();
+    }
+    return part;
+  }
+
+  /** Records that a trial request is no longer at an endpoint. */
+  static void trialEnded(RelayTurn turn, OpenRequest open) {
+    open.trialOf.ifPresent(part -> turn.state.quarantine.trialEnded(part, turn.nowNanos));
+    open.trialOf = Optional.empty();
+  }
+
+  /** Refuses a request with a held part at once; a trial has to show first that it is sound. */
+  static void refuse(RelayTurn turn, OpenRequest open, PromptPartId part) {
+    AttemptOutcomes.refuse(
+        turn,
+        open,
+        "prompt-part-held",
+        turn.state.quarantine.millisUntilTrial(part, turn.nowNanos));
+  }
+
+  /** Logs changes of the held parts and takes requests with a newly held part off endpoints. */
+  static void apply(RelayTurn turn, List<QuarantineChange> changes) {
+    for (QuarantineChange change : changes) {
+      if (change instanceof QuarantineChange.Held held) {
+        logHeld(turn, held);
+        takeOffEndpoints(turn, held.part());
+      } else if (change instanceof QuarantineChange.HeldLonger longer) {
+        turn.log(
+            "prompt-part-held-longer",
+            "part",
+            longer.part().value(),
+            "crashes",
+            longer.crashes(),
+            "trialMillis",
+            turn.state.quarantine.millisUntilTrial(longer.part(), turn.nowNanos));
+      } else if (change instanceof QuarantineChange.Released released) {
+        turn.log(
+            "prompt-part-released", "part", released.part().value(), "crashes", released.crashes());
+      }
+    }
+  }
+
+  private static void logHeld(RelayTurn turn, QuarantineChange.Held held) {
+    turn.log(
+        "prompt-part-held",
+        "part",
+        held.part().value(),
+        "crashes",
+        held.crashes(),
+        "score",
+        held.score(),
+        "otherCandidates",
+        held.otherCandidates(),
+        "source",
+        held.source().name(),
+        "trialMillis",
+        turn.state.quarantine.millisUntilTrial(held.part(), turn.nowNanos));
+  }
+
+  private static void takeOffEndpoints(RelayTurn turn, PromptPartId part) {
+    for (OpenRequest open : new ArrayList<>(turn.state.open.values())) {
+      boolean begun = open.firstEventRelayed || open.lastEventId > open.request.resumeAfter();
+      if (!begun && open.trialOf.isEmpty() && open.request.sharedParts().contains(part)) {
+        if (open.target.isPresent()) {
+          AttemptOutcomes.endAttempt(turn, open, "prompt-part-held");
+        }
+        refuse(turn, open, part);
+      }
+    }
+  }
+
+  private static String format(List<CrashCandidate> candidates) {
+    StringJoiner text = new StringJoiner(",");
+    candidates.forEach(
+        candidate -> text.add(candidate.part().value() + ":" + candidate.waitedMillis()));
+    return text.toString();
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointHealthChecks.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointHealthChecks.java
@@ -49,6 +49,13 @@
     return turn.nowNanos - turn.state.catchUpEndNanos < 0;
   }
 
+  /** Returns whether the event that is handled may have waited while this process was paused. */
+  static boolean delayedByPause(RelayTurn turn) {
+    return catchingUp(turn)
+        || (turn.state.lastTickNanos != 0
+            && turn.nowNanos - turn.state.lastTickNanos > PAUSE_THRESHOLD_NANOS);
+  }
+
   /** Requests the reports of a stalled stream's endpoints, at a limited rate for each. */
   static void checkEndpoints(RelayTurn turn, List<TrackedEndpoint> endpoints) {
     for (TrackedEndpoint endpoint : endpoints) {
@@ -58,6 +65,13 @@
     }
   }
 
+  /** Requests the report of an endpoint unless a request for it is in progress. */
+  static void checkNow(RelayTurn turn, TrackedEndpoint endpoint) {
+    if (!endpoint.checkPending()) {
+      check(turn, endpoint);
+    }
+  }
+
   private static void check(RelayTurn turn, TrackedEndpoint endpoint) {
     endpoint.checkStarted(turn.nowNanos);
     turn.emit(new RelayEffect.ReadReport(endpoint.id(), endpoint.entry().address()));
@@ -83,6 +97,7 @@
           endpoint.entry().rowVersion());
     }
     endpoint.checkAnswered(event.report().slowdownFactor());
+    CrashWatch.reportRead(turn, endpoint, event.report().startedMillis());
     for (EndpointReport.StalledRequest stalledRequest : event.report().stalledRequests()) {
       turn.state
           .fleet
@@ -97,7 +112,11 @@
     Optional<TrackedEndpoint> found = turn.state.fleet.find(event.endpoint());
     found.ifPresent(TrackedEndpoint::checkUnanswered);
     if (!catchingUp(turn)) {
-      found.ifPresent(endpoint -> avoid(turn, endpoint, "no-report"));
+      found.ifPresent(
+          endpoint -> {
+            CrashWatch.confirmed(turn, endpoint);
+            avoid(turn, endpoint, "no-report");
+          });
     }
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -3,9 +3,11 @@
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.ClientAccountId;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.PromptPartId;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
+import io.zinniawood.core.quarantine.CrashId;
 import io.zinniawood.core.route.Route;
 import io.zinniawood.core.route.RouteKind;
 import java.util.HashSet;
@@ -60,6 +62,15 @@
   boolean headRelayed;
 
   long lastEventId;
+
+  /** Crash of an endpoint in which the last attempt was cut before its first event. */
+  Optional<CrashId> lostInCrash = Optional.empty();
+
+  long lostNanos;
+
+  /** Part that is held back and that this request tries again. */
+  Optional<PromptPartId> trialOf = Optional.empty();
+
   boolean repathPending;
   int repaths;
   final Set<EndpointId> excluded = new HashSet<>();
--- a/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +35,9 @@
     if (receivers.isEmpty() || state.parameters.peerAddress().isEmpty()) {
       return;
     }
+    // A message with entries of the endpoint list leaves no room for more in its packet.
+    QuarantineNotice quarantine =
+        read.isPresent() ? QuarantineNotice.EMPTY : state.quarantine.notice(turn.nowNanos);
     turn.emit(
         new RelayEffect.SendToPeers(
             receivers,
@@ -43,7 +47,8 @@
                 state.routesVersion(),
                 state.routeReads.ageMillis(turn.nowNanos),
                 ControllerLease.notice(turn),
-                read)));
+                read,
+                quarantine)));
   }
 
   static void messageReceived(RelayTurn turn, RelayEvent.PeerMessageReceived event) {
@@ -52,10 +57,19 @@
     if (message.vm().equals(state.parameters.vm())) {
       return;
     }
+    boolean unheard = !state.peers.live(message.vm(), turn.nowNanos);
     if (!state.peers.heard(message, event.sender(), turn.nowNanos)) {
       readUnknownSender(turn, event);
       return;
     }
+    if (unheard && state.quarantine.heldParts() > 0) {
+      // A relay that has just started must know the held parts before it sends requests.
+      send(turn, Optional.empty());
+    }
+    // The ages in a notice that waited during a pause are wrong; it is sent again soon.
+    if (!EndpointHealthChecks.delayedByPause(turn)) {
+      CrashWatch.apply(turn, state.quarantine.noticeReceived(message.quarantine(), turn.nowNanos));
+    }
     StoreReads.peerRead(turn, message);
     message.lease().ifPresent(lease -> ControllerLease.heard(turn, message.vm(), lease));
   }
--- a/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.Optional;
 
 /**
@@ -13,6 +14,7 @@
  *     milliseconds
  * @param lease controller lease, if the sender holds it
  * @param read changes of the endpoint list, if the sender has just read them from the store
+ * @param quarantine what the sender knows of parts of prompts that crash endpoints
  */
 public record PeerMessage(
     VmId vm,
@@ -20,4 +22,5 @@
     long routesVersion,
     long routesAgeMillis,
     Optional<LeaseNotice> lease,
-    Optional<SharedRead> read) {}
+    Optional<SharedRead> read,
+    QuarantineNotice quarantine) {}
--- a/core/src/main/java/io/zinniawood/core/relay/Peers.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Peers.java
@@ -92,6 +92,21 @@
     return readers;
   }
 
+  /** Returns whether a message of the relay was received recently. */
+  boolean live(VmId vm, long nowNanos) {
+    Peer peer = peersByVm.get(vm);
+    return peer != null && alive(peer, nowNanos);
+  }
+
+  /** Returns whether this relay is the first of the live ones by id. */
+  boolean firstOfLive(VmId self, long nowNanos) {
+    return peersByVm.entrySet().stream()
+        .noneMatch(
+            entry ->
+                alive(entry.getValue(), nowNanos)
+                    && entry.getKey().value().compareTo(self.value()) < 0);
+  }
+
   /** Returns the number of live relays, including this one. */
   int count(long nowNanos) {
     int live = 1;
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -112,6 +112,7 @@
       StoreReads.tick(turn);
       PeerExchange.tick(turn);
       EndpointHealthChecks.tick(turn);
+      CrashWatch.tick(turn);
       Deadlines.check(turn);
       StreamMonitor.checkStalledStreams(turn);
       WaitingQueue.dispatchWaiting(turn);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -2,8 +2,11 @@
 
 import io.zinniawood.core.entry.lease.LeaseView;
 import io.zinniawood.core.fleet.FleetView;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.quarantine.PromptPartQuarantine;
 import io.zinniawood.core.route.RouteTable;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +24,8 @@
   final SplittableRandom random;
   Optional<RouteTable> routes = Optional.empty();
   final Peers peers = new Peers();
+  final PromptPartQuarantine quarantine = new PromptPartQuarantine();
+  final Map<EndpointId, PendingCrash> pendingCrashes = new HashMap<>();
   final StoreClock storeClock = new StoreClock();
   final StoreReadTimes endpointReads = new StoreReadTimes();
   final StoreReadTimes routeReads = new StoreReadTimes();
@@ -72,6 +77,11 @@
     return waiting.size();
   }
 
+  /** Returns the number of parts of prompts that are held back as they crash endpoints. */
+  public int heldPromptParts() {
+    return quarantine.heldParts();
+  }
+
   /** Returns the version of the routing table; 0 if none was read. */
   public long routesVersion() {
     return routes.map(RouteTable::version).orElse(0L);
--- a/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
@@ -54,7 +54,10 @@
       }
     }
     open.lastProgressNanos = turn.nowNanos;
-    open.firstEventRelayed = true;
+    if (!open.firstEventRelayed) {
+      open.firstEventRelayed = true;
+      CrashWatch.answerBegun(turn, open);
+    }
   }
 
   /**
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
@@ -1,11 +1,13 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.id.PromptPartId;
 import io.zinniawood.core.id.ServiceName;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Queue of requests that wait for an endpoint, with their order and maximum wait. */
@@ -25,6 +27,9 @@
   /** Maximum wait, since the last event, of a stream that the caller has partly received. */
   private static final long MAX_RESUME_WAIT_MILLIS = 1_500;
 
+  /** Time for capacity to become free after a request waited for evidence about a crash. */
+  private static final long CAPACITY_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   private static final Comparator<OpenRequest> ORDER =
       Comparator.comparing((OpenRequest open) -> !open.headRelayed)
           .thenComparingInt(open -> open.priority)
@@ -37,6 +42,15 @@
    * endpoint or the queue is full. A stream that has begun waits even without a usable endpoint.
    */
   static void dispatchOrEnqueue(RelayTurn turn, OpenRequest open) {
+    Optional<PromptPartId> held = CrashWatch.heldPart(turn, open);
+    if (held.isPresent()) {
+      CrashWatch.refuse(turn, open, held.get());
+      return;
+    }
+    if (CrashWatch.mustWait(turn, open)) {
+      enqueue(turn, open);
+      return;
+    }
     Dispatcher.Result result = Dispatcher.dispatch(turn, open);
     if (result == Dispatcher.Result.SENT) {
       return;
@@ -45,6 +59,10 @@
       AttemptOutcomes.refuse(turn, open, "no-endpoint");
       return;
     }
+    enqueue(turn, open);
+  }
+
+  private static void enqueue(RelayTurn turn, OpenRequest open) {
     if (turn.state.waiting.size() >= MAX_WAITING) {
       AttemptOutcomes.refuse(turn, open, "queue-full");
       return;
@@ -67,6 +85,15 @@
         turn.state.waiting.remove(open);
         continue;
       }
+      Optional<PromptPartId> held = CrashWatch.heldPart(turn, open);
+      if (held.isPresent()) {
+        turn.state.waiting.remove(open);
+        CrashWatch.refuse(turn, open, held.get());
+        continue;
+      }
+      if (CrashWatch.mustWait(turn, open)) {
+        continue;
+      }
       boolean tried = misses.getOrDefault(open.service, 0) < MAX_MISSES_PER_TICK;
       if (tried && Dispatcher.dispatch(turn, open) == Dispatcher.Result.SENT) {
         turn.state.waiting.remove(open);
@@ -84,7 +111,12 @@
     if (open.headRelayed) {
       return open.lastProgressNanos + TimeUnit.MILLISECONDS.toNanos(MAX_RESUME_WAIT_MILLIS);
     }
+    long suspectNanos =
+        open.lostInCrash.isPresent()
+            ? open.lostNanos + CrashWatch.MAX_SUSPECT_WAIT_NANOS + CAPACITY_WAIT_NANOS
+            : open.arrivedNanos;
     double waitMillis = MAX_WAIT_PER_TARGET_LATENCY * open.route.targetLatencyMillis();
-    return open.arrivedNanos + (long) (waitMillis * TimeUnit.MILLISECONDS.toNanos(1));
+    long endNanos = open.arrivedNanos + (long) (waitMillis * TimeUnit.MILLISECONDS.toNanos(1));
+    return Math.max(endNanos, suspectNanos);
   }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -13,6 +13,7 @@
 import io.zinniawood.core.id.FencingNumber;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -56,7 +57,8 @@
   private void receive(NodeAddress sender, Optional<SharedRead> read, Optional<LeaseNotice> lease) {
     relay.post(
         new RelayEvent.PeerMessageReceived(
-            new PeerMessage(READER, true, ROUTES_VERSION, 0, lease, read), sender));
+            new PeerMessage(READER, true, ROUTES_VERSION, 0, lease, read, QuarantineNotice.EMPTY),
+            sender));
   }
 
   private int storeReads() {
@@ -153,7 +155,8 @@
                 ROUTES_VERSION,
                 0,
                 Optional.empty(),
-                Optional.of(read(0, List.of(endpoint.withRowVersion(1_015))))),
+                Optional.of(read(0, List.of(endpoint.withRowVersion(1_015)))),
+                QuarantineNotice.EMPTY),
             READER_ADDRESS));
     assertThat(started.state().endpoints(), is(0));
     started.advanceMillis(25);
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPlacementsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPlacementsTest.java
@@ -53,7 +53,8 @@
     relay.post(new RelayEvent.OrderAnswered(new EndpointId("a"), OrderResult.REFUSED));
     relay.advanceMillis(300);
     assertThat(relay.lastEffect(RelayEffect.ReadReport.class).endpoint(), is(new EndpointId("a")));
-    relay.post(new RelayEvent.ReportRead(new EndpointId("a"), new EndpointReport(4, 1, List.of())));
+    relay.post(
+        new RelayEvent.ReportRead(new EndpointId("a"), new EndpointReport(4, 1, 1, List.of())));
     relay.advanceMillis(300);
     assertThat(relay.lastEffect(RelayEffect.Order.class).order().ordersAccepted(), is(4L));
   }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
@@ -107,7 +107,7 @@
     for (int round = 0; round < 40; round++) {
       relay.advanceMillis(20);
       for (EndpointId id : checked()) {
-        relay.post(new RelayEvent.ReportRead(id, new EndpointReport(0, 1, List.of())));
+        relay.post(new RelayEvent.ReportRead(id, new EndpointReport(0, 1, 1, List.of())));
       }
     }
     assertThat(checked(), hasSize(3));
@@ -131,6 +131,7 @@
             new EndpointReport(
                 0,
                 1,
+                1,
                 List.of(
                     new EndpointReport.StalledRequest(
                         new RequestId("caller-1"), dead.address())))));
@@ -146,7 +147,8 @@
     assertThat(relay.sends(refused), empty());
     relay.advanceMillis(1_000);
     assertThat(checked(), is(List.of(new EndpointId("a"))));
-    relay.post(new RelayEvent.ReportRead(new EndpointId("a"), new EndpointReport(0, 1, List.of())));
+    relay.post(
+        new RelayEvent.ReportRead(new EndpointId("a"), new EndpointReport(0, 1, 1, List.of())));
     RelayRequestId next = relay.request("stream", Optional.of(RelayHarness.KEY), 20_000);
     assertThat(relay.sends(next), hasSize(1));
   }
--- a/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
+++ b/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
@@ -40,6 +40,9 @@
                         .setRenewals(lease.renewals())
                         .setRowVersion(lease.rowVersion())));
     message.read().ifPresent(read -> builder.setRead(encodeRead(read)));
+    if (!message.quarantine().isEmpty()) {
+      builder.setQuarantine(QuarantineNoticeCodec.encode(message.quarantine()));
+    }
     return builder.build().toByteArray();
   }
 
@@ -105,7 +108,8 @@
                           message.getLease().getRenewals(),
                           message.getLease().getRowVersion()))
                   : Optional.empty(),
-              message.hasRead() ? Optional.of(decodeRead(message.getRead())) : Optional.empty()));
+              message.hasRead() ? Optional.of(decodeRead(message.getRead())) : Optional.empty(),
+              QuarantineNoticeCodec.decode(message.getQuarantine())));
     } catch (InvalidProtocolBufferException | IllegalArgumentException invalid) {
       return Optional.empty();
     }
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -9,10 +9,18 @@
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.PromptPartId;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.quarantine.CrashCandidate;
+import io.zinniawood.core.quarantine.CrashId;
+import io.zinniawood.core.quarantine.CrashReport;
+import io.zinniawood.core.quarantine.HeldPartNotice;
+import io.zinniawood.core.quarantine.PromptPartQuarantine;
+import io.zinniawood.core.quarantine.QuarantineNotice;
+import io.zinniawood.core.quarantine.SoundPartNotice;
 import io.zinniawood.core.relay.LeaseNotice;
 import io.zinniawood.core.relay.PeerMessage;
 import io.zinniawood.core.relay.SharedRead;
@@ -44,7 +52,56 @@
         17,
         350,
         Optional.of(new LeaseNotice(new FencingNumber(3), 40, 99)),
-        Optional.of(read));
+        Optional.of(read),
+        QuarantineNotice.EMPTY);
+  }
+
+  private static PeerMessage message(QuarantineNotice quarantine) {
+    return new PeerMessage(
+        new VmId("front-helsinki-a-1"),
+        true,
+        17,
+        350,
+        Optional.of(new LeaseNotice(new FencingNumber(3), 40, 99)),
+        Optional.empty(),
+        quarantine);
+  }
+
+  @Test
+  void decodedQuarantineNoticeEqualsEncodedOne() {
+    PeerMessage message =
+        message(
+            new QuarantineNotice(
+                List.of(new HeldPartNotice(new PromptPartId("57dc"), 3, 1, 4_000)),
+                List.of(
+                    new CrashReport(
+                        new CrashId(new EndpointId("i-1"), 1_796_000_000_123L),
+                        120,
+                        List.of(new CrashCandidate(new PromptPartId("57dc"), 140, 1)))),
+                List.of(new SoundPartNotice(new PromptPartId("f967"), 15))));
+    assertThat(PeerMessageCodec.decode(PeerMessageCodec.encode(message)), is(Optional.of(message)));
+  }
+
+  // A relay that believes in dozens of crashes at once must still send messages of one packet.
+  @Test
+  void largestQuarantineNoticeFitsIntoPacket() {
+    PromptPartQuarantine quarantine = new PromptPartQuarantine();
+    for (int crash = 0; crash < 100; crash++) {
+      List<CrashCandidate> candidates = new ArrayList<>();
+      for (int part = 0; part < 20; part++) {
+        candidates.add(
+            new CrashCandidate(
+                new PromptPartId("%064d".formatted(crash / 2 * 20 + part)), 100 + part, part));
+      }
+      long nowNanos = crash * 200_000_000L;
+      quarantine.crashed(
+          new CrashId(new EndpointId("i-%010d".formatted(crash)), 1_796_000_000_123L),
+          nowNanos,
+          candidates,
+          nowNanos);
+      byte[] bytes = PeerMessageCodec.encode(message(quarantine.notice(nowNanos)));
+      assertThat(bytes.length, lessThanOrEqualTo(1_400));
+    }
   }
 
   @Test
