Do not take a repeated refusal for the answer to another attempt

Report of other operators: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that had run, or such a request ran twice.

It could happen here in two ways. A refusal without a request id on a kept connection counted as the answer to the present request. And a second attempt, which has the same request id, could be sent on the connection of the first one, as when another endpoint of the path was at fault: a repeated refusal was then taken for its answer.

An answer without an id now counts only on a connection that has carried no earlier request; otherwise the outcome is unknown. Second attempts use a new connection. Refusals with the id of another request were skipped before and still are.

Failed before: FaultyAnswerTest.refusalWithoutIdOnKeptConnectionProvesNothing (503 was passed on) and RelayOutcomesTest.secondAttemptUsesNewConnection (ANY). EndlessAnswerTest shares the fake listener and checks what it checked.

--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -78,7 +78,7 @@
             open.account,
             open.path,
             open.lastEventId,
-            open.route.kind() == RouteKind.NON_IDEMPOTENT
+            open.route.kind() == RouteKind.NON_IDEMPOTENT || open.sends > 1
                 ? SendOptions.ConnectionUse.FRESH
                 : SendOptions.ConnectionUse.ANY,
             open.streaming());
--- a/core/src/main/java/io/zinniawood/core/relay/SendOptions.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SendOptions.java
@@ -30,7 +30,7 @@
     ANY,
     /**
      * A new connection only. A pooled one may be closing, and losing it would leave the outcome of
-     * the call unknown.
+     * the call unknown; and an endpoint may repeat its answer to an earlier attempt on it.
      */
     FRESH
   }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
@@ -44,6 +44,18 @@
     assertThat(relay.sends(id).get(0).options().connection(), is(SendOptions.ConnectionUse.FRESH));
   }
 
+  // An endpoint may repeat a refusal on its connection. A second attempt has the same request id,
+  // so
+  // the refusal would be taken for its answer, and the request would be sent a third time.
+  @Test
+  void secondAttemptUsesNewConnection() {
+    relay.list(relay.plain("a"), relay.plain("b"));
+    RelayRequestId id = relay.request("read");
+    relay.notRun(id, 1);
+    assertThat(relay.sends(id).get(0).options().connection(), is(SendOptions.ConnectionUse.ANY));
+    assertThat(relay.sends(id).get(1).options().connection(), is(SendOptions.ConnectionUse.FRESH));
+  }
+
   // A 503 states that the request did not run, and its Retry-After tells when to retry.
   @Test
   void refusedCallGetsRetryAfter() {
--- a/relay/src/main/java/io/zinniawood/relay/HeaderCodec.java
+++ b/relay/src/main/java/io/zinniawood/relay/HeaderCodec.java
@@ -24,6 +24,6 @@
   /** Decodes the properties of an endpoint's answer that the relay decides on. */
   AnswerSummary summarize(HttpResponse head);
 
-  /** Returns whether an answer carries the id of another request. */
-  boolean belongsToOtherRequest(HttpResponse answer, CallerRequest request);
+  /** Returns which request an answer belongs to, given the request that waits for one. */
+  AnsweredRequest answeredRequest(HttpResponse answer, CallerRequest request);
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.relay.AnsweredRequest;
 
 /**
  * Connection to one endpoint; carries one request at a time. Skips answers that carry the id of
@@ -24,6 +25,11 @@
   private final EndpointConnectionPool connections;
   private final BufferedAnswers buffered;
   private EndpointExchange exchange;
+
+  /** Whether the connection carried a request before the present one. */
+  private boolean carriedEarlierRequest;
+
+  private boolean used;
   private HttpResponse head;
   private ByteBuf content;
   private boolean skipping;
@@ -40,6 +46,8 @@
 
   /** Assigns the connection to an attempt. */
   void beginExchange(EndpointExchange begun) {
+    carriedEarlierRequest = used;
+    used = true;
     exchange = begun;
     head = null;
     skipping = false;
@@ -76,12 +84,18 @@
       fail(context, AttemptFailureCause.INVALID_ANSWER);
       return;
     }
+    AnsweredRequest answered = listener.answeredRequest(exchange, response);
     skipping =
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            || listener.belongsToOtherRequest(exchange, response);
+            || answered == AnsweredRequest.OTHER;
     if (skipping) {
       return;
     }
+    // It may be an answer to an earlier request once more, so it proves nothing about this one.
+    if (answered == AnsweredRequest.UNIDENTIFIED && carriedEarlierRequest) {
+      fail(context, AttemptFailureCause.INVALID_ANSWER);
+      return;
+    }
     head = response;
     boolean framed =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
@@ -3,11 +3,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.relay.AnsweredRequest;
 
 /** Receives the events of attempts on connections to endpoints. */
 public interface EndpointListener {
-  /** Returns whether an answer belongs to another request and must be skipped. */
-  boolean belongsToOtherRequest(EndpointExchange exchange, HttpResponse head);
+  /** Returns which request an answer belongs to; answers to other requests are skipped. */
+  AnsweredRequest answeredRequest(EndpointExchange exchange, HttpResponse head);
 
   /** The head of a stream was received; its content follows. */
   void streamStarted(EndpointExchange exchange, HttpResponse head);
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -15,6 +15,7 @@
 import io.zinniawood.core.relay.RelayState;
 import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.core.runtime.Step;
+import io.zinniawood.relay.AnsweredRequest;
 import io.zinniawood.relay.HeaderCodec;
 import io.zinniawood.relay.PlatformClient;
 import java.util.ArrayDeque;
@@ -185,8 +186,8 @@
   // Connections to endpoints.
 
   @Override
-  public boolean belongsToOtherRequest(EndpointExchange exchange, HttpResponse head) {
-    return codec.belongsToOtherRequest(head, exchange.callerExchange().request());
+  public AnsweredRequest answeredRequest(EndpointExchange exchange, HttpResponse head) {
+    return codec.answeredRequest(head, exchange.callerExchange().request());
   }
 
   @Override
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.model.NodeAddress;
@@ -29,7 +28,7 @@
   private static final long ENDLESS_BYTES = 8 * 1024 * 1024;
 
   private final BufferedAnswers buffered = new BufferedAnswers(MAX_TOTAL_BYTES, MAX_ANSWER_BYTES);
-  private final FakeListener listener = new FakeListener();
+  private final FakeEndpointListener listener = new FakeEndpointListener();
 
   private EmbeddedChannel connection() {
     EndpointHandler handler =
@@ -125,35 +124,4 @@
     }
     assertThat(sent, lessThanOrEqualTo((long) MAX_ANSWER_BYTES));
   }
-
-  private static final class FakeListener implements EndpointListener {
-    final List<AttemptFailureCause> failures = new ArrayList<>();
-
-    @Override
-    public boolean belongsToOtherRequest(EndpointExchange exchange, HttpResponse head) {
-      return false;
-    }
-
-    @Override
-    public void streamStarted(EndpointExchange exchange, HttpResponse head) {}
-
-    @Override
-    public void streamContentReceived(EndpointExchange exchange, ByteBuf content) {}
-
-    @Override
-    public void streamReadComplete(EndpointExchange exchange) {}
-
-    @Override
-    public void streamCompleted(EndpointExchange exchange) {}
-
-    @Override
-    public void answerReceived(EndpointExchange exchange, HttpResponse head, ByteBuf content) {
-      content.release();
-    }
-
-    @Override
-    public void attemptFailed(EndpointExchange exchange, AttemptFailureCause cause) {
-      failures.add(cause);
-    }
-  }
 }
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -0,0 +1,55 @@
+package io.zinniawood.relay.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.relay.AnsweredRequest;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Records what a connection to an endpoint reports; the waiting request has the id {@code own}. */
+final class FakeEndpointListener implements EndpointListener {
+  static final String ID_HEADER = "Request-Id";
+  static final String OWN_ID = "own";
+
+  final List<AttemptFailureCause> failures = new ArrayList<>();
+  final List<Integer> answers = new ArrayList<>();
+  final List<Integer> streams = new ArrayList<>();
+  int completedStreams;
+
+  @Override
+  public AnsweredRequest answeredRequest(EndpointExchange exchange, HttpResponse head) {
+    String id = head.headers().get(ID_HEADER);
+    if (id == null) {
+      return AnsweredRequest.UNIDENTIFIED;
+    }
+    return OWN_ID.equals(id) ? AnsweredRequest.OWN : AnsweredRequest.OTHER;
+  }
+
+  @Override
+  public void streamStarted(EndpointExchange exchange, HttpResponse head) {
+    streams.add(head.status().code());
+  }
+
+  @Override
+  public void streamContentReceived(EndpointExchange exchange, ByteBuf content) {}
+
+  @Override
+  public void streamReadComplete(EndpointExchange exchange) {}
+
+  @Override
+  public void streamCompleted(EndpointExchange exchange) {
+    completedStreams++;
+  }
+
+  @Override
+  public void answerReceived(EndpointExchange exchange, HttpResponse head, ByteBuf content) {
+    answers.add(head.status().code());
+    content.release();
+  }
+
+  @Override
+  public void attemptFailed(EndpointExchange exchange, AttemptFailureCause cause) {
+    failures.add(cause);
+  }
+}
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -0,0 +1,87 @@
+package io.zinniawood.relay.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.core.relay.SendOptions;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Plays endpoints that repeat answers or break off within an answer. */
+final class FaultyAnswerTest {
+  private static final String REFUSAL = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n";
+  private static final String ID = FakeEndpointListener.ID_HEADER + ": ";
+
+  private final FakeEndpointListener listener = new FakeEndpointListener();
+  private final EndpointHandler handler =
+      new EndpointHandler(
+          listener,
+          new EndpointConnectionPool(null, listener),
+          new BufferedAnswers(1024 * 1024, 64 * 1024));
+  private final EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), handler);
+
+  private void beginExchange(boolean streaming) {
+    handler.beginExchange(
+        new EndpointExchange(
+            null,
+            1,
+            new NodeAddress("10.0.0.1", 80),
+            new SendOptions(
+                new EndpointId("e"),
+                1_000,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                SendOptions.ConnectionUse.ANY,
+                streaming)));
+  }
+
+  private void receive(String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+  }
+
+  private void answerOneRequest() {
+    beginExchange(false);
+    receive(REFUSAL + ID + FakeEndpointListener.OWN_ID + "\r\n\r\n");
+    assertThat(listener.answers, is(List.of(503)));
+    listener.answers.clear();
+  }
+
+  // Guards against telling a caller "not run" because an earlier refusal was written once more.
+  @Test
+  void repeatedRefusalOfEarlierRequestIsSkipped() {
+    answerOneRequest();
+    beginExchange(false);
+    receive(REFUSAL + ID + "earlier\r\n\r\n");
+    assertThat(listener.answers, empty());
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + ID + "own\r\n\r\n");
+    assertThat(listener.answers, is(List.of(200)));
+  }
+
+  // Guards against the same where the refusal does not say which request it belongs to.
+  @Test
+  void refusalWithoutIdOnKeptConnectionProvesNothing() {
+    answerOneRequest();
+    beginExchange(false);
+    receive(REFUSAL + "\r\n");
+    assertThat(listener.answers, empty());
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+    assertThat(channel.isActive(), is(false));
+  }
+
+  @Test
+  void refusalWithoutIdOnNewConnectionCounts() {
+    beginExchange(false);
+    receive(REFUSAL + "\r\n");
+    assertThat(listener.answers, is(List.of(503)));
+  }
+}
