Continue a stream only with a stream

Report of other operators: a stream broke off, the next replica answered with an error, and callers found its text in the middle of their stream, or the stream ended as if it were complete.

An error status could not get there: it is retried or the answer is aborted. A signed 200 that is no event stream could: it was written whole into the open stream of the caller. Such an answer now counts as a failed attempt.

RelayTest plays both with 200, 404 and 500.

--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.zinniawood.cli.local.Ports;
 import io.zinniawood.core.model.NodeAddress;
@@ -20,6 +21,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -27,6 +29,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests a relay process with stand-ins for the store and the endpoints in this JVM. */
 final class RelayTest {
@@ -149,6 +153,18 @@
         });
   }
 
+  // Guards against the text of an error in the middle of a stream, and against a broken stream that
+  // looks complete.
+  @ParameterizedTest
+  @ValueSource(ints = {200, 404, 500})
+  void answerThatIsNoStreamDoesNotContinueOne(int status) throws Exception {
+    awaitTrue(() -> post("/ask/x", "key").statusCode() == 200);
+    List<EndpointStandIn> endpoints = List.of(firstModelEndpoint, secondModelEndpoint);
+    endpoints.forEach(endpoint -> endpoint.breakStreamsAfter(10));
+    endpoints.forEach(endpoint -> endpoint.answerResumedStreamsWithText(status));
+    assertThrows(IOException.class, () -> post("/ask/x", "key"));
+  }
+
   // Guards against a retry of a non-idempotent call that an endpoint has run and answered with 500.
   @Test
   void failedNonIdempotentCallRunsOnceAndIsPassedOn() throws Exception {
--- a/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
@@ -39,6 +39,8 @@
   private volatile String layersJson = "";
   private volatile int breakAfterEvents = Integer.MAX_VALUE;
   private volatile boolean failPlainCalls;
+  private volatile boolean emptyStreams;
+  private volatile int resumeStatus;
   private volatile NodeAddress advertisedAddress;
 
   /**
@@ -106,6 +108,16 @@
     breakAfterEvents = events;
   }
 
+  /** Makes each stream end in good form before its first event. */
+  public void endStreamsWithoutEvents() {
+    emptyStreams = true;
+  }
+
+  /** Answers each resumed stream with a text that is no stream, with the given HTTP status. */
+  public void answerResumedStreamsWithText(int status) {
+    resumeStatus = status;
+  }
+
   /** Sets whether plain calls are answered with status 500 instead of 200. */
   public void setFailPlainCalls(boolean fail) {
     failPlainCalls = fail;
@@ -150,12 +162,12 @@
     exchange.getRequestBody().readAllBytes();
     String request = exchange.getRequestHeaders().getFirst("Attempt-Id");
     String path = exchange.getRequestHeaders().getFirst("Hops");
+    exchange.getResponseHeaders().set("Attempt-Id", request);
     if (!id.equals(exchange.getRequestHeaders().getFirst("Expect-Replica"))) {
       respond(exchange, 421, "{}");
       return;
     }
     runsByRequest.merge(request, 1, Integer::sum);
-    exchange.getResponseHeaders().set("Attempt-Id", request);
     exchange.getResponseHeaders().set("Replica-Signature", "signed-by-" + id);
     if (path == null) {
       respond(
@@ -170,10 +182,17 @@
 
   private void streamEvents(HttpExchange exchange) throws IOException {
     String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
+    if (last != null && resumeStatus != 0) {
+      respond(exchange, resumeStatus, "{\"error\":\"internal\"}");
+      return;
+    }
     int from = last == null ? 1 : Integer.parseInt(last) + 1;
     exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
     exchange.sendResponseHeaders(200, 0);
     try (OutputStream output = exchange.getResponseBody()) {
+      if (emptyStreams) {
+        return;
+      }
       for (int event = from; event <= STREAM_EVENTS; event++) {
         if (event - from >= breakAfterEvents) {
           output.write("id: 999\ndata: ha".getBytes(StandardCharsets.UTF_8));
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -251,6 +251,12 @@
     }
     // The connection is back in the pool, so a later cancel must not close it.
     exchange.channel(null);
+    if (exchange.callerExchange().headWritten() && codec.summarize(head).success()) {
+      // The caller has part of a stream, which only a stream can continue.
+      content.release();
+      attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
+      return;
+    }
     RelayRequestId id = exchange.callerExchange().id();
     pendingAnswers.put(id, new PendingAnswer(exchange.attempt(), head, content));
     post(new RelayEvent.AnswerReceived(id, exchange.attempt(), codec.summarize(head)));
