Treat a stream without any event as lost, and a cut head as a lost connection

Report of other operators: a replica stopped in the middle of its answer's head and closed, and callers got a 200 with an empty body.

A cut head did not reach callers here (tests for status line, headers and both framings); it is now a lost connection rather than an invalid answer, so that a crash at this moment counts as one. But a stream whose endpoint ended after the head and before its first event, in good form or without a length, was passed on as a complete empty answer. It is now run elsewhere.

RelayTest.streamWithoutEventsIsRunElsewhere plays it.

--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -165,6 +165,18 @@
     assertThrows(IOException.class, () -> post("/ask/x", "key"));
   }
 
+  // Guards against an empty answer that looks complete when an endpoint ends before it has written.
+  @Test
+  void streamWithoutEventsIsRunElsewhere() throws Exception {
+    awaitTrue(() -> post("/ask/x", "key").statusCode() == 200);
+    firstModelEndpoint.endStreamsWithoutEvents();
+    awaitTrue(
+        () -> {
+          assertThat(post("/ask/x", "key").body(), is(allEvents()));
+          return firstModelEndpoint.executedPaths().size() > 1;
+        });
+  }
+
   // Guards against a retry of a non-idempotent call that an endpoint has run and answered with 500.
   @Test
   void failedNonIdempotentCallRunsOnceAndIsPassedOn() throws Exception {
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
@@ -81,7 +82,10 @@
 
   private void handleHead(ChannelHandlerContext context, HttpResponse response) {
     if (response.decoderResult().isFailure()) {
-      fail(context, AttemptFailureCause.INVALID_ANSWER);
+      boolean closed = response.decoderResult().cause() instanceof PrematureChannelClosureException;
+      fail(
+          context,
+          closed ? AttemptFailureCause.CONNECTION_LOST : AttemptFailureCause.INVALID_ANSWER);
       return;
     }
     AnsweredRequest answered = listener.answeredRequest(exchange, response);
--- a/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
@@ -21,6 +21,7 @@
 
   private final ByteBuf pending = Unpooled.buffer();
   private long lastId;
+  private boolean anyEvent;
   private int scanIndex;
 
   /**
@@ -30,6 +31,7 @@
    */
   public EventStreamSplitter(long lastId) {
     this.lastId = lastId;
+    this.anyEvent = lastId > 0;
   }
 
   /** Returns the id of the last event that was relayed or that the caller already had. */
@@ -37,6 +39,11 @@
     return lastId;
   }
 
+  /** Returns whether the caller received at least one event, from this or an earlier response. */
+  public boolean anyEvent() {
+    return anyEvent;
+  }
+
   /** Returns whether the buffer holds part of an event. */
   public boolean hasPartialEvent() {
     return pending.isReadable();
@@ -79,6 +86,7 @@
     if (id >= 0) {
       lastId = id;
     }
+    anyEvent = true;
     events.accept(Unpooled.copiedBuffer(event));
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -231,8 +231,9 @@
     if (exchange.ended() || !caller.headWritten()) {
       return;
     }
-    // An endpoint that fails within an event may still terminate the HTTP response correctly.
-    if (caller.splitter().hasPartialEvent()) {
+    // An endpoint that fails within an event or before the first one may still terminate the HTTP
+    // response correctly.
+    if (caller.splitter().hasPartialEvent() || !caller.splitter().anyEvent()) {
       attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
       return;
     }
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -84,4 +84,41 @@
     receive(REFUSAL + "\r\n");
     assertThat(listener.answers, is(List.of(503)));
   }
+
+  // Guards against a 200 with an empty body when the endpoint closes within the head.
+  @Test
+  void answerThatEndsWithinItsHeadIsLost() {
+    for (String head :
+        List.of(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + ID + "own\r\nX-Cut: ab",
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+            "HTTP/1.1 200 OK\r\n" + ID + "own\r\n",
+            "HTTP/1.1 20")) {
+      for (boolean streaming : List.of(true, false)) {
+        FaultyAnswerTest fresh = new FaultyAnswerTest();
+        fresh.beginExchange(streaming);
+        fresh.receive(head);
+        fresh.channel.close();
+        assertThat(head, fresh.listener.failures, is(List.of(AttemptFailureCause.CONNECTION_LOST)));
+        assertThat(head, fresh.listener.answers, empty());
+        assertThat(head, fresh.listener.streams, empty());
+      }
+    }
+  }
+
+  @Test
+  void answerThatEndsWithinItsBodyIsLost() {
+    for (String answer :
+        List.of(
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + ID + "own\r\n\r\nab",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + ID + "own\r\n\r\n5\r\nabcde\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + ID + "own\r\n\r\n0\r\n")) {
+      FaultyAnswerTest fresh = new FaultyAnswerTest();
+      fresh.beginExchange(false);
+      fresh.receive(answer);
+      fresh.channel.close();
+      assertThat(answer, fresh.listener.failures, is(List.of(AttemptFailureCause.CONNECTION_LOST)));
+      assertThat(answer, fresh.listener.answers, empty());
+    }
+  }
 }
