--- a/core/src/main/java/io/zinniawood/core/quarantine/HeldPart.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/HeldPart.java
@@ -4,14 +4,11 @@
 
 /** Mutable state of a part that is held back. */
 final class HeldPart {
-  /** Time until the first trial while only two crashes speak against the part. */
-  private static final long SUSPECTED_HOLD_NANOS = TimeUnit.SECONDS.toNanos(10);
-
-  /** Time until the next trial of a part that crashed three endpoints; doubles with each trial. */
-  private static final long CONFIRMED_HOLD_NANOS = TimeUnit.SECONDS.toNanos(30);
-
-  /** Number of crashes from which the part counts as confirmed. */
-  private static final int CONFIRMED_CRASHES = 3;
+  /**
+   * Time until the first trial; doubles with each trial that fails. A trial of a part that crashes
+   * endpoints breaks all streams of one endpoint.
+   */
+  private static final long FIRST_HOLD_NANOS = TimeUnit.SECONDS.toNanos(30);
 
   /** Maximum number of doublings: a trial about every eight minutes. */
   private static final int MAX_DOUBLINGS = 4;
@@ -68,9 +65,6 @@
 
   /** Returns the time from which a single request may be sent to try the part again. */
   long trialNanos() {
-    if (crashes < CONFIRMED_CRASHES) {
-      return lastCrashNanos + SUSPECTED_HOLD_NANOS;
-    }
-    return lastCrashNanos + (CONFIRMED_HOLD_NANOS << Math.min(failedTrials, MAX_DOUBLINGS));
+    return lastCrashNanos + (FIRST_HOLD_NANOS << Math.min(failedTrials, MAX_DOUBLINGS));
   }
 }
