Do not carry a request of the entry on to endpoint after endpoint that it ends

Nothing showed it in use; the test ends nine of nine endpoints before this change.

A request whose endpoints were lost as often as it may be attempted, without a token in between, now fails with outcome unknown. Losses within 100 ms count once, so the loss of a rack does not end requests. The entry does not learn across requests yet, as the relay does.

--- a/core/src/main/java/io/zinniawood/core/entry/DeliveryProgress.java
+++ b/core/src/main/java/io/zinniawood/core/entry/DeliveryProgress.java
@@ -3,6 +3,7 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import io.zinniawood.core.id.Epoch;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Tokens that were delivered to the caller, and the times of a session's progress.
@@ -16,6 +17,9 @@
  * @param tokenEpoch epoch of the last token, 0 before the first one
  * @param probedPositionSum sum of the stages' next positions when they were last probed
  * @param slowestGapNanos longest time between two tokens in nanoseconds
+ * @param lossesSinceToken number of times that endpoints of the session were lost since the last
+ *     token
+ * @param lastLossNanos monotonic time of the last of these losses in nanoseconds
  */
 record DeliveryProgress(
     Vector<String> tokenTexts,
@@ -25,10 +29,14 @@
     long lastProgressNanos,
     long tokenEpoch,
     int probedPositionSum,
-    long slowestGapNanos) {
+    long slowestGapNanos,
+    int lossesSinceToken,
+    long lastLossNanos) {
+  /** Time within which several lost endpoints count as one loss, as of a rack or a network. */
+  private static final long SAME_LOSS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   static DeliveryProgress initial(long nowNanos) {
-    return new DeliveryProgress(Vector.empty(), nowNanos, 0, nowNanos, nowNanos, 0, 0, 0);
+    return new DeliveryProgress(Vector.empty(), nowNanos, 0, nowNanos, nowNanos, 0, 0, 0, 0, 0);
   }
 
   /** Returns the position of the next token. */
@@ -47,7 +55,9 @@
         nowNanos,
         epoch.value(),
         probedPositionSum,
-        first ? 0 : Math.max(slowestGapNanos, nowNanos - lastTokenNanos));
+        first ? 0 : Math.max(slowestGapNanos, nowNanos - lastTokenNanos),
+        0,
+        0);
   }
 
   /** Returns this progress with the time of progress other than a token. */
@@ -60,7 +70,9 @@
         nowNanos,
         tokenEpoch,
         probedPositionSum,
-        slowestGapNanos);
+        slowestGapNanos,
+        lossesSinceToken,
+        lastLossNanos);
   }
 
   /** Returns this progress with the sum of the stages' next positions that a probe found. */
@@ -73,7 +85,25 @@
         lastProgressNanos,
         tokenEpoch,
         changed,
-        slowestGapNanos);
+        slowestGapNanos,
+        lossesSinceToken,
+        lastLossNanos);
+  }
+
+  /** Returns this progress after endpoints of the session were lost. */
+  DeliveryProgress withLoss(long nowNanos) {
+    boolean sameLoss = lossesSinceToken > 0 && nowNanos - lastLossNanos < SAME_LOSS_NANOS;
+    return new DeliveryProgress(
+        tokenTexts,
+        arrivedNanos,
+        firstTokenNanos,
+        lastTokenNanos,
+        lastProgressNanos,
+        tokenEpoch,
+        probedPositionSum,
+        slowestGapNanos,
+        sameLoss ? lossesSinceToken : lossesSinceToken + 1,
+        sameLoss ? lastLossNanos : nowNanos);
   }
 
   Option<Long> timeToFirstTokenNanos() {
--- a/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionRecovery.java
@@ -65,6 +65,44 @@
     if (restartOrFailIfExhausted(turn, session)) {
       return;
     }
+    Session counted = countLoss(turn, session, lost);
+    if (failIfLostTooOften(turn, counted)) {
+      return;
+    }
+    replaceStages(turn, counted, lost, state);
+  }
+
+  /** Counts the loss of stages that had work and whose endpoints are gone. */
+  private static Session countLoss(Turn turn, Session session, Set<Integer> lost) {
+    if (!session.inputSent() || disconnected(turn, session).intersect(lost).isEmpty()) {
+      return session;
+    }
+    Session counted = session.withProgress(session.progress().withLoss(turn.nowNanos()));
+    turn.putSession(counted);
+    return counted;
+  }
+
+  /**
+   * Fails a request whose endpoints were lost as often as it may be attempted, without a token in
+   * between; returns whether it did. The request may be the cause, and must not be carried on to
+   * further endpoints.
+   */
+  private static boolean failIfLostTooOften(Turn turn, Session session) {
+    int losses = session.progress().lossesSinceToken();
+    if (losses < turn.cluster().retries().maxAttempts()) {
+      return false;
+    }
+    StageSessions.close(turn, session);
+    RequestCompletion.failModel(
+        turn,
+        session,
+        failureProblem(
+            session, "endpoints were lost %d times before the next token".formatted(losses)));
+    return true;
+  }
+
+  private static void replaceStages(
+      Turn turn, Session session, Set<Integer> lost, ReplacedStageState state) {
     if (lost.isEmpty()) {
       openNextEpoch(turn, session, session.chain(), SessionPhase.OPENING, HashSet.empty());
       return;
--- a/core/src/test/java/io/zinniawood/core/entry/ModelRequestTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/ModelRequestTest.java
@@ -151,6 +151,27 @@
     world.invariants.checkFinalState();
   }
 
+  // Guards against one request that ends every endpoint that begins to work on it.
+  @Test
+  void requestThatLosesItsEndpointsAgainAndAgainIsNotCarriedOn() {
+    World world = World.small();
+    for (int number = 3; number <= 9; number++) {
+      world.add("a" + number, Fixtures.stageCapability(0, 4, 100));
+    }
+    world.start();
+    world.agents.values().forEach(agent -> agent.stepMillis = 400);
+    world.reduce(Fixtures.modelRequest("m", world.deadline(20_000)));
+    int crashes = 0;
+    world.run(300);
+    while (world.effects(EntryEffect.ReplyProblem.class).isEmpty() && crashes < 9) {
+      world.crash(busyEndpoint(world, "a"));
+      crashes++;
+      world.run(300);
+    }
+    assertThat(crashes, equalTo(Fixtures.retryPolicy(1_000).maxAttempts()));
+    assertThat(world.problem("m").outcome(), equalTo(Outcome.UNKNOWN));
+  }
+
   // Guards against a cost per token that grows with the size of the state.
   @Test
   void tokenChangesOneSessionAndSharesEverythingElse() {
@@ -201,7 +222,8 @@
 
   private static String busyEndpoint(World world, String prefix) {
     return world.agents.values().stream()
-        .filter(agent -> agent.endpoint.value().startsWith(prefix) && !agent.sessions.isEmpty())
+        .filter(agent -> agent.endpoint.value().startsWith(prefix))
+        .filter(agent -> agent.running && !agent.sessions.isEmpty())
         .findFirst()
         .orElseThrow()
         .endpoint
