--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
@@ -6,14 +6,23 @@
 
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.quarantine.HeldPartNotice;
+import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Tests what a relay learns from endpoints that crash as they begin to answer. */
 final class RelayCrashesTest {
   private static final int ENDPOINTS = 12;
+  private static final VmId PEER = new VmId("relay-0");
+  private static final NodeAddress PEER_ADDRESS = new NodeAddress("10.0.1.9", 7_340);
 
   private final RelayHarness relay = new RelayHarness();
 
@@ -24,6 +33,9 @@
       endpoints.add(relay.model("e" + number, 0, RelayHarness.LAYERS));
     }
     relay.list(endpoints.toArray(FleetEndpoint[]::new));
+    relay.post(
+        new RelayEvent.PresencesRead(Map.of(PEER, new PresenceRow(7, Optional.of(PEER_ADDRESS)))));
+    relay.advanceMillis(10);
   }
 
   /** Ends the endpoint of the request's last send, as its engine does when it begins to write. */
@@ -74,4 +86,76 @@
     }
     assertThat(relay.sends(relay.stream("opening", "other")), hasSize(1));
   }
+
+  private EndpointId loseConnection(RelayRequestId id) {
+    RelayEffect.Send send = relay.sends(id).get(0);
+    relay.advanceMillis(100);
+    relay.attemptFailed(id, send.attempt(), AttemptFailureCause.CONNECTION_LOST);
+    return send.options().expectedEndpoint();
+  }
+
+  // A connection that was reset is no crash: the request goes on at once, and its part is not
+  // suspected.
+  @Test
+  void lostConnectionToEndpointThatReportsIsNoCrash() {
+    for (int loss = 0; loss < 4; loss++) {
+      RelayRequestId id = relay.stream("opening-" + loss, "sound");
+      EndpointId endpoint = loseConnection(id);
+      relay.post(new RelayEvent.ReportRead(endpoint, new EndpointReport(0, 1, 1, List.of())));
+      relay.advanceMillis(50);
+      assertThat(relay.sends(id), hasSize(2));
+    }
+    assertThat(relay.state().heldPromptParts(), is(0));
+  }
+
+  // A report that shows a new start of the process proves the crash, although it is an answer.
+  @Test
+  void endpointThatHasStartedAgainHasCrashed() {
+    for (int crash = 0; crash < 2; crash++) {
+      EndpointId endpoint = loseConnection(relay.stream("opening-" + crash, "deadly"));
+      relay.post(new RelayEvent.ReportRead(endpoint, new EndpointReport(0, 2, 1, List.of())));
+      relay.advanceMillis(300);
+    }
+    assertThat(relay.state().heldPromptParts(), is(1));
+  }
+
+  // A request that may have crashed its endpoint must not be sent to the next one at once; it is
+  // sent as soon as another request shows that its parts are sound.
+  @Test
+  void requestCutByCrashWaitsUntilItsPartsAreSound() {
+    RelayRequestId id = relay.stream("opening");
+    relay.post(new RelayEvent.ReportMissing(loseConnection(id)));
+    relay.advanceMillis(300);
+    assertThat(relay.sends(id), hasSize(1));
+    answerSoundStream("opening");
+    relay.advanceMillis(50);
+    assertThat(relay.sends(id), hasSize(2));
+  }
+
+  // Requests that other relays take for the cause must be refused here as well.
+  @Test
+  void partThatAnotherRelayHoldsIsNotSent() {
+    receive(held());
+    assertThat(relay.sends(relay.stream("opening", "deadly")), hasSize(0));
+  }
+
+  // Ages in a message that waited while the process was paused are wrong.
+  @Test
+  void noticeThatWaitedDuringPauseIsIgnored() {
+    relay.pauseMillis(5_000);
+    receive(held());
+    assertThat(relay.state().heldPromptParts(), is(0));
+  }
+
+  private static QuarantineNotice held() {
+    return new QuarantineNotice(
+        List.of(new HeldPartNotice(new PromptPartId("deadly"), 2, 0, 500)), List.of(), List.of());
+  }
+
+  private void receive(QuarantineNotice notice) {
+    relay.post(
+        new RelayEvent.PeerMessageReceived(
+            new PeerMessage(PEER, true, 1, 0, Optional.empty(), Optional.empty(), notice),
+            PEER_ADDRESS));
+  }
 }
--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -2,17 +2,20 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.zinniawood.cli.local.Ports;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.dist.users.EndpointStandIn;
 import io.zinniawood.dist.users.RoutesDocument;
 import io.zinniawood.dist.users.StoreStandIn;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -162,7 +165,48 @@
     List<EndpointStandIn> endpoints = List.of(firstModelEndpoint, secondModelEndpoint);
     endpoints.forEach(endpoint -> endpoint.breakStreamsAfter(10));
     endpoints.forEach(endpoint -> endpoint.answerResumedStreamsWithText(status));
-    assertThrows(IOException.class, () -> post("/ask/x", "key"));
+    String received = bytesOfStream();
+    assertThat(received, containsString("token 10"));
+    assertThat(received.split("HTTP/1.1", -1).length, is(2));
+    assertThat(received, not(containsString("internal")));
+    assertThat(received, not(endsWith("\r\n0\r\n\r\n")));
+  }
+
+  /** Returns all bytes that a caller receives for a stream until its connection is closed. */
+  private String bytesOfStream() throws IOException {
+    try (Socket socket = new Socket(callersAddress.host(), callersAddress.port())) {
+      String request =
+          """
+          POST /ask/x HTTP/1.1
+          Host: %s
+          Attempt-Id: request-%d
+          Authorization: Token key
+          Deadline-Ms: 10000
+          Token-Counts: 100,40
+          Content-Length: 0
+          Connection: close
+
+          """
+              .formatted(callersAddress, requestCount.incrementAndGet());
+      socket
+          .getOutputStream()
+          .write(request.replace("\n", "\r\n").getBytes(StandardCharsets.US_ASCII));
+      return new String(readUntilClosed(socket), StandardCharsets.US_ASCII);
+    }
+  }
+
+  private static byte[] readUntilClosed(Socket socket) throws IOException {
+    ByteArrayOutputStream received = new ByteArrayOutputStream();
+    byte[] buffer = new byte[8_192];
+    try {
+      int length;
+      while ((length = socket.getInputStream().read(buffer)) >= 0) {
+        received.write(buffer, 0, length);
+      }
+    } catch (SocketException reset) {
+      // An aborted stream may end with a reset.
+    }
+    return received.toByteArray();
   }
 
   // Guards against an empty answer that looks complete when an endpoint ends before it has written.
