--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -46,24 +46,21 @@
   }
 
   private static PeerMessage message(SharedRead read) {
-    return new PeerMessage(
-        new VmId("front-helsinki-a-1"),
-        true,
-        17,
-        350,
-        Optional.of(new LeaseNotice(new FencingNumber(3), 40, 99)),
-        Optional.of(read),
-        QuarantineNotice.EMPTY);
+    return message(Optional.of(read), QuarantineNotice.EMPTY);
   }
 
   private static PeerMessage message(QuarantineNotice quarantine) {
+    return message(Optional.empty(), quarantine);
+  }
+
+  private static PeerMessage message(Optional<SharedRead> read, QuarantineNotice quarantine) {
     return new PeerMessage(
         new VmId("front-helsinki-a-1"),
         true,
         17,
         350,
         Optional.of(new LeaseNotice(new FencingNumber(3), 40, 99)),
-        Optional.empty(),
+        read,
         quarantine);
   }
 
