Do not take endpoints that fall silent one after the other for crashes

What callers would see: a relay that is cut off from the endpoints holds sound parts, and tells the others so, which hold rare parts for 30 s. Cause: each endpoint without a report counted as a crash of its own, and a request that goes from one silent endpoint to the next looks like their cause.

A silent endpoint counts only if no other one fell silent in the last three seconds. Crashes that close connections count as before.

--- a/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
@@ -21,6 +21,9 @@
   /** Time after which a lost connection is dropped as evidence if no report was decided. */
   private static final long UNDECIDED_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+  /** Time within which endpoints that fall silent one after the other have a common cause. */
+  private static final long COMMON_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
+
   /** Time for the messages of the other relays about the same crash to arrive. */
   private static final long PEER_MESSAGES_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
@@ -96,6 +99,9 @@
   static void confirmed(RelayTurn turn, TrackedEndpoint endpoint) {
     PendingCrash pending = turn.state.pendingCrashes.remove(endpoint.id());
     if (pending == null || overdue(turn, pending)) {
+      if (!onlySilentEndpoint(turn)) {
+        return;
+      }
       pending = new PendingCrash(crashId(endpoint), turn.nowNanos);
     }
     for (OpenRequest open : turn.state.open.values()) {
@@ -127,6 +133,20 @@
     PeerExchange.send(turn, Optional.empty());
   }
 
+  /**
+   * Records an endpoint that fell silent without closing its connections, and returns whether it is
+   * the only one lately. If several do, the network of this relay is the more likely cause.
+   */
+  private static boolean onlySilentEndpoint(RelayTurn turn) {
+    RelayState state = turn.state;
+    boolean only =
+        !state.endpointFellSilent
+            || turn.nowNanos - state.lastSilentEndpointNanos >= COMMON_SILENCE_NANOS;
+    state.endpointFellSilent = true;
+    state.lastSilentEndpointNanos = turn.nowNanos;
+    return only;
+  }
+
   /** Drops lost connections for which no report was decided, as after a pause of this process. */
   static void tick(RelayTurn turn) {
     turn.state.pendingCrashes.values().removeIf(pending -> overdue(turn, pending));
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -31,6 +31,9 @@
   final StoreReadTimes routeReads = new StoreReadTimes();
   LeaseView lease = LeaseView.unknown();
 
+  boolean endpointFellSilent;
+  long lastSilentEndpointNanos;
+
   /** Time of the last tick; 0 before the first tick. */
   long lastTickNanos;
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
@@ -132,6 +132,22 @@
     assertThat(relay.sends(id), hasSize(2));
   }
 
+  // A relay that is cut off finds one endpoint after another silent. Its requests are not the
+  // cause,
+  // and the other relays must not be told so.
+  @Test
+  void endpointsThatFallSilentTogetherAreNoEvidence() {
+    for (int round = 0; round < 6; round++) {
+      RelayRequestId id = relay.stream("opening");
+      relay.advanceMillis(300);
+      List<RelayEffect.Send> sends = relay.sends(id);
+      assertThat("sends in round " + round, sends.isEmpty(), is(false));
+      relay.post(
+          new RelayEvent.ReportMissing(sends.get(sends.size() - 1).options().expectedEndpoint()));
+    }
+    assertThat(relay.state().heldPromptParts(), is(0));
+  }
+
   // Requests that other relays take for the cause must be refused here as well.
   @Test
   void partThatAnotherRelayHoldsIsNotSent() {
