Report each close of a caller's connection that may lose an answer

Most of the places where the relay closes a caller's connection wrote no line, so that the hypotheses could not be told apart.

Exceptions in a decision write decision-failed with the type of the event, the exception and its place. A request whose caller leaves before the decision, while the event loop is late, now has a request-ended line like all others. Ordinary closes by the caller write none. No decision is changed.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -23,10 +23,12 @@
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.relay.LocalAnswer;
 import io.zinniawood.relay.HopByHopHeaders;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Connection of one caller. Serves one request at a time and queues pipelined requests. The {@link
@@ -81,19 +83,38 @@
       rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (nowNanos - lastActivityNanos >= idleNanos) {
       if (head == null) {
-        closing = true;
-        context.close();
+        close(ConnectionClose.Reason.IDLE_TIMEOUT, "");
       } else {
         rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
       }
     }
   }
 
+  private void close(ConnectionClose.Reason reason, String detail) {
+    report(reason, detail);
+    closing = true;
+    context.close();
+  }
+
+  private void report(ConnectionClose.Reason reason, String detail) {
+    listener.connectionClosed(
+        new ConnectionClose(
+            reason,
+            exchange != null,
+            head != null || headStarted,
+            queuedRequests(),
+            TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastActivityNanos),
+            detail));
+  }
+
+  private int queuedRequests() {
+    return (int) pipelined.stream().filter(HttpRequest.class::isInstance).count();
+  }
+
   /** Closes the connection unless a request is in progress or partly received. */
   public void closeIfIdle() {
     if (exchange == null && head == null && !headStarted && !closing) {
-      closing = true;
-      context.close();
+      close(ConnectionClose.Reason.DRAINING, "");
     }
   }
 
@@ -251,9 +272,8 @@
 
   /** Closes the connection so that the caller does not take a partial answer for complete. */
   public void abort() {
+    close(ConnectionClose.Reason.ANSWER_ABORTED, "");
     releaseExchange();
-    closing = true;
-    context.close();
   }
 
   /** Returns whether the outbound buffer has room for more bytes. */
@@ -273,6 +293,9 @@
     lastActivityNanos = System.nanoTime();
     // Draining may have started after a stream's head was sent with keep-alive.
     if (!keepAlive || listener.draining()) {
+      if (!pipelined.isEmpty()) {
+        report(ConnectionClose.Reason.CLOSE_ANNOUNCED, "");
+      }
       closing = true;
       context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
       return;
@@ -298,6 +321,7 @@
   }
 
   private void rejectAndClose(HttpResponseStatus status) {
+    report(ConnectionClose.Reason.REFUSED_EARLY, String.valueOf(status.code()));
     closing = true;
     dropPartialRequest();
     FullHttpResponse response =
@@ -324,6 +348,9 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext inactive) {
+    if (!closing && !pipelined.isEmpty()) {
+      report(ConnectionClose.Reason.CALLER_LEFT_QUEUE, "");
+    }
     closing = true;
     dropPartialRequest();
     pipelined.forEach(ReferenceCountUtil::release);
@@ -337,7 +364,11 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext caught, Throwable cause) {
-    // The caller reset the connection; channelInactive follows and reports it.
-    caught.close();
+    if (cause instanceof IOException || closing) {
+      // The caller reset the connection; channelInactive follows and ends its request.
+      caught.close();
+      return;
+    }
+    close(ConnectionClose.Reason.HANDLER_FAILED, cause.toString());
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
@@ -19,6 +19,9 @@
   /** The caller's connection was closed before the answer was complete. */
   void callerDisconnected(RelayRequestId id);
 
+  /** The relay closes a connection in a way that may leave its caller without an answer. */
+  void connectionClosed(ConnectionClose close);
+
   /** The outbound buffer of the caller's connection became writable or full. */
   void writabilityChanged(RelayRequestId id, boolean writable);
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -7,6 +7,8 @@
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
+import io.zinniawood.core.relay.Decision;
+import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.PeerMessage;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
@@ -115,17 +117,30 @@
     processingEvents = true;
     try {
       while (!pendingEvents.isEmpty()) {
-        Step<RelayState, RelayEffect> step =
-            reducer.reduce(state, System.nanoTime(), pendingEvents.pollFirst());
-        for (RelayEffect effect : step.effects()) {
-          effect.accept(this);
-        }
+        apply(pendingEvents.pollFirst());
       }
     } finally {
       processingEvents = false;
     }
   }
 
+  private void apply(RelayEvent event) {
+    try {
+      Step<RelayState, RelayEffect> step = reducer.reduce(state, System.nanoTime(), event);
+      for (RelayEffect effect : step.effects()) {
+        effect.accept(this);
+      }
+    } catch (RuntimeException failure) {
+      logFailure("decision-failed", event.getClass().getSimpleName(), failure);
+      throw failure;
+    }
+  }
+
+  private void logFailure(String event, String subject, RuntimeException failure) {
+    listener.decisionMade(
+        new RelayEffect.LogDecision(DecisionFailure.describe(event, subject, failure)));
+  }
+
   // Connections of callers.
 
   @Override
@@ -155,6 +170,8 @@
           () -> {
             if (callers.containsKey(exchange.id())) {
               post(arrived);
+            } else {
+              logAbandonedRequest(request);
             }
           },
           LATE_REQUEST_DELAY_MILLIS,
@@ -162,6 +179,19 @@
     }
   }
 
+  private void logAbandonedRequest(CallerRequest request) {
+    listener.decisionMade(
+        new RelayEffect.LogDecision(
+            Decision.of(
+                "request-ended",
+                "request",
+                request.id().map(Object::toString).orElse("-"),
+                "outcome",
+                "caller-left",
+                "reason",
+                "before-decision")));
+  }
+
   /** Posts a tick and records its time, by which a late event loop is detected. */
   public void tick() {
     lastTickNanos = System.nanoTime();
@@ -175,6 +205,11 @@
     post(new RelayEvent.CallerDisconnected(id));
   }
 
+  @Override
+  public void connectionClosed(ConnectionClose close) {
+    listener.decisionMade(new RelayEffect.LogDecision(close.toDecision()));
+  }
+
   @Override
   public void writabilityChanged(RelayRequestId id, boolean writable) {
     EndpointExchange exchange = attempts.get(id);
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
@@ -0,0 +1,122 @@
+package io.zinniawood.relay.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** Plays connections of callers byte by byte. */
+final class CallerConnectionTest {
+  private static final String REQUEST = "GET /first HTTP/1.1\r\nHost: host\r\n\r\n";
+  private static final String QUEUED = "GET /second HTTP/1.1\r\nHost: host\r\n\r\n";
+  private static final long LONG_IDLE_NANOS = TimeUnit.MINUTES.toNanos(2);
+
+  private final FakeCallerListener listener = new FakeCallerListener();
+  private final CallerHandler handler = new CallerHandler(listener);
+  private final EmbeddedChannel channel =
+      new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+
+  private static ByteBuf bytes(String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+  }
+
+  private void receive(String text) {
+    if (!text.isEmpty()) {
+      channel.writeInbound(bytes(text));
+    }
+  }
+
+  private String written() {
+    StringBuilder text = new StringBuilder();
+    for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+      text.append(part.toString(StandardCharsets.US_ASCII));
+      part.release();
+    }
+    return text.toString();
+  }
+
+  /** A connection's history and the close that must be reported for it. */
+  private record Case(
+      String received,
+      Consumer<CallerConnectionTest> end,
+      ConnectionClose.Reason reason,
+      boolean requestOpen,
+      boolean requestPartlyRead,
+      int queuedRequests) {}
+
+  private static List<Case> cases() {
+    return List.of(
+        new Case(
+            REQUEST,
+            test -> test.channel.pipeline().fireExceptionCaught(new IllegalStateException("x")),
+            ConnectionClose.Reason.HANDLER_FAILED,
+            true,
+            false,
+            0),
+        new Case(
+            REQUEST + QUEUED,
+            test -> test.channel.close(),
+            ConnectionClose.Reason.CALLER_LEFT_QUEUE,
+            true,
+            false,
+            1),
+        new Case(
+            REQUEST,
+            test -> test.handler.abort(),
+            ConnectionClose.Reason.ANSWER_ABORTED,
+            true,
+            false,
+            0),
+        new Case(
+            "GET /first HTTP/1.1\r\n",
+            test -> test.handler.checkTimeouts(System.nanoTime() + LONG_IDLE_NANOS),
+            ConnectionClose.Reason.REFUSED_EARLY,
+            false,
+            true,
+            0),
+        new Case(
+            "",
+            test -> test.handler.closeIfIdle(),
+            ConnectionClose.Reason.DRAINING,
+            false,
+            false,
+            0));
+  }
+
+  // Without a line, a request that got no answer cannot be told from one that never arrived.
+  @Test
+  void closesByTheRelayAreReportedWithWhatWasOpen() {
+    for (Case expected : cases()) {
+      CallerConnectionTest test = new CallerConnectionTest();
+      test.receive(expected.received());
+      expected.end().accept(test);
+      assertThat(test.listener.closes.size(), is(1));
+      ConnectionClose close = test.listener.closes.get(0);
+      assertThat(close.reason(), is(expected.reason()));
+      assertThat(close.requestOpen(), is(expected.requestOpen()));
+      assertThat(close.requestPartlyRead(), is(expected.requestPartlyRead()));
+      assertThat(close.queuedRequests(), is(expected.queuedRequests()));
+      assertThat(test.channel.isOpen(), is(false));
+    }
+  }
+
+  @Test
+  void closesByTheCallerAreNotReported() {
+    receive(REQUEST);
+    listener.answer();
+    assertThat(written().startsWith("HTTP/1.1 404"), is(true));
+    channel.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+    assertThat(channel.isOpen(), is(false));
+    assertThat(listener.closes, empty());
+  }
+}
