--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -75,7 +75,7 @@
         RequestLimits.DEFAULT);
   }
 
-  private static Route route(
+  static Route route(
       String name, RouteKind kind, ServiceName service, long timeoutMillis, int maxAttempts) {
     return new Route(
         name,
@@ -178,6 +178,17 @@
     }
   }
 
+  /** Advances the time and posts a single tick. */
+  void tickAfterMillis(long millis) {
+    pauseMillis(millis);
+    post(new RelayEvent.Tick());
+  }
+
+  /** Returns the effects from an index on, in order. */
+  List<RelayEffect> effectsFrom(int index) {
+    return effects.subList(index, effects.size());
+  }
+
   /** Advances the time without ticks, as if the process were paused. */
   void pauseMillis(long millis) {
     nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
