Give up an attempt at a silent endpoint only for a certain replacement

When the first endpoint of a path gave no report, and when a connection stalled, the relay cancelled the attempts of all streams there before it knew whether they could run elsewhere. The streams beyond the retry budget were broken off at once, and without free capacity all of them after the queue's limit.

With a second holder, as many streams move as the budget allows and the others go on.

An attempt whose connection stands is now ended only if the request may run again, a path without the silent endpoint exists, no evidence about a crash holds the request back, and the retry budget grants the repeat. Otherwise it goes on, and the monitor looks at it again in each tick while the endpoint is silent. A closed connection is handled as before.

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -143,6 +143,28 @@
     retryOrRefuse(turn, open, reason);
   }
 
+  /**
+   * Replaces the attempt of a request whose endpoint is silent, if another attempt can be sent at
+   * once and the retry budget allows it. Otherwise the attempt goes on, as a sound endpoint may be
+   * silent for a moment.
+   *
+   * @return whether the attempt was replaced
+   */
+  static boolean replace(RelayTurn turn, OpenRequest open, String reason) {
+    boolean replaceable =
+        mayRunAgain(turn, open)
+            && !CrashWatch.mustWait(turn, open)
+            && turn.state.quarantine.heldPart(open.request.sharedParts()).isEmpty()
+            && Dispatcher.replacementExists(turn, open)
+            && turn.state.retryBudget.tryAcquire(open.service, turn.nowNanos);
+    if (replaceable) {
+      open.target.ifPresent(open.excluded::add);
+      endAttempt(turn, open, reason);
+      WaitingQueue.dispatchOrEnqueue(turn, open);
+    }
+    return replaceable;
+  }
+
   private static void retryOrRefuse(RelayTurn turn, OpenRequest open, String reason) {
     boolean neverRan = open.possibleRuns == 0;
     boolean allowed =
--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -7,7 +7,9 @@
 import io.zinniawood.core.route.EngineProfile;
 import io.zinniawood.core.route.RouteKind;
 import io.zinniawood.core.route.RoutedService;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /** Sends a request to the endpoint or path with the lowest expected cost. */
 final class Dispatcher {
@@ -59,6 +61,27 @@
     return Result.SENT;
   }
 
+  /** Returns whether the request could be sent to another endpoint than its present one. */
+  static boolean replacementExists(RelayTurn turn, OpenRequest open) {
+    Set<EndpointId> excluded = new HashSet<>(open.excluded);
+    open.target.ifPresent(excluded::add);
+    Optional<EngineProfile> engine =
+        turn.state
+            .routes
+            .flatMap(routes -> routes.service(open.service))
+            .flatMap(RoutedService::engine);
+    // The present attempt would free its share of the endpoints that both paths contain.
+    EndpointUsage.pause(open);
+    boolean exists =
+        engine.isPresent()
+            ? new PathSelector(turn, engine.get(), open)
+                .best(excluded, open.expectedTokens)
+                .isPresent()
+            : new PlainEndpointSelector(turn, open.service).best(excluded).isPresent();
+    EndpointUsage.resume(open);
+    return exists;
+  }
+
   private static void send(RelayTurn turn, OpenRequest open, EndpointId target) {
     TrackedEndpoint endpoint = turn.state.fleet.find(target).orElseThrow();
     open.attempt++;
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointUsage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointUsage.java
@@ -25,6 +25,16 @@
     open.endpointsInUse = used;
   }
 
+  /** Leaves the current attempt out of the usage until {@link #resume}. */
+  static void pause(OpenRequest open) {
+    open.endpointsInUse.forEach(endpoint -> endpoint.requestEnded(open.expectedTokens));
+  }
+
+  /** Counts the current attempt again. */
+  static void resume(OpenRequest open) {
+    open.endpointsInUse.forEach(endpoint -> endpoint.requestStarted(open.expectedTokens));
+  }
+
   /** Releases the endpoints of the current attempt and clears its target and path. */
   static void end(OpenRequest open) {
     for (TrackedEndpoint endpoint : open.endpointsInUse) {
--- a/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
@@ -16,19 +16,20 @@
   /** Maximum path changes of one request. */
   private static final int MAX_REPATHS = 4;
 
+  /** Reason of an attempt's end: the endpoint that relays the answer gives no report. */
+  static final String FIRST_ENDPOINT_SILENT = "first-endpoint-silent";
+
   private PathRepair() {}
 
   /**
    * Reroutes every stream whose path contains the endpoint. If it is the first endpoint of the
-   * path, the request is retried instead, where its route allows that.
+   * path, the attempt is replaced instead, where that is possible.
    */
   static void rerouteAround(RelayTurn turn, EndpointId unresponsive) {
     for (OpenRequest open : new ArrayList<>(turn.state.open.values())) {
       if (open.path.isPresent() && open.path.get().contains(unresponsive)) {
         if (open.path.get().first().endpoint().equals(unresponsive)) {
-          if (open.route.retryable() && open.possibleRuns < open.route.maxAttempts()) {
-            AttemptOutcomes.retry(turn, open, "first-endpoint-silent");
-          }
+          AttemptOutcomes.replace(turn, open, FIRST_ENDPOINT_SILENT);
         } else {
           repath(turn, open, Set.of(unresponsive));
         }
--- a/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
@@ -1,8 +1,11 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.fleet.TrackedEndpoint;
+import io.zinniawood.core.id.ServiceName;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -30,6 +33,9 @@
   /** Weight of the newest gap in the moving average of a stream's gaps. */
   private static final double GAP_WEIGHT = 0.3;
 
+  /** Attempts of a service in one tick for which no replacement was found, before it stops. */
+  private static final int MAX_MISSES_PER_TICK = 2;
+
   private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
   private StreamMonitor() {}
@@ -67,6 +73,7 @@
     if (EndpointHealthChecks.catchingUp(turn)) {
       return;
     }
+    List<OpenRequest> silentEndpoints = new ArrayList<>();
     List<OpenRequest> stalledConnections = new ArrayList<>();
     for (OpenRequest open : turn.state.open.values()) {
       if (open.path.isEmpty()
@@ -76,13 +83,30 @@
       }
       List<TrackedEndpoint> suspects = endpointsWithoutProgress(open);
       EndpointHealthChecks.checkEndpoints(turn, suspects);
-      if (suspects.isEmpty() && millisSinceProgress(turn, open) >= STALLED_CONNECTION_MILLIS) {
+      if (firstEndpointSilent(turn, open)) {
+        silentEndpoints.add(open);
+      } else if (suspects.isEmpty()
+          && millisSinceProgress(turn, open) >= STALLED_CONNECTION_MILLIS) {
         stalledConnections.add(open);
       }
     }
-    for (OpenRequest open : stalledConnections) {
-      if (open.route.retryable() && open.possibleRuns < open.route.maxAttempts()) {
-        AttemptOutcomes.retry(turn, open, "silent-connection");
+    replaceAttempts(turn, silentEndpoints, PathRepair.FIRST_ENDPOINT_SILENT);
+    replaceAttempts(turn, stalledConnections, "silent-connection");
+  }
+
+  private static boolean firstEndpointSilent(RelayTurn turn, OpenRequest open) {
+    return open.target
+        .flatMap(turn.state.fleet::find)
+        .filter(endpoint -> endpoint.unresponsiveAt(turn.nowNanos))
+        .isPresent();
+  }
+
+  private static void replaceAttempts(RelayTurn turn, List<OpenRequest> stalled, String reason) {
+    Map<ServiceName, Integer> misses = new HashMap<>();
+    for (OpenRequest open : stalled) {
+      if (misses.getOrDefault(open.service, 0) < MAX_MISSES_PER_TICK
+          && !AttemptOutcomes.replace(turn, open, reason)) {
+        misses.merge(open.service, 1, Integer::sum);
       }
     }
   }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
@@ -97,6 +97,51 @@
     assertThat(relay.sends(id).get(1).options().resumeAfter(), is(41L));
   }
 
+  // A sound endpoint that is silent for a second would lose all streams that cannot run elsewhere.
+  @Test
+  void streamsAtSilentEndpointGoOnUnlessTheirReplacementIsCertain() {
+    int budget = 21;
+    for (boolean otherHolder : List.of(false, true)) {
+      RelayHarness relay = new RelayHarness();
+      FleetEndpoint silent = relay.model("a", 0, 10);
+      relay.list(silent);
+      List<RelayRequestId> ids = new ArrayList<>();
+      for (int index = 0; index < 30; index++) {
+        ids.add(relay.request("stream", Optional.of(RelayHarness.KEY), 20_000));
+        if (index % 3 > 0) {
+          relay.answerReceived(ids.get(index), 1, 200);
+          relay.streamAdvanced(ids.get(index), 1);
+        }
+      }
+      if (otherHolder) {
+        relay.list(silent, relay.model("b", 0, 10));
+      }
+      for (int silence = 0; silence < 4; silence++) {
+        relay.advanceMillis(450);
+        relay.post(new RelayEvent.ReportMissing(silent.id()));
+      }
+      assertThat(relay.effectsOf(RelayEffect.AbortAnswer.class), empty());
+      assertThat(relay.effectsOf(RelayEffect.AnswerLocally.class), empty());
+      int replaced = otherHolder ? budget : 0;
+      assertThat(relay.effectsOf(RelayEffect.Send.class), hasSize(ids.size() + replaced));
+      assertThat(relay.effectsOf(RelayEffect.CancelAttempt.class), hasSize(replaced));
+    }
+  }
+
+  // The streams beyond the budget would stay at an endpoint that is gone for good.
+  @Test
+  void streamsAtSilentEndpointAreReplacedOnceCapacityComesFree() {
+    FleetEndpoint silent = relay.model("a", 0, 10);
+    relay.list(silent);
+    List<RelayRequestId> ids = startStreams(5);
+    relay.advanceMillis(600);
+    relay.post(new RelayEvent.ReportMissing(silent.id()));
+    relay.advanceMillis(300);
+    relay.list(silent, relay.model("b", 0, 10));
+    relay.advanceMillis(100);
+    ids.forEach(id -> assertThat(relay.sends(id), hasSize(2)));
+  }
+
   // Streams also stall when the fleet is overloaded. Avoiding endpoints then would remove remaining
   // capacity, and reading prompts again would use up the rest.
   @Test
