Withdraw the evidence of a crash when the same process reports again

Callers saw sound requests refused for minutes after endpoints had been silent for a second. A missing report counted as a crash for good, so two silences put a shared part of their requests under suspicion, although both endpoints reported again with the same start time.

Evidence: on the code before, the third request with the part was refused after two silences in the new test; now all are sent.

A report that was asked for after the supposed crash, and that shows the same start of the process, proves that there was none. The crash is removed, a part that only this evidence held is released, requests that waited for its clearing go on, and reports of the same crash by other relays are ignored from then on; a later crash of the same process counts.

--- a/core/src/main/java/io/zinniawood/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/CrashEvidence.java
@@ -17,7 +17,7 @@
  */
 final class CrashEvidence {
   /** Minimum number of separate crashes; a sound part is hit by one crash easily. */
-  private static final int MIN_CRASHES = 2;
+  static final int MIN_CRASHES = 2;
 
   /** Minimum score: the part waited longest in one of two crashes, and second in the other. */
   private static final double MIN_SCORE = 1.5;
--- a/core/src/main/java/io/zinniawood/core/quarantine/PromptPartQuarantine.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/PromptPartQuarantine.java
@@ -27,6 +27,10 @@
   private final PartHistory history = new PartHistory();
   private final CrashEvidence evidence = new CrashEvidence(history);
   private final Map<CrashId, CrashRecord> crashesById = new LinkedHashMap<>();
+
+  /** Crashes that were withdrawn, which other routers may still report, with the time of proof. */
+  private final Map<CrashId, Long> withdrawnById = new LinkedHashMap<>();
+
   private final Map<PromptPartId, HeldPart> heldByPart = new LinkedHashMap<>();
 
   /** Parts that were released last; other routers may still hold them back. */
@@ -112,7 +116,42 @@
     return evaluate(nowNanos);
   }
 
+  /**
+   * Withdraws a crash, as the endpoint gave a report and has not started again. The parts that only
+   * this crash spoke against are released.
+   *
+   * @param aliveNanos time from which on the report shows that the endpoint is alive
+   */
+  public List<QuarantineChange> withdraw(CrashId crash, long aliveNanos) {
+    CrashRecord record = crashesById.get(crash);
+    if (record == null || record.atNanos - aliveNanos > 0) {
+      return List.of();
+    }
+    crashesById.remove(crash);
+    withdrawnById.put(crash, aliveNanos);
+    if (withdrawnById.size() > MAX_CRASHES) {
+      withdrawnById.remove(withdrawnById.keySet().iterator().next());
+    }
+    return record.cause.map(this::releaseIfUnexplained).orElse(List.of());
+  }
+
+  private List<QuarantineChange> releaseIfUnexplained(PromptPartId part) {
+    HeldPart held = heldByPart.get(part);
+    if (held == null || --held.crashes >= CrashEvidence.MIN_CRASHES) {
+      return List.of();
+    }
+    heldByPart.remove(part);
+    for (CrashRecord crash : crashesById.values()) {
+      crash.cause = crash.cause.filter(cause -> !cause.equals(part));
+    }
+    return List.of(new QuarantineChange.Released(part, held.crashes));
+  }
+
   private void addCrash(CrashId crash, long atNanos, List<CrashCandidate> candidates) {
+    Long aliveNanos = withdrawnById.get(crash);
+    if (aliveNanos != null && atNanos - aliveNanos <= 0) {
+      return;
+    }
     if (candidates.isEmpty() && !crashesById.containsKey(crash)) {
       return;
     }
--- a/core/src/main/java/io/zinniawood/core/quarantine/QuarantineChange.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/QuarantineChange.java
@@ -26,7 +26,8 @@
   record HeldLonger(PromptPartId part, int crashes) implements QuarantineChange {}
 
   /**
-   * A request with the part received an event, so it is sent again.
+   * A request with the part received an event, or the endpoints had not crashed, so it is sent
+   * again.
    *
    * @param crashes number of crashes that had been attributed to the part
    */
--- a/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
@@ -81,6 +81,7 @@
 
   /** Handles the report of an endpoint: it has not crashed, unless it has started again since. */
   static void reportRead(RelayTurn turn, TrackedEndpoint endpoint, long startedMillis) {
+    withdrawCrash(turn, endpoint, startedMillis);
     PendingCrash pending = turn.state.pendingCrashes.get(endpoint.id());
     if (pending == null) {
       return;
@@ -95,6 +96,21 @@
     }
   }
 
+  /** Withdraws the evidence of a crash if the same process reports again: it was only silent. */
+  private static void withdrawCrash(RelayTurn turn, TrackedEndpoint endpoint, long startedMillis) {
+    if (startedMillis == 0) {
+      return;
+    }
+    CrashId crash = new CrashId(endpoint.id(), startedMillis);
+    long aliveNanos = endpoint.checkStartedNanos();
+    apply(turn, turn.state.quarantine.withdraw(crash, aliveNanos));
+    for (OpenRequest open : turn.state.open.values()) {
+      if (open.lostInCrash.filter(crash::equals).isPresent() && open.lostNanos < aliveNanos) {
+        open.lostInCrash = Optional.empty();
+      }
+    }
+  }
+
   /** Handles an endpoint that gives no report: it has crashed or fell silent. */
   static void confirmed(RelayTurn turn, TrackedEndpoint endpoint) {
     PendingCrash pending = turn.state.pendingCrashes.remove(endpoint.id());
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
@@ -148,6 +148,22 @@
     assertThat(relay.state().heldPromptParts(), is(0));
   }
 
+  // Sound requests would be refused for minutes after endpoints that were silent for a second.
+  @Test
+  void silenceOfEndpointThatReportsAgainIsNoEvidenceAgainstItsRequests() {
+    for (int silence = 0; silence < 4; silence++) {
+      RelayRequestId id = relay.stream("opening-" + silence, "sound");
+      assertThat("sends after silence " + silence, relay.sends(id), hasSize(1));
+      EndpointId endpoint = relay.sends(id).get(0).options().expectedEndpoint();
+      relay.advanceMillis(400);
+      relay.post(new RelayEvent.ReportMissing(endpoint));
+      relay.advanceMillis(700);
+      relay.post(new RelayEvent.ReportRead(endpoint, new EndpointReport(0, 1, 1, List.of())));
+      relay.advanceMillis(4_000);
+    }
+    assertThat(relay.state().heldPromptParts(), is(0));
+  }
+
   // Requests that other relays take for the cause must be refused here as well.
   @Test
   void partThatAnotherRelayHoldsIsNotSent() {
