Setting grace_s: the time from SIGTERM until the process is killed

The platform states it for each role; so far only fixed limits of 60 s and 120 s stood in the commands. Relays take it from the template.

--- a/cli/src/main/java/io/zinniawood/cli/local/LocalCluster.java
+++ b/cli/src/main/java/io/zinniawood/cli/local/LocalCluster.java
@@ -23,6 +23,7 @@
 public final class LocalCluster implements AutoCloseable {
   private static final int MAX_BODY_BYTES = 1024 * 1024;
   private static final long DRAIN_GRACE_MILLIS = 200;
+  private static final long GRACE_PERIOD_MILLIS = 30_000;
   private static final long POLL_MILLIS = 500;
   private static final String ENTRY_POOL = "entries";
 
@@ -89,6 +90,7 @@
             platformUri,
             MAX_BODY_BYTES,
             DRAIN_GRACE_MILLIS,
+            GRACE_PERIOD_MILLIS,
             POLL_MILLIS,
             Option.none());
     EntryProcess<?> entry =
--- a/cli/src/main/java/io/zinniawood/cli/local/LocalEndpoint.java
+++ b/cli/src/main/java/io/zinniawood/cli/local/LocalEndpoint.java
@@ -24,6 +24,7 @@
 /** Endpoint stand-in with its agent, reached through a fault-injecting proxy. */
 public final class LocalEndpoint implements AutoCloseable {
   private static final long KEPT_OUTPUT_BYTES = 16L * 1024 * 1024;
+  private static final long GRACE_PERIOD_MILLIS = 30_000;
 
   private final EndpointPlan plan;
   private final FaultProxy proxy;
@@ -100,6 +101,7 @@
             platform,
             endpointSettings,
             KEPT_OUTPUT_BYTES,
+            GRACE_PERIOD_MILLIS,
             Option.none());
     Either<WireError, AgentProcess> created =
         AgentLauncher.create(settings, new NodeAddress(address.host(), proxy.port()));
--- a/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
@@ -26,6 +26,7 @@
             settings.dataCentre(),
             settings.peers(),
             settings.firstStart() == FirstStart.TRUE,
+            settings.gracePeriodMillis(),
             System.nanoTime());
     RelayProcess relay =
         new RelayProcess(
--- a/config/src/main/java/io/zinniawood/config/internal/SettingsSchema.java
+++ b/config/src/main/java/io/zinniawood/config/internal/SettingsSchema.java
@@ -56,6 +56,10 @@
   public static final Field<Long> DRAIN_GRACE_MILLIS =
       Field.integer("drain_grace_ms", 0, 600_000).withDefault(3_000L);
 
+  /** Time in seconds from the termination request until an entry or agent is killed. */
+  public static final Field<Double> GRACE_SECONDS =
+      Field.number("grace_s", 0, 86_400).withDefault(120.0);
+
   /** Interval between reads of the configuration folder and the VM list, in milliseconds. */
   public static final Field<Long> POLL_INTERVAL_MILLIS =
       Field.integer("poll_ms", 100, 60_000).withDefault(2_000L);
@@ -114,6 +118,7 @@
                       PLATFORM,
                       MAX_BODY_BYTES,
                       DRAIN_GRACE_MILLIS,
+                      GRACE_SECONDS,
                       POLL_INTERVAL_MILLIS)),
               TLS));
 
@@ -126,6 +131,9 @@
               "first_start", FirstStart.values(), value -> value.name().toLowerCase(Locale.ROOT))
           .withDefault(FirstStart.FALSE);
 
+  /** Time in seconds from the termination request until a relay is killed. */
+  public static final Field<Double> RELAY_GRACE_SECONDS = GRACE_SECONDS.withDefault(30.0);
+
   /** Schema of the settings file of a relay. */
   public static final Schema RELAY =
       new Schema(
@@ -133,7 +141,15 @@
               new TableSpec(
                   "",
                   TableSpec.Shape.ROOT,
-                  Vector.of(VM, DATA_CENTRE, CALLERS, ADMIN, STORE, RELAY_PEERS, FIRST_START))));
+                  Vector.of(
+                      VM,
+                      DATA_CENTRE,
+                      CALLERS,
+                      ADMIN,
+                      STORE,
+                      RELAY_PEERS,
+                      FIRST_START,
+                      RELAY_GRACE_SECONDS))));
 
   /** Schema of the settings file of an agent. */
   public static final Schema AGENT =
@@ -142,7 +158,14 @@
               new TableSpec(
                   "",
                   TableSpec.Shape.ROOT,
-                  Vector.of(ENDPOINT, DATA_CENTRE, POOL, PEERS, PLATFORM, KEPT_OUTPUT_BYTES)),
+                  Vector.of(
+                      ENDPOINT,
+                      DATA_CENTRE,
+                      POOL,
+                      PEERS,
+                      PLATFORM,
+                      KEPT_OUTPUT_BYTES,
+                      GRACE_SECONDS)),
               new TableSpec("engine", TableSpec.Shape.SINGLE, Vector.of(ADDRESS, FENCING)),
               new TableSpec(
                   "service", TableSpec.Shape.SINGLE, Vector.of(ADDRESS, SERVICE, MAX_CONCURRENT)),
--- a/config/src/main/java/io/zinniawood/config/settings/AgentSettings.java
+++ b/config/src/main/java/io/zinniawood/config/settings/AgentSettings.java
@@ -17,6 +17,8 @@
  * @param platform base address of the platform
  * @param endpointSettings model engine or plain service that the agent runs beside
  * @param keptOutputBytes memory for retained stage outputs, in bytes
+ * @param gracePeriodMillis time from the termination request until the process is killed, in
+ *     milliseconds
  * @param tls certificates for peer connections, none for plain TCP
  */
 public record AgentSettings(
@@ -27,4 +29,5 @@
     URI platform,
     EndpointSettings endpointSettings,
     long keptOutputBytes,
+    long gracePeriodMillis,
     Option<TlsSettings> tls) {}
--- a/config/src/main/java/io/zinniawood/config/settings/EntrySettings.java
+++ b/config/src/main/java/io/zinniawood/config/settings/EntrySettings.java
@@ -17,6 +17,8 @@
  * @param platform base address of the platform
  * @param maxBodyBytes largest request body in bytes
  * @param drainGraceMillis time for which a draining entry still accepts requests, in milliseconds
+ * @param gracePeriodMillis time from the termination request until the process is killed, in
+ *     milliseconds
  * @param pollMillis interval between reads of the configuration folder and the VM list, in
  *     milliseconds
  * @param tls certificates for peer connections, none for plain TCP
@@ -30,5 +32,6 @@
     URI platform,
     int maxBodyBytes,
     long drainGraceMillis,
+    long gracePeriodMillis,
     long pollMillis,
     Option<TlsSettings> tls) {}
--- a/config/src/main/java/io/zinniawood/config/settings/RelaySettings.java
+++ b/config/src/main/java/io/zinniawood/config/settings/RelaySettings.java
@@ -15,6 +15,8 @@
  * @param store address of the platform's store
  * @param peers UDP address for messages of other relays; empty to exchange none
  * @param firstStart whether the whole system, not only this process, starts for the first time
+ * @param gracePeriodMillis time from the termination request until the process is killed, in
+ *     milliseconds
  */
 public record RelaySettings(
     VmId vm,
@@ -23,7 +25,8 @@
     NodeAddress admin,
     NodeAddress store,
     Optional<NodeAddress> peers,
-    FirstStart firstStart) {
+    FirstStart firstStart,
+    long gracePeriodMillis) {
   /**
    * Whether the whole system starts for the first time. On a first start all layers are loaded at
    * once.
--- a/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
+++ b/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
@@ -15,6 +15,7 @@
 
 /** Reads and validates the settings file of a process; see `docs/configuration.md` for the keys. */
 public final class SettingsLoader {
+  private static final double MILLIS_PER_SECOND = 1_000;
   private static final Vector<String> ROOT = Vector.empty();
   private static final Vector<String> TLS = Vector.of("tls");
   private static final Vector<String> ENGINE = Vector.of("engine");
@@ -64,6 +65,7 @@
     var peers = reader.get(ROOT, SettingsSchema.PEERS);
     var platform = reader.get(ROOT, SettingsSchema.PLATFORM);
     var maxBodyBytes = reader.get(ROOT, SettingsSchema.MAX_BODY_BYTES);
+    var gracePeriodSeconds = reader.get(ROOT, SettingsSchema.GRACE_SECONDS);
     var drainGraceMillis = reader.get(ROOT, SettingsSchema.DRAIN_GRACE_MILLIS);
     var pollMillis = reader.get(ROOT, SettingsSchema.POLL_INTERVAL_MILLIS);
     Option<TlsSettings> tls = readTls(reader);
@@ -86,6 +88,7 @@
             platform.get(),
             Math.toIntExact(maxBodyBytes.get()),
             drainGraceMillis.get(),
+            toMillis(gracePeriodSeconds.get()),
             pollMillis.get(),
             tls));
   }
@@ -98,6 +101,7 @@
     var store = reader.get(ROOT, SettingsSchema.STORE);
     var peers = reader.get(ROOT, SettingsSchema.RELAY_PEERS);
     var firstStart = reader.get(ROOT, SettingsSchema.FIRST_START);
+    var gracePeriodSeconds = reader.get(ROOT, SettingsSchema.RELAY_GRACE_SECONDS);
     if (callers.isDefined() && callers.equals(admin)) {
       reader.addFault(
           Vector.of(SettingsSchema.ADMIN.name()),
@@ -113,10 +117,15 @@
                 admin.get(),
                 store.get(),
                 peers.get().toJavaOptional(),
-                firstStart.get()))
+                firstStart.get(),
+                toMillis(gracePeriodSeconds.get())))
         : Option.none();
   }
 
+  private static long toMillis(double seconds) {
+    return Math.round(seconds * MILLIS_PER_SECOND);
+  }
+
   private static Option<AgentSettings> readAgent(TableReader reader) {
     var endpoint = reader.get(ROOT, SettingsSchema.ENDPOINT);
     var dataCentre = reader.get(ROOT, SettingsSchema.DATA_CENTRE);
@@ -124,6 +133,7 @@
     var peers = reader.get(ROOT, SettingsSchema.PEERS);
     var platform = reader.get(ROOT, SettingsSchema.PLATFORM);
     var keptOutputBytes = reader.get(ROOT, SettingsSchema.KEPT_OUTPUT_BYTES);
+    var gracePeriodSeconds = reader.get(ROOT, SettingsSchema.GRACE_SECONDS);
     Option<TlsSettings> tls = readTls(reader);
     Option<EndpointSettings> endpointSettings = readEndpoint(reader);
     if (!reader.faults().isEmpty()) {
@@ -138,6 +148,7 @@
             platform.get(),
             endpointSettings.get(),
             keptOutputBytes.get(),
+            toMillis(gracePeriodSeconds.get()),
             tls));
   }
 
--- a/config/src/test/java/io/zinniawood/config/settings/SettingsLoaderTest.java
+++ b/config/src/test/java/io/zinniawood/config/settings/SettingsLoaderTest.java
@@ -25,6 +25,8 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 final class SettingsLoaderTest {
   private static final String AGENT =
@@ -49,6 +51,7 @@
                 URI.create("http://127.0.0.1:9000"),
                 1024 * 1024,
                 3_000,
+                120_000,
                 2_000,
                 Option.none())));
   }
@@ -69,6 +72,16 @@
         contains(containsString("key=peers, found=\"front\", expected=an IP address and a port")));
   }
 
+  // The platform gives whole or broken seconds; without a value the relay must start all the same.
+  @ParameterizedTest
+  @CsvSource({"'', 30000", "grace_s = 8, 8000", "grace_s = 7.5, 7500", "grace_s = 0, 0"})
+  void relayTakesGracePeriodInSeconds(String line, long expectedMillis) throws IOException {
+    String required = "vm = \"v1\"\ndata_centre = \"tampere\"\n";
+    assertThat(
+        SettingsLoader.loadRelay(write(required + line)).get().gracePeriodMillis(),
+        is(expectedMillis));
+  }
+
   // Guards against an agent without an endpoint, or with an ambiguous one.
   @Test
   void agentNeedsExactlyOneEndpointTable() throws IOException {
--- a/core/src/main/java/io/zinniawood/core/relay/RelayParameters.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayParameters.java
@@ -12,6 +12,8 @@
  * @param dataCentre data centre of that VM
  * @param peerAddress address for messages of other relays; empty if the relay exchanges none
  * @param firstStart whether the whole system starts for the first time
+ * @param gracePeriodMillis time from the termination request until the platform kills the process,
+ *     in milliseconds
  * @param seed seed of the relay's random generator
  */
 public record RelayParameters(
@@ -19,4 +21,5 @@
     DataCentreId dataCentre,
     Optional<NodeAddress> peerAddress,
     boolean firstStart,
+    long gracePeriodMillis,
     long seed) {}
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -38,12 +38,14 @@
   static final AcceleratorKind KIND = new AcceleratorKind("gpu");
   static final int LAYERS = 10;
   static final NodeAddress ADDRESS = new NodeAddress("10.0.1.1", 7_340);
+  static final long GRACE_MILLIS = 8_000;
   private static final long SEED = 7;
   private static final long STORE_CLOCK_OFFSET_MILLIS = 5_000_000;
 
   private final RelayState state =
       new RelayState(
-          new RelayParameters(new VmId("relay-1"), LOCAL, Optional.of(ADDRESS), false, SEED));
+          new RelayParameters(
+              new VmId("relay-1"), LOCAL, Optional.of(ADDRESS), false, GRACE_MILLIS, SEED));
   private final RelayReducer reducer = new RelayReducer();
   private final List<RelayEffect> effects = new ArrayList<>();
   private long nowNanos = TimeUnit.SECONDS.toNanos(100);
--- a/entry/src/test/java/io/zinniawood/entry/EntryHarness.java
+++ b/entry/src/test/java/io/zinniawood/entry/EntryHarness.java
@@ -56,6 +56,7 @@
             URI.create("http://127.0.0.1:1"),
             65_536,
             10,
+            60_000,
             50,
             Option.none());
     this.process =
