Log how requests end in a planned stop, and what the exit leaves

The lines could not tell whether a request that was open at SIGTERM had been answered, refused or cut: drained-request names its end and the time that was left, drained and connections-closed say when the last request had ended and what was still open or unsent as the process exits.

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -264,6 +264,7 @@
         open.repaths,
         "millis",
         turn.millisSince(open.arrivedNanos));
+    GracePeriod.logEnd(turn, open, outcome, reason);
     CrashWatch.trialEnded(turn, open);
     EndpointUsage.end(open);
     turn.state.open.remove(open.id);
--- a/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
@@ -54,7 +54,14 @@
     }
     turn.state.terminating = true;
     turn.state.terminationNanos = turn.nowNanos;
-    turn.log("draining", "openRequests", turn.state.open.size());
+    turn.log(
+        "draining",
+        "openRequests",
+        turn.state.open.size(),
+        "waiting",
+        turn.state.waiting.size(),
+        "graceLeftMillis",
+        GracePeriod.millisLeft(turn));
     updateReadiness(turn);
   }
 
@@ -72,6 +79,7 @@
         && state.open.isEmpty()
         && turn.nowNanos - state.terminationNanos >= BALANCER_DETECTION_NANOS) {
       state.stopped = true;
+      turn.log("drained", "graceLeftMillis", GracePeriod.millisLeft(turn));
       turn.emit(new RelayEffect.Stop());
     }
   }
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -142,6 +142,18 @@
         });
   }
 
+  private void logConnections() {
+    log.add(
+        "connections-closed",
+        List.of(
+            "connections",
+            callers.size(),
+            "openRequests",
+            callers.stream().filter(CallerHandler::busy).count(),
+            "unsentBytes",
+            callers.stream().mapToLong(CallerHandler::unsentBytes).sum()));
+  }
+
   /** Blocks until all open requests are complete after {@link #terminate}. */
   public void awaitStopped() throws InterruptedException {
     stopped.await();
@@ -161,6 +173,7 @@
 
     @Override
     public void drained() {
+      logConnections();
       stopped.countDown();
     }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -261,6 +261,18 @@
     return context.channel().isWritable();
   }
 
+  /** Returns whether a request is in progress or partly received. */
+  public boolean busy() {
+    return exchange != null || head != null || headStarted;
+  }
+
+  /** Returns the number of bytes that are written but not yet sent. */
+  public long unsentBytes() {
+    return context.channel().unsafe().outboundBuffer() == null
+        ? 0
+        : context.channel().unsafe().outboundBuffer().totalPendingWriteBytes();
+  }
+
   private void setCloseHeader(HttpResponse response) {
     if (!keepAlive || listener.draining()) {
       keepAlive = false;
