Answer open requests before the end of the grace period

Callers whose request was still open when the platform killed a stopping relay saw their connection end without an answer, also for requests that may not be repeated. The relay did not know the grace period and waited for up to 60 s.

Shortly before the kill each open request now gets its one end: 503 if it has not run, 504 if it may have run, and a stream that has begun is broken off, so that its caller can resume it elsewhere. The process stops then instead of waiting on.

--- a/core/src/main/java/io/zinniawood/core/relay/Deadlines.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Deadlines.java
@@ -15,18 +15,19 @@
       }
     }
     for (OpenRequest open : expired) {
-      expire(turn, open);
+      end(turn, open, "deadline");
     }
   }
 
-  private static void expire(RelayTurn turn, OpenRequest open) {
+  /** Ends a request whose time is up, with the outcome that is certain. */
+  static void end(RelayTurn turn, OpenRequest open, String reason) {
     int attempt = open.attempt;
     boolean sent = open.target.isPresent();
     if (open.possibleRuns == 0) {
-      AttemptOutcomes.refuse(turn, open, "deadline");
+      AttemptOutcomes.refuse(turn, open, reason);
       return;
     }
-    AttemptOutcomes.complete(turn, open, open.headRelayed ? "broken-off" : "unknown", "deadline");
+    AttemptOutcomes.complete(turn, open, open.headRelayed ? "broken-off" : "unknown", reason);
     if (sent) {
       turn.emit(new RelayEffect.CancelAttempt(open.id, attempt));
     }
--- a/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
@@ -74,10 +74,10 @@
   /** Stops the process once the load balancer has noticed and no request is open. */
   static void tick(RelayTurn turn) {
     RelayState state = turn.state;
-    if (state.terminating
-        && !state.stopped
-        && state.open.isEmpty()
-        && turn.nowNanos - state.terminationNanos >= BALANCER_DETECTION_NANOS) {
+    boolean balancerNoticed =
+        turn.nowNanos - state.terminationNanos >= BALANCER_DETECTION_NANOS
+            || turn.nowNanos - GracePeriod.workEndNanos(state) >= 0;
+    if (state.terminating && !state.stopped && state.open.isEmpty() && balancerNoticed) {
       state.stopped = true;
       turn.log("drained", "graceLeftMillis", GracePeriod.millisLeft(turn));
       turn.emit(new RelayEffect.Stop());
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -114,6 +114,7 @@
       EndpointHealthChecks.tick(turn);
       CrashWatch.tick(turn);
       Deadlines.check(turn);
+      GracePeriod.tick(turn);
       StreamMonitor.checkStalledStreams(turn);
       WaitingQueue.dispatchWaiting(turn);
       ControllerLease.tick(turn);
--- a/core/src/main/java/io/zinniawood/core/relay/RequestAdmission.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RequestAdmission.java
@@ -13,9 +13,6 @@
   /** Retry-After, in milliseconds, while this relay has no routing table yet. */
   private static final long STARTING_RETRY_MILLIS = 1_000;
 
-  /** Retry-After, in milliseconds, while draining; a new connection reaches another relay. */
-  private static final long DRAINING_RETRY_MILLIS = 200;
-
   private RequestAdmission() {}
 
   static void requestArrived(RelayTurn turn, RelayEvent.RequestArrived event) {
@@ -26,7 +23,7 @@
       return;
     }
     if (Lifecycle.refusesNewRequests(turn)) {
-      refuse(turn, event, LocalAnswer.notRun("draining", DRAINING_RETRY_MILLIS));
+      refuse(turn, event, LocalAnswer.notRun("draining", GracePeriod.RETRY_MILLIS));
       return;
     }
     RouteTable routes = turn.state.routes.get();
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayDrainTest.java
@@ -0,0 +1,148 @@
+package io.zinniawood.core.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class RelayDrainTest {
+  private final RelayHarness relay = new RelayHarness();
+
+  private void terminate() {
+    relay.post(new RelayEvent.TerminationRequested());
+  }
+
+  private List<RelayEffect.AbortAnswer> aborted() {
+    return relay.effectsOf(RelayEffect.AbortAnswer.class);
+  }
+
+  // Guards against a request that the kill at the end of the grace period cuts without an answer.
+  @ParameterizedTest
+  @CsvSource({"book, 504", "long-read, 504", "long-book, 504"})
+  void openRequestIsAnsweredBeforeTheKill(String route, int status) {
+    relay.list(relay.plain("a"));
+    terminate();
+    RelayRequestId early = relay.request(route, 20_000);
+    relay.advanceMillis(RelayHarness.GRACE_MILLIS - 500);
+    assertThat(relay.localAnswer(early).orElseThrow().status(), is(status));
+    assertThat(relay.state().openRequests(), is(0));
+    assertThat(relay.effectsOf(RelayEffect.Stop.class), hasSize(1));
+  }
+
+  // Guards against a stream that the kill cuts together with the bytes that are still to be sent.
+  @Test
+  void begunStreamIsBrokenOffBeforeTheKill() {
+    relay.list(relay.model("a", 0, 10));
+    RelayRequestId id = relay.request("stream", 20_000);
+    relay.answerReceived(id, 1, 200);
+    terminate();
+    for (long millis = 0; millis < RelayHarness.GRACE_MILLIS - 500; millis += 100) {
+      relay.streamAdvanced(id, 1);
+      relay.advanceMillis(100);
+    }
+    assertThat(aborted(), hasSize(1));
+    assertThat(relay.effectsOf(RelayEffect.Stop.class), hasSize(1));
+  }
+
+  // Every open request has exactly one end before the kill, whatever happens during the drain.
+  @Test
+  void everyRequestHasOneEndInDrawnHistories() {
+    for (long seed = 1; seed <= 200; seed++) {
+      DrawnDrain drain = new DrawnDrain(new Random(seed));
+      assertThat("seed " + seed, drain.ends(), not(containsString("!")));
+    }
+  }
+
+  /** A drain with random arrivals, answers, failures, changes of the routes and signals. */
+  private static final class DrawnDrain {
+    private static final List<String> ROUTES =
+        List.of("read", "book", "long-read", "long-book", "stream");
+    private final RelayHarness relay = new RelayHarness();
+    private final TreeSet<Long> requests = new TreeSet<>();
+    private final Random random;
+    private long routesVersion = 1;
+
+    DrawnDrain(Random random) {
+      this.random = random;
+      relay.list(
+          relay.plain("a"), relay.plain("b"), relay.model("c", 0, 10), relay.model("d", 0, 10));
+    }
+
+    /** Returns the requests without exactly one end, each with an exclamation mark. */
+    String ends() {
+      int signalStep = random.nextInt(40);
+      long drainMillis = 0;
+      for (int step = 0; relay.effectsOf(RelayEffect.Stop.class).isEmpty(); step++) {
+        if (step == signalStep || (step > signalStep && random.nextInt(20) == 0)) {
+          relay.post(new RelayEvent.TerminationRequested());
+        }
+        step();
+        long pauseMillis = random.nextInt(200);
+        relay.advanceMillis(pauseMillis);
+        drainMillis += step >= signalStep ? pauseMillis : 0;
+        if (drainMillis > RelayHarness.GRACE_MILLIS) {
+          return "no stop within the grace period!";
+        }
+      }
+      StringBuilder wrong = new StringBuilder();
+      requests.forEach(number -> check(new RelayRequestId(number), wrong));
+      return wrong.toString();
+    }
+
+    private void step() {
+      switch (random.nextInt(6)) {
+        case 0 ->
+            relay.post(
+                new RelayEvent.RoutesAnswered(
+                    Optional.of(RelayHarness.routes(++routesVersion)), routesVersion));
+        case 1, 2 ->
+            requests.add(relay.request(ROUTES.get(random.nextInt(ROUTES.size())), 20_000).value());
+        default ->
+            relay.effectsOf(RelayEffect.Send.class).stream()
+                .skip(Math.max(0, relay.effectsOf(RelayEffect.Send.class).size() - 4))
+                .forEach(this::attemptEvent);
+      }
+    }
+
+    private void attemptEvent(RelayEffect.Send send) {
+      switch (random.nextInt(5)) {
+        case 0 -> relay.notRun(send.id(), send.attempt());
+        case 1 -> relay.answerReceived(send.id(), send.attempt(), 500);
+        case 2 ->
+            relay.attemptFailed(
+                send.id(), send.attempt(), AttemptFailureCause.values()[random.nextInt(2)]);
+        case 3 -> relay.answerReceived(send.id(), send.attempt(), 200);
+        default -> {}
+      }
+    }
+
+    private void check(RelayRequestId id, StringBuilder wrong) {
+      long passedOn =
+          relay.effectsOf(RelayEffect.RelayAnswer.class).stream()
+              .filter(answer -> answer.id().equals(id))
+              .limit(1)
+              .count();
+      long local =
+          relay.effectsOf(RelayEffect.AnswerLocally.class).stream()
+              .filter(answer -> answer.id().equals(id))
+              .count();
+      long aborted =
+          relay.effectsOf(RelayEffect.AbortAnswer.class).stream()
+              .filter(answer -> answer.id().equals(id))
+              .count();
+      // An answer that has begun may be broken off; without one there is exactly one local answer.
+      if (passedOn + local != 1 || aborted > passedOn) {
+        wrong.append(id).append(": ").append(passedOn).append(local).append(aborted).append("! ");
+      }
+    }
+  }
+}
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -68,7 +68,9 @@
         List.of(
             route("stream", RouteKind.STREAMING, MODEL, 20_000, 2),
             route("read", RouteKind.IDEMPOTENT, PLAIN, 800, 2),
-            route("book", RouteKind.NON_IDEMPOTENT, PLAIN, 800, 1)),
+            route("book", RouteKind.NON_IDEMPOTENT, PLAIN, 800, 1),
+            route("long-read", RouteKind.IDEMPOTENT, PLAIN, 20_000, 2),
+            route("long-book", RouteKind.NON_IDEMPOTENT, PLAIN, 20_000, 1)),
         List.of(
             new RoutedService(MODEL, 100, Optional.of(engine())),
             new RoutedService(PLAIN, 100, Optional.empty())),
@@ -189,6 +191,10 @@
     return request(route, Optional.of(KEY), 1_500);
   }
 
+  RelayRequestId request(String route, long deadlineMillis) {
+    return request(route, Optional.of(KEY), deadlineMillis);
+  }
+
   RelayRequestId request(String route, Optional<String> key, long deadlineMillis) {
     return request(route, key, deadlineMillis, List.of());
   }
