--- a/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
@@ -54,7 +54,14 @@
     }
     turn.state.terminating = true;
     turn.state.terminationNanos = turn.nowNanos;
-    turn.log("draining", "openRequests", turn.state.open.size());
+    turn.log(
+        "draining",
+        "openRequests",
+        turn.state.open.size(),
+        "waiting",
+        turn.state.waiting.size(),
+        "graceLeftMillis",
+        GracePeriod.millisLeft(turn));
     updateReadiness(turn);
   }
 
@@ -67,11 +74,12 @@
   /** Stops the process once the load balancer has noticed and no request is open. */
   static void tick(RelayTurn turn) {
     RelayState state = turn.state;
-    if (state.terminating
-        && !state.stopped
-        && state.open.isEmpty()
-        && turn.nowNanos - state.terminationNanos >= BALANCER_DETECTION_NANOS) {
+    boolean balancerNoticed =
+        turn.nowNanos - state.terminationNanos >= BALANCER_DETECTION_NANOS
+            || turn.nowNanos - GracePeriod.workEndNanos(state) >= 0;
+    if (state.terminating && !state.stopped && state.open.isEmpty() && balancerNoticed) {
       state.stopped = true;
+      turn.log("drained", "graceLeftMillis", GracePeriod.millisLeft(turn));
       turn.emit(new RelayEffect.Stop());
     }
   }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -38,12 +38,14 @@
   static final AcceleratorKind KIND = new AcceleratorKind("gpu");
   static final int LAYERS = 10;
   static final NodeAddress ADDRESS = new NodeAddress("10.0.1.1", 7_340);
+  static final long GRACE_MILLIS = 8_000;
   private static final long SEED = 7;
   private static final long STORE_CLOCK_OFFSET_MILLIS = 5_000_000;
 
   private final RelayState state =
       new RelayState(
-          new RelayParameters(new VmId("relay-1"), LOCAL, Optional.of(ADDRESS), false, SEED));
+          new RelayParameters(
+              new VmId("relay-1"), LOCAL, Optional.of(ADDRESS), false, GRACE_MILLIS, SEED));
   private final RelayReducer reducer = new RelayReducer();
   private final List<RelayEffect> effects = new ArrayList<>();
   private long nowNanos = TimeUnit.SECONDS.toNanos(100);
@@ -66,7 +68,9 @@
         List.of(
             route("stream", RouteKind.STREAMING, MODEL, 20_000, 2),
             route("read", RouteKind.IDEMPOTENT, PLAIN, 800, 2),
-            route("book", RouteKind.NON_IDEMPOTENT, PLAIN, 800, 1)),
+            route("book", RouteKind.NON_IDEMPOTENT, PLAIN, 800, 1),
+            route("long-read", RouteKind.IDEMPOTENT, PLAIN, 20_000, 2),
+            route("long-book", RouteKind.NON_IDEMPOTENT, PLAIN, 20_000, 1)),
         List.of(
             new RoutedService(MODEL, 100, Optional.of(engine())),
             new RoutedService(PLAIN, 100, Optional.empty())),
@@ -198,6 +202,10 @@
     return request(route, Optional.of(KEY), 1_500);
   }
 
+  RelayRequestId request(String route, long deadlineMillis) {
+    return request(route, Optional.of(KEY), deadlineMillis);
+  }
+
   RelayRequestId request(String route, Optional<String> key, long deadlineMillis) {
     return request(route, key, deadlineMillis, List.of());
   }
