Stand-in of the platform that comes back from a copy some seconds old

A restore takes table and objects back to an earlier state after a time away. Acknowledged writes since are gone, their versions are given out again, and the era in the header Store-Era of all answers rises by one. The switch is a call like the other fault switches.

--- a/standin/src/main/java/io/zinniawood/standin/platform/PlatformStandIn.java
+++ b/standin/src/main/java/io/zinniawood/standin/platform/PlatformStandIn.java
@@ -12,15 +12,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** Stand-in for the platform with fault switches; see {@code docs/standins.md}. */
 public final class PlatformStandIn implements AutoCloseable {
   private static final String ABSENT_HEADER = "Platform-Absent";
   private final StandInServer server = new StandInServer("platform-standin");
-  private final VersionedStore table = new VersionedStore();
-  private final VersionedStore objects = new VersionedStore();
-  private final AtomicLong objectVersions = new AtomicLong();
+  private final StoreState store = new StoreState();
   private final VmDirectory vms;
   private final TokenBucket weightTransferLimit;
   private final RequestFilter requestFilter;
@@ -32,7 +29,7 @@
     weightTransferLimit =
         new TokenBucket(
             settings.weightTransfersPerSecond(), settings.weightBurst(), System.nanoTime());
-    requestFilter = new RequestFilter(settings);
+    requestFilter = new RequestFilter(settings, store);
     defaultPort = settings.port();
     addTableRoutes();
     addObjectRoutes();
@@ -86,12 +83,28 @@
 
   /** Writes an object without HTTP, for example a configuration file of a test. */
   public void putObject(String name, byte[] content) {
-    objects.put(name, objectVersions.incrementAndGet(), content);
+    store.objects().put(name, content);
   }
 
   /** Deletes an object without HTTP. */
   public void deleteObject(String name) {
-    objects.delete(name);
+    store.objects().delete(name);
+  }
+
+  /**
+   * Restores an earlier state of table and object store, as a copy would. What was written since is
+   * gone, versions are given out again, and the era rises by one.
+   *
+   * @param ageMillis age of the restored state in milliseconds, at most 60,000
+   * @param awayMillis time in milliseconds for which both services answer with status 503
+   */
+  public void restore(long ageMillis, long awayMillis) {
+    store.restore(ageMillis, awayMillis);
+  }
+
+  /** Returns the era of table and object store, which is the number of restores. */
+  public long storeEra() {
+    return store.era();
   }
 
   /** Returns the number of requests that arrived at a service. */
@@ -121,7 +134,10 @@
         exchange -> {
           String key = requiredParameter(exchange, "key");
           requestFilter.serve(
-              exchange, PlatformService.TABLE, Access.READ, () -> valueReply(200, table.read(key)));
+              exchange,
+              PlatformService.TABLE,
+              Access.READ,
+              () -> valueReply(200, store.table().read(key)));
         });
     server.route(
         "PUT",
@@ -138,7 +154,7 @@
   }
 
   private Reply writeRow(String key, long expected, byte[] body) {
-    VersionedStore.WriteResult result = table.writeIfVersion(key, expected, body);
+    VersionedStore.WriteResult result = store.table().writeIfVersion(key, expected, body);
     return result
         .newVersion()
         .map(version -> Reply.bytes(200, new byte[0]).withHeader("ETag", entityTag(version)))
@@ -155,7 +171,7 @@
               exchange,
               PlatformService.OBJECTS,
               Access.READ,
-              () -> valueReply(200, objects.read(name)));
+              () -> valueReply(200, store.objects().read(name)));
         });
     server.route(
         "PUT",
@@ -177,7 +193,8 @@
               exchange,
               PlatformService.OBJECTS,
               Access.WRITE,
-              () -> objects.delete(name) ? Reply.bytes(204, new byte[0]) : absentReply(404));
+              () ->
+                  store.objects().delete(name) ? Reply.bytes(204, new byte[0]) : absentReply(404));
         });
     server.route(
         "GET",
@@ -190,8 +207,7 @@
   }
 
   private Reply writeObject(String name, byte[] body) {
-    long version = objectVersions.incrementAndGet();
-    objects.put(name, version, body);
+    long version = store.objects().put(name, body);
     return Reply.bytes(200, new byte[0]).withHeader("ETag", entityTag(version));
   }
 
@@ -203,7 +219,7 @@
     ListingFault fault = requestFilter.faults(PlatformService.OBJECTS).listings();
     List<ListedObject> listed = new ArrayList<>();
     int index = 0;
-    for (Map.Entry<String, Versioned> entry : objects.withPrefix(prefix).entrySet()) {
+    for (Map.Entry<String, Versioned> entry : store.objects().withPrefix(prefix).entrySet()) {
       if (fault == ListingFault.NONE || index % 2 == 0) {
         listed.add(new ListedObject(entry.getKey(), Long.toString(entry.getValue().version())));
       }
@@ -237,6 +253,10 @@
     return Reply.json(200, new TransferAnswer(waitMillis == 0, waitMillis));
   }
 
+  private record RestoreRequest(long ageMillis, long awayMillis) {}
+
+  private record RestoreAnswer(long era) {}
+
   private void addControlRoutes() {
     server.route(
         "POST",
@@ -253,6 +273,14 @@
         });
     server.route(
         "GET", "/control/faults", exchange -> exchange.respondJson(200, requestFilter.allFaults()));
+    server.route(
+        "POST",
+        "/control/restore",
+        exchange -> {
+          RestoreRequest request = Json.read(exchange.body(), RestoreRequest.class);
+          exchange.respondJson(
+              200, new RestoreAnswer(store.restore(request.ageMillis(), request.awayMillis())));
+        });
     server.route(
         "GET",
         "/control/counters",
--- a/standin/src/main/java/io/zinniawood/standin/platform/RequestFilter.java
+++ b/standin/src/main/java/io/zinniawood/standin/platform/RequestFilter.java
@@ -14,8 +14,10 @@
   private final Map<PlatformService, Counters> counters = new EnumMap<>(PlatformService.class);
   private final TokenBucket reads;
   private final TokenBucket writes;
+  private final StoreState store;
 
-  RequestFilter(PlatformSettings settings) {
+  RequestFilter(PlatformSettings settings, StoreState store) {
+    this.store = store;
     long nowNanos = System.nanoTime();
     reads = new TokenBucket(settings.readsPerSecond(), settings.readsPerSecond() / 10, nowNanos);
     writes = new TokenBucket(settings.writesPerSecond(), settings.writesPerSecond() / 10, nowNanos);
@@ -90,19 +92,17 @@
 
   private void execute(
       Exchange exchange, PlatformService service, Access access, Supplier<Reply> action) {
-    if (faults(service).down()) {
-      addCounts(service, 0, 0, 0, 1);
-      exchange.respondProblem(503, service.lowerCaseName() + " is down");
+    if (faults(service).down() || (isStore(service) && store.away())) {
+      refuse(exchange, service, 503, service.lowerCaseName() + " is down");
       return;
     }
     if (isRateLimited(service, access)) {
-      addCounts(service, 0, 0, 0, 1);
-      exchange.respondProblem(429, "the rate limit of the platform is reached");
+      refuse(exchange, service, 429, "the rate limit of the platform is reached");
       return;
     }
     Reply reply;
     try {
-      reply = action.get();
+      reply = isStore(service) ? store.inPresentEra(action) : action.get();
     } catch (IllegalArgumentException e) {
       exchange.respondProblem(400, String.valueOf(e.getMessage()));
       return;
@@ -115,8 +115,20 @@
     exchange.afterMillis(faults(service).responseLatencyMillis(), () -> reply.send(exchange));
   }
 
+  private void refuse(Exchange exchange, PlatformService service, int status, String detail) {
+    addCounts(service, 0, 0, 0, 1);
+    if (isStore(service)) {
+      exchange.responseHeader(StoreState.ERA_HEADER, Long.toString(store.era()));
+    }
+    exchange.respondProblem(status, detail);
+  }
+
+  private static boolean isStore(PlatformService service) {
+    return service == PlatformService.TABLE || service == PlatformService.OBJECTS;
+  }
+
   private boolean isRateLimited(PlatformService service, Access access) {
-    if (service != PlatformService.TABLE && service != PlatformService.OBJECTS) {
+    if (!isStore(service)) {
       return false;
     }
     TokenBucket bucket = access == Access.READ ? reads : writes;
