Store clients of entry and agent tell the eras of the store apart

The header Store-Era was read nowhere, and versions were compared as if they only grew. The version of a row now combines the era and the number that the store gave out, so versions rise across restores and none repeats. A conditional write with a version of an earlier era is not sent; one that took effect in a later era has an unknown result, so its caller reads the row and looks for its own attempt. Versions of objects carry the era as well. Without the header nothing changes.

--- a/agent/src/main/java/io/zinniawood/agent/internal/ClaimStore.java
+++ b/agent/src/main/java/io/zinniawood/agent/internal/ClaimStore.java
@@ -53,7 +53,7 @@
     String key = ClaimRowKey.of(effect.key());
     CompletableFuture<ClaimWriteResult> result =
         effect.fence().value() == 0
-            ? writeClaim(key, 0, effect)
+            ? writeClaim(key, table.absentVersion(), effect)
             : read(key).thenCompose(found -> claimReleasedKey(key, found, effect));
     GuardedCalls.deliver(
         result, claim -> events.accept(new AgentEvent.ClaimWritten(effect.attempt(), claim)));
@@ -65,7 +65,7 @@
       return completed(new ClaimWriteResult.NotWritten());
     }
     if (found.get().isEmpty()) {
-      return writeClaim(key, 0, effect);
+      return writeClaim(key, table.absentVersion(), effect);
     }
     TableRow current = found.get().get();
     Option<ClaimRow> row = decode(current);
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceEvent.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceEvent.java
@@ -73,9 +73,10 @@
    * The accepted row was read.
    *
    * @param round round that requested the operation
+   * @param version version of the row, or of a row that does not exist in the era of the store
    * @param row content and version, none if the row does not exist
    */
-  record RowRead(long round, Option<VersionedRow> row) implements AcceptanceEvent {
+  record RowRead(long round, long version, Option<VersionedRow> row) implements AcceptanceEvent {
     @Override
     public <R> R accept(AcceptanceEventVisitor<R> visitor) {
       return visitor.visitRowRead(this);
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceState.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceState.java
@@ -20,6 +20,8 @@
  * @param roundRequested whether another round starts as soon as the current one ends
  * @param phase step of the round in progress
  * @param inForce configuration in force
+ * @param rowVersion version of the accepted row as last read or written, also if the row does not
+ *     exist
  * @param row accepted row as last read or written
  * @param loadedSnapshotName name of the last snapshot that was loaded or written
  * @param acceptedFiles version of each file of that snapshot, empty if the snapshot of the row is
@@ -40,6 +42,7 @@
     boolean roundRequested,
     AcceptancePhase phase,
     Option<AcceptedConfiguration> inForce,
+    long rowVersion,
     Option<VersionedRow> row,
     Option<String> loadedSnapshotName,
     SortedMap<String, String> acceptedFiles,
@@ -72,6 +75,7 @@
         false,
         new AcceptancePhase.Idle(),
         Option.none(),
+        0,
         Option.none(),
         Option.none(),
         TreeMap.empty(),
@@ -87,11 +91,6 @@
     return inForce.map(AcceptedConfiguration::generation).getOrElse(new Generation(0));
   }
 
-  /** Returns the version of the accepted row, 0 if it does not exist. */
-  public long rowVersion() {
-    return row.map(VersionedRow::version).getOrElse(0L);
-  }
-
   /** Returns this state with another interval between rounds, in nanoseconds. */
   public AcceptanceState withPollIntervalNanos(long value) {
     return copy().pollIntervalNanos(value).build();
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceStateBuilder.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceStateBuilder.java
@@ -17,6 +17,7 @@
   private boolean roundRequested;
   private AcceptancePhase phase;
   private Option<AcceptedConfiguration> inForce;
+  private long rowVersion;
   private Option<VersionedRow> row;
   private Option<String> loadedSnapshotName;
   private SortedMap<String, String> acceptedFiles;
@@ -36,6 +37,7 @@
     this.roundRequested = state.roundRequested();
     this.phase = state.phase();
     this.inForce = state.inForce();
+    this.rowVersion = state.rowVersion();
     this.row = state.row();
     this.loadedSnapshotName = state.loadedSnapshotName();
     this.acceptedFiles = state.acceptedFiles();
@@ -86,7 +88,8 @@
     return this;
   }
 
-  AcceptanceStateBuilder row(Option<VersionedRow> value) {
+  AcceptanceStateBuilder row(long version, Option<VersionedRow> value) {
+    rowVersion = version;
     row = value;
     return this;
   }
@@ -137,6 +140,7 @@
         roundRequested,
         phase,
         inForce,
+        rowVersion,
         row,
         loadedSnapshotName,
         acceptedFiles,
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRowReads.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRowReads.java
@@ -21,7 +21,7 @@
   static Step<AcceptanceState, AcceptanceEffect> rowRead(
       AcceptanceState state, AcceptanceEvent.RowRead event) {
     if (state.phase() instanceof AcceptancePhase.ReadingBackRow readingBack) {
-      return Proposals.rowReadBack(state, readingBack, event.row());
+      return Proposals.rowReadBack(state, readingBack, event.version(), event.row());
     }
     if (!(state.phase() instanceof AcceptancePhase.ReadingRow)) {
       return Step.of(state);
@@ -35,7 +35,7 @@
               "the table has generation %s, but generation %s is in force; the table is stale"
                   .formatted(stored, state.generationInForce())));
     }
-    AcceptanceState withRow = state.copy().row(event.row()).build();
+    AcceptanceState withRow = state.copy().row(event.version(), event.row()).build();
     Option<String> snapshotName = event.row().map(found -> found.row().objectName());
     if (snapshotName.isEmpty() || snapshotName.equals(state.loadedSnapshotName())) {
       return listFolderIfPolling(withRow);
--- a/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
@@ -62,12 +62,15 @@
   }
 
   static Step<AcceptanceState, AcceptanceEffect> rowReadBack(
-      AcceptanceState state, AcceptancePhase.ReadingBackRow readingBack, Option<VersionedRow> row) {
+      AcceptanceState state,
+      AcceptancePhase.ReadingBackRow readingBack,
+      long version,
+      Option<VersionedRow> row) {
     AcceptedRow proposed = readingBack.proposal().row();
     if (isOwnAttempt(proposed, row)) {
       return accepted(state, readingBack.proposal(), readingBack.files(), row.get().version());
     }
-    if (row.map(VersionedRow::version).getOrElse(0L) > readingBack.proposal().expectedVersion()) {
+    if (version > readingBack.proposal().expectedVersion()) {
       return otherEntryAccepted(state, proposed, row);
     }
     // The write may still take effect, so the snapshot is kept. The next round proposes against the
@@ -150,7 +153,7 @@
     AcceptanceState written =
         state
             .copy()
-            .row(Option.of(new VersionedRow(rowVersion, row)))
+            .row(rowVersion, Option.of(new VersionedRow(rowVersion, row)))
             .loadedSnapshotName(Option.of(row.objectName()))
             .acceptedFiles(versions)
             .mergedFiles(files)
--- a/core/src/test/java/io/zinniawood/core/acceptance/AcceptanceSimulation.java
+++ b/core/src/test/java/io/zinniawood/core/acceptance/AcceptanceSimulation.java
@@ -259,7 +259,7 @@
   /** Executes a call on the store and returns its response. */
   private Option<AcceptanceEvent> execute(AcceptanceEffect effect) {
     if (effect instanceof AcceptanceEffect.ReadRow read) {
-      return Option.of(new AcceptanceEvent.RowRead(read.round(), store.row()));
+      return Option.of(new AcceptanceEvent.RowRead(read.round(), store.rowVersion(), store.row()));
     } else if (effect instanceof AcceptanceEffect.ReadSnapshot read) {
       return Option.of(
           new AcceptanceEvent.SnapshotRead(read.round(), store.snapshot(read.objectName())));
--- a/core/src/test/java/io/zinniawood/core/acceptance/FakeStore.java
+++ b/core/src/test/java/io/zinniawood/core/acceptance/FakeStore.java
@@ -50,6 +50,10 @@
     return row;
   }
 
+  long rowVersion() {
+    return row.map(VersionedRow::version).getOrElse(0L);
+  }
+
   Option<AcceptedSnapshot> snapshot(String name) {
     return Option.of(snapshots.get(name));
   }
--- a/entry/src/main/java/io/zinniawood/entry/acceptance/AcceptanceExecutor.java
+++ b/entry/src/main/java/io/zinniawood/entry/acceptance/AcceptanceExecutor.java
@@ -78,7 +78,11 @@
             decodeRow(row)
                 .fold(
                     error -> storeRejected(effect.round(), error),
-                    found -> new AcceptanceEvent.RowRead(effect.round(), found)));
+                    found ->
+                        new AcceptanceEvent.RowRead(
+                            effect.round(),
+                            found.map(VersionedRow::version).getOrElse(table.absentVersion()),
+                            found)));
   }
 
   @Override
--- a/entry/src/main/java/io/zinniawood/entry/internal/store/ClaimReleaser.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/ClaimReleaser.java
@@ -86,7 +86,7 @@
    * fence, so the row is written again with a higher fence.
    */
   public void release(EntryEffect.ReleaseClaim release) {
-    write(release, 0, INITIAL_RELEASE_FENCE, MAX_WRITE_ATTEMPTS);
+    write(release, table.absentVersion(), INITIAL_RELEASE_FENCE, MAX_WRITE_ATTEMPTS);
   }
 
   private void write(
@@ -136,7 +136,7 @@
 
   private void resolve(EntryEffect.ReleaseClaim release, Option<TableRow> row, int writesLeft) {
     if (row.isEmpty()) {
-      write(release, 0, INITIAL_RELEASE_FENCE, writesLeft);
+      write(release, table.absentVersion(), INITIAL_RELEASE_FENCE, writesLeft);
       return;
     }
     Either<ClaimRowDecodeError, ClaimRow> decoded = codec.decode(row.get().value().bytes());
--- a/entry/src/main/java/io/zinniawood/entry/internal/store/LeaseStore.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/LeaseStore.java
@@ -70,7 +70,7 @@
 
   private EntryEvent rowEvent(Option<TableRow> row) {
     if (row.isEmpty()) {
-      return new EntryEvent.LeaseRead(Option.none(), 0);
+      return new EntryEvent.LeaseRead(Option.none(), table.absentVersion());
     }
     Either<String, LeaseRow> decoded = LeaseRowCodec.decode(row.get().value().bytes());
     if (decoded.isLeft()) {
--- a/store/src/main/java/io/zinniawood/store/TableRow.java
+++ b/store/src/main/java/io/zinniawood/store/TableRow.java
@@ -5,6 +5,7 @@
 /**
  * Versioned row of the table.
  *
- * @param version version, at least 1 and incremented by each write
+ * @param version version, rises with each write and with each restore of the store; see {@link
+ *     io.zinniawood.core.model.StoreVersion}
  */
 public record TableRow(String key, long version, Payload value) {}
--- a/store/src/main/java/io/zinniawood/store/http/HttpObjectStore.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpObjectStore.java
@@ -51,7 +51,7 @@
         calls.send(request),
         response ->
             response.status() == 200 || response.status() == 201
-                ? Either.right(PlatformHttp.entityTag(response))
+                ? Either.right(objectVersion(response))
                 : PlatformResponses.failure(response));
   }
 
@@ -78,7 +78,8 @@
         throw new MalformedResponseException(
             "object \"" + name + "\" does not start with the prefix \"" + prefix + "\"");
       }
-      objects = objects.append(new ObjectVersion(name, Json.stringField(item, "version")));
+      String version = PlatformHttp.objectVersion(response, Json.stringField(item, "version"));
+      objects = objects.append(new ObjectVersion(name, version));
     }
     ObjectListing.Completeness completeness =
         Json.booleanField(root, "complete")
@@ -91,8 +92,7 @@
       String name, HttpResult.Response response) throws MalformedResponseException {
     if (response.status() == 200) {
       Payload content = Payload.wrap(response.body());
-      return Either.right(
-          Option.some(new StoredObject(name, PlatformHttp.entityTag(response), content)));
+      return Either.right(Option.some(new StoredObject(name, objectVersion(response), content)));
     }
     if (PlatformHttp.reportsAbsent(response)) {
       return Either.right(Option.none());
@@ -100,6 +100,11 @@
     return PlatformResponses.failure(response);
   }
 
+  private static String objectVersion(HttpResult.Response response)
+      throws MalformedResponseException {
+    return PlatformHttp.objectVersion(response, PlatformHttp.entityTag(response));
+  }
+
   private static Either<PlatformError, Boolean> decodeDelete(HttpResult.Response response) {
     if (response.status() == 204) {
       return Either.right(true);
--- a/store/src/main/java/io/zinniawood/store/http/HttpPlatform.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpPlatform.java
@@ -53,19 +53,23 @@
                 settings.connectTimeoutMillis(),
                 settings.maxResponseBytes(),
                 settings.maxConcurrentCalls()));
-    this.table = new HttpTable(baseUrl, createCalls(calls, settings, "table"));
-    this.objectStore = new HttpObjectStore(baseUrl, createCalls(calls, settings, "object store"));
-    this.vmList = new HttpVmList(baseUrl, createCalls(calls, settings, "VM list"));
-    this.weightStore = new HttpWeightStore(baseUrl, createCalls(calls, settings, "weight store"));
+    StoreEra era = new StoreEra();
+    this.table = new HttpTable(baseUrl, createCalls(calls, settings, era, "table"), era);
+    this.objectStore =
+        new HttpObjectStore(baseUrl, createCalls(calls, settings, era, "object store"));
+    this.vmList = new HttpVmList(baseUrl, createCalls(calls, settings, era, "VM list"));
+    this.weightStore =
+        new HttpWeightStore(baseUrl, createCalls(calls, settings, era, "weight store"));
   }
 
   /** Creates a separate circuit breaker for each service because services fail independently. */
   private static PlatformServiceCalls createCalls(
-      HttpCalls calls, HttpPlatformSettings settings, String service) {
+      HttpCalls calls, HttpPlatformSettings settings, StoreEra era, String service) {
     return new PlatformServiceCalls(
         calls,
         settings.callTimeoutMillis(),
         new CircuitBreaker(settings.circuitBreaker(), new SplittableRandom()),
+        era,
         service);
   }
 
--- a/store/src/main/java/io/zinniawood/store/http/HttpTable.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpTable.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.http.HttpResult;
 import io.zinniawood.http.MalformedResponseException;
 import io.zinniawood.http.OneShotBody;
@@ -11,6 +12,7 @@
 import io.zinniawood.store.TableRow;
 import io.zinniawood.store.TableWriteResult;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
 
@@ -19,10 +21,22 @@
   private static final String ROW_PATH = "table/row";
   private final HttpUrl baseUrl;
   private final PlatformServiceCalls calls;
+  private final StoreEra era;
 
-  HttpTable(HttpUrl baseUrl, PlatformServiceCalls calls) {
+  HttpTable(HttpUrl baseUrl, PlatformServiceCalls calls, StoreEra era) {
     this.baseUrl = baseUrl;
     this.calls = calls;
+    this.era = era;
+  }
+
+  @Override
+  public long absentVersion() {
+    return StoreVersion.of(era.newest(), 0);
+  }
+
+  @Override
+  public void onNewerEra(LongConsumer listener) {
+    era.onNewer(listener);
   }
 
   @Override
@@ -35,16 +49,26 @@
   @Override
   public CompletableFuture<Either<PlatformError, TableWriteResult>> write(
       String key, long expectedVersion, byte[] value) {
+    long expectedEra = StoreVersion.era(expectedVersion);
+    if (expectedEra < era.newest()) {
+      return CompletableFuture.completedFuture(
+          Either.left(
+              new PlatformError.Unavailable(
+                  "version of era %d of row %s has no meaning in era %d"
+                      .formatted(expectedEra, key, era.newest()))));
+    }
+    long number = StoreVersion.number(expectedVersion);
     Request.Builder request =
         new Request.Builder()
             .url(PlatformHttp.urlWithQuery(baseUrl, ROW_PATH, "key", key))
             .put(new OneShotBody(PlatformHttp.OCTET_STREAM, value));
-    if (expectedVersion == 0) {
+    if (number == 0) {
       request.header("If-None-Match", "*");
     } else {
-      request.header("If-Match", "\"" + expectedVersion + "\"");
+      request.header("If-Match", "\"" + number + "\"");
     }
-    return PlatformResponses.decode(calls.send(request), response -> decodeWrite(key, response));
+    return PlatformResponses.decode(
+        calls.send(request), response -> decodeWrite(key, expectedEra, response));
   }
 
   static Either<PlatformError, Option<TableRow>> decodeRead(
@@ -58,10 +82,21 @@
     return PlatformResponses.failure(response);
   }
 
+  /**
+   * Decodes the response to a write. One that took effect in a later era than that of the expected
+   * version may have replaced another row than the one that was read, so its result is not known.
+   */
   static Either<PlatformError, TableWriteResult> decodeWrite(
-      String key, HttpResult.Response response) throws MalformedResponseException {
+      String key, long expectedEra, HttpResult.Response response)
+      throws MalformedResponseException {
     if (response.status() == 200 || response.status() == 201) {
-      return Either.right(new TableWriteResult.Written(rowVersion(response)));
+      long version = rowVersion(response);
+      return StoreVersion.era(version) == expectedEra
+          ? Either.right(new TableWriteResult.Written(version))
+          : Either.left(
+              new PlatformError.ResponseLost(
+                  "row %s was written in era %d of the store instead of era %d"
+                      .formatted(key, StoreVersion.era(version), expectedEra)));
     }
     if (response.status() == 412) {
       Option<TableRow> present =
@@ -82,12 +117,12 @@
     String tag = PlatformHttp.entityTag(response);
     try {
       long version = Long.parseLong(tag);
-      if (version >= 1) {
-        return version;
+      if (version >= 1 && version <= StoreVersion.MAX_NUMBER) {
+        return StoreVersion.of(StoreEra.of(response), version);
       }
     } catch (NumberFormatException exception) {
       throw new MalformedResponseException("row version is not an integer: " + tag, exception);
     }
-    throw new MalformedResponseException("row version must be at least 1, found " + tag);
+    throw new MalformedResponseException("row version is out of range: " + tag);
   }
 }
--- a/store/src/main/java/io/zinniawood/store/http/PlatformHttp.java
+++ b/store/src/main/java/io/zinniawood/store/http/PlatformHttp.java
@@ -38,4 +38,10 @@
     }
     return tag.substring(1, tag.length() - 1);
   }
+
+  /** Returns the version of an object, which is unique across the eras of the store. */
+  static String objectVersion(Response response, String version) throws MalformedResponseException {
+    long era = StoreEra.of(response);
+    return era == 0 ? version : "%d.%s".formatted(era, version);
+  }
 }
--- a/store/src/main/java/io/zinniawood/store/http/PlatformServiceCalls.java
+++ b/store/src/main/java/io/zinniawood/store/http/PlatformServiceCalls.java
@@ -11,13 +11,19 @@
   private final HttpCalls calls;
   private final long timeoutMillis;
   private final CircuitBreaker circuitBreaker;
+  private final StoreEra era;
   private final String service;
 
   PlatformServiceCalls(
-      HttpCalls calls, long timeoutMillis, CircuitBreaker circuitBreaker, String service) {
+      HttpCalls calls,
+      long timeoutMillis,
+      CircuitBreaker circuitBreaker,
+      StoreEra era,
+      String service) {
     this.calls = calls;
     this.timeoutMillis = timeoutMillis;
     this.circuitBreaker = circuitBreaker;
+    this.era = era;
     this.service = service;
   }
 
@@ -33,6 +39,9 @@
         .thenApply(
             result -> {
               recordResult(permit, result);
+              if (result instanceof HttpResult.Response response) {
+                era.observe(response);
+              }
               return result;
             });
   }
--- a/store/src/test/java/io/zinniawood/store/http/ResponseFuzzTest.java
+++ b/store/src/test/java/io/zinniawood/store/http/ResponseFuzzTest.java
@@ -27,7 +27,7 @@
   @Property(seed = SEED, tries = 2_000)
   void everyResponseDecodesToValueOrTypedError(@ForAll("responses") HttpResult.Response response) {
     check(response, value -> HttpTable.decodeRead("k", value));
-    check(response, value -> HttpTable.decodeWrite("k", value));
+    check(response, value -> HttpTable.decodeWrite("k", 0, value));
     check(response, value -> HttpObjectStore.decodeListing("config/", value));
     check(response, value -> HttpObjectStore.decodeObject("o", value));
     check(response, HttpVmList::decode);
