Name the era of the store in each read, message and log line

The store may come back from a copy some seconds old; its header Store-Era rises by one each time. Nothing read that header, so neither a log line nor a metric could tell a row that was ignored for its version from one that never came.

PeerMessageCodecTest encodes and decodes the field.

--- a/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
@@ -4,6 +4,7 @@
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.NodeAddress;
 import java.util.Optional;
@@ -30,9 +31,9 @@
     Optional<AcceleratorKind> accelerator,
     Optional<LayerRange> layers,
     long startedMillis,
-    long rowVersion) {
+    StoreVersion rowVersion) {
   /** Returns this entry as of another version of its row. */
-  public FleetEndpoint withRowVersion(long version) {
+  public FleetEndpoint withRowVersion(StoreVersion version) {
     return new FleetEndpoint(
         id,
         service,
--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -88,8 +88,12 @@
     return found;
   }
 
-  /** Applies a full endpoint list: endpoints that it lacks are removed. */
-  public void replaceAll(List<FleetEndpoint> endpoints, long nowNanos) {
+  /**
+   * Applies a full endpoint list: endpoints that it lacks are removed.
+   *
+   * @return entries that were ignored for their version
+   */
+  public List<FleetEndpoint> replaceAll(List<FleetEndpoint> endpoints, long nowNanos) {
     listLoaded = true;
     Set<EndpointId> present = new HashSet<>();
     for (FleetEndpoint endpoint : endpoints) {
@@ -101,21 +105,27 @@
         missing.add(id);
       }
     }
-    applyChanges(endpoints, missing, nowNanos);
+    return applyChanges(endpoints, missing, nowNanos);
   }
 
   /**
    * Applies changes of the endpoint list. Shortly after a store outage, removed entries that were
    * not draining are kept for {@link #REAPPEARANCE_GRACE_NANOS}.
+   *
+   * @return entries that were ignored for their version
    */
-  public void applyChanges(List<FleetEndpoint> changed, List<EndpointId> removed, long nowNanos) {
+  public List<FleetEndpoint> applyChanges(
+      List<FleetEndpoint> changed, List<EndpointId> removed, long nowNanos) {
+    List<FleetEndpoint> ignored = new ArrayList<>();
     for (FleetEndpoint endpoint : changed) {
       TrackedEndpoint known = endpointsById.get(endpoint.id());
       if (known == null) {
         endpointsById.put(endpoint.id(), new TrackedEndpoint(endpoint));
         lastEndpointAddedNanos = nowNanos;
-      } else if (endpoint.rowVersion() >= known.entry().rowVersion()) {
+      } else if (endpoint.rowVersion().number() >= known.entry().rowVersion().number()) {
         known.update(endpoint, nowNanos, MAX_HEARTBEAT_LAG_NANOS);
+      } else {
+        ignored.add(endpoint);
       }
     }
     long graceNanos = reappearanceGraceNanos(nowNanos);
@@ -126,6 +136,7 @@
       }
     }
     removeExpired(nowNanos);
+    return ignored;
   }
 
   /** Removes endpoints that did not reappear in time. */
--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -70,7 +70,7 @@
       ordersAccepted = 0;
       orderCountUncertain = false;
     } else if (suspected
-        && newer.rowVersion() > entry.rowVersion()
+        && newer.rowVersion().number() > entry.rowVersion().number()
         && nowNanos - suspectedAtNanos > heartbeatLagNanos) {
       suspected = false;
     }
@@ -86,7 +86,7 @@
     return !entry.draining()
         && !leaving
         && !suspectedAt(nowNanos)
-        && entry.rowVersion() > refutedRowVersion;
+        && entry.rowVersion().number() > refutedRowVersion;
   }
 
   /** Returns whether neither the endpoint list nor the endpoint itself says that it is leaving. */
@@ -118,7 +118,7 @@
    * restart. It is not used until it writes its entry again.
    */
   public void entryRefuted() {
-    refutedRowVersion = entry.rowVersion();
+    refutedRowVersion = entry.rowVersion().number();
   }
 
   /** Marks the endpoint as avoided for lack of response; an answered check ends the avoidance. */
--- a/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
+++ b/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
@@ -4,6 +4,7 @@
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.entry.lease.LeaseView;
 import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -93,19 +94,30 @@
             .map(
                 row ->
                     new LeaseNotice(
-                        row.fencingNumber(), row.renewals(), turn.state.lease.version()))
+                        row.fencingNumber(),
+                        row.renewals(),
+                        new StoreVersion(turn.state.storeEra, turn.state.lease.version())))
         : Optional.empty();
   }
 
   /** Takes over the lease row from a message of its holder, like a read of that row. */
   static void heard(RelayTurn turn, VmId holder, LeaseNotice notice) {
     RelayState state = turn.state;
-    if (notice.rowVersion() < state.lease.version()) {
+    if (notice.rowVersion().number() < state.lease.version()) {
+      state.ignoredLog.log(
+          turn,
+          "lease-notice-ignored",
+          "vm",
+          holder.value(),
+          "rowVersion",
+          notice.rowVersion(),
+          "known",
+          state.lease.version());
       return;
     }
     state.leaseNoticeReceived = true;
     state.leaseNoticeNanos = turn.nowNanos;
-    if (notice.rowVersion() > state.lease.version()) {
+    if (notice.rowVersion().number() > state.lease.version()) {
       applyRow(
           turn,
           Option.some(new LeaseRow(holder, notice.fencingNumber(), notice.renewals())),
@@ -113,9 +125,9 @@
     }
   }
 
-  private static void applyRow(RelayTurn turn, Option<LeaseRow> row, long version) {
+  private static void applyRow(RelayTurn turn, Option<LeaseRow> row, StoreVersion version) {
     LeaseView before = turn.state.lease;
-    LeaseView after = before.afterRead(row, version, LEASE_NANOS, turn.nowNanos);
+    LeaseView after = before.afterRead(row, version.number(), LEASE_NANOS, turn.nowNanos);
     turn.state.lease = after;
     if (after.heldRow().isDefined() != before.heldRow().isDefined()) {
       turn.log(
@@ -130,6 +142,7 @@
   }
 
   static void leaseRead(RelayTurn turn, RelayEvent.LeaseRead event) {
+    StoreEras.observe(turn, event.version().era());
     applyRow(turn, event.row(), event.version());
     LeaseView after = turn.state.lease;
     if (after.heldRow().isEmpty()
--- a/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
+++ b/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
@@ -22,7 +22,7 @@
         logRemoval(turn, known.id());
       }
     }
-    turn.state.fleet.replaceAll(endpoints, turn.nowNanos);
+    logIgnored(turn, turn.state.fleet.replaceAll(endpoints, turn.nowNanos));
   }
 
   static void endpointsChanged(
@@ -33,7 +33,27 @@
     for (EndpointId id : removed) {
       logRemoval(turn, id);
     }
-    turn.state.fleet.applyChanges(changed, removed, turn.nowNanos);
+    logIgnored(turn, turn.state.fleet.applyChanges(changed, removed, turn.nowNanos));
+  }
+
+  private static void logIgnored(RelayTurn turn, List<FleetEndpoint> ignored) {
+    for (FleetEndpoint entry : ignored) {
+      turn.state.ignoredLog.log(
+          turn,
+          "entry-ignored",
+          "endpoint",
+          entry.id().value(),
+          "draining",
+          entry.draining(),
+          "rowVersion",
+          entry.rowVersion(),
+          "known",
+          turn.state
+              .fleet
+              .find(entry.id())
+              .map(known -> known.entry().rowVersion().toString())
+              .orElse("none"));
+    }
   }
 
   static void storeLost(RelayTurn turn) {
--- a/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
@@ -43,6 +43,7 @@
             receivers,
             new PeerMessage(
                 state.parameters.vm(),
+                state.storeEra,
                 state.failedEndpointReads == 0,
                 state.routesVersion(),
                 state.routeReads.ageMillis(turn.nowNanos),
--- a/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.Optional;
@@ -8,6 +9,8 @@
  * State that a relay sends to other relays.
  *
  * @param vm VM of the sender
+ * @param storeEra era of the store that the sender reads; all versions in the message are of this
+ *     era
  * @param storeAvailable whether the sender's last read of the store succeeded
  * @param routesVersion version of the routing table that the sender applies; 0 if it has none
  * @param routesAgeMillis time since a read confirmed that version as the newest one, in
@@ -18,6 +21,7 @@
  */
 public record PeerMessage(
     VmId vm,
+    StoreEra storeEra,
     boolean storeAvailable,
     long routesVersion,
     long routesAgeMillis,
--- a/core/src/main/java/io/zinniawood/core/relay/Peers.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Peers.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import java.util.ArrayList;
@@ -27,7 +28,7 @@
 
   private static final class Peer {
     Optional<NodeAddress> address = Optional.empty();
-    long rowVersion = -1;
+    Optional<StoreVersion> rowVersion = Optional.empty();
     long rowChangedNanos;
     boolean heard;
     long heardNanos;
@@ -41,8 +42,8 @@
           if (!vm.equals(self)) {
             Peer peer = peersByVm.computeIfAbsent(vm, id -> new Peer());
             peer.address = row.peerAddress();
-            if (peer.rowVersion != row.version()) {
-              peer.rowVersion = row.version();
+            if (!peer.rowVersion.equals(Optional.of(row.version()))) {
+              peer.rowVersion = Optional.of(row.version());
               peer.rowChangedNanos = nowNanos;
             }
           }
--- a/core/src/main/java/io/zinniawood/core/relay/PresenceRow.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PresenceRow.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.model.NodeAddress;
 import java.util.Optional;
 
@@ -10,4 +11,4 @@
  * @param peerAddress address at which the relay receives messages of other relays; empty if it
  *     receives none
  */
-public record PresenceRow(long version, Optional<NodeAddress> peerAddress) {}
+public record PresenceRow(StoreVersion version, Optional<NodeAddress> peerAddress) {}
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEffect.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEffect.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
@@ -89,7 +90,7 @@
   }
 
   /** Reads the changes of the endpoint list after a version of the store. */
-  record ReadEndpointChanges(long afterVersion) implements RelayEffect {
+  record ReadEndpointChanges(StoreVersion afterVersion) implements RelayEffect {
     @Override
     public void accept(Visitor visitor) {
       visitor.readEndpointChanges(this);
@@ -105,7 +106,7 @@
   }
 
   /** Reads the routing table if it changes after a version of the store, within a time. */
-  record AwaitRoutes(long afterVersion, long waitMillis) implements RelayEffect {
+  record AwaitRoutes(StoreVersion afterVersion, long waitMillis) implements RelayEffect {
     @Override
     public void accept(Visitor visitor) {
       visitor.awaitRoutes(this);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -4,6 +4,7 @@
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.route.RouteTable;
@@ -22,7 +23,8 @@
    * @param routes routing table, if a new one was read
    * @param storeVersion version of the store at the time of the answer
    */
-  record RoutesAnswered(Optional<RouteTable> routes, long storeVersion) implements RelayEvent {
+  record RoutesAnswered(Optional<RouteTable> routes, StoreVersion storeVersion)
+      implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
       visitor.routesAnswered(this);
@@ -43,7 +45,7 @@
    * @param version version of the store that the list shows
    * @param storeMillis time of the store's steady clock, in milliseconds
    */
-  record EndpointsListed(List<FleetEndpoint> endpoints, long version, long storeMillis)
+  record EndpointsListed(List<FleetEndpoint> endpoints, StoreVersion version, long storeMillis)
       implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
@@ -61,8 +63,8 @@
   record EndpointsChanged(
       List<FleetEndpoint> changed,
       List<EndpointId> removed,
-      long afterVersion,
-      long version,
+      StoreVersion afterVersion,
+      StoreVersion version,
       long storeMillis)
       implements RelayEvent {
     @Override
@@ -175,8 +177,12 @@
     }
   }
 
-  /** The controller lease row was read, or a write to it was answered. */
-  record LeaseRead(Option<LeaseRow> row, long version) implements RelayEvent {
+  /**
+   * The controller lease row was read, or a write to it was answered.
+   *
+   * @param version version of the row; its number is 0 if the row does not exist
+   */
+  record LeaseRead(Option<LeaseRow> row, StoreVersion version) implements RelayEvent {
     @Override
     public void accept(Visitor visitor) {
       visitor.leaseRead(this);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -3,6 +3,8 @@
 import io.zinniawood.core.entry.lease.LeaseView;
 import io.zinniawood.core.fleet.FleetView;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.StoreEra;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.quarantine.PromptPartQuarantine;
 import io.zinniawood.core.route.RouteTable;
 import java.util.ArrayList;
@@ -40,11 +42,16 @@
   /** Time until which this process catches up after a pause. */
   long catchUpEndNanos;
 
-  /** Version of the store up to which the endpoint list is known; -1 if it must be read whole. */
-  long endpointsVersion = -1;
+  StoreEra storeEra = StoreEra.UNNAMED;
+  boolean storeEraKnown;
 
-  /** Version of the store up to which the routes are known; -1 if they must be read whole. */
-  long routesStoreVersion = -1;
+  /** Version up to which the endpoint list is known; empty if it must be read whole. */
+  Optional<StoreVersion> endpointsVersion = Optional.empty();
+
+  /** Version up to which the routes are known; empty if they must be read whole. */
+  Optional<StoreVersion> routesStoreVersion = Optional.empty();
+
+  final BoundedLog ignoredLog = new BoundedLog();
 
   int failedEndpointReads;
   int loggedLiveRelays = 1;
@@ -90,6 +97,11 @@
     return routes.map(RouteTable::version).orElse(0L);
   }
 
+  /** Returns the era of the store as of its last answer. */
+  public long storeEra() {
+    return storeEra.value();
+  }
+
   /** Returns the number of endpoints in the list. */
   public int endpoints() {
     return fleet.all().size();
--- a/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.StoreVersion;
 import java.util.List;
 
 /**
@@ -17,8 +18,8 @@
  * @param removed ids of the entries that are no longer listed
  */
 public record SharedRead(
-    long afterVersion,
-    long version,
+    StoreVersion afterVersion,
+    StoreVersion version,
     long storeMillis,
     long graceMillis,
     List<FleetEndpoint> changed,
@@ -32,5 +33,5 @@
   }
 
   /** Entry of the endpoint list of which only the row version changed. */
-  public record Heartbeat(EndpointId endpoint, long rowVersion) {}
+  public record Heartbeat(EndpointId endpoint, StoreVersion rowVersion) {}
 }
--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -3,6 +3,7 @@
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.StoreVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -57,9 +58,9 @@
     if (state.endpointReads.due(ENDPOINTS_INTERVAL_NANOS + rankDelayNanos, turn.nowNanos)) {
       state.endpointReads.sent();
       turn.emit(
-          state.endpointsVersion < 0
+          state.endpointsVersion.isEmpty()
               ? new RelayEffect.ListEndpoints()
-              : new RelayEffect.ReadEndpointChanges(state.endpointsVersion));
+              : new RelayEffect.ReadEndpointChanges(state.endpointsVersion.get()));
     }
     long routesMaxAgeNanos =
         rank == 0
@@ -70,30 +71,31 @@
     if (state.routeReads.due(routesMaxAgeNanos, turn.nowNanos)) {
       state.routeReads.sent();
       turn.emit(
-          state.routesStoreVersion < 0
+          state.routesStoreVersion.isEmpty()
               ? new RelayEffect.ReadRoutes()
               : new RelayEffect.AwaitRoutes(
-                  state.routesStoreVersion, rank == 0 ? ROUTES_WAIT_MILLIS : 0));
+                  state.routesStoreVersion.get(), rank == 0 ? ROUTES_WAIT_MILLIS : 0));
     }
   }
 
   static void endpointsListed(RelayTurn turn, RelayEvent.EndpointsListed event) {
-    answered(turn, event.storeMillis());
-    turn.state.endpointsVersion = event.version();
+    answered(turn, event.version(), event.storeMillis());
+    turn.state.endpointsVersion = Optional.of(event.version());
     FleetUpdates.endpointsListed(turn, event.endpoints());
   }
 
   static void endpointsChanged(RelayTurn turn, RelayEvent.EndpointsChanged event) {
-    answered(turn, event.storeMillis());
+    answered(turn, event.version(), event.storeMillis());
     List<SharedRead> reads = sharedReads(turn, event);
-    turn.state.endpointsVersion = event.version();
+    turn.state.endpointsVersion = Optional.of(event.version());
     FleetUpdates.endpointsChanged(turn, event.changed(), event.removed());
     for (SharedRead read : reads) {
       PeerExchange.send(turn, Optional.of(read));
     }
   }
 
-  private static void answered(RelayTurn turn, long storeMillis) {
+  private static void answered(RelayTurn turn, StoreVersion version, long storeMillis) {
+    StoreEras.observe(turn, version.era());
     RelayState state = turn.state;
     state.storeClock.observe(storeMillis, turn.nowNanos);
     state.endpointReads.answered(turn.nowNanos);
@@ -110,7 +112,7 @@
   static void endpointsReadFailed(RelayTurn turn, RelayEvent.EndpointsReadFailed event) {
     RelayState state = turn.state;
     if (event.cause() == StoreReadFailure.HISTORY_GONE) {
-      state.endpointsVersion = -1;
+      state.endpointsVersion = Optional.empty();
       state.endpointReads.answered(turn.nowNanos);
       state.endpointReads.invalidate();
       return;
@@ -124,7 +126,13 @@
 
   static void routesAnswered(RelayTurn turn, RelayEvent.RoutesAnswered event) {
     turn.state.routeReads.answered(turn.nowNanos);
-    turn.state.routesStoreVersion = Math.max(turn.state.routesStoreVersion, event.storeVersion());
+    StoreEras.observe(turn, event.storeVersion().era());
+    if (turn.state
+        .routesStoreVersion
+        .filter(known -> known.number() >= event.storeVersion().number())
+        .isEmpty()) {
+      turn.state.routesStoreVersion = Optional.of(event.storeVersion());
+    }
     boolean newer =
         event.routes().filter(routes -> routes.version() > turn.state.routesVersion()).isPresent();
     event.routes().ifPresent(routes -> Lifecycle.routesRead(turn, routes));
@@ -135,7 +143,7 @@
 
   static void routesReadFailed(RelayTurn turn, RelayEvent.RoutesReadFailed event) {
     if (event.cause() == StoreReadFailure.HISTORY_GONE) {
-      turn.state.routesStoreVersion = -1;
+      turn.state.routesStoreVersion = Optional.empty();
       turn.state.routeReads.answered(turn.nowNanos);
       turn.state.routeReads.invalidate();
     } else {
@@ -157,10 +165,11 @@
 
   private static void applyRead(RelayTurn turn, SharedRead read) {
     RelayState state = turn.state;
-    if (state.endpointsVersion < 0) {
+    if (state.endpointsVersion.isEmpty()) {
       return;
     }
-    if (read.afterVersion() > state.endpointsVersion || !knowsAll(turn, read)) {
+    long knownNumber = state.endpointsVersion.get().number();
+    if (read.afterVersion().number() > knownNumber || !knowsAll(turn, read)) {
       // A message was lost.
       state.endpointReads.invalidate();
       return;
@@ -168,12 +177,14 @@
     state.storeClock.observe(read.storeMillis(), turn.nowNanos);
     long ageMillis = state.storeClock.ageMillis(read.storeMillis(), turn.nowNanos);
     state.endpointReads.confirmed(turn.nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis));
-    if (read.version() <= state.endpointsVersion) {
+    if (read.version().number() <= knownNumber) {
+      state.ignoredLog.log(
+          turn, "peer-read-ignored", "version", read.version(), "known", state.endpointsVersion);
       return;
     }
     available(turn);
     state.fleet.extendReappearanceGrace(read.graceMillis(), turn.nowNanos);
-    state.endpointsVersion = read.version();
+    state.endpointsVersion = Optional.of(read.version());
     List<FleetEndpoint> changed = new ArrayList<>(read.changed());
     for (SharedRead.Heartbeat heartbeat : read.heartbeats()) {
       state
@@ -199,18 +210,19 @@
    */
   private static List<SharedRead> sharedReads(RelayTurn turn, RelayEvent.EndpointsChanged event) {
     List<FleetEndpoint> entries = new ArrayList<>(event.changed());
-    entries.sort((left, right) -> Long.compare(left.rowVersion(), right.rowVersion()));
+    entries.sort(
+        (left, right) -> Long.compare(left.rowVersion().number(), right.rowVersion().number()));
     long graceMillis = turn.state.fleet.reappearanceGraceMillis(turn.nowNanos);
     List<SharedRead> reads = new ArrayList<>();
     List<FleetEndpoint> changed = new ArrayList<>();
     List<SharedRead.Heartbeat> heartbeats = new ArrayList<>();
     // Removals go into the first message: a relay that lacks it reads the store from there on.
     List<EndpointId> removed = event.removed();
-    long after = event.afterVersion();
+    StoreVersion after = event.afterVersion();
     for (FleetEndpoint entry : entries) {
       int weight = changed.size() * CHANGED_ENTRY_WEIGHT + heartbeats.size();
       if (weight >= MAX_ENTRIES_PER_MESSAGE) {
-        long version = entry.rowVersion() - 1;
+        StoreVersion version = entry.rowVersion().withNumber(entry.rowVersion().number() - 1);
         reads.add(
             new SharedRead(
                 after, version, event.storeMillis(), graceMillis, changed, heartbeats, removed));
--- a/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
@@ -6,6 +6,8 @@
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.StoreEra;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.NodeAddress;
 import java.util.List;
@@ -29,7 +31,7 @@
         Optional.empty(),
         Optional.empty(),
         startedMillis,
-        rowVersion);
+        new StoreVersion(StoreEra.UNNAMED, rowVersion));
   }
 
   private static long millis(long millis) {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
@@ -7,6 +7,7 @@
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.HeldPartNotice;
@@ -34,7 +35,8 @@
     }
     relay.list(endpoints.toArray(FleetEndpoint[]::new));
     relay.post(
-        new RelayEvent.PresencesRead(Map.of(PEER, new PresenceRow(7, Optional.of(PEER_ADDRESS)))));
+        new RelayEvent.PresencesRead(
+            Map.of(PEER, new PresenceRow(RelayHarness.version(7), Optional.of(PEER_ADDRESS)))));
     relay.advanceMillis(10);
   }
 
@@ -171,7 +173,8 @@
   private void receive(QuarantineNotice notice) {
     relay.post(
         new RelayEvent.PeerMessageReceived(
-            new PeerMessage(PEER, true, 1, 0, Optional.empty(), Optional.empty(), notice),
+            new PeerMessage(
+                PEER, StoreEra.UNNAMED, true, 1, 0, Optional.empty(), Optional.empty(), notice),
             PEER_ADDRESS));
   }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -8,6 +8,8 @@
 import io.zinniawood.core.id.PromptPartId;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.StoreEra;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.NodeAddress;
@@ -53,7 +55,12 @@
 
   /** Creates a relay with a routing table but no endpoints. */
   RelayHarness() {
-    post(new RelayEvent.RoutesAnswered(Optional.of(routes(1)), 1));
+    post(new RelayEvent.RoutesAnswered(Optional.of(routes(1)), version(1)));
+  }
+
+  /** Returns a version of a store that names no era. */
+  static StoreVersion version(long number) {
+    return new StoreVersion(StoreEra.UNNAMED, number);
   }
 
   static RouteTable routes(long version) {
@@ -154,11 +161,11 @@
         service.equals(MODEL) ? Optional.of(KIND) : Optional.empty(),
         layers,
         1,
-        rowVersion++);
+        version(rowVersion++));
   }
 
   void list(FleetEndpoint... endpoints) {
-    post(new RelayEvent.EndpointsListed(List.of(endpoints), rowVersion, storeMillis()));
+    post(new RelayEvent.EndpointsListed(List.of(endpoints), version(rowVersion), storeMillis()));
   }
 
   /** Returns the time of the store's clock. */
--- a/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
@@ -148,8 +148,12 @@
   @Test
   void revokedKeyStaysRefusedAfterOlderRoutingTable() {
     relay.list(relay.plain("a"));
-    relay.post(new RelayEvent.RoutesAnswered(Optional.of(RelayHarness.routes(3, Map.of())), 3));
-    relay.post(new RelayEvent.RoutesAnswered(Optional.of(RelayHarness.routes(2)), 4));
+    relay.post(
+        new RelayEvent.RoutesAnswered(
+            Optional.of(RelayHarness.routes(3, Map.of())), RelayHarness.version(3)));
+    relay.post(
+        new RelayEvent.RoutesAnswered(
+            Optional.of(RelayHarness.routes(2)), RelayHarness.version(4)));
     RelayRequestId id = relay.request("read");
     assertThat(relay.localAnswer(id).orElseThrow().status(), is(401));
   }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.relay;
 
+import static io.zinniawood.core.relay.RelayHarness.version;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
@@ -11,6 +12,8 @@
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.id.StoreEra;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.QuarantineNotice;
@@ -32,20 +35,20 @@
 
   private final RelayHarness relay = new RelayHarness();
   private final FleetEndpoint endpoint = relay.plain("p");
-  private long version = 1_000;
+  private StoreVersion version = version(1_000);
 
   @BeforeEach
   void startWithReader() {
     relay.post(new RelayEvent.EndpointsListed(List.of(endpoint), version, relay.storeMillis()));
     relay.post(
         new RelayEvent.PresencesRead(
-            Map.of(READER, new PresenceRow(7, Optional.of(READER_ADDRESS)))));
+            Map.of(READER, new PresenceRow(version(7), Optional.of(READER_ADDRESS)))));
     receive(read(0, List.of()));
   }
 
   private SharedRead read(long ageMillis, List<FleetEndpoint> changed) {
-    long after = version;
-    version += 10;
+    StoreVersion after = version;
+    version = version(after.number() + 10);
     return new SharedRead(
         after, version, relay.storeMillis() - ageMillis, 0, changed, List.of(), List.of());
   }
@@ -57,7 +60,15 @@
   private void receive(NodeAddress sender, Optional<SharedRead> read, Optional<LeaseNotice> lease) {
     relay.post(
         new RelayEvent.PeerMessageReceived(
-            new PeerMessage(READER, true, ROUTES_VERSION, 0, lease, read, QuarantineNotice.EMPTY),
+            new PeerMessage(
+                READER,
+                StoreEra.UNNAMED,
+                true,
+                ROUTES_VERSION,
+                0,
+                lease,
+                read,
+                QuarantineNotice.EMPTY),
             sender));
   }
 
@@ -98,7 +109,7 @@
     receive(read(0, List.of()));
     relay.advanceMillis(25);
     RelayEffect.ReadEndpointChanges own = relay.lastEffect(RelayEffect.ReadEndpointChanges.class);
-    assertThat(own.afterVersion(), is(1_010L));
+    assertThat(own.afterVersion(), is(version(1_010)));
   }
 
   // A reader that was suspended between its read and its message sends what it read before. Its own
@@ -120,7 +131,7 @@
             List.of(
                 relay
                     .endpoint("p", RelayHarness.PLAIN, Optional.empty(), true)
-                    .withRowVersion(1_015))));
+                    .withRowVersion(version(1_015)))));
     RelayRequestId id = relay.request("book");
     assertThat(relay.sends(id), empty());
     assertThat(relay.localAnswer(id).isPresent(), is(true));
@@ -129,10 +140,16 @@
   // An older read that arrives late must not bring back an endpoint that has left.
   @Test
   void lateSharedReadDoesNotBringBackRemovedEndpoint() {
-    SharedRead late = read(0, List.of(endpoint.withRowVersion(1_012)));
+    SharedRead late = read(0, List.of(endpoint.withRowVersion(version(1_012))));
     SharedRead removal =
         new SharedRead(
-            1_010, 1_030, relay.storeMillis(), 0, List.of(), List.of(), List.of(endpoint.id()));
+            version(1_010),
+            version(1_030),
+            relay.storeMillis(),
+            0,
+            List.of(),
+            List.of(),
+            List.of(endpoint.id()));
     receive(removal);
     receive(late);
     RelayRequestId id = relay.request("book");
@@ -146,16 +163,17 @@
     RelayHarness started = new RelayHarness();
     started.post(
         new RelayEvent.PresencesRead(
-            Map.of(READER, new PresenceRow(7, Optional.of(READER_ADDRESS)))));
+            Map.of(READER, new PresenceRow(version(7), Optional.of(READER_ADDRESS)))));
     started.post(
         new RelayEvent.PeerMessageReceived(
             new PeerMessage(
                 READER,
+                StoreEra.UNNAMED,
                 true,
                 ROUTES_VERSION,
                 0,
                 Optional.empty(),
-                Optional.of(read(0, List.of(endpoint.withRowVersion(1_015)))),
+                Optional.of(read(0, List.of(endpoint.withRowVersion(version(1_015))))),
                 QuarantineNotice.EMPTY),
             READER_ADDRESS));
     assertThat(started.state().endpoints(), is(0));
@@ -167,7 +185,9 @@
   @Test
   void messageFromUnlistedAddressIsIgnored() {
     FleetEndpoint draining =
-        relay.endpoint("p", RelayHarness.PLAIN, Optional.empty(), true).withRowVersion(1_015);
+        relay
+            .endpoint("p", RelayHarness.PLAIN, Optional.empty(), true)
+            .withRowVersion(version(1_015));
     receive(
         new NodeAddress("10.0.1.66", 7_340),
         Optional.of(read(0, List.of(draining))),
@@ -179,13 +199,15 @@
   // A holder that was paused learns from the messages of the new holder that it lost the lease.
   @Test
   void replacedHolderGivesNoOrders() {
-    relay.post(new RelayEvent.LeaseRead(Option.none(), 0));
+    relay.post(new RelayEvent.LeaseRead(Option.none(), version(0)));
     LeaseRow own = relay.lastEffect(RelayEffect.WriteLease.class).row();
-    relay.post(new RelayEvent.LeaseRead(Option.some(own), 2_000));
+    relay.post(new RelayEvent.LeaseRead(Option.some(own), version(2_000)));
     receive(
         READER_ADDRESS,
-        Optional.of(read(0, List.of(relay.empty("e").withRowVersion(1_015)))),
-        Optional.of(new LeaseNotice(new FencingNumber(own.fencingNumber().value() + 1), 0, 2_500)));
+        Optional.of(read(0, List.of(relay.empty("e").withRowVersion(version(1_015))))),
+        Optional.of(
+            new LeaseNotice(
+                new FencingNumber(own.fencingNumber().value() + 1), 0, version(2_500))));
     relay.advanceMillis(1_000);
     assertThat(relay.effectsOf(RelayEffect.Order.class), empty());
   }
@@ -196,19 +218,19 @@
   void leaseIsTakenOnlyAfterHolderFellSilent() {
     relay.post(
         new RelayEvent.LeaseRead(
-            Option.some(new LeaseRow(READER, new FencingNumber(3), 1)), 2_000));
+            Option.some(new LeaseRow(READER, new FencingNumber(3), 1)), version(2_000)));
     for (int renewal = 2; renewal < 12; renewal++) {
       receive(
           READER_ADDRESS,
           Optional.empty(),
-          Optional.of(new LeaseNotice(new FencingNumber(3), renewal, 2_000 + renewal)));
+          Optional.of(new LeaseNotice(new FencingNumber(3), renewal, version(2_000 + renewal))));
       relay.advanceMillis(1_300);
     }
     Option<LeaseRow> row = Option.some(new LeaseRow(READER, new FencingNumber(3), 11));
-    relay.post(new RelayEvent.LeaseRead(row, 2_011));
+    relay.post(new RelayEvent.LeaseRead(row, version(2_011)));
     assertThat(relay.effectsOf(RelayEffect.WriteLease.class), empty());
     relay.advanceMillis(4_000);
-    relay.post(new RelayEvent.LeaseRead(row, 2_011));
+    relay.post(new RelayEvent.LeaseRead(row, version(2_011)));
     assertThat(
         relay.lastEffect(RelayEffect.WriteLease.class).row().fencingNumber(),
         is(new FencingNumber(4)));
@@ -220,16 +242,20 @@
     RelayHarness reader = new RelayHarness();
     reader.post(
         new RelayEvent.PresencesRead(
-            Map.of(new VmId("relay-2"), new PresenceRow(3, Optional.of(READER_ADDRESS)))));
-    reader.post(new RelayEvent.EndpointsListed(List.of(), 100, reader.storeMillis()));
+            Map.of(new VmId("relay-2"), new PresenceRow(version(3), Optional.of(READER_ADDRESS)))));
+    reader.post(new RelayEvent.EndpointsListed(List.of(), version(100), reader.storeMillis()));
     List<FleetEndpoint> changed = new ArrayList<>();
     for (int index = 0; index < 40; index++) {
-      changed.add(reader.plain("p" + index).withRowVersion(101 + index));
+      changed.add(reader.plain("p" + index).withRowVersion(version(101 + index)));
     }
     reader.post(
         new RelayEvent.EndpointsChanged(
-            changed, List.of(new EndpointId("gone")), 100, 200, reader.storeMillis()));
-    long known = 100;
+            changed,
+            List.of(new EndpointId("gone")),
+            version(100),
+            version(200),
+            reader.storeMillis()));
+    StoreVersion known = version(100);
     int entries = 0;
     for (RelayEffect.SendToPeers sent : reader.effectsOf(RelayEffect.SendToPeers.class)) {
       if (sent.message().read().isPresent()) {
@@ -239,7 +265,7 @@
         entries += read.changed().size();
       }
     }
-    assertThat(known, is(200L));
+    assertThat(known, is(version(200)));
     assertThat(entries, is(40));
   }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPlacementsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPlacementsTest.java
@@ -15,9 +15,9 @@
   private final RelayHarness relay = new RelayHarness();
 
   private void takeLease() {
-    relay.post(new RelayEvent.LeaseRead(Option.none(), 0));
+    relay.post(new RelayEvent.LeaseRead(Option.none(), RelayHarness.version(0)));
     RelayEffect.WriteLease write = relay.lastEffect(RelayEffect.WriteLease.class);
-    relay.post(new RelayEvent.LeaseRead(Option.some(write.row()), 5));
+    relay.post(new RelayEvent.LeaseRead(Option.some(write.row()), RelayHarness.version(5)));
   }
 
   // Two relays that give placement orders at the same time would load an endpoint twice.
--- a/relay/src/main/java/io/zinniawood/relay/ControlClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -199,7 +199,10 @@
         context.close();
       }
       answered.succeed(
-          new ControlResponse(response.status().code(), ByteBufUtil.getBytes(response.content())));
+          new ControlResponse(
+              response.status().code(),
+              response.headers(),
+              ByteBufUtil.getBytes(response.content())));
     }
 
     @Override
--- a/relay/src/main/java/io/zinniawood/relay/PlatformClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/PlatformClient.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
@@ -32,7 +33,7 @@
    *
    * @param afterVersion version of the store after which the changes begin
    */
-  void readEndpointChanges(long afterVersion);
+  void readEndpointChanges(StoreVersion afterVersion);
 
   /**
    * Reads the routes, which are delivered as {@link RelayEvent.RoutesAnswered}, or {@link
@@ -47,7 +48,7 @@
    * @param afterVersion version of the store after which a change counts
    * @param waitMillis longest time to wait for a change, in milliseconds
    */
-  void awaitRoutes(long afterVersion, long waitMillis);
+  void awaitRoutes(StoreVersion afterVersion, long waitMillis);
 
   /** Sends an order; the result is delivered as {@link RelayEvent.OrderAnswered}. */
   void sendOrder(PlacementOrder order);
--- a/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
@@ -28,6 +28,7 @@
     gauge("relay_requests_waiting", state::waitingRequests);
     gauge("relay_routes_version", state::routesVersion);
     gauge("relay_endpoints", state::endpoints);
+    gauge("relay_store_era", state::storeEra);
     gauge("relay_prompt_parts_held", state::heldPromptParts);
     gauge("relay_lease_held", () -> state.holdsLease() ? 1 : 0);
     gauge("relay_store_available", () -> state.storeAvailable() ? 1 : 0);
--- a/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
+++ b/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
@@ -7,6 +7,8 @@
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.FencingNumber;
 import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.StoreEra;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.NodeAddress;
@@ -27,6 +29,7 @@
     RelayProto.PeerMessage.Builder builder =
         RelayProto.PeerMessage.newBuilder()
             .setVm(message.vm().value())
+            .setStoreEra(message.storeEra().value())
             .setStoreAvailable(message.storeAvailable())
             .setRoutesVersion(message.routesVersion())
             .setRoutesAgeMillis((int) Math.min(Integer.MAX_VALUE, message.routesAgeMillis()));
@@ -38,7 +41,7 @@
                     RelayProto.LeaseNotice.newBuilder()
                         .setFencingNumber(lease.fencingNumber().value())
                         .setRenewals(lease.renewals())
-                        .setRowVersion(lease.rowVersion())));
+                        .setRowVersion(lease.rowVersion().number())));
     message.read().ifPresent(read -> builder.setRead(encodeRead(read)));
     if (!message.quarantine().isEmpty()) {
       builder.setQuarantine(QuarantineNoticeCodec.encode(message.quarantine()));
@@ -49,8 +52,8 @@
   private static RelayProto.SharedRead encodeRead(SharedRead read) {
     RelayProto.SharedRead.Builder builder =
         RelayProto.SharedRead.newBuilder()
-            .setAfterVersion(read.afterVersion())
-            .setVersion(read.version())
+            .setAfterVersion(read.afterVersion().number())
+            .setVersion(read.version().number())
             .setStoreMillis(read.storeMillis())
             .setGraceMillis((int) read.graceMillis());
     for (FleetEndpoint endpoint : read.changed()) {
@@ -60,7 +63,7 @@
       builder.addHeartbeats(
           RelayProto.Heartbeat.newBuilder()
               .setId(heartbeat.endpoint().value())
-              .setRowVersion(heartbeat.rowVersion()));
+              .setRowVersion(heartbeat.rowVersion().number()));
     }
     for (EndpointId removed : read.removed()) {
       builder.addRemoved(removed.value());
@@ -79,7 +82,7 @@
             .setSlots(endpoint.slots())
             .setDraining(endpoint.draining())
             .setStartedMillis(endpoint.startedMillis())
-            .setRowVersion(endpoint.rowVersion());
+            .setRowVersion(endpoint.rowVersion().number());
     endpoint.accelerator().ifPresent(kind -> builder.setAccelerator(kind.value()));
     endpoint
         .layers()
@@ -95,9 +98,11 @@
   public static Optional<PeerMessage> decode(byte[] bytes) {
     try {
       RelayProto.PeerMessage message = RelayProto.PeerMessage.parseFrom(bytes);
+      StoreEra era = new StoreEra(message.getStoreEra());
       return Optional.of(
           new PeerMessage(
               new VmId(message.getVm()),
+              era,
               message.getStoreAvailable(),
               message.getRoutesVersion(),
               Integer.toUnsignedLong(message.getRoutesAgeMillis()),
@@ -106,32 +111,35 @@
                       new LeaseNotice(
                           new FencingNumber(message.getLease().getFencingNumber()),
                           message.getLease().getRenewals(),
-                          message.getLease().getRowVersion()))
+                          new StoreVersion(era, message.getLease().getRowVersion())))
+                  : Optional.empty(),
+              message.hasRead()
+                  ? Optional.of(decodeRead(era, message.getRead()))
                   : Optional.empty(),
-              message.hasRead() ? Optional.of(decodeRead(message.getRead())) : Optional.empty(),
               QuarantineNoticeCodec.decode(message.getQuarantine())));
     } catch (InvalidProtocolBufferException | IllegalArgumentException invalid) {
       return Optional.empty();
     }
   }
 
-  private static SharedRead decodeRead(RelayProto.SharedRead read) {
+  private static SharedRead decodeRead(StoreEra era, RelayProto.SharedRead read) {
     List<FleetEndpoint> changed = new ArrayList<>();
     for (RelayProto.Endpoint endpoint : read.getChangedList()) {
-      changed.add(decodeEndpoint(endpoint));
+      changed.add(decodeEndpoint(era, endpoint));
     }
     List<SharedRead.Heartbeat> heartbeats = new ArrayList<>();
     for (RelayProto.Heartbeat heartbeat : read.getHeartbeatsList()) {
       heartbeats.add(
-          new SharedRead.Heartbeat(new EndpointId(heartbeat.getId()), heartbeat.getRowVersion()));
+          new SharedRead.Heartbeat(
+              new EndpointId(heartbeat.getId()), new StoreVersion(era, heartbeat.getRowVersion())));
     }
     List<EndpointId> removed = new ArrayList<>();
     for (String id : read.getRemovedList()) {
       removed.add(new EndpointId(id));
     }
     return new SharedRead(
-        read.getAfterVersion(),
-        read.getVersion(),
+        new StoreVersion(era, read.getAfterVersion()),
+        new StoreVersion(era, read.getVersion()),
         read.getStoreMillis(),
         Integer.toUnsignedLong(read.getGraceMillis()),
         changed,
@@ -139,7 +147,7 @@
         removed);
   }
 
-  private static FleetEndpoint decodeEndpoint(RelayProto.Endpoint endpoint) {
+  private static FleetEndpoint decodeEndpoint(StoreEra era, RelayProto.Endpoint endpoint) {
     return new FleetEndpoint(
         new EndpointId(endpoint.getId()),
         new ServiceName(endpoint.getService()),
@@ -154,6 +162,6 @@
             ? Optional.empty()
             : Optional.of(new LayerRange(endpoint.getFromLayer(), endpoint.getToLayerExclusive())),
         endpoint.getStartedMillis(),
-        endpoint.getRowVersion());
+        new StoreVersion(era, endpoint.getRowVersion()));
   }
 }
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -11,6 +11,8 @@
 import io.zinniawood.core.id.FencingNumber;
 import io.zinniawood.core.id.PromptPartId;
 import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.StoreEra;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.NodeAddress;
@@ -30,6 +32,12 @@
 import org.junit.jupiter.api.Test;
 
 final class PeerMessageCodecTest {
+  private static final StoreEra ERA = new StoreEra(3);
+
+  private static StoreVersion version(long number) {
+    return new StoreVersion(ERA, number);
+  }
+
   private static FleetEndpoint endpoint(
       Optional<AcceleratorKind> accelerator, Optional<LayerRange> layers) {
     return new FleetEndpoint(
@@ -42,7 +50,7 @@
         accelerator,
         layers,
         1_796_000_000_123L,
-        1_234_567);
+        version(1_234_567));
   }
 
   private static PeerMessage message(SharedRead read) {
@@ -56,10 +64,11 @@
   private static PeerMessage message(Optional<SharedRead> read, QuarantineNotice quarantine) {
     return new PeerMessage(
         new VmId("front-helsinki-a-1"),
+        ERA,
         true,
         17,
         350,
-        Optional.of(new LeaseNotice(new FencingNumber(3), 40, 99)),
+        Optional.of(new LeaseNotice(new FencingNumber(3), 40, version(99))),
         read,
         quarantine);
   }
@@ -106,15 +115,15 @@
     PeerMessage message =
         message(
             new SharedRead(
-                100,
-                110,
+                version(100),
+                version(110),
                 5_000_000_000L,
                 2_200,
                 List.of(
                     endpoint(
                         Optional.of(new AcceleratorKind("l4")), Optional.of(new LayerRange(0, 9))),
                     endpoint(Optional.empty(), Optional.empty())),
-                List.of(new SharedRead.Heartbeat(new EndpointId("i-1"), 105)),
+                List.of(new SharedRead.Heartbeat(new EndpointId("i-1"), version(105))),
                 List.of(new EndpointId("i-2"))));
     assertThat(PeerMessageCodec.decode(PeerMessageCodec.encode(message)), is(Optional.of(message)));
   }
@@ -124,11 +133,14 @@
   void largestMessageFitsIntoPacket() {
     List<SharedRead.Heartbeat> heartbeats = new ArrayList<>();
     for (int index = 0; index < 60; index++) {
-      heartbeats.add(new SharedRead.Heartbeat(new EndpointId("i-%010d".formatted(index)), 999_999));
+      heartbeats.add(
+          new SharedRead.Heartbeat(new EndpointId("i-%010d".formatted(index)), version(999_999)));
     }
     byte[] bytes =
         PeerMessageCodec.encode(
-            message(new SharedRead(1, 2, 5_000_000_000L, 0, List.of(), heartbeats, List.of())));
+            message(
+                new SharedRead(
+                    version(1), version(2), 5_000_000_000L, 0, List.of(), heartbeats, List.of())));
     assertThat(bytes.length, lessThanOrEqualTo(1_400));
   }
 
