Send nothing new to an endpoint that says in an answer that it is leaving

Endpoints now say in all their answers that they leave. The relay did not read the header: it went on sending requests, resumed streams, paths and orders until the endpoint list showed the entry as draining or the endpoint was gone, and later than the platform allows.

The head of every answer of an endpoint is read for it, of skipped and late answers, reports, orders and path changes as well, as soon as the head arrives. The process start that said so is kept apart from the endpoint list, so that neither time, heartbeats, older rows, outages nor a removal and reappearance of its entry ends it; a later start does. Relays tell each other at once and then in turn with each message, as messages get lost; the size of a notice is bounded.

--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -41,6 +41,7 @@
   private static final int MAX_AVOIDANCE_DOUBLINGS = 2;
 
   private final Map<EndpointId, TrackedEndpoint> endpointsById = new HashMap<>();
+  private final LeavingEndpoints leaving = new LeavingEndpoints();
   private boolean listLoaded;
   private boolean storeUnavailable;
   private long storeRegainedNanos;
@@ -57,6 +58,11 @@
     return lastEndpointAddedNanos;
   }
 
+  /** Returns the endpoints that said themselves that they are leaving. */
+  public LeavingEndpoints leaving() {
+    return leaving;
+  }
+
   /** Returns all known endpoints. */
   public Collection<TrackedEndpoint> all() {
     return endpointsById.values();
@@ -112,7 +118,7 @@
     for (FleetEndpoint endpoint : changed) {
       TrackedEndpoint known = endpointsById.get(endpoint.id());
       if (known == null) {
-        endpointsById.put(endpoint.id(), new TrackedEndpoint(endpoint));
+        endpointsById.put(endpoint.id(), new TrackedEndpoint(endpoint, leaving));
         lastEndpointAddedNanos = nowNanos;
       } else if (endpoint.rowVersion() >= known.entry().rowVersion()) {
         known.update(endpoint, nowNanos, MAX_HEARTBEAT_LAG_NANOS);
--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -18,6 +18,7 @@
   /** Upper bound of the slowdown factor; a slow endpoint still gets requests that measure it. */
   private static final double MAX_SLOWDOWN_FACTOR = 12;
 
+  private final LeavingEndpoints leavingEndpoints;
   private FleetEndpoint entry;
   private int inFlight;
   private long tokensInFlight;
@@ -33,7 +34,6 @@
   private boolean checkPending;
   private long checkStartedNanos;
   private int consecutiveFailures;
-  private boolean leaving;
   private long removalNanos;
   private boolean removalScheduled;
   private Optional<LayerRange> orderLayers = Optional.empty();
@@ -41,14 +41,20 @@
   private long ordersAccepted;
   private boolean orderCountUncertain;
 
-  TrackedEndpoint(FleetEndpoint entry) {
+  TrackedEndpoint(FleetEndpoint entry, LeavingEndpoints leavingEndpoints) {
     this.entry = entry;
+    this.leavingEndpoints = leavingEndpoints;
   }
 
   public EndpointId id() {
     return entry.id();
   }
 
+  /** Returns the process start that the endpoint list shows. */
+  public EndpointIncarnation incarnation() {
+    return new EndpointIncarnation(entry.id(), entry.startedMillis());
+  }
+
   /** Returns the latest entry of the endpoint list. */
   public FleetEndpoint entry() {
     return entry;
@@ -64,7 +70,6 @@
       slowdownFactor = 1;
       failureRate = 0;
       latencyMillis = 0;
-      leaving = false;
       suspected = false;
       orderLayers = Optional.empty();
       ordersAccepted = 0;
@@ -84,14 +89,14 @@
   /** Returns whether new requests may be sent to the endpoint. */
   public boolean usable(long nowNanos) {
     return !entry.draining()
-        && !leaving
+        && !leaving()
         && !suspectedAt(nowNanos)
         && entry.rowVersion() > refutedRowVersion;
   }
 
   /** Returns whether neither the endpoint list nor the endpoint itself says that it is leaving. */
   public boolean staysInFleet() {
-    return !entry.draining() && !leaving && !removalScheduled;
+    return !entry.draining() && !leaving() && !removalScheduled;
   }
 
   /** Returns whether the endpoint is avoided after a failure or a refusal. */
@@ -174,9 +179,9 @@
     checkPending = false;
   }
 
-  /** Records that the endpoint itself announced that it is leaving. */
-  public void markLeaving() {
-    leaving = true;
+  /** Returns whether the endpoint itself said that it is leaving. */
+  private boolean leaving() {
+    return leavingEndpoints.contains(incarnation());
   }
 
   void scheduleRemoval(long atNanos) {
--- a/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
@@ -48,7 +48,8 @@
                 state.routeReads.ageMillis(turn.nowNanos),
                 ControllerLease.notice(turn),
                 read,
-                quarantine)));
+                quarantine,
+                read.isPresent() ? List.of() : EndpointStatements.notice(turn))));
   }
 
   static void messageReceived(RelayTurn turn, RelayEvent.PeerMessageReceived event) {
@@ -62,6 +63,7 @@
       readUnknownSender(turn, event);
       return;
     }
+    EndpointStatements.noticeReceived(turn, message);
     if (unheard && state.quarantine.heldParts() > 0) {
       // A relay that has just started must know the held parts before it sends requests.
       send(turn, Optional.empty());
--- a/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
@@ -1,7 +1,9 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.quarantine.QuarantineNotice;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -15,6 +17,7 @@
  * @param lease controller lease, if the sender holds it
  * @param read changes of the endpoint list, if the sender has just read them from the store
  * @param quarantine what the sender knows of parts of prompts that crash endpoints
+ * @param leaving endpoints that said that they are leaving; some of them if there are many
  */
 public record PeerMessage(
     VmId vm,
@@ -23,4 +26,10 @@
     long routesAgeMillis,
     Optional<LeaseNotice> lease,
     Optional<SharedRead> read,
-    QuarantineNotice quarantine) {}
+    QuarantineNotice quarantine,
+    List<EndpointIncarnation> leaving) {
+  /** Makes an unmodifiable copy of the list. */
+  public PeerMessage {
+    leaving = List.copyOf(leaving);
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.LeaseRow;
+import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.VmId;
@@ -103,6 +104,20 @@
     }
   }
 
+  /**
+   * The head of an answer was received in which an endpoint says something about itself. The answer
+   * may belong to no request that is open.
+   *
+   * @param endpoint start of the endpoint that was listed when the answered request was sent
+   */
+  record EndpointStated(EndpointIncarnation endpoint, EndpointStatement statement)
+      implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.endpointStated(this);
+    }
+  }
+
   /** An endpoint sent the head of a stream, or a complete answer if it is not a stream. */
   record AnswerReceived(RelayRequestId id, int attempt, AnswerSummary answer)
       implements RelayEvent {
@@ -233,6 +248,9 @@
     /** Handles {@link CallerDisconnected}. */
     void callerDisconnected(CallerDisconnected event);
 
+    /** Handles {@link EndpointStated}. */
+    void endpointStated(EndpointStated event);
+
     /** Handles {@link AnswerReceived}. */
     void answerReceived(AnswerReceived event);
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -55,6 +55,11 @@
       AttemptOutcomes.callerDisconnected(turn, event);
     }
 
+    @Override
+    public void endpointStated(RelayEvent.EndpointStated event) {
+      EndpointStatements.stated(turn, event);
+    }
+
     @Override
     public void answerReceived(RelayEvent.AnswerReceived event) {
       AttemptOutcomes.answerReceived(turn, event);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -1,7 +1,9 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.entry.lease.LeaseView;
+import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.FleetView;
+import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.quarantine.PromptPartQuarantine;
 import io.zinniawood.core.route.RouteTable;
@@ -90,6 +92,14 @@
     return routes.map(RouteTable::version).orElse(0L);
   }
 
+  /** Returns the process start of an endpoint that the list shows; unknown if it is not listed. */
+  public EndpointIncarnation incarnation(EndpointId endpoint) {
+    return fleet
+        .find(endpoint)
+        .map(TrackedEndpoint::incarnation)
+        .orElseGet(() -> new EndpointIncarnation(endpoint, 0));
+  }
+
   /** Returns the number of endpoints in the list. */
   public int endpoints() {
     return fleet.all().size();
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
@@ -171,7 +171,8 @@
   private void receive(QuarantineNotice notice) {
     relay.post(
         new RelayEvent.PeerMessageReceived(
-            new PeerMessage(PEER, true, 1, 0, Optional.empty(), Optional.empty(), notice),
+            new PeerMessage(
+                PEER, true, 1, 0, Optional.empty(), Optional.empty(), notice, List.of()),
             PEER_ADDRESS));
   }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -57,7 +57,8 @@
   private void receive(NodeAddress sender, Optional<SharedRead> read, Optional<LeaseNotice> lease) {
     relay.post(
         new RelayEvent.PeerMessageReceived(
-            new PeerMessage(READER, true, ROUTES_VERSION, 0, lease, read, QuarantineNotice.EMPTY),
+            new PeerMessage(
+                READER, true, ROUTES_VERSION, 0, lease, read, QuarantineNotice.EMPTY, List.of()),
             sender));
   }
 
@@ -156,7 +157,8 @@
                 0,
                 Optional.empty(),
                 Optional.of(read(0, List.of(endpoint.withRowVersion(1_015)))),
-                QuarantineNotice.EMPTY),
+                QuarantineNotice.EMPTY,
+                List.of()),
             READER_ADDRESS));
     assertThat(started.state().endpoints(), is(0));
     started.advanceMillis(25);
--- a/relay/src/main/java/io/zinniawood/relay/ControlClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Either;
@@ -74,9 +76,30 @@
       byte[] body,
       long timeoutMillis,
       Consumer<Either<ControlFailure, ControlResponse>> receiver) {
+    call(address, method, uri, headers, body, timeoutMillis, head -> {}, receiver);
+  }
+
+  /**
+   * Sends a call as above.
+   *
+   * @param headReceiver called with the head of the response as soon as it is received
+   */
+  public void call(
+      NodeAddress address,
+      HttpMethod method,
+      String uri,
+      Map<String, String> headers,
+      byte[] body,
+      long timeoutMillis,
+      Consumer<HttpResponse> headReceiver,
+      Consumer<Either<ControlFailure, ControlResponse>> receiver) {
     Call call =
         new Call(
-            address, buildRequest(address, method, uri, headers, body), timeoutMillis, receiver);
+            address,
+            buildRequest(address, method, uri, headers, body),
+            timeoutMillis,
+            headReceiver,
+            receiver);
     Channel channel = takePooled(address);
     if (channel != null) {
       call.send(channel);
@@ -168,11 +191,26 @@
       channel
           .pipeline()
           .addLast(new HttpClientCodec())
+          .addLast(new HeadHandler())
           .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
           .addLast(new ResponseHandler(address));
     }
   }
 
+  /** Delivers the head of a response before its body is complete. */
+  private static final class HeadHandler extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      Call call = context.pipeline().get(ResponseHandler.class).call;
+      if (call != null
+          && message instanceof HttpResponse head
+          && head.decoderResult().isSuccess()) {
+        call.headReceiver.accept(head);
+      }
+      context.fireChannelRead(message);
+    }
+  }
+
   private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final NodeAddress address;
     private Call call;
@@ -223,6 +261,7 @@
   private final class Call {
     private final NodeAddress address;
     private final FullHttpRequest request;
+    private final Consumer<HttpResponse> headReceiver;
     private final Consumer<Either<ControlFailure, ControlResponse>> receiver;
     private final ScheduledFuture<?> timeout;
     private Channel channel;
@@ -232,8 +271,10 @@
         NodeAddress address,
         FullHttpRequest request,
         long timeoutMillis,
+        Consumer<HttpResponse> headReceiver,
         Consumer<Either<ControlFailure, ControlResponse>> receiver) {
       this.address = address;
+      this.headReceiver = headReceiver;
       this.request = request;
       this.receiver = receiver;
       this.timeout = loop.schedule(this::handleTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
--- a/relay/src/main/java/io/zinniawood/relay/HeaderCodec.java
+++ b/relay/src/main/java/io/zinniawood/relay/HeaderCodec.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.zinniawood.core.relay.AnswerSummary;
 import io.zinniawood.core.relay.CallerRequest;
+import io.zinniawood.core.relay.EndpointStatement;
 import io.zinniawood.core.relay.SendOptions;
 
 /** Encodes and decodes the HTTP headers of one platform. */
@@ -24,6 +25,12 @@
   /** Decodes the properties of an endpoint's answer that the relay decides on. */
   AnswerSummary summarize(HttpResponse head);
 
+  /** Decodes what an endpoint says about itself in the head of any answer. */
+  EndpointStatement statement(HttpResponse head);
+
+  /** Removes the headers that endpoints address to the relay only. */
+  void removeEndpointHeaders(HttpResponse head);
+
   /** Returns which request an answer belongs to, given the request that waits for one. */
   AnsweredRequest answeredRequest(HttpResponse answer, CallerRequest request);
 }
--- a/relay/src/main/java/io/zinniawood/relay/PlatformClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/PlatformClient.java
@@ -1,7 +1,7 @@
 package io.zinniawood.relay;
 
 import io.zinniawood.core.entry.LeaseRow;
-import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
@@ -49,18 +49,32 @@
    */
   void awaitRoutes(long afterVersion, long waitMillis);
 
-  /** Sends an order; the result is delivered as {@link RelayEvent.OrderAnswered}. */
-  void sendOrder(PlacementOrder order);
+  /**
+   * Sends an order; the result is delivered as {@link RelayEvent.OrderAnswered}. What the endpoint
+   * says about itself in any answer is delivered as {@link RelayEvent.EndpointStated} before.
+   *
+   * @param endpoint listed start of the endpoint that receives the order
+   */
+  void sendOrder(PlacementOrder order, EndpointIncarnation endpoint);
 
-  /** Changes the path of a request; delivers the result as {@link RelayEvent.RepathAnswered}. */
+  /**
+   * Changes the path of a request; delivers the result as {@link RelayEvent.RepathAnswered}.
+   *
+   * @param endpoint listed start of the first endpoint of the path
+   */
   void repath(
-      RelayRequestId id, int attempt, CallerRequest request, NodeAddress first, LayerPath path);
+      RelayRequestId id,
+      int attempt,
+      CallerRequest request,
+      EndpointIncarnation endpoint,
+      NodeAddress first,
+      LayerPath path);
 
   /**
    * Reads the report of an endpoint, which is delivered as {@link RelayEvent.ReportRead}. If no
    * report is received in time, {@link RelayEvent.ReportMissing} is delivered.
    */
-  void readReport(EndpointId endpoint, NodeAddress address);
+  void readReport(EndpointIncarnation endpoint, NodeAddress address);
 
   /**
    * Reads the controller lease and the presence rows, which are delivered as {@link
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -2,8 +2,10 @@
 
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
+import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.SendOptions;
+import java.util.Optional;
 
 /** One attempt to run a request on an endpoint. */
 public final class EndpointExchange {
@@ -11,6 +13,7 @@
   private final int attempt;
   private final NodeAddress address;
   private final SendOptions options;
+  private Optional<EndpointIncarnation> endpoint = Optional.empty();
   private Channel channel;
   private boolean ended;
   private boolean sent;
@@ -48,6 +51,15 @@
     this.channel = used;
   }
 
+  /** Returns the process start that was listed when the request was sent. */
+  Optional<EndpointIncarnation> endpoint() {
+    return endpoint;
+  }
+
+  void endpoint(EndpointIncarnation listed) {
+    this.endpoint = Optional.of(listed);
+  }
+
   boolean ended() {
     return ended;
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -27,6 +27,9 @@
   private final BufferedAnswers buffered;
   private EndpointExchange exchange;
 
+  /** Last request on this connection; answers that arrive without a request are its endpoint's. */
+  private EndpointExchange lastExchange;
+
   /** Whether the connection carried a request before the present one. */
   private boolean carriedEarlierRequest;
 
@@ -50,6 +53,7 @@
     carriedEarlierRequest = used;
     used = true;
     exchange = begun;
+    lastExchange = begun;
     head = null;
     skipping = false;
     streaming = false;
@@ -65,6 +69,11 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
+      if (message instanceof HttpResponse response
+          && response.decoderResult().isSuccess()
+          && lastExchange != null) {
+        listener.headReceived(lastExchange, response);
+      }
       if (exchange == null) {
         context.close();
         return;
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
@@ -7,6 +7,9 @@
 
 /** Receives the events of attempts on connections to endpoints. */
 public interface EndpointListener {
+  /** The head of any answer was received, even of one that is skipped afterwards. */
+  void headReceived(EndpointExchange exchange, HttpResponse head);
+
   /** Returns which request an answer belongs to; answers to other requests are skipped. */
   AnsweredRequest answeredRequest(EndpointExchange exchange, HttpResponse head);
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -7,6 +7,7 @@
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
+import io.zinniawood.core.relay.EndpointStatement;
 import io.zinniawood.core.relay.PeerMessage;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
@@ -185,6 +186,16 @@
 
   // Connections to endpoints.
 
+  @Override
+  public void headReceived(EndpointExchange exchange, HttpResponse head) {
+    EndpointStatement statement = codec.statement(head);
+    if (!statement.isEmpty()) {
+      exchange
+          .endpoint()
+          .ifPresent(endpoint -> post(new RelayEvent.EndpointStated(endpoint, statement)));
+    }
+  }
+
   @Override
   public AnsweredRequest answeredRequest(EndpointExchange exchange, HttpResponse head) {
     return codec.answeredRequest(head, exchange.callerExchange().request());
@@ -287,6 +298,7 @@
     }
     EndpointExchange exchange =
         new EndpointExchange(caller, effect.attempt(), effect.address(), effect.options());
+    exchange.endpoint(state.incarnation(effect.options().expectedEndpoint()));
     attempts.put(effect.id(), exchange);
     HttpRequest head =
         codec.encodeRequest(caller.head(), caller.body().readableBytes(), effect.options());
@@ -304,6 +316,7 @@
     if (answer == null) {
       if (!caller.headWritten()) {
         caller.markHeadWritten();
+        codec.removeEndpointHeaders(exchange.streamHead());
         caller.connection().beginStream(exchange.streamHead());
       }
       return;
@@ -312,6 +325,7 @@
     attempts.remove(effect.id());
     callers.remove(effect.id());
     post(new RelayEvent.AnswerRelayed(effect.id(), effect.attempt()));
+    codec.removeEndpointHeaders(answer.head());
     caller.connection().writeFullAnswer(answer.head(), answer.content());
   }
 
@@ -357,18 +371,23 @@
     CallerExchange caller = callers.get(effect.id());
     if (caller != null) {
       platform.repath(
-          effect.id(), effect.attempt(), caller.request(), effect.first(), effect.path());
+          effect.id(),
+          effect.attempt(),
+          caller.request(),
+          state.incarnation(effect.path().first().endpoint()),
+          effect.first(),
+          effect.path());
     }
   }
 
   @Override
   public void order(RelayEffect.Order effect) {
-    platform.sendOrder(effect.order());
+    platform.sendOrder(effect.order(), state.incarnation(effect.order().endpoint()));
   }
 
   @Override
   public void readReport(RelayEffect.ReadReport effect) {
-    platform.readReport(effect.endpoint(), effect.address());
+    platform.readReport(state.incarnation(effect.endpoint()), effect.address());
   }
 
   @Override
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -15,8 +15,14 @@
   final List<AttemptFailureCause> failures = new ArrayList<>();
   final List<Integer> answers = new ArrayList<>();
   final List<Integer> streams = new ArrayList<>();
+  final List<Integer> heads = new ArrayList<>();
   int completedStreams;
 
+  @Override
+  public void headReceived(EndpointExchange exchange, HttpResponse head) {
+    heads.add(head.status().code());
+  }
+
   @Override
   public AnsweredRequest answeredRequest(EndpointExchange exchange, HttpResponse head) {
     String id = head.headers().get(ID_HEADER);
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -78,6 +78,25 @@
     assertThat(channel.isActive(), is(false));
   }
 
+  // Guards against missing what an endpoint says about itself in an answer that nobody waits for.
+  @Test
+  void headsOfSkippedAndLateAnswersAreDelivered() {
+    beginExchange(false);
+    receive("HTTP/1.1 429 Full\r\nContent-Length: 0\r\n" + ID + "earlier\r\n\r\n");
+    receive(REFUSAL + ID + "own\r\n\r\n");
+    receive("HTTP/1.1 500 Late\r\nContent-Length: 0\r\n" + ID + "earlier\r\n\r\n");
+    assertThat(listener.answers, is(List.of(503)));
+    assertThat(listener.heads, is(List.of(429, 503, 500)));
+  }
+
+  @Test
+  void headIsDeliveredBeforeTheBody() {
+    beginExchange(false);
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + ID + "own\r\n\r\nab");
+    assertThat(listener.answers, empty());
+    assertThat(listener.heads, is(List.of(200)));
+  }
+
   @Test
   void refusalWithoutIdOnNewConnectionCounts() {
     beginExchange(false);
--- a/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
+++ b/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
@@ -1,6 +1,7 @@
 package io.zinniawood.wire;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.AcceleratorKind;
 import io.zinniawood.core.id.DataCentreId;
@@ -43,6 +44,12 @@
     if (!message.quarantine().isEmpty()) {
       builder.setQuarantine(QuarantineNoticeCodec.encode(message.quarantine()));
     }
+    for (EndpointIncarnation leaving : message.leaving()) {
+      builder.addLeaving(
+          RelayProto.LeavingEndpoint.newBuilder()
+              .setEndpoint(leaving.endpoint().value())
+              .setStartedMillis(leaving.startedMillis()));
+    }
     return builder.build().toByteArray();
   }
 
@@ -109,12 +116,23 @@
                           message.getLease().getRowVersion()))
                   : Optional.empty(),
               message.hasRead() ? Optional.of(decodeRead(message.getRead())) : Optional.empty(),
-              QuarantineNoticeCodec.decode(message.getQuarantine())));
+              QuarantineNoticeCodec.decode(message.getQuarantine()),
+              decodeLeaving(message)));
     } catch (InvalidProtocolBufferException | IllegalArgumentException invalid) {
       return Optional.empty();
     }
   }
 
+  private static List<EndpointIncarnation> decodeLeaving(RelayProto.PeerMessage message) {
+    List<EndpointIncarnation> leaving = new ArrayList<>();
+    for (RelayProto.LeavingEndpoint endpoint : message.getLeavingList()) {
+      leaving.add(
+          new EndpointIncarnation(
+              new EndpointId(endpoint.getEndpoint()), endpoint.getStartedMillis()));
+    }
+    return leaving;
+  }
+
   private static SharedRead decodeRead(RelayProto.SharedRead read) {
     List<FleetEndpoint> changed = new ArrayList<>();
     for (RelayProto.Endpoint endpoint : read.getChangedList()) {
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.AcceleratorKind;
 import io.zinniawood.core.id.DataCentreId;
@@ -61,7 +62,8 @@
         350,
         Optional.of(new LeaseNotice(new FencingNumber(3), 40, 99)),
         read,
-        quarantine);
+        quarantine,
+        List.of(new EndpointIncarnation(new EndpointId("i-2"), 1_796_000_000_456L)));
   }
 
   @Test
