Keep requests away from an endpoint for the time that its refusal names

An endpoint that turns a request away with 503 may add Retry-After and wants nothing from that machine for so long. The relay did not read it: it avoided the endpoint for 0.4 s, doubled with each refusal, sent the next requests all at once afterwards, and let callers wait where nothing could serve them.

The time counts from the receipt of the head. It is kept beside the suspicions and not among them: nothing of it remains afterwards, reports and heartbeats do not end it, a later start of the endpoint does, and it outlives a removal from the list. Afterwards requests return one by one. A request that only refusing endpoints could serve is refused at once, a waiting one as soon as its wait cannot succeed, with the time at which the first path exists again and a random addition of up to a quarter. Unreadable times have no meaning, large ones count as an hour; both give a line in the log.

--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -42,6 +42,10 @@
 
   private final Map<EndpointId, TrackedEndpoint> endpointsById = new HashMap<>();
   private final LeavingEndpoints leaving = new LeavingEndpoints();
+
+  /** Pauses of endpoints that are not in the list, in case they reappear. */
+  private final Map<EndpointId, EndpointPause> unlistedPausesById = new HashMap<>();
+
   private boolean listLoaded;
   private boolean storeUnavailable;
   private long storeRegainedNanos;
@@ -118,7 +122,7 @@
     for (FleetEndpoint endpoint : changed) {
       TrackedEndpoint known = endpointsById.get(endpoint.id());
       if (known == null) {
-        endpointsById.put(endpoint.id(), new TrackedEndpoint(endpoint, leaving));
+        endpointsById.put(endpoint.id(), trackedEndpoint(endpoint));
         lastEndpointAddedNanos = nowNanos;
       } else if (endpoint.rowVersion() >= known.entry().rowVersion()) {
         known.update(endpoint, nowNanos, MAX_HEARTBEAT_LAG_NANOS);
@@ -134,9 +138,37 @@
     removeExpired(nowNanos);
   }
 
+  private TrackedEndpoint trackedEndpoint(FleetEndpoint endpoint) {
+    EndpointPause pause = unlistedPausesById.remove(endpoint.id());
+    return new TrackedEndpoint(endpoint, leaving, pause == null ? new EndpointPause() : pause);
+  }
+
+  /**
+   * Keeps requests away from an endpoint until a time, unless it has started anew.
+   *
+   * @param endpoint start of the endpoint that wants no requests
+   */
+  public void pause(EndpointIncarnation endpoint, long untilNanos, long nowNanos) {
+    unlistedPausesById.values().removeIf(pause -> pause.untilNanos() - nowNanos < 0);
+    find(endpoint.endpoint())
+        .map(TrackedEndpoint::pause)
+        .orElseGet(
+            () ->
+                unlistedPausesById.computeIfAbsent(endpoint.endpoint(), id -> new EndpointPause()))
+        .extend(endpoint.startedMillis(), untilNanos);
+  }
+
   /** Removes endpoints that did not reappear in time. */
   public void removeExpired(long nowNanos) {
-    endpointsById.values().removeIf(known -> known.removalDue(nowNanos));
+    endpointsById.values().removeIf(known -> removed(known, nowNanos));
+  }
+
+  private boolean removed(TrackedEndpoint known, long nowNanos) {
+    boolean due = known.removalDue(nowNanos);
+    if (due && known.pausedAt(nowNanos)) {
+      unlistedPausesById.put(known.id(), known.pause());
+    }
+    return due;
   }
 
   /** Records that the store stopped answering. */
--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -19,6 +19,7 @@
   private static final double MAX_SLOWDOWN_FACTOR = 12;
 
   private final LeavingEndpoints leavingEndpoints;
+  private final EndpointPause pause;
   private FleetEndpoint entry;
   private int inFlight;
   private long tokensInFlight;
@@ -41,7 +42,8 @@
   private long ordersAccepted;
   private boolean orderCountUncertain;
 
-  TrackedEndpoint(FleetEndpoint entry, LeavingEndpoints leavingEndpoints) {
+  TrackedEndpoint(FleetEndpoint entry, LeavingEndpoints leavingEndpoints, EndpointPause pause) {
+    this.pause = pause;
     this.entry = entry;
     this.leavingEndpoints = leavingEndpoints;
   }
@@ -88,12 +90,42 @@
 
   /** Returns whether new requests may be sent to the endpoint. */
   public boolean usable(long nowNanos) {
-    return !entry.draining()
+    return usableAfterPause(nowNanos, nowNanos);
+  }
+
+  /** Returns whether the endpoint is usable now but for a pause that ends until a later time. */
+  public boolean usableAfterPause(long nowNanos, long atNanos) {
+    return !pause.activeAt(entry.startedMillis(), atNanos)
+        && !entry.draining()
         && !leaving()
         && !suspectedAt(nowNanos)
         && entry.rowVersion() > refutedRowVersion;
   }
 
+  EndpointPause pause() {
+    return pause;
+  }
+
+  /** Returns whether the endpoint wants no requests from this process at present. */
+  public boolean pausedAt(long nowNanos) {
+    return pause.activeAt(entry.startedMillis(), nowNanos);
+  }
+
+  /** Returns the monotonic time in nanoseconds at which the last pause ends or ended. */
+  public long pauseEndNanos() {
+    return pause.untilNanos();
+  }
+
+  /** Returns whether no further request may be sent yet, as requests return after a pause. */
+  public boolean returnLimitReached(long nowNanos) {
+    return pause.fullAt(entry.startedMillis(), entry.slots(), nowNanos);
+  }
+
+  /** Counts a request that is sent, if requests return gradually after a pause. */
+  public Optional<EndpointPause.Trial> requestSent(long nowNanos) {
+    return pause.requestSent(entry.startedMillis(), entry.slots(), nowNanos);
+  }
+
   /** Returns whether neither the endpoint list nor the endpoint itself says that it is leaving. */
   public boolean staysInFleet() {
     return !entry.draining() && !leaving() && !removalScheduled;
--- a/core/src/main/java/io/zinniawood/core/relay/AnswerSummary.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerSummary.java
@@ -11,9 +11,15 @@
  * @param notRun whether the endpoint states that it did not run the request
  * @param endpointAtFault address of the endpoint on the path that caused the failure; empty if none
  *     is named
+ * @param refusedForTime whether the endpoint refuses requests of this relay for a stated time; it
+ *     says nothing about its health then
  */
 public record AnswerSummary(
-    int status, boolean signed, boolean notRun, Optional<NodeAddress> endpointAtFault) {
+    int status,
+    boolean signed,
+    boolean notRun,
+    Optional<NodeAddress> endpointAtFault,
+    boolean refusedForTime) {
   /** HTTP 421: the receiver is not the expected endpoint or does not hold the layers. */
   private static final int MISDIRECTED = 421;
 
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -34,10 +34,10 @@
       }
       relayAnswer(turn, open, answer);
     } else if (!answer.signed()) {
-      recordResult(turn, open, true);
+      recordFailure(turn, open, answer);
       retry(turn, open, "unsigned-answer-" + answer.status());
     } else {
-      recordResult(turn, open, answer.status() >= SERVER_ERROR);
+      recordFailure(turn, open, answer);
       handleFailure(turn, open, answer);
     }
   }
@@ -107,7 +107,7 @@
               endpoint.entry().rowVersion());
           if (answer.misdirected()) {
             endpoint.entryRefuted();
-          } else {
+          } else if (!answer.refusedForTime() || !open.isTarget(endpoint)) {
             turn.state.fleet.avoidAfterRefusal(endpoint, turn.nowNanos);
           }
           open.excluded.add(endpoint.id());
@@ -270,6 +270,12 @@
     turn.state.waiting.remove(open);
   }
 
+  private static void recordFailure(RelayTurn turn, OpenRequest open, AnswerSummary answer) {
+    if (!answer.refusedForTime()) {
+      recordResult(turn, open, !answer.signed() || answer.status() >= SERVER_ERROR);
+    }
+  }
+
   private static void recordResult(RelayTurn turn, OpenRequest open, boolean failed) {
     open.target
         .flatMap(turn.state.fleet::find)
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointStatement.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointStatement.java
@@ -1,16 +1,21 @@
 package io.zinniawood.core.relay;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * What an endpoint says about itself in the head of an answer, whichever request it answers.
  *
  * @param leaving whether the endpoint is about to stop
- * @param unreadable header that has no defined meaning, with its value; empty if all were read
+ * @param pauseMillis time for which it wants no requests from this relay, in milliseconds, counted
+ *     from the receipt of the head; empty if it says nothing about that
+ * @param unreadable header that has no defined meaning or exceeds its maximum, with its value;
+ *     empty if there is none
  */
-public record EndpointStatement(boolean leaving, Optional<String> unreadable) {
+public record EndpointStatement(
+    boolean leaving, OptionalLong pauseMillis, Optional<String> unreadable) {
   /** Returns whether there is nothing to handle. */
   public boolean isEmpty() {
-    return !leaving && unreadable.isEmpty();
+    return !leaving && pauseMillis.isEmpty() && unreadable.isEmpty();
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointStatements.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointStatements.java
@@ -21,6 +21,10 @@
                     event.endpoint().endpoint().value(),
                     "header",
                     header));
+    event
+        .statement()
+        .pauseMillis()
+        .ifPresent(millis -> EndpointPauses.begin(turn, event.endpoint(), millis));
     if (event.statement().leaving() && learnLeaving(turn, event.endpoint(), "answer")) {
       PeerExchange.send(turn, Optional.empty());
     }
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointUsage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointUsage.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.fleet.EndpointPause;
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.path.PathPart;
 import java.util.ArrayList;
@@ -21,6 +22,7 @@
     }
     for (TrackedEndpoint endpoint : used) {
       endpoint.requestStarted(open.expectedTokens);
+      endpoint.requestSent(turn.nowNanos).ifPresent(open.pauseTrials::add);
     }
     open.endpointsInUse = used;
   }
@@ -30,6 +32,8 @@
     for (TrackedEndpoint endpoint : open.endpointsInUse) {
       endpoint.requestEnded(open.expectedTokens);
     }
+    open.pauseTrials.forEach(EndpointPause.Trial::end);
+    open.pauseTrials.clear();
     open.endpointsInUse = List.of();
     open.path = Optional.empty();
     open.target = Optional.empty();
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.fleet.EndpointPause;
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.ClientAccountId;
 import io.zinniawood.core.id.EndpointId;
@@ -10,6 +11,7 @@
 import io.zinniawood.core.quarantine.CrashId;
 import io.zinniawood.core.route.Route;
 import io.zinniawood.core.route.RouteKind;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -50,6 +52,9 @@
   /** Endpoints of the current attempt, kept so that stream events need no lookup. */
   List<TrackedEndpoint> endpointsInUse = List.of();
 
+  /** Counts this attempt at endpoints to which requests return after a pause. */
+  final List<EndpointPause.Trial> pauseTrials = new ArrayList<>();
+
   long expectedTokens;
   double expectedGapMillis;
   double expectedFirstEventMillis;
@@ -112,6 +117,11 @@
     return Optional.empty();
   }
 
+  /** Returns whether the current attempt was sent to the endpoint itself. */
+  boolean isTarget(TrackedEndpoint endpoint) {
+    return target.filter(endpoint.id()::equals).isPresent();
+  }
+
   boolean uses(EndpointId endpoint) {
     return path.isPresent()
         ? path.get().contains(endpoint)
--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -61,6 +61,9 @@
   /** Pass time including queueing: a request waits about half a pass at each endpoint. */
   private static final double QUEUEING_FACTOR = 1.5;
 
+  /** Token number that is below the memory of every endpoint, as if there were no load. */
+  private static final long NO_LOAD = Long.MIN_VALUE;
+
   private final RelayTurn turn;
   private final EngineProfile engine;
   private final List<TrackedEndpoint> endpoints;
@@ -182,7 +185,14 @@
   /** Returns whether a path would exist if all endpoints had free memory. */
   boolean existsWithoutLoad(Set<EndpointId> excluded) {
     return planner
-        .cheapestPath(candidates(excluded, Long.MIN_VALUE), turn.state.parameters.dataCentre())
+        .cheapestPath(candidates(excluded, NO_LOAD), turn.state.parameters.dataCentre())
+        .isPresent();
+  }
+
+  /** Returns whether a path would exist without load once the pauses until a time have ended. */
+  boolean existsAfterPauses(long atNanos) {
+    return planner
+        .cheapestPath(candidates(Set.of(), NO_LOAD, atNanos), turn.state.parameters.dataCentre())
         .isPresent();
   }
 
@@ -198,10 +208,18 @@
   }
 
   private List<PathCandidate> candidates(Set<EndpointId> excluded, long tokens) {
+    return candidates(excluded, tokens, turn.nowNanos);
+  }
+
+  private List<PathCandidate> candidates(
+      Set<EndpointId> excluded, long tokens, long pausesUntilNanos) {
     List<PathCandidate> candidates = new ArrayList<>();
     for (TrackedEndpoint endpoint : endpoints) {
       Optional<LayerRange> layers = endpoint.entry().layers();
-      if (layers.isEmpty() || !endpoint.usable(turn.nowNanos) || excluded.contains(endpoint.id())) {
+      if (layers.isEmpty()
+          || !endpoint.usableAfterPause(turn.nowNanos, pausesUntilNanos)
+          || excluded.contains(endpoint.id())
+          || (tokens != NO_LOAD && endpoint.returnLimitReached(turn.nowNanos))) {
         continue;
       }
       double jitter = 1 + MAX_JITTER_SHARE * turn.state.random.nextDouble();
--- a/core/src/main/java/io/zinniawood/core/relay/PlacementOrders.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PlacementOrders.java
@@ -79,13 +79,17 @@
         unlimited ? Integer.MAX_VALUE : Math.max(0, engine.maxConcurrentLoads() - openOrders);
     Map<EndpointId, LayerRange> ranges = new LayerPlacement(engine).assignLayers(endpoints);
     for (Map.Entry<EndpointId, LayerRange> entry : ranges.entrySet()) {
-      if (remainingOrders > 0) {
+      if (remainingOrders > 0 && !paused(turn, entry.getKey())) {
         remainingOrders--;
         order(turn, engine, entry.getKey(), entry.getValue());
       }
     }
   }
 
+  private static boolean paused(RelayTurn turn, EndpointId id) {
+    return turn.state.fleet.find(id).filter(known -> known.pausedAt(turn.nowNanos)).isPresent();
+  }
+
   private static void order(
       RelayTurn turn, EngineProfile engine, EndpointId id, LayerRange layers) {
     TrackedEndpoint endpoint = turn.state.fleet.find(id).orElseThrow();
--- a/core/src/main/java/io/zinniawood/core/relay/PlainEndpointSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PlainEndpointSelector.java
@@ -46,6 +46,11 @@
     return false;
   }
 
+  /** Returns whether an endpoint is usable but for pauses that end until a time. */
+  boolean anyUsableAfterPauses(long atNanos) {
+    return endpoints.stream().anyMatch(known -> known.usableAfterPause(turn.nowNanos, atNanos));
+  }
+
   /**
    * Returns the usable endpoint with the lowest cost; empty if there is none or all are at their
    * limits. Suspected endpoints are not usable.
@@ -57,7 +62,8 @@
       double limit = Math.max(1, endpoint.entry().slots() * MAX_IN_FLIGHT_PER_SLOT);
       if (!endpoint.usable(turn.nowNanos)
           || excluded.contains(endpoint.id())
-          || endpoint.inFlight() >= limit) {
+          || endpoint.inFlight() >= limit
+          || endpoint.returnLimitReached(turn.nowNanos)) {
         continue;
       }
       double cost = cost(endpoint);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -62,6 +62,7 @@
 
     @Override
     public void answerReceived(RelayEvent.AnswerReceived event) {
+      EndpointPauses.answerReceived(turn, event);
       AttemptOutcomes.answerReceived(turn, event);
     }
 
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /** Queue of requests that wait for an endpoint, with their order and maximum wait. */
@@ -56,7 +57,7 @@
       return;
     }
     if (result == Dispatcher.Result.NO_USABLE_ENDPOINT && !open.headRelayed) {
-      AttemptOutcomes.refuse(turn, open, "no-endpoint");
+      EndpointPauses.refuseWithoutEndpoint(turn, open);
       return;
     }
     enqueue(turn, open);
@@ -80,6 +81,7 @@
     List<OpenRequest> candidates = new ArrayList<>(turn.state.waiting);
     candidates.sort(ORDER);
     Map<ServiceName, Integer> misses = new HashMap<>();
+    Map<ServiceName, OptionalLong> availableNanos = new HashMap<>();
     for (OpenRequest open : candidates) {
       if (open.phase != OpenRequest.Phase.WAITING || !turn.state.open.containsKey(open.id)) {
         turn.state.waiting.remove(open);
@@ -94,6 +96,16 @@
       if (CrashWatch.mustWait(turn, open)) {
         continue;
       }
+      OptionalLong available =
+          availableNanos.computeIfAbsent(
+              open.service, service -> EndpointPauses.availableNanos(turn, open));
+      if (!open.headRelayed
+          && available.isPresent()
+          && available.getAsLong() - waitEndNanos(open) >= 0) {
+        turn.state.waiting.remove(open);
+        EndpointPauses.refuse(turn, open, available.getAsLong());
+        continue;
+      }
       boolean tried = misses.getOrDefault(open.service, 0) < MAX_MISSES_PER_TICK;
       if (tried && Dispatcher.dispatch(turn, open) == Dispatcher.Result.SENT) {
         turn.state.waiting.remove(open);
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -247,20 +247,34 @@
   void answerReceived(RelayRequestId id, int attempt, int status) {
     post(
         new RelayEvent.AnswerReceived(
-            id, attempt, new AnswerSummary(status, true, false, Optional.empty())));
+            id, attempt, new AnswerSummary(status, true, false, Optional.empty(), false)));
   }
 
   /** Posts the answer of a path on which an endpoint does not hold its layers. */
   void misdirected(RelayRequestId id, int attempt, NodeAddress endpointAtFault) {
     post(
         new RelayEvent.AnswerReceived(
-            id, attempt, new AnswerSummary(421, false, false, Optional.of(endpointAtFault))));
+            id,
+            attempt,
+            new AnswerSummary(421, false, false, Optional.of(endpointAtFault), false)));
   }
 
   void notRun(RelayRequestId id, int attempt) {
     post(
         new RelayEvent.AnswerReceived(
-            id, attempt, new AnswerSummary(503, false, true, Optional.empty())));
+            id, attempt, new AnswerSummary(503, false, true, Optional.empty(), false)));
+  }
+
+  /** Posts a refusal of the endpoint that the attempt was sent to, with a time. */
+  void refusedFor(RelayRequestId id, int attempt, long pauseMillis) {
+    EndpointId endpoint = sends(id).get(attempt - 1).options().expectedEndpoint();
+    post(
+        new RelayEvent.EndpointStated(
+            state.incarnation(endpoint),
+            new EndpointStatement(false, OptionalLong.of(pauseMillis), Optional.empty())));
+    post(
+        new RelayEvent.AnswerReceived(
+            id, attempt, new AnswerSummary(503, false, true, Optional.empty(), true)));
   }
 
   void attemptFailed(RelayRequestId id, int attempt, AttemptFailureCause cause) {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -24,7 +25,8 @@
 final class RelayLeavingTest {
   private static final VmId PEER = new VmId("relay-0");
   private static final NodeAddress PEER_ADDRESS = new NodeAddress("10.0.1.9", 7_340);
-  private static final EndpointStatement LEAVING = new EndpointStatement(true, Optional.empty());
+  private static final EndpointStatement LEAVING =
+      new EndpointStatement(true, OptionalLong.empty(), Optional.empty());
 
   private final RelayHarness relay = new RelayHarness();
   private final FleetEndpoint endpoint = relay.plain("a");
--- a/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
@@ -119,7 +119,7 @@
     RelayRequestId id = relay.request("book");
     relay.post(
         new RelayEvent.AnswerReceived(
-            id, 1, new AnswerSummary(200, false, false, Optional.empty())));
+            id, 1, new AnswerSummary(200, false, false, Optional.empty(), false)));
     assertThat(relay.effectsOf(RelayEffect.RelayAnswer.class), empty());
     assertThat(relay.localAnswer(id).orElseThrow().status(), is(502));
   }
