--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -55,8 +55,14 @@
       AttemptOutcomes.callerDisconnected(turn, event);
     }
 
+    @Override
+    public void endpointStated(RelayEvent.EndpointStated event) {
+      EndpointStatements.stated(turn, event);
+    }
+
     @Override
     public void answerReceived(RelayEvent.AnswerReceived event) {
+      EndpointPauses.answerReceived(turn, event);
       AttemptOutcomes.answerReceived(turn, event);
     }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
@@ -190,7 +190,15 @@
     relay.post(
         new RelayEvent.PeerMessageReceived(
             new PeerMessage(
-                PEER, StoreEra.UNNAMED, true, 1, 0, Optional.empty(), Optional.empty(), notice),
+                PEER,
+                StoreEra.UNNAMED,
+                true,
+                1,
+                0,
+                Optional.empty(),
+                Optional.empty(),
+                notice,
+                List.of()),
             PEER_ADDRESS));
   }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayDrainTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayDrainTest.java
@@ -103,7 +103,8 @@
         case 0 ->
             relay.post(
                 new RelayEvent.RoutesAnswered(
-                    Optional.of(RelayHarness.routes(++routesVersion)), routesVersion));
+                    Optional.of(RelayHarness.routes(++routesVersion)),
+                    RelayHarness.version(routesVersion)));
         case 1, 2 ->
             requests.add(relay.request(ROUTES.get(random.nextInt(ROUTES.size())), 20_000).value());
         default ->
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
@@ -187,7 +187,8 @@
             status,
             status != NOT_RUN_STATUS && random.nextInt(8) > 0,
             status == NOT_RUN_STATUS,
-            random.nextBoolean() ? Optional.of(endpoint().address()) : Optional.empty());
+            random.nextBoolean() ? Optional.of(endpoint().address()) : Optional.empty(),
+            status == NOT_RUN_STATUS && random.nextBoolean());
     if (answer.certainlyNotRun()) {
       caller.possibleRuns--;
     }
@@ -205,7 +206,8 @@
     routesVersion += 1 + random.nextInt(3);
     relay.post(
         new RelayEvent.RoutesAnswered(
-            Optional.of(DrawnConfiguration.draw(random, routesVersion)), routesVersion));
+            Optional.of(DrawnConfiguration.draw(random, routesVersion)),
+            RelayHarness.version(routesVersion)));
   }
 
   private void changeFleet() {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -68,7 +68,8 @@
                 0,
                 lease,
                 read,
-                QuarantineNotice.EMPTY),
+                QuarantineNotice.EMPTY,
+                List.of()),
             sender));
   }
 
@@ -174,7 +175,8 @@
                 0,
                 Optional.empty(),
                 Optional.of(read(0, List.of(endpoint.withRowVersion(version(1_015))))),
-                QuarantineNotice.EMPTY),
+                QuarantineNotice.EMPTY,
+                List.of()),
             READER_ADDRESS));
     assertThat(started.state().endpoints(), is(0));
     started.advanceMillis(25);
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -9,6 +9,7 @@
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.DecisionFailure;
+import io.zinniawood.core.relay.EndpointStatement;
 import io.zinniawood.core.relay.PeerMessage;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
@@ -220,6 +221,16 @@
 
   // Connections to endpoints.
 
+  @Override
+  public void headReceived(EndpointExchange exchange, HttpResponse head) {
+    EndpointStatement statement = codec.statement(head);
+    if (!statement.isEmpty()) {
+      exchange
+          .endpoint()
+          .ifPresent(endpoint -> post(new RelayEvent.EndpointStated(endpoint, statement)));
+    }
+  }
+
   @Override
   public AnsweredRequest answeredRequest(EndpointExchange exchange, HttpResponse head) {
     return codec.answeredRequest(head, exchange.callerExchange().request());
@@ -322,6 +333,7 @@
     }
     EndpointExchange exchange =
         new EndpointExchange(caller, effect.attempt(), effect.address(), effect.options());
+    exchange.endpoint(state.incarnation(effect.options().expectedEndpoint()));
     attempts.put(effect.id(), exchange);
     HttpRequest head =
         codec.encodeRequest(caller.head(), caller.body().readableBytes(), effect.options());
@@ -339,6 +351,7 @@
     if (answer == null) {
       if (!caller.headWritten()) {
         caller.markHeadWritten();
+        codec.removeEndpointHeaders(exchange.streamHead());
         caller.connection().beginStream(exchange.streamHead());
       }
       return;
@@ -347,6 +360,7 @@
     attempts.remove(effect.id());
     callers.remove(effect.id());
     post(new RelayEvent.AnswerRelayed(effect.id(), effect.attempt()));
+    codec.removeEndpointHeaders(answer.head());
     caller.connection().writeFullAnswer(answer.head(), answer.content());
   }
 
@@ -392,18 +406,23 @@
     CallerExchange caller = callers.get(effect.id());
     if (caller != null) {
       platform.repath(
-          effect.id(), effect.attempt(), caller.request(), effect.first(), effect.path());
+          effect.id(),
+          effect.attempt(),
+          caller.request(),
+          state.incarnation(effect.path().first().endpoint()),
+          effect.first(),
+          effect.path());
     }
   }
 
   @Override
   public void order(RelayEffect.Order effect) {
-    platform.sendOrder(effect.order());
+    platform.sendOrder(effect.order(), state.incarnation(effect.order().endpoint()));
   }
 
   @Override
   public void readReport(RelayEffect.ReadReport effect) {
-    platform.readReport(effect.endpoint(), effect.address());
+    platform.readReport(state.incarnation(effect.endpoint()), effect.address());
   }
 
   @Override
