Send nothing that cannot be answered before the end of the grace period

In a planned stop, requests that came late, had waited, or were repeated or resumed late were sent as usual and cut by the kill; for a request that may not be repeated the outcome stayed unknown.

A request whose own deadline comes first is served as usual. Any other is sent only if its expected duration fits into what is left, with more room for one that may not be repeated. What has not run is refused with 503 and a short Retry-After at once, so that the caller can go to another relay; a failure that an endpoint states is passed on instead of a repeat; a silent stream is left alone rather than retried in vain.

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -159,6 +159,7 @@
 
   private static boolean mayRunAgain(RelayTurn turn, OpenRequest open) {
     return open.route.retryable()
+        && !GracePeriod.tooLate(turn, open)
         && open.possibleRuns < open.route.maxAttempts()
         && open.sends < MAX_SENDS
         && turn.nowNanos - open.deadlineNanos < 0;
--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -17,6 +17,8 @@
     SENT,
     /** All usable endpoints are at their limits; capacity may become free. */
     ALL_BUSY,
+    /** The answer could not arrive before the end of the grace period of this process. */
+    TOO_LATE,
     /** No usable endpoint or path exists for the request at present. */
     NO_USABLE_ENDPOINT
   }
@@ -39,11 +41,20 @@
           ? Result.ALL_BUSY
           : Result.NO_USABLE_ENDPOINT;
     }
+    double firstEventMillis =
+        selector.expectedFirstEventMillis(path.get(), open.request.promptTokens());
+    double gapMillis = selector.expectedGapMillis(path.get());
+    long answerTokens = open.expectedTokens - open.request.promptTokens();
+    // A stream that has begun goes on for as long as possible; its caller can resume the rest.
+    double expectedMillis =
+        open.headRelayed ? firstEventMillis : firstEventMillis + answerTokens * gapMillis;
+    if (GracePeriod.tooLate(turn, open, expectedMillis)) {
+      return Result.TOO_LATE;
+    }
     open.path = path;
     selector.recordTransfers(path.get(), open.expectedTokens);
-    open.expectedGapMillis = selector.expectedGapMillis(path.get());
-    open.expectedFirstEventMillis =
-        selector.expectedFirstEventMillis(path.get(), open.request.promptTokens());
+    open.expectedGapMillis = gapMillis;
+    open.expectedFirstEventMillis = firstEventMillis;
     PathPart first = path.get().first();
     send(turn, open, first.endpoint());
     return Result.SENT;
@@ -55,6 +66,9 @@
     if (endpoint.isEmpty()) {
       return selector.anyUsable(open.excluded) ? Result.ALL_BUSY : Result.NO_USABLE_ENDPOINT;
     }
+    if (GracePeriod.tooLate(turn, open, endpoint.get().latencyMillis())) {
+      return Result.TOO_LATE;
+    }
     send(turn, open, endpoint.get().id());
     return Result.SENT;
   }
--- a/core/src/main/java/io/zinniawood/core/relay/GracePeriod.java
+++ b/core/src/main/java/io/zinniawood/core/relay/GracePeriod.java
@@ -1,11 +1,12 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.route.RouteKind;
 import java.util.ArrayList;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Time from the request to terminate until the platform kills the process. Each request that is
- * still open shortly before its end is answered then.
+ * Time from the request to terminate until the platform kills the process. Nothing is sent that
+ * cannot be answered in it, and each request still open shortly before its end is answered then.
  */
 final class GracePeriod {
   /** Retry-After, in milliseconds; a new connection reaches another relay. */
@@ -16,6 +17,12 @@
 
   private static final long MAX_FLUSH_MILLIS = 1_000;
 
+  /** Time that must be left, relative to the expected duration, which is a mean. */
+  private static final double REPEATABLE_MARGIN = 1.25;
+
+  /** The same for a request whose caller cannot repeat it if its outcome is unknown. */
+  private static final double UNREPEATABLE_MARGIN = 3;
+
   private GracePeriod() {}
 
   /** Returns the time until the platform kills the process, in milliseconds. */
@@ -31,6 +38,25 @@
     return state.terminationNanos + TimeUnit.MILLISECONDS.toNanos(graceMillis - flushMillis);
   }
 
+  /** Returns whether an attempt that begins now could not even meet its route's target. */
+  static boolean tooLate(RelayTurn turn, OpenRequest open) {
+    return tooLate(turn, open, open.route.targetLatencyMillis());
+  }
+
+  /**
+   * Returns whether an attempt that begins now is likely to be cut by the end of the grace period.
+   * A request whose own deadline comes first is served as usual.
+   */
+  static boolean tooLate(RelayTurn turn, OpenRequest open, double expectedMillis) {
+    long endNanos = workEndNanos(turn.state);
+    if (!turn.state.terminating || open.deadlineNanos - endNanos <= 0) {
+      return false;
+    }
+    double margin =
+        open.route.kind() == RouteKind.NON_IDEMPOTENT ? UNREPEATABLE_MARGIN : REPEATABLE_MARGIN;
+    return turn.millisUntil(endNanos) < margin * expectedMillis;
+  }
+
   /** Ends a request that is at no endpoint, so that its caller can go to another relay. */
   static void end(RelayTurn turn, OpenRequest open) {
     if (open.headRelayed || open.possibleRuns > 0) {
--- a/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
@@ -26,7 +26,9 @@
     for (OpenRequest open : new ArrayList<>(turn.state.open.values())) {
       if (open.path.isPresent() && open.path.get().contains(unresponsive)) {
         if (open.path.get().first().endpoint().equals(unresponsive)) {
-          if (open.route.retryable() && open.possibleRuns < open.route.maxAttempts()) {
+          if (open.route.retryable()
+              && open.possibleRuns < open.route.maxAttempts()
+              && !GracePeriod.tooLate(turn, open)) {
             AttemptOutcomes.retry(turn, open, "first-endpoint-silent");
           }
         } else {
--- a/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
@@ -81,7 +81,9 @@
       }
     }
     for (OpenRequest open : stalledConnections) {
-      if (open.route.retryable() && open.possibleRuns < open.route.maxAttempts()) {
+      if (open.route.retryable()
+          && open.possibleRuns < open.route.maxAttempts()
+          && !GracePeriod.tooLate(turn, open)) {
         AttemptOutcomes.retry(turn, open, "silent-connection");
       }
     }
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
@@ -42,6 +42,10 @@
    * endpoint or the queue is full. A stream that has begun waits even without a usable endpoint.
    */
   static void dispatchOrEnqueue(RelayTurn turn, OpenRequest open) {
+    if (GracePeriod.tooLate(turn, open)) {
+      GracePeriod.end(turn, open);
+      return;
+    }
     Optional<PromptPartId> held = CrashWatch.heldPart(turn, open);
     if (held.isPresent()) {
       CrashWatch.refuse(turn, open, held.get());
@@ -55,6 +59,10 @@
     if (result == Dispatcher.Result.SENT) {
       return;
     }
+    if (result == Dispatcher.Result.TOO_LATE) {
+      GracePeriod.end(turn, open);
+      return;
+    }
     if (result == Dispatcher.Result.NO_USABLE_ENDPOINT && !open.headRelayed) {
       AttemptOutcomes.refuse(turn, open, "no-endpoint");
       return;
@@ -85,6 +93,10 @@
         turn.state.waiting.remove(open);
         continue;
       }
+      if (GracePeriod.tooLate(turn, open)) {
+        GracePeriod.end(turn, open);
+        continue;
+      }
       Optional<PromptPartId> held = CrashWatch.heldPart(turn, open);
       if (held.isPresent()) {
         turn.state.waiting.remove(open);
@@ -95,10 +107,16 @@
         continue;
       }
       boolean tried = misses.getOrDefault(open.service, 0) < MAX_MISSES_PER_TICK;
-      if (tried && Dispatcher.dispatch(turn, open) == Dispatcher.Result.SENT) {
+      Dispatcher.Result result =
+          tried ? Dispatcher.dispatch(turn, open) : Dispatcher.Result.ALL_BUSY;
+      if (result == Dispatcher.Result.SENT) {
         turn.state.waiting.remove(open);
         continue;
       }
+      if (result == Dispatcher.Result.TOO_LATE) {
+        GracePeriod.end(turn, open);
+        continue;
+      }
       misses.merge(open.service, 1, Integer::sum);
       if (turn.nowNanos - waitEndNanos(open) >= 0) {
         turn.state.waiting.remove(open);
--- a/core/src/test/java/io/zinniawood/core/relay/RelayDrainTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayDrainTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
 import java.util.List;
@@ -15,6 +17,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 final class RelayDrainTest {
+  /** A time at which what can still run is running, shortly before the end of the grace period. */
+  private static final long LATE_MILLIS = 6_800;
+
   private final RelayHarness relay = new RelayHarness();
 
   private void terminate() {
@@ -25,6 +30,13 @@
     return relay.effectsOf(RelayEffect.AbortAnswer.class);
   }
 
+  private void fillPlain() {
+    relay.list(relay.plain("a"));
+    for (int count = 0; count < 9; count++) {
+      relay.request("long-read", 20_000);
+    }
+  }
+
   // Guards against a request that the kill at the end of the grace period cuts without an answer.
   @ParameterizedTest
   @CsvSource({"book, 504", "long-read, 504", "long-book, 504"})
@@ -53,6 +65,109 @@
     assertThat(relay.effectsOf(RelayEffect.Stop.class), hasSize(1));
   }
 
+  // A request that waits is refused while its caller has time to go elsewhere, not sent and then
+  // cut.
+  @ParameterizedTest
+  @CsvSource({"long-read", "long-book"})
+  void waitingRequestIsNotSentTooLate(String route) {
+    fillPlain();
+    relay.advanceMillis(100);
+    RelayRequestId id = relay.request(route, 20_000);
+    assertThat(relay.sends(id), empty());
+    terminate();
+    relay.pauseMillis(LATE_MILLIS);
+    relay.answerReceived(new RelayRequestId(1), 1, 200);
+    relay.post(new RelayEvent.AnswerRelayed(new RelayRequestId(1), 1));
+    relay.advanceMillis(100);
+    assertThat(relay.sends(id), empty());
+    LocalAnswer answer = relay.localAnswer(id).orElseThrow();
+    assertThat(answer.status(), is(503));
+    assertThat(answer.retryAfterMillis().orElseThrow(), lessThan(1_000L));
+  }
+
+  // Guards against a second send whose answer the kill cuts. What may have run says so.
+  @ParameterizedTest
+  @CsvSource({
+    "long-read, CONNECTION_LOST, 502",
+    "long-read, NOT_SENT, 503",
+    "long-book, NOT_SENT, 503",
+  })
+  void requestIsNotRepeatedTooLate(String route, AttemptFailureCause cause, int status) {
+    relay.list(relay.plain("a"), relay.plain("b"));
+    RelayRequestId id = relay.request(route, 20_000);
+    terminate();
+    relay.advanceMillis(LATE_MILLIS);
+    relay.attemptFailed(id, 1, cause);
+    relay.advanceMillis(10);
+    assertThat(relay.sends(id), hasSize(1));
+    assertThat(relay.localAnswer(id).orElseThrow().status(), is(status));
+  }
+
+  // A failure that an endpoint states is better than an unknown outcome.
+  @Test
+  void lateFailureIsPassedOn() {
+    relay.list(relay.plain("a"), relay.plain("b"));
+    RelayRequestId id = relay.request("long-read", 20_000);
+    terminate();
+    relay.advanceMillis(LATE_MILLIS);
+    relay.answerReceived(id, 1, 500);
+    assertThat(relay.sends(id), hasSize(1));
+    assertThat(relay.lastEffect(RelayEffect.RelayAnswer.class).id(), is(id));
+  }
+
+  // Guards against a stream that is resumed although none of its events can arrive any more.
+  @Test
+  void streamIsNotResumedTooLate() {
+    relay.list(relay.model("a", 0, 10), relay.model("b", 0, 10));
+    RelayRequestId id = relay.request("stream", 20_000);
+    relay.answerReceived(id, 1, 200);
+    relay.streamAdvanced(id, 1);
+    terminate();
+    relay.pauseMillis(LATE_MILLIS);
+    relay.attemptFailed(id, 1, AttemptFailureCause.CONNECTION_LOST);
+    assertThat(relay.sends(id), hasSize(1));
+    assertThat(aborted(), hasSize(1));
+  }
+
+  // A stream that breaks early in the grace period goes on; its caller notices nothing.
+  @Test
+  void streamIsResumedEarlyInTheGracePeriod() {
+    relay.list(relay.model("a", 0, 10), relay.model("b", 0, 10));
+    RelayRequestId id = relay.request("stream", 20_000);
+    relay.answerReceived(id, 1, 200);
+    relay.streamAdvanced(id, 1);
+    terminate();
+    relay.pauseMillis(1_000);
+    relay.attemptFailed(id, 1, AttemptFailureCause.CONNECTION_LOST);
+    assertThat(relay.sends(id), hasSize(2));
+  }
+
+  // Guards against new work that cannot finish; what fits is served while the balancer still sends.
+  @ParameterizedTest
+  @CsvSource({
+    // Route, limit, time of one answer and time after the signal in milliseconds; accepted or not.
+    "long-read,  20000,  100,  100, true",
+    "long-read,  20000, 6500,  100, false",
+    "long-read,   3000, 6500,  100, true",
+    "long-book,  20000, 1000,  100, true",
+    "long-book,  20000, 3000,  100, false",
+    "long-book,  20000,  100, 2700, true",
+    "long-read,  20000,  100, 3000, false",
+  })
+  void newRequestIsAcceptedOnlyIfItFits(
+      String route, long limitMillis, long answerMillis, long atMillis, boolean accepted) {
+    relay.list(relay.plain("a"));
+    RelayRequestId sample = relay.request("long-read", 20_000);
+    relay.advanceMillis(answerMillis);
+    relay.answerReceived(sample, 1, 200);
+    relay.post(new RelayEvent.AnswerRelayed(sample, 1));
+    terminate();
+    relay.advanceMillis(atMillis);
+    RelayRequestId id = relay.request(route, limitMillis);
+    assertThat(relay.sends(id).isEmpty(), is(!accepted));
+    assertThat(relay.localAnswer(id).map(LocalAnswer::status).orElse(0), is(accepted ? 0 : 503));
+  }
+
   // Every open request has exactly one end before the kill, whatever happens during the drain.
   @Test
   void everyRequestHasOneEndInDrawnHistories() {
