--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -153,6 +153,7 @@
   static boolean replace(RelayTurn turn, OpenRequest open, String reason) {
     boolean replaceable =
         mayRunAgain(turn, open)
+            && !GracePeriod.tooLate(turn, open)
             && !CrashWatch.mustWait(turn, open)
             && turn.state.quarantine.heldPart(open.request.sharedParts()).isEmpty()
             && Dispatcher.replacementExists(turn, open)
@@ -181,6 +182,7 @@
 
   private static boolean mayRunAgain(RelayTurn turn, OpenRequest open) {
     return open.route.retryable()
+        && !GracePeriod.tooLate(turn, open)
         && open.possibleRuns < open.route.maxAttempts()
         && open.sends < MAX_SENDS
         && turn.nowNanos - open.deadlineNanos < 0;
