Compare versions of the store only within one era

What callers see: after the store has come back from a copy some seconds old, requests reach an endpoint that is draining or gone, a route that was added is not served, or endpoints drop out of use until versions have caught up.

Cause: a version number was taken for a position in one history. After a restore the numbers go back and are given out again: a lower row was ignored, also one that says draining; a feed went on from a number that now means another state, with no 410 once the numbers had passed it; relays took each other's reads of two eras for older or newer ones. Class of fault: a comparison of values of two different orders.

Why this works: StoreVersion.isAfter refuses versions of two eras. Rows up to the version of the first list of an era may be older than what this relay knows: they replace an entry, but the endpoint is used again only once it has written in the new era or has restarted. Endpoints that the copy lacks may reappear for the usual grace.

--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -2,6 +2,8 @@
 
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.StoreEra;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.model.NodeAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -40,13 +42,24 @@
   /** Maximum number of times that consecutive failures double the time of avoidance. */
   private static final int MAX_AVOIDANCE_DOUBLINGS = 2;
 
+  /** Time for which a copy of the store may still list an endpoint that has left. */
+  private static final long MAX_COPY_AGE_NANOS = TimeUnit.SECONDS.toNanos(60);
+
   private final Map<EndpointId, TrackedEndpoint> endpointsById = new HashMap<>();
+  private final Map<EndpointId, Departure> departures = new HashMap<>();
+  private StoreVersion listVersion = new StoreVersion(StoreEra.UNNAMED, 0);
+
+  /** Version that the store had when this process first saw its present era; empty at first. */
+  private Optional<StoreVersion> copyVersion = Optional.empty();
+
   private boolean listLoaded;
   private boolean storeUnavailable;
   private long storeRegainedNanos;
   private boolean storeEverRegained;
   private long lastEndpointAddedNanos;
 
+  private record Departure(FleetEndpoint entry, long atNanos) {}
+
   /** Returns whether the endpoint list has been read at least once. */
   public boolean listLoaded() {
     return listLoaded;
@@ -89,12 +102,21 @@
   }
 
   /**
-   * Applies a full endpoint list: endpoints that it lacks are removed.
+   * Applies a full endpoint list: endpoints that it lacks are removed. The first list of another
+   * era shows the store as it came back from a copy: entries that it lacks may reappear.
    *
+   * @param version version of the store that the list shows
    * @return entries that were ignored for their version
    */
-  public List<FleetEndpoint> replaceAll(List<FleetEndpoint> endpoints, long nowNanos) {
+  public List<FleetEndpoint> replaceAll(
+      List<FleetEndpoint> endpoints, StoreVersion version, long nowNanos) {
+    if (listLoaded && !version.sameEra(listVersion)) {
+      copyVersion = Optional.of(version);
+      storeEverRegained = true;
+      storeRegainedNanos = nowNanos;
+    }
     listLoaded = true;
+    listVersion = version;
     Set<EndpointId> present = new HashSet<>();
     for (FleetEndpoint endpoint : endpoints) {
       present.add(endpoint.id());
@@ -119,11 +141,13 @@
     List<FleetEndpoint> ignored = new ArrayList<>();
     for (FleetEndpoint endpoint : changed) {
       TrackedEndpoint known = endpointsById.get(endpoint.id());
+      boolean perhapsCopy = perhapsCopy(endpoint);
       if (known == null) {
-        endpointsById.put(endpoint.id(), new TrackedEndpoint(endpoint));
+        endpointsById.put(
+            endpoint.id(), new TrackedEndpoint(endpoint, perhapsCopy && departed(endpoint)));
         lastEndpointAddedNanos = nowNanos;
-      } else if (endpoint.rowVersion().number() >= known.entry().rowVersion().number()) {
-        known.update(endpoint, nowNanos, MAX_HEARTBEAT_LAG_NANOS);
+      } else if (known.supersededBy(endpoint, perhapsCopy)) {
+        known.update(endpoint, nowNanos, MAX_HEARTBEAT_LAG_NANOS, perhapsCopy);
       } else {
         ignored.add(endpoint);
       }
@@ -132,7 +156,7 @@
     for (EndpointId id : removed) {
       TrackedEndpoint known = endpointsById.get(id);
       if (known != null) {
-        known.scheduleRemoval(known.entry().draining() ? nowNanos : nowNanos + graceNanos);
+        known.scheduleRemoval(known.announcedLeaving() ? nowNanos : nowNanos + graceNanos);
       }
     }
     removeExpired(nowNanos);
@@ -141,7 +165,32 @@
 
   /** Removes endpoints that did not reappear in time. */
   public void removeExpired(long nowNanos) {
-    endpointsById.values().removeIf(known -> known.removalDue(nowNanos));
+    departures.values().removeIf(gone -> nowNanos - gone.atNanos() >= MAX_COPY_AGE_NANOS);
+    endpointsById
+        .values()
+        .removeIf(
+            known -> {
+              boolean due = known.removalDue(nowNanos);
+              if (due) {
+                departures.put(known.id(), new Departure(known.entry(), nowNanos));
+              }
+              return due;
+            });
+  }
+
+  /** Returns whether the entry may come from the copy rather than from its endpoint. */
+  private boolean perhapsCopy(FleetEndpoint endpoint) {
+    return copyVersion
+        .filter(copy -> copy.sameEra(endpoint.rowVersion()))
+        .filter(copy -> !endpoint.rowVersion().isAfter(copy))
+        .isPresent();
+  }
+
+  private boolean departed(FleetEndpoint endpoint) {
+    Departure departure = departures.get(endpoint.id());
+    return departure != null
+        && (departure.entry().sameIncarnation(endpoint)
+            || endpoint.startedMillis() < departure.entry().startedMillis());
   }
 
   /** Records that the store stopped answering. */
--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.fleet;
 
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.model.LayerRange;
 import java.util.Optional;
 
@@ -12,9 +13,6 @@
   /** Weight of a new sample in the exponential moving averages. */
   private static final double NEW_SAMPLE_WEIGHT = 0.15;
 
-  /** Lower than the version of any row. */
-  private static final long NO_VERSION = -1;
-
   /** Upper bound of the slowdown factor; a slow endpoint still gets requests that measure it. */
   private static final double MAX_SLOWDOWN_FACTOR = 12;
 
@@ -28,7 +26,8 @@
   private boolean suspected;
   private long suspectedAtNanos;
   private long suspectedUntilNanos;
-  private long refutedRowVersion = NO_VERSION;
+  private Optional<StoreVersion> refutedRowVersion = Optional.empty();
+  private boolean withdrawn;
   private boolean unresponsive;
   private boolean checkPending;
   private long checkStartedNanos;
@@ -41,8 +40,14 @@
   private long ordersAccepted;
   private boolean orderCountUncertain;
 
-  TrackedEndpoint(FleetEndpoint entry) {
+  /**
+   * Creates the state of a newly listed endpoint.
+   *
+   * @param withdrawn whether the entry may be older than the departure of the endpoint
+   */
+  TrackedEndpoint(FleetEndpoint entry, boolean withdrawn) {
     this.entry = entry;
+    this.withdrawn = withdrawn;
   }
 
   public EndpointId id() {
@@ -55,11 +60,29 @@
   }
 
   /**
-   * Replaces the entry and resets the observations if the endpoint has restarted.
+   * Returns whether an entry is to replace the present one.
+   *
+   * @param perhapsCopy whether the entry may come from a copy of the store, so that it may be older
+   */
+  boolean supersededBy(FleetEndpoint other, boolean perhapsCopy) {
+    if (other.rowVersion().sameEra(entry.rowVersion())) {
+      return !entry.rowVersion().isAfter(other.rowVersion());
+    }
+    return !perhapsCopy || other.startedMillis() >= entry.startedMillis();
+  }
+
+  /**
+   * Replaces the entry and resets the observations if the endpoint has restarted. An entry that may
+   * come from a copy of the store does not undo what was known of the endpoint before.
    *
    * @param heartbeatLagNanos time after a failure from which on a newer entry ends the avoidance
    */
-  void update(FleetEndpoint newer, long nowNanos, long heartbeatLagNanos) {
+  void update(FleetEndpoint newer, long nowNanos, long heartbeatLagNanos, boolean perhapsCopy) {
+    boolean sameEra = newer.rowVersion().sameEra(entry.rowVersion());
+    withdrawn =
+        perhapsCopy
+            && newer.sameIncarnation(entry)
+            && (withdrawn || (!sameEra && (entry.draining() || refuted())));
     if (!newer.sameIncarnation(entry)) {
       slowdownFactor = 1;
       failureRate = 0;
@@ -70,7 +93,7 @@
       ordersAccepted = 0;
       orderCountUncertain = false;
     } else if (suspected
-        && newer.rowVersion().number() > entry.rowVersion().number()
+        && (sameEra ? newer.rowVersion().isAfter(entry.rowVersion()) : !perhapsCopy)
         && nowNanos - suspectedAtNanos > heartbeatLagNanos) {
       suspected = false;
     }
@@ -83,15 +106,24 @@
 
   /** Returns whether new requests may be sent to the endpoint. */
   public boolean usable(long nowNanos) {
-    return !entry.draining()
-        && !leaving
-        && !suspectedAt(nowNanos)
-        && entry.rowVersion().number() > refutedRowVersion;
+    return !entry.draining() && !leaving && !suspectedAt(nowNanos) && !withdrawn && !refuted();
+  }
+
+  private boolean refuted() {
+    return refutedRowVersion
+        .filter(refuted -> refuted.sameEra(entry.rowVersion()))
+        .filter(refuted -> !entry.rowVersion().isAfter(refuted))
+        .isPresent();
+  }
+
+  /** Returns whether the endpoint list says, or said before it was restored, that it leaves. */
+  boolean announcedLeaving() {
+    return entry.draining() || withdrawn;
   }
 
   /** Returns whether neither the endpoint list nor the endpoint itself says that it is leaving. */
   public boolean staysInFleet() {
-    return !entry.draining() && !leaving && !removalScheduled;
+    return !announcedLeaving() && !leaving && !removalScheduled;
   }
 
   /** Returns whether the endpoint is avoided after a failure or a refusal. */
@@ -118,7 +150,7 @@
    * restart. It is not used until it writes its entry again.
    */
   public void entryRefuted() {
-    refutedRowVersion = entry.rowVersion().number();
+    refutedRowVersion = Optional.of(entry.rowVersion());
   }
 
   /** Marks the endpoint as avoided for lack of response; an answered check ends the avoidance. */
--- a/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
+++ b/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
@@ -142,7 +142,9 @@
   }
 
   static void leaseRead(RelayTurn turn, RelayEvent.LeaseRead event) {
-    StoreEras.observe(turn, event.version().era());
+    if (!StoreEras.accepts(turn, event.version().era())) {
+      return;
+    }
     applyRow(turn, event.row(), event.version());
     LeaseView after = turn.state.lease;
     if (after.heldRow().isEmpty()
--- a/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
+++ b/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
@@ -3,6 +3,7 @@
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.StoreVersion;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -11,7 +12,7 @@
 final class FleetUpdates {
   private FleetUpdates() {}
 
-  static void endpointsListed(RelayTurn turn, List<FleetEndpoint> endpoints) {
+  static void endpointsListed(RelayTurn turn, List<FleetEndpoint> endpoints, StoreVersion version) {
     Set<EndpointId> present = new HashSet<>();
     for (FleetEndpoint endpoint : endpoints) {
       present.add(endpoint.id());
@@ -22,7 +23,7 @@
         logRemoval(turn, known.id());
       }
     }
-    logIgnored(turn, turn.state.fleet.replaceAll(endpoints, turn.nowNanos));
+    logIgnored(turn, turn.state.fleet.replaceAll(endpoints, version, turn.nowNanos));
   }
 
   static void endpointsChanged(
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -44,6 +44,10 @@
 
   StoreEra storeEra = StoreEra.UNNAMED;
   boolean storeEraKnown;
+  long storeEraSeenNanos;
+
+  /** Time since which all answers of the store are of a lower era; empty if they are not. */
+  Optional<Long> lowerEraSinceNanos = Optional.empty();
 
   /** Version up to which the endpoint list is known; empty if it must be read whole. */
   Optional<StoreVersion> endpointsVersion = Optional.empty();
@@ -51,6 +55,9 @@
   /** Version up to which the routes are known; empty if they must be read whole. */
   Optional<StoreVersion> routesStoreVersion = Optional.empty();
 
+  /** Version after which the last read of the routes asked for a change; empty if for all. */
+  Optional<StoreVersion> routesAskedAfter = Optional.empty();
+
   final BoundedLog ignoredLog = new BoundedLog();
 
   int failedEndpointReads;
--- a/core/src/main/java/io/zinniawood/core/relay/StoreClock.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreClock.java
@@ -10,6 +10,11 @@
   private boolean known;
   private long offsetMillis;
 
+  /** Forgets the estimate, as the clock of a restored store may be behind the former one. */
+  void restart() {
+    known = false;
+  }
+
   /** Records an answer of the store; delays only make the estimate lower, so the highest counts. */
   void observe(long storeMillis, long nowNanos) {
     long offset = storeMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos);
--- a/core/src/main/java/io/zinniawood/core/relay/StoreReadFailure.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReadFailure.java
@@ -4,6 +4,6 @@
 public enum StoreReadFailure {
   /** The store did not answer, or refused. */
   UNAVAILABLE,
-  /** The store no longer has the changes after the given version. */
+  /** The store no longer has the changes after the given version, or began another era. */
   HISTORY_GONE
 }
--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -4,6 +4,7 @@
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.StoreVersion;
+import io.zinniawood.core.id.VmId;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -70,6 +71,7 @@
                 + rankDelayNanos;
     if (state.routeReads.due(routesMaxAgeNanos, turn.nowNanos)) {
       state.routeReads.sent();
+      state.routesAskedAfter = state.routesStoreVersion;
       turn.emit(
           state.routesStoreVersion.isEmpty()
               ? new RelayEffect.ReadRoutes()
@@ -79,13 +81,21 @@
   }
 
   static void endpointsListed(RelayTurn turn, RelayEvent.EndpointsListed event) {
-    answered(turn, event.version(), event.storeMillis());
+    if (!answered(turn, event.version(), event.storeMillis())) {
+      return;
+    }
     turn.state.endpointsVersion = Optional.of(event.version());
-    FleetUpdates.endpointsListed(turn, event.endpoints());
+    FleetUpdates.endpointsListed(turn, event.endpoints(), event.version());
   }
 
   static void endpointsChanged(RelayTurn turn, RelayEvent.EndpointsChanged event) {
-    answered(turn, event.version(), event.storeMillis());
+    if (!answered(turn, event.version(), event.storeMillis())) {
+      return;
+    }
+    if (!event.afterVersion().sameEra(event.version())) {
+      turn.state.endpointReads.invalidate();
+      return;
+    }
     List<SharedRead> reads = sharedReads(turn, event);
     turn.state.endpointsVersion = Optional.of(event.version());
     FleetUpdates.endpointsChanged(turn, event.changed(), event.removed());
@@ -94,12 +104,17 @@
     }
   }
 
-  private static void answered(RelayTurn turn, StoreVersion version, long storeMillis) {
-    StoreEras.observe(turn, version.era());
+  /** Records an answer about the endpoints; returns whether it is of the present era. */
+  private static boolean answered(RelayTurn turn, StoreVersion version, long storeMillis) {
     RelayState state = turn.state;
+    if (!StoreEras.accepts(turn, version.era())) {
+      state.endpointReads.failed(turn.nowNanos);
+      return false;
+    }
     state.storeClock.observe(storeMillis, turn.nowNanos);
     state.endpointReads.answered(turn.nowNanos);
     available(turn);
+    return true;
   }
 
   private static void available(RelayTurn turn) {
@@ -125,16 +140,21 @@
   }
 
   static void routesAnswered(RelayTurn turn, RelayEvent.RoutesAnswered event) {
-    turn.state.routeReads.answered(turn.nowNanos);
-    StoreEras.observe(turn, event.storeVersion().era());
-    if (turn.state
-        .routesStoreVersion
-        .filter(known -> known.number() >= event.storeVersion().number())
-        .isEmpty()) {
-      turn.state.routesStoreVersion = Optional.of(event.storeVersion());
+    RelayState state = turn.state;
+    StoreVersion version = event.storeVersion();
+    if (!StoreEras.accepts(turn, version.era())) {
+      state.routeReads.failed(turn.nowNanos);
+      return;
+    }
+    state.routeReads.answered(turn.nowNanos);
+    if (state.routesAskedAfter.filter(after -> !after.sameEra(version)).isPresent()) {
+      // No change after a version of a former era says nothing about this era.
+      state.routeReads.invalidate();
+    } else if (state.routesStoreVersion.filter(known -> !version.isAfter(known)).isEmpty()) {
+      state.routesStoreVersion = Optional.of(version);
     }
     boolean newer =
-        event.routes().filter(routes -> routes.version() > turn.state.routesVersion()).isPresent();
+        event.routes().filter(routes -> routes.version() > state.routesVersion()).isPresent();
     event.routes().ifPresent(routes -> Lifecycle.routesRead(turn, routes));
     if (newer) {
       PeerExchange.send(turn, Optional.empty());
@@ -154,22 +174,48 @@
   /** Applies what another relay read. */
   static void peerRead(RelayTurn turn, PeerMessage message) {
     RelayState state = turn.state;
+    if (!state.storeEraKnown || !message.storeEra().equals(state.storeEra)) {
+      peerInAnotherEra(turn, message);
+      return;
+    }
     if (message.routesVersion() == state.routesVersion()) {
       state.routeReads.confirmed(
           turn.nowNanos - TimeUnit.MILLISECONDS.toNanos(message.routesAgeMillis()));
     } else if (message.routesVersion() > state.routesVersion()) {
       state.routeReads.invalidate();
     }
-    message.read().ifPresent(read -> applyRead(turn, read));
+    message.read().ifPresent(read -> applyRead(turn, message.vm(), read));
+  }
+
+  /** The versions of another era mean nothing here; a later era makes this relay read itself. */
+  private static void peerInAnotherEra(RelayTurn turn, PeerMessage message) {
+    RelayState state = turn.state;
+    if (message.read().isPresent()) {
+      state.ignoredLog.log(
+          turn,
+          "peer-read-ignored",
+          "vm",
+          message.vm().value(),
+          "version",
+          message.read().get().version(),
+          "era",
+          state.storeEra.value());
+    }
+    if (state.storeEraKnown && message.storeEra().isLaterThan(state.storeEra)) {
+      state.endpointReads.invalidate();
+      state.routeReads.invalidate();
+    } else if (message.routesVersion() > state.routesVersion()) {
+      state.routeReads.invalidate();
+    }
   }
 
-  private static void applyRead(RelayTurn turn, SharedRead read) {
+  private static void applyRead(RelayTurn turn, VmId sender, SharedRead read) {
     RelayState state = turn.state;
     if (state.endpointsVersion.isEmpty()) {
       return;
     }
-    long knownNumber = state.endpointsVersion.get().number();
-    if (read.afterVersion().number() > knownNumber || !knowsAll(turn, read)) {
+    StoreVersion known = state.endpointsVersion.get();
+    if (read.afterVersion().isAfter(known) || !knowsAll(turn, read)) {
       // A message was lost.
       state.endpointReads.invalidate();
       return;
@@ -177,9 +223,16 @@
     state.storeClock.observe(read.storeMillis(), turn.nowNanos);
     long ageMillis = state.storeClock.ageMillis(read.storeMillis(), turn.nowNanos);
     state.endpointReads.confirmed(turn.nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis));
-    if (read.version().number() <= knownNumber) {
+    if (!read.version().isAfter(known)) {
       state.ignoredLog.log(
-          turn, "peer-read-ignored", "version", read.version(), "known", state.endpointsVersion);
+          turn,
+          "peer-read-ignored",
+          "vm",
+          sender.value(),
+          "version",
+          read.version(),
+          "known",
+          known);
       return;
     }
     available(turn);
@@ -190,7 +243,8 @@
       state
           .fleet
           .find(heartbeat.endpoint())
-          .ifPresent(known -> changed.add(known.entry().withRowVersion(heartbeat.rowVersion())));
+          .ifPresent(
+              endpoint -> changed.add(endpoint.entry().withRowVersion(heartbeat.rowVersion())));
     }
     FleetUpdates.endpointsChanged(turn, changed, read.removed());
   }
--- a/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
@@ -34,6 +34,10 @@
         new StoreVersion(StoreEra.UNNAMED, rowVersion));
   }
 
+  private void replaceAll(List<FleetEndpoint> endpoints, long nowNanos) {
+    fleet.replaceAll(endpoints, new StoreVersion(StoreEra.UNNAMED, 100), nowNanos);
+  }
+
   private static long millis(long millis) {
     return TimeUnit.MILLISECONDS.toNanos(millis);
   }
@@ -41,7 +45,7 @@
   // An endpoint whose entry was removed must not receive further requests.
   @Test
   void removedEndpointIsDroppedImmediately() {
-    fleet.replaceAll(List.of(endpoint(false, 1, 1)), 0);
+    replaceAll(List.of(endpoint(false, 1, 1)), 0);
     fleet.applyChanges(List.of(), List.of(ID), millis(10));
     assertThat(fleet.find(ID).isPresent(), is(false));
   }
@@ -50,7 +54,7 @@
   // their endpoints must stay in use.
   @Test
   void endpointExpiredDuringStoreOutageIsKeptUntilItReappears() {
-    fleet.replaceAll(List.of(endpoint(false, 1, 1)), 0);
+    replaceAll(List.of(endpoint(false, 1, 1)), 0);
     fleet.storeLost();
     fleet.storeRegained(millis(5_000));
     fleet.applyChanges(List.of(), List.of(ID), millis(5_010));
@@ -63,10 +67,10 @@
   // An endpoint that does not reappear within the grace time after a store outage must be dropped.
   @Test
   void endpointThatDoesNotReappearIsDropped() {
-    fleet.replaceAll(List.of(endpoint(false, 1, 1)), 0);
+    replaceAll(List.of(endpoint(false, 1, 1)), 0);
     fleet.storeLost();
     fleet.storeRegained(millis(5_000));
-    fleet.replaceAll(List.of(), millis(5_010));
+    replaceAll(List.of(), millis(5_010));
     fleet.removeExpired(millis(7_300));
     assertThat(fleet.find(ID).isPresent(), is(false));
   }
@@ -74,7 +78,7 @@
   // A store answer that arrives late must not overwrite a newer entry.
   @Test
   void olderEntryDoesNotReplaceNewerOne() {
-    fleet.replaceAll(List.of(endpoint(true, 1, 5)), 0);
+    replaceAll(List.of(endpoint(true, 1, 5)), 0);
     fleet.applyChanges(List.of(endpoint(false, 1, 4)), List.of(), millis(10));
     assertThat(fleet.find(ID).orElseThrow().usable(millis(20)), is(false));
   }
@@ -83,7 +87,7 @@
   // version 2 arrives 0.9 s after the failure, which is too early to prove that.
   @Test
   void laterHeartbeatEndsAvoidance() {
-    fleet.replaceAll(List.of(endpoint(false, 1, 1)), 0);
+    replaceAll(List.of(endpoint(false, 1, 1)), 0);
     fleet.avoidAfterFailure(fleet.find(ID).orElseThrow(), millis(100));
     fleet.applyChanges(List.of(endpoint(false, 1, 2)), List.of(), millis(1_000));
     assertThat(fleet.find(ID).orElseThrow().usable(millis(1_001)), is(false));
@@ -94,7 +98,7 @@
   // An endpoint that restarts under the same id has neither its layers nor its accepted orders.
   @Test
   void restartUnderTheSameIdClearsRecordedState() {
-    fleet.replaceAll(List.of(endpoint(false, 1, 1)), 0);
+    replaceAll(List.of(endpoint(false, 1, 1)), 0);
     TrackedEndpoint known = fleet.find(ID).orElseThrow();
     known.orderAccepted();
     known.orderLayers(new LayerRange(0, 3), millis(60_000));
