Keep lease, fencing numbers and presence right when the store comes back from a copy

What could happen: two relays give placement orders at the same time, an endpoint accepts late orders of a former holder, and relays that started in the lost seconds are not heard by the others.

Cause: the lease row and the presence rows are the relays' own, and nobody else writes them again. A holder went on with a lease that the store had forgotten, another relay took a missing row at once, and a fencing number was taken from the row alone, so it was given out again. Class of fault: state that is trusted because it was acknowledged once.

Why this works: a change of the era drops the lease and every write whose result is open; it is acquired anew, a missing row only a lease time after the era was first seen, which is longer than any former lease lasts. Fencing numbers are above those of the row, of messages and of this relay, and begin at era * 2^20, so they are above those that nobody remembers. 412 to an order gives up the lease. Presence is written at once; a relay that lives is kept although its row is missing.

--- a/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
+++ b/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
@@ -32,8 +32,48 @@
    */
   private static final long PRESENCE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(9);
 
+  /** Fencing numbers of an era; those of the next one begin above them. */
+  private static final long FENCING_NUMBERS_PER_ERA = 1L << 20;
+
   private ControllerLease() {}
 
+  /**
+   * Forgets the lease, whose row in the copy may be older or missing, so that it is acquired anew,
+   * and writes the presence row again.
+   */
+  static void eraChanged(RelayTurn turn) {
+    RelayState state = turn.state;
+    if (state.lease.heldRow().isDefined()) {
+      logLost(turn, state.lease.heldRow().get(), "store-era");
+    }
+    state.lease = LeaseView.unknown();
+    state.leaseNoticeReceived = false;
+    state.nextLeaseTickNanos = turn.nowNanos;
+    state.nextPresenceNanos = turn.nowNanos;
+  }
+
+  /** Gives up the lease after an endpoint had seen a higher fencing number. */
+  static void fenced(RelayTurn turn) {
+    LeaseView lease = turn.state.lease;
+    if (lease.heldRow().isDefined()) {
+      logLost(turn, lease.heldRow().get(), "fenced");
+      turn.state.lease = lease.withoutLease();
+    }
+  }
+
+  private static void logLost(RelayTurn turn, LeaseRow row, String reason) {
+    turn.log(
+        "lease-lost",
+        "holder",
+        row.holder().value(),
+        "fence",
+        row.fencingNumber().value(),
+        "rowVersion",
+        turn.state.lease.version(),
+        "reason",
+        reason);
+  }
+
   /** Returns whether this relay holds the lease and its validity has not expired. */
   static boolean held(RelayTurn turn) {
     LeaseView lease = turn.state.lease;
@@ -103,7 +143,9 @@
   /** Takes over the lease row from a message of its holder, like a read of that row. */
   static void heard(RelayTurn turn, VmId holder, LeaseNotice notice) {
     RelayState state = turn.state;
-    if (notice.rowVersion().number() < state.lease.version()) {
+    raiseFencingNumber(turn, notice.fencingNumber());
+    if (!notice.rowVersion().era().equals(state.storeEra)
+        || notice.rowVersion().number() < state.lease.version()) {
       state.ignoredLog.log(
           turn,
           "lease-notice-ignored",
@@ -126,6 +168,7 @@
   }
 
   private static void applyRow(RelayTurn turn, Option<LeaseRow> row, StoreVersion version) {
+    row.forEach(read -> raiseFencingNumber(turn, read.fencingNumber()));
     LeaseView before = turn.state.lease;
     LeaseView after = before.afterRead(row, version.number(), LEASE_NANOS, turn.nowNanos);
     turn.state.lease = after;
@@ -149,12 +192,35 @@
     LeaseView after = turn.state.lease;
     if (after.heldRow().isEmpty()
         && after.expired(LEASE_NANOS, turn.nowNanos)
+        && !rowPerhapsLost(turn, event.row())
         && turn.state.ready) {
-      long fencingNumber = event.row().map(row -> row.fencingNumber().value()).getOrElse(0L) + 1;
-      write(turn, new LeaseRow(turn.state.parameters.vm(), new FencingNumber(fencingNumber), 0));
+      write(turn, new LeaseRow(turn.state.parameters.vm(), nextFencingNumber(turn), 0));
     }
   }
 
+  /**
+   * Returns whether the row may be missing because the store came back from a copy, so that a relay
+   * that has not seen the new era may still hold the lease.
+   */
+  private static boolean rowPerhapsLost(RelayTurn turn, Option<LeaseRow> row) {
+    return row.isEmpty()
+        && StoreEras.everRestored(turn)
+        && !turn.state.parameters.firstStart()
+        && turn.nowNanos - turn.state.storeEraSeenNanos < LEASE_NANOS;
+  }
+
+  /** A number above all of former eras, also of those that neither store nor relay remembers. */
+  private static FencingNumber nextFencingNumber(RelayTurn turn) {
+    RelayState state = turn.state;
+    state.highestFencingNumber =
+        Math.max(state.highestFencingNumber, state.storeEra.value() * FENCING_NUMBERS_PER_ERA) + 1;
+    return new FencingNumber(state.highestFencingNumber);
+  }
+
+  private static void raiseFencingNumber(RelayTurn turn, FencingNumber seen) {
+    turn.state.highestFencingNumber = Math.max(turn.state.highestFencingNumber, seen.value());
+  }
+
   private static void write(RelayTurn turn, LeaseRow row) {
     turn.state.lease = turn.state.lease.withPendingWrite(row, turn.nowNanos);
     turn.emit(new RelayEffect.WriteLease(turn.state.lease.version(), row));
--- a/core/src/main/java/io/zinniawood/core/relay/OrderResult.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OrderResult.java
@@ -6,6 +6,8 @@
   ACCEPTED,
   /** Refused because it conflicts with the endpoint's state, or not sent. */
   REFUSED,
+  /** Refused because the endpoint has seen a higher fencing number. */
+  FENCED,
   /** Not answered: the order may take effect now, later or never. */
   UNKNOWN
 }
--- a/core/src/main/java/io/zinniawood/core/relay/Peers.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Peers.java
@@ -35,7 +35,7 @@
     boolean storeAvailable;
   }
 
-  /** Applies the presence rows; relays without a row are removed. */
+  /** Applies the presence rows; silent relays without a row are removed. */
   void rowsRead(Map<VmId, PresenceRow> rows, VmId self, long nowNanos) {
     rows.forEach(
         (vm, row) -> {
@@ -48,7 +48,10 @@
             }
           }
         });
-    peersByVm.keySet().retainAll(rows.keySet());
+    // The row of a live relay may be missing if the store came back from a copy.
+    peersByVm
+        .entrySet()
+        .removeIf(peer -> !rows.containsKey(peer.getKey()) && !alive(peer.getValue(), nowNanos));
   }
 
   /**
--- a/core/src/main/java/io/zinniawood/core/relay/PlacementOrders.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PlacementOrders.java
@@ -116,13 +116,16 @@
   static void orderAnswered(RelayTurn turn, RelayEvent.OrderAnswered event) {
     turn.log(
         "order-answered", "endpoint", event.endpoint().value(), "result", event.result().name());
+    if (event.result() == OrderResult.FENCED) {
+      ControllerLease.fenced(turn);
+    }
     TrackedEndpoint endpoint = turn.state.fleet.find(event.endpoint()).orElse(null);
     if (endpoint == null) {
       return;
     }
     if (event.result() == OrderResult.ACCEPTED) {
       endpoint.orderAccepted();
-    } else if (event.result() == OrderResult.REFUSED) {
+    } else if (event.result() != OrderResult.UNKNOWN) {
       endpoint.orderRefused();
     } else {
       endpoint.orderUnanswered();
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -103,6 +103,10 @@
     @Override
     public void presencesRead(RelayEvent.PresencesRead event) {
       RelayState state = turn.state;
+      if (event.rows().values().stream()
+          .anyMatch(row -> !row.version().era().equals(state.storeEra))) {
+        return;
+      }
       state.peers.rowsRead(event.rows(), state.parameters.vm(), turn.nowNanos);
     }
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -33,6 +33,9 @@
   final StoreReadTimes routeReads = new StoreReadTimes();
   LeaseView lease = LeaseView.unknown();
 
+  /** Highest fencing number that was given out, read or heard of. */
+  long highestFencingNumber;
+
   boolean endpointFellSilent;
   long lastSilentEndpointNanos;
 
--- a/core/src/main/java/io/zinniawood/core/relay/StoreEras.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreEras.java
@@ -14,6 +14,11 @@
 
   private StoreEras() {}
 
+  /** Returns whether the store has come back from a copy at least once, as far as known. */
+  static boolean everRestored(RelayTurn turn) {
+    return turn.state.storeEra.isLaterThan(StoreEra.UNNAMED);
+  }
+
   /**
    * Records the era of an answer of the store.
    *
@@ -68,5 +73,6 @@
     state.endpointReads.invalidate();
     state.routesStoreVersion = Optional.empty();
     state.routeReads.invalidate();
+    ControllerLease.eraChanged(turn);
   }
 }
