Hold back an older configuration at start while other relays apply a newer one

What callers see: a relay that starts just after the store came back from a copy serves a route or key that was dropped before, or refuses one that was added, while all others apply the newer configuration.

Cause: the first configuration that a relay reads went into force at once, though the operator had not yet written the newer one again. Class of fault: the store taken for the only memory of what was confirmed.

Why this works: in an era above 0 a starting relay reads the presence rows and hears from the live relays which version they apply. While one applies a newer version it answers 503 and is not ready, up to ten seconds, so that a lower version that the operator wrote for good is applied in the end, as it is once the others are silent. Without others, or when they know nothing newer, the start waits for one read of the presence rows and at most half a second for messages; in era 0 it does not wait. A relay that knows of a newer version than the store shows reads at most five times a second for it.

A configuration does not fit into a message between relays, and an HTTP call for it would show API keys to whoever asks.

--- a/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
+++ b/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
@@ -81,7 +81,7 @@
   }
 
   /** Writes the presence heartbeat by which other relays count this one when sharing limits. */
-  private static void writePresence(RelayTurn turn) {
+  static void writePresence(RelayTurn turn) {
     RelayState state = turn.state;
     if (turn.nowNanos - state.nextPresenceNanos >= 0) {
       state.nextPresenceNanos = turn.nowNanos + PRESENCE_INTERVAL_NANOS;
--- a/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Lifecycle.java
@@ -17,11 +17,20 @@
 
   private Lifecycle() {}
 
-  /** Applies a newer version of the routing table; ignores others. */
+  /** Takes over a newer version of the routing table; ignores others. */
   static void routesRead(RelayTurn turn, RouteTable routes) {
     if (turn.state.routes.isPresent() && routes.version() <= turn.state.routesVersion()) {
       return;
     }
+    if (FirstConfiguration.needed(turn)) {
+      turn.state.firstConfiguration.offer(turn, routes);
+    } else {
+      apply(turn, routes);
+    }
+  }
+
+  /** Puts a routing table into force. */
+  static void apply(RelayTurn turn, RouteTable routes) {
     turn.log("routes-accepted", "version", routes.version(), "before", turn.state.routesVersion());
     turn.state.routes = Optional.of(routes);
     turn.emit(new RelayEffect.ApplyLimits(routes.limits()));
--- a/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
@@ -63,8 +63,9 @@
       readUnknownSender(turn, event);
       return;
     }
-    if (unheard && state.quarantine.heldParts() > 0) {
-      // A relay that has just started must know the held parts before it sends requests.
+    if (unheard && (state.quarantine.heldParts() > 0 || StoreEras.everRestored(turn))) {
+      // A relay that has just started must know the held parts, and which configuration is in
+      // force, before it sends requests.
       send(turn, Optional.empty());
     }
     // The ages in a notice that waited during a pause are wrong; it is sent again soon.
--- a/core/src/main/java/io/zinniawood/core/relay/Peers.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Peers.java
@@ -33,6 +33,7 @@
     boolean heard;
     long heardNanos;
     boolean storeAvailable;
+    long routesVersion;
   }
 
   /** Applies the presence rows; silent relays without a row are removed. */
@@ -67,6 +68,7 @@
     peer.heard = true;
     peer.heardNanos = nowNanos;
     peer.storeAvailable = message.storeAvailable();
+    peer.routesVersion = message.routesVersion();
     return true;
   }
 
@@ -96,6 +98,20 @@
     return readers;
   }
 
+  /** Returns the newest version of the routing table that a live relay applies; 0 if none. */
+  long newestRoutesVersion(long nowNanos) {
+    return peersByVm.values().stream()
+        .filter(peer -> alive(peer, nowNanos))
+        .mapToLong(peer -> peer.routesVersion)
+        .max()
+        .orElse(0);
+  }
+
+  /** Returns whether each relay that receives messages has sent one. */
+  boolean allHeard() {
+    return peersByVm.values().stream().allMatch(peer -> peer.heard || peer.address.isEmpty());
+  }
+
   /** Returns whether a message of the relay was received recently. */
   boolean live(VmId vm, long nowNanos) {
     Peer peer = peersByVm.get(vm);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -108,6 +108,7 @@
         return;
       }
       state.peers.rowsRead(event.rows(), state.parameters.vm(), turn.nowNanos);
+      state.firstConfiguration.presencesRead(turn.nowNanos);
     }
 
     @Override
@@ -123,6 +124,7 @@
       ControllerLease.tick(turn);
       PlacementOrders.tick(turn);
       Lifecycle.tick(turn);
+      turn.state.firstConfiguration.tick(turn);
     }
 
     @Override
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -25,6 +25,11 @@
   final LinkBacklogs linkBacklogs = new LinkBacklogs();
   final SplittableRandom random;
   Optional<RouteTable> routes = Optional.empty();
+  final FirstConfiguration firstConfiguration = new FirstConfiguration();
+
+  /** Newest version of the routing table that another relay told of. */
+  long toldRoutesVersion;
+
   final Peers peers = new Peers();
   final PromptPartQuarantine quarantine = new PromptPartQuarantine();
   final Map<EndpointId, PendingCrash> pendingCrashes = new HashMap<>();
--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -29,6 +29,9 @@
   /** Age of the routes, beyond a long poll, after which a relay reads them itself. */
   private static final long ROUTES_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  /** Minimum interval between reads of the routes while other relays know a newer version. */
+  private static final long OLDER_ROUTES_READ_INTERVAL_MILLIS = 200;
+
   /** Time that a relay waits for another relay's read before it reads itself. */
   private static final long FOLLOWER_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
@@ -182,11 +185,21 @@
       state.routeReads.confirmed(
           turn.nowNanos - TimeUnit.MILLISECONDS.toNanos(message.routesAgeMillis()));
     } else if (message.routesVersion() > state.routesVersion()) {
-      state.routeReads.invalidate();
+      newerRoutesKnown(turn, message.routesVersion());
     }
     message.read().ifPresent(read -> applyRead(turn, message.vm(), read));
   }
 
+  /** Reads the routes, but not with each message while the store shows an older version. */
+  private static void newerRoutesKnown(RelayTurn turn, long version) {
+    RelayState state = turn.state;
+    if (version > state.toldRoutesVersion
+        || state.routeReads.ageMillis(turn.nowNanos) >= OLDER_ROUTES_READ_INTERVAL_MILLIS) {
+      state.toldRoutesVersion = Math.max(state.toldRoutesVersion, version);
+      state.routeReads.invalidate();
+    }
+  }
+
   /** The versions of another era mean nothing here; a later era makes this relay read itself. */
   private static void peerInAnotherEra(RelayTurn turn, PeerMessage message) {
     RelayState state = turn.state;
@@ -205,7 +218,7 @@
       state.endpointReads.invalidate();
       state.routeReads.invalidate();
     } else if (message.routesVersion() > state.routesVersion()) {
-      state.routeReads.invalidate();
+      newerRoutesKnown(turn, message.routesVersion());
     }
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -55,7 +55,12 @@
 
   /** Creates a relay with a routing table but no endpoints. */
   RelayHarness() {
-    post(new RelayEvent.RoutesAnswered(Optional.of(routes(1)), version(1)));
+    this(version(1));
+  }
+
+  /** Creates a relay that has read its routing table at a version of the store. */
+  RelayHarness(StoreVersion storeVersion) {
+    post(new RelayEvent.RoutesAnswered(Optional.of(routes(1)), storeVersion));
   }
 
   /** Returns a version of a store that names no era. */
