--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -109,7 +109,12 @@
     @Override
     public void presencesRead(RelayEvent.PresencesRead event) {
       RelayState state = turn.state;
+      if (event.rows().values().stream()
+          .anyMatch(row -> !row.version().era().equals(state.storeEra))) {
+        return;
+      }
       state.peers.rowsRead(event.rows(), state.parameters.vm(), turn.nowNanos);
+      state.firstConfiguration.presencesRead(turn.nowNanos);
     }
 
     @Override
@@ -126,6 +131,7 @@
       ControllerLease.tick(turn);
       PlacementOrders.tick(turn);
       Lifecycle.tick(turn);
+      turn.state.firstConfiguration.tick(turn);
     }
 
     @Override
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -27,6 +27,11 @@
   final LinkBacklogs linkBacklogs = new LinkBacklogs();
   final SplittableRandom random;
   Optional<RouteTable> routes = Optional.empty();
+  final FirstConfiguration firstConfiguration = new FirstConfiguration();
+
+  /** Newest version of the routing table that another relay told of. */
+  long toldRoutesVersion;
+
   final Peers peers = new Peers();
   final PromptPartQuarantine quarantine = new PromptPartQuarantine();
   final Map<EndpointId, PendingCrash> pendingCrashes = new HashMap<>();
@@ -35,6 +40,9 @@
   final StoreReadTimes routeReads = new StoreReadTimes();
   LeaseView lease = LeaseView.unknown();
 
+  /** Highest fencing number that was given out, read or heard of. */
+  long highestFencingNumber;
+
   boolean endpointFellSilent;
   long lastSilentEndpointNanos;
 
@@ -46,6 +54,10 @@
 
   StoreEra storeEra = StoreEra.UNNAMED;
   boolean storeEraKnown;
+  long storeEraSeenNanos;
+
+  /** Time since which all answers of the store are of a lower era; empty if they are not. */
+  Optional<Long> lowerEraSinceNanos = Optional.empty();
 
   /** Version up to which the endpoint list is known; empty if it must be read whole. */
   Optional<StoreVersion> endpointsVersion = Optional.empty();
@@ -53,6 +65,9 @@
   /** Version up to which the routes are known; empty if they must be read whole. */
   Optional<StoreVersion> routesStoreVersion = Optional.empty();
 
+  /** Version after which the last read of the routes asked for a change; empty if for all. */
+  Optional<StoreVersion> routesAskedAfter = Optional.empty();
+
   final BoundedLog ignoredLog = new BoundedLog();
 
   int failedEndpointReads;
