Contain exceptions in decisions and effects to the request concerned

Callers may see a connection closed with neither an answer nor a refusal. An exception in a decision or in carrying out an effect escaped into Netty, which closed the connection of whichever request was being read; the remaining effects were lost. In the periodic tick it ended all later ticks for good, so that no deadline, queue or store read ran any more.

The reducer runs each event, each part of a tick and each request within a part on its own. A failure is logged as decision-failed, and the request concerned gets one end: not run if no endpoint may have run it, an unknown outcome otherwise, or an abort of a begun answer. A failed effect is logged as effect-failed and answered with the event that its decision waits for. A relayed answer whose attempt has ended is tried again or refused instead of being dropped, and answers that no decision uses are released. Drawn histories fail on a decision-failed line.

--- a/core/src/main/java/io/zinniawood/core/relay/Deadlines.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Deadlines.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** Ends requests whose deadline has passed. */
 final class Deadlines {
@@ -15,7 +16,8 @@
       }
     }
     for (OpenRequest open : expired) {
-      end(turn, open, "deadline");
+      FailureContainment.run(
+          turn, "deadlines", Optional.of(open.id), () -> end(turn, open, "deadline"));
     }
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/GracePeriod.java
+++ b/core/src/main/java/io/zinniawood/core/relay/GracePeriod.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.relay;
 
 import java.util.ArrayList;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -47,11 +48,16 @@
       return;
     }
     for (OpenRequest open : new ArrayList<>(turn.state.open.values())) {
-      if (open.target.isPresent()) {
-        Deadlines.end(turn, open, "grace-period");
-      } else {
-        end(turn, open);
-      }
+      FailureContainment.run(
+          turn, "grace-period", Optional.of(open.id), () -> endAtEndOfGrace(turn, open));
+    }
+  }
+
+  private static void endAtEndOfGrace(RelayTurn turn, OpenRequest open) {
+    if (open.target.isPresent()) {
+      Deadlines.end(turn, open, "grace-period");
+    } else {
+      end(turn, open);
     }
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
@@ -28,15 +28,20 @@
   static void rerouteAround(RelayTurn turn, EndpointId unresponsive) {
     for (OpenRequest open : new ArrayList<>(turn.state.open.values())) {
       if (open.path.isPresent() && open.path.get().contains(unresponsive)) {
-        if (open.path.get().first().endpoint().equals(unresponsive)) {
-          AttemptOutcomes.replace(turn, open, FIRST_ENDPOINT_SILENT);
-        } else {
-          repath(turn, open, Set.of(unresponsive));
-        }
+        FailureContainment.run(
+            turn, "path-repair", Optional.of(open.id), () -> reroute(turn, open, unresponsive));
       }
     }
   }
 
+  private static void reroute(RelayTurn turn, OpenRequest open, EndpointId unresponsive) {
+    if (open.path.orElseThrow().first().endpoint().equals(unresponsive)) {
+      AttemptOutcomes.replace(turn, open, FIRST_ENDPOINT_SILENT);
+    } else {
+      repath(turn, open, Set.of(unresponsive));
+    }
+  }
+
   private static void repath(RelayTurn turn, OpenRequest open, Set<EndpointId> avoid) {
     Optional<EngineProfile> engine =
         turn.state
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -18,6 +18,11 @@
   /** Calls the visitor's method for this event. */
   void accept(Visitor visitor);
 
+  /** Returns the request that the event concerns; empty if it concerns none or several. */
+  default Optional<RelayRequestId> concerns() {
+    return Optional.empty();
+  }
+
   /**
    * The store answered a read of the routes.
    *
@@ -92,6 +97,11 @@
 
   /** A request was received completely from a caller. */
   record RequestArrived(RelayRequestId id, CallerRequest request) implements RelayEvent {
+    @Override
+    public Optional<RelayRequestId> concerns() {
+      return Optional.of(id);
+    }
+
     @Override
     public void accept(Visitor visitor) {
       visitor.requestArrived(this);
@@ -100,6 +110,11 @@
 
   /** The caller closed its connection. */
   record CallerDisconnected(RelayRequestId id) implements RelayEvent {
+    @Override
+    public Optional<RelayRequestId> concerns() {
+      return Optional.of(id);
+    }
+
     @Override
     public void accept(Visitor visitor) {
       visitor.callerDisconnected(this);
@@ -123,6 +138,11 @@
   /** An endpoint sent the head of a stream, or a complete answer if it is not a stream. */
   record AnswerReceived(RelayRequestId id, int attempt, AnswerSummary answer)
       implements RelayEvent {
+    @Override
+    public Optional<RelayRequestId> concerns() {
+      return Optional.of(id);
+    }
+
     @Override
     public void accept(Visitor visitor) {
       visitor.answerReceived(this);
@@ -132,6 +152,11 @@
   /** An attempt ended without a complete answer. */
   record AttemptFailed(RelayRequestId id, int attempt, AttemptFailureCause cause, long lastEventId)
       implements RelayEvent {
+    @Override
+    public Optional<RelayRequestId> concerns() {
+      return Optional.of(id);
+    }
+
     @Override
     public void accept(Visitor visitor) {
       visitor.attemptFailed(this);
@@ -144,6 +169,11 @@
    * @param lastEventId id of the last event that was relayed completely
    */
   record StreamAdvanced(RelayRequestId id, int attempt, long lastEventId) implements RelayEvent {
+    @Override
+    public Optional<RelayRequestId> concerns() {
+      return Optional.of(id);
+    }
+
     @Override
     public void accept(Visitor visitor) {
       visitor.streamAdvanced(this);
@@ -152,6 +182,11 @@
 
   /** The complete answer of an endpoint was relayed to the caller. */
   record AnswerRelayed(RelayRequestId id, int attempt) implements RelayEvent {
+    @Override
+    public Optional<RelayRequestId> concerns() {
+      return Optional.of(id);
+    }
+
     @Override
     public void accept(Visitor visitor) {
       visitor.answerRelayed(this);
@@ -186,6 +221,11 @@
   record RepathAnswered(
       RelayRequestId id, int attempt, OrderResult result, Optional<NodeAddress> endpointAtFault)
       implements RelayEvent {
+    @Override
+    public Optional<RelayRequestId> concerns() {
+      return Optional.of(id);
+    }
+
     @Override
     public void accept(Visitor visitor) {
       visitor.repathAnswered(this);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -3,13 +3,19 @@
 import io.vavr.collection.Vector;
 import io.zinniawood.core.runtime.Reducer;
 import io.zinniawood.core.runtime.Step;
+import java.util.Optional;
+import java.util.function.Consumer;
 
 /** Reducer of the relay: passes each event to the class that handles it. */
 public final class RelayReducer implements Reducer<RelayState, RelayEvent, RelayEffect> {
   @Override
   public Step<RelayState, RelayEffect> reduce(RelayState state, long nowNanos, RelayEvent event) {
     RelayTurn turn = new RelayTurn(state, nowNanos);
-    event.accept(new EventHandler(turn));
+    FailureContainment.run(
+        turn,
+        event.getClass().getSimpleName(),
+        event.concerns(),
+        () -> event.accept(new EventHandler(turn)));
     return new Step<>(state, Vector.ofAll(turn.effects()));
   }
 
@@ -47,7 +53,12 @@
 
     @Override
     public void requestArrived(RelayEvent.RequestArrived event) {
-      RequestAdmission.requestArrived(turn, event);
+      FailureContainment.run(
+          turn,
+          event.getClass().getSimpleName(),
+          event.concerns(),
+          () -> RequestAdmission.requestArrived(turn, event));
+      FailureContainment.refuseIfUndecided(turn, event.id());
     }
 
     @Override
@@ -115,17 +126,22 @@
     @Override
     public void tick(RelayEvent.Tick event) {
       turn.state.fleet.removeExpired(turn.nowNanos);
-      StoreReads.tick(turn);
-      PeerExchange.tick(turn);
-      EndpointHealthChecks.tick(turn);
-      CrashWatch.tick(turn);
-      Deadlines.check(turn);
-      GracePeriod.tick(turn);
-      StreamMonitor.checkStalledStreams(turn);
-      WaitingQueue.dispatchWaiting(turn);
-      ControllerLease.tick(turn);
-      PlacementOrders.tick(turn);
-      Lifecycle.tick(turn);
+      part("store-reads", StoreReads::tick);
+      part("peers", PeerExchange::tick);
+      part("health-checks", EndpointHealthChecks::tick);
+      part("crash-watch", CrashWatch::tick);
+      part("deadlines", Deadlines::check);
+      part("grace-period", GracePeriod::tick);
+      part("stream-monitor", StreamMonitor::checkStalledStreams);
+      part("waiting-queue", WaitingQueue::dispatchWaiting);
+      part("lease", ControllerLease::tick);
+      part("placement", PlacementOrders::tick);
+      part("lifecycle", Lifecycle::tick);
+    }
+
+    /** Runs a part of the tick; its failure must not keep the others from running. */
+    private void part(String name, Consumer<RelayTurn> part) {
+      FailureContainment.run(turn, name, Optional.empty(), () -> part.accept(turn));
     }
 
     @Override
--- a/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -104,10 +105,16 @@
   private static void replaceAttempts(RelayTurn turn, List<OpenRequest> stalled, String reason) {
     Map<ServiceName, Integer> misses = new HashMap<>();
     for (OpenRequest open : stalled) {
-      if (misses.getOrDefault(open.service, 0) < MAX_MISSES_PER_TICK
-          && !AttemptOutcomes.replace(turn, open, reason)) {
-        misses.merge(open.service, 1, Integer::sum);
-      }
+      FailureContainment.run(
+          turn,
+          "stream-monitor",
+          Optional.of(open.id),
+          () -> {
+            if (misses.getOrDefault(open.service, 0) < MAX_MISSES_PER_TICK
+                && !AttemptOutcomes.replace(turn, open, reason)) {
+              misses.merge(open.service, 1, Integer::sum);
+            }
+          });
     }
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
@@ -83,39 +83,51 @@
     Map<ServiceName, Integer> misses = new HashMap<>();
     Map<ServiceName, OptionalLong> availableNanos = new HashMap<>();
     for (OpenRequest open : candidates) {
-      if (open.phase != OpenRequest.Phase.WAITING || !turn.state.open.containsKey(open.id)) {
-        turn.state.waiting.remove(open);
-        continue;
-      }
-      Optional<PromptPartId> held = CrashWatch.heldPart(turn, open);
-      if (held.isPresent()) {
-        turn.state.waiting.remove(open);
-        CrashWatch.refuse(turn, open, held.get());
-        continue;
-      }
-      if (CrashWatch.mustWait(turn, open)) {
-        continue;
-      }
-      OptionalLong available =
-          availableNanos.computeIfAbsent(
-              open.service, service -> EndpointPauses.availableNanos(turn, open));
-      if (!open.headRelayed
-          && available.isPresent()
-          && available.getAsLong() - waitEndNanos(open) >= 0) {
-        turn.state.waiting.remove(open);
-        EndpointPauses.refuse(turn, open, available.getAsLong());
-        continue;
-      }
-      boolean tried = misses.getOrDefault(open.service, 0) < MAX_MISSES_PER_TICK;
-      if (tried && Dispatcher.dispatch(turn, open) == Dispatcher.Result.SENT) {
-        turn.state.waiting.remove(open);
-        continue;
-      }
-      misses.merge(open.service, 1, Integer::sum);
-      if (turn.nowNanos - waitEndNanos(open) >= 0) {
-        turn.state.waiting.remove(open);
-        AttemptOutcomes.refuse(turn, open, "no-capacity");
-      }
+      FailureContainment.run(
+          turn,
+          "waiting-queue",
+          Optional.of(open.id),
+          () -> dispatchWaiting(turn, open, misses, availableNanos));
+    }
+  }
+
+  private static void dispatchWaiting(
+      RelayTurn turn,
+      OpenRequest open,
+      Map<ServiceName, Integer> misses,
+      Map<ServiceName, OptionalLong> availableNanos) {
+    if (open.phase != OpenRequest.Phase.WAITING || !turn.state.open.containsKey(open.id)) {
+      turn.state.waiting.remove(open);
+      return;
+    }
+    Optional<PromptPartId> held = CrashWatch.heldPart(turn, open);
+    if (held.isPresent()) {
+      turn.state.waiting.remove(open);
+      CrashWatch.refuse(turn, open, held.get());
+      return;
+    }
+    if (CrashWatch.mustWait(turn, open)) {
+      return;
+    }
+    OptionalLong available =
+        availableNanos.computeIfAbsent(
+            open.service, service -> EndpointPauses.availableNanos(turn, open));
+    if (!open.headRelayed
+        && available.isPresent()
+        && available.getAsLong() - waitEndNanos(open) >= 0) {
+      turn.state.waiting.remove(open);
+      EndpointPauses.refuse(turn, open, available.getAsLong());
+      return;
+    }
+    boolean tried = misses.getOrDefault(open.service, 0) < MAX_MISSES_PER_TICK;
+    if (tried && Dispatcher.dispatch(turn, open) == Dispatcher.Result.SENT) {
+      turn.state.waiting.remove(open);
+      return;
+    }
+    misses.merge(open.service, 1, Integer::sum);
+    if (turn.nowNanos - waitEndNanos(open) >= 0) {
+      turn.state.waiting.remove(open);
+      AttemptOutcomes.refuse(turn, open, "no-capacity");
     }
   }
 
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
@@ -0,0 +1,59 @@
+package io.zinniawood.core.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import io.zinniawood.core.fleet.FleetEndpoint;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Decisions that fail, provoked by entries that break the contract of their type. */
+final class RelayFailuresTest {
+  private final RelayHarness relay = new RelayHarness();
+
+  private FleetEndpoint withoutAccelerator() {
+    FleetEndpoint sound = relay.model("x", 0, 10);
+    return new FleetEndpoint(
+        sound.id(),
+        sound.service(),
+        sound.address(),
+        sound.dataCentre(),
+        sound.slots(),
+        false,
+        null,
+        sound.layers(),
+        1,
+        sound.rowVersion());
+  }
+
+  // A tick that fails midway would leave every request after it without its deadline.
+  @Test
+  void deadlinesAreKeptWhileAnotherPartOfTheTickFails() {
+    relay.list(withoutAccelerator(), relay.plain("p"));
+    RelayRequestId id = relay.request("read");
+    relay.advanceMillis(1_000);
+    assertThat(relay.localAnswer(id).orElseThrow().status(), is(504));
+  }
+
+  // A request whose admission fails would get neither an answer nor a refusal.
+  @Test
+  void requestWhoseAdmissionFailsIsRefused() {
+    relay.list(withoutAccelerator());
+    RelayRequestId id = relay.request("stream");
+    assertThat(relay.localAnswer(id).orElseThrow().status(), is(503));
+    assertThat(relay.state().openRequests(), is(0));
+  }
+
+  // A request that was sent would wait for its deadline, and be promised not to have run.
+  @Test
+  void requestWhoseAnswerCannotBeHandledEndsOnceWithAnUnknownOutcome() {
+    relay.list(relay.plain("p"));
+    RelayRequestId id = relay.request("book", Optional.of(RelayHarness.KEY), 800);
+    relay.post(new RelayEvent.AnswerReceived(id, 1, null));
+    assertThat(relay.localAnswer(id).orElseThrow().status(), is(502));
+    assertThat(relay.effectsOf(RelayEffect.CancelAttempt.class), hasSize(1));
+    relay.advanceMillis(1_000);
+    assertThat(relay.effectsOf(RelayEffect.AnswerLocally.class), hasSize(1));
+  }
+}
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
@@ -287,6 +287,9 @@
       boolean promisesNotRun = local.answer().status() == NOT_RUN_STATUS;
       require(!promisesNotRun || caller.possibleRuns == 0, local.id(), "503 only if not run");
       end(local.id(), "local-" + local.answer().status());
+    } else if (effect instanceof RelayEffect.LogDecision entry) {
+      boolean failed = entry.decision().event().equals("decision-failed");
+      require(!failed, new RelayRequestId(0), "no exception, but " + entry.decision());
     } else if (effect instanceof RelayEffect.Repath repath) {
       require(callers.get(repath.id()).running, repath.id(), "a path change of a running attempt");
     }
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -126,7 +126,11 @@
   private void checkCallerTimeouts() {
     long nowNanos = System.nanoTime();
     for (CallerHandler caller : List.copyOf(callers)) {
-      caller.checkTimeouts(nowNanos);
+      try {
+        caller.checkTimeouts(nowNanos);
+      } catch (RuntimeException failure) {
+        caller.fail(failure);
+      }
     }
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -376,11 +376,16 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext caught, Throwable cause) {
-    if (cause instanceof IOException || closing) {
+    if (cause instanceof IOException) {
       // The caller reset the connection; channelInactive follows and ends its request.
       caught.close();
-      return;
+    } else {
+      fail(cause);
     }
+  }
+
+  /** Closes the connection after the failure of a handler; an open request ends as abandoned. */
+  public void fail(Throwable cause) {
     close(ConnectionClose.Reason.HANDLER_FAILED, cause.toString());
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -5,11 +5,13 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.AnswerSummary;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.EndpointStatement;
+import io.zinniawood.core.relay.LocalAnswer;
 import io.zinniawood.core.relay.PeerMessage;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
@@ -34,7 +36,8 @@
  * effects. Events that are posted while effects are carried out are queued and processed
  * afterwards.
  */
-public final class RelayRuntime implements RelayEffect.Visitor, CallerListener, EndpointListener {
+public final class RelayRuntime extends PlatformEffects
+    implements CallerListener, EndpointListener {
   private final RelayState state;
   private final HeaderCodec codec;
   private final Listener listener;
@@ -47,8 +50,6 @@
   private final EventLoop loop;
   private long lastTickNanos = System.nanoTime();
   private RequestLimits limits = RequestLimits.DEFAULT;
-  private PlatformClient platform;
-  private PeerSender peers;
   private boolean processingEvents;
   private boolean draining;
   private long lastRequestId;
@@ -59,6 +60,9 @@
   /** Delay of a request that is received while the event loop is late. */
   private static final long LATE_REQUEST_DELAY_MILLIS = 3;
 
+  /** Retry-After, in milliseconds, of a request that could not be decoded. */
+  private static final long FAILURE_RETRY_MILLIS = 1_000;
+
   /** A complete answer that waits for the reducer's decision. */
   private record PendingAnswer(int attempt, HttpResponse head, ByteBuf content) {}
 
@@ -92,18 +96,10 @@
    * @param peerSender sends messages to other relays
    */
   public void start(PlatformClient client, PeerSender peerSender) {
-    platform = client;
-    peers = peerSender;
+    connect(client, peerSender, state);
     client.start(this::post);
   }
 
-  /** Sends messages to other relays. */
-  @FunctionalInterface
-  public interface PeerSender {
-    /** Sends a message to each of the addresses; it may get lost. */
-    void send(List<NodeAddress> receivers, PeerMessage message);
-  }
-
   /** Returns the state for metrics; must be read on the event loop. */
   public RelayState state() {
     return state;
@@ -126,15 +122,24 @@
   }
 
   private void apply(RelayEvent event) {
-    try {
-      Step<RelayState, RelayEffect> step = reducer.reduce(state, System.nanoTime(), event);
-      for (RelayEffect effect : step.effects()) {
+    Step<RelayState, RelayEffect> step = reducer.reduce(state, System.nanoTime(), event);
+    for (RelayEffect effect : step.effects()) {
+      try {
         effect.accept(this);
+      } catch (RuntimeException failure) {
+        logFailure("effect-failed", effect.getClass().getSimpleName(), failure);
+        FailedEffects.resultOf(effect, this::wasSent).ifPresent(pendingEvents::addLast);
       }
-    } catch (RuntimeException failure) {
-      logFailure("decision-failed", event.getClass().getSimpleName(), failure);
-      throw failure;
     }
+    if (event instanceof RelayEvent.AnswerReceived answer) {
+      // The decision either relayed the answer or has no use for it.
+      releasePendingAnswer(answer.id());
+    }
+  }
+
+  private boolean wasSent(RelayEffect.Send send) {
+    EndpointExchange exchange = attempts.get(send.id());
+    return exchange != null && exchange.attempt() == send.attempt() && exchange.sent();
   }
 
   private void logFailure(String event, String subject, RuntimeException failure) {
@@ -156,9 +161,17 @@
 
   @Override
   public void requestReceived(CallerHandler caller, HttpRequest head, ByteBuf body) {
-    CallerRequest request = codec.decodeRequest(head);
-    CallerExchange exchange =
-        new CallerExchange(new RelayRequestId(++lastRequestId), head, request, body, caller);
+    RelayRequestId id = new RelayRequestId(++lastRequestId);
+    CallerRequest request;
+    try {
+      request = codec.decodeRequest(head);
+    } catch (RuntimeException failure) {
+      logFailure("request-undecodable", "decode", failure);
+      caller.beginExchange(new CallerExchange(id, head, null, body, caller));
+      caller.writeLocalAnswer(LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
+      return;
+    }
+    CallerExchange exchange = new CallerExchange(id, head, request, body, caller);
     callers.put(exchange.id(), exchange);
     caller.beginExchange(exchange);
     RelayEvent arrived = new RelayEvent.RequestArrived(exchange.id(), request);
@@ -298,15 +311,25 @@
     }
     // The connection is back in the pool, so a later cancel must not close it.
     exchange.channel(null);
-    if (exchange.callerExchange().headWritten() && codec.summarize(head).success()) {
+    AnswerSummary summary;
+    try {
+      summary = codec.summarize(head);
+    } catch (RuntimeException failure) {
+      logFailure("answer-undecodable", "summarize", failure);
+      content.release();
+      attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
+      return;
+    }
+    if (exchange.callerExchange().headWritten() && summary.success()) {
       // The caller has part of a stream, which only a stream can continue.
       content.release();
       attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
       return;
     }
     RelayRequestId id = exchange.callerExchange().id();
+    releasePendingAnswer(id);
     pendingAnswers.put(id, new PendingAnswer(exchange.attempt(), head, content));
-    post(new RelayEvent.AnswerReceived(id, exchange.attempt(), codec.summarize(head)));
+    post(new RelayEvent.AnswerReceived(id, exchange.attempt(), summary));
   }
 
   @Override
@@ -343,25 +366,35 @@
   @Override
   public void relayAnswer(RelayEffect.RelayAnswer effect) {
     CallerExchange caller = callers.get(effect.id());
-    PendingAnswer answer = pendingAnswers.remove(effect.id());
     EndpointExchange exchange = attempts.get(effect.id());
-    if (caller == null || exchange == null) {
+    if (caller == null) {
       return;
     }
+    if (exchange == null || exchange.attempt() != effect.attempt()) {
+      // The attempt ended before its answer was decided on; the request still needs its end.
+      post(
+          new RelayEvent.AttemptFailed(
+              effect.id(),
+              effect.attempt(),
+              AttemptFailureCause.INVALID_ANSWER,
+              caller.splitter().lastId()));
+      return;
+    }
+    PendingAnswer answer = pendingAnswers.get(effect.id());
     if (answer == null) {
       if (!caller.headWritten()) {
-        caller.markHeadWritten();
         codec.removeEndpointHeaders(exchange.streamHead());
         caller.connection().beginStream(exchange.streamHead());
+        caller.markHeadWritten();
       }
       return;
     }
+    codec.removeEndpointHeaders(answer.head());
+    caller.connection().writeFullAnswer(answer.head(), answer.content().retain());
     exchange.markEnded();
     attempts.remove(effect.id());
     callers.remove(effect.id());
     post(new RelayEvent.AnswerRelayed(effect.id(), effect.attempt()));
-    codec.removeEndpointHeaders(answer.head());
-    caller.connection().writeFullAnswer(answer.head(), answer.content());
   }
 
   @Override
@@ -369,7 +402,16 @@
     CallerExchange caller = callers.remove(effect.id());
     releasePendingAnswer(effect.id());
     if (caller != null) {
-      caller.connection().writeLocalAnswer(effect.answer());
+      endCaller(caller, () -> caller.connection().writeLocalAnswer(effect.answer()));
+    }
+  }
+
+  private void endCaller(CallerExchange caller, Runnable write) {
+    try {
+      write.run();
+    } catch (RuntimeException failure) {
+      logFailure("effect-failed", "end-of-request", failure);
+      caller.connection().abort();
     }
   }
 
@@ -405,66 +447,17 @@
   public void repath(RelayEffect.Repath effect) {
     CallerExchange caller = callers.get(effect.id());
     if (caller != null) {
-      platform.repath(
-          effect.id(),
-          effect.attempt(),
-          caller.request(),
-          state.incarnation(effect.path().first().endpoint()),
-          effect.first(),
-          effect.path());
+      platform()
+          .repath(
+              effect.id(),
+              effect.attempt(),
+              caller.request(),
+              state.incarnation(effect.path().first().endpoint()),
+              effect.first(),
+              effect.path());
     }
   }
 
-  @Override
-  public void order(RelayEffect.Order effect) {
-    platform.sendOrder(effect.order(), state.incarnation(effect.order().endpoint()));
-  }
-
-  @Override
-  public void readReport(RelayEffect.ReadReport effect) {
-    platform.readReport(state.incarnation(effect.endpoint()), effect.address());
-  }
-
-  @Override
-  public void listEndpoints(RelayEffect.ListEndpoints effect) {
-    platform.listEndpoints();
-  }
-
-  @Override
-  public void readEndpointChanges(RelayEffect.ReadEndpointChanges effect) {
-    platform.readEndpointChanges(effect.afterVersion());
-  }
-
-  @Override
-  public void readRoutes(RelayEffect.ReadRoutes effect) {
-    platform.readRoutes();
-  }
-
-  @Override
-  public void awaitRoutes(RelayEffect.AwaitRoutes effect) {
-    platform.awaitRoutes(effect.afterVersion(), effect.waitMillis());
-  }
-
-  @Override
-  public void sendToPeers(RelayEffect.SendToPeers effect) {
-    peers.send(effect.receivers(), effect.message());
-  }
-
-  @Override
-  public void readLease(RelayEffect.ReadLease effect) {
-    platform.readLease();
-  }
-
-  @Override
-  public void writeLease(RelayEffect.WriteLease effect) {
-    platform.writeLease(effect.expectedVersion(), effect.row());
-  }
-
-  @Override
-  public void writePresence(RelayEffect.WritePresence effect) {
-    platform.writePresence(effect.vm(), effect.peerAddress(), effect.heartbeat());
-  }
-
   @Override
   public void applyLimits(RelayEffect.ApplyLimits effect) {
     limits = effect.limits();
@@ -485,4 +478,11 @@
   public void logDecision(RelayEffect.LogDecision effect) {
     listener.decisionMade(effect);
   }
+
+  /** Sends messages to other relays. */
+  @FunctionalInterface
+  public interface PeerSender {
+    /** Sends a message to each of the addresses; it may get lost. */
+    void send(List<NodeAddress> receivers, PeerMessage message);
+  }
 }
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -0,0 +1,134 @@
+package io.zinniawood.relay.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.startsWith;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.StoreEra;
+import io.zinniawood.core.id.StoreVersion;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.RelayEffect;
+import io.zinniawood.core.relay.RelayEvent;
+import io.zinniawood.core.relay.RelayParameters;
+import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.core.route.RequestLimits;
+import io.zinniawood.core.route.Route;
+import io.zinniawood.core.route.RouteKind;
+import io.zinniawood.core.route.RouteTable;
+import io.zinniawood.core.route.RoutedService;
+import io.zinniawood.core.route.ServiceShare;
+import io.zinniawood.relay.PlatformClient;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Plays requests to a relay part of which fails with an exception. */
+final class RuntimeFailuresTest implements RelayRuntime.Listener {
+  private static final ServiceName SERVICE = new ServiceName("service");
+
+  private static final StoreVersion VERSION = new StoreVersion(StoreEra.UNNAMED, 1);
+  private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: host\r\n\r\n";
+
+  private final EventLoop loop = new DefaultEventLoop();
+  private final List<String> entries = new ArrayList<>();
+
+  @AfterEach
+  void stopLoop() {
+    loop.shutdownGracefully();
+  }
+
+  private RelayRuntime runtime(FailingCodec codec) {
+    RelayState state =
+        new RelayState(
+            new RelayParameters(
+                new VmId("vm"), new DataCentreId("dc"), Optional.empty(), false, 8_000, 1));
+    RelayRuntime runtime = new RelayRuntime(state, codec, loop, this);
+    PlatformClient platform =
+        (PlatformClient)
+            Proxy.newProxyInstance(
+                getClass().getClassLoader(),
+                new Class<?>[] {PlatformClient.class},
+                (proxy, method, arguments) -> null);
+    runtime.start(platform, (receivers, message) -> {});
+    runtime.post(new RelayEvent.RoutesAnswered(Optional.of(routes()), VERSION));
+    runtime.post(new RelayEvent.EndpointsListed(List.of(endpoint()), VERSION, 1));
+    return runtime;
+  }
+
+  private static RouteTable routes() {
+    List<ServiceShare> shares = List.of(new ServiceShare(SERVICE, 1));
+    Route route =
+        new Route(
+            "book", "host", "/", RouteKind.NON_IDEMPOTENT, 800, 500, 0, 1, shares, 1, true, false);
+    return new RouteTable(
+        1,
+        List.of(route),
+        List.of(new RoutedService(SERVICE, 100, Optional.empty())),
+        false,
+        Map.of(),
+        RequestLimits.DEFAULT);
+  }
+
+  private static FleetEndpoint endpoint() {
+    return new FleetEndpoint(
+        new EndpointId("e"),
+        SERVICE,
+        new NodeAddress("10.0.0.1", 80),
+        new DataCentreId("dc"),
+        4,
+        false,
+        Optional.empty(),
+        Optional.empty(),
+        1,
+        VERSION);
+  }
+
+  // An exception closed the connection: the request had neither an answer nor a refusal.
+  @ParameterizedTest
+  @EnumSource(FailingCodec.Method.class)
+  void requestOfFailedEffectIsRefused(FailingCodec.Method failing) {
+    CallerHandler handler = new CallerHandler(runtime(new FailingCodec(failing)));
+    EmbeddedChannel channel =
+        new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    channel.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
+    channel.runPendingTasks();
+    ByteBuf answer = channel.readOutbound();
+    assertThat(answer.toString(StandardCharsets.US_ASCII), startsWith("HTTP/1.1 503"));
+    answer.release();
+    String entry =
+        failing == FailingCodec.Method.DECODE_REQUEST ? "request-undecodable" : "effect-failed";
+    assertThat(entries, hasItem(entry));
+    channel.finishAndReleaseAll();
+  }
+
+  @Override
+  public void readinessChanged(boolean ready) {}
+
+  @Override
+  public void drained() {}
+
+  @Override
+  public void decisionMade(RelayEffect.LogDecision decision) {
+    entries.add(decision.decision().event());
+  }
+
+  @Override
+  public void streamAdvanced() {}
+}
