--- a/core/src/main/java/io/zinniawood/core/relay/GracePeriod.java
+++ b/core/src/main/java/io/zinniawood/core/relay/GracePeriod.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.route.RouteKind;
 import java.util.ArrayList;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -73,11 +74,16 @@
       return;
     }
     for (OpenRequest open : new ArrayList<>(turn.state.open.values())) {
-      if (open.target.isPresent()) {
-        Deadlines.end(turn, open, "grace-period");
-      } else {
-        end(turn, open);
-      }
+      FailureContainment.run(
+          turn, "grace-period", Optional.of(open.id), () -> endAtEndOfGrace(turn, open));
+    }
+  }
+
+  private static void endAtEndOfGrace(RelayTurn turn, OpenRequest open) {
+    if (open.target.isPresent()) {
+      Deadlines.end(turn, open, "grace-period");
+    } else {
+      end(turn, open);
     }
   }
 
