Accept edits after the store lost an accepted configuration

After a store came back from a copy, no edit of the operator came into force any more: the row had a lower generation than the one in force, and each round ended with "the table is stale". An entry without a memory of the lost generation would have given it out again for other content.

A generation is now the version of the row that it was written with, which contains the era, so each restore gives higher ones and none repeats. A row of an earlier era is compared with what is in force instead of adopted or refused. Files that went back to a text from before the one in force keep the text in force until the operator writes them; any other text is an edit. An entry that never read the files in force accepts the configuration in force again. A write that took effect in another era is not taken for an acceptance.

--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptancePhase.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptancePhase.java
@@ -72,7 +72,7 @@
    * The snapshot is being written.
    *
    * @param proposal snapshot and row to write
-   * @param files files that were merged
+   * @param files files that were merged, none if the configuration in force is accepted again
    */
   record WritingSnapshot(Proposal proposal, SortedMap<String, FolderFile> files)
       implements AcceptancePhase {}
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceState.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceState.java
@@ -27,6 +27,7 @@
  * @param acceptedFiles version of each file of that snapshot, empty if the snapshot of the row is
  *     missing or damaged
  * @param mergedFiles files of the last valid merge
+ * @param folderHistory earlier texts of the files
  * @param partialRead files of failed rounds that the next round can reuse
  * @param lastEvaluation listing that was last evaluated, with the row version at that time
  * @param observedVersions last seen version of each file
@@ -47,6 +48,7 @@
     Option<String> loadedSnapshotName,
     SortedMap<String, String> acceptedFiles,
     SortedMap<String, FolderFile> mergedFiles,
+    FolderHistory folderHistory,
     PartialRead partialRead,
     Option<Evaluation> lastEvaluation,
     SortedMap<String, ObservedVersion> observedVersions,
@@ -80,6 +82,7 @@
         Option.none(),
         TreeMap.empty(),
         TreeMap.empty(),
+        FolderHistory.EMPTY,
         PartialRead.NONE,
         Option.none(),
         TreeMap.empty(),
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceStateBuilder.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptanceStateBuilder.java
@@ -22,6 +22,7 @@
   private Option<String> loadedSnapshotName;
   private SortedMap<String, String> acceptedFiles;
   private SortedMap<String, FolderFile> mergedFiles;
+  private FolderHistory folderHistory;
   private PartialRead partialRead;
   private Option<AcceptanceState.Evaluation> lastEvaluation;
   private SortedMap<String, ObservedVersion> observedVersions;
@@ -42,6 +43,7 @@
     this.loadedSnapshotName = state.loadedSnapshotName();
     this.acceptedFiles = state.acceptedFiles();
     this.mergedFiles = state.mergedFiles();
+    this.folderHistory = state.folderHistory();
     this.partialRead = state.partialRead();
     this.lastEvaluation = state.lastEvaluation();
     this.observedVersions = state.observedVersions();
@@ -109,6 +111,11 @@
     return this;
   }
 
+  AcceptanceStateBuilder folderHistory(FolderHistory value) {
+    folderHistory = value;
+    return this;
+  }
+
   AcceptanceStateBuilder partialRead(PartialRead value) {
     partialRead = value;
     return this;
@@ -145,6 +152,7 @@
         loadedSnapshotName,
         acceptedFiles,
         mergedFiles,
+        folderHistory,
         partialRead,
         lastEvaluation,
         observedVersions,
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRowReads.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRowReads.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.configuration.AcceptedConfiguration;
 import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.core.runtime.Step;
 
 /**
@@ -28,7 +29,9 @@
     }
     Generation stored =
         event.row().map(found -> found.row().generation()).getOrElse(new Generation(0));
-    if (stored.compareTo(state.generationInForce()) < 0) {
+    boolean restored =
+        StoreVersion.era(event.version()) > StoreVersion.era(state.generationInForce().value());
+    if (stored.compareTo(state.generationInForce()) < 0 && !restored) {
       return Rounds.retry(
           state,
           new AcceptanceNotice.Inconsistent(
@@ -74,11 +77,21 @@
                     .takeRight(Proposals.MAX_KEPT_SNAPSHOTS))
             .build();
     Step<AcceptanceState, AcceptanceEffect> adopted =
-        adoptIfNewer(loaded, usable.get().configuration());
+        isOfEarlierEra(loading.row()) && state.inForce().isDefined()
+            ? Step.of(loaded)
+            : adoptIfNewer(loaded, usable.get().configuration());
     Step<AcceptanceState, AcceptanceEffect> listed = listFolderIfPolling(adopted.state());
     return new Step<>(listed.state(), adopted.effects().appendAll(listed.effects()));
   }
 
+  /**
+   * Tells whether a row may have been accepted in an era that the store has lost in part. Another
+   * row with the same generation may have been in force.
+   */
+  private static boolean isOfEarlierEra(VersionedRow row) {
+    return StoreVersion.era(row.row().generation().value()) < StoreVersion.era(row.version());
+  }
+
   /** Adopts and publishes a configuration if its generation is higher than the one in force. */
   static Step<AcceptanceState, AcceptanceEffect> adoptIfNewer(
       AcceptanceState state, AcceptedConfiguration configuration) {
--- a/core/src/main/java/io/zinniawood/core/acceptance/FolderReads.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/FolderReads.java
@@ -5,6 +5,7 @@
 import io.vavr.collection.TreeMap;
 import io.vavr.collection.TreeSet;
 import io.vavr.collection.Vector;
+import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.core.runtime.Step;
 
 /**
@@ -210,9 +211,19 @@
       AcceptanceState state,
       SortedMap<String, String> listing,
       SortedMap<String, FolderFile> files) {
+    FolderHistory history =
+        state
+            .folderHistory()
+            .inEra(StoreVersion.era(state.rowVersion()), listing, files, state.mergedFiles());
+    SortedMap<String, FolderFile> current =
+        history.withoutRestored(listing, files, state.mergedFiles());
     return Step.of(
-        state.withPhase(new AcceptancePhase.Merging(listing, files)),
+        state
+            .copy()
+            .folderHistory(history)
+            .phase(new AcceptancePhase.Merging(listing, current))
+            .build(),
         Rounds.stepTimer(),
-        new AcceptanceEffect.MergeFiles(state.round(), files.values().toVector()));
+        new AcceptanceEffect.MergeFiles(state.round(), current.values().toVector()));
   }
 }
--- a/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
@@ -8,6 +8,7 @@
 import io.zinniawood.core.configuration.AcceptedConfiguration;
 import io.zinniawood.core.id.AttemptId;
 import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.core.runtime.Step;
 
 /** Evaluates a merge of the folder and writes a valid, changed one as the next generation. */
@@ -26,13 +27,53 @@
       return reject(state, merging.listing(), invalid.faults());
     }
     MergeOutcome.Valid valid = (MergeOutcome.Valid) outcome;
-    if (state.row().exists(found -> found.row().digest().equals(valid.digest()))
-        && state.loadedSnapshotName().isDefined()) {
-      return unchanged(state, merging);
+    if (isAccepted(state, merging, valid)) {
+      return unchanged(state, merging, valid);
+    }
+    if (lacksTextsInForce(state, valid)) {
+      AcceptedConfiguration inForce = state.inForce().get();
+      AcceptancePhase.Merging notMerged =
+          new AcceptancePhase.Merging(merging.listing(), TreeMap.empty());
+      return propose(state, notMerged, new MergeOutcome.Valid(inForce.cluster(), inForce.digest()));
     }
     return propose(state, merging, valid);
   }
 
+  /**
+   * Tells whether the accepted row stands for the present folder. After a restore, an entry that
+   * knows the lost files may have accepted them for the folder as it is now.
+   */
+  private static boolean isAccepted(
+      AcceptanceState state, AcceptancePhase.Merging merging, MergeOutcome.Valid valid) {
+    return state
+        .row()
+        .map(VersionedRow::row)
+        .exists(
+            row ->
+                state.loadedSnapshotName().contains(row.objectName())
+                    && state.inForce().exists(c -> c.digest().equals(row.digest()))
+                    && (row.digest().equals(valid.digest())
+                        || (StoreVersion.era(row.generation().value()) > 0
+                            && !state.folderHistory().digest().contains(row.digest())
+                            && state.acceptedFiles().equals(merging.listing()))));
+  }
+
+  /**
+   * Tells whether the store lost the configuration in force and this entry never read its files, so
+   * that the folder may be an earlier one.
+   */
+  private static boolean lacksTextsInForce(AcceptanceState state, MergeOutcome.Valid valid) {
+    return StoreVersion.era(state.rowVersion())
+            > StoreVersion.era(state.generationInForce().value())
+        && state
+            .inForce()
+            .exists(
+                inForce ->
+                    state.row().forAll(found -> !found.row().digest().equals(inForce.digest()))
+                        && !inForce.digest().equals(valid.digest())
+                        && !state.folderHistory().digest().contains(inForce.digest()));
+  }
+
   static Step<AcceptanceState, AcceptanceEffect> reject(
       AcceptanceState state, SortedMap<String, String> listing, Vector<String> faults) {
     return withNotice(
@@ -67,8 +108,8 @@
       long version,
       Option<VersionedRow> row) {
     AcceptedRow proposed = readingBack.proposal().row();
-    if (isOwnAttempt(proposed, row)) {
-      return accepted(state, readingBack.proposal(), readingBack.files(), row.get().version());
+    if (isOwnAttempt(proposed, row) && isOfExpectedEra(readingBack.proposal(), version)) {
+      return accepted(state, readingBack.proposal(), readingBack.files(), version);
     }
     if (version > readingBack.proposal().expectedVersion()) {
       return otherEntryAccepted(state, proposed, row);
@@ -93,6 +134,7 @@
     }
     Proposal proposal = writing.proposal();
     return isOwnAttempt(proposal.row(), present)
+            && isOfExpectedEra(proposal, present.get().version())
         ? accepted(state, proposal, writing.files(), present.get().version())
         : otherEntryAccepted(state, proposal.row(), present);
   }
@@ -116,7 +158,10 @@
     long random = Rounds.nextRandom(state.randomState());
     Generation generation =
         new Generation(
-            state.row().map(found -> found.row().generation().value()).getOrElse(0L) + 1);
+            Math.max(
+                    state.rowVersion(),
+                    state.row().map(found -> found.row().generation().value()).getOrElse(0L))
+                + 1);
     AttemptId attempt =
         new AttemptId("%s-%d-%s".formatted(state.self(), state.round(), Long.toHexString(random)));
     // The attempt id makes the name unique: two entries can merge the same text from different file
@@ -156,7 +201,11 @@
             .row(rowVersion, Option.of(new VersionedRow(rowVersion, row)))
             .loadedSnapshotName(Option.of(row.objectName()))
             .acceptedFiles(versions)
-            .mergedFiles(files)
+            .mergedFiles(files.isEmpty() ? state.mergedFiles() : files)
+            .folderHistory(
+                files.isEmpty()
+                    ? state.folderHistory()
+                    : state.folderHistory().afterMerge(row.digest(), state.mergedFiles(), files))
             .snapshotNames(snapshots.takeRight(MAX_KEPT_SNAPSHOTS))
             .build();
     Step<AcceptanceState, AcceptanceEffect> adopted =
@@ -176,9 +225,16 @@
   }
 
   private static Step<AcceptanceState, AcceptanceEffect> unchanged(
-      AcceptanceState state, AcceptancePhase.Merging merging) {
+      AcceptanceState state, AcceptancePhase.Merging merging, MergeOutcome.Valid valid) {
     AcceptanceState evaluated =
-        withEvaluation(state, merging.listing()).copy().mergedFiles(merging.files()).build();
+        withEvaluation(state, merging.listing())
+            .copy()
+            .mergedFiles(merging.files())
+            .folderHistory(
+                state
+                    .folderHistory()
+                    .afterMerge(valid.digest(), state.mergedFiles(), merging.files()))
+            .build();
     return withNotice(
         Rounds.finish(evaluated), new AcceptanceNotice.Unchanged(state.generationInForce()));
   }
@@ -190,6 +246,11 @@
         Vector.<AcceptanceEffect>of(new AcceptanceEffect.Notify(notice)).appendAll(step.effects()));
   }
 
+  /** A write that took effect in another era may have replaced a row that was never read. */
+  private static boolean isOfExpectedEra(Proposal proposal, long version) {
+    return StoreVersion.era(version) == StoreVersion.era(proposal.expectedVersion());
+  }
+
   private static boolean isOwnAttempt(AcceptedRow proposed, Option<VersionedRow> row) {
     return row.exists(found -> found.row().attempt().equals(proposed.attempt()));
   }
@@ -204,7 +265,8 @@
     Step<AcceptanceState, AcceptanceEffect> finished =
         Rounds.finish(state.copy().roundRequested(true).build());
     boolean neverInForce =
-        present.exists(found -> found.row().generation().equals(proposed.generation()));
+        !isOwnAttempt(proposed, present)
+            && present.exists(found -> found.row().generation().equals(proposed.generation()));
     Vector<AcceptanceEffect> deletion =
         neverInForce
             ? Vector.of(new AcceptanceEffect.DeleteSnapshot(proposed.objectName()))
--- a/core/src/test/java/io/zinniawood/core/acceptance/AcceptanceSimulation.java
+++ b/core/src/test/java/io/zinniawood/core/acceptance/AcceptanceSimulation.java
@@ -11,6 +11,7 @@
 import io.zinniawood.core.configuration.RetryPolicy;
 import io.zinniawood.core.configuration.RoutingPolicy;
 import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.core.runtime.Step;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -56,6 +57,7 @@
     final List<AcceptanceNotice> notices = new ArrayList<>();
     AcceptanceState state;
     long incarnation;
+    long era;
     SortedMap<String, FolderFile> staleFolder = TreeMap.empty();
     int staleListings;
 
@@ -194,6 +196,10 @@
     AcceptanceEffect effect = operation.effect();
     Fault chosen =
         effect instanceof AcceptanceEffect.MergeFiles ? Fault.NONE : faults.apply(effect);
+    if (effect instanceof AcceptanceEffect.WriteRow write
+        && StoreVersion.era(write.expectedVersion()) < operation.node().era) {
+      chosen = Fault.UNAVAILABLE;
+    }
     boolean stale = chosen == Fault.NONE && operation.node().staleListings > 0;
     Fault fault = stale ? Fault.STALE_LISTING : chosen;
     Option<AcceptanceEvent> response =
@@ -215,6 +221,9 @@
           case PARTIAL_LISTING -> listingOf(effect, store.folder().drop(1), fault);
           case STALE_LISTING -> staleListing(operation);
         };
+    if (fault == Fault.NONE && !(effect instanceof AcceptanceEffect.MergeFiles)) {
+      operation.node().era = store.era();
+    }
     if (operation.incarnation() == operation.node().incarnation) {
       response.forEach(event -> deliver(operation.node(), event));
     }
@@ -275,6 +284,12 @@
       return Option.of(new AcceptanceEvent.SnapshotWritten(write.round()));
     } else if (effect instanceof AcceptanceEffect.WriteRow write) {
       Option<Long> version = store.compareAndSet(write.expectedVersion(), write.row());
+      if (version.exists(v -> StoreVersion.era(v) != StoreVersion.era(write.expectedVersion()))) {
+        return Option.of(
+            new AcceptanceEvent.StoreFailed(
+                write.round(),
+                new StoreFailure(StoreFailure.Kind.RESPONSE_LOST, "written in another era")));
+      }
       return Option.of(
           version.isDefined()
               ? new AcceptanceEvent.RowWritten(write.round(), version.get())
