Never give a fencing number of the controller lease out again

The number of a new holder was one more than that of the row. After a store came back from a copy, another entry, or the same one, got a number that an earlier holder had used for orders, and agents that had seen it accepted the orders of both. The number is now at least the version of the write that acquires the lease, which contains the era of the store, so it is higher than every number of an earlier era, also of those that nobody remembers. A holder whose number is of an earlier era takes a new one. The waiting time before orders is unchanged.

ControllerTest.restoredStoreGivesNoFencingNumberOutAgain and holderTakesNewFencingNumberInEachEra failed before.

--- a/core/src/main/java/io/zinniawood/core/entry/Leases.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Leases.java
@@ -5,6 +5,7 @@
 import io.zinniawood.core.entry.lease.LeaseView;
 import io.zinniawood.core.entry.membership.EntryRanking;
 import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.core.model.VmEntry;
 
 /** Acquires and renews the controller lease. */
@@ -65,6 +66,10 @@
     LeaseView after =
         before.afterRead(event.row(), event.version(), leaseNanos(turn), turn.nowNanos());
     setLease(turn, after);
+    if (after.heldRow().exists(row -> isOfEarlierEra(row, event.version()))) {
+      acquire(turn, event);
+      return;
+    }
     if (after.heldRow().isDefined() && before.heldRow().isEmpty()) {
       reportAcquired(turn, after.heldRow().get());
     } else if (after.heldRow().isEmpty() && before.heldRow().isDefined()) {
@@ -72,11 +77,25 @@
     } else if (after.heldRow().isEmpty()
         && after.expired(leaseNanos(turn), turn.nowNanos())
         && turn.state().lifecycle() == Lifecycle.READY) {
-      long fencing = event.row().map(row -> row.fencingNumber().value()).getOrElse(0L) + 1;
-      writeLease(turn, new LeaseRow(turn.state().self().vm(), new FencingNumber(fencing), 0));
+      acquire(turn, event);
     }
   }
 
+  /**
+   * Writes the lease with a new fencing number. The version of the write makes it unique and higher
+   * than all numbers of earlier eras, also of those that the store has lost.
+   */
+  private static void acquire(Turn turn, EntryEvent.LeaseRead event) {
+    long last = event.row().map(row -> row.fencingNumber().value()).getOrElse(0L);
+    FencingNumber next = new FencingNumber(Math.max(event.version(), last) + 1);
+    writeLease(turn, new LeaseRow(turn.state().self().vm(), next, 0));
+  }
+
+  /** Tells whether another holder may have the fencing number of a row that the store has lost. */
+  private static boolean isOfEarlierEra(LeaseRow row, long version) {
+    return StoreVersion.era(row.fencingNumber().value()) < StoreVersion.era(version);
+  }
+
   /**
    * Records that the table is unavailable. The view of the lease stays, as a write without an
    * answer may have taken effect; the next read shows whether it did.
