Write claims of idempotency keys again that a restored store has lost

An agent's claim is what keeps a repeated call from running a second time. After the store came back from a copy, an acknowledged claim could be gone: a repeat through another agent claimed the key anew and ran, and the final row of the first call was dropped, as no started row was found.

An agent keeps the claims and final rows of its last 20 s. When it sees a new era it writes those again that the store does not show; a key that another attempt holds by then is logged as a call that may run twice. For 7 s of a new era no agent claims a key, and a claim whose own write showed the new era does not count: these calls are refused as not run. An agent with recent claims reads the table at least every 3 s, so that it learns of a new era without calls.

Four tests of ClaimStoreTest guard this. They fail with the parts of the fix switched off (claims not written again, no hold, final rows as before).

--- a/agent/src/main/java/io/zinniawood/agent/AgentProcess.java
+++ b/agent/src/main/java/io/zinniawood/agent/AgentProcess.java
@@ -69,7 +69,12 @@
         new AgentEffectExecutor(
             connections,
             new EndpointCalls(dependencies.endpointClient(), loop::post),
-            new ClaimStore(dependencies.table(), dependencies.codec(), loop::post),
+            new ClaimStore(
+                dependencies.table(),
+                dependencies.codec(),
+                loop::post,
+                dependencies.clockNanos(),
+                ClaimStore.delayedByCheckInterval()),
             new LeaseReader(dependencies.table(), loop::post),
             new LoopTimers(),
             () -> stopped.complete(true));
--- a/agent/src/main/java/io/zinniawood/agent/internal/ClaimStore.java
+++ b/agent/src/main/java/io/zinniawood/agent/internal/ClaimStore.java
@@ -16,8 +16,13 @@
 import io.zinniawood.store.claim.ClaimRowKey;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /** Reads and writes the claim rows of idempotency keys and posts the results as events. */
 public final class ClaimStore {
@@ -26,12 +31,102 @@
   private final Table table;
   private final ClaimRowCodec codec;
   private final Consumer<AgentEvent> events;
+  private final RecentClaims recent;
+  private final Executor delayed;
+  private final AtomicBoolean checking = new AtomicBoolean();
 
-  /** Creates a store that posts its results to the given consumer. */
-  public ClaimStore(Table table, ClaimRowCodec codec, Consumer<AgentEvent> events) {
+  /**
+   * Creates a store that posts its results to the given consumer.
+   *
+   * @param clockNanos monotonic clock in nanoseconds
+   * @param delayed runs a task after {@link RecentClaims#CHECK_INTERVAL_NANOS}
+   */
+  public ClaimStore(
+      Table table,
+      ClaimRowCodec codec,
+      Consumer<AgentEvent> events,
+      LongSupplier clockNanos,
+      Executor delayed) {
     this.table = table;
     this.codec = codec;
     this.events = events;
+    this.recent = new RecentClaims(clockNanos);
+    this.delayed = delayed;
+    table.onNewerEra(this::storeRestored);
+  }
+
+  /** Returns an executor that runs each task after the interval of the checks of the era. */
+  public static Executor delayedByCheckInterval() {
+    return CompletableFuture.delayedExecutor(
+        RecentClaims.CHECK_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
+  }
+
+  private void storeRestored(long era) {
+    recent.restored();
+    Map<String, ClaimRow> rows = recent.rows();
+    LOGGER.log(
+        Level.WARNING,
+        "store era {0}: writing {1} recent claims again; calls with new keys wait",
+        Long.toString(era),
+        rows.size());
+    rows.forEach((key, row) -> writeAgain(key, row));
+  }
+
+  private void writeAgain(String key, ClaimRow row) {
+    GuardedCalls.deliver(
+        read(key).thenCompose(found -> replaceLostRow(key, found, row)),
+        result -> {
+          if (result == StoreWriteResult.FAILED && row.equals(recent.rows().get(key))) {
+            delayed.execute(() -> writeAgain(key, row));
+          }
+        });
+  }
+
+  /**
+   * Writes a row again that the store has lost. The row of another attempt that may have run stays.
+   */
+  private CompletableFuture<StoreWriteResult> replaceLostRow(
+      String key, Either<PlatformError, Option<TableRow>> found, ClaimRow row) {
+    if (found.isLeft()) {
+      return CompletableFuture.completedFuture(StoreWriteResult.FAILED);
+    }
+    Option<ClaimRow> current = found.get().flatMap(this::decode);
+    boolean own = current.exists(other -> other.attempt().equals(row.attempt()));
+    if (current.exists(other -> other.state() != ClaimState.RELEASED) && !own) {
+      LOGGER.log(
+          Level.ERROR,
+          "claim {0} of attempt {1} is lost and attempt {2} holds the key: the call may run twice",
+          key,
+          row.attempt(),
+          current.get().attempt());
+      return CompletableFuture.completedFuture(StoreWriteResult.DONE);
+    }
+    if (own && (current.get().equals(row) || current.get().state() != ClaimState.STARTED)) {
+      return CompletableFuture.completedFuture(StoreWriteResult.DONE);
+    }
+    long version = found.get().map(TableRow::version).getOrElse(table.absentVersion());
+    return write(key, version, row)
+        .thenApply(
+            result -> {
+              if (!result.exists(write -> write instanceof TableWriteResult.Written)) {
+                return StoreWriteResult.FAILED;
+              }
+              LOGGER.log(Level.WARNING, "claim {0} is written again as {1}", key, row.state());
+              return StoreWriteResult.DONE;
+            });
+  }
+
+  /** Reads a row from time to time while the agent has recent claims, to learn of a new era. */
+  private void checkEra() {
+    if (checking.compareAndSet(false, true)) {
+      delayed.execute(
+          () -> {
+            checking.set(false);
+            recent.rows().keySet().stream()
+                .findFirst()
+                .ifPresent(key -> GuardedCalls.deliver(read(key), found -> checkEra()));
+          });
+    }
   }
 
   private static PlatformError responseLost(Throwable exception) {
@@ -51,12 +146,31 @@
   /** Writes a claim row for a key; posts {@link AgentEvent.ClaimWritten}. */
   public void claim(AgentEffect.WriteClaim effect) {
     String key = ClaimRowKey.of(effect.key());
+    if (recent.holding()) {
+      events.accept(
+          new AgentEvent.ClaimWritten(effect.attempt(), new ClaimWriteResult.NotWritten()));
+      return;
+    }
     CompletableFuture<ClaimWriteResult> result =
         effect.fence().value() == 0
             ? writeClaim(key, table.absentVersion(), effect)
             : read(key).thenCompose(found -> claimReleasedKey(key, found, effect));
     GuardedCalls.deliver(
-        result, claim -> events.accept(new AgentEvent.ClaimWritten(effect.attempt(), claim)));
+        result.thenApply(claim -> afterClaim(key, effect.row(), claim)),
+        claim -> events.accept(new AgentEvent.ClaimWritten(effect.attempt(), claim)));
+  }
+
+  /** A claim whose write showed a new era is not certain to be the first of its key. */
+  private ClaimWriteResult afterClaim(String key, ClaimRow row, ClaimWriteResult claim) {
+    if (!(claim instanceof ClaimWriteResult.Claimed)) {
+      return claim;
+    }
+    if (recent.holding()) {
+      return new ClaimWriteResult.OutcomeUnknown();
+    }
+    recent.add(key, row);
+    checkEra();
+    return claim;
   }
 
   private CompletableFuture<ClaimWriteResult> claimReleasedKey(
@@ -139,6 +253,7 @@
    */
   public void storeAnswer(AgentEffect.StoreAnswer effect) {
     String key = ClaimRowKey.of(effect.key());
+    recent.addFinal(key, effect.row());
     GuardedCalls.deliver(
         read(key).thenCompose(found -> replaceStartedRow(key, found, effect.row())),
         result -> events.accept(new AgentEvent.AnswerStored(effect.attempt(), result)));
@@ -157,6 +272,9 @@
                 current ->
                     current.attempt().equals(row.attempt())
                         && current.state() == ClaimState.STARTED);
+    if (!started && recent.holds(key, row.attempt())) {
+      return replaceLostRow(key, found, row);
+    }
     if (!started) {
       return CompletableFuture.completedFuture(StoreWriteResult.DONE);
     }
--- a/agent/src/test/java/io/zinniawood/agent/internal/ClaimStoreTest.java
+++ b/agent/src/test/java/io/zinniawood/agent/internal/ClaimStoreTest.java
@@ -34,7 +34,14 @@
 
   private final FakeTable table = new FakeTable();
   private final List<AgentEvent> events = new ArrayList<>();
-  private final ClaimStore store = new ClaimStore(table, new ClaimRowCodec(), events::add);
+  private final List<Runnable> delayed = new ArrayList<>();
+  private long nowNanos;
+  private final ClaimStore store =
+      new ClaimStore(table, new ClaimRowCodec(), events::add, () -> nowNanos, delayed::add);
+
+  private void afterHold() {
+    nowNanos += RecentClaims.HOLD_NANOS;
+  }
 
   private static ClaimRow row(String attempt, ClaimState state, long fence) {
     return new ClaimRow(
@@ -111,6 +118,54 @@
     assertThat(claim("a2", 0), equalTo(held(row("a1", ClaimState.FINISHED, 0))));
   }
 
+  // Guards against a second run of a call whose acknowledged claim a restored store has lost.
+  @Test
+  void lostClaimIsWrittenAgainBeforeItsKeyCountsAsFree() {
+    for (ClaimState last : List.of(ClaimState.STARTED, ClaimState.FINISHED)) {
+      assertThat(claim("a1", 0), equalTo(new ClaimWriteResult.Claimed()));
+      if (last == ClaimState.FINISHED) {
+        store("a1", last, 0);
+      }
+      table.restoreEmpty();
+      assertThat(claim("a2", 0), equalTo(new ClaimWriteResult.NotWritten()));
+      afterHold();
+      assertThat(claim("a2", 0), equalTo(held(row("a1", last, 0))));
+      nowNanos += RecentClaims.KEPT_NANOS + 1;
+      table.restoreEmpty();
+      afterHold();
+    }
+  }
+
+  // Guards against a claim that is taken for the first of its key although its write is the first
+  // call that shows the new era.
+  @Test
+  void claimThatShowsNewEraDoesNotCount() {
+    table.restoreWithNextWrite();
+    assertThat(claim("a1", 0), equalTo(new ClaimWriteResult.OutcomeUnknown()));
+  }
+
+  // Guards against a final row that is dropped because the store has lost its claim.
+  @Test
+  void finalRowIsStoredAlthoughItsClaimIsLost() {
+    claim("a1", 0);
+    table.failReads(Fault.UNAVAILABLE);
+    table.restoreEmpty();
+    table.failReads(Fault.NONE);
+    assertThat(store("a1", ClaimState.FINISHED, 0), equalTo(StoreWriteResult.DONE));
+    afterHold();
+    assertThat(claim("a2", 0), equalTo(held(row("a1", ClaimState.FINISHED, 0))));
+  }
+
+  // Guards against an agent without calls that learns of the new era too late to write its claims.
+  @Test
+  void agentWithRecentClaimsLearnsOfNewEraWithoutCalls() {
+    claim("a1", 0);
+    table.restoreUnseen();
+    assertThat(table.isEmpty(), equalTo(true));
+    List.copyOf(delayed).forEach(Runnable::run);
+    assertThat(table.isEmpty(), equalTo(false));
+  }
+
   // Guards against reporting an answer as stored although the table write failed.
   @Test
   void storingAnAnswerFailsIfTheTableFails() {
