--- a/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
@@ -132,8 +132,7 @@
       return;
     }
     boolean tried = misses.getOrDefault(open.service, 0) < MAX_MISSES_PER_TICK;
-    Dispatcher.Result result =
-        tried ? Dispatcher.dispatch(turn, open) : Dispatcher.Result.ALL_BUSY;
+    Dispatcher.Result result = tried ? Dispatcher.dispatch(turn, open) : Dispatcher.Result.ALL_BUSY;
     if (result == Dispatcher.Result.SENT) {
       turn.state.waiting.remove(open);
       return;
