--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -22,6 +23,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.relay.LocalAnswer;
+import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.relay.HopByHopHeaders;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -38,6 +40,15 @@
   /** Number of queued pipelined messages at which reading from the caller is paused. */
   private static final int MAX_PIPELINED_MESSAGES = 64;
 
+  /** Time for which input is discarded after a refusal, so that the caller can read it. */
+  private static final long DISCARD_MILLIS = 1_000;
+
+  /** Time for bytes that have arrived to be read before an idle connection closes. */
+  private static final long MIN_IDLE_CLOSE_DELAY_MILLIS = 20;
+
+  /** Time over which the closes of idle connections are spread; the interval of the checks. */
+  private static final int IDLE_CLOSE_SPREAD_MILLIS = 500;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final CallerListener listener;
@@ -49,6 +60,11 @@
   private boolean keepAlive;
   private boolean closing;
   private long lastActivityNanos = System.nanoTime();
+
+  /** Idle timeout in force at the last activity; callers reckon with it for the reuse. */
+  private long idleTimeoutMillis;
+
+  private boolean idleCloseScheduled;
   private long headStartedNanos;
   private boolean headStarted;
 
@@ -60,11 +76,12 @@
   @Override
   public void handlerAdded(ChannelHandlerContext added) {
     this.context = added;
+    recordActivity();
   }
 
   /** Records the arrival of bytes, before they are decoded, for the timeouts. */
   void bytesArrived() {
-    lastActivityNanos = System.nanoTime();
+    recordActivity();
     if (exchange == null && head == null && !headStarted) {
       headStarted = true;
       headStartedNanos = lastActivityNanos;
@@ -73,23 +90,53 @@
 
   /** Closes the connection if its idle timeout or header timeout has expired. */
   public void checkTimeouts(long nowNanos) {
-    if (exchange != null || closing) {
+    if (exchange != null || !pipelined.isEmpty() || closing) {
       return;
     }
-    long nanosPerMilli = 1_000_000;
-    long idleNanos = listener.limits().idleTimeoutMillis() * nanosPerMilli;
-    long headNanos = listener.limits().headerTimeoutMillis() * nanosPerMilli;
+    RequestLimits limits = listener.limits();
+    long headNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
+    long idleNanos =
+        TimeUnit.MILLISECONDS.toNanos(Math.max(idleTimeoutMillis, limits.idleTimeoutMillis()));
     if (headStarted && nowNanos - headStartedNanos >= headNanos) {
       rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (nowNanos - lastActivityNanos >= idleNanos) {
       if (head == null) {
-        close(ConnectionClose.Reason.IDLE_TIMEOUT, "");
+        scheduleIdleClose();
       } else {
         rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
       }
     }
   }
 
+  /** Closes an idle connection a little later, unless bytes arrive that were not read yet. */
+  private void scheduleIdleClose() {
+    if (idleCloseScheduled) {
+      return;
+    }
+    idleCloseScheduled = true;
+    long idleSinceNanos = lastActivityNanos;
+    // Spread, as a new configuration may end the timeout of many connections together.
+    long delayMillis =
+        MIN_IDLE_CLOSE_DELAY_MILLIS
+            + Math.floorMod(context.channel().id().hashCode(), IDLE_CLOSE_SPREAD_MILLIS);
+    context
+        .executor()
+        .schedule(
+            () -> {
+              idleCloseScheduled = false;
+              if (!busy() && !closing && lastActivityNanos == idleSinceNanos) {
+                close(ConnectionClose.Reason.IDLE_TIMEOUT, "");
+              }
+            },
+            delayMillis,
+            TimeUnit.MILLISECONDS);
+  }
+
+  private void recordActivity() {
+    lastActivityNanos = System.nanoTime();
+    idleTimeoutMillis = listener.limits().idleTimeoutMillis();
+  }
+
   private void close(ConnectionClose.Reason reason, String detail) {
     report(reason, detail);
     closing = true;
@@ -113,7 +160,7 @@
 
   /** Closes the connection unless a request is in progress or partly received. */
   public void closeIfIdle() {
-    if (exchange == null && head == null && !headStarted && !closing) {
+    if (!busy() && !closing) {
       close(ConnectionClose.Reason.DRAINING, "");
     }
   }
@@ -122,7 +169,7 @@
   public void channelRead(ChannelHandlerContext read, Object message) {
     if (closing) {
       ReferenceCountUtil.release(message);
-    } else if (exchange != null) {
+    } else if (exchange != null || !pipelined.isEmpty()) {
       pipelined.addLast(message);
       if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
         context.channel().config().setAutoRead(false);
@@ -283,7 +330,7 @@
 
   /** Returns whether a request is in progress or partly received. */
   public boolean busy() {
-    return exchange != null || head != null || headStarted;
+    return exchange != null || head != null || headStarted || !pipelined.isEmpty();
   }
 
   /** Returns the number of bytes that are written but not yet sent. */
@@ -294,17 +341,21 @@
   }
 
   private void setCloseHeader(HttpResponse response) {
-    if (!keepAlive || listener.draining()) {
+    if (closesAfterAnswer()) {
       keepAlive = false;
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
 
+  private boolean closesAfterAnswer() {
+    return !keepAlive || (listener.draining() && pipelined.isEmpty());
+  }
+
   private void finishExchange() {
     releaseExchange();
-    lastActivityNanos = System.nanoTime();
+    recordActivity();
     // Draining may have started after a stream's head was sent with keep-alive.
-    if (!keepAlive || listener.draining()) {
+    if (closesAfterAnswer()) {
       if (!pipelined.isEmpty()) {
         report(ConnectionClose.Reason.CLOSE_ANNOUNCED, "");
       }
@@ -340,7 +391,18 @@
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    context.writeAndFlush(response).addListener(written -> closeAfterInput());
+  }
+
+  /**
+   * Ends the output and discards input for a limited time before the close, as a close with unread
+   * input resets the connection and may take the answer from the caller.
+   */
+  private void closeAfterInput() {
+    if (context.channel() instanceof DuplexChannel duplex) {
+      duplex.shutdownOutput();
+    }
+    context.executor().schedule(() -> context.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void dropPartialRequest() {
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
@@ -3,11 +3,13 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.zinniawood.core.route.RequestLimits;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -106,6 +108,8 @@
       assertThat(close.requestOpen(), is(expected.requestOpen()));
       assertThat(close.requestPartlyRead(), is(expected.requestPartlyRead()));
       assertThat(close.queuedRequests(), is(expected.queuedRequests()));
+      test.channel.advanceTimeBy(2, TimeUnit.SECONDS);
+      test.channel.runScheduledPendingTasks();
       assertThat(test.channel.isOpen(), is(false));
     }
   }
@@ -119,4 +123,72 @@
     assertThat(channel.isOpen(), is(false));
     assertThat(listener.closes, empty());
   }
+
+  // The rest of a queued body was handled before its head and dropped: no answer, no refusal.
+  @Test
+  void contentThatArrivesBeforeTheQueuedHeadIsHandledKeepsItsOrder() {
+    receive(REQUEST + "POST /second HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    listener.answer();
+    receive("cd");
+    assertThat(listener.bodies, is(List.of("", "abcd")));
+  }
+
+  // A process that drained dropped whole requests that were queued behind the one in progress.
+  @Test
+  void queuedRequestsAreAnsweredBeforeTheConnectionOfDrainingProcessCloses() {
+    receive(REQUEST + QUEUED);
+    listener.draining = true;
+    listener.answer();
+    channel.runPendingTasks();
+    assertThat(listener.paths, is(List.of("/first", "/second")));
+    listener.answer();
+    assertThat(written().split("HTTP/1.1 404").length, is(3));
+    assertThat(channel.isOpen(), is(false));
+    assertThat(listener.closes, empty());
+  }
+
+  private void checkTimeoutsAfter(long seconds) {
+    handler.checkTimeouts(System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds));
+    channel.advanceTimeBy(2, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+  }
+
+  // A lowered idle timeout closed connections on which callers were about to send.
+  @Test
+  void connectionThatIsIdleKeepsItsTimeoutWhenTheConfigurationLowersIt() {
+    receive(REQUEST);
+    listener.answer();
+    listener.limits = new RequestLimits(16_384, 1_048_576, 5_000, 1_000);
+    checkTimeoutsAfter(5);
+    assertThat(channel.isOpen(), is(true));
+    checkTimeoutsAfter(40);
+    assertThat(channel.isOpen(), is(false));
+    assertThat(listener.closes.get(0).reason(), is(ConnectionClose.Reason.IDLE_TIMEOUT));
+  }
+
+  // A request whose bytes had arrived was lost to the sweep for idle connections.
+  @Test
+  void requestThatHasArrivedIsReadBeforeAnIdleConnectionCloses() {
+    receive(REQUEST);
+    listener.answer();
+    handler.checkTimeouts(System.nanoTime() + LONG_IDLE_NANOS);
+    receive(QUEUED);
+    channel.advanceTimeBy(2, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    assertThat(listener.paths, is(List.of("/first", "/second")));
+    assertThat(channel.isOpen(), is(true));
+  }
+
+  // A close while the caller still sends becomes a reset, which takes the refusal away from it.
+  @Test
+  void inputIsDiscardedForSomeTimeAfterAnEarlyRefusal() {
+    receive("POST /first HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n");
+    assertThat(written(), startsWith("HTTP/1.1 413"));
+    assertThat(channel.isOpen(), is(true));
+    receive("x".repeat(1_000));
+    channel.advanceTimeBy(2, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    assertThat(channel.isOpen(), is(false));
+    assertThat(listener.bodies, empty());
+  }
 }
