Answer an entry's open requests before the end of the grace period

An entry waited for up to 120 s for its open requests, whatever the platform allows, and the kill then cut them without an answer. The entry now ends them shortly before, as if their deadlines had passed, with the outcome that is known; entry and agent bound their exit by grace_s.

openRequestsAreAnsweredBeforeTheKill needs the new timer, so there was nothing that could be run on the code before; the drain tests of real entry and agent processes pass.

--- a/cli/src/main/java/io/zinniawood/cli/AgentCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/AgentCommand.java
@@ -20,9 +20,6 @@
 /** Runs an agent until SIGTERM or Ctrl-C. */
 @Parameters(commandDescription = "Run an agent beside an endpoint")
 final class AgentCommand extends HelpOption implements Command {
-  /** Longest drain before the JVM is halted. */
-  private static final long MAX_DRAIN_MILLIS = 120_000;
-
   @Parameter(names = "--settings", description = "Settings file (TOML)", required = true)
   private String settingsFile;
 
@@ -50,11 +47,12 @@
       err.println("zinniawood agent: " + created.getLeft().detail());
       return ExitCode.WRONG_USAGE;
     }
-    return serve(created.get(), err);
+    return serve(created.get(), settings.get().gracePeriodMillis(), err);
   }
 
-  private static ExitCode serve(AgentProcess agent, PrintStream err) throws InterruptedException {
-    Termination termination = Termination.install(MAX_DRAIN_MILLIS);
+  private static ExitCode serve(AgentProcess agent, long gracePeriodMillis, PrintStream err)
+      throws InterruptedException {
+    Termination termination = Termination.install(gracePeriodMillis);
     try (agent) {
       Either<WireError, NodeAddress> listening = agent.start();
       if (listening.isLeft()) {
--- a/cli/src/main/java/io/zinniawood/cli/EntryCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/EntryCommand.java
@@ -20,11 +20,6 @@
 /** Runs an entry until SIGTERM or Ctrl-C. */
 @Parameters(commandDescription = "Run an entry")
 final class EntryCommand extends HelpOption implements Command {
-  /**
-   * Longest drain before the JVM is halted; longer than the longest default deadline of a stream.
-   */
-  private static final long MAX_DRAIN_MILLIS = 120_000;
-
   @Parameter(names = "--settings", description = "Settings file (TOML)", required = true)
   private String settingsFile;
 
@@ -52,12 +47,13 @@
       err.println("zinniawood entry: " + created.getLeft().detail());
       return ExitCode.WRONG_USAGE;
     }
-    return serve(created.get(), err);
+    return serve(created.get(), settings.get().gracePeriodMillis(), err);
   }
 
-  private static ExitCode serve(EntryProcess<EntryState> entry, PrintStream err)
+  private static ExitCode serve(
+      EntryProcess<EntryState> entry, long gracePeriodMillis, PrintStream err)
       throws InterruptedException {
-    Termination termination = Termination.install(MAX_DRAIN_MILLIS);
+    Termination termination = Termination.install(gracePeriodMillis);
     try (entry) {
       entry.start();
       termination.await();
--- a/core/src/main/java/io/zinniawood/core/entry/EntryTimer.java
+++ b/core/src/main/java/io/zinniawood/core/entry/EntryTimer.java
@@ -34,4 +34,7 @@
    * The time for which a draining entry still accepts requests until the balancer has removed it.
    */
   record DrainGrace() implements EntryTimer {}
+
+  /** The time after which a draining entry ends the requests that are still open. */
+  record DrainEnd() implements EntryTimer {}
 }
--- a/core/src/main/java/io/zinniawood/core/entry/TimerDispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/entry/TimerDispatcher.java
@@ -21,6 +21,8 @@
       Maintenance.tick(turn);
     } else if (timer instanceof EntryTimer.DrainGrace) {
       Drain.graceElapsed(turn);
+    } else if (timer instanceof EntryTimer.DrainEnd) {
+      Drain.endElapsed(turn);
     }
   }
 }
--- a/core/src/test/java/io/zinniawood/core/entry/DrainTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/DrainTest.java
@@ -36,4 +36,15 @@
     assertThat(world.effects(EntryEffect.FinishAnswer.class), hasSize(1));
     assertThat(world.effects(EntryEffect.StopProcess.class), hasSize(1));
   }
+
+  // Guards against requests that the kill at the end of the grace period cuts without an answer.
+  @Test
+  void openRequestsAreAnsweredBeforeTheKill() {
+    World world = World.small();
+    world.reduce(Fixtures.modelRequest("m", world.deadline(600_000)));
+    world.reduce(new EntryEvent.DrainRequested());
+    world.reduce(new EntryEvent.TimerFired(new EntryTimer.DrainEnd()));
+    assertThat(world.effects(EntryEffect.ReplyProblem.class), hasSize(1));
+    assertThat(world.effects(EntryEffect.StopProcess.class), hasSize(1));
+  }
 }
--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -51,6 +51,11 @@
   /** Allows 5 s in total, so that a caller that reads slowly cannot delay the stop further. */
   private static final int MAX_STOP_CHECKS = 500;
 
+  /** Part of the grace period that is left for the last answers to reach their callers. */
+  private static final long FLUSH_DIVISOR = 8;
+
+  private static final long MAX_FLUSH_MILLIS = 1_000;
+
   private static final int CALLER_IO_THREADS = 2;
   private static final int ADMIN_IO_THREADS = 1;
   private static final int ADMIN_MAX_BODY_BYTES = 1_024;
@@ -138,12 +143,21 @@
   private final class EventLoopTimers implements EntryEffects.Timers {
     @Override
     public void start(EntryTimer timer, long delayNanos, EntryEvent event) {
-      // The time until the load balancer notices the drain is a setting; it replaces the default
-      // delay of the reducer.
-      boolean drainGrace = timer instanceof EntryTimer.DrainGrace;
-      long drainGraceMillis = dependencies.settings().drainGraceMillis();
-      eventLoop.startTimer(
-          timer, drainGrace ? TimeUnit.MILLISECONDS.toNanos(drainGraceMillis) : delayNanos, event);
+      eventLoop.startTimer(timer, delayNanos(timer, delayNanos), event);
+    }
+
+    /** Returns the delay of a timer; those of the drain are settings. */
+    private long delayNanos(EntryTimer timer, long defaultNanos) {
+      EntrySettings settings = dependencies.settings();
+      if (timer instanceof EntryTimer.DrainGrace) {
+        return TimeUnit.MILLISECONDS.toNanos(settings.drainGraceMillis());
+      }
+      if (timer instanceof EntryTimer.DrainEnd) {
+        long graceMillis = settings.gracePeriodMillis();
+        long flushMillis = Math.min(MAX_FLUSH_MILLIS, graceMillis / FLUSH_DIVISOR);
+        return TimeUnit.MILLISECONDS.toNanos(graceMillis - flushMillis);
+      }
+      return defaultNanos;
     }
 
     @Override
