Let a stopping relay lose no accepted connection and no unsent answer

Callers of a relay that had received SIGTERM lost requests at three places, none of which wrote a line. It and the exit also closed connections whose last answer was not sent yet. The exit cut what had arrived since the last check, half-read heads and the queue of accepted connections.

The relay now closes its port when no request is open, refuses what still arrives, and exits when all connections are closed: each of them after its answer is sent, or when it has been quiet for a while. The end of the grace period bounds all of it.

Evidence: everyConnectionGetsAnAnswer, in a form that connected until the port was closed, failed on the code before for both cases; the requests without an answer were those around 2.5 s and at the exit. Of 19 connections that were open at one exit all had a request in progress. answerToSlowCallerIsWhole failed while a connection with unsent bytes still counted as idle. A connection that is made at the very moment at which the port closes can still be reset; that was seen with callers that connect until then.

--- a/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
@@ -39,6 +39,8 @@
   private volatile String layersJson = "";
   private volatile int breakAfterEvents = Integer.MAX_VALUE;
   private volatile boolean failPlainCalls;
+  private volatile long plainDelayMillis;
+  private volatile int plainPaddingBytes;
   private volatile boolean emptyStreams;
   private volatile int resumeStatus;
   private volatile NodeAddress advertisedAddress;
@@ -103,6 +105,16 @@
                 kindWithoutLayers));
   }
 
+  /** Makes each plain call take the given time. */
+  public void delayPlainCalls(long millis) {
+    plainDelayMillis = millis;
+  }
+
+  /** Adds bytes to each answer to a plain call. */
+  public void padPlainAnswers(int bytes) {
+    plainPaddingBytes = bytes;
+  }
+
   /** Makes each stream break off within the event that follows the given number of events. */
   public void breakStreamsAfter(int events) {
     breakAfterEvents = events;
@@ -170,16 +182,27 @@
     runsByRequest.merge(request, 1, Integer::sum);
     exchange.getResponseHeaders().set("Replica-Signature", "signed-by-" + id);
     if (path == null) {
-      respond(
-          exchange,
-          failPlainCalls ? 500 : 200,
-          "{\"by\":\"" + id + "\",\"request\":\"" + request + "\"}");
+      answerPlainCall(exchange, request);
       return;
     }
     executedPaths.add(path);
     streamEvents(exchange);
   }
 
+  private void answerPlainCall(HttpExchange exchange, String request) throws IOException {
+    try {
+      Thread.sleep(plainDelayMillis);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return;
+    }
+    respond(
+        exchange,
+        failPlainCalls ? 500 : 200,
+        "{\"by\":\"%s\",\"request\":\"%s\"}%s"
+            .formatted(id, request, " ".repeat(plainPaddingBytes)));
+  }
+
   private void streamEvents(HttpExchange exchange) throws IOException {
     String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
     if (last != null && resumeStatus != 0) {
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -20,10 +21,10 @@
 import io.zinniawood.relay.internal.AdminHandler;
 import io.zinniawood.relay.internal.ByteArrivalHandler;
 import io.zinniawood.relay.internal.CallerHandler;
+import io.zinniawood.relay.internal.ConnectionClosing;
 import io.zinniawood.relay.internal.PeerChannel;
 import io.zinniawood.relay.internal.RelayRuntime;
 import io.zinniawood.telemetry.DecisionLog;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -40,9 +41,6 @@
   /** Interval between checks for timeouts of callers' connections. */
   private static final long TIMEOUT_CHECK_MILLIS = 500;
 
-  /** Time for which idle connections stay open after the request to terminate. */
-  private static final long DRAIN_IDLE_CLOSE_DELAY_MILLIS = 2_500;
-
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final int MAX_REQUEST_LINE_BYTES = 8_192;
 
@@ -55,8 +53,9 @@
   private final EventLoop loop;
   private final RelayRuntime runtime;
   private final Set<CallerHandler> callers = new HashSet<>();
-  private final List<Channel> listeners = new ArrayList<>();
+  private final ConnectionClosing closing;
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private Channel callerListener;
   private boolean ready;
 
   /**
@@ -75,6 +74,9 @@
     this.loop = (EventLoop) group.next();
     this.runtime = new RelayRuntime(new RelayState(parameters), codec, loop, new ProcessListener());
     this.metrics = new RelayMetrics(runtime.state(), log);
+    this.closing =
+        new ConnectionClosing(
+            loop, parameters.gracePeriodMillis(), callers, this::connectionsClosed);
   }
 
   /**
@@ -84,8 +86,8 @@
    * @throws InterruptedException if the thread is interrupted while the ports are bound
    */
   public void start(Function<ControlClient, PlatformClient> platform) throws InterruptedException {
-    listeners.add(bind(addresses.admin(), new AdminInitializer()));
-    listeners.add(bind(addresses.callers(), new CallerInitializer()));
+    bind(addresses.admin(), new AdminInitializer());
+    callerListener = bind(addresses.callers(), new CallerInitializer());
     RelayRuntime.PeerSender peerSender = bindPeers();
     loop.execute(() -> runtime.start(platform.apply(new ControlClient(loop)), peerSender));
     loop.scheduleAtFixedRate(runtime::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -116,6 +118,10 @@
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
+        // One read empties the queue, so that closing the port loses no accepted connection.
+        .option(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPT_BACKLOG))
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(initializer)
         .bind(address.host(), address.port())
@@ -134,24 +140,22 @@
   public void terminate() {
     loop.execute(
         () -> {
+          closing.terminationRequested();
           runtime.post(new RelayEvent.TerminationRequested());
-          loop.schedule(
-              () -> List.copyOf(callers).forEach(CallerHandler::closeIfIdle),
-              DRAIN_IDLE_CLOSE_DELAY_MILLIS,
-              TimeUnit.MILLISECONDS);
         });
   }
 
-  private void logConnections() {
+  private void connectionsClosed(ConnectionClosing.Remainder left) {
     log.add(
         "connections-closed",
         List.of(
             "connections",
-            callers.size(),
+            left.connections(),
             "openRequests",
-            callers.stream().filter(CallerHandler::busy).count(),
+            left.openRequests(),
             "unsentBytes",
-            callers.stream().mapToLong(CallerHandler::unsentBytes).sum()));
+            left.unsentBytes()));
+    stopped.countDown();
   }
 
   /** Blocks until all open requests are complete after {@link #terminate}. */
@@ -173,8 +177,11 @@
 
     @Override
     public void drained() {
-      logConnections();
-      stopped.countDown();
+      // A later turn of the event loop accepts what is in the queue before it closes the port.
+      loop.schedule(
+          () -> callerListener.close().addListener(closed -> closing.start()),
+          1,
+          TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -89,9 +89,15 @@
     }
   }
 
-  /** Closes the connection unless a request is in progress or partly received. */
-  public void closeIfIdle() {
-    if (exchange == null && head == null && !headStarted && !closing) {
+  /**
+   * Closes the connection unless a request is in progress or partly received, an answer is not sent
+   * yet, or bytes arrived or an answer ended lately.
+   *
+   * @param quietNanos time without either for the connection to be closed
+   */
+  public void closeIfQuiet(long nowNanos, long quietNanos) {
+    boolean idle = !busy() && !closing && unsentBytes() == 0;
+    if (idle && nowNanos - lastActivityNanos >= quietNanos) {
       closing = true;
       context.close();
     }
