End the start of a relay that is told to stop before it serves

SIGTERM that came while the settings were read ended the JVM by its default action with code 143, as if it had failed. The hook is now installed first; a relay that is told to stop before it has settings opens no port. The drain is bounded by grace_s instead of 60 s.

signalBeforeSettingsAreReadEndsTheStart failed on the code before with another exit code than 0.

--- a/cli/src/main/java/io/zinniawood/cli/RelayCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/RelayCommand.java
@@ -25,8 +25,8 @@
 
   private static final Signal RELOAD_SIGNAL = new Signal("HUP");
 
-  /** Longest drain; the platform kills the process after its own grace period. */
-  private static final long MAX_DRAIN_MILLIS = 60_000;
+  /** Longest time for a start to end that SIGTERM has overtaken. */
+  private static final long MAX_START_MILLIS = 10_000;
 
   @Parameter(names = "--settings", description = "Settings file (TOML)", required = true)
   private String settingsFile;
@@ -51,27 +51,37 @@
 
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws InterruptedException {
-    Either<Vector<ConfigurationFault>, RelaySettings> settings = loadSettings();
-    if (settings.isLeft()) {
-      ConfigurationFaultPrinter.print(settings.getLeft(), err);
-      return ExitCode.WRONG_USAGE;
+    Termination termination = Termination.install(MAX_START_MILLIS);
+    try {
+      Either<Vector<ConfigurationFault>, RelaySettings> settings = loadSettings();
+      if (settings.isLeft()) {
+        ConfigurationFaultPrinter.print(settings.getLeft(), err);
+        return ExitCode.WRONG_USAGE;
+      }
+      termination.limitTo(settings.get().gracePeriodMillis());
+      return termination.requested() ? ExitCode.DONE : serve(settings.get(), termination, out, err);
+    } finally {
+      termination.finish();
     }
+  }
+
+  private ExitCode serve(
+      RelaySettings settings, Termination termination, PrintStream out, PrintStream err)
+      throws InterruptedException {
     DecisionLog log = new DecisionLog(out, Instant::now, System::nanoTime);
-    Termination termination = Termination.install(MAX_DRAIN_MILLIS);
     Signal.handle(RELOAD_SIGNAL, signal -> checkReloadedSettings(log));
-    try (RelayProcess relay = RelayLauncher.start(settings.get(), log)) {
-      log.add("process-started", List.of("vm", settings.get().vm().value()));
+    try (RelayProcess relay = RelayLauncher.start(settings, log)) {
+      log.add("process-started", List.of("vm", settings.vm().value()));
       termination.await();
       relay.terminate();
       relay.awaitStopped();
-      log.add("process-stopped", List.of("vm", settings.get().vm().value()));
+      log.add("process-stopped", List.of("vm", settings.vm().value()));
       return ExitCode.DONE;
     } catch (RuntimeException failure) {
       err.println("zinniawood relay: " + failure.getMessage());
       return ExitCode.FAILED;
     } finally {
       log.close();
-      termination.finish();
     }
   }
 
--- a/cli/src/main/java/io/zinniawood/cli/Termination.java
+++ b/cli/src/main/java/io/zinniawood/cli/Termination.java
@@ -7,8 +7,11 @@
 final class Termination {
   private final CountDownLatch requested = new CountDownLatch(1);
   private final CountDownLatch finished = new CountDownLatch(1);
+  private volatile long timeoutMillis;
 
-  private Termination() {}
+  private Termination(long timeoutMillis) {
+    this.timeoutMillis = timeoutMillis;
+  }
 
   /**
    * Installs the shutdown hook. On termination {@link #await} returns, and the JVM is halted once
@@ -17,13 +20,12 @@
    * @param timeoutMillis longest time for the work in progress, in milliseconds
    */
   static Termination install(long timeoutMillis) {
-    Termination termination = new Termination();
-    Runtime.getRuntime()
-        .addShutdownHook(new Thread(() -> termination.onTermination(timeoutMillis), "termination"));
+    Termination termination = new Termination(timeoutMillis);
+    Runtime.getRuntime().addShutdownHook(new Thread(termination::onTermination, "termination"));
     return termination;
   }
 
-  private void onTermination(long timeoutMillis) {
+  private void onTermination() {
     requested.countDown();
     try {
       boolean finishedInTime = finished.await(timeoutMillis, TimeUnit.MILLISECONDS);
@@ -34,6 +36,16 @@
     }
   }
 
+  /** Sets the longest time for the work in progress, in milliseconds. */
+  void limitTo(long millis) {
+    timeoutMillis = millis;
+  }
+
+  /** Returns whether SIGTERM or Ctrl-C was received. */
+  boolean requested() {
+    return requested.getCount() == 0;
+  }
+
   /** Blocks until SIGTERM or Ctrl-C. */
   void await() throws InterruptedException {
     requested.await();
--- a/dist/src/test/java/io/zinniawood/dist/PlannedStopTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/PlannedStopTest.java
@@ -11,6 +11,7 @@
 import io.zinniawood.dist.users.RoutesDocument;
 import io.zinniawood.dist.users.StoreStandIn;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
@@ -18,6 +19,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -29,6 +33,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -209,4 +214,22 @@
       assertThat(exit.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), is(0));
     }
   }
+
+  // Guards against a relay that opens its port although it is to stop.
+  @Test
+  void signalBeforeSettingsAreReadEndsTheStart(@TempDir Path folder) throws Exception {
+    relay.close();
+    relay.awaitExitCode();
+    Path pipe = folder.resolve("relay.toml");
+    assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor(), is(0));
+    relay = RoleProcess.start("relay", "planned-stop-starting", pipe);
+    try (OutputStream writer = Files.newOutputStream(pipe, StandardOpenOption.WRITE)) {
+      relay.signal("TERM");
+      TimeUnit.MILLISECONDS.sleep(500);
+      writer.write(settings().getBytes(StandardCharsets.UTF_8));
+    } catch (IOException processEnded) {
+      // The exit code tells.
+    }
+    assertThat(relay.awaitExitCode(), is(0));
+  }
 }
