Close connections of a relay that drains without having been ready

A relay that got SIGTERM before it had routes answered without Connection: close, as the flag was only set by a change of readiness, and its callers kept connections that the exit then cut.

relayThatIsNotReadyClosesConnectionsOnItsDrain failed on the code before.

--- a/dist/src/test/java/io/zinniawood/dist/PlannedStopTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/PlannedStopTest.java
@@ -1,6 +1,7 @@
 package io.zinniawood.dist;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
@@ -61,7 +62,7 @@
     store.put("op", "config", RoutesDocument.json(1, "key"));
     endpoint = new EndpointStandIn(store, "plain", "plain", "");
     relay = RoleProcess.start("relay", "planned-stop", settings());
-    awaitReady();
+    awaitStatus(200);
   }
 
   @AfterEach
@@ -84,14 +85,14 @@
         .formatted(callersAddress, adminAddress, store.address(), GRACE_SECONDS);
   }
 
-  private void awaitReady() throws Exception {
+  private void awaitStatus(int status) throws Exception {
     HttpClient client = HttpClient.newHttpClient();
     URI readiness = URI.create("http://" + adminAddress + "/readiness");
     long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
     while (System.nanoTime() - endNanos < 0) {
       try {
         HttpRequest request = HttpRequest.newBuilder(readiness).build();
-        if (client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200) {
+        if (client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == status) {
           return;
         }
       } catch (IOException notListening) {
@@ -99,7 +100,7 @@
       }
       TimeUnit.MILLISECONDS.sleep(20);
     }
-    throw new AssertionError("the relay is not ready");
+    throw new AssertionError("the readiness probe is not answered with " + status);
   }
 
   private String head(String path) {
@@ -215,6 +216,24 @@
     }
   }
 
+  // Guards against an answer that keeps its connection although the process is about to end.
+  @Test
+  void relayThatIsNotReadyClosesConnectionsOnItsDrain() throws Exception {
+    store.put("op", "config", "{}");
+    relay.close();
+    relay.awaitExitCode();
+    relay = RoleProcess.start("relay", "planned-stop-not-ready", settings());
+    awaitStatus(503);
+    relay.signal("TERM");
+    TimeUnit.SECONDS.sleep(1);
+    try (Socket socket = connect()) {
+      write(socket, head("/read/x"));
+      String answer = readUntilClosed(socket);
+      assertThat(answer, startsWith("HTTP/1.1 503 "));
+      assertThat(answer, containsString("connection: close"));
+    }
+  }
+
   // Guards against a relay that opens its port although it is to stop.
   @Test
   void signalBeforeSettingsAreReadEndsTheStart(@TempDir Path folder) throws Exception {
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -47,7 +47,6 @@
   private PlatformClient platform;
   private PeerSender peers;
   private boolean processingEvents;
-  private boolean draining;
   private long lastRequestId;
 
   /** Time since the last tick after which the event loop counts as late: four tick intervals. */
@@ -135,7 +134,7 @@
 
   @Override
   public boolean draining() {
-    return draining;
+    return state.terminating();
   }
 
   @Override
@@ -418,7 +417,6 @@
 
   @Override
   public void setReadiness(RelayEffect.SetReadiness effect) {
-    draining = state.terminating();
     listener.readinessChanged(effect.ready());
   }
 
