--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -51,7 +51,6 @@
   private long lastTickNanos = System.nanoTime();
   private RequestLimits limits = RequestLimits.DEFAULT;
   private boolean processingEvents;
-  private boolean draining;
   private long lastRequestId;
 
   /** Time since the last tick after which the event loop counts as late: four tick intervals. */
@@ -156,7 +155,7 @@
 
   @Override
   public boolean draining() {
-    return draining;
+    return state.terminating();
   }
 
   @Override
@@ -465,7 +464,6 @@
 
   @Override
   public void setReadiness(RelayEffect.SetReadiness effect) {
-    draining = state.terminating();
     listener.readinessChanged(effect.ready());
   }
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
@@ -88,7 +88,7 @@
             0),
         new Case(
             "",
-            test -> test.handler.closeIfIdle(),
+            test -> test.handler.closeIfQuiet(System.nanoTime(), 0),
             ConnectionClose.Reason.DRAINING,
             false,
             false,
