Let the stand-in of the users' store come back from a copy, and the soak play it

The stand-in sends Store-Era in all its answers, keeps copies of its state of the last 30 s, and comes back from one of them in a new era: versions are given out again, a feed from a version that it does not have gets 410, what the relays wrote is gone, and what the operator and the endpoints wrote is written again on request. The soak plays it as another fault. RelayTest#newestConfigurationStaysInForceWhenStoreComesBackFromCopy plays it with one relay process.

--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -242,6 +242,22 @@
     assertThat(post("/read/x", "other").statusCode(), is(200));
   }
 
+  // Guards against an older configuration in force, and against a missed one, after the store came
+  // back from a copy and its versions were given out again.
+  @Test
+  void newestConfigurationStaysInForceWhenStoreComesBackFromCopy() throws Exception {
+    long beforeNanos = System.nanoTime();
+    store.put("op", "config", RoutesDocument.json(5, "newest"));
+    awaitTrue(() -> post("/read/x", "newest").statusCode() == 200);
+    store.restore(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beforeNanos));
+    awaitTrue(() -> get("http://" + adminAddress + "/metrics").body().contains("store_era 1"));
+    assertThat(post("/read/x", "key").statusCode(), is(401));
+    store.writeAgain();
+    store.put("op", "config", RoutesDocument.json(9, "other"));
+    awaitTrue(() -> post("/read/x", "other").statusCode() == 200);
+    assertThat(post("/read/x", "newest").statusCode(), is(401));
+  }
+
   // Guards against a drain without failing readiness first, or with an exit code other than 0.
   @Test
   void drainsOnTermination() throws Exception {
--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakFaults.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakFaults.java
@@ -13,6 +13,8 @@
 /** Injects random faults, which may overlap; the end of each is scheduled within 3 s. */
 final class SoakFaults {
   private static final int MAX_DELAY_MILLIS = 300;
+  private static final int MAX_COPY_AGE_MILLIS = 10_000;
+  private static final int MAX_REWRITE_DELAY_MILLIS = 2_000;
   private static final int MAX_FAULT_DURATION_MILLIS = 3_000;
 
   private final SoakCluster cluster;
@@ -39,6 +41,7 @@
     faults.add(this::stallConnections);
     faults.add(this::resetNewConnections);
     faults.add(this::disableStore);
+    faults.add(this::restoreStore);
     faults.add(this::breakStreams);
     faults.add(this::failPlainCalls);
     faults.add(this::rotateKey);
@@ -139,6 +142,17 @@
     return () -> cluster.store.setUnavailable(false);
   }
 
+  private Runnable restoreStore() {
+    long ageMillis = random.nextInt(MAX_COPY_AGE_MILLIS);
+    long rewriteMillis = random.nextInt(MAX_REWRITE_DELAY_MILLIS);
+    cluster.store.setUnavailable(true);
+    return () -> {
+      cluster.store.restore(ageMillis);
+      cluster.store.setUnavailable(false);
+      timers.schedule(cluster.store::writeAgain, rewriteMillis, TimeUnit.MILLISECONDS);
+    };
+  }
+
   private Runnable breakStreams() {
     EndpointStandIn endpoint = randomEndpoint();
     endpoint.breakStreamsAfter(1 + random.nextInt(30));
--- a/dist/src/test/java/io/zinniawood/dist/users/StoreStandIn.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/StoreStandIn.java
@@ -10,9 +10,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.Base64;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -20,20 +24,30 @@
 
 /**
  * In-memory stand-in for the store of the users' platform: reads of whole tables, transactions with
- * expected row versions, and a change feed by long polling.
+ * expected row versions, and a change feed by long polling. It can come back from a copy some
+ * seconds old, which only a new era in all its answers tells.
  */
 public final class StoreStandIn implements AutoCloseable {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final long FEED_POLL_MILLIS = 20;
+  private static final long MAX_COPY_AGE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
   private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final HttpServer server;
+
+  /** Newest values of the operator and the endpoints, which write them again after a restore. */
+  private final Map<String, TreeMap<String, String>> ownedValues = new HashMap<>();
+
+  private final Deque<Copy> copies = new ArrayDeque<>();
   private long version = 1;
+  private long era;
   private volatile boolean unavailable;
 
   private record Row(String value, long version) {}
 
+  private record Copy(long nanos, long version, Map<String, TreeMap<String, Row>> tables) {}
+
   /** Starts a store on a free loopback port. */
   public StoreStandIn() throws IOException {
     server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
@@ -57,19 +71,80 @@
   /** Writes a row unconditionally, as the operator or an endpoint does. */
   public synchronized void put(String table, String key, String json) {
     String value = Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8));
-    tables.computeIfAbsent(table, name -> new TreeMap<>()).put(key, new Row(value, ++version));
+    write(table, key, Optional.of(value));
+  }
+
+  private void write(String table, String key, Optional<String> value) {
+    keepCopy();
+    String present = value.orElse(null);
+    tables.computeIfAbsent(table, name -> new TreeMap<>()).put(key, new Row(present, ++version));
+    ownedValues.computeIfAbsent(table, name -> new TreeMap<>()).put(key, present);
+  }
+
+  /** Keeps the present state, as it was until the write that follows. */
+  private void keepCopy() {
+    long nowNanos = System.nanoTime();
+    copies.addLast(new Copy(nowNanos, version, copyOfTables()));
+    while (nowNanos - copies.getFirst().nanos() > MAX_COPY_AGE_NANOS) {
+      copies.removeFirst();
+    }
+  }
+
+  private Map<String, TreeMap<String, Row>> copyOfTables() {
+    Map<String, TreeMap<String, Row>> copy = new HashMap<>();
+    tables.forEach((table, rows) -> copy.put(table, new TreeMap<>(rows)));
+    return copy;
+  }
+
+  /**
+   * Brings back the state of some time ago in a new era; versions are given out again.
+   *
+   * @param ageMillis age of the copy in milliseconds
+   */
+  public synchronized void restore(long ageMillis) {
+    keepCopy();
+    long atNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ageMillis);
+    Copy copy = copies.getLast();
+    for (Copy candidate : copies) {
+      if (candidate.nanos() - atNanos >= 0) {
+        copy = candidate;
+        break;
+      }
+    }
+    tables.clear();
+    copy.tables().forEach((table, rows) -> tables.put(table, new TreeMap<>(rows)));
+    version = copy.version();
+    era++;
+    copies.clear();
+  }
+
+  /** Writes again what the operator and the endpoints had written and the copy lacks. */
+  public synchronized void writeAgain() {
+    ownedValues.forEach(
+        (table, values) ->
+            values.forEach(
+                (key, value) -> {
+                  Row present = tables.getOrDefault(table, new TreeMap<>()).get(key);
+                  if (present == null || !Objects.equals(present.value(), value)) {
+                    write(table, key, Optional.ofNullable(value));
+                  }
+                }));
   }
 
   /** Deletes a row; the change feed reports the deletion. */
   public synchronized void remove(String table, String key) {
-    tables.computeIfAbsent(table, name -> new TreeMap<>()).put(key, new Row(null, ++version));
+    write(table, key, Optional.empty());
   }
 
   private interface Handler {
     Answer handle(Map<String, String> query, JsonNode body) throws InterruptedException;
   }
 
-  private record Answer(int status, JsonNode body) {}
+  private record Answer(int status, JsonNode body, long era) {}
+
+  private synchronized Answer unavailable() {
+    return new Answer(503, MAPPER.createObjectNode(), era);
+  }
 
   private void respond(HttpExchange exchange, Handler handler) throws IOException {
     Answer answer;
@@ -78,14 +153,15 @@
       JsonNode body = request.length == 0 ? MAPPER.createObjectNode() : MAPPER.readTree(request);
       answer =
           unavailable
-              ? new Answer(503, MAPPER.createObjectNode())
+              ? unavailable()
               : handler.handle(parseQuery(exchange.getRequestURI().getQuery()), body);
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
-      answer = new Answer(503, MAPPER.createObjectNode());
+      answer = unavailable();
     }
     byte[] bytes = answer.body().toString().getBytes(StandardCharsets.UTF_8);
     exchange.getResponseHeaders().set("Content-Type", "application/json");
+    exchange.getResponseHeaders().set("Store-Era", Long.toString(answer.era()));
     exchange.sendResponseHeaders(answer.status(), bytes.length);
     exchange.getResponseBody().write(bytes);
     exchange.close();
@@ -108,7 +184,10 @@
     long after = Long.parseLong(query.get("after"));
     long waitMillis = Long.parseLong(query.getOrDefault("wait_ms", "0"));
     Answer answer = changes(query.get("table"), after);
-    while (answer.body().path("rows").isEmpty() && waitMillis > 0 && !unavailable) {
+    while (answer.status() == 200
+        && answer.body().path("rows").isEmpty()
+        && waitMillis > 0
+        && !unavailable) {
       Thread.sleep(FEED_POLL_MILLIS);
       waitMillis -= FEED_POLL_MILLIS;
       answer = changes(query.get("table"), after);
@@ -117,7 +196,9 @@
   }
 
   private synchronized Answer changes(String table, long after) {
-    return rows(table, after, true);
+    return after > version
+        ? new Answer(410, MAPPER.createObjectNode(), era)
+        : rows(table, after, true);
   }
 
   private Answer rows(String table, long after, boolean withDeleted) {
@@ -134,7 +215,7 @@
                 found.put("deleted", row.value() == null);
               }
             });
-    return new Answer(200, answer);
+    return new Answer(200, answer, era);
   }
 
   private synchronized Answer transact(Map<String, String> query, JsonNode body) {
@@ -145,16 +226,17 @@
               .get(expected.path("key").asText());
       long found = row == null || row.value() == null ? 0 : row.version();
       if (found != expected.path("ver").asLong()) {
-        return new Answer(412, rows(expected.path("table").asText(), 0, false).body());
+        return new Answer(412, rows(expected.path("table").asText(), 0, false).body(), era);
       }
     }
+    keepCopy();
     version++;
     for (JsonNode write : body.path("writes")) {
       tables
           .computeIfAbsent(write.path("table").asText(), name -> new TreeMap<>())
           .put(write.path("key").asText(), new Row(write.path("value").asText(), version));
     }
-    return new Answer(200, MAPPER.createObjectNode().put("ver", version));
+    return new Answer(200, MAPPER.createObjectNode().put("ver", version), era);
   }
 
   @Override
