Wait for a former lease also in a relay that is in the first start of the system

What could happen: two relays hold the controller lease at the same time.

Cause: a relay took a missing lease row at once if the whole system was starting for the first time. That flag holds for the whole life of a process, also after the store came back from a copy that has no row yet.

Why this works: the flag counts only as long as the process has seen one era.

--- a/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
+++ b/core/src/main/java/io/zinniawood/core/relay/ControllerLease.java
@@ -204,8 +204,7 @@
    */
   private static boolean rowPerhapsLost(RelayTurn turn, Option<LeaseRow> row) {
     return row.isEmpty()
-        && StoreEras.everRestored(turn)
-        && !turn.state.parameters.firstStart()
+        && StoreEras.perhapsRestored(turn)
         && turn.nowNanos - turn.state.storeEraSeenNanos < LEASE_NANOS;
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/FirstConfiguration.java
+++ b/core/src/main/java/io/zinniawood/core/relay/FirstConfiguration.java
@@ -29,8 +29,7 @@
   static boolean needed(RelayTurn turn) {
     RelayState state = turn.state;
     return state.routes.isEmpty()
-        && StoreEras.everRestored(turn)
-        && !state.parameters.firstStart()
+        && StoreEras.perhapsRestored(turn)
         && state.parameters.peerAddress().isPresent();
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
@@ -63,7 +63,7 @@
       readUnknownSender(turn, event);
       return;
     }
-    if (unheard && (state.quarantine.heldParts() > 0 || StoreEras.everRestored(turn))) {
+    if (unheard && (state.quarantine.heldParts() > 0 || StoreEras.perhapsRestored(turn))) {
       // A relay that has just started must know the held parts, and which configuration is in
       // force, before it sends requests.
       send(turn, Optional.empty());
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -52,6 +52,7 @@
 
   StoreEra storeEra = StoreEra.UNNAMED;
   boolean storeEraKnown;
+  boolean storeEraChanged;
   long storeEraSeenNanos;
 
   /** Time since which all answers of the store are of a lower era; empty if they are not. */
--- a/core/src/main/java/io/zinniawood/core/relay/StoreEras.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreEras.java
@@ -14,9 +14,11 @@
 
   private StoreEras() {}
 
-  /** Returns whether the store has come back from a copy at least once, as far as known. */
-  static boolean everRestored(RelayTurn turn) {
-    return turn.state.storeEra.isLaterThan(StoreEra.UNNAMED);
+  /** Returns whether the store may have come back from a copy since the system first started. */
+  static boolean perhapsRestored(RelayTurn turn) {
+    RelayState state = turn.state;
+    return state.storeEraChanged
+        || (state.storeEra.isLaterThan(StoreEra.UNNAMED) && !state.parameters.firstStart());
   }
 
   /**
@@ -66,6 +68,7 @@
         "endpointsVersion",
         state.endpointsVersion.map(Object::toString).orElse("none"));
     state.storeEra = era;
+    state.storeEraChanged = true;
     state.storeEraSeenNanos = turn.nowNanos;
     state.lowerEraSinceNanos = Optional.empty();
     state.storeClock.restart();
