Pass a refusal with any Retry-After on as it was sent

OkHttp parses the header as an int to decide on a repeat of its own, and repeats after 0 even if retries are off; the earlier change of 0 to 1 covered only that.

The header is now hidden from OkHttp and added again outside of its retries. retryAfterOfRefusalIsPassedOnUnchanged failed before, with the exception for the large number and with 1 in place of 000 for the others.

--- a/engine/src/test/java/io/zinniawood/engine/http/HttpPlainServiceClientTest.java
+++ b/engine/src/test/java/io/zinniawood/engine/http/HttpPlainServiceClientTest.java
@@ -19,6 +19,7 @@
 import io.zinniawood.standin.service.ServiceStandIn;
 import java.net.URI;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -136,4 +137,35 @@
       }
     }
   }
+
+  // Guards against a refusal that becomes a call with an unknown outcome, as OkHttp parses the
+  // header as an int, or one that tells the caller another time.
+  @Test
+  void retryAfterOfRefusalIsPassedOnUnchanged() throws Exception {
+    List<String> values = List.of("99999999999", "0", "000", "1.5", "soon");
+    AtomicInteger calls = new AtomicInteger();
+    try (StandInServer server = new StandInServer("refusing")) {
+      server.route(
+          "GET",
+          "/{index}",
+          exchange -> {
+            calls.incrementAndGet();
+            exchange
+                .responseHeader(
+                    "Retry-After", values.get(Integer.parseInt(exchange.pathVariable("index"))))
+                .respondProblem(503, "full");
+          });
+      URI uri = URI.create("http://127.0.0.1:" + server.start(0));
+      HttpPlainServiceClient refusing = new HttpPlainServiceClient(uri, client);
+      for (int index = 0; index < values.size(); index++) {
+        calls.set(0);
+        ServiceAnswer response = await(refusing.call(get("/" + index), 5_000)).get();
+        assertThat(response.status(), is(503));
+        assertThat(
+            response.headers().toString().toLowerCase(Locale.ROOT),
+            containsString("retry-after, value=" + values.get(index) + "]"));
+        assertThat(calls.get(), is(1));
+      }
+    }
+  }
 }
--- a/http/src/main/java/io/zinniawood/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -21,6 +21,8 @@
 
 /** Sends each request at most once and reports whether it may have reached the server. */
 public final class HttpCalls {
+  private static final String RETRY_AFTER = "Retry-After";
+
   private final OkHttpClient client;
   private final int maxConcurrentCalls;
   private final int maxResponseBytes;
@@ -50,6 +52,7 @@
             // The timeout that is set for each call also limits its reads and writes.
             .readTimeout(0, TimeUnit.MILLISECONDS)
             .writeTimeout(0, TimeUnit.MILLISECONDS)
+            .addInterceptor(HttpCalls::restoreRetryAfter)
             .addNetworkInterceptor(HttpCalls::sendOnce)
             .build();
     this.maxConcurrentCalls = settings.maxConcurrentCalls();
@@ -84,7 +87,8 @@
   /**
    * Interceptor that runs after the connection is established and before the first byte is sent. It
    * rejects a request that was already sent. OkHttp repeats a request after a 503 with {@code
-   * Retry-After: 0} even if retries are disabled, so the value is changed to 1.
+   * Retry-After: 0} even if retries are disabled, and fails if the number is no int, so the header
+   * is hidden from it.
    */
   private static Response sendOnce(Interceptor.Chain chain) throws IOException {
     SendMonitor monitor = chain.request().tag(SendMonitor.class);
@@ -92,11 +96,20 @@
       throw new IOException("the request was cancelled in the queue or has already been sent");
     }
     Response response = chain.proceed(chain.request());
-    String retryAfter = response.header("Retry-After");
-    if (response.code() == 503 && retryAfter != null && retryAfter.matches("0+")) {
-      return response.newBuilder().header("Retry-After", "1").build();
+    monitor.hideRetryAfter(response.headers(RETRY_AFTER));
+    return response.newBuilder().removeHeader(RETRY_AFTER).build();
+  }
+
+  /** Interceptor that runs outside of OkHttp's retries and adds the hidden header again. */
+  private static Response restoreRetryAfter(Interceptor.Chain chain) throws IOException {
+    Response response = chain.proceed(chain.request());
+    SendMonitor monitor = chain.request().tag(SendMonitor.class);
+    if (monitor == null) {
+      return response;
     }
-    return response;
+    Response.Builder restored = response.newBuilder();
+    monitor.hiddenRetryAfter().forEach(value -> restored.addHeader(RETRY_AFTER, value));
+    return restored.build();
   }
 
   /**
--- a/http/src/main/java/io/zinniawood/http/SendMonitor.java
+++ b/http/src/main/java/io/zinniawood/http/SendMonitor.java
@@ -1,10 +1,15 @@
 package io.zinniawood.http;
 
+import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 
-/** Records whether the sending of a request has started; attached to the request as a tag. */
+/**
+ * Records whether the sending of a request has started, and what its response says about retries;
+ * attached to the request as a tag.
+ */
 final class SendMonitor {
   private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
+  private volatile List<String> retryAfter = List.of();
 
   private enum State {
     WAITING,
@@ -29,4 +34,14 @@
   boolean sendStarted() {
     return state.get() == State.SENDING;
   }
+
+  /** Stores the values of a header that OkHttp must not see. */
+  void hideRetryAfter(List<String> values) {
+    retryAfter = List.copyOf(values);
+  }
+
+  /** Returns the values of the hidden header. */
+  List<String> hiddenRetryAfter() {
+    return retryAfter;
+  }
 }
