Handle queued requests of a connection completely and in order

Callers that send a request before the answer to the one before got neither an answer nor a refusal in two cases. Content that arrived between the end of one exchange and the start of the queued one was handled before the queued head and dropped, so that the request never became whole. And a process that drained closed the connection after the answer in progress, with whole requests queued behind it.

What arrives while messages are queued now goes to the end of the queue. A draining process answers what is queued and announces the close with the last answer; a connection with queued messages counts as busy.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -73,7 +73,7 @@
 
   /** Closes the connection if its idle timeout or header timeout has expired. */
   public void checkTimeouts(long nowNanos) {
-    if (exchange != null || closing) {
+    if (exchange != null || !pipelined.isEmpty() || closing) {
       return;
     }
     long nanosPerMilli = 1_000_000;
@@ -113,7 +113,7 @@
 
   /** Closes the connection unless a request is in progress or partly received. */
   public void closeIfIdle() {
-    if (exchange == null && head == null && !headStarted && !closing) {
+    if (!busy() && !closing) {
       close(ConnectionClose.Reason.DRAINING, "");
     }
   }
@@ -122,7 +122,7 @@
   public void channelRead(ChannelHandlerContext read, Object message) {
     if (closing) {
       ReferenceCountUtil.release(message);
-    } else if (exchange != null) {
+    } else if (exchange != null || !pipelined.isEmpty()) {
       pipelined.addLast(message);
       if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
         context.channel().config().setAutoRead(false);
@@ -283,7 +283,7 @@
 
   /** Returns whether a request is in progress or partly received. */
   public boolean busy() {
-    return exchange != null || head != null || headStarted;
+    return exchange != null || head != null || headStarted || !pipelined.isEmpty();
   }
 
   /** Returns the number of bytes that are written but not yet sent. */
@@ -294,17 +294,21 @@
   }
 
   private void setCloseHeader(HttpResponse response) {
-    if (!keepAlive || listener.draining()) {
+    if (closesAfterAnswer()) {
       keepAlive = false;
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
 
+  private boolean closesAfterAnswer() {
+    return !keepAlive || (listener.draining() && pipelined.isEmpty());
+  }
+
   private void finishExchange() {
     releaseExchange();
     lastActivityNanos = System.nanoTime();
     // Draining may have started after a stream's head was sent with keep-alive.
-    if (!keepAlive || listener.draining()) {
+    if (closesAfterAnswer()) {
       if (!pipelined.isEmpty()) {
         report(ConnectionClose.Reason.CLOSE_ANNOUNCED, "");
       }
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
@@ -119,4 +119,27 @@
     assertThat(channel.isOpen(), is(false));
     assertThat(listener.closes, empty());
   }
+
+  // The rest of a queued body was handled before its head and dropped: no answer, no refusal.
+  @Test
+  void contentThatArrivesBeforeTheQueuedHeadIsHandledKeepsItsOrder() {
+    receive(REQUEST + "POST /second HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    listener.answer();
+    receive("cd");
+    assertThat(listener.bodies, is(List.of("", "abcd")));
+  }
+
+  // A process that drained dropped whole requests that were queued behind the one in progress.
+  @Test
+  void queuedRequestsAreAnsweredBeforeTheConnectionOfDrainingProcessCloses() {
+    receive(REQUEST + QUEUED);
+    listener.draining = true;
+    listener.answer();
+    channel.runPendingTasks();
+    assertThat(listener.paths, is(List.of("/first", "/second")));
+    listener.answer();
+    assertThat(written().split("HTTP/1.1 404").length, is(3));
+    assertThat(channel.isOpen(), is(false));
+    assertThat(listener.closes, empty());
+  }
 }
