Keep the idle timeout under which a caller's connection became idle

Evidence: both new tests failed on the code before.

An idle connection keeps the timeout of its last activity, or a longer one that came since. The close is decided up to half a second after the timeout, spread over the connections, and only if nothing arrived in between; so bytes that wait in the socket are read first.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.relay.LocalAnswer;
+import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.relay.HopByHopHeaders;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -38,6 +39,12 @@
   /** Number of queued pipelined messages at which reading from the caller is paused. */
   private static final int MAX_PIPELINED_MESSAGES = 64;
 
+  /** Time for bytes that have arrived to be read before an idle connection closes. */
+  private static final long MIN_IDLE_CLOSE_DELAY_MILLIS = 20;
+
+  /** Time over which the closes of idle connections are spread; the interval of the checks. */
+  private static final int IDLE_CLOSE_SPREAD_MILLIS = 500;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final CallerListener listener;
@@ -49,6 +56,11 @@
   private boolean keepAlive;
   private boolean closing;
   private long lastActivityNanos = System.nanoTime();
+
+  /** Idle timeout in force at the last activity; callers reckon with it for the reuse. */
+  private long idleTimeoutMillis;
+
+  private boolean idleCloseScheduled;
   private long headStartedNanos;
   private boolean headStarted;
 
@@ -60,11 +72,12 @@
   @Override
   public void handlerAdded(ChannelHandlerContext added) {
     this.context = added;
+    recordActivity();
   }
 
   /** Records the arrival of bytes, before they are decoded, for the timeouts. */
   void bytesArrived() {
-    lastActivityNanos = System.nanoTime();
+    recordActivity();
     if (exchange == null && head == null && !headStarted) {
       headStarted = true;
       headStartedNanos = lastActivityNanos;
@@ -76,20 +89,50 @@
     if (exchange != null || !pipelined.isEmpty() || closing) {
       return;
     }
-    long nanosPerMilli = 1_000_000;
-    long idleNanos = listener.limits().idleTimeoutMillis() * nanosPerMilli;
-    long headNanos = listener.limits().headerTimeoutMillis() * nanosPerMilli;
+    RequestLimits limits = listener.limits();
+    long headNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
+    long idleNanos =
+        TimeUnit.MILLISECONDS.toNanos(Math.max(idleTimeoutMillis, limits.idleTimeoutMillis()));
     if (headStarted && nowNanos - headStartedNanos >= headNanos) {
       rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (nowNanos - lastActivityNanos >= idleNanos) {
       if (head == null) {
-        close(ConnectionClose.Reason.IDLE_TIMEOUT, "");
+        scheduleIdleClose();
       } else {
         rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
       }
     }
   }
 
+  /** Closes an idle connection a little later, unless bytes arrive that were not read yet. */
+  private void scheduleIdleClose() {
+    if (idleCloseScheduled) {
+      return;
+    }
+    idleCloseScheduled = true;
+    long idleSinceNanos = lastActivityNanos;
+    // Spread, as a new configuration may end the timeout of many connections together.
+    long delayMillis =
+        MIN_IDLE_CLOSE_DELAY_MILLIS
+            + Math.floorMod(context.channel().id().hashCode(), IDLE_CLOSE_SPREAD_MILLIS);
+    context
+        .executor()
+        .schedule(
+            () -> {
+              idleCloseScheduled = false;
+              if (!busy() && !closing && lastActivityNanos == idleSinceNanos) {
+                close(ConnectionClose.Reason.IDLE_TIMEOUT, "");
+              }
+            },
+            delayMillis,
+            TimeUnit.MILLISECONDS);
+  }
+
+  private void recordActivity() {
+    lastActivityNanos = System.nanoTime();
+    idleTimeoutMillis = listener.limits().idleTimeoutMillis();
+  }
+
   private void close(ConnectionClose.Reason reason, String detail) {
     report(reason, detail);
     closing = true;
@@ -306,7 +349,7 @@
 
   private void finishExchange() {
     releaseExchange();
-    lastActivityNanos = System.nanoTime();
+    recordActivity();
     // Draining may have started after a stream's head was sent with keep-alive.
     if (closesAfterAnswer()) {
       if (!pipelined.isEmpty()) {
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.zinniawood.core.route.RequestLimits;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -142,4 +143,36 @@
     assertThat(channel.isOpen(), is(false));
     assertThat(listener.closes, empty());
   }
+
+  private void checkTimeoutsAfter(long seconds) {
+    handler.checkTimeouts(System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds));
+    channel.advanceTimeBy(2, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+  }
+
+  // A lowered idle timeout closed connections on which callers were about to send.
+  @Test
+  void connectionThatIsIdleKeepsItsTimeoutWhenTheConfigurationLowersIt() {
+    receive(REQUEST);
+    listener.answer();
+    listener.limits = new RequestLimits(16_384, 1_048_576, 5_000, 1_000);
+    checkTimeoutsAfter(5);
+    assertThat(channel.isOpen(), is(true));
+    checkTimeoutsAfter(40);
+    assertThat(channel.isOpen(), is(false));
+    assertThat(listener.closes.get(0).reason(), is(ConnectionClose.Reason.IDLE_TIMEOUT));
+  }
+
+  // A request whose bytes had arrived was lost to the sweep for idle connections.
+  @Test
+  void requestThatHasArrivedIsReadBeforeAnIdleConnectionCloses() {
+    receive(REQUEST);
+    listener.answer();
+    handler.checkTimeouts(System.nanoTime() + LONG_IDLE_NANOS);
+    receive(QUEUED);
+    channel.advanceTimeBy(2, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    assertThat(listener.paths, is(List.of("/first", "/second")));
+    assertThat(channel.isOpen(), is(true));
+  }
 }
