Discard input for a moment after an early refusal instead of resetting

Callers that were still sending a body when the relay refused it (413, and likewise 400, 408 and 431) could see a reset in place of the refusal: the connection closed with input unread, which resets it and may drop the answer that the caller has not read yet.

After the refusal the output ends, and what arrives is discarded for one second before the close.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -39,6 +40,9 @@
   /** Number of queued pipelined messages at which reading from the caller is paused. */
   private static final int MAX_PIPELINED_MESSAGES = 64;
 
+  /** Time for which input is discarded after a refusal, so that the caller can read it. */
+  private static final long DISCARD_MILLIS = 1_000;
+
   /** Time for bytes that have arrived to be read before an idle connection closes. */
   private static final long MIN_IDLE_CLOSE_DELAY_MILLIS = 20;
 
@@ -387,7 +391,18 @@
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    context.writeAndFlush(response).addListener(written -> closeAfterInput());
+  }
+
+  /**
+   * Ends the output and discards input for a limited time before the close, as a close with unread
+   * input resets the connection and may take the answer from the caller.
+   */
+  private void closeAfterInput() {
+    if (context.channel() instanceof DuplexChannel duplex) {
+      duplex.shutdownOutput();
+    }
+    context.executor().schedule(() -> context.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void dropPartialRequest() {
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -107,6 +108,8 @@
       assertThat(close.requestOpen(), is(expected.requestOpen()));
       assertThat(close.requestPartlyRead(), is(expected.requestPartlyRead()));
       assertThat(close.queuedRequests(), is(expected.queuedRequests()));
+      test.channel.advanceTimeBy(2, TimeUnit.SECONDS);
+      test.channel.runScheduledPendingTasks();
       assertThat(test.channel.isOpen(), is(false));
     }
   }
@@ -175,4 +178,17 @@
     assertThat(listener.paths, is(List.of("/first", "/second")));
     assertThat(channel.isOpen(), is(true));
   }
+
+  // A close while the caller still sends becomes a reset, which takes the refusal away from it.
+  @Test
+  void inputIsDiscardedForSomeTimeAfterAnEarlyRefusal() {
+    receive("POST /first HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n");
+    assertThat(written(), startsWith("HTTP/1.1 413"));
+    assertThat(channel.isOpen(), is(true));
+    receive("x".repeat(1_000));
+    channel.advanceTimeBy(2, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    assertThat(channel.isOpen(), is(false));
+    assertThat(listener.bodies, empty());
+  }
 }
