Do not say not-run for a call whose claim a restored store may have lost

An entry that loses the agent of a keyed call writes a tombstone and then says not-run, or sends the call again. After a restore, a missing row does not show that the call never started: the agent's claim may be among the lost writes, and with the agent gone nobody writes it again. The entry remembers the era in which each keyed call arrived. If the store is in a later one, it writes the row of a started call instead of a tombstone, so this call and its repeats get unknown.

StoreEffectsTest.callFromBeforeRestoreIsNotReleasedWithoutItsRow failed before: the claim was released.

--- a/entry/src/main/java/io/zinniawood/entry/internal/store/ClaimReleaser.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/ClaimReleaser.java
@@ -10,9 +10,11 @@
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Fence;
 import io.zinniawood.core.id.Incarnation;
+import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.ClaimRow;
 import io.zinniawood.core.model.ClaimState;
+import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.entry.internal.Completions;
 import io.zinniawood.store.PlatformError;
 import io.zinniawood.store.Table;
@@ -23,6 +25,8 @@
 import io.zinniawood.store.claim.ClaimRowKey;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.function.Consumer;
 
 /** Reads and releases claim rows in the platform's table and posts the results as events. */
@@ -33,11 +37,15 @@
   /** Limits the retries; every write after the first follows a conflict or a lost response. */
   private static final int MAX_WRITE_ATTEMPTS = 4;
 
+  /** Bounds the memory of arrivals; twice the number of requests that an entry holds open. */
+  private static final int MAX_ARRIVALS = 8_192;
+
   private final VmId vm;
   private final Table table;
   private final Consumer<EntryEvent> events;
   private final Logger logger;
   private final ClaimRowCodec codec = new ClaimRowCodec();
+  private final Map<RequestId, Long> erasOfArrival = new LinkedHashMap<>();
 
   /**
    * Creates the releaser.
@@ -56,12 +64,29 @@
 
   /** Reads the claim row of a key and posts ClaimRead. */
   public void read(EntryEffect.ReadClaim read) {
+    recordArrival(read.request());
     Completions.handle(
         table.read(ClaimRowKey.of(read.key())),
         ClaimReleaser::responseLost,
         result -> events.accept(new EntryEvent.ClaimRead(read.request(), toReadResult(result))));
   }
 
+  private synchronized void recordArrival(RequestId request) {
+    erasOfArrival.put(request, presentEra());
+    if (erasOfArrival.size() > MAX_ARRIVALS) {
+      erasOfArrival.remove(erasOfArrival.keySet().iterator().next());
+    }
+  }
+
+  /** Tells whether the store may have lost a claim of an attempt of this request. */
+  private synchronized boolean mayHaveLostClaim(EntryEffect.ReleaseClaim release) {
+    return erasOfArrival.getOrDefault(release.request(), presentEra()) < presentEra();
+  }
+
+  private long presentEra() {
+    return StoreVersion.era(table.absentVersion());
+  }
+
   private ClaimReadResult toReadResult(Either<PlatformError, Option<TableRow>> result) {
     if (result.isLeft()) {
       logger.log(Level.DEBUG, "reading a claim row failed: {0}", result.getLeft().detail());
@@ -83,7 +108,9 @@
   /**
    * Prevents every attempt up to the given one from executing, and posts ClaimReleaseCompleted. A
    * row that was released for an earlier attempt does not exclude this attempt, which may hold its
-   * fence, so the row is written again with a higher fence.
+   * fence, so the row is written again with a higher fence. If the store came back from a copy
+   * since the call arrived, a missing row does not show that the call did not run; the row that is
+   * written then says that it started.
    */
   public void release(EntryEffect.ReleaseClaim release) {
     write(release, table.absentVersion(), INITIAL_RELEASE_FENCE, MAX_WRITE_ATTEMPTS);
@@ -95,13 +122,14 @@
       post(release, new ClaimReleaseResult.Unavailable());
       return;
     }
+    boolean lost = mayHaveLostClaim(release);
     ClaimRow tombstone =
         new ClaimRow(
             new EndpointId(vm.value()),
             new Incarnation(0),
             release.attempt(),
             release.requestDigest(),
-            ClaimState.RELEASED,
+            lost ? ClaimState.STARTED : ClaimState.RELEASED,
             fence,
             Option.none());
     String key = ClaimRowKey.of(release.key());
@@ -115,6 +143,10 @@
             post(release, toUnavailable(result.getLeft()));
           } else if (result.get() instanceof TableWriteResult.Conflict conflict) {
             resolve(release, conflict.currentRow(), writesLeft - 1);
+          } else if (lost) {
+            logger.log(
+                Level.WARNING, "claim {0} may be lost with an era; its outcome is unknown", key);
+            post(release, new ClaimReleaseResult.Held(tombstone));
           } else {
             post(release, new ClaimReleaseResult.Released(fence));
           }
@@ -152,7 +184,7 @@
     ClaimRow claim = decoded.get();
     if (claim.state() != ClaimState.RELEASED) {
       post(release, new ClaimReleaseResult.Held(claim));
-    } else if (claim.attempt().equals(release.attempt())) {
+    } else if (claim.attempt().equals(release.attempt()) && !mayHaveLostClaim(release)) {
       post(release, new ClaimReleaseResult.Released(claim.fence()));
     } else {
       write(release, row.get().version(), new Fence(claim.fence().value() + 1), writesLeft);
--- a/entry/src/test/java/io/zinniawood/entry/FakePlatform.java
+++ b/entry/src/test/java/io/zinniawood/entry/FakePlatform.java
@@ -54,6 +54,13 @@
   volatile Vector<VmEntry> vms = Vector.empty();
   volatile Option<ConfigurationSnapshot> newestSnapshot = Option.some(snapshot(1));
 
+  volatile long absentVersion;
+
+  @Override
+  public long absentVersion() {
+    return absentVersion;
+  }
+
   static ConfigurationSnapshot snapshot(long generation) {
     return new ConfigurationSnapshot(new Generation(generation), Payload.ofText("snapshot"));
   }
@@ -75,7 +82,7 @@
       return failed(new PlatformError.ResponseLost("lost"));
     }
     Option<TableRow> present = Option.of(rows.get(key));
-    long version = present.map(TableRow::version).getOrElse(0L);
+    long version = present.map(TableRow::version).getOrElse(absentVersion);
     TableWriteResult result;
     if (version == expectedVersion) {
       rows.put(key, new TableRow(key, version + 1, Payload.wrap(value)));
--- a/entry/src/test/java/io/zinniawood/entry/StoreEffectsTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/StoreEffectsTest.java
@@ -23,6 +23,7 @@
 import io.zinniawood.core.model.ClaimRow;
 import io.zinniawood.core.model.ClaimState;
 import io.zinniawood.core.model.Payload;
+import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.entry.FakePlatform.NextWrite;
 import io.zinniawood.entry.internal.store.ClaimReleaser;
 import io.zinniawood.entry.internal.store.LeaseStore;
@@ -97,6 +98,18 @@
         releaseClaim("a1", NextWrite.LOSE_REQUEST), instanceOf(ClaimReleaseResult.Held.class));
   }
 
+  // Guards against reporting not-run, and against a retry, for a call whose claim may be lost.
+  @Test
+  void callFromBeforeRestoreIsNotReleasedWithoutItsRow() {
+    releaser.read(new EntryEffect.ReadClaim(new RequestId("r"), KEY));
+    events.remove();
+    platform.absentVersion = StoreVersion.of(1, 0);
+    ClaimReleaseResult released = releaseClaim("a1", NextWrite.NORMAL);
+    assertThat(released, instanceOf(ClaimReleaseResult.Held.class));
+    assertThat(((ClaimReleaseResult.Held) released).row().state(), equalTo(ClaimState.STARTED));
+    assertThat(releaseClaim("a1", NextWrite.NORMAL), equalTo(released));
+  }
+
   // Guards against reporting not-run for a call that an agent has claimed, or during an outage.
   @Test
   void startedClaimsAndOutagesAreNotReleased() {
