Agents that start accept no fencing number of an earlier era

An agent takes the lowest number that it accepts from the row of the controller lease. After a restore the row may show an earlier holder than the last one, whose late orders then passed. The lowest number is now at least the first one of the present era.

--- a/agent/src/main/java/io/zinniawood/agent/internal/LeaseReader.java
+++ b/agent/src/main/java/io/zinniawood/agent/internal/LeaseReader.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.agent.AgentEvent;
 import io.zinniawood.core.id.FencingNumber;
+import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.store.PlatformError;
 import io.zinniawood.store.Table;
 import io.zinniawood.store.TableRow;
@@ -32,6 +33,14 @@
         result -> events.accept(new AgentEvent.FencingNumberRead(fencingNumber(result))));
   }
 
+  /**
+   * Raises the number to the present era, as the store may have lost the last holders of others.
+   */
+  private FencingNumber inPresentEra(FencingNumber number) {
+    long lowest = StoreVersion.of(StoreVersion.era(table.absentVersion()), 0);
+    return new FencingNumber(Math.max(number.value(), lowest));
+  }
+
   private Option<FencingNumber> fencingNumber(Either<PlatformError, Option<TableRow>> result) {
     if (result.isLeft()) {
       return Option.none();
@@ -39,6 +48,7 @@
     return result
         .get()
         .map(row -> LeaseRowCodec.fencingNumber(row.value().bytes()))
-        .getOrElse(Option.some(NEVER_HELD));
+        .getOrElse(Option.some(NEVER_HELD))
+        .map(this::inPresentEra);
   }
 }
