--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -199,6 +199,8 @@
   static void answerRelayed(RelayTurn turn, RelayEvent.AnswerRelayed event) {
     OpenRequest open = turn.state.open.get(event.id());
     if (open != null && open.attempt == event.attempt()) {
+      turn.state.durations.record(
+          open.service, open.estimatedMillis, turn.millisSince(open.sentNanos));
       complete(turn, open, "answered", "complete");
     }
   }
--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -46,8 +46,11 @@
     double gapMillis = selector.expectedGapMillis(path.get());
     long answerTokens = open.expectedTokens - open.request.promptTokens();
     // A stream that has begun goes on for as long as possible; its caller can resume the rest.
+    open.estimatedMillis = open.headRelayed ? 0 : firstEventMillis + answerTokens * gapMillis;
     double expectedMillis =
-        open.headRelayed ? firstEventMillis : firstEventMillis + answerTokens * gapMillis;
+        open.headRelayed
+            ? firstEventMillis
+            : turn.state.durations.expectedMillis(open.service, open.estimatedMillis);
     if (GracePeriod.tooLate(turn, open, expectedMillis)) {
       return Result.TOO_LATE;
     }
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -53,6 +53,10 @@
   long expectedTokens;
   double expectedGapMillis;
   double expectedFirstEventMillis;
+
+  /** Estimated duration of the whole answer; 0 for plain calls and resumed streams. */
+  double estimatedMillis;
+
   long sentNanos;
   long lastProgressNanos;
   boolean firstEventRelayed;
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -21,6 +21,7 @@
   final List<OpenRequest> waiting = new ArrayList<>();
   final RetryBudget retryBudget = new RetryBudget();
   final LinkBacklogs linkBacklogs = new LinkBacklogs();
+  final DurationEstimates durations = new DurationEstimates();
   final SplittableRandom random;
   Optional<RouteTable> routes = Optional.empty();
   final Peers peers = new Peers();
--- a/core/src/test/java/io/zinniawood/core/relay/RelayDrainTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayDrainTest.java
@@ -168,6 +168,23 @@
     assertThat(relay.localAnswer(id).map(LocalAnswer::status).orElse(0), is(accepted ? 0 : 503));
   }
 
+  // Guards against refusals of requests that measured durations show to fit, and the reverse.
+  @ParameterizedTest
+  @CsvSource({"50, true", "9000, false"})
+  void measuredDurationsDecideWhetherStreamsFit(long measuredMillis, boolean accepted) {
+    relay.list(relay.model("a", 0, 10));
+    for (int count = 0; count < 5; count++) {
+      RelayRequestId sample = relay.request("stream", 20_000);
+      relay.answerReceived(sample, 1, 200);
+      relay.pauseMillis(measuredMillis);
+      relay.post(new RelayEvent.AnswerRelayed(sample, 1));
+    }
+    terminate();
+    relay.pauseMillis(2_500);
+    RelayRequestId id = relay.request("stream", 20_000);
+    assertThat(relay.sends(id).isEmpty(), is(!accepted));
+  }
+
   // Every open request has exactly one end before the kill, whatever happens during the drain.
   @Test
   void everyRequestHasOneEndInDrawnHistories() {
