--- a/core/src/test/java/io/zinniawood/core/relay/RelayRestoreHistoriesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayRestoreHistoriesTest.java
@@ -83,7 +83,12 @@
       state =
           new RelayState(
               new RelayParameters(
-                  vm, RelayHarness.LOCAL, Optional.of(address), incarnation == 1, incarnation));
+                  vm,
+                  RelayHarness.LOCAL,
+                  Optional.of(address),
+                  incarnation == 1,
+                  RelayHarness.GRACE_MILLIS,
+                  incarnation));
     }
   }
 
