--- a/agent/src/main/java/io/zinniawood/agent/internal/LeaseReader.java
+++ b/agent/src/main/java/io/zinniawood/agent/internal/LeaseReader.java
@@ -4,7 +4,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.agent.AgentEvent;
 import io.zinniawood.core.id.FencingNumber;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.store.PlatformError;
 import io.zinniawood.store.Table;
 import io.zinniawood.store.TableRow;
@@ -37,7 +37,7 @@
    * Raises the number to the present era, as the store may have lost the last holders of others.
    */
   private FencingNumber inPresentEra(FencingNumber number) {
-    long lowest = StoreVersion.of(StoreVersion.era(table.absentVersion()), 0);
+    long lowest = PackedStoreVersion.of(PackedStoreVersion.era(table.absentVersion()), 0);
     return new FencingNumber(Math.max(number.value(), lowest));
   }
 
--- a/agent/src/test/java/io/zinniawood/agent/internal/FakeTable.java
+++ b/agent/src/test/java/io/zinniawood/agent/internal/FakeTable.java
@@ -2,8 +2,8 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.core.model.Payload;
-import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.store.PlatformError;
 import io.zinniawood.store.Table;
 import io.zinniawood.store.TableRow;
@@ -67,7 +67,7 @@
 
   @Override
   public long absentVersion() {
-    return StoreVersion.of(era, 0);
+    return PackedStoreVersion.of(era, 0);
   }
 
   @Override
@@ -106,7 +106,7 @@
     if (restoresWithNextWrite) {
       restoresWithNextWrite = false;
       restoreUnseen();
-      rows.put(key, new TableRow(key, StoreVersion.of(era, 1), Payload.wrap(value)));
+      rows.put(key, new TableRow(key, PackedStoreVersion.of(era, 1), Payload.wrap(value)));
       showEra();
       return failed(new PlatformError.ResponseLost("written in another era"));
     }
--- a/agent/src/test/java/io/zinniawood/agent/internal/LeaseReaderTest.java
+++ b/agent/src/test/java/io/zinniawood/agent/internal/LeaseReaderTest.java
@@ -8,7 +8,7 @@
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.id.FencingNumber;
 import io.zinniawood.core.id.VmId;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.store.lease.LeaseRowCodec;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,7 +26,7 @@
         table.absentVersion(),
         LeaseRowCodec.encode(new LeaseRow(new VmId("e"), new FencingNumber(7), 0)));
     new LeaseReader(table, events::add).readFencingNumber();
-    FencingNumber expected = new FencingNumber(StoreVersion.of(1, 0));
+    FencingNumber expected = new FencingNumber(PackedStoreVersion.of(1, 0));
     assertThat(events, equalTo(List.of(new AgentEvent.FencingNumberRead(Option.some(expected)))));
   }
 }
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRowReads.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRowReads.java
@@ -5,7 +5,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.configuration.AcceptedConfiguration;
 import io.zinniawood.core.id.Generation;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.core.runtime.Step;
 
 /**
@@ -30,7 +30,8 @@
     Generation stored =
         event.row().map(found -> found.row().generation()).getOrElse(new Generation(0));
     boolean restored =
-        StoreVersion.era(event.version()) > StoreVersion.era(state.generationInForce().value());
+        PackedStoreVersion.era(event.version())
+            > PackedStoreVersion.era(state.generationInForce().value());
     if (stored.compareTo(state.generationInForce()) < 0 && !restored) {
       return Rounds.retry(
           state,
@@ -89,7 +90,8 @@
    * row with the same generation may have been in force.
    */
   private static boolean isOfEarlierEra(VersionedRow row) {
-    return StoreVersion.era(row.row().generation().value()) < StoreVersion.era(row.version());
+    return PackedStoreVersion.era(row.row().generation().value())
+        < PackedStoreVersion.era(row.version());
   }
 
   /** Adopts and publishes a configuration if its generation is higher than the one in force. */
--- a/core/src/main/java/io/zinniawood/core/acceptance/FolderReads.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/FolderReads.java
@@ -5,7 +5,7 @@
 import io.vavr.collection.TreeMap;
 import io.vavr.collection.TreeSet;
 import io.vavr.collection.Vector;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.core.runtime.Step;
 
 /**
@@ -214,7 +214,7 @@
     FolderHistory history =
         state
             .folderHistory()
-            .inEra(StoreVersion.era(state.rowVersion()), listing, files, state.mergedFiles());
+            .inEra(PackedStoreVersion.era(state.rowVersion()), listing, files, state.mergedFiles());
     SortedMap<String, FolderFile> current =
         history.withoutRestored(listing, files, state.mergedFiles());
     return Step.of(
--- a/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
@@ -8,7 +8,7 @@
 import io.zinniawood.core.configuration.AcceptedConfiguration;
 import io.zinniawood.core.id.AttemptId;
 import io.zinniawood.core.id.Generation;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.core.runtime.Step;
 
 /** Evaluates a merge of the folder and writes a valid, changed one as the next generation. */
@@ -53,7 +53,7 @@
                 state.loadedSnapshotName().contains(row.objectName())
                     && state.inForce().exists(c -> c.digest().equals(row.digest()))
                     && (row.digest().equals(valid.digest())
-                        || (StoreVersion.era(row.generation().value()) > 0
+                        || (PackedStoreVersion.era(row.generation().value()) > 0
                             && !state.folderHistory().digest().contains(row.digest())
                             && state.acceptedFiles().equals(merging.listing()))));
   }
@@ -63,8 +63,8 @@
    * that the folder may be an earlier one.
    */
   private static boolean lacksTextsInForce(AcceptanceState state, MergeOutcome.Valid valid) {
-    return StoreVersion.era(state.rowVersion())
-            > StoreVersion.era(state.generationInForce().value())
+    return PackedStoreVersion.era(state.rowVersion())
+            > PackedStoreVersion.era(state.generationInForce().value())
         && state
             .inForce()
             .exists(
@@ -248,7 +248,7 @@
 
   /** A write that took effect in another era may have replaced a row that was never read. */
   private static boolean isOfExpectedEra(Proposal proposal, long version) {
-    return StoreVersion.era(version) == StoreVersion.era(proposal.expectedVersion());
+    return PackedStoreVersion.era(version) == PackedStoreVersion.era(proposal.expectedVersion());
   }
 
   private static boolean isOwnAttempt(AcceptedRow proposed, Option<VersionedRow> row) {
--- a/core/src/main/java/io/zinniawood/core/entry/Leases.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Leases.java
@@ -5,7 +5,7 @@
 import io.zinniawood.core.entry.lease.LeaseView;
 import io.zinniawood.core.entry.membership.EntryRanking;
 import io.zinniawood.core.id.FencingNumber;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.core.model.VmEntry;
 
 /** Acquires and renews the controller lease. */
@@ -93,7 +93,7 @@
 
   /** Tells whether another holder may have the fencing number of a row that the store has lost. */
   private static boolean isOfEarlierEra(LeaseRow row, long version) {
-    return StoreVersion.era(row.fencingNumber().value()) < StoreVersion.era(version);
+    return PackedStoreVersion.era(row.fencingNumber().value()) < PackedStoreVersion.era(version);
   }
 
   /**
--- a/core/src/main/java/io/zinniawood/core/model/StoreVersion.java
+++ b/core/src/main/java/io/zinniawood/core/model/PackedStoreVersion.java
@@ -1,11 +1,12 @@
 package io.zinniawood.core.model;
 
 /**
- * Versions of table rows and the era of the store that gave them out. The store raises its era each
- * time it comes back from a copy, after which it gives the numbers since that copy out again. A
- * version combines both, so that versions of one row rise across restores and none repeats.
+ * Versions of table rows packed with the era of the store that gave them out. The store raises its
+ * era each time it comes back from a copy, after which it gives the numbers since that copy out
+ * again. A version combines both, so that versions of one row rise across restores and none
+ * repeats.
  */
-public final class StoreVersion {
+public final class PackedStoreVersion {
   /** Highest era that a version can hold. */
   public static final long MAX_ERA = (1L << 31) - 1;
 
@@ -14,7 +15,7 @@
 
   private static final int NUMBER_BITS = 32;
 
-  private StoreVersion() {}
+  private PackedStoreVersion() {}
 
   /**
    * Returns the version with a number of an era.
--- a/core/src/test/java/io/zinniawood/core/acceptance/AcceptanceSimulation.java
+++ b/core/src/test/java/io/zinniawood/core/acceptance/AcceptanceSimulation.java
@@ -11,7 +11,7 @@
 import io.zinniawood.core.configuration.RetryPolicy;
 import io.zinniawood.core.configuration.RoutingPolicy;
 import io.zinniawood.core.id.VmId;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.core.runtime.Step;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -197,7 +197,7 @@
     Fault chosen =
         effect instanceof AcceptanceEffect.MergeFiles ? Fault.NONE : faults.apply(effect);
     if (effect instanceof AcceptanceEffect.WriteRow write
-        && StoreVersion.era(write.expectedVersion()) < operation.node().era) {
+        && PackedStoreVersion.era(write.expectedVersion()) < operation.node().era) {
       chosen = Fault.UNAVAILABLE;
     }
     boolean stale = chosen == Fault.NONE && operation.node().staleListings > 0;
@@ -284,7 +284,8 @@
       return Option.of(new AcceptanceEvent.SnapshotWritten(write.round()));
     } else if (effect instanceof AcceptanceEffect.WriteRow write) {
       Option<Long> version = store.compareAndSet(write.expectedVersion(), write.row());
-      if (version.exists(v -> StoreVersion.era(v) != StoreVersion.era(write.expectedVersion()))) {
+      if (version.exists(
+          v -> PackedStoreVersion.era(v) != PackedStoreVersion.era(write.expectedVersion()))) {
         return Option.of(
             new AcceptanceEvent.StoreFailed(
                 write.round(),
--- a/core/src/test/java/io/zinniawood/core/acceptance/FakeStore.java
+++ b/core/src/test/java/io/zinniawood/core/acceptance/FakeStore.java
@@ -4,7 +4,7 @@
 import io.vavr.collection.TreeMap;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -91,7 +91,7 @@
         file ->
             new FolderFile(
                 file.name(),
-                Long.toString(StoreVersion.of(era, Long.parseLong(file.version()))),
+                Long.toString(PackedStoreVersion.of(era, Long.parseLong(file.version()))),
                 file.text()));
   }
 
@@ -100,11 +100,12 @@
   }
 
   Option<VersionedRow> row() {
-    return row.map(found -> new VersionedRow(StoreVersion.of(era, found.version()), found.row()));
+    return row.map(
+        found -> new VersionedRow(PackedStoreVersion.of(era, found.version()), found.row()));
   }
 
   long rowVersion() {
-    return row().map(VersionedRow::version).getOrElse(StoreVersion.of(era, 0));
+    return row().map(VersionedRow::version).getOrElse(PackedStoreVersion.of(era, 0));
   }
 
   Option<AcceptedSnapshot> snapshot(String name) {
@@ -132,7 +133,7 @@
 
   /** Writes the row if its version is as expected and returns the new version. */
   Option<Long> compareAndSet(long expectedVersion, AcceptedRow next) {
-    long number = StoreVersion.number(expectedVersion);
+    long number = PackedStoreVersion.number(expectedVersion);
     if (row.map(VersionedRow::version).getOrElse(0L) != number) {
       return Option.none();
     }
@@ -142,11 +143,11 @@
               .formatted(next.generation(), expectedVersion));
     }
     keepCopy();
-    if (StoreVersion.era(expectedVersion) == era) {
+    if (PackedStoreVersion.era(expectedVersion) == era) {
       checkNoRevert(snapshots.get(next.objectName()).files());
     }
     row = Option.of(new VersionedRow(number + 1, next));
-    return Option.of(StoreVersion.of(era, number + 1));
+    return Option.of(PackedStoreVersion.of(era, number + 1));
   }
 
   /** Fails if a version that an accepted set replaced or dropped is accepted again. */
--- a/core/src/test/java/io/zinniawood/core/entry/ControllerTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/ControllerTest.java
@@ -12,7 +12,7 @@
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.EngineOrder;
 import io.zinniawood.core.model.LayerRange;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.core.model.VmEntry;
 import io.zinniawood.core.model.VmRole;
 import io.zinniawood.core.model.VmState;
@@ -145,13 +145,13 @@
     world.run(30_000);
     FencingNumber before = world.state.controller().lease().heldRow().get().fencingNumber();
     world.table.lease = Option.none();
-    world.table.leaseVersion = StoreVersion.of(1, 0);
+    world.table.leaseVersion = PackedStoreVersion.of(1, 0);
     world.run(3_000);
     LeaseRow after = world.state.controller().lease().heldRow().get();
     assertThat(after.fencingNumber().compareTo(before), greaterThan(0));
 
     world.table.lease = Option.some(LEASE_OF_OTHER_ENTRY);
-    world.table.leaseVersion = StoreVersion.of(2, 3);
+    world.table.leaseVersion = PackedStoreVersion.of(2, 3);
     world.run(5_000);
     assertThat(world.table.lease.get(), equalTo(LEASE_OF_OTHER_ENTRY));
     assertThat(world.state.controller().lease().heldRow().isDefined(), is(false));
@@ -166,11 +166,11 @@
     start();
     world.run(30_000);
     LeaseRow held = world.state.controller().lease().heldRow().get();
-    world.table.leaseVersion = StoreVersion.of(1, world.table.leaseVersion - 3);
+    world.table.leaseVersion = PackedStoreVersion.of(1, world.table.leaseVersion - 3);
     world.run(5_000);
     LeaseRow after = world.state.controller().lease().heldRow().get();
     assertThat(after.fencingNumber().compareTo(held.fencingNumber()), greaterThan(0));
-    assertThat(StoreVersion.era(after.fencingNumber().value()), is(1L));
+    assertThat(PackedStoreVersion.era(after.fencingNumber().value()), is(1L));
   }
 
   private int countOrders() {
--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -9,7 +9,7 @@
 import io.zinniawood.core.entry.EntryTimer;
 import io.zinniawood.core.entry.Readiness;
 import io.zinniawood.core.message.Message.ObjectiveCounts;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.entry.internal.EntryEffects;
 import io.zinniawood.entry.internal.EntryRecorder;
 import io.zinniawood.entry.internal.admin.AdminRoutes;
@@ -186,7 +186,7 @@
     metrics.registerGauge(
         "zinniawood_configuration_generation", () -> dependencies.generation().get().value());
     metrics.registerGauge(
-        "zinniawood_store_era", () -> StoreVersion.era(dependencies.table().absentVersion()));
+        "zinniawood_store_era", () -> PackedStoreVersion.era(dependencies.table().absentVersion()));
     metrics.registerGauge("zinniawood_ready", () -> readiness.get() == Readiness.READY ? 1 : 0);
     AdminRoutes adminRoutes = new AdminRoutes(readiness::get, metrics, dependencies.reports());
     adminServer =
--- a/entry/src/main/java/io/zinniawood/entry/internal/store/ClaimReleaser.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/store/ClaimReleaser.java
@@ -14,7 +14,7 @@
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.ClaimRow;
 import io.zinniawood.core.model.ClaimState;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.entry.internal.Completions;
 import io.zinniawood.store.PlatformError;
 import io.zinniawood.store.Table;
@@ -84,7 +84,7 @@
   }
 
   private long presentEra() {
-    return StoreVersion.era(table.absentVersion());
+    return PackedStoreVersion.era(table.absentVersion());
   }
 
   private ClaimReadResult toReadResult(Either<PlatformError, Option<TableRow>> result) {
--- a/entry/src/test/java/io/zinniawood/entry/StoreEffectsTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/StoreEffectsTest.java
@@ -22,8 +22,8 @@
 import io.zinniawood.core.model.ClaimKey;
 import io.zinniawood.core.model.ClaimRow;
 import io.zinniawood.core.model.ClaimState;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.core.model.Payload;
-import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.entry.FakePlatform.NextWrite;
 import io.zinniawood.entry.internal.store.ClaimReleaser;
 import io.zinniawood.entry.internal.store.LeaseStore;
@@ -103,7 +103,7 @@
   void callFromBeforeRestoreIsNotReleasedWithoutItsRow() {
     releaser.read(new EntryEffect.ReadClaim(new RequestId("r"), KEY));
     events.remove();
-    platform.absentVersion = StoreVersion.of(1, 0);
+    platform.absentVersion = PackedStoreVersion.of(1, 0);
     ClaimReleaseResult released = releaseClaim("a1", NextWrite.NORMAL);
     assertThat(released, instanceOf(ClaimReleaseResult.Held.class));
     assertThat(((ClaimReleaseResult.Held) released).row().state(), equalTo(ClaimState.STARTED));
--- a/store/src/main/java/io/zinniawood/store/Table.java
+++ b/store/src/main/java/io/zinniawood/store/Table.java
@@ -26,7 +26,7 @@
 
   /**
    * Returns the version of a row that does not exist, in the newest era that any answer stated; see
-   * {@link io.zinniawood.core.model.StoreVersion}.
+   * {@link io.zinniawood.core.model.PackedStoreVersion}.
    */
   default long absentVersion() {
     return 0;
--- a/store/src/main/java/io/zinniawood/store/http/HttpPlatform.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpPlatform.java
@@ -53,7 +53,7 @@
                 settings.connectTimeoutMillis(),
                 settings.maxResponseBytes(),
                 settings.maxConcurrentCalls()));
-    StoreEra era = new StoreEra();
+    NewestStoreEra era = new NewestStoreEra();
     this.table = new HttpTable(baseUrl, createCalls(calls, settings, era, "table"), era);
     this.objectStore =
         new HttpObjectStore(baseUrl, createCalls(calls, settings, era, "object store"));
@@ -64,7 +64,7 @@
 
   /** Creates a separate circuit breaker for each service because services fail independently. */
   private static PlatformServiceCalls createCalls(
-      HttpCalls calls, HttpPlatformSettings settings, StoreEra era, String service) {
+      HttpCalls calls, HttpPlatformSettings settings, NewestStoreEra era, String service) {
     return new PlatformServiceCalls(
         calls,
         settings.callTimeoutMillis(),
--- a/store/src/main/java/io/zinniawood/store/http/HttpTable.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpTable.java
@@ -2,8 +2,8 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.core.model.Payload;
-import io.zinniawood.core.model.StoreVersion;
 import io.zinniawood.http.HttpResult;
 import io.zinniawood.http.MalformedResponseException;
 import io.zinniawood.http.OneShotBody;
@@ -21,9 +21,9 @@
   private static final String ROW_PATH = "table/row";
   private final HttpUrl baseUrl;
   private final PlatformServiceCalls calls;
-  private final StoreEra era;
+  private final NewestStoreEra era;
 
-  HttpTable(HttpUrl baseUrl, PlatformServiceCalls calls, StoreEra era) {
+  HttpTable(HttpUrl baseUrl, PlatformServiceCalls calls, NewestStoreEra era) {
     this.baseUrl = baseUrl;
     this.calls = calls;
     this.era = era;
@@ -31,7 +31,7 @@
 
   @Override
   public long absentVersion() {
-    return StoreVersion.of(era.newest(), 0);
+    return PackedStoreVersion.of(era.newest(), 0);
   }
 
   @Override
@@ -49,7 +49,7 @@
   @Override
   public CompletableFuture<Either<PlatformError, TableWriteResult>> write(
       String key, long expectedVersion, byte[] value) {
-    long expectedEra = StoreVersion.era(expectedVersion);
+    long expectedEra = PackedStoreVersion.era(expectedVersion);
     if (expectedEra < era.newest()) {
       return CompletableFuture.completedFuture(
           Either.left(
@@ -57,7 +57,7 @@
                   "version of era %d of row %s has no meaning in era %d"
                       .formatted(expectedEra, key, era.newest()))));
     }
-    long number = StoreVersion.number(expectedVersion);
+    long number = PackedStoreVersion.number(expectedVersion);
     Request.Builder request =
         new Request.Builder()
             .url(PlatformHttp.urlWithQuery(baseUrl, ROW_PATH, "key", key))
@@ -91,12 +91,12 @@
       throws MalformedResponseException {
     if (response.status() == 200 || response.status() == 201) {
       long version = rowVersion(response);
-      return StoreVersion.era(version) == expectedEra
+      return PackedStoreVersion.era(version) == expectedEra
           ? Either.right(new TableWriteResult.Written(version))
           : Either.left(
               new PlatformError.ResponseLost(
                   "row %s was written in era %d of the store instead of era %d"
-                      .formatted(key, StoreVersion.era(version), expectedEra)));
+                      .formatted(key, PackedStoreVersion.era(version), expectedEra)));
     }
     if (response.status() == 412) {
       Option<TableRow> present =
@@ -117,8 +117,8 @@
     String tag = PlatformHttp.entityTag(response);
     try {
       long version = Long.parseLong(tag);
-      if (version >= 1 && version <= StoreVersion.MAX_NUMBER) {
-        return StoreVersion.of(StoreEra.of(response), version);
+      if (version >= 1 && version <= PackedStoreVersion.MAX_NUMBER) {
+        return PackedStoreVersion.of(NewestStoreEra.of(response), version);
       }
     } catch (NumberFormatException exception) {
       throw new MalformedResponseException("row version is not an integer: " + tag, exception);
--- a/store/src/main/java/io/zinniawood/store/http/StoreEra.java
+++ b/store/src/main/java/io/zinniawood/store/http/NewestStoreEra.java
@@ -1,6 +1,6 @@
 package io.zinniawood.store.http;
 
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.http.HttpResult.Response;
 import io.zinniawood.http.MalformedResponseException;
 import java.lang.System.Logger;
@@ -10,7 +10,7 @@
 import java.util.function.LongConsumer;
 
 /** Newest era of the store in any answer. Thread-safe. */
-final class StoreEra {
+final class NewestStoreEra {
   static final String HEADER = "Store-Era";
   private static final Logger LOGGER = System.getLogger("io.zinniawood.store");
 
@@ -63,7 +63,7 @@
     }
     try {
       long era = Long.parseLong(value);
-      if (era >= 0 && era <= StoreVersion.MAX_ERA) {
+      if (era >= 0 && era <= PackedStoreVersion.MAX_ERA) {
         return era;
       }
     } catch (NumberFormatException exception) {
--- a/store/src/main/java/io/zinniawood/store/http/PlatformHttp.java
+++ b/store/src/main/java/io/zinniawood/store/http/PlatformHttp.java
@@ -41,7 +41,7 @@
 
   /** Returns the version of an object, which is unique across the eras of the store. */
   static String objectVersion(Response response, String version) throws MalformedResponseException {
-    long era = StoreEra.of(response);
+    long era = NewestStoreEra.of(response);
     return era == 0 ? version : "%d.%s".formatted(era, version);
   }
 }
--- a/store/src/main/java/io/zinniawood/store/http/PlatformServiceCalls.java
+++ b/store/src/main/java/io/zinniawood/store/http/PlatformServiceCalls.java
@@ -11,14 +11,14 @@
   private final HttpCalls calls;
   private final long timeoutMillis;
   private final CircuitBreaker circuitBreaker;
-  private final StoreEra era;
+  private final NewestStoreEra era;
   private final String service;
 
   PlatformServiceCalls(
       HttpCalls calls,
       long timeoutMillis,
       CircuitBreaker circuitBreaker,
-      StoreEra era,
+      NewestStoreEra era,
       String service) {
     this.calls = calls;
     this.timeoutMillis = timeoutMillis;
--- a/store/src/test/java/io/zinniawood/store/http/StoreEraTest.java
+++ b/store/src/test/java/io/zinniawood/store/http/NewestStoreEraTest.java
@@ -10,7 +10,7 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import io.zinniawood.core.model.StoreVersion;
+import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.standin.platform.PlatformService;
 import io.zinniawood.standin.platform.PlatformSettings;
 import io.zinniawood.standin.platform.PlatformStandIn;
@@ -28,7 +28,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Access to a store that came back from a copy. */
-class StoreEraTest {
+class NewestStoreEraTest {
   private static final int ALL_MILLIS = 60_000;
 
   private final OkHttpClient client = new OkHttpClient();
@@ -66,7 +66,7 @@
     standIn.restore(ALL_MILLIS, 0);
     assertThat(read(platform.table()).isDefined(), is(false));
     long after = written(platform.table(), platform.table().absentVersion());
-    assertThat(after, is(StoreVersion.of(1, StoreVersion.number(before))));
+    assertThat(after, is(PackedStoreVersion.of(1, PackedStoreVersion.number(before))));
 
     long writes = standIn.writes(PlatformService.TABLE);
     assertThat(
@@ -80,7 +80,7 @@
   void resultOfWriteThatTookEffectInAnotherEraIsUnknown() throws Exception {
     long before = written(platform.table(), 0);
     standIn.restore(ALL_MILLIS, 0);
-    written(newPlatform().table(), StoreVersion.of(1, 0));
+    written(newPlatform().table(), PackedStoreVersion.of(1, 0));
     assertThat(
         write(platform.table(), before).getLeft(), instanceOf(PlatformError.ResponseLost.class));
   }
