Do not charge repeats that reached no endpoint to the retry budget

Callers saw begun streams broken off while endpoints were silent for a second: the repeats were sent to endpoints that were silent as well, the connect timeout of 300 ms ended each as not-sent, and each used up a repeat of the budget and an endpoint of the request, although nothing had arrived anywhere.

The new test saw ten aborted answers of twelve on the code before and none now.

The budget limits arrivals at endpoints, so an attempt without one is returned to it. The endpoint stays avoided until it responds, but may carry the request then, as it is not the request that failed there.

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -122,18 +122,32 @@
       return;
     }
     open.lastEventId = Math.max(open.lastEventId, event.lastEventId());
+    String reason = event.cause().name().toLowerCase(Locale.ROOT).replace('_', '-');
     if (event.cause() == AttemptFailureCause.NOT_SENT) {
-      open.possibleRuns--;
-      open.target
-          .flatMap(turn.state.fleet::find)
-          .ifPresent(endpoint -> FleetUpdates.suspect(turn, endpoint, "unreachable"));
-    } else {
-      recordResult(turn, open, true);
+      retryNotSent(turn, open, reason);
+      return;
     }
+    recordResult(turn, open, true);
     if (event.cause() == AttemptFailureCause.CONNECTION_LOST) {
       CrashWatch.connectionLost(turn, open);
     }
-    retry(turn, open, event.cause().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+    retry(turn, open, reason);
+  }
+
+  /**
+   * Retries a request that did not reach its endpoint. The endpoint is avoided until it responds
+   * but not excluded for this request, and the attempt does not count against the retry budget.
+   */
+  private static void retryNotSent(RelayTurn turn, OpenRequest open, String reason) {
+    open.possibleRuns--;
+    open.target
+        .flatMap(turn.state.fleet::find)
+        .ifPresent(endpoint -> FleetUpdates.suspect(turn, endpoint, "unreachable"));
+    if (open.sends > 1) {
+      turn.state.retryBudget.release(open.service, turn.nowNanos);
+    }
+    endAttempt(turn, open, reason);
+    retryOrRefuse(turn, open, reason);
   }
 
   /** Ends the attempt and retries the request if that is allowed; refuses it otherwise. */
--- a/core/src/main/java/io/zinniawood/core/relay/RetryBudget.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RetryBudget.java
@@ -58,6 +58,11 @@
     return true;
   }
 
+  /** Returns the last retry to the budget, as it did not reach an endpoint. */
+  void release(ServiceName service, long nowNanos) {
+    window(service, nowNanos).retryNanos.pollLast();
+  }
+
   private Window window(ServiceName service, long nowNanos) {
     Window window = windows.computeIfAbsent(service, name -> new Window());
     window.expire(nowNanos);
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
@@ -243,4 +243,27 @@
     assertThat(relay.effectsOf(RelayEffect.AbortAnswer.class), hasSize(1));
     assertThat(relay.localAnswer(id), is(Optional.empty()));
   }
+
+  // Guards against streams that are broken off because their repeats, which reached no endpoint,
+  // used up the retry budget.
+  @Test
+  void repeatsThatReachNoEndpointDoNotUseUpTheRetryBudget() {
+    relay.list(
+        relay.model("a", 0, 10),
+        relay.model("b", 0, 10),
+        relay.model("c", 0, 10),
+        relay.model("d", 0, 10));
+    List<RelayRequestId> ids = startStreams(12);
+    for (RelayRequestId id : ids) {
+      relay.post(new RelayEvent.AttemptFailed(id, 1, AttemptFailureCause.CONNECTION_LOST, 3));
+    }
+    for (int attempt = 2; attempt <= 3; attempt++) {
+      for (RelayRequestId id : ids) {
+        if (relay.sends(id).size() == attempt) {
+          relay.post(new RelayEvent.AttemptFailed(id, attempt, AttemptFailureCause.NOT_SENT, 3));
+        }
+      }
+    }
+    assertThat(relay.effectsOf(RelayEffect.AbortAnswer.class), empty());
+  }
 }
