Tests that depended on how fast the machine is: a started relay and the rate of weight transfers

The soak stops relays with SIGSTOP for up to 3 s, also while they start, and judged by the clock. It now allows 143 only while the process has written nothing, which is stricter for a relay that starts at usual speed.

EngineStandInTest.loadsWaitForTheRateLimitOfTheWeightStore failed once at a load of 22: it expects that the second load is refused once, at ten transfers a second with a burst of one, so a pause of more than 0.1 s between two calls of the test lets the second load through at once. The limit is now one a second; the expectation is the same.

--- a/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
+++ b/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
@@ -70,6 +70,15 @@
     return process.isAlive();
   }
 
+  /** Returns whether the process has written to its log. */
+  public boolean hasOutput() {
+    try {
+      return Files.size(LOG_FOLDER.resolve(name + ".log")) > 0;
+    } catch (IOException failure) {
+      throw new UncheckedIOException("cannot read the log of process " + name, failure);
+    }
+  }
+
   /** Waits up to 60 s for the end of the process and returns its exit code. */
   public int awaitExitCode() {
     try {
--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
@@ -120,7 +120,8 @@
     /** Drains the process with SIGTERM, checks its exit code and starts the relay again. */
     synchronized void restartGracefully() {
       signal("CONT");
-      boolean starting = isStarting();
+      // A paused process may start for longer than MAX_STARTUP_NANOS.
+      boolean starting = !process.hasOutput();
       signal("TERM");
       int code = process.awaitExitCode();
       violations.check(
--- a/standin/src/test/java/io/zinniawood/standin/engine/EngineStandInTest.java
+++ b/standin/src/test/java/io/zinniawood/standin/engine/EngineStandInTest.java
@@ -130,7 +130,7 @@
   // Guards against model loads that exceed the rate limit of the weight store.
   @Test
   void loadsWaitForTheRateLimitOfTheWeightStore() throws Exception {
-    PlatformSettings limited = new PlatformSettings(0, 0, 10, 1, 0, 0, List.of());
+    PlatformSettings limited = new PlatformSettings(0, 0, 1, 1, 0, 0, List.of());
     try (PlatformStandIn platform = PlatformStandIn.launch(limited);
         EngineStandIn standIn =
             EngineStandIn.launch(
