Send streams elsewhere that are stalled at an endpoint that is no longer listed

Callers of a stream at a machine that died without a reset would wait for the route's deadline: since attempts are kept at silent endpoints without a certain replacement, the attempt outlived the endpoint's entry, and an endpoint that is not listed is neither checked nor counted as silent.

streamsAtSilentEndpointGoOnElsewhereOnceItIsRemoved failed before: no second attempt.

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -194,7 +194,8 @@
     }
   }
 
-  private static boolean mayRunAgain(RelayTurn turn, OpenRequest open) {
+  /** Returns whether a request that may have run may be sent once more. */
+  static boolean mayRunAgain(RelayTurn turn, OpenRequest open) {
     return open.route.retryable()
         && !GracePeriod.tooLate(turn, open)
         && open.possibleRuns < open.route.maxAttempts()
--- a/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
@@ -75,6 +75,7 @@
       return;
     }
     List<OpenRequest> silentEndpoints = new ArrayList<>();
+    List<OpenRequest> removedEndpoints = new ArrayList<>();
     List<OpenRequest> stalledConnections = new ArrayList<>();
     for (OpenRequest open : turn.state.open.values()) {
       if (open.path.isEmpty()
@@ -84,15 +85,26 @@
       }
       List<TrackedEndpoint> suspects = endpointsWithoutProgress(open);
       EndpointHealthChecks.checkEndpoints(turn, suspects);
+      boolean stalledForLong = millisSinceProgress(turn, open) >= STALLED_CONNECTION_MILLIS;
       if (firstEndpointSilent(turn, open)) {
         silentEndpoints.add(open);
-      } else if (suspects.isEmpty()
-          && millisSinceProgress(turn, open) >= STALLED_CONNECTION_MILLIS) {
+      } else if (stalledForLong && firstEndpointRemoved(turn, open)) {
+        removedEndpoints.add(open);
+      } else if (stalledForLong && suspects.isEmpty()) {
         stalledConnections.add(open);
       }
     }
     replaceAttempts(turn, silentEndpoints, PathRepair.FIRST_ENDPOINT_SILENT);
     replaceAttempts(turn, stalledConnections, "silent-connection");
+    for (OpenRequest open : removedEndpoints) {
+      if (AttemptOutcomes.mayRunAgain(turn, open)) {
+        AttemptOutcomes.retry(turn, open, "removed-endpoint-silent");
+      }
+    }
+  }
+
+  private static boolean firstEndpointRemoved(RelayTurn turn, OpenRequest open) {
+    return open.target.isPresent() && open.target.flatMap(turn.state.fleet::find).isEmpty();
   }
 
   private static boolean firstEndpointSilent(RelayTurn turn, OpenRequest open) {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
@@ -266,4 +266,20 @@
     }
     assertThat(relay.effectsOf(RelayEffect.AbortAnswer.class), empty());
   }
+
+  // Guards against streams that wait for their deadline at a dead endpoint that is no longer
+  // listed.
+  @Test
+  void streamsAtSilentEndpointGoOnElsewhereOnceItIsRemoved() {
+    relay.list(relay.model("a", 0, 10));
+    List<RelayRequestId> ids = startStreams(5);
+    relay.advanceMillis(600);
+    relay.post(new RelayEvent.ReportMissing(new EndpointId("a")));
+    relay.list();
+    relay.list(relay.model("b", 0, 10));
+    relay.advanceMillis(1_000);
+    for (RelayRequestId id : ids) {
+      assertThat(relay.sends(id), hasSize(2));
+    }
+  }
 }
