Do not let streams without attempts left keep others at a silent endpoint

Streams at a silent endpoint were not replaced as long as two older ones had no attempts left: each of these counted as a service without a free path, and a tick stops after two.

streamsWithoutFurtherAttemptsDoNotKeepOthersAtSilentEndpoint failed before. Only streams that may run again are counted now.

--- a/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
@@ -123,6 +123,7 @@
           Optional.of(open.id),
           () -> {
             if (misses.getOrDefault(open.service, 0) < MAX_MISSES_PER_TICK
+                && AttemptOutcomes.mayRunAgain(turn, open)
                 && !AttemptOutcomes.replace(turn, open, reason)) {
               misses.merge(open.service, 1, Integer::sum);
             }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStreamsTest.java
@@ -282,4 +282,25 @@
       assertThat(relay.sends(id), hasSize(2));
     }
   }
+
+  // Guards against streams that are not replaced as older ones have no attempts left.
+  @Test
+  void streamsWithoutFurtherAttemptsDoNotKeepOthersAtSilentEndpoint() {
+    relay.list(relay.model("a", 0, 10));
+    List<RelayRequestId> exhausted = startStreams(2);
+    FleetEndpoint silent = relay.model("b", 0, 10);
+    relay.list(silent);
+    for (RelayRequestId id : exhausted) {
+      relay.post(new RelayEvent.AttemptFailed(id, 1, AttemptFailureCause.CONNECTION_LOST, 3));
+      relay.answerReceived(id, 2, 200);
+    }
+    List<RelayRequestId> others = startStreams(2);
+    relay.advanceMillis(400);
+    relay.post(new RelayEvent.ReportMissing(new EndpointId("b")));
+    relay.list(silent, relay.model("c", 0, 10));
+    relay.advanceMillis(100);
+    for (RelayRequestId id : others) {
+      assertThat(relay.sends(id), hasSize(2));
+    }
+  }
 }
