Judge a replacement by the same duration as the dispatch that follows

While a relay stops, a running attempt could be ended for a replacement that the dispatch then called too late, so that its request was broken off. Both now use one function, so an attempt ends only if the dispatch accepts the path.

--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -43,28 +43,37 @@
           ? Result.ALL_BUSY
           : Result.NO_USABLE_ENDPOINT;
     }
-    double firstEventMillis =
-        selector.expectedFirstEventMillis(path.get(), open.request.promptTokens());
-    double gapMillis = selector.expectedGapMillis(path.get());
-    long answerTokens = open.expectedTokens - open.request.promptTokens();
-    // A stream that has begun goes on for as long as possible; its caller can resume the rest.
-    open.estimatedMillis = open.headRelayed ? 0 : firstEventMillis + answerTokens * gapMillis;
-    double expectedMillis =
-        open.headRelayed
-            ? firstEventMillis
-            : turn.state.durations.expectedMillis(open.service, open.estimatedMillis);
-    if (GracePeriod.tooLate(turn, open, expectedMillis)) {
+    if (tooLate(turn, open, selector, path.get())) {
       return Result.TOO_LATE;
     }
     open.path = path;
     selector.recordTransfers(path.get(), open.expectedTokens);
-    open.expectedGapMillis = gapMillis;
-    open.expectedFirstEventMillis = firstEventMillis;
+    open.estimatedMillis = open.headRelayed ? 0 : estimatedMillis(open, selector, path.get());
+    open.expectedGapMillis = selector.expectedGapMillis(path.get());
+    open.expectedFirstEventMillis =
+        selector.expectedFirstEventMillis(path.get(), open.request.promptTokens());
     PathPart first = path.get().first();
     send(turn, open, first.endpoint());
     return Result.SENT;
   }
 
+  private static boolean tooLate(
+      RelayTurn turn, OpenRequest open, PathSelector selector, LayerPath path) {
+    // A stream that has begun goes on for as long as possible; its caller can resume the rest.
+    double expectedMillis =
+        open.headRelayed
+            ? selector.expectedFirstEventMillis(path, open.request.promptTokens())
+            : turn.state.durations.expectedMillis(
+                open.service, estimatedMillis(open, selector, path));
+    return GracePeriod.tooLate(turn, open, expectedMillis);
+  }
+
+  private static double estimatedMillis(OpenRequest open, PathSelector selector, LayerPath path) {
+    long answerTokens = open.expectedTokens - open.request.promptTokens();
+    return selector.expectedFirstEventMillis(path, open.request.promptTokens())
+        + answerTokens * selector.expectedGapMillis(path);
+  }
+
   private static Result dispatchPlain(RelayTurn turn, OpenRequest open) {
     PlainEndpointSelector selector = new PlainEndpointSelector(turn, open.service);
     Optional<TrackedEndpoint> endpoint = selector.best(open.excluded);
@@ -82,23 +91,30 @@
   static boolean replacementExists(RelayTurn turn, OpenRequest open) {
     Set<EndpointId> excluded = new HashSet<>(open.excluded);
     open.target.ifPresent(excluded::add);
+    // The present attempt would free its share of the endpoints that both paths contain.
+    EndpointUsage.pause(open);
     Optional<EngineProfile> engine =
         turn.state
             .routes
             .flatMap(routes -> routes.service(open.service))
             .flatMap(RoutedService::engine);
-    // The present attempt would free its share of the endpoints that both paths contain.
-    EndpointUsage.pause(open);
     boolean exists =
         engine.isPresent()
-            ? new PathSelector(turn, engine.get(), open)
-                .best(excluded, open.expectedTokens)
-                .isPresent()
+            ? replacementPathExists(turn, open, engine.get(), excluded)
             : new PlainEndpointSelector(turn, open.service).best(excluded).isPresent();
     EndpointUsage.resume(open);
     return exists;
   }
 
+  private static boolean replacementPathExists(
+      RelayTurn turn, OpenRequest open, EngineProfile engine, Set<EndpointId> excluded) {
+    PathSelector selector = new PathSelector(turn, engine, open);
+    return selector
+        .best(excluded, open.expectedTokens)
+        .filter(path -> !tooLate(turn, open, selector, path))
+        .isPresent();
+  }
+
   private static void send(RelayTurn turn, OpenRequest open, EndpointId target) {
     TrackedEndpoint endpoint = turn.state.fleet.find(target).orElseThrow();
     open.attempt++;
