Do not send an entry of a new era as a heartbeat of the former one

The reader of the endpoint list sends only the row version of an entry that it knows unchanged. After a restore it may know the entry from the former era, and so may the receiver, with another state. Found by the review, not shown by a test. An entry of another era is sent whole now, and a heartbeat for an entry of another era makes the receiver read the list.

--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -264,7 +264,13 @@
 
   private static boolean knowsAll(RelayTurn turn, SharedRead read) {
     for (SharedRead.Heartbeat heartbeat : read.heartbeats()) {
-      if (turn.state.fleet.find(heartbeat.endpoint()).isEmpty()) {
+      boolean known =
+          turn.state
+              .fleet
+              .find(heartbeat.endpoint())
+              .filter(found -> found.entry().rowVersion().sameEra(heartbeat.rowVersion()))
+              .isPresent();
+      if (!known) {
         return false;
       }
     }
@@ -321,6 +327,7 @@
         .fleet
         .find(entry.id())
         .map(TrackedEndpoint::entry)
+        .filter(known -> known.rowVersion().sameEra(entry.rowVersion()))
         .filter(known -> known.withRowVersion(entry.rowVersion()).equals(entry))
         .isPresent();
   }
