Close an endpoint's connection when a request cannot be written to it

A request that the encoder refused stayed at its endpoint until its deadline, as nothing reported the failure. Found by the review, not shown by a test. The close reports it like any lost connection.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -118,7 +119,7 @@
             body.retainedDuplicate(),
             head.headers(),
             io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
-    channel.writeAndFlush(request);
+    channel.writeAndFlush(request).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
   }
 
   private Channel takePooled(NodeAddress address) {
