Read what has arrived before a drain closes a quiet connection

A drain closed quiet connections at once. On a late event loop a whole request may have arrived unread, and the close then resets the connection: neither an answer nor a refusal.

A failure in a queued request closes its connection with a line now instead of leaving it open.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -49,6 +49,9 @@
   /** Time over which the closes of idle connections are spread; the interval of the checks. */
   private static final int IDLE_CLOSE_SPREAD_MILLIS = 500;
 
+  /** Delay of the close of a quiet connection while the process drains; lets input be read. */
+  private static final long DRAIN_CLOSE_DELAY_MILLIS = 5;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final CallerListener listener;
@@ -101,31 +104,31 @@
       rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (nowNanos - lastActivityNanos >= idleNanos) {
       if (head == null) {
-        scheduleIdleClose();
+        // Spread, as a new configuration may end the timeout of many connections together.
+        closeUnlessUsed(
+            ConnectionClose.Reason.IDLE_TIMEOUT,
+            MIN_IDLE_CLOSE_DELAY_MILLIS
+                + Math.floorMod(context.channel().id().hashCode(), IDLE_CLOSE_SPREAD_MILLIS));
       } else {
         rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
       }
     }
   }
 
-  /** Closes an idle connection a little later, unless bytes arrive that were not read yet. */
-  private void scheduleIdleClose() {
+  /** Closes an idle connection after a delay, unless bytes arrive that were not read yet. */
+  private void closeUnlessUsed(ConnectionClose.Reason reason, long delayMillis) {
     if (idleCloseScheduled) {
       return;
     }
     idleCloseScheduled = true;
     long idleSinceNanos = lastActivityNanos;
-    // Spread, as a new configuration may end the timeout of many connections together.
-    long delayMillis =
-        MIN_IDLE_CLOSE_DELAY_MILLIS
-            + Math.floorMod(context.channel().id().hashCode(), IDLE_CLOSE_SPREAD_MILLIS);
     context
         .executor()
         .schedule(
             () -> {
               idleCloseScheduled = false;
               if (!busy() && !closing && lastActivityNanos == idleSinceNanos) {
-                close(ConnectionClose.Reason.IDLE_TIMEOUT, "");
+                close(reason, "");
               }
             },
             delayMillis,
@@ -167,7 +170,7 @@
   public void closeIfQuiet(long nowNanos, long quietNanos) {
     boolean idle = !busy() && !closing && unsentBytes() == 0;
     if (idle && nowNanos - lastActivityNanos >= quietNanos) {
-      close(ConnectionClose.Reason.DRAINING, "");
+      closeUnlessUsed(ConnectionClose.Reason.DRAINING, DRAIN_CLOSE_DELAY_MILLIS);
     }
   }
 
@@ -374,8 +377,13 @@
   }
 
   private void handlePipelined() {
-    while (exchange == null && !closing && !pipelined.isEmpty()) {
-      handleMessage(pipelined.pollFirst());
+    try {
+      while (exchange == null && !closing && !pipelined.isEmpty()) {
+        handleMessage(pipelined.pollFirst());
+      }
+    } catch (RuntimeException failure) {
+      fail(failure);
+      return;
     }
     if (pipelined.size() < MAX_PIPELINED_MESSAGES) {
       context.channel().config().setAutoRead(true);
