--- a/core/src/main/java/io/zinniawood/core/fleet/LeavingEndpoints.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/LeavingEndpoints.java
@@ -24,17 +24,17 @@
   private final Map<EndpointId, Long> startedMillisById = new LinkedHashMap<>();
 
   /** Order in which the endpoints are told to other processes. */
-  private final Deque<EndpointIncarnation> untold = new ArrayDeque<>();
+  private final Deque<EndpointIncarnation> noticeQueue = new ArrayDeque<>();
 
   /** Adds an endpoint and returns whether it was not known to leave. */
   public boolean add(EndpointIncarnation leaving) {
     if (contains(leaving)) {
       return false;
     }
-    untold.removeIf(older -> older.endpoint().equals(leaving.endpoint()));
+    noticeQueue.removeIf(older -> older.endpoint().equals(leaving.endpoint()));
     startedMillisById.remove(leaving.endpoint());
     startedMillisById.put(leaving.endpoint(), leaving.startedMillis());
-    untold.addFirst(leaving);
+    noticeQueue.addFirst(leaving);
     if (startedMillisById.size() > MAX_ENDPOINTS) {
       removeOldest();
     }
@@ -45,7 +45,7 @@
     Iterator<EndpointId> ids = startedMillisById.keySet().iterator();
     EndpointId oldest = ids.next();
     ids.remove();
-    untold.removeIf(leaving -> leaving.endpoint().equals(oldest));
+    noticeQueue.removeIf(leaving -> leaving.endpoint().equals(oldest));
   }
 
   /** Returns whether this start of an endpoint, or a later one, said that it is leaving. */
@@ -64,8 +64,8 @@
     List<EndpointIncarnation> told = new ArrayList<>();
     List<EndpointIncarnation> skipped = new ArrayList<>();
     int freeCharacters = MAX_NOTICE_CHARACTERS;
-    while (!untold.isEmpty()) {
-      EndpointIncarnation next = untold.peekFirst();
+    while (!noticeQueue.isEmpty()) {
+      EndpointIncarnation next = noticeQueue.peekFirst();
       if (relevant.test(next)) {
         freeCharacters -= next.endpoint().value().length();
         if (freeCharacters < 0) {
@@ -75,10 +75,10 @@
       } else {
         skipped.add(next);
       }
-      untold.removeFirst();
+      noticeQueue.removeFirst();
     }
-    untold.addAll(skipped);
-    untold.addAll(told);
+    noticeQueue.addAll(skipped);
+    noticeQueue.addAll(told);
     return told;
   }
 }
