--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.fleet;
 
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.StoreVersion;
--- a/core/src/main/java/io/zinniawood/core/fleet/LeavingEndpoints.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/LeavingEndpoints.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.fleet;
 
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
--- a/core/src/main/java/io/zinniawood/core/fleet/EndpointIncarnation.java
+++ b/core/src/main/java/io/zinniawood/core/id/EndpointIncarnation.java
@@ -1,6 +1,4 @@
-package io.zinniawood.core.fleet;
-
-import io.zinniawood.core.id.EndpointId;
+package io.zinniawood.core.id;
 
 /**
  * One process start of an endpoint; an endpoint that restarts may keep its id.
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointPauses.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointPauses.java
@@ -1,8 +1,8 @@
 package io.zinniawood.core.relay;
 
-import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.EndpointPause;
 import io.zinniawood.core.fleet.TrackedEndpoint;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.route.EngineProfile;
 import io.zinniawood.core.route.RoutedService;
 import java.util.ArrayList;
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointStatements.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointStatements.java
@@ -1,7 +1,7 @@
 package io.zinniawood.core.relay;
 
-import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.TrackedEndpoint;
+import io.zinniawood.core.id.EndpointIncarnation;
 import java.util.List;
 import java.util.Optional;
 
--- a/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
@@ -1,6 +1,6 @@
 package io.zinniawood.core.relay;
 
-import io.zinniawood.core.fleet.EndpointIncarnation;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.quarantine.QuarantineNotice;
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -2,9 +2,9 @@
 
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.LeaseRow;
-import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -1,10 +1,10 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.entry.lease.LeaseView;
-import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.FleetView;
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.quarantine.PromptPartQuarantine;
--- a/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
@@ -7,9 +7,9 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import io.vavr.control.Option;
-import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
--- a/core/src/test/java/io/zinniawood/core/relay/StatementsHistory.java
+++ b/core/src/test/java/io/zinniawood/core/relay/StatementsHistory.java
@@ -1,8 +1,8 @@
 package io.zinniawood.core.relay;
 
-import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.path.PathPart;
 import java.util.ArrayList;
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -2,7 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
-import io.zinniawood.core.fleet.EndpointIncarnation;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.SendOptions;
 import java.util.Optional;
--- a/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
+++ b/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
@@ -1,11 +1,11 @@
 package io.zinniawood.wire;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.AcceleratorKind;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.FencingNumber;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.StoreEra;
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -4,11 +4,11 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import io.zinniawood.core.fleet.EndpointIncarnation;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.AcceleratorKind;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.FencingNumber;
 import io.zinniawood.core.id.PromptPartId;
 import io.zinniawood.core.id.ServiceName;
