--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -5,6 +5,7 @@
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.StoreVersion;
+import io.zinniawood.core.limit.EndpointLimits;
 import io.zinniawood.core.model.NodeAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -48,6 +49,7 @@
 
   private final Map<EndpointId, TrackedEndpoint> endpointsById = new HashMap<>();
   private final LeavingEndpoints leaving = new LeavingEndpoints();
+  private final EndpointLimits limits = new EndpointLimits();
 
   /** Pauses of endpoints that are not in the list, in case they reappear. */
   private final Map<EndpointId, EndpointPause> unlistedPausesById = new HashMap<>();
@@ -81,6 +83,11 @@
     return leaving;
   }
 
+  /** Returns the limits that endpoints name in their answers. */
+  public EndpointLimits limits() {
+    return limits;
+  }
+
   /** Returns all known endpoints. */
   public Collection<TrackedEndpoint> all() {
     return endpointsById.values();
@@ -197,6 +204,7 @@
 
   /** Removes endpoints that did not reappear in time. */
   public void removeExpired(long nowNanos) {
+    limits.removeExpired(nowNanos);
     departures.values().removeIf(gone -> nowNanos - gone.atNanos() >= MAX_COPY_AGE_NANOS);
     endpointsById.values().removeIf(known -> removed(known, nowNanos));
   }
--- a/core/src/main/java/io/zinniawood/core/relay/AnswerSummary.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerSummary.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.limit.StatedLimit;
 import io.zinniawood.core.model.NodeAddress;
 import java.util.Optional;
 
@@ -13,13 +14,15 @@
  *     is named
  * @param refusedForTime whether the endpoint refuses requests of this relay for a stated time; it
  *     says nothing about its health then
+ * @param limit rate at which the endpoint takes requests from all processes together
  */
 public record AnswerSummary(
     int status,
     boolean signed,
     boolean notRun,
     Optional<NodeAddress> endpointAtFault,
-    boolean refusedForTime) {
+    boolean refusedForTime,
+    StatedLimit limit) {
   /** HTTP 421: the receiver is not the expected endpoint or does not hold the layers. */
   private static final int MISDIRECTED = 421;
 
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointStatements.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointStatements.java
@@ -25,6 +25,7 @@
         .statement()
         .pauseMillis()
         .ifPresent(millis -> EndpointPauses.begin(turn, event.endpoint(), millis));
+    LimitExchange.stated(turn, event.endpoint(), event.statement().limit());
     if (event.statement().leaving() && learnLeaving(turn, event.endpoint(), "answer")) {
       PeerExchange.send(turn, Optional.empty());
     }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -74,6 +74,7 @@
     @Override
     public void answerReceived(RelayEvent.AnswerReceived event) {
       EndpointPauses.answerReceived(turn, event);
+      LimitExchange.answerReceived(turn, event);
       AttemptOutcomes.answerReceived(turn, event);
     }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -11,6 +11,7 @@
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.limit.StatedLimit;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.route.AcceleratorProfile;
@@ -278,7 +279,9 @@
   void answerReceived(RelayRequestId id, int attempt, int status) {
     post(
         new RelayEvent.AnswerReceived(
-            id, attempt, new AnswerSummary(status, true, false, Optional.empty(), false)));
+            id,
+            attempt,
+            new AnswerSummary(status, true, false, Optional.empty(), false, StatedLimit.NONE)));
   }
 
   /** Posts the answer of a path on which an endpoint does not hold its layers. */
@@ -287,13 +290,16 @@
         new RelayEvent.AnswerReceived(
             id,
             attempt,
-            new AnswerSummary(421, false, false, Optional.of(endpointAtFault), false)));
+            new AnswerSummary(
+                421, false, false, Optional.of(endpointAtFault), false, StatedLimit.NONE)));
   }
 
   void notRun(RelayRequestId id, int attempt) {
     post(
         new RelayEvent.AnswerReceived(
-            id, attempt, new AnswerSummary(503, false, true, Optional.empty(), false)));
+            id,
+            attempt,
+            new AnswerSummary(503, false, true, Optional.empty(), false, StatedLimit.NONE)));
   }
 
   /** Posts a refusal of the endpoint that the attempt was sent to, with a time. */
@@ -302,10 +308,13 @@
     post(
         new RelayEvent.EndpointStated(
             state.incarnation(endpoint),
-            new EndpointStatement(false, OptionalLong.of(pauseMillis), Optional.empty())));
+            new EndpointStatement(
+                false, OptionalLong.of(pauseMillis), StatedLimit.NONE, Optional.empty())));
     post(
         new RelayEvent.AnswerReceived(
-            id, attempt, new AnswerSummary(503, false, true, Optional.empty(), true)));
+            id,
+            attempt,
+            new AnswerSummary(503, false, true, Optional.empty(), true, StatedLimit.NONE)));
   }
 
   void attemptFailed(RelayRequestId id, int attempt, AttemptFailureCause cause) {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.limit.StatedLimit;
 import io.zinniawood.core.model.NodeAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -188,7 +189,8 @@
             status != NOT_RUN_STATUS && random.nextInt(8) > 0,
             status == NOT_RUN_STATUS,
             random.nextBoolean() ? Optional.of(endpoint().address()) : Optional.empty(),
-            status == NOT_RUN_STATUS && random.nextBoolean());
+            status == NOT_RUN_STATUS && random.nextBoolean(),
+            StatedLimit.NONE);
     if (answer.certainlyNotRun()) {
       caller.possibleRuns--;
     }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
@@ -12,6 +12,7 @@
 import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.limit.StatedLimit;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.HashSet;
@@ -27,7 +28,7 @@
   private static final VmId PEER = new VmId("relay-0");
   private static final NodeAddress PEER_ADDRESS = new NodeAddress("10.0.1.9", 7_340);
   private static final EndpointStatement LEAVING =
-      new EndpointStatement(true, OptionalLong.empty(), Optional.empty());
+      new EndpointStatement(true, OptionalLong.empty(), StatedLimit.NONE, Optional.empty());
 
   private final RelayHarness relay = new RelayHarness();
   private final FleetEndpoint endpoint = relay.plain("a");
--- a/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
+import io.zinniawood.core.limit.StatedLimit;
 import io.zinniawood.core.model.LayerRange;
 import java.util.Map;
 import java.util.Optional;
@@ -119,7 +120,9 @@
     RelayRequestId id = relay.request("book");
     relay.post(
         new RelayEvent.AnswerReceived(
-            id, 1, new AnswerSummary(200, false, false, Optional.empty(), false)));
+            id,
+            1,
+            new AnswerSummary(200, false, false, Optional.empty(), false, StatedLimit.NONE)));
     assertThat(relay.effectsOf(RelayEffect.RelayAnswer.class), empty());
     assertThat(relay.localAnswer(id).orElseThrow().status(), is(502));
   }
--- a/core/src/test/java/io/zinniawood/core/relay/StatementsHistory.java
+++ b/core/src/test/java/io/zinniawood/core/relay/StatementsHistory.java
@@ -3,6 +3,7 @@
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.EndpointIncarnation;
+import io.zinniawood.core.limit.StatedLimit;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.path.PathPart;
 import java.util.ArrayList;
@@ -150,7 +151,10 @@
   private void leave(Known known) {
     long start = known.row.startedMillis() - random.nextInt(2);
     known.leavingStart = Math.max(known.leavingStart, start);
-    stated(known, start, new EndpointStatement(true, OptionalLong.empty(), Optional.empty()));
+    stated(
+        known,
+        start,
+        new EndpointStatement(true, OptionalLong.empty(), StatedLimit.NONE, Optional.empty()));
   }
 
   private void stated(Known known, long start, EndpointStatement statement) {
@@ -185,12 +189,13 @@
     stated(
         known,
         known.row.startedMillis(),
-        new EndpointStatement(false, OptionalLong.of(pauseMillis), Optional.empty()));
+        new EndpointStatement(
+            false, OptionalLong.of(pauseMillis), StatedLimit.NONE, Optional.empty()));
     relay.post(
         new RelayEvent.AnswerReceived(
             send.get().id(),
             send.get().attempt(),
-            new AnswerSummary(503, false, true, Optional.empty(), true)));
+            new AnswerSummary(503, false, true, Optional.empty(), true, StatedLimit.NONE)));
   }
 
   private void observe() {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FailingCodec.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FailingCodec.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.limit.StatedLimit;
 import io.zinniawood.core.relay.AnswerSummary;
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.EndpointStatement;
@@ -57,12 +58,13 @@
 
   @Override
   public AnswerSummary summarize(HttpResponse head) {
-    return new AnswerSummary(head.status().code(), true, false, Optional.empty(), false);
+    return new AnswerSummary(
+        head.status().code(), true, false, Optional.empty(), false, StatedLimit.NONE);
   }
 
   @Override
   public EndpointStatement statement(HttpResponse head) {
-    return new EndpointStatement(false, OptionalLong.empty(), Optional.empty());
+    return new EndpointStatement(false, OptionalLong.empty(), StatedLimit.NONE, Optional.empty());
   }
 
   @Override
