--- a/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
+++ b/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
@@ -1,6 +1,7 @@
 package io.zinniawood.wire;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.util.NetUtil;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.AcceleratorKind;
 import io.zinniawood.core.id.DataCentreId;
@@ -168,6 +169,11 @@
   }
 
   private static FleetEndpoint decodeEndpoint(StoreEra era, RelayProto.Endpoint endpoint) {
+    if (!NetUtil.isValidIpV4Address(endpoint.getHost())) {
+      throw new IllegalArgumentException(
+          "endpoint %s: expected an IPv4 address, found %s"
+              .formatted(endpoint.getId(), endpoint.getHost()));
+    }
     return new FleetEndpoint(
         new EndpointId(endpoint.getId()),
         new ServiceName(endpoint.getService()),
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -183,6 +183,26 @@
     assertThat(PeerMessageCodec.decode(PeerMessageCodec.encode(message)), is(Optional.of(message)));
   }
 
+  // Guards against a host name that is looked up on the event loop.
+  @Test
+  void endpointWithoutIpAddressMakesTheMessageInvalid() {
+    byte[] bytes =
+        RelayProto.PeerMessage.newBuilder()
+            .setVm("front-tampere-1")
+            .setRead(
+                RelayProto.SharedRead.newBuilder()
+                    .addChanged(
+                        RelayProto.Endpoint.newBuilder()
+                            .setId("i-1")
+                            .setService("service")
+                            .setHost("db.example")
+                            .setPort(80)
+                            .setDataCentre("helsinki-a")))
+            .build()
+            .toByteArray();
+    assertThat(PeerMessageCodec.decode(bytes), is(Optional.empty()));
+  }
+
   // Guards against a rate of another relay that breaks the division of limits.
   @Test
   void limitWithoutMeaningMakesTheMessageInvalid() {
@@ -207,8 +227,7 @@
     limits.divideBy((endpoint, requestsPerSecond) -> 1, 0);
     for (int index = 0; index < 100; index++) {
       EndpointIncarnation endpoint =
-          new EndpointIncarnation(
-              new EndpointId("i-%010d".formatted(index)), 1_796_000_000_123L);
+          new EndpointIncarnation(new EndpointId("i-%010d".formatted(index)), 1_796_000_000_123L);
       limits.named(endpoint, 1.0 / 3 + index, 0);
       limits.told(
           new VmId("front-helsinki-a-2"),
