--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -258,6 +258,34 @@
     assertThat(post("/read/x", "newest").statusCode(), is(401));
   }
 
+  // Guards against a read of the endpoint list that asks for the same page for ever, and against a
+  // relay that ends or stops following the list because of entries of another writer.
+  @Test
+  void oddEntriesDoNotKeepTheRelayFromFollowingTheList() throws Exception {
+    relay.close();
+    relay.awaitExitCode();
+    String sound =
+        "{\"service\":\"plain\",\"address\":\"%s\",\"zone\":\"home\",\"slots\":%s,"
+            + "\"state\":\"ready\",\"sequence\":1}";
+    store.put("servers", "a&from=a", "{}");
+    store.put("servers", "b#%41 +\u00e9", "[".repeat(20_000));
+    store.put("servers", "c", sound.formatted("10.0.0.1:70000", "6"));
+    store.put("servers", "d", sound.formatted("no such host/..:80", "6"));
+    store.put("servers", "e", sound.formatted("10.0.0.1:80", "1" + "0".repeat(2_000)));
+    store.put("servers", "f", sound.formatted("10.0.0.1:80", "2000000000"));
+    store.setPageRows(1);
+    relay = startRelay();
+    awaitTrue(() -> readinessStatus() == 200);
+    assertThat(post("/read/x", "key").statusCode(), is(200));
+    store.put("servers", "g", "[".repeat(20_000));
+    store.remove("servers", "plain");
+    awaitTrue(() -> post("/read/x", "key").statusCode() == 503);
+    try (EndpointStandIn added = new EndpointStandIn(store, "added", "plain", "")) {
+      awaitTrue(() -> post("/read/x", "key").statusCode() == 200);
+      assertThat(added.runsByRequest().isEmpty(), is(false));
+    }
+  }
+
   // Guards against a drain without failing readiness first, or with an exit code other than 0.
   @Test
   void drainsOnTermination() throws Exception {
--- a/dist/src/test/java/io/zinniawood/dist/users/StoreStandIn.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/StoreStandIn.java
@@ -9,6 +9,7 @@
 import io.zinniawood.core.model.NodeAddress;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Base64;
@@ -43,6 +44,7 @@
   private long version = 1;
   private long era;
   private volatile boolean unavailable;
+  private volatile int pageRows = Integer.MAX_VALUE;
 
   private record Row(String value, long version) {}
 
@@ -68,6 +70,11 @@
     unavailable = nowUnavailable;
   }
 
+  /** Sets the maximum number of rows in an answer to a read of a table. */
+  public void setPageRows(int rows) {
+    pageRows = rows;
+  }
+
   /** Writes a row unconditionally, as the operator or an endpoint does. */
   public synchronized void put(String table, String key, String json) {
     String value = Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8));
@@ -154,7 +161,7 @@
       answer =
           unavailable
               ? unavailable()
-              : handler.handle(parseQuery(exchange.getRequestURI().getQuery()), body);
+              : handler.handle(parseQuery(exchange.getRequestURI().getRawQuery()), body);
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
       answer = unavailable();
@@ -171,13 +178,27 @@
     Map<String, String> query = new HashMap<>();
     for (String pair : text == null ? new String[0] : text.split("&")) {
       int equals = pair.indexOf('=');
-      query.put(pair.substring(0, equals), pair.substring(equals + 1));
+      query.put(
+          pair.substring(0, equals),
+          URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
     }
     return query;
   }
 
   private synchronized Answer get(Map<String, String> query, JsonNode body) {
-    return rows(query.get("table"), 0, false);
+    Answer all = rows(query.get("table"), 0, false);
+    String from = query.getOrDefault("from", "");
+    ArrayNode page = MAPPER.createArrayNode();
+    boolean truncated = false;
+    for (JsonNode row : all.body().path("rows")) {
+      boolean reached = row.path("key").textValue().compareTo(from) >= 0;
+      truncated |= reached && page.size() >= pageRows;
+      if (reached && page.size() < pageRows) {
+        page.add(row);
+      }
+    }
+    ((ObjectNode) all.body()).put("truncated", truncated).set("rows", page);
+    return all;
   }
 
   private Answer feed(Map<String, String> query, JsonNode body) throws InterruptedException {
