--- a/store/src/test/java/io/zinniawood/store/http/ResponseFuzzTest.java
+++ b/store/src/test/java/io/zinniawood/store/http/ResponseFuzzTest.java
@@ -30,7 +30,7 @@
     check(response, value -> HttpTable.decodeWrite("k", 0, value));
     check(response, value -> HttpObjectStore.decodeListing("config/", value));
     check(response, value -> HttpObjectStore.decodeObject("o", value));
-    check(response, HttpVmList::decode);
+    check(response, value -> HttpVmList.decode(value, ignored -> {}));
     check(response, HttpWeightStore::decode);
   }
 
