Keep to the calls a second that a plain service names, in the agent beside it

All calls of a service pass through the agent beside it, so the agent keeps the limit for all entries: a token bucket decides when a queued call may start, and a call whose turn comes after its deadline is refused at once as overloaded, which entries try elsewhere. The header of the product's own interface is Request-Limit; it is not passed on. Its values are read by the same rules as Server-Limit (StatedLimit.of). Stand-in: fault requestLimit. Model stages are not limited yet.

--- a/core/src/main/java/io/zinniawood/core/agent/AgentReducer.java
+++ b/core/src/main/java/io/zinniawood/core/agent/AgentReducer.java
@@ -97,6 +97,9 @@
       if (timer instanceof AgentTimer.QueueDeadline deadline) {
         return CallAdmission.deadlinePassed(state, nowNanos, deadline.attempt());
       }
+      if (timer instanceof AgentTimer.CallPermitted) {
+        return CallAdmission.startQueuedCalls(state, nowNanos);
+      }
       if (timer instanceof AgentTimer.FinalRowRetry retry) {
         return FinalRowWrites.retry(state, retry.attempt());
       }
--- a/core/src/main/java/io/zinniawood/core/agent/AgentTimer.java
+++ b/core/src/main/java/io/zinniawood/core/agent/AgentTimer.java
@@ -13,6 +13,9 @@
   /** Expires at the deadline of an attempt that is queued or awaits another attempt. */
   record QueueDeadline(AttemptId attempt) implements AgentTimer {}
 
+  /** Expires when the limit that the service names allows another call. */
+  record CallPermitted() implements AgentTimer {}
+
   /** Expires when a final claim row is due to be written again. */
   record FinalRowRetry(AttemptId attempt) implements AgentTimer {}
 
--- a/core/src/main/java/io/zinniawood/core/agent/CallAdmission.java
+++ b/core/src/main/java/io/zinniawood/core/agent/CallAdmission.java
@@ -116,12 +116,15 @@
       AgentState state, long nowNanos, Attempt attempt) {
     CallState calls = state.calls();
     int limit = state.properties().maxConcurrentCalls();
-    if (calls.runningCalls() < limit && calls.queue().size() == 0) {
+    if (callMayStart(state, nowNanos) && calls.queue().size() == 0) {
       return claimOrCall(state, nowNanos, attempt);
     }
     Message.Dispatch dispatch = attempt.dispatch();
     long position = calls.queue().positionOfNew(dispatch.clientAccount(), dispatch.weight());
-    long waitNanos = position * calls.meanCallNanos() / limit;
+    long waitNanos =
+        Math.max(
+            position * calls.meanCallNanos() / limit,
+            calls.rate().nanosUntilCall(position, nowNanos));
     if (nowNanos + waitNanos >= attempt.deadlineNanos()) {
       return AttemptCompletion.refuseUnadmitted(state, nowNanos, attempt, RefusalReason.OVERLOADED);
     }
@@ -155,16 +158,29 @@
   /** Calls the service if a call slot is free, else queues the attempt in its current phase. */
   static Step<AgentState, AgentEffect> callOrQueue(
       AgentState state, long nowNanos, Attempt attempt) {
-    CallState calls = state.calls();
-    if (calls.runningCalls() < state.properties().maxConcurrentCalls()
-        && calls.queue().size() == 0) {
+    if (callMayStart(state, nowNanos) && state.calls().queue().size() == 0) {
       return startCall(state, nowNanos, attempt);
     }
     Message.Dispatch dispatch = attempt.dispatch();
     AgentState next = withAttempt(state, dispatch.attempt(), attempt);
     FairQueue queue =
         next.calls().queue().add(dispatch.clientAccount(), dispatch.weight(), dispatch.attempt());
-    return Step.of(next.withCalls(next.calls().withQueue(queue)), deadlineTimer(nowNanos, attempt));
+    AgentState queued = next.withCalls(next.calls().withQueue(queue));
+    return Step.of(queued, deadlineTimer(nowNanos, attempt)).andAll(permitTimer(queued, nowNanos));
+  }
+
+  private static boolean callMayStart(AgentState state, long nowNanos) {
+    CallState calls = state.calls();
+    return calls.runningCalls() < state.properties().maxConcurrentCalls()
+        && calls.rate().permitsCall(nowNanos);
+  }
+
+  /** Returns the timer for the next call if calls wait for the limit that the service names. */
+  private static Vector<AgentEffect> permitTimer(AgentState state, long nowNanos) {
+    long waitNanos = state.calls().rate().nanosUntilCall(0, nowNanos);
+    return waitNanos == 0 || state.calls().queue().size() == 0
+        ? Vector.empty()
+        : Vector.of(new AgentEffect.StartTimer(new AgentTimer.CallPermitted(), waitNanos));
   }
 
   static AgentEffect deadlineTimer(long nowNanos, Attempt attempt) {
@@ -176,15 +192,14 @@
   /** Starts queued attempts while call slots are free. */
   static Step<AgentState, AgentEffect> startQueuedCalls(AgentState state, long nowNanos) {
     Step<AgentState, AgentEffect> step = Step.of(state);
-    while (step.state().calls().runningCalls() < state.properties().maxConcurrentCalls()
-        && !step.state().leaving()) {
+    while (callMayStart(step.state(), nowNanos) && !step.state().leaving()) {
       Option<Tuple2<AttemptId, FairQueue>> polled = step.state().calls().queue().poll();
       if (polled.isEmpty()) {
         break;
       }
       step = ReducerSteps.then(step, latest -> startQueuedCall(latest, nowNanos, polled.get()));
     }
-    return step;
+    return step.andAll(permitTimer(step.state(), nowNanos));
   }
 
   private static Step<AgentState, AgentEffect> startQueuedCall(
@@ -207,7 +222,11 @@
   private static Step<AgentState, AgentEffect> startCall(
       AgentState state, long nowNanos, Attempt attempt) {
     AgentState next =
-        state.withCalls(state.calls().withRunningCalls(state.calls().runningCalls() + 1));
+        state.withCalls(
+            state
+                .calls()
+                .withRunningCalls(state.calls().runningCalls() + 1)
+                .withRate(state.calls().rate().callStarted(nowNanos)));
     Message.Dispatch dispatch = attempt.dispatch();
     long timeoutMillis = Math.max(1, (attempt.deadlineNanos() - nowNanos) / NANOS_PER_MILLI);
     return Step.of(
--- a/core/src/main/java/io/zinniawood/core/agent/CallResults.java
+++ b/core/src/main/java/io/zinniawood/core/agent/CallResults.java
@@ -22,10 +22,14 @@
     if (attempt.isEmpty()) {
       return Step.of(state);
     }
-    AgentState measured = withCallDuration(state, nowNanos - attempt.get().startedNanos());
+    long startedNanos = attempt.get().startedNanos();
+    CallRate rate = state.calls().rate().answered(answer.headers(), startedNanos, nowNanos);
+    AgentState measured =
+        withCallDuration(state.withCalls(state.calls().withRate(rate)), nowNanos - startedNanos);
+    ServiceAnswer passedOn = CallRate.withoutLimit(answer);
     return attempt.get().dispatch().key().isDefined()
-        ? KeyClaims.callAnswered(measured, nowNanos, attempt.get(), answer)
-        : AttemptCompletion.answer(measured, nowNanos, id, answer);
+        ? KeyClaims.callAnswered(measured, nowNanos, attempt.get(), passedOn)
+        : AttemptCompletion.answer(measured, nowNanos, id, passedOn);
   }
 
   static Step<AgentState, AgentEffect> failed(
--- a/core/src/main/java/io/zinniawood/core/agent/CallState.java
+++ b/core/src/main/java/io/zinniawood/core/agent/CallState.java
@@ -22,6 +22,7 @@
  * @param pendingRows final claim rows that are not stored yet, by attempt
  * @param meanCallNanos moving average of the duration of a call in nanoseconds, 0 if unknown
  * @param leavingSinceNanos time in nanoseconds at which the agent started to drain, 0 before
+ * @param rate limit on calls a second that the service names
  */
 record CallState(
     Map<AttemptId, Attempt> live,
@@ -33,7 +34,8 @@
     FinishedAttempts finished,
     Map<AttemptId, PendingRow> pendingRows,
     long meanCallNanos,
-    long leavingSinceNanos) {
+    long leavingSinceNanos,
+    CallRate rate) {
   /** Phase of a live attempt. */
   enum Phase {
     /** Waits for a free call slot. */
@@ -103,7 +105,8 @@
         FinishedAttempts.empty(),
         HashMap.empty(),
         0,
-        0);
+        0,
+        CallRate.unlimited());
   }
 
   boolean idle() {
@@ -121,7 +124,8 @@
         finished,
         pendingRows,
         meanCallNanos,
-        leavingSinceNanos);
+        leavingSinceNanos,
+        rate);
   }
 
   CallState withOwnersByKey(Map<ClaimKey, AttemptId> value) {
@@ -135,7 +139,8 @@
         finished,
         pendingRows,
         meanCallNanos,
-        leavingSinceNanos);
+        leavingSinceNanos,
+        rate);
   }
 
   CallState withWaitersByOwner(Map<AttemptId, Vector<AttemptId>> value) {
@@ -149,7 +154,8 @@
         finished,
         pendingRows,
         meanCallNanos,
-        leavingSinceNanos);
+        leavingSinceNanos,
+        rate);
   }
 
   CallState withQueue(FairQueue value) {
@@ -163,7 +169,8 @@
         finished,
         pendingRows,
         meanCallNanos,
-        leavingSinceNanos);
+        leavingSinceNanos,
+        rate);
   }
 
   CallState withClaimsInFlight(int value) {
@@ -177,7 +184,8 @@
         finished,
         pendingRows,
         meanCallNanos,
-        leavingSinceNanos);
+        leavingSinceNanos,
+        rate);
   }
 
   CallState withRunningCalls(int value) {
@@ -191,7 +199,8 @@
         finished,
         pendingRows,
         meanCallNanos,
-        leavingSinceNanos);
+        leavingSinceNanos,
+        rate);
   }
 
   CallState withFinished(FinishedAttempts value) {
@@ -205,7 +214,8 @@
         value,
         pendingRows,
         meanCallNanos,
-        leavingSinceNanos);
+        leavingSinceNanos,
+        rate);
   }
 
   CallState withPendingRows(Map<AttemptId, PendingRow> value) {
@@ -219,7 +229,8 @@
         finished,
         value,
         meanCallNanos,
-        leavingSinceNanos);
+        leavingSinceNanos,
+        rate);
   }
 
   CallState withMeanCallNanos(long value) {
@@ -233,7 +244,8 @@
         finished,
         pendingRows,
         value,
-        leavingSinceNanos);
+        leavingSinceNanos,
+        rate);
   }
 
   CallState withLeavingSince(long nowNanos) {
@@ -247,6 +259,22 @@
         finished,
         pendingRows,
         meanCallNanos,
-        nowNanos);
+        nowNanos,
+        rate);
+  }
+
+  CallState withRate(CallRate value) {
+    return new CallState(
+        live,
+        ownersByKey,
+        waitersByOwner,
+        queue,
+        claimsInFlight,
+        runningCalls,
+        finished,
+        pendingRows,
+        meanCallNanos,
+        leavingSinceNanos,
+        value);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/limit/StatedLimit.java
+++ b/core/src/main/java/io/zinniawood/core/limit/StatedLimit.java
@@ -1,7 +1,13 @@
 package io.zinniawood.core.limit;
 
+import java.util.List;
+import java.util.OptionalDouble;
+
 /** What the head of an answer says about the rate at which its endpoint takes requests. */
 public sealed interface StatedLimit {
+  /** Limits above this number of requests a second have no effect and count as none. */
+  double MAX_REQUESTS_PER_SECOND = 1_000_000;
+
   /** The answer names no limit, so the endpoint has none when it makes the answer. */
   record None() implements StatedLimit {}
 
@@ -27,4 +33,26 @@
 
   /** The absence of a limit. */
   StatedLimit NONE = new None();
+
+  /**
+   * Returns the limit in the values of a header. The lowest of several readable values counts.
+   *
+   * @param values decimal numbers of requests a second; empty if the header is missing
+   */
+  static StatedLimit of(List<String> values) {
+    OptionalDouble lowest =
+        values.stream().filter(StatedLimit::readable).mapToDouble(Double::parseDouble).min();
+    if (values.isEmpty()) {
+      return NONE;
+    }
+    if (lowest.isEmpty()) {
+      return new Unreadable();
+    }
+    return lowest.getAsDouble() > MAX_REQUESTS_PER_SECOND ? NONE : new Rate(lowest.getAsDouble());
+  }
+
+  /** Returns whether a value is a decimal number without sign and exponent. */
+  static boolean readable(String value) {
+    return value.matches("\\d+(\\.\\d+)?");
+  }
 }
--- a/engine/src/test/java/io/zinniawood/engine/http/HttpPlainServiceClientTest.java
+++ b/engine/src/test/java/io/zinniawood/engine/http/HttpPlainServiceClientTest.java
@@ -81,6 +81,20 @@
     assertThat(standIn.bookings("r-2"), is(0));
   }
 
+  // Guards against a limit that the agent never sees.
+  @Test
+  void limitOfTheServiceIsPartOfTheAnswer() throws Exception {
+    standIn.setFaults(ServiceFaults.limit(2.5));
+    ServiceAnswer answer = await(service.call(get("/bins/7"), 5_000)).get();
+    assertThat(
+        answer
+            .headers()
+            .find(header -> header.name().equalsIgnoreCase("Request-Limit"))
+            .get()
+            .value(),
+        is("2.5"));
+  }
+
   // Guards against a credit that is posted twice after a lost response.
   @Test
   void lostResponsesAreReportedAndNotRepeated() throws Exception {
--- a/standin/src/main/java/io/zinniawood/standin/service/ServiceStandIn.java
+++ b/standin/src/main/java/io/zinniawood/standin/service/ServiceStandIn.java
@@ -83,7 +83,11 @@
     if (faults.cutAfterBooking() > 0) {
       faults =
           new ServiceFaults(
-              faults.down(), faults.delayMillis(), faults.cutAfterBooking() - 1, faults.silent());
+              faults.down(),
+              faults.delayMillis(),
+              faults.cutAfterBooking() - 1,
+              faults.silent(),
+              faults.requestLimit());
       return true;
     }
     return faults.cutAfterBooking() < 0;
@@ -92,6 +96,9 @@
   /** Applies the faults that precede a call; returns whether the call proceeds. */
   private boolean applyFaults(Exchange exchange) {
     ServiceFaults current = faults();
+    if (current.requestLimit() > 0) {
+      exchange.responseHeader("Request-Limit", Double.toString(current.requestLimit()));
+    }
     if (current.down()) {
       exchange.respondProblem(503, "the service is down");
     }
