--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakFaults.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakFaults.java
@@ -15,6 +15,8 @@
   private static final int MAX_DELAY_MILLIS = 300;
   private static final int MAX_COPY_AGE_MILLIS = 10_000;
   private static final int MAX_REWRITE_DELAY_MILLIS = 2_000;
+  private static final double MIN_LIMIT_PER_SECOND = 0.5;
+  private static final int LIMIT_RANGE_PER_SECOND = 10;
   private static final int MAX_FAULT_DURATION_MILLIS = 3_000;
 
   private final SoakCluster cluster;
@@ -45,6 +47,7 @@
     faults.add(this::breakStreams);
     faults.add(this::failPlainCalls);
     faults.add(this::rotateKey);
+    faults.add(this::nameLimit);
   }
 
   /** Starts one fault and schedules its end. */
@@ -165,6 +168,12 @@
     return () -> endpoint.setFailPlainCalls(false);
   }
 
+  private Runnable nameLimit() {
+    EndpointStandIn endpoint = randomEndpoint();
+    endpoint.nameLimit(MIN_LIMIT_PER_SECOND + random.nextInt(LIMIT_RANGE_PER_SECOND));
+    return () -> endpoint.nameLimit(0);
+  }
+
   private Runnable rotateKey() {
     cluster.rotateKey();
     return () -> {};
--- a/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
@@ -36,12 +36,14 @@
   private final AtomicInteger rowSequence = new AtomicInteger();
   private final Map<String, Integer> runsByRequest = new ConcurrentHashMap<>();
   private final List<String> executedPaths = new CopyOnWriteArrayList<>();
+  private final List<Long> arrivalNanos = new CopyOnWriteArrayList<>();
   private volatile String layersJson = "";
   private volatile int breakAfterEvents = Integer.MAX_VALUE;
   private volatile boolean failPlainCalls;
   private volatile long plainDelayMillis;
   private volatile int plainPaddingBytes;
   private volatile boolean emptyStreams;
+  private volatile double requestLimit;
   private volatile int resumeStatus;
   private volatile NodeAddress advertisedAddress;
 
@@ -120,6 +122,20 @@
     breakAfterEvents = events;
   }
 
+  /**
+   * Names a limit in each answer.
+   *
+   * @param requestsPerSecond requests that the endpoint takes from all relays; 0 for no limit
+   */
+  public void nameLimit(double requestsPerSecond) {
+    requestLimit = requestsPerSecond;
+  }
+
+  /** Returns the monotonic times in nanoseconds at which requests arrived. */
+  public List<Long> arrivalNanos() {
+    return List.copyOf(arrivalNanos);
+  }
+
   /** Makes each stream end in good form before its first event. */
   public void endStreamsWithoutEvents() {
     emptyStreams = true;
@@ -172,6 +188,10 @@
 
   private void execute(HttpExchange exchange) throws IOException {
     exchange.getRequestBody().readAllBytes();
+    arrivalNanos.add(System.nanoTime());
+    if (requestLimit > 0) {
+      exchange.getResponseHeaders().set("Server-Limit", Double.toString(requestLimit));
+    }
     String request = exchange.getRequestHeaders().getFirst("Attempt-Id");
     String path = exchange.getRequestHeaders().getFirst("Hops");
     exchange.getResponseHeaders().set("Attempt-Id", request);
