Send the events of a stream before its attempt fails

Cause: events are written as they are read and flushed at the end of the read. If the end of the endpoint's answer came in the same read, the exchange had ended before that, and nothing flushed. The events then waited until the next attempt had some (a pause that callers see), or were dropped when no attempt continued the stream and the connection was closed. On a busy machine events and end come in one read; the stand-in ends its chunked answer in good form within an event, which is such a case. RuntimeFailuresTest#eventsAreSentBeforeTheAttemptFails failed before: nothing was written.

--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -340,6 +340,10 @@
     CallerExchange caller = exchange.callerExchange();
     attempts.remove(caller.id(), exchange);
     caller.splitter().dropPartialEvent();
+    if (caller.headWritten()) {
+      // No end of a read follows if the attempt failed in the read that brought its last events.
+      caller.connection().flush();
+    }
     post(
         new RelayEvent.AttemptFailed(
             caller.id(), exchange.attempt(), cause, caller.splitter().lastId()));
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -1,7 +1,9 @@
 package io.zinniawood.relay.internal;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
 import io.netty.buffer.ByteBuf;
@@ -9,7 +11,13 @@
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
 import io.zinniawood.core.fleet.FleetEndpoint;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
@@ -18,10 +26,13 @@
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayParameters;
+import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.core.relay.SendOptions;
 import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.core.route.Route;
 import io.zinniawood.core.route.RouteKind;
@@ -35,7 +46,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -100,6 +113,56 @@
         VERSION);
   }
 
+  // Guards against events that are held back until the next attempt has some, or lost if there is
+  // none, because the end of the attempt was in the same read.
+  @Test
+  void eventsAreSentBeforeTheAttemptFails() {
+    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.DECODE_REQUEST));
+    CallerHandler handler = new CallerHandler(new FakeCallerListener());
+    EmbeddedChannel channel =
+        new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    channel.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
+    HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+    CallerRequest request =
+        new CallerRequest(
+            Optional.empty(),
+            "host",
+            "/x",
+            Optional.empty(),
+            OptionalLong.empty(),
+            0,
+            0,
+            0,
+            List.of());
+    CallerExchange caller =
+        new CallerExchange(
+            new RelayRequestId(1_000), head, request, Unpooled.EMPTY_BUFFER, handler);
+    handler.beginStream(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+    caller.markHeadWritten();
+    SendOptions options =
+        new SendOptions(
+            new EndpointId("e"),
+            1_000,
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            SendOptions.ConnectionUse.ANY,
+            true);
+    EndpointExchange exchange =
+        new EndpointExchange(caller, 1, new NodeAddress("10.0.0.1", 80), options);
+    runtime.streamContentReceived(
+        exchange, Unpooled.copiedBuffer("id: 1\ndata: a\n\nid: 2\nda", StandardCharsets.US_ASCII));
+    runtime.streamCompleted(exchange);
+    StringBuilder written = new StringBuilder();
+    for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+      written.append(part.toString(StandardCharsets.US_ASCII));
+      part.release();
+    }
+    assertThat(written.toString(), containsString("data: a"));
+    assertThat(written.toString(), not(containsString("id: 2")));
+    channel.finishAndReleaseAll();
+  }
+
   // An exception closed the connection: the request had neither an answer nor a refusal.
   @ParameterizedTest
   @EnumSource(FailingCodec.Method.class)
