--- a/core/src/test/java/io/zinniawood/core/relay/LimitedFleet.java
+++ b/core/src/test/java/io/zinniawood/core/relay/LimitedFleet.java
@@ -186,20 +186,10 @@
   /** Starts an endpoint anew; its new process names no limit. */
   void restartEndpoint(String id) {
     Endpoint endpoint = endpoint(id);
-    FleetEndpoint old = endpoint.row;
     endpoint.limit = StatedLimit.NONE;
     endpoint.row =
-        new FleetEndpoint(
-            old.id(),
-            old.service(),
-            old.address(),
-            old.dataCentre(),
-            old.slots(),
-            false,
-            old.accelerator(),
-            old.layers(),
-            old.startedMillis() + 1,
-            new StoreVersion(era, nextVersion++));
+        RelayHarness.restarted(
+            endpoint.row, endpoint.row.startedMillis() + 1, new StoreVersion(era, nextVersion++));
     relays.stream().filter(relay -> relay.running).forEach(this::listFor);
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -180,6 +180,21 @@
         version(rowVersion++));
   }
 
+  /** Returns the entry of a later start of an endpoint. */
+  static FleetEndpoint restarted(FleetEndpoint before, long startedMillis, StoreVersion version) {
+    return new FleetEndpoint(
+        before.id(),
+        before.service(),
+        before.address(),
+        before.dataCentre(),
+        before.slots(),
+        false,
+        before.accelerator(),
+        before.layers(),
+        startedMillis,
+        version);
+  }
+
   void list(FleetEndpoint... endpoints) {
     post(new RelayEvent.EndpointsListed(List.of(endpoints), version(rowVersion), storeMillis()));
   }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
@@ -66,20 +66,6 @@
     peerSays();
   }
 
-  private FleetEndpoint restarted(FleetEndpoint before, long startedMillis, long rowVersion) {
-    return new FleetEndpoint(
-        before.id(),
-        before.service(),
-        before.address(),
-        before.dataCentre(),
-        before.slots(),
-        false,
-        before.accelerator(),
-        before.layers(),
-        startedMillis,
-        RelayHarness.version(rowVersion));
-  }
-
   private boolean used() {
     return !relay.sends(relay.request("read")).isEmpty();
   }
@@ -112,7 +98,7 @@
     assertThat(relay.state().endpoints(), is(0));
     relay.list(endpoint.withRowVersion(RelayHarness.version(600)));
     assertThat("reappearance", used(), is(false));
-    relay.list(restarted(endpoint, 2, 700));
+    relay.list(RelayHarness.restarted(endpoint, 2, RelayHarness.version(700)));
     assertThat("restart", used(), is(true));
     leaves("a", 1);
     assertThat("late answer of the earlier process", used(), is(true));
@@ -121,9 +107,9 @@
   // Guards against an older row that shows the process before the one that leaves.
   @Test
   void earlierStartDoesNotEndLeaving() {
-    relay.list(restarted(endpoint, 5, 900));
+    relay.list(RelayHarness.restarted(endpoint, 5, RelayHarness.version(900)));
     leaves("a", 5);
-    relay.list(restarted(endpoint, 4, 901));
+    relay.list(RelayHarness.restarted(endpoint, 4, RelayHarness.version(901)));
     assertThat(used(), is(false));
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/StatementsHistory.java
+++ b/core/src/test/java/io/zinniawood/core/relay/StatementsHistory.java
@@ -125,19 +125,8 @@
   }
 
   private void restart(Known known) {
-    FleetEndpoint old = known.row;
     known.row =
-        new FleetEndpoint(
-            old.id(),
-            old.service(),
-            old.address(),
-            old.dataCentre(),
-            old.slots(),
-            false,
-            old.accelerator(),
-            old.layers(),
-            old.startedMillis() + 1,
-            old.rowVersion());
+        RelayHarness.restarted(known.row, known.row.startedMillis() + 1, known.row.rowVersion());
     known.listed = true;
     list();
   }
