Bound the permits that one message gives away

A message was bounded before the permits of the last limit were added, which gave some to each relay that wanted them: with 20 relays it took 1,836 bytes in place of 1,400 at most, and fragments of a datagram are lost together, with the permits. The receivers of the last limit are bounded as well. PeerMessageCodecTest#largestLimitNoticeFitsIntoPacket has 20 relays now and failed before.

--- a/core/src/main/java/io/zinniawood/core/limit/EndpointLimit.java
+++ b/core/src/main/java/io/zinniawood/core/limit/EndpointLimit.java
@@ -183,14 +183,17 @@
   /**
    * Gives permits to other processes that want some: all of them while this process wants none, and
    * otherwise those that it left unused, but at least as many as each process gets in turn.
+   *
+   * @param maxReceivers maximum number of processes that receive permits, 1 or greater
    */
-  List<PermitGift> gifts(long nowNanos) {
+  List<PermitGift> gifts(int maxReceivers, long nowNanos) {
     int unused = permits.unused();
-    List<VmId> receivers = wantingOthers(nowNanos);
-    if (receivers.isEmpty()) {
+    List<VmId> wanting = wantingOthers(nowNanos);
+    if (wanting.isEmpty()) {
       owedToOthers = 0;
       return List.of();
     }
+    List<VmId> receivers = wanting.subList(0, Math.min(maxReceivers, wanting.size()));
     int most = wantedAt(nowNanos) ? Math.max(owedToOthers, unused) : Integer.MAX_VALUE;
     int given = permits.takeForOthers(most);
     owedToOthers = Math.max(0, owedToOthers - given);
--- a/core/src/main/java/io/zinniawood/core/limit/EndpointLimits.java
+++ b/core/src/main/java/io/zinniawood/core/limit/EndpointLimits.java
@@ -127,7 +127,7 @@
     for (EndpointLimit limit : limitsById.values()) {
       if (gifts.size() < MAX_GIFTS && limit.bindingAt(nowNanos)) {
         limit.refill(shares, nowNanos);
-        gifts.addAll(limit.gifts(nowNanos));
+        gifts.addAll(limit.gifts(MAX_GIFTS - gifts.size(), nowNanos));
       }
     }
     return gifts;
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -228,11 +228,13 @@
     for (int index = 0; index < 100; index++) {
       EndpointIncarnation endpoint =
           new EndpointIncarnation(new EndpointId("i-%010d".formatted(index)), 1_796_000_000_123L);
-      limits.named(endpoint, 1.0 / 3 + index, 0);
-      limits.told(
-          new VmId("front-helsinki-a-2"),
-          new LimitEntry(endpoint, 1.0 / 3 + index, false, 20_000, true),
-          0);
+      limits.named(endpoint, 1_000.0 / 3 + index, 0);
+      for (int relay = 0; relay < 20; relay++) {
+        limits.told(
+            new VmId("front-helsinki-a-%d".formatted(relay)),
+            new LimitEntry(endpoint, 1_000.0 / 3 + index, false, 20_000, true),
+            0);
+      }
     }
     long nowNanos = 900_000_000L;
     LimitNotice notice =
