Use one hash of ids for members, evicted attempts and rankings

MemberShares wrote the FNV-1a hash and the rendezvous score again that core.entry.membership.Hashing has; EvictedAttempts had a third copy. Hashing depends on nothing and moves beside the ids, and all of them call it. The members that hold a limit are others than before, chosen in the same way; the digests of evicted attempts are in memory only.

--- a/core/src/main/java/io/zinniawood/core/agent/EvictedAttempts.java
+++ b/core/src/main/java/io/zinniawood/core/agent/EvictedAttempts.java
@@ -4,6 +4,7 @@
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.Hashing;
 import java.util.Arrays;
 
 /**
@@ -45,7 +46,7 @@
   }
 
   boolean contains(AttemptId attempt) {
-    long digest = digest(attempt);
+    long digest = Hashing.of(attempt.value());
     return unsealed.contains(digest) || sealed.exists(segment -> segment.contains(digest));
   }
 
@@ -55,7 +56,7 @@
   }
 
   EvictedAttempts add(AttemptId attempt, long nowNanos) {
-    Set<Long> extended = unsealed.add(digest(attempt));
+    Set<Long> extended = unsealed.add(Hashing.of(attempt.value()));
     if (extended.size() < SEGMENT_SIZE) {
       return new EvictedAttempts(extended, sealed);
     }
@@ -65,14 +66,4 @@
         sealed.size() >= MAX_SEGMENTS && !isFull(nowNanos) ? sealed.tail() : sealed;
     return new EvictedAttempts(HashSet.empty(), kept.append(new Segment(digests, nowNanos)));
   }
-
-  /** Returns the FNV-1a hash with a final mixing step. */
-  private static long digest(AttemptId attempt) {
-    long hash = 0xcbf29ce484222325L;
-    for (int i = 0; i < attempt.value().length(); i++) {
-      hash = (hash ^ attempt.value().charAt(i)) * 0x100000001b3L;
-    }
-    hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
-    return hash ^ (hash >>> 29);
-  }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/EntryState.java
+++ b/core/src/main/java/io/zinniawood/core/entry/EntryState.java
@@ -5,7 +5,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.configuration.AcceptedConfiguration;
 import io.zinniawood.core.configuration.ClusterConfiguration;
-import io.zinniawood.core.entry.membership.Hashing;
+import io.zinniawood.core.id.Hashing;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.id.SessionId;
 
--- a/core/src/main/java/io/zinniawood/core/entry/IdGenerator.java
+++ b/core/src/main/java/io/zinniawood/core/entry/IdGenerator.java
@@ -1,7 +1,7 @@
 package io.zinniawood.core.entry;
 
-import io.zinniawood.core.entry.membership.Hashing;
 import io.zinniawood.core.id.AttemptId;
+import io.zinniawood.core.id.Hashing;
 import io.zinniawood.core.id.SessionId;
 
 /**
--- a/core/src/main/java/io/zinniawood/core/entry/membership/EntryRanking.java
+++ b/core/src/main/java/io/zinniawood/core/entry/membership/EntryRanking.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.Vector;
 import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.Hashing;
 import io.zinniawood.core.model.VmEntry;
 import io.zinniawood.core.model.VmRole;
 import io.zinniawood.core.model.VmState;
--- a/core/src/main/java/io/zinniawood/core/entry/membership/SubsetSelection.java
+++ b/core/src/main/java/io/zinniawood/core/entry/membership/SubsetSelection.java
@@ -4,6 +4,7 @@
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Hashing;
 import io.zinniawood.core.id.PoolId;
 import io.zinniawood.core.id.VmId;
 import java.util.Comparator;
--- a/core/src/main/java/io/zinniawood/core/entry/routing/EndpointSelector.java
+++ b/core/src/main/java/io/zinniawood/core/entry/routing/EndpointSelector.java
@@ -2,7 +2,7 @@
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
-import io.zinniawood.core.entry.membership.Hashing;
+import io.zinniawood.core.id.Hashing;
 import java.util.Comparator;
 
 /** Selects one of several equivalent endpoints. */
--- a/core/src/main/java/io/zinniawood/core/entry/membership/Hashing.java
+++ b/core/src/main/java/io/zinniawood/core/id/Hashing.java
@@ -1,4 +1,4 @@
-package io.zinniawood.core.entry.membership;
+package io.zinniawood.core.id;
 
 /** 64-bit hashes that are equal on every node and in every run. */
 public final class Hashing {
--- a/core/src/main/java/io/zinniawood/core/id/package-info.java
+++ b/core/src/main/java/io/zinniawood/core/id/package-info.java
@@ -1,2 +1,2 @@
-/** Value types for ids. Depends on no other package. */
+/** Value types for ids, and hashes of their texts. Depends on no other package. */
 package io.zinniawood.core.id;
--- a/core/src/main/java/io/zinniawood/core/limit/MemberShares.java
+++ b/core/src/main/java/io/zinniawood/core/limit/MemberShares.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.limit;
 
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.Hashing;
 import io.zinniawood.core.id.VmId;
 import java.util.Set;
 
@@ -54,30 +55,15 @@
   }
 
   private static long score(VmId member, EndpointId endpoint) {
-    return mix(hash(member.value()) ^ Long.rotateLeft(hash(endpoint.value()), 1));
+    return Hashing.combine(Hashing.of(endpoint.value()), Hashing.of(member.value()));
   }
 
   /** Returns a hash of members that does not depend on their order. */
   public static long digest(Set<VmId> members) {
     long digest = 0;
     for (VmId member : members) {
-      digest ^= hash(member.value());
+      digest ^= Hashing.of(member.value());
     }
     return digest;
   }
-
-  private static long hash(String text) {
-    // FNV-1a with 64 bits, followed by the finalizer of SplitMix64.
-    long hash = 0xcbf29ce484222325L;
-    for (int index = 0; index < text.length(); index++) {
-      hash = (hash ^ text.charAt(index)) * 0x100000001b3L;
-    }
-    return mix(hash);
-  }
-
-  private static long mix(long value) {
-    long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
-    mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
-    return mixed ^ (mixed >>> 31);
-  }
 }
