--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -6,7 +6,6 @@
 import io.zinniawood.core.path.PathPart;
 import io.zinniawood.core.route.EngineProfile;
 import io.zinniawood.core.route.RouteKind;
-import io.zinniawood.core.route.RoutedService;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -28,9 +27,7 @@
   private Dispatcher() {}
 
   static Result dispatch(RelayTurn turn, OpenRequest open) {
-    Optional<RoutedService> service =
-        turn.state.routes.flatMap(routes -> routes.service(open.service));
-    Optional<EngineProfile> engine = service.flatMap(RoutedService::engine);
+    Optional<EngineProfile> engine = turn.state.engine(open.service);
     return engine.isPresent() ? dispatchModel(turn, open, engine.get()) : dispatchPlain(turn, open);
   }
 
@@ -93,11 +90,7 @@
     open.target.ifPresent(excluded::add);
     // The present attempt would free its share of the endpoints that both paths contain.
     EndpointUsage.pause(open);
-    Optional<EngineProfile> engine =
-        turn.state
-            .routes
-            .flatMap(routes -> routes.service(open.service))
-            .flatMap(RoutedService::engine);
+    Optional<EngineProfile> engine = turn.state.engine(open.service);
     boolean exists =
         engine.isPresent()
             ? replacementPathExists(turn, open, engine.get(), excluded)
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointAvailability.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointAvailability.java
@@ -3,7 +3,6 @@
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.limit.EndpointLimit;
 import io.zinniawood.core.route.EngineProfile;
-import io.zinniawood.core.route.RoutedService;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeSet;
@@ -68,11 +67,7 @@
   }
 
   private static boolean availableAt(RelayTurn turn, OpenRequest open, long atNanos) {
-    Optional<EngineProfile> engine =
-        turn.state
-            .routes
-            .flatMap(routes -> routes.service(open.service))
-            .flatMap(RoutedService::engine);
+    Optional<EngineProfile> engine = turn.state.engine(open.service);
     return engine.isPresent()
         ? new PathSelector(turn, engine.get(), open).existsAt(atNanos)
         : new PlainEndpointSelector(turn, open.service).anyUsableAt(atNanos);
--- a/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
@@ -5,7 +5,6 @@
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.path.PathPart;
 import io.zinniawood.core.route.EngineProfile;
-import io.zinniawood.core.route.RoutedService;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Optional;
@@ -43,11 +42,7 @@
   }
 
   private static void repath(RelayTurn turn, OpenRequest open, Set<EndpointId> avoid) {
-    Optional<EngineProfile> engine =
-        turn.state
-            .routes
-            .flatMap(routes -> routes.service(open.service))
-            .flatMap(RoutedService::engine);
+    Optional<EngineProfile> engine = turn.state.engine(open.service);
     if (engine.isEmpty() || open.repaths >= MAX_REPATHS) {
       return;
     }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -5,11 +5,14 @@
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.EndpointIncarnation;
+import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.limit.MemberShares;
 import io.zinniawood.core.quarantine.PromptPartQuarantine;
+import io.zinniawood.core.route.EngineProfile;
 import io.zinniawood.core.route.RouteTable;
+import io.zinniawood.core.route.RoutedService;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -120,6 +123,11 @@
     return quarantine.heldParts();
   }
 
+  /** Returns the engines of a service; empty if it is a plain one or unknown. */
+  Optional<EngineProfile> engine(ServiceName service) {
+    return routes.flatMap(table -> table.service(service)).flatMap(RoutedService::engine);
+  }
+
   /** Returns the number of endpoints that name a limit. */
   public int endpointLimits() {
     return fleet.limits().named();
