Share the lowest limit that counts, and the depth of an agent's permits

EndpointLimit and CallRate had the same minimum with the same reason, CallRate computed its depth in two places, and the pattern of a limit was compiled for each value.

--- a/core/src/main/java/io/zinniawood/core/agent/CallRate.java
+++ b/core/src/main/java/io/zinniawood/core/agent/CallRate.java
@@ -20,9 +20,6 @@
   /** Header of an answer with the calls a second that the service takes. */
   static final String HEADER = "Request-Limit";
 
-  /** Lower limits count as this one, so that calls remain that show when the limit ends. */
-  private static final double MIN_CALLS_PER_SECOND = 0.1;
-
   /** Time of the rate for which permits are kept; one permit at least. */
   private static final double MAX_PERMIT_SECONDS = 0.5;
 
@@ -42,9 +39,12 @@
   }
 
   private double permitsAt(long nowNanos) {
-    double depth = Math.max(1, callsPerSecond * MAX_PERMIT_SECONDS);
     double refilled = callsPerSecond * (nowNanos - atNanos) / NANOS_PER_SECOND;
-    return Math.min(depth, permits + refilled);
+    return Math.min(maxPermits(callsPerSecond), permits + refilled);
+  }
+
+  private static double maxPermits(double callsPerSecond) {
+    return Math.max(1, callsPerSecond * MAX_PERMIT_SECONDS);
   }
 
   /** Returns the rate after a call started. */
@@ -71,10 +71,9 @@
   CallRate answered(Vector<HttpHeader> headers, long startedNanos, long nowNanos) {
     StatedLimit stated = statedLimit(headers);
     if (stated instanceof StatedLimit.Rate rate) {
-      double limit = Math.max(MIN_CALLS_PER_SECOND, rate.requestsPerSecond());
+      double limit = Math.max(StatedLimit.MIN_REQUESTS_PER_SECOND, rate.requestsPerSecond());
       double held = limited() ? permitsAt(nowNanos) : 0;
-      double depth = Math.max(1, limit * MAX_PERMIT_SECONDS);
-      return new CallRate(limit, Math.min(held, depth), nowNanos, nowNanos);
+      return new CallRate(limit, Math.min(held, maxPermits(limit)), nowNanos, nowNanos);
     }
     boolean ended = stated instanceof StatedLimit.None && startedNanos - namedNanos >= 0;
     return limited() && ended ? unlimited() : this;
--- a/core/src/main/java/io/zinniawood/core/limit/EndpointLimit.java
+++ b/core/src/main/java/io/zinniawood/core/limit/EndpointLimit.java
@@ -20,9 +20,6 @@
   /** Time after the end of a limit from which on it has no effect. */
   private static final long RELEASE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-  /** Lower limits count as this one, so that requests remain that show when the limit ends. */
-  private static final double MIN_REQUESTS_PER_SECOND = 0.1;
-
   /** Time after a lack of permits in which this process still wants some; two messages. */
   private static final long OWN_WANT_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -89,9 +86,11 @@
 
   private double rateAt(long nowNanos) {
     double raised =
-        Math.max(MIN_REQUESTS_PER_SECOND, raisedFromPerSecond)
+        Math.max(StatedLimit.MIN_REQUESTS_PER_SECOND, raisedFromPerSecond)
             * Math.pow(2, (nowNanos - changedNanos) / DOUBLING_NANOS);
-    return ended ? raised : Math.min(Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond), raised);
+    return ended
+        ? raised
+        : Math.min(Math.max(StatedLimit.MIN_REQUESTS_PER_SECOND, requestsPerSecond), raised);
   }
 
   /** Sets the limit; returns whether its value changed. */
--- a/core/src/main/java/io/zinniawood/core/limit/StatedLimit.java
+++ b/core/src/main/java/io/zinniawood/core/limit/StatedLimit.java
@@ -2,12 +2,19 @@
 
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.regex.Pattern;
 
 /** What the head of an answer says about the rate at which its endpoint takes requests. */
 public sealed interface StatedLimit {
   /** Limits above this number of requests a second have no effect and count as none. */
   double MAX_REQUESTS_PER_SECOND = 1_000_000;
 
+  /** Lower limits count as this one, so that requests remain that show when the limit ends. */
+  double MIN_REQUESTS_PER_SECOND = 0.1;
+
+  /** Decimal number without sign and exponent. */
+  Pattern DECIMAL_NUMBER = Pattern.compile("\\d+(\\.\\d+)?");
+
   /** The answer names no limit, so the endpoint has none when it makes the answer. */
   record None() implements StatedLimit {}
 
@@ -53,6 +60,6 @@
 
   /** Returns whether a value is a decimal number without sign and exponent. */
   static boolean readable(String value) {
-    return value.matches("\\d+(\\.\\d+)?");
+    return DECIMAL_NUMBER.matcher(value).matches();
   }
 }
