Do not compute the members' hash and the notices of limits in each tick

The queue of notices was searched in each tick although no limit had ended. EndpointAvailability looked a limit up three times for each endpoint. No decision changes.

--- a/core/src/main/java/io/zinniawood/core/limit/EndpointLimits.java
+++ b/core/src/main/java/io/zinniawood/core/limit/EndpointLimits.java
@@ -156,10 +156,14 @@
 
   /** Removes limits that ended long ago. */
   public void removeExpired(long nowNanos) {
-    limitsById
-        .values()
-        .removeIf(limit -> limit.ended() && nowNanos - limit.evidenceNanos() >= ENDED_KEPT_NANOS);
-    noticeQueue.removeIf(id -> !limitsById.containsKey(id));
+    boolean removed =
+        limitsById
+            .values()
+            .removeIf(
+                limit -> limit.ended() && nowNanos - limit.evidenceNanos() >= ENDED_KEPT_NANOS);
+    if (removed) {
+      noticeQueue.removeIf(id -> !limitsById.containsKey(id));
+    }
   }
 
   private Optional<EndpointLimit> known(EndpointIncarnation endpoint) {
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointAvailability.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointAvailability.java
@@ -34,10 +34,10 @@
       if (endpoint.pausedAt(turn.nowNanos)) {
         waitsNanos.add(endpoint.pauseEndNanos() - turn.nowNanos);
       }
-      if (endpoint.limitReached(turn.nowNanos)) {
-        waitsNanos.add(endpoint.permittedNanos(turn.nowNanos) - turn.nowNanos);
-        requestsPerSecond +=
-            endpoint.limit(turn.nowNanos).map(EndpointLimit::ownRatePerSecond).orElse(0.0);
+      Optional<EndpointLimit> limit = endpoint.limit(turn.nowNanos);
+      if (limit.isPresent() && !limit.get().permitted()) {
+        waitsNanos.add(limit.get().permittedNanos(turn.nowNanos) - turn.nowNanos);
+        requestsPerSecond += limit.get().ownRatePerSecond();
       }
     }
     if (waitsNanos.isEmpty() || availableAt(turn, open, turn.nowNanos)) {
--- a/core/src/main/java/io/zinniawood/core/relay/LimitExchange.java
+++ b/core/src/main/java/io/zinniawood/core/relay/LimitExchange.java
@@ -107,7 +107,7 @@
     state.limitNoticeSequence++;
     return new LimitNotice(
         state.limitNoticeSequence,
-        MemberShares.digest(state.limitShares.members()),
+        state.peers.membersDigest(),
         state.limitSharesGivenBack,
         entries,
         gifts);
--- a/core/src/main/java/io/zinniawood/core/relay/Peers.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Peers.java
@@ -52,6 +52,7 @@
   private Optional<StoreVersion> ownRowVersion = Optional.empty();
   private long ownRowChangedNanos;
   private Set<VmId> members = Set.of();
+  private long membersDigest = MemberShares.digest(members);
   private long membersChangedNanos;
 
   private static final class Peer {
@@ -140,19 +141,24 @@
     Set<VmId> present = members(self, nowNanos);
     if (!present.equals(members)) {
       members = present;
+      membersDigest = MemberShares.digest(members);
       membersChangedNanos = nowNanos;
     }
-    long digest = MemberShares.digest(members);
     boolean agreed =
         ownRowVersion.isPresent()
             && !rowsPerhapsLost
             && nowNanos - membersChangedNanos >= SETTLE_NANOS
             && peersByVm.entrySet().stream()
                 .filter(entry -> members.contains(entry.getKey()))
-                .allMatch(entry -> agrees(entry.getValue(), digest, nowNanos));
+                .allMatch(entry -> agrees(entry.getValue(), nowNanos));
     return new MemberShares(self, members, agreed);
   }
 
+  /** Returns the hash of the members among which limits were divided last. */
+  long membersDigest() {
+    return membersDigest;
+  }
+
   private Set<VmId> members(VmId self, long nowNanos) {
     if (!rowsRead) {
       return Set.of();
@@ -183,10 +189,10 @@
         && nowNanos - ownRowChangedNanos < ROW_LAPSE_NANOS;
   }
 
-  private static boolean agrees(Peer peer, long digest, long nowNanos) {
+  private boolean agrees(Peer peer, long nowNanos) {
     return peer.heard
         && nowNanos - peer.heardNanos < AGREEMENT_NANOS
-        && peer.limits.membersDigest() == digest;
+        && peer.limits.membersDigest() == membersDigest;
   }
 
   /** Returns the addresses of the relays that receive messages. */
