Keep lost files that only another entry had read when an edit comes after a restore

Callers saw: after the store came back from a copy, the next edit took a model out of force that an earlier, lost edit had added, on both entries, until the operator wrote the lost file again.

Cause: only the entry that read a file knew its text. An entry that had the configuration from its peer's message, and not yet from its own poll, merged the folder of the copy without the lost file. If it was the first to see the next edit, it accepted that merge.

The test did not say what was answered, and it mostly lost nothing, as the copy was taken less than a millisecond after the edit.

The test now surely loses the edit and prints the answers.

--- a/config/src/main/java/io/zinniawood/config/AcceptanceCodec.java
+++ b/config/src/main/java/io/zinniawood/config/AcceptanceCodec.java
@@ -9,6 +9,7 @@
 import io.zinniawood.core.acceptance.AcceptedRow;
 import io.zinniawood.core.acceptance.AcceptedSnapshot;
 import io.zinniawood.core.acceptance.FileVersion;
+import io.zinniawood.core.acceptance.FolderFile;
 import io.zinniawood.core.id.AttemptId;
 import io.zinniawood.core.id.Generation;
 import io.zinniawood.core.model.Payload;
@@ -62,15 +63,31 @@
 
   /**
    * Serialises a snapshot; returns an error if it has more than {@value
-   * ConfigurationCodec#MAX_BYTES} bytes.
+   * ConfigurationCodec#MAX_BYTES} bytes even without the texts of the files.
    */
   public static Either<CodecError, Payload> encodeSnapshot(AcceptedSnapshot snapshot) {
+    Either<CodecError, Payload> complete = encodeWithTexts(snapshot);
+    return complete.isRight() || snapshot.mergedFiles().isEmpty()
+        ? complete
+        : encodeWithTexts(
+            new AcceptedSnapshot(snapshot.configuration(), snapshot.files(), Vector.empty()));
+  }
+
+  private static Either<CodecError, Payload> encodeWithTexts(AcceptedSnapshot snapshot) {
     ObjectNode root = JsonNodeFactory.instance.objectNode();
     root.set("accepted", ConfigurationCodec.toJson(snapshot.configuration()));
     ArrayNode files = root.putArray("files");
     for (FileVersion file : snapshot.files()) {
       files.addObject().put("name", file.name()).put("version", file.version());
     }
+    ArrayNode merged = root.putArray("merged");
+    for (FolderFile file : snapshot.mergedFiles()) {
+      merged
+          .addObject()
+          .put("name", file.name())
+          .put("version", file.version())
+          .put("text", file.text());
+    }
     byte[] bytes = root.toString().getBytes(StandardCharsets.UTF_8);
     return bytes.length > ConfigurationCodec.MAX_BYTES
         ? Either.left(new CodecError.TooLarge(bytes.length, ConfigurationCodec.MAX_BYTES))
@@ -86,7 +103,39 @@
                     .flatMap(
                         accepted ->
                             readFiles(root.path("files"))
-                                .map(files -> new AcceptedSnapshot(accepted, files))));
+                                .flatMap(
+                                    files ->
+                                        readMergedFiles(root.path("merged"))
+                                            .map(
+                                                merged ->
+                                                    new AcceptedSnapshot(
+                                                        accepted, files, merged)))));
+  }
+
+  /** Parses the files with texts, which snapshots of earlier releases lack. */
+  private static Either<CodecError, Vector<FolderFile>> readMergedFiles(JsonNode array) {
+    if (array.isMissingNode()) {
+      return Either.right(Vector.empty());
+    }
+    Vector<JsonNode> items = Vector.ofAll(array);
+    boolean valid =
+        array.isArray()
+            && items.forAll(
+                item ->
+                    item.path("name").isTextual()
+                        && item.path("version").isTextual()
+                        && item.path("text").isTextual());
+    return valid
+        ? Either.right(
+            items.map(
+                item ->
+                    new FolderFile(
+                        item.path("name").textValue(),
+                        item.path("version").textValue(),
+                        item.path("text").textValue())))
+        : Either.left(
+            new CodecError.Malformed(
+                "expected a list of merged files with name, version and text"));
   }
 
   private static Either<CodecError, Vector<FileVersion>> readFiles(JsonNode array) {
--- a/config/src/test/java/io/zinniawood/config/MergePropertyTest.java
+++ b/config/src/test/java/io/zinniawood/config/MergePropertyTest.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.acceptance.AcceptedRow;
 import io.zinniawood.core.acceptance.AcceptedSnapshot;
 import io.zinniawood.core.acceptance.FileVersion;
+import io.zinniawood.core.acceptance.FolderFile;
 import io.zinniawood.core.configuration.AcceptedConfiguration;
 import io.zinniawood.core.configuration.ClusterConfiguration;
 import io.zinniawood.core.id.AttemptId;
@@ -59,7 +60,10 @@
     assertThat(decoded, equalTo(accepted));
     assertThat(ConfigurationCodec.digest(decoded.cluster()), is(accepted.digest()));
     AcceptedSnapshot snapshot =
-        new AcceptedSnapshot(accepted, Vector.of(new FileVersion("a \"\u00e9.toml", "v1")));
+        new AcceptedSnapshot(
+            accepted,
+            Vector.of(new FileVersion("a \"\u00e9.toml", "v1")),
+            Vector.of(new FolderFile("a \"\u00e9.toml", "v1", "# \"\u00e9\n")));
     assertThat(
         AcceptanceCodec.encodeSnapshot(snapshot).flatMap(AcceptanceCodec::decodeSnapshot),
         equalTo(Either.right(snapshot)));
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRowReads.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRowReads.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.acceptance;
 
+import io.vavr.collection.SortedMap;
 import io.vavr.collection.TreeMap;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
@@ -16,7 +17,17 @@
 
   static Step<AcceptanceState, AcceptanceEffect> peerConfigurationReceived(
       AcceptanceState state, AcceptedConfiguration configuration) {
-    return adoptIfNewer(state, configuration);
+    Step<AcceptanceState, AcceptanceEffect> adopted = adoptIfNewer(state, configuration);
+    if (adopted.effects().isEmpty()) {
+      return adopted;
+    }
+    if (state.mode() == PollMode.FOLLOWING) {
+      return new Step<>(
+          withoutOtherTexts(adopted.state(), configuration.digest()), adopted.effects());
+    }
+    // Reads the texts before the store can lose them.
+    Step<AcceptanceState, AcceptanceEffect> started = Rounds.startOrRequest(adopted.state());
+    return new Step<>(started.state(), adopted.effects().appendAll(started.effects()));
   }
 
   static Step<AcceptanceState, AcceptanceEffect> rowRead(
@@ -56,6 +67,7 @@
       return Step.of(state);
     }
     AcceptedRow row = loading.row().row();
+    boolean mayBeLost = isOfEarlierEra(loading.row()) && state.inForce().isDefined();
     Option<AcceptedSnapshot> usable =
         event
             .snapshot()
@@ -78,13 +90,34 @@
                     .takeRight(Proposals.MAX_KEPT_SNAPSHOTS))
             .build();
     Step<AcceptanceState, AcceptanceEffect> adopted =
-        isOfEarlierEra(loading.row()) && state.inForce().isDefined()
-            ? Step.of(loaded)
-            : adoptIfNewer(loaded, usable.get().configuration());
-    Step<AcceptanceState, AcceptanceEffect> listed = listFolderIfPolling(adopted.state());
+        mayBeLost ? Step.of(loaded) : adoptIfNewer(loaded, usable.get().configuration());
+    Step<AcceptanceState, AcceptanceEffect> listed =
+        listFolderIfPolling(
+            mayBeLost ? adopted.state() : withTexts(adopted.state(), row, usable.get()));
     return new Step<>(listed.state(), adopted.effects().appendAll(listed.effects()));
   }
 
+  /** Forgets texts of another configuration, as later edits are not read in this mode. */
+  private static AcceptanceState withoutOtherTexts(AcceptanceState state, String digest) {
+    return state.folderHistory().digest().contains(digest)
+        ? state
+        : state.copy().mergedFiles(TreeMap.empty()).folderHistory(FolderHistory.EMPTY).build();
+  }
+
+  private static AcceptanceState withTexts(
+      AcceptanceState state, AcceptedRow row, AcceptedSnapshot snapshot) {
+    if (snapshot.mergedFiles().isEmpty()) {
+      return state;
+    }
+    FolderHistory history = state.folderHistory();
+    SortedMap<String, FolderFile> files = history.filesOf(row, snapshot, state.mergedFiles());
+    return state
+        .copy()
+        .folderHistory(history.afterAcceptance(row, snapshot, state.mergedFiles(), files))
+        .mergedFiles(files)
+        .build();
+  }
+
   /**
    * Tells whether a row may have been accepted in an era that the store has lost in part. Another
    * row with the same generation may have been in force.
--- a/core/src/main/java/io/zinniawood/core/acceptance/FolderHistory.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/FolderHistory.java
@@ -5,28 +5,32 @@
 import io.vavr.collection.TreeSet;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
+import io.zinniawood.core.model.PackedStoreVersion;
 
 /**
  * Earlier texts of the configuration files. When the store comes back from a copy, they tell a file
  * that went back from one that an operator has edited since.
  *
  * @param era era of the store in which {@code restored} was determined
- * @param digest digest of the last valid merge
+ * @param digest digest of the last configuration of which all texts are known
  * @param earlierTexts texts of each file before the present one, oldest first, none for a time at
  *     which it did not exist
+ * @param digestWithTexts digest of the last configuration whose texts were written to or read from
+ *     the store in this era
  * @param restored version, none if not listed, of each file that went back to an earlier text and
  *     has not been written since
  */
 record FolderHistory(
     long era,
     Option<String> digest,
+    Option<String> digestWithTexts,
     SortedMap<String, Vector<Option<String>>> earlierTexts,
     SortedMap<String, Option<String>> restored) {
   /** Covers the edits of the seconds that a restore can lose. */
   private static final int MAX_TEXTS_PER_FILE = 16;
 
   static final FolderHistory EMPTY =
-      new FolderHistory(0, Option.none(), TreeMap.empty(), TreeMap.empty());
+      new FolderHistory(0, Option.none(), Option.none(), TreeMap.empty(), TreeMap.empty());
 
   /** Records the texts that a valid merge replaced. */
   FolderHistory afterMerge(
@@ -48,7 +52,69 @@
         }
       }
     }
-    return new FolderHistory(era, Option.of(mergedDigest), texts, restored);
+    return new FolderHistory(era, Option.of(mergedDigest), digestWithTexts, texts, restored);
+  }
+
+  /** Records that the store has the texts of the last configuration. */
+  FolderHistory withTextsInStore() {
+    return new FolderHistory(era, digest, digest, earlierTexts, restored);
+  }
+
+  /** Returns the era of the store in which the row was accepted. */
+  private static long era(AcceptedRow row) {
+    return PackedStoreVersion.era(row.generation().value());
+  }
+
+  /**
+   * Returns the files of a configuration that another entry accepted. After a restore that entry
+   * may know less than this one, so a text that this entry saw replaced does not count.
+   *
+   * @param merged files of the last valid merge of this entry
+   */
+  SortedMap<String, FolderFile> filesOf(
+      AcceptedRow row, AcceptedSnapshot snapshot, SortedMap<String, FolderFile> merged) {
+    SortedMap<String, FolderFile> accepted = filesByName(snapshot.mergedFiles());
+    if (era(row) <= era) {
+      return accepted;
+    }
+    SortedMap<String, FolderFile> result = accepted;
+    for (String name : restored(accepted, merged)) {
+      result =
+          merged.containsKey(name) ? result.put(name, merged.get(name).get()) : result.remove(name);
+    }
+    return result;
+  }
+
+  /**
+   * Records a configuration that another entry accepted.
+   *
+   * @param before files of the last valid merge of this entry
+   * @param after result of {@link #filesOf}
+   */
+  FolderHistory afterAcceptance(
+      AcceptedRow row,
+      AcceptedSnapshot snapshot,
+      SortedMap<String, FolderFile> before,
+      SortedMap<String, FolderFile> after) {
+    SortedMap<String, String> listing = AcceptedRowReads.versionsByName(snapshot.files());
+    SortedMap<String, Option<String>> notInFolder = TreeMap.empty();
+    for (String name : TreeSet.ofAll(listing.keySet()).addAll(after.keySet())) {
+      if (!listing.get(name).equals(after.get(name).map(FolderFile::version))) {
+        notInFolder = notInFolder.put(name, listing.get(name));
+      }
+    }
+    FolderHistory merged = afterMerge(row.digest(), before, after);
+    return new FolderHistory(
+        Math.max(era, era(row)),
+        merged.digest(),
+        merged.digest(),
+        merged.earlierTexts(),
+        notInFolder);
+  }
+
+  private static SortedMap<String, FolderFile> filesByName(Vector<FolderFile> files) {
+    return files.foldLeft(
+        TreeMap.<String, FolderFile>empty(), (map, file) -> map.put(file.name(), file));
   }
 
   /** Determines, once in each era, which files went back to an earlier text. */
@@ -61,16 +127,21 @@
       return this;
     }
     SortedMap<String, Option<String>> wentBack = TreeMap.empty();
-    for (String name : names(files, merged)) {
-      Option<String> found = text(files, name);
-      boolean earlier =
-          !found.equals(text(merged, name))
-              && earlierTexts.getOrElse(name, Vector.empty()).contains(found);
-      if (earlier) {
-        wentBack = wentBack.put(name, listing.get(name));
-      }
+    for (String name : restored(files, merged)) {
+      wentBack = wentBack.put(name, listing.get(name));
     }
-    return new FolderHistory(present, digest, earlierTexts, wentBack);
+    return new FolderHistory(present, digest, Option.none(), earlierTexts, wentBack);
+  }
+
+  /** Returns the names of the files with a text that an edit replaced before. */
+  private Vector<String> restored(
+      SortedMap<String, FolderFile> files, SortedMap<String, FolderFile> merged) {
+    return names(files, merged)
+        .toVector()
+        .filter(
+            name ->
+                !text(files, name).equals(text(merged, name))
+                    && earlierTexts.getOrElse(name, Vector.empty()).contains(text(files, name)));
   }
 
   /** Returns the files of the folder, with the merged text of each file that went back. */
--- a/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
@@ -52,12 +52,23 @@
             row ->
                 state.loadedSnapshotName().contains(row.objectName())
                     && state.inForce().exists(c -> c.digest().equals(row.digest()))
-                    && (row.digest().equals(valid.digest())
+                    && ((row.digest().equals(valid.digest()) && !lacksTextsInStore(state, row))
                         || (PackedStoreVersion.era(row.generation().value()) > 0
                             && !state.folderHistory().digest().contains(row.digest())
                             && state.acceptedFiles().equals(merging.listing()))));
   }
 
+  /**
+   * Tells whether the row was accepted after a restore by an entry that did not know the texts,
+   * which this entry can add.
+   */
+  private static boolean lacksTextsInStore(AcceptanceState state, AcceptedRow row) {
+    long era = PackedStoreVersion.era(row.generation().value());
+    return era > 0
+        && era == PackedStoreVersion.era(state.rowVersion())
+        && !state.folderHistory().digestWithTexts().contains(row.digest());
+  }
+
   /**
    * Tells whether the store lost the configuration in force and this entry never read its files, so
    * that the folder may be an earlier one.
@@ -170,7 +181,8 @@
     AcceptedSnapshot snapshot =
         new AcceptedSnapshot(
             new AcceptedConfiguration(generation, valid.digest(), valid.cluster()),
-            fileVersions(merging.listing()));
+            fileVersions(merging.listing()),
+            merging.files().values().toVector());
     Proposal proposal =
         new Proposal(
             state.rowVersion(),
@@ -205,7 +217,10 @@
             .folderHistory(
                 files.isEmpty()
                     ? state.folderHistory()
-                    : state.folderHistory().afterMerge(row.digest(), state.mergedFiles(), files))
+                    : state
+                        .folderHistory()
+                        .afterMerge(row.digest(), state.mergedFiles(), files)
+                        .withTextsInStore())
             .snapshotNames(snapshots.takeRight(MAX_KEPT_SNAPSHOTS))
             .build();
     Step<AcceptanceState, AcceptanceEffect> adopted =
--- a/core/src/test/java/io/zinniawood/core/acceptance/AcceptanceScenariosTest.java
+++ b/core/src/test/java/io/zinniawood/core/acceptance/AcceptanceScenariosTest.java
@@ -10,6 +10,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
+import io.vavr.collection.Vector;
 import io.zinniawood.core.acceptance.AcceptanceSimulation.Fault;
 import io.zinniawood.core.acceptance.AcceptanceSimulation.Node;
 import io.zinniawood.core.configuration.AcceptedConfiguration;
@@ -306,7 +307,8 @@
                 .folder()
                 .values()
                 .toVector()
-                .map(f -> new FileVersion(f.name(), f.version()))));
+                .map(f -> new FileVersion(f.name(), f.version())),
+            Vector.empty()));
     assertThat(
         simulation.store.compareAndSet(simulation.store.row().get().version(), row).isDefined(),
         is(true));
--- a/core/src/test/java/io/zinniawood/core/acceptance/RestoredStoreTest.java
+++ b/core/src/test/java/io/zinniawood/core/acceptance/RestoredStoreTest.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.acceptance;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
 import io.vavr.collection.Vector;
@@ -116,6 +117,68 @@
     checkInForce(simulation, operator.digest());
   }
 
+  /** Lets the nodes read the folder in turn, as holders of the lease do. */
+  private static void poll(AcceptanceSimulation simulation, Node... readers) {
+    for (Node reader : readers) {
+      simulation.deliver(reader, new AcceptanceEvent.PollModeChanged(PollMode.POLLING));
+      simulation.runWithoutFaults();
+      distribute(simulation);
+      simulation.deliver(reader, new AcceptanceEvent.PollModeChanged(PollMode.FOLLOWING));
+    }
+  }
+
+  /** Loses an edit that one node read, and the other one only has from its message. */
+  private static void editAndRestore(
+      AcceptanceSimulation simulation, Operator operator, Node reader, Node other) {
+    simulation.deliver(reader, new AcceptanceEvent.PollModeChanged(PollMode.FOLLOWING));
+    simulation.reset(other);
+    operator.edit(simulation, 0);
+    poll(simulation, reader);
+    simulation.store.restore(3);
+  }
+
+  // Guards against dropping a lost file with the next edit if only the other entry read it.
+  @Test
+  void editAfterRestoreKeepsFilesThatOnlyTheOtherEntryRead() {
+    Operator operator = new Operator();
+    AcceptanceSimulation simulation = simulation(3, 2, operator);
+    Node reader = simulation.nodes.get(0);
+    Node other = simulation.nodes.get(1);
+    editAndRestore(simulation, operator, reader, other);
+    poll(simulation, reader, other);
+    operator.edit(simulation, 1);
+    poll(simulation, other);
+    checkInForce(simulation, operator.digest());
+  }
+
+  // Guards against dropping it if an entry that did not read it accepts the folder first.
+  @Test
+  void entryAddsTextsThatTheFirstOneAfterRestoreDidNotKnow() {
+    Operator operator = new Operator();
+    AcceptanceSimulation simulation = simulation(5, 2, operator);
+    Node reader = simulation.nodes.get(0);
+    Node other = simulation.nodes.get(1);
+    editAndRestore(simulation, operator, reader, other);
+    poll(simulation, other, reader);
+    operator.edit(simulation, 1);
+    poll(simulation, other);
+    checkInForce(simulation, operator.digest());
+  }
+
+  // Guards against knowing a configuration, but not its texts, until the next poll.
+  @Test
+  void pollingEntryReadsTextsOfTheConfigurationThatItsPeerSends() {
+    Operator operator = new Operator();
+    AcceptanceSimulation simulation = simulation(4, 2, operator);
+    Node other = simulation.nodes.get(1);
+    simulation.runUntil(node -> other.state.phase() instanceof AcceptancePhase.Idle);
+    other.timers.clear();
+    operator.edit(simulation, 0);
+    simulation.runUntil(node -> node.digest().equals(operator.digest()));
+    distribute(simulation);
+    assertThat(other.state.phase(), instanceOf(AcceptancePhase.ReadingRow.class));
+  }
+
   // Guards against putting an older configuration in force until the operator writes it again.
   @Test
   void restoredFolderDoesNotReplaceNewerConfiguration() {
--- a/dist/src/test/java/io/zinniawood/dist/RestoredStoreTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RestoredStoreTest.java
@@ -21,6 +21,9 @@
   private static final List<String> ENTRY_IDS = List.of("entry-1", "entry-2");
   private static final int AWAY_MILLIS = 1_000;
 
+  /** Makes sure that the copy is older than the edit, and younger than the one before. */
+  private static final int COPY_MARGIN_MILLIS = 200;
+
   private final Caller caller = new Caller();
   private ProcessCluster cluster;
 
@@ -43,14 +46,11 @@
 
   private boolean allListModel(String model) {
     return ENTRY_IDS.stream()
-        .allMatch(
-            id ->
-                caller
-                    .get(cluster.entry(id).callersUri(), "/v1/models")
-                    .body()
-                    .path("data")
-                    .findValuesAsText("id")
-                    .contains(model));
+        .allMatch(id -> lists(caller.get(cluster.entry(id).callersUri(), "/v1/models"), model));
+  }
+
+  private static boolean lists(Caller.Answer models, String model) {
+    return models.body().path("data").findValuesAsText("id").contains(model);
   }
 
   private void putModelFile(String file, String model) {
@@ -79,8 +79,12 @@
         CompletableFuture.runAsync(
             () -> {
               while (running.get()) {
-                if (!allListModel("summary")) {
-                  wentBack.add("summary");
+                for (String id : ENTRY_IDS) {
+                  Caller.Answer answer = caller.get(cluster.entry(id).callersUri(), "/v1/models");
+                  if (!lists(answer, "summary")) {
+                    wentBack.add(
+                        "%d %s answered %s".formatted(System.currentTimeMillis(), id, answer));
+                  }
                 }
               }
             });
@@ -88,7 +92,8 @@
     while (calls < 20) {
       credit(2 * calls++);
     }
-    long lostMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lostFromNanos);
+    long lostMillis =
+        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lostFromNanos) + COPY_MARGIN_MILLIS;
     cluster.platform().restore(lostMillis, AWAY_MILLIS);
     for (int number = 0; number < 2 * calls; number++) {
       int repeated = number;
