--- a/config/src/test/java/io/zinniawood/config/MergePropertyTest.java
+++ b/config/src/test/java/io/zinniawood/config/MergePropertyTest.java
@@ -23,6 +23,7 @@
 import java.util.TreeSet;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
 
 final class MergePropertyTest {
   private static final String SEED = "20261204";
@@ -59,11 +60,7 @@
             .getOrElseThrow(error -> new AssertionError(error.detail()));
     assertThat(decoded, equalTo(accepted));
     assertThat(ConfigurationCodec.digest(decoded.cluster()), is(accepted.digest()));
-    AcceptedSnapshot snapshot =
-        new AcceptedSnapshot(
-            accepted,
-            Vector.of(new FileVersion("a \"\u00e9.toml", "v1")),
-            Vector.of(new FolderFile("a \"\u00e9.toml", "v1", "# \"\u00e9\n")));
+    AcceptedSnapshot snapshot = snapshot(accepted);
     assertThat(
         AcceptanceCodec.encodeSnapshot(snapshot).flatMap(AcceptanceCodec::decodeSnapshot),
         equalTo(Either.right(snapshot)));
@@ -96,6 +93,21 @@
     }
   }
 
+  // Guards against a snapshot that is too large with its texts, though it was accepted before.
+  @Test
+  void snapshotLeavesOutTextsThatDoNotFit() {
+    ClusterConfiguration cluster = merge(new FolderGenerator(1).files()).cluster();
+    AcceptedConfiguration accepted =
+        new AcceptedConfiguration(new Generation(7), ConfigurationCodec.digest(cluster), cluster);
+    Vector<FileVersion> files = Vector.of(new FileVersion("a.toml", "v1"));
+    String text = "#".repeat(ConfigurationCodec.MAX_BYTES);
+    AcceptedSnapshot complete =
+        new AcceptedSnapshot(accepted, files, Vector.of(new FolderFile("a.toml", "v1", text)));
+    assertThat(
+        AcceptanceCodec.encodeSnapshot(complete).flatMap(AcceptanceCodec::decodeSnapshot),
+        equalTo(Either.right(new AcceptedSnapshot(accepted, files, Vector.empty()))));
+  }
+
   // Guards against an exception for any bytes that a peer or the store returns.
   @Property(tries = 600, seed = SEED)
   void mutatedSnapshotsGiveTypedErrors(@ForAll long seed) {
@@ -110,11 +122,25 @@
         .peek(decoded -> assertThat(decoded.cluster(), equalTo(cluster)));
     AcceptanceCodec.decodeRow(mutated);
     AcceptanceCodec.decodeSnapshot(mutated);
+    String snapshot =
+        new String(
+            AcceptanceCodec.encodeSnapshot(snapshot(accepted)).get().bytes(),
+            StandardCharsets.UTF_8);
+    AcceptanceCodec.decodeSnapshot(Payload.ofText(TextMutator.mutate(snapshot, random)))
+        .peek(decoded -> assertThat(decoded.configuration().cluster(), equalTo(cluster)));
     byte[] randomBytes = new byte[random.nextInt(200)];
     random.nextBytes(randomBytes);
     assertThat(ConfigurationCodec.decode(Payload.wrap(randomBytes)).isLeft(), is(true));
   }
 
+  private static AcceptedSnapshot snapshot(AcceptedConfiguration accepted) {
+    String name = "a \"\u00e9.toml";
+    return new AcceptedSnapshot(
+        accepted,
+        Vector.of(new FileVersion(name, "v1")),
+        Vector.of(new FolderFile(name, "v1", "# \"\u00e9\n")));
+  }
+
   private static MergedConfiguration merge(Vector<ConfigurationFile> files) {
     return ConfigurationFolder.merge(files)
         .getOrElseThrow(faults -> new AssertionError(faults.map(ConfigurationFault::text)));
--- a/core/src/main/java/io/zinniawood/core/acceptance/FolderHistory.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/FolderHistory.java
@@ -78,7 +78,7 @@
       return accepted;
     }
     SortedMap<String, FolderFile> result = accepted;
-    for (String name : restored(accepted, merged)) {
+    for (String name : namesWithEarlierText(accepted, merged)) {
       result =
           merged.containsKey(name) ? result.put(name, merged.get(name).get()) : result.remove(name);
     }
@@ -127,14 +127,14 @@
       return this;
     }
     SortedMap<String, Option<String>> wentBack = TreeMap.empty();
-    for (String name : restored(files, merged)) {
+    for (String name : namesWithEarlierText(files, merged)) {
       wentBack = wentBack.put(name, listing.get(name));
     }
     return new FolderHistory(present, digest, Option.none(), earlierTexts, wentBack);
   }
 
   /** Returns the names of the files with a text that an edit replaced before. */
-  private Vector<String> restored(
+  private Vector<String> namesWithEarlierText(
       SortedMap<String, FolderFile> files, SortedMap<String, FolderFile> merged) {
     return names(files, merged)
         .toVector()
