Reject claim rows with numbers that wrap around

Such a row is a decode error now, as other damaged rows are. ClaimRowCodecTest#numbersOutOfRangeAreDecodeErrors failed before.

--- a/store/src/main/java/io/zinniawood/store/claim/ClaimRowCodec.java
+++ b/store/src/main/java/io/zinniawood/store/claim/ClaimRowCodec.java
@@ -61,7 +61,7 @@
       return Either.right(decodeRow(mapper.readTree(value)));
     } catch (JsonProcessingException malformed) {
       return Either.left(new ClaimRowDecodeError("claim row is not valid JSON"));
-    } catch (IOException | IllegalArgumentException invalid) {
+    } catch (IOException | IllegalArgumentException | ArithmeticException invalid) {
       return Either.left(new ClaimRowDecodeError("claim row is invalid: " + invalid.getMessage()));
     }
   }
@@ -78,7 +78,7 @@
         new AttemptId(requireText(json, "attempt")),
         requireText(json, "requestDigest"),
         state,
-        new Fence(requireInteger(json, "fence").longValue()),
+        new Fence(requireInteger(json, "fence")),
         answer.isObject() ? Option.some(decodeAnswer(answer)) : Option.none());
   }
 
@@ -93,7 +93,7 @@
       throw new IllegalArgumentException("field body of the answer is missing or not Base64 text");
     }
     return new ServiceAnswer(
-        requireInteger(json, "status").intValue(), headers, Payload.wrap(body));
+        Math.toIntExact(requireInteger(json, "status")), headers, Payload.wrap(body));
   }
 
   private static String requireText(JsonNode json, String field) {
@@ -104,11 +104,11 @@
     return value.textValue();
   }
 
-  private static Number requireInteger(JsonNode json, String field) {
+  private static long requireInteger(JsonNode json, String field) {
     JsonNode value = json.path(field);
-    if (!value.isIntegralNumber()) {
-      throw new IllegalArgumentException("field %s must be an integer".formatted(field));
+    if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+      throw new IllegalArgumentException("field %s must be a 64-bit integer".formatted(field));
     }
-    return value.numberValue();
+    return value.longValue();
   }
 }
--- a/store/src/test/java/io/zinniawood/store/claim/ClaimRowCodecTest.java
+++ b/store/src/test/java/io/zinniawood/store/claim/ClaimRowCodecTest.java
@@ -64,6 +64,21 @@
     assertThat(codec.decode(finishedWithoutAnswer).getLeft().detail(), containsString("no answer"));
   }
 
+  // Guards against a fence or status that wraps around to a plausible one.
+  @Test
+  void numbersOutOfRangeAreDecodeErrors() {
+    ServiceAnswer answer = new ServiceAnswer(201, Vector.empty(), Payload.wrap(new byte[0]));
+    byte[] value = codec.encode(row(ClaimState.FINISHED, Option.some(answer)));
+    String text = new String(value, StandardCharsets.UTF_8);
+    for (String odd :
+        Vector.of(
+            text.replace("\"fence\":3", "\"fence\":18446744073709551619"),
+            text.replace("\"status\":201", "\"status\":4294967497"))) {
+      assertThat(odd, not(equalTo(text)));
+      assertThat(odd, codec.decode(odd.getBytes(StandardCharsets.UTF_8)).isLeft(), equalTo(true));
+    }
+  }
+
   // A slash in an account or service name must not map two claims to the same row.
   @Test
   void slashesInNamesDoNotMakeRowKeysCollide() {
