--- a/store/src/main/java/io/zinniawood/store/claim/ClaimRowCodec.java
+++ b/store/src/main/java/io/zinniawood/store/claim/ClaimRowCodec.java
@@ -17,6 +17,8 @@
 import io.zinniawood.core.model.HttpHeader;
 import io.zinniawood.core.model.Payload;
 import io.zinniawood.core.model.ServiceAnswer;
+import io.zinniawood.http.Json;
+import io.zinniawood.http.MalformedResponseException;
 import java.io.IOException;
 
 /**
@@ -61,54 +63,39 @@
       return Either.right(decodeRow(mapper.readTree(value)));
     } catch (JsonProcessingException malformed) {
       return Either.left(new ClaimRowDecodeError("claim row is not valid JSON"));
-    } catch (IOException | IllegalArgumentException | ArithmeticException invalid) {
+    } catch (IOException | IllegalArgumentException | MalformedResponseException invalid) {
       return Either.left(new ClaimRowDecodeError("claim row is invalid: " + invalid.getMessage()));
     }
   }
 
-  private static ClaimRow decodeRow(JsonNode json) throws IOException {
+  private static ClaimRow decodeRow(JsonNode json) throws IOException, MalformedResponseException {
     JsonNode answer = json.path("answer");
-    ClaimState state = ClaimState.valueOf(requireText(json, "state"));
+    ClaimState state = ClaimState.valueOf(Json.stringField(json, "state"));
     if (state == ClaimState.FINISHED && !answer.isObject()) {
       throw new IllegalArgumentException("state FINISHED has no answer");
     }
     return new ClaimRow(
-        new EndpointId(requireText(json, "owner")),
-        new Incarnation(Long.parseLong(requireText(json, "incarnation"))),
-        new AttemptId(requireText(json, "attempt")),
-        requireText(json, "requestDigest"),
+        new EndpointId(Json.stringField(json, "owner")),
+        new Incarnation(Long.parseLong(Json.stringField(json, "incarnation"))),
+        new AttemptId(Json.stringField(json, "attempt")),
+        Json.stringField(json, "requestDigest"),
         state,
-        new Fence(requireInteger(json, "fence")),
+        new Fence(Json.longField(json, "fence")),
         answer.isObject() ? Option.some(decodeAnswer(answer)) : Option.none());
   }
 
-  private static ServiceAnswer decodeAnswer(JsonNode json) throws IOException {
+  private static ServiceAnswer decodeAnswer(JsonNode json)
+      throws IOException, MalformedResponseException {
     Vector<HttpHeader> headers = Vector.empty();
     for (JsonNode header : json.path("headers")) {
       headers =
-          headers.append(new HttpHeader(requireText(header, "name"), requireText(header, "value")));
+          headers.append(
+              new HttpHeader(Json.stringField(header, "name"), Json.stringField(header, "value")));
     }
     byte[] body = json.path("body").binaryValue();
     if (body == null) {
       throw new IllegalArgumentException("field body of the answer is missing or not Base64 text");
     }
-    return new ServiceAnswer(
-        Math.toIntExact(requireInteger(json, "status")), headers, Payload.wrap(body));
-  }
-
-  private static String requireText(JsonNode json, String field) {
-    JsonNode value = json.path(field);
-    if (!value.isTextual()) {
-      throw new IllegalArgumentException("field %s must be text".formatted(field));
-    }
-    return value.textValue();
-  }
-
-  private static long requireInteger(JsonNode json, String field) {
-    JsonNode value = json.path(field);
-    if (!value.isIntegralNumber() || !value.canConvertToLong()) {
-      throw new IllegalArgumentException("field %s must be a 64-bit integer".formatted(field));
-    }
-    return value.longValue();
+    return new ServiceAnswer(Json.intField(json, "status"), headers, Payload.wrap(body));
   }
 }
