--- a/config/src/main/java/io/zinniawood/config/AcceptanceCodec.java
+++ b/config/src/main/java/io/zinniawood/config/AcceptanceCodec.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.acceptance.AcceptedSnapshot;
 import io.zinniawood.core.acceptance.FileVersion;
 import io.zinniawood.core.acceptance.FolderFile;
+import io.zinniawood.core.configuration.AcceptedConfiguration;
 import io.zinniawood.core.id.AttemptId;
 import io.zinniawood.core.id.Generation;
 import io.zinniawood.core.model.Payload;
@@ -100,16 +101,16 @@
         .flatMap(
             root ->
                 ConfigurationCodec.fromJson(root.path("accepted"))
-                    .flatMap(
-                        accepted ->
-                            readFiles(root.path("files"))
-                                .flatMap(
-                                    files ->
-                                        readMergedFiles(root.path("merged"))
-                                            .map(
-                                                merged ->
-                                                    new AcceptedSnapshot(
-                                                        accepted, files, merged)))));
+                    .flatMap(accepted -> readSnapshot(accepted, root)));
+  }
+
+  private static Either<CodecError, AcceptedSnapshot> readSnapshot(
+      AcceptedConfiguration accepted, JsonNode root) {
+    return readFiles(root.path("files"))
+        .flatMap(
+            files ->
+                readMergedFiles(root.path("merged"))
+                    .map(merged -> new AcceptedSnapshot(accepted, files, merged)));
   }
 
   /** Parses the files with texts, which snapshots of earlier releases lack. */
--- a/config/src/test/java/io/zinniawood/config/MergePropertyTest.java
+++ b/config/src/test/java/io/zinniawood/config/MergePropertyTest.java
@@ -52,8 +52,7 @@
   @Property(tries = 400, seed = SEED)
   void codecRoundTripPreservesConfiguration(@ForAll long seed) {
     ClusterConfiguration cluster = merge(new FolderGenerator(seed).files()).cluster();
-    AcceptedConfiguration accepted =
-        new AcceptedConfiguration(new Generation(7), ConfigurationCodec.digest(cluster), cluster);
+    AcceptedConfiguration accepted = accepted(cluster);
     Payload payload = ConfigurationCodec.encode(accepted).get();
     AcceptedConfiguration decoded =
         ConfigurationCodec.decode(payload)
@@ -97,8 +96,7 @@
   @Test
   void snapshotLeavesOutTextsThatDoNotFit() {
     ClusterConfiguration cluster = merge(new FolderGenerator(1).files()).cluster();
-    AcceptedConfiguration accepted =
-        new AcceptedConfiguration(new Generation(7), ConfigurationCodec.digest(cluster), cluster);
+    AcceptedConfiguration accepted = accepted(cluster);
     Vector<FileVersion> files = Vector.of(new FileVersion("a.toml", "v1"));
     String text = "#".repeat(ConfigurationCodec.MAX_BYTES);
     AcceptedSnapshot complete =
@@ -113,8 +111,7 @@
   void mutatedSnapshotsGiveTypedErrors(@ForAll long seed) {
     Random random = new Random(seed);
     ClusterConfiguration cluster = merge(new FolderGenerator(seed).files()).cluster();
-    AcceptedConfiguration accepted =
-        new AcceptedConfiguration(new Generation(7), ConfigurationCodec.digest(cluster), cluster);
+    AcceptedConfiguration accepted = accepted(cluster);
     byte[] bytes = ConfigurationCodec.encode(accepted).get().bytes();
     Payload mutated =
         Payload.ofText(TextMutator.mutate(new String(bytes, StandardCharsets.UTF_8), random));
@@ -133,6 +130,11 @@
     assertThat(ConfigurationCodec.decode(Payload.wrap(randomBytes)).isLeft(), is(true));
   }
 
+  private static AcceptedConfiguration accepted(ClusterConfiguration cluster) {
+    return new AcceptedConfiguration(
+        new Generation(7), ConfigurationCodec.digest(cluster), cluster);
+  }
+
   private static AcceptedSnapshot snapshot(AcceptedConfiguration accepted) {
     String name = "a \"\u00e9.toml";
     return new AcceptedSnapshot(
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRow.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRow.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.id.AttemptId;
 import io.zinniawood.core.id.Generation;
+import io.zinniawood.core.model.PackedStoreVersion;
 
 /**
  * Content of the table row {@code config/accepted}.
@@ -13,4 +14,9 @@
  *     response was lost
  */
 public record AcceptedRow(
-    Generation generation, String digest, String objectName, AttemptId attempt) {}
+    Generation generation, String digest, String objectName, AttemptId attempt) {
+  /** Returns the era of the store in which the row was accepted. */
+  long era() {
+    return PackedStoreVersion.era(generation.value());
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRowReads.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/AcceptedRowReads.java
@@ -67,7 +67,6 @@
       return Step.of(state);
     }
     AcceptedRow row = loading.row().row();
-    boolean mayBeLost = isOfEarlierEra(loading.row()) && state.inForce().isDefined();
     Option<AcceptedSnapshot> usable =
         event
             .snapshot()
@@ -90,10 +89,10 @@
                     .takeRight(Proposals.MAX_KEPT_SNAPSHOTS))
             .build();
     Step<AcceptanceState, AcceptanceEffect> adopted =
-        mayBeLost ? Step.of(loaded) : adoptIfNewer(loaded, usable.get().configuration());
-    Step<AcceptanceState, AcceptanceEffect> listed =
-        listFolderIfPolling(
-            mayBeLost ? adopted.state() : withTexts(adopted.state(), row, usable.get()));
+        isOfEarlierEra(loading.row()) && state.inForce().isDefined()
+            ? Step.of(loaded)
+            : adoptIfNewer(withTexts(loaded, row, usable.get()), usable.get().configuration());
+    Step<AcceptanceState, AcceptanceEffect> listed = listFolderIfPolling(adopted.state());
     return new Step<>(listed.state(), adopted.effects().appendAll(listed.effects()));
   }
 
@@ -123,8 +122,7 @@
    * row with the same generation may have been in force.
    */
   private static boolean isOfEarlierEra(VersionedRow row) {
-    return PackedStoreVersion.era(row.row().generation().value())
-        < PackedStoreVersion.era(row.version());
+    return row.row().era() < PackedStoreVersion.era(row.version());
   }
 
   /** Adopts and publishes a configuration if its generation is higher than the one in force. */
--- a/core/src/main/java/io/zinniawood/core/acceptance/FolderHistory.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/FolderHistory.java
@@ -5,7 +5,6 @@
 import io.vavr.collection.TreeSet;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
-import io.zinniawood.core.model.PackedStoreVersion;
 
 /**
  * Earlier texts of the configuration files. When the store comes back from a copy, they tell a file
@@ -13,10 +12,10 @@
  *
  * @param era era of the store in which {@code restored} was determined
  * @param digest digest of the last configuration of which all texts are known
- * @param earlierTexts texts of each file before the present one, oldest first, none for a time at
- *     which it did not exist
  * @param digestWithTexts digest of the last configuration whose texts were written to or read from
  *     the store in this era
+ * @param earlierTexts texts of each file before the present one, oldest first, none for a time at
+ *     which it did not exist
  * @param restored version, none if not listed, of each file that went back to an earlier text and
  *     has not been written since
  */
@@ -60,11 +59,6 @@
     return new FolderHistory(era, digest, digest, earlierTexts, restored);
   }
 
-  /** Returns the era of the store in which the row was accepted. */
-  private static long era(AcceptedRow row) {
-    return PackedStoreVersion.era(row.generation().value());
-  }
-
   /**
    * Returns the files of a configuration that another entry accepted. After a restore that entry
    * may know less than this one, so a text that this entry saw replaced does not count.
@@ -74,15 +68,9 @@
   SortedMap<String, FolderFile> filesOf(
       AcceptedRow row, AcceptedSnapshot snapshot, SortedMap<String, FolderFile> merged) {
     SortedMap<String, FolderFile> accepted = filesByName(snapshot.mergedFiles());
-    if (era(row) <= era) {
-      return accepted;
-    }
-    SortedMap<String, FolderFile> result = accepted;
-    for (String name : namesWithEarlierText(accepted, merged)) {
-      result =
-          merged.containsKey(name) ? result.put(name, merged.get(name).get()) : result.remove(name);
-    }
-    return result;
+    return row.era() <= era
+        ? accepted
+        : withMerged(namesWithEarlierText(accepted, merged), accepted, merged);
   }
 
   /**
@@ -97,19 +85,15 @@
       SortedMap<String, FolderFile> before,
       SortedMap<String, FolderFile> after) {
     SortedMap<String, String> listing = AcceptedRowReads.versionsByName(snapshot.files());
-    SortedMap<String, Option<String>> notInFolder = TreeMap.empty();
-    for (String name : TreeSet.ofAll(listing.keySet()).addAll(after.keySet())) {
-      if (!listing.get(name).equals(after.get(name).map(FolderFile::version))) {
-        notInFolder = notInFolder.put(name, listing.get(name));
-      }
-    }
+    Vector<String> notInFolder =
+        Proposals.changedFiles(listing, after.mapValues(FolderFile::version));
     FolderHistory merged = afterMerge(row.digest(), before, after);
     return new FolderHistory(
-        Math.max(era, era(row)),
+        Math.max(era, row.era()),
         merged.digest(),
         merged.digest(),
         merged.earlierTexts(),
-        notInFolder);
+        versions(notInFolder, listing));
   }
 
   private static SortedMap<String, FolderFile> filesByName(Vector<FolderFile> files) {
@@ -126,13 +110,17 @@
     if (present <= era) {
       return this;
     }
-    SortedMap<String, Option<String>> wentBack = TreeMap.empty();
-    for (String name : namesWithEarlierText(files, merged)) {
-      wentBack = wentBack.put(name, listing.get(name));
-    }
+    SortedMap<String, Option<String>> wentBack =
+        versions(namesWithEarlierText(files, merged), listing);
     return new FolderHistory(present, digest, Option.none(), earlierTexts, wentBack);
   }
 
+  private static SortedMap<String, Option<String>> versions(
+      Vector<String> names, SortedMap<String, String> listing) {
+    return names.foldLeft(
+        TreeMap.<String, Option<String>>empty(), (map, name) -> map.put(name, listing.get(name)));
+  }
+
   /** Returns the names of the files with a text that an edit replaced before. */
   private Vector<String> namesWithEarlierText(
       SortedMap<String, FolderFile> files, SortedMap<String, FolderFile> merged) {
@@ -149,16 +137,17 @@
       SortedMap<String, String> listing,
       SortedMap<String, FolderFile> files,
       SortedMap<String, FolderFile> merged) {
-    SortedMap<String, FolderFile> result = files;
-    for (String name : restored.keySet()) {
-      if (restored.get(name).contains(listing.get(name))) {
-        result =
-            merged.containsKey(name)
-                ? result.put(name, merged.get(name).get())
-                : result.remove(name);
-      }
-    }
-    return result;
+    Vector<String> unchanged =
+        restored.keySet().toVector().filter(name -> restored.get(name).contains(listing.get(name)));
+    return withMerged(unchanged, files, merged);
+  }
+
+  /** Returns the files, with the merged text, or none, of each named one. */
+  private static SortedMap<String, FolderFile> withMerged(
+      Vector<String> names,
+      SortedMap<String, FolderFile> files,
+      SortedMap<String, FolderFile> merged) {
+    return files.removeAll(names).merge(merged.filterKeys(names::contains));
   }
 
   private static Option<String> text(SortedMap<String, FolderFile> files, String name) {
--- a/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
+++ b/core/src/main/java/io/zinniawood/core/acceptance/Proposals.java
@@ -53,7 +53,7 @@
                 state.loadedSnapshotName().contains(row.objectName())
                     && state.inForce().exists(c -> c.digest().equals(row.digest()))
                     && ((row.digest().equals(valid.digest()) && !lacksTextsInStore(state, row))
-                        || (PackedStoreVersion.era(row.generation().value()) > 0
+                        || (row.era() > 0
                             && !state.folderHistory().digest().contains(row.digest())
                             && state.acceptedFiles().equals(merging.listing()))));
   }
@@ -63,9 +63,8 @@
    * which this entry can add.
    */
   private static boolean lacksTextsInStore(AcceptanceState state, AcceptedRow row) {
-    long era = PackedStoreVersion.era(row.generation().value());
-    return era > 0
-        && era == PackedStoreVersion.era(state.rowVersion())
+    return row.era() > 0
+        && row.era() == PackedStoreVersion.era(state.rowVersion())
         && !state.folderHistory().digestWithTexts().contains(row.digest());
   }
 
@@ -301,7 +300,8 @@
     return listing.toVector().map(entry -> new FileVersion(entry._1(), entry._2()));
   }
 
-  private static Vector<String> changedFiles(
+  /** Returns the names of the files that have another version, or exist in one of the two only. */
+  static Vector<String> changedFiles(
       SortedMap<String, String> before, SortedMap<String, String> after) {
     return TreeSet.ofAll(before.keySet())
         .addAll(after.keySet())
--- a/dist/src/test/java/io/zinniawood/dist/RestoredStoreTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RestoredStoreTest.java
@@ -44,9 +44,12 @@
     return SERVICE_IDS.stream().mapToInt(id -> cluster.endpoint(id).service().bookings(key)).sum();
   }
 
+  private Caller.Answer models(String entryId) {
+    return caller.get(cluster.entry(entryId).callersUri(), "/v1/models");
+  }
+
   private boolean allListModel(String model) {
-    return ENTRY_IDS.stream()
-        .allMatch(id -> lists(caller.get(cluster.entry(id).callersUri(), "/v1/models"), model));
+    return ENTRY_IDS.stream().allMatch(id -> lists(models(id), model));
   }
 
   private static boolean lists(Caller.Answer models, String model) {
@@ -80,7 +83,7 @@
             () -> {
               while (running.get()) {
                 for (String id : ENTRY_IDS) {
-                  Caller.Answer answer = caller.get(cluster.entry(id).callersUri(), "/v1/models");
+                  Caller.Answer answer = models(id);
                   if (!lists(answer, "summary")) {
                     wentBack.add(
                         "%d %s answered %s".formatted(System.currentTimeMillis(), id, answer));
