--- a/core/src/main/java/io/zinniawood/core/id/PromptPartId.java
+++ b/core/src/main/java/io/zinniawood/core/id/PromptPartId.java
@@ -5,17 +5,12 @@
  *
  * @param value non-blank text, at most {@value IdText#MAX_CHARACTERS} characters
  */
-public record PromptPartId(String value) implements Comparable<PromptPartId> {
+public record PromptPartId(String value) implements CrashSubject {
   /** Checks the value; throws {@link IllegalArgumentException} if it is blank or too long. */
   public PromptPartId {
     IdText.check("PromptPartId", value);
   }
 
-  @Override
-  public int compareTo(PromptPartId other) {
-    return value.compareTo(other.value);
-  }
-
   @Override
   public String toString() {
     return value;
--- a/core/src/main/java/io/zinniawood/core/quarantine/CrashCandidate.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/CrashCandidate.java
@@ -1,12 +1,22 @@
 package io.zinniawood.core.quarantine;
 
-import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.CrashSubject;
+import io.zinniawood.core.id.RequestFingerprint;
+import java.util.Optional;
 
 /**
- * Part of the prompt of a request that had received no event when its endpoint crashed.
+ * Possible cause of a crash: a request that had received nothing when its endpoint crashed, or a
+ * part of its prompt.
  *
- * @param part part that may have caused the crash
+ * @param subject what may have caused the crash
  * @param waitedMillis time since the request was sent to the endpoint, in milliseconds
- * @param position position of the part in the prompt, from 0
+ * @param startOrder order in which the endpoint begins to run its requests
+ * @param position position of the part in the prompt, from 0; that of a request is behind its parts
+ * @param request request with the part that had waited longest; empty if unknown
  */
-public record CrashCandidate(PromptPartId part, long waitedMillis, int position) {}
+public record CrashCandidate(
+    CrashSubject subject,
+    long waitedMillis,
+    StartOrder startOrder,
+    int position,
+    Optional<RequestFingerprint> request) {}
--- a/core/src/main/java/io/zinniawood/core/quarantine/CrashReport.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/CrashReport.java
@@ -7,7 +7,7 @@
  *
  * @param crash crash
  * @param ageMillis time since the crash, in milliseconds
- * @param candidates parts that may have caused it
+ * @param candidates possible causes
  */
 public record CrashReport(CrashId crash, long ageMillis, List<CrashCandidate> candidates) {
   /** Makes an unmodifiable copy of the list. */
--- a/core/src/main/java/io/zinniawood/core/quarantine/HeldPart.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/HeldSubject.java
@@ -1,17 +1,28 @@
 package io.zinniawood.core.quarantine;
 
+import io.zinniawood.core.id.CrashSubject;
+import io.zinniawood.core.id.RequestFingerprint;
 import java.util.concurrent.TimeUnit;
 
-/** Mutable state of a part that is held back. */
-final class HeldPart {
+/** Mutable state of a subject that is held back. */
+final class HeldSubject {
   /**
-   * Time until the first trial; doubles with each trial that fails. A trial of a part that crashes
-   * endpoints breaks all streams of one endpoint.
+   * Time until the first trial; doubles with each trial that fails. A trial that fails breaks all
+   * answers of one endpoint.
    */
   private static final long FIRST_HOLD_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-  /** Maximum number of doublings: a trial about every eight minutes. */
-  private static final int MAX_DOUBLINGS = 4;
+  /** Maximum number of doublings of a part: a trial about every eight minutes. */
+  private static final int MAX_PART_DOUBLINGS = 4;
+
+  /**
+   * Maximum number of doublings of a request: a trial about every two hours. Fewer callers miss a
+   * request than a part.
+   */
+  private static final int MAX_REQUEST_DOUBLINGS = 8;
+
+  /** Time without a request, after a trial is due, for which a subject is remembered. */
+  private static final long MEMORY_NANOS = TimeUnit.MINUTES.toNanos(10);
 
   /** Time after the last crash from which a further one can only come from a trial. */
   private static final long TRIAL_DISTANCE_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -23,10 +34,13 @@
   /** Whether a trial request of this router is in progress. */
   boolean trialRunning;
 
+  private final int maxDoublings;
   private boolean trialEnded;
   private long trialEndNanos;
 
-  HeldPart(int crashes, long lastCrashNanos) {
+  HeldSubject(CrashSubject subject, int crashes, long lastCrashNanos) {
+    this.maxDoublings =
+        subject instanceof RequestFingerprint ? MAX_REQUEST_DOUBLINGS : MAX_PART_DOUBLINGS;
     this.crashes = crashes;
     this.lastCrashNanos = lastCrashNanos;
   }
@@ -41,7 +55,7 @@
   }
 
   /** Takes over what another router knows beyond this one. */
-  void merge(HeldPartNotice notice, long noticeCrashNanos) {
+  void merge(HeldSubjectNotice notice, long noticeCrashNanos) {
     // The time is taken over only with a new crash: each transfer adds the delay of the message.
     if (notice.crashes() > crashes || notice.failedTrials() > failedTrials) {
       lastCrashNanos = Math.max(lastCrashNanos, noticeCrashNanos);
@@ -63,8 +77,13 @@
     return !trialRunning && !undecided && nowNanos - trialNanos() >= 0;
   }
 
-  /** Returns the time from which a single request may be sent to try the part again. */
+  /** Returns whether no request came long after a trial was due, so that nothing is to be held. */
+  boolean forgotten(long nowNanos) {
+    return !trialRunning && nowNanos - trialNanos() >= MEMORY_NANOS;
+  }
+
+  /** Returns the time from which a single request may be sent to try the subject again. */
   long trialNanos() {
-    return lastCrashNanos + (FIRST_HOLD_NANOS << Math.min(failedTrials, MAX_DOUBLINGS));
+    return lastCrashNanos + (FIRST_HOLD_NANOS << Math.min(failedTrials, maxDoublings));
   }
 }
--- a/core/src/main/java/io/zinniawood/core/quarantine/QuarantineChange.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/QuarantineChange.java
@@ -1,39 +1,39 @@
 package io.zinniawood.core.quarantine;
 
-import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.CrashSubject;
 
-/** Change of the set of parts that are held back. */
+/** Change of the set of subjects that are held back. */
 public sealed interface QuarantineChange {
-  /** Returns the part whose state changed. */
-  PromptPartId part();
+  /** Returns the subject whose state changed. */
+  CrashSubject subject();
 
   /**
-   * Requests with the part are no longer sent.
+   * Requests with the subject are no longer sent.
    *
-   * @param crashes number of crashes that the part is taken to have caused
+   * @param crashes number of crashes that the subject is taken to have caused
    * @param score weight of the evidence; see {@link CrashEvidence}
-   * @param otherCandidates number of other parts that may have caused one of these crashes
+   * @param otherCandidates number of other subjects that may have caused one of these crashes
    * @param source whether the router itself concluded this or another one told it
    */
-  record Held(PromptPartId part, int crashes, double score, int otherCandidates, Source source)
+  record Held(CrashSubject subject, int crashes, double score, int otherCandidates, Source source)
       implements QuarantineChange {}
 
   /**
-   * Another crash is attributed to a part that is held back already.
+   * Another crash is attributed to a subject that is held back already.
    *
-   * @param crashes number of crashes that the part is taken to have caused
+   * @param crashes number of crashes that the subject is taken to have caused
    */
-  record HeldLonger(PromptPartId part, int crashes) implements QuarantineChange {}
+  record HeldLonger(CrashSubject subject, int crashes) implements QuarantineChange {}
 
   /**
-   * A request with the part received an event, or the endpoints had not crashed, so it is sent
+   * A request with the subject received an event, or the endpoints had not crashed, so it is sent
    * again.
    *
-   * @param crashes number of crashes that had been attributed to the part
+   * @param crashes number of crashes that had been attributed to the subject
    */
-  record Released(PromptPartId part, int crashes) implements QuarantineChange {}
+  record Released(CrashSubject subject, int crashes) implements QuarantineChange {}
 
-  /** Origin of a decision to hold a part back. */
+  /** Origin of a decision to hold a subject back. */
   enum Source {
     /** Evidence that this router evaluated. */
     EVIDENCE,
--- a/core/src/main/java/io/zinniawood/core/quarantine/QuarantineNotice.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/QuarantineNotice.java
@@ -5,12 +5,12 @@
 /**
  * What a router tells the others of crashes.
  *
- * @param held parts that it holds back
- * @param crashes recent crashes with the parts that may have caused them
- * @param sound parts that were suspected in these crashes and have proved sound since
+ * @param held subjects that it holds back
+ * @param crashes recent crashes with their possible causes
+ * @param sound subjects that were suspected in these crashes and have proved sound since
  */
 public record QuarantineNotice(
-    List<HeldPartNotice> held, List<CrashReport> crashes, List<SoundPartNotice> sound) {
+    List<HeldSubjectNotice> held, List<CrashReport> crashes, List<SoundSubjectNotice> sound) {
   /** Notice of a router that knows of no crash. */
   public static final QuarantineNotice EMPTY =
       new QuarantineNotice(List.of(), List.of(), List.of());
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -38,6 +38,9 @@
       retry(turn, open, "unsigned-answer-" + answer.status());
     } else {
       recordFailure(turn, open, answer);
+      if (!open.streaming()) {
+        CrashWatch.answerBegun(turn, open);
+      }
       handleFailure(turn, open, answer);
     }
   }
@@ -170,7 +173,7 @@
         mayRunAgain(turn, open)
             && !GracePeriod.tooLate(turn, open)
             && !CrashWatch.mustWait(turn, open)
-            && turn.state.quarantine.heldPart(open.request.sharedParts()).isEmpty()
+            && CrashWatch.held(turn, open).isEmpty()
             && Dispatcher.replacementExists(turn, open)
             && turn.state.retryBudget.tryAcquire(open.service, turn.nowNanos);
     if (replaceable) {
--- a/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
@@ -1,11 +1,13 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.fleet.TrackedEndpoint;
-import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.CrashSubject;
+import io.zinniawood.core.id.RequestFingerprint;
 import io.zinniawood.core.quarantine.CrashCandidate;
 import io.zinniawood.core.quarantine.CrashId;
-import io.zinniawood.core.quarantine.PromptPartQuarantine;
+import io.zinniawood.core.quarantine.CrashQuarantine;
 import io.zinniawood.core.quarantine.QuarantineChange;
+import io.zinniawood.core.quarantine.StartOrder;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -13,9 +15,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Observes which endpoints crash and which requests were there, and keeps requests with a part that
- * crashes endpoints from being sent. A lost connection alone is no crash: the endpoint is asked for
- * its report first.
+ * Observes which endpoints crash and which requests were there, and keeps requests that crash
+ * endpoints, or with a part that does, from being sent. A lost connection alone is no crash: the
+ * endpoint is asked for its report first.
  */
 final class CrashWatch {
   /** Time after which a lost connection is dropped as evidence if no report was decided. */
@@ -41,12 +43,18 @@
   /** Handles the loss of an attempt's connection to the endpoint that runs it. */
   static void connectionLost(RelayTurn turn, OpenRequest open) {
     Optional<TrackedEndpoint> endpoint = open.target.flatMap(turn.state.fleet::find);
-    if (endpoint.isEmpty() || open.path.isEmpty()) {
+    if (endpoint.isEmpty()) {
       return;
     }
     PendingCrash pending = pendingCrash(turn, endpoint.get());
     if (!open.firstEventRelayed) {
-      pending.candidates.addAll(candidates(turn, open));
+      lostIn(turn, open, pending);
+    }
+  }
+
+  private static void lostIn(RelayTurn turn, OpenRequest open, PendingCrash pending) {
+    pending.candidates.addAll(candidates(turn, open));
+    if (!open.request.sharedParts().isEmpty()) {
       open.lostInCrash = Optional.of(pending.id);
       open.lostNanos = turn.nowNanos;
     }
@@ -72,9 +80,12 @@
   }
 
   private static List<CrashCandidate> candidates(RelayTurn turn, OpenRequest open) {
+    StartOrder order = open.path.isPresent() ? StartOrder.ARRIVAL : StartOrder.UNKNOWN;
+    long waitedMillis = turn.millisSince(open.sentNanos);
+    Optional<RequestFingerprint> request = Optional.of(open.fingerprint());
     List<CrashCandidate> candidates = new ArrayList<>();
-    for (PromptPartId part : open.request.sharedParts()) {
-      candidates.add(new CrashCandidate(part, turn.millisSince(open.sentNanos), candidates.size()));
+    for (CrashSubject subject : open.crashSubjects()) {
+      candidates.add(new CrashCandidate(subject, waitedMillis, order, candidates.size(), request));
     }
     return candidates;
   }
@@ -121,12 +132,8 @@
       pending = new PendingCrash(crashId(endpoint), turn.nowNanos);
     }
     for (OpenRequest open : turn.state.open.values()) {
-      if (open.target.filter(endpoint.id()::equals).isPresent()
-          && open.path.isPresent()
-          && !open.firstEventRelayed) {
-        pending.candidates.addAll(candidates(turn, open));
-        open.lostInCrash = Optional.of(pending.id);
-        open.lostNanos = turn.nowNanos;
+      if (open.target.filter(endpoint.id()::equals).isPresent() && !open.firstEventRelayed) {
+        lostIn(turn, open, pending);
       }
     }
     if (pending.candidates.isEmpty()) {
@@ -168,11 +175,14 @@
     turn.state.pendingCrashes.values().removeIf(pending -> overdue(turn, pending));
   }
 
-  /** Handles the first event of an attempt, or a complete answer. */
+  /** Handles the first event of an attempt, or an answer: the endpoint runs the request. */
   static void answerBegun(RelayTurn turn, OpenRequest open) {
     open.lostInCrash = Optional.empty();
-    if (!open.request.sharedParts().isEmpty()) {
-      apply(turn, turn.state.quarantine.firstEvent(open.request.sharedParts(), turn.nowNanos));
+    CrashQuarantine quarantine = turn.state.quarantine;
+    List<? extends CrashSubject> subjects =
+        quarantine.suspectsRequests() ? open.crashSubjects() : open.request.sharedParts();
+    if (!subjects.isEmpty()) {
+      apply(turn, quarantine.firstEvent(subjects, turn.nowNanos));
     }
   }
 
@@ -181,7 +191,7 @@
    * as it may be the cause.
    */
   static boolean mustWait(RelayTurn turn, OpenRequest open) {
-    if (open.lostInCrash.isEmpty() || open.request.sharedParts().isEmpty()) {
+    if (open.lostInCrash.isEmpty()) {
       return false;
     }
     long waitedNanos = turn.nowNanos - open.lostNanos;
@@ -197,69 +207,98 @@
             crash, open.request.sharedParts(), LIKELY_CAUSE_MAX_RANK);
   }
 
+  /** Returns what a request contains that is held back. */
+  static List<CrashSubject> held(RelayTurn turn, OpenRequest open) {
+    CrashQuarantine quarantine = turn.state.quarantine;
+    return quarantine.held(
+        quarantine.heldRequests() > 0 ? open.crashSubjects() : open.request.sharedParts());
+  }
+
   /**
-   * Returns the part for which a request must be refused. One relay may send a single request with
-   * a held part, once a trial is due; that request is marked as the trial.
+   * Returns the subject for which a request must be refused. One relay may send a single request
+   * with a held subject, once a trial is due; that request is marked as the trial.
    */
-  static Optional<PromptPartId> heldPart(RelayTurn turn, OpenRequest open) {
-    PromptPartQuarantine quarantine = turn.state.quarantine;
-    if (open.trialOf.isPresent()) {
+  static Optional<CrashSubject> refusedSubject(RelayTurn turn, OpenRequest open) {
+    if (open.trialOf.isPresent() || !turn.state.quarantine.anyHeld()) {
       return Optional.empty();
     }
-    Optional<PromptPartId> part = quarantine.heldPart(open.request.sharedParts());
-    if (part.isPresent()
-        && quarantine.trialDue(part.get(), turn.nowNanos)
-        && turn.state.peers.firstOfLive(turn.state.parameters.vm(), turn.nowNanos)) {
-      quarantine.trialStarted(part.get());
-      open.trialOf = part;
-      turn.log("prompt-part-trial", "part", part.get().value(), "request", open.logId());
+    List<CrashSubject> held = held(turn, open);
+    if (held.size() == 1 && mayTry(turn, held.get(0))) {
+      CrashSubject subject = held.get(0);
+      turn.state.quarantine.trialStarted(subject);
+      open.trialOf = Optional.of(subject);
+      turn.log(
+          eventName(subject, "trial"),
+          subjectField(subject),
+          subject.value(),
+          "request",
+          open.logId());
       return Optional.empty();
     }
-    return part;
+    return held.stream().findFirst();
+  }
+
+  private static boolean mayTry(RelayTurn turn, CrashSubject subject) {
+    return turn.state.quarantine.trialDue(subject, turn.nowNanos)
+        && turn.state.peers.firstOfLive(turn.state.parameters.vm(), turn.nowNanos);
   }
 
   /** Records that a trial request is no longer at an endpoint. */
   static void trialEnded(RelayTurn turn, OpenRequest open) {
-    open.trialOf.ifPresent(part -> turn.state.quarantine.trialEnded(part, turn.nowNanos));
+    open.trialOf.ifPresent(subject -> turn.state.quarantine.trialEnded(subject, turn.nowNanos));
     open.trialOf = Optional.empty();
   }
 
-  /** Refuses a request with a held part at once; a trial has to show first that it is sound. */
-  static void refuse(RelayTurn turn, OpenRequest open, PromptPartId part) {
+  /** Refuses a request with a held subject at once; a trial has to show first that it is sound. */
+  static void refuse(RelayTurn turn, OpenRequest open, CrashSubject subject) {
     AttemptOutcomes.refuse(
         turn,
         open,
-        "prompt-part-held",
-        turn.state.quarantine.millisUntilTrial(part, turn.nowNanos));
+        eventName(subject, "held"),
+        turn.state.quarantine.millisUntilTrial(subject, turn.nowNanos));
   }
 
-  /** Logs changes of the held parts and takes requests with a newly held part off endpoints. */
+  /** Logs changes of the held subjects and takes requests with a newly held one off endpoints. */
   static void apply(RelayTurn turn, List<QuarantineChange> changes) {
     for (QuarantineChange change : changes) {
+      CrashSubject subject = change.subject();
       if (change instanceof QuarantineChange.Held held) {
         logHeld(turn, held);
-        takeOffEndpoints(turn, held.part());
+        takeOffEndpoints(turn, subject);
       } else if (change instanceof QuarantineChange.HeldLonger longer) {
         turn.log(
-            "prompt-part-held-longer",
-            "part",
-            longer.part().value(),
+            eventName(subject, "held-longer"),
+            subjectField(subject),
+            subject.value(),
             "crashes",
             longer.crashes(),
             "trialMillis",
-            turn.state.quarantine.millisUntilTrial(longer.part(), turn.nowNanos));
+            turn.state.quarantine.millisUntilTrial(subject, turn.nowNanos));
       } else if (change instanceof QuarantineChange.Released released) {
         turn.log(
-            "prompt-part-released", "part", released.part().value(), "crashes", released.crashes());
+            eventName(subject, "released"),
+            subjectField(subject),
+            subject.value(),
+            "crashes",
+            released.crashes());
       }
     }
   }
 
+  private static String eventName(CrashSubject subject, String change) {
+    return (subject instanceof RequestFingerprint ? "crashing-request-" : "prompt-part-") + change;
+  }
+
+  private static String subjectField(CrashSubject subject) {
+    return subject instanceof RequestFingerprint ? "fingerprint" : "part";
+  }
+
   private static void logHeld(RelayTurn turn, QuarantineChange.Held held) {
+    CrashSubject subject = held.subject();
     turn.log(
-        "prompt-part-held",
-        "part",
-        held.part().value(),
+        eventName(subject, "held"),
+        subjectField(subject),
+        subject.value(),
         "crashes",
         held.crashes(),
         "score",
@@ -269,17 +308,17 @@
         "source",
         held.source().name(),
         "trialMillis",
-        turn.state.quarantine.millisUntilTrial(held.part(), turn.nowNanos));
+        turn.state.quarantine.millisUntilTrial(subject, turn.nowNanos));
   }
 
-  private static void takeOffEndpoints(RelayTurn turn, PromptPartId part) {
+  private static void takeOffEndpoints(RelayTurn turn, CrashSubject subject) {
     for (OpenRequest open : new ArrayList<>(turn.state.open.values())) {
       boolean begun = open.firstEventRelayed || open.lastEventId > open.request.resumeAfter();
-      if (!begun && open.trialOf.isEmpty() && open.request.sharedParts().contains(part)) {
+      if (!begun && open.trialOf.isEmpty() && open.crashSubjects().contains(subject)) {
         if (open.target.isPresent()) {
-          AttemptOutcomes.endAttempt(turn, open, "prompt-part-held");
+          AttemptOutcomes.endAttempt(turn, open, eventName(subject, "held"));
         }
-        refuse(turn, open, part);
+        refuse(turn, open, subject);
       }
     }
   }
@@ -287,7 +326,7 @@
   private static String format(List<CrashCandidate> candidates) {
     StringJoiner text = new StringJoiner(",");
     candidates.forEach(
-        candidate -> text.add(candidate.part().value() + ":" + candidate.waitedMillis()));
+        candidate -> text.add(candidate.subject().value() + ":" + candidate.waitedMillis()));
     return text.toString();
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointHealthChecks.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointHealthChecks.java
@@ -108,6 +108,20 @@
     }
   }
 
+  /**
+   * Handles an endpoint that answers without giving a report: a plain one, which has none, is
+   * alive.
+   */
+  static void reportRefused(RelayTurn turn, RelayEvent.ReportRefused event) {
+    Optional<TrackedEndpoint> found = turn.state.fleet.find(event.endpoint());
+    if (found.filter(endpoint -> endpoint.entry().accelerator().isEmpty()).isEmpty()) {
+      reportMissing(turn, new RelayEvent.ReportMissing(event.endpoint()));
+      return;
+    }
+    found.get().checkAnswered(1);
+    CrashWatch.reportRead(turn, found.get(), 0);
+  }
+
   /** Handles a missing report; it was requested on a pooled connection and on a new one. */
   static void reportMissing(RelayTurn turn, RelayEvent.ReportMissing event) {
     Optional<TrackedEndpoint> found = turn.state.fleet.find(event.endpoint());
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -3,8 +3,9 @@
 import io.zinniawood.core.fleet.EndpointPause;
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.id.CrashSubject;
 import io.zinniawood.core.id.EndpointId;
-import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.RequestFingerprint;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.path.LayerPath;
@@ -32,6 +33,7 @@
 
   final RelayRequestId id;
   final CallerRequest request;
+  private final RequestContent content;
   final Route route;
   final ServiceName service;
   final Optional<ClientAccountId> account;
@@ -77,8 +79,10 @@
 
   long lostNanos;
 
-  /** Part that is held back and that this request tries again. */
-  Optional<PromptPartId> trialOf = Optional.empty();
+  /** Subject that is held back and that this request tries again. */
+  Optional<CrashSubject> trialOf = Optional.empty();
+
+  private Optional<RequestFingerprint> fingerprint = Optional.empty();
 
   boolean repathPending;
   int repaths;
@@ -87,6 +91,7 @@
   OpenRequest(
       RelayRequestId id,
       CallerRequest request,
+      RequestContent content,
       Route route,
       ServiceName service,
       Optional<ClientAccountId> account,
@@ -95,6 +100,7 @@
       long deadlineNanos) {
     this.id = id;
     this.request = request;
+    this.content = content;
     this.route = route;
     this.service = service;
     this.account = account;
@@ -104,6 +110,21 @@
     this.lastEventId = request.resumeAfter();
   }
 
+  /** Returns the fingerprint, which is computed when it is needed first. */
+  RequestFingerprint fingerprint() {
+    if (fingerprint.isEmpty()) {
+      fingerprint = Optional.of(content.fingerprint(account));
+    }
+    return fingerprint.get();
+  }
+
+  /** Returns all that may crash an endpoint which begins to run this request. */
+  List<CrashSubject> crashSubjects() {
+    List<CrashSubject> subjects = new ArrayList<>(request.sharedParts());
+    subjects.add(fingerprint());
+    return subjects;
+  }
+
   boolean streaming() {
     return route.kind() == RouteKind.STREAMING;
   }
--- a/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
@@ -97,8 +97,8 @@
     }
     EndpointStatements.noticeReceived(turn, message);
     LimitExchange.noticeReceived(turn, message);
-    if (unheard && (state.quarantine.heldParts() > 0 || StoreEras.perhapsRestored(turn))) {
-      // A relay that has just started must know the held parts, and which configuration is in
+    if (unheard && (state.quarantine.anyHeld() || StoreEras.perhapsRestored(turn))) {
+      // A relay that has just started must know what is held back, and which configuration is in
       // force, before it sends requests.
       send(turn, Optional.empty());
     }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -95,8 +95,13 @@
     }
   }
 
-  /** A request was received completely from a caller. */
-  record RequestArrived(RelayRequestId id, CallerRequest request) implements RelayEvent {
+  /**
+   * A request was received completely from a caller.
+   *
+   * @param content content of the request, readable until the request ends
+   */
+  record RequestArrived(RelayRequestId id, CallerRequest request, RequestContent content)
+      implements RelayEvent {
     @Override
     public Optional<RelayRequestId> concerns() {
       return Optional.of(id);
@@ -209,6 +214,14 @@
     }
   }
 
+  /** An endpoint answered the request for its report without giving one. */
+  record ReportRefused(EndpointId endpoint) implements RelayEvent {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.reportRefused(this);
+    }
+  }
+
   /** An endpoint returned no report in time, not even on a new connection. */
   record ReportMissing(EndpointId endpoint) implements RelayEvent {
     @Override
@@ -315,6 +328,9 @@
     /** Handles {@link ReportRead}. */
     void reportRead(ReportRead event);
 
+    /** Handles {@link ReportRefused}. */
+    void reportRefused(ReportRefused event);
+
     /** Handles {@link ReportMissing}. */
     void reportMissing(ReportMissing event);
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -103,6 +103,11 @@
       EndpointHealthChecks.reportRead(turn, event);
     }
 
+    @Override
+    public void reportRefused(RelayEvent.ReportRefused event) {
+      EndpointHealthChecks.reportRefused(turn, event);
+    }
+
     @Override
     public void reportMissing(RelayEvent.ReportMissing event) {
       EndpointHealthChecks.reportMissing(turn, event);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -9,7 +9,7 @@
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.limit.MemberShares;
-import io.zinniawood.core.quarantine.PromptPartQuarantine;
+import io.zinniawood.core.quarantine.CrashQuarantine;
 import io.zinniawood.core.route.EngineProfile;
 import io.zinniawood.core.route.RouteTable;
 import io.zinniawood.core.route.RoutedService;
@@ -45,7 +45,7 @@
 
   boolean limitSharesGivenBack;
   long limitNoticeSequence;
-  final PromptPartQuarantine quarantine = new PromptPartQuarantine();
+  final CrashQuarantine quarantine = new CrashQuarantine();
   final Map<EndpointId, PendingCrash> pendingCrashes = new HashMap<>();
   final StoreClock storeClock = new StoreClock();
   final StoreReadTimes endpointReads = new StoreReadTimes();
@@ -123,6 +123,11 @@
     return quarantine.heldParts();
   }
 
+  /** Returns the number of requests that are held back as they crash endpoints. */
+  public int heldRequests() {
+    return quarantine.heldRequests();
+  }
+
   /** Returns the engines of a service; empty if it is a plain one or unknown. */
   Optional<EngineProfile> engine(ServiceName service) {
     return routes.flatMap(table -> table.service(service)).flatMap(RoutedService::engine);
--- a/core/src/main/java/io/zinniawood/core/relay/RequestAdmission.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RequestAdmission.java
@@ -61,6 +61,7 @@
         new OpenRequest(
             event.id(),
             request,
+            event.content(),
             route,
             share.service(),
             account,
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
@@ -1,6 +1,6 @@
 package io.zinniawood.core.relay;
 
-import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.CrashSubject;
 import io.zinniawood.core.id.ServiceName;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -47,7 +47,7 @@
       GracePeriod.end(turn, open);
       return;
     }
-    Optional<PromptPartId> held = CrashWatch.heldPart(turn, open);
+    Optional<CrashSubject> held = CrashWatch.refusedSubject(turn, open);
     if (held.isPresent()) {
       CrashWatch.refuse(turn, open, held.get());
       return;
@@ -140,7 +140,7 @@
       GracePeriod.end(turn, open);
       return;
     }
-    Optional<PromptPartId> held = CrashWatch.heldPart(turn, open);
+    Optional<CrashSubject> held = CrashWatch.refusedSubject(turn, open);
     if (held.isPresent()) {
       turn.state.waiting.remove(open);
       CrashWatch.refuse(turn, open, held.get());
--- a/core/src/test/java/io/zinniawood/core/quarantine/PromptPartQuarantineTest.java
+++ b/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
@@ -6,17 +6,18 @@
 
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.RequestFingerprint;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-final class PromptPartQuarantineTest {
+final class CrashQuarantineTest {
   private static final PromptPartId DEADLY = new PromptPartId("deadly");
   private static final PromptPartId OPENING = new PromptPartId("opening");
 
-  private final PromptPartQuarantine quarantine = new PromptPartQuarantine();
+  private final CrashQuarantine quarantine = new CrashQuarantine();
   private long nowNanos = TimeUnit.SECONDS.toNanos(50);
   private int crashes;
 
@@ -25,7 +26,8 @@
   }
 
   private static CrashCandidate candidate(String part, long waitedMillis, int position) {
-    return new CrashCandidate(new PromptPartId(part), waitedMillis, position);
+    return new CrashCandidate(
+        new PromptPartId(part), waitedMillis, StartOrder.ARRIVAL, position, Optional.empty());
   }
 
   private List<QuarantineChange> crash(CrashCandidate... candidates) {
@@ -34,7 +36,7 @@
   }
 
   private boolean holds(String part) {
-    return quarantine.heldPart(List.of(new PromptPartId(part))).isPresent();
+    return !quarantine.held(List.of(new PromptPartId(part))).isEmpty();
   }
 
   // One crash hits sound requests as well; holding their parts would refuse sound requests.
@@ -163,7 +165,7 @@
   // Each of several routers sees a part of the crashes only.
   @Test
   void noticesOfOtherRoutersCompleteTheEvidence() {
-    PromptPartQuarantine other = new PromptPartQuarantine();
+    CrashQuarantine other = new CrashQuarantine();
     other.crashed(
         new CrashId(new EndpointId("far"), 1),
         nowNanos,
@@ -174,13 +176,13 @@
     crash(candidate("deadly", 150, 0), candidate("b", 10, 0));
     assertThat(holds("deadly"), is(true));
     other.noticeReceived(quarantine.notice(nowNanos), nowNanos);
-    assertThat(other.heldPart(List.of(DEADLY)), is(Optional.of(DEADLY)));
+    assertThat(other.held(List.of(DEADLY)), is(List.of(DEADLY)));
   }
 
   // Crashes that two routers know of must count once, or the next trial comes far too late.
   @Test
   void crashesOfNoticesAreNotCountedTwice() {
-    PromptPartQuarantine other = new PromptPartQuarantine();
+    CrashQuarantine other = new CrashQuarantine();
     for (int crash = 0; crash < 2; crash++) {
       CrashId id = new CrashId(new EndpointId("far" + crash), 1);
       other.crashed(id, nowNanos, List.of(candidate("deadly", 150, 0)), nowNanos);
@@ -199,7 +201,7 @@
   // Notices cross each other: a router that has not heard of the release must not undo it.
   @Test
   void releaseReachesRoutersThatStillHoldThePart() {
-    PromptPartQuarantine other = new PromptPartQuarantine();
+    CrashQuarantine other = new CrashQuarantine();
     crash(candidate("deadly", 150, 0));
     advanceMillis(300);
     crash(candidate("deadly", 150, 0));
@@ -212,4 +214,129 @@
     other.noticeReceived(quarantine.notice(nowNanos), nowNanos);
     assertThat(other.heldParts(), is(0));
   }
+
+  private static CrashCandidate request(String request, long waitedMillis) {
+    return new CrashCandidate(
+        new RequestFingerprint(request),
+        waitedMillis,
+        StartOrder.ARRIVAL,
+        1,
+        Optional.of(new RequestFingerprint(request)));
+  }
+
+  private static CrashCandidate partOf(String request, String part, long waitedMillis) {
+    return new CrashCandidate(
+        new PromptPartId(part),
+        waitedMillis,
+        StartOrder.ARRIVAL,
+        0,
+        Optional.of(new RequestFingerprint(request)));
+  }
+
+  private boolean holdsRequest(String request) {
+    return !quarantine.held(List.of(new RequestFingerprint(request))).isEmpty();
+  }
+
+  // A request that came back is no evidence against a part that other requests share with it.
+  @Test
+  void requestThatCameBackIsHeldInsteadOfItsPart() {
+    for (int crash = 0; crash < 2; crash++) {
+      crash(partOf("r1", "subject", 150), request("r1", 150));
+      advanceMillis(500);
+    }
+    assertThat(holdsRequest("r1"), is(true));
+    assertThat(quarantine.heldParts(), is(0));
+  }
+
+  // A part that crashes endpoints must be found although one request with it was held first.
+  @Test
+  void partIsHeldWhenAnotherRequestWithItCrashesAnEndpoint() {
+    for (String request : List.of("r1", "r1", "r2")) {
+      crash(partOf(request, "deadly", 150), request(request, 150));
+      advanceMillis(500);
+    }
+    assertThat(holds("deadly"), is(true));
+  }
+
+  // Requests that never run again must not hide the one that is at each crash.
+  @Test
+  void requestAtThreeCrashesIsHeldWhoeverWaitedLonger() {
+    for (int crash = 0; crash < 3; crash++) {
+      crash(request("long" + crash, 900), request("longer" + crash, 990), request("r1", 100));
+      advanceMillis(500);
+    }
+    assertThat(holdsRequest("r1"), is(true));
+    assertThat(quarantine.heldRequests(), is(1));
+  }
+
+  // A repeat that follows each crash at once must not pass for crashes with a common cause.
+  @Test
+  void requestThatIsSentAnewAfterEachCrashIsHeldAfterThreeCrashesOfOneMoment() {
+    for (int crash = 0; crash < 3; crash++) {
+      assertThat("after " + crash + " crashes", holdsRequest("r1"), is(false));
+      crash(plainRequest("r1", 20), plainRequest("other", 90));
+      advanceMillis(30);
+    }
+    assertThat(holdsRequest("r1"), is(true));
+    assertThat(quarantine.heldRequests(), is(1));
+  }
+
+  // Endpoints of a rack that fail together run many copies of a request that is asked for often.
+  @Test
+  void requestAtEndpointsThatFailTogetherIsNotHeld() {
+    for (int endpoint = 0; endpoint < 6; endpoint++) {
+      crash(plainRequest("hot", 200));
+      advanceMillis(5);
+    }
+    assertThat(quarantine.heldRequests(), is(0));
+  }
+
+  private static CrashCandidate plainRequest(String request, long waitedMillis) {
+    return new CrashCandidate(
+        new RequestFingerprint(request), waitedMillis, StartOrder.UNKNOWN, 0, Optional.empty());
+  }
+
+  // Memory must not grow with the traffic: only requests that were at a crash are remembered.
+  @Test
+  void firstEventsOfRequestsThatWereAtNoCrashAreNotRemembered() {
+    quarantine.firstEvent(List.of(OPENING), nowNanos);
+    for (int number = 0; number < 10_000; number++) {
+      quarantine.firstEvent(List.of(new RequestFingerprint("r" + number)), nowNanos);
+    }
+    advanceMillis(100);
+    crash(partOf("r1", "opening", 150), partOf("r1", "new", 150));
+    advanceMillis(400);
+    crash(partOf("r2", "opening", 150), partOf("r2", "new", 150));
+    assertThat(holds("new"), is(true));
+    assertThat(holds("opening"), is(false));
+  }
+
+  // Each held request must reach the other routers, also if they do not all fit into one packet.
+  @Test
+  void allHeldRequestsAreToldInTurn() {
+    CrashQuarantine other = new CrashQuarantine();
+    for (int number = 0; number < 48; number++) {
+      for (int crash = 0; crash < 2; crash++) {
+        crash(request("%016d".formatted(number), 150));
+        advanceMillis(150);
+      }
+    }
+    for (int message = 0; message < 4; message++) {
+      other.noticeReceived(quarantine.notice(nowNanos), nowNanos);
+    }
+    assertThat(quarantine.heldRequests(), is(48));
+    assertThat(other.heldRequests(), is(48));
+  }
+
+  // A request that nobody sends any more must not be kept and told for good.
+  @Test
+  void heldRequestThatDoesNotComeAgainIsForgotten() {
+    for (int crash = 0; crash < 2; crash++) {
+      crash(request("r1", 150));
+      advanceMillis(500);
+    }
+    advanceMillis(TimeUnit.MINUTES.toMillis(15));
+    crash(request("r2", 150));
+    assertThat(quarantine.heldRequests(), is(0));
+  }
 }
--- a/core/src/test/java/io/zinniawood/core/quarantine/QuarantineDrawnCasesTest.java
+++ b/core/src/test/java/io/zinniawood/core/quarantine/QuarantineDrawnCasesTest.java
@@ -4,10 +4,13 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import io.zinniawood.core.id.CrashSubject;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.RequestFingerprint;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,17 +31,45 @@
   private static final int OPENINGS = 60;
   private static final double REQUESTS_PER_STEP = 0.6;
 
-  /** Requests with the cause that the users allow after the fifth crash and three seconds. */
+  /** Share of the requests cut by a crash that their callers repeat at once. */
+  private static final double REPEATED_SHARE = 0.5;
+
+  /** Requests with the cause that the users allow after its last free crash and three seconds. */
   private static final int ALLOWED_SENDS = 3;
 
+  /** What crashes endpoints in a case, and the crashes by it that the users allow freely. */
+  private enum Cause {
+    PART(5),
+    REQUEST(3);
+
+    final int freeCrashes;
+
+    Cause(int freeCrashes) {
+      this.freeCrashes = freeCrashes;
+    }
+  }
+
   /** Share of the sound requests that may be refused by mistake. */
   private static final double ALLOWED_REFUSED_SHARE = 0.02;
 
   private record Request(
-      int router, int endpoint, List<PromptPartId> parts, long sentMillis, long firstEventMillis) {}
+      int router,
+      int endpoint,
+      List<PromptPartId> parts,
+      RequestFingerprint fingerprint,
+      boolean crashesEndpoints,
+      long sentMillis,
+      long firstEventMillis) {
+    List<CrashSubject> subjects() {
+      List<CrashSubject> subjects = new ArrayList<>(parts);
+      subjects.add(fingerprint);
+      return subjects;
+    }
+  }
 
   private static final class Case {
     final Random random;
+    final Cause cause;
     final int routers;
     final double deadlyShare;
     final double chanceCrashesPerSecond;
@@ -46,18 +77,21 @@
     final long deadlyFromMillis;
     final long restartMillis;
     final PromptPartId deadly = new PromptPartId("deadly");
-    final List<PromptPartQuarantine> quarantines = new ArrayList<>();
+    final RequestFingerprint deadlyRequest = new RequestFingerprint("deadly");
+    final List<CrashQuarantine> quarantines = new ArrayList<>();
     final List<Request> waiting = new ArrayList<>();
     final long[] upAtMillis = new long[ENDPOINTS];
     long nowMillis;
+    int requests;
     int deadlyCrashes;
-    long fifthCrashMillis = Long.MAX_VALUE;
+    long lastFreeCrashMillis = Long.MAX_VALUE;
     int lateDeadlySends;
     int soundRequests;
     int soundRefused;
 
-    Case(long seed) {
+    Case(long seed, Cause cause) {
       random = new Random(seed);
+      this.cause = cause;
       routers = 3 + random.nextInt(11);
       deadlyShare = 0.01 + 0.15 * random.nextDouble();
       chanceCrashesPerSecond = random.nextDouble() * 0.5;
@@ -65,7 +99,7 @@
       deadlyFromMillis = random.nextInt(8_000);
       restartMillis = 5_000 + random.nextInt(20_000);
       for (int router = 0; router < routers; router++) {
-        quarantines.add(new PromptPartQuarantine());
+        quarantines.add(new CrashQuarantine());
       }
     }
 
@@ -95,7 +129,7 @@
 
     /** Starts a router again; the others tell it what they know when it says that it lives. */
     void restart(int router) {
-      quarantines.set(router, new PromptPartQuarantine());
+      quarantines.set(router, new CrashQuarantine());
       waiting.removeIf(request -> request.router() == router);
       for (int other = 0; other < routers; other++) {
         sendNotice(other);
@@ -108,16 +142,27 @@
       // A few openings are used much more often than the others.
       int opening = (int) (OPENINGS * random.nextDouble() * random.nextDouble());
       parts.add(new PromptPartId("opening-" + opening));
-      if (withDeadly) {
+      if (withDeadly && cause == Cause.PART) {
         parts.add(deadly);
       } else if (random.nextInt(4) == 0) {
         parts.add(new PromptPartId("subject-" + random.nextInt(200)));
       }
+      RequestFingerprint fingerprint =
+          withDeadly && cause == Cause.REQUEST
+              ? deadlyRequest
+              : new RequestFingerprint("request-" + requests++);
+      arrive(parts, fingerprint, withDeadly);
+    }
+
+    void arrive(List<PromptPartId> parts, RequestFingerprint fingerprint, boolean withDeadly) {
       int router = random.nextInt(routers);
-      PromptPartQuarantine quarantine = quarantines.get(router);
+      CrashQuarantine quarantine = quarantines.get(router);
       soundRequests += withDeadly ? 0 : 1;
-      if (quarantine.heldPart(parts).isPresent()) {
-        PromptPartId held = quarantine.heldPart(parts).get();
+      List<CrashSubject> subjects = new ArrayList<>(parts);
+      subjects.add(fingerprint);
+      List<CrashSubject> heldSubjects = quarantine.held(subjects);
+      if (!heldSubjects.isEmpty()) {
+        CrashSubject held = heldSubjects.get(0);
         if (router != 0 || !quarantine.trialDue(held, nowNanos())) {
           soundRefused += withDeadly ? 0 : 1;
           return;
@@ -125,17 +170,19 @@
         quarantine.trialStarted(held);
         quarantine.trialEnded(held, nowNanos());
       }
-      send(router, parts, withDeadly);
+      send(router, parts, fingerprint, withDeadly);
     }
 
-    void send(int router, List<PromptPartId> parts, boolean withDeadly) {
+    void send(
+        int router, List<PromptPartId> parts, RequestFingerprint fingerprint, boolean withDeadly) {
       int endpoint = random.nextInt(ENDPOINTS);
       while (upAtMillis[endpoint] > nowMillis) {
         endpoint = random.nextInt(ENDPOINTS);
       }
       long firstEvent = nowMillis + 40 + random.nextInt(200);
-      waiting.add(new Request(router, endpoint, parts, nowMillis, firstEvent));
-      if (withDeadly && nowMillis - 3_000 > fifthCrashMillis) {
+      waiting.add(
+          new Request(router, endpoint, parts, fingerprint, withDeadly, nowMillis, firstEvent));
+      if (withDeadly && nowMillis - 3_000 > lastFreeCrashMillis) {
         lateDeadlySends++;
       }
     }
@@ -145,15 +192,15 @@
         if (request.firstEventMillis() > nowMillis || !waiting.contains(request)) {
           continue;
         }
-        if (request.parts().contains(deadly) && nowMillis >= deadlyFromMillis) {
+        if (request.crashesEndpoints()) {
           deadlyCrashes++;
-          if (deadlyCrashes == 5) {
-            fifthCrashMillis = nowMillis;
+          if (deadlyCrashes == cause.freeCrashes) {
+            lastFreeCrashMillis = nowMillis;
           }
           crash(request.endpoint());
         } else {
           waiting.remove(request);
-          quarantines.get(request.router()).firstEvent(request.parts(), nowNanos());
+          quarantines.get(request.router()).firstEvent(request.subjects(), nowNanos());
         }
       }
     }
@@ -168,10 +215,15 @@
         List<CrashCandidate> candidates = new ArrayList<>();
         for (Request request : waiting) {
           if (request.endpoint() == endpoint && request.router() == router) {
-            for (int part = 0; part < request.parts().size(); part++) {
+            List<CrashSubject> subjects = request.subjects();
+            for (int position = 0; position < subjects.size(); position++) {
               candidates.add(
                   new CrashCandidate(
-                      request.parts().get(part), nowMillis - request.sentMillis(), part));
+                      subjects.get(position),
+                      nowMillis - request.sentMillis(),
+                      StartOrder.ARRIVAL,
+                      position,
+                      Optional.of(request.fingerprint())));
             }
           }
         }
@@ -180,7 +232,14 @@
           sendNotice(router);
         }
       }
-      waiting.removeIf(request -> request.endpoint() == endpoint);
+      List<Request> cut =
+          waiting.stream().filter(request -> request.endpoint() == endpoint).toList();
+      waiting.removeAll(cut);
+      for (Request request : cut) {
+        if (random.nextDouble() < REPEATED_SHARE) {
+          arrive(request.parts(), request.fingerprint(), request.crashesEndpoints());
+        }
+      }
     }
 
     void sendNotice(int from) {
@@ -197,21 +256,33 @@
   // endpoints also crash by chance.
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
-  void crashesEndAndSoundRequestsPass(long seed) {
+  void crashesByPartEndAndSoundRequestsPass(long seed) {
+    playCases(seed, Cause.PART);
+  }
+
+  // Guards against the same for a request that its callers send again and again.
+  @ParameterizedTest
+  @ValueSource(longs = {4, 5, 6})
+  void crashesByRequestEndAndSoundRequestsPass(long seed) {
+    playCases(seed, Cause.REQUEST);
+  }
+
+  private static void playCases(long seed, Cause cause) {
     int crashes = 0;
     for (int number = 0; number < CASES_PER_SEED; number++) {
       long caseSeed = seed * 1_000 + number;
-      Case drawn = new Case(caseSeed);
+      Case drawn = new Case(caseSeed, cause);
       drawn.play();
       crashes += drawn.deadlyCrashes;
       String label =
-          "seed %d: %d routers, share %.3f, %.2f chance crashes a second, %d crashes by the part"
+          "seed %d: %d routers, share %.3f, %.2f chance crashes a second, %d crashes by a %s"
               .formatted(
                   caseSeed,
                   drawn.routers,
                   drawn.deadlyShare,
                   drawn.chanceCrashesPerSecond,
-                  drawn.deadlyCrashes);
+                  drawn.deadlyCrashes,
+                  cause);
       assertThat(label, drawn.lateDeadlySends, lessThanOrEqualTo(ALLOWED_SENDS));
       assertThat(
           label,
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
@@ -11,7 +11,7 @@
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.limit.LimitNotice;
 import io.zinniawood.core.model.NodeAddress;
-import io.zinniawood.core.quarantine.HeldPartNotice;
+import io.zinniawood.core.quarantine.HeldSubjectNotice;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.ArrayList;
 import java.util.List;
@@ -184,7 +184,9 @@
 
   private static QuarantineNotice held() {
     return new QuarantineNotice(
-        List.of(new HeldPartNotice(new PromptPartId("deadly"), 2, 0, 500)), List.of(), List.of());
+        List.of(new HeldSubjectNotice(new PromptPartId("deadly"), 2, 0, 500)),
+        List.of(),
+        List.of());
   }
 
   private void receive(QuarantineNotice notice) {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -6,6 +6,7 @@
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.RequestFingerprint;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.StoreEra;
@@ -246,6 +247,25 @@
 
   private RelayRequestId request(
       String route, Optional<String> key, long deadlineMillis, List<PromptPartId> sharedParts) {
+    return request(route, key, deadlineMillis, sharedParts, "content-" + (nextRequest + 1));
+  }
+
+  /** Posts a request; a repeat of it by its caller has the same content. */
+  RelayRequestId repeatable(String route, String content, String... sharedParts) {
+    return request(
+        route,
+        Optional.of(KEY),
+        20_000,
+        Stream.of(sharedParts).map(PromptPartId::new).toList(),
+        content);
+  }
+
+  private RelayRequestId request(
+      String route,
+      Optional<String> key,
+      long deadlineMillis,
+      List<PromptPartId> sharedParts,
+      String content) {
     RelayRequestId id = new RelayRequestId(++nextRequest);
     post(
         new RelayEvent.RequestArrived(
@@ -259,10 +279,15 @@
                 500,
                 200,
                 0,
-                sharedParts)));
+                sharedParts),
+            account -> fingerprint(account, content)));
     return id;
   }
 
+  static RequestFingerprint fingerprint(Optional<ClientAccountId> account, String content) {
+    return new RequestFingerprint(account.map(ClientAccountId::value).orElse("-") + "/" + content);
+  }
+
   /** Posts a request for a stream whose prompt contains the given shared parts. */
   RelayRequestId stream(String... sharedParts) {
     return request(
--- a/relay/src/main/java/io/zinniawood/relay/PlatformClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/PlatformClient.java
@@ -72,8 +72,9 @@
       LayerPath path);
 
   /**
-   * Reads the report of an endpoint, which is delivered as {@link RelayEvent.ReportRead}. If no
-   * report is received in time, {@link RelayEvent.ReportMissing} is delivered.
+   * Reads the report of an endpoint, which is delivered as {@link RelayEvent.ReportRead}. If the
+   * endpoint answers without a report, {@link RelayEvent.ReportRefused} is delivered, and if it
+   * does not answer in time, {@link RelayEvent.ReportMissing}.
    */
   void readReport(EndpointIncarnation endpoint, NodeAddress address);
 
--- a/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
@@ -30,6 +30,7 @@
     gauge("relay_endpoints", state::endpoints);
     gauge("relay_store_era", state::storeEra);
     gauge("relay_prompt_parts_held", state::heldPromptParts);
+    gauge("relay_crashing_requests_held", state::heldRequests);
     gauge("relay_endpoint_limits", state::endpointLimits);
     gauge("relay_endpoint_limit_requests_per_second", state::limitedRequestsPerSecond);
     gauge("relay_lease_held", () -> state.holdsLease() ? 1 : 0);
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -173,7 +173,11 @@
     CallerExchange exchange = new CallerExchange(id, head, request, body, caller);
     callers.put(exchange.id(), exchange);
     caller.beginExchange(exchange);
-    RelayEvent arrived = new RelayEvent.RequestArrived(exchange.id(), request);
+    RelayEvent arrived =
+        new RelayEvent.RequestArrived(
+            exchange.id(),
+            request,
+            account -> RequestFingerprints.of(account, exchange.head(), exchange.body()));
     if (System.nanoTime() - lastTickNanos < LATE_TICK_NANOS) {
       post(arrived);
     } else {
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -11,6 +11,7 @@
 import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.FencingNumber;
 import io.zinniawood.core.id.PromptPartId;
+import io.zinniawood.core.id.RequestFingerprint;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.StoreVersion;
@@ -23,11 +24,12 @@
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.CrashCandidate;
 import io.zinniawood.core.quarantine.CrashId;
+import io.zinniawood.core.quarantine.CrashQuarantine;
 import io.zinniawood.core.quarantine.CrashReport;
-import io.zinniawood.core.quarantine.HeldPartNotice;
-import io.zinniawood.core.quarantine.PromptPartQuarantine;
+import io.zinniawood.core.quarantine.HeldSubjectNotice;
 import io.zinniawood.core.quarantine.QuarantineNotice;
-import io.zinniawood.core.quarantine.SoundPartNotice;
+import io.zinniawood.core.quarantine.SoundSubjectNotice;
+import io.zinniawood.core.quarantine.StartOrder;
 import io.zinniawood.core.relay.LeaseNotice;
 import io.zinniawood.core.relay.PeerMessage;
 import io.zinniawood.core.relay.SharedRead;
@@ -86,26 +88,46 @@
     PeerMessage message =
         message(
             new QuarantineNotice(
-                List.of(new HeldPartNotice(new PromptPartId("57dc"), 3, 1, 4_000)),
+                List.of(
+                    new HeldSubjectNotice(new PromptPartId("57dc"), 3, 1, 4_000),
+                    new HeldSubjectNotice(new RequestFingerprint("57dc"), 2, 0, 100)),
                 List.of(
                     new CrashReport(
                         new CrashId(new EndpointId("i-1"), 1_796_000_000_123L),
                         120,
-                        List.of(new CrashCandidate(new PromptPartId("57dc"), 140, 1)))),
-                List.of(new SoundPartNotice(new PromptPartId("f967"), 15))));
+                        List.of(
+                            new CrashCandidate(
+                                new PromptPartId("57dc"),
+                                140,
+                                StartOrder.ARRIVAL,
+                                1,
+                                Optional.of(new RequestFingerprint("9a"))),
+                            new CrashCandidate(
+                                new RequestFingerprint("9b"),
+                                7,
+                                StartOrder.UNKNOWN,
+                                2,
+                                Optional.empty())))),
+                List.of(
+                    new SoundSubjectNotice(new PromptPartId("f967"), 15),
+                    new SoundSubjectNotice(new RequestFingerprint("f967"), 16))));
     assertThat(PeerMessageCodec.decode(PeerMessageCodec.encode(message)), is(Optional.of(message)));
   }
 
   // A relay that believes in dozens of crashes at once must still send messages of one packet.
   @Test
   void largestQuarantineNoticeFitsIntoPacket() {
-    PromptPartQuarantine quarantine = new PromptPartQuarantine();
+    CrashQuarantine quarantine = new CrashQuarantine();
     for (int crash = 0; crash < 100; crash++) {
       List<CrashCandidate> candidates = new ArrayList<>();
       for (int part = 0; part < 20; part++) {
         candidates.add(
             new CrashCandidate(
-                new PromptPartId("%064d".formatted(crash / 2 * 20 + part)), 100 + part, part));
+                new PromptPartId("%064d".formatted(crash / 2 * 20 + part)),
+                100 + part,
+                StartOrder.ARRIVAL,
+                part,
+                Optional.of(new RequestFingerprint("%016d".formatted(part)))));
       }
       long nowNanos = crash * 200_000_000L;
       quarantine.crashed(
