--- a/core/src/main/java/io/zinniawood/core/relay/DecisionFailure.java
+++ b/core/src/main/java/io/zinniawood/core/relay/DecisionFailure.java
@@ -1,6 +1,6 @@
 package io.zinniawood.core.relay;
 
-/** Describes exceptions in log entries of bounded length. */
+/** Describes exceptions and errors in log entries of bounded length. */
 public final class DecisionFailure {
   private static final int MAX_MESSAGE_CHARS = 200;
 
@@ -12,7 +12,7 @@
    * @param event event name of the entry
    * @param subject what failed, such as the type of an event or effect
    */
-  public static Decision describe(String event, String subject, RuntimeException failure) {
+  public static Decision describe(String event, String subject, Throwable failure) {
     String message = String.valueOf(failure.getMessage());
     StackTraceElement[] trace = failure.getStackTrace();
     return Decision.of(
--- a/core/src/main/java/io/zinniawood/core/relay/FailureContainment.java
+++ b/core/src/main/java/io/zinniawood/core/relay/FailureContainment.java
@@ -4,7 +4,8 @@
 
 /**
  * Contains the failure of a decision: it is logged, the request concerned gets its end, and the
- * effects and decisions of others go on.
+ * effects and decisions of others go on. Errors are contained like exceptions; the JVM itself ends
+ * the process when its heap is exhausted.
  */
 final class FailureContainment {
   private static final long RETRY_AFTER_MILLIS = 1_000;
@@ -22,7 +23,7 @@
       RelayTurn turn, String subject, Optional<RelayRequestId> request, Runnable decision) {
     try {
       decision.run();
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       turn.emit(
           new RelayEffect.LogDecision(
               DecisionFailure.describe("decision-failed", subject, failure)));
@@ -50,7 +51,6 @@
     if (open.target.isPresent()) {
       turn.emit(new RelayEffect.CancelAttempt(open.id, open.attempt));
     }
-    EndpointUsage.end(open);
     String outcome =
         open.headRelayed ? "broken-off" : open.possibleRuns > 0 ? "unknown" : "not-run";
     turn.log(
@@ -75,5 +75,6 @@
                   ? LocalAnswer.unknownOutcome(REASON)
                   : LocalAnswer.notRun(REASON, RETRY_AFTER_MILLIS)));
     }
+    EndpointUsage.end(open);
   }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
@@ -1,12 +1,16 @@
 package io.zinniawood.core.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import io.zinniawood.core.fleet.FleetEndpoint;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Decisions that fail, provoked by entries that break the contract of their type. */
 final class RelayFailuresTest {
@@ -45,6 +49,33 @@
     assertThat(relay.state().openRequests(), is(0));
   }
 
+  // An error such as a lack of direct memory lost the request and the effects of its event.
+  @ParameterizedTest
+  @MethodSource("errors")
+  void requestWhoseDecisionFailsWithAnErrorEndsWithAnUnknownOutcome(Error error) {
+    relay.list(relay.plain("p"));
+    RelayRequestId id = relay.request("book");
+    RelayTurn turn = new RelayTurn(relay.state(), relay.nowNanos());
+    FailureContainment.run(
+        turn,
+        "decision",
+        Optional.of(id),
+        () -> {
+          throw error;
+        });
+    assertThat(
+        turn.effects(),
+        hasItem(new RelayEffect.AnswerLocally(id, LocalAnswer.unknownOutcome("internal-failure"))));
+    assertThat(relay.state().openRequests(), is(0));
+  }
+
+  private static List<Error> errors() {
+    return List.of(
+        new OutOfMemoryError("Cannot reserve 4096 bytes of direct buffer memory"),
+        new StackOverflowError(),
+        new NoClassDefFoundError("x"));
+  }
+
   // A request that was sent would wait for its deadline, and be promised not to have run.
   @Test
   void requestWhoseAnswerCannotBeHandledEndsOnceWithAnUnknownOutcome() {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -199,6 +199,10 @@
     post(new RelayEvent.EndpointsListed(List.of(endpoints), version(rowVersion), storeMillis()));
   }
 
+  long nowNanos() {
+    return nowNanos;
+  }
+
   /** Returns the time of the store's clock. */
   long storeMillis() {
     return TimeUnit.NANOSECONDS.toMillis(nowNanos) + STORE_CLOCK_OFFSET_MILLIS;
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.Decision;
+import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayParameters;
@@ -22,6 +24,7 @@
 import io.zinniawood.relay.internal.ByteArrivalHandler;
 import io.zinniawood.relay.internal.CallerHandler;
 import io.zinniawood.relay.internal.ConnectionClosing;
+import io.zinniawood.relay.internal.ContainedTask;
 import io.zinniawood.relay.internal.PeerChannel;
 import io.zinniawood.relay.internal.RelayRuntime;
 import io.zinniawood.telemetry.DecisionLog;
@@ -90,9 +93,13 @@
     callerListener = bind(addresses.callers(), new CallerInitializer());
     RelayRuntime.PeerSender peerSender = bindPeers();
     loop.execute(() -> runtime.start(platform.apply(new ControlClient(loop)), peerSender));
-    loop.scheduleAtFixedRate(runtime::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(
-        this::checkCallerTimeouts,
+        new ContainedTask("tick", runtime::tick, this::logFailure),
+        0,
+        TICK_MILLIS,
+        TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(
+        new ContainedTask("caller-timeouts", this::checkCallerTimeouts, this::logFailure),
         TIMEOUT_CHECK_MILLIS,
         TIMEOUT_CHECK_MILLIS,
         TimeUnit.MILLISECONDS);
@@ -134,12 +141,21 @@
     for (CallerHandler caller : List.copyOf(callers)) {
       try {
         caller.checkTimeouts(nowNanos);
-      } catch (RuntimeException failure) {
+      } catch (RuntimeException | Error failure) {
         caller.fail(failure);
       }
     }
   }
 
+  private void logFailure(String event, String subject, Throwable failure) {
+    logDecision(DecisionFailure.describe(event, subject, failure));
+  }
+
+  private void logDecision(Decision decision) {
+    metrics.countDecision(decision);
+    log.add(decision.event(), decision.fields());
+  }
+
   /** Starts draining: fails readiness, completes open requests, then stops. */
   public void terminate() {
     loop.execute(
@@ -190,8 +206,7 @@
 
     @Override
     public void decisionMade(RelayEffect.LogDecision decision) {
-      metrics.countDecision(decision.decision());
-      log.add(decision.decision().event(), decision.decision().fields());
+      logDecision(decision.decision());
     }
 
     @Override
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -113,19 +113,28 @@
     processingEvents = true;
     try {
       while (!pendingEvents.isEmpty()) {
-        apply(pendingEvents.pollFirst());
+        applyContained(pendingEvents.pollFirst());
       }
     } finally {
       processingEvents = false;
     }
   }
 
+  /** Applies an event; its failure must not hold back the events that are queued behind it. */
+  private void applyContained(RelayEvent event) {
+    try {
+      apply(event);
+    } catch (RuntimeException | Error failure) {
+      logFailure("event-failed", event.getClass().getSimpleName(), failure);
+    }
+  }
+
   private void apply(RelayEvent event) {
     Step<RelayState, RelayEffect> step = reducer.reduce(state, System.nanoTime(), event);
     for (RelayEffect effect : step.effects()) {
       try {
         effect.accept(this);
-      } catch (RuntimeException failure) {
+      } catch (RuntimeException | Error failure) {
         logFailure("effect-failed", effect.getClass().getSimpleName(), failure);
         FailedEffects.resultOf(effect, this::wasSent).ifPresent(pendingEvents::addLast);
       }
@@ -141,7 +150,7 @@
     return exchange != null && exchange.attempt() == send.attempt() && exchange.sent();
   }
 
-  private void logFailure(String event, String subject, RuntimeException failure) {
+  private void logFailure(String event, String subject, Throwable failure) {
     listener.decisionMade(
         new RelayEffect.LogDecision(DecisionFailure.describe(event, subject, failure)));
   }
@@ -164,7 +173,7 @@
     CallerRequest request;
     try {
       request = codec.decodeRequest(head);
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       logFailure("request-undecodable", "decode", failure);
       caller.beginExchange(new CallerExchange(id, head, null, body, caller));
       caller.writeLocalAnswer(LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
@@ -313,7 +322,7 @@
     AnswerSummary summary;
     try {
       summary = codec.summarize(head);
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       logFailure("answer-undecodable", "summarize", failure);
       content.release();
       attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
@@ -412,7 +421,7 @@
   private void endCaller(CallerExchange caller, Runnable write) {
     try {
       write.run();
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       logFailure("effect-failed", "end-of-request", failure);
       caller.connection().abort();
     }
--- a/relay/src/test/java/io/zinniawood/relay/internal/FailingCodec.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FailingCodec.java
@@ -24,14 +24,25 @@
   }
 
   private final Method failing;
+  private final Runnable fault;
 
   FailingCodec(Method failing) {
+    this(
+        failing,
+        () -> {
+          throw new IllegalStateException("fault in " + failing);
+        });
+  }
+
+  /** Creates a codec one of whose methods runs a fault, which throws. */
+  FailingCodec(Method failing, Runnable fault) {
     this.failing = failing;
+    this.fault = fault;
   }
 
   private void failIf(Method called) {
     if (called == failing) {
-      throw new IllegalStateException("fault in " + called);
+      fault.run();
     }
   }
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.startsWith;
 
 import io.netty.buffer.ByteBuf;
@@ -167,12 +168,30 @@
   @ParameterizedTest
   @EnumSource(FailingCodec.Method.class)
   void requestOfFailedEffectIsRefused(FailingCodec.Method failing) {
-    CallerHandler handler = new CallerHandler(runtime(new FailingCodec(failing)));
+    requestIsRefused(failing, new FailingCodec(failing));
+  }
+
+  // An error, such as a lack of direct memory, closed the connection in the same way.
+  @ParameterizedTest
+  @EnumSource(FailingCodec.Method.class)
+  void requestOfEffectThatFailsWithAnErrorIsRefused(FailingCodec.Method failing) {
+    requestIsRefused(
+        failing,
+        new FailingCodec(
+            failing,
+            () -> {
+              throw new OutOfMemoryError("Cannot reserve 4096 bytes of direct buffer memory");
+            }));
+  }
+
+  private void requestIsRefused(FailingCodec.Method failing, FailingCodec codec) {
+    CallerHandler handler = new CallerHandler(runtime(codec));
     EmbeddedChannel channel =
         new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
     channel.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
     channel.runPendingTasks();
     ByteBuf answer = channel.readOutbound();
+    assertThat(answer, notNullValue());
     assertThat(answer.toString(StandardCharsets.US_ASCII), startsWith("HTTP/1.1 503"));
     answer.release();
     String entry =
