Answer or refuse the requests of a connection on which a handler fails

Callers saw a closed connection, with neither an answer nor a refusal, for the request in progress and for those queued behind it, when any handler of their connection failed: an exception while a later message was handled closed the connection at once, and the request in progress was cancelled at its endpoint as if its caller had left.

The failure concerns what was being read, not the request in progress. Its answer is awaited now and written with "Connection: close"; requests that are queued, partly read or not decided on get a 503, which is true as nothing was sent for them; then the connection closes after its input. Where the connection cannot last (Netty closes one for which it has no memory to read), the request in progress ends at once through the reducer, with 503 or 502 as it knows whether it may have run. An answer whose decision was to relay it, but whose head was never written, ends as 502 in place of a close.

The tests of the lack of memory and of the reducer's new cause need the new interface and were not run on the old code.

closesByTheRelayAreReportedWithWhatWasOpen expected the close before the answer of the request in progress; it now answers that request and expects the same report and the close after it.

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptFailureCause.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptFailureCause.java
@@ -7,5 +7,7 @@
   /** The connection was closed or failed after the request was sent. */
   CONNECTION_LOST,
   /** The answer violates the protocol or belongs to another request. */
-  INVALID_ANSWER
+  INVALID_ANSWER,
+  /** The relay itself failed; the request must end at once. */
+  INTERNAL_FAILURE
 }
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -124,6 +124,13 @@
     }
     open.lastEventId = Math.max(open.lastEventId, event.lastEventId());
     String reason = event.cause().name().toLowerCase(Locale.ROOT).replace('_', '-');
+    if (event.cause() == AttemptFailureCause.INTERNAL_FAILURE) {
+      if (open.target.isPresent()) {
+        endAttempt(turn, open, reason);
+      }
+      refuse(turn, open, reason);
+      return;
+    }
     if (event.cause() == AttemptFailureCause.NOT_SENT) {
       retryNotSent(turn, open, reason);
       return;
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -113,6 +113,11 @@
     return open.size();
   }
 
+  /** Returns whether a request is in progress. */
+  public boolean isOpen(RelayRequestId id) {
+    return open.containsKey(id);
+  }
+
   /** Returns the number of requests that wait for an endpoint. */
   public int waitingRequests() {
     return waiting.size();
--- a/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
@@ -76,6 +76,20 @@
         new NoClassDefFoundError("x"));
   }
 
+  // A request whose connection failed in the relay ended as if its caller had left.
+  @Test
+  void requestThatTheRelayFailsEndsTruthfully() {
+    RelayRequestId waiting = relay.request("read");
+    relay.attemptFailed(waiting, 0, AttemptFailureCause.INTERNAL_FAILURE);
+    assertThat(relay.localAnswer(waiting).orElseThrow().status(), is(503));
+    relay.list(relay.plain("p"));
+    RelayRequestId sent = relay.request("read");
+    relay.attemptFailed(sent, 1, AttemptFailureCause.INTERNAL_FAILURE);
+    assertThat(relay.localAnswer(sent).orElseThrow().status(), is(502));
+    assertThat(relay.effectsOf(RelayEffect.CancelAttempt.class), hasSize(1));
+    assertThat(relay.state().openRequests(), is(0));
+  }
+
   // A request that was sent would wait for its deadline, and be promised not to have run.
   @Test
   void requestWhoseAnswerCannotBeHandledEndsOnceWithAnUnknownOutcome() {
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerExchange.java
@@ -14,6 +14,7 @@
   private final CallerHandler connection;
   private EventStreamSplitter splitter;
   private boolean headWritten;
+  private int attempt;
 
   /**
    * Creates an exchange.
@@ -69,6 +70,15 @@
     return splitter;
   }
 
+  /** Returns the number of the last attempt; 0 before the first one. */
+  int attempt() {
+    return attempt;
+  }
+
+  void attempt(int begun) {
+    attempt = begun;
+  }
+
   boolean headWritten() {
     return headWritten;
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -52,6 +52,9 @@
   /** Delay of the close of a quiet connection while the process drains; lets input be read. */
   private static final long DRAIN_CLOSE_DELAY_MILLIS = 5;
 
+  /** Retry-After, in milliseconds, of a request that a failure of its connection ended. */
+  private static final long FAILURE_RETRY_MILLIS = 1_000;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final CallerListener listener;
@@ -62,6 +65,13 @@
   private CallerExchange exchange;
   private boolean keepAlive;
   private boolean closing;
+
+  /** Whether a request was read completely and no exchange has begun for it. */
+  private boolean undecided;
+
+  /** Whether a handler failed; what was not decided on by then is refused. */
+  private boolean failed;
+
   private long lastActivityNanos = System.nanoTime();
 
   /** Idle timeout in force at the last activity; callers reckon with it for the reuse. */
@@ -259,7 +269,9 @@
     ByteBuf whole = body;
     head = null;
     body = null;
+    undecided = true;
     listener.requestReceived(this, complete, whole);
+    undecided = false;
   }
 
   /** Sets the current exchange; must precede its first event, which may already answer it. */
@@ -269,6 +281,13 @@
 
   /** Writes an answer that the relay generated. */
   public void writeLocalAnswer(LocalAnswer answer) {
+    FullHttpResponse response = localResponse(answer);
+    setCloseHeader(response);
+    context.write(response);
+    finishExchange();
+  }
+
+  private static FullHttpResponse localResponse(LocalAnswer answer) {
     String reason = "{\"reason\":\"" + answer.reason() + "\"}";
     ByteBuf content = Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8);
     FullHttpResponse response =
@@ -285,9 +304,7 @@
                     .set(
                         HttpHeaderNames.RETRY_AFTER,
                         String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)));
-    setCloseHeader(response);
-    context.write(response);
-    finishExchange();
+    return response;
   }
 
   /** Writes an endpoint's complete answer and takes ownership of its content. */
@@ -357,7 +374,7 @@
   }
 
   private boolean closesAfterAnswer() {
-    return !keepAlive || (listener.draining() && pipelined.isEmpty());
+    return !keepAlive || ((failed || listener.draining()) && pipelined.isEmpty());
   }
 
   private void finishExchange() {
@@ -372,6 +389,10 @@
       context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
       return;
     }
+    if (failed) {
+      refuseUndecided();
+      return;
+    }
     context.flush();
     context.executor().execute(this::handlePipelined);
   }
@@ -381,7 +402,7 @@
       while (exchange == null && !closing && !pipelined.isEmpty()) {
         handleMessage(pipelined.pollFirst());
       }
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       fail(failure);
       return;
     }
@@ -391,6 +412,7 @@
   }
 
   private void releaseExchange() {
+    undecided = false;
     if (exchange != null) {
       exchange.body().release();
       exchange = null;
@@ -460,8 +482,40 @@
     }
   }
 
-  /** Closes the connection after the failure of a handler; an open request ends as abandoned. */
+  /**
+   * Closes the connection after the failure of a handler. The request in progress is answered
+   * first; requests that are queued or partly read are refused.
+   */
   public void fail(Throwable cause) {
-    close(ConnectionClose.Reason.HANDLER_FAILED, cause.toString());
+    if (closing || failed) {
+      return;
+    }
+    failed = true;
+    report(ConnectionClose.Reason.HANDLER_FAILED, cause.toString());
+    if (exchange == null) {
+      refuseUndecided();
+    } else if (undecided || cause instanceof OutOfMemoryError) {
+      // Netty closes a connection for which it has no memory to read.
+      listener.requestFailed(exchange.id());
+    }
+  }
+
+  /** Refuses each request that was read and not decided on, and closes the connection. */
+  private void refuseUndecided() {
+    closing = true;
+    boolean begun = undecided || head != null || headStarted;
+    int refusals = queuedRequests() + (begun ? 1 : 0);
+    dropPartialRequest();
+    pipelined.forEach(ReferenceCountUtil::release);
+    pipelined.clear();
+    for (int left = refusals; left > 0; left--) {
+      FullHttpResponse refusal =
+          localResponse(LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
+      if (left == 1) {
+        refusal.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      }
+      context.write(refusal);
+    }
+    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> closeAfterInput());
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
@@ -16,6 +16,9 @@
   /** A request was received completely; the receiver takes ownership of the body. */
   void requestReceived(CallerHandler caller, HttpRequest head, ByteBuf body);
 
+  /** The connection of a request in progress failed; the request must be ended at once. */
+  void requestFailed(RelayRequestId id);
+
   /** The caller's connection was closed before the answer was complete. */
   void callerDisconnected(RelayRequestId id);
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -220,6 +220,27 @@
     post(new RelayEvent.Tick());
   }
 
+  @Override
+  public void requestFailed(RelayRequestId id) {
+    CallerExchange caller = callers.get(id);
+    if (caller == null) {
+      return;
+    }
+    if (state.isOpen(id)) {
+      post(
+          new RelayEvent.AttemptFailed(
+              id,
+              caller.attempt(),
+              AttemptFailureCause.INTERNAL_FAILURE,
+              caller.splitter().lastId()));
+    } else {
+      // It was not decided on, and is not sent any more once it has left the map.
+      answerLocally(
+          new RelayEffect.AnswerLocally(
+              id, LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS)));
+    }
+  }
+
   @Override
   public void callerDisconnected(RelayRequestId id) {
     callers.remove(id);
@@ -366,6 +387,7 @@
     if (caller == null) {
       return;
     }
+    caller.attempt(effect.attempt());
     EndpointExchange exchange =
         new EndpointExchange(caller, effect.attempt(), effect.address(), effect.options());
     exchange.endpoint(state.incarnation(effect.options().expectedEndpoint()));
@@ -431,8 +453,14 @@
   public void abortAnswer(RelayEffect.AbortAnswer effect) {
     CallerExchange caller = callers.remove(effect.id());
     releasePendingAnswer(effect.id());
-    if (caller != null) {
+    if (caller != null && caller.headWritten()) {
       caller.connection().abort();
+    } else if (caller != null) {
+      // The answer was decided on, but its head could not be written.
+      endCaller(
+          caller,
+          () ->
+              caller.connection().writeLocalAnswer(LocalAnswer.unknownOutcome("internal-failure")));
     }
   }
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.route.RequestLimits;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -60,7 +61,10 @@
     return List.of(
         new Case(
             REQUEST,
-            test -> test.channel.pipeline().fireExceptionCaught(new IllegalStateException("x")),
+            test -> {
+              test.channel.pipeline().fireExceptionCaught(new IllegalStateException("x"));
+              test.listener.answer();
+            },
             ConnectionClose.Reason.HANDLER_FAILED,
             true,
             false,
@@ -196,6 +200,62 @@
     assertThat(channel.isOpen(), is(true));
   }
 
+  // A failure behind a request in progress closed the connection without an answer to any request.
+  @Test
+  void requestsOnConnectionThatFailsAreAnsweredOrRefusedBeforeItCloses() {
+    receive(REQUEST + QUEUED);
+    channel.pipeline().fireExceptionCaught(new IllegalStateException("x"));
+    listener.answer();
+    String answers = written();
+    assertThat(answers, startsWith("HTTP/1.1 404"));
+    assertThat(answers.split("HTTP/1.1 503").length, is(2));
+    assertThat(listener.paths, is(List.of("/first")));
+    closesSoon();
+  }
+
+  // A request whose handling failed before it was decided on had neither an answer nor a refusal.
+  @Test
+  void requestWhoseHandlingFailsIsRefused() {
+    listener.failing = true;
+    receive(REQUEST);
+    assertThat(written(), startsWith("HTTP/1.1 503"));
+    closesSoon();
+  }
+
+  // The same, for a request that was queued behind another one.
+  @Test
+  void queuedRequestWhoseHandlingFailsIsRefused() {
+    receive(REQUEST + QUEUED);
+    listener.failing = true;
+    listener.answer();
+    channel.runPendingTasks();
+    assertThat(written().split("HTTP/1.1 503").length, is(2));
+    closesSoon();
+  }
+
+  // The same, for a request of which a part had arrived.
+  @Test
+  void requestThatIsPartlyReadIsRefusedWhenItsConnectionFails() {
+    receive("POST /first HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    channel.pipeline().fireExceptionCaught(new IllegalStateException("x"));
+    assertThat(written(), startsWith("HTTP/1.1 503"));
+    closesSoon();
+  }
+
+  // Netty closes a connection for which it has no memory; a request in progress got no answer.
+  @Test
+  void requestInProgressEndsAtOnceWhenMemoryToReadIsLacking() {
+    receive(REQUEST);
+    channel.pipeline().fireExceptionCaught(new OutOfMemoryError("Cannot reserve 4096 bytes"));
+    assertThat(listener.failed, is(List.of(new RelayRequestId(1))));
+  }
+
+  private void closesSoon() {
+    channel.advanceTimeBy(2, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    assertThat(channel.isOpen(), is(false));
+  }
+
   // A close while the caller still sends becomes a reset, which takes the refusal away from it.
   @Test
   void inputIsDiscardedForSomeTimeAfterAnEarlyRefusal() {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FailingCodec.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FailingCodec.java
@@ -20,7 +20,8 @@
   /** Method that fails. */
   enum Method {
     DECODE_REQUEST,
-    ENCODE_REQUEST
+    ENCODE_REQUEST,
+    NONE
   }
 
   private final Method failing;
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
@@ -18,6 +18,7 @@
   final List<String> bodies = new ArrayList<>();
   final List<ConnectionClose> closes = new ArrayList<>();
   final List<RelayRequestId> abandoned = new ArrayList<>();
+  final List<RelayRequestId> failed = new ArrayList<>();
   RequestLimits limits = RequestLimits.DEFAULT;
   boolean draining;
   boolean failing;
@@ -61,6 +62,11 @@
     connection.writeLocalAnswer(LocalAnswer.noRoute());
   }
 
+  @Override
+  public void requestFailed(RelayRequestId id) {
+    failed.add(id);
+  }
+
   @Override
   public void callerDisconnected(RelayRequestId id) {
     abandoned.add(id);
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.startsWith;
@@ -166,14 +167,32 @@
 
   // An exception closed the connection: the request had neither an answer nor a refusal.
   @ParameterizedTest
-  @EnumSource(FailingCodec.Method.class)
+  @EnumSource(value = FailingCodec.Method.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
   void requestOfFailedEffectIsRefused(FailingCodec.Method failing) {
     requestIsRefused(failing, new FailingCodec(failing));
   }
 
+  // A connection without memory to read closed without an answer to its request.
+  @Test
+  void waitingRequestIsRefusedWhenMemoryToReadIsLacking() {
+    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.NONE));
+    runtime.post(new RelayEvent.EndpointsListed(List.of(), VERSION, 1));
+    CallerHandler handler = new CallerHandler(runtime);
+    EmbeddedChannel channel =
+        new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    channel.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
+    channel.pipeline().fireExceptionCaught(new OutOfMemoryError("Cannot reserve 4096 bytes"));
+    ByteBuf answer = channel.readOutbound();
+    assertThat(answer, notNullValue());
+    assertThat(answer.toString(StandardCharsets.US_ASCII), startsWith("HTTP/1.1 503"));
+    answer.release();
+    assertThat(runtime.state().openRequests(), is(0));
+    channel.finishAndReleaseAll();
+  }
+
   // An error, such as a lack of direct memory, closed the connection in the same way.
   @ParameterizedTest
-  @EnumSource(FailingCodec.Method.class)
+  @EnumSource(value = FailingCodec.Method.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
   void requestOfEffectThatFailsWithAnErrorIsRefused(FailingCodec.Method failing) {
     requestIsRefused(
         failing,
