End an answer of which a part cannot be written

Callers saw streams from which events were missing and that still ended as complete, and requests that had no end at all on a connection that stayed open. A write whose encoding fails, as for a lack of direct memory, fails only its promise, which nothing looked at: the relay went on with the next part.

A failed encoding is known as soon as the write returns, and is thrown now. A whole answer or the head of a stream that cannot be written fails its effect, so the request is tried again or ends as 502; an event, the end of a stream or a refusal that cannot be written closes the connection, as nothing after it may be taken for the rest.

Failed before (RuntimeFailuresTest, each "Expected: is <false> but: was <true>" for the open connection): streamIsBrokenOffWhenAnEventCannotBeWritten, connectionClosesWhenTheEndOfItsStreamCannotBeWritten, connectionClosesWhenARefusalCannotBeWritten. Each leaves effect-failed with write-event or end-of-request.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -283,10 +285,22 @@
   public void writeLocalAnswer(LocalAnswer answer) {
     FullHttpResponse response = localResponse(answer);
     setCloseHeader(response);
-    context.write(response);
+    write(response);
     finishExchange();
   }
 
+  /**
+   * Writes part of an answer.
+   *
+   * @throws EncoderException if the part could not be encoded; what follows it must not be written
+   */
+  private void write(HttpObject part) {
+    Throwable cause = context.write(part).cause();
+    if (cause != null && !(cause instanceof IOException)) {
+      throw new EncoderException(cause);
+    }
+  }
+
   private static FullHttpResponse localResponse(LocalAnswer answer) {
     String reason = "{\"reason\":\"" + answer.reason() + "\"}";
     ByteBuf content = Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8);
@@ -314,7 +328,7 @@
     HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
     setCloseHeader(response);
-    context.write(response);
+    write(response);
     finishExchange();
   }
 
@@ -324,12 +338,12 @@
     HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     setCloseHeader(response);
-    context.write(response);
+    write(response);
   }
 
   /** Writes bytes of a stream without flushing them. */
   public void writeStream(ByteBuf bytes) {
-    context.write(new DefaultHttpContent(bytes));
+    write(new DefaultHttpContent(bytes));
   }
 
   /** Flushes the bytes written by {@link #writeStream}. */
@@ -339,7 +353,7 @@
 
   /** Completes a stream. */
   public void endStream() {
-    context.write(LastHttpContent.EMPTY_LAST_CONTENT);
+    write(LastHttpContent.EMPTY_LAST_CONTENT);
     finishExchange();
   }
 
@@ -516,6 +530,6 @@
       }
       context.write(refusal);
     }
-    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> closeAfterInput());
+    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> closeAfterInput());
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -175,8 +175,13 @@
       request = codec.decodeRequest(head);
     } catch (RuntimeException | Error failure) {
       logFailure("request-undecodable", "decode", failure);
-      caller.beginExchange(new CallerExchange(id, head, null, body, caller));
-      caller.writeLocalAnswer(LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
+      CallerExchange undecoded = new CallerExchange(id, head, null, body, caller);
+      caller.beginExchange(undecoded);
+      endCaller(
+          undecoded,
+          () ->
+              caller.writeLocalAnswer(
+                  LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS)));
       return;
     }
     CallerExchange exchange = new CallerExchange(id, head, request, body, caller);
@@ -293,7 +298,14 @@
     }
     Consumer<ByteBuf> writer = caller.connection()::writeStream;
     long previousId = caller.splitter().lastId();
-    boolean valid = caller.splitter().split(content, writer);
+    boolean valid;
+    try {
+      valid = caller.splitter().split(content, writer);
+    } catch (RuntimeException | Error failure) {
+      logFailure("effect-failed", "write-event", failure);
+      breakOff(exchange);
+      return;
+    }
     if (caller.splitter().lastId() != previousId) {
       listener.streamAdvanced();
       post(
@@ -306,6 +318,22 @@
     }
   }
 
+  /** Ends a request whose caller lacks an event that no other attempt would send again. */
+  private void breakOff(EndpointExchange exchange) {
+    CallerExchange caller = exchange.callerExchange();
+    connections.cancel(exchange);
+    exchange.markEnded();
+    attempts.remove(caller.id(), exchange);
+    callers.remove(caller.id());
+    caller.connection().abort();
+    post(
+        new RelayEvent.AttemptFailed(
+            caller.id(),
+            exchange.attempt(),
+            AttemptFailureCause.INTERNAL_FAILURE,
+            caller.splitter().lastId()));
+  }
+
   @Override
   public void streamReadComplete(EndpointExchange exchange) {
     if (!exchange.ended() && exchange.callerExchange().headWritten()) {
@@ -329,7 +357,7 @@
     attempts.remove(caller.id(), exchange);
     callers.remove(caller.id());
     post(new RelayEvent.AnswerRelayed(caller.id(), exchange.attempt()));
-    caller.connection().endStream();
+    endCaller(caller, caller.connection()::endStream);
   }
 
   @Override
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -49,6 +49,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -115,14 +116,7 @@
         VERSION);
   }
 
-  // Guards against events that are held back until the next attempt has some, or lost if there is
-  // none, because the end of the attempt was in the same read.
-  @Test
-  void eventsAreSentBeforeTheAttemptFails() {
-    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.DECODE_REQUEST));
-    CallerHandler handler = new CallerHandler(new FakeCallerListener());
-    EmbeddedChannel channel =
-        new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+  private static EndpointExchange beginStream(EmbeddedChannel channel, CallerHandler handler) {
     channel.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
     HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
     CallerRequest request =
@@ -150,8 +144,72 @@
             0,
             SendOptions.ConnectionUse.ANY,
             true);
-    EndpointExchange exchange =
-        new EndpointExchange(caller, 1, new NodeAddress("10.0.0.1", 80), options);
+    return new EndpointExchange(caller, 1, new NodeAddress("10.0.0.1", 80), options);
+  }
+
+  // An event that could not be written was left out, and the answer went on and looked complete.
+  @Test
+  void streamIsBrokenOffWhenAnEventCannotBeWritten() {
+    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.NONE));
+    CallerHandler handler = new CallerHandler(new FakeCallerListener());
+    FailingWrites writes = new FailingWrites();
+    EmbeddedChannel channel =
+        new EmbeddedChannel(
+            writes, new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    EndpointExchange exchange = beginStream(channel, handler);
+    writes.failing = true;
+    runtime.streamContentReceived(
+        exchange, Unpooled.copiedBuffer("id: 1\ndata: a\n\n", StandardCharsets.US_ASCII));
+    assertThat(channel.isOpen(), is(false));
+    assertThat(exchange.ended(), is(true));
+    channel.finishAndReleaseAll();
+  }
+
+  // A stream whose end could not be written had no end, and its connection was never used again.
+  @Test
+  void connectionClosesWhenTheEndOfItsStreamCannotBeWritten() {
+    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.NONE));
+    CallerHandler handler = new CallerHandler(new FakeCallerListener());
+    FailingWrites writes = new FailingWrites();
+    EmbeddedChannel channel =
+        new EmbeddedChannel(
+            writes, new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    EndpointExchange exchange = beginStream(channel, handler);
+    runtime.streamContentReceived(
+        exchange, Unpooled.copiedBuffer("id: 1\ndata: a\n\n", StandardCharsets.US_ASCII));
+    writes.failing = true;
+    runtime.streamCompleted(exchange);
+    assertThat(channel.isOpen(), is(false));
+    channel.finishAndReleaseAll();
+  }
+
+  // A refusal that could not be written left its caller waiting on an open connection.
+  @Test
+  void connectionClosesWhenARefusalCannotBeWritten() {
+    CallerHandler handler =
+        new CallerHandler(runtime(new FailingCodec(FailingCodec.Method.DECODE_REQUEST)));
+    FailingWrites writes = new FailingWrites();
+    writes.failing = true;
+    EmbeddedChannel channel =
+        new EmbeddedChannel(
+            writes, new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    channel.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
+    channel.runPendingTasks();
+    channel.advanceTimeBy(2, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    assertThat(channel.isOpen(), is(false));
+    channel.finishAndReleaseAll();
+  }
+
+  // Guards against events that are held back until the next attempt has some, or lost if there is
+  // none, because the end of the attempt was in the same read.
+  @Test
+  void eventsAreSentBeforeTheAttemptFails() {
+    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.NONE));
+    CallerHandler handler = new CallerHandler(new FakeCallerListener());
+    EmbeddedChannel channel =
+        new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    EndpointExchange exchange = beginStream(channel, handler);
     runtime.streamContentReceived(
         exchange, Unpooled.copiedBuffer("id: 1\ndata: a\n\nid: 2\nda", StandardCharsets.US_ASCII));
     runtime.streamCompleted(exchange);
