End the attempt whose request cannot be written to a new connection

Callers waited until their deadline for a request that was at no endpoint. The listener of the connect wrote the request; Netty logs what a listener of a future throws and goes on, so nobody learned that the attempt had failed.

The listener contains the failure now, logs effect-failed with write-request, and ends the attempt: as not sent, since the connection is only assigned to the attempt and marked as sent once the whole request is built.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -85,7 +85,7 @@
           if (exchange.ended()) {
             connected.channel().close();
           } else if (done.isSuccess()) {
-            write(exchange, connected.channel(), head);
+            writeContained(exchange, connected.channel(), head);
           } else {
             listener.attemptFailed(exchange, AttemptFailureCause.NOT_SENT);
           }
@@ -106,10 +106,21 @@
     }
   }
 
+  /** Writes a request after the connect; Netty drops what a listener of a future throws. */
+  private void writeContained(EndpointExchange exchange, Channel channel, HttpRequest head) {
+    try {
+      write(exchange, channel, head);
+    } catch (RuntimeException | Error failure) {
+      listener.failed("effect-failed", "write-request", failure);
+      listener.attemptFailed(
+          exchange,
+          exchange.sent() ? AttemptFailureCause.CONNECTION_LOST : AttemptFailureCause.NOT_SENT);
+      channel.close();
+    }
+  }
+
   private void write(EndpointExchange exchange, Channel channel, HttpRequest head) {
     exchange.channel(channel);
-    exchange.markSent();
-    channel.pipeline().get(EndpointHandler.class).beginExchange(exchange);
     ByteBuf body = exchange.callerExchange().body();
     FullHttpRequest request =
         new DefaultFullHttpRequest(
@@ -119,6 +130,8 @@
             body.retainedDuplicate(),
             head.headers(),
             io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
+    channel.pipeline().get(EndpointHandler.class).beginExchange(exchange);
+    exchange.markSent();
     channel.writeAndFlush(request).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
@@ -4,9 +4,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.relay.AnsweredRequest;
+import io.zinniawood.relay.FailureLog;
 
 /** Receives the events of attempts on connections to endpoints. */
-public interface EndpointListener {
+public interface EndpointListener extends FailureLog {
   /** The head of any answer was received, even of one that is skipped afterwards. */
   void headReceived(EndpointExchange exchange, HttpResponse head);
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -125,7 +125,7 @@
     try {
       apply(event);
     } catch (RuntimeException | Error failure) {
-      logFailure("event-failed", event.getClass().getSimpleName(), failure);
+      failed("event-failed", event.getClass().getSimpleName(), failure);
     }
   }
 
@@ -135,7 +135,7 @@
       try {
         effect.accept(this);
       } catch (RuntimeException | Error failure) {
-        logFailure("effect-failed", effect.getClass().getSimpleName(), failure);
+        failed("effect-failed", effect.getClass().getSimpleName(), failure);
         FailedEffects.resultOf(effect, this::wasSent).ifPresent(pendingEvents::addLast);
       }
     }
@@ -150,7 +150,8 @@
     return exchange != null && exchange.attempt() == send.attempt() && exchange.sent();
   }
 
-  private void logFailure(String event, String subject, Throwable failure) {
+  @Override
+  public void failed(String event, String subject, Throwable failure) {
     listener.decisionMade(
         new RelayEffect.LogDecision(DecisionFailure.describe(event, subject, failure)));
   }
@@ -174,7 +175,7 @@
     try {
       request = codec.decodeRequest(head);
     } catch (RuntimeException | Error failure) {
-      logFailure("request-undecodable", "decode", failure);
+      failed("request-undecodable", "decode", failure);
       CallerExchange undecoded = new CallerExchange(id, head, null, body, caller);
       caller.beginExchange(undecoded);
       endCaller(
@@ -302,7 +303,7 @@
     try {
       valid = caller.splitter().split(content, writer);
     } catch (RuntimeException | Error failure) {
-      logFailure("effect-failed", "write-event", failure);
+      failed("effect-failed", "write-event", failure);
       breakOff(exchange);
       return;
     }
@@ -372,7 +373,7 @@
     try {
       summary = codec.summarize(head);
     } catch (RuntimeException | Error failure) {
-      logFailure("answer-undecodable", "summarize", failure);
+      failed("answer-undecodable", "summarize", failure);
       content.release();
       attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
       return;
@@ -472,7 +473,7 @@
     try {
       write.run();
     } catch (RuntimeException | Error failure) {
-      logFailure("effect-failed", "end-of-request", failure);
+      failed("effect-failed", "end-of-request", failure);
       caller.connection().abort();
     }
   }
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
@@ -0,0 +1,78 @@
+package io.zinniawood.relay.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.core.relay.RelayRequestId;
+import io.zinniawood.core.relay.SendOptions;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class EndpointConnectionPoolTest {
+  private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = (EventLoop) group.next();
+  private final FakeEndpointListener listener = new FakeEndpointListener();
+
+  @AfterEach
+  void stopLoop() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  private List<AttemptFailureCause> failuresOnceThereAreAny() throws Exception {
+    long endNanos = System.nanoTime() + MAX_WAIT_NANOS;
+    List<AttemptFailureCause> failures = List.of();
+    while (failures.isEmpty() && System.nanoTime() - endNanos < 0) {
+      failures = loop.submit(() -> List.copyOf(listener.failures)).get();
+      Thread.onSpinWait();
+    }
+    return failures;
+  }
+
+  // An exception after the connect left the request at no endpoint until its deadline.
+  @Test
+  void attemptEndsWhenItsRequestCannotBeWrittenToTheNewConnection() throws Exception {
+    try (ServerSocket endpoint = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+      ByteBuf released = Unpooled.buffer();
+      released.release();
+      EndpointExchange exchange =
+          new EndpointExchange(
+              new CallerExchange(new RelayRequestId(1), head, null, released, null),
+              1,
+              new NodeAddress("127.0.0.1", endpoint.getLocalPort()),
+              new SendOptions(
+                  new EndpointId("e"),
+                  1_000,
+                  Optional.empty(),
+                  Optional.empty(),
+                  0,
+                  SendOptions.ConnectionUse.FRESH,
+                  false));
+      EndpointConnectionPool pool = new EndpointConnectionPool(loop, listener);
+      loop.execute(() -> pool.send(exchange, head));
+      assertThat(failuresOnceThereAreAny(), is(List.of(AttemptFailureCause.NOT_SENT)));
+      assertThat(listener.faults, is(List.of("effect-failed write-request")));
+    }
+  }
+}
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -16,8 +16,14 @@
   final List<Integer> answers = new ArrayList<>();
   final List<Integer> streams = new ArrayList<>();
   final List<Integer> heads = new ArrayList<>();
+  final List<String> faults = new ArrayList<>();
   int completedStreams;
 
+  @Override
+  public void failed(String event, String subject, Throwable failure) {
+    faults.add(event + " " + subject);
+  }
+
   @Override
   public void headReceived(EndpointExchange exchange, HttpResponse head) {
     heads.add(head.status().code());
