End attempts on whose connection the relay itself fails, with a line

Callers waited until their deadline when the delivery of a whole answer threw: the connection had no attempt any more by then, so nobody ended it. Any other exception of a handler ended its attempt as a lost connection, without a line: it could not be told from a reset by the endpoint, and counted as evidence that the request had crashed the endpoint.

A failure that is no IOException is logged as connection-failed and ends the attempt as an invalid answer, which may be tried again in the same way but is no evidence of a crash.

Failed before (FaultyAnswerTest): attemptEndsWhenItsWholeAnswerCannotBe Delivered ("is <[INVALID_ANSWER]> but: was <[]>"), failureOfTheRelayIsLogged AndIsNoLostConnection ("is <[INVALID_ANSWER]> but: was <[CONNECTION_LOST]>").

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -14,6 +14,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.relay.AnsweredRequest;
+import java.io.IOException;
 
 /**
  * Connection to one endpoint; carries one request at a time. Skips answers that carry the id of
@@ -165,11 +166,17 @@
     ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content;
     content = null;
     buffered.release(whole.readableBytes());
-    connections.release(complete.address(), context.channel(), answered, reusable);
-    if (streaming) {
-      listener.streamCompleted(complete);
-    } else {
-      listener.answerReceived(complete, answered, whole);
+    try {
+      connections.release(complete.address(), context.channel(), answered, reusable);
+      if (streaming) {
+        listener.streamCompleted(complete);
+      } else {
+        listener.answerReceived(complete, answered, whole);
+      }
+    } catch (RuntimeException | Error failure) {
+      listener.failed("connection-failed", "delivery", failure);
+      context.close();
+      listener.attemptFailed(complete, AttemptFailureCause.INVALID_ANSWER);
     }
   }
 
@@ -208,6 +215,12 @@
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     // After a reset the decoder ends an answer without a length, although it is incomplete.
     connectionFailed = true;
-    fail(context, AttemptFailureCause.CONNECTION_LOST);
+    if (cause instanceof IOException) {
+      fail(context, AttemptFailureCause.CONNECTION_LOST);
+    } else {
+      // A lost connection would be evidence of a crash of the endpoint.
+      listener.failed("connection-failed", "endpoint", cause);
+      fail(context, AttemptFailureCause.INVALID_ANSWER);
+    }
   }
 }
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -18,6 +18,7 @@
   final List<Integer> heads = new ArrayList<>();
   final List<String> faults = new ArrayList<>();
   int completedStreams;
+  boolean failing;
 
   @Override
   public void failed(String event, String subject, Throwable failure) {
@@ -56,8 +57,11 @@
 
   @Override
   public void answerReceived(EndpointExchange exchange, HttpResponse head, ByteBuf content) {
-    answers.add(head.status().code());
     content.release();
+    if (failing) {
+      throw new IllegalStateException("fault in the delivery");
+    }
+    answers.add(head.status().code());
   }
 
   @Override
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -11,6 +11,7 @@
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.SendOptions;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -125,6 +126,33 @@
     }
   }
 
+  // A failure of the relay left no line and counted as a crash of the endpoint.
+  @Test
+  void failureOfTheRelayIsLoggedAndIsNoLostConnection() {
+    beginExchange(false);
+    channel.pipeline().fireExceptionCaught(new OutOfMemoryError("Cannot reserve 4096 bytes"));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+    assertThat(listener.faults, is(List.of("connection-failed endpoint")));
+  }
+
+  @Test
+  void resetByTheEndpointIsALostConnection() {
+    beginExchange(false);
+    channel.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.CONNECTION_LOST)));
+    assertThat(listener.faults, empty());
+  }
+
+  // An exception while a whole answer was delivered left the request to its deadline.
+  @Test
+  void attemptEndsWhenItsWholeAnswerCannotBeDelivered() {
+    listener.failing = true;
+    beginExchange(false);
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + ID + "own\r\n\r\n");
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+    assertThat(channel.isActive(), is(false));
+  }
+
   @Test
   void answerThatEndsWithinItsBodyIsLost() {
     for (String answer :
