Fail the control call whose receiver fails on the response

Callers were served by an old configuration, or by an old list of endpoints, for as long as a relay ran: a response of the store that its receiver could not handle (an exception or error while it was decoded) had completed the call and cancelled its timeout, so no event said that the read had failed, and the reducer waited for it for good. The same for a report, an order and a change of a path.

The receiver is called with OUTCOME_UNKNOWN then, which each caller of the client turns into the failure of its read. The timeout of a call whose connection was closed meanwhile threw a NullPointerException and left the call pending as well; it looks whether the handler is still there. Failures of callbacks leave callback-failed, of the connection connection-failed.

The timeout after a close is by reading, without a test of its own.

--- a/relay/src/main/java/io/zinniawood/relay/ControlClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Either;
 import io.zinniawood.core.model.NodeAddress;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -50,11 +51,17 @@
   private static final String JSON_CONTENT_TYPE = "application/json";
 
   private final EventLoop loop;
+  private final FailureLog failures;
   private final Map<NodeAddress, Deque<Channel>> pool = new HashMap<>();
 
-  /** Creates a client that must be called on the event loop and calls receivers on it. */
-  public ControlClient(EventLoop loop) {
+  /**
+   * Creates a client that must be called on the event loop and calls receivers on it.
+   *
+   * @param failures receives the failures of receivers
+   */
+  public ControlClient(EventLoop loop, FailureLog failures) {
     this.loop = loop;
+    this.failures = failures;
   }
 
   /**
@@ -66,7 +73,8 @@
    * @param headers headers in addition to host, content type and content length
    * @param body JSON body; empty for none
    * @param timeoutMillis timeout in milliseconds, including the time to connect
-   * @param receiver called once with the response or the failure, on the event loop
+   * @param receiver called once with the response or the failure, on the event loop; called with a
+   *     failure if it throws on the response
    */
   public void call(
       NodeAddress address,
@@ -116,7 +124,7 @@
     connected.addListener(
         done -> {
           if (done.isSuccess()) {
-            call.send(connected.channel());
+            call.sendContained(connected.channel());
           } else {
             call.fail(ControlFailure.NOT_SENT);
           }
@@ -198,14 +206,14 @@
   }
 
   /** Delivers the head of a response before its body is complete. */
-  private static final class HeadHandler extends ChannelInboundHandlerAdapter {
+  private final class HeadHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
       Call call = context.pipeline().get(ResponseHandler.class).call;
       if (call != null
           && message instanceof HttpResponse head
           && head.decoderResult().isSuccess()) {
-        call.headReceiver.accept(head);
+        call.headReceived(head);
       }
       context.fireChannelRead(message);
     }
@@ -255,7 +263,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      // The call fails in channelInactive, which follows the close.
+      // The call fails in channelInactive, which follows the close, or by its timeout.
+      if (!(cause instanceof IOException)) {
+        failures.failed("connection-failed", "control-call", cause);
+      }
       context.close();
     }
   }
@@ -283,6 +294,25 @@
       this.timeout = loop.schedule(this::handleTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Sends the call after the connect; Netty drops what a listener of a future throws. */
+    void sendContained(Channel opened) {
+      try {
+        send(opened);
+      } catch (RuntimeException | Error failure) {
+        failures.failed("callback-failed", "control-call", failure);
+        opened.close();
+        fail(ControlFailure.OUTCOME_UNKNOWN);
+      }
+    }
+
+    void headReceived(HttpResponse head) {
+      try {
+        headReceiver.accept(head);
+      } catch (RuntimeException | Error failure) {
+        failures.failed("callback-failed", "control-head", failure);
+      }
+    }
+
     void send(Channel opened) {
       if (completed) {
         returnToPool(address, opened);
@@ -298,7 +328,10 @@
         fail(ControlFailure.NOT_SENT);
         return;
       }
-      channel.pipeline().get(ResponseHandler.class).call = null;
+      ResponseHandler handler = channel.pipeline().get(ResponseHandler.class);
+      if (handler != null) {
+        handler.call = null;
+      }
       channel.close();
       fail(ControlFailure.OUTCOME_UNKNOWN);
     }
@@ -315,7 +348,19 @@
       if (!completed) {
         completed = true;
         timeout.cancel(false);
+        deliver(result);
+      }
+    }
+
+    /** Delivers a result; what waits for the call must not wait for good if its receiver fails. */
+    private void deliver(Either<ControlFailure, ControlResponse> result) {
+      try {
         receiver.accept(result);
+      } catch (RuntimeException | Error failure) {
+        failures.failed("callback-failed", "control-response", failure);
+        if (result.isRight()) {
+          deliver(Either.left(ControlFailure.OUTCOME_UNKNOWN));
+        }
       }
     }
   }
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -92,7 +92,8 @@
     bind(addresses.admin(), new AdminInitializer());
     callerListener = bind(addresses.callers(), new CallerInitializer());
     RelayRuntime.PeerSender peerSender = bindPeers();
-    loop.execute(() -> runtime.start(platform.apply(new ControlClient(loop)), peerSender));
+    loop.execute(
+        () -> runtime.start(platform.apply(new ControlClient(loop, this::logFailure)), peerSender));
     loop.scheduleAtFixedRate(
         new ContainedTask("tick", runtime::tick, this::logFailure),
         0,
