Bind the channel to the other relays again after Netty has closed it

After one lack of direct memory in the read of a datagram a relay heard nothing more of the others until its restart: Netty closes a datagram channel for any error in a read that is no IOException. The relay then read the store for itself, took a small share of the limits, and missed what others knew of crashes and leaving endpoints.

The channel is bound again 100 ms after a close, unless the event loop shuts down. Failures leave connection-failed with relays in the decision log (before: a warning of System.Logger that no metric counted).

--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -115,7 +115,8 @@
             loop,
             peerAddress.get(),
             (message, sender) -> runtime.post(new RelayEvent.PeerMessageReceived(message, sender)),
-            sender -> log.add("peer-message-ignored", List.of("sender", sender.toString())));
+            sender -> log.add("peer-message-ignored", List.of("sender", sender.toString())),
+            this::logFailure);
     return channel::send;
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/PeerChannel.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/PeerChannel.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -11,19 +12,41 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.PeerMessage;
+import io.zinniawood.relay.FailureLog;
 import io.zinniawood.wire.PeerMessageCodec;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
-/** Datagram channel to the other relays. A datagram that cannot be sent or decoded is dropped. */
+/**
+ * Datagram channel to the other relays. A datagram that cannot be sent or decoded is dropped. Netty
+ * closes the channel for an error in a read; it is bound again then.
+ */
 public final class PeerChannel {
-  private final Channel channel;
+  /** Delay before a channel that was closed is bound again. */
+  private static final long REBIND_MILLIS = 100;
 
-  private PeerChannel(Channel channel) {
-    this.channel = channel;
+  private final EventLoop loop;
+  private final NodeAddress address;
+  private final BiConsumer<PeerMessage, NodeAddress> received;
+  private final Consumer<NodeAddress> undecodable;
+  private final FailureLog failures;
+  private volatile Channel channel;
+
+  private PeerChannel(
+      EventLoop loop,
+      NodeAddress address,
+      BiConsumer<PeerMessage, NodeAddress> received,
+      Consumer<NodeAddress> undecodable,
+      FailureLog failures) {
+    this.loop = loop;
+    this.address = address;
+    this.received = received;
+    this.undecodable = undecodable;
+    this.failures = failures;
   }
 
   /**
@@ -31,22 +54,42 @@
    *
    * @param received receives each valid message and its sender on the event loop
    * @param undecodable receives the sender of each datagram that is no valid message
+   * @param failures receives the failures of the channel
    * @throws InterruptedException if the thread is interrupted while the port is bound
    */
   public static PeerChannel bind(
       EventLoop loop,
       NodeAddress address,
       BiConsumer<PeerMessage, NodeAddress> received,
-      Consumer<NodeAddress> undecodable)
+      Consumer<NodeAddress> undecodable,
+      FailureLog failures)
       throws InterruptedException {
-    return new PeerChannel(
+    PeerChannel peers = new PeerChannel(loop, address, received, undecodable, failures);
+    peers.open().sync();
+    return peers;
+  }
+
+  private ChannelFuture open() {
+    ChannelFuture bound =
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
-            .handler(new Receiver(received, undecodable))
-            .bind(address.host(), address.port())
-            .sync()
-            .channel());
+            .handler(new Receiver())
+            .bind(address.host(), address.port());
+    channel = bound.channel();
+    channel.closeFuture().addListener(closed -> openLater());
+    return bound;
+  }
+
+  private void openLater() {
+    if (!loop.isShuttingDown()) {
+      loop.schedule(this::open, REBIND_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Returns the channel that is bound at present. */
+  Channel channel() {
+    return channel;
   }
 
   /** Sends a message to each of the addresses. */
@@ -61,15 +104,7 @@
     channel.flush();
   }
 
-  private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-    private final BiConsumer<PeerMessage, NodeAddress> received;
-    private final Consumer<NodeAddress> undecodable;
-
-    Receiver(BiConsumer<PeerMessage, NodeAddress> received, Consumer<NodeAddress> undecodable) {
-      this.received = received;
-      this.undecodable = undecodable;
-    }
-
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
       NodeAddress sender =
@@ -82,9 +117,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      // The channel stays usable: a datagram that got lost is replaced by the next one.
-      System.getLogger(PeerChannel.class.getName())
-          .log(System.Logger.Level.WARNING, "datagram from another relay failed", cause);
+      // A datagram that got lost is replaced by the next one.
+      failures.failed("connection-failed", "relays", cause);
     }
   }
 }
