End the check of an endpoint that cannot be sent

An endpoint that was avoided for lack of a report was never used again if the read of its report failed as an effect: the check stayed pending, and a pending check is not repeated. It counts as unanswered now, and is repeated.

--- a/relay/src/main/java/io/zinniawood/relay/internal/FailedEffects.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/FailedEffects.java
@@ -33,6 +33,9 @@
           new RelayEvent.RepathAnswered(
               repath.id(), repath.attempt(), OrderResult.UNKNOWN, Optional.empty()));
     }
+    if (effect instanceof RelayEffect.ReadReport report) {
+      return Optional.of(new RelayEvent.ReportMissing(report.endpoint()));
+    }
     if (effect instanceof RelayEffect.Order order) {
       return Optional.of(
           new RelayEvent.OrderAnswered(order.order().endpoint(), OrderResult.UNKNOWN));
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -248,6 +248,16 @@
     channel.finishAndReleaseAll();
   }
 
+  // The check of an endpoint stayed pending, so that an avoided endpoint was never used again.
+  @Test
+  void checkOfAnEndpointThatCannotBeSentCountsAsUnanswered() {
+    FleetEndpoint endpoint = endpoint();
+    assertThat(
+        FailedEffects.resultOf(
+            new RelayEffect.ReadReport(endpoint.id(), endpoint.address()), send -> false),
+        is(Optional.of(new RelayEvent.ReportMissing(endpoint.id()))));
+  }
+
   // An error, such as a lack of direct memory, closed the connection in the same way.
   @ParameterizedTest
   @EnumSource(value = FailingCodec.Method.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
