Answer on the admin connection also when the answer fails

The balancer's probe, or a scrape of the metrics, waited on an open connection when its answer could not be written, and lost its connection without a line when it could not be made; two missed probes take a relay out.

A failure is answered with 500 and leaves callback-failed with admin; a connection whose answer cannot be written closes, so that the next probe has a new one.

Failed before (AdminHandlerTest): failureIsAnsweredAndLogged ("not null but: was null"), connectionClosesWhenItsAnswerCannotBeWritten ("is <false> but: was <true>"); with the constructor's new argument alone.

--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -242,7 +242,7 @@
       channel
           .pipeline()
           .addLast(new HttpServerCodec())
-          .addLast(new AdminHandler(() -> ready, metrics::render));
+          .addLast(new AdminHandler(() -> ready, metrics::render, RelayProcess.this::logFailure));
     }
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/AdminHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/AdminHandler.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.zinniawood.relay.FailureLog;
 import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -24,6 +25,7 @@
 
   private final BooleanSupplier ready;
   private final Supplier<String> metrics;
+  private final FailureLog failures;
   private HttpRequest request;
 
   /**
@@ -31,8 +33,10 @@
    *
    * @param ready whether the relay accepts new connections
    * @param metrics metrics in the Prometheus text format
+   * @param failures receives the failures of this handler
    */
-  public AdminHandler(BooleanSupplier ready, Supplier<String> metrics) {
+  public AdminHandler(BooleanSupplier ready, Supplier<String> metrics, FailureLog failures) {
+    this.failures = failures;
     this.ready = ready;
     this.metrics = metrics;
   }
@@ -44,17 +48,27 @@
     }
     if (message instanceof LastHttpContent && request != null) {
       boolean keepAlive = HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
-      FullHttpResponse response = answer();
+      FullHttpResponse response = answerContained();
       request = null;
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
       HttpUtil.setKeepAlive(response, keepAlive);
-      var written = context.writeAndFlush(response);
+      var written =
+          context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
       if (!keepAlive) {
         written.addListener(ChannelFutureListener.CLOSE);
       }
     }
   }
 
+  private FullHttpResponse answerContained() {
+    try {
+      return answer();
+    } catch (RuntimeException | Error failure) {
+      failures.failed("callback-failed", "admin", failure);
+      return response(HttpResponseStatus.INTERNAL_SERVER_ERROR, "");
+    }
+  }
+
   private FullHttpResponse answer() {
     if (request.decoderResult().isFailure()) {
       return response(HttpResponseStatus.BAD_REQUEST, "");
