Write the head of a stream with its first event

Callers saw a stream broken off without a single event, where the relay could still have told them the outcome or sent the request elsewhere: the head went to the caller on its own, and from then on the request could only go on or be aborted. Among others, a held part of a prompt ended such streams (CrashWatch.takeOffEndpoints), as did a lost endpoint without a replacement.

The runtime writes the head before the first event now. The reducer counts an answer as begun from the first event on; until then the request is tried again like any other, or ends as 502. The runtime alone knows what it has written (an event without an id is not reported), so a local answer breaks a begun answer off, and an abort without a head becomes a 502. An endpoint's whole answer that follows a begun stream is an invalid answer.

Failed before: StreamHeadTest.streamThatEndsBeforeItsFirstEventIsAnswered (a string starting with "HTTP/1.1 502" but was ""), RelayFailuresTest.stream WithoutAnEventIsAnsweredWhenItsEndpointIsLost (an empty collection but: <[AbortAnswer[id=1]]>).

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -44,7 +44,6 @@
 
   private static void relayAnswer(RelayTurn turn, OpenRequest open, AnswerSummary answer) {
     open.phase = OpenRequest.Phase.RELAYING;
-    open.headRelayed = true;
     turn.log(
         "answer-passed-on",
         "request",
@@ -123,6 +122,7 @@
       return;
     }
     open.lastEventId = Math.max(open.lastEventId, event.lastEventId());
+    open.headRelayed |= event.lastEventId() > open.request.resumeAfter();
     String reason = event.cause().name().toLowerCase(Locale.ROOT).replace('_', '-');
     if (event.cause() == AttemptFailureCause.INTERNAL_FAILURE) {
       if (open.target.isPresent()) {
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -67,7 +67,7 @@
   boolean firstEventRelayed;
   double averageGapMillis;
 
-  /** The caller has received the start of an answer; only the same stream may continue it. */
+  /** The caller has received an event of a stream; only the same stream may continue it. */
   boolean headRelayed;
 
   long lastEventId;
--- a/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
@@ -61,6 +61,7 @@
       }
     }
     open.lastProgressNanos = turn.nowNanos;
+    open.headRelayed = true;
     if (!open.firstEventRelayed) {
       open.firstEventRelayed = true;
       CrashWatch.answerBegun(turn, open);
--- a/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -90,6 +91,18 @@
     assertThat(relay.state().openRequests(), is(0));
   }
 
+  // A stream that was given up between its head and its first event had no answer at all.
+  @Test
+  void streamWithoutAnEventIsAnsweredWhenItsEndpointIsLost() {
+    relay.list(relay.model("a", 0, RelayHarness.LAYERS));
+    RelayRequestId id = relay.stream();
+    relay.answerReceived(id, 1, 200);
+    relay.attemptFailed(id, 1, AttemptFailureCause.CONNECTION_LOST);
+    relay.advanceMillis(2_000);
+    assertThat(relay.effectsOf(RelayEffect.AbortAnswer.class), empty());
+    assertThat(relay.localAnswer(id).orElseThrow().status(), is(502));
+  }
+
   // A request that was sent would wait for its deadline, and be promised not to have run.
   @Test
   void requestWhoseAnswerCannotBeHandledEndsOnceWithAnUnknownOutcome() {
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -17,6 +17,7 @@
   private Channel channel;
   private boolean ended;
   private boolean sent;
+  private boolean relayed;
   private HttpResponse streamHead;
 
   EndpointExchange(
@@ -76,6 +77,15 @@
     sent = true;
   }
 
+  /** Returns whether the reducer decided to relay the answer of this attempt. */
+  boolean relayed() {
+    return relayed;
+  }
+
+  void markRelayed() {
+    relayed = true;
+  }
+
   HttpResponse streamHead() {
     return streamHead;
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -241,9 +241,7 @@
               caller.splitter().lastId()));
     } else {
       // It was not decided on, and is not sent any more once it has left the map.
-      answerLocally(
-          new RelayEffect.AnswerLocally(
-              id, LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS)));
+      end(id, LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
     }
   }
 
@@ -294,10 +292,14 @@
   @Override
   public void streamContentReceived(EndpointExchange exchange, ByteBuf content) {
     CallerExchange caller = exchange.callerExchange();
-    if (exchange.ended() || !caller.headWritten()) {
+    if (exchange.ended() || !exchange.relayed()) {
       return;
     }
-    Consumer<ByteBuf> writer = caller.connection()::writeStream;
+    Consumer<ByteBuf> writer =
+        event -> {
+          writeStreamHead(exchange);
+          caller.connection().writeStream(event);
+        };
     long previousId = caller.splitter().lastId();
     boolean valid;
     try {
@@ -319,14 +321,26 @@
     }
   }
 
+  /** Writes the head of a stream unless that was done; it goes with the first event. */
+  private void writeStreamHead(EndpointExchange exchange) {
+    CallerExchange caller = exchange.callerExchange();
+    if (!caller.headWritten()) {
+      codec.removeEndpointHeaders(exchange.streamHead());
+      caller.connection().beginStream(exchange.streamHead());
+      caller.markHeadWritten();
+    }
+  }
+
   /** Ends a request whose caller lacks an event that no other attempt would send again. */
   private void breakOff(EndpointExchange exchange) {
     CallerExchange caller = exchange.callerExchange();
     connections.cancel(exchange);
     exchange.markEnded();
     attempts.remove(caller.id(), exchange);
-    callers.remove(caller.id());
-    caller.connection().abort();
+    if (caller.headWritten()) {
+      callers.remove(caller.id());
+      caller.connection().abort();
+    }
     post(
         new RelayEvent.AttemptFailed(
             caller.id(),
@@ -345,7 +359,7 @@
   @Override
   public void streamCompleted(EndpointExchange exchange) {
     CallerExchange caller = exchange.callerExchange();
-    if (exchange.ended() || !caller.headWritten()) {
+    if (exchange.ended() || !exchange.relayed()) {
       return;
     }
     // An endpoint that fails within an event or before the first one may still terminate the HTTP
@@ -358,7 +372,12 @@
     attempts.remove(caller.id(), exchange);
     callers.remove(caller.id());
     post(new RelayEvent.AnswerRelayed(caller.id(), exchange.attempt()));
-    endCaller(caller, caller.connection()::endStream);
+    endCaller(
+        caller,
+        () -> {
+          writeStreamHead(exchange);
+          caller.connection().endStream();
+        });
   }
 
   @Override
@@ -445,11 +464,16 @@
     }
     PendingAnswer answer = pendingAnswers.get(effect.id());
     if (answer == null) {
-      if (!caller.headWritten()) {
-        codec.removeEndpointHeaders(exchange.streamHead());
-        caller.connection().beginStream(exchange.streamHead());
-        caller.markHeadWritten();
-      }
+      exchange.markRelayed();
+      return;
+    }
+    if (caller.headWritten()) {
+      post(
+          new RelayEvent.AttemptFailed(
+              effect.id(),
+              effect.attempt(),
+              AttemptFailureCause.INVALID_ANSWER,
+              caller.splitter().lastId()));
       return;
     }
     codec.removeEndpointHeaders(answer.head());
@@ -462,10 +486,17 @@
 
   @Override
   public void answerLocally(RelayEffect.AnswerLocally effect) {
-    CallerExchange caller = callers.remove(effect.id());
-    releasePendingAnswer(effect.id());
-    if (caller != null) {
-      endCaller(caller, () -> caller.connection().writeLocalAnswer(effect.answer()));
+    end(effect.id(), effect.answer());
+  }
+
+  /** Answers a request, or breaks its answer off if it has begun. */
+  private void end(RelayRequestId id, LocalAnswer answer) {
+    CallerExchange caller = callers.remove(id);
+    releasePendingAnswer(id);
+    if (caller != null && caller.headWritten()) {
+      caller.connection().abort();
+    } else if (caller != null) {
+      endCaller(caller, () -> caller.connection().writeLocalAnswer(answer));
     }
   }
 
@@ -480,17 +511,8 @@
 
   @Override
   public void abortAnswer(RelayEffect.AbortAnswer effect) {
-    CallerExchange caller = callers.remove(effect.id());
-    releasePendingAnswer(effect.id());
-    if (caller != null && caller.headWritten()) {
-      caller.connection().abort();
-    } else if (caller != null) {
-      // The answer was decided on, but its head could not be written.
-      endCaller(
-          caller,
-          () ->
-              caller.connection().writeLocalAnswer(LocalAnswer.unknownOutcome("internal-failure")));
-    }
+    // Without a head the caller can still be told that the outcome is unknown.
+    end(effect.id(), LocalAnswer.unknownOutcome("internal-failure"));
   }
 
   @Override
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
@@ -0,0 +1,185 @@
+package io.zinniawood.relay.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.id.StoreEra;
+import io.zinniawood.core.id.StoreVersion;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.RelayEffect;
+import io.zinniawood.core.relay.RelayEvent;
+import io.zinniawood.core.relay.RelayParameters;
+import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.core.route.RequestLimits;
+import io.zinniawood.core.route.Route;
+import io.zinniawood.core.route.RouteKind;
+import io.zinniawood.core.route.RouteTable;
+import io.zinniawood.core.route.RoutedService;
+import io.zinniawood.core.route.ServiceShare;
+import io.zinniawood.relay.PlatformClient;
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Plays streams that their endpoint breaks off, over real connections to the endpoint. */
+final class StreamHeadTest implements RelayRuntime.Listener {
+  private static final ServiceName SERVICE = new ServiceName("service");
+  private static final StoreVersion VERSION = new StoreVersion(StoreEra.UNNAMED, 1);
+  private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+  private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: host\r\n\r\n";
+  private static final String HEAD =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = (EventLoop) group.next();
+
+  @AfterEach
+  void stopLoop() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  private RelayRuntime runtime(int endpointPort) {
+    RelayState state =
+        new RelayState(
+            new RelayParameters(
+                new VmId("vm"), new DataCentreId("dc"), Optional.empty(), false, 8_000, 1));
+    RelayRuntime runtime =
+        new RelayRuntime(state, new FailingCodec(FailingCodec.Method.NONE), loop, this);
+    PlatformClient platform =
+        (PlatformClient)
+            Proxy.newProxyInstance(
+                getClass().getClassLoader(),
+                new Class<?>[] {PlatformClient.class},
+                (proxy, method, arguments) -> null);
+    runtime.start(platform, (receivers, message) -> {});
+    runtime.post(new RelayEvent.RoutesAnswered(Optional.of(routes()), VERSION));
+    FleetEndpoint endpoint =
+        new FleetEndpoint(
+            new EndpointId("e"),
+            SERVICE,
+            new NodeAddress("127.0.0.1", endpointPort),
+            new DataCentreId("dc"),
+            4,
+            false,
+            Optional.empty(),
+            Optional.empty(),
+            1,
+            VERSION);
+    runtime.post(new RelayEvent.EndpointsListed(List.of(endpoint), VERSION, 1));
+    return runtime;
+  }
+
+  private static RouteTable routes() {
+    List<ServiceShare> shares = List.of(new ServiceShare(SERVICE, 1));
+    Route route =
+        new Route(
+            "ask", "host", "/", RouteKind.STREAMING, 3_000, 500, 0, 1, shares, 1, true, false);
+    return new RouteTable(
+        1,
+        List.of(route),
+        List.of(new RoutedService(SERVICE, 100, Optional.empty())),
+        false,
+        Map.of(),
+        RequestLimits.DEFAULT);
+  }
+
+  private static void serveOnce(ServerSocket endpoint, String answer) {
+    try (Socket accepted = endpoint.accept()) {
+      int newlines = 0;
+      while (newlines < 2) {
+        int read = accepted.getInputStream().read();
+        newlines = read == '\n' ? newlines + 1 : read == '\r' ? newlines : 0;
+      }
+      accepted.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+    } catch (IOException closed) {
+      // The relay closes the connection.
+    }
+  }
+
+  /** Sends a request to an endpoint that gives this answer and closes; returns what is written. */
+  private String writtenFor(String answer) throws Exception {
+    try (ServerSocket endpoint = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      Thread serving = new Thread(() -> serveOnce(endpoint, answer));
+      serving.start();
+      RelayRuntime runtime = loop.submit(() -> runtime(endpoint.getLocalPort())).get();
+      EmbeddedChannel caller = loop.submit(() -> connect(runtime)).get();
+      StringBuilder written = new StringBuilder();
+      long endNanos = System.nanoTime() + MAX_WAIT_NANOS;
+      boolean ended = false;
+      while (!ended && System.nanoTime() - endNanos < 0) {
+        ended = loop.submit(() -> collect(runtime, caller, written)).get();
+      }
+      return written.toString();
+    }
+  }
+
+  private static EmbeddedChannel connect(RelayRuntime runtime) {
+    CallerHandler handler = new CallerHandler(runtime);
+    EmbeddedChannel caller =
+        new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    caller.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
+    return caller;
+  }
+
+  private static boolean collect(
+      RelayRuntime runtime, EmbeddedChannel caller, StringBuilder written) {
+    runtime.tick();
+    for (ByteBuf part = caller.readOutbound(); part != null; part = caller.readOutbound()) {
+      written.append(part.toString(StandardCharsets.US_ASCII));
+      part.release();
+    }
+    return runtime.state().openRequests() == 0;
+  }
+
+  // The head had gone to the caller, so a stream that ended before its first event was broken off.
+  @Test
+  void streamThatEndsBeforeItsFirstEventIsAnswered() throws Exception {
+    assertThat(writtenFor(HEAD), startsWith("HTTP/1.1 502"));
+    assertThat(writtenFor(HEAD + "0\r\n\r\n"), startsWith("HTTP/1.1 502"));
+  }
+
+  @Test
+  void headIsWrittenWithTheFirstEvent() throws Exception {
+    String written = writtenFor(HEAD + "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+    assertThat(written, startsWith("HTTP/1.1 200"));
+    assertThat(written, containsString("data: a"));
+    assertThat(written, not(containsString("502")));
+  }
+
+  @Override
+  public void readinessChanged(boolean ready) {}
+
+  @Override
+  public void drained() {}
+
+  @Override
+  public void decisionMade(RelayEffect.LogDecision decision) {}
+
+  @Override
+  public void streamAdvanced() {}
+}
