Apply the header limit in force to open connections

Callers on connections that were open when a configuration raised max_header_bytes got 431 for heads that new connections served, and a lowered limit did not hold for them: a decoder keeps the limit of its creation.

The limit is applied to the decoded head. The decoder's own limit bounds the memory only: 64 KiB, or the limit at the accept if that is higher; a raise beyond 64 KiB still holds for new connections only.

Failed before (CallerConnectionTest): raisedHeaderLimitHoldsForOpenConnections (is <[/first, /large]> but: was <[/first]>), loweredHeaderLimitHoldsForOpen Connections ("HTTP/1.1 431" but: was ""). The codec's creation moved into CallerCodec so that the test builds the same pipeline.

--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.Decision;
@@ -19,9 +18,9 @@
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayParameters;
 import io.zinniawood.core.relay.RelayState;
-import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.relay.internal.AdminHandler;
 import io.zinniawood.relay.internal.ByteArrivalHandler;
+import io.zinniawood.relay.internal.CallerCodec;
 import io.zinniawood.relay.internal.CallerHandler;
 import io.zinniawood.relay.internal.ConnectionClosing;
 import io.zinniawood.relay.internal.ContainedTask;
@@ -45,7 +44,6 @@
   private static final long TIMEOUT_CHECK_MILLIS = 500;
 
   private static final int ACCEPT_BACKLOG = 1_024;
-  private static final int MAX_REQUEST_LINE_BYTES = 8_192;
 
   private final RelayAddresses addresses;
   private final Optional<NodeAddress> peerAddress;
@@ -220,18 +218,13 @@
   private final class CallerInitializer extends ChannelInitializer<Channel> {
     @Override
     protected void initChannel(Channel channel) {
-      RequestLimits limits = runtime.limits();
       CallerHandler caller = new CallerHandler(runtime);
       callers.add(caller);
       channel.closeFuture().addListener(closed -> callers.remove(caller));
       channel
           .pipeline()
           .addLast(new ByteArrivalHandler(caller))
-          .addLast(
-              new HttpServerCodec(
-                  new HttpDecoderConfig()
-                      .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                      .setMaxHeaderSize(limits.maxHeaderBytes())))
+          .addLast(CallerCodec.create(runtime.limits()))
           .addLast(caller);
     }
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -224,6 +224,10 @@
               : HttpResponseStatus.BAD_REQUEST);
       return false;
     }
+    if (CallerCodec.headerBytes(request.headers()) > listener.limits().maxHeaderBytes()) {
+      rejectAndClose(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+      return false;
+    }
     if (HttpUtil.getContentLength(request, 0L) > listener.limits().maxBodyBytes()) {
       rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return false;
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
@@ -8,7 +8,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.route.RequestLimits;
 import java.io.IOException;
@@ -27,7 +26,8 @@
   private final FakeCallerListener listener = new FakeCallerListener();
   private final CallerHandler handler = new CallerHandler(listener);
   private final EmbeddedChannel channel =
-      new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+      new EmbeddedChannel(
+          new ByteArrivalHandler(handler), CallerCodec.create(listener.limits), handler);
 
   private static ByteBuf bytes(String text) {
     return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
@@ -250,6 +250,28 @@
     assertThat(listener.failed, is(List.of(new RelayRequestId(1))));
   }
 
+  private static String withHeaderOf(int bytes) {
+    return "GET /large HTTP/1.1\r\nHost: host\r\nX-Filler: " + "x".repeat(bytes) + "\r\n\r\n";
+  }
+
+  // A raised limit did not hold for open connections, which refused what new ones served.
+  @Test
+  void raisedHeaderLimitHoldsForOpenConnections() {
+    receive(REQUEST);
+    listener.answer();
+    listener.limits = new RequestLimits(40_000, 1_048_576, 5_000, 30_000);
+    receive(withHeaderOf(20_000));
+    assertThat(listener.paths, is(List.of("/first", "/large")));
+  }
+
+  @Test
+  void loweredHeaderLimitHoldsForOpenConnections() {
+    listener.limits = new RequestLimits(1_000, 1_048_576, 5_000, 30_000);
+    receive(withHeaderOf(2_000));
+    assertThat(written(), startsWith("HTTP/1.1 431"));
+    assertThat(listener.paths, empty());
+  }
+
   private void closesSoon() {
     channel.advanceTimeBy(2, TimeUnit.SECONDS);
     channel.runScheduledPendingTasks();
