Draw histories in which decisions throw and effects fail

3,000 drawn histories of a relay with events that break the contract of their type, and with sends and answers whose effect fails: each request has exactly one end, a refusal with 503 only if it did not run, and an end at once when its own decision throws.

--- a/core/src/test/java/io/zinniawood/core/relay/RelayHistoriesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHistoriesTest.java
@@ -5,6 +5,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.LongFunction;
 import org.junit.jupiter.api.Test;
 
 final class RelayHistoriesTest {
@@ -14,10 +15,20 @@
   // A request without an end, a second run or an exception when the configuration changes midway.
   @Test
   void everyRequestHasOneEndWhateverChangesMeanwhile() {
+    everyRequestHasOneEnd(RelayHistory::sound);
+  }
+
+  // The same when decisions throw and effects fail, which once lost the request concerned.
+  @Test
+  void everyRequestHasOneEndWhateverFailsMeanwhile() {
+    everyRequestHasOneEnd(RelayHistory::withFailures);
+  }
+
+  private static void everyRequestHasOneEnd(LongFunction<RelayHistory> histories) {
     Set<String> ends = new HashSet<>();
     for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
       try {
-        ends.addAll(new RelayHistory(seed).play());
+        ends.addAll(histories.apply(seed).play());
       } catch (RuntimeException | AssertionError failure) {
         throw new AssertionError("history with seed " + seed, failure);
       }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
@@ -4,7 +4,9 @@
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.limit.StatedLimit;
 import io.zinniawood.core.model.NodeAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,7 +18,7 @@
 /**
  * A drawn history of one relay: requests, answers, failures, endpoints that fall silent, crash or
  * leave, and configurations that change between any two of them. Checks each effect as it is
- * emitted.
+ * emitted. A history with failures also has decisions that throw and effects that fail.
  */
 final class RelayHistory {
   private static final List<String> ROUTES = List.of("stream", "read", "book");
@@ -26,6 +28,8 @@
   private static final int NOT_RUN_STATUS = 503;
 
   private final SplittableRandom random;
+  private final boolean withFailures;
+  private final Deque<RelayEvent> failedEffects = new ArrayDeque<>();
   private final RelayHarness relay = new RelayHarness();
   private final List<FleetEndpoint> fleet = new ArrayList<>();
   private final Map<RelayRequestId, Caller> callers = new LinkedHashMap<>();
@@ -52,8 +56,17 @@
     }
   }
 
-  RelayHistory(long seed) {
+  private RelayHistory(long seed, boolean withFailures) {
     random = new SplittableRandom(seed);
+    this.withFailures = withFailures;
+  }
+
+  static RelayHistory sound(long seed) {
+    return new RelayHistory(seed, false);
+  }
+
+  static RelayHistory withFailures(long seed) {
+    return new RelayHistory(seed, true);
   }
 
   /** Plays the history and returns how its requests ended. */
@@ -86,6 +99,10 @@
   }
 
   private void step() {
+    if (withFailures && random.nextInt(6) == 0) {
+      failDecision();
+      return;
+    }
     switch (random.nextInt(24)) {
       case 0, 1, 2, 3 -> arrive();
       case 4, 5, 6, 7, 8, 9 -> endpointActs();
@@ -106,6 +123,33 @@
     }
   }
 
+  /** Posts an event that breaks the contract of its type, so that its decision throws. */
+  private void failDecision() {
+    switch (random.nextInt(5)) {
+      case 0 -> relay.post(new RelayEvent.ReportRead(endpoint().id(), null));
+      case 1 ->
+          relay.post(
+              new RelayEvent.EndpointsListed(null, RelayHarness.version(1), relay.storeMillis()));
+      case 2 -> relay.post(new RelayEvent.RoutesAnswered(null, RelayHarness.version(1)));
+      case 3 -> drawOpen().ifPresent(id -> failRequest(id, callers.get(id).attempt));
+      default ->
+          drawOpen()
+              .ifPresent(
+                  id ->
+                      relay.post(
+                          new RelayEvent.RepathAnswered(id, callers.get(id).attempt, null, null)));
+    }
+  }
+
+  private void failRequest(RelayRequestId id, int attempt) {
+    relay.post(
+        random.nextBoolean()
+            ? new RelayEvent.AnswerReceived(id, attempt, null)
+            : new RelayEvent.AttemptFailed(id, attempt, null, 0));
+    observe();
+    require(!callers.get(id).open(), id, "an end as soon as its decision fails");
+  }
+
   private FleetEndpoint endpoint() {
     return fleet.get(random.nextInt(fleet.size()));
   }
@@ -272,6 +316,14 @@
     List<RelayEffect> emitted = List.copyOf(relay.effectsFrom(effectsSeen));
     effectsSeen += emitted.size();
     emitted.forEach(this::check);
+    while (!failedEffects.isEmpty()) {
+      relay.post(failedEffects.pollFirst());
+      observe();
+    }
+  }
+
+  private boolean effectFails() {
+    return withFailures && random.nextInt(8) == 0;
   }
 
   private void check(RelayEffect effect) {
@@ -284,6 +336,13 @@
       Caller caller = callers.get(answer.id());
       require(caller.open() && caller.running, answer.id(), "no answer of an ended attempt");
       caller.relaying = true;
+      if (effectFails()) {
+        caller.relaying = caller.begun;
+        caller.running = false;
+        failedEffects.add(
+            new RelayEvent.AttemptFailed(
+                answer.id(), answer.attempt(), AttemptFailureCause.INVALID_ANSWER, 0));
+      }
     } else if (effect instanceof RelayEffect.AbortAnswer abort) {
       require(callers.get(abort.id()).begun, abort.id(), "an abort only of a begun answer");
       end(abort.id(), "aborted");
@@ -295,7 +354,8 @@
       end(local.id(), "local-" + local.answer().status());
     } else if (effect instanceof RelayEffect.LogDecision entry) {
       boolean failed = entry.decision().event().equals("decision-failed");
-      require(!failed, new RelayRequestId(0), "no exception, but " + entry.decision());
+      require(
+          !failed || withFailures, new RelayRequestId(0), "no exception, but " + entry.decision());
     } else if (effect instanceof RelayEffect.Repath repath) {
       require(callers.get(repath.id()).running, repath.id(), "a path change of a running attempt");
     }
@@ -311,6 +371,12 @@
     caller.possibleRuns++;
     caller.relaying = caller.begun;
     require(!caller.route.equals("book") || caller.possibleRuns <= 1, send.id(), "at most one run");
+    if (effectFails()) {
+      caller.running = false;
+      caller.possibleRuns--;
+      failedEffects.add(
+          new RelayEvent.AttemptFailed(send.id(), send.attempt(), AttemptFailureCause.NOT_SENT, 0));
+    }
   }
 
   private void require(boolean holds, RelayRequestId id, String expected) {
