End the trial of a held subject whose decision fails

Callers of a held part of a prompt, or of a held request, were refused until the relay was started again if the decision on a trial failed: the trial was never recorded as ended, and no other one begins meanwhile.

Failed before: RelayFailuresTest.trialWhoseDecisionFailsEnds (is <Optional.empty> but: was <Optional[part]>).

--- a/core/src/main/java/io/zinniawood/core/relay/FailureContainment.java
+++ b/core/src/main/java/io/zinniawood/core/relay/FailureContainment.java
@@ -75,6 +75,7 @@
                   ? LocalAnswer.unknownOutcome(REASON)
                   : LocalAnswer.notRun(REASON, RETRY_AFTER_MILLIS)));
     }
+    CrashWatch.trialEnded(turn, open);
     EndpointUsage.end(open);
   }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.is;
 
 import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.id.PromptPartId;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -103,6 +104,17 @@
     assertThat(relay.localAnswer(id).orElseThrow().status(), is(502));
   }
 
+  // A trial without an end kept its subject held until the relay was started again.
+  @Test
+  void trialWhoseDecisionFailsEnds() {
+    relay.list(relay.model("a", 0, RelayHarness.LAYERS));
+    RelayRequestId id = relay.stream("part");
+    OpenRequest trial = relay.state().open.get(id);
+    trial.trialOf = Optional.of(new PromptPartId("part"));
+    relay.post(new RelayEvent.AnswerReceived(id, 1, null));
+    assertThat(trial.trialOf, is(Optional.empty()));
+  }
+
   // A request that was sent would wait for its deadline, and be promised not to have run.
   @Test
   void requestWhoseAnswerCannotBeHandledEndsOnceWithAnUnknownOutcome() {
