--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -47,7 +47,6 @@
 
   private static void relayAnswer(RelayTurn turn, OpenRequest open, AnswerSummary answer) {
     open.phase = OpenRequest.Phase.RELAYING;
-    open.headRelayed = true;
     turn.log(
         "answer-passed-on",
         "request",
@@ -126,7 +125,15 @@
       return;
     }
     open.lastEventId = Math.max(open.lastEventId, event.lastEventId());
+    open.headRelayed |= event.lastEventId() > open.request.resumeAfter();
     String reason = event.cause().name().toLowerCase(Locale.ROOT).replace('_', '-');
+    if (event.cause() == AttemptFailureCause.INTERNAL_FAILURE) {
+      if (open.target.isPresent()) {
+        endAttempt(turn, open, reason);
+      }
+      refuse(turn, open, reason);
+      return;
+    }
     if (event.cause() == AttemptFailureCause.NOT_SENT) {
       retryNotSent(turn, open, reason);
       return;
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -10,18 +10,20 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.Decision;
+import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayParameters;
 import io.zinniawood.core.relay.RelayState;
-import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.relay.internal.AdminHandler;
 import io.zinniawood.relay.internal.ByteArrivalHandler;
+import io.zinniawood.relay.internal.CallerCodec;
 import io.zinniawood.relay.internal.CallerHandler;
 import io.zinniawood.relay.internal.ConnectionClosing;
+import io.zinniawood.relay.internal.ContainedTask;
 import io.zinniawood.relay.internal.PeerChannel;
 import io.zinniawood.relay.internal.RelayRuntime;
 import io.zinniawood.telemetry.DecisionLog;
@@ -42,7 +44,6 @@
   private static final long TIMEOUT_CHECK_MILLIS = 500;
 
   private static final int ACCEPT_BACKLOG = 1_024;
-  private static final int MAX_REQUEST_LINE_BYTES = 8_192;
 
   private final RelayAddresses addresses;
   private final Optional<NodeAddress> peerAddress;
@@ -89,10 +90,15 @@
     bind(addresses.admin(), new AdminInitializer());
     callerListener = bind(addresses.callers(), new CallerInitializer());
     RelayRuntime.PeerSender peerSender = bindPeers();
-    loop.execute(() -> runtime.start(platform.apply(new ControlClient(loop)), peerSender));
-    loop.scheduleAtFixedRate(runtime::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    loop.execute(
+        () -> runtime.start(platform.apply(new ControlClient(loop, this::logFailure)), peerSender));
+    loop.scheduleAtFixedRate(
+        new ContainedTask("tick", runtime::tick, this::logFailure),
+        0,
+        TICK_MILLIS,
+        TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(
-        this::checkCallerTimeouts,
+        new ContainedTask("caller-timeouts", this::checkCallerTimeouts, this::logFailure),
         TIMEOUT_CHECK_MILLIS,
         TIMEOUT_CHECK_MILLIS,
         TimeUnit.MILLISECONDS);
@@ -107,7 +113,8 @@
             loop,
             peerAddress.get(),
             (message, sender) -> runtime.post(new RelayEvent.PeerMessageReceived(message, sender)),
-            sender -> log.add("peer-message-ignored", List.of("sender", sender.toString())));
+            sender -> log.add("peer-message-ignored", List.of("sender", sender.toString())),
+            this::logFailure);
     return channel::send;
   }
 
@@ -134,12 +141,21 @@
     for (CallerHandler caller : List.copyOf(callers)) {
       try {
         caller.checkTimeouts(nowNanos);
-      } catch (RuntimeException failure) {
+      } catch (RuntimeException | Error failure) {
         caller.fail(failure);
       }
     }
   }
 
+  private void logFailure(String event, String subject, Throwable failure) {
+    logDecision(DecisionFailure.describe(event, subject, failure));
+  }
+
+  private void logDecision(Decision decision) {
+    metrics.countDecision(decision);
+    log.add(decision.event(), decision.fields());
+  }
+
   /** Starts draining: fails readiness, completes open requests, then stops. */
   public void terminate() {
     loop.execute(
@@ -190,8 +206,7 @@
 
     @Override
     public void decisionMade(RelayEffect.LogDecision decision) {
-      metrics.countDecision(decision.decision());
-      log.add(decision.decision().event(), decision.decision().fields());
+      logDecision(decision.decision());
     }
 
     @Override
@@ -203,18 +218,13 @@
   private final class CallerInitializer extends ChannelInitializer<Channel> {
     @Override
     protected void initChannel(Channel channel) {
-      RequestLimits limits = runtime.limits();
       CallerHandler caller = new CallerHandler(runtime);
       callers.add(caller);
       channel.closeFuture().addListener(closed -> callers.remove(caller));
       channel
           .pipeline()
           .addLast(new ByteArrivalHandler(caller))
-          .addLast(
-              new HttpServerCodec(
-                  new HttpDecoderConfig()
-                      .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                      .setMaxHeaderSize(limits.maxHeaderBytes())))
+          .addLast(CallerCodec.create(runtime.limits()))
           .addLast(caller);
     }
   }
@@ -225,7 +235,7 @@
       channel
           .pipeline()
           .addLast(new HttpServerCodec())
-          .addLast(new AdminHandler(() -> ready, metrics::render));
+          .addLast(new AdminHandler(() -> ready, metrics::render, RelayProcess.this::logFailure));
     }
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -113,20 +113,29 @@
     processingEvents = true;
     try {
       while (!pendingEvents.isEmpty()) {
-        apply(pendingEvents.pollFirst());
+        applyContained(pendingEvents.pollFirst());
       }
     } finally {
       processingEvents = false;
     }
   }
 
+  /** Applies an event; its failure must not hold back the events that are queued behind it. */
+  private void applyContained(RelayEvent event) {
+    try {
+      apply(event);
+    } catch (RuntimeException | Error failure) {
+      failed("event-failed", event.getClass().getSimpleName(), failure);
+    }
+  }
+
   private void apply(RelayEvent event) {
     Step<RelayState, RelayEffect> step = reducer.reduce(state, System.nanoTime(), event);
     for (RelayEffect effect : step.effects()) {
       try {
         effect.accept(this);
-      } catch (RuntimeException failure) {
-        logFailure("effect-failed", effect.getClass().getSimpleName(), failure);
+      } catch (RuntimeException | Error failure) {
+        failed("effect-failed", effect.getClass().getSimpleName(), failure);
         FailedEffects.resultOf(effect, this::wasSent).ifPresent(pendingEvents::addLast);
       }
     }
@@ -141,7 +150,8 @@
     return exchange != null && exchange.attempt() == send.attempt() && exchange.sent();
   }
 
-  private void logFailure(String event, String subject, RuntimeException failure) {
+  @Override
+  public void failed(String event, String subject, Throwable failure) {
     listener.decisionMade(
         new RelayEffect.LogDecision(DecisionFailure.describe(event, subject, failure)));
   }
@@ -164,10 +174,15 @@
     CallerRequest request;
     try {
       request = codec.decodeRequest(head);
-    } catch (RuntimeException failure) {
-      logFailure("request-undecodable", "decode", failure);
-      caller.beginExchange(new CallerExchange(id, head, null, body, caller));
-      caller.writeLocalAnswer(LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
+    } catch (RuntimeException | Error failure) {
+      failed("request-undecodable", "decode", failure);
+      CallerExchange undecoded = new CallerExchange(id, head, null, body, caller);
+      caller.beginExchange(undecoded);
+      endCaller(
+          undecoded,
+          () ->
+              caller.writeLocalAnswer(
+                  LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS)));
       return;
     }
     CallerExchange exchange = new CallerExchange(id, head, request, body, caller);
@@ -215,6 +230,25 @@
     post(new RelayEvent.Tick());
   }
 
+  @Override
+  public void requestFailed(RelayRequestId id) {
+    CallerExchange caller = callers.get(id);
+    if (caller == null) {
+      return;
+    }
+    if (state.isOpen(id)) {
+      post(
+          new RelayEvent.AttemptFailed(
+              id,
+              caller.attempt(),
+              AttemptFailureCause.INTERNAL_FAILURE,
+              caller.splitter().lastId()));
+    } else {
+      // It was not decided on, and is not sent any more once it has left the map.
+      end(id, LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
+    }
+  }
+
   @Override
   public void callerDisconnected(RelayRequestId id) {
     callers.remove(id);
@@ -262,12 +296,23 @@
   @Override
   public void streamContentReceived(EndpointExchange exchange, ByteBuf content) {
     CallerExchange caller = exchange.callerExchange();
-    if (exchange.ended() || !caller.headWritten()) {
+    if (exchange.ended() || !exchange.relayed()) {
       return;
     }
-    Consumer<ByteBuf> writer = caller.connection()::writeStream;
+    Consumer<ByteBuf> writer =
+        event -> {
+          writeStreamHead(exchange);
+          caller.connection().writeStream(event);
+        };
     long previousId = caller.splitter().lastId();
-    boolean valid = caller.splitter().split(content, writer);
+    boolean valid;
+    try {
+      valid = caller.splitter().split(content, writer);
+    } catch (RuntimeException | Error failure) {
+      failed("effect-failed", "write-event", failure);
+      breakOff(exchange);
+      return;
+    }
     if (caller.splitter().lastId() != previousId) {
       listener.streamAdvanced();
       post(
@@ -280,6 +325,34 @@
     }
   }
 
+  /** Writes the head of a stream unless that was done; it goes with the first event. */
+  private void writeStreamHead(EndpointExchange exchange) {
+    CallerExchange caller = exchange.callerExchange();
+    if (!caller.headWritten()) {
+      codec.removeEndpointHeaders(exchange.streamHead());
+      caller.connection().beginStream(exchange.streamHead());
+      caller.markHeadWritten();
+    }
+  }
+
+  /** Ends a request whose caller lacks an event that no other attempt would send again. */
+  private void breakOff(EndpointExchange exchange) {
+    CallerExchange caller = exchange.callerExchange();
+    connections.cancel(exchange);
+    exchange.markEnded();
+    attempts.remove(caller.id(), exchange);
+    if (caller.headWritten()) {
+      callers.remove(caller.id());
+      caller.connection().abort();
+    }
+    post(
+        new RelayEvent.AttemptFailed(
+            caller.id(),
+            exchange.attempt(),
+            AttemptFailureCause.INTERNAL_FAILURE,
+            caller.splitter().lastId()));
+  }
+
   @Override
   public void streamReadComplete(EndpointExchange exchange) {
     if (!exchange.ended() && exchange.callerExchange().headWritten()) {
@@ -290,7 +363,7 @@
   @Override
   public void streamCompleted(EndpointExchange exchange) {
     CallerExchange caller = exchange.callerExchange();
-    if (exchange.ended() || !caller.headWritten()) {
+    if (exchange.ended() || !exchange.relayed()) {
       return;
     }
     // An endpoint that fails within an event or before the first one may still terminate the HTTP
@@ -303,7 +376,12 @@
     attempts.remove(caller.id(), exchange);
     callers.remove(caller.id());
     post(new RelayEvent.AnswerRelayed(caller.id(), exchange.attempt()));
-    caller.connection().endStream();
+    endCaller(
+        caller,
+        () -> {
+          writeStreamHead(exchange);
+          caller.connection().endStream();
+        });
   }
 
   @Override
@@ -317,8 +395,8 @@
     AnswerSummary summary;
     try {
       summary = codec.summarize(head);
-    } catch (RuntimeException failure) {
-      logFailure("answer-undecodable", "summarize", failure);
+    } catch (RuntimeException | Error failure) {
+      failed("answer-undecodable", "summarize", failure);
       content.release();
       attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
       return;
@@ -361,6 +439,7 @@
     if (caller == null) {
       return;
     }
+    caller.attempt(effect.attempt());
     EndpointExchange exchange =
         new EndpointExchange(caller, effect.attempt(), effect.address(), effect.options());
     exchange.endpoint(state.incarnation(effect.options().expectedEndpoint()));
@@ -389,11 +468,16 @@
     }
     PendingAnswer answer = pendingAnswers.get(effect.id());
     if (answer == null) {
-      if (!caller.headWritten()) {
-        codec.removeEndpointHeaders(exchange.streamHead());
-        caller.connection().beginStream(exchange.streamHead());
-        caller.markHeadWritten();
-      }
+      exchange.markRelayed();
+      return;
+    }
+    if (caller.headWritten()) {
+      post(
+          new RelayEvent.AttemptFailed(
+              effect.id(),
+              effect.attempt(),
+              AttemptFailureCause.INVALID_ANSWER,
+              caller.splitter().lastId()));
       return;
     }
     codec.removeEndpointHeaders(answer.head());
@@ -406,29 +490,33 @@
 
   @Override
   public void answerLocally(RelayEffect.AnswerLocally effect) {
-    CallerExchange caller = callers.remove(effect.id());
-    releasePendingAnswer(effect.id());
-    if (caller != null) {
-      endCaller(caller, () -> caller.connection().writeLocalAnswer(effect.answer()));
+    end(effect.id(), effect.answer());
+  }
+
+  /** Answers a request, or breaks its answer off if it has begun. */
+  private void end(RelayRequestId id, LocalAnswer answer) {
+    CallerExchange caller = callers.remove(id);
+    releasePendingAnswer(id);
+    if (caller != null && caller.headWritten()) {
+      caller.connection().abort();
+    } else if (caller != null) {
+      endCaller(caller, () -> caller.connection().writeLocalAnswer(answer));
     }
   }
 
   private void endCaller(CallerExchange caller, Runnable write) {
     try {
       write.run();
-    } catch (RuntimeException failure) {
-      logFailure("effect-failed", "end-of-request", failure);
+    } catch (RuntimeException | Error failure) {
+      failed("effect-failed", "end-of-request", failure);
       caller.connection().abort();
     }
   }
 
   @Override
   public void abortAnswer(RelayEffect.AbortAnswer effect) {
-    CallerExchange caller = callers.remove(effect.id());
-    releasePendingAnswer(effect.id());
-    if (caller != null) {
-      caller.connection().abort();
-    }
+    // Without a head the caller can still be told that the outcome is unknown.
+    end(effect.id(), LocalAnswer.unknownOutcome("internal-failure"));
   }
 
   @Override
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
@@ -8,7 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.route.RequestLimits;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -26,7 +26,8 @@
   private final FakeCallerListener listener = new FakeCallerListener();
   private final CallerHandler handler = new CallerHandler(listener);
   private final EmbeddedChannel channel =
-      new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+      new EmbeddedChannel(
+          new ByteArrivalHandler(handler), CallerCodec.create(listener.limits), handler);
 
   private static ByteBuf bytes(String text) {
     return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
@@ -60,7 +61,10 @@
     return List.of(
         new Case(
             REQUEST,
-            test -> test.channel.pipeline().fireExceptionCaught(new IllegalStateException("x")),
+            test -> {
+              test.channel.pipeline().fireExceptionCaught(new IllegalStateException("x"));
+              test.listener.answer();
+            },
             ConnectionClose.Reason.HANDLER_FAILED,
             true,
             false,
@@ -196,6 +200,84 @@
     assertThat(channel.isOpen(), is(true));
   }
 
+  // A failure behind a request in progress closed the connection without an answer to any request.
+  @Test
+  void requestsOnConnectionThatFailsAreAnsweredOrRefusedBeforeItCloses() {
+    receive(REQUEST + QUEUED);
+    channel.pipeline().fireExceptionCaught(new IllegalStateException("x"));
+    listener.answer();
+    String answers = written();
+    assertThat(answers, startsWith("HTTP/1.1 404"));
+    assertThat(answers.split("HTTP/1.1 503").length, is(2));
+    assertThat(listener.paths, is(List.of("/first")));
+    closesSoon();
+  }
+
+  // A request whose handling failed before it was decided on had neither an answer nor a refusal.
+  @Test
+  void requestWhoseHandlingFailsIsRefused() {
+    listener.failing = true;
+    receive(REQUEST);
+    assertThat(written(), startsWith("HTTP/1.1 503"));
+    closesSoon();
+  }
+
+  // The same, for a request that was queued behind another one.
+  @Test
+  void queuedRequestWhoseHandlingFailsIsRefused() {
+    receive(REQUEST + QUEUED);
+    listener.failing = true;
+    listener.answer();
+    channel.runPendingTasks();
+    assertThat(written().split("HTTP/1.1 503").length, is(2));
+    closesSoon();
+  }
+
+  // The same, for a request of which a part had arrived.
+  @Test
+  void requestThatIsPartlyReadIsRefusedWhenItsConnectionFails() {
+    receive("POST /first HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    channel.pipeline().fireExceptionCaught(new IllegalStateException("x"));
+    assertThat(written(), startsWith("HTTP/1.1 503"));
+    closesSoon();
+  }
+
+  // Netty closes a connection for which it has no memory; a request in progress got no answer.
+  @Test
+  void requestInProgressEndsAtOnceWhenMemoryToReadIsLacking() {
+    receive(REQUEST);
+    channel.pipeline().fireExceptionCaught(new OutOfMemoryError("Cannot reserve 4096 bytes"));
+    assertThat(listener.failed, is(List.of(new RelayRequestId(1))));
+  }
+
+  private static String withHeaderOf(int bytes) {
+    return "GET /large HTTP/1.1\r\nHost: host\r\nX-Filler: " + "x".repeat(bytes) + "\r\n\r\n";
+  }
+
+  // A raised limit did not hold for open connections, which refused what new ones served.
+  @Test
+  void raisedHeaderLimitHoldsForOpenConnections() {
+    receive(REQUEST);
+    listener.answer();
+    listener.limits = new RequestLimits(40_000, 1_048_576, 5_000, 30_000);
+    receive(withHeaderOf(20_000));
+    assertThat(listener.paths, is(List.of("/first", "/large")));
+  }
+
+  @Test
+  void loweredHeaderLimitHoldsForOpenConnections() {
+    listener.limits = new RequestLimits(1_000, 1_048_576, 5_000, 30_000);
+    receive(withHeaderOf(2_000));
+    assertThat(written(), startsWith("HTTP/1.1 431"));
+    assertThat(listener.paths, empty());
+  }
+
+  private void closesSoon() {
+    channel.advanceTimeBy(2, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    assertThat(channel.isOpen(), is(false));
+  }
+
   // A close while the caller still sends becomes a reset, which takes the refusal away from it.
   @Test
   void inputIsDiscardedForSomeTimeAfterAnEarlyRefusal() {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -16,7 +16,14 @@
   final List<Integer> answers = new ArrayList<>();
   final List<Integer> streams = new ArrayList<>();
   final List<Integer> heads = new ArrayList<>();
+  final List<String> faults = new ArrayList<>();
   int completedStreams;
+  boolean failing;
+
+  @Override
+  public void failed(String event, String subject, Throwable failure) {
+    faults.add(event + " " + subject);
+  }
 
   @Override
   public void headReceived(EndpointExchange exchange, HttpResponse head) {
@@ -50,8 +57,11 @@
 
   @Override
   public void answerReceived(EndpointExchange exchange, HttpResponse head, ByteBuf content) {
-    answers.add(head.status().code());
     content.release();
+    if (failing) {
+      throw new IllegalStateException("fault in the delivery");
+    }
+    answers.add(head.status().code());
   }
 
   @Override
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -3,7 +3,9 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.startsWith;
 
 import io.netty.buffer.ByteBuf;
@@ -47,6 +49,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -113,14 +116,7 @@
         VERSION);
   }
 
-  // Guards against events that are held back until the next attempt has some, or lost if there is
-  // none, because the end of the attempt was in the same read.
-  @Test
-  void eventsAreSentBeforeTheAttemptFails() {
-    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.DECODE_REQUEST));
-    CallerHandler handler = new CallerHandler(new FakeCallerListener());
-    EmbeddedChannel channel =
-        new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+  private static EndpointExchange beginStream(EmbeddedChannel channel, CallerHandler handler) {
     channel.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
     HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
     CallerRequest request =
@@ -150,6 +146,73 @@
             true);
     EndpointExchange exchange =
         new EndpointExchange(caller, 1, new NodeAddress("10.0.0.1", 80), options);
+    exchange.markRelayed();
+    return exchange;
+  }
+
+  // An event that could not be written was left out, and the answer went on and looked complete.
+  @Test
+  void streamIsBrokenOffWhenAnEventCannotBeWritten() {
+    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.NONE));
+    CallerHandler handler = new CallerHandler(new FakeCallerListener());
+    FailingWrites writes = new FailingWrites();
+    EmbeddedChannel channel =
+        new EmbeddedChannel(
+            writes, new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    EndpointExchange exchange = beginStream(channel, handler);
+    writes.failing = true;
+    runtime.streamContentReceived(
+        exchange, Unpooled.copiedBuffer("id: 1\ndata: a\n\n", StandardCharsets.US_ASCII));
+    assertThat(channel.isOpen(), is(false));
+    assertThat(exchange.ended(), is(true));
+    channel.finishAndReleaseAll();
+  }
+
+  // A stream whose end could not be written had no end, and its connection was never used again.
+  @Test
+  void connectionClosesWhenTheEndOfItsStreamCannotBeWritten() {
+    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.NONE));
+    CallerHandler handler = new CallerHandler(new FakeCallerListener());
+    FailingWrites writes = new FailingWrites();
+    EmbeddedChannel channel =
+        new EmbeddedChannel(
+            writes, new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    EndpointExchange exchange = beginStream(channel, handler);
+    runtime.streamContentReceived(
+        exchange, Unpooled.copiedBuffer("id: 1\ndata: a\n\n", StandardCharsets.US_ASCII));
+    writes.failing = true;
+    runtime.streamCompleted(exchange);
+    assertThat(channel.isOpen(), is(false));
+    channel.finishAndReleaseAll();
+  }
+
+  // A refusal that could not be written left its caller waiting on an open connection.
+  @Test
+  void connectionClosesWhenARefusalCannotBeWritten() {
+    CallerHandler handler =
+        new CallerHandler(runtime(new FailingCodec(FailingCodec.Method.DECODE_REQUEST)));
+    FailingWrites writes = new FailingWrites();
+    writes.failing = true;
+    EmbeddedChannel channel =
+        new EmbeddedChannel(
+            writes, new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    channel.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
+    channel.runPendingTasks();
+    channel.advanceTimeBy(2, TimeUnit.SECONDS);
+    channel.runScheduledPendingTasks();
+    assertThat(channel.isOpen(), is(false));
+    channel.finishAndReleaseAll();
+  }
+
+  // Guards against events that are held back until the next attempt has some, or lost if there is
+  // none, because the end of the attempt was in the same read.
+  @Test
+  void eventsAreSentBeforeTheAttemptFails() {
+    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.NONE));
+    CallerHandler handler = new CallerHandler(new FakeCallerListener());
+    EmbeddedChannel channel =
+        new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    EndpointExchange exchange = beginStream(channel, handler);
     runtime.streamContentReceived(
         exchange, Unpooled.copiedBuffer("id: 1\ndata: a\n\nid: 2\nda", StandardCharsets.US_ASCII));
     runtime.streamCompleted(exchange);
@@ -165,14 +228,60 @@
 
   // An exception closed the connection: the request had neither an answer nor a refusal.
   @ParameterizedTest
-  @EnumSource(FailingCodec.Method.class)
+  @EnumSource(value = FailingCodec.Method.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
   void requestOfFailedEffectIsRefused(FailingCodec.Method failing) {
-    CallerHandler handler = new CallerHandler(runtime(new FailingCodec(failing)));
+    requestIsRefused(failing, new FailingCodec(failing));
+  }
+
+  // A connection without memory to read closed without an answer to its request.
+  @Test
+  void waitingRequestIsRefusedWhenMemoryToReadIsLacking() {
+    RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.NONE));
+    runtime.post(new RelayEvent.EndpointsListed(List.of(), VERSION, 1));
+    CallerHandler handler = new CallerHandler(runtime);
+    EmbeddedChannel channel =
+        new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
+    channel.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
+    channel.pipeline().fireExceptionCaught(new OutOfMemoryError("Cannot reserve 4096 bytes"));
+    ByteBuf answer = channel.readOutbound();
+    assertThat(answer, notNullValue());
+    assertThat(answer.toString(StandardCharsets.US_ASCII), startsWith("HTTP/1.1 503"));
+    answer.release();
+    assertThat(runtime.state().openRequests(), is(0));
+    channel.finishAndReleaseAll();
+  }
+
+  // The check of an endpoint stayed pending, so that an avoided endpoint was never used again.
+  @Test
+  void checkOfAnEndpointThatCannotBeSentCountsAsUnanswered() {
+    FleetEndpoint endpoint = endpoint();
+    assertThat(
+        FailedEffects.resultOf(
+            new RelayEffect.ReadReport(endpoint.id(), endpoint.address()), send -> false),
+        is(Optional.of(new RelayEvent.ReportMissing(endpoint.id()))));
+  }
+
+  // An error, such as a lack of direct memory, closed the connection in the same way.
+  @ParameterizedTest
+  @EnumSource(value = FailingCodec.Method.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
+  void requestOfEffectThatFailsWithAnErrorIsRefused(FailingCodec.Method failing) {
+    requestIsRefused(
+        failing,
+        new FailingCodec(
+            failing,
+            () -> {
+              throw new OutOfMemoryError("Cannot reserve 4096 bytes of direct buffer memory");
+            }));
+  }
+
+  private void requestIsRefused(FailingCodec.Method failing, FailingCodec codec) {
+    CallerHandler handler = new CallerHandler(runtime(codec));
     EmbeddedChannel channel =
         new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler);
     channel.writeInbound(Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII));
     channel.runPendingTasks();
     ByteBuf answer = channel.readOutbound();
+    assertThat(answer, notNullValue());
     assertThat(answer.toString(StandardCharsets.US_ASCII), startsWith("HTTP/1.1 503"));
     answer.release();
     String entry =
