Bound the memory of all control answers together

Callers saw no answers from a relay that called 33 or more faulty endpoints: its event loop stood still for memory.

Cause: each answer to a control call could grow to 2 MiB and nothing bounded their sum; above the limit on direct memory the JVM sleeps in each allocation. HttpObjectAggregator also kept the read buffer of each part.

The answers are now copied into buffers of an account with a share of the direct memory, counted until they are released. If it is full, the largest incomplete answer gives way, so answers of sound servers are still read.

--- a/relay/src/main/java/io/zinniawood/relay/ControlClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -7,7 +7,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -15,16 +14,20 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.vavr.control.Either;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.relay.internal.AccountedBytes;
+import io.zinniawood.relay.internal.MemoryAccount;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -41,20 +44,23 @@
   /** Connect timeout; the platform's networks connect within a few milliseconds. */
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
-  /** Maximum response size; a full page of rows is one megabyte before base64 encoding. */
-  private static final int MAX_RESPONSE_BYTES = 2 * 1024 * 1024;
-
   /** Maximum number of idle pooled connections per address. */
   private static final int MAX_POOLED_PER_ADDRESS = 4;
 
   private static final String JSON_CONTENT_TYPE = "application/json";
 
   private final EventLoop loop;
+  private final MemoryAccount memory;
   private final Map<NodeAddress, Deque<Channel>> pool = new HashMap<>();
 
-  /** Creates a client that must be called on the event loop and calls receivers on it. */
-  public ControlClient(EventLoop loop) {
+  /**
+   * Creates a client that must be called on the event loop and calls receivers on it.
+   *
+   * @param memory memory of all responses until they are complete
+   */
+  public ControlClient(EventLoop loop, MemoryAccount memory) {
     this.loop = loop;
+    this.memory = memory;
   }
 
   /**
@@ -188,64 +194,83 @@
 
     @Override
     protected void initChannel(Channel channel) {
-      channel
-          .pipeline()
-          .addLast(new HttpClientCodec())
-          .addLast(new HeadHandler())
-          .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
-          .addLast(new ResponseHandler(address));
+      channel.pipeline().addLast(new HttpClientCodec()).addLast(new ResponseHandler(address));
     }
   }
 
-  /** Delivers the head of a response before its body is complete. */
-  private static final class HeadHandler extends ChannelInboundHandlerAdapter {
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      Call call = context.pipeline().get(ResponseHandler.class).call;
-      if (call != null
-          && message instanceof HttpResponse head
-          && head.decoderResult().isSuccess()) {
-        call.headReceiver.accept(head);
-      }
-      context.fireChannelRead(message);
-    }
-  }
-
-  private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+  private final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
     private final NodeAddress address;
     private Call call;
+    private HttpResponse head;
+    private AccountedBytes body;
 
     ResponseHandler(NodeAddress address) {
       this.address = address;
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-      Call answered = call;
-      call = null;
-      if (answered == null || response.decoderResult().isFailure()) {
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+      if (call == null || message.decoderResult().isFailure()) {
         context.close();
-        if (answered != null) {
-          answered.fail(ControlFailure.OUTCOME_UNKNOWN);
-        }
         return;
       }
-      boolean keepAlive = HttpUtil.isKeepAlive(response);
+      if (message instanceof HttpResponse response) {
+        // An endpoint states facts about itself in any head, so each one is delivered.
+        call.headReceiver.accept(response);
+        beginResponse(context, response);
+      }
+      if (message instanceof HttpContent content && head != null) {
+        if (!body.append(content.content())) {
+          abandon(context);
+        } else if (content instanceof LastHttpContent) {
+          complete(context);
+        }
+      }
+    }
+
+    private void beginResponse(ChannelHandlerContext context, HttpResponse response) {
+      if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+        head = response;
+        body = new AccountedBytes(memory, () -> abandon(context));
+      }
+    }
+
+    private void abandon(ChannelHandlerContext context) {
+      // The close ends a body without a length, which must not count as complete.
+      head = null;
+      context.close();
+    }
+
+    private void complete(ChannelHandlerContext context) {
+      ControlResponse response =
+          new ControlResponse(head.status().code(), head.headers(), takeBody());
+      boolean keepAlive = HttpUtil.isKeepAlive(head);
+      Call answered = call;
+      call = null;
+      head = null;
       if (keepAlive) {
         returnToPool(address, context.channel());
       } else {
         context.close();
       }
-      answered.succeed(
-          new ControlResponse(
-              response.status().code(),
-              response.headers(),
-              ByteBufUtil.getBytes(response.content())));
+      answered.succeed(response);
+    }
+
+    private byte[] takeBody() {
+      ByteBuf bytes = body.take();
+      try {
+        return ByteBufUtil.getBytes(bytes);
+      } finally {
+        bytes.release();
+      }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       removeFromPool(address, context.channel());
+      if (body != null) {
+        body.release();
+      }
       if (call != null) {
         Call lost = call;
         call = null;
--- a/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
@@ -1,8 +1,11 @@
 package io.zinniawood.relay;
 
 import com.codahale.metrics.MetricRegistry;
+import io.netty.util.internal.PlatformDependent;
 import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.relay.internal.MemoryBudget;
+import io.zinniawood.relay.internal.MemoryUser;
 import io.zinniawood.telemetry.DecisionLog;
 import io.zinniawood.telemetry.LabelledCounters;
 import io.zinniawood.telemetry.PrometheusText;
@@ -23,7 +26,7 @@
   private PrometheusText text;
 
   /** Registers the gauges of a relay; they are read when the metrics are rendered. */
-  public RelayMetrics(RelayState state, DecisionLog log) {
+  public RelayMetrics(RelayState state, MemoryBudget memory, DecisionLog log) {
     gauge("relay_requests_open", state::openRequests);
     gauge("relay_requests_waiting", state::waitingRequests);
     gauge("relay_routes_version", state::routesVersion);
@@ -35,6 +38,13 @@
     gauge("relay_lease_held", () -> state.holdsLease() ? 1 : 0);
     gauge("relay_store_available", () -> state.storeAvailable() ? 1 : 0);
     gauge("relay_log_lines_dropped_total", log::droppedLines);
+    gauge("relay_memory_direct_bytes", PlatformDependent::usedDirectMemory);
+    gauge("relay_memory_direct_limit_bytes", PlatformDependent::maxDirectMemory);
+    for (MemoryUser user : MemoryUser.values()) {
+      String name = "relay_memory_" + user.text().replace('-', '_');
+      gauge(name + "_bytes", memory.account(user)::usedBytes);
+      gauge(name + "_refusals_total", () -> memory.refusals(user));
+    }
   }
 
   private void gauge(String name, com.codahale.metrics.Gauge<Number> gauge) {
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -12,7 +12,9 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.internal.PlatformDependent;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayParameters;
@@ -22,6 +24,8 @@
 import io.zinniawood.relay.internal.ByteArrivalHandler;
 import io.zinniawood.relay.internal.CallerHandler;
 import io.zinniawood.relay.internal.ConnectionClosing;
+import io.zinniawood.relay.internal.MemoryBudget;
+import io.zinniawood.relay.internal.MemoryUser;
 import io.zinniawood.relay.internal.PeerChannel;
 import io.zinniawood.relay.internal.RelayRuntime;
 import io.zinniawood.telemetry.DecisionLog;
@@ -51,6 +55,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop;
+  private final MemoryBudget memory;
   private final RelayRuntime runtime;
   private final Set<CallerHandler> callers = new HashSet<>();
   private final ConnectionClosing closing;
@@ -72,8 +77,10 @@
     this.peerAddress = parameters.peerAddress();
     this.log = log;
     this.loop = (EventLoop) group.next();
+    this.memory =
+        new MemoryBudget(PlatformDependent.maxDirectMemory(), this::logDecision, System::nanoTime);
     this.runtime = new RelayRuntime(new RelayState(parameters), codec, loop, new ProcessListener());
-    this.metrics = new RelayMetrics(runtime.state(), log);
+    this.metrics = new RelayMetrics(runtime.state(), memory, log);
     this.closing =
         new ConnectionClosing(
             loop, parameters.gracePeriodMillis(), callers, this::connectionsClosed);
@@ -89,7 +96,8 @@
     bind(addresses.admin(), new AdminInitializer());
     callerListener = bind(addresses.callers(), new CallerInitializer());
     RelayRuntime.PeerSender peerSender = bindPeers();
-    loop.execute(() -> runtime.start(platform.apply(new ControlClient(loop)), peerSender));
+    ControlClient client = new ControlClient(loop, memory.account(MemoryUser.CONTROL_ANSWERS));
+    loop.execute(() -> runtime.start(platform.apply(client), peerSender));
     loop.scheduleAtFixedRate(runtime::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(
         this::checkCallerTimeouts,
@@ -149,6 +157,11 @@
         });
   }
 
+  private void logDecision(Decision decision) {
+    metrics.countDecision(decision);
+    log.add(decision.event(), decision.fields());
+  }
+
   private void connectionsClosed(ConnectionClosing.Remainder left) {
     log.add(
         "connections-closed",
@@ -190,8 +203,7 @@
 
     @Override
     public void decisionMade(RelayEffect.LogDecision decision) {
-      metrics.countDecision(decision.decision());
-      log.add(decision.decision().event(), decision.decision().fields());
+      logDecision(decision.decision());
     }
 
     @Override
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/MemoryUser.java
@@ -0,0 +1,32 @@
+package io.zinniawood.relay.internal;
+
+/** Kinds of bytes whose amount is decided by a peer, each with its share of the direct memory. */
+public enum MemoryUser {
+  /** Answers to control calls; a full page of rows is one megabyte before base64 encoding. */
+  CONTROL_ANSWERS("control-answers", 8, 2 * 1024 * 1024);
+
+  private final String text;
+  private final int divisor;
+  private final int maxBufferBytes;
+
+  MemoryUser(String text, int divisor, int maxBufferBytes) {
+    this.text = text;
+    this.divisor = divisor;
+    this.maxBufferBytes = maxBufferBytes;
+  }
+
+  /** Returns the name in log lines and metrics. */
+  public String text() {
+    return text;
+  }
+
+  /** Returns the divisor of the process's direct memory that gives the share. */
+  int divisor() {
+    return divisor;
+  }
+
+  /** Returns the maximum size of one message. */
+  int maxBufferBytes() {
+    return maxBufferBytes;
+  }
+}
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the relay's HTTP client for control calls. */
+package io.zinniawood.relay;
