Bound the memory of all callers' bodies together

Callers saw a relay that stood still for everybody when some of them sent many large bodies at once.

Cause: each body was bounded by max_body_bytes, their sum was not. Bodies queued behind a request in progress were bounded by their number of parts, 64 of 8 KiB.

Bodies are collected in an account, from the first byte to the end of their request. If it is full, the largest unfinished request is refused with 503 and Retry-After; as it was not read completely it has not run. Small requests go on. Reading pauses at 16 KiB of queued bodies.

--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -79,7 +79,8 @@
     this.loop = (EventLoop) group.next();
     this.memory =
         new MemoryBudget(PlatformDependent.maxDirectMemory(), this::logDecision, System::nanoTime);
-    this.runtime = new RelayRuntime(new RelayState(parameters), codec, loop, new ProcessListener());
+    this.runtime =
+        new RelayRuntime(new RelayState(parameters), codec, loop, memory, new ProcessListener());
     this.metrics = new RelayMetrics(runtime.state(), memory, log);
     this.closing =
         new ConnectionClosing(
--- a/relay/src/main/java/io/zinniawood/relay/internal/AccountedBytes.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/AccountedBytes.java
@@ -58,6 +58,11 @@
     return true;
   }
 
+  /** Returns the number of bytes that were collected. */
+  public int readableBytes() {
+    return bytes.readableBytes();
+  }
+
   int capacityBytes() {
     return bytes.capacity();
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -40,6 +40,12 @@
   /** Number of queued pipelined messages at which reading from the caller is paused. */
   private static final int MAX_PIPELINED_MESSAGES = 64;
 
+  /** Bytes of queued bodies at which reading from the caller is paused. */
+  private static final int MAX_PIPELINED_BYTES = 16 * 1024;
+
+  /** Retry-After, in milliseconds, of a request for whose body there is no memory. */
+  private static final long MEMORY_RETRY_MILLIS = 1_000;
+
   /** Time for which input is discarded after a refusal, so that the caller can read it. */
   private static final long DISCARD_MILLIS = 1_000;
 
@@ -58,7 +64,8 @@
   private final Deque<Object> pipelined = new ArrayDeque<>();
   private ChannelHandlerContext context;
   private HttpRequest head;
-  private ByteBuf body;
+  private AccountedBytes body;
+  private int pipelinedBytes;
   private CallerExchange exchange;
   private boolean keepAlive;
   private boolean closing;
@@ -180,7 +187,8 @@
       ReferenceCountUtil.release(message);
     } else if (exchange != null || !pipelined.isEmpty()) {
       pipelined.addLast(message);
-      if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
+      pipelinedBytes += contentBytes(message);
+      if (queueFull()) {
         context.channel().config().setAutoRead(false);
       }
     } else {
@@ -188,6 +196,14 @@
     }
   }
 
+  private boolean queueFull() {
+    return pipelined.size() >= MAX_PIPELINED_MESSAGES || pipelinedBytes >= MAX_PIPELINED_BYTES;
+  }
+
+  private static int contentBytes(Object message) {
+    return message instanceof HttpContent content ? content.content().readableBytes() : 0;
+  }
+
   private void handleMessage(Object message) {
     if (message instanceof HttpRequest request) {
       if (!beginRequest(request)) {
@@ -218,7 +234,7 @@
     }
     head = request;
     keepAlive = HttpUtil.isKeepAlive(request);
-    body = Unpooled.EMPTY_BUFFER;
+    body = new AccountedBytes(listener.requestMemory(), this::refuseForMemory);
     if (HttpUtil.is100ContinueExpected(request)) {
       context.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -240,11 +256,9 @@
         rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         return;
       }
-      if (bytes.isReadable()) {
-        if (body == Unpooled.EMPTY_BUFFER) {
-          body = context.alloc().buffer(bytes.readableBytes());
-        }
-        body.writeBytes(bytes);
+      if (!body.append(bytes)) {
+        refuseForMemory();
+        return;
       }
     } finally {
       content.release();
@@ -256,7 +270,7 @@
 
   private void completeRequest() {
     HttpRequest complete = head;
-    ByteBuf whole = body;
+    ByteBuf whole = body.take();
     head = null;
     body = null;
     listener.requestReceived(this, complete, whole);
@@ -269,6 +283,13 @@
 
   /** Writes an answer that the relay generated. */
   public void writeLocalAnswer(LocalAnswer answer) {
+    FullHttpResponse response = response(answer);
+    setCloseHeader(response);
+    context.write(response);
+    finishExchange();
+  }
+
+  private static FullHttpResponse response(LocalAnswer answer) {
     String reason = "{\"reason\":\"" + answer.reason() + "\"}";
     ByteBuf content = Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8);
     FullHttpResponse response =
@@ -285,9 +306,7 @@
                     .set(
                         HttpHeaderNames.RETRY_AFTER,
                         String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)));
-    setCloseHeader(response);
-    context.write(response);
-    finishExchange();
+    return response;
   }
 
   /** Writes an endpoint's complete answer and takes ownership of its content. */
@@ -379,13 +398,15 @@
   private void handlePipelined() {
     try {
       while (exchange == null && !closing && !pipelined.isEmpty()) {
-        handleMessage(pipelined.pollFirst());
+        Object message = pipelined.pollFirst();
+        pipelinedBytes -= contentBytes(message);
+        handleMessage(message);
       }
     } catch (RuntimeException failure) {
       fail(failure);
       return;
     }
-    if (pipelined.size() < MAX_PIPELINED_MESSAGES) {
+    if (!queueFull()) {
       context.channel().config().setAutoRead(true);
     }
   }
@@ -397,13 +418,22 @@
     }
   }
 
+  /** Refuses a request that was not read completely, so it has not run. */
+  private void refuseForMemory() {
+    rejectAndClose(response(LocalAnswer.notRun("memory-short", MEMORY_RETRY_MILLIS)));
+  }
+
   private void rejectAndClose(HttpResponseStatus status) {
-    report(ConnectionClose.Reason.REFUSED_EARLY, String.valueOf(status.code()));
-    closing = true;
-    dropPartialRequest();
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    rejectAndClose(response);
+  }
+
+  private void rejectAndClose(FullHttpResponse response) {
+    report(ConnectionClose.Reason.REFUSED_EARLY, String.valueOf(response.status().code()));
+    closing = true;
+    dropPartialRequest();
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     context.writeAndFlush(response).addListener(written -> closeAfterInput());
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
@@ -10,6 +10,9 @@
   /** Returns the request limits currently in effect. */
   RequestLimits limits();
 
+  /** Returns the memory of the bodies of all callers' requests. */
+  MemoryAccount requestMemory();
+
   /** Returns whether the process is draining, so that connections are closed after their answer. */
   boolean draining();
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/MemoryUser.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/MemoryUser.java
@@ -3,7 +3,9 @@
 /** Kinds of bytes whose amount is decided by a peer, each with its share of the direct memory. */
 public enum MemoryUser {
   /** Answers to control calls; a full page of rows is one megabyte before base64 encoding. */
-  CONTROL_ANSWERS("control-answers", 8, 2 * 1024 * 1024);
+  CONTROL_ANSWERS("control-answers", 8, 2 * 1024 * 1024),
+  /** Bodies of callers' requests, until the request ends. */
+  CALLER_REQUESTS("caller-requests", 4, 8 * 1024 * 1024);
 
   private final String text;
   private final int divisor;
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -40,6 +40,7 @@
     implements CallerListener, EndpointListener {
   private final RelayState state;
   private final HeaderCodec codec;
+  private final MemoryBudget memory;
   private final Listener listener;
   private final RelayReducer reducer = new RelayReducer();
   private final EndpointConnectionPool connections;
@@ -81,7 +82,9 @@
   }
 
   /** Creates a runtime; {@link #start} must be called before the first event. */
-  public RelayRuntime(RelayState state, HeaderCodec codec, EventLoop loop, Listener listener) {
+  public RelayRuntime(
+      RelayState state, HeaderCodec codec, EventLoop loop, MemoryBudget memory, Listener listener) {
+    this.memory = memory;
     this.state = state;
     this.codec = codec;
     this.listener = listener;
@@ -153,6 +156,11 @@
     return limits;
   }
 
+  @Override
+  public MemoryAccount requestMemory() {
+    return memory.account(MemoryUser.CALLER_REQUESTS);
+  }
+
   @Override
   public boolean draining() {
     return state.terminating();
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
@@ -19,6 +19,7 @@
   final List<ConnectionClose> closes = new ArrayList<>();
   final List<RelayRequestId> abandoned = new ArrayList<>();
   RequestLimits limits = RequestLimits.DEFAULT;
+  MemoryAccount memory = new MemoryAccount(16 * 1024 * 1024, 8 * 1024 * 1024, (used, limit) -> {});
   boolean draining;
   boolean failing;
   private CallerHandler connection;
@@ -28,6 +29,11 @@
     return limits;
   }
 
+  @Override
+  public MemoryAccount requestMemory() {
+    return memory;
+  }
+
   @Override
   public boolean draining() {
     return draining;
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -72,7 +72,8 @@
         new RelayState(
             new RelayParameters(
                 new VmId("vm"), new DataCentreId("dc"), Optional.empty(), false, 8_000, 1));
-    RelayRuntime runtime = new RelayRuntime(state, codec, loop, this);
+    MemoryBudget memory = new MemoryBudget(64 * 1024 * 1024, line -> {}, System::nanoTime);
+    RelayRuntime runtime = new RelayRuntime(state, codec, loop, memory, this);
     PlatformClient platform =
         (PlatformClient)
             Proxy.newProxyInstance(
