Count buffered answers until their callers have taken them

A relay could use up its direct memory on complete answers that slow callers do not take, and then stood still for everybody.

Cause: an answer left the account when it was complete, while its buffer lived until the last byte was written. The account counted content, not the capacity of the buffers, which double as they grow.

Answers are collected in an account like the control answers, whose allocator counts a buffer until its last reference is released. MemoryAccount takes the place of BufferedAnswers; the bounds stay 4 MiB and a quarter of the direct memory.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -39,26 +39,24 @@
   /** Maximum number of idle pooled connections per endpoint. */
   private static final int MAX_POOLED_PER_ENDPOINT = 48;
 
-  /** Maximum size of an answer that is buffered until it is complete. */
-  private static final int MAX_BUFFERED_ANSWER_BYTES = 4 * 1024 * 1024;
-
-  /** Maximum size of all buffered answers; a quarter of a relay's direct memory. */
-  private static final long MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
-
   private static final AttributeKey<PoolEntry> POOL_ENTRY = AttributeKey.valueOf("zinniawood.kept");
 
   private final EventLoop loop;
   private final EndpointListener listener;
-  private final BufferedAnswers buffered =
-      new BufferedAnswers(MAX_BUFFERED_BYTES, MAX_BUFFERED_ANSWER_BYTES);
+  private final MemoryAccount memory;
   private final Map<NodeAddress, Deque<Channel>> pool = new HashMap<>();
 
   /** Address of a pooled connection and the {@link System#nanoTime} until which it is reusable. */
   private record PoolEntry(NodeAddress address, long reusableUntilNanos) {}
 
-  /** Creates an empty pool whose connections run on the event loop. */
-  public EndpointConnectionPool(EventLoop loop, EndpointListener listener) {
+  /**
+   * Creates an empty pool whose connections run on the event loop.
+   *
+   * @param memory memory of the answers that are buffered until they are complete
+   */
+  public EndpointConnectionPool(EventLoop loop, MemoryAccount memory, EndpointListener listener) {
     this.loop = loop;
+    this.memory = memory;
     this.listener = listener;
   }
 
@@ -185,7 +183,7 @@
           .pipeline()
           .addLast(new HttpRequestEncoder())
           .addLast(new HttpResponseDecoder())
-          .addLast(new EndpointHandler(listener, EndpointConnectionPool.this, buffered));
+          .addLast(new EndpointHandler(listener, EndpointConnectionPool.this, memory));
     }
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -24,7 +24,7 @@
 
   private final EndpointListener listener;
   private final EndpointConnectionPool connections;
-  private final BufferedAnswers buffered;
+  private final MemoryAccount memory;
   private EndpointExchange exchange;
 
   /** Last request on this connection; answers that arrive without a request are its endpoint's. */
@@ -35,17 +35,17 @@
 
   private boolean used;
   private HttpResponse head;
-  private ByteBuf content;
+  private AccountedBytes content;
   private boolean skipping;
   private boolean streaming;
   private boolean reusable;
   private boolean connectionFailed;
 
   EndpointHandler(
-      EndpointListener listener, EndpointConnectionPool connections, BufferedAnswers buffered) {
+      EndpointListener listener, EndpointConnectionPool connections, MemoryAccount memory) {
     this.listener = listener;
     this.connections = connections;
-    this.buffered = buffered;
+    this.memory = memory;
   }
 
   /** Assigns the connection to an attempt. */
@@ -122,7 +122,7 @@
       exchange.streamHead(response);
       listener.streamStarted(exchange, response);
     } else {
-      content = context.alloc().buffer();
+      content = new AccountedBytes(memory, () -> fail(context, AttemptFailureCause.INVALID_ANSWER));
     }
   }
 
@@ -141,11 +141,9 @@
     }
     if (streaming) {
       listener.streamContentReceived(exchange, part.content());
-    } else if (!buffered.tryReserve(content.readableBytes(), part.content().readableBytes())) {
+    } else if (!content.append(part.content())) {
       fail(context, AttemptFailureCause.INVALID_ANSWER);
       return;
-    } else {
-      content.writeBytes(part.content());
     }
     if (last && exchange != null) {
       complete(context);
@@ -162,9 +160,8 @@
     }
     exchange = null;
     head = null;
-    ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content;
+    ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content.take();
     content = null;
-    buffered.release(whole.readableBytes());
     connections.release(complete.address(), context.channel(), answered, reusable);
     if (streaming) {
       listener.streamCompleted(complete);
@@ -185,7 +182,6 @@
 
   private void dropContent() {
     if (content != null) {
-      buffered.release(content.readableBytes());
       content.release();
       content = null;
     }
--- a/relay/src/main/java/io/zinniawood/relay/internal/MemoryUser.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/MemoryUser.java
@@ -5,7 +5,9 @@
   /** Answers to control calls; a full page of rows is one megabyte before base64 encoding. */
   CONTROL_ANSWERS("control-answers", 8, 2 * 1024 * 1024),
   /** Bodies of callers' requests, until the request ends. */
-  CALLER_REQUESTS("caller-requests", 4, 8 * 1024 * 1024);
+  CALLER_REQUESTS("caller-requests", 4, 8 * 1024 * 1024),
+  /** Answers that are buffered until they are complete, and then until the caller takes them. */
+  ENDPOINT_ANSWERS("endpoint-answers", 4, 4 * 1024 * 1024);
 
   private final String text;
   private final int divisor;
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -89,7 +89,8 @@
     this.codec = codec;
     this.listener = listener;
     this.loop = loop;
-    this.connections = new EndpointConnectionPool(loop, this);
+    this.connections =
+        new EndpointConnectionPool(loop, memory.account(MemoryUser.ENDPOINT_ANSWERS), this);
   }
 
   /**
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
@@ -27,12 +27,13 @@
   /** Bytes after which an endpoint that is still read counts as endless. */
   private static final long ENDLESS_BYTES = 8 * 1024 * 1024;
 
-  private final BufferedAnswers buffered = new BufferedAnswers(MAX_TOTAL_BYTES, MAX_ANSWER_BYTES);
+  private final MemoryAccount memory =
+      new MemoryAccount(MAX_TOTAL_BYTES, MAX_ANSWER_BYTES, (used, limit) -> {});
   private final FakeEndpointListener listener = new FakeEndpointListener();
 
   private EmbeddedChannel connection() {
     EndpointHandler handler =
-        new EndpointHandler(listener, new EndpointConnectionPool(null, listener), buffered);
+        new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
     EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), handler);
     handler.beginExchange(
         new EndpointExchange(
@@ -89,7 +90,7 @@
     channel.writeInbound(bytes("HTTP/1.1 200 OK\r\n\r\n"));
     assertThat(sendUntilClosed(channel), lessThanOrEqualTo((long) MAX_ANSWER_BYTES + CHUNK_BYTES));
     assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
-    assertThat(buffered.totalBytes(), is(0L));
+    assertThat(memory.usedBytes(), is(0L));
   }
 
   // Each body alone would be short enough; all together must not fill the memory.
@@ -107,10 +108,23 @@
           channel.writeInbound(filler());
         }
       }
-      assertThat(buffered.totalBytes(), lessThanOrEqualTo((long) MAX_TOTAL_BYTES));
+      assertThat(memory.usedBytes(), lessThanOrEqualTo((long) MAX_TOTAL_BYTES));
     }
     channels.forEach(EmbeddedChannel::close);
-    assertThat(buffered.totalBytes(), is(0L));
+    assertThat(memory.usedBytes(), is(0L));
+  }
+
+  // Guards against answers that slow callers do not take and nothing counts.
+  @Test
+  void completeAnswerCountsUntilItIsReleased() {
+    listener.keepContent = true;
+    EmbeddedChannel channel = connection();
+    channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + CHUNK_BYTES + "\r\n\r\n"));
+    channel.writeInbound(filler());
+    assertThat(listener.answers, is(List.of(200)));
+    assertThat(memory.usedBytes(), is((long) CHUNK_BYTES));
+    listener.kept.forEach(ByteBuf::release);
+    assertThat(memory.usedBytes(), is(0L));
   }
 
   @Test
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -16,6 +16,8 @@
   final List<Integer> answers = new ArrayList<>();
   final List<Integer> streams = new ArrayList<>();
   final List<Integer> heads = new ArrayList<>();
+  final List<ByteBuf> kept = new ArrayList<>();
+  boolean keepContent;
   int completedStreams;
 
   @Override
@@ -51,7 +53,11 @@
   @Override
   public void answerReceived(EndpointExchange exchange, HttpResponse head, ByteBuf content) {
     answers.add(head.status().code());
-    content.release();
+    if (keepContent) {
+      kept.add(content);
+    } else {
+      content.release();
+    }
   }
 
   @Override
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -22,11 +22,10 @@
   private static final String ID = FakeEndpointListener.ID_HEADER + ": ";
 
   private final FakeEndpointListener listener = new FakeEndpointListener();
+  private final MemoryAccount memory =
+      new MemoryAccount(1024 * 1024, 64 * 1024, (used, limit) -> {});
   private final EndpointHandler handler =
-      new EndpointHandler(
-          listener,
-          new EndpointConnectionPool(null, listener),
-          new BufferedAnswers(1024 * 1024, 64 * 1024));
+      new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
   private final EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), handler);
 
   private void beginExchange(boolean streaming) {
