Read a pooled connection again whose last answer was paused

A request on a kept connection got no answer until its deadline.

Cause: reading from an endpoint stops while the caller of its stream is slow. If the end of the stream was in the last read, the connection went back to the pool with reading switched off; nothing switched it on again, as its attempt had ended.

Evidence: FaultyAnswerTest.connectionIsReadAgainAfterItsAnswerWasPaused on the code before: reading stays off.

The pool switches reading on when it takes a connection back.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -141,6 +141,8 @@
       channel.close();
       return;
     }
+    // Reading is paused if the caller of the last answer was slow to take it.
+    channel.config().setAutoRead(true);
     channel.attr(POOL_ENTRY).set(new PoolEntry(address, System.nanoTime() + reusableNanos(answer)));
     channels.addLast(channel);
   }
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -96,6 +96,17 @@
     assertThat(listener.heads, is(List.of(200)));
   }
 
+  // Guards against a request on a kept connection that nobody reads as an earlier caller was slow.
+  @Test
+  void connectionIsReadAgainAfterItsAnswerWasPaused() {
+    beginExchange(true);
+    receive("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n\r\ndata:");
+    channel.config().setAutoRead(false);
+    receive(" x\n\n");
+    assertThat(listener.completedStreams, is(1));
+    assertThat(channel.config().isAutoRead(), is(true));
+  }
+
   @Test
   void refusalWithoutIdOnNewConnectionCounts() {
     beginExchange(false);
