Do not read an endpoint for a caller that was slow before its attempt began

A relay could use up its memory on the stream of one slow caller.

Cause: reading from the endpoint follows changes of the caller's connection. If the caller was slow already when a repeat of its request began to stream, no change came, and the new endpoint was read without end.

Evidence: SlowCallerTest.endpointIsNotReadWhileItsCallerIsSlow on the code before: the endpoint is read.

The state of the caller's connection is applied when a stream starts.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerExchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import io.zinniawood.core.relay.CallerRequest;
+import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.RelayRequestId;
 
 /** One request of a caller and the connection that waits for its answer. */
@@ -69,6 +70,18 @@
     return splitter;
   }
 
+  /** Returns the log entry of a request whose caller left before any decision on it. */
+  Decision abandoned() {
+    return Decision.of(
+        "request-ended",
+        "request",
+        request.id().map(Object::toString).orElse("-"),
+        "outcome",
+        "caller-left",
+        "reason",
+        "before-decision");
+  }
+
   boolean headWritten() {
     return headWritten;
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -8,7 +8,6 @@
 import io.zinniawood.core.relay.AnswerSummary;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
-import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.EndpointStatement;
 import io.zinniawood.core.relay.LocalAnswer;
@@ -193,7 +192,7 @@
             if (callers.containsKey(exchange.id())) {
               post(arrived);
             } else {
-              logAbandonedRequest(request);
+              listener.decisionMade(new RelayEffect.LogDecision(exchange.abandoned()));
             }
           },
           LATE_REQUEST_DELAY_MILLIS,
@@ -201,19 +200,6 @@
     }
   }
 
-  private void logAbandonedRequest(CallerRequest request) {
-    listener.decisionMade(
-        new RelayEffect.LogDecision(
-            Decision.of(
-                "request-ended",
-                "request",
-                request.id().map(Object::toString).orElse("-"),
-                "outcome",
-                "caller-left",
-                "reason",
-                "before-decision")));
-  }
-
   /** Posts a tick and records its time, by which a late event loop is detected. */
   public void tick() {
     lastTickNanos = System.nanoTime();
@@ -259,6 +245,8 @@
 
   @Override
   public void streamStarted(EndpointExchange exchange, HttpResponse head) {
+    // The caller may have become slow during an earlier attempt.
+    exchange.channel().config().setAutoRead(exchange.callerExchange().connection().writable());
     post(
         new RelayEvent.AnswerReceived(
             exchange.callerExchange().id(), exchange.attempt(), codec.summarize(head)));
--- /dev/null
+++ b/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
@@ -0,0 +1,102 @@
+package io.zinniawood.relay.internal;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.zinniawood.core.id.DataCentreId;
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.VmId;
+import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.RelayEffect;
+import io.zinniawood.core.relay.RelayParameters;
+import io.zinniawood.core.relay.RelayRequestId;
+import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.core.relay.SendOptions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Plays callers that do not take their answers. */
+final class SlowCallerTest implements RelayRuntime.Listener {
+  private final EventLoop loop = new DefaultEventLoop();
+  private final FakeCallerListener listener = new FakeCallerListener();
+  private final List<EmbeddedChannel> channels = new ArrayList<>();
+
+  @AfterEach
+  void stop() {
+    channels.forEach(EmbeddedChannel::finishAndReleaseAll);
+    loop.shutdownGracefully();
+  }
+
+  private CallerHandler caller() {
+    CallerHandler handler = new CallerHandler(listener);
+    channels.add(
+        new EmbeddedChannel(new ByteArrivalHandler(handler), new HttpServerCodec(), handler));
+    return handler;
+  }
+
+  private static void setWritable(EmbeddedChannel channel, boolean writable) {
+    channel.unsafe().outboundBuffer().setUserDefinedWritability(1, writable);
+    channel.runPendingTasks();
+  }
+
+  private static HttpResponse streamHead() {
+    return new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+  }
+
+  // Guards against an endpoint that is read without end for a caller that was slow before it began.
+  @Test
+  void endpointIsNotReadWhileItsCallerIsSlow() {
+    MemoryBudget memory = new MemoryBudget(64 * 1024 * 1024, line -> {}, System::nanoTime);
+    RelayState state =
+        new RelayState(
+            new RelayParameters(
+                new VmId("vm"), new DataCentreId("dc"), Optional.empty(), false, 8_000, 1));
+    RelayRuntime runtime =
+        new RelayRuntime(
+            state, new FailingCodec(FailingCodec.Method.ENCODE_REQUEST), loop, memory, this);
+    CallerHandler handler = caller();
+    CallerExchange caller =
+        new CallerExchange(new RelayRequestId(1), null, null, Unpooled.EMPTY_BUFFER, handler);
+    SendOptions options =
+        new SendOptions(
+            new EndpointId("e"),
+            1_000,
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            SendOptions.ConnectionUse.ANY,
+            true);
+    EndpointExchange exchange =
+        new EndpointExchange(caller, 2, new NodeAddress("10.0.0.1", 80), options);
+    EmbeddedChannel endpoint = new EmbeddedChannel();
+    channels.add(endpoint);
+    exchange.channel(endpoint);
+    setWritable(channels.get(0), false);
+    runtime.streamStarted(exchange, streamHead());
+    assertThat(endpoint.config().isAutoRead(), is(false));
+  }
+
+  @Override
+  public void readinessChanged(boolean ready) {}
+
+  @Override
+  public void drained() {}
+
+  @Override
+  public void decisionMade(RelayEffect.LogDecision decision) {}
+
+  @Override
+  public void streamAdvanced() {}
+}
