Handle a queued request only when its caller takes the answers before it

A caller that sent requests and read no answer could use up a relay's memory.

Cause: answers were written without regard to whether the caller's connection is writable.

Evidence: SlowCallerTest.queuedRequestsWaitUntilTheCallerTakesItsAnswers on the code before: the request is handled. The test of the idle timeout guards the new state; before, such a request was at an endpoint.

Requests wait in the queue of the connection, which stops reading when it is full, and go on when the connection is writable. A caller that takes nothing for the idle timeout is disconnected, as before, now with the reason answer-not-taken. The queue becomes a class of its own.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -27,8 +27,6 @@
 import io.zinniawood.relay.HopByHopHeaders;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -37,12 +35,6 @@
  * RelayRuntime} writes answers through the methods of this class.
  */
 public final class CallerHandler extends ChannelInboundHandlerAdapter {
-  /** Number of queued pipelined messages at which reading from the caller is paused. */
-  private static final int MAX_PIPELINED_MESSAGES = 64;
-
-  /** Bytes of queued bodies at which reading from the caller is paused. */
-  private static final int MAX_PIPELINED_BYTES = 16 * 1024;
-
   /** Retry-After, in milliseconds, of a request for whose body there is no memory. */
   private static final long MEMORY_RETRY_MILLIS = 1_000;
 
@@ -61,11 +53,10 @@
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final CallerListener listener;
-  private final Deque<Object> pipelined = new ArrayDeque<>();
+  private final PipelinedMessages pipelined = new PipelinedMessages();
   private ChannelHandlerContext context;
   private HttpRequest head;
   private AccountedBytes body;
-  private int pipelinedBytes;
   private CallerExchange exchange;
   private boolean keepAlive;
   private boolean closing;
@@ -100,14 +91,18 @@
 
   /** Closes the connection if its idle timeout or header timeout has expired. */
   public void checkTimeouts(long nowNanos) {
-    if (exchange != null || !pipelined.isEmpty() || closing) {
+    if (exchange != null || closing || (writable() && !pipelined.isEmpty())) {
       return;
     }
     RequestLimits limits = listener.limits();
     long headNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
     long idleNanos =
         TimeUnit.MILLISECONDS.toNanos(Math.max(idleTimeoutMillis, limits.idleTimeoutMillis()));
-    if (headStarted && nowNanos - headStartedNanos >= headNanos) {
+    if (!writable()) {
+      if (nowNanos - lastActivityNanos >= idleNanos) {
+        close(ConnectionClose.Reason.ANSWER_NOT_TAKEN, "");
+      }
+    } else if (headStarted && nowNanos - headStartedNanos >= headNanos) {
       rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (nowNanos - lastActivityNanos >= idleNanos) {
       if (head == null) {
@@ -159,15 +154,11 @@
             reason,
             exchange != null,
             head != null || headStarted,
-            queuedRequests(),
+            pipelined.requests(),
             TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastActivityNanos),
             detail));
   }
 
-  private int queuedRequests() {
-    return (int) pipelined.stream().filter(HttpRequest.class::isInstance).count();
-  }
-
   /**
    * Closes the connection unless a request is in progress or partly received, an answer is not sent
    * yet, or bytes arrived or an answer ended lately.
@@ -185,10 +176,9 @@
   public void channelRead(ChannelHandlerContext read, Object message) {
     if (closing) {
       ReferenceCountUtil.release(message);
-    } else if (exchange != null || !pipelined.isEmpty()) {
-      pipelined.addLast(message);
-      pipelinedBytes += contentBytes(message);
-      if (queueFull()) {
+    } else if (exchange != null || !pipelined.isEmpty() || !writable()) {
+      pipelined.add(message);
+      if (pipelined.full()) {
         context.channel().config().setAutoRead(false);
       }
     } else {
@@ -196,14 +186,6 @@
     }
   }
 
-  private boolean queueFull() {
-    return pipelined.size() >= MAX_PIPELINED_MESSAGES || pipelinedBytes >= MAX_PIPELINED_BYTES;
-  }
-
-  private static int contentBytes(Object message) {
-    return message instanceof HttpContent content ? content.content().readableBytes() : 0;
-  }
-
   private void handleMessage(Object message) {
     if (message instanceof HttpRequest request) {
       if (!beginRequest(request)) {
@@ -397,16 +379,14 @@
 
   private void handlePipelined() {
     try {
-      while (exchange == null && !closing && !pipelined.isEmpty()) {
-        Object message = pipelined.pollFirst();
-        pipelinedBytes -= contentBytes(message);
-        handleMessage(message);
+      while (exchange == null && !closing && !pipelined.isEmpty() && writable()) {
+        handleMessage(pipelined.poll());
       }
     } catch (RuntimeException failure) {
       fail(failure);
       return;
     }
-    if (!queueFull()) {
+    if (!pipelined.full()) {
       context.channel().config().setAutoRead(true);
     }
   }
@@ -460,7 +440,9 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext changed) {
     if (exchange != null) {
-      listener.writabilityChanged(exchange.id(), changed.channel().isWritable());
+      listener.writabilityChanged(exchange.id(), writable());
+    } else if (writable()) {
+      changed.executor().execute(this::handlePipelined);
     }
   }
 
@@ -471,8 +453,7 @@
     }
     closing = true;
     dropPartialRequest();
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
+    pipelined.release();
     if (exchange != null) {
       CallerExchange abandoned = exchange;
       releaseExchange();
--- a/relay/src/main/java/io/zinniawood/relay/internal/ConnectionClose.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/ConnectionClose.java
@@ -32,6 +32,8 @@
   public enum Reason {
     /** An answer that had begun cannot be completed. */
     ANSWER_ABORTED("answer-aborted"),
+    /** The caller did not take its answers for the idle timeout, or memory for them is short. */
+    ANSWER_NOT_TAKEN("answer-not-taken"),
     /** The caller left while requests were queued behind the one in progress. */
     CALLER_LEFT_QUEUE("caller-left-queue"),
     /** The last answer said that the connection closes; what arrived after it is dropped. */
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/PipelinedMessages.java
@@ -0,0 +1,50 @@
+package io.zinniawood.relay.internal;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** Messages of a caller that are queued behind the request in progress. */
+final class PipelinedMessages {
+  private static final int MAX_MESSAGES = 64;
+  private static final int MAX_BYTES = 16 * 1024;
+
+  private final Deque<Object> messages = new ArrayDeque<>();
+  private int bytes;
+
+  void add(Object message) {
+    messages.addLast(message);
+    bytes += contentBytes(message);
+  }
+
+  Object poll() {
+    Object message = messages.pollFirst();
+    bytes -= contentBytes(message);
+    return message;
+  }
+
+  boolean isEmpty() {
+    return messages.isEmpty();
+  }
+
+  /** Returns whether reading from the caller should pause. */
+  boolean full() {
+    return messages.size() >= MAX_MESSAGES || bytes >= MAX_BYTES;
+  }
+
+  int requests() {
+    return (int) messages.stream().filter(HttpRequest.class::isInstance).count();
+  }
+
+  void release() {
+    messages.forEach(ReferenceCountUtil::release);
+    messages.clear();
+    bytes = 0;
+  }
+
+  private static int contentBytes(Object message) {
+    return message instanceof HttpContent content ? content.content().readableBytes() : 0;
+  }
+}
--- a/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
@@ -1,6 +1,8 @@
 package io.zinniawood.relay.internal;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
 import io.netty.buffer.Unpooled;
@@ -21,14 +23,18 @@
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.RelayState;
 import io.zinniawood.core.relay.SendOptions;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Plays callers that do not take their answers. */
 final class SlowCallerTest implements RelayRuntime.Listener {
+  private static final String REQUEST = "GET /first HTTP/1.1\r\nHost: host\r\n\r\n";
+
   private final EventLoop loop = new DefaultEventLoop();
   private final FakeCallerListener listener = new FakeCallerListener();
   private final List<EmbeddedChannel> channels = new ArrayList<>();
@@ -46,6 +52,10 @@
     return handler;
   }
 
+  private static void receive(EmbeddedChannel channel, String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+  }
+
   private static void setWritable(EmbeddedChannel channel, boolean writable) {
     channel.unsafe().outboundBuffer().setUserDefinedWritability(1, writable);
     channel.runPendingTasks();
@@ -88,6 +98,30 @@
     assertThat(endpoint.config().isAutoRead(), is(false));
   }
 
+  // Guards against answers without end to a caller that sends requests and takes no answer.
+  @Test
+  void queuedRequestsWaitUntilTheCallerTakesItsAnswers() {
+    caller();
+    EmbeddedChannel channel = channels.get(0);
+    setWritable(channel, false);
+    receive(channel, REQUEST);
+    assertThat(listener.paths, empty());
+    setWritable(channel, true);
+    assertThat(listener.paths, contains("/first"));
+  }
+
+  // Guards against a connection that stays open for good with requests that are never handled.
+  @Test
+  void callerThatTakesNoAnswerIsDisconnectedAfterTheIdleTimeout() {
+    CallerHandler handler = caller();
+    EmbeddedChannel channel = channels.get(0);
+    setWritable(channel, false);
+    receive(channel, REQUEST);
+    handler.checkTimeouts(System.nanoTime() + TimeUnit.MINUTES.toNanos(2));
+    assertThat(channel.isOpen(), is(false));
+    assertThat(listener.closes.get(0).reason(), is(ConnectionClose.Reason.ANSWER_NOT_TAKEN));
+  }
+
   @Override
   public void readinessChanged(boolean ready) {}
 
