Bound what slow callers leave of their streams together

Many callers that take their streams slowly could use up a relay's direct memory together.

Cause: a stream's endpoint is not read while its caller's connection has 64 KiB to send, plus what the last read brought; nothing bounded the sum over all callers. Found by reading; the test needs the new class and was not run on the code before.

With each tick, and when a connection becomes full, the unsent bytes of all streams are held against an eighth of the direct memory. Above it the callers with most unsent bytes are disconnected; their attempts are cancelled as for any caller that left.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -333,6 +333,11 @@
     releaseExchange();
   }
 
+  /** Closes the connection of a caller that takes too little of its stream. */
+  void disconnectSlowCaller() {
+    close(ConnectionClose.Reason.ANSWER_NOT_TAKEN, "unsentBytes " + unsentBytes());
+  }
+
   /** Returns whether the outbound buffer has room for more bytes. */
   public boolean writable() {
     return context.channel().isWritable();
--- a/relay/src/main/java/io/zinniawood/relay/internal/MemoryAccount.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/MemoryAccount.java
@@ -22,6 +22,7 @@
   private final long limitBytes;
   private final int maxBufferBytes;
   private final ShortageListener listener;
+  private long heldBytes;
 
   /** Receives the shortages of an account. */
   @FunctionalInterface
@@ -45,7 +46,21 @@
 
   /** Returns the memory in use, in bytes. */
   public long usedBytes() {
-    return allocator.metric().usedDirectMemory();
+    return heldBytes + allocator.metric().usedDirectMemory();
+  }
+
+  /**
+   * Sets the number of bytes that are held in other buffers than the account's own.
+   *
+   * @return false if they exceed the limit, so that some must be released
+   */
+  boolean hold(long bytes) {
+    heldBytes = bytes;
+    if (usedBytes() <= limitBytes) {
+      return true;
+    }
+    listener.memoryShort(usedBytes(), limitBytes);
+    return false;
   }
 
   int maxBufferBytes() {
--- a/relay/src/main/java/io/zinniawood/relay/internal/MemoryUser.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/MemoryUser.java
@@ -7,7 +7,9 @@
   /** Bodies of callers' requests, until the request ends. */
   CALLER_REQUESTS("caller-requests", 4, 8 * 1024 * 1024),
   /** Answers that are buffered until they are complete, and then until the caller takes them. */
-  ENDPOINT_ANSWERS("endpoint-answers", 4, 4 * 1024 * 1024);
+  ENDPOINT_ANSWERS("endpoint-answers", 4, 4 * 1024 * 1024),
+  /** Events of streams that callers have not taken yet. */
+  STREAMED_ANSWERS("streamed-answers", 8, 0);
 
   private final String text;
   private final int divisor;
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -46,7 +46,8 @@
   private final Deque<RelayEvent> pendingEvents = new ArrayDeque<>();
   private final Map<RelayRequestId, CallerExchange> callers = new HashMap<>();
   private final Map<RelayRequestId, EndpointExchange> attempts = new HashMap<>();
-  private final Map<RelayRequestId, PendingAnswer> pendingAnswers = new HashMap<>();
+  private final PendingAnswers pendingAnswers = new PendingAnswers();
+  private final UnsentStreams unsentStreams;
   private final EventLoop loop;
   private long lastTickNanos = System.nanoTime();
   private RequestLimits limits = RequestLimits.DEFAULT;
@@ -62,9 +63,6 @@
   /** Retry-After, in milliseconds, of a request that could not be decoded. */
   private static final long FAILURE_RETRY_MILLIS = 1_000;
 
-  /** A complete answer that waits for the reducer's decision. */
-  private record PendingAnswer(int attempt, HttpResponse head, ByteBuf content) {}
-
   /** Receives the effects that concern the process. */
   public interface Listener {
     /** The readiness changed. */
@@ -84,6 +82,7 @@
   public RelayRuntime(
       RelayState state, HeaderCodec codec, EventLoop loop, MemoryBudget memory, Listener listener) {
     this.memory = memory;
+    this.unsentStreams = new UnsentStreams(memory.account(MemoryUser.STREAMED_ANSWERS));
     this.state = state;
     this.codec = codec;
     this.listener = listener;
@@ -135,7 +134,7 @@
     }
     if (event instanceof RelayEvent.AnswerReceived answer) {
       // The decision either relayed the answer or has no use for it.
-      releasePendingAnswer(answer.id());
+      pendingAnswers.release(answer.id());
     }
   }
 
@@ -204,12 +203,21 @@
   public void tick() {
     lastTickNanos = System.nanoTime();
     post(new RelayEvent.Tick());
+    limitUnsentStreams();
+  }
+
+  private void limitUnsentStreams() {
+    unsentStreams.limit(
+        callers.values().stream()
+            .filter(CallerExchange::headWritten)
+            .map(CallerExchange::connection)
+            .toList());
   }
 
   @Override
   public void callerDisconnected(RelayRequestId id) {
     callers.remove(id);
-    releasePendingAnswer(id);
+    pendingAnswers.release(id);
     post(new RelayEvent.CallerDisconnected(id));
   }
 
@@ -224,6 +232,9 @@
     if (exchange != null && exchange.channel() != null) {
       exchange.channel().config().setAutoRead(writable);
     }
+    if (!writable) {
+      loop.execute(this::limitUnsentStreams);
+    }
   }
 
   // Connections to endpoints.
@@ -323,8 +334,7 @@
       return;
     }
     RelayRequestId id = exchange.callerExchange().id();
-    releasePendingAnswer(id);
-    pendingAnswers.put(id, new PendingAnswer(exchange.attempt(), head, content));
+    pendingAnswers.put(id, head, content);
     post(new RelayEvent.AnswerReceived(id, exchange.attempt(), summary));
   }
 
@@ -380,7 +390,7 @@
               caller.splitter().lastId()));
       return;
     }
-    PendingAnswer answer = pendingAnswers.get(effect.id());
+    PendingAnswers.Answer answer = pendingAnswers.get(effect.id());
     if (answer == null) {
       if (!caller.headWritten()) {
         codec.removeEndpointHeaders(exchange.streamHead());
@@ -400,7 +410,7 @@
   @Override
   public void answerLocally(RelayEffect.AnswerLocally effect) {
     CallerExchange caller = callers.remove(effect.id());
-    releasePendingAnswer(effect.id());
+    pendingAnswers.release(effect.id());
     if (caller != null) {
       endCaller(caller, () -> caller.connection().writeLocalAnswer(effect.answer()));
     }
@@ -418,7 +428,7 @@
   @Override
   public void abortAnswer(RelayEffect.AbortAnswer effect) {
     CallerExchange caller = callers.remove(effect.id());
-    releasePendingAnswer(effect.id());
+    pendingAnswers.release(effect.id());
     if (caller != null) {
       caller.connection().abort();
     }
@@ -426,7 +436,7 @@
 
   @Override
   public void cancelAttempt(RelayEffect.CancelAttempt effect) {
-    releasePendingAnswer(effect.id());
+    pendingAnswers.release(effect.id());
     EndpointExchange exchange = attempts.get(effect.id());
     if (exchange != null && exchange.attempt() == effect.attempt() && !exchange.ended()) {
       attempts.remove(effect.id());
@@ -436,13 +446,6 @@
     }
   }
 
-  private void releasePendingAnswer(RelayRequestId id) {
-    PendingAnswer dropped = pendingAnswers.remove(id);
-    if (dropped != null) {
-      dropped.content().release();
-    }
-  }
-
   @Override
   public void repath(RelayEffect.Repath effect) {
     CallerExchange caller = callers.get(effect.id());
--- a/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.DefaultEventLoop;
@@ -33,6 +34,7 @@
 
 /** Plays callers that do not take their answers. */
 final class SlowCallerTest implements RelayRuntime.Listener {
+  private static final int LIMIT_BYTES = 1024 * 1024;
   private static final String REQUEST = "GET /first HTTP/1.1\r\nHost: host\r\n\r\n";
 
   private final EventLoop loop = new DefaultEventLoop();
@@ -122,6 +124,28 @@
     assertThat(listener.closes.get(0).reason(), is(ConnectionClose.Reason.ANSWER_NOT_TAKEN));
   }
 
+  // Guards against streams that are bounded each but not together.
+  @Test
+  void slowestStreamIsCutWhenUntakenStreamsFillTheirMemory() {
+    long[] shortages = {0};
+    MemoryAccount memory =
+        new MemoryAccount(LIMIT_BYTES, LIMIT_BYTES, (used, limit) -> shortages[0]++);
+    UnsentStreams unsent = new UnsentStreams(memory);
+    List<CallerHandler> callers = new ArrayList<>();
+    for (int quarters = 1; quarters <= 3; quarters++) {
+      CallerHandler handler = caller();
+      receive(channels.get(channels.size() - 1), REQUEST);
+      handler.beginStream(streamHead());
+      handler.writeStream(Unpooled.wrappedBuffer(new byte[LIMIT_BYTES / 4 * quarters]));
+      callers.add(handler);
+    }
+    unsent.limit(callers);
+    assertThat(
+        channels.stream().map(EmbeddedChannel::isOpen).toList(), is(List.of(true, true, false)));
+    assertThat(shortages[0], is(1L));
+    assertThat(memory.usedBytes(), lessThanOrEqualTo((long) LIMIT_BYTES));
+  }
+
   @Override
   public void readinessChanged(boolean ready) {}
 
