Cut off skipped answers and their trailers that do not end

A request whose endpoint sent informational answers, or the answer to another request, without end waited until its deadline for an answer that never came.

Cause: what is skipped was not counted, and a decoding failure within it was ignored, after which the decoder drops all further bytes.

Evidence: EndlessAnswerTest on the code before: 8 MiB of a skipped body, of skipped trailers and of a skipped chunk extension and 10,000 skipped answers were read without a close. Endless trailers of the request's own answer were cut off before.

More than 64 skipped answers, or as many skipped bytes as a buffered answer may have, end the attempt as an invalid answer.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -22,6 +22,9 @@
 final class EndpointHandler extends ChannelInboundHandlerAdapter {
   private static final String EVENT_STREAM = "text/event-stream";
 
+  /** Maximum number of informational answers and answers to other requests before the answer. */
+  private static final int MAX_SKIPPED_ANSWERS = 64;
+
   private final EndpointListener listener;
   private final EndpointConnectionPool connections;
   private final MemoryAccount memory;
@@ -37,6 +40,8 @@
   private HttpResponse head;
   private AccountedBytes content;
   private boolean skipping;
+  private int skippedAnswers;
+  private long skippedBytes;
   private boolean streaming;
   private boolean reusable;
   private boolean connectionFailed;
@@ -56,6 +61,8 @@
     lastExchange = begun;
     head = null;
     skipping = false;
+    skippedAnswers = 0;
+    skippedBytes = 0;
     streaming = false;
   }
 
@@ -102,6 +109,7 @@
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL
             || answered == AnsweredRequest.OTHER;
     if (skipping) {
+      countSkipped(context, 1, 0);
       return;
     }
     // It may be an answer to an earlier request once more, so it proves nothing about this one.
@@ -126,19 +134,28 @@
     }
   }
 
+  private void countSkipped(ChannelHandlerContext context, int answers, int bytes) {
+    skippedAnswers += answers;
+    skippedBytes += bytes;
+    if (skippedAnswers > MAX_SKIPPED_ANSWERS || skippedBytes > memory.maxBufferBytes()) {
+      fail(context, AttemptFailureCause.INVALID_ANSWER);
+    }
+  }
+
   private void handleContent(ChannelHandlerContext context, HttpContent part) {
     boolean last = part instanceof LastHttpContent;
+    if (part.decoderResult().isFailure()) {
+      fail(context, AttemptFailureCause.INVALID_ANSWER);
+      return;
+    }
     if (skipping) {
       skipping = !last;
+      countSkipped(context, 0, part.content().readableBytes());
       return;
     }
     if (head == null) {
       return;
     }
-    if (part.decoderResult().isFailure()) {
-      fail(context, AttemptFailureCause.INVALID_ANSWER);
-      return;
-    }
     if (streaming) {
       listener.streamContentReceived(exchange, part.content());
     } else if (!content.append(part.content())) {
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
@@ -17,6 +17,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Plays endpoints in trouble that send bytes without end until the relay closes. */
 final class EndlessAnswerTest {
@@ -114,6 +116,39 @@
     assertThat(memory.usedBytes(), is(0L));
   }
 
+  // Guards against requests that wait until their deadline for an endpoint that never answers them.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+        "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nTransfer-Encoding: chunked\r\n\r\n1;x=",
+        "HTTP/1.1 200 OK\r\nRequest-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+      })
+  void answerThatIsSkippedOrHasEndlessTrailersIsCutOff(String start) {
+    EmbeddedChannel channel = connection();
+    channel.writeInbound(bytes(start));
+    assertThat(sendUntilClosed(channel), lessThanOrEqualTo((long) MAX_ANSWER_BYTES + CHUNK_BYTES));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 103 Hint\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nContent-Length: 0\r\n\r\n"
+      })
+  void skippedAnswersWithoutEndAreCutOff(String answer) {
+    EmbeddedChannel channel = connection();
+    int sent = 0;
+    while (channel.isActive() && sent < 10_000) {
+      channel.writeInbound(bytes(answer));
+      sent++;
+    }
+    assertThat(sent, lessThanOrEqualTo(100));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+  }
+
   // Guards against answers that slow callers do not take and nothing counts.
   @Test
   void completeAnswerCountsUntilItIsReleased() {
