Bound the memory of all HTTP responses of an agent or an entry together

An agent whose engine or service sent a body without end could run out of heap, and with it all requests of its endpoint.

Cause: each response could have up to 64 MiB (store: 8 MiB) and up to 64 could be read at once, in an agent with 40 MB of heap.

Bodies are read in steps of 64 KiB, each reserved from a quarter of the heap that all clients of the process share. A body for which there is no memory counts as a lost response. Bodies beyond their first step leave a quarter free, so short responses are read. Responses above a quarter of the heap are no longer possible: 10 MB in an agent, whose messages end at 8 MiB.

--- a/http/src/main/java/io/zinniawood/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -26,6 +26,7 @@
   private final OkHttpClient client;
   private final int maxConcurrentCalls;
   private final int maxResponseBytes;
+  private final ResponseMemory memory;
   private final AtomicInteger callsInProgress = new AtomicInteger();
 
   /**
@@ -35,6 +36,11 @@
    * @param settings connect timeout and limits
    */
   public HttpCalls(OkHttpClient base, HttpCallSettings settings) {
+    this(base, settings, ResponseMemory.ofProcess());
+  }
+
+  /** Creates an instance as above whose responses share the given memory. */
+  HttpCalls(OkHttpClient base, HttpCallSettings settings, ResponseMemory memory) {
     Dispatcher dispatcher = new Dispatcher(base.dispatcher().executorService());
     dispatcher.setMaxRequests(settings.maxConcurrentCalls());
     dispatcher.setMaxRequestsPerHost(settings.maxConcurrentCalls());
@@ -56,6 +62,7 @@
             .addNetworkInterceptor(HttpCalls::sendOnce)
             .build();
     this.maxConcurrentCalls = settings.maxConcurrentCalls();
+    this.memory = memory;
     this.maxResponseBytes = settings.maxResponseBytes();
   }
 
@@ -172,11 +179,24 @@
 
     private HttpResult read(Response response, ResponseBody body) throws IOException {
       BufferedSource source = body.source();
-      if (source.request(maxResponseBytes + 1L)) {
-        return new HttpResult.ResponseLost(
-            "the response body has more than " + maxResponseBytes + " bytes");
+      long reservedBytes = 0;
+      try {
+        long wantedBytes;
+        do {
+          if (!memory.tryReserveStep(reservedBytes)) {
+            return new HttpResult.ResponseLost("there is no memory for the response body");
+          }
+          reservedBytes += ResponseMemory.STEP_BYTES;
+          wantedBytes = Math.min(reservedBytes, maxResponseBytes + 1L);
+          if (wantedBytes > maxResponseBytes && source.request(wantedBytes)) {
+            return new HttpResult.ResponseLost(
+                "the response body has more than " + maxResponseBytes + " bytes");
+          }
+        } while (source.request(wantedBytes));
+        return new HttpResult.Response(response.code(), response.headers(), source.readByteArray());
+      } finally {
+        memory.release(reservedBytes);
       }
-      return new HttpResult.Response(response.code(), response.headers(), source.readByteArray());
     }
   }
 }
