Test a relay process beside unfinished bodies that exceed its direct memory

Evidence on: beside 150 unfinished bodies of 1 MB and with the deployment's 64 MB of direct memory, a sound request timed out after 10 s.

--- a/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
+++ b/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
@@ -32,14 +32,25 @@
 
   /** Starts a role with an existing settings file. */
   public static RoleProcess start(String role, String name, Path settingsFile) {
+    return start(role, name, settingsFile, "");
+  }
+
+  /**
+   * Starts a role with an existing settings file.
+   *
+   * @param javaOptions options of the JVM, separated by spaces
+   */
+  public static RoleProcess start(String role, String name, Path settingsFile, String javaOptions) {
     try {
       Files.createDirectories(LOG_FOLDER);
-      Process process =
+      ProcessBuilder builder =
           new ProcessBuilder(EXECUTABLE.toString(), role, "--settings", settingsFile.toString())
               .redirectErrorStream(true)
-              .redirectOutput(LOG_FOLDER.resolve(name + ".log").toFile())
-              .start();
-      return new RoleProcess(name, process);
+              .redirectOutput(LOG_FOLDER.resolve(name + ".log").toFile());
+      if (!javaOptions.isEmpty()) {
+        builder.environment().put("ZINNIAWOOD_JAVA_OPTIONS", javaOptions);
+      }
+      return new RoleProcess(name, builder.start());
     } catch (IOException failure) {
       throw new UncheckedIOException("cannot start process " + name, failure);
     }
