--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -11,6 +11,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.internal.PlatformDependent;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.DecisionFailure;
@@ -24,6 +25,8 @@
 import io.zinniawood.relay.internal.CallerHandler;
 import io.zinniawood.relay.internal.ConnectionClosing;
 import io.zinniawood.relay.internal.ContainedTask;
+import io.zinniawood.relay.internal.MemoryBudget;
+import io.zinniawood.relay.internal.MemoryUser;
 import io.zinniawood.relay.internal.PeerChannel;
 import io.zinniawood.relay.internal.RelayRuntime;
 import io.zinniawood.telemetry.DecisionLog;
@@ -52,6 +55,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop;
+  private final MemoryBudget memory;
   private final RelayRuntime runtime;
   private final Set<CallerHandler> callers = new HashSet<>();
   private final ConnectionClosing closing;
@@ -73,8 +77,11 @@
     this.peerAddress = parameters.peerAddress();
     this.log = log;
     this.loop = (EventLoop) group.next();
-    this.runtime = new RelayRuntime(new RelayState(parameters), codec, loop, new ProcessListener());
-    this.metrics = new RelayMetrics(runtime.state(), log);
+    this.memory =
+        new MemoryBudget(PlatformDependent.maxDirectMemory(), this::logDecision, System::nanoTime);
+    this.runtime =
+        new RelayRuntime(new RelayState(parameters), codec, loop, memory, new ProcessListener());
+    this.metrics = new RelayMetrics(runtime.state(), memory, log);
     this.closing =
         new ConnectionClosing(
             loop, parameters.gracePeriodMillis(), callers, this::connectionsClosed);
@@ -90,8 +97,9 @@
     bind(addresses.admin(), new AdminInitializer());
     callerListener = bind(addresses.callers(), new CallerInitializer());
     RelayRuntime.PeerSender peerSender = bindPeers();
-    loop.execute(
-        () -> runtime.start(platform.apply(new ControlClient(loop, this::logFailure)), peerSender));
+    ControlClient client =
+        new ControlClient(loop, memory.account(MemoryUser.CONTROL_ANSWERS), this::logFailure);
+    loop.execute(() -> runtime.start(platform.apply(client), peerSender));
     loop.scheduleAtFixedRate(
         new ContainedTask("tick", runtime::tick, this::logFailure),
         0,
@@ -165,6 +173,11 @@
         });
   }
 
+  private void logDecision(Decision decision) {
+    metrics.countDecision(decision);
+    log.add(decision.event(), decision.fields());
+  }
+
   private void connectionsClosed(ConnectionClosing.Remainder left) {
     log.add(
         "connections-closed",
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -29,8 +29,6 @@
 import io.zinniawood.relay.HopByHopHeaders;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -39,8 +37,8 @@
  * RelayRuntime} writes answers through the methods of this class.
  */
 public final class CallerHandler extends ChannelInboundHandlerAdapter {
-  /** Number of queued pipelined messages at which reading from the caller is paused. */
-  private static final int MAX_PIPELINED_MESSAGES = 64;
+  /** Retry-After, in milliseconds, of a request for whose body there is no memory. */
+  private static final long MEMORY_RETRY_MILLIS = 1_000;
 
   /** Time for which input is discarded after a refusal, so that the caller can read it. */
   private static final long DISCARD_MILLIS = 1_000;
@@ -60,10 +58,10 @@
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final CallerListener listener;
-  private final Deque<Object> pipelined = new ArrayDeque<>();
+  private final PipelinedMessages pipelined = new PipelinedMessages();
   private ChannelHandlerContext context;
   private HttpRequest head;
-  private ByteBuf body;
+  private AccountedBytes body;
   private CallerExchange exchange;
   private boolean keepAlive;
   private boolean closing;
@@ -105,14 +103,18 @@
 
   /** Closes the connection if its idle timeout or header timeout has expired. */
   public void checkTimeouts(long nowNanos) {
-    if (exchange != null || !pipelined.isEmpty() || closing) {
+    if (exchange != null || closing || (writable() && !pipelined.isEmpty())) {
       return;
     }
     RequestLimits limits = listener.limits();
     long headNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
     long idleNanos =
         TimeUnit.MILLISECONDS.toNanos(Math.max(idleTimeoutMillis, limits.idleTimeoutMillis()));
-    if (headStarted && nowNanos - headStartedNanos >= headNanos) {
+    if (!writable()) {
+      if (nowNanos - lastActivityNanos >= idleNanos) {
+        close(ConnectionClose.Reason.ANSWER_NOT_TAKEN, "");
+      }
+    } else if (headStarted && nowNanos - headStartedNanos >= headNanos) {
       rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (nowNanos - lastActivityNanos >= idleNanos) {
       if (head == null) {
@@ -164,15 +166,11 @@
             reason,
             exchange != null,
             head != null || headStarted,
-            queuedRequests(),
+            pipelined.requests(),
             TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastActivityNanos),
             detail));
   }
 
-  private int queuedRequests() {
-    return (int) pipelined.stream().filter(HttpRequest.class::isInstance).count();
-  }
-
   /**
    * Closes the connection unless a request is in progress or partly received, an answer is not sent
    * yet, or bytes arrived or an answer ended lately.
@@ -190,9 +188,9 @@
   public void channelRead(ChannelHandlerContext read, Object message) {
     if (closing) {
       ReferenceCountUtil.release(message);
-    } else if (exchange != null || !pipelined.isEmpty()) {
-      pipelined.addLast(message);
-      if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
+    } else if (exchange != null || !pipelined.isEmpty() || !writable()) {
+      pipelined.add(message);
+      if (pipelined.full()) {
         context.channel().config().setAutoRead(false);
       }
     } else {
@@ -234,7 +232,7 @@
     }
     head = request;
     keepAlive = HttpUtil.isKeepAlive(request);
-    body = Unpooled.EMPTY_BUFFER;
+    body = new AccountedBytes(listener.requestMemory(), this::refuseForMemory);
     if (HttpUtil.is100ContinueExpected(request)) {
       context.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -256,11 +254,9 @@
         rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         return;
       }
-      if (bytes.isReadable()) {
-        if (body == Unpooled.EMPTY_BUFFER) {
-          body = context.alloc().buffer(bytes.readableBytes());
-        }
-        body.writeBytes(bytes);
+      if (!body.append(bytes)) {
+        refuseForMemory();
+        return;
       }
     } finally {
       content.release();
@@ -272,7 +268,7 @@
 
   private void completeRequest() {
     HttpRequest complete = head;
-    ByteBuf whole = body;
+    ByteBuf whole = body.take();
     head = null;
     body = null;
     undecided = true;
@@ -367,6 +363,11 @@
     releaseExchange();
   }
 
+  /** Closes the connection of a caller that takes too little of its stream. */
+  void disconnectSlowCaller() {
+    close(ConnectionClose.Reason.ANSWER_NOT_TAKEN, "unsentBytes " + unsentBytes());
+  }
+
   /** Returns whether the outbound buffer has room for more bytes. */
   public boolean writable() {
     return context.channel().isWritable();
@@ -417,14 +418,14 @@
 
   private void handlePipelined() {
     try {
-      while (exchange == null && !closing && !pipelined.isEmpty()) {
-        handleMessage(pipelined.pollFirst());
+      while (exchange == null && !closing && !pipelined.isEmpty() && writable()) {
+        handleMessage(pipelined.poll());
       }
     } catch (RuntimeException | Error failure) {
       fail(failure);
       return;
     }
-    if (pipelined.size() < MAX_PIPELINED_MESSAGES) {
+    if (!pipelined.full()) {
       context.channel().config().setAutoRead(true);
     }
   }
@@ -437,13 +438,22 @@
     }
   }
 
+  /** Refuses a request that was not read completely, so it has not run. */
+  private void refuseForMemory() {
+    rejectAndClose(localResponse(LocalAnswer.notRun("memory-short", MEMORY_RETRY_MILLIS)));
+  }
+
   private void rejectAndClose(HttpResponseStatus status) {
-    report(ConnectionClose.Reason.REFUSED_EARLY, String.valueOf(status.code()));
-    closing = true;
-    dropPartialRequest();
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    rejectAndClose(response);
+  }
+
+  private void rejectAndClose(FullHttpResponse response) {
+    report(ConnectionClose.Reason.REFUSED_EARLY, String.valueOf(response.status().code()));
+    closing = true;
+    dropPartialRequest();
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     context.writeAndFlush(response).addListener(written -> closeAfterInput());
   }
@@ -470,7 +480,9 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext changed) {
     if (exchange != null) {
-      listener.writabilityChanged(exchange.id(), changed.channel().isWritable());
+      listener.writabilityChanged(exchange.id(), writable());
+    } else if (writable()) {
+      changed.executor().execute(this::handlePipelined);
     }
   }
 
@@ -481,8 +493,7 @@
     }
     closing = true;
     dropPartialRequest();
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
+    pipelined.release();
     if (exchange != null) {
       CallerExchange abandoned = exchange;
       releaseExchange();
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -8,7 +8,6 @@
 import io.zinniawood.core.relay.AnswerSummary;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
-import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.EndpointStatement;
 import io.zinniawood.core.relay.LocalAnswer;
@@ -40,13 +39,15 @@
     implements CallerListener, EndpointListener {
   private final RelayState state;
   private final HeaderCodec codec;
+  private final MemoryBudget memory;
   private final Listener listener;
   private final RelayReducer reducer = new RelayReducer();
   private final EndpointConnectionPool connections;
   private final Deque<RelayEvent> pendingEvents = new ArrayDeque<>();
   private final Map<RelayRequestId, CallerExchange> callers = new HashMap<>();
   private final Map<RelayRequestId, EndpointExchange> attempts = new HashMap<>();
-  private final Map<RelayRequestId, PendingAnswer> pendingAnswers = new HashMap<>();
+  private final PendingAnswers pendingAnswers = new PendingAnswers();
+  private final UnsentStreams unsentStreams;
   private final EventLoop loop;
   private long lastTickNanos = System.nanoTime();
   private RequestLimits limits = RequestLimits.DEFAULT;
@@ -62,9 +63,6 @@
   /** Retry-After, in milliseconds, of a request that could not be decoded. */
   private static final long FAILURE_RETRY_MILLIS = 1_000;
 
-  /** A complete answer that waits for the reducer's decision. */
-  private record PendingAnswer(int attempt, HttpResponse head, ByteBuf content) {}
-
   /** Receives the effects that concern the process. */
   public interface Listener {
     /** The readiness changed. */
@@ -81,12 +79,16 @@
   }
 
   /** Creates a runtime; {@link #start} must be called before the first event. */
-  public RelayRuntime(RelayState state, HeaderCodec codec, EventLoop loop, Listener listener) {
+  public RelayRuntime(
+      RelayState state, HeaderCodec codec, EventLoop loop, MemoryBudget memory, Listener listener) {
+    this.memory = memory;
+    this.unsentStreams = new UnsentStreams(memory.account(MemoryUser.STREAMED_ANSWERS));
     this.state = state;
     this.codec = codec;
     this.listener = listener;
     this.loop = loop;
-    this.connections = new EndpointConnectionPool(loop, this);
+    this.connections =
+        new EndpointConnectionPool(loop, memory.account(MemoryUser.ENDPOINT_ANSWERS), this);
   }
 
   /**
@@ -141,7 +143,7 @@
     }
     if (event instanceof RelayEvent.AnswerReceived answer) {
       // The decision either relayed the answer or has no use for it.
-      releasePendingAnswer(answer.id());
+      pendingAnswers.release(answer.id());
     }
   }
 
@@ -163,6 +165,11 @@
     return limits;
   }
 
+  @Override
+  public MemoryAccount requestMemory() {
+    return memory.account(MemoryUser.CALLER_REQUESTS);
+  }
+
   @Override
   public boolean draining() {
     return state.terminating();
@@ -203,7 +210,7 @@
             if (callers.containsKey(exchange.id())) {
               post(arrived);
             } else {
-              logAbandonedRequest(request);
+              listener.decisionMade(new RelayEffect.LogDecision(exchange.abandoned()));
             }
           },
           LATE_REQUEST_DELAY_MILLIS,
@@ -211,23 +218,19 @@
     }
   }
 
-  private void logAbandonedRequest(CallerRequest request) {
-    listener.decisionMade(
-        new RelayEffect.LogDecision(
-            Decision.of(
-                "request-ended",
-                "request",
-                request.id().map(Object::toString).orElse("-"),
-                "outcome",
-                "caller-left",
-                "reason",
-                "before-decision")));
-  }
-
   /** Posts a tick and records its time, by which a late event loop is detected. */
   public void tick() {
     lastTickNanos = System.nanoTime();
     post(new RelayEvent.Tick());
+    limitUnsentStreams();
+  }
+
+  private void limitUnsentStreams() {
+    unsentStreams.limit(
+        callers.values().stream()
+            .filter(CallerExchange::headWritten)
+            .map(CallerExchange::connection)
+            .toList());
   }
 
   @Override
@@ -252,7 +255,7 @@
   @Override
   public void callerDisconnected(RelayRequestId id) {
     callers.remove(id);
-    releasePendingAnswer(id);
+    pendingAnswers.release(id);
     post(new RelayEvent.CallerDisconnected(id));
   }
 
@@ -267,6 +270,9 @@
     if (exchange != null && exchange.channel() != null) {
       exchange.channel().config().setAutoRead(writable);
     }
+    if (!writable) {
+      loop.execute(this::limitUnsentStreams);
+    }
   }
 
   // Connections to endpoints.
@@ -288,6 +294,8 @@
 
   @Override
   public void streamStarted(EndpointExchange exchange, HttpResponse head) {
+    // The caller may have become slow during an earlier attempt.
+    exchange.channel().config().setAutoRead(exchange.callerExchange().connection().writable());
     post(
         new RelayEvent.AnswerReceived(
             exchange.callerExchange().id(), exchange.attempt(), codec.summarize(head)));
@@ -408,8 +416,7 @@
       return;
     }
     RelayRequestId id = exchange.callerExchange().id();
-    releasePendingAnswer(id);
-    pendingAnswers.put(id, new PendingAnswer(exchange.attempt(), head, content));
+    pendingAnswers.put(id, head, content);
     post(new RelayEvent.AnswerReceived(id, exchange.attempt(), summary));
   }
 
@@ -466,7 +473,7 @@
               caller.splitter().lastId()));
       return;
     }
-    PendingAnswer answer = pendingAnswers.get(effect.id());
+    PendingAnswers.Answer answer = pendingAnswers.get(effect.id());
     if (answer == null) {
       exchange.markRelayed();
       return;
@@ -496,7 +503,7 @@
   /** Answers a request, or breaks its answer off if it has begun. */
   private void end(RelayRequestId id, LocalAnswer answer) {
     CallerExchange caller = callers.remove(id);
-    releasePendingAnswer(id);
+    pendingAnswers.release(id);
     if (caller != null && caller.headWritten()) {
       caller.connection().abort();
     } else if (caller != null) {
@@ -521,7 +528,7 @@
 
   @Override
   public void cancelAttempt(RelayEffect.CancelAttempt effect) {
-    releasePendingAnswer(effect.id());
+    pendingAnswers.release(effect.id());
     EndpointExchange exchange = attempts.get(effect.id());
     if (exchange != null && exchange.attempt() == effect.attempt() && !exchange.ended()) {
       attempts.remove(effect.id());
@@ -531,13 +538,6 @@
     }
   }
 
-  private void releasePendingAnswer(RelayRequestId id) {
-    PendingAnswer dropped = pendingAnswers.remove(id);
-    if (dropped != null) {
-      dropped.content().release();
-    }
-  }
-
   @Override
   public void repath(RelayEffect.Repath effect) {
     CallerExchange caller = callers.get(effect.id());
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
@@ -17,6 +17,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Plays endpoints in trouble that send bytes without end until the relay closes. */
 final class EndlessAnswerTest {
@@ -27,12 +29,13 @@
   /** Bytes after which an endpoint that is still read counts as endless. */
   private static final long ENDLESS_BYTES = 8 * 1024 * 1024;
 
-  private final BufferedAnswers buffered = new BufferedAnswers(MAX_TOTAL_BYTES, MAX_ANSWER_BYTES);
+  private final MemoryAccount memory =
+      new MemoryAccount(MAX_TOTAL_BYTES, MAX_ANSWER_BYTES, (used, limit) -> {});
   private final FakeEndpointListener listener = new FakeEndpointListener();
 
   private EmbeddedChannel connection() {
     EndpointHandler handler =
-        new EndpointHandler(listener, new EndpointConnectionPool(null, listener), buffered);
+        new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
     EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), handler);
     handler.beginExchange(
         new EndpointExchange(
@@ -89,7 +92,7 @@
     channel.writeInbound(bytes("HTTP/1.1 200 OK\r\n\r\n"));
     assertThat(sendUntilClosed(channel), lessThanOrEqualTo((long) MAX_ANSWER_BYTES + CHUNK_BYTES));
     assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
-    assertThat(buffered.totalBytes(), is(0L));
+    assertThat(memory.usedBytes(), is(0L));
   }
 
   // Each body alone would be short enough; all together must not fill the memory.
@@ -107,10 +110,56 @@
           channel.writeInbound(filler());
         }
       }
-      assertThat(buffered.totalBytes(), lessThanOrEqualTo((long) MAX_TOTAL_BYTES));
+      assertThat(memory.usedBytes(), lessThanOrEqualTo((long) MAX_TOTAL_BYTES));
     }
     channels.forEach(EmbeddedChannel::close);
-    assertThat(buffered.totalBytes(), is(0L));
+    assertThat(memory.usedBytes(), is(0L));
+  }
+
+  // Guards against requests that wait until their deadline for an endpoint that never answers them.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+        "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nTransfer-Encoding: chunked\r\n\r\n1;x=",
+        "HTTP/1.1 200 OK\r\nRequest-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+      })
+  void answerThatIsSkippedOrHasEndlessTrailersIsCutOff(String start) {
+    EmbeddedChannel channel = connection();
+    channel.writeInbound(bytes(start));
+    assertThat(sendUntilClosed(channel), lessThanOrEqualTo((long) MAX_ANSWER_BYTES + CHUNK_BYTES));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 103 Hint\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nContent-Length: 0\r\n\r\n"
+      })
+  void skippedAnswersWithoutEndAreCutOff(String answer) {
+    EmbeddedChannel channel = connection();
+    int sent = 0;
+    while (channel.isActive() && sent < 10_000) {
+      channel.writeInbound(bytes(answer));
+      sent++;
+    }
+    assertThat(sent, lessThanOrEqualTo(100));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+  }
+
+  // Guards against answers that slow callers do not take and nothing counts.
+  @Test
+  void completeAnswerCountsUntilItIsReleased() {
+    listener.keepContent = true;
+    EmbeddedChannel channel = connection();
+    channel.writeInbound(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + CHUNK_BYTES + "\r\n\r\n"));
+    channel.writeInbound(filler());
+    assertThat(listener.answers, is(List.of(200)));
+    assertThat(memory.usedBytes(), is((long) CHUNK_BYTES));
+    listener.kept.forEach(ByteBuf::release);
+    assertThat(memory.usedBytes(), is(0L));
   }
 
   @Test
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
@@ -20,6 +20,7 @@
   final List<RelayRequestId> abandoned = new ArrayList<>();
   final List<RelayRequestId> failed = new ArrayList<>();
   RequestLimits limits = RequestLimits.DEFAULT;
+  MemoryAccount memory = new MemoryAccount(16 * 1024 * 1024, 8 * 1024 * 1024, (used, limit) -> {});
   boolean draining;
   boolean failing;
   private CallerHandler connection;
@@ -29,6 +30,11 @@
     return limits;
   }
 
+  @Override
+  public MemoryAccount requestMemory() {
+    return memory;
+  }
+
   @Override
   public boolean draining() {
     return draining;
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -17,6 +17,8 @@
   final List<Integer> streams = new ArrayList<>();
   final List<Integer> heads = new ArrayList<>();
   final List<String> faults = new ArrayList<>();
+  final List<ByteBuf> kept = new ArrayList<>();
+  boolean keepContent;
   int completedStreams;
   boolean failing;
 
@@ -57,11 +59,16 @@
 
   @Override
   public void answerReceived(EndpointExchange exchange, HttpResponse head, ByteBuf content) {
-    content.release();
     if (failing) {
+      content.release();
       throw new IllegalStateException("fault in the delivery");
     }
     answers.add(head.status().code());
+    if (keepContent) {
+      kept.add(content);
+    } else {
+      content.release();
+    }
   }
 
   @Override
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -23,11 +23,10 @@
   private static final String ID = FakeEndpointListener.ID_HEADER + ": ";
 
   private final FakeEndpointListener listener = new FakeEndpointListener();
+  private final MemoryAccount memory =
+      new MemoryAccount(1024 * 1024, 64 * 1024, (used, limit) -> {});
   private final EndpointHandler handler =
-      new EndpointHandler(
-          listener,
-          new EndpointConnectionPool(null, listener),
-          new BufferedAnswers(1024 * 1024, 64 * 1024));
+      new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
   private final EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), handler);
 
   private void beginExchange(boolean streaming) {
@@ -98,6 +97,17 @@
     assertThat(listener.heads, is(List.of(200)));
   }
 
+  // Guards against a request on a kept connection that nobody reads as an earlier caller was slow.
+  @Test
+  void connectionIsReadAgainAfterItsAnswerWasPaused() {
+    beginExchange(true);
+    receive("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n\r\ndata:");
+    channel.config().setAutoRead(false);
+    receive(" x\n\n");
+    assertThat(listener.completedStreams, is(1));
+    assertThat(channel.config().isAutoRead(), is(true));
+  }
+
   @Test
   void refusalWithoutIdOnNewConnectionCounts() {
     beginExchange(false);
