Hold a request after three crashes although its copies overlap

Cause: three crashes counted only if the request was sent anew after each. Two copies of it were out at the first two crashes, so only two of the three counted, and all three fell into one moment of 100 ms.

Fix: one send after the first of three crashes suffices. Endpoints that fail together run copies that were all sent before the first crash, so hot requests are still not held for them.

--- a/core/src/main/java/io/zinniawood/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/CrashEvidence.java
@@ -27,8 +27,8 @@
   private static final double MIN_SCORE = 1.5;
 
   /**
-   * Crashes that suffice against a request whatever its wait, if it was sent anew after each: a
-   * sound request is seldom at so many.
+   * Crashes that suffice against a request whatever its wait, if it was sent anew after one of
+   * them: a sound request is seldom at so many.
    */
   private static final int SUFFICIENT_REQUEST_CRASHES = 3;
 
@@ -97,19 +97,16 @@
     return requests.size() > 1;
   }
 
-  private static boolean crashedInSequence(CrashSubject subject, List<CrashRecord> ordered) {
-    if (!(subject instanceof RequestFingerprint)) {
+  /**
+   * Returns whether a request was at sufficient crashes, also if copies of it overlapped. Endpoints
+   * that fail together run copies that were all sent before.
+   */
+  private static boolean crashedAnew(CrashSubject subject, List<CrashRecord> ordered) {
+    if (!(subject instanceof RequestFingerprint) || ordered.size() < SUFFICIENT_REQUEST_CRASHES) {
       return false;
     }
-    int crashes = 0;
-    long lastCrashNanos = 0;
-    for (CrashRecord crash : ordered) {
-      if (crashes == 0 || crash.sentNanos(subject) - lastCrashNanos >= 0) {
-        crashes++;
-        lastCrashNanos = crash.atNanos;
-      }
-    }
-    return crashes >= SUFFICIENT_REQUEST_CRASHES;
+    long firstCrashNanos = ordered.get(0).atNanos;
+    return ordered.stream().anyMatch(crash -> crash.sentNanos(subject) - firstCrashNanos >= 0);
   }
 
   private Optional<Suspect> suspect(CrashSubject subject, List<CrashRecord> crashes) {
@@ -131,7 +128,7 @@
     }
     score += momentWeight;
     boolean suspect = moments >= MIN_CRASHES && score >= MIN_SCORE;
-    if (!suspect && !crashedInSequence(subject, ordered)) {
+    if (!suspect && !crashedAnew(subject, ordered)) {
       return Optional.empty();
     }
     int position = ordered.get(0).find(subject).orElseThrow().position();
--- a/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
+++ b/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
@@ -281,6 +281,19 @@
     assertThat(quarantine.heldRequests(), is(1));
   }
 
+  // Copies of a request that overlap must not pass for crashes with a common cause.
+  @Test
+  void requestWhoseCopiesOverlapIsHeldAfterThreeCrashesOfOneMoment() {
+    crash(plainRequest("r1", 109));
+    advanceMillis(21);
+    crash(plainRequest("r1", 39), plainRequest("other", 223));
+    advanceMillis(75);
+    assertThat(holdsRequest("r1"), is(false));
+    crash(plainRequest("r1", 95), plainRequest("third", 2));
+    assertThat(holdsRequest("r1"), is(true));
+    assertThat(quarantine.heldRequests(), is(1));
+  }
+
   // Endpoints of a rack that fail together run many copies of a request that is asked for often.
   @Test
   void requestAtEndpointsThatFailTogetherIsNotHeld() {
