Count the wait of requests at a crash up to the crash itself

Cause: a crash has the time of the first connection that is lost to its endpoint, but each request's wait was measured when its own connection was lost, up to some ms later. The send, computed from the two, was too early.

Evidence: requestIsHeldAfterThreeCrashesThoughOthersLoseTheirConnectionsFirst failed before: the third crash of a repeated request did not count as one that followed a new send.

Fix: the wait ends with the crash.

--- a/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
@@ -53,7 +53,7 @@
   }
 
   private static void lostIn(RelayTurn turn, OpenRequest open, PendingCrash pending) {
-    pending.candidates.addAll(candidates(turn, open));
+    pending.candidates.addAll(candidates(open, pending));
     if (!open.request.sharedParts().isEmpty()) {
       open.lostInCrash = Optional.of(pending.id);
       open.lostNanos = turn.nowNanos;
@@ -79,9 +79,11 @@
     return turn.nowNanos - pending.atNanos >= UNDECIDED_NANOS;
   }
 
-  private static List<CrashCandidate> candidates(RelayTurn turn, OpenRequest open) {
+  private static List<CrashCandidate> candidates(OpenRequest open, PendingCrash pending) {
     StartOrder order = open.path.isPresent() ? StartOrder.ARRIVAL : StartOrder.UNKNOWN;
-    long waitedMillis = turn.millisSince(open.sentNanos);
+    // Connections to one endpoint are lost one after the other; the first loss is the crash.
+    long waitedMillis =
+        Math.max(0, TimeUnit.NANOSECONDS.toMillis(pending.atNanos - open.sentNanos));
     Optional<RequestFingerprint> request = Optional.of(open.fingerprint());
     List<CrashCandidate> candidates = new ArrayList<>();
     for (CrashSubject subject : open.crashSubjects()) {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
@@ -174,4 +174,34 @@
     alone.answerReceived(trial, 1, 200);
     assertThat(alone.state().heldRequests(), is(0));
   }
+
+  /** Ends the endpoint of a request's last send. */
+  private EndpointId crashEndpointOf(RelayRequestId id) {
+    List<RelayEffect.Send> sends = relay.sends(id);
+    RelayEffect.Send send = sends.get(sends.size() - 1);
+    relay.attemptFailed(id, send.attempt(), AttemptFailureCause.CONNECTION_LOST);
+    return send.options().expectedEndpoint();
+  }
+
+  // Guards against taking the send after a crash for one before it, as connections are lost one
+  // after the other.
+  @Test
+  void requestIsHeldAfterThreeCrashesThoughOthersLoseTheirConnectionsFirst() {
+    RelayRequestId second = relay.repeatable("long-read", "deadly");
+    RelayRequestId third = relay.repeatable("long-read", "deadly");
+    relay.post(new RelayEvent.ReportMissing(crashEndpointOf(second)));
+    EndpointId last = relay.sends(second).get(1).options().expectedEndpoint();
+    relay.post(new RelayEvent.ReportMissing(crashEndpointOf(third)));
+    List<RelayRequestId> others = new ArrayList<>();
+    while (others.isEmpty()
+        || !last.equals(
+            relay.sends(others.get(others.size() - 1)).get(0).options().expectedEndpoint())) {
+      others.add(relay.repeatable("long-book", "sound" + others.size()));
+    }
+    relay.advanceMillis(80);
+    crashEndpointOf(others.get(others.size() - 1));
+    relay.pauseMillis(2);
+    relay.post(new RelayEvent.ReportMissing(crashEndpointOf(second)));
+    assertThat(relay.state().heldRequests(), is(1));
+  }
 }
