Keep a request that was at a crash from being sent while the next is undecided

Cause: only requests with shared parts wait for the report that decides a crash. All others are sent again at once, so each copy crashes max_attempts endpoints before the evidence of the first crash is weighed.

Evidence: requestThatWasAtAnEarlierCrashIsNotSentBeforeTheNextCrashIsDecided failed before: two sends, one expected.

A request that is lost for the first time is still sent again at once.

--- a/core/src/main/java/io/zinniawood/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/CrashQuarantine.java
@@ -123,6 +123,12 @@
     return false;
   }
 
+  /** Returns whether a subject may be the cause of another crash than the given one. */
+  public boolean atOtherCrash(CrashSubject subject, CrashId crash) {
+    return crashesById.values().stream()
+        .anyMatch(record -> !record.id.equals(crash) && record.mayBeCause(subject, history));
+  }
+
   /**
    * Records the first event of a request, which shows that none of its subjects crashes endpoints.
    */
--- a/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
@@ -54,7 +54,8 @@
 
   private static void lostIn(RelayTurn turn, OpenRequest open, PendingCrash pending) {
     pending.candidates.addAll(candidates(open, pending));
-    if (!open.request.sharedParts().isEmpty()) {
+    if (!open.request.sharedParts().isEmpty()
+        || turn.state.quarantine.atOtherCrash(open.fingerprint(), pending.id)) {
       open.lostInCrash = Optional.of(pending.id);
       open.lostNanos = turn.nowNanos;
     }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
@@ -183,6 +183,23 @@
     return send.options().expectedEndpoint();
   }
 
+  // Guards against sending a request once more that was at an earlier crash, before it is known
+  // whether its endpoint has crashed again.
+  @Test
+  void requestThatWasAtAnEarlierCrashIsNotSentBeforeTheNextCrashIsDecided() {
+    RelayRequestId first = relay.repeatable("long-book", "deadly");
+    relay.post(new RelayEvent.ReportMissing(crashEndpointOf(first)));
+    relay.advanceMillis(1_000);
+    RelayRequestId next = relay.repeatable("long-read", "deadly");
+    relay.advanceMillis(20);
+    EndpointId endpoint = crashEndpointOf(next);
+    relay.advanceMillis(10);
+    relay.post(new RelayEvent.ReportMissing(endpoint));
+    relay.advanceMillis(1_000);
+    assertThat(relay.sends(next), hasSize(1));
+    assertThat(relay.state().heldRequests(), is(1));
+  }
+
   // Guards against taking the send after a crash for one before it, as connections are lost one
   // after the other.
   @Test
