Leave room for crashes in notices while many subjects are held

What callers saw: nothing yet; found in review.

Cause: a notice lists held subjects first and has room for 28 requests. With as many held, no crash was told any more, so each relay weighed only the crashes that it saw itself, and a further request could crash two endpoints per relay.

Evidence: crashIsToldWhileManyRequestsAreHeld failed before: two crashes of one request, seen by two relays, did not hold it.

Fix: held subjects take half of a notice. They take turns already, so 64 are told within five notices, 1.25 s.

--- a/core/src/main/java/io/zinniawood/core/quarantine/NoticeBuilder.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/NoticeBuilder.java
@@ -13,6 +13,9 @@
   /** Maximum size of the ids with their figures; a packet has about 1,400 bytes. */
   private static final int MAX_CHARACTERS = 900;
 
+  /** Maximum size of the held subjects, which take turns, so that crashes find room. */
+  private static final int MAX_HELD_CHARACTERS = 450;
+
   /** Space of the figures of an entry, in addition to the id. */
   private static final int ENTRY_CHARACTERS = 16;
 
@@ -27,7 +30,7 @@
 
   private final SubjectHistory history;
   private final long nowNanos;
-  private int freeCharacters = MAX_CHARACTERS;
+  private int freeCharacters = MAX_HELD_CHARACTERS;
 
   NoticeBuilder(SubjectHistory history, long nowNanos) {
     this.history = history;
@@ -47,6 +50,7 @@
                     subject, state.crashes, state.failedTrials, ageMillis(state.lastCrashNanos)));
           }
         });
+    freeCharacters += MAX_CHARACTERS - MAX_HELD_CHARACTERS;
     List<SoundSubjectNotice> sound = new ArrayList<>();
     releases.all().forEach(subject -> addSound(subject, nowNanos - RELEASE_NANOS, sound));
     List<CrashRecord> recent = new ArrayList<>();
--- a/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
+++ b/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
@@ -341,6 +341,24 @@
     assertThat(other.heldRequests(), is(48));
   }
 
+  // Crashes must reach the other routers also while many subjects are held.
+  @Test
+  void crashIsToldWhileManyRequestsAreHeld() {
+    for (int number = 0; number < 48; number++) {
+      for (int crash = 0; crash < 2; crash++) {
+        crash(request("%016d".formatted(number), 150));
+        advanceMillis(150);
+      }
+    }
+    CrashQuarantine other = new CrashQuarantine();
+    crash(request("r1", 150));
+    other.noticeReceived(quarantine.notice(nowNanos), nowNanos);
+    advanceMillis(500);
+    CrashId far = new CrashId(new EndpointId("far"), 1);
+    other.crashed(far, nowNanos, List.of(request("r1", 150)), nowNanos);
+    assertThat(other.held(List.of(new RequestFingerprint("r1"))).size(), is(1));
+  }
+
   // A request that nobody sends any more must not be kept and told for good.
   @Test
   void heldRequestThatDoesNotComeAgainIsForgotten() {
