Check endpoints again whose crash fell into a pause of the relay

What callers saw: nothing yet; found in review.

Cause: for 300 ms after a pause a missing report is no evidence, and nothing asked for it again. The crash was dropped after a second, and the request under which it happened could be sent on.

Evidence: crashDuringPauseOfThisProcessIsCheckedAgain failed before: two such crashes left nothing held.

Fix: the tick after that time asks again for each crash that is undecided.

--- a/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.CrashSubject;
+import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.RequestFingerprint;
 import io.zinniawood.core.quarantine.CrashCandidate;
 import io.zinniawood.core.quarantine.CrashId;
@@ -173,9 +174,20 @@
     return only;
   }
 
-  /** Drops lost connections for which no report was decided, as after a pause of this process. */
+  /**
+   * Drops lost connections for which no report was decided in time, and asks again for those whose
+   * missing report was no evidence, as this process had paused.
+   */
   static void tick(RelayTurn turn) {
     turn.state.pendingCrashes.values().removeIf(pending -> overdue(turn, pending));
+    if (!EndpointHealthChecks.catchingUp(turn)) {
+      for (EndpointId endpoint : turn.state.pendingCrashes.keySet()) {
+        turn.state
+            .fleet
+            .find(endpoint)
+            .ifPresent(found -> EndpointHealthChecks.checkNow(turn, found));
+      }
+    }
   }
 
   /** Handles the first event of an attempt, or an answer: the endpoint runs the request. */
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
@@ -221,4 +221,27 @@
     relay.post(new RelayEvent.ReportMissing(crashEndpointOf(second)));
     assertThat(relay.state().heldRequests(), is(1));
   }
+
+  // Guards against forgetting a crash whose check falls into a pause of this process.
+  @Test
+  void crashDuringPauseOfThisProcessIsCheckedAgain() {
+    for (int crash = 0; crash < 2; crash++) {
+      RelayRequestId id = relay.repeatable("long-book", "deadly");
+      relay.tickAfterMillis(300);
+      EndpointId endpoint = crashEndpointOf(id);
+      relay.post(new RelayEvent.ReportMissing(endpoint));
+      long checks = checksOf(endpoint);
+      relay.advanceMillis(400);
+      if (checksOf(endpoint) > checks) {
+        relay.post(new RelayEvent.ReportMissing(endpoint));
+      }
+    }
+    assertThat(relay.state().heldRequests(), is(1));
+  }
+
+  private long checksOf(EndpointId endpoint) {
+    return relay.effectsOf(RelayEffect.ReadReport.class).stream()
+        .filter(read -> read.endpoint().equals(endpoint))
+        .count();
+  }
 }
