Wait before the next trial of a held subject if the last one is undecided

What callers saw: nothing yet; found in review.

Cause: a trial that ended without an event or a confirmed crash, as its caller left or its crash was missed, was repeated after 2 s, without limit.

Evidence: trialWithoutKnownOutcomeIsNotRepeatedAtOnce failed before: the next trial was sent 3 s after the caller had left.

Fix: after a trial that may have run the next one is due 30 s later; one that is known not to have run may still be repeated after 2 s.

--- a/core/src/main/java/io/zinniawood/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/CrashQuarantine.java
@@ -87,11 +87,15 @@
     heldBySubject.get(subject).trialRunning = true;
   }
 
-  /** Records that the trial request ended, whatever its outcome. */
-  public void trialEnded(CrashSubject subject, long nowNanos) {
+  /**
+   * Records that the trial request ended, whatever its outcome.
+   *
+   * @param mayHaveRun whether an endpoint may have begun to run the request
+   */
+  public void trialEnded(CrashSubject subject, boolean mayHaveRun, long nowNanos) {
     HeldSubject held = heldBySubject.get(subject);
     if (held != null) {
-      held.trialEnded(nowNanos);
+      held.trialEnded(nowNanos, mayHaveRun);
     }
   }
 
--- a/core/src/main/java/io/zinniawood/core/quarantine/HeldSubject.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/HeldSubject.java
@@ -36,7 +36,7 @@
 
   private final int maxDoublings;
   private boolean trialEnded;
-  private long trialEndNanos;
+  private long nextTrialNanos;
 
   HeldSubject(CrashSubject subject, int crashes, long lastCrashNanos) {
     this.maxDoublings =
@@ -64,17 +64,21 @@
     failedTrials = Math.max(failedTrials, notice.failedTrials());
   }
 
-  /** Records the end of a trial request; whether it crashed an endpoint is known a little later. */
-  void trialEnded(long atNanos) {
+  /**
+   * Records the end of a trial request; whether it crashed an endpoint is known a little later, or
+   * never.
+   *
+   * @param mayHaveRun whether an endpoint may have begun to run the request
+   */
+  void trialEnded(long atNanos, boolean mayHaveRun) {
     trialRunning = false;
     trialEnded = true;
-    trialEndNanos = atNanos;
+    nextTrialNanos = atNanos + (mayHaveRun ? FIRST_HOLD_NANOS : TRIAL_DISTANCE_NANOS);
   }
 
   /** Returns whether a trial request may be sent. */
   boolean trialDue(long nowNanos) {
-    boolean undecided = trialEnded && nowNanos - trialEndNanos < TRIAL_DISTANCE_NANOS;
-    return !trialRunning && !undecided && nowNanos - trialNanos() >= 0;
+    return !trialRunning && nowNanos - trialNanos() >= 0;
   }
 
   /** Returns whether no request came long after a trial was due, so that nothing is to be held. */
@@ -84,6 +88,7 @@
 
   /** Returns the time from which a single request may be sent to try the subject again. */
   long trialNanos() {
-    return lastCrashNanos + (FIRST_HOLD_NANOS << Math.min(failedTrials, maxDoublings));
+    long holdEndNanos = lastCrashNanos + (FIRST_HOLD_NANOS << Math.min(failedTrials, maxDoublings));
+    return trialEnded && nextTrialNanos - holdEndNanos > 0 ? nextTrialNanos : holdEndNanos;
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
@@ -260,7 +260,8 @@
 
   /** Records that a trial request is no longer at an endpoint. */
   static void trialEnded(RelayTurn turn, OpenRequest open) {
-    open.trialOf.ifPresent(subject -> turn.state.quarantine.trialEnded(subject, turn.nowNanos));
+    open.trialOf.ifPresent(
+        subject -> turn.state.quarantine.trialEnded(subject, open.possibleRuns > 0, turn.nowNanos));
     open.trialOf = Optional.empty();
   }
 
--- a/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
+++ b/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
@@ -156,7 +156,7 @@
       assertThat(quarantine.trialDue(DEADLY, nowNanos), is(false));
       advanceMillis(200);
       crash(candidate("deadly", 150, 0));
-      quarantine.trialEnded(DEADLY, nowNanos);
+      quarantine.trialEnded(DEADLY, true, nowNanos);
       assertThat(quarantine.trialDue(DEADLY, nowNanos), is(false));
     }
     assertThat(waits, is(List.of(30L, 60L, 120L)));
--- a/core/src/test/java/io/zinniawood/core/quarantine/QuarantineDrawnCasesTest.java
+++ b/core/src/test/java/io/zinniawood/core/quarantine/QuarantineDrawnCasesTest.java
@@ -168,7 +168,7 @@
           return;
         }
         quarantine.trialStarted(held);
-        quarantine.trialEnded(held, nowNanos());
+        quarantine.trialEnded(held, true, nowNanos());
       }
       send(router, parts, fingerprint, withDeadly);
     }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
@@ -244,4 +244,25 @@
         .filter(read -> read.endpoint().equals(endpoint))
         .count();
   }
+
+  // Guards against one trial after the other of a held request if their outcome stays unknown.
+  @Test
+  void trialWithoutKnownOutcomeIsNotRepeatedAtOnce() {
+    RelayHarness alone = new RelayHarness();
+    alone.list(alone.plain("p0"), alone.plain("p1"), alone.plain("p2"), alone.plain("p3"));
+    for (int crash = 0; crash < 2; crash++) {
+      RelayRequestId id = alone.repeatable("long-book", "deadly");
+      alone.attemptFailed(id, 1, AttemptFailureCause.CONNECTION_LOST);
+      alone.post(new RelayEvent.ReportMissing(alone.sends(id).get(0).options().expectedEndpoint()));
+      alone.advanceMillis(500);
+    }
+    alone.advanceMillis(31_000);
+    RelayRequestId trial = alone.repeatable("long-book", "deadly");
+    alone.post(new RelayEvent.CallerDisconnected(trial));
+    assertThat(alone.sends(trial), hasSize(1));
+    alone.advanceMillis(3_000);
+    assertThat(alone.sends(alone.repeatable("long-book", "deadly")), hasSize(0));
+    alone.advanceMillis(30_000);
+    assertThat(alone.sends(alone.repeatable("long-book", "deadly")), hasSize(1));
+  }
 }
