Draw crashing requests of plain endpoints as well

The drawn cases ranked all candidates by their wait, as endpoints of a model do; for plain ones the wait is unknown.

--- a/core/src/test/java/io/zinniawood/core/quarantine/QuarantineDrawnCasesTest.java
+++ b/core/src/test/java/io/zinniawood/core/quarantine/QuarantineDrawnCasesTest.java
@@ -39,13 +39,16 @@
 
   /** What crashes endpoints in a case, and the crashes by it that the users allow freely. */
   private enum Cause {
-    PART(5),
-    REQUEST(3);
+    PART(5, StartOrder.ARRIVAL),
+    REQUEST(3, StartOrder.ARRIVAL),
+    PLAIN_REQUEST(3, StartOrder.UNKNOWN);
 
     final int freeCrashes;
+    final StartOrder startOrder;
 
-    Cause(int freeCrashes) {
+    Cause(int freeCrashes, StartOrder startOrder) {
       this.freeCrashes = freeCrashes;
+      this.startOrder = startOrder;
     }
   }
 
@@ -141,14 +144,16 @@
       List<PromptPartId> parts = new ArrayList<>();
       // A few openings are used much more often than the others.
       int opening = (int) (OPENINGS * random.nextDouble() * random.nextDouble());
-      parts.add(new PromptPartId("opening-" + opening));
+      if (cause != Cause.PLAIN_REQUEST) {
+        parts.add(new PromptPartId("opening-" + opening));
+      }
       if (withDeadly && cause == Cause.PART) {
         parts.add(deadly);
-      } else if (random.nextInt(4) == 0) {
+      } else if (cause != Cause.PLAIN_REQUEST && random.nextInt(4) == 0) {
         parts.add(new PromptPartId("subject-" + random.nextInt(200)));
       }
       RequestFingerprint fingerprint =
-          withDeadly && cause == Cause.REQUEST
+          withDeadly && cause != Cause.PART
               ? deadlyRequest
               : new RequestFingerprint("request-" + requests++);
       arrive(parts, fingerprint, withDeadly);
@@ -221,7 +226,7 @@
                   new CrashCandidate(
                       subjects.get(position),
                       nowMillis - request.sentMillis(),
-                      StartOrder.ARRIVAL,
+                      cause.startOrder,
                       position,
                       Optional.of(request.fingerprint())));
             }
@@ -267,6 +272,13 @@
     playCases(seed, Cause.REQUEST);
   }
 
+  // Guards against the same where endpoints run several requests at a time.
+  @ParameterizedTest
+  @ValueSource(longs = {7, 8, 9})
+  void crashesByPlainRequestEndAndSoundRequestsPass(long seed) {
+    playCases(seed, Cause.PLAIN_REQUEST);
+  }
+
   private static void playCases(long seed, Cause cause) {
     int crashes = 0;
     for (int number = 0; number < CASES_PER_SEED; number++) {
