Stop fingerprinting requests once the evidence of a crash has expired

What callers saw: nothing; found in review.

Cause: records of crashes expire only when new evidence is weighed. Without any, the fingerprint of every answered request was computed for good after one crash, not for five minutes.

Evidence: requestIsSuspectedOnlyWhileItsCrashIsEvidence failed before: still suspected six minutes after the only crash.

Fix: a crash that is older than its time does not count.

--- a/core/src/main/java/io/zinniawood/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/CrashQuarantine.java
@@ -69,9 +69,10 @@
   }
 
   /** Returns whether the first events of requests are evidence for one of them. */
-  public boolean suspectsRequests() {
+  public boolean suspectsRequests(long nowNanos) {
     return heldRequests() > 0
         || crashesById.values().stream()
+            .filter(crash -> nowNanos - crash.atNanos <= EVIDENCE_NANOS)
             .flatMap(crash -> crash.candidates().stream())
             .anyMatch(candidate -> isRequest(candidate.subject()));
   }
--- a/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
@@ -195,7 +195,9 @@
     open.lostInCrash = Optional.empty();
     CrashQuarantine quarantine = turn.state.quarantine;
     List<? extends CrashSubject> subjects =
-        quarantine.suspectsRequests() ? open.crashSubjects() : open.request.sharedParts();
+        quarantine.suspectsRequests(turn.nowNanos)
+            ? open.crashSubjects()
+            : open.request.sharedParts();
     if (!subjects.isEmpty()) {
       apply(turn, quarantine.firstEvent(subjects, turn.nowNanos));
     }
--- a/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
+++ b/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
@@ -359,6 +359,16 @@
     assertThat(other.held(List.of(new RequestFingerprint("r1"))).size(), is(1));
   }
 
+  // Each answer costs a fingerprint of its request while requests are suspected.
+  @Test
+  void requestIsSuspectedOnlyWhileItsCrashIsEvidence() {
+    crash(plainRequest("r1", 20));
+    advanceMillis(TimeUnit.MINUTES.toMillis(4));
+    assertThat(quarantine.suspectsRequests(nowNanos), is(true));
+    advanceMillis(TimeUnit.MINUTES.toMillis(2));
+    assertThat(quarantine.suspectsRequests(nowNanos), is(false));
+  }
+
   // A request that nobody sends any more must not be kept and told for good.
   @Test
   void heldRequestThatDoesNotComeAgainIsForgotten() {
