--- a/core/src/main/java/io/zinniawood/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/io/zinniawood/core/quarantine/CrashQuarantine.java
@@ -69,9 +69,10 @@
   }
 
   /** Returns whether the first events of requests are evidence for one of them. */
-  public boolean suspectsRequests() {
+  public boolean suspectsRequests(long nowNanos) {
     return heldRequests() > 0
         || crashesById.values().stream()
+            .filter(crash -> nowNanos - crash.atNanos <= EVIDENCE_NANOS)
             .flatMap(crash -> crash.candidates().stream())
             .anyMatch(candidate -> isRequest(candidate.subject()));
   }
@@ -87,11 +88,15 @@
     heldBySubject.get(subject).trialRunning = true;
   }
 
-  /** Records that the trial request ended, whatever its outcome. */
-  public void trialEnded(CrashSubject subject, long nowNanos) {
+  /**
+   * Records that the trial request ended, whatever its outcome.
+   *
+   * @param mayHaveRun whether an endpoint may have begun to run the request
+   */
+  public void trialEnded(CrashSubject subject, boolean mayHaveRun, long nowNanos) {
     HeldSubject held = heldBySubject.get(subject);
     if (held != null) {
-      held.trialEnded(nowNanos);
+      held.trialEnded(nowNanos, mayHaveRun);
     }
   }
 
@@ -123,6 +128,12 @@
     return false;
   }
 
+  /** Returns whether a subject may be the cause of another crash than the given one. */
+  public boolean atOtherCrash(CrashSubject subject, CrashId crash) {
+    return crashesById.values().stream()
+        .anyMatch(record -> !record.id.equals(crash) && record.mayBeCause(subject, history));
+  }
+
   /**
    * Records the first event of a request, which shows that none of its subjects crashes endpoints.
    */
--- a/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
+++ b/core/src/main/java/io/zinniawood/core/relay/CrashWatch.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.CrashSubject;
+import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.RequestFingerprint;
 import io.zinniawood.core.quarantine.CrashCandidate;
 import io.zinniawood.core.quarantine.CrashId;
@@ -53,8 +54,9 @@
   }
 
   private static void lostIn(RelayTurn turn, OpenRequest open, PendingCrash pending) {
-    pending.candidates.addAll(candidates(turn, open));
-    if (!open.request.sharedParts().isEmpty()) {
+    pending.candidates.addAll(candidates(open, pending));
+    if (!open.request.sharedParts().isEmpty()
+        || turn.state.quarantine.atOtherCrash(open.fingerprint(), pending.id)) {
       open.lostInCrash = Optional.of(pending.id);
       open.lostNanos = turn.nowNanos;
     }
@@ -79,9 +81,11 @@
     return turn.nowNanos - pending.atNanos >= UNDECIDED_NANOS;
   }
 
-  private static List<CrashCandidate> candidates(RelayTurn turn, OpenRequest open) {
+  private static List<CrashCandidate> candidates(OpenRequest open, PendingCrash pending) {
     StartOrder order = open.path.isPresent() ? StartOrder.ARRIVAL : StartOrder.UNKNOWN;
-    long waitedMillis = turn.millisSince(open.sentNanos);
+    // Connections to one endpoint are lost one after the other; the first loss is the crash.
+    long waitedMillis =
+        Math.max(0, TimeUnit.NANOSECONDS.toMillis(pending.atNanos - open.sentNanos));
     Optional<RequestFingerprint> request = Optional.of(open.fingerprint());
     List<CrashCandidate> candidates = new ArrayList<>();
     for (CrashSubject subject : open.crashSubjects()) {
@@ -170,9 +174,20 @@
     return only;
   }
 
-  /** Drops lost connections for which no report was decided, as after a pause of this process. */
+  /**
+   * Drops lost connections for which no report was decided in time, and asks again for those whose
+   * missing report was no evidence, as this process had paused.
+   */
   static void tick(RelayTurn turn) {
     turn.state.pendingCrashes.values().removeIf(pending -> overdue(turn, pending));
+    if (!EndpointHealthChecks.catchingUp(turn)) {
+      for (EndpointId endpoint : turn.state.pendingCrashes.keySet()) {
+        turn.state
+            .fleet
+            .find(endpoint)
+            .ifPresent(found -> EndpointHealthChecks.checkNow(turn, found));
+      }
+    }
   }
 
   /** Handles the first event of an attempt, or an answer: the endpoint runs the request. */
@@ -180,7 +195,9 @@
     open.lostInCrash = Optional.empty();
     CrashQuarantine quarantine = turn.state.quarantine;
     List<? extends CrashSubject> subjects =
-        quarantine.suspectsRequests() ? open.crashSubjects() : open.request.sharedParts();
+        quarantine.suspectsRequests(turn.nowNanos)
+            ? open.crashSubjects()
+            : open.request.sharedParts();
     if (!subjects.isEmpty()) {
       apply(turn, quarantine.firstEvent(subjects, turn.nowNanos));
     }
@@ -245,7 +262,8 @@
 
   /** Records that a trial request is no longer at an endpoint. */
   static void trialEnded(RelayTurn turn, OpenRequest open) {
-    open.trialOf.ifPresent(subject -> turn.state.quarantine.trialEnded(subject, turn.nowNanos));
+    open.trialOf.ifPresent(
+        subject -> turn.state.quarantine.trialEnded(subject, open.possibleRuns > 0, turn.nowNanos));
     open.trialOf = Optional.empty();
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
@@ -174,4 +174,95 @@
     alone.answerReceived(trial, 1, 200);
     assertThat(alone.state().heldRequests(), is(0));
   }
+
+  /** Ends the endpoint of a request's last send. */
+  private EndpointId crashEndpointOf(RelayRequestId id) {
+    List<RelayEffect.Send> sends = relay.sends(id);
+    RelayEffect.Send send = sends.get(sends.size() - 1);
+    relay.attemptFailed(id, send.attempt(), AttemptFailureCause.CONNECTION_LOST);
+    return send.options().expectedEndpoint();
+  }
+
+  // Guards against sending a request once more that was at an earlier crash, before it is known
+  // whether its endpoint has crashed again.
+  @Test
+  void requestThatWasAtAnEarlierCrashIsNotSentBeforeTheNextCrashIsDecided() {
+    RelayRequestId first = relay.repeatable("long-book", "deadly");
+    relay.post(new RelayEvent.ReportMissing(crashEndpointOf(first)));
+    relay.advanceMillis(1_000);
+    RelayRequestId next = relay.repeatable("long-read", "deadly");
+    relay.advanceMillis(20);
+    EndpointId endpoint = crashEndpointOf(next);
+    relay.advanceMillis(10);
+    relay.post(new RelayEvent.ReportMissing(endpoint));
+    relay.advanceMillis(1_000);
+    assertThat(relay.sends(next), hasSize(1));
+    assertThat(relay.state().heldRequests(), is(1));
+  }
+
+  // Guards against taking the send after a crash for one before it, as connections are lost one
+  // after the other.
+  @Test
+  void requestIsHeldAfterThreeCrashesThoughOthersLoseTheirConnectionsFirst() {
+    RelayRequestId second = relay.repeatable("long-read", "deadly");
+    RelayRequestId third = relay.repeatable("long-read", "deadly");
+    relay.post(new RelayEvent.ReportMissing(crashEndpointOf(second)));
+    EndpointId last = relay.sends(second).get(1).options().expectedEndpoint();
+    relay.post(new RelayEvent.ReportMissing(crashEndpointOf(third)));
+    List<RelayRequestId> others = new ArrayList<>();
+    while (others.isEmpty()
+        || !last.equals(
+            relay.sends(others.get(others.size() - 1)).get(0).options().expectedEndpoint())) {
+      others.add(relay.repeatable("long-book", "sound" + others.size()));
+    }
+    relay.advanceMillis(80);
+    crashEndpointOf(others.get(others.size() - 1));
+    relay.pauseMillis(2);
+    relay.post(new RelayEvent.ReportMissing(crashEndpointOf(second)));
+    assertThat(relay.state().heldRequests(), is(1));
+  }
+
+  // Guards against forgetting a crash whose check falls into a pause of this process.
+  @Test
+  void crashDuringPauseOfThisProcessIsCheckedAgain() {
+    for (int crash = 0; crash < 2; crash++) {
+      RelayRequestId id = relay.repeatable("long-book", "deadly");
+      relay.tickAfterMillis(300);
+      EndpointId endpoint = crashEndpointOf(id);
+      relay.post(new RelayEvent.ReportMissing(endpoint));
+      long checks = checksOf(endpoint);
+      relay.advanceMillis(400);
+      if (checksOf(endpoint) > checks) {
+        relay.post(new RelayEvent.ReportMissing(endpoint));
+      }
+    }
+    assertThat(relay.state().heldRequests(), is(1));
+  }
+
+  private long checksOf(EndpointId endpoint) {
+    return relay.effectsOf(RelayEffect.ReadReport.class).stream()
+        .filter(read -> read.endpoint().equals(endpoint))
+        .count();
+  }
+
+  // Guards against one trial after the other of a held request if their outcome stays unknown.
+  @Test
+  void trialWithoutKnownOutcomeIsNotRepeatedAtOnce() {
+    RelayHarness alone = new RelayHarness();
+    alone.list(alone.plain("p0"), alone.plain("p1"), alone.plain("p2"), alone.plain("p3"));
+    for (int crash = 0; crash < 2; crash++) {
+      RelayRequestId id = alone.repeatable("long-book", "deadly");
+      alone.attemptFailed(id, 1, AttemptFailureCause.CONNECTION_LOST);
+      alone.post(new RelayEvent.ReportMissing(alone.sends(id).get(0).options().expectedEndpoint()));
+      alone.advanceMillis(500);
+    }
+    alone.advanceMillis(31_000);
+    RelayRequestId trial = alone.repeatable("long-book", "deadly");
+    alone.post(new RelayEvent.CallerDisconnected(trial));
+    assertThat(alone.sends(trial), hasSize(1));
+    alone.advanceMillis(3_000);
+    assertThat(alone.sends(alone.repeatable("long-book", "deadly")), hasSize(0));
+    alone.advanceMillis(30_000);
+    assertThat(alone.sends(alone.repeatable("long-book", "deadly")), hasSize(1));
+  }
 }
