End only the request concerned when a decision of the entry fails

What callers saw: a request whose decision threw an exception got neither an answer nor a refusal, or waited for its deadline; the other calls at the same lost endpoint waited as well, and a periodic tick (lease, maintenance) that failed once never ran again.

Cause: the event loop drops an event whose reduction throws. The arrival, the message or the timer was lost with all that it had to do for others.

Now the reducer contains the failure as the relay does: the state is immutable, so changes and effects of the failed decision are dropped as a whole and what was sent stays known. The request concerned ends with an `internal` problem, `unknown` if an attempt or input may have run and `not-run` otherwise; one that had just arrived is refused. Loops over the requests of an endpoint and the parts of a change of the configuration are contained one by one. A timer that concerns no request is started again, and a connection whose event failed is opened again. Each failure is an incident (`decision_failed`) with exception and place, so it has a log line and a metric. The description of an exception is shared with the relay.

--- a/core/src/main/java/io/zinniawood/core/entry/AttemptFailures.java
+++ b/core/src/main/java/io/zinniawood/core/entry/AttemptFailures.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.entry;
 
+import io.vavr.control.Option;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Incarnation;
 import io.zinniawood.core.message.Message;
@@ -8,6 +9,7 @@
 import io.zinniawood.core.model.Problem;
 import io.zinniawood.core.model.ProblemType;
 import io.zinniawood.core.model.RefusalReason;
+import java.util.function.Consumer;
 
 /**
  * Handles refused and cancelled attempts of service calls, and lost or restored connections to
@@ -120,28 +122,44 @@
 
   /** Handles the calls of an endpoint that cannot be reached; its attempts may still run. */
   static void endpointUnreachable(Turn turn, EndpointId endpoint) {
+    forEachCallAt(
+        turn,
+        endpoint,
+        "endpoint-unreachable",
+        request -> {
+          if (request.current().get().phase() != AttemptPhase.RELEASING) {
+            Attempts.agentUnreachable(turn, request);
+          }
+        });
+  }
+
+  /** Handles each call whose current attempt is at an endpoint; a failure ends only that call. */
+  private static void forEachCallAt(
+      Turn turn, EndpointId endpoint, String subject, Consumer<ServiceRequest> handler) {
     for (ServiceRequest request : OpenRequests.callsAt(turn, endpoint)) {
-      if (request.current().get().phase() != AttemptPhase.RELEASING) {
-        Attempts.agentUnreachable(turn, request);
-      }
+      FailureContainment.run(
+          turn, subject, Option.some(request.id()), () -> handler.accept(request));
     }
   }
 
   /** Handles the calls of an incarnation that ended, and with it the attempts that it ran. */
   static void incarnationEnded(Turn turn, EndpointId endpoint, Incarnation ended) {
-    for (ServiceRequest request : OpenRequests.callsAt(turn, endpoint)) {
-      Attempt attempt = request.current().get();
-      if (!attempt.incarnation().equals(ended) || attempt.phase() == AttemptPhase.RELEASING) {
-        continue;
-      }
-      if (request.usesClaim() || request.isIdempotent()) {
-        Attempts.agentUnreachable(turn, request);
-      } else {
-        RequestCompletion.failService(
-            turn,
-            request,
-            Problem.unknown(ProblemType.ENDPOINT_FAILED, "the endpoint restarted during the call"));
-      }
+    forEachCallAt(
+        turn, endpoint, "incarnation-ended", request -> incarnationEnded(turn, request, ended));
+  }
+
+  private static void incarnationEnded(Turn turn, ServiceRequest request, Incarnation ended) {
+    Attempt attempt = request.current().get();
+    if (!attempt.incarnation().equals(ended) || attempt.phase() == AttemptPhase.RELEASING) {
+      return;
+    }
+    if (request.usesClaim() || request.isIdempotent()) {
+      Attempts.agentUnreachable(turn, request);
+    } else {
+      RequestCompletion.failService(
+          turn,
+          request,
+          Problem.unknown(ProblemType.ENDPOINT_FAILED, "the endpoint restarted during the call"));
     }
   }
 
@@ -150,19 +168,22 @@
    * the old connection may be lost.
    */
   static void endpointReconnected(Turn turn, EndpointId endpoint, Incarnation incarnation) {
-    for (ServiceRequest request : OpenRequests.callsAt(turn, endpoint)) {
-      Attempt attempt = request.current().get();
-      if (!attempt.incarnation().equals(incarnation)) {
-        continue;
-      }
-      boolean cancelSent =
-          attempt.phase() == AttemptPhase.CANCELLING
-              || (attempt.phase() == AttemptPhase.RUNNING && !request.isIdempotent());
-      if (attempt.isOwn() && cancelSent) {
-        Attempts.sendCancel(turn, request, attempt);
-      } else if (attempt.phase() != AttemptPhase.RELEASING) {
-        Attempts.send(turn, request, attempt);
-      }
+    forEachCallAt(
+        turn, endpoint, "endpoint-reconnected", request -> sendAgain(turn, request, incarnation));
+  }
+
+  private static void sendAgain(Turn turn, ServiceRequest request, Incarnation incarnation) {
+    Attempt attempt = request.current().get();
+    if (!attempt.incarnation().equals(incarnation)) {
+      return;
+    }
+    boolean cancelSent =
+        attempt.phase() == AttemptPhase.CANCELLING
+            || (attempt.phase() == AttemptPhase.RUNNING && !request.isIdempotent());
+    if (attempt.isOwn() && cancelSent) {
+      Attempts.sendCancel(turn, request, attempt);
+    } else if (attempt.phase() != AttemptPhase.RELEASING) {
+      Attempts.send(turn, request, attempt);
     }
   }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/Configurations.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Configurations.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.entry;
 
+import io.vavr.control.Option;
 import io.zinniawood.core.configuration.AcceptedConfiguration;
 
 /**
@@ -26,11 +27,21 @@
     if (turn.state().lifecycle() == Lifecycle.STARTING) {
       turn.update(state -> state.withLifecycle(Lifecycle.READY));
       turn.emit(new EntryEffect.SetReadiness(Readiness.READY));
-      Leases.start(turn);
+      part(turn, "lease", () -> Leases.start(turn));
       Maintenance.start(turn);
     }
     turn.update(state -> state.withFleet(state.fleet().withoutPlans()));
-    turn.update(state -> state.withUsage(state.usage().restrictedTo(configuration.cluster())));
-    Membership.connectSubset(turn);
+    part(
+        turn,
+        "usage",
+        () ->
+            turn.update(
+                state -> state.withUsage(state.usage().restrictedTo(configuration.cluster()))));
+    part(turn, "subset", () -> Membership.connectSubset(turn));
+  }
+
+  /** Runs a part of the change; its failure must not keep the old configuration in force. */
+  private static void part(Turn turn, String name, Runnable part) {
+    FailureContainment.run(turn, "configuration-" + name, Option.none(), part);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/Connections.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Connections.java
@@ -10,6 +10,7 @@
  * it cannot be opened or ends at once.
  */
 final class Connections {
+  private static final long NANOS_PER_MILLI = 1_000_000;
   private static final long RECONNECT_BASE_MILLIS = 100;
   private static final long RECONNECT_MAX_MILLIS = 5_000;
 
@@ -79,6 +80,22 @@
     AttemptFailures.endpointUnreachable(turn, endpoint);
   }
 
+  /** Closes what may be open of a connection in use and opens a new one after a delay. */
+  static void reopen(Turn turn, EndpointId endpoint) {
+    ConnectionState state =
+        turn.fleet()
+            .member(endpoint)
+            .map(member -> member.connection().state())
+            .getOrElse(ConnectionState.IDLE);
+    if (state != ConnectionState.CONNECTED && state != ConnectionState.CONNECTING) {
+      return;
+    }
+    turn.emit(new EntryEffect.DisconnectAgent(endpoint));
+    turn.updateMember(endpoint, known -> known.with(known.connection().withFailure()));
+    turn.startTimer(
+        new EntryTimer.ReconnectDelay(endpoint), RECONNECT_MAX_MILLIS * NANOS_PER_MILLI);
+  }
+
   /** Reconnects after the backoff, or removes an endpoint that is no longer in the VM list. */
   static void reconnectDelayElapsed(Turn turn, EndpointId endpoint) {
     for (Member member : turn.fleet().member(endpoint)) {
--- a/core/src/main/java/io/zinniawood/core/entry/Drain.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Drain.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.entry;
 
+import io.vavr.control.Option;
 import io.zinniawood.core.id.RequestId;
 
 /**
@@ -43,7 +44,11 @@
     graceElapsed(turn);
     if (turn.state().lifecycle() == Lifecycle.DRAINING) {
       for (RequestId request : turn.state().requests().keySet().toVector().sorted()) {
-        OpenRequests.deadlinePassed(turn, request);
+        FailureContainment.run(
+            turn,
+            "drain-end",
+            Option.some(request),
+            () -> OpenRequests.deadlinePassed(turn, request));
       }
     }
   }
--- a/core/src/main/java/io/zinniawood/core/entry/EntryReducer.java
+++ b/core/src/main/java/io/zinniawood/core/entry/EntryReducer.java
@@ -12,7 +12,7 @@
   @Override
   public Step<EntryState, EntryEffect> reduce(EntryState state, long nowNanos, EntryEvent event) {
     Turn turn = new Turn(state, nowNanos);
-    event.accept(new EntryEventDispatcher(turn));
+    FailureContainment.handle(turn, event);
     return turn.toStep();
   }
 }
--- a/core/src/main/java/io/zinniawood/core/entry/IncidentKind.java
+++ b/core/src/main/java/io/zinniawood/core/entry/IncidentKind.java
@@ -25,5 +25,7 @@
   /** The platform's store became unavailable or available. */
   STORE_STATE,
   /** A client account reached its limit. */
-  ACCOUNT_LIMITED
+  ACCOUNT_LIMITED,
+  /** A decision of the entry failed with an exception; the request concerned was ended. */
+  DECISION_FAILED
 }
--- a/core/src/main/java/io/zinniawood/core/entry/SessionFailures.java
+++ b/core/src/main/java/io/zinniawood/core/entry/SessionFailures.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.HashSet;
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
 import io.zinniawood.core.entry.routing.EndpointLink;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Incarnation;
@@ -10,6 +11,7 @@
 import io.zinniawood.core.model.ProblemType;
 import io.zinniawood.core.model.RefusalReason;
 import io.zinniawood.core.model.StageAddress;
+import java.util.function.Consumer;
 
 /** Handles refusals and failures that stages report, and lost or restored endpoints. */
 final class SessionFailures {
@@ -122,21 +124,36 @@
 
   /** Replaces the stages of an endpoint that cannot be reached or runs in a new incarnation. */
   static void endpointLost(Turn turn, EndpointId endpoint, Incarnation lost) {
-    for (Session session : sessionsAt(turn, endpoint, lost)) {
-      session
-          .indexOf(endpoint)
-          .forEach(
-              index ->
-                  SessionRecovery.replace(
-                      turn, session, HashSet.of(index), ReplacedStageState.LOST));
+    forEach(
+        turn,
+        sessionsAt(turn, endpoint, lost),
+        "endpoint-lost",
+        session ->
+            session
+                .indexOf(endpoint)
+                .forEach(
+                    index ->
+                        SessionRecovery.replace(
+                            turn, session, HashSet.of(index), ReplacedStageState.LOST)));
+  }
+
+  /** Handles each session; a failure ends only the request of that session. */
+  private static void forEach(
+      Turn turn, Vector<Session> sessions, String subject, Consumer<Session> handler) {
+    for (Session session : sessions) {
+      FailureContainment.run(
+          turn, subject, Option.some(session.arrival().request()), () -> handler.accept(session));
     }
   }
 
   /** Opens a new epoch for the sessions of an endpoint whose connection was replaced. */
   static void endpointReconnected(Turn turn, EndpointId endpoint, Incarnation incarnation) {
-    for (Session session : sessionsAt(turn, endpoint, incarnation)) {
-      SessionRecovery.replace(turn, session, HashSet.empty(), ReplacedStageState.LOST);
-    }
+    forEach(
+        turn,
+        sessionsAt(turn, endpoint, incarnation),
+        "endpoint-reconnected",
+        session ->
+            SessionRecovery.replace(turn, session, HashSet.empty(), ReplacedStageState.LOST));
   }
 
   /**
@@ -151,7 +168,11 @@
             .filter(session -> session.phase() == SessionPhase.WAITING_FOR_STAGE)
             .toVector()
             .sortBy(Session::id);
-    waiting.forEach(session -> SessionRecovery.retryReplacement(turn, session));
+    forEach(
+        turn,
+        waiting,
+        "endpoint-available",
+        session -> SessionRecovery.retryReplacement(turn, session));
   }
 
   private static Vector<Session> sessionsAt(
--- a/core/src/main/java/io/zinniawood/core/entry/Turn.java
+++ b/core/src/main/java/io/zinniawood/core/entry/Turn.java
@@ -44,6 +44,23 @@
     return state.cluster().get();
   }
 
+  /**
+   * What this turn had decided at some point.
+   *
+   * @param effects number of effects
+   */
+  record Savepoint(EntryState state, int effects) {}
+
+  Savepoint savepoint() {
+    return new Savepoint(state, effects.size());
+  }
+
+  /** Drops all changes and effects since a savepoint of this turn. */
+  void restore(Savepoint savepoint) {
+    state = savepoint.state();
+    effects.subList(savepoint.effects(), effects.size()).clear();
+  }
+
   void update(UnaryOperator<EntryState> change) {
     state = change.apply(state);
   }
--- a/core/src/main/java/io/zinniawood/core/relay/DecisionFailure.java
+++ b/core/src/main/java/io/zinniawood/core/relay/DecisionFailure.java
@@ -1,9 +1,9 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.runtime.FailureDescription;
+
 /** Describes exceptions in log entries of bounded length. */
 public final class DecisionFailure {
-  private static final int MAX_MESSAGE_CHARS = 200;
-
   private DecisionFailure() {}
 
   /**
@@ -13,17 +13,16 @@
    * @param subject what failed, such as the type of an event or effect
    */
   public static Decision describe(String event, String subject, RuntimeException failure) {
-    String message = String.valueOf(failure.getMessage());
-    StackTraceElement[] trace = failure.getStackTrace();
+    FailureDescription description = FailureDescription.of(failure);
     return Decision.of(
         event,
         "reason",
         subject,
         "exception",
-        failure.getClass().getName(),
+        description.exception(),
         "message",
-        message.substring(0, Math.min(MAX_MESSAGE_CHARS, message.length())),
+        description.message(),
         "at",
-        trace.length == 0 ? "-" : trace[0].toString());
+        description.at());
   }
 }
--- a/report/src/main/java/io/zinniawood/report/page/IncidentKindText.java
+++ b/report/src/main/java/io/zinniawood/report/page/IncidentKindText.java
@@ -49,7 +49,12 @@
   ACCOUNT_LIMITED(
       Tone.WARNING,
       "Client account %s reached its limit; requests beyond it were refused as not run.",
-      "Raise the limits of the account if that load is wanted.");
+      "Raise the limits of the account if that load is wanted."),
+  /** A decision failed with an exception. */
+  DECISION_FAILED(
+      Tone.BAD,
+      "The entry failed inside while it handled %s; a request concerned was told so.",
+      "Report the detail as a fault of this software.");
 
   /**
    * Maximum time between a cause and its effect. It exceeds the time to detect and repair a
