Tell the caller of the entry when its answer cannot be written

What callers saw: nothing. If writing an answer, a token or a problem document threw an exception, the request had already been taken off the open requests, so neither its deadline nor a later effect could answer it; the connection stayed marked as busy, and a drain waited for the response. After a failed token the answer went on with a gap.

Cause: the last write began and ended with two calls, and nothing ran the second one after an exception.

The last write now runs inside RequestLifecycle.end: after an exception the caller gets an `internal` problem with outcome `unknown`, or its connection is closed if a part of the response is sent, and the connection takes the next request. An exception before the last write, such as at a token, ends the request the same way and tells the reducer, which stops the work. Both are logged.

CallerHttpTest.answerThatCannotBeWrittenEndsWithUnknownOutcome and requestWhoseTokenCannotBeWrittenEndsWithUnknownOutcome failed before: the caller's request timed out after 10 s without a response.

--- a/entry/src/main/java/io/zinniawood/entry/internal/EntryEffects.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/EntryEffects.java
@@ -9,11 +9,14 @@
 import io.zinniawood.core.entry.Incident;
 import io.zinniawood.core.entry.Readiness;
 import io.zinniawood.core.entry.RequestResult;
+import io.zinniawood.core.id.RequestId;
 import io.zinniawood.entry.internal.http.CallerReply;
 import io.zinniawood.entry.internal.http.OpenRequests;
 import io.zinniawood.entry.internal.link.AgentLinks;
 import io.zinniawood.entry.internal.store.ClaimReleaser;
 import io.zinniawood.entry.internal.store.LeaseStore;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.function.Consumer;
 
 /** Executes the effects of the entry's reducer on the event-loop thread. */
@@ -51,6 +54,8 @@
     void cancel(EntryTimer timer);
   }
 
+  private static final Logger LOGGER = System.getLogger(EntryEffects.class.getName());
+
   private final Targets targets;
 
   /** Creates a visitor that acts on the given targets. */
@@ -60,32 +65,34 @@
 
   @Override
   public EffectResult visitReplyToken(EntryEffect.ReplyToken effect) {
-    targets.requests().find(effect.request()).forEach(reply -> reply.addToken(effect.text()));
-    return DONE;
+    return reply(effect.request(), reply -> reply.addToken(effect.text()));
   }
 
   @Override
   public EffectResult visitFinishAnswer(EntryEffect.FinishAnswer effect) {
-    targets
-        .requests()
-        .find(effect.request())
-        .forEach(reply -> reply.finish(effect.reason(), effect.tokens()));
-    return DONE;
+    return reply(effect.request(), reply -> reply.finish(effect.reason(), effect.tokens()));
   }
 
   @Override
   public EffectResult visitReplyServiceAnswer(EntryEffect.ReplyServiceAnswer effect) {
-    targets
-        .requests()
-        .find(effect.request())
-        .forEach(reply -> reply.sendServiceAnswer(effect.answer()));
-    return DONE;
+    return reply(effect.request(), reply -> reply.sendServiceAnswer(effect.answer()));
   }
 
   @Override
   public EffectResult visitReplyProblem(EntryEffect.ReplyProblem effect) {
-    for (CallerReply reply : targets.requests().find(effect.request())) {
-      reply.sendProblem(effect.problem());
+    return reply(effect.request(), reply -> reply.sendProblem(effect.problem()));
+  }
+
+  /** Writes to the caller of an open request; ends the request if that fails. */
+  private EffectResult reply(RequestId request, Consumer<CallerReply> write) {
+    for (CallerReply reply : targets.requests().find(request)) {
+      try {
+        write.accept(reply);
+      } catch (RuntimeException | Error failure) {
+        LOGGER.log(Level.ERROR, "answer to request %s failed".formatted(request), failure);
+        targets.requests().abandon(request);
+        reply.sendProblem(CallerReply.UNWRITABLE);
+      }
     }
     return DONE;
   }
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/BufferedChatReply.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/BufferedChatReply.java
@@ -29,11 +29,13 @@
 
   @Override
   public void finish(FinishReason reason, int tokens) {
-    lifecycle.beginFinalWrite();
-    context.setResponseHeader("X-Request-Id", lifecycle.request().value());
-    context.setResponseType("application/json");
-    context.send(responses.completion(text.toString(), reason, promptTokens, tokens));
-    lifecycle.endFinalWrite();
+    lifecycle.end(
+        context,
+        () -> {
+          context.setResponseHeader("X-Request-Id", lifecycle.request().value());
+          context.setResponseType("application/json");
+          context.send(responses.completion(text.toString(), reason, promptTokens, tokens));
+        });
   }
 
   @Override
@@ -44,8 +46,6 @@
 
   @Override
   public void sendProblem(Problem problem) {
-    lifecycle.beginFinalWrite();
-    ProblemDocument.send(context, problem, lifecycle.request());
-    lifecycle.endFinalWrite();
+    lifecycle.end(context, () -> ProblemDocument.send(context, problem, lifecycle.request()));
   }
 }
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/OpenRequests.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/OpenRequests.java
@@ -48,8 +48,11 @@
     return removed;
   }
 
-  /** Removes a request whose caller disconnected; does nothing if it has ended already. */
-  void abandon(RequestId request) {
+  /**
+   * Removes a request whose caller disconnected or cannot be answered; does nothing if it has ended
+   * already.
+   */
+  public void abandon(RequestId request) {
     if (remove(request).isDefined()) {
       onAbandoned.accept(request);
     }
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/RequestLifecycle.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/RequestLifecycle.java
@@ -1,10 +1,15 @@
 package io.zinniawood.entry.internal.http;
 
+import io.jooby.Context;
 import io.vavr.control.Option;
 import io.zinniawood.core.id.RequestId;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 
 /** Ends one request: updates the open requests and the state of the caller's connection. */
 final class RequestLifecycle {
+  private static final Logger LOGGER = System.getLogger(RequestLifecycle.class.getName());
+
   private final RequestId request;
   private final OpenRequests openRequests;
   private final Option<CallerChannel> channel;
@@ -19,14 +24,39 @@
     return request;
   }
 
-  /** Removes the request so that later effects skip it; call before the last write. */
-  void beginFinalWrite() {
+  /**
+   * Ends the request with its last write. If that fails, the caller is told so, or its connection
+   * is closed if a part of the response is sent.
+   */
+  void end(Context context, Runnable lastWrite) {
     openRequests.beginFinalWrite();
+    // Later effects must skip the request.
     openRequests.remove(request);
+    try {
+      lastWrite.run();
+    } catch (RuntimeException | Error failure) {
+      LOGGER.log(Level.ERROR, "response to request %s failed".formatted(request), failure);
+      sendFailure(context);
+    } finally {
+      endFinalWrite();
+    }
+  }
+
+  private void sendFailure(Context context) {
+    try {
+      if (!context.isResponseStarted()) {
+        context.removeResponseHeaders();
+        ProblemDocument.send(context, CallerReply.UNWRITABLE, request);
+        return;
+      }
+    } catch (RuntimeException | Error failure) {
+      LOGGER.log(Level.ERROR, "refusal of request %s failed".formatted(request), failure);
+    }
+    channel.forEach(CallerChannel::close);
   }
 
-  /** Allows the next request on the connection; call after the last write. */
-  void endFinalWrite() {
+  /** Allows the next request on the connection. */
+  private void endFinalWrite() {
     channel.forEach(CallerChannel::markIdle);
     if (channel.isDefined()) {
       channel.get().onWritten(openRequests::endFinalWrite);
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/ServiceReply.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/ServiceReply.java
@@ -44,7 +44,10 @@
               "the service returned the invalid HTTP status " + answer.status()));
       return;
     }
-    lifecycle.beginFinalWrite();
+    lifecycle.end(context, () -> write(answer));
+  }
+
+  private void write(ServiceAnswer answer) {
     context.setResponseCode(answer.status());
     for (HttpHeader header : HeaderFilter.filterResponse(answer.headers())) {
       if ("content-type".equalsIgnoreCase(header.name())) {
@@ -55,13 +58,10 @@
     }
     context.setResponseHeader("X-Request-Id", lifecycle.request().value());
     context.send(answer.body().bytes());
-    lifecycle.endFinalWrite();
   }
 
   @Override
   public void sendProblem(Problem problem) {
-    lifecycle.beginFinalWrite();
-    ProblemDocument.send(context, problem, lifecycle.request());
-    lifecycle.endFinalWrite();
+    lifecycle.end(context, () -> ProblemDocument.send(context, problem, lifecycle.request()));
   }
 }
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/StreamingChatReply.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/StreamingChatReply.java
@@ -65,9 +65,7 @@
   @Override
   public void sendProblem(Problem problem) {
     if (sender.isEmpty()) {
-      lifecycle.beginFinalWrite();
-      ProblemDocument.send(context, problem, lifecycle.request());
-      lifecycle.endFinalWrite();
+      lifecycle.end(context, () -> ProblemDocument.send(context, problem, lifecycle.request()));
       return;
     }
     // Omits [DONE], so that a client that ignores the event does not treat the answer as complete.
@@ -78,9 +76,7 @@
 
   private void endWith(byte[] bytes) {
     if (write(bytes)) {
-      lifecycle.beginFinalWrite();
-      sender.forEach(Sender::close);
-      lifecycle.endFinalWrite();
+      lifecycle.end(context, () -> sender.forEach(Sender::close));
     }
   }
 
--- a/entry/src/test/java/io/zinniawood/entry/CallerHttpTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/CallerHttpTest.java
@@ -20,6 +20,8 @@
 import io.zinniawood.core.model.ServiceAnswer;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -125,6 +127,37 @@
     }
   }
 
+  // The caller of an answer that cannot be written got none, and its connection stayed busy.
+  @Test
+  void answerThatCannotBeWrittenEndsWithUnknownOutcome() {
+    ServiceAnswer withoutBody = new ServiceAnswer(200, Vector.empty(), null);
+    assertUnknownTwice(request -> new EntryEffect.ReplyServiceAnswer(request, withoutBody));
+  }
+
+  // A token that cannot be written left a gap in the answer, or the caller without any.
+  @Test
+  void requestWhoseTokenCannotBeWrittenEndsWithUnknownOutcome() {
+    assertUnknownTwice(request -> new EntryEffect.ReplyToken(request, "token"));
+  }
+
+  private static void assertUnknownTwice(Function<RequestId, EntryEffect> reply) {
+    try (EntryHarness entry =
+        new EntryHarness(
+            new FakePlatform(),
+            event ->
+                event instanceof EntryEvent.ServiceRequestArrived arrived
+                    ? Vector.of(reply.apply(arrived.request()))
+                    : Vector.empty())) {
+      entry.awaitReady();
+      for (int repeat = 0; repeat < 2; repeat++) {
+        HttpResponse<String> response =
+            entry.send(entry.request("/services/credit/a").timeout(Duration.ofSeconds(10)));
+        assertThat(response.statusCode(), equalTo(500));
+        assertThat(response.body(), containsString("\"outcome\":\"unknown\""));
+      }
+    }
+  }
+
   // Guards against a refusal that does not tell the caller whether and when to retry.
   @Test
   void refusalsCarryOutcomeAndRetryAfter() {
