Forward answers whose content type is no media type

Cause: Jooby throws at a content type without a slash.

Such a field is now dropped like other invalid fields of a service's answer, and the answer is forwarded.

CallerHttpTest.answerWithInvalidContentTypeIsForwarded failed before: status 500 instead of 200.

--- a/entry/src/main/java/io/zinniawood/entry/internal/http/HeaderFilter.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/HeaderFilter.java
@@ -35,6 +35,9 @@
   private static final Pattern NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
   private static final Pattern VALUE = Pattern.compile("[\\t\\x20-\\x7e\\x80-\\xff]*");
 
+  /** Start of a media type (RFC 9110, section 8.3.1); Jooby throws at other content types. */
+  private static final Pattern MEDIA_TYPE = Pattern.compile(NAME + "/" + NAME + ".*");
+
   private HeaderFilter() {}
 
   static Vector<HttpHeader> filterRequest(Vector<HttpHeader> headers) {
@@ -50,7 +53,7 @@
   static Vector<HttpHeader> filterResponse(Vector<HttpHeader> headers) {
     Map<String, HttpHeader> joined = new LinkedHashMap<>();
     for (HttpHeader header : withoutConnectionFields(headers)) {
-      if (NAME.matcher(header.name()).matches() && VALUE.matcher(header.value()).matches()) {
+      if (isValid(header)) {
         joined.merge(
             lowerCase(header.name()),
             header,
@@ -60,6 +63,13 @@
     return Vector.ofAll(joined.values());
   }
 
+  private static boolean isValid(HttpHeader header) {
+    return NAME.matcher(header.name()).matches()
+        && VALUE.matcher(header.value()).matches()
+        && (!"content-type".equals(lowerCase(header.name()))
+            || MEDIA_TYPE.matcher(header.value()).matches());
+  }
+
   private static Vector<HttpHeader> withoutConnectionFields(Vector<HttpHeader> headers) {
     Set<String> connectionOptions = new HashSet<>();
     for (HttpHeader header : headers) {
--- a/entry/src/test/java/io/zinniawood/entry/CallerHttpTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/CallerHttpTest.java
@@ -127,6 +127,25 @@
     }
   }
 
+  // An answer whose content type is no media type was lost.
+  @Test
+  void answerWithInvalidContentTypeIsForwarded() {
+    HttpHeader invalid = new HttpHeader("Content-Type", "unknown");
+    ServiceAnswer answer = new ServiceAnswer(200, Vector.of(invalid), Payload.ofText("done"));
+    try (EntryHarness entry =
+        new EntryHarness(
+            new FakePlatform(),
+            event ->
+                event instanceof EntryEvent.ServiceRequestArrived arrived
+                    ? Vector.of(new EntryEffect.ReplyServiceAnswer(arrived.request(), answer))
+                    : Vector.empty())) {
+      entry.awaitReady();
+      HttpResponse<String> response = entry.send(entry.request("/services/credit/a"));
+      assertThat(response.statusCode(), equalTo(200));
+      assertThat(response.body(), equalTo("done"));
+    }
+  }
+
   // The caller of an answer that cannot be written got none, and its connection stayed busy.
   @Test
   void answerThatCannotBeWrittenEndsWithUnknownOutcome() {
