Execute the effects after a failed one in the entry and agent, and report its result

What callers saw: a call with an idempotency key whose claim could not be read because of an exception waited for its deadline; after an error such as Netty's out of direct memory, all later effects of the event were lost without a line in the log, answers among them.

Cause: the event loop caught exceptions but no errors, which the executor swallows, and nothing told the reducer that an effect was never executed.

The loop now contains errors as well, in decisions and in effects, and posts the result of a failed effect as the relay does: a claim that cannot be read or released is unavailable, a connection that cannot be opened has failed, a call or step of an agent has failed with an unknown outcome.

--- a/agent/src/main/java/io/zinniawood/agent/AgentProcess.java
+++ b/agent/src/main/java/io/zinniawood/agent/AgentProcess.java
@@ -4,6 +4,7 @@
 import io.zinniawood.agent.internal.AgentEffectExecutor;
 import io.zinniawood.agent.internal.ClaimStore;
 import io.zinniawood.agent.internal.EndpointCalls;
+import io.zinniawood.agent.internal.FailedEffects;
 import io.zinniawood.agent.internal.LeaseReader;
 import io.zinniawood.agent.internal.PeerConnections;
 import io.zinniawood.config.settings.AgentSettings;
@@ -78,7 +79,7 @@
             new LeaseReader(dependencies.table(), loop::post),
             new LoopTimers(),
             () -> stopped.complete(true));
-    loop.start(effect -> effect.accept(executor));
+    loop.start(effect -> effect.accept(executor), FailedEffects::resultOf);
     Either<WireError, NodeAddress> listening =
         dependencies.transport().listen(dependencies.settings().peers(), connections);
     if (listening.isRight()) {
--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -12,6 +12,7 @@
 import io.zinniawood.core.model.PackedStoreVersion;
 import io.zinniawood.entry.internal.EntryEffects;
 import io.zinniawood.entry.internal.EntryRecorder;
+import io.zinniawood.entry.internal.FailedEffects;
 import io.zinniawood.entry.internal.admin.AdminRoutes;
 import io.zinniawood.entry.internal.admin.EntryMetrics;
 import io.zinniawood.entry.internal.http.CallerConfiguration;
@@ -172,7 +173,7 @@
    */
   public void start() {
     EntrySettings settings = dependencies.settings();
-    eventLoop.start(effect -> effect.accept(effects));
+    eventLoop.start(effect -> effect.accept(effects), FailedEffects::resultOf);
     metrics.registerGauge("zinniawood_open_requests", openRequests::count);
     metrics.registerGauge(
         "zinniawood_peer_received_bytes", () -> dependencies.transport().traffic().receivedBytes());
--- a/entry/src/test/java/io/zinniawood/entry/FakePlatform.java
+++ b/entry/src/test/java/io/zinniawood/entry/FakePlatform.java
@@ -50,6 +50,7 @@
   final Map<String, TableRow> rows = new ConcurrentHashMap<>();
   final AtomicInteger vmListReads = new AtomicInteger();
   final AtomicInteger followCalls = new AtomicInteger();
+  volatile boolean failsReads;
   volatile NextWrite nextWrite = NextWrite.NORMAL;
   volatile Vector<VmEntry> vms = Vector.empty();
   volatile Option<ConfigurationSnapshot> newestSnapshot = Option.some(snapshot(1));
@@ -67,6 +68,9 @@
 
   @Override
   public CompletableFuture<Either<PlatformError, Option<TableRow>>> read(String key) {
+    if (failsReads) {
+      throw new IllegalStateException("read failed");
+    }
     return CompletableFuture.completedFuture(Either.right(Option.of(rows.get(key))));
   }
 
--- a/runtime/src/main/java/io/zinniawood/runtime/EventLoop.java
+++ b/runtime/src/main/java/io/zinniawood/runtime/EventLoop.java
@@ -1,5 +1,6 @@
 package io.zinniawood.runtime;
 
+import io.vavr.control.Option;
 import io.zinniawood.core.runtime.Reducer;
 import io.zinniawood.core.runtime.Step;
 import java.lang.System.Logger;
@@ -12,6 +13,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 /**
@@ -32,6 +34,7 @@
   private final ScheduledExecutorService executor;
   private final Map<T, ScheduledFuture<?>> timers = new HashMap<>();
   private EffectHandler<F> handler;
+  private Function<F, Option<E>> resultOfFailed = failed -> Option.none();
   private S state;
 
   /**
@@ -55,9 +58,22 @@
             });
   }
 
-  /** Sets the effect handler; call once, before the first event. */
+  /** Sets a handler of effects whose failure nothing waits for. */
   public void start(EffectHandler<F> effectHandler) {
+    start(effectHandler, failed -> Option.none());
+  }
+
+  /**
+   * Sets the effect handler; call once, before the first event.
+   *
+   * @param effectHandler executes the effects; one that fails does not keep the later ones from
+   *     being executed
+   * @param failedEffects returns the event that tells the reducer that an effect failed; none if
+   *     nothing waits for a result of the effect
+   */
+  public void start(EffectHandler<F> effectHandler, Function<F, Option<E>> failedEffects) {
     this.handler = Objects.requireNonNull(effectHandler, "effectHandler");
+    this.resultOfFailed = Objects.requireNonNull(failedEffects, "failedEffects");
   }
 
   /** Queues an event; may be called from any thread. Events after {@link #close} are dropped. */
@@ -115,7 +131,7 @@
     Step<S, F> step;
     try {
       step = reducer.reduce(state, clockNanos.getAsLong(), event);
-    } catch (RuntimeException exception) {
+    } catch (RuntimeException | Error exception) {
       LOGGER.log(
           Level.ERROR,
           "reducer failed to process event %s".formatted(event.getClass().getSimpleName()),
@@ -131,11 +147,12 @@
   private void handleEffect(F effect) {
     try {
       handler.handle(effect);
-    } catch (RuntimeException exception) {
+    } catch (RuntimeException | Error exception) {
       LOGGER.log(
           Level.ERROR,
           "handler failed to execute effect %s".formatted(effect.getClass().getSimpleName()),
           exception);
+      resultOfFailed.apply(effect).forEach(this::post);
     }
   }
 
--- /dev/null
+++ b/runtime/src/test/java/io/zinniawood/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the event loop. */
+package io.zinniawood.runtime;
