Draw histories of the entry in which the configuration changes between any two events

The drawn histories of the entry had faults in any order but one configuration. Now a second property accepts a drawn configuration before about one event in ten: accounts, models and services come and go, limits, time limits, retries, subsets and repair change. Each request must have exactly one end, no decision may fail, and no work or open request may remain counted.

--- a/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
+++ b/core/src/test/java/io/zinniawood/core/entry/EntryInvariantsTest.java
@@ -1,6 +1,10 @@
 package io.zinniawood.core.entry;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
 import io.vavr.control.Option;
+import io.zinniawood.core.entry.limits.AccountUsage;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.model.Idempotency;
 import java.util.List;
@@ -37,14 +41,37 @@
   @Property(tries = 400, seed = "20261204")
   void invariantsHoldUnderFaultsInAnyOrder(@ForAll("scripts") List<Integer> script) {
     World world = World.small();
+    play(world, script);
+    removeFaults(world);
+    world.run(20_000);
+    world.invariants.checkFinalState();
+  }
+
+  // A request without an end, or with two, when the configuration changes between its events.
+  @Property(tries = 400, seed = "20261205")
+  void everyRequestHasOneEndWhateverConfigurationFollows(
+      @ForAll("scripts") List<Integer> script, @ForAll long seed) {
+    World world = World.small();
+    ChangingConfiguration configuration = new ChangingConfiguration(world, seed);
+    world.beforeEvent = configuration::changeSometimes;
+    play(world, script);
+    world.beforeEvent = () -> {};
+    configuration.restore();
+    removeFaults(world);
+    world.run(20_000);
+    world.invariants.checkFinalState();
+    assertThat(world.incidents(IncidentKind.DECISION_FAILED), equalTo(0L));
+    assertThat(
+        world.state.usage().accounts().values().map(AccountUsage::openRequests).sum().intValue(),
+        equalTo(0));
+  }
+
+  private static void play(World world, List<Integer> script) {
     int number = 0;
     for (int code : script) {
       applyAction(world, code, ++number);
       world.run(code / 200 % 40);
     }
-    removeFaults(world);
-    world.run(20_000);
-    world.invariants.checkFinalState();
   }
 
   // Guards against a not-run reply to the last copy of a call with an idempotency key although a
--- a/core/src/test/java/io/zinniawood/core/entry/World.java
+++ b/core/src/test/java/io/zinniawood/core/entry/World.java
@@ -36,6 +36,7 @@
   final List<EntryEffect> effects = new ArrayList<>();
   final Set<EndpointId> silent = new HashSet<>();
   final Set<List<EndpointId>> brokenLinks = new HashSet<>();
+  Runnable beforeEvent = () -> {};
   EntryState state;
   long nowNanos = 1_000_000_000L;
   private final EntryReducer reducer = new EntryReducer();
@@ -118,6 +119,7 @@
   }
 
   void reduce(EntryEvent event) {
+    beforeEvent.run();
     invariants.beforeEvent(event);
     var step = reducer.reduce(state, nowNanos, event);
     state = step.state();
