End only the work concerned when a decision of the agent fails

What callers saw: a call whose answer the agent failed to handle waited for its deadline and kept its slot for good; after a failed batch the agent never ran another step, and after a failed tick its status was never read or announced again.

The reducer now contains the failure: the state before the event stays in force, the failure is logged, and the event is replaced by one that says only that the result is not known: the call has failed with an unknown outcome, the steps of the batch have no result, the claim's outcome is unknown, the final row is not stored. A timer is started again, and work that was not admitted is refused. A failed dispatch is refused with outcome unknown, as a copy of the attempt could still start.

AgentFailuresTest failed before in both cases: the exceptions (NullPointerException) left the reducer.

--- a/core/src/main/java/io/zinniawood/core/agent/AgentReducer.java
+++ b/core/src/main/java/io/zinniawood/core/agent/AgentReducer.java
@@ -7,7 +7,9 @@
 public final class AgentReducer implements Reducer<AgentState, AgentEvent, AgentEffect> {
   @Override
   public Step<AgentState, AgentEffect> reduce(AgentState state, long nowNanos, AgentEvent event) {
-    return AgentDrain.stopIfDone(state, event.accept(new EventHandler(state, nowNanos)));
+    EventHandler handler = new EventHandler(state, nowNanos);
+    return AgentDrain.stopIfDone(
+        state, FailureContainment.handle(state, event, handled -> handled.accept(handler)));
   }
 
   private record EventHandler(AgentState state, long nowNanos)
--- a/core/src/test/java/io/zinniawood/core/agent/AgentDriver.java
+++ b/core/src/test/java/io/zinniawood/core/agent/AgentDriver.java
@@ -65,6 +65,11 @@
     return driver;
   }
 
+  /** Removes the state of the calls, so that decisions fail. */
+  void spoil() {
+    state = state.withCalls(null);
+  }
+
   AgentState state() {
     return state;
   }
