Go on polling after an exception or error at the start of a poll of the entry

What users saw: an entry that never read the VM list again, or the configuration, until it was started again.

Cause: if the call that starts a read threw instead of returning a failed future, the flag of the poll in progress stayed set, so no later poll began. An error ended the periodic task itself, as it caught exceptions only; so did the periodic task of the reports.

A call that throws now counts as a failed read, with its backoff, and the periodic tasks contain errors as well.

FailedEffectsTest.pollsGoOnAfterAnError failed before: no further poll within 20 s. It failed in the same way with the periodic task mended alone, which showed the flag.

--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -222,7 +222,7 @@
   private void tick() {
     try {
       distributor.tick();
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       // An uncaught exception would cancel the schedule and stop all later polls.
       dependencies.logger().log(Level.ERROR, "poll of VM list and configuration failed", failure);
     }
--- a/entry/src/main/java/io/zinniawood/entry/internal/Completions.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/Completions.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * Passes results of asynchronous calls to handlers. A future that completes exceptionally, against
@@ -16,6 +17,24 @@
 
   private Completions() {}
 
+  /**
+   * Calls a handler when the result of a call arrives; a call that throws has failed.
+   *
+   * @param call starts the call
+   */
+  public static <E, T> void handle(
+      Supplier<CompletableFuture<Either<E, T>>> call,
+      Function<Throwable, E> onFailure,
+      Consumer<Either<E, T>> handler) {
+    CompletableFuture<Either<E, T>> future;
+    try {
+      future = call.get();
+    } catch (RuntimeException | Error failure) {
+      future = CompletableFuture.failedFuture(failure);
+    }
+    handle(future, onFailure, handler);
+  }
+
   /**
    * Calls a handler when the result arrives.
    *
--- a/entry/src/main/java/io/zinniawood/entry/internal/relay/ClusterStateDistributor.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/relay/ClusterStateDistributor.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -123,7 +124,8 @@
     if (tryStartPoll(pollers)) {
       poll();
     } else if (!isPoller(pollers)) {
-      applyConfiguration(dependencies.feed().follow(dependencies.configuration().generation()));
+      applyConfiguration(
+          () -> dependencies.feed().follow(dependencies.configuration().generation()));
     }
     if (isPoller(pollers)) {
       // Shows the other entries that this poller is alive and which generation it has.
@@ -189,23 +191,23 @@
 
   private void poll() {
     Completions.handle(
-        dependencies.vmList().read(),
+        () -> dependencies.vmList().read(),
         failure -> new PlatformError.Unavailable("VM list client threw an exception: " + failure),
         result -> {
           completePoll(result);
           result.forEach(this::applyPolledVmList);
         });
-    applyConfiguration(dependencies.feed().poll(dependencies.configuration().generation()));
+    applyConfiguration(() -> dependencies.feed().poll(dependencies.configuration().generation()));
   }
 
   /** Applies a configuration that the feed has accepted since the last poll, without polling. */
   public void applyPendingConfiguration() {
     applyConfiguration(
-        dependencies.feed().newerSnapshot(dependencies.configuration().generation()));
+        () -> dependencies.feed().newerSnapshot(dependencies.configuration().generation()));
   }
 
   private void applyConfiguration(
-      CompletableFuture<Either<String, Option<ConfigurationSnapshot>>> found) {
+      Supplier<CompletableFuture<Either<String, Option<ConfigurationSnapshot>>>> found) {
     Completions.handle(
         found,
         failure -> "configuration feed threw an exception: " + failure,
--- a/entry/src/main/java/io/zinniawood/entry/reporting/EntryReports.java
+++ b/entry/src/main/java/io/zinniawood/entry/reporting/EntryReports.java
@@ -285,8 +285,8 @@
   private void tickSafely() {
     try {
       tick();
-    } catch (RuntimeException failure) {
-      // An uncaught exception would cancel the schedule and stop all later reports.
+    } catch (RuntimeException | Error failure) {
+      // An uncaught throwable would cancel the schedule and stop all later reports.
       LOGGER.log(Level.ERROR, "periodic work of the reports failed", failure);
     }
   }
--- a/entry/src/test/java/io/zinniawood/entry/FailedEffectsTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/FailedEffectsTest.java
@@ -37,4 +37,16 @@
       assertThat(read.reading(), equalTo(new ClaimReadResult.Unavailable()));
     }
   }
+
+  // An error in one poll ended all later polls of the VM list and the configuration.
+  @Test
+  void pollsGoOnAfterAnError() {
+    FakePlatform platform = new FakePlatform();
+    platform.failsVmListReads = true;
+    try (EntryHarness entry = new EntryHarness(platform, event -> Vector.empty())) {
+      EntryHarness.await(() -> platform.vmListReads.get() > 2);
+      platform.failsVmListReads = false;
+      entry.awaitReady();
+    }
+  }
 }
--- a/entry/src/test/java/io/zinniawood/entry/FakePlatform.java
+++ b/entry/src/test/java/io/zinniawood/entry/FakePlatform.java
@@ -51,6 +51,7 @@
   final AtomicInteger vmListReads = new AtomicInteger();
   final AtomicInteger followCalls = new AtomicInteger();
   volatile boolean failsReads;
+  volatile boolean failsVmListReads;
   volatile NextWrite nextWrite = NextWrite.NORMAL;
   volatile Vector<VmEntry> vms = Vector.empty();
   volatile Option<ConfigurationSnapshot> newestSnapshot = Option.some(snapshot(1));
@@ -106,6 +107,9 @@
   @Override
   public CompletableFuture<Either<PlatformError, VmListing>> read() {
     vmListReads.incrementAndGet();
+    if (failsVmListReads) {
+      throw new OutOfMemoryError("no direct memory");
+    }
     return CompletableFuture.completedFuture(Either.right(new VmListing(1, vms)));
   }
 
