--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswers.java
@@ -0,0 +1,83 @@
+package io.zinniawood.relay.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.zinniawood.core.relay.LocalAnswer;
+import io.zinniawood.relay.HopByHopHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** Builds the answers that callers receive. */
+final class CallerAnswers {
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** Retry-After, in milliseconds, of a request that a failure of its connection ended. */
+  private static final long FAILURE_RETRY_MILLIS = 1_000;
+
+  private CallerAnswers() {}
+
+  /** Returns the interim answer that asks for the body. */
+  static FullHttpResponse proceed() {
+    return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE);
+  }
+
+  /** Returns the refusal of a request that was not read completely; the connection closes. */
+  static FullHttpResponse early(HttpResponseStatus status) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    return response;
+  }
+
+  /** Returns the refusal of a request that was not decided on. */
+  static FullHttpResponse internalFailure() {
+    return local(LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
+  }
+
+  /** Returns an answer that the relay generated. */
+  static FullHttpResponse local(LocalAnswer answer) {
+    String reason = "{\"reason\":\"" + answer.reason() + "\"}";
+    ByteBuf content = Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8);
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), content);
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    answer
+        .retryAfterMillis()
+        .ifPresent(
+            millis ->
+                response
+                    .headers()
+                    .set(
+                        HttpHeaderNames.RETRY_AFTER,
+                        String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)));
+    return response;
+  }
+
+  /** Returns an endpoint's complete answer. */
+  static FullHttpResponse full(HttpResponse upstream, ByteBuf content) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, upstream.status(), content);
+    HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    return response;
+  }
+
+  /** Returns the head of an endpoint's event stream. */
+  static HttpResponse streamHead(HttpResponse upstream) {
+    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstream.status());
+    HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    return response;
+  }
+}
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -7,9 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.EncoderException;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -19,19 +17,15 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.relay.LocalAnswer;
 import io.zinniawood.core.route.RequestLimits;
-import io.zinniawood.relay.HopByHopHeaders;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -54,11 +48,6 @@
   /** Delay of the close of a quiet connection while the process drains; lets input be read. */
   private static final long DRAIN_CLOSE_DELAY_MILLIS = 5;
 
-  /** Retry-After, in milliseconds, of a request that a failure of its connection ended. */
-  private static final long FAILURE_RETRY_MILLIS = 1_000;
-
-  private static final double MILLIS_PER_SECOND = 1_000;
-
   private final CallerListener listener;
   private final Deque<Object> pipelined = new ArrayDeque<>();
   private ChannelHandlerContext context;
@@ -236,8 +225,7 @@
     keepAlive = HttpUtil.isKeepAlive(request);
     body = Unpooled.EMPTY_BUFFER;
     if (HttpUtil.is100ContinueExpected(request)) {
-      context.writeAndFlush(
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+      context.writeAndFlush(CallerAnswers.proceed());
     }
     return true;
   }
@@ -287,7 +275,7 @@
 
   /** Writes an answer that the relay generated. */
   public void writeLocalAnswer(LocalAnswer answer) {
-    FullHttpResponse response = localResponse(answer);
+    FullHttpResponse response = CallerAnswers.local(answer);
     setCloseHeader(response);
     write(response);
     finishExchange();
@@ -305,32 +293,9 @@
     }
   }
 
-  private static FullHttpResponse localResponse(LocalAnswer answer) {
-    String reason = "{\"reason\":\"" + answer.reason() + "\"}";
-    ByteBuf content = Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8);
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), content);
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-    answer
-        .retryAfterMillis()
-        .ifPresent(
-            millis ->
-                response
-                    .headers()
-                    .set(
-                        HttpHeaderNames.RETRY_AFTER,
-                        String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)));
-    return response;
-  }
-
   /** Writes an endpoint's complete answer and takes ownership of its content. */
   public void writeFullAnswer(HttpResponse upstream, ByteBuf content) {
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, upstream.status(), content);
-    HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    FullHttpResponse response = CallerAnswers.full(upstream, content);
     setCloseHeader(response);
     write(response);
     finishExchange();
@@ -338,9 +303,7 @@
 
   /** Writes the head of an endpoint's event stream. */
   public void beginStream(HttpResponse upstream) {
-    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstream.status());
-    HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
-    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    HttpResponse response = CallerAnswers.streamHead(upstream);
     setCloseHeader(response);
     write(response);
   }
@@ -441,11 +404,7 @@
     report(ConnectionClose.Reason.REFUSED_EARLY, String.valueOf(status.code()));
     closing = true;
     dropPartialRequest();
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    context.writeAndFlush(response).addListener(written -> closeAfterInput());
+    context.writeAndFlush(CallerAnswers.early(status)).addListener(written -> closeAfterInput());
   }
 
   /**
@@ -527,8 +486,7 @@
     pipelined.forEach(ReferenceCountUtil::release);
     pipelined.clear();
     for (int left = refusals; left > 0; left--) {
-      FullHttpResponse refusal =
-          localResponse(LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
+      FullHttpResponse refusal = CallerAnswers.internalFailure();
       if (left == 1) {
         refusal.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -8,7 +8,6 @@
 import io.zinniawood.core.relay.AnswerSummary;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
-import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.EndpointStatement;
 import io.zinniawood.core.relay.LocalAnswer;
@@ -18,7 +17,6 @@
 import io.zinniawood.core.relay.RelayReducer;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.RelayState;
-import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.core.runtime.Step;
 import io.zinniawood.relay.AnsweredRequest;
 import io.zinniawood.relay.HeaderCodec;
@@ -36,20 +34,15 @@
  * effects. Events that are posted while effects are carried out are queued and processed
  * afterwards.
  */
-public final class RelayRuntime extends PlatformEffects
-    implements CallerListener, EndpointListener {
+public final class RelayRuntime extends CallerEffects implements CallerListener, EndpointListener {
   private final RelayState state;
-  private final HeaderCodec codec;
   private final Listener listener;
   private final RelayReducer reducer = new RelayReducer();
   private final EndpointConnectionPool connections;
   private final Deque<RelayEvent> pendingEvents = new ArrayDeque<>();
-  private final Map<RelayRequestId, CallerExchange> callers = new HashMap<>();
   private final Map<RelayRequestId, EndpointExchange> attempts = new HashMap<>();
-  private final Map<RelayRequestId, PendingAnswer> pendingAnswers = new HashMap<>();
   private final EventLoop loop;
   private long lastTickNanos = System.nanoTime();
-  private RequestLimits limits = RequestLimits.DEFAULT;
   private boolean processingEvents;
   private long lastRequestId;
 
@@ -62,9 +55,6 @@
   /** Retry-After, in milliseconds, of a request that could not be decoded. */
   private static final long FAILURE_RETRY_MILLIS = 1_000;
 
-  /** A complete answer that waits for the reducer's decision. */
-  private record PendingAnswer(int attempt, HttpResponse head, ByteBuf content) {}
-
   /** Receives the effects that concern the process. */
   public interface Listener {
     /** The readiness changed. */
@@ -82,8 +72,8 @@
 
   /** Creates a runtime; {@link #start} must be called before the first event. */
   public RelayRuntime(RelayState state, HeaderCodec codec, EventLoop loop, Listener listener) {
+    super(codec);
     this.state = state;
-    this.codec = codec;
     this.listener = listener;
     this.loop = loop;
     this.connections = new EndpointConnectionPool(loop, this);
@@ -158,11 +148,6 @@
 
   // Connections of callers.
 
-  @Override
-  public RequestLimits limits() {
-    return limits;
-  }
-
   @Override
   public boolean draining() {
     return state.terminating();
@@ -203,7 +188,7 @@
             if (callers.containsKey(exchange.id())) {
               post(arrived);
             } else {
-              logAbandonedRequest(request);
+              listener.decisionMade(abandoned(request));
             }
           },
           LATE_REQUEST_DELAY_MILLIS,
@@ -211,19 +196,6 @@
     }
   }
 
-  private void logAbandonedRequest(CallerRequest request) {
-    listener.decisionMade(
-        new RelayEffect.LogDecision(
-            Decision.of(
-                "request-ended",
-                "request",
-                request.id().map(Object::toString).orElse("-"),
-                "outcome",
-                "caller-left",
-                "reason",
-                "before-decision")));
-  }
-
   /** Posts a tick and records its time, by which a late event loop is detected. */
   public void tick() {
     lastTickNanos = System.nanoTime();
@@ -325,16 +297,6 @@
     }
   }
 
-  /** Writes the head of a stream unless that was done; it goes with the first event. */
-  private void writeStreamHead(EndpointExchange exchange) {
-    CallerExchange caller = exchange.callerExchange();
-    if (!caller.headWritten()) {
-      codec.removeEndpointHeaders(exchange.streamHead());
-      caller.connection().beginStream(exchange.streamHead());
-      caller.markHeadWritten();
-    }
-  }
-
   /** Ends a request whose caller lacks an event that no other attempt would send again. */
   private void breakOff(EndpointExchange exchange) {
     CallerExchange caller = exchange.callerExchange();
@@ -458,12 +420,7 @@
     }
     if (exchange == null || exchange.attempt() != effect.attempt()) {
       // The attempt ended before its answer was decided on; the request still needs its end.
-      post(
-          new RelayEvent.AttemptFailed(
-              effect.id(),
-              effect.attempt(),
-              AttemptFailureCause.INVALID_ANSWER,
-              caller.splitter().lastId()));
+      postInvalidAnswer(effect, caller);
       return;
     }
     PendingAnswer answer = pendingAnswers.get(effect.id());
@@ -472,12 +429,7 @@
       return;
     }
     if (caller.headWritten()) {
-      post(
-          new RelayEvent.AttemptFailed(
-              effect.id(),
-              effect.attempt(),
-              AttemptFailureCause.INVALID_ANSWER,
-              caller.splitter().lastId()));
+      postInvalidAnswer(effect, caller);
       return;
     }
     codec.removeEndpointHeaders(answer.head());
@@ -488,35 +440,13 @@
     post(new RelayEvent.AnswerRelayed(effect.id(), effect.attempt()));
   }
 
-  @Override
-  public void answerLocally(RelayEffect.AnswerLocally effect) {
-    end(effect.id(), effect.answer());
-  }
-
-  /** Answers a request, or breaks its answer off if it has begun. */
-  private void end(RelayRequestId id, LocalAnswer answer) {
-    CallerExchange caller = callers.remove(id);
-    releasePendingAnswer(id);
-    if (caller != null && caller.headWritten()) {
-      caller.connection().abort();
-    } else if (caller != null) {
-      endCaller(caller, () -> caller.connection().writeLocalAnswer(answer));
-    }
-  }
-
-  private void endCaller(CallerExchange caller, Runnable write) {
-    try {
-      write.run();
-    } catch (RuntimeException | Error failure) {
-      failed("effect-failed", "end-of-request", failure);
-      caller.connection().abort();
-    }
-  }
-
-  @Override
-  public void abortAnswer(RelayEffect.AbortAnswer effect) {
-    // Without a head the caller can still be told that the outcome is unknown.
-    end(effect.id(), LocalAnswer.unknownOutcome("internal-failure"));
+  private void postInvalidAnswer(RelayEffect.RelayAnswer effect, CallerExchange caller) {
+    post(
+        new RelayEvent.AttemptFailed(
+            effect.id(),
+            effect.attempt(),
+            AttemptFailureCause.INVALID_ANSWER,
+            caller.splitter().lastId()));
   }
 
   @Override
@@ -531,13 +461,6 @@
     }
   }
 
-  private void releasePendingAnswer(RelayRequestId id) {
-    PendingAnswer dropped = pendingAnswers.remove(id);
-    if (dropped != null) {
-      dropped.content().release();
-    }
-  }
-
   @Override
   public void repath(RelayEffect.Repath effect) {
     CallerExchange caller = callers.get(effect.id());
@@ -553,11 +476,6 @@
     }
   }
 
-  @Override
-  public void applyLimits(RelayEffect.ApplyLimits effect) {
-    limits = effect.limits();
-  }
-
   @Override
   public void setReadiness(RelayEffect.SetReadiness effect) {
     listener.readinessChanged(effect.ready());
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -136,7 +136,7 @@
   }
 
   @Test
-  void resetByTheEndpointIsALostConnection() {
+  void resetByTheEndpointIsLostConnection() {
     beginExchange(false);
     channel.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
     assertThat(listener.failures, is(List.of(AttemptFailureCause.CONNECTION_LOST)));
--- a/relay/src/test/java/io/zinniawood/relay/internal/PeerChannelTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/PeerChannelTest.java
@@ -67,7 +67,7 @@
 
   // A lack of memory for one datagram closed the channel to the other relays for good.
   @Test
-  void channelReceivesAgainAfterALackOfMemory() throws Exception {
+  void channelReceivesAgainAfterMemoryWasLacking() throws Exception {
     CountDownLatch received = new CountDownLatch(1);
     int port = freePort();
     PeerChannel channel =
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -188,7 +188,7 @@
 
   // A refusal that could not be written left its caller waiting on an open connection.
   @Test
-  void connectionClosesWhenARefusalCannotBeWritten() {
+  void connectionClosesWhenItsRefusalCannotBeWritten() {
     CallerHandler handler =
         new CallerHandler(runtime(new FailingCodec(FailingCodec.Method.DECODE_REQUEST)));
     FailingWrites writes = new FailingWrites();
