--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -173,11 +173,6 @@
         });
   }
 
-  private void logDecision(Decision decision) {
-    metrics.countDecision(decision);
-    log.add(decision.event(), decision.fields());
-  }
-
   private void connectionsClosed(ConnectionClosing.Remainder left) {
     log.add(
         "connections-closed",
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -7,9 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.EncoderException;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -19,17 +17,13 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.relay.LocalAnswer;
 import io.zinniawood.core.route.RequestLimits;
-import io.zinniawood.relay.HopByHopHeaders;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -37,9 +31,6 @@
  * RelayRuntime} writes answers through the methods of this class.
  */
 public final class CallerHandler extends ChannelInboundHandlerAdapter {
-  /** Retry-After, in milliseconds, of a request for whose body there is no memory. */
-  private static final long MEMORY_RETRY_MILLIS = 1_000;
-
   /** Time for which input is discarded after a refusal, so that the caller can read it. */
   private static final long DISCARD_MILLIS = 1_000;
 
@@ -52,11 +43,6 @@
   /** Delay of the close of a quiet connection while the process drains; lets input be read. */
   private static final long DRAIN_CLOSE_DELAY_MILLIS = 5;
 
-  /** Retry-After, in milliseconds, of a request that a failure of its connection ended. */
-  private static final long FAILURE_RETRY_MILLIS = 1_000;
-
-  private static final double MILLIS_PER_SECOND = 1_000;
-
   private final CallerListener listener;
   private final PipelinedMessages pipelined = new PipelinedMessages();
   private ChannelHandlerContext context;
@@ -234,8 +220,7 @@
     keepAlive = HttpUtil.isKeepAlive(request);
     body = new AccountedBytes(listener.requestMemory(), this::refuseForMemory);
     if (HttpUtil.is100ContinueExpected(request)) {
-      context.writeAndFlush(
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+      context.writeAndFlush(CallerAnswers.proceed());
     }
     return true;
   }
@@ -283,7 +268,7 @@
 
   /** Writes an answer that the relay generated. */
   public void writeLocalAnswer(LocalAnswer answer) {
-    FullHttpResponse response = localResponse(answer);
+    FullHttpResponse response = CallerAnswers.local(answer);
     setCloseHeader(response);
     write(response);
     finishExchange();
@@ -301,32 +286,9 @@
     }
   }
 
-  private static FullHttpResponse localResponse(LocalAnswer answer) {
-    String reason = "{\"reason\":\"" + answer.reason() + "\"}";
-    ByteBuf content = Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8);
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), content);
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-    answer
-        .retryAfterMillis()
-        .ifPresent(
-            millis ->
-                response
-                    .headers()
-                    .set(
-                        HttpHeaderNames.RETRY_AFTER,
-                        String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)));
-    return response;
-  }
-
   /** Writes an endpoint's complete answer and takes ownership of its content. */
   public void writeFullAnswer(HttpResponse upstream, ByteBuf content) {
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, upstream.status(), content);
-    HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    FullHttpResponse response = CallerAnswers.full(upstream, content);
     setCloseHeader(response);
     write(response);
     finishExchange();
@@ -334,9 +296,7 @@
 
   /** Writes the head of an endpoint's event stream. */
   public void beginStream(HttpResponse upstream) {
-    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstream.status());
-    HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
-    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    HttpResponse response = CallerAnswers.streamHead(upstream);
     setCloseHeader(response);
     write(response);
   }
@@ -440,14 +400,11 @@
 
   /** Refuses a request that was not read completely, so it has not run. */
   private void refuseForMemory() {
-    rejectAndClose(localResponse(LocalAnswer.notRun("memory-short", MEMORY_RETRY_MILLIS)));
+    rejectAndClose(CallerAnswers.memoryShort());
   }
 
   private void rejectAndClose(HttpResponseStatus status) {
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-    rejectAndClose(response);
+    rejectAndClose(CallerAnswers.early(status));
   }
 
   private void rejectAndClose(FullHttpResponse response) {
@@ -533,18 +490,10 @@
   private void refuseUndecided() {
     closing = true;
     boolean begun = undecided || head != null || headStarted;
-    int refusals = queuedRequests() + (begun ? 1 : 0);
+    int refusals = pipelined.requests() + (begun ? 1 : 0);
     dropPartialRequest();
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
-    for (int left = refusals; left > 0; left--) {
-      FullHttpResponse refusal =
-          localResponse(LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
-      if (left == 1) {
-        refusal.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-      }
-      context.write(refusal);
-    }
+    pipelined.release();
+    CallerAnswers.internalFailures(refusals).forEach(context::write);
     context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> closeAfterInput());
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -17,7 +17,6 @@
 import io.zinniawood.core.relay.RelayReducer;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.RelayState;
-import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.core.runtime.Step;
 import io.zinniawood.relay.AnsweredRequest;
 import io.zinniawood.relay.HeaderCodec;
@@ -35,22 +34,17 @@
  * effects. Events that are posted while effects are carried out are queued and processed
  * afterwards.
  */
-public final class RelayRuntime extends PlatformEffects
-    implements CallerListener, EndpointListener {
+public final class RelayRuntime extends CallerEffects implements CallerListener, EndpointListener {
   private final RelayState state;
-  private final HeaderCodec codec;
   private final MemoryBudget memory;
   private final Listener listener;
   private final RelayReducer reducer = new RelayReducer();
   private final EndpointConnectionPool connections;
   private final Deque<RelayEvent> pendingEvents = new ArrayDeque<>();
-  private final Map<RelayRequestId, CallerExchange> callers = new HashMap<>();
   private final Map<RelayRequestId, EndpointExchange> attempts = new HashMap<>();
-  private final PendingAnswers pendingAnswers = new PendingAnswers();
   private final UnsentStreams unsentStreams;
   private final EventLoop loop;
   private long lastTickNanos = System.nanoTime();
-  private RequestLimits limits = RequestLimits.DEFAULT;
   private boolean processingEvents;
   private long lastRequestId;
 
@@ -81,10 +75,10 @@
   /** Creates a runtime; {@link #start} must be called before the first event. */
   public RelayRuntime(
       RelayState state, HeaderCodec codec, EventLoop loop, MemoryBudget memory, Listener listener) {
+    super(codec);
     this.memory = memory;
     this.unsentStreams = new UnsentStreams(memory.account(MemoryUser.STREAMED_ANSWERS));
     this.state = state;
-    this.codec = codec;
     this.listener = listener;
     this.loop = loop;
     this.connections =
@@ -160,11 +154,6 @@
 
   // Connections of callers.
 
-  @Override
-  public RequestLimits limits() {
-    return limits;
-  }
-
   @Override
   public MemoryAccount requestMemory() {
     return memory.account(MemoryUser.CALLER_REQUESTS);
@@ -226,11 +215,7 @@
   }
 
   private void limitUnsentStreams() {
-    unsentStreams.limit(
-        callers.values().stream()
-            .filter(CallerExchange::headWritten)
-            .map(CallerExchange::connection)
-            .toList());
+    unsentStreams.limit(streamingConnections());
   }
 
   @Override
@@ -240,12 +225,7 @@
       return;
     }
     if (state.isOpen(id)) {
-      post(
-          new RelayEvent.AttemptFailed(
-              id,
-              caller.attempt(),
-              AttemptFailureCause.INTERNAL_FAILURE,
-              caller.splitter().lastId()));
+      postFailure(caller, caller.attempt(), AttemptFailureCause.INTERNAL_FAILURE);
     } else {
       // It was not decided on, and is not sent any more once it has left the map.
       end(id, LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
@@ -333,16 +313,6 @@
     }
   }
 
-  /** Writes the head of a stream unless that was done; it goes with the first event. */
-  private void writeStreamHead(EndpointExchange exchange) {
-    CallerExchange caller = exchange.callerExchange();
-    if (!caller.headWritten()) {
-      codec.removeEndpointHeaders(exchange.streamHead());
-      caller.connection().beginStream(exchange.streamHead());
-      caller.markHeadWritten();
-    }
-  }
-
   /** Ends a request whose caller lacks an event that no other attempt would send again. */
   private void breakOff(EndpointExchange exchange) {
     CallerExchange caller = exchange.callerExchange();
@@ -353,12 +323,7 @@
       callers.remove(caller.id());
       caller.connection().abort();
     }
-    post(
-        new RelayEvent.AttemptFailed(
-            caller.id(),
-            exchange.attempt(),
-            AttemptFailureCause.INTERNAL_FAILURE,
-            caller.splitter().lastId()));
+    postFailure(caller, exchange.attempt(), AttemptFailureCause.INTERNAL_FAILURE);
   }
 
   @Override
@@ -433,9 +398,7 @@
       // No end of a read follows if the attempt failed in the read that brought its last events.
       caller.connection().flush();
     }
-    post(
-        new RelayEvent.AttemptFailed(
-            caller.id(), exchange.attempt(), cause, caller.splitter().lastId()));
+    postFailure(caller, exchange.attempt(), cause);
   }
 
   // Effects.
@@ -465,12 +428,7 @@
     }
     if (exchange == null || exchange.attempt() != effect.attempt()) {
       // The attempt ended before its answer was decided on; the request still needs its end.
-      post(
-          new RelayEvent.AttemptFailed(
-              effect.id(),
-              effect.attempt(),
-              AttemptFailureCause.INVALID_ANSWER,
-              caller.splitter().lastId()));
+      postFailure(caller, effect.attempt(), AttemptFailureCause.INVALID_ANSWER);
       return;
     }
     PendingAnswers.Answer answer = pendingAnswers.get(effect.id());
@@ -479,12 +437,7 @@
       return;
     }
     if (caller.headWritten()) {
-      post(
-          new RelayEvent.AttemptFailed(
-              effect.id(),
-              effect.attempt(),
-              AttemptFailureCause.INVALID_ANSWER,
-              caller.splitter().lastId()));
+      postFailure(caller, effect.attempt(), AttemptFailureCause.INVALID_ANSWER);
       return;
     }
     codec.removeEndpointHeaders(answer.head());
@@ -495,35 +448,8 @@
     post(new RelayEvent.AnswerRelayed(effect.id(), effect.attempt()));
   }
 
-  @Override
-  public void answerLocally(RelayEffect.AnswerLocally effect) {
-    end(effect.id(), effect.answer());
-  }
-
-  /** Answers a request, or breaks its answer off if it has begun. */
-  private void end(RelayRequestId id, LocalAnswer answer) {
-    CallerExchange caller = callers.remove(id);
-    pendingAnswers.release(id);
-    if (caller != null && caller.headWritten()) {
-      caller.connection().abort();
-    } else if (caller != null) {
-      endCaller(caller, () -> caller.connection().writeLocalAnswer(answer));
-    }
-  }
-
-  private void endCaller(CallerExchange caller, Runnable write) {
-    try {
-      write.run();
-    } catch (RuntimeException | Error failure) {
-      failed("effect-failed", "end-of-request", failure);
-      caller.connection().abort();
-    }
-  }
-
-  @Override
-  public void abortAnswer(RelayEffect.AbortAnswer effect) {
-    // Without a head the caller can still be told that the outcome is unknown.
-    end(effect.id(), LocalAnswer.unknownOutcome("internal-failure"));
+  private void postFailure(CallerExchange caller, int attempt, AttemptFailureCause cause) {
+    post(new RelayEvent.AttemptFailed(caller.id(), attempt, cause, caller.splitter().lastId()));
   }
 
   @Override
@@ -538,26 +464,6 @@
     }
   }
 
-  @Override
-  public void repath(RelayEffect.Repath effect) {
-    CallerExchange caller = callers.get(effect.id());
-    if (caller != null) {
-      platform()
-          .repath(
-              effect.id(),
-              effect.attempt(),
-              caller.request(),
-              state.incarnation(effect.path().first().endpoint()),
-              effect.first(),
-              effect.path());
-    }
-  }
-
-  @Override
-  public void applyLimits(RelayEffect.ApplyLimits effect) {
-    limits = effect.limits();
-  }
-
   @Override
   public void setReadiness(RelayEffect.SetReadiness effect) {
     listener.readinessChanged(effect.ready());
