--- a/relay/src/test/java/io/zinniawood/relay/EndlessControlAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/EndlessControlAnswerTest.java
@@ -49,7 +49,8 @@
   private final List<Decision> lines = new CopyOnWriteArrayList<>();
   private final MemoryBudget memory = new MemoryBudget(DIRECT_MEMORY_BYTES, lines::add, () -> 0);
   private final ControlClient client =
-      new ControlClient(loop, memory.account(MemoryUser.CONTROL_ANSWERS));
+      new ControlClient(
+          loop, memory.account(MemoryUser.CONTROL_ANSWERS), (event, subject, failure) -> {});
   private final List<ServerSocket> servers = new ArrayList<>();
 
   /** Writes the answer to each call on a connection. */
--- a/relay/src/test/java/io/zinniawood/relay/internal/ControlClientFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/ControlClientFailuresTest.java
@@ -59,7 +59,10 @@
       CompletableFuture<ControlFailure> failure = new CompletableFuture<>();
       loop.execute(
           () ->
-              new ControlClient(loop, (event, subject, fault) -> lines.add(event + " " + subject))
+              new ControlClient(
+                      loop,
+                      new MemoryAccount(1024 * 1024, 64 * 1024, (used, limit) -> {}),
+                      (event, subject, fault) -> lines.add(event + " " + subject))
                   .call(
                       new NodeAddress("127.0.0.1", server.getLocalPort()),
                       HttpMethod.GET,
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
@@ -69,7 +69,9 @@
                   0,
                   SendOptions.ConnectionUse.FRESH,
                   false));
-      EndpointConnectionPool pool = new EndpointConnectionPool(loop, listener);
+      EndpointConnectionPool pool =
+          new EndpointConnectionPool(
+              loop, new MemoryAccount(1024 * 1024, 64 * 1024, (used, limit) -> {}), listener);
       loop.execute(() -> pool.send(exchange, head));
       assertThat(failuresOnceThereAreAny(), is(List.of(AttemptFailureCause.NOT_SENT)));
       assertThat(listener.faults, is(List.of("effect-failed write-request")));
--- a/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
@@ -69,7 +69,12 @@
             new RelayParameters(
                 new VmId("vm"), new DataCentreId("dc"), Optional.empty(), false, 8_000, 1));
     RelayRuntime runtime =
-        new RelayRuntime(state, new FailingCodec(FailingCodec.Method.NONE), loop, this);
+        new RelayRuntime(
+            state,
+            new FailingCodec(FailingCodec.Method.NONE),
+            loop,
+            new MemoryBudget(64 * 1024 * 1024, line -> {}, System::nanoTime),
+            this);
     PlatformClient platform =
         (PlatformClient)
             Proxy.newProxyInstance(
