--- a/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
+++ b/core/src/test/java/io/zinniawood/core/quarantine/CrashQuarantineTest.java
@@ -156,7 +156,7 @@
       assertThat(quarantine.trialDue(DEADLY, nowNanos), is(false));
       advanceMillis(200);
       crash(candidate("deadly", 150, 0));
-      quarantine.trialEnded(DEADLY, nowNanos);
+      quarantine.trialEnded(DEADLY, true, nowNanos);
       assertThat(quarantine.trialDue(DEADLY, nowNanos), is(false));
     }
     assertThat(waits, is(List.of(30L, 60L, 120L)));
@@ -281,6 +281,19 @@
     assertThat(quarantine.heldRequests(), is(1));
   }
 
+  // Copies of a request that overlap must not pass for crashes with a common cause.
+  @Test
+  void requestWhoseCopiesOverlapIsHeldAfterThreeCrashesOfOneMoment() {
+    crash(plainRequest("r1", 109));
+    advanceMillis(21);
+    crash(plainRequest("r1", 39), plainRequest("other", 223));
+    advanceMillis(75);
+    assertThat(holdsRequest("r1"), is(false));
+    crash(plainRequest("r1", 95), plainRequest("third", 2));
+    assertThat(holdsRequest("r1"), is(true));
+    assertThat(quarantine.heldRequests(), is(1));
+  }
+
   // Endpoints of a rack that fail together run many copies of a request that is asked for often.
   @Test
   void requestAtEndpointsThatFailTogetherIsNotHeld() {
@@ -328,6 +341,34 @@
     assertThat(other.heldRequests(), is(48));
   }
 
+  // Crashes must reach the other routers also while many subjects are held.
+  @Test
+  void crashIsToldWhileManyRequestsAreHeld() {
+    for (int number = 0; number < 48; number++) {
+      for (int crash = 0; crash < 2; crash++) {
+        crash(request("%016d".formatted(number), 150));
+        advanceMillis(150);
+      }
+    }
+    CrashQuarantine other = new CrashQuarantine();
+    crash(request("r1", 150));
+    other.noticeReceived(quarantine.notice(nowNanos), nowNanos);
+    advanceMillis(500);
+    CrashId far = new CrashId(new EndpointId("far"), 1);
+    other.crashed(far, nowNanos, List.of(request("r1", 150)), nowNanos);
+    assertThat(other.held(List.of(new RequestFingerprint("r1"))).size(), is(1));
+  }
+
+  // Each answer costs a fingerprint of its request while requests are suspected.
+  @Test
+  void requestIsSuspectedOnlyWhileItsCrashIsEvidence() {
+    crash(plainRequest("r1", 20));
+    advanceMillis(TimeUnit.MINUTES.toMillis(4));
+    assertThat(quarantine.suspectsRequests(nowNanos), is(true));
+    advanceMillis(TimeUnit.MINUTES.toMillis(2));
+    assertThat(quarantine.suspectsRequests(nowNanos), is(false));
+  }
+
   // A request that nobody sends any more must not be kept and told for good.
   @Test
   void heldRequestThatDoesNotComeAgainIsForgotten() {
--- a/entry/src/test/java/io/zinniawood/entry/FakePlatform.java
+++ b/entry/src/test/java/io/zinniawood/entry/FakePlatform.java
@@ -50,6 +50,8 @@
   final Map<String, TableRow> rows = new ConcurrentHashMap<>();
   final AtomicInteger vmListReads = new AtomicInteger();
   final AtomicInteger followCalls = new AtomicInteger();
+  volatile boolean failsReads;
+  volatile boolean failsVmListReads;
   volatile NextWrite nextWrite = NextWrite.NORMAL;
   volatile Vector<VmEntry> vms = Vector.empty();
   volatile Option<ConfigurationSnapshot> newestSnapshot = Option.some(snapshot(1));
@@ -67,6 +69,9 @@
 
   @Override
   public CompletableFuture<Either<PlatformError, Option<TableRow>>> read(String key) {
+    if (failsReads) {
+      throw new IllegalStateException("read failed");
+    }
     return CompletableFuture.completedFuture(Either.right(Option.of(rows.get(key))));
   }
 
@@ -102,6 +107,9 @@
   @Override
   public CompletableFuture<Either<PlatformError, VmListing>> read() {
     vmListReads.incrementAndGet();
+    if (failsVmListReads) {
+      throw new OutOfMemoryError("no direct memory");
+    }
     return CompletableFuture.completedFuture(Either.right(new VmListing(1, vms)));
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -6,30 +6,24 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.relay.LocalAnswer;
 import io.zinniawood.core.route.RequestLimits;
-import io.zinniawood.relay.HopByHopHeaders;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -37,9 +31,6 @@
  * RelayRuntime} writes answers through the methods of this class.
  */
 public final class CallerHandler extends ChannelInboundHandlerAdapter {
-  /** Number of queued pipelined messages at which reading from the caller is paused. */
-  private static final int MAX_PIPELINED_MESSAGES = 64;
-
   /** Time for which input is discarded after a refusal, so that the caller can read it. */
   private static final long DISCARD_MILLIS = 1_000;
 
@@ -52,16 +43,21 @@
   /** Delay of the close of a quiet connection while the process drains; lets input be read. */
   private static final long DRAIN_CLOSE_DELAY_MILLIS = 5;
 
-  private static final double MILLIS_PER_SECOND = 1_000;
-
   private final CallerListener listener;
-  private final Deque<Object> pipelined = new ArrayDeque<>();
+  private final PipelinedMessages pipelined = new PipelinedMessages();
   private ChannelHandlerContext context;
   private HttpRequest head;
-  private ByteBuf body;
+  private AccountedBytes body;
   private CallerExchange exchange;
   private boolean keepAlive;
   private boolean closing;
+
+  /** Whether a request was read completely and no exchange has begun for it. */
+  private boolean undecided;
+
+  /** Whether a handler failed; what was not decided on by then is refused. */
+  private boolean failed;
+
   private long lastActivityNanos = System.nanoTime();
 
   /** Idle timeout in force at the last activity; callers reckon with it for the reuse. */
@@ -93,14 +89,18 @@
 
   /** Closes the connection if its idle timeout or header timeout has expired. */
   public void checkTimeouts(long nowNanos) {
-    if (exchange != null || !pipelined.isEmpty() || closing) {
+    if (exchange != null || closing || (writable() && !pipelined.isEmpty())) {
       return;
     }
     RequestLimits limits = listener.limits();
     long headNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
     long idleNanos =
         TimeUnit.MILLISECONDS.toNanos(Math.max(idleTimeoutMillis, limits.idleTimeoutMillis()));
-    if (headStarted && nowNanos - headStartedNanos >= headNanos) {
+    if (!writable()) {
+      if (nowNanos - lastActivityNanos >= idleNanos) {
+        close(ConnectionClose.Reason.ANSWER_NOT_TAKEN, "");
+      }
+    } else if (headStarted && nowNanos - headStartedNanos >= headNanos) {
       rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (nowNanos - lastActivityNanos >= idleNanos) {
       if (head == null) {
@@ -152,15 +152,11 @@
             reason,
             exchange != null,
             head != null || headStarted,
-            queuedRequests(),
+            pipelined.requests(),
             TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastActivityNanos),
             detail));
   }
 
-  private int queuedRequests() {
-    return (int) pipelined.stream().filter(HttpRequest.class::isInstance).count();
-  }
-
   /**
    * Closes the connection unless a request is in progress or partly received, an answer is not sent
    * yet, or bytes arrived or an answer ended lately.
@@ -178,9 +174,9 @@
   public void channelRead(ChannelHandlerContext read, Object message) {
     if (closing) {
       ReferenceCountUtil.release(message);
-    } else if (exchange != null || !pipelined.isEmpty()) {
-      pipelined.addLast(message);
-      if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
+    } else if (exchange != null || !pipelined.isEmpty() || !writable()) {
+      pipelined.add(message);
+      if (pipelined.full()) {
         context.channel().config().setAutoRead(false);
       }
     } else {
@@ -212,16 +208,19 @@
               : HttpResponseStatus.BAD_REQUEST);
       return false;
     }
+    if (CallerCodec.headerBytes(request.headers()) > listener.limits().maxHeaderBytes()) {
+      rejectAndClose(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+      return false;
+    }
     if (HttpUtil.getContentLength(request, 0L) > listener.limits().maxBodyBytes()) {
       rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return false;
     }
     head = request;
     keepAlive = HttpUtil.isKeepAlive(request);
-    body = Unpooled.EMPTY_BUFFER;
+    body = new AccountedBytes(listener.requestMemory(), this::refuseForMemory);
     if (HttpUtil.is100ContinueExpected(request)) {
-      context.writeAndFlush(
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+      context.writeAndFlush(CallerAnswers.proceed());
     }
     return true;
   }
@@ -240,11 +239,9 @@
         rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         return;
       }
-      if (bytes.isReadable()) {
-        if (body == Unpooled.EMPTY_BUFFER) {
-          body = context.alloc().buffer(bytes.readableBytes());
-        }
-        body.writeBytes(bytes);
+      if (!body.append(bytes)) {
+        refuseForMemory();
+        return;
       }
     } finally {
       content.release();
@@ -256,10 +253,12 @@
 
   private void completeRequest() {
     HttpRequest complete = head;
-    ByteBuf whole = body;
+    ByteBuf whole = body.take();
     head = null;
     body = null;
+    undecided = true;
     listener.requestReceived(this, complete, whole);
+    undecided = false;
   }
 
   /** Sets the current exchange; must precede its first event, which may already answer it. */
@@ -269,50 +268,42 @@
 
   /** Writes an answer that the relay generated. */
   public void writeLocalAnswer(LocalAnswer answer) {
-    String reason = "{\"reason\":\"" + answer.reason() + "\"}";
-    ByteBuf content = Unpooled.copiedBuffer(reason, StandardCharsets.UTF_8);
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), content);
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-    answer
-        .retryAfterMillis()
-        .ifPresent(
-            millis ->
-                response
-                    .headers()
-                    .set(
-                        HttpHeaderNames.RETRY_AFTER,
-                        String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)));
+    FullHttpResponse response = CallerAnswers.local(answer);
     setCloseHeader(response);
-    context.write(response);
+    write(response);
     finishExchange();
   }
 
+  /**
+   * Writes part of an answer.
+   *
+   * @throws EncoderException if the part could not be encoded; what follows it must not be written
+   */
+  private void write(HttpObject part) {
+    Throwable cause = context.write(part).cause();
+    if (cause != null && !(cause instanceof IOException)) {
+      throw new EncoderException(cause);
+    }
+  }
+
   /** Writes an endpoint's complete answer and takes ownership of its content. */
   public void writeFullAnswer(HttpResponse upstream, ByteBuf content) {
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, upstream.status(), content);
-    HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    FullHttpResponse response = CallerAnswers.full(upstream, content);
     setCloseHeader(response);
-    context.write(response);
+    write(response);
     finishExchange();
   }
 
   /** Writes the head of an endpoint's event stream. */
   public void beginStream(HttpResponse upstream) {
-    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstream.status());
-    HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
-    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    HttpResponse response = CallerAnswers.streamHead(upstream);
     setCloseHeader(response);
-    context.write(response);
+    write(response);
   }
 
   /** Writes bytes of a stream without flushing them. */
   public void writeStream(ByteBuf bytes) {
-    context.write(new DefaultHttpContent(bytes));
+    write(new DefaultHttpContent(bytes));
   }
 
   /** Flushes the bytes written by {@link #writeStream}. */
@@ -322,7 +313,7 @@
 
   /** Completes a stream. */
   public void endStream() {
-    context.write(LastHttpContent.EMPTY_LAST_CONTENT);
+    write(LastHttpContent.EMPTY_LAST_CONTENT);
     finishExchange();
   }
 
@@ -332,6 +323,11 @@
     releaseExchange();
   }
 
+  /** Closes the connection of a caller that takes too little of its stream. */
+  void disconnectSlowCaller() {
+    close(ConnectionClose.Reason.ANSWER_NOT_TAKEN, "unsentBytes " + unsentBytes());
+  }
+
   /** Returns whether the outbound buffer has room for more bytes. */
   public boolean writable() {
     return context.channel().isWritable();
@@ -357,7 +353,7 @@
   }
 
   private boolean closesAfterAnswer() {
-    return !keepAlive || (listener.draining() && pipelined.isEmpty());
+    return !keepAlive || ((failed || listener.draining()) && pipelined.isEmpty());
   }
 
   private void finishExchange() {
@@ -372,38 +368,49 @@
       context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
       return;
     }
+    if (failed) {
+      refuseUndecided();
+      return;
+    }
     context.flush();
     context.executor().execute(this::handlePipelined);
   }
 
   private void handlePipelined() {
     try {
-      while (exchange == null && !closing && !pipelined.isEmpty()) {
-        handleMessage(pipelined.pollFirst());
+      while (exchange == null && !closing && !pipelined.isEmpty() && writable()) {
+        handleMessage(pipelined.poll());
       }
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       fail(failure);
       return;
     }
-    if (pipelined.size() < MAX_PIPELINED_MESSAGES) {
+    if (!pipelined.full()) {
       context.channel().config().setAutoRead(true);
     }
   }
 
   private void releaseExchange() {
+    undecided = false;
     if (exchange != null) {
       exchange.body().release();
       exchange = null;
     }
   }
 
+  /** Refuses a request that was not read completely, so it has not run. */
+  private void refuseForMemory() {
+    rejectAndClose(CallerAnswers.memoryShort());
+  }
+
   private void rejectAndClose(HttpResponseStatus status) {
-    report(ConnectionClose.Reason.REFUSED_EARLY, String.valueOf(status.code()));
+    rejectAndClose(CallerAnswers.early(status));
+  }
+
+  private void rejectAndClose(FullHttpResponse response) {
+    report(ConnectionClose.Reason.REFUSED_EARLY, String.valueOf(response.status().code()));
     closing = true;
     dropPartialRequest();
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     context.writeAndFlush(response).addListener(written -> closeAfterInput());
   }
@@ -430,7 +437,9 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext changed) {
     if (exchange != null) {
-      listener.writabilityChanged(exchange.id(), changed.channel().isWritable());
+      listener.writabilityChanged(exchange.id(), writable());
+    } else if (writable()) {
+      changed.executor().execute(this::handlePipelined);
     }
   }
 
@@ -441,8 +450,7 @@
     }
     closing = true;
     dropPartialRequest();
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
+    pipelined.release();
     if (exchange != null) {
       CallerExchange abandoned = exchange;
       releaseExchange();
@@ -460,8 +468,32 @@
     }
   }
 
-  /** Closes the connection after the failure of a handler; an open request ends as abandoned. */
+  /**
+   * Closes the connection after the failure of a handler. The request in progress is answered
+   * first; requests that are queued or partly read are refused.
+   */
   public void fail(Throwable cause) {
-    close(ConnectionClose.Reason.HANDLER_FAILED, cause.toString());
+    if (closing || failed) {
+      return;
+    }
+    failed = true;
+    report(ConnectionClose.Reason.HANDLER_FAILED, cause.toString());
+    if (exchange == null) {
+      refuseUndecided();
+    } else if (undecided || cause instanceof OutOfMemoryError) {
+      // Netty closes a connection for which it has no memory to read.
+      listener.requestFailed(exchange.id());
+    }
+  }
+
+  /** Refuses each request that was read and not decided on, and closes the connection. */
+  private void refuseUndecided() {
+    closing = true;
+    boolean begun = undecided || head != null || headStarted;
+    int refusals = pipelined.requests() + (begun ? 1 : 0);
+    dropPartialRequest();
+    pipelined.release();
+    CallerAnswers.internalFailures(refusals).forEach(context::write);
+    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> closeAfterInput());
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
@@ -10,12 +10,18 @@
   /** Returns the request limits currently in effect. */
   RequestLimits limits();
 
+  /** Returns the memory of the bodies of all callers' requests. */
+  MemoryAccount requestMemory();
+
   /** Returns whether the process is draining, so that connections are closed after their answer. */
   boolean draining();
 
   /** A request was received completely; the receiver takes ownership of the body. */
   void requestReceived(CallerHandler caller, HttpRequest head, ByteBuf body);
 
+  /** The connection of a request in progress failed; the request must be ended at once. */
+  void requestFailed(RelayRequestId id);
+
   /** The caller's connection was closed before the answer was complete. */
   void callerDisconnected(RelayRequestId id);
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -39,26 +39,24 @@
   /** Maximum number of idle pooled connections per endpoint. */
   private static final int MAX_POOLED_PER_ENDPOINT = 48;
 
-  /** Maximum size of an answer that is buffered until it is complete. */
-  private static final int MAX_BUFFERED_ANSWER_BYTES = 4 * 1024 * 1024;
-
-  /** Maximum size of all buffered answers; a quarter of a relay's direct memory. */
-  private static final long MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
-
   private static final AttributeKey<PoolEntry> POOL_ENTRY = AttributeKey.valueOf("zinniawood.kept");
 
   private final EventLoop loop;
   private final EndpointListener listener;
-  private final BufferedAnswers buffered =
-      new BufferedAnswers(MAX_BUFFERED_BYTES, MAX_BUFFERED_ANSWER_BYTES);
+  private final MemoryAccount memory;
   private final Map<NodeAddress, Deque<Channel>> pool = new HashMap<>();
 
   /** Address of a pooled connection and the {@link System#nanoTime} until which it is reusable. */
   private record PoolEntry(NodeAddress address, long reusableUntilNanos) {}
 
-  /** Creates an empty pool whose connections run on the event loop. */
-  public EndpointConnectionPool(EventLoop loop, EndpointListener listener) {
+  /**
+   * Creates an empty pool whose connections run on the event loop.
+   *
+   * @param memory memory of the answers that are buffered until they are complete
+   */
+  public EndpointConnectionPool(EventLoop loop, MemoryAccount memory, EndpointListener listener) {
     this.loop = loop;
+    this.memory = memory;
     this.listener = listener;
   }
 
@@ -85,7 +83,7 @@
           if (exchange.ended()) {
             connected.channel().close();
           } else if (done.isSuccess()) {
-            write(exchange, connected.channel(), head);
+            writeContained(exchange, connected.channel(), head);
           } else {
             listener.attemptFailed(exchange, AttemptFailureCause.NOT_SENT);
           }
@@ -106,10 +104,21 @@
     }
   }
 
+  /** Writes a request after the connect; Netty drops what a listener of a future throws. */
+  private void writeContained(EndpointExchange exchange, Channel channel, HttpRequest head) {
+    try {
+      write(exchange, channel, head);
+    } catch (RuntimeException | Error failure) {
+      listener.failed("effect-failed", "write-request", failure);
+      listener.attemptFailed(
+          exchange,
+          exchange.sent() ? AttemptFailureCause.CONNECTION_LOST : AttemptFailureCause.NOT_SENT);
+      channel.close();
+    }
+  }
+
   private void write(EndpointExchange exchange, Channel channel, HttpRequest head) {
     exchange.channel(channel);
-    exchange.markSent();
-    channel.pipeline().get(EndpointHandler.class).beginExchange(exchange);
     ByteBuf body = exchange.callerExchange().body();
     FullHttpRequest request =
         new DefaultFullHttpRequest(
@@ -119,6 +128,8 @@
             body.retainedDuplicate(),
             head.headers(),
             io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
+    channel.pipeline().get(EndpointHandler.class).beginExchange(exchange);
+    exchange.markSent();
     channel.writeAndFlush(request).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
   }
 
@@ -143,6 +154,8 @@
       channel.close();
       return;
     }
+    // Reading is paused if the caller of the last answer was slow to take it.
+    channel.config().setAutoRead(true);
     channel.attr(POOL_ENTRY).set(new PoolEntry(address, System.nanoTime() + reusableNanos(answer)));
     channels.addLast(channel);
   }
@@ -185,7 +198,7 @@
           .pipeline()
           .addLast(new HttpRequestEncoder())
           .addLast(new HttpResponseDecoder())
-          .addLast(new EndpointHandler(listener, EndpointConnectionPool.this, buffered));
+          .addLast(new EndpointHandler(listener, EndpointConnectionPool.this, memory));
     }
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -14,6 +14,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.relay.AnsweredRequest;
+import java.io.IOException;
 
 /**
  * Connection to one endpoint; carries one request at a time. Skips answers that carry the id of
@@ -22,9 +23,12 @@
 final class EndpointHandler extends ChannelInboundHandlerAdapter {
   private static final String EVENT_STREAM = "text/event-stream";
 
+  /** Maximum number of informational answers and answers to other requests before the answer. */
+  private static final int MAX_SKIPPED_ANSWERS = 64;
+
   private final EndpointListener listener;
   private final EndpointConnectionPool connections;
-  private final BufferedAnswers buffered;
+  private final MemoryAccount memory;
   private EndpointExchange exchange;
 
   /** Last request on this connection; answers that arrive without a request are its endpoint's. */
@@ -35,17 +39,19 @@
 
   private boolean used;
   private HttpResponse head;
-  private ByteBuf content;
+  private AccountedBytes content;
   private boolean skipping;
+  private int skippedAnswers;
+  private long skippedBytes;
   private boolean streaming;
   private boolean reusable;
   private boolean connectionFailed;
 
   EndpointHandler(
-      EndpointListener listener, EndpointConnectionPool connections, BufferedAnswers buffered) {
+      EndpointListener listener, EndpointConnectionPool connections, MemoryAccount memory) {
     this.listener = listener;
     this.connections = connections;
-    this.buffered = buffered;
+    this.memory = memory;
   }
 
   /** Assigns the connection to an attempt. */
@@ -56,6 +62,8 @@
     lastExchange = begun;
     head = null;
     skipping = false;
+    skippedAnswers = 0;
+    skippedBytes = 0;
     streaming = false;
   }
 
@@ -102,6 +110,7 @@
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL
             || answered == AnsweredRequest.OTHER;
     if (skipping) {
+      countSkipped(context, 1, 0);
       return;
     }
     // It may be an answer to an earlier request once more, so it proves nothing about this one.
@@ -122,30 +131,37 @@
       exchange.streamHead(response);
       listener.streamStarted(exchange, response);
     } else {
-      content = context.alloc().buffer();
+      content = new AccountedBytes(memory, () -> fail(context, AttemptFailureCause.INVALID_ANSWER));
+    }
+  }
+
+  private void countSkipped(ChannelHandlerContext context, int answers, int bytes) {
+    skippedAnswers += answers;
+    skippedBytes += bytes;
+    if (skippedAnswers > MAX_SKIPPED_ANSWERS || skippedBytes > memory.maxBufferBytes()) {
+      fail(context, AttemptFailureCause.INVALID_ANSWER);
     }
   }
 
   private void handleContent(ChannelHandlerContext context, HttpContent part) {
     boolean last = part instanceof LastHttpContent;
+    if (part.decoderResult().isFailure()) {
+      fail(context, AttemptFailureCause.INVALID_ANSWER);
+      return;
+    }
     if (skipping) {
       skipping = !last;
+      countSkipped(context, 0, part.content().readableBytes());
       return;
     }
     if (head == null) {
       return;
     }
-    if (part.decoderResult().isFailure()) {
-      fail(context, AttemptFailureCause.INVALID_ANSWER);
-      return;
-    }
     if (streaming) {
       listener.streamContentReceived(exchange, part.content());
-    } else if (!buffered.tryReserve(content.readableBytes(), part.content().readableBytes())) {
+    } else if (!content.append(part.content())) {
       fail(context, AttemptFailureCause.INVALID_ANSWER);
       return;
-    } else {
-      content.writeBytes(part.content());
     }
     if (last && exchange != null) {
       complete(context);
@@ -162,14 +178,19 @@
     }
     exchange = null;
     head = null;
-    ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content;
+    ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content.take();
     content = null;
-    buffered.release(whole.readableBytes());
-    connections.release(complete.address(), context.channel(), answered, reusable);
-    if (streaming) {
-      listener.streamCompleted(complete);
-    } else {
-      listener.answerReceived(complete, answered, whole);
+    try {
+      connections.release(complete.address(), context.channel(), answered, reusable);
+      if (streaming) {
+        listener.streamCompleted(complete);
+      } else {
+        listener.answerReceived(complete, answered, whole);
+      }
+    } catch (RuntimeException | Error failure) {
+      listener.failed("connection-failed", "delivery", failure);
+      context.close();
+      listener.attemptFailed(complete, AttemptFailureCause.INVALID_ANSWER);
     }
   }
 
@@ -185,7 +206,6 @@
 
   private void dropContent() {
     if (content != null) {
-      buffered.release(content.readableBytes());
       content.release();
       content = null;
     }
@@ -208,6 +228,12 @@
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     // After a reset the decoder ends an answer without a length, although it is incomplete.
     connectionFailed = true;
-    fail(context, AttemptFailureCause.CONNECTION_LOST);
+    if (cause instanceof IOException) {
+      fail(context, AttemptFailureCause.CONNECTION_LOST);
+    } else {
+      // A lost connection would be evidence of a crash of the endpoint.
+      listener.failed("connection-failed", "endpoint", cause);
+      fail(context, AttemptFailureCause.INVALID_ANSWER);
+    }
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/PlatformEffects.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/PlatformEffects.java
@@ -1,5 +1,7 @@
 package io.zinniawood.relay.internal;
 
+import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayState;
 import io.zinniawood.relay.PlatformClient;
@@ -21,6 +23,11 @@
     return platform;
   }
 
+  /** Returns the process start of an endpoint that the list shows. */
+  EndpointIncarnation incarnation(EndpointId endpoint) {
+    return state.incarnation(endpoint);
+  }
+
   @Override
   public void order(RelayEffect.Order effect) {
     platform.sendOrder(effect.order(), state.incarnation(effect.order().endpoint()));
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -8,7 +8,6 @@
 import io.zinniawood.core.relay.AnswerSummary;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
-import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.EndpointStatement;
 import io.zinniawood.core.relay.LocalAnswer;
@@ -18,7 +17,6 @@
 import io.zinniawood.core.relay.RelayReducer;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.RelayState;
-import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.core.runtime.Step;
 import io.zinniawood.relay.AnsweredRequest;
 import io.zinniawood.relay.HeaderCodec;
@@ -36,20 +34,17 @@
  * effects. Events that are posted while effects are carried out are queued and processed
  * afterwards.
  */
-public final class RelayRuntime extends PlatformEffects
-    implements CallerListener, EndpointListener {
+public final class RelayRuntime extends CallerEffects implements CallerListener, EndpointListener {
   private final RelayState state;
-  private final HeaderCodec codec;
+  private final MemoryBudget memory;
   private final Listener listener;
   private final RelayReducer reducer = new RelayReducer();
   private final EndpointConnectionPool connections;
   private final Deque<RelayEvent> pendingEvents = new ArrayDeque<>();
-  private final Map<RelayRequestId, CallerExchange> callers = new HashMap<>();
   private final Map<RelayRequestId, EndpointExchange> attempts = new HashMap<>();
-  private final Map<RelayRequestId, PendingAnswer> pendingAnswers = new HashMap<>();
+  private final UnsentStreams unsentStreams;
   private final EventLoop loop;
   private long lastTickNanos = System.nanoTime();
-  private RequestLimits limits = RequestLimits.DEFAULT;
   private boolean processingEvents;
   private long lastRequestId;
 
@@ -62,9 +57,6 @@
   /** Retry-After, in milliseconds, of a request that could not be decoded. */
   private static final long FAILURE_RETRY_MILLIS = 1_000;
 
-  /** A complete answer that waits for the reducer's decision. */
-  private record PendingAnswer(int attempt, HttpResponse head, ByteBuf content) {}
-
   /** Receives the effects that concern the process. */
   public interface Listener {
     /** The readiness changed. */
@@ -81,12 +73,16 @@
   }
 
   /** Creates a runtime; {@link #start} must be called before the first event. */
-  public RelayRuntime(RelayState state, HeaderCodec codec, EventLoop loop, Listener listener) {
+  public RelayRuntime(
+      RelayState state, HeaderCodec codec, EventLoop loop, MemoryBudget memory, Listener listener) {
+    super(codec);
+    this.memory = memory;
+    this.unsentStreams = new UnsentStreams(memory.account(MemoryUser.STREAMED_ANSWERS));
     this.state = state;
-    this.codec = codec;
     this.listener = listener;
     this.loop = loop;
-    this.connections = new EndpointConnectionPool(loop, this);
+    this.connections =
+        new EndpointConnectionPool(loop, memory.account(MemoryUser.ENDPOINT_ANSWERS), this);
   }
 
   /**
@@ -113,26 +109,35 @@
     processingEvents = true;
     try {
       while (!pendingEvents.isEmpty()) {
-        apply(pendingEvents.pollFirst());
+        applyContained(pendingEvents.pollFirst());
       }
     } finally {
       processingEvents = false;
     }
   }
 
+  /** Applies an event; its failure must not hold back the events that are queued behind it. */
+  private void applyContained(RelayEvent event) {
+    try {
+      apply(event);
+    } catch (RuntimeException | Error failure) {
+      failed("event-failed", event.getClass().getSimpleName(), failure);
+    }
+  }
+
   private void apply(RelayEvent event) {
     Step<RelayState, RelayEffect> step = reducer.reduce(state, System.nanoTime(), event);
     for (RelayEffect effect : step.effects()) {
       try {
         effect.accept(this);
-      } catch (RuntimeException failure) {
-        logFailure("effect-failed", effect.getClass().getSimpleName(), failure);
+      } catch (RuntimeException | Error failure) {
+        failed("effect-failed", effect.getClass().getSimpleName(), failure);
         FailedEffects.resultOf(effect, this::wasSent).ifPresent(pendingEvents::addLast);
       }
     }
     if (event instanceof RelayEvent.AnswerReceived answer) {
       // The decision either relayed the answer or has no use for it.
-      releasePendingAnswer(answer.id());
+      pendingAnswers.release(answer.id());
     }
   }
 
@@ -141,7 +146,8 @@
     return exchange != null && exchange.attempt() == send.attempt() && exchange.sent();
   }
 
-  private void logFailure(String event, String subject, RuntimeException failure) {
+  @Override
+  public void failed(String event, String subject, Throwable failure) {
     listener.decisionMade(
         new RelayEffect.LogDecision(DecisionFailure.describe(event, subject, failure)));
   }
@@ -149,8 +155,8 @@
   // Connections of callers.
 
   @Override
-  public RequestLimits limits() {
-    return limits;
+  public MemoryAccount requestMemory() {
+    return memory.account(MemoryUser.CALLER_REQUESTS);
   }
 
   @Override
@@ -164,10 +170,15 @@
     CallerRequest request;
     try {
       request = codec.decodeRequest(head);
-    } catch (RuntimeException failure) {
-      logFailure("request-undecodable", "decode", failure);
-      caller.beginExchange(new CallerExchange(id, head, null, body, caller));
-      caller.writeLocalAnswer(LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
+    } catch (RuntimeException | Error failure) {
+      failed("request-undecodable", "decode", failure);
+      CallerExchange undecoded = new CallerExchange(id, head, null, body, caller);
+      caller.beginExchange(undecoded);
+      endCaller(
+          undecoded,
+          () ->
+              caller.writeLocalAnswer(
+                  LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS)));
       return;
     }
     CallerExchange exchange = new CallerExchange(id, head, request, body, caller);
@@ -188,7 +199,7 @@
             if (callers.containsKey(exchange.id())) {
               post(arrived);
             } else {
-              logAbandonedRequest(request);
+              listener.decisionMade(new RelayEffect.LogDecision(exchange.abandoned()));
             }
           },
           LATE_REQUEST_DELAY_MILLIS,
@@ -196,29 +207,35 @@
     }
   }
 
-  private void logAbandonedRequest(CallerRequest request) {
-    listener.decisionMade(
-        new RelayEffect.LogDecision(
-            Decision.of(
-                "request-ended",
-                "request",
-                request.id().map(Object::toString).orElse("-"),
-                "outcome",
-                "caller-left",
-                "reason",
-                "before-decision")));
-  }
-
   /** Posts a tick and records its time, by which a late event loop is detected. */
   public void tick() {
     lastTickNanos = System.nanoTime();
     post(new RelayEvent.Tick());
+    limitUnsentStreams();
+  }
+
+  private void limitUnsentStreams() {
+    unsentStreams.limit(streamingConnections());
+  }
+
+  @Override
+  public void requestFailed(RelayRequestId id) {
+    CallerExchange caller = callers.get(id);
+    if (caller == null) {
+      return;
+    }
+    if (state.isOpen(id)) {
+      postFailure(caller, caller.attempt(), AttemptFailureCause.INTERNAL_FAILURE);
+    } else {
+      // It was not decided on, and is not sent any more once it has left the map.
+      end(id, LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
+    }
   }
 
   @Override
   public void callerDisconnected(RelayRequestId id) {
     callers.remove(id);
-    releasePendingAnswer(id);
+    pendingAnswers.release(id);
     post(new RelayEvent.CallerDisconnected(id));
   }
 
@@ -233,6 +250,9 @@
     if (exchange != null && exchange.channel() != null) {
       exchange.channel().config().setAutoRead(writable);
     }
+    if (!writable) {
+      loop.execute(this::limitUnsentStreams);
+    }
   }
 
   // Connections to endpoints.
@@ -254,6 +274,8 @@
 
   @Override
   public void streamStarted(EndpointExchange exchange, HttpResponse head) {
+    // The caller may have become slow during an earlier attempt.
+    exchange.channel().config().setAutoRead(exchange.callerExchange().connection().writable());
     post(
         new RelayEvent.AnswerReceived(
             exchange.callerExchange().id(), exchange.attempt(), codec.summarize(head)));
@@ -262,12 +284,23 @@
   @Override
   public void streamContentReceived(EndpointExchange exchange, ByteBuf content) {
     CallerExchange caller = exchange.callerExchange();
-    if (exchange.ended() || !caller.headWritten()) {
+    if (exchange.ended() || !exchange.relayed()) {
       return;
     }
-    Consumer<ByteBuf> writer = caller.connection()::writeStream;
+    Consumer<ByteBuf> writer =
+        event -> {
+          writeStreamHead(exchange);
+          caller.connection().writeStream(event);
+        };
     long previousId = caller.splitter().lastId();
-    boolean valid = caller.splitter().split(content, writer);
+    boolean valid;
+    try {
+      valid = caller.splitter().split(content, writer);
+    } catch (RuntimeException | Error failure) {
+      failed("effect-failed", "write-event", failure);
+      breakOff(exchange);
+      return;
+    }
     if (caller.splitter().lastId() != previousId) {
       listener.streamAdvanced();
       post(
@@ -280,6 +313,19 @@
     }
   }
 
+  /** Ends a request whose caller lacks an event that no other attempt would send again. */
+  private void breakOff(EndpointExchange exchange) {
+    CallerExchange caller = exchange.callerExchange();
+    connections.cancel(exchange);
+    exchange.markEnded();
+    attempts.remove(caller.id(), exchange);
+    if (caller.headWritten()) {
+      callers.remove(caller.id());
+      caller.connection().abort();
+    }
+    postFailure(caller, exchange.attempt(), AttemptFailureCause.INTERNAL_FAILURE);
+  }
+
   @Override
   public void streamReadComplete(EndpointExchange exchange) {
     if (!exchange.ended() && exchange.callerExchange().headWritten()) {
@@ -290,7 +336,7 @@
   @Override
   public void streamCompleted(EndpointExchange exchange) {
     CallerExchange caller = exchange.callerExchange();
-    if (exchange.ended() || !caller.headWritten()) {
+    if (exchange.ended() || !exchange.relayed()) {
       return;
     }
     // An endpoint that fails within an event or before the first one may still terminate the HTTP
@@ -303,7 +349,12 @@
     attempts.remove(caller.id(), exchange);
     callers.remove(caller.id());
     post(new RelayEvent.AnswerRelayed(caller.id(), exchange.attempt()));
-    caller.connection().endStream();
+    endCaller(
+        caller,
+        () -> {
+          writeStreamHead(exchange);
+          caller.connection().endStream();
+        });
   }
 
   @Override
@@ -317,8 +368,8 @@
     AnswerSummary summary;
     try {
       summary = codec.summarize(head);
-    } catch (RuntimeException failure) {
-      logFailure("answer-undecodable", "summarize", failure);
+    } catch (RuntimeException | Error failure) {
+      failed("answer-undecodable", "summarize", failure);
       content.release();
       attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
       return;
@@ -330,8 +381,7 @@
       return;
     }
     RelayRequestId id = exchange.callerExchange().id();
-    releasePendingAnswer(id);
-    pendingAnswers.put(id, new PendingAnswer(exchange.attempt(), head, content));
+    pendingAnswers.put(id, head, content);
     post(new RelayEvent.AnswerReceived(id, exchange.attempt(), summary));
   }
 
@@ -348,9 +398,7 @@
       // No end of a read follows if the attempt failed in the read that brought its last events.
       caller.connection().flush();
     }
-    post(
-        new RelayEvent.AttemptFailed(
-            caller.id(), exchange.attempt(), cause, caller.splitter().lastId()));
+    postFailure(caller, exchange.attempt(), cause);
   }
 
   // Effects.
@@ -361,6 +409,7 @@
     if (caller == null) {
       return;
     }
+    caller.attempt(effect.attempt());
     EndpointExchange exchange =
         new EndpointExchange(caller, effect.attempt(), effect.address(), effect.options());
     exchange.endpoint(state.incarnation(effect.options().expectedEndpoint()));
@@ -379,21 +428,16 @@
     }
     if (exchange == null || exchange.attempt() != effect.attempt()) {
       // The attempt ended before its answer was decided on; the request still needs its end.
-      post(
-          new RelayEvent.AttemptFailed(
-              effect.id(),
-              effect.attempt(),
-              AttemptFailureCause.INVALID_ANSWER,
-              caller.splitter().lastId()));
+      postFailure(caller, effect.attempt(), AttemptFailureCause.INVALID_ANSWER);
       return;
     }
-    PendingAnswer answer = pendingAnswers.get(effect.id());
+    PendingAnswers.Answer answer = pendingAnswers.get(effect.id());
     if (answer == null) {
-      if (!caller.headWritten()) {
-        codec.removeEndpointHeaders(exchange.streamHead());
-        caller.connection().beginStream(exchange.streamHead());
-        caller.markHeadWritten();
-      }
+      exchange.markRelayed();
+      return;
+    }
+    if (caller.headWritten()) {
+      postFailure(caller, effect.attempt(), AttemptFailureCause.INVALID_ANSWER);
       return;
     }
     codec.removeEndpointHeaders(answer.head());
@@ -404,36 +448,13 @@
     post(new RelayEvent.AnswerRelayed(effect.id(), effect.attempt()));
   }
 
-  @Override
-  public void answerLocally(RelayEffect.AnswerLocally effect) {
-    CallerExchange caller = callers.remove(effect.id());
-    releasePendingAnswer(effect.id());
-    if (caller != null) {
-      endCaller(caller, () -> caller.connection().writeLocalAnswer(effect.answer()));
-    }
-  }
-
-  private void endCaller(CallerExchange caller, Runnable write) {
-    try {
-      write.run();
-    } catch (RuntimeException failure) {
-      logFailure("effect-failed", "end-of-request", failure);
-      caller.connection().abort();
-    }
-  }
-
-  @Override
-  public void abortAnswer(RelayEffect.AbortAnswer effect) {
-    CallerExchange caller = callers.remove(effect.id());
-    releasePendingAnswer(effect.id());
-    if (caller != null) {
-      caller.connection().abort();
-    }
+  private void postFailure(CallerExchange caller, int attempt, AttemptFailureCause cause) {
+    post(new RelayEvent.AttemptFailed(caller.id(), attempt, cause, caller.splitter().lastId()));
   }
 
   @Override
   public void cancelAttempt(RelayEffect.CancelAttempt effect) {
-    releasePendingAnswer(effect.id());
+    pendingAnswers.release(effect.id());
     EndpointExchange exchange = attempts.get(effect.id());
     if (exchange != null && exchange.attempt() == effect.attempt() && !exchange.ended()) {
       attempts.remove(effect.id());
@@ -443,33 +464,6 @@
     }
   }
 
-  private void releasePendingAnswer(RelayRequestId id) {
-    PendingAnswer dropped = pendingAnswers.remove(id);
-    if (dropped != null) {
-      dropped.content().release();
-    }
-  }
-
-  @Override
-  public void repath(RelayEffect.Repath effect) {
-    CallerExchange caller = callers.get(effect.id());
-    if (caller != null) {
-      platform()
-          .repath(
-              effect.id(),
-              effect.attempt(),
-              caller.request(),
-              state.incarnation(effect.path().first().endpoint()),
-              effect.first(),
-              effect.path());
-    }
-  }
-
-  @Override
-  public void applyLimits(RelayEffect.ApplyLimits effect) {
-    limits = effect.limits();
-  }
-
   @Override
   public void setReadiness(RelayEffect.SetReadiness effect) {
     listener.readinessChanged(effect.ready());
--- a/relay/src/test/java/io/zinniawood/relay/internal/FailingCodec.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FailingCodec.java
@@ -20,18 +20,30 @@
   /** Method that fails. */
   enum Method {
     DECODE_REQUEST,
-    ENCODE_REQUEST
+    ENCODE_REQUEST,
+    NONE
   }
 
   private final Method failing;
+  private final Runnable fault;
 
   FailingCodec(Method failing) {
+    this(
+        failing,
+        () -> {
+          throw new IllegalStateException("fault in " + failing);
+        });
+  }
+
+  /** Creates a codec one of whose methods runs a fault, which throws. */
+  FailingCodec(Method failing, Runnable fault) {
     this.failing = failing;
+    this.fault = fault;
   }
 
   private void failIf(Method called) {
     if (called == failing) {
-      throw new IllegalStateException("fault in " + called);
+      fault.run();
     }
   }
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
@@ -18,7 +18,9 @@
   final List<String> bodies = new ArrayList<>();
   final List<ConnectionClose> closes = new ArrayList<>();
   final List<RelayRequestId> abandoned = new ArrayList<>();
+  final List<RelayRequestId> failed = new ArrayList<>();
   RequestLimits limits = RequestLimits.DEFAULT;
+  MemoryAccount memory = new MemoryAccount(16 * 1024 * 1024, 8 * 1024 * 1024, (used, limit) -> {});
   boolean draining;
   boolean failing;
   private CallerHandler connection;
@@ -28,6 +30,11 @@
     return limits;
   }
 
+  @Override
+  public MemoryAccount requestMemory() {
+    return memory;
+  }
+
   @Override
   public boolean draining() {
     return draining;
@@ -61,6 +68,11 @@
     connection.writeLocalAnswer(LocalAnswer.noRoute());
   }
 
+  @Override
+  public void requestFailed(RelayRequestId id) {
+    failed.add(id);
+  }
+
   @Override
   public void callerDisconnected(RelayRequestId id) {
     abandoned.add(id);
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -16,7 +16,16 @@
   final List<Integer> answers = new ArrayList<>();
   final List<Integer> streams = new ArrayList<>();
   final List<Integer> heads = new ArrayList<>();
+  final List<String> faults = new ArrayList<>();
+  final List<ByteBuf> kept = new ArrayList<>();
+  boolean keepContent;
   int completedStreams;
+  boolean failing;
+
+  @Override
+  public void failed(String event, String subject, Throwable failure) {
+    faults.add(event + " " + subject);
+  }
 
   @Override
   public void headReceived(EndpointExchange exchange, HttpResponse head) {
@@ -50,8 +59,16 @@
 
   @Override
   public void answerReceived(EndpointExchange exchange, HttpResponse head, ByteBuf content) {
+    if (failing) {
+      content.release();
+      throw new IllegalStateException("fault in the delivery");
+    }
     answers.add(head.status().code());
-    content.release();
+    if (keepContent) {
+      kept.add(content);
+    } else {
+      content.release();
+    }
   }
 
   @Override
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -11,6 +11,7 @@
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.SendOptions;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -22,11 +23,10 @@
   private static final String ID = FakeEndpointListener.ID_HEADER + ": ";
 
   private final FakeEndpointListener listener = new FakeEndpointListener();
+  private final MemoryAccount memory =
+      new MemoryAccount(1024 * 1024, 64 * 1024, (used, limit) -> {});
   private final EndpointHandler handler =
-      new EndpointHandler(
-          listener,
-          new EndpointConnectionPool(null, listener),
-          new BufferedAnswers(1024 * 1024, 64 * 1024));
+      new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
   private final EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), handler);
 
   private void beginExchange(boolean streaming) {
@@ -97,6 +97,17 @@
     assertThat(listener.heads, is(List.of(200)));
   }
 
+  // Guards against a request on a kept connection that nobody reads as an earlier caller was slow.
+  @Test
+  void connectionIsReadAgainAfterItsAnswerWasPaused() {
+    beginExchange(true);
+    receive("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n\r\ndata:");
+    channel.config().setAutoRead(false);
+    receive(" x\n\n");
+    assertThat(listener.completedStreams, is(1));
+    assertThat(channel.config().isAutoRead(), is(true));
+  }
+
   @Test
   void refusalWithoutIdOnNewConnectionCounts() {
     beginExchange(false);
@@ -125,6 +136,33 @@
     }
   }
 
+  // A failure of the relay left no line and counted as a crash of the endpoint.
+  @Test
+  void failureOfTheRelayIsLoggedAndIsNoLostConnection() {
+    beginExchange(false);
+    channel.pipeline().fireExceptionCaught(new OutOfMemoryError("Cannot reserve 4096 bytes"));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+    assertThat(listener.faults, is(List.of("connection-failed endpoint")));
+  }
+
+  @Test
+  void resetByTheEndpointIsLostConnection() {
+    beginExchange(false);
+    channel.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.CONNECTION_LOST)));
+    assertThat(listener.faults, empty());
+  }
+
+  // An exception while a whole answer was delivered left the request to its deadline.
+  @Test
+  void attemptEndsWhenItsWholeAnswerCannotBeDelivered() {
+    listener.failing = true;
+    beginExchange(false);
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + ID + "own\r\n\r\n");
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+    assertThat(channel.isActive(), is(false));
+  }
+
   @Test
   void answerThatEndsWithinItsBodyIsLost() {
     for (String answer :
