--- a/review/src/review/EarlyAnswerCut.java
+++ b/review/src/review/EarlyAnswerCut.java
@@ -31,7 +31,8 @@
               "i-1",
               "app",
               Integer.toString(store.port()),
-              "early");
+              "early",
+              "5000");
       Processes.Relay relay =
           processes.relay("front-1", store.port(), Processes.freePort(), false);
       relay.awaitReady();
@@ -62,7 +63,7 @@
       }
       boolean success = answer != null && answer.status() / 100 == 2 && answer.complete();
       boolean whole =
-          success && Arrays.equals(answer.body(), Http.answerBody(id, Replica.ANSWER_BYTES));
+          success && Arrays.equals(answer.body(), Http.bodyOf(id, Replica.ANSWER_BYTES));
       if (!trouble && !whole) {
         record.line("without the disruption the whole answer was expected");
         return false;
--- a/review/src/review/Http.java
+++ b/review/src/review/Http.java
@@ -52,11 +52,11 @@
     return line.toString(StandardCharsets.ISO_8859_1);
   }
 
-  /** Returns the body that a replica answers with; each request has another one. */
-  static byte[] answerBody(String request, int bytes) {
+  /** Returns a body that names the request, so that each request has another one. */
+  static byte[] bodyOf(String request, int bytes) {
     StringBuilder text = new StringBuilder();
     while (text.length() < bytes) {
-      text.append("answer to ").append(request).append(' ').append(text.length()).append('\n');
+      text.append("request ").append(request).append(' ').append(text.length()).append('\n');
     }
     return text.substring(0, bytes).getBytes(StandardCharsets.US_ASCII);
   }
--- a/review/src/review/Main.java
+++ b/review/src/review/Main.java
@@ -34,6 +34,8 @@
     return switch (name) {
       case "early-answer-cut" -> EarlyAnswerCut::held;
       case "unreadable-entry" -> UnreadableEntry::held;
+      case "late-check-in" -> LateCheckIn::held;
+      case "cut-relay-returns" -> CutRelayReturns::held;
       default -> throw new Processes.CannotRun("no case " + name);
     };
   }
--- a/review/src/review/Replica.java
+++ b/review/src/review/Replica.java
@@ -21,16 +21,15 @@
 /**
  * Stand-in for a replica of a plain service. It checks in every 1.2 s, answers 421 to requests that
  * name another replica, and answers all others with a signed body. Arguments: id, service, port of
- * the store, mode. Modes: {@code plain} reads the request and answers with a length; {@code early}
+ * the store, mode, milliseconds of service after leaving. Modes: {@code plain} reads the request and answers with a length; {@code early}
  * answers without a length before it has read the body, and reads on after half of its answer.
  *
  * <p>On the line {@code leave} it removes its entry, as a replica that leaves without reporting
- * {@code draining} does, goes on serving for 5 s and exits. On {@code drain} it reports {@code
+ * {@code draining} does, goes on serving for the given time and exits. On {@code drain} it reports {@code
  * draining} first.
  */
 final class Replica {
   private static final long HEARTBEAT_MILLIS = 1_200;
-  private static final long SERVED_AFTER_LEAVING_MILLIS = 5_000;
 
   /** Work of a request. */
   private static final long WORK_MILLIS = 80;
@@ -42,6 +41,7 @@
   private final String service;
   private final int storePort;
   private final String mode;
+  private final long servedAfterLeavingMillis;
   private final long born = System.currentTimeMillis();
   private final ServerSocket listener = new ServerSocket();
   private volatile String state = "ready";
@@ -52,6 +52,7 @@
     service = arguments[1];
     storePort = Integer.parseInt(arguments[2]);
     mode = arguments[3];
+    servedAfterLeavingMillis = Long.parseLong(arguments[4]);
     listener.setReceiveBufferSize(32 * 1024);
     listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
   }
@@ -69,6 +70,7 @@
     while ((command = commands.readLine()) != null) {
       if (command.equals("drain")) {
         replica.writeState("draining");
+        print(replica.id + " drains");
       } else if (command.equals("leave")) {
         replica.leave();
       }
@@ -85,11 +87,15 @@
   private void checkIn() {
     try {
       while (true) {
-        writeState(state);
+        try {
+          writeState(state);
+        } catch (IOException lost) {
+          print(id + " gets no answer to a check-in");
+        }
         Thread.sleep(HEARTBEAT_MILLIS);
       }
-    } catch (IOException | InterruptedException ended) {
-      print(id + " stops checking in: " + ended);
+    } catch (InterruptedException ended) {
+      Thread.currentThread().interrupt();
     }
   }
 
@@ -113,7 +119,7 @@
         new Thread(
             () -> {
               try {
-                Thread.sleep(SERVED_AFTER_LEAVING_MILLIS);
+                Thread.sleep(servedAfterLeavingMillis);
               } catch (InterruptedException interrupted) {
                 Thread.currentThread().interrupt();
               }
@@ -183,7 +189,7 @@
             ("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nReplica-Signature: %s.%s\r\nContent-Length: %d\r\n\r\n"
                     .formatted(request, id, request, ANSWER_BYTES))
                 .getBytes(StandardCharsets.US_ASCII));
-        output.write(Http.answerBody(request, ANSWER_BYTES));
+        output.write(Http.bodyOf(request, ANSWER_BYTES));
       }
     } catch (IOException ended) {
       // The caller closed the channel.
@@ -202,7 +208,7 @@
   private void answerEarly(String request, int length, InputStream input, OutputStream output)
       throws IOException {
     print("run " + request + " by " + id);
-    byte[] body = Http.answerBody(request, ANSWER_BYTES);
+    byte[] body = Http.bodyOf(request, ANSWER_BYTES);
     output.write(
         ("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nReplica-Signature: %s.%s\r\nConnection: close\r\n\r\n"
                 .formatted(request, id, request))
--- a/review/src/review/Store.java
+++ b/review/src/review/Store.java
@@ -39,6 +39,8 @@
   private final HttpServer server;
   private final Record record;
   private long version = 1;
+  private volatile String lateKey;
+  private volatile long lateMillis;
 
   Store(Record record) throws IOException {
     this.record = record;
@@ -59,6 +61,9 @@
             respond(
                 exchange,
                 (q, b) -> {
+                  if (q.get("key").equals(lateKey)) {
+                    putLate(q.get("table"), q.get("key"), b.toString());
+                  }
                   put(q.get("table"), q.get("key"), b.toString());
                   return new Answer(200, MAPPER.createObjectNode());
                 }));
@@ -74,6 +79,56 @@
     server.start();
   }
 
+  /** Lets the next write to a row get no answer; it is performed after some time. */
+  void loseNextWrite(String key, long millis) {
+    lateMillis = millis;
+    lateKey = key;
+  }
+
+  private void putLate(String table, String key, String text) throws IOException {
+    lateKey = null;
+    record.line("store: a write to " + table + "/" + key + " gets no answer: " + text);
+    Thread late =
+        new Thread(
+            () -> {
+              try {
+                Thread.sleep(lateMillis);
+                put(table, key, text);
+                record.line("store: that write to " + table + "/" + key + " is performed");
+              } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+              }
+            });
+    late.setDaemon(true);
+    late.start();
+    throw new LostAnswer();
+  }
+
+  private static final class LostAnswer extends IOException {
+    private static final long serialVersionUID = 1L;
+  }
+
+  /** Waits until the write was lost that {@link #loseNextWrite} asked for. */
+  void awaitLostWrite() throws InterruptedException {
+    while (lateKey != null) {
+      Thread.sleep(1);
+    }
+  }
+
+  /** Waits until a row contains a text. */
+  void awaitText(String table, String key, String text) throws InterruptedException {
+    while (!contains(table, key, text)) {
+      Thread.sleep(1);
+    }
+  }
+
+  private synchronized boolean contains(String table, String key, String text) {
+    Row row = tables.getOrDefault(table, new TreeMap<>()).get(key);
+    return row != null
+        && row.value() != null
+        && new String(row.value(), StandardCharsets.UTF_8).contains(text);
+  }
+
   int port() {
     return server.getAddress().getPort();
   }
@@ -109,6 +164,9 @@
       byte[] bytes = exchange.getRequestBody().readAllBytes();
       JsonNode body = bytes.length == 0 ? MAPPER.createObjectNode() : MAPPER.readTree(bytes);
       answer = handler.handle(query(exchange.getRequestURI().getRawQuery()), body);
+    } catch (LostAnswer lost) {
+      exchange.close();
+      return;
     } catch (Exception failure) {
       answer = new Answer(400, MAPPER.createObjectNode().put("error", failure.toString()));
     }
