--- a/review/src/review/Http.java
+++ b/review/src/review/Http.java
@@ -64,6 +64,19 @@
   /** Sends a request; the answer is null if the channel ended before its head. */
   static Answer send(int port, String method, String path, String id, int deadlineMillis, byte[] body)
       throws IOException {
+    return send(port, method, path, id, deadlineMillis, body, "");
+  }
+
+  /** Sends a request with further header lines. */
+  static Answer send(
+      int port,
+      String method,
+      String path,
+      String id,
+      int deadlineMillis,
+      byte[] body,
+      String moreHeaders)
+      throws IOException {
     try (Socket socket = new Socket("127.0.0.1", port)) {
       socket.setTcpNoDelay(true);
       socket.setSoTimeout(deadlineMillis + 2_000);
@@ -71,6 +84,7 @@
           "%s %s HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n"
                   .formatted(method, path, id, deadlineMillis)
               + "Authorization: Token key-1\r\n"
+              + moreHeaders
               + (body.length > 0 ? "Content-Length: " + body.length + "\r\n" : "")
               + "\r\n";
       OutputStream output = socket.getOutputStream();
--- a/review/src/review/Main.java
+++ b/review/src/review/Main.java
@@ -36,6 +36,7 @@
       case "unreadable-entry" -> UnreadableEntry::held;
       case "late-check-in" -> LateCheckIn::held;
       case "cut-relay-returns" -> CutRelayReturns::held;
+      case "former-relays" -> FormerRelays::held;
       default -> throw new Processes.CannotRun("no case " + name);
     };
   }
--- a/review/src/review/Processes.java
+++ b/review/src/review/Processes.java
@@ -93,6 +93,11 @@
 
   /** A replica stand-in; each line that it prints goes to the receiver. */
   Process replica(Consumer<String> lines, String... arguments) throws IOException {
+    return start(lines, "review.Replica", arguments);
+  }
+
+  /** A stand-in with the given main class; each line that it prints goes to the receiver. */
+  Process start(Consumer<String> lines, String mainClass, String... arguments) throws IOException {
     List<String> command =
         new ArrayList<>(
             List.of(
@@ -102,7 +107,7 @@
                 "-XX:TieredStopAtLevel=1",
                 "-cp",
                 System.getProperty("java.class.path"),
-                "review.Replica"));
+                mainClass));
     command.addAll(Arrays.asList(arguments));
     Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
     started.add(process);
