--- a/review/src/review/EarlyAnswerCut.java
+++ b/review/src/review/EarlyAnswerCut.java
@@ -1,6 +1,5 @@
 package review;
 
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
@@ -78,8 +77,6 @@
         return false;
       }
       return true;
-    } finally {
-      Files.list(folder).forEach(file -> file.toFile().deleteOnExit());
     }
   }
 }
--- a/review/src/review/LateCheckIn.java
+++ b/review/src/review/LateCheckIn.java
@@ -11,6 +11,9 @@
  */
 final class LateCheckIn {
   private static final long LATE_MILLIS = 5_000;
+  /** Service after the report: {@code drain_ms} and a little longer. */
+  private static final long SERVED_MILLIS = 2_700;
+
   private static final long STABLE_WINDOW_MILLIS = 3_000;
 
   private LateCheckIn() {}
@@ -32,7 +35,7 @@
           processes.relay("front-1", store.port(), Processes.freePort(), false);
       relay.awaitReady();
       Thread.sleep(3_500);
-      orders.start(14, relay.callers());
+      orders.start(12, relay.callers());
       Thread.sleep(1_000);
       if (trouble) {
         store.loseNextWrite("i-1", LATE_MILLIS);
@@ -42,8 +45,8 @@
       Processes.tell(replicas.get("i-1"), "drain");
       store.awaitText("servers", "i-1", "\"draining\"");
       orders.left("i-1");
-      Thread.sleep(4_000);
-      Processes.tell(replicas.get("i-1"), "leave");
+      Thread.sleep(SERVED_MILLIS);
+      Processes.tell(replicas.get("i-1"), "exit");
       return orders.held();
     }
   }
--- a/review/src/review/Orders.java
+++ b/review/src/review/Orders.java
@@ -23,6 +23,7 @@
   private final Map<String, Long> leftNanos = new ConcurrentHashMap<>();
   private final Map<String, Integer> runs = new TreeMap<>();
   private final List<String> late = new ArrayList<>();
+  private long latestMillis;
   private final AtomicInteger lost = new AtomicInteger();
   private final ExecutorService clients = Executors.newCachedThreadPool();
 
@@ -48,6 +49,7 @@
       runs.merge(id, 1, Integer::sum);
       Long left = leftNanos.get(id);
       long sinceMillis = left == null ? 0 : (atNanos - left) / 1_000_000;
+      latestMillis = Math.max(latestMillis, sinceMillis);
       if (sinceMillis > DRAIN_MILLIS) {
         late.add(
             "request %s reaches %s %d ms after the store accepted that it leaves"
@@ -93,6 +95,7 @@
     synchronized (late) {
       record.line("runs by replica: " + runs + "; too late: " + late.size());
       late.stream().limit(MAX_LINES).forEach(line -> record.line("DRAIN: " + line));
+      record.line("latest request at a replica that leaves: " + latestMillis + " ms after that");
       record.line("orders without a success: " + lost);
       return late.isEmpty();
     }
--- a/review/src/review/Processes.java
+++ b/review/src/review/Processes.java
@@ -12,7 +12,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
@@ -22,6 +25,9 @@
 final class Processes implements AutoCloseable {
   static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
 
+  private static final Random RANDOM = new Random();
+  private static final Set<Integer> PORTS = new HashSet<>();
+
   private final List<Process> started = new ArrayList<>();
   private final Path folder;
 
@@ -30,9 +36,17 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+  /** Returns a free port below the range of outgoing connections, which was not returned before. */
+  static synchronized int freePort() {
+    while (true) {
+      int port = 20_000 + RANDOM.nextInt(12_000);
+      if (PORTS.add(port)) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+          return socket.getLocalPort();
+        } catch (IOException taken) {
+          // The next one may be free.
+        }
+      }
     }
   }
 
--- a/review/src/review/Replica.java
+++ b/review/src/review/Replica.java
@@ -21,12 +21,13 @@
 /**
  * Stand-in for a replica of a plain service. It checks in every 1.2 s, answers 421 to requests that
  * name another replica, and answers all others with a signed body. Arguments: id, service, port of
- * the store, mode, milliseconds of service after leaving. Modes: {@code plain} reads the request and answers with a length; {@code early}
- * answers without a length before it has read the body, and reads on after half of its answer.
+ * the store, mode, milliseconds of service after leaving. Modes: {@code plain} reads the request and
+ * answers with a length; {@code early} answers without a length before it has read the body, and
+ * reads on after half of its answer.
  *
  * <p>On the line {@code leave} it removes its entry, as a replica that leaves without reporting
- * {@code draining} does, goes on serving for the given time and exits. On {@code drain} it reports {@code
- * draining} first.
+ * {@code draining} does, goes on serving for the given time and exits. On {@code drain} it reports
+ * {@code draining} first; on {@code exit} it removes its entry and exits at once.
  */
 final class Replica {
   private static final long HEARTBEAT_MILLIS = 1_200;
@@ -72,7 +73,9 @@
         replica.writeState("draining");
         print(replica.id + " drains");
       } else if (command.equals("leave")) {
-        replica.leave();
+        replica.leave(replica.servedAfterLeavingMillis);
+      } else if (command.equals("exit")) {
+        replica.leave(0);
       }
     }
   }
@@ -111,7 +114,7 @@
             .formatted(service, listener.getLocalPort(), state, ++sequence, born));
   }
 
-  private synchronized void leave() throws IOException {
+  private synchronized void leave(long servedMillis) throws IOException {
     state = "gone";
     call("/internal-remove?table=servers&key=" + id, "{}");
     print(id + " left");
@@ -119,7 +122,7 @@
         new Thread(
             () -> {
               try {
-                Thread.sleep(servedAfterLeavingMillis);
+                Thread.sleep(servedMillis);
               } catch (InterruptedException interrupted) {
                 Thread.currentThread().interrupt();
               }
