Relay, HTTP client: complete an answer without a length only if the peer ended it

Cause: an answer without a length ends with its connection, and Netty's decoder reports the same end after a failed write, which closes the channel without exceptionCaught. The same belief stood in ControlClient (after a reset) and, with OkHttp, in HttpCalls of the entry and the agent (after a failed write, whose error the socket reports only once).

Why it works: ConnectionEnd accepts only positive evidence, the end of the peer's output as an event of its own after everything was sent to it. Every other end of the connection, also by the relay itself, leaves the answer incomplete.

EndlessAnswerTest and FaultyAnswerTest get the new handler in their pipeline; their checks are unchanged.

--- a/http/src/main/java/io/zinniawood/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -11,6 +11,7 @@
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.Dispatcher;
+import okhttp3.EventListener;
 import okhttp3.Interceptor;
 import okhttp3.OkHttpClient;
 import okhttp3.Protocol;
@@ -58,6 +59,7 @@
             // The timeout that is set for each call also limits its reads and writes.
             .readTimeout(0, TimeUnit.MILLISECONDS)
             .writeTimeout(0, TimeUnit.MILLISECONDS)
+            .eventListenerFactory(call -> new SendFailureListener())
             .addInterceptor(HttpCalls::restoreRetryAfter)
             .addNetworkInterceptor(HttpCalls::sendOnce)
             .build();
@@ -138,6 +140,26 @@
             });
   }
 
+  /**
+   * Returns whether the end of the body is the end of the connection (RFC 9112, section 6.3). After
+   * a failed write, OkHttp reads the failure of the connection as the end of such a body.
+   */
+  private static boolean endsWithConnection(Response response) {
+    return response.header("Content-Length") == null
+        && response.header("Transfer-Encoding") == null;
+  }
+
+  /** Records a failed write, which OkHttp does not report if it finds a response. */
+  private static final class SendFailureListener extends EventListener {
+    @Override
+    public void requestFailed(Call call, IOException failure) {
+      SendMonitor monitor = call.request().tag(SendMonitor.class);
+      if (monitor != null) {
+        monitor.markSendFailed();
+      }
+    }
+  }
+
   private final class ResponseCallback implements Callback {
     private final CompletableFuture<HttpResult> future;
     private final SendMonitor monitor;
@@ -193,6 +215,10 @@
                 "the response body has more than " + maxResponseBytes + " bytes");
           }
         } while (source.request(wantedBytes));
+        if (monitor.sendFailed() && endsWithConnection(response)) {
+          return new HttpResult.ResponseLost(
+              "the connection failed within a response without a length");
+        }
         return new HttpResult.Response(response.code(), response.headers(), source.readByteArray());
       } finally {
         memory.release(reservedBytes);
--- a/http/src/main/java/io/zinniawood/http/SendMonitor.java
+++ b/http/src/main/java/io/zinniawood/http/SendMonitor.java
@@ -4,12 +4,13 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * Records whether the sending of a request has started, and what its response says about retries;
- * attached to the request as a tag.
+ * Records whether the sending of a request has started or failed, and what its response says about
+ * retries; attached to the request as a tag.
  */
 final class SendMonitor {
   private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
   private volatile List<String> retryAfter = List.of();
+  private volatile boolean sendFailed;
 
   private enum State {
     WAITING,
@@ -35,6 +36,16 @@
     return state.get() == State.SENDING;
   }
 
+  /** Records that the request could not be sent completely. */
+  void markSendFailed() {
+    sendFailed = true;
+  }
+
+  /** Returns whether the sending of the request failed; a response may have been read even so. */
+  boolean sendFailed() {
+    return sendFailed;
+  }
+
   /** Stores the values of a header that OkHttp must not see. */
   void hideRetryAfter(List<String> values) {
     retryAfter = List.copyOf(values);
--- a/relay/src/main/java/io/zinniawood/relay/ControlClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -27,6 +27,7 @@
 import io.vavr.control.Either;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.relay.internal.AccountedBytes;
+import io.zinniawood.relay.internal.ConnectionEnd;
 import io.zinniawood.relay.internal.MemoryAccount;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -121,6 +122,7 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(new Initializer(address));
     ChannelFuture connected = bootstrap.connect(address.host(), address.port());
@@ -199,7 +201,11 @@
 
     @Override
     protected void initChannel(Channel channel) {
-      channel.pipeline().addLast(new HttpClientCodec()).addLast(new ResponseHandler(address));
+      channel
+          .pipeline()
+          .addLast(new ConnectionEnd())
+          .addLast(new HttpClientCodec())
+          .addLast(new ResponseHandler(address));
     }
   }
 
@@ -247,6 +253,10 @@
     }
 
     private void complete(ChannelHandlerContext context) {
+      if (ConnectionEnd.of(context.channel()) == ConnectionEnd.State.LOST) {
+        abandon(context);
+        return;
+      }
       ControlResponse response =
           new ControlResponse(head.status().code(), head.headers(), takeBody());
       boolean keepAlive = HttpUtil.isKeepAlive(head);
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -74,6 +74,7 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(new Initializer())
             .connect(exchange.address().host(), exchange.address().port());
@@ -196,6 +197,7 @@
     protected void initChannel(Channel channel) {
       channel
           .pipeline()
+          .addLast(new ConnectionEnd())
           .addLast(new HttpRequestEncoder())
           .addLast(new HttpResponseDecoder())
           .addLast(new EndpointHandler(listener, EndpointConnectionPool.this, memory));
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -45,7 +45,6 @@
   private long skippedBytes;
   private boolean streaming;
   private boolean reusable;
-  private boolean connectionFailed;
 
   EndpointHandler(
       EndpointListener listener, EndpointConnectionPool connections, MemoryAccount memory) {
@@ -171,8 +170,7 @@
   private void complete(ChannelHandlerContext context) {
     EndpointExchange complete = exchange;
     HttpResponse answered = head;
-    // The end of an answer that is delimited by the close of the connection may be a failure.
-    if (connectionFailed) {
+    if (ConnectionEnd.of(context.channel()) == ConnectionEnd.State.LOST) {
       fail(context, AttemptFailureCause.CONNECTION_LOST);
       return;
     }
@@ -226,8 +224,6 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    // After a reset the decoder ends an answer without a length, although it is incomplete.
-    connectionFailed = true;
     if (cause instanceof IOException) {
       fail(context, AttemptFailureCause.CONNECTION_LOST);
     } else {
--- a/relay/src/test/java/io/zinniawood/relay/internal/ControlClientFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/ControlClientFailuresTest.java
@@ -59,10 +59,7 @@
       CompletableFuture<ControlFailure> failure = new CompletableFuture<>();
       loop.execute(
           () ->
-              new ControlClient(
-                      loop,
-                      new MemoryAccount(1024 * 1024, 64 * 1024, (used, limit) -> {}),
-                      (event, subject, fault) -> lines.add(event + " " + subject))
+              newClient()
                   .call(
                       new NodeAddress("127.0.0.1", server.getLocalPort()),
                       HttpMethod.GET,
@@ -77,6 +74,44 @@
     }
   }
 
+  // The first half of a response without a length was decoded as if it were whole.
+  @Test
+  void responseWithoutLengthThatIsResetIsLost() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      CompletableFuture<Boolean> headReceived = new CompletableFuture<>();
+      CompletableFuture<Either<ControlFailure, ControlResponse>> result = new CompletableFuture<>();
+      loop.execute(
+          () ->
+              newClient()
+                  .call(
+                      new NodeAddress("127.0.0.1", server.getLocalPort()),
+                      HttpMethod.GET,
+                      "/rows",
+                      Map.of(),
+                      new byte[0],
+                      TimeUnit.SECONDS.toMillis(MAX_WAIT_SECONDS),
+                      head -> headReceived.complete(true),
+                      result::complete));
+      try (Socket accepted = server.accept()) {
+        accepted
+            .getOutputStream()
+            .write("HTTP/1.1 200 OK\r\n\r\n{\"half".getBytes(StandardCharsets.US_ASCII));
+        headReceived.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
+        accepted.setSoLinger(true, 0);
+      }
+      assertThat(
+          result.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS),
+          is(Either.left(ControlFailure.OUTCOME_UNKNOWN)));
+    }
+  }
+
+  private ControlClient newClient() {
+    return new ControlClient(
+        loop,
+        new MemoryAccount(1024 * 1024, 64 * 1024, (used, limit) -> {}),
+        (event, subject, fault) -> lines.add(event + " " + subject));
+  }
+
   private static void receive(
       Either<ControlFailure, ControlResponse> result, CompletableFuture<ControlFailure> failure) {
     result
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
@@ -36,7 +36,8 @@
   private EmbeddedChannel connection() {
     EndpointHandler handler =
         new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
-    EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), handler);
+    EmbeddedChannel channel =
+        new EmbeddedChannel(new ConnectionEnd(), new HttpResponseDecoder(), handler);
     handler.beginExchange(
         new EndpointExchange(
             null,
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
@@ -1,6 +1,7 @@
 package io.zinniawood.relay.internal;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
 import io.netty.buffer.ByteBuf;
@@ -10,6 +11,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
@@ -20,6 +22,8 @@
 import io.zinniawood.core.relay.SendOptions;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +33,10 @@
 final class EndpointConnectionPoolTest {
   private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+  private static final int LONG_BODY_BYTES = 16 * 1024 * 1024;
+  private static final String HALF_ANSWER =
+      "HTTP/1.1 200 OK\r\n" + FakeEndpointListener.ID_HEADER + ": own\r\n\r\nhalf";
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) group.next();
@@ -49,6 +57,54 @@
     return failures;
   }
 
+  // The first half of an answer without a length reached a caller as a whole 200.
+  @Test
+  void answerCutWhileItsRequestIsBeingSentIsLost() throws Exception {
+    try (ServerSocket endpoint = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
+      head.headers().set(HttpHeaderNames.CONTENT_LENGTH, LONG_BODY_BYTES);
+      EndpointConnectionPool pool = newPool();
+      EndpointExchange exchange =
+          newExchange(endpoint, head, Unpooled.wrappedBuffer(new byte[LONG_BODY_BYTES]));
+      loop.execute(() -> pool.send(exchange, head));
+      try (Socket connection = endpoint.accept()) {
+        connection.getInputStream().read();
+        connection.getOutputStream().write(HALF_ANSWER.getBytes(StandardCharsets.US_ASCII));
+        awaitHead();
+      }
+      assertThat(failuresOnceThereAreAny(), is(List.of(AttemptFailureCause.CONNECTION_LOST)));
+      assertThat(loop.submit(() -> List.copyOf(listener.answers)).get(), empty());
+    }
+  }
+
+  private void awaitHead() throws Exception {
+    long endNanos = System.nanoTime() + MAX_WAIT_NANOS;
+    while (loop.submit(() -> listener.heads.isEmpty()).get() && System.nanoTime() - endNanos < 0) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private EndpointConnectionPool newPool() {
+    return new EndpointConnectionPool(
+        loop, new MemoryAccount(1024 * 1024, 64 * 1024, (used, limit) -> {}), listener);
+  }
+
+  private static EndpointExchange newExchange(
+      ServerSocket endpoint, HttpRequest head, ByteBuf body) {
+    return new EndpointExchange(
+        new CallerExchange(new RelayRequestId(1), head, null, body, null),
+        1,
+        new NodeAddress("127.0.0.1", endpoint.getLocalPort()),
+        new SendOptions(
+            new EndpointId("e"),
+            1_000,
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            SendOptions.ConnectionUse.FRESH,
+            false));
+  }
+
   // An exception after the connect left the request at no endpoint until its deadline.
   @Test
   void attemptEndsWhenItsRequestCannotBeWrittenToTheNewConnection() throws Exception {
@@ -56,22 +112,8 @@
       HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
       ByteBuf released = Unpooled.buffer();
       released.release();
-      EndpointExchange exchange =
-          new EndpointExchange(
-              new CallerExchange(new RelayRequestId(1), head, null, released, null),
-              1,
-              new NodeAddress("127.0.0.1", endpoint.getLocalPort()),
-              new SendOptions(
-                  new EndpointId("e"),
-                  1_000,
-                  Optional.empty(),
-                  Optional.empty(),
-                  0,
-                  SendOptions.ConnectionUse.FRESH,
-                  false));
-      EndpointConnectionPool pool =
-          new EndpointConnectionPool(
-              loop, new MemoryAccount(1024 * 1024, 64 * 1024, (used, limit) -> {}), listener);
+      EndpointExchange exchange = newExchange(endpoint, head, released);
+      EndpointConnectionPool pool = newPool();
       loop.execute(() -> pool.send(exchange, head));
       assertThat(failuresOnceThereAreAny(), is(List.of(AttemptFailureCause.NOT_SENT)));
       assertThat(listener.faults, is(List.of("effect-failed write-request")));
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.model.NodeAddress;
@@ -27,7 +28,8 @@
       new MemoryAccount(1024 * 1024, 64 * 1024, (used, limit) -> {});
   private final EndpointHandler handler =
       new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
-  private final EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), handler);
+  private final EmbeddedChannel channel =
+      new EmbeddedChannel(new ConnectionEnd(), new HttpResponseDecoder(), handler);
 
   private void beginExchange(boolean streaming) {
     handler.beginExchange(
@@ -163,6 +165,38 @@
     assertThat(channel.isActive(), is(false));
   }
 
+  @Test
+  void answerWithoutLengthIsWholeOnlyIfTheEndpointEndsIt() {
+    for (boolean streaming : List.of(true, false)) {
+      FaultyAnswerTest ended = receiveWithoutLength(streaming);
+      ended.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+      assertThat(ended.listener.answers.size() + ended.listener.completedStreams, is(1));
+      assertThat(ended.channel.isActive(), is(false));
+
+      FaultyAnswerTest cut = receiveWithoutLength(streaming);
+      cut.channel.close();
+      assertThat(cut.listener.failures, is(List.of(AttemptFailureCause.CONNECTION_LOST)));
+      assertThat(cut.listener.answers, empty());
+      assertThat(cut.listener.completedStreams, is(0));
+    }
+  }
+
+  private static FaultyAnswerTest receiveWithoutLength(boolean streaming) {
+    FaultyAnswerTest fresh = new FaultyAnswerTest();
+    fresh.beginExchange(streaming);
+    fresh.receive(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + ID + "own\r\n\r\ndata: x\n\n");
+    return fresh;
+  }
+
+  // A kept connection that the endpoint has closed must not carry another request.
+  @Test
+  void connectionThatTheEndpointEndsWhileIdleIsClosed() {
+    answerOneRequest();
+    channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    assertThat(channel.isActive(), is(false));
+  }
+
   @Test
   void answerThatEndsWithinItsBodyIsLost() {
     for (String answer :
