Fleet view: order the entries of an endpoint by its own start and sequence

Cause: the newest version of a row was taken for the newest word of its writer. The decoder checked "sequence" and dropped it.

Why it works: an entry of an earlier start, or with a lower sequence of the same start, changes nothing and proves nothing; draining is final for a start within an era of the store; a removed start is used again only once it goes on to check in.

--- a/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
@@ -3,6 +3,7 @@
 import io.zinniawood.core.id.AcceleratorKind;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.model.LayerRange;
@@ -19,6 +20,7 @@
  * @param accelerator kind of the accelerator; empty for a plain service
  * @param layers layers that the endpoint holds; empty if it holds none
  * @param startedMillis Unix time of the process start in milliseconds; 0 if unknown
+ * @param sequence number of check-ins of that start up to this entry; 0 if unknown
  * @param rowVersion store version at which the entry was written
  */
 public record FleetEndpoint(
@@ -31,9 +33,36 @@
     Optional<AcceleratorKind> accelerator,
     Optional<LayerRange> layers,
     long startedMillis,
+    long sequence,
     StoreVersion rowVersion) {
+  /** Returns the process start that wrote the entry. */
+  public EndpointIncarnation incarnation() {
+    return new EndpointIncarnation(id, startedMillis);
+  }
+
+  /** Returns this entry with the statement that the endpoint is leaving. */
+  FleetEndpoint asDraining() {
+    return new FleetEndpoint(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        true,
+        accelerator,
+        layers,
+        startedMillis,
+        sequence,
+        rowVersion);
+  }
+
   /** Returns this entry as of another version of its row. */
   public FleetEndpoint withRowVersion(StoreVersion version) {
+    return asOf(sequence, version);
+  }
+
+  /** Returns this entry as of another check-in, and the version of its row. */
+  public FleetEndpoint asOf(long checkIn, StoreVersion version) {
     return new FleetEndpoint(
         id,
         service,
@@ -44,9 +73,25 @@
         accelerator,
         layers,
         startedMillis,
+        checkIn,
         version);
   }
 
+  /**
+   * Returns whether the endpoint wrote this entry before another one, as far as both tell. The
+   * versions of the row do not tell: the store may perform a write seconds after it was sent.
+   */
+  public boolean writtenBefore(FleetEndpoint other) {
+    return startedMillis == other.startedMillis
+        ? sequence > 0 && sequence < other.sequence
+        : startedMillis > 0 && startedMillis < other.startedMillis;
+  }
+
+  /** Returns whether this entry is a later check-in of the start that wrote another one. */
+  public boolean continues(FleetEndpoint earlier) {
+    return startedMillis == earlier.startedMillis && sequence > earlier.sequence;
+  }
+
   /** Returns whether both entries belong to the same process start at the same address. */
   public boolean sameIncarnation(FleetEndpoint other) {
     return startedMillis == other.startedMillis && address.equals(other.address);
--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -161,12 +161,12 @@
       TrackedEndpoint known = endpointsById.get(endpoint.id());
       boolean perhapsCopy = perhapsCopy(endpoint);
       if (known == null) {
-        endpointsById.put(
-            endpoint.id(), trackedEndpoint(endpoint, perhapsCopy && departed(endpoint)));
+        endpointsById.put(endpoint.id(), trackedEndpoint(endpoint, departed(endpoint)));
         lastEndpointAddedNanos = nowNanos;
       } else if (known.supersededBy(endpoint, perhapsCopy)) {
         known.update(endpoint, nowNanos, MAX_HEARTBEAT_LAG_NANOS, perhapsCopy);
       } else {
+        known.entryIgnored(endpoint);
         ignored.add(endpoint);
       }
     }
--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -23,6 +23,10 @@
   private final EndpointLimits limits;
   private final EndpointPause pause;
   private FleetEndpoint entry;
+
+  /** Entry that was ignored last because the endpoint seems to have written it before this one. */
+  private Optional<FleetEndpoint> ignoredEntry = Optional.empty();
+
   private int inFlight;
   private long tokensInFlight;
   private long lastProgressNanos;
@@ -72,7 +76,7 @@
 
   /** Returns the process start that the endpoint list shows. */
   public EndpointIncarnation incarnation() {
-    return new EndpointIncarnation(entry.id(), entry.startedMillis());
+    return entry.incarnation();
   }
 
   /** Returns the latest entry of the endpoint list. */
@@ -81,17 +85,25 @@
   }
 
   /**
-   * Returns whether an entry is to replace the present one.
+   * Returns whether an entry is to replace the present one. An entry that was written before the
+   * present one is a write that the store performed late, unless its start goes on to check in: its
+   * clock was set back, or the present entry is from somebody else.
    *
    * @param perhapsCopy whether the entry may come from a copy of the store, so that it may be older
    */
   boolean supersededBy(FleetEndpoint other, boolean perhapsCopy) {
     if (other.rowVersion().sameEra(entry.rowVersion())) {
-      return !entry.rowVersion().isAfter(other.rowVersion());
+      return !entry.rowVersion().isAfter(other.rowVersion())
+          && (!other.writtenBefore(entry) || ignoredEntry.filter(other::continues).isPresent());
     }
     return !perhapsCopy || other.startedMillis() >= entry.startedMillis();
   }
 
+  /** Records an entry that did not replace the present one. */
+  void entryIgnored(FleetEndpoint ignored) {
+    ignoredEntry = Optional.of(ignored);
+  }
+
   /**
    * Replaces the entry and resets the observations if the endpoint has restarted. An entry that may
    * come from a copy of the store does not undo what was known of the endpoint before.
@@ -120,7 +132,10 @@
     if (newer.layers().isPresent()) {
       orderLayers = Optional.empty();
     }
-    entry = newer;
+    // Leaving is final for a start; a row of another era may come from before it.
+    boolean staysDraining = sameEra && entry.draining() && newer.sameIncarnation(entry);
+    entry = staysDraining ? newer.asDraining() : newer;
+    ignoredEntry = Optional.empty();
     removalScheduled = false;
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
@@ -13,8 +13,8 @@
  * @param version version of the store up to which the changes are complete
  * @param storeMillis time of the store's steady clock at which it answered, in milliseconds
  * @param graceMillis time for which entries missing from the list may still reappear
- * @param changed entries that are new or differ in more than their row version
- * @param heartbeats entries of which only the row version changed
+ * @param changed entries that are new or differ in more than that
+ * @param heartbeats entries of which only the row version and the check-in changed
  * @param removed ids of the entries that are no longer listed
  */
 public record SharedRead(
@@ -32,6 +32,10 @@
     removed = List.copyOf(removed);
   }
 
-  /** Entry of the endpoint list of which only the row version changed. */
-  public record Heartbeat(EndpointId endpoint, StoreVersion rowVersion) {}
+  /**
+   * Entry of the endpoint list of which only the row version and the check-in changed.
+   *
+   * @param sequence number of the check-in; 0 if unknown
+   */
+  public record Heartbeat(EndpointId endpoint, long sequence, StoreVersion rowVersion) {}
 }
--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -45,7 +45,7 @@
   private static final int FAILURES_UNTIL_LOST = 2;
 
   /** Maximum number of entries in a message between relays, so that it fits into a packet. */
-  private static final int MAX_ENTRIES_PER_MESSAGE = 60;
+  private static final int MAX_ENTRIES_PER_MESSAGE = 50;
 
   /** Entries that take the space of one changed entry, relative to a heartbeat. */
   private static final int CHANGED_ENTRY_WEIGHT = 4;
@@ -257,7 +257,8 @@
           .fleet
           .find(heartbeat.endpoint())
           .ifPresent(
-              endpoint -> changed.add(endpoint.entry().withRowVersion(heartbeat.rowVersion())));
+              endpoint ->
+                  changed.add(endpoint.entry().asOf(heartbeat.sequence(), heartbeat.rowVersion())));
     }
     FleetUpdates.endpointsChanged(turn, changed, read.removed());
   }
@@ -305,7 +306,7 @@
         removed = List.of();
       }
       if (onlyHeartbeat(turn, entry)) {
-        heartbeats.add(new SharedRead.Heartbeat(entry.id(), entry.rowVersion()));
+        heartbeats.add(new SharedRead.Heartbeat(entry.id(), entry.sequence(), entry.rowVersion()));
       } else {
         changed.add(entry);
       }
@@ -328,7 +329,7 @@
         .find(entry.id())
         .map(TrackedEndpoint::entry)
         .filter(known -> known.rowVersion().sameEra(entry.rowVersion()))
-        .filter(known -> known.withRowVersion(entry.rowVersion()).equals(entry))
+        .filter(known -> known.asOf(entry.sequence(), entry.rowVersion()).equals(entry))
         .isPresent();
   }
 }
--- a/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
@@ -31,9 +31,24 @@
         Optional.empty(),
         Optional.empty(),
         startedMillis,
+        0,
         new StoreVersion(StoreEra.UNNAMED, rowVersion));
   }
 
+  /** Returns the entry that a start of the endpoint wrote with one of its check-ins. */
+  private static FleetEndpoint checkIn(long startedMillis, long sequence, long rowVersion) {
+    return endpoint(false, startedMillis, rowVersion)
+        .asOf(sequence, new StoreVersion(StoreEra.UNNAMED, rowVersion));
+  }
+
+  private void change(FleetEndpoint changed, long nowMillis) {
+    fleet.applyChanges(List.of(changed), List.of(), millis(nowMillis));
+  }
+
+  private boolean usable(long nowMillis) {
+    return fleet.find(ID).orElseThrow().usable(millis(nowMillis));
+  }
+
   private void replaceAll(List<FleetEndpoint> endpoints, long nowNanos) {
     fleet.replaceAll(endpoints, new StoreVersion(StoreEra.UNNAMED, 100), nowNanos);
   }
@@ -106,4 +121,63 @@
     assertThat(known.ordersAccepted(), is(0L));
     assertThat(known.plannedLayers(millis(11)), is(Optional.empty()));
   }
+
+  // An old check-in that the store performed late made a draining endpoint ready again.
+  @Test
+  void checkInPerformedLateDoesNotUndoDraining() {
+    replaceAll(List.of(checkIn(1, 3, 3)), 0);
+    change(endpoint(true, 1, 5).asOf(5, new StoreVersion(StoreEra.UNNAMED, 5)), 10);
+    change(checkIn(1, 4, 6), 20);
+    assertThat(usable(30), is(false));
+  }
+
+  // The same where the endpoint itself lists itself as ready after it has reported that it drains.
+  @Test
+  void drainingIsFinalUntilTheNextStart() {
+    replaceAll(List.of(endpoint(true, 1, 5)), 0);
+    change(checkIn(1, 6, 6), 10);
+    assertThat(usable(20), is(false));
+    change(checkIn(2, 1, 7), 30);
+    assertThat(usable(40), is(true));
+  }
+
+  // A late check-in was taken for a sign of life of an endpoint that had failed since.
+  @Test
+  void checkInPerformedLateDoesNotEndAvoidance() {
+    replaceAll(List.of(checkIn(1, 3, 3)), 0);
+    fleet.avoidAfterFailure(fleet.find(ID).orElseThrow(), millis(100));
+    change(checkIn(1, 2, 4), 2_000);
+    assertThat(usable(2_001), is(false));
+    change(checkIn(1, 4, 5), 2_100);
+    assertThat(usable(2_101), is(true));
+  }
+
+  // A late check-in of the former start replaced the entry of an endpoint that had started anew.
+  @Test
+  void checkInOfFormerStartDoesNotReplaceLaterStart() {
+    replaceAll(List.of(checkIn(2, 1, 3)), 0);
+    change(checkIn(1, 9, 4), 10);
+    assertThat(fleet.find(ID).orElseThrow().entry().startedMillis(), is(2L));
+  }
+
+  // A clock that was set back gives a new start a lower time; it must not be ignored for good.
+  @Test
+  void startWithLowerTimeCountsOnceItGoesOnToCheckIn() {
+    replaceAll(List.of(checkIn(2, 9, 3)), 0);
+    change(checkIn(1, 1, 4), 10);
+    change(checkIn(1, 2, 5), 1_000);
+    assertThat(fleet.find(ID).orElseThrow().entry().startedMillis(), is(1L));
+    assertThat(usable(1_001), is(true));
+  }
+
+  // A late check-in listed an endpoint again whose entry had been removed.
+  @Test
+  void removedEndpointIsUsedAgainOnlyOnceItGoesOnToCheckIn() {
+    replaceAll(List.of(checkIn(1, 3, 3)), 0);
+    fleet.applyChanges(List.of(), List.of(ID), millis(10));
+    change(checkIn(1, 2, 5), 20);
+    assertThat(usable(30), is(false));
+    change(checkIn(1, 4, 6), 1_000);
+    assertThat(usable(1_001), is(true));
+  }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayFailuresTest.java
@@ -30,6 +30,7 @@
         null,
         sound.layers(),
         1,
+        0,
         sound.rowVersion());
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -153,6 +153,7 @@
         local.accelerator(),
         local.layers(),
         local.startedMillis(),
+        local.sequence(),
         local.rowVersion());
   }
 
@@ -178,6 +179,7 @@
         service.equals(MODEL) ? Optional.of(KIND) : Optional.empty(),
         layers,
         1,
+        0,
         version(rowVersion++));
   }
 
@@ -193,6 +195,7 @@
         before.accelerator(),
         before.layers(),
         startedMillis,
+        0,
         version);
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
@@ -98,6 +98,7 @@
             empty.accelerator(),
             empty.layers(),
             2,
+            0,
             empty.rowVersion());
     relay.list(relay.model("a", 0, 5), before, after, relay.model("c", 5, 10));
     for (int count = 0; count < 20; count++) {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPausesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPausesTest.java
@@ -134,6 +134,7 @@
             endpoint.accelerator(),
             endpoint.layers(),
             2,
+            0,
             RelayHarness.version(302)));
     for (int request = 0; request < 3; request++) {
       assertThat(relay.sends(relay.request("read")), hasSize(1));
--- a/core/src/test/java/io/zinniawood/core/relay/RelayRestoreHistoriesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayRestoreHistoriesTest.java
@@ -218,6 +218,7 @@
             Optional.empty(),
             Optional.empty(),
             endpointsCreated,
+            0,
             new StoreVersion(StoreEra.UNNAMED, 0));
     alive.put(id, endpoint);
     heartbeat(id);
@@ -258,6 +259,7 @@
         ready.accelerator(),
         ready.layers(),
         ready.startedMillis(),
+        ready.sequence(),
         ready.rowVersion());
   }
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -114,6 +114,7 @@
         Optional.empty(),
         Optional.empty(),
         1,
+        0,
         VERSION);
   }
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
@@ -94,6 +94,7 @@
             Optional.empty(),
             Optional.empty(),
             1,
+            0,
             VERSION);
     runtime.post(new RelayEvent.EndpointsListed(List.of(endpoint), VERSION, 1));
     return runtime;
--- a/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
+++ b/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
@@ -72,6 +72,7 @@
       builder.addHeartbeats(
           RelayProto.Heartbeat.newBuilder()
               .setId(heartbeat.endpoint().value())
+              .setSequence(heartbeat.sequence())
               .setRowVersion(heartbeat.rowVersion().number()));
     }
     for (EndpointId removed : read.removed()) {
@@ -91,6 +92,7 @@
             .setSlots(endpoint.slots())
             .setDraining(endpoint.draining())
             .setStartedMillis(endpoint.startedMillis())
+            .setSequence(endpoint.sequence())
             .setRowVersion(endpoint.rowVersion().number());
     endpoint.accelerator().ifPresent(kind -> builder.setAccelerator(kind.value()));
     endpoint
@@ -152,7 +154,9 @@
     for (RelayProto.Heartbeat heartbeat : read.getHeartbeatsList()) {
       heartbeats.add(
           new SharedRead.Heartbeat(
-              new EndpointId(heartbeat.getId()), new StoreVersion(era, heartbeat.getRowVersion())));
+              new EndpointId(heartbeat.getId()),
+              heartbeat.getSequence(),
+              new StoreVersion(era, heartbeat.getRowVersion())));
     }
     List<EndpointId> removed = new ArrayList<>();
     for (String id : read.getRemovedList()) {
@@ -188,6 +192,7 @@
             ? Optional.empty()
             : Optional.of(new LayerRange(endpoint.getFromLayer(), endpoint.getToLayerExclusive())),
         endpoint.getStartedMillis(),
+        endpoint.getSequence(),
         new StoreVersion(era, endpoint.getRowVersion()));
   }
 }
