Relays: tell each other how long the store has answered, not how long removals are put off

Cause: a relay took an interruption of its own way to the store for an outage of the store and passed on the conclusion, the grace for expired entries, which the others applied unconditionally.

Why it works: StoreContinuity puts removals off only after an interruption that nobody read through, and stops doing so as soon as another relay says that it did. After a real outage, an endpoint that has checked in since has left when its entry goes.

The test of readers that return needs no message with a grace any more; it checks that a removal holds at once.

--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -23,12 +23,6 @@
  * responds again. Not thread-safe; confined to the reducer.
  */
 public final class FleetView {
-  /**
-   * Time after a store outage during which entries that expired in the outage may reappear. The
-   * platform documents about two seconds.
-   */
-  private static final long REAPPEARANCE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
-
   /**
    * Time of avoidance after a first failure; longer than the three heartbeats after which the list
    * drops a dead endpoint.
@@ -50,6 +44,7 @@
   private final Map<EndpointId, TrackedEndpoint> endpointsById = new HashMap<>();
   private final LeavingEndpoints leaving = new LeavingEndpoints();
   private final EndpointLimits limits = new EndpointLimits();
+  private final StoreContinuity store = new StoreContinuity();
 
   /** Pauses of endpoints that are not in the list, in case they reappear. */
   private final Map<EndpointId, EndpointPause> unlistedPausesById = new HashMap<>();
@@ -61,9 +56,6 @@
   private Optional<StoreVersion> copyVersion = Optional.empty();
 
   private boolean listLoaded;
-  private boolean storeUnavailable;
-  private long storeRegainedNanos;
-  private boolean storeEverRegained;
   private long lastEndpointAddedNanos;
 
   private record Departure(FleetEndpoint entry, long atNanos) {}
@@ -130,8 +122,7 @@
       List<FleetEndpoint> endpoints, StoreVersion version, long nowNanos) {
     if (listLoaded && !version.sameEra(listVersion)) {
       copyVersion = Optional.of(version);
-      storeEverRegained = true;
-      storeRegainedNanos = nowNanos;
+      store.restored(nowNanos);
     }
     listLoaded = true;
     listVersion = version;
@@ -149,8 +140,9 @@
   }
 
   /**
-   * Applies changes of the endpoint list. Shortly after a store outage, removed entries that were
-   * not draining are kept for {@link #REAPPEARANCE_GRACE_NANOS}.
+   * Applies changes of the endpoint list. Shortly after a store outage, removed entries are kept,
+   * as they may have expired in it and reappear, unless the endpoint has said that it leaves or has
+   * checked in since.
    *
    * @return entries that were ignored for their version
    */
@@ -170,11 +162,12 @@
         ignored.add(endpoint);
       }
     }
-    long graceNanos = reappearanceGraceNanos(nowNanos);
+    long graceNanos = store.reappearanceGraceNanos(nowNanos);
     for (EndpointId id : removed) {
       TrackedEndpoint known = endpointsById.get(id);
       if (known != null) {
-        known.scheduleRemoval(known.announcedLeaving() ? nowNanos : nowNanos + graceNanos);
+        boolean left = known.announcedLeaving() || store.madeAfterOutage(known.checkInNanos());
+        known.scheduleRemoval(left ? nowNanos : nowNanos + graceNanos);
       }
     }
     removeExpired(nowNanos);
@@ -210,7 +203,7 @@
   }
 
   private boolean removed(TrackedEndpoint known, long nowNanos) {
-    boolean due = known.removalDue(nowNanos);
+    boolean due = known.removalDue(nowNanos, store.reappearanceGraceNanos(nowNanos));
     if (due) {
       departures.put(known.id(), new Departure(known.entry(), nowNanos));
     }
@@ -237,41 +230,31 @@
 
   /** Records that the store stopped answering. */
   public void storeLost() {
-    storeUnavailable = true;
-  }
-
-  /** Records that the store answers again. */
-  public void storeRegained(long nowNanos) {
-    if (storeUnavailable) {
-      storeUnavailable = false;
-      storeEverRegained = true;
-      storeRegainedNanos = nowNanos;
-    }
+    store.lost();
   }
 
-  /** Returns the time for which missing entries may still reappear, in milliseconds. */
-  public long reappearanceGraceMillis(long nowNanos) {
-    return TimeUnit.NANOSECONDS.toMillis(reappearanceGraceNanos(nowNanos));
+  /** Records that the store answered this process, or another one that passed the answer on. */
+  public void storeAnswered(long nowNanos) {
+    store.answered(nowNanos);
   }
 
-  private long reappearanceGraceNanos(long nowNanos) {
-    return storeEverRegained
-        ? Math.max(0, storeRegainedNanos + REAPPEARANCE_GRACE_NANOS - nowNanos)
-        : 0;
+  /**
+   * Applies for how long the store has answered another process without interruption.
+   *
+   * @param steadyMillis that time in milliseconds; 0 if unknown
+   */
+  public void storeAnsweredElsewhere(long steadyMillis, long nowNanos) {
+    store.answeredElsewhere(steadyMillis, nowNanos);
   }
 
-  /** Lets missing entries reappear for at least the given time, in milliseconds. */
-  public void extendReappearanceGrace(long millis, long nowNanos) {
-    if (millis > reappearanceGraceMillis(nowNanos)) {
-      storeEverRegained = true;
-      storeRegainedNanos =
-          nowNanos + TimeUnit.MILLISECONDS.toNanos(millis) - REAPPEARANCE_GRACE_NANOS;
-    }
+  /** Returns for how long the store has answered without interruption, in milliseconds. */
+  public long storeSteadyMillis(long nowNanos) {
+    return store.steadyMillis(nowNanos);
   }
 
   /** Returns whether the store does not answer. */
   public boolean storeUnavailable() {
-    return storeUnavailable;
+    return store.unavailable();
   }
 
   /** Avoids an endpoint that failed or does not respond. */
--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -42,6 +42,7 @@
   private boolean checkPending;
   private long checkStartedNanos;
   private int consecutiveFailures;
+  private long checkInNanos;
   private long removalNanos;
   private boolean removalScheduled;
   private Optional<LayerRange> orderLayers = Optional.empty();
@@ -136,6 +137,7 @@
     boolean staysDraining = sameEra && entry.draining() && newer.sameIncarnation(entry);
     entry = staysDraining ? newer.asDraining() : newer;
     ignoredEntry = Optional.empty();
+    checkInNanos = nowNanos;
     removalScheduled = false;
   }
 
@@ -305,6 +307,11 @@
     return leavingEndpoints.contains(incarnation());
   }
 
+  /** Returns the monotonic time at which a later check-in was last read; 0 if none was. */
+  long checkInNanos() {
+    return checkInNanos;
+  }
+
   void scheduleRemoval(long atNanos) {
     if (!removalScheduled) {
       removalScheduled = true;
@@ -312,8 +319,13 @@
     }
   }
 
-  boolean removalDue(long nowNanos) {
-    return removalScheduled && nowNanos - removalNanos >= 0;
+  /**
+   * Returns whether the endpoint is to be removed.
+   *
+   * @param graceNanos time for which removed entries may still reappear, as known by now
+   */
+  boolean removalDue(long nowNanos, long graceNanos) {
+    return removalScheduled && (graceNanos == 0 || nowNanos - removalNanos >= 0);
   }
 
   /** Returns the number of this process's requests whose path includes the endpoint. */
--- a/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
+++ b/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
@@ -64,7 +64,6 @@
 
   static void storeRegained(RelayTurn turn) {
     turn.log("store-regained", "routesVersion", turn.state.routesVersion());
-    turn.state.fleet.storeRegained(turn.nowNanos);
   }
 
   /** Marks an endpoint as suspected, so that it is avoided for a limited time, and logs why. */
--- a/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
@@ -75,6 +75,7 @@
                 state.parameters.vm(),
                 state.storeEra,
                 state.failedEndpointReads == 0,
+                state.fleet.storeSteadyMillis(turn.nowNanos),
                 state.routesVersion(),
                 state.routeReads.ageMillis(turn.nowNanos),
                 ControllerLease.notice(turn),
--- a/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
@@ -15,6 +15,8 @@
  * @param storeEra era of the store that the sender reads; all versions in the message are of this
  *     era
  * @param storeAvailable whether the sender's last read of the store succeeded
+ * @param storeSteadyMillis time for which the store has answered the sender without interruption,
+ *     in milliseconds; 0 if unknown
  * @param routesVersion version of the routing table that the sender applies; 0 if it has none
  * @param routesAgeMillis time since a read confirmed that version as the newest one, in
  *     milliseconds
@@ -28,6 +30,7 @@
     VmId vm,
     StoreEra storeEra,
     boolean storeAvailable,
+    long storeSteadyMillis,
     long routesVersion,
     long routesAgeMillis,
     Optional<LeaseNotice> lease,
--- a/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
@@ -12,7 +12,6 @@
  * @param afterVersion version of the store after which the changes begin
  * @param version version of the store up to which the changes are complete
  * @param storeMillis time of the store's steady clock at which it answered, in milliseconds
- * @param graceMillis time for which entries missing from the list may still reappear
  * @param changed entries that are new or differ in more than that
  * @param heartbeats entries of which only the row version and the check-in changed
  * @param removed ids of the entries that are no longer listed
@@ -21,7 +20,6 @@
     StoreVersion afterVersion,
     StoreVersion version,
     long storeMillis,
-    long graceMillis,
     List<FleetEndpoint> changed,
     List<Heartbeat> heartbeats,
     List<EndpointId> removed) {
--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -4,7 +4,6 @@
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.StoreVersion;
-import io.zinniawood.core.id.VmId;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -125,6 +124,7 @@
     if (turn.state.fleet.storeUnavailable()) {
       FleetUpdates.storeRegained(turn);
     }
+    turn.state.fleet.storeAnswered(turn.nowNanos);
   }
 
   static void endpointsReadFailed(RelayTurn turn, RelayEvent.EndpointsReadFailed event) {
@@ -187,7 +187,8 @@
     } else if (message.routesVersion() > state.routesVersion()) {
       newerRoutesKnown(turn, message.routesVersion());
     }
-    message.read().ifPresent(read -> applyRead(turn, message.vm(), read));
+    message.read().ifPresent(read -> applyRead(turn, message, read));
+    state.fleet.storeAnsweredElsewhere(message.storeSteadyMillis(), turn.nowNanos);
   }
 
   /** Reads the routes, but not with each message while the store shows an older version. */
@@ -222,7 +223,7 @@
     }
   }
 
-  private static void applyRead(RelayTurn turn, VmId sender, SharedRead read) {
+  private static void applyRead(RelayTurn turn, PeerMessage message, SharedRead read) {
     RelayState state = turn.state;
     if (state.endpointsVersion.isEmpty()) {
       return;
@@ -241,7 +242,7 @@
           turn,
           "peer-read-ignored",
           "vm",
-          sender.value(),
+          message.vm().value(),
           "version",
           read.version(),
           "known",
@@ -249,7 +250,7 @@
       return;
     }
     available(turn);
-    state.fleet.extendReappearanceGrace(read.graceMillis(), turn.nowNanos);
+    state.fleet.storeAnsweredElsewhere(message.storeSteadyMillis(), turn.nowNanos);
     state.endpointsVersion = Optional.of(read.version());
     List<FleetEndpoint> changed = new ArrayList<>(read.changed());
     for (SharedRead.Heartbeat heartbeat : read.heartbeats()) {
@@ -286,7 +287,6 @@
     List<FleetEndpoint> entries = new ArrayList<>(event.changed());
     entries.sort(
         (left, right) -> Long.compare(left.rowVersion().number(), right.rowVersion().number()));
-    long graceMillis = turn.state.fleet.reappearanceGraceMillis(turn.nowNanos);
     List<SharedRead> reads = new ArrayList<>();
     List<FleetEndpoint> changed = new ArrayList<>();
     List<SharedRead.Heartbeat> heartbeats = new ArrayList<>();
@@ -298,8 +298,7 @@
       if (weight >= MAX_ENTRIES_PER_MESSAGE) {
         StoreVersion version = entry.rowVersion().withNumber(entry.rowVersion().number() - 1);
         reads.add(
-            new SharedRead(
-                after, version, event.storeMillis(), graceMillis, changed, heartbeats, removed));
+            new SharedRead(after, version, event.storeMillis(), changed, heartbeats, removed));
         after = version;
         changed.clear();
         heartbeats.clear();
@@ -312,14 +311,7 @@
       }
     }
     reads.add(
-        new SharedRead(
-            after,
-            event.version(),
-            event.storeMillis(),
-            graceMillis,
-            changed,
-            heartbeats,
-            removed));
+        new SharedRead(after, event.version(), event.storeMillis(), changed, heartbeats, removed));
     return reads;
   }
 
--- a/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
@@ -71,7 +71,7 @@
   void endpointExpiredDuringStoreOutageIsKeptUntilItReappears() {
     replaceAll(List.of(endpoint(false, 1, 1)), 0);
     fleet.storeLost();
-    fleet.storeRegained(millis(5_000));
+    fleet.storeAnswered(millis(5_000));
     fleet.applyChanges(List.of(), List.of(ID), millis(5_010));
     assertThat(fleet.find(ID).isPresent(), is(true));
     fleet.applyChanges(List.of(endpoint(false, 1, 9)), List.of(), millis(6_000));
@@ -84,7 +84,7 @@
   void endpointThatDoesNotReappearIsDropped() {
     replaceAll(List.of(endpoint(false, 1, 1)), 0);
     fleet.storeLost();
-    fleet.storeRegained(millis(5_000));
+    fleet.storeAnswered(millis(5_000));
     replaceAll(List.of(), millis(5_010));
     fleet.removeExpired(millis(7_300));
     assertThat(fleet.find(ID).isPresent(), is(false));
@@ -180,4 +180,58 @@
     change(checkIn(1, 4, 6), 1_000);
     assertThat(usable(1_001), is(true));
   }
+
+  private void interruptStoreUntil(long millis) {
+    fleet.storeAnswered(0);
+    fleet.storeLost();
+    fleet.storeAnswered(millis(millis));
+  }
+
+  private boolean listedAfterRemoval(long removedMillis, long nowMillis) {
+    fleet.applyChanges(List.of(), List.of(ID), millis(removedMillis));
+    fleet.removeExpired(millis(nowMillis));
+    return fleet.find(ID).isPresent();
+  }
+
+  // A process that was cut off kept endpoints in use that had left while it returned.
+  @Test
+  void removalIsNotPutOffIfTheStoreAnsweredAnotherProcessThroughout() {
+    replaceAll(List.of(checkIn(1, 3, 3)), 0);
+    interruptStoreUntil(5_000);
+    fleet.applyChanges(List.of(), List.of(ID), millis(5_010));
+    assertThat(fleet.find(ID).isPresent(), is(true));
+    fleet.storeAnsweredElsewhere(60_000, millis(5_200));
+    fleet.removeExpired(millis(5_200));
+    assertThat(fleet.find(ID).isPresent(), is(false));
+  }
+
+  @Test
+  void graceEndsWithTheEarliestKnownReturnOfTheStore() {
+    replaceAll(List.of(checkIn(1, 3, 3)), 0);
+    interruptStoreUntil(5_000);
+    fleet.storeAnsweredElsewhere(1_500, millis(5_100));
+    assertThat(listedAfterRemoval(5_110, 5_700), is(true));
+    assertThat(listedAfterRemoval(5_700, 5_900), is(false));
+  }
+
+  // An outage that nobody noticed expires entries as well.
+  @Test
+  void longTimeWithoutAnyAnswerCountsAsOutage() {
+    replaceAll(List.of(checkIn(1, 3, 3)), 0);
+    fleet.storeAnswered(0);
+    assertThat(fleet.storeSteadyMillis(millis(1_400)), is(1_400L));
+    assertThat(fleet.storeSteadyMillis(millis(1_600)), is(0L));
+    fleet.storeAnswered(millis(4_000));
+    assertThat(fleet.storeSteadyMillis(millis(4_000)), is(0L));
+    assertThat(listedAfterRemoval(4_010, 4_500), is(true));
+  }
+
+  // An endpoint that left shortly after an outage was used for 2.2 s more.
+  @Test
+  void removalAfterCheckInThatFollowedTheOutageIsNotPutOff() {
+    replaceAll(List.of(checkIn(1, 3, 3)), 0);
+    interruptStoreUntil(5_000);
+    change(checkIn(1, 4, 5), 6_000);
+    assertThat(listedAfterRemoval(6_500, 6_500), is(false));
+  }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
@@ -196,6 +196,7 @@
                 PEER,
                 StoreEra.UNNAMED,
                 true,
+                0,
                 1,
                 0,
                 Optional.empty(),
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
@@ -110,6 +110,7 @@
                 PEER,
                 StoreEra.UNNAMED,
                 true,
+                0,
                 1,
                 0,
                 Optional.empty(),
--- a/core/src/test/java/io/zinniawood/core/relay/RelayLeaseRestoreTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayLeaseRestoreTest.java
@@ -50,6 +50,7 @@
                 PEER,
                 version(era, 0).era(),
                 true,
+                0,
                 1,
                 0,
                 lease,
--- a/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
@@ -49,6 +49,7 @@
                 PEER,
                 StoreEra.UNNAMED,
                 true,
+                0,
                 1,
                 0,
                 Optional.empty(),
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -34,6 +34,9 @@
   private static final long ROUTES_VERSION = 1;
   private static final long MESSAGE_INTERVAL_MILLIS = 250;
 
+  /** Time for which the store has answered the reader, as its messages say. */
+  private long steadyMillis;
+
   private final RelayHarness relay = new RelayHarness();
   private final FleetEndpoint endpoint = relay.plain("p");
   private StoreVersion version = version(1_000);
@@ -51,7 +54,7 @@
     StoreVersion after = version;
     version = version(after.number() + 10);
     return new SharedRead(
-        after, version, relay.storeMillis() - ageMillis, 0, changed, List.of(), List.of());
+        after, version, relay.storeMillis() - ageMillis, changed, List.of(), List.of());
   }
 
   private void receive(SharedRead read) {
@@ -65,6 +68,7 @@
                 READER,
                 StoreEra.UNNAMED,
                 true,
+                steadyMillis,
                 ROUTES_VERSION,
                 0,
                 lease,
@@ -149,7 +153,6 @@
             version(1_010),
             version(1_030),
             relay.storeMillis(),
-            0,
             List.of(),
             List.of(),
             List.of(endpoint.id()));
@@ -159,6 +162,48 @@
     assertThat(relay.sends(id), empty());
   }
 
+  private SharedRead removal() {
+    StoreVersion after = version;
+    version = version(after.number() + 10);
+    return new SharedRead(
+        after, version, relay.storeMillis(), List.of(), List.of(), List.of(endpoint.id()));
+  }
+
+  private void cutOffFromStore() {
+    RelayEvent failed = new RelayEvent.EndpointsReadFailed(StoreReadFailure.UNAVAILABLE);
+    relay.post(failed);
+    relay.post(failed);
+  }
+
+  // A relay that returned from a cut made the others use endpoints that had left for over 2 s.
+  @Test
+  void readerThatReturnedFromCutDoesNotDelayRemovals() {
+    readsAreSharedFor(2_000);
+    steadyMillis = 0;
+    receive(removal());
+    assertThat(relay.sends(relay.request("book")), empty());
+  }
+
+  // The same on the relay that was cut off, while the others read the store on.
+  @Test
+  void relayThatReturnsFromCutDropsRemovedEndpointOnceItHearsOfSteadyReads() {
+    cutOffFromStore();
+    steadyMillis = 60_000;
+    receive(removal());
+    assertThat(relay.sends(relay.request("book")), empty());
+  }
+
+  // After an outage for all, entries that expired in it reappear; their endpoints stay in use.
+  @Test
+  void removedEndpointIsKeptAtFirstAfterOutageForAll() {
+    cutOffFromStore();
+    steadyMillis = 100;
+    receive(removal());
+    assertThat(relay.sends(relay.request("book")), hasSize(1));
+    relay.advanceMillis(2_200);
+    assertThat(relay.sends(relay.request("book")), empty());
+  }
+
   // A relay that has just started may get messages from before an endpoint left. It takes its list
   // from the store before it believes any of them.
   @Test
@@ -173,6 +218,7 @@
                 READER,
                 StoreEra.UNNAMED,
                 true,
+                0,
                 ROUTES_VERSION,
                 0,
                 Optional.empty(),
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStartInNewEraTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStartInNewEraTest.java
@@ -40,6 +40,7 @@
                 PEER,
                 version(ERA, 0).era(),
                 true,
+                0,
                 routesVersion,
                 0,
                 Optional.empty(),
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStoreRestoreTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStoreRestoreTest.java
@@ -58,6 +58,7 @@
                 PEER,
                 read.version().era(),
                 true,
+                0,
                 1,
                 0,
                 Optional.empty(),
@@ -70,7 +71,7 @@
 
   private SharedRead read(StoreVersion after, StoreVersion version, FleetEndpoint... changed) {
     return new SharedRead(
-        after, version, relay.storeMillis(), 0, List.of(changed), List.of(), List.of());
+        after, version, relay.storeMillis(), List.of(changed), List.of(), List.of());
   }
 
   private boolean used() {
@@ -223,7 +224,6 @@
               version(NEW, number),
               version(NEW, number + 10),
               relay.storeMillis() - behindMillis,
-              0,
               List.of(),
               List.of(),
               List.of()));
--- a/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
+++ b/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
@@ -33,6 +33,7 @@
             .setVm(message.vm().value())
             .setStoreEra(message.storeEra().value())
             .setStoreAvailable(message.storeAvailable())
+            .setStoreSteadyMillis((int) Math.min(Integer.MAX_VALUE, message.storeSteadyMillis()))
             .setRoutesVersion(message.routesVersion())
             .setRoutesAgeMillis((int) Math.min(Integer.MAX_VALUE, message.routesAgeMillis()));
     message
@@ -63,8 +64,7 @@
         RelayProto.SharedRead.newBuilder()
             .setAfterVersion(read.afterVersion().number())
             .setVersion(read.version().number())
-            .setStoreMillis(read.storeMillis())
-            .setGraceMillis((int) read.graceMillis());
+            .setStoreMillis(read.storeMillis());
     for (FleetEndpoint endpoint : read.changed()) {
       builder.addChanged(encodeEndpoint(endpoint));
     }
@@ -115,6 +115,7 @@
               new VmId(message.getVm()),
               era,
               message.getStoreAvailable(),
+              Integer.toUnsignedLong(message.getStoreSteadyMillis()),
               message.getRoutesVersion(),
               Integer.toUnsignedLong(message.getRoutesAgeMillis()),
               message.hasLease()
@@ -166,7 +167,6 @@
         new StoreVersion(era, read.getAfterVersion()),
         new StoreVersion(era, read.getVersion()),
         read.getStoreMillis(),
-        Integer.toUnsignedLong(read.getGraceMillis()),
         changed,
         heartbeats,
         removed);
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -75,6 +75,7 @@
         new VmId("front-helsinki-a-1"),
         ERA,
         true,
+        0,
         17,
         350,
         Optional.of(new LeaseNotice(new FencingNumber(3), 40, version(99))),
@@ -149,7 +150,6 @@
                 version(100),
                 version(110),
                 5_000_000_000L,
-                2_200,
                 List.of(
                     endpoint(
                         Optional.of(new AcceleratorKind("l4")), Optional.of(new LayerRange(0, 9))),
@@ -172,7 +172,7 @@
         PeerMessageCodec.encode(
             message(
                 new SharedRead(
-                    version(1), version(2), 5_000_000_000L, 0, List.of(), heartbeats, List.of())));
+                    version(1), version(2), 5_000_000_000L, List.of(), heartbeats, List.of())));
     assertThat(bytes.length, lessThanOrEqualTo(1_400));
   }
 
@@ -181,6 +181,7 @@
         new VmId("front-helsinki-a-1"),
         ERA,
         true,
+        0,
         17,
         350,
         Optional.empty(),
