Relay: do not send a request on a connection that may still bring an answer to the same id

Cause of this form: an answer is told from a repeated earlier one by its request id. The relay's own repeats use new connections, but a request that a caller sends again with its id is a first send for the relay and could get the kept connection that had carried the id before. The late repetition of the first answer was then taken for the answer to the second request.

Evidence: EndpointConnectionPoolTest.requestThatComesAgainIsNotSentWhereItsFirstAnswerMayBeRepeated, with real sockets, failed before (the second request came on the first connection).

Why it works: a connection knows the ids of its last 16 requests and is passed over for a request with one of them.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -18,6 +18,7 @@
 import io.netty.util.AttributeKey;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.SendOptions;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -63,7 +64,7 @@
   /** Sends a request on a pooled connection, if the options allow it, or on a new one. */
   public void send(EndpointExchange exchange, HttpRequest head) {
     if (exchange.options().connection() == SendOptions.ConnectionUse.ANY) {
-      Channel channel = takePooled(exchange.address());
+      Channel channel = takePooled(exchange.address(), exchange.callerExchange().request());
       if (channel != null) {
         write(exchange, channel, head);
         return;
@@ -129,23 +130,34 @@
             body.retainedDuplicate(),
             head.headers(),
             io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
-    channel.pipeline().get(EndpointHandler.class).beginExchange(exchange);
+    EndpointHandler handler = channel.pipeline().get(EndpointHandler.class);
+    handler.beginExchange(exchange);
+    handler.requestSent(exchange.callerExchange().request());
     exchange.markSent();
     channel.writeAndFlush(request).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
   }
 
-  private Channel takePooled(NodeAddress address) {
+  /** Returns the last reusable connection that has not carried a request with the same id. */
+  private Channel takePooled(NodeAddress address, CallerRequest request) {
     Deque<Channel> channels = pool.get(address);
     long nowNanos = System.nanoTime();
-    while (channels != null && !channels.isEmpty()) {
+    Deque<Channel> passedOver = new ArrayDeque<>();
+    Channel taken = null;
+    while (taken == null && channels != null && !channels.isEmpty()) {
       Channel channel = channels.pollLast();
       PoolEntry entry = channel.attr(POOL_ENTRY).get();
-      if (channel.isActive() && nowNanos - entry.reusableUntilNanos() < 0) {
-        return channel;
+      if (!channel.isActive() || nowNanos - entry.reusableUntilNanos() >= 0) {
+        channel.close();
+      } else if (channel.pipeline().get(EndpointHandler.class).hasCarried(request)) {
+        passedOver.addFirst(channel);
+      } else {
+        taken = channel;
       }
-      channel.close();
     }
-    return null;
+    if (channels != null) {
+      channels.addAll(passedOver);
+    }
+    return taken;
   }
 
   /** Returns a connection to the pool after a complete answer, or closes it. */
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -12,9 +12,13 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.relay.AnsweredRequest;
 import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 /**
  * Connection to one endpoint; carries one request at a time. Skips answers that carry the id of
@@ -26,6 +30,9 @@
   /** Maximum number of informational answers and answers to other requests before the answer. */
   private static final int MAX_SKIPPED_ANSWERS = 64;
 
+  /** Number of requests on a connection whose answers may still be repeated late. */
+  private static final int MAX_EARLIER_REQUESTS = 16;
+
   private final EndpointListener listener;
   private final EndpointConnectionPool connections;
   private final MemoryAccount memory;
@@ -34,6 +41,9 @@
   /** Last request on this connection; answers that arrive without a request are its endpoint's. */
   private EndpointExchange lastExchange;
 
+  /** Ids of the last requests on this connection. */
+  private final Deque<RequestId> carriedRequests = new ArrayDeque<>();
+
   /** Whether the connection carried a request before the present one. */
   private boolean carriedEarlierRequest;
 
@@ -53,6 +63,22 @@
     this.memory = memory;
   }
 
+  /**
+   * Returns whether a recent request on this connection had the same id. The endpoint may repeat
+   * its answer to that one, which could not be told from the answer to this one.
+   */
+  boolean hasCarried(CallerRequest request) {
+    return request.id().filter(carriedRequests::contains).isPresent();
+  }
+
+  /** Records that a request is sent on this connection. */
+  void requestSent(CallerRequest request) {
+    request.id().ifPresent(carriedRequests::addLast);
+    if (carriedRequests.size() > MAX_EARLIER_REQUESTS) {
+      carriedRequests.removeFirst();
+    }
+  }
+
   /** Assigns the connection to an attempt. */
   void beginExchange(EndpointExchange begun) {
     carriedEarlierRequest = used;
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
@@ -16,8 +16,10 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.SendOptions;
 import java.net.InetAddress;
@@ -26,6 +28,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -37,6 +40,18 @@
   private static final String HALF_ANSWER =
       "HTTP/1.1 200 OK\r\n" + FakeEndpointListener.ID_HEADER + ": own\r\n\r\nhalf";
 
+  private static final CallerRequest REQUEST =
+      new CallerRequest(
+          Optional.of(new RequestId(FakeEndpointListener.OWN_ID)),
+          "host",
+          "/x",
+          Optional.empty(),
+          OptionalLong.empty(),
+          0,
+          0,
+          0,
+          List.of());
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) group.next();
@@ -77,6 +92,42 @@
     }
   }
 
+  // An endpoint repeated its answer late; a caller who sent its request again got it as a success.
+  @Test
+  void requestThatComesAgainIsNotSentWhereItsFirstAnswerMayBeRepeated() throws Exception {
+    try (ServerSocket endpoint = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
+      HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+      EndpointConnectionPool pool = newPool();
+      loop.execute(() -> pool.send(newExchange(endpoint, head, Unpooled.EMPTY_BUFFER), head));
+      try (Socket first = endpoint.accept()) {
+        first.getOutputStream().write(answer(200));
+        awaitAnswers(1);
+        loop.execute(() -> pool.send(newExchange(endpoint, head, Unpooled.EMPTY_BUFFER), head));
+        endpoint.setSoTimeout((int) TimeUnit.NANOSECONDS.toMillis(MAX_WAIT_NANOS));
+        try (Socket second = endpoint.accept()) {
+          first.getOutputStream().write(answer(200));
+          second.getOutputStream().write(answer(503));
+          awaitAnswers(2);
+        }
+      }
+      assertThat(loop.submit(() -> List.copyOf(listener.answers)).get(), is(List.of(200, 503)));
+    }
+  }
+
+  private static byte[] answer(int status) {
+    return ("HTTP/1.1 %d Status\r\nContent-Length: 0\r\n%s: own\r\n\r\n")
+        .formatted(status, FakeEndpointListener.ID_HEADER)
+        .getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private void awaitAnswers(int count) throws Exception {
+    long endNanos = System.nanoTime() + MAX_WAIT_NANOS;
+    while (loop.submit(() -> listener.answers.size()).get() < count
+        && System.nanoTime() - endNanos < 0) {
+      Thread.onSpinWait();
+    }
+  }
+
   private void awaitHead() throws Exception {
     long endNanos = System.nanoTime() + MAX_WAIT_NANOS;
     while (loop.submit(() -> listener.heads.isEmpty()).get() && System.nanoTime() - endNanos < 0) {
@@ -92,7 +143,7 @@
   private static EndpointExchange newExchange(
       ServerSocket endpoint, HttpRequest head, ByteBuf body) {
     return new EndpointExchange(
-        new CallerExchange(new RelayRequestId(1), head, null, body, null),
+        new CallerExchange(new RelayRequestId(1), head, REQUEST, body, null),
         1,
         new NodeAddress("127.0.0.1", endpoint.getLocalPort()),
         new SendOptions(
@@ -101,7 +152,7 @@
             Optional.empty(),
             Optional.empty(),
             0,
-            SendOptions.ConnectionUse.FRESH,
+            SendOptions.ConnectionUse.ANY,
             false));
   }
 
