Relay: take two endpoints' word that a resumed stream has no more events

Cause: an end counted as the end of the stream if the caller had any event, also one of an earlier attempt or of the caller's own first attempt (Last-Event-Id). Whether this answer had brought any was not asked.

Evidence: RelayTest.endOfResumedStreamWithoutEventsIsNotBelievedFromOneEndpoint failed before (10 of 40 events, then the final chunk), with real processes of the relay.

Why it works: an attempt without an event ends the stream only if another endpoint has ended it at the same event. Otherwise it is a failed attempt, which is resumed elsewhere or broken off visibly.

--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -172,6 +172,19 @@
     assertThat(received, not(endsWith("\r\n0\r\n\r\n")));
   }
 
+  // Guards against a stream that ends as complete because the endpoint that resumes it fails before
+  // its first event.
+  @Test
+  void endOfResumedStreamWithoutEventsIsNotBelievedFromOneEndpoint() throws Exception {
+    awaitTrue(() -> post("/ask/x", "key").statusCode() == 200);
+    List<EndpointStandIn> endpoints = List.of(firstModelEndpoint, secondModelEndpoint);
+    endpoints.forEach(endpoint -> endpoint.breakStreamsAfter(10));
+    endpoints.forEach(EndpointStandIn::endResumedStreamsWithoutEvents);
+    String received = bytesOfStream();
+    assertThat(received, containsString("token 10"));
+    assertThat(received, not(endsWith("\r\n0\r\n\r\n")));
+  }
+
   /** Returns all bytes that a caller receives for a stream until its connection is closed. */
   private String bytesOfStream() throws IOException {
     try (Socket socket = new Socket(callersAddress.host(), callersAddress.port())) {
--- a/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/EndpointStandIn.java
@@ -45,6 +45,7 @@
   private volatile boolean emptyStreams;
   private volatile double requestLimit;
   private volatile int resumeStatus;
+  private volatile boolean emptyResumedStreams;
   private volatile NodeAddress advertisedAddress;
 
   /**
@@ -146,6 +147,11 @@
     resumeStatus = status;
   }
 
+  /** Makes each resumed stream end in good form before its first event. */
+  public void endResumedStreamsWithoutEvents() {
+    emptyResumedStreams = true;
+  }
+
   /** Sets whether plain calls are answered with status 500 instead of 200. */
   public void setFailPlainCalls(boolean fail) {
     failPlainCalls = fail;
@@ -233,7 +239,7 @@
     exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
     exchange.sendResponseHeaders(200, 0);
     try (OutputStream output = exchange.getResponseBody()) {
-      if (emptyStreams) {
+      if (emptyStreams || (last != null && emptyResumedStreams)) {
         return;
       }
       for (int event = from; event <= STREAM_EVENTS; event++) {
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -18,6 +18,7 @@
   private boolean ended;
   private boolean sent;
   private boolean relayed;
+  private boolean eventRelayed;
   private HttpResponse streamHead;
 
   EndpointExchange(
@@ -86,6 +87,15 @@
     relayed = true;
   }
 
+  /** Returns whether the caller received an event of this attempt. */
+  boolean eventRelayed() {
+    return eventRelayed;
+  }
+
+  void markEventRelayed() {
+    eventRelayed = true;
+  }
+
   HttpResponse streamHead() {
     return streamHead;
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -290,6 +290,7 @@
     Consumer<ByteBuf> writer =
         event -> {
           writeStreamHead(exchange);
+          exchange.markEventRelayed();
           caller.connection().writeStream(event);
         };
     long previousId = caller.splitter().lastId();
@@ -339,9 +340,13 @@
     if (exchange.ended() || !exchange.relayed()) {
       return;
     }
-    // An endpoint that fails within an event or before the first one may still terminate the HTTP
+    // An endpoint that fails within an event or before its first one may still terminate the HTTP
     // response correctly.
-    if (caller.splitter().hasPartialEvent() || !caller.splitter().anyEvent()) {
+    boolean whole =
+        !caller.splitter().hasPartialEvent()
+            && caller.splitter().anyEvent()
+            && (exchange.eventRelayed() || caller.endsWithoutEvent(exchange.address()));
+    if (!whole) {
       attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
       return;
     }
