Entry, agent: use no connection again for calls whose responses do not name them

Cause: OkHttp reads whatever comes next on a pooled connection as the response to the next request.

Why it works: the connection is closed after each response. Runs of steps keep their connections, as their responses name session and position.

--- a/engine/src/main/java/io/zinniawood/engine/http/HttpModelEngine.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpModelEngine.java
@@ -40,6 +40,10 @@
   private static final String NEXT_POSITION_HEADER = "Next-Position";
   private final HttpUrl base;
   private final HttpEngineSettings settings;
+
+  /** Calls whose responses name the steps that they belong to. */
+  private final HttpCalls runCalls;
+
   private final HttpCalls calls;
 
   /**
@@ -63,7 +67,8 @@
   public HttpModelEngine(URI baseUri, OkHttpClient client, HttpEngineSettings settings) {
     this.base = BaseUrl.of(baseUri);
     this.settings = Objects.requireNonNull(settings, "settings");
-    this.calls = new HttpCalls(client, settings.callSettings());
+    this.runCalls = new HttpCalls(client, settings.callSettings());
+    this.calls = HttpCalls.withoutConnectionReuse(client, settings.callSettings());
   }
 
   @Override
@@ -84,7 +89,8 @@
             .url(url("engine/run").build())
             .post(new OneShotBody(BatchCodec.MEDIA_TYPE, BatchCodec.encode(steps)));
     return EngineResponses.decode(
-        calls.send(request, settings.runTimeoutMillis()), response -> decodeRun(steps, response));
+        runCalls.send(request, settings.runTimeoutMillis()),
+        response -> decodeRun(steps, response));
   }
 
   @Override
--- a/engine/src/main/java/io/zinniawood/engine/http/HttpPlainServiceClient.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpPlainServiceClient.java
@@ -23,7 +23,7 @@
 
 /**
  * Client of a plain service over HTTP. Each call sends at most one request, without retries or
- * redirects.
+ * redirects, on a connection of its own.
  */
 public final class HttpPlainServiceClient implements PlainServiceClient {
   /**
@@ -56,7 +56,7 @@
    * Creates the client with default settings and the health path {@code /health}.
    *
    * @param baseUri base of all paths, for example {@code http://127.0.0.1:9000}
-   * @param client client whose connection pool and threads are shared
+   * @param client client whose threads are shared
    */
   public HttpPlainServiceClient(URI baseUri, OkHttpClient client) {
     this(baseUri, "/health", client, HttpEngineSettings.defaults());
@@ -67,7 +67,7 @@
    *
    * @param baseUri base of all paths, for example {@code http://127.0.0.1:9000}
    * @param healthPath path of the health check; a 2xx status means healthy
-   * @param client client whose connection pool and threads are shared
+   * @param client client whose threads are shared
    * @param settings timeouts and limits
    * @throws IllegalArgumentException if the URI is not an HTTP URI
    */
@@ -76,7 +76,7 @@
     this.base = BaseUrl.of(baseUri);
     this.healthPath = Objects.requireNonNull(healthPath, "healthPath");
     this.settings = Objects.requireNonNull(settings, "settings");
-    this.calls = new HttpCalls(client, settings.callSettings());
+    this.calls = HttpCalls.withoutConnectionReuse(client, settings.callSettings());
   }
 
   @Override
--- a/http/src/main/java/io/zinniawood/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import okhttp3.Call;
 import okhttp3.Callback;
+import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
 import okhttp3.EventListener;
 import okhttp3.Interceptor;
@@ -40,6 +41,19 @@
     this(base, settings, ResponseMemory.ofProcess());
   }
 
+  /**
+   * Creates an instance that sends each request on a connection of its own. A server may write a
+   * response a second time; on a connection that is used again, OkHttp would take the repetition
+   * for the response to the next request.
+   *
+   * @param base client whose threads are shared
+   * @param settings connect timeout and limits
+   */
+  public static HttpCalls withoutConnectionReuse(OkHttpClient base, HttpCallSettings settings) {
+    ConnectionPool noIdleConnections = new ConnectionPool(0, 1, TimeUnit.SECONDS);
+    return new HttpCalls(base.newBuilder().connectionPool(noIdleConnections).build(), settings);
+  }
+
   /** Creates an instance as above whose responses share the given memory. */
   HttpCalls(OkHttpClient base, HttpCallSettings settings, ResponseMemory memory) {
     Dispatcher dispatcher = new Dispatcher(base.dispatcher().executorService());
