Relays: count a relay that sends no message for 3 s after its row is found, not for 30 s

Cause: a relay that starts counted each row that it found as a live relay, and nobody removes the row of a relay that has gone. Its own use of the endpoints, times that number, made them look full.

Why it works: relays send each other messages four times a second; one that lives is heard long before 3 s are over.

--- a/core/src/main/java/io/zinniawood/core/relay/Peers.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Peers.java
@@ -25,6 +25,9 @@
   /** Time without a new version of its row after which a relay gets no messages any more. */
   private static final long ABSENCE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+  /** Time after which a relay whose row was found must have sent a message if it lives. */
+  private static final long FIRST_MESSAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
+
   /** Maximum number of relays that receive messages; bounds the traffic between relays. */
   private static final int MAX_RECEIVERS = 64;
 
@@ -46,6 +49,7 @@
   /** Time without a change of the members after which this relay takes its whole share. */
   private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  private final Optional<NodeAddress> ownAddress;
   private final Map<VmId, Peer> peersByVm = new HashMap<>();
   private boolean rowsRead;
   private long rowsReadNanos;
@@ -56,6 +60,7 @@
   private long membersChangedNanos;
 
   private static final class Peer {
+    final long foundNanos;
     Optional<NodeAddress> address = Optional.empty();
     Optional<StoreVersion> rowVersion = Optional.empty();
     long rowChangedNanos;
@@ -65,6 +70,19 @@
     long routesVersion;
     LimitNotice limits = LimitNotice.EMPTY;
     boolean limitsRepeated;
+
+    Peer(long foundNanos) {
+      this.foundNanos = foundNanos;
+    }
+  }
+
+  /**
+   * Creates a view without other relays.
+   *
+   * @param ownAddress address at which this relay receives messages; empty if it receives none
+   */
+  Peers(Optional<NodeAddress> ownAddress) {
+    this.ownAddress = ownAddress;
   }
 
   /** Applies the presence rows; silent relays without a row are removed. */
@@ -80,7 +98,7 @@
     rows.forEach(
         (vm, row) -> {
           if (!vm.equals(self)) {
-            Peer peer = peersByVm.computeIfAbsent(vm, id -> new Peer());
+            Peer peer = peersByVm.computeIfAbsent(vm, id -> new Peer(nowNanos));
             peer.address = row.peerAddress();
             if (!peer.rowVersion.equals(Optional.of(row.version()))) {
               peer.rowVersion = Optional.of(row.version());
@@ -254,13 +272,24 @@
   int count(long nowNanos) {
     int live = 1;
     for (Peer peer : peersByVm.values()) {
-      boolean present =
-          peer.heard ? alive(peer, nowNanos) : nowNanos - peer.rowChangedNanos < ABSENCE_NANOS;
-      live += present ? 1 : 0;
+      live += present(peer, nowNanos) ? 1 : 0;
     }
     return live;
   }
 
+  /**
+   * Returns whether a relay lives. The row of one that has gone stays in the store, so a row alone
+   * says little where relays exchange messages.
+   */
+  private boolean present(Peer peer, long nowNanos) {
+    if (peer.heard) {
+      return alive(peer, nowNanos);
+    }
+    boolean wouldBeHeard = ownAddress.isPresent() && peer.address.isPresent();
+    return nowNanos - peer.rowChangedNanos < ABSENCE_NANOS
+        && (!wouldBeHeard || nowNanos - peer.foundNanos < FIRST_MESSAGE_NANOS);
+  }
+
   private static boolean alive(Peer peer, long nowNanos) {
     return peer.heard && nowNanos - peer.heardNanos < SILENCE_NANOS;
   }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -38,7 +38,7 @@
   /** Newest version of the routing table that another relay told of. */
   long toldRoutesVersion;
 
-  final Peers peers = new Peers();
+  final Peers peers;
 
   /** How the limits of endpoints are divided among the relays. */
   MemberShares limitShares;
@@ -104,6 +104,7 @@
   /** Creates the initial state of a relay. */
   public RelayState(RelayParameters parameters) {
     this.parameters = parameters;
+    this.peers = new Peers(parameters.peerAddress());
     this.limitShares = new MemberShares(parameters.vm(), Set.of(), false);
     this.random = new SplittableRandom(parameters.seed());
   }
