Fleet view: confirm a late check-in only by entries of later rows

Read-through of the diff: an entry that was out of date by its row was remembered like a late check-in, and the next late check-in of the same former start would have been taken for a start whose clock was set back. FleetViewTest.outdatedEntryDoesNotConfirmLateCheckIn guards against it. The time of the last check-in is absent rather than 0 until there is one, as the monotonic clock has no fixed origin.

--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -166,7 +166,7 @@
     for (EndpointId id : removed) {
       TrackedEndpoint known = endpointsById.get(id);
       if (known != null) {
-        boolean left = known.announcedLeaving() || store.madeAfterOutage(known.checkInNanos());
+        boolean left = known.announcedLeaving() || checkedInAfterOutage(known);
         known.scheduleRemoval(left ? nowNanos : nowNanos + graceNanos);
       }
     }
@@ -174,6 +174,11 @@
     return ignored;
   }
 
+  private boolean checkedInAfterOutage(TrackedEndpoint known) {
+    return known.checkInNanos().isPresent()
+        && store.madeAfterOutage(known.checkInNanos().getAsLong());
+  }
+
   private TrackedEndpoint trackedEndpoint(FleetEndpoint endpoint, boolean withdrawn) {
     EndpointPause pause = unlistedPausesById.remove(endpoint.id());
     return new TrackedEndpoint(
--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -7,6 +7,7 @@
 import io.zinniawood.core.limit.EndpointLimits;
 import io.zinniawood.core.model.LayerRange;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * State that a process keeps for one endpoint: its entry in the platform's endpoint list and
@@ -24,7 +25,7 @@
   private final EndpointPause pause;
   private FleetEndpoint entry;
 
-  /** Entry that was ignored last because the endpoint seems to have written it before this one. */
+  /** Entry in a later version of the row that seems to have been written before this one. */
   private Optional<FleetEndpoint> ignoredEntry = Optional.empty();
 
   private int inFlight;
@@ -42,7 +43,7 @@
   private boolean checkPending;
   private long checkStartedNanos;
   private int consecutiveFailures;
-  private long checkInNanos;
+  private OptionalLong checkInNanos = OptionalLong.empty();
   private long removalNanos;
   private boolean removalScheduled;
   private Optional<LayerRange> orderLayers = Optional.empty();
@@ -102,7 +103,12 @@
 
   /** Records an entry that did not replace the present one. */
   void entryIgnored(FleetEndpoint ignored) {
-    ignoredEntry = Optional.of(ignored);
+    boolean laterRow =
+        ignored.rowVersion().sameEra(entry.rowVersion())
+            && ignored.rowVersion().isAfter(entry.rowVersion());
+    if (laterRow) {
+      ignoredEntry = Optional.of(ignored);
+    }
   }
 
   /**
@@ -137,7 +143,7 @@
     boolean staysDraining = sameEra && entry.draining() && newer.sameIncarnation(entry);
     entry = staysDraining ? newer.asDraining() : newer;
     ignoredEntry = Optional.empty();
-    checkInNanos = nowNanos;
+    checkInNanos = OptionalLong.of(nowNanos);
     removalScheduled = false;
   }
 
@@ -307,8 +313,8 @@
     return leavingEndpoints.contains(incarnation());
   }
 
-  /** Returns the monotonic time at which a later check-in was last read; 0 if none was. */
-  long checkInNanos() {
+  /** Returns the monotonic time at which a check-in was read after the first one, if any was. */
+  OptionalLong checkInNanos() {
     return checkInNanos;
   }
 
--- a/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
@@ -170,6 +170,15 @@
     assertThat(usable(1_001), is(true));
   }
 
+  // An entry that is out of date everywhere must not confirm a late check-in of the former start.
+  @Test
+  void outdatedEntryDoesNotConfirmLateCheckIn() {
+    replaceAll(List.of(checkIn(2, 1, 5)), 0);
+    change(checkIn(1, 8, 4), 10);
+    change(checkIn(1, 9, 6), 20);
+    assertThat(fleet.find(ID).orElseThrow().entry().startedMillis(), is(2L));
+  }
+
   // A late check-in listed an endpoint again whose entry had been removed.
   @Test
   void removedEndpointIsUsedAgainOnlyOnceItGoesOnToCheckIn() {
