EndlessControlAnswerTest: keep the endless connections open until the test ends

Cause: the test's server referred to a connection only until its bytes were written. The garbage collector then closed it, and the client released what it had read, so that the endless answers were not held together.

EndlessResponseTest keeps them already.

No check, bound or figure changes; the endless answers now are what the test says.

--- a/relay/src/test/java/io/zinniawood/relay/EndlessControlAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/EndlessControlAnswerTest.java
@@ -53,6 +53,9 @@
           loop, memory.account(MemoryUser.CONTROL_ANSWERS), (event, subject, failure) -> {});
   private final List<ServerSocket> servers = new ArrayList<>();
 
+  /** Accepted connections; one that nobody refers to is closed by the garbage collector. */
+  private final List<Socket> connections = new CopyOnWriteArrayList<>();
+
   /** Writes the answer to each call on a connection. */
   private interface Answer {
     void write(Socket connection, OutputStream out) throws IOException;
@@ -64,6 +67,9 @@
     for (ServerSocket server : servers) {
       server.close();
     }
+    for (Socket connection : connections) {
+      connection.close();
+    }
   }
 
   private NodeAddress server(Answer answer) throws IOException {
@@ -73,6 +79,7 @@
         () -> {
           while (true) {
             Socket connection = server.accept();
+            connections.add(connection);
             startThread(() -> answer.write(connection, connection.getOutputStream()));
           }
         });
