--- a/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
@@ -42,18 +42,7 @@
 
   /** Returns this entry with the statement that the endpoint is leaving. */
   FleetEndpoint asDraining() {
-    return new FleetEndpoint(
-        id,
-        service,
-        address,
-        dataCentre,
-        slots,
-        true,
-        accelerator,
-        layers,
-        startedMillis,
-        sequence,
-        rowVersion);
+    return with(true, sequence, rowVersion);
   }
 
   /** Returns this entry as of another version of its row. */
@@ -63,13 +52,17 @@
 
   /** Returns this entry as of another check-in, and the version of its row. */
   public FleetEndpoint asOf(long checkIn, StoreVersion version) {
+    return with(draining, checkIn, version);
+  }
+
+  private FleetEndpoint with(boolean leaving, long checkIn, StoreVersion version) {
     return new FleetEndpoint(
         id,
         service,
         address,
         dataCentre,
         slots,
-        draining,
+        leaving,
         accelerator,
         layers,
         startedMillis,
--- a/core/src/main/java/io/zinniawood/core/fleet/StoreContinuity.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/StoreContinuity.java
@@ -8,7 +8,7 @@
  * a while. An interruption of this process's own way to the store expires no entries: a process
  * that read on through it proves that there was no outage. Not thread-safe.
  */
-public final class StoreContinuity {
+final class StoreContinuity {
   /**
    * Time after a store outage during which entries that expired in the outage may reappear. The
    * platform documents about two seconds.
@@ -79,7 +79,7 @@
   }
 
   /** Returns the time for which the store has answered this process, in milliseconds. */
-  public long steadyMillis(long nowNanos) {
+  long steadyMillis(long nowNanos) {
     return everAnswered && !unavailable && nowNanos - lastAnswerNanos <= MAX_GAP_NANOS
         ? TimeUnit.NANOSECONDS.toMillis(nowNanos - steadySinceNanos)
         : 0;
--- a/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
@@ -12,7 +12,7 @@
  * @param afterVersion version of the store after which the changes begin
  * @param version version of the store up to which the changes are complete
  * @param storeMillis time of the store's steady clock at which it answered, in milliseconds
- * @param changed entries that are new or differ in more than that
+ * @param changed entries that are new or differ in more than their row version and check-in
  * @param heartbeats entries of which only the row version and the check-in changed
  * @param removed ids of the entries that are no longer listed
  */
