--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerEvidence.java
@@ -0,0 +1,27 @@
+package io.zinniawood.core.relay;
+
+import java.util.Locale;
+
+/**
+ * How the relay came to take an answer for whole and for that of its request. Decision log only.
+ *
+ * @param end what told the end of the answer
+ * @param skippedAnswers number of answers to other requests that came on the connection before it
+ * @param connectionReused whether the connection had carried a request before
+ */
+public record AnswerEvidence(End end, int skippedAnswers, boolean connectionReused) {
+  /** What told the end of an answer. The names appear in the decision log. */
+  public enum End {
+    /** The length that the head stated. */
+    LENGTH,
+    /** The last chunk. */
+    LAST_CHUNK,
+    /** The end of the connection, as the answer had neither a length nor chunks. */
+    CONNECTION
+  }
+
+  /** Returns the name of the end in the decision log. */
+  String endName() {
+    return end.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -250,6 +250,7 @@
     if (open != null && open.attempt == event.attempt()) {
       turn.state.durations.record(
           open.service, open.estimatedMillis, turn.millisSince(open.sentNanos));
+      open.evidence = Optional.of(event.evidence());
       complete(turn, open, "answered", "complete");
     }
   }
@@ -314,6 +315,12 @@
         open.possibleRuns,
         "repaths",
         open.repaths,
+        "end",
+        open.evidence.map(AnswerEvidence::endName).orElse("-"),
+        "skippedAnswers",
+        open.evidence.map(AnswerEvidence::skippedAnswers).orElse(0),
+        "connectionReused",
+        open.evidence.map(AnswerEvidence::connectionReused).orElse(false),
         "millis",
         turn.millisSince(open.arrivedNanos));
     GracePeriod.logEnd(turn, open, outcome, reason);
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -82,6 +82,9 @@
   /** Subject that is held back and that this request tries again. */
   Optional<CrashSubject> trialOf = Optional.empty();
 
+  /** How the answer that was relayed was known to be complete. */
+  Optional<AnswerEvidence> evidence = Optional.empty();
+
   private Optional<RequestFingerprint> fingerprint = Optional.empty();
 
   boolean repathPending;
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -185,8 +185,13 @@
     }
   }
 
-  /** The complete answer of an endpoint was relayed to the caller. */
-  record AnswerRelayed(RelayRequestId id, int attempt) implements RelayEvent {
+  /**
+   * The complete answer of an endpoint was relayed to the caller.
+   *
+   * @param evidence how the answer was known to be complete
+   */
+  record AnswerRelayed(RelayRequestId id, int attempt, AnswerEvidence evidence)
+      implements RelayEvent {
     @Override
     public Optional<RelayRequestId> concerns() {
       return Optional.of(id);
--- a/core/src/test/java/io/zinniawood/core/relay/LimitedFleet.java
+++ b/core/src/test/java/io/zinniawood/core/relay/LimitedFleet.java
@@ -297,7 +297,9 @@
                 new AnswerSummary(200, true, false, Optional.empty(), false, answer.limit())));
     answer
         .process()
-        .post(new RelayEvent.AnswerRelayed(answer.send().id(), answer.send().attempt()));
+        .post(
+            new RelayEvent.AnswerRelayed(
+                answer.send().id(), answer.send().attempt(), RelayHarness.EVIDENCE));
   }
 
   private void carryOut(Relay relay) {
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
@@ -57,7 +57,7 @@
     relay.answerReceived(id, 1, 200);
     relay.advanceMillis(50);
     relay.streamAdvanced(id, 1);
-    relay.post(new RelayEvent.AnswerRelayed(id, 1));
+    relay.post(new RelayEvent.AnswerRelayed(id, 1, RelayHarness.EVIDENCE));
   }
 
   // Guards against requests with one prompt part crashing endpoint after endpoint.
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
@@ -136,7 +136,7 @@
       assertThat("round " + round, crashEndpointsOf(cut), is(1));
       RelayRequestId answered = relay.repeatable("long-book", "sound");
       relay.answerReceived(answered, 1, 200);
-      relay.post(new RelayEvent.AnswerRelayed(answered, 1));
+      relay.post(new RelayEvent.AnswerRelayed(answered, 1, RelayHarness.EVIDENCE));
     }
     assertThat(relay.state().heldRequests(), is(0));
   }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayDrainTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayDrainTest.java
@@ -79,7 +79,7 @@
     terminate();
     relay.pauseMillis(LATE_MILLIS);
     relay.answerReceived(new RelayRequestId(1), 1, 200);
-    relay.post(new RelayEvent.AnswerRelayed(new RelayRequestId(1), 1));
+    relay.post(new RelayEvent.AnswerRelayed(new RelayRequestId(1), 1, RelayHarness.EVIDENCE));
     relay.advanceMillis(100);
     assertThat(relay.sends(id), empty());
     LocalAnswer answer = relay.localAnswer(id).orElseThrow();
@@ -162,7 +162,7 @@
     RelayRequestId sample = relay.request("long-read", 20_000);
     relay.advanceMillis(answerMillis);
     relay.answerReceived(sample, 1, 200);
-    relay.post(new RelayEvent.AnswerRelayed(sample, 1));
+    relay.post(new RelayEvent.AnswerRelayed(sample, 1, RelayHarness.EVIDENCE));
     terminate();
     relay.advanceMillis(atMillis);
     RelayRequestId id = relay.request(route, limitMillis);
@@ -179,7 +179,7 @@
       RelayRequestId sample = relay.request("stream", 20_000);
       relay.answerReceived(sample, 1, 200);
       relay.pauseMillis(measuredMillis);
-      relay.post(new RelayEvent.AnswerRelayed(sample, 1));
+      relay.post(new RelayEvent.AnswerRelayed(sample, 1, RelayHarness.EVIDENCE));
     }
     terminate();
     relay.pauseMillis(2_500);
@@ -277,7 +277,7 @@
       if (stream) {
         relay.streamAdvanced(send.id(), send.attempt());
       } else {
-        relay.post(new RelayEvent.AnswerRelayed(send.id(), send.attempt()));
+        relay.post(new RelayEvent.AnswerRelayed(send.id(), send.attempt(), RelayHarness.EVIDENCE));
       }
     }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -43,6 +43,11 @@
   static final int LAYERS = 10;
   static final NodeAddress ADDRESS = new NodeAddress("10.0.1.1", 7_340);
   static final long GRACE_MILLIS = 8_000;
+
+  /** Evidence of an answer with chunks on a connection of its own. */
+  static final AnswerEvidence EVIDENCE =
+      new AnswerEvidence(AnswerEvidence.End.LAST_CHUNK, 0, false);
+
   private static final long SEED = 7;
   private static final long STORE_CLOCK_OFFSET_MILLIS = 5_000_000;
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
@@ -209,7 +209,7 @@
   private void endStream(RelayRequestId id, Caller caller, int attempt) {
     if (caller.begun && random.nextBoolean()) {
       end(id, "answered");
-      relay.post(new RelayEvent.AnswerRelayed(id, attempt));
+      relay.post(new RelayEvent.AnswerRelayed(id, attempt, RelayHarness.EVIDENCE));
     } else {
       caller.running = false;
       relay.post(
@@ -248,7 +248,7 @@
     boolean whole = !caller.streaming || !answer.success();
     if (caller.open() && caller.relaying && caller.attempt == attempt && whole) {
       end(id, "answered");
-      relay.post(new RelayEvent.AnswerRelayed(id, attempt));
+      relay.post(new RelayEvent.AnswerRelayed(id, attempt, RelayHarness.EVIDENCE));
     }
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
@@ -107,7 +107,7 @@
       }
       RelayEffect.RelayAnswer relayed = relay.lastEffect(RelayEffect.RelayAnswer.class);
       assertThat(relayed.id(), is(id));
-      relay.post(new RelayEvent.AnswerRelayed(id, relayed.attempt()));
+      relay.post(new RelayEvent.AnswerRelayed(id, relayed.attempt(), RelayHarness.EVIDENCE));
     }
     int retries = relay.effectsOf(RelayEffect.Send.class).size() - 200;
     assertThat(retries <= 0.15 * 200 + 16, is(true));
@@ -177,7 +177,7 @@
       RelayRequestId id = relay.request("read");
       assertThat(relay.sends(id).get(0).options().expectedEndpoint().value(), is("b"));
       relay.answerReceived(id, 1, 200);
-      relay.post(new RelayEvent.AnswerRelayed(id, 1));
+      relay.post(new RelayEvent.AnswerRelayed(id, 1, RelayHarness.EVIDENCE));
     }
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPathsTest.java
@@ -36,7 +36,7 @@
         RelayRequestId id = stream();
         if (!relay.sends(id).isEmpty()) {
           relay.answerReceived(id, 1, 200);
-          relay.post(new RelayEvent.AnswerRelayed(id, 1));
+          relay.post(new RelayEvent.AnswerRelayed(id, 1, RelayHarness.EVIDENCE));
         }
       }
       relay.advanceMillis(100);
--- a/core/src/test/java/io/zinniawood/core/relay/StatementsHistory.java
+++ b/core/src/test/java/io/zinniawood/core/relay/StatementsHistory.java
@@ -162,7 +162,9 @@
     Optional<RelayEffect.Send> send = drawRunning();
     if (send.isPresent()) {
       relay.answerReceived(send.get().id(), send.get().attempt(), 200);
-      relay.post(new RelayEvent.AnswerRelayed(send.get().id(), send.get().attempt()));
+      relay.post(
+          new RelayEvent.AnswerRelayed(
+              send.get().id(), send.get().attempt(), RelayHarness.EVIDENCE));
     }
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.AnswerEvidence;
 import io.zinniawood.core.relay.SendOptions;
 import java.util.Optional;
 
@@ -20,6 +21,7 @@
   private boolean relayed;
   private boolean eventRelayed;
   private HttpResponse streamHead;
+  private AnswerEvidence evidence;
 
   EndpointExchange(
       CallerExchange callerExchange, int attempt, NodeAddress address, SendOptions options) {
@@ -96,6 +98,15 @@
     eventRelayed = true;
   }
 
+  /** Returns how the answer was known to be complete; null before its end. */
+  AnswerEvidence evidence() {
+    return evidence;
+  }
+
+  void evidence(AnswerEvidence found) {
+    evidence = found;
+  }
+
   HttpResponse streamHead() {
     return streamHead;
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.id.RequestId;
+import io.zinniawood.core.relay.AnswerEvidence;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.relay.AnsweredRequest;
@@ -200,6 +201,7 @@
       fail(context, AttemptFailureCause.CONNECTION_LOST);
       return;
     }
+    complete.evidence(new AnswerEvidence(endOf(answered), skippedAnswers, carriedEarlierRequest));
     exchange = null;
     head = null;
     ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content.take();
@@ -218,6 +220,15 @@
     }
   }
 
+  private static AnswerEvidence.End endOf(HttpResponse answer) {
+    if (HttpUtil.isTransferEncodingChunked(answer)) {
+      return AnswerEvidence.End.LAST_CHUNK;
+    }
+    return HttpUtil.isContentLengthSet(answer)
+        ? AnswerEvidence.End.LENGTH
+        : AnswerEvidence.End.CONNECTION;
+  }
+
   private void fail(ChannelHandlerContext context, AttemptFailureCause cause) {
     EndpointExchange lost = exchange;
     exchange = null;
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -353,7 +353,7 @@
     exchange.markEnded();
     attempts.remove(caller.id(), exchange);
     callers.remove(caller.id());
-    post(new RelayEvent.AnswerRelayed(caller.id(), exchange.attempt()));
+    post(new RelayEvent.AnswerRelayed(caller.id(), exchange.attempt(), exchange.evidence()));
     endCaller(
         caller,
         () -> {
@@ -450,7 +450,7 @@
     exchange.markEnded();
     attempts.remove(effect.id());
     callers.remove(effect.id());
-    post(new RelayEvent.AnswerRelayed(effect.id(), effect.attempt()));
+    post(new RelayEvent.AnswerRelayed(effect.id(), effect.attempt(), exchange.evidence()));
   }
 
   private void postFailure(CallerExchange caller, int attempt, AttemptFailureCause cause) {
