Relay: an answer that ends with its connection counts only if its endpoint outlives it

What callers saw: an endpoint that had read its request was killed in the middle of an answer without a length, and the part reached the caller as a whole 200; of a stream without chunks, as many events as had come and a proper end. Cause: the system of a killed process closes its connections in order, so the end of a connection was taken for the end of the answer. Evidence: StreamHeadTest.streamWithoutChunksEndsOnlyIfItsEndpointOutlivesIt failed before: one event and the last chunk were written. FaultyAnswerTest and RelayOutcomesTest guard the parts. Without a sign of life, or if another process answers, the attempt has lost its connection: it is resumed or repeated where its kind allows it, else the answer is broken off or the outcome is unknown. A refusal that says that the request has not run needs no sign.

--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -82,6 +82,11 @@
   /** Subject that is held back and that this request tries again. */
   Optional<CrashSubject> trialOf = Optional.empty();
 
+  /** When an answer ended with its connection, whose endpoint is then asked for a sign of life. */
+  long answerEndedNanos;
+
+  int signsAwaited;
+
   /** How the answer that was relayed was known to be complete. */
   Optional<AnswerEvidence> evidence = Optional.empty();
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEffect.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEffect.java
@@ -24,6 +24,25 @@
     }
   }
 
+  /**
+   * Asks the endpoint of an attempt for a sign of life, which is delivered as {@link
+   * RelayEvent.EndpointHeard}.
+   */
+  record ConfirmEndpoint(RelayRequestId id, int attempt) implements RelayEffect {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.confirmEndpoint(this);
+    }
+  }
+
+  /** Treats the answer of an attempt that ended with its connection as complete. */
+  record TakeAnswer(RelayRequestId id, int attempt) implements RelayEffect {
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.takeAnswer(this);
+    }
+  }
+
   /** Relays the answer of an attempt to the caller. */
   record RelayAnswer(RelayRequestId id, int attempt) implements RelayEffect {
     @Override
@@ -183,6 +202,12 @@
     /** Carries out {@link Send}. */
     void send(Send effect);
 
+    /** Carries out {@link ConfirmEndpoint}. */
+    void confirmEndpoint(ConfirmEndpoint effect);
+
+    /** Carries out {@link TakeAnswer}. */
+    void takeAnswer(TakeAnswer effect);
+
     /** Carries out {@link RelayAnswer}. */
     void relayAnswer(RelayAnswer effect);
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -154,6 +154,37 @@
     }
   }
 
+  /**
+   * An answer without a length ended with its connection, in order. It is held back until {@link
+   * RelayEffect.TakeAnswer}; only the end of a stream is, as its events go on at once.
+   *
+   * @param answer properties of the head
+   */
+  record AnswerEnded(RelayRequestId id, int attempt, AnswerSummary answer) implements RelayEvent {
+    @Override
+    public Optional<RelayRequestId> concerns() {
+      return Optional.of(id);
+    }
+
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.answerEnded(this);
+    }
+  }
+
+  /** The endpoint of an attempt was asked for a sign of life after the end of its answer. */
+  record EndpointHeard(RelayRequestId id, int attempt, EndpointSign sign) implements RelayEvent {
+    @Override
+    public Optional<RelayRequestId> concerns() {
+      return Optional.of(id);
+    }
+
+    @Override
+    public void accept(Visitor visitor) {
+      visitor.endpointHeard(this);
+    }
+  }
+
   /** An attempt ended without a complete answer. */
   record AttemptFailed(RelayRequestId id, int attempt, AttemptFailureCause cause, long lastEventId)
       implements RelayEvent {
@@ -318,6 +349,12 @@
     /** Handles {@link AnswerReceived}. */
     void answerReceived(AnswerReceived event);
 
+    /** Handles {@link AnswerEnded}. */
+    void answerEnded(AnswerEnded event);
+
+    /** Handles {@link EndpointHeard}. */
+    void endpointHeard(EndpointHeard event);
+
     /** Handles {@link AttemptFailed}. */
     void attemptFailed(AttemptFailed event);
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -78,6 +78,16 @@
       AttemptOutcomes.answerReceived(turn, event);
     }
 
+    @Override
+    public void answerEnded(RelayEvent.AnswerEnded event) {
+      AnswerConfirmation.answerEnded(turn, event);
+    }
+
+    @Override
+    public void endpointHeard(RelayEvent.EndpointHeard event) {
+      AnswerConfirmation.endpointHeard(turn, event);
+    }
+
     @Override
     public void attemptFailed(RelayEvent.AttemptFailed event) {
       AttemptOutcomes.attemptFailed(turn, event);
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -342,6 +342,15 @@
             new AnswerSummary(status, true, false, Optional.empty(), false, StatedLimit.NONE)));
   }
 
+  /** Posts an answer without a length that has ended with its connection. */
+  void answerEnded(RelayRequestId id, int attempt, int status) {
+    post(
+        new RelayEvent.AnswerEnded(
+            id,
+            attempt,
+            new AnswerSummary(status, true, false, Optional.empty(), false, StatedLimit.NONE)));
+  }
+
   /** Posts the answer of a path on which an endpoint does not hold its layers. */
   void misdirected(RelayRequestId id, int attempt, NodeAddress endpointAtFault) {
     post(
--- a/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
@@ -9,6 +9,7 @@
 
 import io.zinniawood.core.limit.StatedLimit;
 import io.zinniawood.core.model.LayerRange;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -81,6 +82,45 @@
     assertThat(relay.lastEffect(RelayEffect.RelayAnswer.class).attempt(), is(2));
   }
 
+  // An endpoint was killed within an answer without a length, whose part reached its caller.
+  @Test
+  void answerThatEndsWithItsConnectionCountsOnlyIfTheEndpointOutlivesIt() {
+    relay.list(relay.plain("a"), relay.plain("b"));
+    RelayRequestId whole = relay.request("read");
+    relay.answerEnded(whole, 1, 200);
+    assertThat(relay.effectsOf(RelayEffect.TakeAnswer.class), empty());
+    relay.post(new RelayEvent.EndpointHeard(whole, 1, EndpointSign.ALIVE));
+    assertThat(relay.lastEffect(RelayEffect.TakeAnswer.class).id(), is(whole));
+
+    for (EndpointSign sign : List.of(EndpointSign.NONE, EndpointSign.OTHER_PROCESS)) {
+      RelayRequestId cut = relay.request("read");
+      relay.answerEnded(cut, 1, 200);
+      relay.post(new RelayEvent.EndpointHeard(cut, 1, sign));
+      assertThat(relay.lastEffect(RelayEffect.TakeAnswer.class).id(), is(whole));
+      assertThat(relay.sends(cut), hasSize(2));
+    }
+  }
+
+  // A call that may have run must not be repeated, and half of its answer is none.
+  @Test
+  void cutAnswerOfNonIdempotentCallEndsAsUnknown() {
+    relay.list(relay.plain("a"), relay.plain("b"));
+    RelayRequestId id = relay.request("book");
+    relay.answerEnded(id, 1, 200);
+    relay.post(new RelayEvent.EndpointHeard(id, 1, EndpointSign.NONE));
+    assertThat(relay.sends(id), hasSize(1));
+    assertThat(relay.localAnswer(id).orElseThrow().status(), is(502));
+  }
+
+  // A refusal needs no sign of life: its head says that the request has not run.
+  @Test
+  void refusalThatEndsWithItsConnectionCountsAtOnce() {
+    relay.list(relay.plain("a"));
+    RelayRequestId id = relay.request("book");
+    relay.answerEnded(id, 1, 421);
+    assertThat(relay.lastEffect(RelayEffect.TakeAnswer.class).id(), is(id));
+  }
+
   // The retries of all relays together must stay within the platform's retry budget.
   @Test
   void retriesStayWithinBudget() {
--- a/relay/src/main/java/io/zinniawood/relay/PlatformClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/PlatformClient.java
@@ -78,6 +78,15 @@
    */
   void readReport(EndpointIncarnation endpoint, NodeAddress address);
 
+  /**
+   * Asks the endpoint of an attempt for a sign of life on a new connection, and delivers {@link
+   * RelayEvent.EndpointHeard}.
+   *
+   * @param endpoint process start that was listed when the request was sent
+   */
+  void confirmEndpoint(
+      RelayRequestId id, int attempt, EndpointIncarnation endpoint, NodeAddress address);
+
   /**
    * Reads the controller lease and the presence rows, which are delivered as {@link
    * RelayEvent.LeaseRead} and {@link RelayEvent.PresencesRead}. A failed read delivers no event.
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerEffects.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerEffects.java
@@ -10,10 +10,14 @@
 import java.util.List;
 import java.util.Map;
 
-/** Carries out the effects that end requests of callers, and keeps the callers that wait. */
+/**
+ * Carries out the effects that end requests of callers, and keeps the callers that wait and their
+ * attempts.
+ */
 abstract class CallerEffects extends PlatformEffects implements FailureLog {
   final HeaderCodec codec;
   final Map<RelayRequestId, CallerExchange> callers = new HashMap<>();
+  final Map<RelayRequestId, EndpointExchange> attempts = new HashMap<>();
   final PendingAnswers pendingAnswers = new PendingAnswers();
   private RequestLimits limits = RequestLimits.DEFAULT;
 
@@ -54,6 +58,24 @@
     }
   }
 
+  @Override
+  public void confirmEndpoint(RelayEffect.ConfirmEndpoint effect) {
+    EndpointExchange exchange = attempts.get(effect.id());
+    if (exchange != null && exchange.attempt() == effect.attempt()) {
+      platform()
+          .confirmEndpoint(
+              effect.id(), effect.attempt(), exchange.endpoint().orElseThrow(), exchange.address());
+    }
+  }
+
+  @Override
+  public void takeAnswer(RelayEffect.TakeAnswer effect) {
+    EndpointExchange exchange = attempts.get(effect.id());
+    if (exchange != null && exchange.attempt() == effect.attempt()) {
+      exchange.takeUnconfirmed().ifPresent(answer -> answer.take().run());
+    }
+  }
+
   @Override
   public void answerLocally(RelayEffect.AnswerLocally effect) {
     end(effect.id(), effect.answer());
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -22,6 +22,7 @@
   private boolean eventRelayed;
   private HttpResponse streamHead;
   private AnswerEvidence evidence;
+  private Optional<UnconfirmedAnswer> unconfirmed = Optional.empty();
 
   EndpointExchange(
       CallerExchange callerExchange, int attempt, NodeAddress address, SendOptions options) {
@@ -68,8 +69,22 @@
     return ended;
   }
 
+  /** Ends the attempt and drops an answer that is held back. */
   void markEnded() {
     ended = true;
+    takeUnconfirmed().ifPresent(answer -> answer.drop().run());
+  }
+
+  /** Holds an answer back until its endpoint has given a sign of life. */
+  void hold(UnconfirmedAnswer answer) {
+    unconfirmed = Optional.of(answer);
+  }
+
+  /** Returns the answer that is held back, and holds it no longer. */
+  Optional<UnconfirmedAnswer> takeUnconfirmed() {
+    Optional<UnconfirmedAnswer> held = unconfirmed;
+    unconfirmed = Optional.empty();
+    return held;
   }
 
   boolean sent() {
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -208,10 +208,14 @@
     content = null;
     try {
       connections.release(complete.address(), context.channel(), answered, reusable);
-      if (streaming) {
-        listener.streamCompleted(complete);
+      Runnable take =
+          streaming
+              ? () -> listener.streamCompleted(complete)
+              : () -> listener.answerReceived(complete, answered, whole);
+      if (complete.evidence().end() == AnswerEvidence.End.CONNECTION) {
+        listener.answerEnded(complete, answered, new UnconfirmedAnswer(take, whole::release));
       } else {
-        listener.answerReceived(complete, answered, whole);
+        take.run();
       }
     } catch (RuntimeException | Error failure) {
       listener.failed("connection-failed", "delivery", failure);
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
@@ -29,6 +29,13 @@
   /** A complete answer was received; the receiver takes ownership of its content. */
   void answerReceived(EndpointExchange exchange, HttpResponse head, ByteBuf content);
 
+  /**
+   * An answer without a length ended with its connection, in order.
+   *
+   * @param answer answer to take or to drop; the receiver must do one of them
+   */
+  void answerEnded(EndpointExchange exchange, HttpResponse head, UnconfirmedAnswer answer);
+
   /** The attempt ended without a complete answer. */
   void attemptFailed(EndpointExchange exchange, AttemptFailureCause cause);
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/FailedEffects.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/FailedEffects.java
@@ -1,6 +1,7 @@
 package io.zinniawood.relay.internal;
 
 import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.core.relay.EndpointSign;
 import io.zinniawood.core.relay.OrderResult;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
@@ -23,6 +24,15 @@
           sent.test(send) ? AttemptFailureCause.CONNECTION_LOST : AttemptFailureCause.NOT_SENT;
       return Optional.of(new RelayEvent.AttemptFailed(send.id(), send.attempt(), cause, 0));
     }
+    if (effect instanceof RelayEffect.ConfirmEndpoint check) {
+      return Optional.of(
+          new RelayEvent.EndpointHeard(check.id(), check.attempt(), EndpointSign.NONE));
+    }
+    if (effect instanceof RelayEffect.TakeAnswer answer) {
+      return Optional.of(
+          new RelayEvent.AttemptFailed(
+              answer.id(), answer.attempt(), AttemptFailureCause.INVALID_ANSWER, 0));
+    }
     if (effect instanceof RelayEffect.RelayAnswer answer) {
       return Optional.of(
           new RelayEvent.AttemptFailed(
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -23,9 +23,7 @@
 import io.zinniawood.relay.PlatformClient;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -41,7 +39,6 @@
   private final RelayReducer reducer = new RelayReducer();
   private final EndpointConnectionPool connections;
   private final Deque<RelayEvent> pendingEvents = new ArrayDeque<>();
-  private final Map<RelayRequestId, EndpointExchange> attempts = new HashMap<>();
   private final UnsentStreams unsentStreams;
   private final EventLoop loop;
   private long lastTickNanos = System.nanoTime();
@@ -390,6 +387,18 @@
     post(new RelayEvent.AnswerReceived(id, exchange.attempt(), summary));
   }
 
+  @Override
+  public void answerEnded(EndpointExchange exchange, HttpResponse head, UnconfirmedAnswer answer) {
+    if (exchange.ended()) {
+      answer.drop().run();
+      return;
+    }
+    exchange.hold(answer);
+    post(
+        new RelayEvent.AnswerEnded(
+            exchange.callerExchange().id(), exchange.attempt(), codec.summarize(head)));
+  }
+
   @Override
   public void attemptFailed(EndpointExchange exchange, AttemptFailureCause cause) {
     if (exchange.ended()) {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -17,6 +17,7 @@
   final List<Integer> streams = new ArrayList<>();
   final List<Integer> heads = new ArrayList<>();
   final List<String> faults = new ArrayList<>();
+  final List<UnconfirmedAnswer> unconfirmed = new ArrayList<>();
   final List<ByteBuf> kept = new ArrayList<>();
   boolean keepContent;
   int completedStreams;
@@ -71,6 +72,11 @@
     }
   }
 
+  @Override
+  public void answerEnded(EndpointExchange exchange, HttpResponse head, UnconfirmedAnswer answer) {
+    unconfirmed.add(answer);
+  }
+
   @Override
   public void attemptFailed(EndpointExchange exchange, AttemptFailureCause cause) {
     failures.add(cause);
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -165,11 +165,15 @@
     assertThat(channel.isActive(), is(false));
   }
 
+  // An endpoint was killed within an answer without a length; its part reached a caller as whole.
   @Test
-  void answerWithoutLengthIsWholeOnlyIfTheEndpointEndsIt() {
+  void answerWithoutLengthIsWholeOnlyOnceItsEndIsConfirmed() {
     for (boolean streaming : List.of(true, false)) {
       FaultyAnswerTest ended = receiveWithoutLength(streaming);
       ended.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+      assertThat(ended.listener.answers, empty());
+      assertThat(ended.listener.completedStreams, is(0));
+      ended.listener.unconfirmed.get(0).take().run();
       assertThat(ended.listener.answers.size() + ended.listener.completedStreams, is(1));
       assertThat(ended.channel.isActive(), is(false));
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
@@ -21,9 +22,11 @@
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.EndpointSign;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayParameters;
+import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.RelayState;
 import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.core.route.Route;
@@ -54,6 +57,12 @@
   private static final String HEAD =
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+  private static final String EVENT = "id: 1\ndata: a\n\n";
+  private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
+
+  /** What endpoints give when they are asked for a sign of life. */
+  private EndpointSign sign = EndpointSign.NONE;
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) group.next();
@@ -80,7 +89,14 @@
             Proxy.newProxyInstance(
                 getClass().getClassLoader(),
                 new Class<?>[] {PlatformClient.class},
-                (proxy, method, arguments) -> null);
+                (proxy, method, arguments) -> {
+                  if (method.getName().equals("confirmEndpoint")) {
+                    runtime.post(
+                        new RelayEvent.EndpointHeard(
+                            (RelayRequestId) arguments[0], (int) arguments[1], sign));
+                  }
+                  return null;
+                });
     runtime.start(platform, (receivers, message) -> {});
     runtime.post(new RelayEvent.RoutesAnswered(Optional.of(routes()), VERSION));
     FleetEndpoint endpoint =
@@ -178,6 +194,17 @@
     assertThat(written, not(containsString("502")));
   }
 
+  // An endpoint was killed within a stream without chunks, which its caller got as a whole one.
+  @Test
+  void streamWithoutChunksEndsOnlyIfItsEndpointOutlivesIt() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    String cut = writtenFor(head + EVENT);
+    assertThat(cut, containsString(EVENT));
+    assertThat(cut, not(endsWith(LAST_CHUNK)));
+    sign = EndpointSign.ALIVE;
+    assertThat(writtenFor(head + EVENT), endsWith(LAST_CHUNK));
+  }
+
   @Override
   public void readinessChanged(boolean ready) {}
 
