Relay: a stream ends only after an event that its caller lacks or has as its last one

Cause: three notions of the end (anyEvent, eventRelayed, endsWithoutEvent) took the word of two endpoints; both may have failed. Evidence: RelayTest.endOfResumedStreamWithoutEventsIsNotBelievedFromTwoEndpoints failed on: 200 instead of 502. Why it works: the splitter knows whether the present response has come as far as the caller and whether it is within an event; nothing else ends a stream. A caller that has all events but not the end, and resumes, is no longer told that it is complete.

--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
 
 import io.zinniawood.cli.local.Ports;
 import io.zinniawood.core.model.NodeAddress;
@@ -185,8 +186,26 @@
     assertThat(received, not(endsWith("\r\n0\r\n\r\n")));
   }
 
-  /** Returns all bytes that a caller receives for a stream until its connection is closed. */
+  // Guards against part of a stream that counts as whole because two endpoints fail before their
+  // first event.
+  @Test
+  void endOfResumedStreamWithoutEventsIsNotBelievedFromTwoEndpoints() throws Exception {
+    awaitTrue(() -> post("/ask/x", "key").statusCode() == 200);
+    firstModelEndpoint.endResumedStreamsWithoutEvents();
+    secondModelEndpoint.endResumedStreamsWithoutEvents();
+    assertThat(bytesOfStream("Last-Event-Id: 10\n"), startsWith("HTTP/1.1 502"));
+  }
+
   private String bytesOfStream() throws IOException {
+    return bytesOfStream("");
+  }
+
+  /**
+   * Returns all bytes that a caller receives for a stream until its connection is closed.
+   *
+   * @param moreHeaders further lines of the head
+   */
+  private String bytesOfStream(String moreHeaders) throws IOException {
     try (Socket socket = new Socket(callersAddress.host(), callersAddress.port())) {
       String request =
           """
@@ -198,9 +217,9 @@
           Token-Counts: 100,40
           Content-Length: 0
           Connection: close
-
+          %s
           """
-              .formatted(callersAddress, requestCount.incrementAndGet());
+              .formatted(callersAddress, requestCount.incrementAndGet(), moreHeaders);
       socket
           .getOutputStream()
           .write(request.replace("\n", "\r\n").getBytes(StandardCharsets.US_ASCII));
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerExchange.java
@@ -2,11 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
-import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.RelayRequestId;
-import java.util.Optional;
 
 /** One request of a caller and the connection that waits for its answer. */
 public final class CallerExchange {
@@ -18,10 +16,6 @@
   private EventStreamSplitter splitter;
   private boolean headWritten;
   private int attempt;
-  private Optional<EmptyEnd> emptyEnd = Optional.empty();
-
-  /** End of a stream in good form without any event after the last one that the caller has. */
-  private record EmptyEnd(NodeAddress endpoint, long lastEventId) {}
 
   /**
    * Creates an exchange.
@@ -98,23 +92,6 @@
         "before-decision");
   }
 
-  /**
-   * Records that an endpoint resumed the stream and ended it without any event. It may have failed
-   * before its first event, so it takes two endpoints to show that there is none left.
-   *
-   * @return whether another endpoint had ended the stream at the same event
-   */
-  boolean endsWithoutEvent(NodeAddress endpoint) {
-    long lastEventId = splitter().lastId();
-    boolean confirmed =
-        emptyEnd
-            .filter(earlier -> earlier.lastEventId() == lastEventId)
-            .filter(earlier -> !earlier.endpoint().equals(endpoint))
-            .isPresent();
-    emptyEnd = Optional.of(new EmptyEnd(endpoint, lastEventId));
-    return confirmed;
-  }
-
   boolean headWritten() {
     return headWritten;
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -19,7 +19,6 @@
   private boolean ended;
   private boolean sent;
   private boolean relayed;
-  private boolean eventRelayed;
   private HttpResponse streamHead;
   private AnswerEvidence evidence;
   private Optional<UnconfirmedAnswer> unconfirmed = Optional.empty();
@@ -104,15 +103,6 @@
     relayed = true;
   }
 
-  /** Returns whether the caller received an event of this attempt. */
-  boolean eventRelayed() {
-    return eventRelayed;
-  }
-
-  void markEventRelayed() {
-    eventRelayed = true;
-  }
-
   /** Returns how the answer was known to be complete; null before its end. */
   AnswerEvidence evidence() {
     return evidence;
--- a/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
@@ -21,7 +21,10 @@
 
   private final ByteBuf pending = Unpooled.buffer();
   private long lastId;
-  private boolean anyEvent;
+
+  /** Whether the present response has come as far as the caller. */
+  private boolean caughtUp;
+
   private int scanIndex;
 
   /**
@@ -31,7 +34,6 @@
    */
   public EventStreamSplitter(long lastId) {
     this.lastId = lastId;
-    this.anyEvent = lastId > 0;
   }
 
   /** Returns the id of the last event that was relayed or that the caller already had. */
@@ -39,20 +41,20 @@
     return lastId;
   }
 
-  /** Returns whether the caller received at least one event, from this or an earlier response. */
-  public boolean anyEvent() {
-    return anyEvent;
-  }
-
-  /** Returns whether the buffer holds part of an event. */
-  public boolean hasPartialEvent() {
-    return pending.isReadable();
+  /**
+   * Returns whether an end of the present response can be the end of the stream: after a whole
+   * event that is no earlier than the last one that the caller has. An endpoint that fails within
+   * an event, or before its first one, may still end its response in good form.
+   */
+  public boolean mayEndHere() {
+    return caughtUp && !pending.isReadable();
   }
 
-  /** Discards the buffered part of an event after its attempt ended. */
-  public void dropPartialEvent() {
+  /** Discards what is buffered of a response after its attempt ended. */
+  public void endResponse() {
     pending.clear();
     scanIndex = 0;
+    caughtUp = false;
   }
 
   /**
@@ -80,13 +82,13 @@
 
   private void emit(ByteBuf event, Consumer<ByteBuf> events) {
     long id = idOf(event);
+    caughtUp |= id < 0 || id >= lastId;
     if (id >= 0 && id <= lastId) {
       return;
     }
     if (id >= 0) {
       lastId = id;
     }
-    anyEvent = true;
     events.accept(Unpooled.copiedBuffer(event));
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -287,7 +287,6 @@
     Consumer<ByteBuf> writer =
         event -> {
           writeStreamHead(exchange);
-          exchange.markEventRelayed();
           caller.connection().writeStream(event);
         };
     long previousId = caller.splitter().lastId();
@@ -337,13 +336,7 @@
     if (exchange.ended() || !exchange.relayed()) {
       return;
     }
-    // An endpoint that fails within an event or before its first one may still terminate the HTTP
-    // response correctly.
-    boolean whole =
-        !caller.splitter().hasPartialEvent()
-            && caller.splitter().anyEvent()
-            && (exchange.eventRelayed() || caller.endsWithoutEvent(exchange.address()));
-    if (!whole) {
+    if (!caller.splitter().mayEndHere()) {
       attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
       return;
     }
@@ -407,7 +400,7 @@
     exchange.markEnded();
     CallerExchange caller = exchange.callerExchange();
     attempts.remove(caller.id(), exchange);
-    caller.splitter().dropPartialEvent();
+    caller.splitter().endResponse();
     if (caller.headWritten()) {
       // No end of a read follows if the attempt failed in the read that brought its last events.
       caller.connection().flush();
@@ -473,7 +466,7 @@
     if (exchange != null && exchange.attempt() == effect.attempt() && !exchange.ended()) {
       attempts.remove(effect.id());
       exchange.markEnded();
-      exchange.callerExchange().splitter().dropPartialEvent();
+      exchange.callerExchange().splitter().endResponse();
       connections.cancel(exchange);
     }
   }
--- a/relay/src/test/java/io/zinniawood/relay/internal/EventStreamSplitterTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EventStreamSplitterTest.java
@@ -31,22 +31,36 @@
   void buffersPartialEventUntilItsEnd() {
     split("id: 1\ndata: a\n\nid: 2\nda");
     assertThat(relayed.toString(), is("id: 1\ndata: a\n\n"));
-    assertThat(splitter.hasPartialEvent(), is(true));
+    assertThat(splitter.mayEndHere(), is(false));
     split("ta: b\n\n");
     assertThat(relayed.toString(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
-    assertThat(splitter.hasPartialEvent(), is(false));
+    assertThat(splitter.mayEndHere(), is(true));
   }
 
   // A resumed stream may repeat events; each event must reach the caller once.
   @Test
   void dropsEventsAlreadyRelayed() {
     split("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
-    splitter.dropPartialEvent();
+    splitter.endResponse();
     split("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
     assertThat(relayed.toString(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
     assertThat(splitter.lastId(), is(3L));
   }
 
+  // An endpoint that fails before its first event, or while it repeats earlier ones, may end in
+  // good
+  // form.
+  @Test
+  void responseThatIsBehindTheCallerIsNoEnd() {
+    split("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    splitter.endResponse();
+    assertThat(splitter.mayEndHere(), is(false));
+    split("id: 1\ndata: a\n\n");
+    assertThat(splitter.mayEndHere(), is(false));
+    split("id: 2\ndata: b\n\n");
+    assertThat(splitter.mayEndHere(), is(true));
+  }
+
   // Guards against bytes lost or changed when an event is split across network reads.
   @Test
   void relaysSameBytesForAnyFragmentation() {
