Relay: a success that is no event stream does not answer a request for a stream

Callers could get a short text as a whole 200 where they had asked for a stream. Cause: the relay chose between stream and text by the type that the answer states, so that any text counted as the whole answer of a streaming request. Evidence: FaultyAnswerTest.successWithoutStreamDoesNotAnswerStreamingRequest failed before: answers [200], expected none. Whether the users' cases were this is only suspected. On a streaming route each success is an event stream, so the attempt now fails and the request is resumed or repeated where its kind allows it.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -148,12 +148,12 @@
     boolean framed =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     reusable = framed && HttpUtil.isKeepAlive(response);
-    String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
     streaming =
-        exchange.options().streaming()
-            && response.status().codeClass() == HttpStatusClass.SUCCESS
-            && type.startsWith(EVENT_STREAM);
-    if (streaming) {
+        exchange.options().streaming() && response.status().codeClass() == HttpStatusClass.SUCCESS;
+    String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+    if (streaming && !type.startsWith(EVENT_STREAM)) {
+      fail(context, AttemptFailureCause.INVALID_ANSWER);
+    } else if (streaming) {
       exchange.streamHead(response);
       listener.streamStarted(exchange, response);
     } else {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -193,6 +193,15 @@
     return fresh;
   }
 
+  // The second answer of an endpoint that repeats itself, a short text, was passed on as a stream.
+  @Test
+  void successWithoutStreamDoesNotAnswerStreamingRequest() {
+    beginExchange(true);
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + ID + "own\r\n\r\n{}");
+    assertThat(listener.answers, empty());
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+  }
+
   // A kept connection that the endpoint has closed must not carry another request.
   @Test
   void connectionThatTheEndpointEndsWhileIdleIsClosed() {
