Relay: only events with an id begin, continue and end a stream

Cause: a block without an id was relayed like an event, wrote the head of its endpoint, and counted as evidence for the end, while the request still counted as not begun. 0 stood for "no event yet", so that an event with that id was lost. Why it works: blocks before the first event with an id go with that event; a block that begins with an HTTP version fails the attempt; only an event with an id can be the last one.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
@@ -20,8 +20,20 @@
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
   private final ByteBuf pending = Unpooled.buffer();
+  private static final byte[] HTTP_VERSION = "HTTP/".getBytes(StandardCharsets.US_ASCII);
+  private static final long NO_EVENT = -1;
+
   private long lastId;
 
+  /**
+   * Whether an event with an id was emitted. What comes before it goes with it, as the request can
+   * still be sent elsewhere until then.
+   */
+  private boolean begun;
+
+  /** Length of the complete blocks in the buffer that wait for the first event with an id. */
+  private int heldBytes;
+
   /** Whether the present response has come as far as the caller. */
   private boolean caughtUp;
 
@@ -33,12 +45,12 @@
    * @param lastId id of the last event that the caller received; 0 if none
    */
   public EventStreamSplitter(long lastId) {
-    this.lastId = lastId;
+    this.lastId = lastId > 0 ? lastId : NO_EVENT;
   }
 
   /** Returns the id of the last event that was relayed or that the caller already had. */
   public long lastId() {
-    return lastId;
+    return Math.max(0, lastId);
   }
 
   /**
@@ -54,6 +66,7 @@
   public void endResponse() {
     pending.clear();
     scanIndex = 0;
+    heldBytes = 0;
     caughtUp = false;
   }
 
@@ -62,32 +75,41 @@
    *
    * @param bytes bytes of the stream; not released
    * @param events receives each event including its final blank line, and must release it
-   * @return false if the incomplete event exceeds the maximum size
+   * @return false if the incomplete event exceeds the maximum size, or if a second response follows
+   *     the events in place of one
    */
   public boolean split(ByteBuf bytes, Consumer<ByteBuf> events) {
     pending.writeBytes(bytes);
-    int start = pending.readerIndex();
     int end;
     while ((end = eventEnd()) >= 0) {
-      ByteBuf event = pending.slice(start, end - start);
-      emit(event, events);
-      start = end;
       scanIndex = end;
-      pending.readerIndex(end);
+      int heldFrom = pending.readerIndex();
+      ByteBuf block = pending.slice(heldFrom + heldBytes, end - heldFrom - heldBytes);
+      if (startsWith(block, 0, HTTP_VERSION)) {
+        return false;
+      }
+      if (begun || idOf(block) >= 0) {
+        emit(pending.slice(heldFrom, end - heldFrom), events);
+        pending.readerIndex(end);
+        heldBytes = 0;
+      } else {
+        heldBytes = end - heldFrom;
+      }
     }
+    scanIndex = Math.max(0, scanIndex - pending.readerIndex());
     pending.discardReadBytes();
-    scanIndex = Math.max(0, scanIndex - start);
     return pending.readableBytes() <= MAX_EVENT_BYTES;
   }
 
   private void emit(ByteBuf event, Consumer<ByteBuf> events) {
     long id = idOf(event);
-    caughtUp |= id < 0 || id >= lastId;
+    caughtUp |= id >= 0 && id >= lastId;
     if (id >= 0 && id <= lastId) {
       return;
     }
     if (id >= 0) {
       lastId = id;
+      begun = true;
     }
     events.accept(Unpooled.copiedBuffer(event));
   }
@@ -116,11 +138,17 @@
   }
 
   private static long idOf(ByteBuf event) {
+    int index = lineStart(event, ID_FIELD);
+    return index < 0 ? -1 : parseId(event, index + ID_FIELD.length, event.writerIndex());
+  }
+
+  /** Returns the index of the first line that starts with a text, or -1 if none does. */
+  private static int lineStart(ByteBuf event, byte[] text) {
     int index = event.readerIndex();
     int end = event.writerIndex();
     while (index < end) {
-      if (startsWithId(event, index, end)) {
-        return parseId(event, index + ID_FIELD.length, end);
+      if (startsWith(event, index, text)) {
+        return index;
       }
       int newline = event.indexOf(index, end, (byte) '\n');
       if (newline < 0) {
@@ -131,12 +159,12 @@
     return -1;
   }
 
-  private static boolean startsWithId(ByteBuf event, int index, int end) {
-    if (index + ID_FIELD.length > end) {
+  private static boolean startsWith(ByteBuf event, int index, byte[] text) {
+    if (index + text.length > event.writerIndex()) {
       return false;
     }
-    for (int offset = 0; offset < ID_FIELD.length; offset++) {
-      if (event.getByte(index + offset) != ID_FIELD[offset]) {
+    for (int offset = 0; offset < text.length; offset++) {
+      if (event.getByte(index + offset) != text[offset]) {
         return false;
       }
     }
--- a/relay/src/test/java/io/zinniawood/relay/internal/EventStreamSplitterTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EventStreamSplitterTest.java
@@ -47,9 +47,7 @@
     assertThat(splitter.lastId(), is(3L));
   }
 
-  // An endpoint that fails before its first event, or while it repeats earlier ones, may end in
-  // good
-  // form.
+  // A part of a stream counted as whole when the endpoint that resumed it failed early.
   @Test
   void responseThatIsBehindTheCallerIsNoEnd() {
     split("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
@@ -61,6 +59,40 @@
     assertThat(splitter.mayEndHere(), is(true));
   }
 
+  // A comment before the failure of an endpoint made a part of a stream count as whole.
+  @Test
+  void blockWithoutIdIsNoEnd() {
+    split("id: 1\ndata: a\n\n");
+    splitter.endResponse();
+    split(": ping\n\nretry: 1000\n\n");
+    assertThat(splitter.mayEndHere(), is(false));
+  }
+
+  @Test
+  void streamMayStartWithIdZero() {
+    split("id: 0\ndata: a\n\n");
+    assertThat(relayed.toString(), is("id: 0\ndata: a\n\n"));
+    assertThat(splitter.mayEndHere(), is(true));
+  }
+
+  @Test
+  void commentBeforeTheFirstEventGoesWithIt() {
+    split(": start\n\n");
+    assertThat(relayed.toString(), is(""));
+    split("id: 1\nda");
+    split("ta: a\n\n: later\n\n");
+    assertThat(relayed.toString(), is(": start\n\nid: 1\ndata: a\n\n: later\n\n"));
+    assertThat(splitter.mayEndHere(), is(true));
+  }
+
+  // A repetition behind a failed stream without chunks passed for one of its events.
+  @Test
+  void answerBehindTheLastEventIsNoEvent() {
+    split("id: 1\ndata: a\n\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    assertThat(relayed.toString(), is("id: 1\ndata: a\n\n"));
+    assertThat(splitter.mayEndHere(), is(false));
+  }
+
   // Guards against bytes lost or changed when an event is split across network reads.
   @Test
   void relaysSameBytesForAnyFragmentation() {
