Relay: a head with several request ids names no request

Cause: part of a repeated answer and the head behind it decode as one head; only its first id was read, so that the own answer was skipped and its repetition taken for it. Evidence: FaultyAnswerTest.repetitionAfterPartOfAnotherIsNoAnswer failed before. Why it works: such a head is as good as one without an id, which proves nothing on a connection that has carried another request.

--- a/relay/src/main/java/io/zinniawood/relay/AnsweredRequest.java
+++ b/relay/src/main/java/io/zinniawood/relay/AnsweredRequest.java
@@ -6,6 +6,6 @@
   OWN,
   /** Another request; the answer is an extra or late one. */
   OTHER,
-  /** Unknown, as the answer carries no request id. */
+  /** Unknown, as the answer carries no request id or several. */
   UNIDENTIFIED
 }
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -35,11 +35,11 @@
 
   @Override
   public AnsweredRequest answeredRequest(EndpointExchange exchange, HttpResponse head) {
-    String id = head.headers().get(ID_HEADER);
-    if (id == null) {
+    List<String> ids = head.headers().getAll(ID_HEADER);
+    if (ids.size() != 1) {
       return AnsweredRequest.UNIDENTIFIED;
     }
-    return OWN_ID.equals(id) ? AnsweredRequest.OWN : AnsweredRequest.OTHER;
+    return OWN_ID.equals(ids.get(0)) ? AnsweredRequest.OWN : AnsweredRequest.OTHER;
   }
 
   @Override
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -69,6 +69,18 @@
     assertThat(listener.answers, is(List.of(200)));
   }
 
+  // A part of a repeated answer swallowed the next head; a repetition of that answer passed for it.
+  @Test
+  void repetitionAfterPartOfAnotherIsNoAnswer() {
+    answerOneRequest();
+    beginExchange(true);
+    receive("HTTP/1.1 200 OK\r\n" + ID + "earl");
+    String failure = "HTTP/1.1 500 Failed\r\n" + ID + "own\r\nContent-Length: 4\r\n\r\nfail";
+    receive(failure + "HTTP/1.1 200 OK\r\n" + ID + "own\r\nContent-Length: 2\r\n\r\nok");
+    assertThat(listener.answers, empty());
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
+  }
+
   // Guards against the same where the refusal does not say which request it belongs to.
   @Test
   void refusalWithoutIdOnKeptConnectionProvesNothing() {
@@ -179,6 +191,7 @@
 
       FaultyAnswerTest cut = receiveWithoutLength(streaming);
       cut.channel.close();
+      assertThat(cut.listener.unconfirmed, empty());
       assertThat(cut.listener.failures, is(List.of(AttemptFailureCause.CONNECTION_LOST)));
       assertThat(cut.listener.answers, empty());
       assertThat(cut.listener.completedStreams, is(0));
