Control client: pool no connection whose peer has ended it

Found by review, by reading: an answer that ends with its connection left that connection in the pool until its close, and a call from the receiver of the answer was sent on it and lost.

--- a/relay/src/main/java/io/zinniawood/relay/ControlClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -259,7 +259,9 @@
       }
       ControlResponse response =
           new ControlResponse(head.status().code(), head.headers(), takeBody());
-      boolean keepAlive = HttpUtil.isKeepAlive(head);
+      boolean keepAlive =
+          HttpUtil.isKeepAlive(head)
+              && ConnectionEnd.of(context.channel()) == ConnectionEnd.State.OPEN;
       Call answered = call;
       call = null;
       head = null;
