--- a/core/src/main/java/io/zinniawood/core/relay/AnswerEvidence.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerEvidence.java
@@ -3,7 +3,7 @@
 import java.util.Locale;
 
 /**
- * How the relay came to take an answer for whole and for that of its request. Decision log only.
+ * How the relay came to take an answer for whole and for that of its request.
  *
  * @param end what told the end of the answer
  * @param skippedAnswers number of answers to other requests that came on the connection before it
@@ -16,6 +16,8 @@
     LENGTH,
     /** The last chunk. */
     LAST_CHUNK,
+    /** The status, which allows no body. */
+    STATUS,
     /** The end of the connection, as the answer had neither a length nor chunks. */
     CONNECTION
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -150,8 +149,7 @@
     reusable = framed && HttpUtil.isKeepAlive(response);
     streaming =
         exchange.options().streaming() && response.status().codeClass() == HttpStatusClass.SUCCESS;
-    String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-    if (streaming && !type.startsWith(EVENT_STREAM)) {
+    if (streaming && !EVENT_STREAM.equalsIgnoreCase(mediaType(response))) {
       fail(context, AttemptFailureCause.INVALID_ANSWER);
     } else if (streaming) {
       exchange.streamHead(response);
@@ -161,6 +159,11 @@
     }
   }
 
+  private static String mediaType(HttpResponse response) {
+    CharSequence type = HttpUtil.getMimeType(response);
+    return type == null ? "" : type.toString().trim();
+  }
+
   private void countSkipped(ChannelHandlerContext context, int answers, int bytes) {
     skippedAnswers += answers;
     skippedBytes += bytes;
@@ -197,11 +200,13 @@
   private void complete(ChannelHandlerContext context) {
     EndpointExchange complete = exchange;
     HttpResponse answered = head;
-    if (ConnectionEnd.of(context.channel()) == ConnectionEnd.State.LOST) {
+    ConnectionEnd.State connection = ConnectionEnd.of(context.channel());
+    if (connection == ConnectionEnd.State.LOST) {
       fail(context, AttemptFailureCause.CONNECTION_LOST);
       return;
     }
-    complete.evidence(new AnswerEvidence(endOf(answered), skippedAnswers, carriedEarlierRequest));
+    AnswerEvidence.End end = endOf(answered, connection);
+    complete.evidence(new AnswerEvidence(end, skippedAnswers, carriedEarlierRequest));
     exchange = null;
     head = null;
     ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content.take();
@@ -224,13 +229,16 @@
     }
   }
 
-  private static AnswerEvidence.End endOf(HttpResponse answer) {
+  private static AnswerEvidence.End endOf(HttpResponse answer, ConnectionEnd.State connection) {
     if (HttpUtil.isTransferEncodingChunked(answer)) {
       return AnswerEvidence.End.LAST_CHUNK;
     }
-    return HttpUtil.isContentLengthSet(answer)
-        ? AnswerEvidence.End.LENGTH
-        : AnswerEvidence.End.CONNECTION;
+    if (HttpUtil.isContentLengthSet(answer)) {
+      return AnswerEvidence.End.LENGTH;
+    }
+    return connection == ConnectionEnd.State.ENDED_BY_PEER
+        ? AnswerEvidence.End.CONNECTION
+        : AnswerEvidence.End.STATUS;
   }
 
   private void fail(ChannelHandlerContext context, AttemptFailureCause cause) {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -215,6 +215,25 @@
     assertThat(listener.failures, is(List.of(AttemptFailureCause.INVALID_ANSWER)));
   }
 
+  // An answer whose status allows no body ends without a length while its connection stays open.
+  @Test
+  void answerWithoutBodyNeedsNoConfirmation() {
+    beginExchange(false);
+    receive("HTTP/1.1 204 No Content\r\n" + ID + "own\r\n\r\n");
+    assertThat(listener.answers, is(List.of(204)));
+  }
+
+  @Test
+  void mediaTypeOfStreamsIgnoresCase() {
+    beginExchange(true);
+    receive(
+        "HTTP/1.1 200 OK\r\nContent-Type: Text/Event-Stream; charset=utf-8\r\n"
+            + "Content-Length: 9\r\n"
+            + ID
+            + "own\r\n\r\ndata: x\n\n");
+    assertThat(listener.completedStreams, is(1));
+  }
+
   // A kept connection that the endpoint has closed must not carry another request.
   @Test
   void connectionThatTheEndpointEndsWhileIdleIsClosed() {
