--- a/core/src/main/java/io/zinniawood/core/relay/AnswerConfirmation.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerConfirmation.java
@@ -20,7 +20,7 @@
       return;
     }
     open.answerEndedNanos = turn.nowNanos;
-    open.signsAwaited = 0;
+    open.answerEndedInPause = EndpointHealthChecks.delayedByPause(turn);
     askForSign(turn, open);
   }
 
@@ -54,13 +54,20 @@
         event.sign().name(),
         "millis",
         turn.millisSince(open.answerEndedNanos));
-    if (event.sign() == EndpointSign.ALIVE) {
+    // Endpoints that run paths give reports, which name their process; plain ones may give none. A
+    // killed process can have been replaced during a pause.
+    boolean outlived =
+        event.sign() == EndpointSign.ALIVE
+            || (event.sign() == EndpointSign.UNNAMED
+                && open.path.isEmpty()
+                && !open.answerEndedInPause);
+    if (outlived) {
       turn.emit(new RelayEffect.TakeAnswer(open.id, open.attempt));
     } else {
       AttemptOutcomes.attemptFailed(
           turn,
           new RelayEvent.AttemptFailed(
-              open.id, open.attempt, AttemptFailureCause.CONNECTION_LOST, open.lastEventId));
+              open.id, open.attempt, AttemptFailureCause.END_UNCONFIRMED, open.lastEventId));
     }
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptFailureCause.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptFailureCause.java
@@ -6,6 +6,8 @@
   NOT_SENT,
   /** The connection was closed or failed after the request was sent. */
   CONNECTION_LOST,
+  /** The answer ended with its connection, and its endpoint gave no sign of life after that. */
+  END_UNCONFIRMED,
   /** The answer violates the protocol or belongs to another request. */
   INVALID_ANSWER,
   /** The relay itself failed; the request must end at once. */
--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -121,6 +121,7 @@
     open.lastProgressNanos = turn.nowNanos;
     open.firstEventRelayed = false;
     open.repathPending = false;
+    open.signsAwaited = 0;
     EndpointUsage.begin(turn, open);
     SendOptions options =
         new SendOptions(
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -85,6 +85,10 @@
   /** When an answer ended with its connection, whose endpoint is then asked for a sign of life. */
   long answerEndedNanos;
 
+  /** Whether this process may have been paused between that end and its event. */
+  boolean answerEndedInPause;
+
+  /** Number of times that the endpoint of this attempt was asked for a sign of life. */
   int signsAwaited;
 
   /** How the answer that was relayed was known to be complete. */
--- a/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
@@ -26,7 +26,9 @@
    */
   static void rerouteAround(RelayTurn turn, EndpointId unresponsive) {
     for (OpenRequest open : new ArrayList<>(turn.state.open.values())) {
-      if (open.path.isPresent() && open.path.get().contains(unresponsive)) {
+      if (open.signsAwaited == 0
+          && open.path.isPresent()
+          && open.path.get().contains(unresponsive)) {
         FailureContainment.run(
             turn, "path-repair", Optional.of(open.id), () -> reroute(turn, open, unresponsive));
       }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHistory.java
@@ -242,6 +242,9 @@
     if (answer.certainlyNotRun()) {
       caller.possibleRuns--;
     }
+    if (random.nextInt(4) == 0 && !confirmed(id, caller, attempt, answer)) {
+      return;
+    }
     relay.post(new RelayEvent.AnswerReceived(id, attempt, answer));
     // The runtime completes a whole answer as soon as it is relayed.
     observe();
@@ -252,6 +255,23 @@
     }
   }
 
+  /** Plays an answer that ends with its connection, and returns whether it is to be taken. */
+  private boolean confirmed(RelayRequestId id, Caller caller, int attempt, AnswerSummary answer) {
+    int takenBefore = relay.effectsOf(RelayEffect.TakeAnswer.class).size();
+    relay.post(new RelayEvent.AnswerEnded(id, attempt, answer));
+    if (!answer.certainlyNotRun()) {
+      EndpointSign[] signs = EndpointSign.values();
+      EndpointSign sign = signs[random.nextInt(signs.length)];
+      caller.running = false;
+      relay.post(new RelayEvent.EndpointHeard(id, attempt, sign));
+      if (relay.effectsOf(RelayEffect.TakeAnswer.class).size() > takenBefore) {
+        caller.running = true;
+      }
+      observe();
+    }
+    return relay.effectsOf(RelayEffect.TakeAnswer.class).size() > takenBefore;
+  }
+
   private void configure() {
     routesVersion += 1 + random.nextInt(3);
     relay.post(
--- a/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayOutcomesTest.java
@@ -89,7 +89,7 @@
     RelayRequestId whole = relay.request("read");
     relay.answerEnded(whole, 1, 200);
     assertThat(relay.effectsOf(RelayEffect.TakeAnswer.class), empty());
-    relay.post(new RelayEvent.EndpointHeard(whole, 1, EndpointSign.ALIVE));
+    relay.post(new RelayEvent.EndpointHeard(whole, 1, EndpointSign.UNNAMED));
     assertThat(relay.lastEffect(RelayEffect.TakeAnswer.class).id(), is(whole));
 
     for (EndpointSign sign : List.of(EndpointSign.NONE, EndpointSign.OTHER_PROCESS)) {
@@ -101,6 +101,19 @@
     }
   }
 
+  // The next process at the address vouched for a killed one after a pause of the relay.
+  @Test
+  void unnamedSignOfLifeAfterPauseConfirmsNothing() {
+    relay.list(relay.plain("a"), relay.plain("b"));
+    relay.advanceMillis(50);
+    RelayRequestId id = relay.request("book");
+    relay.pauseMillis(1_000);
+    relay.answerEnded(id, 1, 200);
+    relay.post(new RelayEvent.EndpointHeard(id, 1, EndpointSign.UNNAMED));
+    assertThat(relay.effectsOf(RelayEffect.TakeAnswer.class), empty());
+    assertThat(relay.localAnswer(id).orElseThrow().status(), is(502));
+  }
+
   // A call that may have run must not be repeated, and half of its answer is none.
   @Test
   void cutAnswerOfNonIdempotentCallEndsAsUnknown() {
--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -186,8 +186,7 @@
     assertThat(received, not(endsWith("\r\n0\r\n\r\n")));
   }
 
-  // Guards against part of a stream that counts as whole because two endpoints fail before their
-  // first event.
+  // A part of a stream counted as whole after two endpoints had failed before their first event.
   @Test
   void endOfResumedStreamWithoutEventsIsNotBelievedFromTwoEndpoints() throws Exception {
     awaitTrue(() -> post("/ask/x", "key").statusCode() == 200);
