HTTP calls: take the end of a response from what OkHttp reads, not from the presence of fields

A caller of a plain service could get the first part of an answer as a whole one, although sending its request had failed.

Cause: a response passed for one with a length as soon as it had the field Content-Length or Transfer-Encoding. OkHttp reads the body to the end of the connection also if the length is no number or the coding is not "chunked".

Evidence: CutResponseTest.responseWhoseFieldsStateNoLengthIsLostIfTheRequestCouldNotBeSent failed before, with "Content-Length: x" ("but: <Response[status=200, ...]> is a HttpResult$Response"), and passes now.

Why it works: the network interceptor asks OkHttp for the length that it reads, before fields are removed, and the result says how the end was found (ResponseEnd), so that clients can decide on it.

--- a/http/src/main/java/io/zinniawood/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -24,6 +24,8 @@
 /** Sends each request at most once and reports whether it may have reached the server. */
 public final class HttpCalls {
   private static final String RETRY_AFTER = "Retry-After";
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
 
   private final OkHttpClient client;
   private final int maxConcurrentCalls;
@@ -119,6 +121,7 @@
       throw new IOException("the request was cancelled in the queue or has already been sent");
     }
     Response response = chain.proceed(chain.request());
+    monitor.setResponseEnd(endOf(response));
     monitor.hideRetryAfter(response.headers(RETRY_AFTER));
     return response.newBuilder().removeHeader(RETRY_AFTER).build();
   }
@@ -154,13 +157,16 @@
             });
   }
 
-  /**
-   * Returns whether the end of the body is the end of the connection (RFC 9112, section 6.3). After
-   * a failed write, OkHttp reads the failure of the connection as the end of such a body.
-   */
-  private static boolean endsWithConnection(Response response) {
-    return response.header("Content-Length") == null
-        && response.header("Transfer-Encoding") == null;
+  /** Returns how OkHttp finds the end of a response; must be given the fields that were sent. */
+  private static ResponseEnd endOf(Response response) {
+    boolean mayHaveBody =
+        !response.request().method().equals("HEAD")
+            && response.code() != NO_CONTENT
+            && response.code() != NOT_MODIFIED;
+    boolean stated =
+        "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"))
+            || (response.body() != null && response.body().contentLength() != -1);
+    return mayHaveBody && !stated ? ResponseEnd.OF_CONNECTION : ResponseEnd.STATED;
   }
 
   /** Records a failed write, which OkHttp does not report if it finds a response. */
@@ -229,11 +235,13 @@
                 "the response body has more than " + maxResponseBytes + " bytes");
           }
         } while (source.request(wantedBytes));
-        if (monitor.sendFailed() && endsWithConnection(response)) {
+        // After a failed write, OkHttp reads the failure of the connection as its end.
+        if (monitor.sendFailed() && monitor.responseEnd() == ResponseEnd.OF_CONNECTION) {
           return new HttpResult.ResponseLost(
               "the connection failed within a response without a length");
         }
-        return new HttpResult.Response(response.code(), response.headers(), source.readByteArray());
+        return new HttpResult.Response(
+            response.code(), response.headers(), source.readByteArray(), monitor.responseEnd());
       } finally {
         memory.release(reservedBytes);
       }
--- a/http/src/main/java/io/zinniawood/http/HttpResult.java
+++ b/http/src/main/java/io/zinniawood/http/HttpResult.java
@@ -10,8 +10,14 @@
    * @param status HTTP status
    * @param headers header fields
    * @param body complete body, empty if there is none
+   * @param end how the end of the body was found
    */
-  record Response(int status, Headers headers, byte[] body) implements HttpResult {}
+  record Response(int status, Headers headers, byte[] body, ResponseEnd end) implements HttpResult {
+    /** Creates a response that stated its end. */
+    public Response(int status, Headers headers, byte[] body) {
+      this(status, headers, body, ResponseEnd.STATED);
+    }
+  }
 
   /**
    * The request was not sent, not even in part.
--- a/http/src/main/java/io/zinniawood/http/SendMonitor.java
+++ b/http/src/main/java/io/zinniawood/http/SendMonitor.java
@@ -11,6 +11,7 @@
   private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
   private volatile List<String> retryAfter = List.of();
   private volatile boolean sendFailed;
+  private volatile ResponseEnd responseEnd = ResponseEnd.STATED;
 
   private enum State {
     WAITING,
@@ -46,6 +47,16 @@
     return sendFailed;
   }
 
+  /** Stores how the response ends. */
+  void setResponseEnd(ResponseEnd end) {
+    responseEnd = end;
+  }
+
+  /** Returns how the response ends. */
+  ResponseEnd responseEnd() {
+    return responseEnd;
+  }
+
   /** Stores the values of a header that OkHttp must not see. */
   void hideRetryAfter(List<String> values) {
     retryAfter = List.copyOf(values);
--- a/http/src/test/java/io/zinniawood/http/CutResponseTest.java
+++ b/http/src/test/java/io/zinniawood/http/CutResponseTest.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import okhttp3.OkHttpClient;
@@ -51,6 +52,17 @@
         instanceOf(HttpResult.ResponseLost.class));
   }
 
+  // Fields from which OkHttp reads no length passed for a length.
+  @Test
+  void responseWhoseFieldsStateNoLengthIsLostIfTheRequestCouldNotBeSent() throws Exception {
+    for (String field : List.of("Content-Length: x", "Transfer-Encoding: identity")) {
+      assertThat(
+          field,
+          responseToCutRequest("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\nhalf"),
+          instanceOf(HttpResult.ResponseLost.class));
+    }
+  }
+
   // A server may refuse a long request before it has read it; its length shows that this is all.
   @Test
   void responseWithLengthIsWholeThoughTheRequestCouldNotBeSent() throws Exception {
