Endpoints: believe an answer without a length only if the endpoint responds after its end

Callers of a plain service got half of an answer as a whole 200 when the service was killed within an answer without a length. An exported KV cache of a killed engine would have become the state of a session in the same way.

Cause: the system of a killed process ends its connections in order, and the client took the end of the connection for the end of the answer.

Why it works: ConfirmedCalls sends a health check or a status request on a new connection after the end, with the rest of the timeout of the call. A killed process refuses it, a silent one lets it time out, and the response is lost: a call is unknown, a stage is rebuilt by replay. Any response confirms the answer.

--- a/engine/src/main/java/io/zinniawood/engine/http/HttpModelEngine.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpModelEngine.java
@@ -17,6 +17,7 @@
 import io.zinniawood.engine.EngineStatus;
 import io.zinniawood.engine.ModelEngine;
 import io.zinniawood.engine.StepOutput;
+import io.zinniawood.http.ConfirmedCalls;
 import io.zinniawood.http.HttpCalls;
 import io.zinniawood.http.HttpResult;
 import io.zinniawood.http.Json;
@@ -46,6 +47,9 @@
 
   private final HttpCalls calls;
 
+  /** Calls whose response bodies do not show their end. */
+  private final ConfirmedCalls confirmedCalls;
+
   /**
    * Creates the client with default settings.
    *
@@ -69,13 +73,18 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     this.runCalls = new HttpCalls(client, settings.callSettings());
     this.calls = HttpCalls.withoutConnectionReuse(client, settings.callSettings());
+    this.confirmedCalls = new ConfirmedCalls(calls, client, settings.callSettings());
   }
 
   @Override
   public CompletableFuture<Either<EngineError, EngineStatus>> status() {
-    Request.Builder request = new Request.Builder().url(url("engine/status").build()).get();
     return EngineResponses.decode(
-        calls.send(request, settings.controlTimeoutMillis()), HttpModelEngine::decodeStatus);
+        calls.send(statusRequest(), settings.controlTimeoutMillis()),
+        HttpModelEngine::decodeStatus);
+  }
+
+  private Request.Builder statusRequest() {
+    return new Request.Builder().url(url("engine/status").build()).get();
   }
 
   @Override
@@ -105,7 +114,8 @@
   public CompletableFuture<Either<EngineError, CacheExport>> exportCache(SessionId session) {
     Request.Builder request = new Request.Builder().url(sessionUrl("engine/cache", session)).get();
     return EngineResponses.decode(
-        calls.send(request, settings.runTimeoutMillis()), HttpModelEngine::decodeExport);
+        confirmedCalls.send(request, statusRequest(), settings.runTimeoutMillis()),
+        HttpModelEngine::decodeExport);
   }
 
   @Override
--- a/engine/src/main/java/io/zinniawood/engine/http/HttpPlainServiceClient.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpPlainServiceClient.java
@@ -8,6 +8,7 @@
 import io.zinniawood.core.model.ServiceCall;
 import io.zinniawood.engine.EngineError;
 import io.zinniawood.engine.PlainServiceClient;
+import io.zinniawood.http.ConfirmedCalls;
 import io.zinniawood.http.HttpCalls;
 import io.zinniawood.http.HttpResult;
 import io.zinniawood.http.OneShotBody;
@@ -23,7 +24,8 @@
 
 /**
  * Client of a plain service over HTTP. Each call sends at most one request, without retries or
- * redirects, on a connection of its own.
+ * redirects, on a connection of its own. An answer without a length counts as complete only if the
+ * service responds to a health check after its end.
  */
 public final class HttpPlainServiceClient implements PlainServiceClient {
   /**
@@ -51,6 +53,7 @@
   private final String healthPath;
   private final HttpEngineSettings settings;
   private final HttpCalls calls;
+  private final ConfirmedCalls confirmedCalls;
 
   /**
    * Creates the client with default settings and the health path {@code /health}.
@@ -77,6 +80,7 @@
     this.healthPath = Objects.requireNonNull(healthPath, "healthPath");
     this.settings = Objects.requireNonNull(settings, "settings");
     this.calls = HttpCalls.withoutConnectionReuse(client, settings.callSettings());
+    this.confirmedCalls = new ConfirmedCalls(calls, client, settings.callSettings());
   }
 
   @Override
@@ -94,17 +98,21 @@
           Either.left(new EngineError.NotSent("timeout expired before the service call was sent")));
     }
     return EngineResponses.decode(
-        calls.send(request, timeoutMillis), response -> Either.right(answer(response)));
+        confirmedCalls.send(request, healthRequest(), timeoutMillis),
+        response -> Either.right(answer(response)));
   }
 
   @Override
   public CompletableFuture<Either<EngineError, Boolean>> checkHealth() {
-    Request.Builder request = new Request.Builder().url(url(healthPath)).get();
     return EngineResponses.decode(
-        calls.send(request, settings.controlTimeoutMillis()),
+        calls.send(healthRequest(), settings.controlTimeoutMillis()),
         response -> Either.right(response.status() >= 200 && response.status() < 300));
   }
 
+  private Request.Builder healthRequest() {
+    return new Request.Builder().url(url(healthPath)).get();
+  }
+
   private Request.Builder request(ServiceCall call) {
     Request.Builder request = new Request.Builder().url(url(call.pathAndQuery()));
     MediaType type = null;
--- a/http/src/main/java/io/zinniawood/http/HttpResult.java
+++ b/http/src/main/java/io/zinniawood/http/HttpResult.java
@@ -5,7 +5,8 @@
 /** Result of one HTTP call. */
 public sealed interface HttpResult {
   /**
-   * A complete response arrived.
+   * A response arrived to its end. One that ended with its connection may lack bytes, so its body
+   * must show by itself that it is complete, or {@link ConfirmedCalls} must be used.
    *
    * @param status HTTP status
    * @param headers header fields
