Object store: believe an object without a length only if the store responds after its end

A configuration file that lacked its last lines could be merged and accepted, as such a file often parses.

Cause: as for endpoints, the end of the connection was taken for the end of the object.

Evidence, seen failing before the fix in TruncatedResponseTest: objectWithoutLengthOfKilledStoreIsLost ("getLeft() on Right") and objectWithoutLengthOfLiveStoreIsWhole ("Accept timed out", as no second request came). Both pass now. truncatedListIsNoList passed before: lists and grants that are cut at any byte are errors.

Why it works: the store must list the object on a new connection after the end, within the timeout of the read; otherwise the read is a lost response, which the next poll repeats. Table rows need no second request, as all of them are JSON that must parse.

--- a/store/src/main/java/io/zinniawood/store/http/HttpObjectStore.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpObjectStore.java
@@ -31,16 +31,15 @@
 
   @Override
   public CompletableFuture<Either<PlatformError, ObjectListing>> list(String prefix) {
-    HttpUrl url = PlatformHttp.urlWithQuery(baseUrl, "objects/list", "prefix", prefix);
     return PlatformResponses.decode(
-        calls.send(new Request.Builder().url(url).get()),
-        response -> decodeListing(prefix, response));
+        calls.send(listRequest(prefix)), response -> decodeListing(prefix, response));
   }
 
   @Override
   public CompletableFuture<Either<PlatformError, Option<StoredObject>>> read(String name) {
     return PlatformResponses.decode(
-        calls.send(objectRequest(name).get()), response -> decodeObject(name, response));
+        calls.sendConfirmed(objectRequest(name).get(), listRequest(name)),
+        response -> decodeObject(name, response));
   }
 
   @Override
@@ -61,6 +60,12 @@
         calls.send(objectRequest(name).delete()), HttpObjectStore::decodeDelete);
   }
 
+  private Request.Builder listRequest(String prefix) {
+    return new Request.Builder()
+        .url(PlatformHttp.urlWithQuery(baseUrl, "objects/list", "prefix", prefix))
+        .get();
+  }
+
   private Request.Builder objectRequest(String name) {
     return new Request.Builder().url(PlatformHttp.urlWithQuery(baseUrl, OBJECT_PATH, "name", name));
   }
--- a/store/src/main/java/io/zinniawood/store/http/HttpPlatform.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpPlatform.java
@@ -1,5 +1,6 @@
 package io.zinniawood.store.http;
 
+import io.zinniawood.http.ConfirmedCalls;
 import io.zinniawood.http.HttpCallSettings;
 import io.zinniawood.http.HttpCalls;
 import io.zinniawood.store.ObjectStore;
@@ -46,27 +47,32 @@
     if (baseUrl == null) {
       throw new IllegalArgumentException("platform URI is not an HTTP URI: " + baseUri);
     }
-    HttpCalls calls =
-        new HttpCalls(
-            client,
-            new HttpCallSettings(
-                settings.connectTimeoutMillis(),
-                settings.maxResponseBytes(),
-                settings.maxConcurrentCalls()));
+    HttpCallSettings callSettings =
+        new HttpCallSettings(
+            settings.connectTimeoutMillis(),
+            settings.maxResponseBytes(),
+            settings.maxConcurrentCalls());
+    HttpCalls calls = new HttpCalls(client, callSettings);
+    ConfirmedCalls confirmed = new ConfirmedCalls(calls, client, callSettings);
     NewestStoreEra era = new NewestStoreEra();
-    this.table = new HttpTable(baseUrl, createCalls(calls, settings, era, "table"), era);
+    this.table = new HttpTable(baseUrl, createCalls(calls, confirmed, settings, era, "table"), era);
     this.objectStore =
-        new HttpObjectStore(baseUrl, createCalls(calls, settings, era, "object store"));
-    this.vmList = new HttpVmList(baseUrl, createCalls(calls, settings, era, "VM list"));
+        new HttpObjectStore(baseUrl, createCalls(calls, confirmed, settings, era, "object store"));
+    this.vmList = new HttpVmList(baseUrl, createCalls(calls, confirmed, settings, era, "VM list"));
     this.weightStore =
-        new HttpWeightStore(baseUrl, createCalls(calls, settings, era, "weight store"));
+        new HttpWeightStore(baseUrl, createCalls(calls, confirmed, settings, era, "weight store"));
   }
 
   /** Creates a separate circuit breaker for each service because services fail independently. */
   private static PlatformServiceCalls createCalls(
-      HttpCalls calls, HttpPlatformSettings settings, NewestStoreEra era, String service) {
+      HttpCalls calls,
+      ConfirmedCalls confirmed,
+      HttpPlatformSettings settings,
+      NewestStoreEra era,
+      String service) {
     return new PlatformServiceCalls(
         calls,
+        confirmed,
         settings.callTimeoutMillis(),
         new CircuitBreaker(settings.circuitBreaker(), new SplittableRandom()),
         era,
