Lease and claim rows: test that rows cut at any byte do not decode

No fault was found: the tests passed when they were first run. They guard the decision that table rows need no sign of life when they come without a length.

--- a/store/src/test/java/io/zinniawood/store/claim/ClaimRowCodecTest.java
+++ b/store/src/test/java/io/zinniawood/store/claim/ClaimRowCodecTest.java
@@ -21,6 +21,7 @@
 import io.zinniawood.core.model.Payload;
 import io.zinniawood.core.model.ServiceAnswer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 
 class ClaimRowCodecTest {
@@ -89,4 +90,17 @@
         ClaimRowKey.of(new ClaimKey(new ClientAccountId("a"), new ServiceName("b/c"), key));
     assertThat(first, not(equalTo(second)));
   }
+
+  // A row that was cut with its connection must not be an unclaimed key or another answer.
+  @Test
+  void truncatedRowsAreDecodeErrors() {
+    byte[] whole =
+        codec.encode(
+            row(
+                ClaimState.FINISHED,
+                Option.some(new ServiceAnswer(201, Vector.empty(), Payload.ofText("booked")))));
+    for (int length = 0; length < whole.length; length++) {
+      assertThat(codec.decode(Arrays.copyOf(whole, length)).isLeft(), equalTo(true));
+    }
+  }
 }
--- a/store/src/test/java/io/zinniawood/store/lease/LeaseRowCodecTest.java
+++ b/store/src/test/java/io/zinniawood/store/lease/LeaseRowCodecTest.java
@@ -9,6 +9,7 @@
 import io.zinniawood.core.id.FencingNumber;
 import io.zinniawood.core.id.VmId;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 
 class LeaseRowCodecTest {
@@ -40,4 +41,15 @@
       assertThat(value, LeaseRowCodec.fencingNumber(bytes), equalTo(Option.none()));
     }
   }
+
+  // A row that was cut with its connection must not be another lease or fencing number.
+  @Test
+  void truncatedRowsAreRejected() {
+    byte[] whole = LeaseRowCodec.encode(ROW);
+    for (int length = 0; length < whole.length; length++) {
+      byte[] bytes = Arrays.copyOf(whole, length);
+      assertThat(LeaseRowCodec.decode(bytes).isLeft(), equalTo(true));
+      assertThat(LeaseRowCodec.fencingNumber(bytes), equalTo(Option.none()));
+    }
+  }
 }
