Entry: mark a caller's connection idle on its I/O thread, with the last write

Cause: RequestLifecycle.end ran on the thread of the effects. It handed the last bytes to the I/O thread and marked the connection idle afterwards. A fast caller's next request reached the I/O thread in between, isBusy() was still true, and closeIfPipelined closed the connection.

Evidence: KeptConnectionTest#requestSentAfterTheWholeAnswerIsServed holds the ending thread between the two. Before this change it failed: expected "HTTP/1.1 503 Service Unavailable" (GET /v1/models without a configuration, served), was "" (end of the connection).

Why it works: the last write and the mark now are one task of the I/O thread, which also reads and checks all requests of the connection. So a request is read either before the last write, then it is pipelined, or after the mark. The state is confined to that thread and needs no atomic flag. The flush of the answer moved into the same task.

Pipelined requests: unchanged.

--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerChannel.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerChannel.java
@@ -10,7 +10,6 @@
 import io.vavr.control.Option;
 import java.lang.reflect.Field;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * Connection of a caller. Jooby reports a closed connection only when a write fails, so it does not
@@ -18,7 +17,7 @@
  * Netty channel of a Jooby context by reflection.
  */
 final class CallerChannel {
-  private static final AttributeKey<AtomicBoolean> BUSY =
+  private static final AttributeKey<Boolean> BUSY =
       AttributeKey.valueOf(CallerChannel.class, "busy");
   private static final String STALLED_WRITES = "stalled-writes";
 
@@ -56,43 +55,50 @@
   /**
    * Returns whether an earlier request on this connection is still open, so that the caller
    * pipelined the next one. Jooby does not preserve the order of responses to pipelined requests,
-   * so the caller would match responses to the wrong requests.
+   * so the caller would match responses to the wrong requests. Must be called on the I/O thread of
+   * the connection, as a request that follows the whole answer could be taken for pipelined
+   * otherwise.
    */
   boolean isBusy() {
-    AtomicBoolean flag = channel.attr(BUSY).get();
-    return flag != null && flag.get();
+    return Boolean.TRUE.equals(channel.attr(BUSY).get());
   }
 
   /** Marks the connection as busy. Must be called on its I/O thread. */
   void markBusy() {
-    channel.attr(BUSY).setIfAbsent(new AtomicBoolean());
-    channel.attr(BUSY).get().set(true);
+    channel.attr(BUSY).set(true);
     if (channel.pipeline().get(STALLED_WRITES) == null) {
       channel.pipeline().addFirst(STALLED_WRITES, new StalledWriteHandler());
     }
   }
 
-  /** Allows the next request on the connection. */
+  /**
+   * Allows the next request on the connection. Must be called on its I/O thread, in the task that
+   * writes the last bytes of the answer: no request is read between the two.
+   */
   void markIdle() {
-    channel.attr(BUSY).get().set(false);
+    channel.attr(BUSY).set(false);
   }
 
-  /** Runs a task after all earlier writes are sent, or after the connection is closed. */
-  void onWritten(Runnable task) {
+  /** Runs a task on the I/O thread; returns false if that thread has stopped. */
+  boolean execute(Runnable task) {
     try {
-      channel
-          .eventLoop()
-          .execute(
-              () -> {
-                // The future of this empty write completes after those of all earlier writes.
-                ChannelFuture unused =
-                    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> task.run());
-              });
-    } catch (RejectedExecutionException closed) {
-      task.run();
+      channel.eventLoop().execute(task);
+      return true;
+    } catch (RejectedExecutionException stopped) {
+      return false;
     }
   }
 
+  /**
+   * Sends all earlier writes; runs a task when they are sent, or when the connection is closed.
+   * Must be called on the I/O thread.
+   */
+  void onWritten(Runnable task) {
+    // The future of this empty write completes after those of all earlier writes.
+    ChannelFuture unused =
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> task.run());
+  }
+
   /** Runs a task when the connection is closed; immediately if it is closed already. */
   void onClosed(Runnable task) {
     ChannelFuture unused = channel.closeFuture().addListener(closed -> task.run());
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/RequestLifecycle.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/RequestLifecycle.java
@@ -25,20 +25,36 @@
   }
 
   /**
-   * Ends the request with its last write. If that fails, the caller is told so, or its connection
-   * is closed if a part of the response is sent.
+   * Ends the request with its last write, which runs on the I/O thread of the connection. If that
+   * fails, the caller is told so, or its connection is closed if a part of the response is sent.
    */
   void end(Context context, Runnable lastWrite) {
     openRequests.beginFinalWrite();
     // Later effects must skip the request.
     openRequests.remove(request);
+    if (channel.isEmpty()) {
+      write(context, lastWrite);
+      openRequests.endFinalWrite();
+    } else if (!channel.get().execute(() -> writeAndMarkIdle(context, lastWrite, channel.get()))) {
+      openRequests.endFinalWrite();
+    }
+  }
+
+  private void writeAndMarkIdle(Context context, Runnable lastWrite, CallerChannel caller) {
+    try {
+      write(context, lastWrite);
+    } finally {
+      caller.markIdle();
+      caller.onWritten(openRequests::endFinalWrite);
+    }
+  }
+
+  private void write(Context context, Runnable lastWrite) {
     try {
       lastWrite.run();
     } catch (RuntimeException | Error failure) {
       LOGGER.log(Level.ERROR, "response to request %s failed".formatted(request), failure);
       sendFailure(context);
-    } finally {
-      endFinalWrite();
     }
   }
 
@@ -55,16 +71,6 @@
     channel.forEach(CallerChannel::close);
   }
 
-  /** Allows the next request on the connection. */
-  private void endFinalWrite() {
-    channel.forEach(CallerChannel::markIdle);
-    if (channel.isDefined()) {
-      channel.get().onWritten(openRequests::endFinalWrite);
-    } else {
-      openRequests.endFinalWrite();
-    }
-  }
-
   /** Cancels the request and closes the connection of the caller. */
   void cancel() {
     openRequests.abandon(request);
