Soak: endpoints that repeat answers, break them off or are killed within them

Cause: the endpoints of the soak ran in its own process and framed each answer, so no run could show an answer that is believed to be whole, or its request's, without evidence.

Change: endpoints in processes of their own, with raw sockets. Switched faults, drawn from the seed: a repeated answer, at once or before the next one, whole or cut; answers without length or chunks; streams that end in good form before their first event; resets and closes within answers; failures; pauses. The processes are killed within answers and started again at their address, with a new id or a new start. Each keeps a ledger, and each complete answer of a caller must be in it with the same signature, request, status and bytes. Callers on kept connections use them until the process is gone. Each request has its own path and body, as relays hold back requests like the ones at which endpoints crashed. The faults of answers are drawn from a generator of their own, so that those of the existing seeds stay; the last ones fall into the wait for drains.

The order of events differs from run to run, so a seed does not reproduce exactly.

--- a/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
@@ -25,12 +25,19 @@
   private static final long RESTART_CHECK_MILLIS = 300;
 
   private static final int CALLER_TASKS = 12;
+  private static final int ANSWER_FAULTS_PER_FAULT = 3;
+  private static final int KEPT_CALLER_TASKS = 6;
   private static final int MAX_CALL_GAP_MILLIS = 40;
   private static final int MAX_FAULT_GAP_MILLIS = 500;
 
   /** Covers the longest fault and the drain of a relay that the last fault terminated. */
   private static final long MAX_FAULT_AND_DRAIN_MILLIS = 9_000;
 
+  /** Part of the wait for drains in which answers still have faults, while all relays start. */
+  private static final long ANSWER_FAULT_PHASE_MILLIS = 5_500;
+
+  private static final int MAX_ANSWER_FAULT_GAP_MILLIS = 150;
+
   private RelaySoak() {}
 
   /** Runs the seeds of the arguments; the exit code is 1 if a run found a violation. */
@@ -55,8 +62,9 @@
   static List<String> runSeed(long seed, long recoverySeconds)
       throws IOException, InterruptedException {
     Violations violations = new Violations();
-    ScheduledExecutorService timers = Executors.newScheduledThreadPool(CALLER_TASKS + 20);
-    try (SoakCluster cluster = new SoakCluster(violations);
+    ScheduledExecutorService timers =
+        Executors.newScheduledThreadPool(CALLER_TASKS + KEPT_CALLER_TASKS + 20);
+    try (SoakCluster cluster = new SoakCluster(violations, seed);
         SoakCaller caller = new SoakCaller(cluster, violations)) {
       violations.check(
           await(START_TIMEOUT_SECONDS, () -> allRelaysServe(cluster, caller)),
@@ -65,6 +73,10 @@
         Random random = new Random(seed * 1_000 + number);
         timers.execute(() -> callUntilShutdown(timers, cluster, caller, random));
       }
+      for (int number = 0; number < KEPT_CALLER_TASKS; number++) {
+        Random random = new Random(~(seed * 1_000 + number));
+        timers.execute(() -> callOnKeptConnections(timers, cluster, caller, random));
+      }
       for (Relay relay : cluster.relays) {
         timers.scheduleWithFixedDelay(
             relay::restartIfEnded,
@@ -72,20 +84,27 @@
             RESTART_CHECK_MILLIS,
             TimeUnit.MILLISECONDS);
       }
-      SoakFaults faults = new SoakFaults(cluster, new Random(seed), timers);
+      SoakFaults faults = new SoakFaults(cluster, new Random(seed), new Random(-seed), timers);
       Random gaps = new Random(~seed);
       long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(FAULT_PHASE_SECONDS);
       while (System.nanoTime() - endNanos < 0) {
         faults.startRandomFault();
+        for (int number = 0; number < ANSWER_FAULTS_PER_FAULT; number++) {
+          faults.startAnswerFault();
+        }
         TimeUnit.MILLISECONDS.sleep(gaps.nextInt(MAX_FAULT_GAP_MILLIS));
       }
-      TimeUnit.MILLISECONDS.sleep(MAX_FAULT_AND_DRAIN_MILLIS);
+      startAnswerFaults(faults, gaps);
+      TimeUnit.MILLISECONDS.sleep(MAX_FAULT_AND_DRAIN_MILLIS - ANSWER_FAULT_PHASE_MILLIS);
       violations.check(
           await(recoverySeconds, () -> allRelaysServe(cluster, caller)),
           "not all relays serve within %d s after the last fault".formatted(recoverySeconds));
       timers.shutdownNow();
       timers.awaitTermination(RECOVERY_SECONDS, TimeUnit.SECONDS);
       caller.checkRuns();
+      System.out.println(
+          "seed %d: %d requests, %d complete answers of endpoints with a ledger"
+              .formatted(seed, caller.sentRequests(), caller.recordedAnswers()));
       violations.check(caller.sentRequests() > 0, "no request was sent");
     } finally {
       timers.shutdownNow();
@@ -93,6 +112,15 @@
     return violations.all();
   }
 
+  private static void startAnswerFaults(SoakFaults faults, Random gaps)
+      throws InterruptedException {
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWER_FAULT_PHASE_MILLIS);
+    while (System.nanoTime() - endNanos < 0) {
+      faults.startAnswerFault();
+      TimeUnit.MILLISECONDS.sleep(gaps.nextInt(MAX_ANSWER_FAULT_GAP_MILLIS));
+    }
+  }
+
   private static void callUntilShutdown(
       ScheduledExecutorService timers, SoakCluster cluster, SoakCaller caller, Random random) {
     SoakCaller.RequestKind[] kinds = SoakCaller.RequestKind.values();
@@ -110,6 +138,23 @@
     }
   }
 
+  private static void callOnKeptConnections(
+      ScheduledExecutorService timers, SoakCluster cluster, SoakCaller answers, Random random) {
+    SoakCaller.RequestKind[] kinds = SoakCaller.RequestKind.values();
+    KeptCaller caller = new KeptCaller(answers);
+    try {
+      while (!timers.isShutdown()) {
+        Relay relay = cluster.relays.get(random.nextInt(cluster.relays.size()));
+        caller.call(relay, kinds[random.nextInt(kinds.length)], cluster.routesVersion());
+        TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_CALL_GAP_MILLIS));
+      }
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    } finally {
+      caller.close();
+    }
+  }
+
   private static boolean allRelaysServe(SoakCluster cluster, SoakCaller caller) {
     for (Relay relay : cluster.relays) {
       for (SoakCaller.RequestKind kind : SoakCaller.RequestKind.values()) {
--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
@@ -16,6 +16,7 @@
 /** Relay processes, a store and endpoints, with fault proxies on the connections between them. */
 final class SoakCluster implements AutoCloseable {
   private static final int RELAY_COUNT = 3;
+  private static final int FAULTY_ENDPOINTS = 4;
 
   /** Exit code of a process that SIGHUP has ended. */
   private static final int SIGHUP_EXIT_CODE = 129;
@@ -36,6 +37,9 @@
   final List<Relay> relays = new ArrayList<>();
   final List<EndpointStandIn> endpoints = new ArrayList<>();
 
+  /** Endpoints without a proxy, as the end of their processes is a fault to be seen as it is. */
+  final List<FaultyEndpointProcess> faultyEndpoints = new ArrayList<>();
+
   /** Proxies between relays and endpoints. */
   final List<FaultProxy> endpointProxies = new ArrayList<>();
 
@@ -139,7 +143,12 @@
     }
   }
 
-  SoakCluster(Violations violations) throws IOException {
+  /**
+   * Starts all processes.
+   *
+   * @param seed seed of the faults of the answers
+   */
+  SoakCluster(Violations violations, long seed) throws IOException {
     this.violations = violations;
     rotateKey();
     addEndpoint("first", "model", "gpu");
@@ -147,6 +156,12 @@
     addEndpoint("third", "model", "gpu");
     addEndpoint("plain-1", "plain", "");
     addEndpoint("plain-2", "plain", "");
+    for (int number = 1; number <= FAULTY_ENDPOINTS; number++) {
+      String service = number % 2 == 0 ? "model" : "plain";
+      faultyEndpoints.add(
+          new FaultyEndpointProcess(
+              store, "faulty-" + service + "-" + number, service, seed * 1_000 + number * 100));
+    }
     for (int number = 1; number <= RELAY_COUNT; number++) {
       relays.add(new Relay(number));
     }
@@ -177,7 +192,12 @@
     return "key-" + version;
   }
 
-  /** Returns how often all endpoints together ran a request. */
+  /** Returns the lines of the ledgers of all endpoints that keep one. */
+  List<String[]> ledger() {
+    return faultyEndpoints.stream().flatMap(endpoint -> endpoint.ledger().stream()).toList();
+  }
+
+  /** Returns how often all endpoints without a ledger together ran a request. */
   int runs(String request) {
     return endpoints.stream()
         .mapToInt(endpoint -> endpoint.runsByRequest().getOrDefault(request, 0))
@@ -193,6 +213,7 @@
     }
     endpointProxies.forEach(FaultProxy::close);
     endpoints.forEach(EndpointStandIn::close);
+    faultyEndpoints.forEach(FaultyEndpointProcess::close);
     store.close();
   }
 }
--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakFaults.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakFaults.java
@@ -1,5 +1,6 @@
 package io.zinniawood.dist.soak;
 
+import io.zinniawood.dist.users.EndpointFault;
 import io.zinniawood.dist.users.EndpointStandIn;
 import io.zinniawood.standin.proxy.Direction;
 import io.zinniawood.standin.proxy.FaultProxy;
@@ -19,8 +20,18 @@
   private static final int LIMIT_RANGE_PER_SECOND = 10;
   private static final int MAX_FAULT_DURATION_MILLIS = 3_000;
 
+  private static final int MAX_KILL_DELAY_MILLIS = 1_500;
+  private static final int MAX_DOWN_MILLIS = 1_500;
+
+  /** Share of kills among the faults of answers. */
+  private static final int KILL_ONE_IN = 12;
+
   private final SoakCluster cluster;
   private final Random random;
+
+  /** Separate from the other faults, so that their order in the seeds of the test stays. */
+  private final Random answerRandom;
+
   private final ScheduledExecutorService timers;
   private final List<Fault> faults = new ArrayList<>();
 
@@ -30,9 +41,11 @@
     Runnable start();
   }
 
-  SoakFaults(SoakCluster cluster, Random random, ScheduledExecutorService timers) {
+  SoakFaults(
+      SoakCluster cluster, Random random, Random answerRandom, ScheduledExecutorService timers) {
     this.cluster = cluster;
     this.random = random;
+    this.answerRandom = answerRandom;
     this.timers = timers;
     faults.add(this::pauseRelay);
     faults.add(this::killRelay);
@@ -56,6 +69,51 @@
     timers.schedule(end, random.nextInt(MAX_FAULT_DURATION_MILLIS), TimeUnit.MILLISECONDS);
   }
 
+  /** Starts one fault of the answers of an endpoint, or kills it, and schedules the end. */
+  void startAnswerFault() {
+    FaultyEndpointProcess endpoint =
+        cluster.faultyEndpoints.get(answerRandom.nextInt(cluster.faultyEndpoints.size()));
+    EndpointFault[] kinds = EndpointFault.values();
+    Runnable end =
+        answerRandom.nextInt(KILL_ONE_IN) == 0
+            ? killEndpoint(endpoint)
+            : start(endpoint, kinds[answerRandom.nextInt(kinds.length)]);
+    timers.schedule(end, answerRandom.nextInt(MAX_FAULT_DURATION_MILLIS), TimeUnit.MILLISECONDS);
+  }
+
+  private static Runnable start(FaultyEndpointProcess endpoint, EndpointFault fault) {
+    endpoint.setFault(fault, true);
+    return () -> endpoint.setFault(fault, false);
+  }
+
+  /** Kills an endpoint after some time of answers without a length. */
+  private Runnable killEndpoint(FaultyEndpointProcess endpoint) {
+    boolean rename = answerRandom.nextBoolean();
+    long downMillis = answerRandom.nextBoolean() ? 0 : answerRandom.nextInt(MAX_DOWN_MILLIS);
+    long delayMillis = answerRandom.nextInt(MAX_KILL_DELAY_MILLIS);
+    Runnable unframed = start(endpoint, EndpointFault.UNFRAMED);
+    Runnable pause = start(endpoint, EndpointFault.PAUSE);
+    timers.schedule(
+        () -> {
+          String old = rename ? endpoint.killAndRename() : endpoint.kill();
+          timers.schedule(
+              () -> {
+                endpoint.startIfEnded();
+                if (rename) {
+                  cluster.store.remove("servers", old);
+                }
+              },
+              downMillis,
+              TimeUnit.MILLISECONDS);
+        },
+        delayMillis,
+        TimeUnit.MILLISECONDS);
+    return () -> {
+      unframed.run();
+      pause.run();
+    };
+  }
+
   private SoakCluster.Relay randomRelay() {
     return cluster.relays.get(random.nextInt(cluster.relays.size()));
   }
