Relay: an end that comes at the endpoint's time limit does not complete an answer

Cause: an endpoint stops at the time limit that the relay sends it and may end its answer in good form there; the relay looked at the deadline only in its ticks, 25 ms apart. Evidence: StreamHeadTest.streamThatEndsAfterItsDeadlineIsNotComplete failed before. Why it works: an end that only its own form tells (last chunk, end of the connection) counts if it comes before the limit that this attempt was given; the request has ended at that time anyway. An answer with a length is not affected.

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptFailureCause.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptFailureCause.java
@@ -8,6 +8,11 @@
   CONNECTION_LOST,
   /** The answer ended with its connection, and its endpoint gave no sign of life after that. */
   END_UNCONFIRMED,
+  /**
+   * The end of the answer came at the time limit that the endpoint was given, and is told by
+   * nothing but itself. An endpoint that stops there may end its answer in good form.
+   */
+  TIME_LIMIT,
   /** The answer violates the protocol or belongs to another request. */
   INVALID_ANSWER,
   /** The relay itself failed; the request must end at once. */
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -134,6 +134,10 @@
       refuse(turn, open, reason);
       return;
     }
+    if (event.cause() == AttemptFailureCause.TIME_LIMIT) {
+      Deadlines.end(turn, open, reason);
+      return;
+    }
     if (event.cause() == AttemptFailureCause.NOT_SENT) {
       retryNotSent(turn, open, reason);
       return;
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -7,6 +7,7 @@
 import io.zinniawood.core.relay.AnswerEvidence;
 import io.zinniawood.core.relay.SendOptions;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** One attempt to run a request on an endpoint. */
 public final class EndpointExchange {
@@ -18,6 +19,7 @@
   private Channel channel;
   private boolean ended;
   private boolean sent;
+  private long sentNanos;
   private boolean relayed;
   private HttpResponse streamHead;
   private AnswerEvidence evidence;
@@ -92,6 +94,13 @@
 
   void markSent() {
     sent = true;
+    sentNanos = System.nanoTime();
+  }
+
+  /** Returns whether the time that the endpoint was given has passed. */
+  boolean timeLimitReached() {
+    return sent
+        && System.nanoTime() - sentNanos >= TimeUnit.MILLISECONDS.toNanos(options.deadlineMillis());
   }
 
   /** Returns whether the reducer decided to relay the answer of this attempt. */
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -206,6 +206,13 @@
       return;
     }
     AnswerEvidence.End end = endOf(answered, connection);
+    boolean mayBeCut = end == AnswerEvidence.End.LAST_CHUNK || end == AnswerEvidence.End.CONNECTION;
+    if (mayBeCut
+        && answered.status().codeClass() == HttpStatusClass.SUCCESS
+        && complete.timeLimitReached()) {
+      fail(context, AttemptFailureCause.TIME_LIMIT);
+      return;
+    }
     complete.evidence(new AnswerEvidence(end, skippedAnswers, carriedEarlierRequest));
     exchange = null;
     head = null;
--- a/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
@@ -66,6 +66,8 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) group.next();
+  private int timeoutMillis = 3_000;
+  private boolean ticking = true;
 
   @AfterEach
   void stopLoop() {
@@ -116,11 +118,22 @@
     return runtime;
   }
 
-  private static RouteTable routes() {
+  private RouteTable routes() {
     List<ServiceShare> shares = List.of(new ServiceShare(SERVICE, 1));
     Route route =
         new Route(
-            "ask", "host", "/", RouteKind.STREAMING, 3_000, 500, 0, 1, shares, 1, true, false);
+            "ask",
+            "host",
+            "/",
+            RouteKind.STREAMING,
+            timeoutMillis,
+            500,
+            0,
+            1,
+            shares,
+            1,
+            true,
+            false);
     return new RouteTable(
         1,
         List.of(route),
@@ -130,7 +143,8 @@
         RequestLimits.DEFAULT);
   }
 
-  private static void serveOnce(ServerSocket endpoint, String answer) {
+  private static void serveOnce(
+      ServerSocket endpoint, String answer, int endDelayMillis, String end) {
     try (Socket accepted = endpoint.accept()) {
       int newlines = 0;
       while (newlines < 2) {
@@ -138,15 +152,24 @@
         newlines = read == '\n' ? newlines + 1 : read == '\r' ? newlines : 0;
       }
       accepted.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+      Thread.sleep(endDelayMillis);
+      accepted.getOutputStream().write(end.getBytes(StandardCharsets.US_ASCII));
     } catch (IOException closed) {
       // The relay closes the connection.
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
     }
   }
 
   /** Sends a request to an endpoint that gives this answer and closes; returns what is written. */
   private String writtenFor(String answer) throws Exception {
+    return writtenFor(answer, 0, "");
+  }
+
+  /** As above; the endpoint sends the last part of its answer after a pause. */
+  private String writtenFor(String answer, int endDelayMillis, String end) throws Exception {
     try (ServerSocket endpoint = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      Thread serving = new Thread(() -> serveOnce(endpoint, answer));
+      Thread serving = new Thread(() -> serveOnce(endpoint, answer, endDelayMillis, end));
       serving.start();
       RelayRuntime runtime = loop.submit(() -> runtime(endpoint.getLocalPort())).get();
       EmbeddedChannel caller = loop.submit(() -> connect(runtime)).get();
@@ -168,9 +191,10 @@
     return caller;
   }
 
-  private static boolean collect(
-      RelayRuntime runtime, EmbeddedChannel caller, StringBuilder written) {
-    runtime.tick();
+  private boolean collect(RelayRuntime runtime, EmbeddedChannel caller, StringBuilder written) {
+    if (ticking) {
+      runtime.tick();
+    }
     for (ByteBuf part = caller.readOutbound(); part != null; part = caller.readOutbound()) {
       written.append(part.toString(StandardCharsets.US_ASCII));
       part.release();
@@ -205,6 +229,23 @@
     assertThat(writtenFor(head + EVENT), endsWith(LAST_CHUNK));
   }
 
+  // A stream that its endpoint cut at its time limit, in good form, counted as whole.
+  @Test
+  void streamThatEndsAfterItsDeadlineIsNotComplete() throws Exception {
+    timeoutMillis = 300;
+    ticking = false;
+    String written = writtenFor(HEAD + "f\r\nid: 1\ndata: a\n\n\r\n", 400, "0\r\n\r\n");
+    assertThat(written, containsString("data: a"));
+    assertThat(written, not(endsWith(LAST_CHUNK)));
+  }
+
+  // A failed endpoint's head went out with a comment, and the caller took the next answer for its.
+  @Test
+  void headIsNotWrittenWithAnEventThatDoesNotCountAsBegun() throws Exception {
+    String written = writtenFor(HEAD + "9\r\n: start\n\n\r\n");
+    assertThat(written, startsWith("HTTP/1.1 502"));
+  }
+
   @Override
   public void readinessChanged(boolean ready) {}
 
