--- a/core/src/main/java/io/zinniawood/core/relay/AnswerConfirmation.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerConfirmation.java
@@ -1,8 +1,8 @@
 package io.zinniawood.core.relay;
 
 /**
- * Decides whether an answer that ended with its connection is whole. The system of a process that
- * is killed closes its connections in order, so the end alone does not show that the process had
+ * Decides whether an answer that ended with its connection is whole. The operating system closes
+ * the connections of a killed process in order, so the end alone does not show that the process had
  * sent everything; that it still answers after the end does.
  */
 final class AnswerConfirmation {
@@ -29,7 +29,7 @@
     turn.emit(new RelayEffect.ConfirmEndpoint(open.id, open.attempt));
   }
 
-  /** Takes the answer for whole, or ends the attempt as one whose connection was lost. */
+  /** Takes the answer for whole, or ends the attempt. */
   static void endpointHeard(RelayTurn turn, RelayEvent.EndpointHeard event) {
     OpenRequest open = turn.state.open.get(event.id());
     if (open == null || open.attempt != event.attempt()) {
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -82,7 +82,7 @@
   /** Subject that is held back and that this request tries again. */
   Optional<CrashSubject> trialOf = Optional.empty();
 
-  /** When an answer ended with its connection, whose endpoint is then asked for a sign of life. */
+  /** When the answer of this attempt ended with its connection; see {@link AnswerConfirmation}. */
   long answerEndedNanos;
 
   /** Whether this process may have been paused between that end and its event. */
--- a/http/src/main/java/io/zinniawood/http/ResponseEnd.java
+++ b/http/src/main/java/io/zinniawood/http/ResponseEnd.java
@@ -5,8 +5,8 @@
   /** The response showed its end by a length or its last chunk, or cannot have a body. */
   STATED,
   /**
-   * The connection ended (RFC 9112, section 6.3). The system of a process that is killed ends its
-   * connections in the same way, so bytes may be missing.
+   * The connection ended (RFC 9112, section 6.3). The operating system ends the connections of a
+   * killed process in the same way, so bytes may be missing.
    */
   OF_CONNECTION
 }
