Event stream splitter: read the id of each block once

The id was read for the block and again for the event, by a search for any text that only the id used. Constants stand together again. Behaviour is unchanged; the tests are.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -224,7 +224,7 @@
           streaming
               ? () -> listener.streamCompleted(complete)
               : () -> listener.answerReceived(complete, answered, whole);
-      if (complete.evidence().end() == AnswerEvidence.End.CONNECTION) {
+      if (end == AnswerEvidence.End.CONNECTION) {
         listener.answerEnded(complete, answered, new UnconfirmedAnswer(take, whole::release));
       } else {
         take.run();
--- a/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
@@ -19,10 +19,12 @@
 
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
-  private final ByteBuf pending = Unpooled.buffer();
   private static final byte[] HTTP_VERSION = "HTTP/".getBytes(StandardCharsets.US_ASCII);
-  private static final long NO_EVENT = -1;
 
+  /** Id of a block without an id, and the last id before the first event. */
+  private static final long NO_ID = -1;
+
+  private final ByteBuf pending = Unpooled.buffer();
   private long lastId;
 
   /**
@@ -45,7 +47,7 @@
    * @param lastId id of the last event that the caller received; 0 if none
    */
   public EventStreamSplitter(long lastId) {
-    this.lastId = lastId > 0 ? lastId : NO_EVENT;
+    this.lastId = lastId > 0 ? lastId : NO_ID;
   }
 
   /** Returns the id of the last event that was relayed or that the caller already had. */
@@ -88,8 +90,9 @@
       if (startsWith(block, 0, HTTP_VERSION)) {
         return false;
       }
-      if (begun || idOf(block) >= 0) {
-        emit(pending.slice(heldFrom, end - heldFrom), events);
+      long id = idOf(block);
+      if (begun || id >= 0) {
+        emit(id, pending.slice(heldFrom, end - heldFrom), events);
         pending.readerIndex(end);
         heldBytes = 0;
       } else {
@@ -101,13 +104,12 @@
     return pending.readableBytes() <= MAX_EVENT_BYTES;
   }
 
-  private void emit(ByteBuf event, Consumer<ByteBuf> events) {
-    long id = idOf(event);
-    caughtUp |= id >= 0 && id >= lastId;
-    if (id >= 0 && id <= lastId) {
-      return;
-    }
+  private void emit(long id, ByteBuf event, Consumer<ByteBuf> events) {
     if (id >= 0) {
+      caughtUp |= id >= lastId;
+      if (id <= lastId) {
+        return;
+      }
       lastId = id;
       begun = true;
     }
@@ -138,25 +140,19 @@
   }
 
   private static long idOf(ByteBuf event) {
-    int index = lineStart(event, ID_FIELD);
-    return index < 0 ? -1 : parseId(event, index + ID_FIELD.length, event.writerIndex());
-  }
-
-  /** Returns the index of the first line that starts with a text, or -1 if none does. */
-  private static int lineStart(ByteBuf event, byte[] text) {
     int index = event.readerIndex();
     int end = event.writerIndex();
     while (index < end) {
-      if (startsWith(event, index, text)) {
-        return index;
+      if (startsWith(event, index, ID_FIELD)) {
+        return parseId(event, index + ID_FIELD.length, end);
       }
       int newline = event.indexOf(index, end, (byte) '\n');
       if (newline < 0) {
-        return -1;
+        return NO_ID;
       }
       index = newline + 1;
     }
-    return -1;
+    return NO_ID;
   }
 
   private static boolean startsWith(ByteBuf event, int index, byte[] text) {
