--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -122,6 +122,11 @@
     this.lastEventId = request.resumeAfter();
   }
 
+  /** Returns whether the answer of this attempt has ended and waits for a sign of life. */
+  boolean endUnconfirmed() {
+    return signsAwaited > 0;
+  }
+
   /** Returns the fingerprint, which is computed when it is needed first. */
   RequestFingerprint fingerprint() {
     if (fingerprint.isEmpty()) {
--- a/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathRepair.java
@@ -26,7 +26,7 @@
    */
   static void rerouteAround(RelayTurn turn, EndpointId unresponsive) {
     for (OpenRequest open : new ArrayList<>(turn.state.open.values())) {
-      if (open.signsAwaited == 0
+      if (!open.endUnconfirmed()
           && open.path.isPresent()
           && open.path.get().contains(unresponsive)) {
         FailureContainment.run(
--- a/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
@@ -81,7 +81,7 @@
     for (OpenRequest open : turn.state.open.values()) {
       if (open.path.isEmpty()
           || open.repathPending
-          || open.signsAwaited > 0
+          || open.endUnconfirmed()
           || millisSinceProgress(turn, open) < stallThresholdMillis(open)) {
         continue;
       }
