--- a/core/src/main/java/io/zinniawood/core/relay/AnswerEvidence.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerEvidence.java
@@ -8,8 +8,11 @@
  * @param end what told the end of the answer
  * @param skippedAnswers number of answers to other requests that came on the connection before it
  * @param connectionReused whether the connection had carried a request before
+ * @param millisLeft time until the limit that the endpoint was given, in milliseconds; negative
+ *     after it
  */
-public record AnswerEvidence(End end, int skippedAnswers, boolean connectionReused) {
+public record AnswerEvidence(
+    End end, int skippedAnswers, boolean connectionReused, long millisLeft) {
   /** What told the end of an answer. The names appear in the decision log. */
   public enum End {
     /** The length that the head stated. */
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -46,7 +46,7 @@
 
   /** Evidence of an answer with chunks on a connection of its own. */
   static final AnswerEvidence EVIDENCE =
-      new AnswerEvidence(AnswerEvidence.End.LAST_CHUNK, 0, false);
+      new AnswerEvidence(AnswerEvidence.End.LAST_CHUNK, 0, false, 1_000);
 
   private static final long SEED = 7;
   private static final long STORE_CLOCK_OFFSET_MILLIS = 5_000_000;
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerExchange.java
@@ -71,6 +71,11 @@
     return splitter;
   }
 
+  /** Returns the caller's id of the request in the decision log. */
+  String logId() {
+    return request.id().map(Object::toString).orElse("-");
+  }
+
   /** Returns the number of the last attempt; 0 before the first one. */
   int attempt() {
     return attempt;
@@ -83,13 +88,7 @@
   /** Returns the log entry of a request whose caller left before any decision on it. */
   Decision abandoned() {
     return Decision.of(
-        "request-ended",
-        "request",
-        request.id().map(Object::toString).orElse("-"),
-        "outcome",
-        "caller-left",
-        "reason",
-        "before-decision");
+        "request-ended", "request", logId(), "outcome", "caller-left", "reason", "before-decision");
   }
 
   boolean headWritten() {
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -97,10 +97,15 @@
     sentNanos = System.nanoTime();
   }
 
+  /** Returns the rest of the time that the endpoint was given, in milliseconds. */
+  long millisLeft() {
+    long elapsedNanos = sent ? System.nanoTime() - sentNanos : 0;
+    return options.deadlineMillis() - TimeUnit.NANOSECONDS.toMillis(elapsedNanos);
+  }
+
   /** Returns whether the time that the endpoint was given has passed. */
   boolean timeLimitReached() {
-    return sent
-        && System.nanoTime() - sentNanos >= TimeUnit.MILLISECONDS.toNanos(options.deadlineMillis());
+    return millisLeft() <= 0;
   }
 
   /** Returns whether the reducer decided to relay the answer of this attempt. */
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -41,6 +41,8 @@
   /** Last request on this connection; answers that arrive without a request are its endpoint's. */
   private EndpointExchange lastExchange;
 
+  private boolean surplusReported;
+
   /** Ids of the last requests on this connection. */
   private final Deque<RequestId> carriedRequests = new ArrayDeque<>();
 
@@ -108,7 +110,7 @@
         listener.headReceived(lastExchange, response);
       }
       if (exchange == null) {
-        context.close();
+        receiveSurplus(context, message);
         return;
       }
       if (message instanceof HttpResponse response) {
@@ -122,6 +124,17 @@
     }
   }
 
+  /** Closes the connection, as what follows a complete answer belongs to no request. */
+  private void receiveSurplus(ChannelHandlerContext context, Object message) {
+    boolean answer =
+        message instanceof HttpResponse response && response.decoderResult().isSuccess();
+    if (lastExchange != null && !surplusReported) {
+      surplusReported = true;
+      listener.surplusReceived(lastExchange, answer);
+    }
+    context.close();
+  }
+
   private void handleHead(ChannelHandlerContext context, HttpResponse response) {
     if (response.decoderResult().isFailure()) {
       boolean closed = response.decoderResult().cause() instanceof PrematureChannelClosureException;
@@ -213,7 +226,8 @@
       fail(context, AttemptFailureCause.TIME_LIMIT);
       return;
     }
-    complete.evidence(new AnswerEvidence(end, skippedAnswers, carriedEarlierRequest));
+    complete.evidence(
+        new AnswerEvidence(end, skippedAnswers, carriedEarlierRequest, complete.millisLeft()));
     exchange = null;
     head = null;
     ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content.take();
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
@@ -36,6 +36,13 @@
    */
   void answerEnded(EndpointExchange exchange, HttpResponse head, UnconfirmedAnswer answer);
 
+  /**
+   * Bytes arrived after the complete answer to the last request on a connection.
+   *
+   * @param answer whether they are the head of an answer
+   */
+  void surplusReceived(EndpointExchange lastExchange, boolean answer);
+
   /** The attempt ended without a complete answer. */
   void attemptFailed(EndpointExchange exchange, AttemptFailureCause cause);
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -8,6 +8,7 @@
 import io.zinniawood.core.relay.AnswerSummary;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
+import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.EndpointStatement;
 import io.zinniawood.core.relay.LocalAnswer;
@@ -392,6 +393,22 @@
             exchange.callerExchange().id(), exchange.attempt(), codec.summarize(head)));
   }
 
+  @Override
+  public void surplusReceived(EndpointExchange lastExchange, boolean answer) {
+    Decision surplus =
+        Decision.of(
+            "bytes-after-answer",
+            "request",
+            lastExchange.callerExchange().logId(),
+            "attempt",
+            lastExchange.attempt(),
+            "endpoint",
+            lastExchange.options().expectedEndpoint().value(),
+            "reason",
+            answer ? "answer" : "no-answer");
+    listener.decisionMade(new RelayEffect.LogDecision(surplus));
+  }
+
   @Override
   public void attemptFailed(EndpointExchange exchange, AttemptFailureCause cause) {
     if (exchange.ended()) {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -17,6 +17,7 @@
   final List<Integer> streams = new ArrayList<>();
   final List<Integer> heads = new ArrayList<>();
   final List<String> faults = new ArrayList<>();
+  final List<String> surplus = new ArrayList<>();
   final List<UnconfirmedAnswer> unconfirmed = new ArrayList<>();
   final List<ByteBuf> kept = new ArrayList<>();
   boolean keepContent;
@@ -77,6 +78,11 @@
     unconfirmed.add(answer);
   }
 
+  @Override
+  public void surplusReceived(EndpointExchange lastExchange, boolean answer) {
+    surplus.add(answer ? "answer" : "no-answer");
+  }
+
   @Override
   public void attemptFailed(EndpointExchange exchange, AttemptFailureCause cause) {
     failures.add(cause);
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -103,6 +103,15 @@
     assertThat(listener.heads, is(List.of(429, 503, 500)));
   }
 
+  // Guards against a repeated answer on an idle connection that no log line tells of.
+  @Test
+  void bytesBehindAnAnswerAreReportedOnce() {
+    beginExchange(false);
+    receive(REFUSAL + ID + "own\r\n\r\n" + REFUSAL + ID + "own\r\n\r\n" + REFUSAL + "\r\n");
+    assertThat(listener.answers, is(List.of(503)));
+    assertThat(listener.surplus, is(List.of("answer")));
+  }
+
   @Test
   void headIsDeliveredBeforeTheBody() {
     beginExchange(false);
