Relay: do not believe an answer that another answer has filled

Callers saw a success where the endpoint's record has a failure: an endpoint breaks off within the length or the chunk of a 200 and then answers again on the connection, and the head of the second answer fills the rest of the first one's frame.

Cause: a length counts bytes and says nothing about whose they are; the relay took the end of the count for the end of the answer.

A second answer begins with a status line, so a filled body holds a head, or ends within one. A head that names a request of the connection fails the attempt, whatever its place (body, chunk, event of a stream). A body that ends within what may be a head is held back for 50 ms: the rest of the head follows on the connection, or another head or nothing does, and then the answer is whole. A head whose protocol is not HTTP, such as one without its first byte, is no head.

--- a/core/src/main/java/io/zinniawood/core/relay/AnswerEvidence.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerEvidence.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.relay;
 
+import io.zinniawood.core.frame.ForeignHead;
 import java.util.Locale;
 
 /**
@@ -8,11 +9,16 @@
  * @param end what told the end of the answer
  * @param skippedAnswers number of answers to other requests that came on the connection before it
  * @param connectionReused whether the connection had carried a request before
+ * @param foreignHead whether the body holds the head of another answer
  * @param millisLeft time until the limit that the endpoint was given, in milliseconds; negative
  *     after it
  */
 public record AnswerEvidence(
-    End end, int skippedAnswers, boolean connectionReused, long millisLeft) {
+    End end,
+    int skippedAnswers,
+    boolean connectionReused,
+    ForeignHead foreignHead,
+    long millisLeft) {
   /** What told the end of an answer. The names appear in the decision log. */
   public enum End {
     /** The length that the head stated. */
@@ -29,4 +35,9 @@
   String endName() {
     return end.name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
+
+  /** Returns the finding about the body in the decision log. */
+  String foreignHeadName() {
+    return foreignHead.name().toLowerCase(Locale.ROOT);
+  }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptFailureCause.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptFailureCause.java
@@ -13,6 +13,8 @@
    * nothing but itself. An endpoint that stops there may end its answer in good form.
    */
   TIME_LIMIT,
+  /** The answer holds the head of another one, which has filled the rest of its length. */
+  FOREIGN_HEAD,
   /** The answer violates the protocol or belongs to another request. */
   INVALID_ANSWER,
   /** The relay itself failed; the request must end at once. */
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -325,6 +325,8 @@
         open.evidence.map(AnswerEvidence::skippedAnswers).orElse(0),
         "connectionReused",
         open.evidence.map(AnswerEvidence::connectionReused).orElse(false),
+        "foreignHead",
+        open.evidence.map(AnswerEvidence::foreignHeadName).orElse("-"),
         "millisLeft",
         open.evidence.map(AnswerEvidence::millisLeft).orElse(0L),
         "millis",
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.frame.ForeignHead;
 import io.zinniawood.core.id.AcceleratorKind;
 import io.zinniawood.core.id.ClientAccountId;
 import io.zinniawood.core.id.DataCentreId;
@@ -46,7 +47,7 @@
 
   /** Evidence of an answer with chunks on a connection of its own. */
   static final AnswerEvidence EVIDENCE =
-      new AnswerEvidence(AnswerEvidence.End.LAST_CHUNK, 0, false, 1_000);
+      new AnswerEvidence(AnswerEvidence.End.LAST_CHUNK, 0, false, ForeignHead.ABSENT, 1_000);
 
   private static final long SEED = 7;
   private static final long STORE_CLOCK_OFFSET_MILLIS = 5_000_000;
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -28,7 +28,9 @@
 import io.zinniawood.relay.internal.MemoryBudget;
 import io.zinniawood.relay.internal.MemoryUser;
 import io.zinniawood.relay.internal.PeerChannel;
+import io.zinniawood.relay.internal.PeerSender;
 import io.zinniawood.relay.internal.RelayRuntime;
+import io.zinniawood.relay.internal.RuntimeListener;
 import io.zinniawood.telemetry.DecisionLog;
 import java.util.HashSet;
 import java.util.List;
@@ -96,7 +98,7 @@
   public void start(Function<ControlClient, PlatformClient> platform) throws InterruptedException {
     bind(addresses.admin(), new AdminInitializer());
     callerListener = bind(addresses.callers(), new CallerInitializer());
-    RelayRuntime.PeerSender peerSender = bindPeers();
+    PeerSender peerSender = bindPeers();
     ControlClient client =
         new ControlClient(loop, memory.account(MemoryUser.CONTROL_ANSWERS), this::logFailure);
     loop.execute(() -> runtime.start(platform.apply(client), peerSender));
@@ -112,7 +114,7 @@
         TimeUnit.MILLISECONDS);
   }
 
-  private RelayRuntime.PeerSender bindPeers() throws InterruptedException {
+  private PeerSender bindPeers() throws InterruptedException {
     if (peerAddress.isEmpty()) {
       return (receivers, message) -> {};
     }
@@ -197,7 +199,7 @@
     log.close();
   }
 
-  private final class ProcessListener implements RelayRuntime.Listener {
+  private final class ProcessListener implements RuntimeListener {
     @Override
     public void readinessChanged(boolean nowReady) {
       ready = nowReady;
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -1,16 +1,22 @@
 package io.zinniawood.relay.internal;
 
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
 import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AnswerEvidence;
+import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.SendOptions;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** One attempt to run a request on an endpoint. */
 public final class EndpointExchange {
+  /** Time in which the rest of a head follows a part of it, in milliseconds. */
+  private static final long REST_OF_HEAD_MILLIS = 50;
+
   private final CallerExchange callerExchange;
   private final int attempt;
   private final NodeAddress address;
@@ -24,6 +30,7 @@
   private HttpResponse streamHead;
   private AnswerEvidence evidence;
   private Optional<UnconfirmedAnswer> unconfirmed = Optional.empty();
+  private List<String> repeatableIds = List.of();
 
   EndpointExchange(
       CallerExchange callerExchange, int attempt, NodeAddress address, SendOptions options) {
@@ -81,6 +88,15 @@
     unconfirmed = Optional.of(answer);
   }
 
+  /** Holds an answer back while the rest of a head may follow, and takes it after that. */
+  void holdForRestOfHead(UnconfirmedAnswer answer, EventLoop loop) {
+    hold(answer);
+    loop.schedule(
+        () -> takeUnconfirmed().ifPresent(held -> held.take().run()),
+        REST_OF_HEAD_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
   /** Returns the answer that is held back, and holds it no longer. */
   Optional<UnconfirmedAnswer> takeUnconfirmed() {
     Optional<UnconfirmedAnswer> held = unconfirmed;
@@ -126,6 +142,33 @@
     evidence = found;
   }
 
+  /** Returns the ids of the requests whose answers may be repeated on the connection. */
+  List<String> repeatableIds() {
+    return repeatableIds;
+  }
+
+  void repeatableIds(List<String> ids) {
+    repeatableIds = ids;
+  }
+
+  /**
+   * Returns the log entry of bytes that followed the complete answer.
+   *
+   * @param answer whether they are the head of an answer
+   */
+  Decision surplus(boolean answer) {
+    return Decision.of(
+        "bytes-after-answer",
+        "request",
+        callerExchange.logId(),
+        "attempt",
+        attempt,
+        "endpoint",
+        options.expectedEndpoint().value(),
+        "reason",
+        answer ? "answer" : "no-answer");
+  }
+
   HttpResponse streamHead() {
     return streamHead;
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.zinniawood.core.frame.ForeignHead;
+import io.zinniawood.core.frame.ForeignHeadScanner;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.relay.AnswerEvidence;
 import io.zinniawood.core.relay.AttemptFailureCause;
@@ -19,6 +21,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 
 /**
  * Connection to one endpoint; carries one request at a time. Skips answers that carry the id of
@@ -41,6 +44,9 @@
   /** Last request on this connection; answers that arrive without a request are its endpoint's. */
   private EndpointExchange lastExchange;
 
+  /** Attempt whose answer is held back until it is known what follows it; null if there is none. */
+  private EndpointExchange heldBack;
+
   private boolean surplusReported;
 
   /** Ids of the last requests on this connection. */
@@ -126,17 +132,32 @@
 
   /** Closes the connection, as what follows a complete answer belongs to no request. */
   private void receiveSurplus(ChannelHandlerContext context, Object message) {
-    boolean answer =
-        message instanceof HttpResponse response && response.decoderResult().isSuccess();
+    boolean answer = message instanceof HttpResponse response && isWellFormed(response);
     if (lastExchange != null && !surplusReported) {
       surplusReported = true;
       listener.surplusReceived(lastExchange, answer);
     }
+    EndpointExchange doubted = heldBack;
+    heldBack = null;
     context.close();
+    if (doubted == null) {
+      return;
+    }
+    if (answer) {
+      doubted.takeUnconfirmed().ifPresent(held -> held.take().run());
+    } else {
+      listener.attemptFailed(doubted, AttemptFailureCause.FOREIGN_HEAD);
+    }
+  }
+
+  /** The decoder accepts other protocol names, such as that of a head that lacks its first byte. */
+  private static boolean isWellFormed(HttpResponse response) {
+    return response.decoderResult().isSuccess()
+        && response.protocolVersion().protocolName().equals("HTTP");
   }
 
   private void handleHead(ChannelHandlerContext context, HttpResponse response) {
-    if (response.decoderResult().isFailure()) {
+    if (!isWellFormed(response)) {
       boolean closed = response.decoderResult().cause() instanceof PrematureChannelClosureException;
       fail(
           context,
@@ -226,23 +247,70 @@
       fail(context, AttemptFailureCause.TIME_LIMIT);
       return;
     }
+    ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content.take();
+    content = null;
+    ForeignHead foreignHead = foreignHeadIn(whole);
     complete.evidence(
-        new AnswerEvidence(end, skippedAnswers, carriedEarlierRequest, complete.millisLeft()));
+        new AnswerEvidence(
+            end, skippedAnswers, carriedEarlierRequest, foreignHead, complete.millisLeft()));
     exchange = null;
     head = null;
-    ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content.take();
-    content = null;
+    if (foreignHead == ForeignHead.POSSIBLE && end != AnswerEvidence.End.CONNECTION) {
+      holdBack(context, complete, answered, whole);
+      return;
+    }
+    deliverContained(
+        context,
+        complete,
+        () -> {
+          connections.release(
+              complete.address(),
+              context.channel(),
+              answered,
+              reusable && foreignHead == ForeignHead.ABSENT);
+          Runnable take =
+              streaming
+                  ? () -> listener.streamCompleted(complete)
+                  : () -> listener.answerReceived(complete, answered, whole);
+          if (end == AnswerEvidence.End.CONNECTION) {
+            listener.answerEnded(complete, answered, new UnconfirmedAnswer(take, whole::release));
+          } else {
+            take.run();
+          }
+        });
+  }
+
+  private ForeignHead foreignHeadIn(ByteBuf body) {
+    return ForeignHeadScanner.scan(
+        index -> body.getByte(body.readerIndex() + index), body.readableBytes(), repeatableIds());
+  }
+
+  /** Returns the ids of the requests whose answers may be repeated on this connection. */
+  List<String> repeatableIds() {
+    return carriedRequests.stream().map(RequestId::value).toList();
+  }
+
+  /** Keeps the connection open, as the rest of a head would follow the answer. */
+  private void holdBack(
+      ChannelHandlerContext context, EndpointExchange complete, HttpResponse answer, ByteBuf body) {
+    heldBack = complete;
+    Runnable take =
+        () -> {
+          heldBack = null;
+          context.close();
+          deliverContained(
+              context, complete, () -> listener.answerReceived(complete, answer, body));
+        };
+    deliverContained(
+        context,
+        complete,
+        () -> listener.answerInDoubt(complete, new UnconfirmedAnswer(take, body::release)));
+  }
+
+  private void deliverContained(
+      ChannelHandlerContext context, EndpointExchange complete, Runnable delivery) {
     try {
-      connections.release(complete.address(), context.channel(), answered, reusable);
-      Runnable take =
-          streaming
-              ? () -> listener.streamCompleted(complete)
-              : () -> listener.answerReceived(complete, answered, whole);
-      if (end == AnswerEvidence.End.CONNECTION) {
-        listener.answerEnded(complete, answered, new UnconfirmedAnswer(take, whole::release));
-      } else {
-        take.run();
-      }
+      delivery.run();
     } catch (RuntimeException | Error failure) {
       listener.failed("connection-failed", "delivery", failure);
       context.close();
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointListener.java
@@ -36,6 +36,14 @@
    */
   void answerEnded(EndpointExchange exchange, HttpResponse head, UnconfirmedAnswer answer);
 
+  /**
+   * A complete answer ends within what may be the head of another one, which may have filled it.
+   * The connection reports the attempt as failed if the rest of a head follows.
+   *
+   * @param answer answer to take if nothing follows, or to drop; the receiver must do one of them
+   */
+  void answerInDoubt(EndpointExchange exchange, UnconfirmedAnswer answer);
+
   /**
    * Bytes arrived after the complete answer to the last request on a connection.
    *
--- a/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
@@ -2,7 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.zinniawood.core.frame.ForeignHead;
+import io.zinniawood.core.frame.ForeignHeadScanner;
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.function.Consumer;
 
 /**
@@ -76,18 +79,21 @@
    * Appends bytes to the buffer and emits each complete event.
    *
    * @param bytes bytes of the stream; not released
+   * @param repeatableIds ids of the requests whose responses may be repeated within the stream
    * @param events receives each event including its final blank line, and must release it
    * @return false if the incomplete event exceeds the maximum size, or if a second response follows
-   *     the events in place of one
+   *     the events or part of one
    */
-  public boolean split(ByteBuf bytes, Consumer<ByteBuf> events) {
+  public boolean split(ByteBuf bytes, Collection<String> repeatableIds, Consumer<ByteBuf> events) {
     pending.writeBytes(bytes);
     int end;
     while ((end = eventEnd()) >= 0) {
       scanIndex = end;
       int heldFrom = pending.readerIndex();
       ByteBuf block = pending.slice(heldFrom + heldBytes, end - heldFrom - heldBytes);
-      if (startsWith(block, 0, HTTP_VERSION)) {
+      if (startsWith(block, 0, HTTP_VERSION)
+          || ForeignHeadScanner.scan(block::getByte, block.readableBytes(), repeatableIds)
+              == ForeignHead.PRESENT) {
         return false;
       }
       long id = idOf(block);
--- a/relay/src/main/java/io/zinniawood/relay/internal/PlatformEffects.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/PlatformEffects.java
@@ -9,11 +9,11 @@
 /** Carries out the effects that call the platform or the other relays. */
 abstract class PlatformEffects implements RelayEffect.Visitor {
   private PlatformClient platform;
-  private RelayRuntime.PeerSender peers;
+  private PeerSender peers;
   private RelayState state;
 
   /** Sets the clients; must precede the first effect. */
-  void connect(PlatformClient client, RelayRuntime.PeerSender sender, RelayState relayState) {
+  void connect(PlatformClient client, PeerSender sender, RelayState relayState) {
     state = relayState;
     platform = client;
     peers = sender;
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -4,15 +4,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.frame.ForeignHead;
 import io.zinniawood.core.relay.AnswerSummary;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
-import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.EndpointStatement;
 import io.zinniawood.core.relay.LocalAnswer;
-import io.zinniawood.core.relay.PeerMessage;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayReducer;
@@ -24,7 +22,6 @@
 import io.zinniawood.relay.PlatformClient;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -36,7 +33,7 @@
 public final class RelayRuntime extends CallerEffects implements CallerListener, EndpointListener {
   private final RelayState state;
   private final MemoryBudget memory;
-  private final Listener listener;
+  private final RuntimeListener listener;
   private final RelayReducer reducer = new RelayReducer();
   private final EndpointConnectionPool connections;
   private final Deque<RelayEvent> pendingEvents = new ArrayDeque<>();
@@ -55,24 +52,13 @@
   /** Retry-After, in milliseconds, of a request that could not be decoded. */
   private static final long FAILURE_RETRY_MILLIS = 1_000;
 
-  /** Receives the effects that concern the process. */
-  public interface Listener {
-    /** The readiness changed. */
-    void readinessChanged(boolean ready);
-
-    /** No request is open after draining; the process may exit. */
-    void drained();
-
-    /** The reducer made a decision that is to be logged. */
-    void decisionMade(RelayEffect.LogDecision decision);
-
-    /** A stream advanced by one or more events with a new id. */
-    void streamAdvanced();
-  }
-
   /** Creates a runtime; {@link #start} must be called before the first event. */
   public RelayRuntime(
-      RelayState state, HeaderCodec codec, EventLoop loop, MemoryBudget memory, Listener listener) {
+      RelayState state,
+      HeaderCodec codec,
+      EventLoop loop,
+      MemoryBudget memory,
+      RuntimeListener listener) {
     super(codec);
     this.memory = memory;
     this.unsentStreams = new UnsentStreams(memory.account(MemoryUser.STREAMED_ANSWERS));
@@ -293,7 +279,7 @@
     long previousId = caller.splitter().lastId();
     boolean valid;
     try {
-      valid = caller.splitter().split(content, writer);
+      valid = caller.splitter().split(content, exchange.repeatableIds(), writer);
     } catch (RuntimeException | Error failure) {
       failed("effect-failed", "write-event", failure);
       breakOff(exchange);
@@ -370,6 +356,12 @@
       attemptFailed(exchange, AttemptFailureCause.INVALID_ANSWER);
       return;
     }
+    // A refusal counts by its head, and nothing else of it is relayed.
+    if (exchange.evidence().foreignHead() == ForeignHead.PRESENT && !summary.certainlyNotRun()) {
+      content.release();
+      attemptFailed(exchange, AttemptFailureCause.FOREIGN_HEAD);
+      return;
+    }
     if (exchange.callerExchange().headWritten() && summary.success()) {
       // The caller has part of a stream, which only a stream can continue.
       content.release();
@@ -393,20 +385,18 @@
             exchange.callerExchange().id(), exchange.attempt(), codec.summarize(head)));
   }
 
+  @Override
+  public void answerInDoubt(EndpointExchange exchange, UnconfirmedAnswer answer) {
+    if (exchange.ended()) {
+      answer.drop().run();
+      return;
+    }
+    exchange.holdForRestOfHead(answer, loop);
+  }
+
   @Override
   public void surplusReceived(EndpointExchange lastExchange, boolean answer) {
-    Decision surplus =
-        Decision.of(
-            "bytes-after-answer",
-            "request",
-            lastExchange.callerExchange().logId(),
-            "attempt",
-            lastExchange.attempt(),
-            "endpoint",
-            lastExchange.options().expectedEndpoint().value(),
-            "reason",
-            answer ? "answer" : "no-answer");
-    listener.decisionMade(new RelayEffect.LogDecision(surplus));
+    listener.decisionMade(new RelayEffect.LogDecision(lastExchange.surplus(answer)));
   }
 
   @Override
@@ -502,11 +492,4 @@
   public void logDecision(RelayEffect.LogDecision effect) {
     listener.decisionMade(effect);
   }
-
-  /** Sends messages to other relays. */
-  @FunctionalInterface
-  public interface PeerSender {
-    /** Sends a message to each of the addresses; it may get lost. */
-    void send(List<NodeAddress> receivers, PeerMessage message);
-  }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/UnconfirmedAnswer.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/UnconfirmedAnswer.java
@@ -1,8 +1,7 @@
 package io.zinniawood.relay.internal;
 
 /**
- * Answer that ended with its connection and is not known to be whole. Exactly one of its actions
- * must be run.
+ * Answer that has ended but is not known to be whole. Exactly one of its actions must be run.
  *
  * @param take treats the answer as complete
  * @param drop releases its content
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
@@ -169,7 +169,7 @@
     long sent = 0;
     boolean valid = true;
     while (valid && sent < ENDLESS_BYTES) {
-      valid = splitter.split(filler(), event -> {});
+      valid = splitter.split(filler(), List.of(), event -> {});
       sent += CHUNK_BYTES;
     }
     assertThat(sent, lessThanOrEqualTo((long) MAX_ANSWER_BYTES));
--- a/relay/src/test/java/io/zinniawood/relay/internal/EventStreamSplitterTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EventStreamSplitterTest.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
@@ -14,18 +15,31 @@
 
   private final EventStreamSplitter splitter = new EventStreamSplitter(0);
   private final StringBuilder relayed = new StringBuilder();
+  private boolean valid;
 
   private void split(String text) {
     ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
-    splitter.split(
-        bytes,
-        event -> {
-          relayed.append(event.toString(StandardCharsets.UTF_8));
-          event.release();
-        });
+    valid =
+        splitter.split(
+            bytes,
+            List.of("17"),
+            event -> {
+              relayed.append(event.toString(StandardCharsets.UTF_8));
+              event.release();
+            });
     bytes.release();
   }
 
+  // A stream cut within an event was ended by the head of its repeated response, as an event.
+  @Test
+  void eventThatAnotherHeadCompletesIsNotRelayed() {
+    split("id: 1\ndata: a\n\nid: 2\ndata: HTTP/1.1 200 OK\n\n");
+    assertThat(valid, is(true));
+    split("id: 3\ndata: bHTTP/1.1 200 OK\r\nAttempt-Id: 17\r\nContent-Length: 2\r\n\r\nok");
+    assertThat(valid, is(false));
+    assertThat(relayed.toString(), is("id: 1\ndata: a\n\nid: 2\ndata: HTTP/1.1 200 OK\n\n"));
+  }
+
   // Part of an event must not reach the caller, as the endpoint may fail before the event ends.
   @Test
   void buffersPartialEventUntilItsEnd() {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -78,6 +78,11 @@
     unconfirmed.add(answer);
   }
 
+  @Override
+  public void answerInDoubt(EndpointExchange exchange, UnconfirmedAnswer answer) {
+    exchange.hold(answer);
+  }
+
   @Override
   public void surplusReceived(EndpointExchange lastExchange, boolean answer) {
     surplus.add(answer ? "answer" : "no-answer");
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -56,7 +56,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Plays requests to a relay part of which fails with an exception. */
-final class RuntimeFailuresTest implements RelayRuntime.Listener {
+final class RuntimeFailuresTest implements RuntimeListener {
   private static final ServiceName SERVICE = new ServiceName("service");
 
   private static final StoreVersion VERSION = new StoreVersion(StoreEra.UNNAMED, 1);
--- a/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
@@ -33,7 +33,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Plays callers that do not take their answers. */
-final class SlowCallerTest implements RelayRuntime.Listener {
+final class SlowCallerTest implements RuntimeListener {
   private static final int LIMIT_BYTES = 1024 * 1024;
   private static final String REQUEST = "GET /first HTTP/1.1\r\nHost: host\r\n\r\n";
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
@@ -49,7 +49,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Plays streams that their endpoint breaks off, over real connections to the endpoint. */
-final class StreamHeadTest implements RelayRuntime.Listener {
+final class StreamHeadTest implements RuntimeListener {
   private static final ServiceName SERVICE = new ServiceName("service");
   private static final StoreVersion VERSION = new StoreVersion(StoreEra.UNNAMED, 1);
   private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(5);
