Relay: do not believe an end by its form alone shortly before the time limit

Callers saw a success whose endpoint recorded that it had reached its time limit: an endpoint that stops some milliseconds before the limit, as its timers are coarse, ends what it has of a 200 with a last chunk or with its connection.

The relay now leaves 20 ms for the endpoint's timers. An answer whose length is stated is not concerned.

FilledAnswerTest#endShortlyBeforeTheTimeLimitIsNotBelievedByItsFormAlone fails before (no failure where TIME_LIMIT is expected).

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -14,6 +14,9 @@
 
 /** One attempt to run a request on an endpoint. */
 public final class EndpointExchange {
+  /** Time before its limit at which an endpoint may stop, as its timers tick at 100 Hz or so. */
+  private static final long LIMIT_MARGIN_MILLIS = 20;
+
   /** Time in which the rest of a head follows a part of it, in milliseconds. */
   private static final long REST_OF_HEAD_MILLIS = 50;
 
@@ -119,9 +122,9 @@
     return options.deadlineMillis() - TimeUnit.NANOSECONDS.toMillis(elapsedNanos);
   }
 
-  /** Returns whether the time that the endpoint was given has passed. */
+  /** Returns whether the endpoint may have reached the limit of its time. */
   boolean timeLimitReached() {
-    return millisLeft() <= 0;
+    return sent && millisLeft() <= LIMIT_MARGIN_MILLIS;
   }
 
   /** Returns whether the reducer decided to relay the answer of this attempt. */
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -103,6 +103,7 @@
   /** Cancels the attempt; the endpoint stops running it when the connection is closed. */
   void cancel(ChannelHandlerContext context) {
     exchange = null;
+    heldBack = null;
     dropContent();
     context.close();
   }
--- a/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
@@ -36,6 +36,10 @@
   private EndpointExchange exchange;
 
   private void sendRequest(String id) {
+    sendRequest(id, 1_000);
+  }
+
+  private void sendRequest(String id, long limitMillis) {
     exchange =
         new EndpointExchange(
             null,
@@ -43,12 +47,13 @@
             new NodeAddress("10.0.0.1", 80),
             new SendOptions(
                 new EndpointId("e"),
-                1_000,
+                limitMillis,
                 Optional.empty(),
                 Optional.empty(),
                 0,
                 SendOptions.ConnectionUse.ANY,
                 false));
+    exchange.markSent();
     handler.beginExchange(exchange);
     handler.requestSent(
         new CallerRequest(
@@ -133,6 +138,27 @@
     assertThat(believed(), is(false));
   }
 
+  // An endpoint that stopped a few milliseconds before its limit ended its part of a 200 as whole.
+  @Test
+  void endShortlyBeforeTheTimeLimitIsNotBelievedByItsFormAlone() {
+    String chunked =
+        "HTTP/1.1 200 OK\r\nRequest-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "2\r\n{}\r\n0\r\n\r\n";
+    sendRequest("own", 20);
+    receive(chunked);
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.TIME_LIMIT)));
+
+    FilledAnswerTest early = new FilledAnswerTest();
+    early.sendRequest("own", 5_000);
+    early.receive(chunked);
+    assertThat(early.listener.answers, is(List.of(200)));
+
+    FilledAnswerTest counted = new FilledAnswerTest();
+    counted.sendRequest("own", 20);
+    counted.receive(head(2) + "{}");
+    assertThat(counted.listener.answers, is(List.of(200)));
+  }
+
   // A head without its first bytes passed for the head of an answer.
   @Test
   void headWithoutItsFirstByteIsNoAnswer() {
