Relay: a head that another head has completed is the head of no answer

An endpoint that broke off within the head of a first answer and then answered again on the connection gave one head with the status of the first answer and the fields and the body of the second: a 200 with two bytes, where the endpoint's record has the first answer as failed.

Cause: the decoder takes whatever stands between a status line and the next blank line for the fields of one answer; a reason phrase or a field that holds a status line passed, and on a new connection so did a head with two request ids.

Such a head now ends the attempt as invalid. FilledAnswerTest #headThatAnotherHeadCompletesIsNotBelieved cuts heads at each byte; before, a head that was cut after 'HTTP/1.1 200 ' was believed.

--- a/core/src/main/java/io/zinniawood/core/frame/ForeignHeadScanner.java
+++ b/core/src/main/java/io/zinniawood/core/frame/ForeignHeadScanner.java
@@ -35,6 +35,17 @@
     return new ForeignHeadScanner(byteAt, length, Set.copyOf(requestIds)).scan();
   }
 
+  /** Returns whether a text, such as a field of a head, holds the start of a status line. */
+  public static boolean holdsStatusLine(CharSequence text) {
+    ForeignHeadScanner scanner = new ForeignHeadScanner(text::charAt, text.length(), Set.of());
+    for (int index = 0; index + STATUS_LINE_BYTES <= text.length(); index++) {
+      if (scanner.mayBeStatusLine(index)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private ForeignHead scan() {
     int index = 0;
     while (index < end) {
--- a/relay/src/main/java/io/zinniawood/relay/AnsweredRequest.java
+++ b/relay/src/main/java/io/zinniawood/relay/AnsweredRequest.java
@@ -6,6 +6,8 @@
   OWN,
   /** Another request; the answer is an extra or late one. */
   OTHER,
-  /** Unknown, as the answer carries no request id or several. */
-  UNIDENTIFIED
+  /** Unknown, as the answer carries no request id. */
+  UNIDENTIFIED,
+  /** Several; the head of another answer has completed the head. */
+  AMBIGUOUS
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -151,10 +151,18 @@
     }
   }
 
-  /** The decoder accepts other protocol names, such as that of a head that lacks its first byte. */
+  /**
+   * Returns whether a head is one of HTTP and of one answer only. The decoder also accepts a head
+   * that lacks its first byte, and one whose rest is the head of another answer.
+   */
   private static boolean isWellFormed(HttpResponse response) {
     return response.decoderResult().isSuccess()
-        && response.protocolVersion().protocolName().equals("HTTP");
+        && response.protocolVersion().protocolName().equals("HTTP")
+        && !ForeignHeadScanner.holdsStatusLine(response.status().reasonPhrase())
+        && response.headers().entries().stream()
+            .noneMatch(
+                field ->
+                    ForeignHeadScanner.holdsStatusLine(field.getKey() + " " + field.getValue()));
   }
 
   private void handleHead(ChannelHandlerContext context, HttpResponse response) {
@@ -174,7 +182,8 @@
       return;
     }
     // It may be an answer to an earlier request once more, so it proves nothing about this one.
-    if (answered == AnsweredRequest.UNIDENTIFIED && carriedEarlierRequest) {
+    if (answered == AnsweredRequest.AMBIGUOUS
+        || (answered == AnsweredRequest.UNIDENTIFIED && carriedEarlierRequest)) {
       fail(context, AttemptFailureCause.INVALID_ANSWER);
       return;
     }
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -38,7 +38,7 @@
   public AnsweredRequest answeredRequest(EndpointExchange exchange, HttpResponse head) {
     List<String> ids = head.headers().getAll(ID_HEADER);
     if (ids.size() != 1) {
-      return AnsweredRequest.UNIDENTIFIED;
+      return ids.isEmpty() ? AnsweredRequest.UNIDENTIFIED : AnsweredRequest.AMBIGUOUS;
     }
     return OWN_ID.equals(ids.get(0)) ? AnsweredRequest.OWN : AnsweredRequest.OTHER;
   }
--- a/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
@@ -159,6 +159,24 @@
     assertThat(counted.listener.answers, is(List.of(200)));
   }
 
+  // A first answer that was cut within its head became whole with the head of the second answer.
+  @Test
+  void headThatAnotherHeadCompletesIsNotBelieved() {
+    for (String status : List.of("200 OK", "500 Failed")) {
+      for (String framing : List.of("Content-Length: 300", "Transfer-Encoding: chunked", "X: y")) {
+        String head =
+            "HTTP/1.1 %s\r\n%s\r\nRequest-Id: own\r\nSignature: s\r\n\r\n"
+                .formatted(status, framing);
+        for (int cut = 1; cut < head.length(); cut++) {
+          FilledAnswerTest play = new FilledAnswerTest();
+          play.sendRequest("own");
+          play.receive(head.substring(0, cut) + REPETITION);
+          assertThat(head.substring(0, cut), play.listener.answers, empty());
+        }
+      }
+    }
+  }
+
   // A head without its first bytes passed for the head of an answer.
   @Test
   void headWithoutItsFirstByteIsNoAnswer() {
