Log: keep room for lines that tell of a suspicious answer

Cause: the rate limit and the bound of the queue treat all lines alike, so that ordinary lines take the place of those that an incident is traced by.

A decision now carries whether it is evidence, by the rule in SuspiciousAnswers. Evidence has 200 lines a second and 1,024 queued lines beyond the bounds of ordinary lines. Both stay bounded, callers do not block, and dropped lines are counted as before.

Ends of the process still lose queued lines: SIGKILL, and a stop whose reader does not read.

--- a/core/src/main/java/io/zinniawood/core/relay/AnswerConfirmation.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerConfirmation.java
@@ -42,7 +42,8 @@
       askForSign(turn, open);
       return;
     }
-    turn.log(
+    turn.logWithEvidence(
+        true,
         "answer-end-checked",
         "request",
         open.logId(),
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptFailureCause.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptFailureCause.java
@@ -1,5 +1,7 @@
 package io.zinniawood.core.relay;
 
+import java.util.Locale;
+
 /** Why an attempt ended without a complete answer. The names appear in the decision log. */
 public enum AttemptFailureCause {
   /** No byte of the request was sent, so it certainly did not run. */
@@ -18,5 +20,10 @@
   /** The answer violates the protocol or belongs to another request. */
   INVALID_ANSWER,
   /** The relay itself failed; the request must end at once. */
-  INTERNAL_FAILURE
+  INTERNAL_FAILURE;
+
+  /** Returns the name in the decision log. */
+  String logName() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -1,7 +1,6 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.fleet.TrackedEndpoint;
-import java.util.Locale;
 import java.util.Optional;
 
 /** Handles the end of an attempt: relays the answer, retries, resumes or refuses the request. */
@@ -126,7 +125,7 @@
     }
     open.lastEventId = Math.max(open.lastEventId, event.lastEventId());
     open.headRelayed |= event.lastEventId() > open.request.resumeAfter();
-    String reason = event.cause().name().toLowerCase(Locale.ROOT).replace('_', '-');
+    String reason = event.cause().logName();
     if (event.cause() == AttemptFailureCause.INTERNAL_FAILURE) {
       if (open.target.isPresent()) {
         endAttempt(turn, open, reason);
@@ -274,7 +273,8 @@
 
   /** Logs and cancels the current attempt; the request stays open. */
   static void endAttempt(RelayTurn turn, OpenRequest open, String reason) {
-    turn.log(
+    turn.logWithEvidence(
+        SuspiciousAnswers.isReason(reason),
         "attempt-ended",
         "request",
         open.logId(),
@@ -303,7 +303,9 @@
 
   /** Logs the outcome of a request and removes it. */
   static void complete(RelayTurn turn, OpenRequest open, String outcome, String reason) {
-    turn.log(
+    turn.logWithEvidence(
+        SuspiciousAnswers.isReason(reason)
+            || open.evidence.filter(SuspiciousAnswers::isUnusual).isPresent(),
         "request-ended",
         "request",
         open.logId(),
--- a/core/src/main/java/io/zinniawood/core/relay/Decision.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Decision.java
@@ -8,8 +8,10 @@
  *
  * @param event event name, stable across versions
  * @param fields alternating names and values; values are strings, numbers or booleans
+ * @param evidence whether the entry tells of an answer that may be cut or another's; the log keeps
+ *     room for such entries
  */
-public record Decision(String event, List<Object> fields) {
+public record Decision(String event, List<Object> fields, boolean evidence) {
   /**
    * Creates an entry from alternating names and values.
    *
@@ -21,6 +23,11 @@
           "decision log event %s: expected name-value pairs, found %d elements"
               .formatted(event, namesAndValues.length));
     }
-    return new Decision(event, Arrays.asList(namesAndValues));
+    return new Decision(event, Arrays.asList(namesAndValues), false);
+  }
+
+  /** Returns the entry with the given value of {@link #evidence}. */
+  public Decision withEvidence(boolean value) {
+    return new Decision(event, fields, value);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayTurn.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayTurn.java
@@ -23,6 +23,12 @@
     effects.add(new RelayEffect.LogDecision(Decision.of(event, namesAndValues)));
   }
 
+  /** Logs an entry and states whether it tells of an answer that may be cut or another's. */
+  void logWithEvidence(boolean evidence, String event, Object... namesAndValues) {
+    effects.add(
+        new RelayEffect.LogDecision(Decision.of(event, namesAndValues).withEvidence(evidence)));
+  }
+
   List<RelayEffect> effects() {
     return effects;
   }
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -163,7 +163,11 @@
 
   private void logDecision(Decision decision) {
     metrics.countDecision(decision);
-    log.add(decision.event(), decision.fields());
+    if (decision.evidence()) {
+      log.addEvidence(decision.event(), decision.fields());
+    } else {
+      log.add(decision.event(), decision.fields());
+    }
   }
 
   /** Starts draining: fails readiness, completes open requests, then stops. */
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -14,9 +14,6 @@
 
 /** One attempt to run a request on an endpoint. */
 public final class EndpointExchange {
-  /** Time before its limit at which an endpoint may stop, as its timers tick at 100 Hz or so. */
-  private static final long LIMIT_MARGIN_MILLIS = 20;
-
   /** Time in which the rest of a head follows a part of it, in milliseconds. */
   private static final long REST_OF_HEAD_MILLIS = 50;
 
@@ -124,7 +121,7 @@
 
   /** Returns whether the endpoint may have reached the limit of its time. */
   boolean timeLimitReached() {
-    return sent && millisLeft() <= LIMIT_MARGIN_MILLIS;
+    return sent && millisLeft() <= AnswerEvidence.LIMIT_MARGIN_MILLIS;
   }
 
   /** Returns whether the reducer decided to relay the answer of this attempt. */
@@ -161,15 +158,16 @@
    */
   Decision surplus(boolean answer) {
     return Decision.of(
-        "bytes-after-answer",
-        "request",
-        callerExchange.logId(),
-        "attempt",
-        attempt,
-        "endpoint",
-        options.expectedEndpoint().value(),
-        "reason",
-        answer ? "answer" : "no-answer");
+            "bytes-after-answer",
+            "request",
+            callerExchange.logId(),
+            "attempt",
+            attempt,
+            "endpoint",
+            options.expectedEndpoint().value(),
+            "reason",
+            answer ? "answer" : "no-answer")
+        .withEvidence(true);
   }
 
   HttpResponse streamHead() {
--- a/telemetry/src/main/java/io/zinniawood/telemetry/DecisionLog.java
+++ b/telemetry/src/main/java/io/zinniawood/telemetry/DecisionLog.java
@@ -16,7 +16,8 @@
 /**
  * Asynchronous log that writes one JSON line for each event. Callers never block: a background
  * thread writes the lines from a bounded queue. Lines that exceed the queue or the rate limit are
- * dropped, and the writer logs how many were dropped.
+ * dropped, and the writer logs how many were dropped. Both bounds leave room for evidence, the
+ * lines that an incident is traced by, when they admit no ordinary line any more.
  */
 public final class DecisionLog implements AutoCloseable {
   /** Capacity of the queue in lines. */
@@ -25,6 +26,12 @@
   /** About three times the expected rate of 10 lines for each of 64 requests per second. */
   static final int MAX_LINES_PER_SECOND = 2_000;
 
+  /** Additional capacity of the queue for evidence, in lines. */
+  static final int QUEUED_EVIDENCE_LINES = 1_024;
+
+  /** Additional lines of evidence in a second that has used up the limit. */
+  static final int EVIDENCE_LINES_PER_SECOND = 200;
+
   private static final long NANOS_PER_SECOND = 1_000_000_000;
 
   /** Interval between two writes, so that lines are written in batches. */
@@ -78,9 +85,30 @@
    * @param fields alternating field names and values
    */
   public void add(String event, List<Object> fields) {
+    add(event, fields, MAX_QUEUED_LINES, MAX_LINES_PER_SECOND);
+  }
+
+  /**
+   * Queues a line of evidence, which has room where ordinary lines are dropped, or drops it if that
+   * room is used up as well.
+   *
+   * @param event name of the event
+   * @param fields alternating field names and values
+   */
+  public void addEvidence(String event, List<Object> fields) {
+    add(
+        event,
+        fields,
+        MAX_QUEUED_LINES + QUEUED_EVIDENCE_LINES,
+        MAX_LINES_PER_SECOND + EVIDENCE_LINES_PER_SECOND);
+  }
+
+  private void add(String event, List<Object> fields, int maxQueuedLines, int maxLinesPerSecond) {
     lock.lock();
     try {
-      if (withinRateLimit() && queue.size() < MAX_QUEUED_LINES) {
+      startSecondIfDue();
+      if (linesInSecond < maxLinesPerSecond && queue.size() < maxQueuedLines) {
+        linesInSecond++;
         queue.addLast(new Line(clock.get(), event, fields));
       } else {
         droppedLines++;
@@ -101,14 +129,12 @@
     }
   }
 
-  private boolean withinRateLimit() {
+  private void startSecondIfDue() {
     long nowNanos = nanoClock.getAsLong();
     if (nowNanos - secondStartNanos >= NANOS_PER_SECOND) {
       secondStartNanos = nowNanos;
       linesInSecond = 0;
     }
-    linesInSecond++;
-    return linesInSecond <= MAX_LINES_PER_SECOND;
   }
 
   private void runWriter() {
--- a/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
+++ b/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -99,6 +100,70 @@
     assertThat(log.droppedLines(), is(7L));
   }
 
+  // Under overload the lines of an incident were dropped with the ordinary ones.
+  @Test
+  void evidenceIsWrittenAlthoughOrdinaryLinesExceedTheRateLimit() {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    DecisionLog log = new DecisionLog(output, () -> TIME, () -> 0);
+    for (int line = 0; line < DecisionLog.MAX_LINES_PER_SECOND + 7; line++) {
+      log.add("event", List.of());
+    }
+    log.addEvidence("bytes-after-answer", List.of("request", "r"));
+    log.add("event", List.of());
+    log.close();
+    assertThat(output.toString(StandardCharsets.UTF_8), containsString("\"request\":\"r\""));
+    assertThat(log.droppedLines(), is(8L));
+  }
+
+  // A reader that had stopped for a while lost the lines of an incident with the ordinary ones.
+  @Test
+  void evidenceIsWrittenAlthoughTheQueueIsFull() {
+    BlockedOutput output = new BlockedOutput();
+    long[] nowNanos = {0};
+    DecisionLog log = new DecisionLog(output, () -> TIME, () -> nowNanos[0]);
+    for (int line = 0; line < 30_000; line++) {
+      nowNanos[0] += 1_000_000;
+      log.add("event", List.of("line", line));
+    }
+    log.addEvidence("bytes-after-answer", List.of("request", "r"));
+    output.released.countDown();
+    log.close();
+    assertThat(
+        output.written.toString(StandardCharsets.UTF_8), containsString("\"request\":\"r\""));
+  }
+
+  // An endpoint that answers twice without end must not fill the memory or the disk.
+  @Test
+  void evidenceIsBoundedAndItsDropsAreReported() {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    DecisionLog log = new DecisionLog(output, () -> TIME, () -> 0);
+    int written = DecisionLog.MAX_LINES_PER_SECOND + DecisionLog.EVIDENCE_LINES_PER_SECOND;
+    for (int line = 0; line < written + 7; line++) {
+      log.addEvidence("bytes-after-answer", List.of());
+    }
+    log.close();
+    String text = output.toString(StandardCharsets.UTF_8);
+    assertThat(log.droppedLines(), is(7L));
+    assertThat(text, containsString("\"event\":\"log-lines-dropped\",\"lines\":7}"));
+    assertThat(text.lines().count(), is(written + 1L));
+  }
+
+  // An endpoint that answers twice must not push the queue beyond its bound while a reader stops.
+  @Test
+  void queuedEvidenceIsBounded() {
+    BlockedOutput output = new BlockedOutput();
+    long[] nowNanos = {0};
+    DecisionLog log = new DecisionLog(output, () -> TIME, () -> nowNanos[0]);
+    for (int line = 0; line < 30_000; line++) {
+      nowNanos[0] += 1_000_000;
+      log.addEvidence("bytes-after-answer", List.of());
+    }
+    int queued = DecisionLog.MAX_QUEUED_LINES + DecisionLog.QUEUED_EVIDENCE_LINES;
+    assertThat(log.droppedLines(), greaterThanOrEqualTo(30_000L - 2 * queued));
+    output.released.countDown();
+    log.close();
+  }
+
   // Each event must be one line of valid JSON, whatever request id a caller sends.
   @Test
   void fieldsAreEscaped() {
