Scanner of foreign heads: find the id in a line that the body ends in

An answer that broke off and whose repetition filled its length up to the end of the id, or up to the CR after it, with the id in the last field, reached the caller as a whole 200. What follows is a blank line and a body without a line end, for which the decoder reports no message, so that the answer was taken after its hold. The scanner compared only whole lines.

--- a/core/src/main/java/io/zinniawood/core/frame/ForeignHeadScanner.java
+++ b/core/src/main/java/io/zinniawood/core/frame/ForeignHeadScanner.java
@@ -60,13 +60,16 @@
       String line;
       do {
         headEnd = lineEnd(headEnd) + 1;
-        if (headEnd >= end || lineEnd(headEnd) == end) {
+        if (headEnd >= end) {
           return ForeignHead.POSSIBLE;
         }
         line = text(headEnd, lineEnd(headEnd));
         if (requestIds.contains(line.substring(line.indexOf(':') + 1).strip())) {
           return ForeignHead.PRESENT;
         }
+        if (lineEnd(headEnd) == end) {
+          return ForeignHead.POSSIBLE;
+        }
       } while (!line.isEmpty());
       // Other status lines before the blank line have the same fields after them.
       index = headEnd;
--- a/core/src/test/java/io/zinniawood/core/frame/ForeignHeadScannerTest.java
+++ b/core/src/test/java/io/zinniawood/core/frame/ForeignHeadScannerTest.java
@@ -20,7 +20,7 @@
   // Guards against a cut body that its repeated response fills up to any byte.
   @Test
   void partsOfRepetitionsAreFound() {
-    int idEnd = REPETITION.indexOf("17\r\n") + 4;
+    int idEnd = REPETITION.indexOf("17\r\n") + 2;
     for (int filled = 1; filled <= REPETITION.length(); filled++) {
       String part = REPETITION.substring(0, filled);
       assertThat(
--- a/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
@@ -94,6 +94,18 @@
     }
   }
 
+  // A rest without a line end reached the decoder, which reported nothing of it.
+  @Test
+  void answerFilledUpToTheIdInTheLastFieldIsNotBelieved() {
+    String repetition = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: own\r\n\r\nok";
+    for (int missing = 1; missing <= repetition.length(); missing++) {
+      FilledAnswerTest play = new FilledAnswerTest();
+      play.sendRequest("own");
+      play.receive(head(BROKEN_OFF.length() + missing) + BROKEN_OFF + repetition);
+      assertThat("missing " + missing, play.believed(), is(false));
+    }
+  }
+
   // The same, where the rest of the repetition comes in a read of its own.
   @Test
   void answerFilledByItsRepetitionIsNotBelievedWhenTheRestFollows() {
