Relay: end the answer to a HEAD request with its head

Callers of HEAD got 504 at the deadline, or an answer whose body was made of what followed on the connection: the decoder does not know the method and waited for the length that the head states. Callers that got through were told a length of 0 for HEAD and for 304.

A HEAD request now has a connection of its own whose decoder expects no body, and its answer needs no sign of life. The caller gets the endpoint's own Content-Length. The end of a 204 or 304 is told by the status, also where the head states chunks.

HeadRequestTest failed before: answerToHeadRequestEndsWithItsHead: Content-Length: 5 Expected: is <[200]> but: was <[]> headRequestHasConnectionOfItsOwn: SocketTimeoutException: Accept timed out callerGetsTheLengthThatTheEndpointStatedForHead, ...In304: but: was "... content-length: 0" The tests of local answers to HEAD, also with Expect: 100-continue, passed before.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswers.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswers.java
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -81,12 +83,21 @@
     return response;
   }
 
-  /** Returns an endpoint's complete answer. */
-  static FullHttpResponse full(HttpResponse upstream, ByteBuf content) {
+  /** Returns an endpoint's complete answer to a request. */
+  static FullHttpResponse full(HttpRequest request, HttpResponse upstream, ByteBuf content) {
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, upstream.status(), content);
     HopByHopHeaders.copyEndToEnd(upstream.headers(), response.headers());
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    if (HttpMethod.HEAD.equals(request.method())
+        || upstream.status().equals(HttpResponseStatus.NOT_MODIFIED)) {
+      // The length is that of the body which another request or status would have brought.
+      String length = upstream.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+      if (length != null) {
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+      }
+    } else {
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    }
     return response;
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -288,7 +288,7 @@
 
   /** Writes an endpoint's complete answer and takes ownership of its content. */
   public void writeFullAnswer(HttpResponse upstream, ByteBuf content) {
-    FullHttpResponse response = CallerAnswers.full(upstream, content);
+    FullHttpResponse response = CallerAnswers.full(exchange.head(), upstream, content);
     setCloseHeader(response);
     write(response);
     finishExchange();
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -61,9 +62,13 @@
     this.listener = listener;
   }
 
-  /** Sends a request on a pooled connection, if the options allow it, or on a new one. */
+  /**
+   * Sends a request on a pooled connection, if the options allow it, or on a new one. A HEAD
+   * request has a connection of its own, as its answer is framed like no other.
+   */
   public void send(EndpointExchange exchange, HttpRequest head) {
-    if (exchange.options().connection() == SendOptions.ConnectionUse.ANY) {
+    boolean headRequest = HttpMethod.HEAD.equals(head.method());
+    if (!headRequest && exchange.options().connection() == SendOptions.ConnectionUse.ANY) {
       Channel channel = takePooled(exchange.address(), exchange.callerExchange().request());
       if (channel != null) {
         write(exchange, channel, head);
@@ -77,7 +82,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(new Initializer())
+            .handler(new Initializer(headRequest))
             .connect(exchange.address().host(), exchange.address().port());
     exchange.channel(connected.channel());
     connected.addListener(
@@ -206,13 +211,19 @@
   }
 
   private final class Initializer extends ChannelInitializer<Channel> {
+    private final boolean headRequest;
+
+    Initializer(boolean headRequest) {
+      this.headRequest = headRequest;
+    }
+
     @Override
     protected void initChannel(Channel channel) {
       channel
           .pipeline()
           .addLast(new ConnectionEnd())
           .addLast(new HttpRequestEncoder())
-          .addLast(new HttpResponseDecoder())
+          .addLast(headRequest ? new HeadAnswerDecoder() : new HttpResponseDecoder())
           .addLast(new EndpointHandler(listener, EndpointConnectionPool.this, memory));
     }
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -181,9 +182,12 @@
     head = response;
     boolean framed =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-    reusable = framed && HttpUtil.isKeepAlive(response);
+    boolean headRequest = HeadAnswerDecoder.decodes(context.channel());
+    reusable = framed && HttpUtil.isKeepAlive(response) && !headRequest;
     streaming =
-        exchange.options().streaming() && response.status().codeClass() == HttpStatusClass.SUCCESS;
+        exchange.options().streaming()
+            && !headRequest
+            && response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (streaming && !EVENT_STREAM.equalsIgnoreCase(mediaType(response))) {
       fail(context, AttemptFailureCause.INVALID_ANSWER);
     } else if (streaming) {
@@ -240,7 +244,10 @@
       fail(context, AttemptFailureCause.CONNECTION_LOST);
       return;
     }
-    AnswerEvidence.End end = endOf(answered, connection);
+    AnswerEvidence.End end =
+        HeadAnswerDecoder.decodes(context.channel())
+            ? AnswerEvidence.End.STATUS
+            : endOf(answered, connection);
     boolean mayBeCut = end == AnswerEvidence.End.LAST_CHUNK || end == AnswerEvidence.End.CONNECTION;
     if (mayBeCut
         && answered.status().codeClass() == HttpStatusClass.SUCCESS
@@ -320,6 +327,10 @@
   }
 
   private static AnswerEvidence.End endOf(HttpResponse answer, ConnectionEnd.State connection) {
+    if (answer.status().equals(HttpResponseStatus.NO_CONTENT)
+        || answer.status().equals(HttpResponseStatus.NOT_MODIFIED)) {
+      return AnswerEvidence.End.STATUS;
+    }
     if (HttpUtil.isTransferEncodingChunked(answer)) {
       return AnswerEvidence.End.LAST_CHUNK;
     }
