Relay: refuse requests with a transfer coding other than chunks

A request with "Transfer-Encoding: gzip, chunked" reached endpoints as gzip bytes without the field that says so: the decoder takes off the chunks, and the field concerns one connection only. It is refused with 400 and its connection closes, as is any other coding.

CallerFramingTest plays requests whose framing can be read in two ways (RFC 9112). One case failed before: [16] Transfer-Encoding: gzip, chunked: Expected: an empty collection but: <[/first]> The other cases passed before.

--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -198,7 +198,7 @@
 
   private boolean beginRequest(HttpRequest request) {
     headStarted = false;
-    if (request.decoderResult().isFailure()) {
+    if (request.decoderResult().isFailure() || TransferCodings.hasOther(request.headers())) {
       Throwable cause = request.decoderResult().cause();
       boolean tooLong =
           cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
