Relay: do not believe answers with a transfer coding other than chunks

Callers got the bytes of an answer with "Transfer-Encoding: gzip, chunked", or with an unknown coding beside a length, as a whole 200: the decoder takes off the chunks alone and the field is not passed on. Such a head is now an invalid answer.

AnswerFramingTest plays answers with wrong chunks and ambiguous lengths. These failed before: Transfer-Encoding: gzip, chunked: Expected: an empty collection but: <[200]> Transfer-Encoding: xchunked with Content-Length: 3: Expected: an empty collection but: <[200]> The other cases passed before: the decoder already refuses junk between chunks, line ends other than CRLF, and a status line as a chunk or trailer.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -154,7 +154,7 @@
   }
 
   private void handleHead(ChannelHandlerContext context, HttpResponse response) {
-    if (!ResponseHeads.isWellFormed(response)) {
+    if (!ResponseHeads.isWellFormed(response) || TransferCodings.hasOther(response.headers())) {
       boolean closed = response.decoderResult().cause() instanceof PrematureChannelClosureException;
       fail(
           context,
