--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -198,7 +198,7 @@
 
   private boolean beginRequest(HttpRequest request) {
     headStarted = false;
-    if (request.decoderResult().isFailure()) {
+    if (request.decoderResult().isFailure() || TransferCodings.hasOther(request.headers())) {
       Throwable cause = request.decoderResult().cause();
       boolean tooLong =
           cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
@@ -288,7 +288,7 @@
 
   /** Writes an endpoint's complete answer and takes ownership of its content. */
   public void writeFullAnswer(HttpResponse upstream, ByteBuf content) {
-    FullHttpResponse response = CallerAnswers.full(upstream, content);
+    FullHttpResponse response = CallerAnswers.full(exchange.head(), upstream, content);
     setCloseHeader(response);
     write(response);
     finishExchange();
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -133,7 +134,8 @@
 
   /** Closes the connection, as what follows a complete answer belongs to no request. */
   private void receiveSurplus(ChannelHandlerContext context, Object message) {
-    boolean answer = message instanceof HttpResponse response && isWellFormed(response);
+    boolean answer =
+        message instanceof HttpResponse response && ResponseHeads.isWellFormed(response);
     if (lastExchange != null && !surplusReported) {
       surplusReported = true;
       listener.surplusReceived(lastExchange, answer);
@@ -151,22 +153,8 @@
     }
   }
 
-  /**
-   * Returns whether a head is one of HTTP and of one answer only. The decoder also accepts a head
-   * that lacks its first byte, and one whose rest is the head of another answer.
-   */
-  private static boolean isWellFormed(HttpResponse response) {
-    return response.decoderResult().isSuccess()
-        && response.protocolVersion().protocolName().equals("HTTP")
-        && !ForeignHeadScanner.holdsStatusLine(response.status().reasonPhrase())
-        && response.headers().entries().stream()
-            .noneMatch(
-                field ->
-                    ForeignHeadScanner.holdsStatusLine(field.getKey() + " " + field.getValue()));
-  }
-
   private void handleHead(ChannelHandlerContext context, HttpResponse response) {
-    if (!isWellFormed(response)) {
+    if (!ResponseHeads.isWellFormed(response) || TransferCodings.hasOther(response.headers())) {
       boolean closed = response.decoderResult().cause() instanceof PrematureChannelClosureException;
       fail(
           context,
@@ -190,9 +178,12 @@
     head = response;
     boolean framed =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-    reusable = framed && HttpUtil.isKeepAlive(response);
+    boolean headRequest = HeadAnswerDecoder.decodes(context.channel());
+    reusable = framed && HttpUtil.isKeepAlive(response) && !headRequest;
     streaming =
-        exchange.options().streaming() && response.status().codeClass() == HttpStatusClass.SUCCESS;
+        exchange.options().streaming()
+            && !headRequest
+            && response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (streaming && !EVENT_STREAM.equalsIgnoreCase(mediaType(response))) {
       fail(context, AttemptFailureCause.INVALID_ANSWER);
     } else if (streaming) {
@@ -249,7 +240,10 @@
       fail(context, AttemptFailureCause.CONNECTION_LOST);
       return;
     }
-    AnswerEvidence.End end = endOf(answered, connection);
+    AnswerEvidence.End end =
+        HeadAnswerDecoder.decodes(context.channel())
+            ? AnswerEvidence.End.STATUS
+            : endOf(answered, connection);
     boolean mayBeCut = end == AnswerEvidence.End.LAST_CHUNK || end == AnswerEvidence.End.CONNECTION;
     if (mayBeCut
         && answered.status().codeClass() == HttpStatusClass.SUCCESS
@@ -329,6 +323,10 @@
   }
 
   private static AnswerEvidence.End endOf(HttpResponse answer, ConnectionEnd.State connection) {
+    if (answer.status().equals(HttpResponseStatus.NO_CONTENT)
+        || answer.status().equals(HttpResponseStatus.NOT_MODIFIED)) {
+      return AnswerEvidence.End.STATUS;
+    }
     if (HttpUtil.isTransferEncodingChunked(answer)) {
       return AnswerEvidence.End.LAST_CHUNK;
     }
