Store client: do not take a repeated answer for the next one

Requests to the platform now carry an id in Request-Id, which the store repeats (docs/standins.md; the stand-ins do). A response that names another request is lost. A response without an id is believed only on a connection that has carried no other request, and connections are kept only until a response lacks its id. So a store that names requests costs no connects, and another one costs a connect a call.

RepeatedStoreAnswerTest#repeatedAnswerIsNotTheValueOfAnotherRow failed before (expected "second", was "first"), and passes. Its server moves to standin as RepeatingServer, with the same assertions. A second test has a store that names its requests.

--- a/http/src/main/java/io/zinniawood/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -43,6 +43,19 @@
     this(base, settings, ResponseMemory.ofProcess());
   }
 
+  /**
+   * Creates an instance that gives each request an id in {@code Request-Id}. Connections are kept
+   * only for servers that repeat the id in their responses, and a response to another request
+   * counts as lost.
+   *
+   * @param base client whose connection pool and threads are shared
+   * @param settings connect timeout and limits
+   */
+  public static HttpCalls withRequestIds(OkHttpClient base, HttpCallSettings settings) {
+    return new HttpCalls(
+        base.newBuilder().addNetworkInterceptor(new ResponseIdCheck()).build(), settings);
+  }
+
   /**
    * Creates an instance that sends each request on a connection of its own. A server may write a
    * response a second time; on a connection that is used again, OkHttp would take the repetition
@@ -215,6 +228,9 @@
         }
         result = new HttpResult.ResponseLost(call.request().url().redact() + ": " + e);
       }
+      if (monitor.connectionUnfit()) {
+        client.connectionPool().evictAll();
+      }
       callsInProgress.decrementAndGet();
       future.complete(result);
     }
--- a/http/src/main/java/io/zinniawood/http/SendMonitor.java
+++ b/http/src/main/java/io/zinniawood/http/SendMonitor.java
@@ -11,6 +11,7 @@
   private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
   private volatile List<String> retryAfter = List.of();
   private volatile boolean sendFailed;
+  private volatile boolean connectionUnfit;
   private volatile ResponseEnd responseEnd = ResponseEnd.STATED;
 
   private enum State {
@@ -47,6 +48,16 @@
     return sendFailed;
   }
 
+  /** Records that the connection of the request must carry no other request. */
+  void setConnectionUnfit() {
+    connectionUnfit = true;
+  }
+
+  /** Returns whether the connection of the request must carry no other request. */
+  boolean connectionUnfit() {
+    return connectionUnfit;
+  }
+
   /** Stores how the response ends. */
   void setResponseEnd(ResponseEnd end) {
     responseEnd = end;
--- a/standin/src/main/java/io/zinniawood/standin/http/StandInServer.java
+++ b/standin/src/main/java/io/zinniawood/standin/http/StandInServer.java
@@ -26,6 +26,7 @@
   /** Request bodies above this size in bytes are buffered in a temporary file, which is slow. */
   private static final int BODY_MEMORY_BYTES = 1 << 20;
 
+  private static final String REQUEST_ID = "Request-Id";
   private static final String ALIVE_PATH = "/control/alive";
   private static final long MAX_STOP_NANOS = 5_000_000_000L;
 
@@ -67,6 +68,10 @@
       channel.closeFuture().addListener(closed -> channels.remove(channel));
     }
     Exchange exchange = new Exchange(context, context.body().bytes(), timer);
+    String requestId = exchange.header(REQUEST_ID);
+    if (!requestId.isEmpty()) {
+      exchange.responseHeader(REQUEST_ID, requestId);
+    }
     return context.detach(
         detached -> {
           exchange.handleWith(handler);
--- a/store/src/main/java/io/zinniawood/store/http/HttpPlatform.java
+++ b/store/src/main/java/io/zinniawood/store/http/HttpPlatform.java
@@ -52,7 +52,7 @@
             settings.connectTimeoutMillis(),
             settings.maxResponseBytes(),
             settings.maxConcurrentCalls());
-    HttpCalls calls = new HttpCalls(client, callSettings);
+    HttpCalls calls = HttpCalls.withRequestIds(client, callSettings);
     ConfirmedCalls confirmed = new ConfirmedCalls(calls, client, callSettings);
     NewestStoreEra era = new NewestStoreEra();
     this.table = new HttpTable(baseUrl, createCalls(calls, confirmed, settings, era, "table"), era);
--- a/store/src/test/java/io/zinniawood/store/http/RepeatedStoreAnswerTest.java
+++ b/store/src/test/java/io/zinniawood/store/http/RepeatedStoreAnswerTest.java
@@ -1,70 +1,67 @@
 package io.zinniawood.store.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.net.URI;
-import java.nio.charset.StandardCharsets;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.zinniawood.standin.http.RepeatingServer;
+import io.zinniawood.store.PlatformError;
+import io.zinniawood.store.TableRow;
 import java.util.concurrent.TimeUnit;
 import okhttp3.OkHttpClient;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Plays a store that writes its answer a second time. */
 final class RepeatedStoreAnswerTest {
-  private static void answerTwice(Socket connection) {
-    try (connection) {
-      BufferedReader reader =
-          new BufferedReader(
-              new InputStreamReader(connection.getInputStream(), StandardCharsets.US_ASCII));
-      for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-        if (line.startsWith("GET ")) {
-          String key = line.split("[ =]")[2];
-          String answer =
-              "HTTP/1.1 200 OK\r\nETag: \"1\"\r\nContent-Length: %d\r\n\r\n%s"
-                  .formatted(key.length(), key);
-          connection.getOutputStream().write((answer + answer).getBytes(StandardCharsets.US_ASCII));
-        }
-      }
-    } catch (IOException closed) {
-      // The client closed the connection.
-    }
+  private final OkHttpClient client = new OkHttpClient();
+
+  @AfterEach
+  void stop() {
+    client.dispatcher().executorService().shutdown();
+    client.connectionPool().evictAll();
+  }
+
+  private static String answer(RepeatingServer.Head request, String fields) {
+    String key = request.target().split("=", -1)[1];
+    return "HTTP/1.1 200 OK\r\nETag: \"1\"\r\n%sContent-Length: %d\r\n\r\n%s"
+        .formatted(fields, key.length(), key);
+  }
+
+  private static String value(HttpPlatform platform, String key) throws Exception {
+    return platform.table().read(key).get(5, TimeUnit.SECONDS).get().get().value().text();
   }
 
   // The repeated answer to the read of one row became the value of another row.
   @Test
   void repeatedAnswerIsNotTheValueOfAnotherRow() throws Exception {
-    OkHttpClient client = new OkHttpClient();
-    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-      Thread serving =
-          new Thread(
-              () -> {
-                try {
-                  while (true) {
-                    Socket connection = server.accept();
-                    new Thread(() -> answerTwice(connection)).start();
-                  }
-                } catch (IOException stopped) {
-                  // The test closed the server.
-                }
-              });
-      serving.setDaemon(true);
-      serving.start();
-      HttpPlatform platform =
-          new HttpPlatform(URI.create("http://127.0.0.1:" + server.getLocalPort()), client);
+    try (RepeatingServer server = RepeatingServer.launch(request -> answer(request, ""))) {
+      HttpPlatform platform = new HttpPlatform(server.uri(), client);
       for (String key : new String[] {"first", "second", "third"}) {
-        assertThat(
-            platform.table().read(key).get(5, TimeUnit.SECONDS).get().get().value().text(),
-            is(key));
+        assertThat(value(platform, key), is(key));
+      }
+    }
+  }
+
+  // The store names its requests, so that its connections are kept.
+  @Test
+  void answerThatNamesAnotherRequestIsNoValue() throws Exception {
+    try (RepeatingServer server =
+        RepeatingServer.launch(
+            request ->
+                answer(
+                    request,
+                    "Request-Id: " + request.headers().getOrDefault("request-id", "") + "\r\n"))) {
+      HttpPlatform platform = new HttpPlatform(server.uri(), client);
+      assertThat(value(platform, "first"), is("first"));
+      Either<PlatformError, Option<TableRow>> repeated =
+          platform.table().read("second").get(5, TimeUnit.SECONDS);
+      assertThat(repeated.getLeft(), instanceOf(PlatformError.ResponseLost.class));
+      for (String key : new String[] {"third", "fourth", "fifth"}) {
+        assertThat(value(platform, key), is(key));
       }
-    } finally {
-      client.dispatcher().executorService().shutdown();
-      client.connectionPool().evictAll();
     }
   }
 }
