Engine runs: do not take a repeated refusal for the next run's

Callers could see a run refused, so as not executed and free to be sent again, though the engine had executed it: an engine that wrote its 503 twice gave the repetition as the answer to the next run on the kept connection. Outputs name their steps, but a status has no body that does.

Runs now carry an id in Request-Id, and responses are checked against it, as in the store client.

RepeatedRefusalTest failed before: expected ResponseLost, was Refused[status=503, detail=HTTP status 503: ].

--- a/engine/src/main/java/io/zinniawood/engine/http/HttpModelEngine.java
+++ b/engine/src/main/java/io/zinniawood/engine/http/HttpModelEngine.java
@@ -42,7 +42,7 @@
   private final HttpUrl base;
   private final HttpEngineSettings settings;
 
-  /** Calls whose responses name the steps that they belong to. */
+  /** Calls whose responses name their requests, so that connections are kept. */
   private final HttpCalls runCalls;
 
   private final HttpCalls calls;
@@ -71,7 +71,7 @@
   public HttpModelEngine(URI baseUri, OkHttpClient client, HttpEngineSettings settings) {
     this.base = BaseUrl.of(baseUri);
     this.settings = Objects.requireNonNull(settings, "settings");
-    this.runCalls = new HttpCalls(client, settings.callSettings());
+    this.runCalls = HttpCalls.withRequestIds(client, settings.callSettings());
     this.calls = HttpCalls.withoutConnectionReuse(client, settings.callSettings());
     this.confirmedCalls = new ConfirmedCalls(calls, client, settings.callSettings());
   }
