HTTP calls: a response that another response has filled is lost

Entry and agent took a value of the store, or the result of a run, from a body that was cut within its length and filled by the repeated response. A client whose requests have ids now looks for a head with the id of the request in the body, as the relay does.

RepeatedStoreAnswerTest#valueFilledByTheRepeatedAnswerIsLost fails before (getLeft() on Right). Clients without request ids (plain services, exported caches) are not covered.

--- a/http/src/main/java/io/zinniawood/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -1,5 +1,7 @@
 package io.zinniawood.http;
 
+import io.zinniawood.core.frame.ForeignHead;
+import io.zinniawood.core.frame.ForeignHeadScanner;
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.net.Proxy;
@@ -256,8 +258,14 @@
           return new HttpResult.ResponseLost(
               "the connection failed within a response without a length");
         }
+        byte[] bytes = source.readByteArray();
+        if (ForeignHeadScanner.scan(index -> bytes[index], bytes.length, monitor.requestIds())
+            == ForeignHead.PRESENT) {
+          return new HttpResult.ResponseLost(
+              "the response body holds the head of another response");
+        }
         return new HttpResult.Response(
-            response.code(), response.headers(), source.readByteArray(), monitor.responseEnd());
+            response.code(), response.headers(), bytes, monitor.responseEnd());
       } finally {
         memory.release(reservedBytes);
       }
--- a/http/src/main/java/io/zinniawood/http/ResponseIdCheck.java
+++ b/http/src/main/java/io/zinniawood/http/ResponseIdCheck.java
@@ -62,12 +62,15 @@
     if (!mayKeep) {
       request.header(CONNECTION, "close");
     }
+    SendMonitor monitor = chain.request().tag(SendMonitor.class);
+    if (monitor != null) {
+      monitor.setRequestId(id);
+    }
     boolean newConnection = USED_CONNECTIONS.add(chain.connection());
     Response response = chain.proceed(request.build());
     List<String> ids = response.headers(REQUEST_ID);
     if (ids.isEmpty()) {
       server.updateAndGet(Server::afterResponseWithoutId);
-      SendMonitor monitor = chain.request().tag(SendMonitor.class);
       if (mayKeep && monitor != null) {
         monitor.setConnectionUnfit();
       }
--- a/http/src/main/java/io/zinniawood/http/SendMonitor.java
+++ b/http/src/main/java/io/zinniawood/http/SendMonitor.java
@@ -12,6 +12,7 @@
   private volatile List<String> retryAfter = List.of();
   private volatile boolean sendFailed;
   private volatile boolean connectionUnfit;
+  private volatile List<String> requestIds = List.of();
   private volatile ResponseEnd responseEnd = ResponseEnd.STATED;
 
   private enum State {
@@ -58,6 +59,16 @@
     return connectionUnfit;
   }
 
+  /** Stores the id that the response repeats. */
+  void setRequestId(String id) {
+    requestIds = List.of(id);
+  }
+
+  /** Returns the id that the response repeats; empty if the request has none. */
+  List<String> requestIds() {
+    return requestIds;
+  }
+
   /** Stores how the response ends. */
   void setResponseEnd(ResponseEnd end) {
     responseEnd = end;
--- a/store/src/test/java/io/zinniawood/store/http/RepeatedStoreAnswerTest.java
+++ b/store/src/test/java/io/zinniawood/store/http/RepeatedStoreAnswerTest.java
@@ -9,6 +9,7 @@
 import io.zinniawood.standin.http.RepeatingServer;
 import io.zinniawood.store.PlatformError;
 import io.zinniawood.store.TableRow;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import okhttp3.OkHttpClient;
 import org.junit.jupiter.api.AfterEach;
@@ -45,6 +46,26 @@
     }
   }
 
+  // A value that was cut within its length, and filled by the repeated answer, was believed.
+  @Test
+  void valueFilledByTheRepeatedAnswerIsLost() throws Exception {
+    try (RepeatingServer server =
+        RepeatingServer.launch(request -> answerFilledByItself(request.headers()))) {
+      HttpPlatform platform = new HttpPlatform(server.uri(), client);
+      Either<PlatformError, Option<TableRow>> filled =
+          platform.table().read("first").get(5, TimeUnit.SECONDS);
+      assertThat(filled.getLeft(), instanceOf(PlatformError.ResponseLost.class));
+    }
+  }
+
+  private static String answerFilledByItself(Map<String, String> headers) {
+    String value = "cut";
+    String answer =
+        "HTTP/1.1 200 OK\r\nETag: \"1\"\r\nRequest-Id: %s\r\nContent-Length: 000\r\n\r\n%s"
+            .formatted(headers.getOrDefault("request-id", "none"), value);
+    return answer.replace("000", "%03d".formatted(value.length() + answer.length()));
+  }
+
   // The store names its requests, so that its connections are kept.
   @Test
   void answerThatNamesAnotherRequestIsNoValue() throws Exception {
