Soak: answers that are cut and repeated, and answers that end at a time limit

The soak did not find it: its endpoints broke answers off only with their connection, did not read Deadline-Ms, and all callers sent POSTs with time limits of 4 and 6 s.

Endpoints now cut an answer within its length or chunk and send its repetition into the same frame, stop at or up to 5 ms before the time limit of a request, and answer 503 Not-Executed before a late 200. Callers draw GETs that go straight to a relay, and limits of 400 and 1,500 ms. The check of streams counts only a run that is recorded with 200. Faults of answers start more often, as there are 9 kinds instead of 6.

Only compiled by javac and run; the packaged build of this commit has not been run, nor RelaySoakTest.

--- a/dist/src/test/java/io/zinniawood/dist/soak/KeptCaller.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/KeptCaller.java
@@ -25,12 +25,12 @@
   }
 
   /** Sends one request, on a new connection if the last one has ended. */
-  void call(Relay relay, SoakCaller.RequestKind kind, int keyVersion) {
+  void call(Relay relay, SoakRequest form, int keyVersion) {
     try {
       if (input == null) {
         connect(relay);
       }
-      send(answers.newRequest(kind), kind, keyVersion);
+      send(answers.newRequest(form.kind()), form, keyVersion);
     } catch (IOException ended) {
       // Expected, as faults and drains end connections.
       close();
@@ -44,21 +44,32 @@
     input = new HttpMessageReader(socket.getInputStream());
   }
 
-  private void send(String id, SoakCaller.RequestKind kind, int keyVersion) throws IOException {
-    String body = SoakCaller.body(id);
+  private void send(String id, SoakRequest form, int keyVersion) throws IOException {
+    SoakCaller.RequestKind kind = form.kind();
+    String body = form.get() ? "" : SoakCaller.body(id);
+    String bodyHeaders =
+        form.get()
+            ? ""
+            : "Content-Type: application/json\r\nContent-Length: %d\r\n".formatted(body.length());
     String request =
         """
-        POST %s%s HTTP/1.1\r
+        %s %s%s HTTP/1.1\r
         Host: 127.0.0.1\r
         Attempt-Id: %s\r
         Authorization: Token %s\r
-        Deadline-Ms: 4000\r
+        Deadline-Ms: %d\r
         Token-Counts: 100,40\r
-        Content-Type: application/json\r
-        Content-Length: %d\r
-        \r
+        %s\r
         %s"""
-            .formatted(kind.path, id, id, SoakCluster.key(keyVersion), body.length(), body);
+            .formatted(
+                form.get() ? "GET" : "POST",
+                kind.path,
+                id,
+                id,
+                SoakCluster.key(keyVersion),
+                form.limitMillis(),
+                bodyHeaders,
+                body);
     socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
     HttpMessageReader.Head head = input.readHead();
     if (head == null) {
--- a/dist/src/test/java/io/zinniawood/dist/soak/LedgerCheck.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/LedgerCheck.java
@@ -69,7 +69,7 @@
     Set<String> streamedToTheEnd =
         answers.entrySet().stream()
             .filter(entry -> entry.getValue().kind.equals("stream"))
-            .filter(entry -> entry.getValue().whole)
+            .filter(entry -> entry.getValue().whole && entry.getValue().status.equals("200"))
             .filter(entry -> entry.getValue().content.endsWith("-" + STREAM_EVENTS))
             .filter(entry -> requests.containsKey(entry.getKey()))
             .map(entry -> requests.get(entry.getKey()))
--- a/dist/src/test/java/io/zinniawood/dist/soak/LedgerCheckTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/LedgerCheckTest.java
@@ -64,6 +64,20 @@
     assertOneViolation();
   }
 
+  @Test
+  void findsSuccessWhereEndpointStoppedAtTimeLimit() {
+    check.receivedPlain(REQUEST, 200, SIGNATURE, BODY);
+    checkAgainst(RUN, plain(504, "part"));
+    assertOneViolation();
+  }
+
+  @Test
+  void findsStreamThatFailedAfterItsLastEvent() {
+    check.receivedStream(REQUEST, SIGNATURE);
+    checkAgainst(RUN, "stream " + SIGNATURE + " 504 1-40 whole");
+    assertOneViolation();
+  }
+
   @Test
   void findsFailureWithOtherStatus() {
     check.receivedPlain(REQUEST, 503, SIGNATURE, BODY);
--- a/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
@@ -25,7 +25,7 @@
   private static final long RESTART_CHECK_MILLIS = 300;
 
   private static final int CALLER_TASKS = 12;
-  private static final int ANSWER_FAULTS_PER_FAULT = 3;
+  private static final int ANSWER_FAULTS_PER_FAULT = 6;
   private static final int KEPT_CALLER_TASKS = 6;
   private static final int MAX_CALL_GAP_MILLIS = 40;
   private static final int MAX_FAULT_GAP_MILLIS = 500;
@@ -36,7 +36,7 @@
   /** Part of the wait for drains in which answers still have faults, while all relays start. */
   private static final long ANSWER_FAULT_PHASE_MILLIS = 5_500;
 
-  private static final int MAX_ANSWER_FAULT_GAP_MILLIS = 150;
+  private static final int MAX_ANSWER_FAULT_GAP_MILLIS = 75;
 
   private RelaySoak() {}
 
@@ -123,12 +123,11 @@
 
   private static void callUntilShutdown(
       ScheduledExecutorService timers, SoakCluster cluster, SoakCaller caller, Random random) {
-    SoakCaller.RequestKind[] kinds = SoakCaller.RequestKind.values();
     while (!timers.isShutdown()) {
       Relay relay = cluster.relays.get(random.nextInt(cluster.relays.size()));
       // One call in four uses the previous key, as callers do that have not switched yet.
       int key = cluster.routesVersion() - (random.nextInt(4) == 0 ? 1 : 0);
-      caller.call(relay, kinds[random.nextInt(kinds.length)], key);
+      caller.call(relay, SoakRequest.random(random), key);
       try {
         TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_CALL_GAP_MILLIS));
       } catch (InterruptedException stopped) {
@@ -140,12 +139,11 @@
 
   private static void callOnKeptConnections(
       ScheduledExecutorService timers, SoakCluster cluster, SoakCaller answers, Random random) {
-    SoakCaller.RequestKind[] kinds = SoakCaller.RequestKind.values();
     KeptCaller caller = new KeptCaller(answers);
     try {
       while (!timers.isShutdown()) {
         Relay relay = cluster.relays.get(random.nextInt(cluster.relays.size()));
-        caller.call(relay, kinds[random.nextInt(kinds.length)], cluster.routesVersion());
+        caller.call(relay, SoakRequest.random(random), cluster.routesVersion());
         TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_CALL_GAP_MILLIS));
       }
     } catch (InterruptedException stopped) {
@@ -158,7 +156,7 @@
   private static boolean allRelaysServe(SoakCluster cluster, SoakCaller caller) {
     for (Relay relay : cluster.relays) {
       for (SoakCaller.RequestKind kind : SoakCaller.RequestKind.values()) {
-        if (caller.call(relay, kind, cluster.routesVersion()) != 200) {
+        if (caller.call(relay, SoakRequest.post(kind), cluster.routesVersion()) != 200) {
           return false;
         }
       }
--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakCaller.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakCaller.java
@@ -73,19 +73,26 @@
     return "{\"ask\":\"%s\"}".formatted(id);
   }
 
-  /** Sends one request and returns the HTTP status, or 0 if there was no complete response. */
-  int call(Relay relay, RequestKind kind, int keyVersion) {
+  /**
+   * Sends one request, a GET straight to the relay and others through its proxy, and returns the
+   * HTTP status, or 0 if there was no complete response.
+   */
+  int call(Relay relay, SoakRequest form, int keyVersion) {
+    RequestKind kind = form.kind();
     String id = newRequest(kind);
     String relayProcess = relay.number + "/" + relay.incarnation.get();
     int newestBefore = newestKeyByProcess.getOrDefault(relayProcess, 0);
+    String path = kind.path + id;
     Request request =
         new Request.Builder()
-            .url(relay.url(kind.path + id))
+            .url(form.get() ? relay.directUrl(path) : relay.url(path))
             .header("Attempt-Id", id)
             .header("Authorization", "Token " + SoakCluster.key(keyVersion))
-            .header("Deadline-Ms", "6000")
+            .header("Deadline-Ms", Integer.toString(form.limitMillis()))
             .header("Token-Counts", "100,40")
-            .post(RequestBody.create(body(id), MediaType.get("application/json")))
+            .method(
+                form.get() ? "GET" : "POST",
+                form.get() ? null : RequestBody.create(body(id), MediaType.get("application/json")))
             .build();
     try (Response response = client.newCall(request).execute()) {
       checkResponse(id, kind, response);
--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
@@ -138,6 +138,11 @@
       return process;
     }
 
+    /** Returns a URL without a proxy. */
+    String directUrl(String path) {
+      return "http://" + callersAddress + path;
+    }
+
     String url(String path) {
       return "http://127.0.0.1:" + callerProxy.port() + path;
     }
--- a/dist/src/test/java/io/zinniawood/dist/users/AnswerLedger.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/AnswerLedger.java
@@ -52,13 +52,17 @@
   }
 
   /** Records a plain answer before its last bytes are sent. */
-  void plain(String signature, int status, byte[] body, boolean whole) throws IOException {
-    write("plain %s %d %s %s".formatted(signature, status, checksum(body), end(whole)));
+  void plain(String signature, int status, String body, boolean whole) throws IOException {
+    write(
+        "plain %s %d %s %s"
+            .formatted(
+                signature, status, checksum(body.getBytes(StandardCharsets.UTF_8)), end(whole)));
   }
 
   /** Records a stream before its end is sent; an empty stream has a last event before the first. */
-  void stream(String signature, int firstEvent, int lastEvent, boolean whole) throws IOException {
-    write("stream %s 200 %d-%d %s".formatted(signature, firstEvent, lastEvent, end(whole)));
+  void stream(String signature, int status, int firstEvent, int lastEvent, boolean whole)
+      throws IOException {
+    write("stream %s %d %d-%d %s".formatted(signature, status, firstEvent, lastEvent, end(whole)));
   }
 
   /** Records that all bytes of an answer were written. */
--- a/dist/src/test/java/io/zinniawood/dist/users/EndpointFault.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/EndpointFault.java
@@ -13,5 +13,15 @@
   /** Answers with a failure. */
   FAIL,
   /** Pauses in the middle of an answer. */
-  PAUSE
+  PAUSE,
+  /**
+   * Breaks an answer off within its frame, and repeats it on the connection. A repetition of which
+   * the answer is lost from its head on is no fault here, as nothing on the wire differs from a
+   * whole answer.
+   */
+  CUT_THEN_REPEAT,
+  /** Works longer than short time limits, and stops at them. */
+  TIME_LIMIT,
+  /** Answers that a request was not executed, and then with a success. */
+  LATE_SUCCESS
 }
--- a/dist/src/test/java/io/zinniawood/dist/users/FaultyConnection.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/FaultyConnection.java
@@ -6,20 +6,23 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /** Connection from a relay to a {@link FaultyEndpoint}; serves one request at a time. */
 final class FaultyConnection {
   private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final int STREAM_EVENTS = 40;
   private static final int MAX_PADDING_BYTES = 2_000;
   private static final int MAX_PAUSE_MILLIS = 300;
   private static final int MAX_STUTTER_DELAY_MILLIS = 30;
   private static final int EVENT_INTERVAL_MILLIS = 3;
 
+  /** Exceeds the short time limits of callers. */
+  private static final int MAX_WORK_MILLIS = 3_000;
+
   private final Socket socket;
   private final OutputStream output;
   private final HttpMessageReader input;
@@ -28,6 +31,8 @@
   private final Set<EndpointFault> faults;
   private final Random random;
   private final Supplier<String> signatures;
+  private final CutAnswer cutAnswer;
+  private final TimeLimitedAnswer timeLimited;
   private String heldRepetition = "";
 
   FaultyConnection(
@@ -46,6 +51,8 @@
     this.signatures = signatures;
     output = socket.getOutputStream();
     input = new HttpMessageReader(socket.getInputStream());
+    cutAnswer = new CutAnswer(output, ledger, random);
+    timeLimited = new TimeLimitedAnswer(output, ledger, random);
   }
 
   /** Serves a request; returns whether the connection stays open. */
@@ -92,7 +99,7 @@
         ("HTTP/1.1 %d X\r\nReplica-Id: %s\r\nContent-Type: application/json\r\n"
                 + "Content-Length: %d\r\n\r\n%s")
             .formatted(status, row.id(), json.length(), json);
-    output.write(text.getBytes(StandardCharsets.UTF_8));
+    send(text);
     return true;
   }
 
@@ -101,64 +108,82 @@
   }
 
   private boolean execute(HttpMessageReader.Head head) throws IOException, InterruptedException {
+    long startNanos = System.nanoTime();
     String request = head.header("attempt-id");
     if (head.header("expect-replica") == null) {
       return sendRefusal(request, 421);
     }
-    String signature = signatures.get();
-    if (has(EndpointFault.FAIL, 6)) {
-      return sendNotExecuted(signature, request);
+    AnswerIds ids = new AnswerIds(signatures.get(), request);
+    boolean lateSuccess = has(EndpointFault.LATE_SUCCESS, 6);
+    if (lateSuccess || has(EndpointFault.FAIL, 6)) {
+      return sendNotExecuted(ids, lateSuccess);
     }
-    ledger.run(signature, request);
+    ledger.run(ids.signature(), request);
+    long limitMillis = Long.parseLong(head.header("deadline-ms"));
+    boolean reachesLimit =
+        has(EndpointFault.TIME_LIMIT, 2) && random.nextInt(MAX_WORK_MILLIS) >= limitMillis;
+    OptionalLong limitNanos =
+        reachesLimit
+            ? OptionalLong.of(startNanos + TimeUnit.MILLISECONDS.toNanos(limitMillis))
+            : OptionalLong.empty();
     return head.header("hops") == null
-        ? answerPlain(signature, request)
-        : answerStream(signature, request, head.header("last-event-id"));
+        ? answerPlain(ids, limitNanos)
+        : answerStream(ids, head.header("last-event-id"), limitNanos);
   }
 
   private boolean sendRefusal(String request, int status) throws IOException {
     String head =
         "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\n{}"
             .formatted(status, request);
-    output.write(head.getBytes(StandardCharsets.UTF_8));
+    send(head);
     return true;
   }
 
-  private boolean sendNotExecuted(String signature, String request)
+  private boolean sendNotExecuted(AnswerIds ids, boolean lateSuccess)
       throws IOException, InterruptedException {
-    ledger.plain(signature, 503, "{}".getBytes(StandardCharsets.UTF_8), true);
-    String head = head(503, signature, request) + "Not-Executed: 1\r\nRetry-After: 0.1\r\n";
-    output.write((head + "Content-Length: 2\r\n\r\n{}").getBytes(StandardCharsets.UTF_8));
-    ledger.written(signature);
-    return stutter(signature, request);
-  }
-
-  private static String head(int status, String signature, String request) {
-    return "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nReplica-Signature: %s\r\n"
-        .formatted(status, request, signature);
+    ledger.plain(ids.signature(), 503, "{}", true);
+    send(
+        ids.head(503)
+            + "Not-Executed: 1\r\nRetry-After: 0.1\r\n"
+            + AnswerFraming.LENGTH.endOfHead(2)
+            + "{}");
+    ledger.written(ids.signature());
+    return lateSuccess ? repeat(ids) : stutter(ids);
   }
 
-  private boolean answerPlain(String signature, String request)
+  private boolean answerPlain(AnswerIds ids, OptionalLong limitNanos)
       throws IOException, InterruptedException {
-    int status = has(EndpointFault.FAIL, 6) ? 500 : 200;
-    boolean unframed = has(EndpointFault.UNFRAMED, 2);
-    byte[] body =
+    String body =
         "{\"by\":\"%s\",\"request\":\"%s\"}%s"
-            .formatted(signature, request, " ".repeat(random.nextInt(MAX_PADDING_BYTES)))
-            .getBytes(StandardCharsets.UTF_8);
-    String head = head(status, signature, request);
-    head += unframed ? "Connection: close\r\n\r\n" : "Content-Length: " + body.length + "\r\n\r\n";
-    output.write(head.getBytes(StandardCharsets.UTF_8));
-    output.write(body, 0, body.length / 2);
+            .formatted(
+                ids.signature(), ids.request(), " ".repeat(random.nextInt(MAX_PADDING_BYTES)));
+    if (limitNanos.isPresent()) {
+      return timeLimited.sendPlain(ids, body, limitNanos.getAsLong());
+    }
+    if (has(EndpointFault.CUT_THEN_REPEAT, 2)) {
+      cutAnswer.sendPlain(ids, body);
+      return true;
+    }
+    int status = has(EndpointFault.FAIL, 6) ? 500 : 200;
+    AnswerFraming framing =
+        has(EndpointFault.UNFRAMED, 2) ? AnswerFraming.CONNECTION : AnswerFraming.LENGTH;
+    String firstHalf = body.substring(0, body.length() / 2);
+    send(ids.head(status) + framing.endOfHead(body.length()));
+    send(firstHalf);
     pause();
     // A close in order would end an answer without a length in good form.
     if (has(EndpointFault.BREAK_OFF, 8)) {
-      ledger.plain(signature, status, Arrays.copyOf(body, body.length / 2), false);
-      return breakOff(unframed);
+      ledger.plain(ids.signature(), status, firstHalf, false);
+      return breakOff(!framing.keepsConnection());
     }
-    ledger.plain(signature, status, body, true);
-    output.write(body, body.length / 2, body.length - body.length / 2);
-    ledger.written(signature);
-    return !unframed && stutter(signature, request);
+    ledger.plain(ids.signature(), status, body, true);
+    send(body.substring(firstHalf.length()));
+    ledger.written(ids.signature());
+    return framing.keepsConnection() && stutter(ids);
+  }
+
+  private void send(String text) throws IOException {
+    output.write(text.getBytes(StandardCharsets.UTF_8));
   }
 
   private void pause() throws InterruptedException {
@@ -176,65 +201,67 @@
     return false;
   }
 
-  private boolean answerStream(String signature, String request, String last)
+  private boolean answerStream(AnswerIds ids, String last, OptionalLong limitNanos)
       throws IOException, InterruptedException {
-    boolean unframed = has(EndpointFault.UNFRAMED, 2);
-    String framing = unframed ? "Connection: close" : "Transfer-Encoding: chunked";
-    String head =
-        "%sContent-Type: text/event-stream\r\n%s\r\n\r\n"
-            .formatted(head(200, signature, request), framing);
-    output.write(head.getBytes(StandardCharsets.UTF_8));
+    AnswerFraming framing =
+        has(EndpointFault.UNFRAMED, 2) ? AnswerFraming.CONNECTION : AnswerFraming.CHUNKS;
+    send(ids.head(200) + "Content-Type: text/event-stream\r\n" + framing.endOfHead(0));
     int first = last == null ? 1 : Integer.parseInt(last) + 1;
-    if (first <= STREAM_EVENTS && has(EndpointFault.EMPTY_STREAM, 4)) {
-      ledger.stream(signature, first, first - 1, false);
-      return endStream(unframed) && stutter(signature, request);
-    }
-    int breakAt =
-        has(EndpointFault.BREAK_OFF, 3) ? first + random.nextInt(STREAM_EVENTS) : Integer.MAX_VALUE;
-    for (int event = first; event <= STREAM_EVENTS; event++) {
-      String text = "id: %d\ndata: token %d\n\n".formatted(event, event);
+    if (limitNanos.isPresent()) {
+      return timeLimited.endStream(ids, first, framing, limitNanos.getAsLong());
+    }
+    if (first <= StreamEvents.LAST && has(EndpointFault.EMPTY_STREAM, 4)) {
+      ledger.stream(ids.signature(), 200, first, first - 1, false);
+      return endStream(framing) && stutter(ids);
+    }
+    int breakAt = has(EndpointFault.BREAK_OFF, 3) ? randomEvent(first) : Integer.MAX_VALUE;
+    int cutAt =
+        framing == AnswerFraming.CHUNKS && has(EndpointFault.CUT_THEN_REPEAT, 2)
+            ? randomEvent(first)
+            : Integer.MAX_VALUE;
+    for (int event = first; event <= StreamEvents.LAST; event++) {
+      String text = StreamEvents.event(event);
       if (event == breakAt) {
-        ledger.stream(signature, first, event - 1, false);
-        sendEvent(text.substring(0, random.nextInt(text.length() - 1)), unframed);
-        return breakOff(unframed);
+        ledger.stream(ids.signature(), 200, first, event - 1, false);
+        send(framing.part(text.substring(0, random.nextInt(text.length() - 1))));
+        return breakOff(!framing.keepsConnection());
       }
-      if (event == STREAM_EVENTS) {
-        ledger.stream(signature, first, event, true);
+      if (event == cutAt) {
+        cutAnswer.endStream(ids, first, event);
+        return true;
       }
-      sendEvent(text, unframed);
+      if (event == StreamEvents.LAST) {
+        ledger.stream(ids.signature(), 200, first, event, true);
+      }
+      send(framing.part(text));
       Thread.sleep(EVENT_INTERVAL_MILLIS);
-      if (event % 10 == 0 && event < STREAM_EVENTS) {
+      if (event % 10 == 0 && event < StreamEvents.LAST) {
         pause();
       }
     }
-    boolean open = endStream(unframed);
-    ledger.written(signature);
-    return open && stutter(signature, request);
+    boolean open = endStream(framing);
+    ledger.written(ids.signature());
+    return open && stutter(ids);
   }
 
-  private void sendEvent(String text, boolean unframed) throws IOException {
-    if (text.isEmpty()) {
-      return;
-    }
-    String bytes = unframed ? text : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-    output.write(bytes.getBytes(StandardCharsets.UTF_8));
+  private int randomEvent(int first) {
+    return first + random.nextInt(StreamEvents.LAST);
   }
 
   /** Ends a stream in good form and returns whether the connection stays open. */
-  private boolean endStream(boolean unframed) throws IOException {
-    if (!unframed) {
-      output.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
-    }
-    return !unframed;
+  private boolean endStream(AnswerFraming framing) throws IOException {
+    send(framing.end());
+    return framing.keepsConnection();
+  }
+
+  /** Repeats some of the answers. */
+  private boolean stutter(AnswerIds ids) throws IOException, InterruptedException {
+    return !has(EndpointFault.STUTTER, 2) || repeat(ids);
   }
 
   /** Repeats an answer at once or keeps the repetition for the next request. */
-  private boolean stutter(String signature, String request)
-      throws IOException, InterruptedException {
-    if (!has(EndpointFault.STUTTER, 2)) {
-      return true;
-    }
-    String repetition = head(200, signature, request) + "Content-Length: 2\r\n\r\nok";
+  private boolean repeat(AnswerIds ids) throws IOException, InterruptedException {
+    String repetition = ids.repetition(AnswerFraming.LENGTH);
     if (random.nextBoolean()) {
       heldRepetition = repetition;
       return true;
@@ -244,10 +271,10 @@
   }
 
   private boolean sendRepetition(String repetition) throws IOException {
-    boolean cut = random.nextInt(6) == 0;
-    int length = cut ? 1 + random.nextInt(repetition.length() - 1) : repetition.length();
-    output.write(repetition.substring(0, length).getBytes(StandardCharsets.UTF_8));
+    boolean part = random.nextInt(6) == 0;
+    int length = part ? 1 + random.nextInt(repetition.length() - 1) : repetition.length();
+    send(repetition.substring(0, length));
     // After some of the cut repetitions the next answer follows on the same connection.
-    return !cut || random.nextBoolean();
+    return !part || random.nextBoolean();
   }
 }
