--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.zinniawood.core.frame.ForeignHead;
+import io.zinniawood.core.frame.ForeignHeadScanner;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.relay.AnswerEvidence;
 import io.zinniawood.core.relay.AttemptFailureCause;
@@ -19,6 +21,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 
 /**
  * Connection to one endpoint; carries one request at a time. Skips answers that carry the id of
@@ -41,6 +44,11 @@
   /** Last request on this connection; answers that arrive without a request are its endpoint's. */
   private EndpointExchange lastExchange;
 
+  /** Attempt whose answer is held back until it is known what follows it; null if there is none. */
+  private EndpointExchange heldBack;
+
+  private boolean surplusReported;
+
   /** Ids of the last requests on this connection. */
   private final Deque<RequestId> carriedRequests = new ArrayDeque<>();
 
@@ -95,6 +103,7 @@
   /** Cancels the attempt; the endpoint stops running it when the connection is closed. */
   void cancel(ChannelHandlerContext context) {
     exchange = null;
+    heldBack = null;
     dropContent();
     context.close();
   }
@@ -108,7 +117,7 @@
         listener.headReceived(lastExchange, response);
       }
       if (exchange == null) {
-        context.close();
+        receiveSurplus(context, message);
         return;
       }
       if (message instanceof HttpResponse response) {
@@ -122,8 +131,42 @@
     }
   }
 
+  /** Closes the connection, as what follows a complete answer belongs to no request. */
+  private void receiveSurplus(ChannelHandlerContext context, Object message) {
+    boolean answer = message instanceof HttpResponse response && isWellFormed(response);
+    if (lastExchange != null && !surplusReported) {
+      surplusReported = true;
+      listener.surplusReceived(lastExchange, answer);
+    }
+    EndpointExchange doubted = heldBack;
+    heldBack = null;
+    context.close();
+    if (doubted == null) {
+      return;
+    }
+    if (answer) {
+      doubted.takeUnconfirmed().ifPresent(held -> held.take().run());
+    } else {
+      listener.attemptFailed(doubted, AttemptFailureCause.FOREIGN_HEAD);
+    }
+  }
+
+  /**
+   * Returns whether a head is one of HTTP and of one answer only. The decoder also accepts a head
+   * that lacks its first byte, and one whose rest is the head of another answer.
+   */
+  private static boolean isWellFormed(HttpResponse response) {
+    return response.decoderResult().isSuccess()
+        && response.protocolVersion().protocolName().equals("HTTP")
+        && !ForeignHeadScanner.holdsStatusLine(response.status().reasonPhrase())
+        && response.headers().entries().stream()
+            .noneMatch(
+                field ->
+                    ForeignHeadScanner.holdsStatusLine(field.getKey() + " " + field.getValue()));
+  }
+
   private void handleHead(ChannelHandlerContext context, HttpResponse response) {
-    if (response.decoderResult().isFailure()) {
+    if (!isWellFormed(response)) {
       boolean closed = response.decoderResult().cause() instanceof PrematureChannelClosureException;
       fail(
           context,
@@ -139,7 +182,8 @@
       return;
     }
     // It may be an answer to an earlier request once more, so it proves nothing about this one.
-    if (answered == AnsweredRequest.UNIDENTIFIED && carriedEarlierRequest) {
+    if (answered == AnsweredRequest.AMBIGUOUS
+        || (answered == AnsweredRequest.UNIDENTIFIED && carriedEarlierRequest)) {
       fail(context, AttemptFailureCause.INVALID_ANSWER);
       return;
     }
@@ -213,22 +257,70 @@
       fail(context, AttemptFailureCause.TIME_LIMIT);
       return;
     }
-    complete.evidence(new AnswerEvidence(end, skippedAnswers, carriedEarlierRequest));
-    exchange = null;
-    head = null;
     ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content.take();
     content = null;
+    ForeignHead foreignHead = foreignHeadIn(whole);
+    complete.evidence(
+        new AnswerEvidence(
+            end, skippedAnswers, carriedEarlierRequest, foreignHead, complete.millisLeft()));
+    exchange = null;
+    head = null;
+    if (foreignHead == ForeignHead.POSSIBLE && end != AnswerEvidence.End.CONNECTION) {
+      holdBack(context, complete, answered, whole);
+      return;
+    }
+    deliverContained(
+        context,
+        complete,
+        () -> {
+          connections.release(
+              complete.address(),
+              context.channel(),
+              answered,
+              reusable && foreignHead == ForeignHead.ABSENT);
+          Runnable take =
+              streaming
+                  ? () -> listener.streamCompleted(complete)
+                  : () -> listener.answerReceived(complete, answered, whole);
+          if (end == AnswerEvidence.End.CONNECTION) {
+            listener.answerEnded(complete, answered, new UnconfirmedAnswer(take, whole::release));
+          } else {
+            take.run();
+          }
+        });
+  }
+
+  private ForeignHead foreignHeadIn(ByteBuf body) {
+    return ForeignHeadScanner.scan(
+        index -> body.getByte(body.readerIndex() + index), body.readableBytes(), repeatableIds());
+  }
+
+  /** Returns the ids of the requests whose answers may be repeated on this connection. */
+  List<String> repeatableIds() {
+    return carriedRequests.stream().map(RequestId::value).toList();
+  }
+
+  /** Keeps the connection open, as the rest of a head would follow the answer. */
+  private void holdBack(
+      ChannelHandlerContext context, EndpointExchange complete, HttpResponse answer, ByteBuf body) {
+    heldBack = complete;
+    Runnable take =
+        () -> {
+          heldBack = null;
+          context.close();
+          deliverContained(
+              context, complete, () -> listener.answerReceived(complete, answer, body));
+        };
+    deliverContained(
+        context,
+        complete,
+        () -> listener.answerInDoubt(complete, new UnconfirmedAnswer(take, body::release)));
+  }
+
+  private void deliverContained(
+      ChannelHandlerContext context, EndpointExchange complete, Runnable delivery) {
     try {
-      connections.release(complete.address(), context.channel(), answered, reusable);
-      Runnable take =
-          streaming
-              ? () -> listener.streamCompleted(complete)
-              : () -> listener.answerReceived(complete, answered, whole);
-      if (end == AnswerEvidence.End.CONNECTION) {
-        listener.answerEnded(complete, answered, new UnconfirmedAnswer(take, whole::release));
-      } else {
-        take.run();
-      }
+      delivery.run();
     } catch (RuntimeException | Error failure) {
       listener.failed("connection-failed", "delivery", failure);
       context.close();
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -17,6 +17,7 @@
   final List<Integer> streams = new ArrayList<>();
   final List<Integer> heads = new ArrayList<>();
   final List<String> faults = new ArrayList<>();
+  final List<String> surplus = new ArrayList<>();
   final List<UnconfirmedAnswer> unconfirmed = new ArrayList<>();
   final List<ByteBuf> kept = new ArrayList<>();
   boolean keepContent;
@@ -37,7 +38,7 @@
   public AnsweredRequest answeredRequest(EndpointExchange exchange, HttpResponse head) {
     List<String> ids = head.headers().getAll(ID_HEADER);
     if (ids.size() != 1) {
-      return AnsweredRequest.UNIDENTIFIED;
+      return ids.isEmpty() ? AnsweredRequest.UNIDENTIFIED : AnsweredRequest.AMBIGUOUS;
     }
     return OWN_ID.equals(ids.get(0)) ? AnsweredRequest.OWN : AnsweredRequest.OTHER;
   }
@@ -77,6 +78,16 @@
     unconfirmed.add(answer);
   }
 
+  @Override
+  public void answerInDoubt(EndpointExchange exchange, UnconfirmedAnswer answer) {
+    exchange.hold(answer);
+  }
+
+  @Override
+  public void surplusReceived(EndpointExchange lastExchange, boolean answer) {
+    surplus.add(answer ? "answer" : "no-answer");
+  }
+
   @Override
   public void attemptFailed(EndpointExchange exchange, AttemptFailureCause cause) {
     failures.add(cause);
