--- a/dist/src/test/java/io/zinniawood/dist/users/EndpointFault.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/EndpointFault.java
@@ -15,9 +15,8 @@
   /** Pauses in the middle of an answer. */
   PAUSE,
   /**
-   * Breaks an answer off within its frame, and repeats it on the connection. A repetition of which
-   * the answer is lost from its head on is no fault here, as nothing on the wire differs from a
-   * whole answer.
+   * Breaks an answer off within its frame, and repeats it on the connection. A repetition that
+   * comes alone is left out, as nothing on the wire tells it from a whole answer.
    */
   CUT_THEN_REPEAT,
   /** Works longer than short time limits, and stops at them. */
