Relay: do not use a connection again that holds bytes behind its last answer

A few bytes behind an answer, without a line end, stay in the decoder, which reports no message; the connection went to the pool, and the answer to the next request on it began with these bytes and was refused: an attempt was lost.

The decoders of endpoints now tell whether they hold bytes, as those of control calls do (ResponseDecoder serves both); such a connection is closed at the end of the read, and bytes-after-answer tells of it. FaultyAnswerTest#connectionWithBytesBehindItsAnswerIsClosed fails before. The tests that build a channel by hand use the decoder of the product.

--- a/relay/src/main/java/io/zinniawood/relay/ControlClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -28,8 +28,8 @@
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.relay.internal.AccountedBytes;
 import io.zinniawood.relay.internal.ConnectionEnd;
-import io.zinniawood.relay.internal.ControlResponseDecoder;
 import io.zinniawood.relay.internal.MemoryAccount;
+import io.zinniawood.relay.internal.ResponseDecoder;
 import io.zinniawood.relay.internal.ResponseHeads;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -207,7 +207,7 @@
           .pipeline()
           .addLast(new ConnectionEnd())
           .addLast(new HttpRequestEncoder())
-          .addLast(new ControlResponseDecoder())
+          .addLast(new ResponseDecoder())
           .addLast(new ResponseHandler(address));
     }
   }
@@ -304,7 +304,7 @@
       call = null;
       if (reusable
           && ConnectionEnd.of(context.channel()) == ConnectionEnd.State.OPEN
-          && !ControlResponseDecoder.holdsBytes(context.channel())) {
+          && !ResponseDecoder.holdsBytes(context.channel())) {
         returnToPool(address, context.channel());
       } else {
         context.close();
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AttributeKey;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
@@ -223,7 +222,7 @@
           .pipeline()
           .addLast(new ConnectionEnd())
           .addLast(new HttpRequestEncoder())
-          .addLast(headRequest ? new HeadAnswerDecoder() : new HttpResponseDecoder())
+          .addLast(headRequest ? new HeadAnswerDecoder() : new ResponseDecoder())
           .addLast(new EndpointHandler(listener, EndpointConnectionPool.this, memory));
     }
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -136,10 +136,7 @@
   private void receiveSurplus(ChannelHandlerContext context, Object message) {
     boolean answer =
         message instanceof HttpResponse response && ResponseHeads.isWellFormed(response);
-    if (lastExchange != null && !surplusReported) {
-      surplusReported = true;
-      listener.surplusReceived(lastExchange, answer);
-    }
+    reportSurplus(answer);
     EndpointExchange doubted = heldBack;
     heldBack = null;
     context.close();
@@ -153,6 +150,13 @@
     }
   }
 
+  private void reportSurplus(boolean answer) {
+    if (lastExchange != null && !surplusReported) {
+      surplusReported = true;
+      listener.surplusReceived(lastExchange, answer);
+    }
+  }
+
   private void handleHead(ChannelHandlerContext context, HttpResponse response) {
     if (!ResponseHeads.isWellFormed(response) || TransferCodings.hasOther(response.headers())) {
       boolean closed = response.decoderResult().cause() instanceof PrematureChannelClosureException;
@@ -360,6 +364,11 @@
     if (exchange != null && streaming) {
       listener.streamReadComplete(exchange);
     }
+    // The decoder reports no message before the end of a line.
+    if (exchange == null && heldBack == null && ResponseDecoder.holdsBytes(context.channel())) {
+      reportSurplus(false);
+      context.close();
+    }
   }
 
   @Override
--- a/relay/src/main/java/io/zinniawood/relay/internal/ControlResponseDecoder.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/ResponseDecoder.java
@@ -3,10 +3,10 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
-/** Decodes responses to control calls other than HEAD and CONNECT. */
-public final class ControlResponseDecoder extends HttpResponseDecoder {
+/** Decodes responses to other requests than HEAD and CONNECT. */
+public class ResponseDecoder extends HttpResponseDecoder {
   /** Returns whether bytes have arrived on a channel that are not decoded yet. */
   public static boolean holdsBytes(Channel channel) {
-    return channel.pipeline().get(ControlResponseDecoder.class).actualReadableBytes() > 0;
+    return channel.pipeline().get(ResponseDecoder.class).actualReadableBytes() > 0;
   }
 }
--- a/relay/src/test/java/io/zinniawood/relay/internal/AnswerFramingTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/AnswerFramingTest.java
@@ -6,7 +6,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
@@ -29,7 +28,7 @@
   private final EndpointHandler handler =
       new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
   private final EmbeddedChannel channel =
-      new EmbeddedChannel(new ConnectionEnd(), new HttpResponseDecoder(), handler);
+      new EmbeddedChannel(new ConnectionEnd(), new ResponseDecoder(), handler);
 
   private void receive(String text) {
     EndpointExchange exchange =
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
@@ -37,7 +36,7 @@
     EndpointHandler handler =
         new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
     EmbeddedChannel channel =
-        new EmbeddedChannel(new ConnectionEnd(), new HttpResponseDecoder(), handler);
+        new EmbeddedChannel(new ConnectionEnd(), new ResponseDecoder(), handler);
     handler.beginExchange(
         new EndpointExchange(
             null,
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
@@ -29,7 +28,7 @@
   private final EndpointHandler handler =
       new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
   private final EmbeddedChannel channel =
-      new EmbeddedChannel(new ConnectionEnd(), new HttpResponseDecoder(), handler);
+      new EmbeddedChannel(new ConnectionEnd(), new ResponseDecoder(), handler);
 
   private void beginExchange(boolean streaming) {
     handler.beginExchange(
@@ -112,6 +111,16 @@
     assertThat(listener.surplus, is(List.of("answer")));
   }
 
+  // A connection with a few bytes behind its last answer carried a request, whose answer was lost.
+  @Test
+  void connectionWithBytesBehindItsAnswerIsClosed() {
+    beginExchange(false);
+    receive(REFUSAL + ID + "own\r\n\r\nok");
+    assertThat(listener.answers, is(List.of(503)));
+    assertThat(listener.surplus, is(List.of("no-answer")));
+    assertThat(channel.isActive(), is(false));
+  }
+
   @Test
   void headIsDeliveredBeforeTheBody() {
     beginExchange(false);
