Relay: an answer in doubt whose connection fails is lost

An answer that ends within what may be a head is held back for what follows. If its endpoint was killed within its second answer, nothing follows, and the filled answer was believed after 50 ms. A connection that fails meanwhile now ends the attempt; one that its peer ends in order does not, as an answer that closes its connection does that.

FilledAnswerTest#answerInDoubtIsNotBelievedWhenItsConnectionFails fails before.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -374,6 +374,12 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     connections.removeClosed(context.channel());
+    EndpointExchange doubted = heldBack;
+    heldBack = null;
+    // A peer that has failed may have done so within a head.
+    if (doubted != null && ConnectionEnd.of(context.channel()) == ConnectionEnd.State.LOST) {
+      listener.attemptFailed(doubted, AttemptFailureCause.CONNECTION_LOST);
+    }
     fail(context, AttemptFailureCause.CONNECTION_LOST);
   }
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
@@ -13,6 +13,7 @@
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.SendOptions;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -205,6 +206,15 @@
     assertThat(believed(), is(true));
   }
 
+  // An endpoint that was killed within the second answer left a filled one, which was believed.
+  @Test
+  void answerInDoubtIsNotBelievedWhenItsConnectionFails() {
+    sendRequest("own");
+    receive(head(BROKEN_OFF.length() + 12) + BROKEN_OFF + REPETITION.substring(0, 12));
+    channel.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+    assertThat(listener.failures, is(List.of(AttemptFailureCause.CONNECTION_LOST)));
+  }
+
   @Test
   void wholeAnswerIsTakenWhenItsRepetitionFollows() {
     sendRequest("own");
