EngineStandInTest: cancel a step before any step can finish

It submits steps whose first batch takes 10 ms and then cancels one; where the thread pauses between the two, a step finishes first. Order and duration are asserted as before.

--- a/standin/src/test/java/io/zinniawood/standin/engine/EngineStandInTest.java
+++ b/standin/src/test/java/io/zinniawood/standin/engine/EngineStandInTest.java
@@ -20,6 +20,8 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -67,16 +69,22 @@
             (decode, prefill) -> decode * 10_000_000L,
             cost -> cost,
             Runnable::run);
+    CountDownLatch cancelled = new CountDownLatch(1);
     long startNanos = System.nanoTime();
     List<ScheduledStep> steps = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
       String name = (i < 4 ? "batch " : "interactive ") + i;
       steps.add(
           new ScheduledStep(
-              "s" + i, i < 4 ? 2 : 0, 0, () -> order.add(name), () -> order.add("cancelled")));
+              "s" + i,
+              i < 4 ? 2 : 0,
+              0,
+              afterCancel(cancelled, order, name),
+              () -> order.add("cancelled")));
     }
     scheduler.submit(steps);
     scheduler.cancel("s3");
+    cancelled.countDown();
     List<String> finished = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
       finished.add(order.poll(10, TimeUnit.SECONDS));
@@ -88,6 +96,19 @@
     timer.close();
   }
 
+  /** Records a finished step once the other one is cancelled, however late this thread does it. */
+  private static Runnable afterCancel(
+      CountDownLatch cancelled, Queue<String> finished, String step) {
+    return () -> {
+      try {
+        cancelled.await();
+        finished.add(step);
+      } catch (InterruptedException stopped) {
+        Thread.currentThread().interrupt();
+      }
+    };
+  }
+
   // Guards against a prefix cache that grows without bound or whose event numbers have no gaps.
   @Test
   void prefixCacheIsBoundedAndItsEventsHaveGaps() throws Exception {
