RuntimeFailuresTest: run the refusal of a waiting request on the event loop

The test drives the runtime from its own thread. A request that is received more than 100 ms after the last tick is posted by the loop 3 ms later, beside that thread, which the product never does. The assertions are the same.

--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -237,7 +237,12 @@
 
   // A connection without memory to read closed without an answer to its request.
   @Test
-  void waitingRequestIsRefusedWhenMemoryToReadIsLacking() {
+  void waitingRequestIsRefusedWhenMemoryToReadIsLacking() throws Exception {
+    // The loop sends a request that was received late itself.
+    loop.submit(this::readFailsWhileRequestWaits).get();
+  }
+
+  private void readFailsWhileRequestWaits() {
     RelayRuntime runtime = runtime(new FailingCodec(FailingCodec.Method.NONE));
     runtime.post(new RelayEvent.EndpointsListed(List.of(), VERSION, 1));
     CallerHandler handler = new CallerHandler(runtime);
