Relay: keep a connection with bytes behind its answer from the next request at once

The connection went to the pool before its answer was delivered, and a request that waited for that answer was sent on it in the same turn; the bytes behind the answer then began the answer to that request, and its attempt was lost. Found by a review by reading. FaultyAnswerTest#connectionWithBytesBehindItsAnswerIsClosedBeforeTheAnswerIsDelivered fails before.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -50,6 +50,9 @@
 
   private boolean surplusReported;
 
+  /** Whether more bytes had arrived when the last answer was complete. */
+  private boolean bytesBehindAnswer;
+
   /** Ids of the last requests on this connection. */
   private final Deque<RequestId> carriedRequests = new ArrayDeque<>();
 
@@ -267,6 +270,7 @@
       holdBack(context, complete, answered, whole);
       return;
     }
+    bytesBehindAnswer = ResponseDecoder.holdsBytes(context.channel());
     deliverContained(
         context,
         complete,
@@ -275,7 +279,7 @@
               complete.address(),
               context.channel(),
               answered,
-              reusable && foreignHead == ForeignHead.ABSENT);
+              reusable && foreignHead == ForeignHead.ABSENT && !bytesBehindAnswer);
           Runnable take =
               streaming
                   ? () -> listener.streamCompleted(complete)
@@ -374,6 +378,9 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     connections.removeClosed(context.channel());
+    if (bytesBehindAnswer) {
+      reportSurplus(false);
+    }
     EndpointExchange doubted = heldBack;
     heldBack = null;
     // A peer that has failed may have done so within a head.
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeEndpointListener.java
@@ -24,6 +24,9 @@
   int completedStreams;
   boolean failing;
 
+  /** Called with each answer, as the runtime may use the connection again at once. */
+  Runnable onAnswer = () -> {};
+
   @Override
   public void failed(String event, String subject, Throwable failure) {
     faults.add(event + " " + subject);
@@ -66,6 +69,7 @@
       throw new IllegalStateException("fault in the delivery");
     }
     answers.add(head.status().code());
+    onAnswer.run();
     if (keepContent) {
       kept.add(content);
     } else {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /** Plays endpoints that repeat answers or break off within an answer. */
@@ -121,6 +122,17 @@
     assertThat(channel.isActive(), is(false));
   }
 
+  // A request that waited for the answer was sent on the connection, behind the same bytes.
+  @Test
+  void connectionWithBytesBehindItsAnswerIsClosedBeforeTheAnswerIsDelivered() {
+    AtomicBoolean reusable = new AtomicBoolean();
+    listener.onAnswer = () -> reusable.set(channel.isActive());
+    beginExchange(false);
+    receive(REFUSAL + ID + "own\r\n\r\nabc");
+    assertThat(listener.answers, is(List.of(503)));
+    assertThat(reusable.get(), is(false));
+  }
+
   @Test
   void headIsDeliveredBeforeTheBody() {
     beginExchange(false);
