Control calls: a response that holds another one is lost, a whole one is not

A control response that another one had filled up to its end was taken, and a whole one, for example to an order, was lost if bytes that are no response followed it in the same read. The body tells the two apart: it holds a status line, or ends within one, only if it was filled. A call ends as soon as its connection is found broken, so that no later head of the same read answers it, and an idle connection that gets bytes is closed. SurplusControlAnswerTest#responseThatHoldsAnotherOneIsLost and #wholeResponseCountsWhateverFollows fail before.

--- a/core/src/main/java/io/zinniawood/core/frame/ForeignHeadScanner.java
+++ b/core/src/main/java/io/zinniawood/core/frame/ForeignHeadScanner.java
@@ -37,8 +37,18 @@
 
   /** Returns whether a text, such as a field of a head, holds the start of a status line. */
   public static boolean holdsStatusLine(CharSequence text) {
-    ForeignHeadScanner scanner = new ForeignHeadScanner(text::charAt, text.length(), Set.of());
-    for (int index = 0; index + STATUS_LINE_BYTES <= text.length(); index++) {
+    return holdsStatusLine(text::charAt, text.length());
+  }
+
+  /**
+   * Returns whether a body holds the start of a status line.
+   *
+   * @param byteAt returns the byte at an index from 0 on
+   * @param length length of the body in bytes
+   */
+  public static boolean holdsStatusLine(IntUnaryOperator byteAt, int length) {
+    ForeignHeadScanner scanner = new ForeignHeadScanner(byteAt, length, Set.of());
+    for (int index = 0; index + STATUS_LINE_BYTES <= length; index++) {
       if (scanner.mayBeStatusLine(index)) {
         return true;
       }
--- a/relay/src/main/java/io/zinniawood/relay/ControlClient.java
+++ b/relay/src/main/java/io/zinniawood/relay/ControlClient.java
@@ -25,6 +25,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.vavr.control.Either;
+import io.zinniawood.core.frame.ForeignHead;
+import io.zinniawood.core.frame.ForeignHeadScanner;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.relay.internal.AccountedBytes;
 import io.zinniawood.relay.internal.ConnectionEnd;
@@ -35,6 +37,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -239,7 +242,7 @@
       }
       if (message instanceof HttpResponse response) {
         if (!ResponseHeads.isWellFormed(response)) {
-          context.close();
+          failCall(context);
           return;
         }
         // An endpoint states facts about itself in any head, so each one is delivered.
@@ -276,16 +279,33 @@
       whole = new ControlResponse(head.status().code(), head.headers(), takeBody());
       reusable = HttpUtil.isKeepAlive(head);
       head = null;
+      byte[] bytes = whole.body();
+      if (ForeignHeadScanner.holdsStatusLine(index -> bytes[index], bytes.length)) {
+        failCall(context);
+      }
     }
 
-    /** Ends a call whose response is followed by more; the rest of a head shows a filled frame. */
+    /** Ends a call without a response; what else arrives on the connection is ignored. */
+    private void failCall(ChannelHandlerContext context) {
+      Call lost = call;
+      call = null;
+      whole = null;
+      head = null;
+      context.close();
+      lost.fail(ControlFailure.OUTCOME_UNKNOWN);
+    }
+
+    /** Ends a call whose response is followed by more, which may be the rest of a head. */
     private void receiveSurplus(ChannelHandlerContext context, HttpObject message) {
       reusable = false;
-      if (ResponseHeads.isWellFormed(message)) {
-        deliver(context);
+      byte[] bytes = whole.body();
+      boolean endsWithinHead =
+          ForeignHeadScanner.scan(index -> bytes[index], bytes.length, List.of())
+              == ForeignHead.POSSIBLE;
+      if (endsWithinHead && !ResponseHeads.isWellFormed(message)) {
+        failCall(context);
       } else {
-        whole = null;
-        context.close();
+        deliver(context);
       }
     }
 
@@ -293,6 +313,8 @@
     public void channelReadComplete(ChannelHandlerContext context) {
       if (whole != null) {
         deliver(context);
+      } else if (call == null && ResponseDecoder.holdsBytes(context.channel())) {
+        context.close();
       }
     }
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/SurplusControlAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/SurplusControlAnswerTest.java
@@ -99,6 +99,35 @@
     }
   }
 
+  // A response that another one had filled up to its end was taken, as nothing followed it.
+  @Test
+  void responseThatHoldsAnotherOneIsLost() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      CompletableFuture<String> result = new CompletableFuture<>();
+      loop.execute(() -> call(server, answer -> result.complete(body(answer))));
+      try (Socket connection = server.accept()) {
+        String cut = "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nf";
+        write(connection, cut.formatted(1 + REPEATED.length()) + REPEATED);
+        assertThat(
+            result.get(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS),
+            is(ControlFailure.OUTCOME_UNKNOWN.name()));
+      }
+    }
+  }
+
+  // A whole response to an order was lost, as bytes that are no response followed it.
+  @Test
+  void wholeResponseCountsWhateverFollows() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      CompletableFuture<String> result = new CompletableFuture<>();
+      loop.execute(() -> call(server, answer -> result.complete(body(answer))));
+      try (Socket connection = server.accept()) {
+        write(connection, FIRST + "no response\r\n\r\n");
+        assertThat(result.get(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS), is("first"));
+      }
+    }
+  }
+
   @Test
   void connectionIsKeptForTheNextCallWhenNothingFollowsTheResponse() throws Exception {
     try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
