HTTP calls: a head that another head has completed is lost, as in the relay

Entry and agent took a head for that of a value which was cut within the reason phrase or a field and went on with the head of the repeated response; and a body that a response to an earlier request of the connection had filled. After a response to another request the idle connections stay no longer in the pool, where each cost one more lost call. RepeatedStoreAnswerTest#headThatAnotherHeadCompletesIsNoValue fails before (getLeft() on Right).

--- a/http/src/main/java/io/zinniawood/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -207,8 +207,8 @@
     @Override
     public void onFailure(Call call, IOException failure) {
       callsInProgress.decrementAndGet();
-      if (failure instanceof InterruptedIOException) {
-        // Idle connections may be as unresponsive as this one, so later calls open new ones.
+      if (failure instanceof InterruptedIOException || monitor.connectionUnfit()) {
+        // Idle connections may be as unfit as this one, so later calls open new ones.
         client.connectionPool().evictAll();
       }
       String detail = call.request().url().redact() + ": " + failure;
@@ -259,7 +259,8 @@
               "the connection failed within a response without a length");
         }
         byte[] bytes = source.readByteArray();
-        if (ForeignHeadScanner.scan(index -> bytes[index], bytes.length, monitor.requestIds())
+        if (ForeignHeadScanner.scan(
+                index -> bytes[index], bytes.length, monitor.connectionRequestIds())
             == ForeignHead.PRESENT) {
           return new HttpResult.ResponseLost(
               "the response body holds the head of another response");
--- a/http/src/main/java/io/zinniawood/http/ResponseIdCheck.java
+++ b/http/src/main/java/io/zinniawood/http/ResponseIdCheck.java
@@ -1,30 +1,37 @@
 package io.zinniawood.http;
 
+import io.zinniawood.core.frame.ForeignHeadScanner;
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.Collections;
+import java.util.Deque;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.UUID;
 import java.util.WeakHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.StreamSupport;
 import okhttp3.Connection;
 import okhttp3.Interceptor;
 import okhttp3.Request;
 import okhttp3.Response;
 
 /**
- * Gives each request an id and accepts a response only if it belongs to that request. A response
- * that repeats the id does. A response without an id does only if its connection has carried no
- * other request, so connections are kept only until a response lacks it.
+ * Gives each request an id, which its response must repeat. A response without an id is accepted
+ * only on a connection that has carried no other request, so connections are kept only until a
+ * response lacks it.
  */
 final class ResponseIdCheck implements Interceptor {
   private static final String REQUEST_ID = "Request-Id";
   private static final String CONNECTION = "Connection";
 
-  /** Connections that have carried a request; pools are shared between instances. */
-  private static final Set<Connection> USED_CONNECTIONS =
-      Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
+  /** Number of requests on a connection whose responses may still be repeated late. */
+  private static final int MAX_EARLIER_REQUESTS = 16;
+
+  /** Ids of the last requests on each connection; pools are shared between instances. */
+  private static final Map<Connection, Deque<String>> CARRIED_IDS =
+      Collections.synchronizedMap(new WeakHashMap<>());
 
   private final String idPrefix = UUID.randomUUID() + "-";
   private final AtomicLong nextId = new AtomicLong();
@@ -62,11 +69,11 @@
     if (!mayKeep) {
       request.header(CONNECTION, "close");
     }
+    List<String> carriedIds = carry(chain.connection(), id);
     SendMonitor monitor = chain.request().tag(SendMonitor.class);
     if (monitor != null) {
-      monitor.setRequestId(id);
+      monitor.setConnectionRequestIds(carriedIds);
     }
-    boolean newConnection = USED_CONNECTIONS.add(chain.connection());
     Response response = chain.proceed(request.build());
     List<String> ids = response.headers(REQUEST_ID);
     if (ids.isEmpty()) {
@@ -74,15 +81,39 @@
       if (mayKeep && monitor != null) {
         monitor.setConnectionUnfit();
       }
-      if (!newConnection) {
+      if (carriedIds.size() > 1) {
         throw new IOException("the response on a kept connection names no request");
       }
-    } else if (ids.stream().allMatch(id::equals)) {
+    } else if (ids.equals(List.of(id)) && !holdsOtherHead(response)) {
       server.updateAndGet(Server::afterResponseWithId);
     } else {
       server.set(Server.RESPONDS_TWICE);
+      if (monitor != null) {
+        monitor.setConnectionUnfit();
+      }
       throw new IOException("the response names request %s, expected %s".formatted(ids, id));
     }
     return response;
   }
+
+  /** Returns the ids of the last requests on a connection, with the present one. */
+  private static List<String> carry(Connection connection, String id) {
+    Deque<String> carried = CARRIED_IDS.computeIfAbsent(connection, used -> new ArrayDeque<>());
+    synchronized (carried) {
+      carried.addLast(id);
+      if (carried.size() > MAX_EARLIER_REQUESTS) {
+        carried.removeFirst();
+      }
+      return List.copyOf(carried);
+    }
+  }
+
+  /** Returns whether the head of another response has completed the head of a response. */
+  private static boolean holdsOtherHead(Response response) {
+    return ForeignHeadScanner.holdsStatusLine(response.message())
+        || StreamSupport.stream(response.headers().spliterator(), false)
+            .anyMatch(
+                field ->
+                    ForeignHeadScanner.holdsStatusLine(field.getFirst() + " " + field.getSecond()));
+  }
 }
--- a/http/src/main/java/io/zinniawood/http/SendMonitor.java
+++ b/http/src/main/java/io/zinniawood/http/SendMonitor.java
@@ -12,7 +12,7 @@
   private volatile List<String> retryAfter = List.of();
   private volatile boolean sendFailed;
   private volatile boolean connectionUnfit;
-  private volatile List<String> requestIds = List.of();
+  private volatile List<String> connectionRequestIds = List.of();
   private volatile ResponseEnd responseEnd = ResponseEnd.STATED;
 
   private enum State {
@@ -59,14 +59,14 @@
     return connectionUnfit;
   }
 
-  /** Stores the id that the response repeats. */
-  void setRequestId(String id) {
-    requestIds = List.of(id);
+  /** Stores the ids of the last requests on the connection, with the present one. */
+  void setConnectionRequestIds(List<String> ids) {
+    connectionRequestIds = ids;
   }
 
-  /** Returns the id that the response repeats; empty if the request has none. */
-  List<String> requestIds() {
-    return requestIds;
+  /** Returns the ids of the last requests on the connection; empty if requests have no ids. */
+  List<String> connectionRequestIds() {
+    return connectionRequestIds;
   }
 
   /** Stores how the response ends. */
--- a/store/src/test/java/io/zinniawood/store/http/RepeatedStoreAnswerTest.java
+++ b/store/src/test/java/io/zinniawood/store/http/RepeatedStoreAnswerTest.java
@@ -9,6 +9,7 @@
 import io.zinniawood.standin.http.RepeatingServer;
 import io.zinniawood.store.PlatformError;
 import io.zinniawood.store.TableRow;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import okhttp3.OkHttpClient;
@@ -58,6 +59,26 @@
     }
   }
 
+  // A head that the head of the repeated answer had completed passed for the head of a value.
+  @Test
+  void headThatAnotherHeadCompletesIsNoValue() throws Exception {
+    for (String cut : List.of("HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nX-Cut: a")) {
+      try (RepeatingServer server =
+          RepeatingServer.launch(
+              request ->
+                  cut
+                      + answer(
+                          request,
+                          "Request-Id: "
+                              + request.headers().getOrDefault("request-id", "none")
+                              + "\r\n"))) {
+        Either<PlatformError, Option<TableRow>> completed =
+            new HttpPlatform(server.uri(), client).table().read("first").get(5, TimeUnit.SECONDS);
+        assertThat(completed.getLeft(), instanceOf(PlatformError.ResponseLost.class));
+      }
+    }
+  }
+
   private static String answerFilledByItself(Map<String, String> headers) {
     String value = "cut";
     String answer =
