--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -93,7 +93,7 @@
     hold(answer);
     loop.schedule(
         () -> takeUnconfirmed().ifPresent(held -> held.take().run()),
-        REST_OF_HEAD_MILLIS,
+        Math.max(0, Math.min(REST_OF_HEAD_MILLIS, millisLeft() / 2)),
         TimeUnit.MILLISECONDS);
   }
 
