--- a/core/src/main/java/io/zinniawood/core/relay/AnswerConfirmation.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerConfirmation.java
@@ -42,7 +42,7 @@
       askForSign(turn, open);
       return;
     }
-    turn.logWithEvidence(
+    turn.logSuspicious(
         true,
         "answer-end-checked",
         "request",
--- a/core/src/main/java/io/zinniawood/core/relay/AnswerEvidence.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AnswerEvidence.java
@@ -19,7 +19,7 @@
     boolean connectionReused,
     ForeignHead foreignHead,
     long millisLeft) {
-  /** Time before its limit at which an endpoint may stop, as its timers tick at 100 Hz or so. */
+  /** Time before its limit, in milliseconds, from which on an endpoint may have stopped there. */
   public static final long LIMIT_MARGIN_MILLIS = 20;
 
   /** What told the end of an answer. The names appear in the decision log. */
--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -273,7 +273,7 @@
 
   /** Logs and cancels the current attempt; the request stays open. */
   static void endAttempt(RelayTurn turn, OpenRequest open, String reason) {
-    turn.logWithEvidence(
+    turn.logSuspicious(
         SuspiciousAnswers.isReason(reason),
         "attempt-ended",
         "request",
@@ -303,7 +303,7 @@
 
   /** Logs the outcome of a request and removes it. */
   static void complete(RelayTurn turn, OpenRequest open, String outcome, String reason) {
-    turn.logWithEvidence(
+    turn.logSuspicious(
         SuspiciousAnswers.isReason(reason)
             || open.evidence.filter(SuspiciousAnswers::isUnusual).isPresent(),
         "request-ended",
--- a/core/src/main/java/io/zinniawood/core/relay/Decision.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Decision.java
@@ -8,10 +8,10 @@
  *
  * @param event event name, stable across versions
  * @param fields alternating names and values; values are strings, numbers or booleans
- * @param evidence whether the entry tells of an answer that may be cut or another's; the log keeps
- *     room for such entries
+ * @param suspicious whether the entry tells of an answer that may be truncated or belong to another
+ *     request; the log keeps room for such entries
  */
-public record Decision(String event, List<Object> fields, boolean evidence) {
+public record Decision(String event, List<Object> fields, boolean suspicious) {
   /**
    * Creates an entry from alternating names and values.
    *
@@ -26,8 +26,8 @@
     return new Decision(event, Arrays.asList(namesAndValues), false);
   }
 
-  /** Returns the entry with the given value of {@link #evidence}. */
-  public Decision withEvidence(boolean value) {
+  /** Returns the entry with the given value of {@link #suspicious}. */
+  public Decision withSuspicious(boolean value) {
     return new Decision(event, fields, value);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayTurn.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayTurn.java
@@ -23,10 +23,10 @@
     effects.add(new RelayEffect.LogDecision(Decision.of(event, namesAndValues)));
   }
 
-  /** Logs an entry and states whether it tells of an answer that may be cut or another's. */
-  void logWithEvidence(boolean evidence, String event, Object... namesAndValues) {
+  /** Logs an entry and states whether it tells of a suspicious answer. */
+  void logSuspicious(boolean suspicious, String event, Object... namesAndValues) {
     effects.add(
-        new RelayEffect.LogDecision(Decision.of(event, namesAndValues).withEvidence(evidence)));
+        new RelayEffect.LogDecision(Decision.of(event, namesAndValues).withSuspicious(suspicious)));
   }
 
   List<RelayEffect> effects() {
--- a/core/src/main/java/io/zinniawood/core/relay/SuspiciousAnswers.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SuspiciousAnswers.java
@@ -5,9 +5,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
-/**
- * Decides which ends of answers and attempts are evidence of an answer that is cut or another's.
- */
+/** Decides which ends of answers and attempts tell of an answer that may not be the endpoint's. */
 final class SuspiciousAnswers {
   private static final Set<String> REASONS =
       EnumSet.of(
--- a/core/src/test/java/io/zinniawood/core/relay/SuspiciousAnswersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/SuspiciousAnswersTest.java
@@ -16,7 +16,7 @@
     return relay.effectsOf(RelayEffect.LogDecision.class).stream()
         .map(RelayEffect.LogDecision::decision)
         .filter(decision -> decision.event().equals(event))
-        .map(Decision::evidence)
+        .map(Decision::suspicious)
         .toList();
   }
 
--- a/http/src/main/java/io/zinniawood/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -207,7 +207,7 @@
     @Override
     public void onFailure(Call call, IOException failure) {
       callsInProgress.decrementAndGet();
-      if (failure instanceof InterruptedIOException || monitor.connectionUnfit()) {
+      if (failure instanceof InterruptedIOException || monitor.connectionNotReusable()) {
         // Idle connections may be as unfit as this one, so later calls open new ones.
         client.connectionPool().evictAll();
       }
@@ -230,7 +230,7 @@
         }
         result = new HttpResult.ResponseLost(call.request().url().redact() + ": " + e);
       }
-      if (monitor.connectionUnfit()) {
+      if (monitor.connectionNotReusable()) {
         client.connectionPool().evictAll();
       }
       callsInProgress.decrementAndGet();
--- a/http/src/main/java/io/zinniawood/http/ResponseIdCheck.java
+++ b/http/src/main/java/io/zinniawood/http/ResponseIdCheck.java
@@ -79,7 +79,7 @@
     if (ids.isEmpty()) {
       server.updateAndGet(Server::afterResponseWithoutId);
       if (mayKeep && monitor != null) {
-        monitor.setConnectionUnfit();
+        monitor.setConnectionNotReusable();
       }
       if (carriedIds.size() > 1) {
         throw new IOException("the response on a kept connection names no request");
@@ -89,7 +89,7 @@
     } else {
       server.set(Server.RESPONDS_TWICE);
       if (monitor != null) {
-        monitor.setConnectionUnfit();
+        monitor.setConnectionNotReusable();
       }
       throw new IOException("the response names request %s, expected %s".formatted(ids, id));
     }
--- a/http/src/main/java/io/zinniawood/http/SendMonitor.java
+++ b/http/src/main/java/io/zinniawood/http/SendMonitor.java
@@ -11,7 +11,7 @@
   private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
   private volatile List<String> retryAfter = List.of();
   private volatile boolean sendFailed;
-  private volatile boolean connectionUnfit;
+  private volatile boolean connectionNotReusable;
   private volatile List<String> connectionRequestIds = List.of();
   private volatile ResponseEnd responseEnd = ResponseEnd.STATED;
 
@@ -50,13 +50,13 @@
   }
 
   /** Records that the connection of the request must carry no other request. */
-  void setConnectionUnfit() {
-    connectionUnfit = true;
+  void setConnectionNotReusable() {
+    connectionNotReusable = true;
   }
 
   /** Returns whether the connection of the request must carry no other request. */
-  boolean connectionUnfit() {
-    return connectionUnfit;
+  boolean connectionNotReusable() {
+    return connectionNotReusable;
   }
 
   /** Stores the ids of the last requests on the connection, with the present one. */
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -163,8 +163,8 @@
 
   private void logDecision(Decision decision) {
     metrics.countDecision(decision);
-    if (decision.evidence()) {
-      log.addEvidence(decision.event(), decision.fields());
+    if (decision.suspicious()) {
+      log.addPriority(decision.event(), decision.fields());
     } else {
       log.add(decision.event(), decision.fields());
     }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -198,7 +198,8 @@
 
   private boolean beginRequest(HttpRequest request) {
     headStarted = false;
-    if (request.decoderResult().isFailure() || TransferCodings.hasOther(request.headers())) {
+    if (request.decoderResult().isFailure()
+        || TransferCodings.hasOtherThanChunked(request.headers())) {
       Throwable cause = request.decoderResult().cause();
       boolean tooLong =
           cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -156,7 +156,7 @@
    *
    * @param answer whether they are the head of an answer
    */
-  Decision surplus(boolean answer) {
+  Decision surplusDecision(boolean answer) {
     return Decision.of(
             "bytes-after-answer",
             "request",
@@ -167,7 +167,7 @@
             options.expectedEndpoint().value(),
             "reason",
             answer ? "answer" : "no-answer")
-        .withEvidence(true);
+        .withSuspicious(true);
   }
 
   HttpResponse streamHead() {
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -161,7 +161,8 @@
   }
 
   private void handleHead(ChannelHandlerContext context, HttpResponse response) {
-    if (!ResponseHeads.isWellFormed(response) || TransferCodings.hasOther(response.headers())) {
+    if (!ResponseHeads.isWellFormed(response)
+        || TransferCodings.hasOtherThanChunked(response.headers())) {
       boolean closed = response.decoderResult().cause() instanceof PrematureChannelClosureException;
       fail(
           context,
--- a/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EventStreamSplitter.java
@@ -82,7 +82,7 @@
    * @param repeatableIds ids of the requests whose responses may be repeated within the stream
    * @param events receives each event including its final blank line, and must release it
    * @return false if the incomplete event exceeds the maximum size, or if a second response follows
-   *     the events or part of one
+   *     whole events or an incomplete one
    */
   public boolean split(ByteBuf bytes, Collection<String> repeatableIds, Consumer<ByteBuf> events) {
     pending.writeBytes(bytes);
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -396,7 +396,7 @@
 
   @Override
   public void surplusReceived(EndpointExchange lastExchange, boolean answer) {
-    listener.decisionMade(new RelayEffect.LogDecision(lastExchange.surplus(answer)));
+    listener.decisionMade(new RelayEffect.LogDecision(lastExchange.surplusDecision(answer)));
   }
 
   @Override
--- a/relay/src/main/java/io/zinniawood/relay/internal/TransferCodings.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/TransferCodings.java
@@ -9,7 +9,7 @@
   private TransferCodings() {}
 
   /** Returns whether a body has a coding other than chunks, which the decoder leaves in place. */
-  static boolean hasOther(HttpHeaders headers) {
+  static boolean hasOtherThanChunked(HttpHeaders headers) {
     return headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
         .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding.strip()));
   }
--- a/telemetry/src/main/java/io/zinniawood/telemetry/DecisionLog.java
+++ b/telemetry/src/main/java/io/zinniawood/telemetry/DecisionLog.java
@@ -16,8 +16,8 @@
 /**
  * Asynchronous log that writes one JSON line for each event. Callers never block: a background
  * thread writes the lines from a bounded queue. Lines that exceed the queue or the rate limit are
- * dropped, and the writer logs how many were dropped. Both bounds leave room for evidence, the
- * lines that an incident is traced by, when they admit no ordinary line any more.
+ * dropped, and the writer logs how many were dropped. Both bounds leave room for priority lines,
+ * the lines that an incident is traced by, when they admit no ordinary line any more.
  */
 public final class DecisionLog implements AutoCloseable {
   /** Capacity of the queue in lines. */
@@ -26,11 +26,11 @@
   /** About three times the expected rate of 10 lines for each of 64 requests per second. */
   static final int MAX_LINES_PER_SECOND = 2_000;
 
-  /** Additional capacity of the queue for evidence, in lines. */
-  static final int QUEUED_EVIDENCE_LINES = 1_024;
+  /** Additional capacity of the queue for priority lines, in lines. */
+  static final int QUEUED_PRIORITY_LINES = 1_024;
 
-  /** Additional lines of evidence in a second that has used up the limit. */
-  static final int EVIDENCE_LINES_PER_SECOND = 200;
+  /** Additional priority lines in a second that has used up the limit. */
+  static final int PRIORITY_LINES_PER_SECOND = 200;
 
   private static final long NANOS_PER_SECOND = 1_000_000_000;
 
@@ -89,18 +89,18 @@
   }
 
   /**
-   * Queues a line of evidence, which has room where ordinary lines are dropped, or drops it if that
+   * Queues a priority line, which has room where ordinary lines are dropped, or drops it if that
    * room is used up as well.
    *
    * @param event name of the event
    * @param fields alternating field names and values
    */
-  public void addEvidence(String event, List<Object> fields) {
+  public void addPriority(String event, List<Object> fields) {
     add(
         event,
         fields,
-        MAX_QUEUED_LINES + QUEUED_EVIDENCE_LINES,
-        MAX_LINES_PER_SECOND + EVIDENCE_LINES_PER_SECOND);
+        MAX_QUEUED_LINES + QUEUED_PRIORITY_LINES,
+        MAX_LINES_PER_SECOND + PRIORITY_LINES_PER_SECOND);
   }
 
   private void add(String event, List<Object> fields, int maxQueuedLines, int maxLinesPerSecond) {
--- a/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
+++ b/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
@@ -108,7 +108,7 @@
     for (int line = 0; line < DecisionLog.MAX_LINES_PER_SECOND + 7; line++) {
       log.add("event", List.of());
     }
-    log.addEvidence("bytes-after-answer", List.of("request", "r"));
+    log.addPriority("bytes-after-answer", List.of("request", "r"));
     log.add("event", List.of());
     log.close();
     assertThat(output.toString(StandardCharsets.UTF_8), containsString("\"request\":\"r\""));
@@ -125,7 +125,7 @@
       nowNanos[0] += 1_000_000;
       log.add("event", List.of("line", line));
     }
-    log.addEvidence("bytes-after-answer", List.of("request", "r"));
+    log.addPriority("bytes-after-answer", List.of("request", "r"));
     output.released.countDown();
     log.close();
     assertThat(
@@ -137,9 +137,9 @@
   void evidenceIsBoundedAndItsDropsAreReported() {
     ByteArrayOutputStream output = new ByteArrayOutputStream();
     DecisionLog log = new DecisionLog(output, () -> TIME, () -> 0);
-    int written = DecisionLog.MAX_LINES_PER_SECOND + DecisionLog.EVIDENCE_LINES_PER_SECOND;
+    int written = DecisionLog.MAX_LINES_PER_SECOND + DecisionLog.PRIORITY_LINES_PER_SECOND;
     for (int line = 0; line < written + 7; line++) {
-      log.addEvidence("bytes-after-answer", List.of());
+      log.addPriority("bytes-after-answer", List.of());
     }
     log.close();
     String text = output.toString(StandardCharsets.UTF_8);
@@ -156,9 +156,9 @@
     DecisionLog log = new DecisionLog(output, () -> TIME, () -> nowNanos[0]);
     for (int line = 0; line < 30_000; line++) {
       nowNanos[0] += 1_000_000;
-      log.addEvidence("bytes-after-answer", List.of());
+      log.addPriority("bytes-after-answer", List.of());
     }
-    int queued = DecisionLog.MAX_QUEUED_LINES + DecisionLog.QUEUED_EVIDENCE_LINES;
+    int queued = DecisionLog.MAX_QUEUED_LINES + DecisionLog.QUEUED_PRIORITY_LINES;
     assertThat(log.droppedLines(), greaterThanOrEqualTo(30_000L - 2 * queued));
     output.released.countDown();
     log.close();
