Ports: return no port twice

A relay that was started again found its port taken by an endpoint process of the same cluster (shown by the listener's process id): Ports.free drew 18600 for both, as it forgets what it returned. PortsTest#noPortIsReturnedTwice fails before.

--- a/cli/src/main/java/io/zinniawood/cli/local/Ports.java
+++ b/cli/src/main/java/io/zinniawood/cli/local/Ports.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 
 /** Finds free TCP ports on loopback. */
@@ -19,17 +21,21 @@
   private static final int END_PORT_EXCLUSIVE = 32_000;
   private static final int MAX_TRIES = 200;
 
+  /** Ports that were returned; a listener may be closed for a moment, or not be bound yet. */
+  private static final Set<Integer> RETURNED_PORTS = ConcurrentHashMap.newKeySet();
+
   private Ports() {}
 
   /**
-   * Returns a loopback address whose port could be bound just before.
+   * Returns a loopback address whose port could be bound just before, and which this process has
+   * not returned before.
    *
    * @throws IllegalStateException if no free port is found
    */
   public static NodeAddress free() {
     for (int count = 0; count < MAX_TRIES; count++) {
       int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_PORT_EXCLUSIVE);
-      if (isFree(port)) {
+      if (isFree(port) && RETURNED_PORTS.add(port)) {
         return new NodeAddress(LOOPBACK, port);
       }
     }
