Relay: exit if a listener cannot be opened

A relay whose port was taken printed the exception and then neither served nor exited, so that the platform did not start it again: the event loop was left running. The launcher now closes a relay that has not started. RelayTest#relayThatCannotListenExits.

--- a/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
@@ -34,12 +34,21 @@
             new RelayAddresses(settings.callers(), settings.admin()),
             new PlatformHeaderCodec(),
             log);
-    relay.start(
-        client ->
-            new UsersPlatformClient(
-                settings.store(),
-                client,
-                decision -> log.add(decision.event(), decision.fields())));
+    boolean started = false;
+    try {
+      relay.start(
+          client ->
+              new UsersPlatformClient(
+                  settings.store(),
+                  client,
+                  decision -> log.add(decision.event(), decision.fields())));
+      started = true;
+    } finally {
+      // Its event loop would keep a process alive that serves nobody.
+      if (!started) {
+        relay.close();
+      }
+    }
     return relay;
   }
 }
--- a/dist/src/test/java/io/zinniawood/dist/RelayTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/RelayTest.java
@@ -333,6 +333,14 @@
     assertThat(readinessStatus(), is(200));
   }
 
+  // A relay whose port was taken neither served nor exited, so that nobody started it again.
+  @Test
+  void relayThatCannotListenExits() {
+    try (RoleProcess second = RoleProcess.start("relay", "relay-second", settings())) {
+      assertThat(second.awaitExitCode(), is(1));
+    }
+  }
+
   // The platform may send SIGHUP at any time. Opening the pipe for writing blocks until the relay
   // opens it for reading, so the signal arrives after main has started and before the settings
   // are read.
