Relay: a relay that cannot listen exits with 1

Its exit code was 0: the hook for SIGTERM halts the JVM with 0 whenever the work is finished, and a checked exception of a bind, which Netty throws undeclared, passed the handler of failures.

--- a/cli/src/main/java/io/zinniawood/cli/RelayCommand.java
+++ b/cli/src/main/java/io/zinniawood/cli/RelayCommand.java
@@ -77,8 +77,12 @@
       relay.awaitStopped();
       log.add("process-stopped", List.of("vm", settings.vm().value()));
       return ExitCode.DONE;
-    } catch (RuntimeException failure) {
-      err.println("zinniawood relay: " + failure.getMessage());
+    } catch (InterruptedException interrupted) {
+      throw interrupted;
+    } catch (Exception failure) {
+      // Netty throws the checked exceptions of a bind without declaring them.
+      err.println("zinniawood relay: " + failure);
+      termination.finish(ExitCode.FAILED);
       return ExitCode.FAILED;
     } finally {
       log.close();
--- a/cli/src/main/java/io/zinniawood/cli/Termination.java
+++ b/cli/src/main/java/io/zinniawood/cli/Termination.java
@@ -7,6 +7,7 @@
 final class Termination {
   private final CountDownLatch requested = new CountDownLatch(1);
   private final CountDownLatch finished = new CountDownLatch(1);
+  private volatile ExitCode result = ExitCode.DONE;
   private volatile long timeoutMillis;
 
   private Termination(long timeoutMillis) {
@@ -30,7 +31,7 @@
     try {
       boolean finishedInTime = finished.await(timeoutMillis, TimeUnit.MILLISECONDS);
       // Without halt the JVM exits with 143 after SIGTERM, even after a complete drain.
-      Runtime.getRuntime().halt((finishedInTime ? ExitCode.DONE : ExitCode.FAILED).code());
+      Runtime.getRuntime().halt((finishedInTime ? result : ExitCode.FAILED).code());
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
     }
@@ -51,6 +52,12 @@
     requested.await();
   }
 
+  /** Signals that the work is finished with a failure, so that the JVM may exit. */
+  void finish(ExitCode failure) {
+    result = failure;
+    finish();
+  }
+
   /** Signals that the work is finished, so that the JVM may exit. */
   void finish() {
     finished.countDown();
