Relay: collect the ids that a stream may repeat for streams only

The list was copied for each request that was sent, though only streams read it; the check of a head already tells whether a message is one.

--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -137,7 +137,6 @@
     EndpointHandler handler = channel.pipeline().get(EndpointHandler.class);
     handler.beginExchange(exchange);
     handler.requestSent(exchange.callerExchange().request());
-    exchange.repeatableIds(handler.repeatableIds());
     exchange.markSent();
     channel.writeAndFlush(request).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointExchange.java
@@ -142,7 +142,7 @@
     evidence = found;
   }
 
-  /** Returns the ids of the requests whose answers may be repeated on the connection. */
+  /** Returns the ids of the requests whose answers may be repeated within the stream. */
   List<String> repeatableIds() {
     return repeatableIds;
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointHandler.java
@@ -137,8 +137,7 @@
 
   /** Closes the connection, as what follows a complete answer belongs to no request. */
   private void receiveSurplus(ChannelHandlerContext context, Object message) {
-    boolean answer =
-        message instanceof HttpResponse response && ResponseHeads.isWellFormed(response);
+    boolean answer = ResponseHeads.isWellFormed(message);
     reportSurplus(answer);
     EndpointExchange doubted = heldBack;
     heldBack = null;
@@ -196,6 +195,7 @@
       fail(context, AttemptFailureCause.INVALID_ANSWER);
     } else if (streaming) {
       exchange.streamHead(response);
+      exchange.repeatableIds(repeatableIds());
       listener.streamStarted(exchange, response);
     } else {
       content = new AccountedBytes(memory, () -> fail(context, AttemptFailureCause.INVALID_ANSWER));
@@ -299,7 +299,7 @@
   }
 
   /** Returns the ids of the requests whose answers may be repeated on this connection. */
-  List<String> repeatableIds() {
+  private List<String> repeatableIds() {
     return carriedRequests.stream().map(RequestId::value).toList();
   }
 
