--- a/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
+++ b/telemetry/src/test/java/io/zinniawood/telemetry/DecisionLogTest.java
@@ -102,7 +102,7 @@
 
   // Under overload the lines of an incident were dropped with the ordinary ones.
   @Test
-  void evidenceIsWrittenAlthoughOrdinaryLinesExceedTheRateLimit() {
+  void priorityLineIsWrittenAlthoughOrdinaryLinesExceedTheRateLimit() {
     ByteArrayOutputStream output = new ByteArrayOutputStream();
     DecisionLog log = new DecisionLog(output, () -> TIME, () -> 0);
     for (int line = 0; line < DecisionLog.MAX_LINES_PER_SECOND + 7; line++) {
@@ -117,7 +117,7 @@
 
   // A reader that had stopped for a while lost the lines of an incident with the ordinary ones.
   @Test
-  void evidenceIsWrittenAlthoughTheQueueIsFull() {
+  void priorityLineIsWrittenAlthoughTheQueueIsFull() {
     BlockedOutput output = new BlockedOutput();
     long[] nowNanos = {0};
     DecisionLog log = new DecisionLog(output, () -> TIME, () -> nowNanos[0]);
@@ -134,7 +134,7 @@
 
   // An endpoint that answers twice without end must not fill the memory or the disk.
   @Test
-  void evidenceIsBoundedAndItsDropsAreReported() {
+  void priorityLinesAreBoundedAndTheirDropsAreReported() {
     ByteArrayOutputStream output = new ByteArrayOutputStream();
     DecisionLog log = new DecisionLog(output, () -> TIME, () -> 0);
     int written = DecisionLog.MAX_LINES_PER_SECOND + DecisionLog.PRIORITY_LINES_PER_SECOND;
@@ -150,7 +150,7 @@
 
   // An endpoint that answers twice must not push the queue beyond its bound while a reader stops.
   @Test
-  void queuedEvidenceIsBounded() {
+  void queuedPriorityLinesAreBounded() {
     BlockedOutput output = new BlockedOutput();
     long[] nowNanos = {0};
     DecisionLog log = new DecisionLog(output, () -> TIME, () -> nowNanos[0]);
