--- a/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
+++ b/cli/src/main/java/io/zinniawood/cli/process/RelayLauncher.java
@@ -27,6 +27,7 @@
             settings.peers(),
             settings.firstStart() == FirstStart.TRUE,
             settings.gracePeriodMillis(),
+            settings.scheduling(),
             System.nanoTime());
     RelayProcess relay =
         new RelayProcess(
--- a/config/src/main/java/io/zinniawood/config/internal/SettingsSchema.java
+++ b/config/src/main/java/io/zinniawood/config/internal/SettingsSchema.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.SchedulingSettings.Mode;
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.Locale;
@@ -134,6 +135,36 @@
   /** Time in seconds from the termination request until a relay is killed. */
   public static final Field<Double> RELAY_GRACE_SECONDS = GRACE_SECONDS.withDefault(30.0);
 
+  /** Name of the table of the decisions on scarce capacity. */
+  public static final String SCHEDULING = "scheduling";
+
+  /** Whether relays tell each other what they have in flight. */
+  public static final Field<Mode> LOAD_SHARING = mode("load_sharing");
+
+  /** Whether requests are refused by a forecast of their wait. */
+  public static final Field<Mode> WAIT_FORECAST = mode("wait_forecast");
+
+  /** Whether waiting requests are ordered by urgency and by client account. */
+  public static final Field<Mode> URGENCY_ORDER = mode("urgency_order");
+
+  /** Whether streams are admitted by the pace that they leave to others. */
+  public static final Field<Mode> PACE_LIMIT = mode("pace_limit");
+
+  /** Whether the share of requests that leave the data centre is decided by room and cost. */
+  public static final Field<Mode> OVERFLOW = mode("overflow");
+
+  /** Whether a relay that lacks processor time refuses new requests. */
+  public static final Field<Mode> PROCESSOR_GUARD = mode("processor_guard");
+
+  /** Delay in milliseconds that a gigabyte sent to another data centre is worth. */
+  public static final Field<Double> OVERFLOW_COST =
+      Field.number("overflow_cost_ms_per_gb", 0, 1_000_000).withDefault(0.0);
+
+  private static Field<Mode> mode(String name) {
+    return Field.choice(name, Mode.values(), value -> value.name().toLowerCase(Locale.ROOT))
+        .withDefault(Mode.AUTO);
+  }
+
   /** Schema of the settings file of a relay. */
   public static final Schema RELAY =
       new Schema(
@@ -149,7 +180,18 @@
                       STORE,
                       RELAY_PEERS,
                       FIRST_START,
-                      RELAY_GRACE_SECONDS))));
+                      RELAY_GRACE_SECONDS)),
+              new TableSpec(
+                  SCHEDULING,
+                  TableSpec.Shape.SINGLE,
+                  Vector.of(
+                      LOAD_SHARING,
+                      WAIT_FORECAST,
+                      URGENCY_ORDER,
+                      PACE_LIMIT,
+                      OVERFLOW,
+                      PROCESSOR_GUARD,
+                      OVERFLOW_COST))));
 
   /** Schema of the settings file of an agent. */
   public static final Schema AGENT =
--- a/config/src/main/java/io/zinniawood/config/settings/RelaySettings.java
+++ b/config/src/main/java/io/zinniawood/config/settings/RelaySettings.java
@@ -3,6 +3,7 @@
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.relay.SchedulingSettings;
 import java.util.Optional;
 
 /**
@@ -17,6 +18,7 @@
  * @param firstStart whether the whole system, not only this process, starts for the first time
  * @param gracePeriodMillis time from the termination request until the process is killed, in
  *     milliseconds
+ * @param scheduling modes of the decisions on scarce capacity
  */
 public record RelaySettings(
     VmId vm,
@@ -26,7 +28,8 @@
     NodeAddress store,
     Optional<NodeAddress> peers,
     FirstStart firstStart,
-    long gracePeriodMillis) {
+    long gracePeriodMillis,
+    SchedulingSettings scheduling) {
   /**
    * Whether the whole system starts for the first time. On a first start all layers are loaded at
    * once.
--- a/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
+++ b/config/src/main/java/io/zinniawood/config/settings/SettingsLoader.java
@@ -10,6 +10,7 @@
 import io.zinniawood.config.internal.TextFiles;
 import io.zinniawood.config.internal.TomlDocument;
 import io.zinniawood.config.internal.ValueTree;
+import io.zinniawood.core.relay.SchedulingSettings;
 import java.nio.file.Path;
 import java.util.function.Function;
 
@@ -18,6 +19,7 @@
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final Vector<String> ROOT = Vector.empty();
   private static final Vector<String> TLS = Vector.of("tls");
+  private static final Vector<String> SCHEDULING = Vector.of(SettingsSchema.SCHEDULING);
   private static final Vector<String> ENGINE = Vector.of("engine");
   private static final Vector<String> SERVICE = Vector.of("service");
 
@@ -102,6 +104,7 @@
     var peers = reader.get(ROOT, SettingsSchema.RELAY_PEERS);
     var firstStart = reader.get(ROOT, SettingsSchema.FIRST_START);
     var gracePeriodSeconds = reader.get(ROOT, SettingsSchema.RELAY_GRACE_SECONDS);
+    Option<SchedulingSettings> scheduling = readScheduling(reader);
     if (callers.isDefined() && callers.equals(admin)) {
       reader.addFault(
           Vector.of(SettingsSchema.ADMIN.name()),
@@ -118,7 +121,29 @@
                 store.get(),
                 peers.get().toJavaOptional(),
                 firstStart.get(),
-                toMillis(gracePeriodSeconds.get())))
+                toMillis(gracePeriodSeconds.get()),
+                scheduling.get()))
+        : Option.none();
+  }
+
+  private static Option<SchedulingSettings> readScheduling(TableReader reader) {
+    var loadSharing = reader.get(SCHEDULING, SettingsSchema.LOAD_SHARING);
+    var waitForecast = reader.get(SCHEDULING, SettingsSchema.WAIT_FORECAST);
+    var urgencyOrder = reader.get(SCHEDULING, SettingsSchema.URGENCY_ORDER);
+    var paceLimit = reader.get(SCHEDULING, SettingsSchema.PACE_LIMIT);
+    var overflow = reader.get(SCHEDULING, SettingsSchema.OVERFLOW);
+    var processorGuard = reader.get(SCHEDULING, SettingsSchema.PROCESSOR_GUARD);
+    var overflowCost = reader.get(SCHEDULING, SettingsSchema.OVERFLOW_COST);
+    return reader.faults().isEmpty()
+        ? Option.of(
+            new SchedulingSettings(
+                loadSharing.get(),
+                waitForecast.get(),
+                urgencyOrder.get(),
+                paceLimit.get(),
+                overflow.get(),
+                processorGuard.get(),
+                overflowCost.get()))
         : Option.none();
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/RelayParameters.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayParameters.java
@@ -14,6 +14,7 @@
  * @param firstStart whether the whole system starts for the first time
  * @param gracePeriodMillis time from the termination request until the platform kills the process,
  *     in milliseconds
+ * @param scheduling modes of the decisions on scarce capacity
  * @param seed seed of the relay's random generator
  */
 public record RelayParameters(
@@ -22,4 +23,5 @@
     Optional<NodeAddress> peerAddress,
     boolean firstStart,
     long gracePeriodMillis,
+    SchedulingSettings scheduling,
     long seed) {}
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -139,6 +139,24 @@
     return routes.flatMap(table -> table.service(service)).flatMap(RoutedService::engine);
   }
 
+  /** Returns whether a decision on scarce capacity is in force for a service. */
+  boolean scheduling(SchedulingPart part, ServiceName service) {
+    return switch (parameters.scheduling().mode(part)) {
+      case ON -> true;
+      case OFF -> false;
+      case AUTO -> routes.filter(table -> table.capacityScarce(service)).isPresent();
+    };
+  }
+
+  /** Returns whether a decision on scarce capacity is in force for any service. */
+  boolean scheduling(SchedulingPart part) {
+    return switch (parameters.scheduling().mode(part)) {
+      case ON -> true;
+      case OFF -> false;
+      case AUTO -> routes.filter(RouteTable::capacityScarce).isPresent();
+    };
+  }
+
   /** Returns the number of endpoints that name a limit. */
   public int endpointLimits() {
     return fleet.limits().named();
--- a/core/src/main/java/io/zinniawood/core/route/RouteTable.java
+++ b/core/src/main/java/io/zinniawood/core/route/RouteTable.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** One version of the routes, services, API keys and limits. Immutable. */
 public final class RouteTable {
@@ -16,6 +17,7 @@
   private final boolean keysRequired;
   private final Map<String, ApiKeyHolder> accountsByKey;
   private final RequestLimits limits;
+  private final Set<ServiceName> scarceServices;
 
   /**
    * Creates a table.
@@ -43,6 +45,7 @@
     this.keysRequired = keysRequired;
     this.accountsByKey = Map.copyOf(accountsByKey);
     this.limits = limits;
+    this.scarceServices = ScarceCapacity.services(routes, services);
   }
 
   public long version() {
@@ -54,6 +57,16 @@
     return limits;
   }
 
+  /** Returns whether the decisions of {@link ScarceCapacity} apply to a service. */
+  public boolean capacityScarce(ServiceName service) {
+    return scarceServices.contains(service);
+  }
+
+  /** Returns whether the decisions of {@link ScarceCapacity} apply to any service. */
+  public boolean capacityScarce() {
+    return !scarceServices.isEmpty();
+  }
+
   /** Returns all services. */
   public Collection<RoutedService> services() {
     return services.values();
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -71,11 +71,23 @@
     post(new RelayEvent.RoutesAnswered(Optional.of(routes(1)), storeVersion));
   }
 
+  /** Creates a relay that has read its routing table, with modes of the scheduling decisions. */
+  RelayHarness(SchedulingSettings scheduling) {
+    this(new VmId("relay-1"), ADDRESS, SEED, TimeUnit.SECONDS.toNanos(100), scheduling);
+    post(new RelayEvent.RoutesAnswered(Optional.of(routes(1)), version(1)));
+  }
+
   /** Creates a relay that has read nothing yet. */
   RelayHarness(VmId vm, NodeAddress address, long seed, long startNanos) {
+    this(vm, address, seed, startNanos, SchedulingSettings.AUTO);
+  }
+
+  private RelayHarness(
+      VmId vm, NodeAddress address, long seed, long startNanos, SchedulingSettings scheduling) {
     state =
         new RelayState(
-            new RelayParameters(vm, LOCAL, Optional.of(address), false, GRACE_MILLIS, seed));
+            new RelayParameters(
+                vm, LOCAL, Optional.of(address), false, GRACE_MILLIS, scheduling, seed));
     nowNanos = startNanos;
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayRestoreHistoriesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayRestoreHistoriesTest.java
@@ -88,6 +88,7 @@
                   Optional.of(address),
                   incarnation == 1,
                   RelayHarness.GRACE_MILLIS,
+                  SchedulingSettings.AUTO,
                   incarnation));
     }
   }
--- a/relay/src/test/java/io/zinniawood/relay/RelayMetricsTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/RelayMetricsTest.java
@@ -8,6 +8,7 @@
 import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.RelayParameters;
 import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.core.relay.SchedulingSettings;
 import io.zinniawood.relay.internal.MemoryBudget;
 import io.zinniawood.telemetry.DecisionLog;
 import java.io.OutputStream;
@@ -22,7 +23,13 @@
     RelayState state =
         new RelayState(
             new RelayParameters(
-                new VmId("vm"), new DataCentreId("dc"), Optional.empty(), false, 8_000, 1));
+                new VmId("vm"),
+                new DataCentreId("dc"),
+                Optional.empty(),
+                false,
+                8_000,
+                SchedulingSettings.AUTO,
+                1));
     MemoryBudget memory = new MemoryBudget(64 * 1024 * 1024, line -> {}, () -> 0);
     try (DecisionLog log =
         new DecisionLog(OutputStream.nullOutputStream(), () -> Instant.EPOCH, () -> 0)) {
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -34,6 +34,7 @@
 import io.zinniawood.core.relay.RelayParameters;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.core.relay.SchedulingSettings;
 import io.zinniawood.core.relay.SendOptions;
 import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.core.route.Route;
@@ -74,7 +75,13 @@
     RelayState state =
         new RelayState(
             new RelayParameters(
-                new VmId("vm"), new DataCentreId("dc"), Optional.empty(), false, 8_000, 1));
+                new VmId("vm"),
+                new DataCentreId("dc"),
+                Optional.empty(),
+                false,
+                8_000,
+                SchedulingSettings.AUTO,
+                1));
     MemoryBudget memory = new MemoryBudget(64 * 1024 * 1024, line -> {}, System::nanoTime);
     RelayRuntime runtime = new RelayRuntime(state, codec, loop, memory, this);
     PlatformClient platform =
--- a/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
@@ -23,6 +23,7 @@
 import io.zinniawood.core.relay.RelayParameters;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.core.relay.SchedulingSettings;
 import io.zinniawood.core.relay.SendOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -74,7 +75,13 @@
     RelayState state =
         new RelayState(
             new RelayParameters(
-                new VmId("vm"), new DataCentreId("dc"), Optional.empty(), false, 8_000, 1));
+                new VmId("vm"),
+                new DataCentreId("dc"),
+                Optional.empty(),
+                false,
+                8_000,
+                SchedulingSettings.AUTO,
+                1));
     RelayRuntime runtime =
         new RelayRuntime(
             state, new FailingCodec(FailingCodec.Method.ENCODE_REQUEST), loop, memory, this);
--- a/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
@@ -28,6 +28,7 @@
 import io.zinniawood.core.relay.RelayParameters;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.core.relay.SchedulingSettings;
 import io.zinniawood.core.route.RequestLimits;
 import io.zinniawood.core.route.Route;
 import io.zinniawood.core.route.RouteKind;
@@ -78,7 +79,13 @@
     RelayState state =
         new RelayState(
             new RelayParameters(
-                new VmId("vm"), new DataCentreId("dc"), Optional.empty(), false, 8_000, 1));
+                new VmId("vm"),
+                new DataCentreId("dc"),
+                Optional.empty(),
+                false,
+                8_000,
+                SchedulingSettings.AUTO,
+                1));
     RelayRuntime runtime =
         new RelayRuntime(
             state,
