Path selection asks one class for the load of an endpoint

FleetLoad still assumes that all relays load an endpoint equally, so the selection is the same as before; what relays tell each other can replace the estimate there.

--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -3,6 +3,7 @@
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.load.EndpointLoad;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.path.PathCandidate;
@@ -268,8 +269,7 @@
   }
 
   /**
-   * Returns the share of an endpoint's memory in use with one more request, assuming that all
-   * relays load it equally.
+   * Returns the share of an endpoint's memory in use with one more request.
    *
    * @param moreTokens number of tokens of the additional request
    */
@@ -278,25 +278,22 @@
         accelerator(endpoint)
             .map(profile -> engine.tokenCapacity(profile, endpoint.entry().layers().get().layers()))
             .orElse(0.0);
-    double tokens = (double) endpoint.tokensInFlight() * relays + moreTokens;
+    double tokens = load(endpoint).tokens() + moreTokens;
     return capacity <= 0 ? 1 : tokens / capacity;
   }
 
-  /**
-   * Returns the time of a pass through one layer in milliseconds, assuming that all relays load the
-   * endpoint equally.
-   */
+  /** Returns the time of a pass through one layer in milliseconds. */
   private double passMillis(TrackedEndpoint endpoint) {
+    EndpointLoad load = load(endpoint);
     return accelerator(endpoint)
-        .map(
-            profile ->
-                engine.passMillisPerLayer(
-                    profile,
-                    (double) endpoint.inFlight() * relays,
-                    (double) endpoint.tokensInFlight() * relays))
+        .map(profile -> engine.passMillisPerLayer(profile, load.requests(), load.tokens()))
         .orElse(1.0);
   }
 
+  private EndpointLoad load(TrackedEndpoint endpoint) {
+    return turn.state.fleetLoad.at(endpoint, relays, turn.nowNanos);
+  }
+
   private Optional<AcceleratorProfile> accelerator(TrackedEndpoint endpoint) {
     return endpoint.entry().accelerator().flatMap(engine::accelerator);
   }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -9,6 +9,7 @@
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.limit.MemberShares;
+import io.zinniawood.core.load.FleetLoad;
 import io.zinniawood.core.quarantine.CrashQuarantine;
 import io.zinniawood.core.route.EngineProfile;
 import io.zinniawood.core.route.RouteTable;
@@ -30,6 +31,7 @@
   final List<OpenRequest> waiting = new ArrayList<>();
   final RetryBudget retryBudget = new RetryBudget();
   final LinkBacklogs linkBacklogs = new LinkBacklogs();
+  final FleetLoad fleetLoad = new FleetLoad();
   final DurationEstimates durations = new DurationEstimates();
   final SplittableRandom random;
   Optional<RouteTable> routes = Optional.empty();
