Answers whose status line HTTP does not know say nothing of their request

Netty and OkHttp take any number for a status, so an endpoint's answer with the status 000, 20 or 2000 was passed on to the caller, and so was 0200 as 200. The soak draws such lines.

--- a/dist/src/test/java/io/zinniawood/dist/users/EndpointFault.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/EndpointFault.java
@@ -22,5 +22,7 @@
   /** Works longer than short time limits, and stops at them. */
   TIME_LIMIT,
   /** Answers that a request was not executed, and then with a success. */
-  LATE_SUCCESS
+  LATE_SUCCESS,
+  /** Runs a request and answers with a status line that HTTP does not know. */
+  UNKNOWN_STATUS
 }
--- a/dist/src/test/java/io/zinniawood/dist/users/FaultyConnection.java
+++ b/dist/src/test/java/io/zinniawood/dist/users/FaultyConnection.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -14,6 +15,15 @@
 
 /** Connection from a relay to a {@link FaultyEndpoint}; serves one request at a time. */
 final class FaultyConnection {
+  private static final List<String> UNKNOWN_STATUS_LINES =
+      List.of(
+          "HTTP/1.1 000 Unknown",
+          "HTTP/1.1 099 X",
+          "HTTP/1.1 600 X",
+          "HTTP/1.1 20 OK",
+          "HTTP/1.1 2000 OK",
+          "HTTP/1.1 0200 OK");
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int MAX_PADDING_BYTES = 2_000;
   private static final int MAX_PAUSE_MILLIS = 300;
@@ -119,6 +129,9 @@
       return sendNotExecuted(ids, lateSuccess);
     }
     ledger.run(ids.signature(), request);
+    if (has(EndpointFault.UNKNOWN_STATUS, 3)) {
+      return sendUnknownStatus(ids);
+    }
     long limitMillis = Long.parseLong(head.header("deadline-ms"));
     boolean reachesLimit =
         has(EndpointFault.TIME_LIMIT, 2) && random.nextInt(MAX_WORK_MILLIS) >= limitMillis;
@@ -151,6 +164,18 @@
     return lateSuccess ? repeat(ids) : stutter(ids);
   }
 
+  /** Sends an answer whose head says nothing of its request. */
+  private boolean sendUnknownStatus(AnswerIds ids) throws IOException {
+    ledger.plain(ids.signature(), 0, "{}", false);
+    String line = UNKNOWN_STATUS_LINES.get(random.nextInt(UNKNOWN_STATUS_LINES.size()));
+    send(
+        ids.head(200).replaceFirst("HTTP/1.1 200 X", line)
+            + "Content-Type: text/event-stream\r\n"
+            + AnswerFraming.LENGTH.endOfHead(2)
+            + "{}");
+    return true;
+  }
+
   private boolean answerPlain(AnswerIds ids, OptionalLong limitNanos)
       throws IOException, InterruptedException {
     String body =
--- a/http/src/main/java/io/zinniawood/http/HttpCalls.java
+++ b/http/src/main/java/io/zinniawood/http/HttpCalls.java
@@ -2,8 +2,10 @@
 
 import io.zinniawood.core.frame.ForeignHead;
 import io.zinniawood.core.frame.ForeignHeadScanner;
+import io.zinniawood.core.frame.StatusLine;
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.net.ProtocolException;
 import java.net.Proxy;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -136,6 +138,10 @@
       throw new IOException("the request was cancelled in the queue or has already been sent");
     }
     Response response = chain.proceed(chain.request());
+    if (!StatusLine.isFinal(response.code())) {
+      response.close();
+      throw new ProtocolException("unknown status: " + response.code());
+    }
     monitor.setResponseEnd(endOf(response));
     monitor.hideRetryAfter(response.headers(RETRY_AFTER));
     return response.newBuilder().removeHeader(RETRY_AFTER).build();
