Share of requests that leave a data centre is decided by room, links and price

Path selection charged a hop between data centres and a start elsewhere by constants. Memory pressure at home sent requests away while there was room, and neither the wait nor the price of bytes counted. core.overflow decides shares for each service every 100 ms in the tick; PathSelector charges what the decision does not permit a high cost in the same search, so that a request has every path that it had before. The planner asks for the cost of each hop once per search.

--- a/core/src/main/java/io/zinniawood/core/path/PathPlanner.java
+++ b/core/src/main/java/io/zinniawood/core/path/PathPlanner.java
@@ -72,6 +72,9 @@
     private final int[][] lastBoundary;
     private final int[][] lastCentre;
 
+    /** Costs of hops between data centres that were asked for; NaN for the others. */
+    private final double[][] hopMillis;
+
     Search(List<PathCandidate> candidates, DataCentreId homeCentre, Optional<PathPart> first) {
       this.candidates = candidates;
       this.first = first;
@@ -92,6 +95,10 @@
       this.lastCandidate = new int[boundaries.length][dataCentres.size()];
       this.lastBoundary = new int[boundaries.length][dataCentres.size()];
       this.lastCentre = new int[boundaries.length][dataCentres.size()];
+      this.hopMillis = new double[dataCentres.size()][dataCentres.size()];
+      for (double[] row : hopMillis) {
+        Arrays.fill(row, Double.NaN);
+      }
       for (double[] row : cost) {
         Arrays.fill(row, Double.POSITIVE_INFINITY);
       }
@@ -158,13 +165,23 @@
       if (centre == home) {
         return 0;
       }
-      return first.isPresent() ? hopCost(home, centre) : costs.entryHopMillis();
+      return first.isPresent()
+          ? hopCost(home, centre)
+          : costs.entryHop().millisBetween(dataCentres.get(home), dataCentres.get(centre));
     }
 
     private double hopCost(int before, int centre) {
-      return before == centre
-          ? 0
-          : costs.dataCentreHop().millisBetween(dataCentres.get(before), dataCentres.get(centre));
+      if (before == centre) {
+        return 0;
+      }
+      double known = hopMillis[before][centre];
+      if (!Double.isNaN(known)) {
+        return known;
+      }
+      double millis =
+          costs.dataCentreHop().millisBetween(dataCentres.get(before), dataCentres.get(centre));
+      hopMillis[before][centre] = millis;
+      return millis;
     }
 
     private int cheapestPreviousCentre(int boundary, int centre) {
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.StringJoiner;
 
@@ -96,6 +97,9 @@
 
   private Optional<RequestFingerprint> fingerprint = Optional.empty();
 
+  /** Random number that decides where the request may run; drawn once, so that retries agree. */
+  OptionalDouble overflowDraw = OptionalDouble.empty();
+
   boolean repathPending;
   int repaths;
   final Set<EndpointId> excluded = new HashSet<>();
--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 /** Selects the path of a model request by expected pass time, load and data centre. */
 final class PathSelector {
@@ -40,10 +41,10 @@
   private static final double TRANSFER_TIME_WEIGHT = 2;
 
   /** Cost of a path that starts in another data centre than this relay, which relays its events. */
-  private static final double REMOTE_FIRST_ENDPOINT_MILLIS = 3;
+  static final double REMOTE_FIRST_ENDPOINT_MILLIS = 3;
 
   /** Share of an endpoint's memory in use from which it receives no further requests. */
-  private static final double MAX_MEMORY_SHARE = 0.95;
+  static final double MAX_MEMORY_SHARE = 0.95;
 
   /**
    * Extra cost of an endpoint with full memory relative to an empty one. An endpoint that runs out
@@ -70,6 +71,7 @@
   private final EngineProfile engine;
   private final List<TrackedEndpoint> endpoints;
   private final PathPlanner planner;
+  private final Optional<OverflowCosts> overflow;
   private final double maxLinkBacklogMillis;
   private int endpointsAtLimit;
 
@@ -87,13 +89,28 @@
         new PathPlanner(
             engine.layers(),
             new PathCosts(HANDOVER_MILLIS, this::dataCentreHopCost, REMOTE_FIRST_ENDPOINT_MILLIS));
+    this.overflow = OverflowCosts.of(turn, engine, open);
   }
 
   private double dataCentreHopCost(DataCentreId from, DataCentreId to) {
+    return dataCentreHopCost(from, to, meanTokens());
+  }
+
+  private double dataCentreHopCost(DataCentreId from, DataCentreId to, double tokens) {
     double backlog = turn.state.linkBacklogs.backlogMillis(from, to, turn.nowNanos);
     return backlog > maxLinkBacklogMillis
         ? Double.POSITIVE_INFINITY
-        : backlog + TRANSFER_TIME_WEIGHT * engine.linkTransferMillis(meanTokens());
+        : backlog + TRANSFER_TIME_WEIGHT * engine.linkTransferMillis(tokens);
+  }
+
+  /** Returns a planner that prefers the paths which the overflow policy permits. */
+  private PathPlanner overflowPlanner(OverflowCosts costs, long tokens) {
+    return new PathPlanner(
+        engine.layers(),
+        new PathCosts(
+            HANDOVER_MILLIS,
+            (from, to) -> dataCentreHopCost(from, to, tokens) + costs.hopMillis(from, to),
+            (from, to) -> REMOTE_FIRST_ENDPOINT_MILLIS + costs.startMillis(to)));
   }
 
   private double meanTokens() {
@@ -117,6 +134,7 @@
       }
       previous = current;
     }
+    overflow.ifPresent(costs -> costs.recordPath(path));
   }
 
   /**
@@ -130,6 +148,18 @@
   Optional<LayerPath> best(Set<EndpointId> excluded, long tokens) {
     endpointsAtLimit = 0;
     List<PathCandidate> all = candidates(excluded, tokens, turn.nowNanos, this::permitted);
+    Optional<LayerPath> best =
+        overflow.flatMap(
+            costs ->
+                best(
+                    all,
+                    overflowPlanner(costs, tokens),
+                    path -> costs.pathMillis(path, expectedGapMillis(path))));
+    return best.isPresent() ? best : best(all, planner, path -> 0);
+  }
+
+  private Optional<LayerPath> best(
+      List<PathCandidate> all, PathPlanner search, ToDoubleFunction<LayerPath> extraMillis) {
     Optional<LayerPath> best = Optional.empty();
     double bestCost = Double.POSITIVE_INFINITY;
     for (SpeedClass speed : SpeedClass.values()) {
@@ -140,8 +170,10 @@
         }
       }
       Optional<LayerPath> path =
-          planner.cheapestPath(candidates, turn.state.parameters.dataCentre());
-      double cost = path.map(this::memoryWeightedMillis).orElse(Double.POSITIVE_INFINITY);
+          search.cheapestPath(candidates, turn.state.parameters.dataCentre());
+      double cost =
+          path.map(found -> memoryWeightedMillis(found) + extraMillis.applyAsDouble(found))
+              .orElse(Double.POSITIVE_INFINITY);
       if (cost < bestCost) {
         bestCost = cost;
         best = path;
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -155,6 +155,7 @@
       part("deadlines", Deadlines::check);
       part("grace-period", GracePeriod::tick);
       part("stream-monitor", StreamMonitor::checkStalledStreams);
+      part("overflow", OverflowShares::tick);
       part("waiting-queue", WaitingQueue::dispatchWaiting);
       part("lease", ControllerLease::tick);
       part("placement", PlacementOrders::tick);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.limit.MemberShares;
 import io.zinniawood.core.load.FleetLoad;
+import io.zinniawood.core.overflow.OverflowDecision;
 import io.zinniawood.core.quarantine.CrashQuarantine;
 import io.zinniawood.core.route.EngineProfile;
 import io.zinniawood.core.route.RouteTable;
@@ -32,6 +33,7 @@
   final RetryBudget retryBudget = new RetryBudget();
   final LinkBacklogs linkBacklogs = new LinkBacklogs();
   final FleetLoad fleetLoad = new FleetLoad();
+  final OverflowShares overflow = new OverflowShares();
   final DurationEstimates durations = new DurationEstimates();
   final SplittableRandom random;
   Optional<RouteTable> routes = Optional.empty();
@@ -159,6 +161,16 @@
     };
   }
 
+  /** Returns the shares of requests that may leave the own data centre, by service. */
+  public Map<ServiceName, OverflowDecision> overflowShares() {
+    return overflow.decisions();
+  }
+
+  /** Returns the bytes sent between data centres for new requests, as estimated. */
+  public double overflowBytes() {
+    return overflow.totalBytes();
+  }
+
   /** Returns the number of endpoints that name a limit. */
   public int endpointLimits() {
     return fleet.limits().named();
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
@@ -20,7 +20,7 @@
    * Maximum wait of a request without an answer, as a share of its route's target latency. A
    * request that waited longer would miss the target and delay those behind it.
    */
-  private static final double MAX_WAIT_PER_TARGET_LATENCY = 0.6;
+  static final double MAX_WAIT_PER_TARGET_LATENCY = 0.6;
 
   /** Failed dispatches of a service in one tick after which its other requests are skipped. */
   private static final int MAX_MISSES_PER_TICK = 2;
--- a/core/src/main/java/io/zinniawood/core/route/RouteTable.java
+++ b/core/src/main/java/io/zinniawood/core/route/RouteTable.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** One version of the routes, services, API keys and limits. Immutable. */
@@ -67,6 +68,15 @@
     return !scarceServices.isEmpty();
   }
 
+  /** Returns the shortest target latency of the routes of a service; empty if it has none. */
+  public OptionalLong shortestTargetLatencyMillis(ServiceName service) {
+    return routesByHost.values().stream()
+        .flatMap(routes -> routes.values().stream())
+        .filter(route -> route.shares().stream().anyMatch(share -> share.service().equals(service)))
+        .mapToLong(Route::targetLatencyMillis)
+        .min();
+  }
+
   /** Returns all services. */
   public Collection<RoutedService> services() {
     return services.values();
--- a/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
@@ -23,6 +23,7 @@
           "relay_decisions_total",
           List.of("event", "outcome", "reason"),
           MAX_LABEL_COMBINATIONS);
+  private final OverflowMetrics overflow;
   private PrometheusText text;
 
   /** Registers the gauges of a relay; they are read when the metrics are rendered. */
@@ -41,6 +42,7 @@
     gauge("relay_log_lines_dropped_total", log::droppedLines);
     gauge("relay_memory_direct_bytes", PlatformDependent::usedDirectMemory);
     gauge("relay_memory_direct_limit_bytes", PlatformDependent::maxDirectMemory);
+    overflow = new OverflowMetrics(registry, state);
     for (MemoryUser user : MemoryUser.values()) {
       String name = "relay_memory_" + user.text().replace('-', '_');
       gauge(name + "_bytes", memory.account(user)::usedBytes);
@@ -87,6 +89,7 @@
 
   /** Returns the metrics in the Prometheus text format; must be called on the event loop. */
   public String render() {
+    overflow.update();
     if (text == null) {
       text = new PrometheusText(registry);
     }
