--- a/relay/src/main/java/io/zinniawood/relay/OverflowMetrics.java
+++ b/relay/src/main/java/io/zinniawood/relay/OverflowMetrics.java
@@ -5,11 +5,13 @@
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.overflow.OverflowDecision;
-import io.zinniawood.core.relay.RelayState;
 import io.zinniawood.telemetry.MetricLabel;
 import io.zinniawood.telemetry.MetricName;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /** Gauges of the shares of requests that may leave the relay's own data centre. */
 final class OverflowMetrics {
@@ -17,20 +19,23 @@
   private static final int MAX_GAUGES = 64;
 
   private final MetricRegistry registry;
-  private final RelayState state;
+  private final Supplier<Map<ServiceName, OverflowDecision>> decisions;
   private final Set<String> registered = new HashSet<>();
 
-  OverflowMetrics(MetricRegistry registry, RelayState state) {
+  OverflowMetrics(
+      MetricRegistry registry,
+      Supplier<Map<ServiceName, OverflowDecision>> decisions,
+      DoubleSupplier sentBytes) {
     this.registry = registry;
-    this.state = state;
-    Gauge<Number> bytes = state::overflowBytes;
+    this.decisions = decisions;
+    Gauge<Number> bytes = sentBytes::getAsDouble;
     registry.register("relay_overflow_bytes_total", bytes);
   }
 
   /** Registers gauges for the data centres that the last decisions name. */
   void update() {
-    state
-        .overflowShares()
+    decisions
+        .get()
         .forEach(
             (service, decision) ->
                 decision.shares().keySet().forEach(centre -> register(service, centre)));
@@ -50,7 +55,7 @@
   }
 
   private double share(ServiceName service, DataCentreId centre) {
-    OverflowDecision decision = state.overflowShares().get(service);
+    OverflowDecision decision = decisions.get().get(service);
     return decision == null ? 0 : decision.shares().getOrDefault(centre, 0.0);
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
@@ -42,7 +42,7 @@
     gauge("relay_log_lines_dropped_total", log::droppedLines);
     gauge("relay_memory_direct_bytes", PlatformDependent::usedDirectMemory);
     gauge("relay_memory_direct_limit_bytes", PlatformDependent::maxDirectMemory);
-    overflow = new OverflowMetrics(registry, state);
+    overflow = new OverflowMetrics(registry, state::overflowShares, state::overflowBytes);
     for (MemoryUser user : MemoryUser.values()) {
       String name = "relay_memory_" + user.text().replace('-', '_');
       gauge(name + "_bytes", memory.account(user)::usedBytes);
