Forecast of the wait and order by urgency for requests without free capacity

Requests that could not be served in time were refused only after 0.6 of their target latency, and the queue knew no accounts. Both parts follow the switches of the scheduling settings; elsewhere the decisions are as before.

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -232,6 +232,20 @@
    *     well
    */
   static void refuse(RelayTurn turn, OpenRequest open, String reason, long minRetryAfterMillis) {
+    if (open.headRelayed || open.possibleRuns > 0) {
+      refuseFor(turn, open, reason, 0);
+    } else {
+      long retryAfterMillis =
+          Math.max(RETRY_AFTER_MILLIS, minRetryAfterMillis)
+              + turn.state.random.nextInt(RETRY_AFTER_SPREAD_MILLIS);
+      refuseFor(turn, open, reason, retryAfterMillis);
+    }
+  }
+
+  /**
+   * Ends a request that is at no endpoint, as above, with an exact Retry-After if it did not run.
+   */
+  static void refuseFor(RelayTurn turn, OpenRequest open, String reason, long retryAfterMillis) {
     if (open.headRelayed) {
       complete(turn, open, "broken-off", reason);
       turn.emit(new RelayEffect.AbortAnswer(open.id));
@@ -239,9 +253,6 @@
       complete(turn, open, "unknown", reason);
       turn.emit(new RelayEffect.AnswerLocally(open.id, LocalAnswer.unknownOutcome(reason)));
     } else {
-      long retryAfterMillis =
-          Math.max(RETRY_AFTER_MILLIS, minRetryAfterMillis)
-              + turn.state.random.nextInt(RETRY_AFTER_SPREAD_MILLIS);
       complete(turn, open, "not-run", reason);
       turn.emit(
           new RelayEffect.AnswerLocally(open.id, LocalAnswer.notRun(reason, retryAfterMillis)));
@@ -335,6 +346,7 @@
         turn.millisSince(open.arrivedNanos));
     GracePeriod.logEnd(turn, open, outcome, reason);
     CrashWatch.trialEnded(turn, open);
+    turn.state.waitingRules.ended(turn, open);
     EndpointUsage.end(open);
     turn.state.open.remove(open.id);
     turn.state.waiting.remove(open);
--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -27,6 +27,9 @@
   private Dispatcher() {}
 
   static Result dispatch(RelayTurn turn, OpenRequest open) {
+    if (turn.state.waitingRules.reserveKept(turn, open)) {
+      return Result.ALL_BUSY;
+    }
     Optional<EngineProfile> engine = turn.state.engine(open.service);
     return engine.isPresent() ? dispatchModel(turn, open, engine.get()) : dispatchPlain(turn, open);
   }
@@ -123,6 +126,7 @@
     open.repathPending = false;
     open.signsAwaited = 0;
     EndpointUsage.begin(turn, open);
+    turn.state.waitingRules.sent(turn, open);
     SendOptions options =
         new SendOptions(
             target,
@@ -133,7 +137,8 @@
             open.route.kind() == RouteKind.NON_IDEMPOTENT || open.sends > 1
                 ? SendOptions.ConnectionUse.FRESH
                 : SendOptions.ConnectionUse.ANY,
-            open.streaming());
+            open.streaming(),
+            WaitingRules.urgency(turn, open));
     turn.log(
         "request-sent",
         "request",
@@ -159,7 +164,9 @@
         "resumeAfter",
         open.lastEventId,
         "endpointsAtLimit",
-        endpointsAtLimit);
+        endpointsAtLimit,
+        "urgency",
+        options.urgency());
     turn.emit(new RelayEffect.Send(open.id, open.attempt, endpoint.entry().address(), options));
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -12,12 +12,14 @@
 import io.zinniawood.core.quarantine.CrashId;
 import io.zinniawood.core.route.Route;
 import io.zinniawood.core.route.RouteKind;
+import io.zinniawood.core.waiting.WaitingRequest;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.StringJoiner;
+import java.util.concurrent.TimeUnit;
 
 /** Mutable state of a request in progress. Only the reducer may access it. */
 final class OpenRequest {
@@ -41,6 +43,9 @@
   final long arrivedNanos;
   final long deadlineNanos;
 
+  /** What the order of waiting requests knows of this one. */
+  final WaitingRequest waiting;
+
   Phase phase = Phase.WAITING;
   int attempt;
 
@@ -120,6 +125,13 @@
     this.arrivedNanos = arrivedNanos;
     this.deadlineNanos = deadlineNanos;
     this.lastEventId = request.resumeAfter();
+    this.waiting =
+        new WaitingRequest(
+            account,
+            priority,
+            route.priority(),
+            arrivedNanos,
+            (long) (WaitingQueue.MAX_WAIT_PER_TARGET_LATENCY * targetNanos()));
   }
 
   /** Returns whether the answer of this attempt has ended and waits for a sign of life. */
@@ -142,6 +154,11 @@
     return subjects;
   }
 
+  /** Returns the target latency of the route in nanoseconds. */
+  long targetNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis());
+  }
+
   boolean streaming() {
     return route.kind() == RouteKind.STREAMING;
   }
--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -43,7 +43,7 @@
   private static final double REMOTE_FIRST_ENDPOINT_MILLIS = 3;
 
   /** Share of an endpoint's memory in use from which it receives no further requests. */
-  private static final double MAX_MEMORY_SHARE = 0.95;
+  static final double MAX_MEMORY_SHARE = 0.95;
 
   /**
    * Extra cost of an endpoint with full memory relative to an empty one. An endpoint that runs out
--- a/core/src/main/java/io/zinniawood/core/relay/PlainEndpointSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PlainEndpointSelector.java
@@ -15,7 +15,7 @@
    * Maximum requests of this relay in flight at an endpoint, per slot; those beyond its slots queue
    * at the endpoint.
    */
-  private static final double MAX_IN_FLIGHT_PER_SLOT = 1.5;
+  static final double MAX_IN_FLIGHT_PER_SLOT = 1.5;
 
   /** Weight of an endpoint's recent failure rate, relative to one more request in its queue. */
   private static final double FAILURE_WEIGHT = 6;
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -29,6 +29,7 @@
   final FleetView fleet = new FleetView();
   final Map<RelayRequestId, OpenRequest> open = new LinkedHashMap<>();
   final List<OpenRequest> waiting = new ArrayList<>();
+  final WaitingRules waitingRules = new WaitingRules();
   final RetryBudget retryBudget = new RetryBudget();
   final LinkBacklogs linkBacklogs = new LinkBacklogs();
   final FleetLoad fleetLoad = new FleetLoad();
@@ -126,6 +127,21 @@
     return waiting.size();
   }
 
+  /** Returns the number of requests that were refused by the forecast of their wait. */
+  public long forecastRefusals() {
+    return waitingRules.refusals();
+  }
+
+  /** Returns the number of requests that were refused late although a forecast was known. */
+  public long lateRefusals() {
+    return waitingRules.lateRefusals();
+  }
+
+  /** Returns the number of refused callers that are expected to return. */
+  public int expectedReturns() {
+    return waitingRules.expectedReturns();
+  }
+
   /** Returns the number of parts of prompts that are held back as they crash endpoints. */
   public int heldPromptParts() {
     return quarantine.heldParts();
--- a/core/src/main/java/io/zinniawood/core/relay/RequestAdmission.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RequestAdmission.java
@@ -70,6 +70,7 @@
             turn.nowNanos + TimeUnit.MILLISECONDS.toNanos(limitMillis));
     turn.state.open.put(open.id, open);
     turn.state.retryBudget.recordRequest(open.service, turn.nowNanos);
+    turn.state.waitingRules.arrived(turn, open);
     WaitingQueue.dispatchOrEnqueue(turn, open);
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/SendOptions.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SendOptions.java
@@ -15,6 +15,7 @@
  * @param resumeAfter id of the last stream event that the caller received; 0 if none
  * @param connection whether a pooled connection may be used
  * @param streaming whether the answer is an event stream
+ * @param urgency place in the queues of endpoints, from 0 (first) to 9
  */
 public record SendOptions(
     EndpointId expectedEndpoint,
@@ -23,7 +24,40 @@
     Optional<LayerPath> path,
     long resumeAfter,
     ConnectionUse connection,
-    boolean streaming) {
+    boolean streaming,
+    int urgency) {
+  /** Urgency that endpoints assume for requests without one. */
+  public static final int DEFAULT_URGENCY = 5;
+
+  private static final int MAX_URGENCY = 9;
+
+  /** Rejects an urgency that endpoints do not know. */
+  public SendOptions {
+    if (urgency < 0 || urgency > MAX_URGENCY) {
+      throw new IllegalArgumentException("urgency %d is not 0 to 9".formatted(urgency));
+    }
+  }
+
+  /** Creates options with the default urgency. */
+  public SendOptions(
+      EndpointId expectedEndpoint,
+      long deadlineMillis,
+      Optional<ClientAccountId> account,
+      Optional<LayerPath> path,
+      long resumeAfter,
+      ConnectionUse connection,
+      boolean streaming) {
+    this(
+        expectedEndpoint,
+        deadlineMillis,
+        account,
+        path,
+        resumeAfter,
+        connection,
+        streaming,
+        DEFAULT_URGENCY);
+  }
+
   /** Connections that may carry a request. */
   public enum ConnectionUse {
     /** A pooled or a new connection. */
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.id.CrashSubject;
 import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.waiting.WaitVerdict;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -20,7 +21,7 @@
    * Maximum wait of a request without an answer, as a share of its route's target latency. A
    * request that waited longer would miss the target and delay those behind it.
    */
-  private static final double MAX_WAIT_PER_TARGET_LATENCY = 0.6;
+  static final double MAX_WAIT_PER_TARGET_LATENCY = 0.6;
 
   /** Failed dispatches of a service in one tick after which its other requests are skipped. */
   private static final int MAX_MISSES_PER_TICK = 2;
@@ -56,7 +57,10 @@
       enqueue(turn, open);
       return;
     }
-    Dispatcher.Result result = Dispatcher.dispatch(turn, open);
+    Dispatcher.Result result =
+        WaitingRules.ordered(turn, open) && requestsBefore(turn, open) > 0
+            ? Dispatcher.Result.ALL_BUSY
+            : Dispatcher.dispatch(turn, open);
     if (result == Dispatcher.Result.SENT) {
       return;
     }
@@ -68,14 +72,28 @@
       EndpointAvailability.refuseWithoutEndpoint(turn, open);
       return;
     }
-    OptionalLong available =
-        EndpointAvailability.of(turn, open).nanosAfter(requestsBefore(turn, open));
-    if (!refuseIfTooLate(turn, open, available)) {
+    int before = requestsBefore(turn, open);
+    OptionalLong available = EndpointAvailability.of(turn, open).nanosAfter(before);
+    if (!refuseIfTooLate(turn, open, available)
+        && turn.state.waitingRules.checkNew(turn, open, before) != WaitVerdict.REFUSE) {
       enqueue(turn, open);
     }
   }
 
   private static int requestsBefore(RelayTurn turn, OpenRequest open) {
+    if (WaitingRules.ordered(turn, open)) {
+      List<OpenRequest> competing = new ArrayList<>();
+      for (OpenRequest waiting : turn.state.waiting) {
+        if (waiting.service.equals(open.service) && !CrashWatch.mustWait(turn, waiting)) {
+          competing.add(waiting);
+        }
+      }
+      if (competing.isEmpty()) {
+        return 0;
+      }
+      competing.add(open);
+      return WaitingRules.sort(turn, competing, ORDER).indexOf(open);
+    }
     int before = 0;
     for (OpenRequest waiting : turn.state.waiting) {
       if (waiting.service.equals(open.service) && ORDER.compare(waiting, open) < 0) {
@@ -101,7 +119,7 @@
 
   private static void enqueue(RelayTurn turn, OpenRequest open) {
     if (turn.state.waiting.size() >= MAX_WAITING) {
-      AttemptOutcomes.refuse(turn, open, "queue-full");
+      turn.state.waitingRules.refuseForCapacity(turn, open, "queue-full");
       return;
     }
     open.phase = OpenRequest.Phase.WAITING;
@@ -114,8 +132,7 @@
     if (turn.state.waiting.isEmpty()) {
       return;
     }
-    List<OpenRequest> candidates = new ArrayList<>(turn.state.waiting);
-    candidates.sort(ORDER);
+    List<OpenRequest> candidates = WaitingRules.sort(turn, turn.state.waiting, ORDER);
     Map<ServiceName, Integer> misses = new HashMap<>();
     Map<ServiceName, EndpointAvailability> availabilities = new HashMap<>();
     for (OpenRequest open : candidates) {
@@ -156,6 +173,10 @@
     if (refuseIfTooLate(turn, open, availability.nanosAfter(ahead))) {
       return;
     }
+    WaitVerdict verdict = turn.state.waitingRules.checkWaiting(turn, open, ahead);
+    if (verdict == WaitVerdict.REFUSE) {
+      return;
+    }
     boolean tried = ahead < MAX_MISSES_PER_TICK;
     Dispatcher.Result result = tried ? Dispatcher.dispatch(turn, open) : Dispatcher.Result.ALL_BUSY;
     if (result == Dispatcher.Result.SENT) {
@@ -166,10 +187,11 @@
       GracePeriod.end(turn, open);
       return;
     }
-    misses.merge(open.service, 1, Integer::sum);
-    if (turn.nowNanos - waitEndNanos(open) >= 0) {
+    misses.merge(
+        open.service, WaitingRules.isNext(turn, open) ? MAX_MISSES_PER_TICK : 1, Integer::sum);
+    if (verdict == WaitVerdict.UNKNOWN && turn.nowNanos - waitEndNanos(open) >= 0) {
       turn.state.waiting.remove(open);
-      AttemptOutcomes.refuse(turn, open, "no-capacity");
+      turn.state.waitingRules.refuseForCapacity(turn, open, "no-capacity");
     }
   }
 
--- a/core/src/main/java/io/zinniawood/core/route/RouteTable.java
+++ b/core/src/main/java/io/zinniawood/core/route/RouteTable.java
@@ -3,6 +3,7 @@
 import io.zinniawood.core.id.ServiceName;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.IntSummaryStatistics;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -18,6 +19,7 @@
   private final Map<String, ApiKeyHolder> accountsByKey;
   private final RequestLimits limits;
   private final Set<ServiceName> scarceServices;
+  private final Map<ServiceName, Integer> urgentPriorities = new HashMap<>();
 
   /**
    * Creates a table.
@@ -46,12 +48,30 @@
     this.accountsByKey = Map.copyOf(accountsByKey);
     this.limits = limits;
     this.scarceServices = ScarceCapacity.services(routes, services);
+    services.forEach(service -> findUrgentPriority(service.name(), routes));
+  }
+
+  private void findUrgentPriority(ServiceName service, List<Route> routes) {
+    IntSummaryStatistics priorities =
+        routes.stream()
+            .filter(
+                route -> route.shares().stream().anyMatch(share -> share.service().equals(service)))
+            .mapToInt(Route::priority)
+            .summaryStatistics();
+    if (priorities.getCount() > 0 && priorities.getMin() < priorities.getMax()) {
+      urgentPriorities.put(service, priorities.getMin());
+    }
   }
 
   public long version() {
     return version;
   }
 
+  /** Returns the priority of the most urgent routes of a service; empty if all have the same. */
+  public Optional<Integer> urgentPriority(ServiceName service) {
+    return Optional.ofNullable(urgentPriorities.get(service));
+  }
+
   /** Returns the limits on the requests of callers. */
   public RequestLimits limits() {
     return limits;
--- /dev/null
+++ b/core/src/main/java/io/zinniawood/core/waiting/package-info.java
@@ -0,0 +1,2 @@
+/** Order and predicted wait of the requests of a service for which no capacity is free. */
+package io.zinniawood.core.waiting;
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -285,7 +285,8 @@
         content);
   }
 
-  private RelayRequestId request(
+  /** Posts a request of the holder of a key. */
+  RelayRequestId request(
       String route,
       Optional<String> key,
       long deadlineMillis,
--- a/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
@@ -29,6 +29,9 @@
   public RelayMetrics(RelayState state, MemoryBudget memory, DecisionLog log) {
     gauge("relay_requests_open", state::openRequests);
     gauge("relay_requests_waiting", state::waitingRequests);
+    gauge("relay_wait_forecast_refusals_total", state::forecastRefusals);
+    gauge("relay_wait_forecast_late_refusals_total", state::lateRefusals);
+    gauge("relay_expected_returns", state::expectedReturns);
     gauge("relay_routes_version", state::routesVersion);
     gauge("relay_endpoints", state::endpoints);
     gauge("relay_store_era", state::storeEra);
