Waiting requests: corrected predictions, dispatch after an end, claims of returning callers

Predictions of the first state were too short for requests that others overtake, so requests started late or were refused late. The forecast now learns the ratio of measured to predicted waits by priority, capacity that becomes free goes to waiting requests at once, and a caller that returns has the first claim to the guarantee of its account.

--- a/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
+++ b/core/src/main/java/io/zinniawood/core/relay/AttemptOutcomes.java
@@ -266,6 +266,7 @@
           open.service, open.estimatedMillis, turn.millisSince(open.sentNanos));
       open.evidence = Optional.of(event.evidence());
       complete(turn, open, "answered", "complete");
+      WaitingQueue.dispatchAfterEnd(turn, open);
     }
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
@@ -129,10 +129,28 @@
 
   /** Dispatches waiting requests in order and refuses those that exceeded their maximum wait. */
   static void dispatchWaiting(RelayTurn turn) {
-    if (turn.state.waiting.isEmpty()) {
+    dispatchWaiting(turn, turn.state.waiting);
+  }
+
+  /**
+   * Dispatches requests that wait for the capacity of one that has ended. New requests do not pass
+   * them where the order is in force, so the capacity would be unused until the next tick.
+   */
+  static void dispatchAfterEnd(RelayTurn turn, OpenRequest ended) {
+    if (WaitingRules.ordered(turn, ended)) {
+      dispatchWaiting(
+          turn,
+          turn.state.waiting.stream()
+              .filter(waiting -> waiting.service.equals(ended.service))
+              .toList());
+    }
+  }
+
+  private static void dispatchWaiting(RelayTurn turn, List<OpenRequest> waiting) {
+    if (waiting.isEmpty()) {
       return;
     }
-    List<OpenRequest> candidates = WaitingRules.sort(turn, turn.state.waiting, ORDER);
+    List<OpenRequest> candidates = WaitingRules.sort(turn, waiting, ORDER);
     Map<ServiceName, Integer> misses = new HashMap<>();
     Map<ServiceName, EndpointAvailability> availabilities = new HashMap<>();
     for (OpenRequest open : candidates) {
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingRules.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingRules.java
@@ -128,6 +128,13 @@
     if (open.sends == 1) {
       service.served(open.waiting, turn.nowNanos);
       service.forecast().sent(open.expectedFirstEventMillis);
+      open.waiting
+          .predictedMillis()
+          .ifPresent(
+              millis ->
+                  service
+                      .forecast()
+                      .waited(group(open), millis, turn.millisSince(open.arrivedNanos)));
     }
     service.waitEnded(open.waiting);
     for (OpenRequest other : turn.state.waiting) {
@@ -218,7 +225,14 @@
    * @return the verdict; {@link WaitVerdict#UNKNOWN} if the rule from before decides
    */
   WaitVerdict checkNew(RelayTurn turn, OpenRequest open, int ahead) {
-    return check(turn, open, ahead, (forecast, query) -> forecast.decide(query));
+    return check(
+        turn,
+        open,
+        ahead,
+        (forecast, query) -> {
+          open.waiting.setPredictedMillis(forecast.waitMillis(query));
+          return forecast.decide(query);
+        });
   }
 
   /**
@@ -264,6 +278,10 @@
     return verdict;
   }
 
+  private static int group(OpenRequest open) {
+    return open.waiting.group();
+  }
+
   private WaitQuery query(RelayTurn turn, OpenRequest open, int ahead) {
     double overtakersPerSecond =
         ordered(turn, open)
@@ -276,6 +294,7 @@
         turn.nowNanos,
         ahead,
         overtakersPerSecond,
+        group(open),
         inFlight(turn, open.service),
         open.arrivedNanos + open.targetNanos(),
         open.deadlineNanos);
--- a/core/src/main/java/io/zinniawood/core/waiting/ServedShares.java
+++ b/core/src/main/java/io/zinniawood/core/waiting/ServedShares.java
@@ -56,18 +56,18 @@
   }
 
   /**
-   * Returns whether a group lacks at least one request to its minimum share, beside those that wait
-   * with a guarantee.
+   * Returns the number of requests that a group lacks to its minimum share, beside those that wait
+   * with a guarantee; may be negative.
    */
-  boolean underserved(G group, long nowNanos) {
+  double missing(G group, long nowNanos) {
     Group known = groups.get(group);
     if (known == null) {
-      return false;
+      return 0;
     }
     double meanShare =
         Math.min(1, all.served.weight(nowNanos) / Math.max(1, all.arrived.weight(nowNanos)));
     double due = MIN_SHARE_OF_MEAN * meanShare * known.arrived.weight(nowNanos);
-    return due - known.served.weight(nowNanos) - known.guaranteedWaiting >= 1;
+    return due - known.served.weight(nowNanos) - known.guaranteedWaiting;
   }
 
   /** Adds to the number of requests of a group that wait with a guarantee. */
--- a/core/src/main/java/io/zinniawood/core/waiting/ServiceWaiting.java
+++ b/core/src/main/java/io/zinniawood/core/waiting/ServiceWaiting.java
@@ -47,9 +47,12 @@
 
   /** Lets a request go first if its account or priority would be starved otherwise. */
   public void guarantee(WaitingRequest request, long nowNanos) {
+    // A guarantee is left for a caller that was refused and is expected to return.
+    boolean leftForReturn = !request.returning() && returns.expected(request.account());
+    int missing = leftForReturn ? 2 : 1;
     if (!request.guaranteed()
-        && (accounts.underserved(request.account(), nowNanos)
-            || priorities.underserved(request.routePriority(), nowNanos))) {
+        && (accounts.missing(request.account(), nowNanos) >= missing
+            || priorities.missing(request.routePriority(), nowNanos) >= missing)) {
       request.setGuaranteed(true);
       addGuaranteed(request, 1);
     }
--- a/core/src/main/java/io/zinniawood/core/waiting/WaitForecast.java
+++ b/core/src/main/java/io/zinniawood/core/waiting/WaitForecast.java
@@ -1,5 +1,7 @@
 package io.zinniawood.core.waiting;
 
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -28,6 +30,20 @@
   /** Retry-After, in milliseconds, below which a caller would return within a few ticks. */
   private static final double MIN_RETRY_MILLIS = 100;
 
+  /**
+   * Weights of a measured wait that is longer or shorter than predicted. Their ratio makes four of
+   * five predictions long enough; a mean would let half of the requests start late.
+   */
+  private static final double LONGER_WEIGHT = 0.2;
+
+  private static final double SHORTER_WEIGHT = 0.05;
+
+  private static final double MIN_CORRECTION = 0.5;
+  private static final double MAX_CORRECTION = 4;
+
+  /** Added to waits before they are compared; two ticks, by which short waits differ anyway. */
+  private static final double TICKS_MILLIS = 50;
+
   private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -35,6 +51,7 @@
   private final DecayingRate arrivals = new DecayingRate(MEAN_AGE_SECONDS);
   private int endsSeen;
   private double durationMillis;
+  private final NavigableMap<Integer, Double> correctionsByGroup = new TreeMap<>();
   private double firstEventMillis;
 
   /** Records a request that arrived. */
@@ -63,6 +80,20 @@
         (durationMillis == 0 ? 1 : NEW_SAMPLE_WEIGHT) * (Math.max(1, inUseMillis) - durationMillis);
   }
 
+  /**
+   * Records how long a request waited that was sent. Requests that return, go first for their
+   * account or have a path of their own make the wait differ from the prediction.
+   *
+   * @param predictedMillis wait that was predicted when it arrived, in milliseconds
+   */
+  public void waited(int group, double predictedMillis, double waitedMillis) {
+    double correction = correctionsByGroup.getOrDefault(group, 1.0);
+    double sample = correction * (waitedMillis + TICKS_MILLIS) / (predictedMillis + TICKS_MILLIS);
+    double weight = sample > correction ? LONGER_WEIGHT : SHORTER_WEIGHT;
+    double corrected = correction + weight * (sample - correction);
+    correctionsByGroup.put(group, Math.max(MIN_CORRECTION, Math.min(MAX_CORRECTION, corrected)));
+  }
+
   /** Returns whether enough requests have ended for a forecast. */
   public boolean rateKnown() {
     return endsSeen >= MIN_ENDS;
@@ -88,7 +119,17 @@
     double overtakerShare = Math.min(1, query.overtakersPerSecond() / rate);
     double overtakers =
         Math.min(UrgencyOrder.MAX_OVERTAKEN, query.ahead() * overtakerShare / (1 - overtakerShare));
-    return (query.ahead() + overtakers) / rate * MILLIS_PER_SECOND;
+    return (query.ahead() + overtakers) / rate * MILLIS_PER_SECOND * correction(query.group());
+  }
+
+  /** Returns the correction of a group; no less urgent group is predicted a shorter wait. */
+  private double correction(int group) {
+    return group == WaitQuery.GUARANTEED
+        ? correctionsByGroup.getOrDefault(group, 1.0)
+        : correctionsByGroup.subMap(WaitQuery.GUARANTEED, false, group, true).values().stream()
+            .mapToDouble(Double::doubleValue)
+            .max()
+            .orElse(1);
   }
 
   /** Decides whether a request waits. */
@@ -107,7 +148,8 @@
 
   /** Returns whether a request can be sent well within its time limit. */
   public boolean withinLimit(WaitQuery query) {
-    return waitMillis(query) < MAX_LATE_WAIT_SHARE * limitLeftMillis(query);
+    return waitMillis(query) / correction(query.group())
+        < MAX_LATE_WAIT_SHARE * limitLeftMillis(query);
   }
 
   /**
--- a/core/src/main/java/io/zinniawood/core/waiting/WaitingRequest.java
+++ b/core/src/main/java/io/zinniawood/core/waiting/WaitingRequest.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.id.ClientAccountId;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /** What the order of waiting requests knows of one of them. Mutable; confined to the reducer. */
 public final class WaitingRequest {
@@ -15,6 +16,7 @@
   private boolean returning;
   private boolean guaranteed;
   private int overtaken;
+  private OptionalDouble predictedMillis = OptionalDouble.empty();
 
   /**
    * Creates the state of a request that has just arrived.
@@ -85,6 +87,21 @@
     returning = true;
   }
 
+  /** Returns the group of requests that wait alike; more urgent ones and returns are lower. */
+  public int group() {
+    return guaranteed ? WaitQuery.GUARANTEED : 2 * routePriority + (returning ? 0 : 1);
+  }
+
+  /** Returns the wait that was predicted on arrival, in milliseconds; empty without a forecast. */
+  public OptionalDouble predictedMillis() {
+    return predictedMillis;
+  }
+
+  /** Sets the wait that was predicted on arrival, in milliseconds. */
+  public void setPredictedMillis(double millis) {
+    predictedMillis = OptionalDouble.of(millis);
+  }
+
   void setGuaranteed(boolean guaranteed) {
     this.guaranteed = guaranteed;
   }
