--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -126,7 +126,12 @@
     this.deadlineNanos = deadlineNanos;
     this.lastEventId = request.resumeAfter();
     this.waiting =
-        new WaitingRequest(account, priority, route.priority(), arrivedNanos, targetNanos());
+        new WaitingRequest(
+            account,
+            priority,
+            route.priority(),
+            arrivedNanos,
+            (long) (WaitingQueue.MAX_WAIT_PER_TARGET_LATENCY * targetNanos()));
   }
 
   /** Returns whether the answer of this attempt has ended and waits for a sign of life. */
--- a/core/src/main/java/io/zinniawood/core/relay/ServiceUsage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/ServiceUsage.java
@@ -10,7 +10,7 @@
 final class ServiceUsage {
   private ServiceUsage() {}
 
-  /** Returns the share in use with one more request; 1 or more if there is no capacity. */
+  /** Returns the share in use with one more request; 0 if no endpoint has any capacity. */
   static double shareWith(RelayTurn turn, ServiceName service, long moreTokens) {
     Optional<EngineProfile> engine = turn.state.engine(service);
     return engine.isPresent()
@@ -46,7 +46,10 @@
     }
     double highest = 0;
     for (int layer = 0; layer < used.length; layer++) {
-      highest = Math.max(highest, (used[layer] + moreTokens) / Math.max(1, capacity[layer]));
+      // Path selection tells that there is no path; the reserve must not hide it.
+      if (capacity[layer] > 0) {
+        highest = Math.max(highest, (used[layer] + moreTokens) / capacity[layer]);
+      }
     }
     return highest;
   }
@@ -61,6 +64,6 @@
             Math.max(1, endpoint.entry().slots() * PlainEndpointSelector.MAX_IN_FLIGHT_PER_SLOT);
       }
     }
-    return used / Math.max(1, slots);
+    return slots > 0 ? used / slots : 0;
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingRules.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingRules.java
@@ -106,6 +106,9 @@
         .map(EngineProfile::meanAnswerTokens)
         .ifPresent(mean -> open.waiting.setCost(open.request.expectedTokens(mean)));
     open.waiting.setStarted(open.headRelayed);
+    if (forecast(turn, open)) {
+      open.waiting.setWaitLimitNanos(open.targetNanos());
+    }
     if (urgent(turn, open)) {
       service.urgentArrived(turn.nowNanos);
     }
--- a/core/src/main/java/io/zinniawood/core/waiting/WaitingRequest.java
+++ b/core/src/main/java/io/zinniawood/core/waiting/WaitingRequest.java
@@ -10,7 +10,7 @@
   private final int accountPriority;
   private final int routePriority;
   private final long arrivedNanos;
-  private final long waitLimitNanos;
+  private long waitLimitNanos;
   private long cost = 1;
   private boolean started;
   private boolean returning;
@@ -82,6 +82,11 @@
     this.started = started;
   }
 
+  /** Sets the time in nanoseconds for which the request is meant to wait at most. */
+  public void setWaitLimitNanos(long waitLimitNanos) {
+    this.waitLimitNanos = waitLimitNanos;
+  }
+
   /** Records that the caller returned after a refusal. */
   public void markReturning() {
     returning = true;
