Relay: pace limit and processor guard

Knowledge of memory alone admits more streams than the fleet writes in time, and a relay that is short of processor time took new requests as if it were not. The pace limit leaves out paths on which a new stream would slow down running ones beyond their target gap, or would have its first event after the caller gives up; the processor guard measures the lateness of ticks, checks endpoints less often and then refuses new requests. Both apply only where their scheduling part is in force.

The estimate of the load of other relays is bounded: one own request beside 31 other relays counted as 32 at its endpoints.

--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -36,6 +36,9 @@
     open.expectedTokens = open.request.expectedTokens(engine.meanAnswerTokens());
     Optional<LayerPath> path = selector.best(open.excluded, open.expectedTokens);
     if (path.isEmpty()) {
+      if (selector.pace().filter(PathPace::limited).isPresent()) {
+        recordPaceLimited(turn, open);
+      }
       return selector.existsWithoutLoad(open.excluded)
           ? Result.ALL_BUSY
           : Result.NO_USABLE_ENDPOINT;
@@ -44,6 +47,7 @@
       return Result.TOO_LATE;
     }
     open.path = path;
+    selector.pace().ifPresent(pace -> open.gapInTime = pace.gapInTime());
     selector.recordTransfers(path.get(), open.expectedTokens);
     open.estimatedMillis = open.headRelayed ? 0 : estimatedMillis(open, selector, path.get());
     open.expectedGapMillis = selector.expectedGapMillis(path.get());
@@ -54,6 +58,25 @@
     return Result.SENT;
   }
 
+  private static void recordPaceLimited(RelayTurn turn, OpenRequest open) {
+    if (open.paceLimited) {
+      return;
+    }
+    open.paceLimited = true;
+    turn.state.paceLimitedRequests++;
+    turn.state.schedulingLog.log(
+        turn,
+        "pace-limited",
+        "request",
+        open.logId(),
+        "service",
+        open.service.value(),
+        "targetGapMillis",
+        open.targetGapMillis(),
+        "promptTokens",
+        open.request.promptTokens());
+  }
+
   private static boolean tooLate(
       RelayTurn turn, OpenRequest open, PathSelector selector, LayerPath path) {
     // A stream that has begun goes on for as long as possible; its caller can resume the rest.
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointHealthChecks.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointHealthChecks.java
@@ -38,7 +38,7 @@
     for (TrackedEndpoint endpoint : state.fleet.all()) {
       if (endpoint.entry().accelerator().isPresent()
           && endpoint.unresponsiveAt(turn.nowNanos)
-          && endpoint.checkDue(turn.nowNanos, RECHECK_INTERVAL_NANOS)) {
+          && endpoint.checkDue(turn.nowNanos, intervalNanos(turn, RECHECK_INTERVAL_NANOS))) {
         check(turn, endpoint);
       }
     }
@@ -59,12 +59,16 @@
   /** Requests the reports of a stalled stream's endpoints, at a limited rate for each. */
   static void checkEndpoints(RelayTurn turn, List<TrackedEndpoint> endpoints) {
     for (TrackedEndpoint endpoint : endpoints) {
-      if (endpoint.checkDue(turn.nowNanos, REPORT_VALIDITY_NANOS)) {
+      if (endpoint.checkDue(turn.nowNanos, intervalNanos(turn, REPORT_VALIDITY_NANOS))) {
         check(turn, endpoint);
       }
     }
   }
 
+  private static long intervalNanos(RelayTurn turn, long intervalNanos) {
+    return intervalNanos * turn.state.processorGuard.optionalWorkIntervalFactor();
+  }
+
   /** Requests the report of an endpoint unless a request for it is in progress. */
   static void checkNow(RelayTurn turn, TrackedEndpoint endpoint) {
     if (!endpoint.checkPending()) {
--- a/core/src/main/java/io/zinniawood/core/relay/FailureContainment.java
+++ b/core/src/main/java/io/zinniawood/core/relay/FailureContainment.java
@@ -24,13 +24,17 @@
     try {
       decision.run();
     } catch (RuntimeException | Error failure) {
-      turn.emit(
-          new RelayEffect.LogDecision(
-              DecisionFailure.describe("decision-failed", subject, failure)));
+      log(turn, subject, failure);
       request.map(turn.state.open::get).ifPresent(open -> endOpen(turn, open));
     }
   }
 
+  /** Logs the failure of a decision that another one replaces. */
+  static void log(RelayTurn turn, String subject, Throwable failure) {
+    turn.emit(
+        new RelayEffect.LogDecision(DecisionFailure.describe("decision-failed", subject, failure)));
+  }
+
   /** Refuses a request that has just arrived and that is neither open nor answered. */
   static void refuseIfUndecided(RelayTurn turn, RelayRequestId id) {
     if (!turn.state.open.containsKey(id)
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -61,6 +61,12 @@
   double expectedGapMillis;
   double expectedFirstEventMillis;
 
+  /** Whether the stream was expected to keep its target gap; the pace limit protects only these. */
+  boolean gapInTime;
+
+  /** Whether the pace limit has kept this request waiting, which is logged once. */
+  boolean paceLimited;
+
   /** Estimated duration of the whole answer; 0 for plain calls and resumed streams. */
   double estimatedMillis;
 
@@ -142,6 +148,11 @@
     return subjects;
   }
 
+  /** Returns the target for the longest pause between events, in milliseconds; 0 if none. */
+  long targetGapMillis() {
+    return route.targetGapMillis();
+  }
+
   boolean streaming() {
     return route.kind() == RouteKind.STREAMING;
   }
--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -5,6 +5,7 @@
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.load.EndpointLoad;
 import io.zinniawood.core.model.LayerRange;
+import io.zinniawood.core.pace.PaceModel;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.path.PathCandidate;
 import io.zinniawood.core.path.PathCosts;
@@ -72,12 +73,15 @@
   private final PathPlanner planner;
   private final double maxLinkBacklogMillis;
   private int endpointsAtLimit;
+  private Optional<PathPace> pace = Optional.empty();
+  private final OpenRequest open;
 
   /** Number of live relays, which are assumed to load endpoints and links like this one. */
   private final int relays;
 
   PathSelector(RelayTurn turn, EngineProfile engine, OpenRequest open) {
     this.turn = turn;
+    this.open = open;
     this.maxLinkBacklogMillis =
         open.headRelayed ? MAX_RESUMED_LINK_BACKLOG_MILLIS : MAX_LINK_BACKLOG_MILLIS;
     this.relays = turn.state.peers.count(turn.nowNanos);
@@ -129,9 +133,44 @@
    */
   Optional<LayerPath> best(Set<EndpointId> excluded, long tokens) {
     endpointsAtLimit = 0;
+    pace = Optional.empty();
     List<PathCandidate> all = candidates(excluded, tokens, turn.nowNanos, this::permitted);
+    try {
+      pace =
+          PathPace.of(
+              turn,
+              engine,
+              open,
+              relays,
+              new PaceModel(engine, HANDOVER_MILLIS, QUEUEING_FACTOR),
+              endpoints);
+      if (pace.isPresent()) {
+        return pace.get().best(bySpeed(all), this::cheapestPath, this::memoryWeightedMillis);
+      }
+    } catch (RuntimeException failure) {
+      // Without the limit a stream may be late; the request itself can still be sent.
+      pace = Optional.empty();
+      FailureContainment.log(turn, "pace-limit", failure);
+    }
+    return best(all);
+  }
+
+  private Optional<LayerPath> best(List<PathCandidate> all) {
     Optional<LayerPath> best = Optional.empty();
     double bestCost = Double.POSITIVE_INFINITY;
+    for (List<PathCandidate> candidates : bySpeed(all)) {
+      Optional<LayerPath> path = cheapestPath(candidates);
+      double cost = path.map(this::memoryWeightedMillis).orElse(Double.POSITIVE_INFINITY);
+      if (cost < bestCost) {
+        bestCost = cost;
+        best = path;
+      }
+    }
+    return best;
+  }
+
+  private List<List<PathCandidate>> bySpeed(List<PathCandidate> all) {
+    List<List<PathCandidate>> classes = new ArrayList<>();
     for (SpeedClass speed : SpeedClass.values()) {
       List<PathCandidate> candidates = new ArrayList<>();
       for (PathCandidate candidate : all) {
@@ -139,15 +178,18 @@
           candidates.add(candidate);
         }
       }
-      Optional<LayerPath> path =
-          planner.cheapestPath(candidates, turn.state.parameters.dataCentre());
-      double cost = path.map(this::memoryWeightedMillis).orElse(Double.POSITIVE_INFINITY);
-      if (cost < bestCost) {
-        bestCost = cost;
-        best = path;
-      }
+      classes.add(candidates);
     }
-    return best;
+    return classes;
+  }
+
+  private Optional<LayerPath> cheapestPath(List<PathCandidate> candidates) {
+    return planner.cheapestPath(candidates, turn.state.parameters.dataCentre());
+  }
+
+  /** Returns the pace limit of the last selection; empty if none applied. */
+  Optional<PathPace> pace() {
+    return pace;
   }
 
   /** Returns the number of endpoints that the last best path could not begin at for their limit. */
--- a/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayReducer.java
@@ -147,6 +147,7 @@
     @Override
     public void tick(RelayEvent.Tick event) {
       turn.state.fleet.removeExpired(turn.nowNanos);
+      part("processor-guard", ProcessorShortage::tick);
       part("store-reads", StoreReads::tick);
       part("peers", PeerExchange::tick);
       part("limits", LimitExchange::tick);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.limit.MemberShares;
 import io.zinniawood.core.load.FleetLoad;
+import io.zinniawood.core.processor.ProcessorGuard;
 import io.zinniawood.core.quarantine.CrashQuarantine;
 import io.zinniawood.core.route.EngineProfile;
 import io.zinniawood.core.route.RouteTable;
@@ -84,6 +85,10 @@
   Optional<StoreVersion> routesAskedAfter = Optional.empty();
 
   final BoundedLog ignoredLog = new BoundedLog();
+  final BoundedLog schedulingLog = new BoundedLog();
+  final ProcessorGuard processorGuard = new ProcessorGuard();
+  long paceLimitedRequests;
+  long processorShortRequests;
 
   int failedEndpointReads;
   int loggedLiveRelays = 1;
@@ -159,6 +164,21 @@
     };
   }
 
+  /** Returns the number of requests that the pace limit has kept waiting. */
+  public long paceLimitedRequests() {
+    return paceLimitedRequests;
+  }
+
+  /** Returns the number of requests refused as processor time was short. */
+  public long processorShortRequests() {
+    return processorShortRequests;
+  }
+
+  /** Returns the smoothed lateness of ticks in milliseconds; 0 if it is not measured. */
+  public double tickLatenessMillis() {
+    return processorGuard.latenessMillis();
+  }
+
   /** Returns the number of endpoints that name a limit. */
   public int endpointLimits() {
     return fleet.limits().named();
--- a/core/src/main/java/io/zinniawood/core/relay/RequestAdmission.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RequestAdmission.java
@@ -51,6 +51,10 @@
       Optional<ApiKeyHolder> keyHolder) {
     CallerRequest request = event.request();
     ServiceShare share = route.selectShare(turn.state.random.nextLong());
+    if (ProcessorShortage.refuses(turn, request, share.service())) {
+      refuse(turn, event, ProcessorShortage.refusal(turn));
+      return;
+    }
     long limitMillis =
         Math.min(route.timeoutMillis(), request.deadlineMillis().orElse(Long.MAX_VALUE));
     int priority =
--- a/core/src/main/java/io/zinniawood/core/route/RouteTable.java
+++ b/core/src/main/java/io/zinniawood/core/route/RouteTable.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** One version of the routes, services, API keys and limits. Immutable. */
@@ -18,6 +19,7 @@
   private final Map<String, ApiKeyHolder> accountsByKey;
   private final RequestLimits limits;
   private final Set<ServiceName> scarceServices;
+  private final ShortestTargets shortestTargets;
 
   /**
    * Creates a table.
@@ -45,6 +47,7 @@
     this.keysRequired = keysRequired;
     this.accountsByKey = Map.copyOf(accountsByKey);
     this.limits = limits;
+    this.shortestTargets = new ShortestTargets(routes);
     this.scarceServices = ScarceCapacity.services(routes, services);
   }
 
@@ -67,6 +70,19 @@
     return !scarceServices.isEmpty();
   }
 
+  /**
+   * Returns the shortest target for the pause between events of the routes to a service, in
+   * milliseconds; 0 if none has such a target.
+   */
+  public long shortestTargetGapMillis(ServiceName service) {
+    return shortestTargets.targetGapMillis(service);
+  }
+
+  /** Returns the shortest target latency of the routes to a service; empty if it has no route. */
+  public OptionalLong shortestTargetLatencyMillis(ServiceName service) {
+    return shortestTargets.targetLatencyMillis(service);
+  }
+
   /** Returns all services. */
   public Collection<RoutedService> services() {
     return services.values();
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/pace/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the pace limit. */
+package io.zinniawood.core.pace;
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/processor/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the processor guard. */
+package io.zinniawood.core.processor;
