--- a/core/src/main/java/io/zinniawood/core/relay/PathPace.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathPace.java
@@ -1,7 +1,6 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.fleet.TrackedEndpoint;
-import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.load.EndpointLoad;
 import io.zinniawood.core.pace.BoundedLoad;
 import io.zinniawood.core.pace.PaceDemand;
@@ -15,7 +14,7 @@
 import io.zinniawood.core.path.PathPart;
 import io.zinniawood.core.route.EngineProfile;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,7 +33,7 @@
   private final BoundedLoad bound;
   private final PaceLimit limit;
   private final PaceDemand demand;
-  private final Map<EndpointId, PacePart> wholeParts = new HashMap<>();
+  private final Map<TrackedEndpoint, PacePart> wholeParts = new IdentityHashMap<>();
   private boolean limited;
   private boolean gapInTime;
 
@@ -55,7 +54,8 @@
     this.limit = new PaceLimit(model, shortestGapMillis);
     for (OpenRequest running : turn.state.open.values()) {
       if (running != open && running.gapInTime && running.service.equals(open.service)) {
-        running.path.ifPresent(path -> limit.addWriter(parts(path), running.targetGapMillis()));
+        running.path.ifPresent(
+            path -> limit.addWriter(runningParts(running, path), running.targetGapMillis()));
       }
     }
   }
@@ -110,6 +110,22 @@
         patienceMillis - waitedMillis);
   }
 
+  /**
+   * Returns whether a stream would be in time on a path without slowing others down too much. In
+   * that case, which is the usual one, no other path need be compared.
+   */
+  boolean suits(LayerPath path) {
+    List<PacePart> parts = parts(path);
+    for (PacePart part : parts) {
+      if (!limit.permits(part, demand)) {
+        return false;
+      }
+    }
+    PaceVerdict verdict = limit.judge(parts, demand);
+    gapInTime = verdict.gapInTime();
+    return verdict.grade() == PaceVerdict.Grade.IN_TIME;
+  }
+
   /**
    * Returns the best path that the limit permits; a path in time goes before a late one.
    *
@@ -200,7 +216,24 @@
     return parts;
   }
 
+  /** Returns the parts of the path of a running stream, whose endpoints need no lookup. */
+  private List<PacePart> runningParts(OpenRequest running, LayerPath path) {
+    List<TrackedEndpoint> used = running.endpointsInUse;
+    if (used.size() != path.parts().size()) {
+      return parts(path);
+    }
+    List<PacePart> parts = new ArrayList<>(used.size());
+    for (int index = 0; index < used.size(); index++) {
+      int layers = path.parts().get(index).layers().layers();
+      wholePart(used.get(index)).map(whole -> withLayers(whole, layers)).ifPresent(parts::add);
+    }
+    return parts;
+  }
+
   private static PacePart withLayers(PacePart whole, int layers) {
+    if (layers == whole.layers()) {
+      return whole;
+    }
     return new PacePart(
         whole.endpoint(),
         whole.accelerator(),
@@ -212,7 +245,7 @@
 
   /** Returns an endpoint with all layers that it holds; empty if it holds none. */
   private Optional<PacePart> wholePart(TrackedEndpoint endpoint) {
-    PacePart known = wholeParts.get(endpoint.id());
+    PacePart known = wholeParts.get(endpoint);
     if (known != null) {
       return Optional.of(known);
     }
@@ -237,7 +270,7 @@
                                   load,
                                   load.requests() - endpoint.inFlight());
                             }));
-    part.ifPresent(found -> wholeParts.put(endpoint.id(), found));
+    part.ifPresent(found -> wholeParts.put(endpoint, found));
     return part;
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -135,6 +135,7 @@
     endpointsAtLimit = 0;
     pace = Optional.empty();
     List<PathCandidate> all = candidates(excluded, tokens, turn.nowNanos, this::permitted);
+    Optional<LayerPath> cheapest = best(all);
     try {
       pace =
           PathPace.of(
@@ -144,7 +145,7 @@
               relays,
               new PaceModel(engine, HANDOVER_MILLIS, QUEUEING_FACTOR),
               endpoints);
-      if (pace.isPresent()) {
+      if (pace.isPresent() && cheapest.isPresent() && !pace.get().suits(cheapest.get())) {
         return pace.get().best(bySpeed(all), this::cheapestPath, this::memoryWeightedMillis);
       }
     } catch (RuntimeException failure) {
@@ -152,7 +153,7 @@
       pace = Optional.empty();
       FailureContainment.log(turn, "pace-limit", failure);
     }
-    return best(all);
+    return cheapest;
   }
 
   private Optional<LayerPath> best(List<PathCandidate> all) {
