--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -5,6 +5,7 @@
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.load.EndpointLoad;
 import io.zinniawood.core.model.LayerRange;
+import io.zinniawood.core.pace.PaceModel;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.path.PathCandidate;
 import io.zinniawood.core.path.PathCosts;
@@ -74,12 +75,15 @@
   private final Optional<OverflowCosts> overflow;
   private final double maxLinkBacklogMillis;
   private int endpointsAtLimit;
+  private Optional<PathPace> pace = Optional.empty();
+  private final OpenRequest open;
 
   /** Number of live relays, which are assumed to load endpoints and links like this one. */
   private final int relays;
 
   PathSelector(RelayTurn turn, EngineProfile engine, OpenRequest open) {
     this.turn = turn;
+    this.open = open;
     this.maxLinkBacklogMillis =
         open.headRelayed ? MAX_RESUMED_LINK_BACKLOG_MILLIS : MAX_LINK_BACKLOG_MILLIS;
     this.relays = turn.state.peers.count(turn.nowNanos);
@@ -147,21 +151,55 @@
    */
   Optional<LayerPath> best(Set<EndpointId> excluded, long tokens) {
     endpointsAtLimit = 0;
+    pace = Optional.empty();
     List<PathCandidate> all = candidates(excluded, tokens, turn.nowNanos, this::permitted);
-    Optional<LayerPath> best =
-        overflow.flatMap(
-            costs ->
-                best(
-                    all,
-                    overflowPlanner(costs, tokens),
-                    path -> costs.pathMillis(path, expectedGapMillis(path))));
-    return best.isPresent() ? best : best(all, planner, path -> 0);
+    PathPlanner search = overflow.map(costs -> overflowPlanner(costs, tokens)).orElse(planner);
+    ToDoubleFunction<LayerPath> cost =
+        path ->
+            memoryWeightedMillis(path)
+                + overflow
+                    .map(costs -> costs.pathMillis(path, expectedGapMillis(path)))
+                    .orElse(0.0);
+    Optional<LayerPath> cheapest = best(all, search, cost);
+    try {
+      pace =
+          PathPace.of(
+              turn,
+              engine,
+              open,
+              relays,
+              new PaceModel(engine, HANDOVER_MILLIS, QUEUEING_FACTOR),
+              endpoints);
+      if (pace.isPresent() && cheapest.isPresent() && !pace.get().suits(cheapest.get())) {
+        return pace.get()
+            .best(
+                bySpeed(all), candidates -> cheapestPath(search, candidates), cost::applyAsDouble);
+      }
+    } catch (RuntimeException failure) {
+      // Without the limit a stream may be late; the request itself can still be sent.
+      pace = Optional.empty();
+      FailureContainment.log(turn, "pace-limit", failure);
+    }
+    return cheapest;
   }
 
   private Optional<LayerPath> best(
-      List<PathCandidate> all, PathPlanner search, ToDoubleFunction<LayerPath> extraMillis) {
+      List<PathCandidate> all, PathPlanner search, ToDoubleFunction<LayerPath> costOf) {
     Optional<LayerPath> best = Optional.empty();
     double bestCost = Double.POSITIVE_INFINITY;
+    for (List<PathCandidate> candidates : bySpeed(all)) {
+      Optional<LayerPath> path = cheapestPath(search, candidates);
+      double cost = path.map(costOf::applyAsDouble).orElse(Double.POSITIVE_INFINITY);
+      if (cost < bestCost) {
+        bestCost = cost;
+        best = path;
+      }
+    }
+    return best;
+  }
+
+  private List<List<PathCandidate>> bySpeed(List<PathCandidate> all) {
+    List<List<PathCandidate>> classes = new ArrayList<>();
     for (SpeedClass speed : SpeedClass.values()) {
       List<PathCandidate> candidates = new ArrayList<>();
       for (PathCandidate candidate : all) {
@@ -169,17 +207,18 @@
           candidates.add(candidate);
         }
       }
-      Optional<LayerPath> path =
-          search.cheapestPath(candidates, turn.state.parameters.dataCentre());
-      double cost =
-          path.map(found -> memoryWeightedMillis(found) + extraMillis.applyAsDouble(found))
-              .orElse(Double.POSITIVE_INFINITY);
-      if (cost < bestCost) {
-        bestCost = cost;
-        best = path;
-      }
+      classes.add(candidates);
     }
-    return best;
+    return classes;
+  }
+
+  private Optional<LayerPath> cheapestPath(PathPlanner search, List<PathCandidate> candidates) {
+    return search.cheapestPath(candidates, turn.state.parameters.dataCentre());
+  }
+
+  /** Returns the pace limit of the last selection; empty if none applied. */
+  Optional<PathPace> pace() {
+    return pace;
   }
 
   /** Returns the number of endpoints that the last best path could not begin at for their limit. */
--- a/core/src/main/java/io/zinniawood/core/route/RouteTable.java
+++ b/core/src/main/java/io/zinniawood/core/route/RouteTable.java
@@ -21,6 +21,7 @@
   private final RequestLimits limits;
   private final Set<ServiceName> scarceServices;
   private final Map<ServiceName, Integer> urgentPriorities = new HashMap<>();
+  private final ShortestTargets shortestTargets;
 
   /**
    * Creates a table.
@@ -48,6 +49,7 @@
     this.keysRequired = keysRequired;
     this.accountsByKey = Map.copyOf(accountsByKey);
     this.limits = limits;
+    this.shortestTargets = new ShortestTargets(routes);
     this.scarceServices = ScarceCapacity.services(routes, services);
     services.forEach(service -> findUrgentPriority(service.name(), routes));
   }
@@ -88,13 +90,17 @@
     return !scarceServices.isEmpty();
   }
 
-  /** Returns the shortest target latency of the routes of a service; empty if it has none. */
+  /**
+   * Returns the shortest target for the pause between events of the routes to a service, in
+   * milliseconds; 0 if none has such a target.
+   */
+  public long shortestTargetGapMillis(ServiceName service) {
+    return shortestTargets.targetGapMillis(service);
+  }
+
+  /** Returns the shortest target latency of the routes to a service; empty if it has no route. */
   public OptionalLong shortestTargetLatencyMillis(ServiceName service) {
-    return routesByHost.values().stream()
-        .flatMap(routes -> routes.values().stream())
-        .filter(route -> route.shares().stream().anyMatch(share -> share.service().equals(service)))
-        .mapToLong(Route::targetLatencyMillis)
-        .min();
+    return shortestTargets.targetLatencyMillis(service);
   }
 
   /** Returns all services. */
