--- a/dist/src/test/java/io/zinniawood/dist/ProcessUsage.java
+++ b/dist/src/test/java/io/zinniawood/dist/ProcessUsage.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.stream.Stream;
 
 /**
  * Processor time and memory of a process, read from {@code /proc} on Linux.
@@ -21,6 +22,15 @@
    */
   private static final int USER_TICKS_INDEX = 11;
 
+  static int openDescriptors(long pid) {
+    try (Stream<Path> descriptors = Files.list(Path.of("/proc/" + pid + "/fd"))) {
+      return (int) descriptors.count();
+    } catch (IOException unreadable) {
+      throw new UncheckedIOException(
+          "cannot list /proc/" + pid + "/fd; the process may have ended", unreadable);
+    }
+  }
+
   static ProcessUsage of(long pid) {
     try {
       String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
--- a/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
+++ b/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
@@ -109,6 +109,11 @@
     return ProcessUsage.of(process.pid());
   }
 
+  /** Returns the current number of open descriptors of the process. */
+  int openDescriptors() {
+    return ProcessUsage.openDescriptors(process.pid());
+  }
+
   @Override
   public void close() {
     process.destroyForcibly();
