Relay: heads, queued requests and unsent answers count against the heap

Cause: the budget counted bodies and buffered answers only. A header line of four bytes takes about 150 bytes of heap, so heads that are received, or that are queued behind a request in progress, and trailers without end exhausted the heap, and the JVM exited.

Change: the HTTP decoder counts what it holds; all connections share a quarter of the heap, and the one that holds the most is refused with 503, or loses its queue behind the request in progress. Answers that callers do not take give way when memory for answers is short, also on connections that were told to close. The administration port has limits, and renders metrics at most four times a second.

--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.internal.PlatformDependent;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.Decision;
@@ -19,7 +18,9 @@
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayParameters;
 import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.relay.internal.AdminConnections;
 import io.zinniawood.relay.internal.AdminHandler;
+import io.zinniawood.relay.internal.AdminInputLimit;
 import io.zinniawood.relay.internal.ByteArrivalHandler;
 import io.zinniawood.relay.internal.CallerCodec;
 import io.zinniawood.relay.internal.CallerHandler;
@@ -29,6 +30,7 @@
 import io.zinniawood.relay.internal.MemoryUser;
 import io.zinniawood.relay.internal.PeerChannel;
 import io.zinniawood.relay.internal.PeerSender;
+import io.zinniawood.relay.internal.RecentText;
 import io.zinniawood.relay.internal.RelayRuntime;
 import io.zinniawood.relay.internal.RuntimeListener;
 import io.zinniawood.telemetry.DecisionLog;
@@ -48,6 +50,9 @@
   /** Interval between checks for timeouts of callers' connections. */
   private static final long TIMEOUT_CHECK_MILLIS = 500;
 
+  /** Bounds what the system takes of answers that are not read; metrics have about 10 KB. */
+  private static final int ADMIN_SEND_BUFFER_BYTES = 64 * 1024;
+
   private static final int ACCEPT_BACKLOG = 1_024;
 
   private final RelayAddresses addresses;
@@ -60,8 +65,10 @@
   private final MemoryBudget memory;
   private final RelayRuntime runtime;
   private final Set<CallerHandler> callers = new HashSet<>();
+  private final AdminConnections adminConnections = new AdminConnections();
   private final ConnectionClosing closing;
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private final RecentText metricsText;
   private Channel callerListener;
   private boolean ready;
 
@@ -80,10 +87,15 @@
     this.log = log;
     this.loop = (EventLoop) group.next();
     this.memory =
-        new MemoryBudget(PlatformDependent.maxDirectMemory(), this::logDecision, System::nanoTime);
+        new MemoryBudget(
+            PlatformDependent.maxDirectMemory(),
+            Runtime.getRuntime().maxMemory(),
+            this::logDecision,
+            System::nanoTime);
     this.runtime =
         new RelayRuntime(new RelayState(parameters), codec, loop, memory, new ProcessListener());
     this.metrics = new RelayMetrics(runtime.state(), memory, log);
+    this.metricsText = new RecentText(metrics::render, System::nanoTime);
     this.closing =
         new ConnectionClosing(
             loop, parameters.gracePeriodMillis(), callers, this::connectionsClosed);
@@ -238,7 +250,7 @@
       channel
           .pipeline()
           .addLast(new ByteArrivalHandler(caller))
-          .addLast(CallerCodec.create(runtime.limits()))
+          .addLast(CallerCodec.create(runtime.limits(), caller))
           .addLast(caller);
     }
   }
@@ -246,10 +258,13 @@
   private final class AdminInitializer extends ChannelInitializer<Channel> {
     @Override
     protected void initChannel(Channel channel) {
+      adminConnections.opened(channel);
+      channel.config().setOption(ChannelOption.SO_SNDBUF, ADMIN_SEND_BUFFER_BYTES);
       channel
           .pipeline()
-          .addLast(new HttpServerCodec())
-          .addLast(new AdminHandler(() -> ready, metrics::render, RelayProcess.this::logFailure));
+          .addLast(new AdminInputLimit())
+          .addLast(AdminInputLimit.codec())
+          .addLast(new AdminHandler(() -> ready, metricsText, RelayProcess.this::logFailure));
     }
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/AdminHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/AdminHandler.java
@@ -43,6 +43,11 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+    if (!context.channel().isWritable()) {
+      // The reader takes no answers; metrics would collect in memory.
+      context.close();
+      return;
+    }
     if (message instanceof HttpRequest head) {
       request = head;
     }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -4,36 +4,28 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.EncoderException;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import io.zinniawood.core.relay.LocalAnswer;
 import io.zinniawood.core.route.RequestLimits;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Connection of one caller. Serves one request at a time and queues pipelined requests. The {@link
  * RelayRuntime} writes answers through the methods of this class.
  */
-public final class CallerHandler extends ChannelInboundHandlerAdapter {
-  /** Time for which input is discarded after a refusal, so that the caller can read it. */
-  private static final long DISCARD_MILLIS = 1_000;
-
+public final class CallerHandler extends CallerAnswerWriter {
   /** Time for bytes that have arrived to be read before an idle connection closes. */
   private static final long MIN_IDLE_CLOSE_DELAY_MILLIS = 20;
 
@@ -43,14 +35,9 @@
   /** Delay of the close of a quiet connection while the process drains; lets input be read. */
   private static final long DRAIN_CLOSE_DELAY_MILLIS = 5;
 
-  private final CallerListener listener;
-  private final PipelinedMessages pipelined = new PipelinedMessages();
-  private ChannelHandlerContext context;
+  private Optional<CallerRequestDecoder> decoder = Optional.empty();
   private HttpRequest head;
   private AccountedBytes body;
-  private CallerExchange exchange;
-  private boolean keepAlive;
-  private boolean closing;
 
   /** Whether a request was read completely and no exchange has begun for it. */
   private boolean undecided;
@@ -69,7 +56,7 @@
 
   /** Creates a handler that reports to the given listener. */
   public CallerHandler(CallerListener listener) {
-    this.listener = listener;
+    super(listener);
   }
 
   @Override
@@ -78,8 +65,16 @@
     recordActivity();
   }
 
+  /** Sets the decoder of the connection, which drops what it holds when input is discarded. */
+  void decodedBy(CallerRequestDecoder added) {
+    decoder = Optional.of(added);
+  }
+
   /** Records the arrival of bytes, before they are decoded, for the timeouts. */
   void bytesArrived() {
+    if (closing) {
+      return;
+    }
     recordActivity();
     if (exchange == null && head == null && !headStarted) {
       headStarted = true;
@@ -89,7 +84,11 @@
 
   /** Closes the connection if its idle timeout or header timeout has expired. */
   public void checkTimeouts(long nowNanos) {
-    if (exchange != null || closing || (writable() && !pipelined.isEmpty())) {
+    if (closing) {
+      closeUntaken(nowNanos);
+      return;
+    }
+    if (exchange != null || (writable() && !pipelined.isEmpty())) {
       return;
     }
     RequestLimits limits = listener.limits();
@@ -115,6 +114,14 @@
     }
   }
 
+  /** Closes a connection that waits to close until its caller has taken the last answer. */
+  private void closeUntaken(long nowNanos) {
+    long idleNanos = TimeUnit.MILLISECONDS.toNanos(idleTimeoutMillis);
+    if (unsentBytes() > 0 && nowNanos - lastActivityNanos >= idleNanos) {
+      disconnect();
+    }
+  }
+
   /** Closes an idle connection after a delay, unless bytes arrive that were not read yet. */
   private void closeUnlessUsed(ConnectionClose.Reason reason, long delayMillis) {
     if (idleCloseScheduled) {
@@ -172,10 +179,11 @@
 
   @Override
   public void channelRead(ChannelHandlerContext read, Object message) {
-    if (closing) {
+    if (discarded()) {
       ReferenceCountUtil.release(message);
     } else if (exchange != null || !pipelined.isEmpty() || !writable()) {
       pipelined.add(message);
+      memory.set(ConnectionMemory.Part.QUEUE, pipelined.heldBytes());
       if (pipelined.full()) {
         context.channel().config().setAutoRead(false);
       }
@@ -217,6 +225,11 @@
       rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return false;
     }
+    memory.set(ConnectionMemory.Part.REQUEST, HeadCost.of(request));
+    if (closing) {
+      // Memory is short and this connection held the most.
+      return false;
+    }
     head = request;
     keepAlive = HttpUtil.isKeepAlive(request);
     body = new AccountedBytes(listener.requestMemory(), this::refuseForMemory);
@@ -262,102 +275,24 @@
     undecided = false;
   }
 
-  /** Sets the current exchange; must precede its first event, which may already answer it. */
-  void beginExchange(CallerExchange opened) {
-    exchange = opened;
-  }
-
-  /** Writes an answer that the relay generated. */
-  public void writeLocalAnswer(LocalAnswer answer) {
-    FullHttpResponse response = CallerAnswers.local(answer);
-    setCloseHeader(response);
-    write(response);
-    finishExchange();
-  }
-
-  /**
-   * Writes part of an answer.
-   *
-   * @throws EncoderException if the part could not be encoded; what follows it must not be written
-   */
-  private void write(HttpObject part) {
-    Throwable cause = context.write(part).cause();
-    if (cause != null && !(cause instanceof IOException)) {
-      throw new EncoderException(cause);
-    }
-  }
-
-  /** Writes an endpoint's complete answer and takes ownership of its content. */
-  public void writeFullAnswer(HttpResponse upstream, ByteBuf content) {
-    FullHttpResponse response = CallerAnswers.full(exchange.head(), upstream, content);
-    setCloseHeader(response);
-    write(response);
-    finishExchange();
-  }
-
-  /** Writes the head of an endpoint's event stream. */
-  public void beginStream(HttpResponse upstream) {
-    HttpResponse response = CallerAnswers.streamHead(upstream);
-    setCloseHeader(response);
-    write(response);
-  }
-
-  /** Writes bytes of a stream without flushing them. */
-  public void writeStream(ByteBuf bytes) {
-    write(new DefaultHttpContent(bytes));
-  }
-
-  /** Flushes the bytes written by {@link #writeStream}. */
-  public void flush() {
-    context.flush();
-  }
-
-  /** Completes a stream. */
-  public void endStream() {
-    write(LastHttpContent.EMPTY_LAST_CONTENT);
-    finishExchange();
-  }
-
   /** Closes the connection so that the caller does not take a partial answer for complete. */
   public void abort() {
     close(ConnectionClose.Reason.ANSWER_ABORTED, "");
     releaseExchange();
   }
 
-  /** Closes the connection of a caller that takes too little of its stream. */
-  void disconnectSlowCaller() {
-    close(ConnectionClose.Reason.ANSWER_NOT_TAKEN, "unsentBytes " + unsentBytes());
-  }
-
-  /** Returns whether the outbound buffer has room for more bytes. */
-  public boolean writable() {
-    return context.channel().isWritable();
-  }
-
   /** Returns whether a request is in progress or partly received. */
   public boolean busy() {
     return exchange != null || head != null || headStarted || !pipelined.isEmpty();
   }
 
-  /** Returns the number of bytes that are written but not yet sent. */
-  public long unsentBytes() {
-    return context.channel().unsafe().outboundBuffer() == null
-        ? 0
-        : context.channel().unsafe().outboundBuffer().totalPendingWriteBytes();
-  }
-
-  private void setCloseHeader(HttpResponse response) {
-    if (closesAfterAnswer()) {
-      keepAlive = false;
-      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
-  }
-
-  private boolean closesAfterAnswer() {
-    return !keepAlive || ((failed || listener.draining()) && pipelined.isEmpty());
+  @Override
+  boolean closesAfterAnswer() {
+    return !keepAlive || inputDropped || ((failed || listener.draining()) && pipelined.isEmpty());
   }
 
-  private void finishExchange() {
+  @Override
+  void finishExchange() {
     releaseExchange();
     recordActivity();
     // Draining may have started after a stream's head was sent with keep-alive.
@@ -366,7 +301,12 @@
         report(ConnectionClose.Reason.CLOSE_ANNOUNCED, "");
       }
       closing = true;
-      context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      var flushed = context.writeAndFlush(Unpooled.EMPTY_BUFFER);
+      if (inputDropped) {
+        flushed.addListener(written -> closeAfterInput());
+      } else {
+        flushed.addListener(ChannelFutureListener.CLOSE);
+      }
       return;
     }
     if (failed) {
@@ -380,7 +320,9 @@
   private void handlePipelined() {
     try {
       while (exchange == null && !closing && !pipelined.isEmpty() && writable()) {
-        handleMessage(pipelined.poll());
+        Object message = pipelined.poll();
+        memory.set(ConnectionMemory.Part.QUEUE, pipelined.heldBytes());
+        handleMessage(message);
       }
     } catch (RuntimeException | Error failure) {
       fail(failure);
@@ -396,6 +338,7 @@
     if (exchange != null) {
       exchange.body().release();
       exchange = null;
+      memory.set(ConnectionMemory.Part.REQUEST, 0);
     }
   }
 
@@ -412,27 +355,74 @@
     report(ConnectionClose.Reason.REFUSED_EARLY, String.valueOf(response.status().code()));
     closing = true;
     dropPartialRequest();
+    dropInput();
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     context.writeAndFlush(response).addListener(written -> closeAfterInput());
   }
 
-  /**
-   * Ends the output and discards input for a limited time before the close, as a close with unread
-   * input resets the connection and may take the answer from the caller.
-   */
-  private void closeAfterInput() {
-    if (context.channel() instanceof DuplexChannel duplex) {
-      duplex.shutdownOutput();
-    }
-    context.executor().schedule(() -> context.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
-  }
-
   private void dropPartialRequest() {
     head = null;
     if (body != null) {
       body.release();
       body = null;
     }
+    if (exchange == null) {
+      memory.set(ConnectionMemory.Part.REQUEST, 0);
+    }
+  }
+
+  @Override
+  public void framingExceeded() {
+    refuseInput("framing", () -> CallerAnswers.early(HttpResponseStatus.BAD_REQUEST));
+  }
+
+  @Override
+  public void pipelineExceeded() {
+    refuseInput("memory-short", CallerAnswers::memoryShort);
+  }
+
+  @Override
+  public void disconnect() {
+    close(ConnectionClose.Reason.ANSWER_NOT_TAKEN, "unsentBytes " + unsentBytes());
+  }
+
+  @Override
+  public void giveWay() {
+    refuseInput("memory-short", CallerAnswers::memoryShort);
+  }
+
+  /**
+   * Refuses the request that is read, or the queued ones: at once if none is in progress, and by
+   * the close after the answer otherwise.
+   */
+  private void refuseInput(String detail, Supplier<FullHttpResponse> refusal) {
+    if (discarded()) {
+      return;
+    }
+    if (exchange != null) {
+      report(ConnectionClose.Reason.CLOSE_ANNOUNCED, detail);
+      inputDropped = true;
+      dropInput();
+    } else if (!writable()) {
+      disconnect();
+    } else {
+      rejectAndClose(refusal.get());
+    }
+  }
+
+  /** Releases what is queued and what the decoder holds; nothing of it has run. */
+  private void dropInput() {
+    pipelined.release();
+    memory.set(ConnectionMemory.Part.QUEUE, 0);
+    context.channel().config().setAutoRead(true);
+    decoder.ifPresent(
+        dropping -> {
+          try {
+            dropping.drop(context);
+          } catch (Exception failure) {
+            context.close();
+          }
+        });
   }
 
   @Override
@@ -452,6 +442,7 @@
     closing = true;
     dropPartialRequest();
     pipelined.release();
+    memory.close();
     if (exchange != null) {
       CallerExchange abandoned = exchange;
       releaseExchange();
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
@@ -13,6 +13,9 @@
   /** Returns the memory of the bodies of all callers' requests. */
   MemoryAccount requestMemory();
 
+  /** Returns the memory of the connections of all callers. */
+  CallerMemory connectionMemory();
+
   /** Returns whether the process is draining, so that connections are closed after their answer. */
   boolean draining();
 
--- /dev/null
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerMemory.java
@@ -0,0 +1,79 @@
+package io.zinniawood.relay.internal;
+
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Memory that all callers' connections hold with heads, queued messages and unsent answers. If it
+ * is short, the connection that can release the most gives way. A connection that holds more than
+ * 1/256 of the limit leaves a quarter of it to others, so that ordinary requests are still read.
+ * Bodies are counted by the account {@link MemoryUser#CALLER_REQUESTS}.
+ */
+public final class CallerMemory {
+  private static final int LARGE_DIVISOR = 256;
+  private static final int RESERVE_DIVISOR = 4;
+
+  private final MemoryAccount account;
+  private final Set<ConnectionMemory> connections = new HashSet<>();
+  private long totalBytes;
+
+  /** Creates an empty budget that reports its use and its shortages to the account. */
+  public CallerMemory(MemoryAccount account) {
+    this.account = account;
+  }
+
+  /** Adds a connection, which must be closed later. */
+  ConnectionMemory open(ConnectionMemory.Owner owner) {
+    ConnectionMemory opened = new ConnectionMemory(this, owner);
+    connections.add(opened);
+    return opened;
+  }
+
+  void closed(ConnectionMemory connection) {
+    connections.remove(connection);
+  }
+
+  void changed(ConnectionMemory connection, long deltaBytes) {
+    totalBytes += deltaBytes;
+    if (deltaBytes > 0) {
+      while (!account.hold(totalBytes + reserveBytes(connection)) && largestGivesWay()) {
+        // Others give way until the rest fits.
+      }
+    }
+    account.lower(totalBytes);
+  }
+
+  /**
+   * Disconnects the caller that has left most of its complete answers untaken.
+   *
+   * @return whether there was one
+   */
+  boolean disconnectSlowest() {
+    Optional<ConnectionMemory> slowest =
+        connections.stream().max(Comparator.comparingLong(ConnectionMemory::untakenBytes));
+    if (slowest.isEmpty() || slowest.get().untakenBytes() == 0) {
+      return false;
+    }
+    slowest.get().disconnect();
+    return slowest.get().untakenBytes() == 0;
+  }
+
+  private long reserveBytes(ConnectionMemory connection) {
+    long limitBytes = account.limitBytes();
+    return connection.releasableBytes() > limitBytes / LARGE_DIVISOR
+        ? limitBytes / RESERVE_DIVISOR
+        : 0;
+  }
+
+  private boolean largestGivesWay() {
+    Optional<ConnectionMemory> largest =
+        connections.stream().max(Comparator.comparingLong(ConnectionMemory::releasableBytes));
+    if (largest.isEmpty() || largest.get().releasableBytes() == 0) {
+      return false;
+    }
+    largest.get().giveWay();
+    return largest.get().releasableBytes() == 0;
+  }
+}
--- a/relay/src/main/java/io/zinniawood/relay/internal/MemoryAccount.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/MemoryAccount.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /**
  * Direct memory of one kind of bytes that a peer decides the amount of. Buffers are allocated by
@@ -22,6 +23,7 @@
   private final long limitBytes;
   private final int maxBufferBytes;
   private final ShortageListener listener;
+  private BooleanSupplier relief = () -> false;
   private long heldBytes;
 
   /** Receives the shortages of an account. */
@@ -63,10 +65,28 @@
     return false;
   }
 
+  /** Sets the number of bytes that are held in other buffers, after some were released. */
+  void lower(long bytes) {
+    heldBytes = bytes;
+  }
+
+  long limitBytes() {
+    return limitBytes;
+  }
+
   int maxBufferBytes() {
     return maxBufferBytes;
   }
 
+  /**
+   * Sets what releases complete buffers when no incomplete one can give way.
+   *
+   * @param release returns whether it released any
+   */
+  void relievedBy(BooleanSupplier release) {
+    relief = release;
+  }
+
   /** Allocates a buffer for the holder, or returns empty if other buffers leave no room for it. */
   Optional<ByteBuf> allocate(AccountedBytes holder, int capacityBytes) {
     long reserveBytes =
@@ -78,9 +98,12 @@
       if (largest.isEmpty()
           || largest.get() == holder
           || largest.get().capacityBytes() < capacityBytes) {
-        return Optional.empty();
+        if (!relief.getAsBoolean()) {
+          return Optional.empty();
+        }
+      } else {
+        largest.get().evict();
       }
-      largest.get().evict();
     }
     return Optional.of(allocator.directBuffer(capacityBytes, maxBufferBytes));
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/MemoryBudget.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/MemoryBudget.java
@@ -8,8 +8,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * Divides the direct memory of a relay among its users. The rest is left to the buffers of reads
- * and writes in progress.
+ * Divides the direct memory of a relay and a part of its heap among its users. The rest is left to
+ * the buffers of reads and writes in progress, and to the state of the relay.
  */
 public final class MemoryBudget {
   /** Minimum time between two log lines on the same user. */
@@ -17,6 +17,7 @@
 
   private final Map<MemoryUser, Shortages> shortages = new EnumMap<>(MemoryUser.class);
   private final Map<MemoryUser, MemoryAccount> accounts = new EnumMap<>(MemoryUser.class);
+  private final CallerMemory callers;
   private final Consumer<Decision> log;
   private final LongSupplier nanoClock;
 
@@ -30,10 +31,12 @@
    * Creates a budget.
    *
    * @param directMemoryBytes limit of the process on direct memory
+   * @param heapBytes maximum size of the heap
    * @param log receives a line while memory is short
    * @param nanoClock monotonic clock in nanoseconds
    */
-  public MemoryBudget(long directMemoryBytes, Consumer<Decision> log, LongSupplier nanoClock) {
+  public MemoryBudget(
+      long directMemoryBytes, long heapBytes, Consumer<Decision> log, LongSupplier nanoClock) {
     this.log = log;
     this.nanoClock = nanoClock;
     for (MemoryUser user : MemoryUser.values()) {
@@ -41,10 +44,21 @@
       accounts.put(
           user,
           new MemoryAccount(
-              directMemoryBytes / user.divisor(),
+              memoryBytes(user, directMemoryBytes, heapBytes) / user.divisor(),
               user.maxBufferBytes(),
               (usedBytes, limitBytes) -> memoryShort(user, usedBytes, limitBytes)));
     }
+    callers = new CallerMemory(accounts.get(MemoryUser.CALLER_CONNECTIONS));
+    accounts.get(MemoryUser.ENDPOINT_ANSWERS).relievedBy(callers::disconnectSlowest);
+  }
+
+  private static long memoryBytes(MemoryUser user, long directMemoryBytes, long heapBytes) {
+    return user == MemoryUser.CALLER_CONNECTIONS ? heapBytes : directMemoryBytes;
+  }
+
+  /** Returns the memory of the connections of all callers. */
+  public CallerMemory callers() {
+    return callers;
   }
 
   /** Returns the account of a user. */
--- a/relay/src/main/java/io/zinniawood/relay/internal/MemoryUser.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/MemoryUser.java
@@ -1,6 +1,6 @@
 package io.zinniawood.relay.internal;
 
-/** Kinds of bytes whose amount is decided by a peer, each with its share of the direct memory. */
+/** Kinds of bytes whose amount is decided by a peer, each with its share of the memory. */
 public enum MemoryUser {
   /** Answers to control calls; a full page of rows is one megabyte before base64 encoding. */
   CONTROL_ANSWERS("control-answers", 8, 2 * 1024 * 1024),
@@ -9,7 +9,12 @@
   /** Answers that are buffered until they are complete, and then until the caller takes them. */
   ENDPOINT_ANSWERS("endpoint-answers", 4, 4 * 1024 * 1024),
   /** Events of streams that callers have not taken yet. */
-  STREAMED_ANSWERS("streamed-answers", 8, 0);
+  STREAMED_ANSWERS("streamed-answers", 8, 0),
+  /**
+   * Heads, queued messages and unsent answers of callers' connections, mostly in the heap; the
+   * divisor applies to the maximum size of the heap.
+   */
+  CALLER_CONNECTIONS("caller-connections", 4, 0);
 
   private final String text;
   private final int divisor;
@@ -26,7 +31,7 @@
     return text;
   }
 
-  /** Returns the divisor of the process's direct memory that gives the share. */
+  /** Returns the divisor of the memory of the process that gives the share. */
   int divisor() {
     return divisor;
   }
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -143,6 +143,11 @@
     return memory.account(MemoryUser.CALLER_REQUESTS);
   }
 
+  @Override
+  public CallerMemory connectionMemory() {
+    return memory.callers();
+  }
+
   @Override
   public boolean draining() {
     return state.terminating();
--- a/relay/src/main/java/io/zinniawood/relay/internal/UnsentStreams.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/UnsentStreams.java
@@ -20,7 +20,7 @@
     while (!memory.hold(streams.stream().mapToLong(CallerHandler::unsentBytes).sum())) {
       streams.stream()
           .max(Comparator.comparingLong(CallerHandler::unsentBytes))
-          .ifPresent(CallerHandler::disconnectSlowCaller);
+          .ifPresent(CallerHandler::disconnect);
     }
   }
 }
--- a/relay/src/test/java/io/zinniawood/relay/EndlessControlAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/EndlessControlAnswerTest.java
@@ -47,7 +47,8 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) group.next();
   private final List<Decision> lines = new CopyOnWriteArrayList<>();
-  private final MemoryBudget memory = new MemoryBudget(DIRECT_MEMORY_BYTES, lines::add, () -> 0);
+  private final MemoryBudget memory =
+      new MemoryBudget(DIRECT_MEMORY_BYTES, DIRECT_MEMORY_BYTES, lines::add, () -> 0);
   private final ControlClient client =
       new ControlClient(
           loop, memory.account(MemoryUser.CONTROL_ANSWERS), (event, subject, failure) -> {});
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerConnectionTest.java
@@ -27,7 +27,7 @@
   private final CallerHandler handler = new CallerHandler(listener);
   private final EmbeddedChannel channel =
       new EmbeddedChannel(
-          new ByteArrivalHandler(handler), CallerCodec.create(listener.limits), handler);
+          new ByteArrivalHandler(handler), CallerCodec.create(listener.limits, handler), handler);
 
   private static ByteBuf bytes(String text) {
     return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerFramingTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerFramingTest.java
@@ -23,7 +23,7 @@
   private final CallerHandler handler = new CallerHandler(listener);
   private final EmbeddedChannel channel =
       new EmbeddedChannel(
-          new ByteArrivalHandler(handler), CallerCodec.create(listener.limits), handler);
+          new ByteArrivalHandler(handler), CallerCodec.create(listener.limits, handler), handler);
 
   private String receive(String text) {
     channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
@@ -21,6 +21,8 @@
   final List<RelayRequestId> failed = new ArrayList<>();
   RequestLimits limits = RequestLimits.DEFAULT;
   MemoryAccount memory = new MemoryAccount(16 * 1024 * 1024, 8 * 1024 * 1024, (used, limit) -> {});
+  CallerMemory connectionMemory =
+      new CallerMemory(new MemoryAccount(16 * 1024 * 1024, 0, (used, limit) -> {}));
   boolean draining;
   boolean failing;
   private CallerHandler connection;
@@ -35,6 +37,11 @@
     return memory;
   }
 
+  @Override
+  public CallerMemory connectionMemory() {
+    return connectionMemory;
+  }
+
   @Override
   public boolean draining() {
     return draining;
--- a/relay/src/test/java/io/zinniawood/relay/internal/HeadRequestTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/HeadRequestTest.java
@@ -156,7 +156,8 @@
   private static String answerToCaller(String request, HttpResponse upstream) {
     FakeCallerListener caller = new FakeCallerListener();
     CallerHandler handler = new CallerHandler(caller);
-    EmbeddedChannel channel = new EmbeddedChannel(CallerCodec.create(caller.limits), handler);
+    EmbeddedChannel channel =
+        new EmbeddedChannel(CallerCodec.create(caller.limits, handler), handler);
     channel.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.US_ASCII));
     if (upstream == null) {
       handler.writeLocalAnswer(LocalAnswer.notRun("busy", 1_000));
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -82,7 +82,8 @@
                 8_000,
                 SchedulingSettings.AUTO,
                 1));
-    MemoryBudget memory = new MemoryBudget(64 * 1024 * 1024, line -> {}, System::nanoTime);
+    MemoryBudget memory =
+        new MemoryBudget(64 * 1024 * 1024, 64 * 1024 * 1024, line -> {}, System::nanoTime);
     RelayRuntime runtime = new RelayRuntime(state, codec, loop, memory, this);
     PlatformClient platform =
         (PlatformClient)
--- a/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
@@ -71,7 +71,8 @@
   // Guards against an endpoint that is read without end for a caller that was slow before it began.
   @Test
   void endpointIsNotReadWhileItsCallerIsSlow() {
-    MemoryBudget memory = new MemoryBudget(64 * 1024 * 1024, line -> {}, System::nanoTime);
+    MemoryBudget memory =
+        new MemoryBudget(64 * 1024 * 1024, 64 * 1024 * 1024, line -> {}, System::nanoTime);
     RelayState state =
         new RelayState(
             new RelayParameters(
