--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.EndpointIncarnation;
+import io.zinniawood.core.id.Hashing;
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.limit.EndpointLimit;
 import io.zinniawood.core.limit.EndpointLimits;
@@ -23,6 +24,7 @@
   private final LeavingEndpoints leavingEndpoints;
   private final EndpointLimits limits;
   private final EndpointPause pause;
+  private final int loadHash;
   private FleetEndpoint entry;
 
   /** Entry in a later version of the row that seems to have been written before this one. */
@@ -30,6 +32,7 @@
 
   private int inFlight;
   private long tokensInFlight;
+  private long promptTokensInFlight;
   private long lastProgressNanos;
   private double slowdownFactor = 1;
   private double failureRate;
@@ -66,6 +69,7 @@
       EndpointLimits limits,
       EndpointPause pause) {
     this.entry = entry;
+    this.loadHash = (int) Hashing.of(entry.id().value());
     this.withdrawn = withdrawn;
     this.leavingEndpoints = leavingEndpoints;
     this.limits = limits;
@@ -76,6 +80,11 @@
     return entry.id();
   }
 
+  /** Returns the hash of the id by which relays name the endpoint in their load notices. */
+  public int loadHash() {
+    return loadHash;
+  }
+
   /** Returns the process start that the endpoint list shows. */
   public EndpointIncarnation incarnation() {
     return entry.incarnation();
@@ -356,6 +365,16 @@
     tokensInFlight -= tokens;
   }
 
+  /** Returns the prompt tokens of this process's requests here that have no event yet. */
+  public long promptTokensInFlight() {
+    return promptTokensInFlight;
+  }
+
+  /** Adds prompt tokens that the endpoint is to read, or removes them if negative. */
+  public void addPromptTokens(long tokens) {
+    promptTokensInFlight += tokens;
+  }
+
   /** Returns the monotonic time in nanoseconds at which a request last progressed here. */
   public long lastProgressNanos() {
     return lastProgressNanos;
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -58,6 +58,10 @@
   final List<EndpointPause.Trial> pauseTrials = new ArrayList<>();
 
   long expectedTokens;
+
+  /** Prompt tokens counted at the endpoints in use until the next event. */
+  long promptTokensCounted;
+
   double expectedGapMillis;
   double expectedFirstEventMillis;
 
--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -3,7 +3,10 @@
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.load.EndpointLoad;
+import io.zinniawood.core.load.FleetLoad;
+import io.zinniawood.core.load.LoadHashes;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.path.PathCandidate;
@@ -60,6 +63,13 @@
   /** Maximum random increase of a cost, which keeps relays from selecting the same path. */
   private static final double MAX_JITTER_SHARE = 0.3;
 
+  /**
+   * Maximum increase of a cost by which each relay prefers other endpoints, where relays tell each
+   * other their load. It is as large as the random increase, so that it decides between endpoints
+   * that are equally good for all relays, but not against one that is much faster.
+   */
+  private static final double MAX_RENDEZVOUS_SHARE = 0.3;
+
   /** Pass time including queueing: a request waits about half a pass at each endpoint. */
   private static final double QUEUEING_FACTOR = 1.5;
 
@@ -73,22 +83,55 @@
   private final double maxLinkBacklogMillis;
   private int endpointsAtLimit;
 
-  /** Number of live relays, which are assumed to load endpoints and links like this one. */
+  /** Number of live relays; without their load notices, they are assumed to load alike. */
   private final int relays;
 
+  private final ServiceName service;
+
+  /** Whether the load that other relays tell is used. */
+  private final boolean loadShared;
+
+  /** Time to read the prompts that others may have sent unseen, for a layer, in milliseconds. */
+  private final double unseenPromptMillis;
+
+  private final long relayHash;
+
   PathSelector(RelayTurn turn, EngineProfile engine, OpenRequest open) {
     this.turn = turn;
     this.maxLinkBacklogMillis =
         open.headRelayed ? MAX_RESUMED_LINK_BACKLOG_MILLIS : MAX_LINK_BACKLOG_MILLIS;
     this.relays = turn.state.peers.count(turn.nowNanos);
     this.engine = engine;
+    this.service = open.service;
     this.endpoints = turn.state.fleet.ofService(open.service);
+    this.loadShared = turn.state.scheduling(SchedulingPart.LOAD_SHARING, open.service);
+    this.relayHash = LoadHashes.of(turn.state.parameters.vm());
+    this.unseenPromptMillis = loadShared ? unseenPromptMillis() : 0;
     this.planner =
         new PathPlanner(
             engine.layers(),
             new PathCosts(HANDOVER_MILLIS, this::dataCentreHopCost, REMOTE_FIRST_ENDPOINT_MILLIS));
   }
 
+  /**
+   * Returns the time in which the fleet reads the prompts that other relays may have sent unseen.
+   * It is the same at each endpoint, as faster endpoints get more of them.
+   */
+  private double unseenPromptMillis() {
+    double layersPerMilli = 0;
+    for (TrackedEndpoint endpoint : endpoints) {
+      Optional<AcceleratorProfile> profile = accelerator(endpoint);
+      Optional<LayerRange> held = endpoint.entry().layers();
+      if (profile.isPresent() && held.isPresent()) {
+        layersPerMilli +=
+            held.get().layers()
+                / engine.prefillMillisPerLayer(profile.get(), engine.meanPromptTokens());
+      }
+    }
+    double unseen = turn.state.fleetLoad.unseenArrivals(service, relays, turn.nowNanos);
+    return layersPerMilli > 0 ? unseen * engine.layers() / layersPerMilli : 0;
+  }
+
   private double dataCentreHopCost(DataCentreId from, DataCentreId to) {
     double backlog = turn.state.linkBacklogs.backlogMillis(from, to, turn.nowNanos);
     return backlog > maxLinkBacklogMillis
@@ -102,18 +145,24 @@
 
   /**
    * Adds the transfers of a selected path to the link backlogs, assuming that all relays select
-   * alike.
+   * alike, except for those that tell their transfers.
    *
    * @param tokens number of tokens of the request
    */
   void recordTransfers(LayerPath path, double tokens) {
+    double ownMillis = engine.linkTransferMillis(tokens);
+    int alike =
+        loadShared
+            ? 1 + turn.state.fleetLoad.relaysWithoutFigures(service, relays, turn.nowNanos)
+            : relays;
     Optional<DataCentreId> previous = Optional.empty();
     for (PathPart part : path.parts()) {
       Optional<DataCentreId> current =
           turn.state.fleet.find(part.endpoint()).map(endpoint -> endpoint.entry().dataCentre());
       if (previous.isPresent() && current.isPresent() && !previous.equals(current)) {
-        double millis = engine.linkTransferMillis(tokens) * relays;
-        turn.state.linkBacklogs.addTransfer(previous.get(), current.get(), millis, turn.nowNanos);
+        turn.state.linkBacklogs.addTransfer(
+            previous.get(), current.get(), ownMillis * alike, turn.nowNanos);
+        turn.state.ownLoad.transferred(previous.get(), current.get(), ownMillis);
       }
       previous = current;
     }
@@ -262,12 +311,34 @@
               endpoint.entry().address(),
               endpoint.entry().dataCentre(),
               layers.get(),
-              QUEUEING_FACTOR * passMillis(endpoint) * memoryPressure * jitter * slowdownPenalty,
+              sharedLoadCost(endpoint, QUEUEING_FACTOR * passMillis(endpoint))
+                  * memoryPressure
+                  * jitter
+                  * slowdownPenalty,
               mayBeFirst.test(endpoint)));
     }
     return candidates;
   }
 
+  /**
+   * Returns the cost of a layer with what is known of the load of other relays: the time to read
+   * the prompts that wait, the requests that others may have sent unseen, and the rank of the
+   * endpoint for this relay. All relays would otherwise select the same path between two notices.
+   *
+   * @param passCost cost of a layer by the requests that are known
+   */
+  private double sharedLoadCost(TrackedEndpoint endpoint, double passCost) {
+    Optional<AcceleratorProfile> profile = accelerator(endpoint);
+    if (!loadShared || profile.isEmpty()) {
+      return passCost;
+    }
+    double rank = LoadHashes.rendezvous(relayHash, endpoint.loadHash());
+    double promptMillis =
+        engine.prefillMillisPerLayer(profile.get(), (int) load(endpoint).promptTokens())
+            + 2 * rank * unseenPromptMillis;
+    return (passCost + promptMillis) * (1 + MAX_RENDEZVOUS_SHARE * rank);
+  }
+
   /**
    * Returns the share of an endpoint's memory in use with one more request.
    *
@@ -291,7 +362,9 @@
   }
 
   private EndpointLoad load(TrackedEndpoint endpoint) {
-    return turn.state.fleetLoad.at(endpoint, relays, turn.nowNanos);
+    return loadShared
+        ? turn.state.fleetLoad.at(endpoint, relays, turn.nowNanos)
+        : FleetLoad.equalShares(endpoint, relays);
   }
 
   private Optional<AcceleratorProfile> accelerator(TrackedEndpoint endpoint) {
--- a/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerExchange.java
@@ -2,6 +2,7 @@
 
 import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.limit.LimitNotice;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.List;
@@ -38,14 +39,32 @@
       return;
     }
     boolean sharesRead = read.isPresent();
-    // A message with entries of the endpoint list leaves no room for more in its packet.
+    QuarantineNotice quarantine =
+        sharesRead ? QuarantineNotice.EMPTY : state.quarantine.notice(turn.nowNanos);
+    List<EndpointIncarnation> leaving = sharesRead ? List.of() : EndpointStatements.notice(turn);
+    Optional<LoadNotice> load = LoadExchange.nextNotice(turn, receivers.size());
+    // A message with entries of the endpoint list leaves no room for more in its packet, and one
+    // with held parts or crashes none for a load notice.
+    boolean roomForLoad = !sharesRead && quarantine.isEmpty();
     emit(
         turn,
         receivers,
         read,
-        sharesRead ? QuarantineNotice.EMPTY : state.quarantine.notice(turn.nowNanos),
-        sharesRead ? List.of() : EndpointStatements.notice(turn),
-        LimitExchange.notice(turn, List.of(), List.of()));
+        quarantine,
+        leaving,
+        LimitExchange.notice(turn, List.of(), List.of()),
+        load.filter(notice -> roomForLoad).orElse(LoadNotice.EMPTY));
+    load.filter(notice -> !roomForLoad)
+        .ifPresent(
+            notice ->
+                emit(
+                    turn,
+                    receivers,
+                    Optional.empty(),
+                    QuarantineNotice.EMPTY,
+                    List.of(),
+                    LimitExchange.notice(turn, List.of(), List.of()),
+                    notice));
     if (!sharesRead) {
       LimitExchange.noticeOfLimits(turn)
           .ifPresent(
@@ -56,7 +75,8 @@
                       Optional.empty(),
                       QuarantineNotice.EMPTY,
                       List.of(),
-                      limits));
+                      limits,
+                      LoadNotice.EMPTY));
     }
   }
 
@@ -66,7 +86,8 @@
       Optional<SharedRead> read,
       QuarantineNotice quarantine,
       List<EndpointIncarnation> leaving,
-      LimitNotice limits) {
+      LimitNotice limits,
+      LoadNotice load) {
     RelayState state = turn.state;
     turn.emit(
         new RelayEffect.SendToPeers(
@@ -82,7 +103,8 @@
                 read,
                 quarantine,
                 leaving,
-                limits)));
+                limits,
+                load)));
   }
 
   static void messageReceived(RelayTurn turn, RelayEvent.PeerMessageReceived event) {
@@ -98,6 +120,7 @@
     }
     EndpointStatements.noticeReceived(turn, message);
     LimitExchange.noticeReceived(turn, message);
+    LoadExchange.noticeReceived(turn, message);
     if (unheard && (state.quarantine.anyHeld() || StoreEras.perhapsRestored(turn))) {
       // A relay that has just started must know what is held back, and which configuration is in
       // force, before it sends requests.
--- a/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PeerMessage.java
@@ -4,6 +4,7 @@
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.limit.LimitNotice;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.List;
 import java.util.Optional;
@@ -25,6 +26,7 @@
  * @param quarantine what the sender knows of parts of prompts that crash endpoints
  * @param leaving endpoints that said that they are leaving; some of them if there are many
  * @param limits what the sender knows of limits of endpoints, and permits that it gives
+ * @param load what the sender has in flight; empty in most messages
  */
 public record PeerMessage(
     VmId vm,
@@ -37,7 +39,8 @@
     Optional<SharedRead> read,
     QuarantineNotice quarantine,
     List<EndpointIncarnation> leaving,
-    LimitNotice limits) {
+    LimitNotice limits,
+    LoadNotice load) {
   /** Makes an unmodifiable copy of the list. */
   public PeerMessage {
     leaving = List.copyOf(leaving);
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.limit.MemberShares;
 import io.zinniawood.core.load.FleetLoad;
+import io.zinniawood.core.load.OwnLoad;
 import io.zinniawood.core.quarantine.CrashQuarantine;
 import io.zinniawood.core.route.EngineProfile;
 import io.zinniawood.core.route.RouteTable;
@@ -32,6 +33,9 @@
   final RetryBudget retryBudget = new RetryBudget();
   final LinkBacklogs linkBacklogs = new LinkBacklogs();
   final FleetLoad fleetLoad = new FleetLoad();
+  final OwnLoad ownLoad;
+  boolean loadNoticeLogged;
+  long loadNoticeLoggedNanos;
   final DurationEstimates durations = new DurationEstimates();
   final SplittableRandom random;
   Optional<RouteTable> routes = Optional.empty();
@@ -108,6 +112,7 @@
     this.parameters = parameters;
     this.peers = new Peers(parameters.peerAddress());
     this.limitShares = new MemberShares(parameters.vm(), Set.of(), false);
+    this.ownLoad = new OwnLoad(parameters.seed());
     this.random = new SplittableRandom(parameters.seed());
   }
 
@@ -169,6 +174,21 @@
     return fleet.limits().ownRatePerSecond();
   }
 
+  /** Returns the number of other relays whose load is known from their notices. */
+  public int relaysWithLoadFigures() {
+    return fleetLoad.relaysWithFigures();
+  }
+
+  /** Returns the number of load notices that were sent, each of them to all receivers. */
+  public long loadNoticesSent() {
+    return ownLoad.noticesSent();
+  }
+
+  /** Returns the bytes of the load notices that were sent, to all receivers together. */
+  public long loadNoticeBytesSent() {
+    return ownLoad.sentBytes();
+  }
+
   /** Returns the version of the routing table; 0 if none was read. */
   public long routesVersion() {
     return routes.map(RouteTable::version).orElse(0L);
--- a/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StreamMonitor.java
@@ -61,6 +61,7 @@
       }
     }
     open.lastProgressNanos = turn.nowNanos;
+    EndpointUsage.promptRead(open);
     open.headRelayed = true;
     if (!open.firstEventRelayed) {
       open.firstEventRelayed = true;
--- /dev/null
+++ b/core/src/test/java/io/zinniawood/core/load/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.zinniawood.core.load}. */
+package io.zinniawood.core.load;
--- a/core/src/test/java/io/zinniawood/core/relay/PeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/PeersTest.java
@@ -7,6 +7,7 @@
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.limit.LimitNotice;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.HashMap;
@@ -50,7 +51,8 @@
         Optional.empty(),
         QuarantineNotice.EMPTY,
         List.of(),
-        LimitNotice.EMPTY);
+        LimitNotice.EMPTY,
+        LoadNotice.EMPTY);
   }
 
   // After a start, each relay that had ever existed counted for 30 s, and requests were refused.
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashesTest.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.limit.LimitNotice;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.HeldSubjectNotice;
 import io.zinniawood.core.quarantine.QuarantineNotice;
@@ -203,7 +204,8 @@
                 Optional.empty(),
                 notice,
                 List.of(),
-                LimitNotice.EMPTY),
+                LimitNotice.EMPTY,
+                LoadNotice.EMPTY),
             PEER_ADDRESS));
   }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayCrashingRequestsTest.java
@@ -12,6 +12,7 @@
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.limit.LimitNotice;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.HeldSubjectNotice;
 import io.zinniawood.core.quarantine.QuarantineNotice;
@@ -122,7 +123,8 @@
                     List.of(),
                     List.of()),
                 List.of(),
-                LimitNotice.EMPTY),
+                LimitNotice.EMPTY,
+                LoadNotice.EMPTY),
             PEER_ADDRESS));
     assertThat(relay.sends(relay.repeatable("long-read", "deadly")), hasSize(0));
     assertThat(relay.sends(relay.repeatable("long-read", "sound")), hasSize(1));
--- a/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayHarness.java
@@ -82,7 +82,8 @@
     this(vm, address, seed, startNanos, SchedulingSettings.AUTO);
   }
 
-  private RelayHarness(
+  /** Creates a relay that has read nothing yet, with modes of the scheduling decisions. */
+  RelayHarness(
       VmId vm, NodeAddress address, long seed, long startNanos, SchedulingSettings scheduling) {
     state =
         new RelayState(
--- a/core/src/test/java/io/zinniawood/core/relay/RelayLeaseRestoreTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayLeaseRestoreTest.java
@@ -13,6 +13,7 @@
 import io.zinniawood.core.id.FencingNumber;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.limit.LimitNotice;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.List;
@@ -57,7 +58,8 @@
                 Optional.empty(),
                 QuarantineNotice.EMPTY,
                 List.of(),
-                LimitNotice.EMPTY),
+                LimitNotice.EMPTY,
+                LoadNotice.EMPTY),
             PEER_ADDRESS));
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayLeavingTest.java
@@ -14,6 +14,7 @@
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.limit.LimitNotice;
 import io.zinniawood.core.limit.StatedLimit;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.HashSet;
@@ -56,7 +57,8 @@
                 Optional.empty(),
                 QuarantineNotice.EMPTY,
                 List.of(leaving),
-                LimitNotice.EMPTY),
+                LimitNotice.EMPTY,
+                LoadNotice.EMPTY),
             PEER_ADDRESS));
   }
 
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -16,6 +16,7 @@
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.limit.LimitNotice;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.ArrayList;
@@ -75,7 +76,8 @@
                 read,
                 QuarantineNotice.EMPTY,
                 List.of(),
-                LimitNotice.EMPTY),
+                LimitNotice.EMPTY,
+                LoadNotice.EMPTY),
             sender));
   }
 
@@ -225,7 +227,8 @@
                 Optional.of(read(0, List.of(endpoint.withRowVersion(version(1_015))))),
                 QuarantineNotice.EMPTY,
                 List.of(),
-                LimitNotice.EMPTY),
+                LimitNotice.EMPTY,
+                LoadNotice.EMPTY),
             READER_ADDRESS));
     assertThat(started.state().endpoints(), is(0));
     started.advanceMillis(25);
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStartInNewEraTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStartInNewEraTest.java
@@ -7,6 +7,7 @@
 
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.limit.LimitNotice;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.List;
@@ -47,7 +48,8 @@
                 Optional.empty(),
                 QuarantineNotice.EMPTY,
                 List.of(),
-                LimitNotice.EMPTY),
+                LimitNotice.EMPTY,
+                LoadNotice.EMPTY),
             PEER_ADDRESS));
     relay.advanceMillis(250);
   }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStoreRestoreTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStoreRestoreTest.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.limit.LimitNotice;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.QuarantineNotice;
 import java.util.List;
@@ -65,7 +66,8 @@
                 Optional.of(read),
                 QuarantineNotice.EMPTY,
                 List.of(),
-                LimitNotice.EMPTY),
+                LimitNotice.EMPTY,
+                LoadNotice.EMPTY),
             PEER_ADDRESS));
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
@@ -36,6 +36,9 @@
     gauge("relay_crashing_requests_held", state::heldRequests);
     gauge("relay_endpoint_limits", state::endpointLimits);
     gauge("relay_endpoint_limit_requests_per_second", state::limitedRequestsPerSecond);
+    gauge("relay_load_notice_relays", state::relaysWithLoadFigures);
+    gauge("relay_load_notices_sent_total", state::loadNoticesSent);
+    gauge("relay_load_notice_bytes_total", state::loadNoticeBytesSent);
     gauge("relay_lease_held", () -> state.holdsLease() ? 1 : 0);
     gauge("relay_store_available", () -> state.storeAvailable() ? 1 : 0);
     gauge("relay_log_lines_dropped_total", log::droppedLines);
--- a/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
+++ b/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
@@ -56,6 +56,9 @@
               .setStartedMillis(leaving.startedMillis()));
     }
     builder.setLimits(LimitNoticeCodec.encode(message.limits()));
+    if (!message.load().isEmpty()) {
+      builder.setLoad(LoadNoticeCodec.encode(message.load()));
+    }
     return builder.build().toByteArray();
   }
 
@@ -130,7 +133,8 @@
                   : Optional.empty(),
               QuarantineNoticeCodec.decode(message.getQuarantine()),
               decodeLeaving(message),
-              LimitNoticeCodec.decode(message.getLimits())));
+              LimitNoticeCodec.decode(message.getLimits()),
+              LoadNoticeCodec.decode(message.getLoad())));
     } catch (InvalidProtocolBufferException | IllegalArgumentException invalid) {
       return Optional.empty();
     }
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -20,6 +20,7 @@
 import io.zinniawood.core.limit.LimitEntry;
 import io.zinniawood.core.limit.LimitNotice;
 import io.zinniawood.core.limit.PermitGift;
+import io.zinniawood.core.load.LoadNotice;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.quarantine.CrashCandidate;
@@ -82,7 +83,8 @@
         read,
         quarantine,
         List.of(new EndpointIncarnation(new EndpointId("i-2"), 1_796_000_000_456L)),
-        LimitNotice.EMPTY);
+        LimitNotice.EMPTY,
+        LoadNotice.EMPTY);
   }
 
   @Test
@@ -188,7 +190,8 @@
         Optional.empty(),
         QuarantineNotice.EMPTY,
         List.of(),
-        limits);
+        limits,
+        LoadNotice.EMPTY);
   }
 
   @Test
