--- a/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayMetrics.java
@@ -43,6 +43,9 @@
     gauge("relay_pace_limited_total", state::paceLimitedRequests);
     gauge("relay_processor_short_total", state::processorShortRequests);
     gauge("relay_tick_lateness_millis", state::tickLatenessMillis);
+    gauge("relay_load_notice_relays", state::relaysWithLoadFigures);
+    gauge("relay_load_notices_sent_total", state::loadNoticesSent);
+    gauge("relay_load_notice_bytes_total", state::loadNoticeBytesSent);
     gauge("relay_lease_held", () -> state.holdsLease() ? 1 : 0);
     gauge("relay_store_available", () -> state.storeAvailable() ? 1 : 0);
     gauge("relay_log_lines_dropped_total", log::droppedLines);
