RelayWaitingTest: switch on only the parts that it tests

The test advances time in steps of 200 ms. Together with the processor guard, which it was written without, its requests were refused for late ticks before the forecast refused any.

--- a/core/src/test/java/io/zinniawood/core/relay/RelayWaitingTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayWaitingTest.java
@@ -18,7 +18,10 @@
   private final List<RelayRequestId> sent = new ArrayList<>();
 
   private RelayHarness relay(SchedulingSettings.Mode mode) {
-    RelayHarness relay = new RelayHarness(SchedulingSettings.all(mode));
+    // The processor guard would take the intervals of this test for late ticks.
+    SchedulingSettings.Mode off = SchedulingSettings.Mode.OFF;
+    RelayHarness relay =
+        new RelayHarness(new SchedulingSettings(off, mode, mode, off, off, off, 0));
     relay.post(
         new RelayEvent.RoutesAnswered(Optional.of(ShortagePlay.routes()), RelayHarness.version(2)));
     relay.list(relay.plain("p"));
