Scarce capacity: one piece of code where the change had written two

Found in a read of the whole change: a decaying rate, the token capacity of an endpoint, the line of a failed decision, a refusal with an exact Retry-After, two limits that must agree, the tick interval and the exchange of the endpoint tests each stood twice or more. A new request is ordered among the waiting ones once, not twice. The options of a request lose a constructor that only tests used, and the hashes one that nobody used. The comment on the age of load figures was out of date.

--- a/core/src/main/java/io/zinniawood/core/load/LoadHashes.java
+++ b/core/src/main/java/io/zinniawood/core/load/LoadHashes.java
@@ -1,23 +1,18 @@
 package io.zinniawood.core.load;
 
 import io.zinniawood.core.id.DataCentreId;
-import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.Hashing;
 import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.id.VmId;
 
 /**
- * Hashes by which relays name endpoints, services and links in notices. Two of 1,400 endpoints
- * share a hash with probability 1 in 4,400; both then show the load of both.
+ * Hashes by which relays name services and links in notices; an endpoint knows its own ({@link
+ * io.zinniawood.core.fleet.TrackedEndpoint#loadHash}). Two of 1,400 endpoints share a hash with
+ * probability 1 in 4,400; both then show the load of both.
  */
 public final class LoadHashes {
   private LoadHashes() {}
 
-  /** Returns the hash of an endpoint. */
-  public static int of(EndpointId endpoint) {
-    return (int) Hashing.of(endpoint.value());
-  }
-
   /** Returns the hash of a service. */
   public static int of(ServiceName service) {
     return (int) Hashing.of(service.value());
--- a/core/src/main/java/io/zinniawood/core/load/OwnLoad.java
+++ b/core/src/main/java/io/zinniawood/core/load/OwnLoad.java
@@ -4,6 +4,7 @@
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.Hashing;
 import io.zinniawood.core.id.ServiceName;
+import io.zinniawood.core.rate.DecayingRate;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -52,6 +53,9 @@
    */
   private static final int MAX_NOTICE_BYTES = 400;
 
+  /** Mean age of the arrivals that count. With one second, their weight is the rate a second. */
+  private static final double ARRIVAL_MEAN_AGE_SECONDS = 1;
+
   /** Maximum number of links in a notice. */
   private static final int MAX_LINKS = 2;
 
@@ -60,7 +64,7 @@
 
   private final int startNumber;
   private final NoticeEntries entries = new NoticeEntries();
-  private final Map<ServiceName, ArrivalRate> arrivalsByService = new HashMap<>();
+  private final Map<ServiceName, DecayingRate> arrivalsByService = new HashMap<>();
   private final Map<Integer, Transfers> transfersByLink = new HashMap<>();
   private long sequence;
   private boolean started;
@@ -92,7 +96,9 @@
 
   /** Records that a request was sent to the endpoints of a service. */
   public void requestSent(ServiceName service, long nowNanos) {
-    arrivalsByService.computeIfAbsent(service, name -> new ArrivalRate()).arrived(nowNanos);
+    arrivalsByService
+        .computeIfAbsent(service, name -> new DecayingRate(ARRIVAL_MEAN_AGE_SECONDS))
+        .add(nowNanos);
   }
 
   /** Records a transfer from one data centre to another. */
@@ -162,12 +168,12 @@
     for (TrackedEndpoint endpoint : service.endpoints()) {
       sum = sum.plus(NoticeEntries.figures(endpoint));
     }
-    ArrivalRate arrivals = arrivalsByService.get(service.name());
+    DecayingRate arrivals = arrivalsByService.get(service.name());
     return new ServiceLoad(
         LoadHashes.of(service.name()),
         sum,
         service.endpoints().size(),
-        arrivals == null ? 0 : (int) Math.round(arrivals.perSecond(nowNanos)),
+        arrivals == null ? 0 : (int) Math.round(arrivals.weight(nowNanos)),
         List.of());
   }
 
--- a/core/src/main/java/io/zinniawood/core/overflow/DataCentreRoom.java
+++ b/core/src/main/java/io/zinniawood/core/overflow/DataCentreRoom.java
@@ -21,7 +21,7 @@
   private static final long MAX_FIGURES_AGE_MILLIS = 2_000;
 
   /** Share of the memory that is free without guests which guests may use. */
-  static final double MAX_GUEST_SHARE = 0.5;
+  public static final double MAX_GUEST_SHARE = 0.5;
 
   /** Returns whether the figures are recent enough to be used. */
   public boolean current() {
--- a/core/src/main/java/io/zinniawood/core/waiting/DecayingRate.java
+++ b/core/src/main/java/io/zinniawood/core/rate/DecayingRate.java
@@ -1,9 +1,9 @@
-package io.zinniawood.core.waiting;
+package io.zinniawood.core.rate;
 
 import java.util.concurrent.TimeUnit;
 
 /** Exponentially weighted rate of events. */
-final class DecayingRate {
+public final class DecayingRate {
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   /** Share of the mean age below which the observed time counts as this share. */
@@ -15,11 +15,17 @@
   private long firstNanos;
   private long lastNanos;
 
-  DecayingRate(double meanAgeSeconds) {
+  /**
+   * Creates a rate without events.
+   *
+   * @param meanAgeSeconds mean age of the events that count, in seconds
+   */
+  public DecayingRate(double meanAgeSeconds) {
     this.meanAgeSeconds = meanAgeSeconds;
   }
 
-  void add(long nowNanos) {
+  /** Adds an event. */
+  public void add(long nowNanos) {
     if (!begun) {
       begun = true;
       firstNanos = nowNanos;
@@ -30,12 +36,12 @@
   }
 
   /** Returns the number of events, each weighted down by its age. */
-  double weight(long nowNanos) {
+  public double weight(long nowNanos) {
     return weight * Math.exp(-(nowNanos - lastNanos) / NANOS_PER_SECOND / meanAgeSeconds);
   }
 
   /** Returns the rate; the time before the first event does not lower it. */
-  double perSecond(long nowNanos) {
+  public double perSecond(long nowNanos) {
     if (!begun) {
       return 0;
     }
--- a/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
+++ b/core/src/main/java/io/zinniawood/core/relay/Dispatcher.java
@@ -75,7 +75,7 @@
         "service",
         open.service.value(),
         "targetGapMillis",
-        open.targetGapMillis(),
+        open.route.targetGapMillis(),
         "promptTokens",
         open.request.promptTokens());
   }
--- a/core/src/main/java/io/zinniawood/core/relay/EndpointAvailability.java
+++ b/core/src/main/java/io/zinniawood/core/relay/EndpointAvailability.java
@@ -101,9 +101,6 @@
       return;
     }
     long spreadMillis = (long) (RETRY_SPREAD_SHARE * waitMillis * turn.state.random.nextDouble());
-    AttemptOutcomes.complete(turn, open, "not-run", reason);
-    turn.emit(
-        new RelayEffect.AnswerLocally(
-            open.id, LocalAnswer.notRun(reason, waitMillis + spreadMillis)));
+    AttemptOutcomes.refuseFor(turn, open, reason, waitMillis + spreadMillis);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OpenRequest.java
@@ -173,11 +173,6 @@
     return TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis());
   }
 
-  /** Returns the target for the longest pause between events, in milliseconds; 0 if none. */
-  long targetGapMillis() {
-    return route.targetGapMillis();
-  }
-
   boolean streaming() {
     return route.kind() == RouteKind.STREAMING;
   }
--- a/core/src/main/java/io/zinniawood/core/relay/OverflowRooms.java
+++ b/core/src/main/java/io/zinniawood/core/relay/OverflowRooms.java
@@ -12,21 +12,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.TreeMap;
 
 /** Room of each data centre for whole paths of a service, at one time. */
 final class OverflowRooms {
   /**
-   * Age of the load figures: the estimate of {@link io.zinniawood.core.load.FleetLoad} is made from
-   * this relay's own figures at the time of the call.
+   * Age of the load figures. {@link io.zinniawood.core.load.FleetLoad} drops the figures of other
+   * relays itself once they are too old, and estimates their load from that of this relay.
    */
   private static final long FIGURES_AGE_MILLIS = 0;
 
-  /** Share of the room elsewhere that paths which cross a link may use, like other guests. */
-  private static final double JOINED_GUEST_SHARE = 0.5;
-
   private final RelayTurn turn;
   private final EngineProfile engine;
   private final DataCentreId home;
@@ -56,15 +52,7 @@
   }
 
   private void add(TrackedEndpoint endpoint) {
-    Optional<LayerRange> layers = endpoint.entry().layers();
-    double tokens =
-        endpoint
-            .entry()
-            .accelerator()
-            .flatMap(engine::accelerator)
-            .filter(profile -> layers.isPresent())
-            .map(profile -> engine.tokenCapacity(profile, layers.get().layers()))
-            .orElse(0.0);
+    double tokens = TokenCapacity.of(engine, endpoint);
     if (tokens <= 0 || !endpoint.usable(turn.nowNanos)) {
       return;
     }
@@ -72,9 +60,10 @@
     double load = turn.state.fleetLoad.at(endpoint, relays, turn.nowNanos).tokens();
     Sums centre =
         sums.computeIfAbsent(endpoint.entry().dataCentre(), key -> new Sums(engine.layers()));
-    centre.capacity.add(layers.get(), capacity);
-    centre.free.add(layers.get(), Math.max(0, capacity - load));
-    centre.own.add(layers.get(), (double) endpoint.tokensInFlight() * relays);
+    LayerRange held = endpoint.entry().layers().orElseThrow();
+    centre.capacity.add(held, capacity);
+    centre.free.add(held, Math.max(0, capacity - load));
+    centre.own.add(held, (double) endpoint.tokensInFlight() * relays);
   }
 
   /** Returns the room of the own data centre, where no request is a guest. */
@@ -102,7 +91,7 @@
                         room.own.most(),
                         FIGURES_AGE_MILLIS),
                     link(centre),
-                    homeFree.leastWith(room.free, JOINED_GUEST_SHARE)));
+                    homeFree.leastWith(room.free, DataCentreRoom.MAX_GUEST_SHARE)));
           }
         });
     return others;
--- a/core/src/main/java/io/zinniawood/core/relay/PathPace.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathPace.java
@@ -55,7 +55,7 @@
     for (OpenRequest running : turn.state.open.values()) {
       if (running != open && running.gapInTime && running.service.equals(open.service)) {
         running.path.ifPresent(
-            path -> limit.addWriter(runningParts(running, path), running.targetGapMillis()));
+            path -> limit.addWriter(runningParts(running, path), running.route.targetGapMillis()));
       }
     }
   }
--- a/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
+++ b/core/src/main/java/io/zinniawood/core/relay/PathSelector.java
@@ -3,11 +3,11 @@
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
-import io.zinniawood.core.id.ServiceName;
 import io.zinniawood.core.load.EndpointLoad;
 import io.zinniawood.core.load.FleetLoad;
 import io.zinniawood.core.load.LoadHashes;
 import io.zinniawood.core.model.LayerRange;
+import io.zinniawood.core.overflow.LinkCondition;
 import io.zinniawood.core.pace.PaceModel;
 import io.zinniawood.core.path.LayerPath;
 import io.zinniawood.core.path.PathCandidate;
@@ -28,12 +28,6 @@
   /** Time to hand over an event from one endpoint to the next. */
   private static final double HANDOVER_MILLIS = 1;
 
-  /**
-   * Maximum backlog of the link between two data centres for a new request to use it. Beyond it the
-   * first event would miss its target latency, which is a few hundred milliseconds.
-   */
-  private static final double MAX_LINK_BACKLOG_MILLIS = 150;
-
   /**
    * Maximum backlog of a link for a stream that has begun. Such a stream is late already, and the
    * engines keep it waiting for about 3,000 ms at a dead endpoint, while callers give up after
@@ -79,6 +73,7 @@
   private static final long NO_LOAD = Long.MIN_VALUE;
 
   private final RelayTurn turn;
+  private final OpenRequest open;
   private final EngineProfile engine;
   private final List<TrackedEndpoint> endpoints;
   private final PathPlanner planner;
@@ -86,13 +81,10 @@
   private final double maxLinkBacklogMillis;
   private int endpointsAtLimit;
   private Optional<PathPace> pace = Optional.empty();
-  private final OpenRequest open;
 
   /** Number of live relays; without their load notices, they are assumed to load alike. */
   private final int relays;
 
-  private final ServiceName service;
-
   /** Whether the load that other relays tell is used. */
   private final boolean loadShared;
 
@@ -105,10 +97,9 @@
     this.turn = turn;
     this.open = open;
     this.maxLinkBacklogMillis =
-        open.headRelayed ? MAX_RESUMED_LINK_BACKLOG_MILLIS : MAX_LINK_BACKLOG_MILLIS;
+        open.headRelayed ? MAX_RESUMED_LINK_BACKLOG_MILLIS : LinkCondition.MAX_BACKLOG_MILLIS;
     this.relays = turn.state.peers.count(turn.nowNanos);
     this.engine = engine;
-    this.service = open.service;
     this.endpoints = turn.state.fleet.ofService(open.service);
     this.loadShared = turn.state.scheduling(SchedulingPart.LOAD_SHARING, open.service);
     this.relayHash = LoadHashes.of(turn.state.parameters.vm());
@@ -135,7 +126,7 @@
                 / engine.prefillMillisPerLayer(profile.get(), engine.meanPromptTokens());
       }
     }
-    double unseen = turn.state.fleetLoad.unseenArrivals(service, relays, turn.nowNanos);
+    double unseen = turn.state.fleetLoad.unseenArrivals(open.service, relays, turn.nowNanos);
     return layersPerMilli > 0 ? unseen * engine.layers() / layersPerMilli : 0;
   }
 
@@ -174,7 +165,7 @@
     double ownMillis = engine.linkTransferMillis(tokens);
     int alike =
         loadShared
-            ? 1 + turn.state.fleetLoad.relaysWithoutFigures(service, relays, turn.nowNanos)
+            ? 1 + turn.state.fleetLoad.relaysWithoutFigures(open.service, relays, turn.nowNanos)
             : relays;
     Optional<DataCentreId> previous = Optional.empty();
     for (PathPart part : path.parts()) {
@@ -416,10 +407,7 @@
    * @param moreTokens number of tokens of the additional request
    */
   private double memoryShare(TrackedEndpoint endpoint, long moreTokens) {
-    double capacity =
-        accelerator(endpoint)
-            .map(profile -> engine.tokenCapacity(profile, endpoint.entry().layers().get().layers()))
-            .orElse(0.0);
+    double capacity = TokenCapacity.of(engine, endpoint);
     double tokens = load(endpoint).tokens() + moreTokens;
     return capacity <= 0 ? 1 : tokens / capacity;
   }
--- a/core/src/main/java/io/zinniawood/core/relay/RelayState.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayState.java
@@ -25,6 +25,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 /** Mutable state of a relay. Only the reducer changes it. */
 public final class RelayState {
@@ -171,19 +172,19 @@
 
   /** Returns whether a decision on scarce capacity is in force for a service. */
   boolean scheduling(SchedulingPart part, ServiceName service) {
-    return switch (parameters.scheduling().mode(part)) {
-      case ON -> true;
-      case OFF -> false;
-      case AUTO -> routes.filter(table -> table.capacityScarce(service)).isPresent();
-    };
+    return scheduling(part, table -> table.capacityScarce(service));
   }
 
   /** Returns whether a decision on scarce capacity is in force for any service. */
   boolean scheduling(SchedulingPart part) {
+    return scheduling(part, RouteTable::capacityScarce);
+  }
+
+  private boolean scheduling(SchedulingPart part, Predicate<RouteTable> scarce) {
     return switch (parameters.scheduling().mode(part)) {
       case ON -> true;
       case OFF -> false;
-      case AUTO -> routes.filter(RouteTable::capacityScarce).isPresent();
+      case AUTO -> routes.filter(scarce).isPresent();
     };
   }
 
--- a/core/src/main/java/io/zinniawood/core/relay/SendOptions.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SendOptions.java
@@ -38,26 +38,6 @@
     }
   }
 
-  /** Creates options with the default urgency. */
-  public SendOptions(
-      EndpointId expectedEndpoint,
-      long deadlineMillis,
-      Optional<ClientAccountId> account,
-      Optional<LayerPath> path,
-      long resumeAfter,
-      ConnectionUse connection,
-      boolean streaming) {
-    this(
-        expectedEndpoint,
-        deadlineMillis,
-        account,
-        path,
-        resumeAfter,
-        connection,
-        streaming,
-        DEFAULT_URGENCY);
-  }
-
   /** Connections that may carry a request. */
   public enum ConnectionUse {
     /** A pooled or a new connection. */
--- a/core/src/main/java/io/zinniawood/core/relay/ServiceUsage.java
+++ b/core/src/main/java/io/zinniawood/core/relay/ServiceUsage.java
@@ -30,14 +30,7 @@
         continue;
       }
       double tokens = turn.state.fleetLoad.at(endpoint, relays, turn.nowNanos).tokens();
-      double endpointCapacity =
-          PathSelector.MAX_MEMORY_SHARE
-              * endpoint
-                  .entry()
-                  .accelerator()
-                  .flatMap(engine::accelerator)
-                  .map(profile -> engine.tokenCapacity(profile, layers.get().layers()))
-                  .orElse(0.0);
+      double endpointCapacity = PathSelector.MAX_MEMORY_SHARE * TokenCapacity.of(engine, endpoint);
       int toLayer = Math.min(engine.layers(), layers.get().toLayerExclusive());
       for (int layer = Math.max(0, layers.get().fromLayer()); layer < toLayer; layer++) {
         used[layer] += tokens;
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingQueue.java
@@ -57,10 +57,10 @@
       enqueue(turn, open);
       return;
     }
+    // Where the order is in force, a new request is not even tried before those that wait.
+    int orderedBefore = WaitingRules.ordered(turn, open) ? requestsBefore(turn, open) : 0;
     Dispatcher.Result result =
-        WaitingRules.ordered(turn, open) && requestsBefore(turn, open) > 0
-            ? Dispatcher.Result.ALL_BUSY
-            : Dispatcher.dispatch(turn, open);
+        orderedBefore > 0 ? Dispatcher.Result.ALL_BUSY : Dispatcher.dispatch(turn, open);
     if (result == Dispatcher.Result.SENT) {
       return;
     }
@@ -72,7 +72,7 @@
       EndpointAvailability.refuseWithoutEndpoint(turn, open);
       return;
     }
-    int before = requestsBefore(turn, open);
+    int before = WaitingRules.ordered(turn, open) ? orderedBefore : requestsBefore(turn, open);
     OptionalLong available = EndpointAvailability.of(turn, open).nanosAfter(before);
     if (!refuseIfTooLate(turn, open, available)
         && turn.state.waitingRules.checkNew(turn, open, before) != WaitVerdict.REFUSE) {
--- a/core/src/main/java/io/zinniawood/core/relay/WaitingRules.java
+++ b/core/src/main/java/io/zinniawood/core/relay/WaitingRules.java
@@ -68,9 +68,7 @@
     try {
       return decision.get();
     } catch (RuntimeException failure) {
-      turn.emit(
-          new RelayEffect.LogDecision(
-              DecisionFailure.describe("decision-failed", subject, failure)));
+      FailureContainment.log(turn, subject, failure);
       return before;
     }
   }
@@ -137,7 +135,7 @@
               millis ->
                   service
                       .forecast()
-                      .waited(group(open), millis, turn.millisSince(open.arrivedNanos)));
+                      .waited(open.waiting.group(), millis, turn.millisSince(open.arrivedNanos)));
     }
     service.waitEnded(open.waiting);
     for (OpenRequest other : turn.state.waiting) {
@@ -281,10 +279,6 @@
     return verdict;
   }
 
-  private static int group(OpenRequest open) {
-    return open.waiting.group();
-  }
-
   private WaitQuery query(RelayTurn turn, OpenRequest open, int ahead) {
     double overtakersPerSecond =
         ordered(turn, open)
@@ -297,7 +291,7 @@
         turn.nowNanos,
         ahead,
         overtakersPerSecond,
-        group(open),
+        open.waiting.group(),
         inFlight(turn, open.service),
         open.arrivedNanos + open.targetNanos(),
         open.deadlineNanos);
--- a/core/src/main/java/io/zinniawood/core/route/Route.java
+++ b/core/src/main/java/io/zinniawood/core/route/Route.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.route;
 
+import io.zinniawood.core.id.ServiceName;
 import java.util.List;
 
 /**
@@ -45,6 +46,11 @@
     return kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && resumable);
   }
 
+  /** Returns whether requests of this route may go to a service. */
+  boolean leadsTo(ServiceName service) {
+    return shares.stream().anyMatch(share -> share.service().equals(service));
+  }
+
   /**
    * Selects the service of a request in proportion to the weights.
    *
--- a/core/src/main/java/io/zinniawood/core/route/RouteTable.java
+++ b/core/src/main/java/io/zinniawood/core/route/RouteTable.java
@@ -57,8 +57,7 @@
   private void findUrgentPriority(ServiceName service, List<Route> routes) {
     IntSummaryStatistics priorities =
         routes.stream()
-            .filter(
-                route -> route.shares().stream().anyMatch(share -> share.service().equals(service)))
+            .filter(route -> route.leadsTo(service))
             .mapToInt(Route::priority)
             .summaryStatistics();
     if (priorities.getCount() > 0 && priorities.getMin() < priorities.getMax()) {
--- a/core/src/main/java/io/zinniawood/core/route/ScarceCapacity.java
+++ b/core/src/main/java/io/zinniawood/core/route/ScarceCapacity.java
@@ -37,10 +37,7 @@
     TreeSet<Integer> priorities = new TreeSet<>();
     long shortestTargetMillis = Long.MAX_VALUE;
     for (Route route : routes) {
-      boolean routed =
-          route.kind() == RouteKind.STREAMING
-              && route.shares().stream().anyMatch(share -> share.service().equals(service));
-      if (routed) {
+      if (route.kind() == RouteKind.STREAMING && route.leadsTo(service)) {
         priorities.add(route.priority());
         shortestTargetMillis = Math.min(shortestTargetMillis, route.targetLatencyMillis());
       }
--- a/core/src/main/java/io/zinniawood/core/waiting/ServedShares.java
+++ b/core/src/main/java/io/zinniawood/core/waiting/ServedShares.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.waiting;
 
+import io.zinniawood.core.rate.DecayingRate;
 import java.util.HashMap;
 import java.util.Map;
 
--- a/core/src/main/java/io/zinniawood/core/waiting/ServiceWaiting.java
+++ b/core/src/main/java/io/zinniawood/core/waiting/ServiceWaiting.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.waiting;
 
 import io.zinniawood.core.id.ClientAccountId;
+import io.zinniawood.core.rate.DecayingRate;
 import java.util.Optional;
 
 /** What a relay observes of the requests of one service, for the wait and order of the next. */
--- a/core/src/main/java/io/zinniawood/core/waiting/WaitForecast.java
+++ b/core/src/main/java/io/zinniawood/core/waiting/WaitForecast.java
@@ -1,5 +1,6 @@
 package io.zinniawood.core.waiting;
 
+import io.zinniawood.core.rate.DecayingRate;
 import java.util.NavigableMap;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.internal.PlatformDependent;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.core.processor.ProcessorGuard;
 import io.zinniawood.core.relay.Decision;
 import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.RelayEffect;
@@ -45,7 +46,7 @@
 /** A relay process: its listening sockets, event loop and timers. */
 public final class RelayProcess implements AutoCloseable {
   /** Tick interval; limits how late an expired deadline or a stalled stream is detected. */
-  private static final long TICK_MILLIS = 25;
+  private static final long TICK_MILLIS = ProcessorGuard.TICK_INTERVAL_MILLIS;
 
   /** Interval between checks for timeouts of callers' connections. */
   private static final long TIMEOUT_CHECK_MILLIS = 500;
--- a/relay/src/test/java/io/zinniawood/relay/internal/AnswerFramingTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/AnswerFramingTest.java
@@ -6,13 +6,9 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.zinniawood.core.id.EndpointId;
-import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
-import io.zinniawood.core.relay.SendOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -31,19 +27,7 @@
       new EmbeddedChannel(new ConnectionEnd(), new ResponseDecoder(), handler);
 
   private void receive(String text) {
-    EndpointExchange exchange =
-        new EndpointExchange(
-            null,
-            1,
-            new NodeAddress("10.0.0.1", 80),
-            new SendOptions(
-                new EndpointId("e"),
-                1_000,
-                Optional.empty(),
-                Optional.empty(),
-                0,
-                SendOptions.ConnectionUse.ANY,
-                false));
+    EndpointExchange exchange = EndpointExchanges.create(1_000, false);
     exchange.markSent();
     handler.beginExchange(exchange);
     channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
@@ -7,14 +7,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.zinniawood.core.id.EndpointId;
-import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
-import io.zinniawood.core.relay.SendOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -37,19 +33,7 @@
         new EndpointHandler(listener, new EndpointConnectionPool(null, memory, listener), memory);
     EmbeddedChannel channel =
         new EmbeddedChannel(new ConnectionEnd(), new ResponseDecoder(), handler);
-    handler.beginExchange(
-        new EndpointExchange(
-            null,
-            1,
-            new NodeAddress("10.0.0.1", 80),
-            new SendOptions(
-                new EndpointId("e"),
-                1_000,
-                Optional.empty(),
-                Optional.empty(),
-                0,
-                SendOptions.ConnectionUse.ANY,
-                false)));
+    handler.beginExchange(EndpointExchanges.create(1_000, false));
     return channel;
   }
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
@@ -15,13 +15,11 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
-import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.RelayRequestId;
-import io.zinniawood.core.relay.SendOptions;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -146,14 +144,7 @@
         new CallerExchange(new RelayRequestId(1), head, REQUEST, body, null),
         1,
         new NodeAddress("127.0.0.1", endpoint.getLocalPort()),
-        new SendOptions(
-            new EndpointId("e"),
-            1_000,
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            SendOptions.ConnectionUse.ANY,
-            false));
+        EndpointExchanges.options(1_000, false));
   }
 
   // An exception after the connect left the request at no endpoint until its deadline.
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -7,14 +7,10 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.zinniawood.core.id.EndpointId;
-import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
-import io.zinniawood.core.relay.SendOptions;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
@@ -32,19 +28,7 @@
       new EmbeddedChannel(new ConnectionEnd(), new ResponseDecoder(), handler);
 
   private void beginExchange(boolean streaming) {
-    handler.beginExchange(
-        new EndpointExchange(
-            null,
-            1,
-            new NodeAddress("10.0.0.1", 80),
-            new SendOptions(
-                new EndpointId("e"),
-                1_000,
-                Optional.empty(),
-                Optional.empty(),
-                0,
-                SendOptions.ConnectionUse.ANY,
-                streaming)));
+    handler.beginExchange(EndpointExchanges.create(1_000, streaming));
   }
 
   private void receive(String text) {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
@@ -7,12 +7,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.zinniawood.core.frame.ForeignHead;
-import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.RequestId;
-import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
-import io.zinniawood.core.relay.SendOptions;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -40,19 +37,7 @@
   }
 
   private void sendRequest(String id, long limitMillis) {
-    exchange =
-        new EndpointExchange(
-            null,
-            1,
-            new NodeAddress("10.0.0.1", 80),
-            new SendOptions(
-                new EndpointId("e"),
-                limitMillis,
-                Optional.empty(),
-                Optional.empty(),
-                0,
-                SendOptions.ConnectionUse.ANY,
-                false));
+    exchange = EndpointExchanges.create(limitMillis, false);
     exchange.markSent();
     handler.beginExchange(exchange);
     handler.requestSent(
--- a/relay/src/test/java/io/zinniawood/relay/internal/HeadRequestTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/HeadRequestTest.java
@@ -21,14 +21,12 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AnswerEvidence;
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.LocalAnswer;
 import io.zinniawood.core.relay.RelayRequestId;
-import io.zinniawood.core.relay.SendOptions;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -76,14 +74,7 @@
             new CallerExchange(new RelayRequestId(1), head, request, Unpooled.EMPTY_BUFFER, null),
             1,
             new NodeAddress("127.0.0.1", endpoint.getLocalPort()),
-            new SendOptions(
-                new EndpointId("e"),
-                MAX_WAIT_MILLIS,
-                Optional.empty(),
-                Optional.empty(),
-                0,
-                SendOptions.ConnectionUse.ANY,
-                false));
+            EndpointExchanges.options(MAX_WAIT_MILLIS, false));
     loop.execute(() -> pool.send(exchange, head));
     return exchange;
   }
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -145,15 +145,7 @@
             new RelayRequestId(1_000), head, request, Unpooled.EMPTY_BUFFER, handler);
     handler.beginStream(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
     caller.markHeadWritten();
-    SendOptions options =
-        new SendOptions(
-            new EndpointId("e"),
-            1_000,
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            SendOptions.ConnectionUse.ANY,
-            true);
+    SendOptions options = EndpointExchanges.options(1_000, true);
     EndpointExchange exchange =
         new EndpointExchange(caller, 1, new NodeAddress("10.0.0.1", 80), options);
     exchange.markRelayed();
--- a/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.zinniawood.core.id.DataCentreId;
-import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.VmId;
 import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.RelayEffect;
@@ -89,15 +88,7 @@
     CallerHandler handler = caller();
     CallerExchange caller =
         new CallerExchange(new RelayRequestId(1), null, null, Unpooled.EMPTY_BUFFER, handler);
-    SendOptions options =
-        new SendOptions(
-            new EndpointId("e"),
-            1_000,
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            SendOptions.ConnectionUse.ANY,
-            true);
+    SendOptions options = EndpointExchanges.options(1_000, true);
     EndpointExchange exchange =
         new EndpointExchange(caller, 2, new NodeAddress("10.0.0.1", 80), options);
     EmbeddedChannel endpoint = new EmbeddedChannel();
--- a/relay/src/test/java/io/zinniawood/relay/internal/StatusLineTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/StatusLineTest.java
@@ -6,13 +6,9 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.zinniawood.core.id.EndpointId;
-import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.core.relay.AttemptFailureCause;
-import io.zinniawood.core.relay.SendOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -33,19 +29,7 @@
       new EmbeddedChannel(new ConnectionEnd(), new ResponseDecoder(), handler);
 
   private void answer(boolean streaming, String text) {
-    handler.beginExchange(
-        new EndpointExchange(
-            null,
-            1,
-            new NodeAddress("10.0.0.1", 80),
-            new SendOptions(
-                new EndpointId("e"),
-                1_000,
-                Optional.empty(),
-                Optional.empty(),
-                0,
-                SendOptions.ConnectionUse.ANY,
-                streaming)));
+    handler.beginExchange(EndpointExchanges.create(1_000, streaming));
     channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
   }
 
