Limits on callers' connections: a module for both front ends

The memory of callers' connections, the decoder that counts it and the limits of the administration port move from the relay to the module ingress, so that the entry can use them. The close that lets a caller read its last answer moves with them. AdminInputLimit now closes a connection whose answers are not taken by itself, as the entry has no handler for that. The refusal after an internal failure stood twice in the relay; decoder and connection memory are now together in CallerAnswerWriter. No other change of behaviour: the tests of relay and platform pass unchanged but for imports.

--- a/relay/src/main/java/io/zinniawood/relay/internal/AdminConnections.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/AdminConnections.java
@@ -1,4 +1,4 @@
-package io.zinniawood.relay.internal;
+package io.zinniawood.ingress;
 
 import io.netty.channel.Channel;
 import java.util.LinkedHashSet;
--- a/relay/src/main/java/io/zinniawood/relay/internal/AdminInputLimit.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/AdminInputLimit.java
@@ -1,4 +1,4 @@
-package io.zinniawood.relay.internal;
+package io.zinniawood.ingress;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
@@ -9,8 +9,8 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Closes a connection to the administration port that sends much without a complete request. Its
- * requests are GETs without a body.
+ * Closes a connection to the administration port that sends much without a complete request, or
+ * that sends requests and does not take the answers. Its requests are GETs without a body.
  */
 public final class AdminInputLimit extends ChannelDuplexHandler {
   private static final int MAX_UNANSWERED_BYTES = 16 * 1024;
@@ -23,15 +23,19 @@
 
   /** Returns the codec that follows this handler. */
   public static HttpServerCodec codec() {
-    return new HttpServerCodec(
-        new HttpDecoderConfig()
-            .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-            .setMaxHeaderSize(MAX_HEAD_BYTES));
+    return new HttpServerCodec(decoderConfig());
+  }
+
+  /** Returns the configuration of the decoder that follows this handler. */
+  public static HttpDecoderConfig decoderConfig() {
+    return new HttpDecoderConfig()
+        .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+        .setMaxHeaderSize(MAX_HEAD_BYTES);
   }
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (unansweredBytes > MAX_UNANSWERED_BYTES) {
+    if (unansweredBytes > MAX_UNANSWERED_BYTES || !context.channel().isWritable()) {
       ReferenceCountUtil.release(message);
       context.close();
       return;
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerMemory.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/CallerMemory.java
@@ -1,4 +1,4 @@
-package io.zinniawood.relay.internal;
+package io.zinniawood.ingress;
 
 import java.util.Comparator;
 import java.util.HashSet;
@@ -9,7 +9,7 @@
  * Memory that all callers' connections hold with heads, queued messages and unsent answers. If it
  * is short, the connection that can release the most gives way. A connection that holds more than
  * 1/256 of the limit leaves a quarter of it to others, so that ordinary requests are still read.
- * Bodies are counted by the account {@link MemoryUser#CALLER_REQUESTS}.
+ * Bodies are counted by an account of their own.
  */
 public final class CallerMemory {
   private static final int LARGE_DIVISOR = 256;
@@ -25,7 +25,7 @@
   }
 
   /** Adds a connection, which must be closed later. */
-  ConnectionMemory open(ConnectionMemory.Owner owner) {
+  public ConnectionMemory open(ConnectionMemory.Owner owner) {
     ConnectionMemory opened = new ConnectionMemory(this, owner);
     connections.add(opened);
     return opened;
@@ -50,7 +50,7 @@
    *
    * @return whether there was one
    */
-  boolean disconnectSlowest() {
+  public boolean disconnectSlowest() {
     Optional<ConnectionMemory> slowest =
         connections.stream().max(Comparator.comparingLong(ConnectionMemory::untakenBytes));
     if (slowest.isEmpty() || slowest.get().untakenBytes() == 0) {
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerRequestDecoder.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/CallerRequestDecoder.java
@@ -1,4 +1,4 @@
-package io.zinniawood.relay.internal;
+package io.zinniawood.ingress;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -17,7 +17,7 @@
  * Decodes the requests of a caller and counts what the decoder holds or has skipped: lines of heads
  * and trailers that are not complete, empty lines, and the framing of chunks.
  */
-final class CallerRequestDecoder extends HttpRequestDecoder {
+public final class CallerRequestDecoder extends HttpRequestDecoder {
   /** Maximum of empty lines before a request line, in bytes; some old clients send one. */
   private static final int MAX_EMPTY_BYTES = 1_024;
 
@@ -39,17 +39,17 @@
   private long framingBytes;
 
   /** Connection whose input is decoded. */
-  interface Input {
+  public interface Input {
     /** Returns whether the rest of the input is discarded. */
     boolean discarded();
 
     /** The memory that the decoder holds has changed. */
     void decoderHolds(long bytes);
 
-    /** The caller sends more framing or empty lines than the relay reads. */
+    /** The caller sends more framing or empty lines than is read. */
     void framingExceeded();
 
-    /** The caller sends more requests than the relay queues. */
+    /** The caller sends more requests than are queued. */
     void pipelineExceeded();
   }
 
@@ -59,7 +59,7 @@
    * @param maxFramingBytes maximum size of the trailers and chunk extensions of one request
    * @param unanswered receives the methods of the decoded requests
    */
-  CallerRequestDecoder(
+  public CallerRequestDecoder(
       HttpDecoderConfig config, int maxFramingBytes, Queue<HttpMethod> unanswered, Input input) {
     super(config);
     this.maxFramingBytes = maxFramingBytes;
@@ -127,7 +127,7 @@
   }
 
   /** Releases what the decoder holds; the rest of the input is discarded. */
-  void drop(ChannelHandlerContext context) throws Exception {
+  public void drop(ChannelHandlerContext context) throws Exception {
     reset();
     // The decoder resets itself at the next call.
     super.decode(context, Unpooled.EMPTY_BUFFER, new ArrayList<>());
--- a/relay/src/main/java/io/zinniawood/relay/internal/ConnectionMemory.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/ConnectionMemory.java
@@ -1,11 +1,11 @@
-package io.zinniawood.relay.internal;
+package io.zinniawood.ingress;
 
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Set;
 
 /** Estimated memory that the messages on one caller's connection hold, by what holds it. */
-final class ConnectionMemory {
+public final class ConnectionMemory {
   private final CallerMemory budget;
   private final Owner owner;
   private final Map<Part, Long> parts = new EnumMap<>(Part.class);
@@ -13,7 +13,7 @@
   private boolean closed;
 
   /** What holds memory on a connection. */
-  enum Part {
+  public enum Part {
     /** Head, trailers and chunk framing that the HTTP decoder has not passed on yet. */
     DECODER,
     /** Head of the request that is read or in progress. */
@@ -25,7 +25,7 @@
   }
 
   /** Connection that holds the memory. */
-  interface Owner {
+  public interface Owner {
     /** Returns the parts that are released by {@link #giveWay}. */
     Set<Part> releasableParts();
 
@@ -47,7 +47,7 @@
   }
 
   /** Sets the size of a part; if memory is short, a connection gives way, possibly this one. */
-  void set(Part part, long bytes) {
+  public void set(Part part, long bytes) {
     if (closed) {
       return;
     }
@@ -60,12 +60,12 @@
   }
 
   /** Adds to the size of a part. */
-  void add(Part part, long deltaBytes) {
+  public void add(Part part, long deltaBytes) {
     set(part, parts.getOrDefault(part, 0L) + deltaBytes);
   }
 
   /** Releases all parts; the connection is closed. */
-  void close() {
+  public void close() {
     for (Part part : Part.values()) {
       set(part, 0);
     }
--- a/relay/src/main/java/io/zinniawood/relay/internal/HeadCost.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/HeadCost.java
@@ -1,4 +1,4 @@
-package io.zinniawood.relay.internal;
+package io.zinniawood.ingress;
 
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -8,23 +8,23 @@
 import java.util.Map;
 
 /** Estimated heap that decoded messages take. */
-final class HeadCost {
+public final class HeadCost {
   /**
    * Heap of a header line beside its bytes: about 150 bytes for the entry, its name and its value
    * with their arrays, and 40 for the entry in the copy that is sent to the endpoint.
    */
-  static final long LINE_BYTES = 192;
+  public static final long LINE_BYTES = 192;
 
   /** Heap of a message beside its header lines. */
   static final long MESSAGE_BYTES = 512;
 
   /** Memory of a written answer beside its content: its encoded head, promise and queue entries. */
-  static final long ANSWER_BYTES = 1_024;
+  public static final long ANSWER_BYTES = 1_024;
 
   private HeadCost() {}
 
   /** Returns the cost of a decoded head, trailer or part of a body. */
-  static long of(Object message) {
+  public static long of(Object message) {
     long bytes = MESSAGE_BYTES;
     if (message instanceof HttpRequest request) {
       bytes += request.uri().length() + of(request.headers());
--- a/relay/src/main/java/io/zinniawood/relay/internal/MemoryAccount.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/MemoryAccount.java
@@ -1,4 +1,4 @@
-package io.zinniawood.relay.internal;
+package io.zinniawood.ingress;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -56,7 +56,7 @@
    *
    * @return false if they exceed the limit, so that some must be released
    */
-  boolean hold(long bytes) {
+  public boolean hold(long bytes) {
     heldBytes = bytes;
     if (usedBytes() <= limitBytes) {
       return true;
@@ -70,11 +70,11 @@
     heldBytes = bytes;
   }
 
-  long limitBytes() {
+  public long limitBytes() {
     return limitBytes;
   }
 
-  int maxBufferBytes() {
+  public int maxBufferBytes() {
     return maxBufferBytes;
   }
 
@@ -83,7 +83,7 @@
    *
    * @param release returns whether it released any
    */
-  void relievedBy(BooleanSupplier release) {
+  public void relievedBy(BooleanSupplier release) {
     relief = release;
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswerWriter.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswerWriter.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -14,10 +13,13 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.zinniawood.core.relay.LocalAnswer;
+import io.zinniawood.ingress.CallerRequestDecoder;
+import io.zinniawood.ingress.ConnectionMemory;
+import io.zinniawood.ingress.HeadCost;
 import java.io.IOException;
 import java.util.EnumSet;
+import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Output of a caller's connection: writes the parts of its answers, and counts what the connection
@@ -25,9 +27,6 @@
  */
 abstract class CallerAnswerWriter extends ChannelInboundHandlerAdapter
     implements CallerRequestDecoder.Input, ConnectionMemory.Owner {
-  /** Time for which input is discarded after a refusal, so that the caller can read it. */
-  private static final long DISCARD_MILLIS = 1_000;
-
   final CallerListener listener;
   final PipelinedMessages pipelined = new PipelinedMessages();
   final ConnectionMemory memory;
@@ -39,11 +38,18 @@
   /** Whether input behind the request in progress was dropped and what follows is discarded. */
   boolean inputDropped;
 
+  private Optional<CallerRequestDecoder> decoder = Optional.empty();
+
   CallerAnswerWriter(CallerListener listener) {
     this.listener = listener;
     this.memory = listener.connectionMemory().open(this);
   }
 
+  /** Sets the decoder of the connection, which drops what it holds when input is discarded. */
+  void decodedBy(CallerRequestDecoder added) {
+    decoder = Optional.of(added);
+  }
+
   /** Returns whether the connection closes once the answer is written. */
   abstract boolean closesAfterAnswer();
 
@@ -156,14 +162,18 @@
     return exchange == null && !writable() ? unsentBytes() : 0;
   }
 
-  /**
-   * Ends the output and discards input for a limited time before the close, as a close with unread
-   * input resets the connection and may take the answer from the caller.
-   */
-  final void closeAfterInput() {
-    if (context.channel() instanceof DuplexChannel duplex) {
-      duplex.shutdownOutput();
-    }
-    context.executor().schedule(() -> context.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
+  /** Releases what is queued and what the decoder holds; nothing of it has run. */
+  final void dropInput() {
+    pipelined.release();
+    memory.set(ConnectionMemory.Part.QUEUE, 0);
+    context.channel().config().setAutoRead(true);
+    decoder.ifPresent(
+        dropping -> {
+          try {
+            dropping.drop(context);
+          } catch (Exception failure) {
+            context.close();
+          }
+        });
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswers.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswers.java
@@ -23,7 +23,7 @@
 final class CallerAnswers {
   private static final double MILLIS_PER_SECOND = 1_000;
 
-  /** Retry-After, in milliseconds, of a request that a failure of its connection ended. */
+  /** Retry-After, in milliseconds, of a request that a failure inside the relay ended. */
   private static final long FAILURE_RETRY_MILLIS = 1_000;
 
   /** Retry-After, in milliseconds, of a request whose body finds no memory. */
@@ -45,11 +45,16 @@
     return response;
   }
 
+  /** Returns the refusal of a request that was not decided on because of a failure. */
+  static LocalAnswer internalFailure() {
+    return LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS);
+  }
+
   /** Returns the refusals of requests that were not decided on; the last one closes. */
   static List<FullHttpResponse> internalFailures(int count) {
     List<FullHttpResponse> refusals = new ArrayList<>();
     for (int index = 0; index < count; index++) {
-      refusals.add(local(LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS)));
+      refusals.add(local(internalFailure()));
     }
     if (count > 0) {
       refusals.get(count - 1).headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerCodec.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerCodec.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.zinniawood.core.route.RequestLimits;
+import io.zinniawood.ingress.CallerRequestDecoder;
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.Map;
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -16,8 +16,12 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.zinniawood.core.route.RequestLimits;
+import io.zinniawood.ingress.AccountedBytes;
+import io.zinniawood.ingress.ConnectionMemory;
+import io.zinniawood.ingress.HeadCost;
+import io.zinniawood.ingress.LingeringClose;
+import io.zinniawood.ingress.TransferCodings;
 import java.io.IOException;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -35,7 +39,6 @@
   /** Delay of the close of a quiet connection while the process drains; lets input be read. */
   private static final long DRAIN_CLOSE_DELAY_MILLIS = 5;
 
-  private Optional<CallerRequestDecoder> decoder = Optional.empty();
   private HttpRequest head;
   private AccountedBytes body;
 
@@ -65,11 +68,6 @@
     recordActivity();
   }
 
-  /** Sets the decoder of the connection, which drops what it holds when input is discarded. */
-  void decodedBy(CallerRequestDecoder added) {
-    decoder = Optional.of(added);
-  }
-
   /** Records the arrival of bytes, before they are decoded, for the timeouts. */
   void bytesArrived() {
     if (closing) {
@@ -303,7 +301,7 @@
       closing = true;
       var flushed = context.writeAndFlush(Unpooled.EMPTY_BUFFER);
       if (inputDropped) {
-        flushed.addListener(written -> closeAfterInput());
+        flushed.addListener(written -> LingeringClose.begin(context));
       } else {
         flushed.addListener(ChannelFutureListener.CLOSE);
       }
@@ -357,7 +355,7 @@
     dropPartialRequest();
     dropInput();
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    context.writeAndFlush(response).addListener(written -> closeAfterInput());
+    context.writeAndFlush(response).addListener(written -> LingeringClose.begin(context));
   }
 
   private void dropPartialRequest() {
@@ -410,21 +408,6 @@
     }
   }
 
-  /** Releases what is queued and what the decoder holds; nothing of it has run. */
-  private void dropInput() {
-    pipelined.release();
-    memory.set(ConnectionMemory.Part.QUEUE, 0);
-    context.channel().config().setAutoRead(true);
-    decoder.ifPresent(
-        dropping -> {
-          try {
-            dropping.drop(context);
-          } catch (Exception failure) {
-            context.close();
-          }
-        });
-  }
-
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext changed) {
     if (exchange != null) {
@@ -486,6 +469,8 @@
     dropPartialRequest();
     pipelined.release();
     CallerAnswers.internalFailures(refusals).forEach(context::write);
-    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> closeAfterInput());
+    context
+        .writeAndFlush(Unpooled.EMPTY_BUFFER)
+        .addListener(flushed -> LingeringClose.begin(context));
   }
 }
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerListener.java
@@ -4,6 +4,8 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.route.RequestLimits;
+import io.zinniawood.ingress.CallerMemory;
+import io.zinniawood.ingress.MemoryAccount;
 
 /** Receives the events of callers' connections. */
 public interface CallerListener {
--- a/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/EndpointConnectionPool.java
@@ -20,6 +20,7 @@
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.SendOptions;
+import io.zinniawood.ingress.MemoryAccount;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
--- a/relay/src/main/java/io/zinniawood/relay/internal/MemoryBudget.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/MemoryBudget.java
@@ -1,6 +1,8 @@
 package io.zinniawood.relay.internal;
 
 import io.zinniawood.core.relay.Decision;
+import io.zinniawood.ingress.CallerMemory;
+import io.zinniawood.ingress.MemoryAccount;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
--- a/relay/src/main/java/io/zinniawood/relay/internal/PipelinedMessages.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/PipelinedMessages.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.ReferenceCountUtil;
+import io.zinniawood.ingress.HeadCost;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/RelayRuntime.java
@@ -10,13 +10,14 @@
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.DecisionFailure;
 import io.zinniawood.core.relay.EndpointStatement;
-import io.zinniawood.core.relay.LocalAnswer;
 import io.zinniawood.core.relay.RelayEffect;
 import io.zinniawood.core.relay.RelayEvent;
 import io.zinniawood.core.relay.RelayReducer;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.relay.RelayState;
 import io.zinniawood.core.runtime.Step;
+import io.zinniawood.ingress.CallerMemory;
+import io.zinniawood.ingress.MemoryAccount;
 import io.zinniawood.relay.AnsweredRequest;
 import io.zinniawood.relay.HeaderCodec;
 import io.zinniawood.relay.PlatformClient;
@@ -49,9 +50,6 @@
   /** Delay of a request that is received while the event loop is late. */
   private static final long LATE_REQUEST_DELAY_MILLIS = 3;
 
-  /** Retry-After, in milliseconds, of a request that could not be decoded. */
-  private static final long FAILURE_RETRY_MILLIS = 1_000;
-
   /** Creates a runtime; {@link #start} must be called before the first event. */
   public RelayRuntime(
       RelayState state,
@@ -163,11 +161,7 @@
       failed("request-undecodable", "decode", failure);
       CallerExchange undecoded = new CallerExchange(id, head, null, body, caller);
       caller.beginExchange(undecoded);
-      endCaller(
-          undecoded,
-          () ->
-              caller.writeLocalAnswer(
-                  LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS)));
+      endCaller(undecoded, () -> caller.writeLocalAnswer(CallerAnswers.internalFailure()));
       return;
     }
     CallerExchange exchange = new CallerExchange(id, head, request, body, caller);
@@ -217,7 +211,7 @@
       postFailure(caller, caller.attempt(), AttemptFailureCause.INTERNAL_FAILURE);
     } else {
       // It was not decided on, and is not sent any more once it has left the map.
-      end(id, LocalAnswer.notRun("internal-failure", FAILURE_RETRY_MILLIS));
+      end(id, CallerAnswers.internalFailure());
     }
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/UnsentStreams.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/UnsentStreams.java
@@ -1,5 +1,6 @@
 package io.zinniawood.relay.internal;
 
+import io.zinniawood.ingress.MemoryAccount;
 import java.util.Collection;
 import java.util.Comparator;
 
--- a/relay/src/test/java/io/zinniawood/relay/internal/AdminInputLimitTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/AdminInputLimitTest.java
@@ -5,6 +5,8 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.zinniawood.ingress.AdminConnections;
+import io.zinniawood.ingress.AdminInputLimit;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
--- a/relay/src/test/java/io/zinniawood/relay/internal/AnswerFramingTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/AnswerFramingTest.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.ingress.MemoryAccount;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/relay/src/test/java/io/zinniawood/relay/internal/CallerMemoryTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/CallerMemoryTest.java
@@ -11,6 +11,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.zinniawood.ingress.MemoryAccount;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
--- a/relay/src/test/java/io/zinniawood/relay/internal/ControlClientFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/ControlClientFailuresTest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
 import io.zinniawood.core.model.NodeAddress;
+import io.zinniawood.ingress.MemoryAccount;
 import io.zinniawood.relay.ControlClient;
 import io.zinniawood.relay.ControlFailure;
 import io.zinniawood.relay.ControlResponse;
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndlessAnswerTest.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.ingress.MemoryAccount;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
--- a/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/EndpointConnectionPoolTest.java
@@ -20,6 +20,7 @@
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.RelayRequestId;
+import io.zinniawood.ingress.MemoryAccount;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
@@ -6,6 +6,8 @@
 import io.zinniawood.core.relay.LocalAnswer;
 import io.zinniawood.core.relay.RelayRequestId;
 import io.zinniawood.core.route.RequestLimits;
+import io.zinniawood.ingress.CallerMemory;
+import io.zinniawood.ingress.MemoryAccount;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
--- a/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FaultyAnswerTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.zinniawood.core.relay.AttemptFailureCause;
+import io.zinniawood.ingress.MemoryAccount;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
--- a/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FilledAnswerTest.java
@@ -10,6 +10,7 @@
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.relay.AttemptFailureCause;
 import io.zinniawood.core.relay.CallerRequest;
+import io.zinniawood.ingress.MemoryAccount;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
--- a/relay/src/test/java/io/zinniawood/relay/internal/HeadRequestTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/HeadRequestTest.java
@@ -27,6 +27,7 @@
 import io.zinniawood.core.relay.CallerRequest;
 import io.zinniawood.core.relay.LocalAnswer;
 import io.zinniawood.core.relay.RelayRequestId;
+import io.zinniawood.ingress.MemoryAccount;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
--- a/relay/src/test/java/io/zinniawood/relay/internal/MemoryBudgetTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/MemoryBudgetTest.java
@@ -6,6 +6,8 @@
 
 import io.netty.buffer.Unpooled;
 import io.zinniawood.core.relay.Decision;
+import io.zinniawood.ingress.AccountedBytes;
+import io.zinniawood.ingress.ConnectionMemory;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
--- a/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
@@ -24,6 +24,7 @@
 import io.zinniawood.core.relay.RelayState;
 import io.zinniawood.core.relay.SchedulingSettings;
 import io.zinniawood.core.relay.SendOptions;
+import io.zinniawood.ingress.MemoryAccount;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
