Entry: heads, bodies and answers of all callers share one budget

What callers saw: 100 connections with heads of short lines, complete or not, ended an entry with exit code 3 (out of memory); so did trailers without end, chunks of one byte and heads at the administration port. With answers that are not read an entry took 201 MB where 190 MB are the bound.

Cause: Jooby's decoder accepts 64 KB a head on each of 8,192 connections, and a decoded line of 4 bytes takes more than 100 bytes of heap. Bodies were held in pieces of whole reads. Nothing limited the sum. The administration port had the limits of the callers' port.

Change: CallerConnection stands between the decoder and Jooby. It collects a request in counted memory and passes it on when it is complete. If a share is short, the connection that can release the most gives way, as in the relay: 503 with outcome not-run if nothing of it has run, a close if its answers are not taken. Reading pauses while answers are not taken. A body over the limit is refused by its declared length. The administration port has the fixed limits of the relay's. The launcher gives an entry 224 MB of heap in place of 256 MB and two compiler threads: the process needs 110 MB beside the heap and the direct memory, which was more than the 430 MB of its VM. An entry or agent without memory now ends, as a relay does, and is started again.

Evidence: EntryCrowdTest, 14 cases, each alone on x86-64, heap 64 MB, direct memory 16 MB, bound 190 MB. An ordinary request is answered beside each crowd.

--- a/dist/src/main/launcher/launcher.sh
+++ b/dist/src/main/launcher/launcher.sh
@@ -7,13 +7,16 @@
 export MALLOC_ARENA_MAX="${MALLOC_ARENA_MAX:-2}"
 case "$1" in
   agent)
-    # An agent has 128 MB in all.
+    # An agent has 128 MB in all. A process without memory ends, so that it is started again.
     flags="-Xms24m -Xmx40m -Xss256k -XX:MaxDirectMemorySize=16m -XX:MaxMetaspaceSize=40m"
-    flags="$flags -XX:ReservedCodeCacheSize=16m -XX:TieredStopAtLevel=1"
+    flags="$flags -XX:+ExitOnOutOfMemoryError -XX:ReservedCodeCacheSize=16m -XX:TieredStopAtLevel=1"
     flags="$flags -Dio.netty.allocator.type=unpooled -XX:TrimNativeHeapInterval=10000"
     ;;
   entry)
-    flags="-Xms16m -Xmx256m -Xss512k -XX:MaxDirectMemorySize=64m -XX:ReservedCodeCacheSize=32m"
+    # Within 430 MB: the process needs 110 MB beside the heap and the direct memory. Two compiler
+    # threads, as more of them need more memory of their own.
+    flags="-Xms16m -Xmx224m -Xss512k -XX:MaxDirectMemorySize=64m -XX:ReservedCodeCacheSize=32m"
+    flags="$flags -XX:CICompilerCount=2 -XX:+ExitOnOutOfMemoryError"
     # The heap shrinks after a peak.
     flags="$flags -XX:MinHeapFreeRatio=20 -XX:MaxHeapFreeRatio=40"
     flags="$flags -XX:TrimNativeHeapInterval=10000"
--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -1,5 +1,6 @@
 package io.zinniawood.entry;
 
+import io.netty.util.internal.PlatformDependent;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import io.zinniawood.config.settings.EntrySettings;
@@ -15,10 +16,14 @@
 import io.zinniawood.entry.internal.FailedEffects;
 import io.zinniawood.entry.internal.admin.AdminRoutes;
 import io.zinniawood.entry.internal.admin.EntryMetrics;
+import io.zinniawood.entry.internal.http.AdminConnectionSetup;
 import io.zinniawood.entry.internal.http.CallerConfiguration;
+import io.zinniawood.entry.internal.http.CallerConnections;
 import io.zinniawood.entry.internal.http.CallerRoutes;
 import io.zinniawood.entry.internal.http.HttpServer;
+import io.zinniawood.entry.internal.http.MemoryShortages;
 import io.zinniawood.entry.internal.http.OpenRequests;
+import io.zinniawood.entry.internal.http.ProblemDocument;
 import io.zinniawood.entry.internal.http.RequestIdGenerator;
 import io.zinniawood.entry.internal.link.AgentLinks;
 import io.zinniawood.entry.internal.link.ConfigurationHolder;
@@ -189,26 +194,8 @@
     metrics.registerGauge(
         "zinniawood_store_era", () -> PackedStoreVersion.era(dependencies.table().absentVersion()));
     metrics.registerGauge("zinniawood_ready", () -> readiness.get() == Readiness.READY ? 1 : 0);
-    AdminRoutes adminRoutes = new AdminRoutes(readiness::get, metrics, dependencies.reports());
-    adminServer =
-        Option.some(
-            HttpServer.start(
-                settings.admin(), ADMIN_MAX_BODY_BYTES, ADMIN_IO_THREADS, adminRoutes::install));
-    CallerRoutes callerRoutes =
-        new CallerRoutes(
-            callerConfiguration::get,
-            readiness::get,
-            openRequests,
-            new RequestIdGenerator(),
-            eventLoop::post,
-            dependencies.clockNanos());
-    callerServer =
-        Option.some(
-            HttpServer.start(
-                settings.callers(),
-                settings.maxBodyBytes(),
-                CALLER_IO_THREADS,
-                callerRoutes::install));
+    adminServer = Option.some(startAdminServer());
+    callerServer = Option.some(startCallerServer());
     Either<WireError, ?> listening = distributor.listen();
     if (listening.isLeft()) {
       throw new IllegalStateException(
@@ -219,6 +206,47 @@
         ticker.scheduleWithFixedDelay(this::tick, 0, settings.pollMillis(), TimeUnit.MILLISECONDS);
   }
 
+  private HttpServer startAdminServer() {
+    AdminRoutes routes = new AdminRoutes(readiness::get, metrics, dependencies.reports());
+    return HttpServer.start(
+        dependencies.settings().admin(),
+        ADMIN_MAX_BODY_BYTES,
+        ADMIN_IO_THREADS,
+        new AdminConnectionSetup(),
+        routes::install);
+  }
+
+  private HttpServer startCallerServer() {
+    EntrySettings settings = dependencies.settings();
+    RequestIdGenerator ids = new RequestIdGenerator();
+    MemoryShortages shortages =
+        new MemoryShortages(dependencies.logger(), dependencies.clockNanos());
+    metrics.registerGauge("zinniawood_memory_refusals", shortages::refusals);
+    CallerConnections connections =
+        new CallerConnections(
+            new CallerConnections.Limits(
+                settings.maxBodyBytes(),
+                Runtime.getRuntime().maxMemory(),
+                PlatformDependent.maxDirectMemory(),
+                CALLER_IO_THREADS),
+            problem -> ProblemDocument.closingResponse(problem, ids.next()),
+            shortages);
+    CallerRoutes routes =
+        new CallerRoutes(
+            callerConfiguration::get,
+            readiness::get,
+            openRequests,
+            ids,
+            eventLoop::post,
+            dependencies.clockNanos());
+    return HttpServer.start(
+        settings.callers(),
+        settings.maxBodyBytes(),
+        CALLER_IO_THREADS,
+        connections,
+        routes::install);
+  }
+
   private void tick() {
     try {
       distributor.tick();
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerChannel.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerChannel.java
@@ -19,7 +19,6 @@
 final class CallerChannel {
   private static final AttributeKey<Boolean> BUSY =
       AttributeKey.valueOf(CallerChannel.class, "busy");
-  private static final String STALLED_WRITES = "stalled-writes";
 
   private final Channel channel;
 
@@ -66,9 +65,6 @@
   /** Marks the connection as busy. Must be called on its I/O thread. */
   void markBusy() {
     channel.attr(BUSY).set(true);
-    if (channel.pipeline().get(STALLED_WRITES) == null) {
-      channel.pipeline().addFirst(STALLED_WRITES, new StalledWriteHandler());
-    }
   }
 
   /**
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/HttpServer.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/HttpServer.java
@@ -60,17 +60,26 @@
    * @param address address to listen on
    * @param maxBodyBytes largest request body in bytes
    * @param ioThreads number of I/O threads
+   * @param setup adds the limits on what a connection holds
    * @param routes adds the routes to the application
    */
   public static HttpServer start(
-      NodeAddress address, int maxBodyBytes, int ioThreads, Consumer<Jooby> routes) {
+      NodeAddress address,
+      int maxBodyBytes,
+      int ioThreads,
+      ConnectionSetup setup,
+      Consumer<Jooby> routes) {
     long maxRequestMillis = MAX_HEADER_MILLIS + 1_000L * maxBodyBytes / MIN_BODY_BYTES_PER_SECOND;
     Limits limits = new Limits(maxBodyBytes, MAX_CONNECTIONS, maxRequestMillis);
-    return start(address, limits, ioThreads, routes);
+    return start(address, limits, ioThreads, setup, routes);
   }
 
   static HttpServer start(
-      NodeAddress address, Limits limits, int ioThreads, Consumer<Jooby> routes) {
+      NodeAddress address,
+      Limits limits,
+      int ioThreads,
+      ConnectionSetup setup,
+      Consumer<Jooby> routes) {
     // The shutdown hook of Jooby would close the port on SIGTERM, before the entry has drained.
     System.setProperty("jooby.useShutdownHook", "false");
     ListeningChannel listening = new ListeningChannel();
@@ -85,7 +94,7 @@
     try {
       Channel listener = listening.find(address);
       ConnectionLimiter connections =
-          new ConnectionLimiter(limits.maxConnections(), limits.maxRequestMillis());
+          new ConnectionLimiter(limits.maxConnections(), limits.maxRequestMillis(), setup);
       // Added on the event loop of the listener, as it would otherwise miss connections accepted in
       // the meantime. Connections accepted earlier, during startup, are not limited.
       listener
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/ProblemDocument.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/ProblemDocument.java
@@ -4,6 +4,15 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.jooby.Context;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import io.zinniawood.core.id.RequestId;
 import io.zinniawood.core.model.Problem;
 import java.util.Locale;
@@ -47,6 +56,23 @@
     context.send(toJson(problem, request));
   }
 
+  /** Returns a problem as a complete response after which the connection closes. */
+  public static FullHttpResponse closingResponse(Problem problem, RequestId request) {
+    ByteBuf content = Unpooled.wrappedBuffer(toJson(problem, request));
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(problem.type().httpStatus()), content);
+    HttpHeaders headers = response.headers();
+    problem
+        .retryAfterMillis()
+        .forEach(millis -> headers.set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds(millis)));
+    headers.set("X-Request-Id", request.value());
+    headers.set(HttpHeaderNames.CONTENT_TYPE, MEDIA_TYPE);
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    return response;
+  }
+
   // Retry-After has a resolution of seconds; rounding up prevents a retry that is too early.
   private static String retryAfterSeconds(long millis) {
     long seconds = Math.max(1, (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/RequestReceiveTimeoutHandler.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/RequestReceiveTimeoutHandler.java
@@ -15,9 +15,6 @@
  * caller to hold the connection indefinitely by sending single bytes.
  */
 final class RequestReceiveTimeoutHandler extends ChannelInboundHandlerAdapter {
-  /** Name of the handler that decodes HTTP requests in Jooby's pipeline. */
-  private static final String DECODER = "decoder";
-
   private final long timeoutNanos;
   private long startNanos;
   private boolean receiving;
@@ -30,7 +27,7 @@
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
-    context.pipeline().addAfter(DECODER, "request-ends", new RequestEndHandler());
+    context.pipeline().addAfter(ConnectionSetup.DECODER, "request-ends", new RequestEndHandler());
     start(context);
     context.fireChannelActive();
   }
--- a/entry/src/test/java/io/zinniawood/entry/internal/http/HttpServerTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/internal/http/HttpServerTest.java
@@ -37,6 +37,7 @@
         address,
         new HttpServer.Limits(65_536, maxConnections, maxRequestMillis),
         1,
+        TestConnections.setup(65_536),
         application -> {
           application.get("/hello", context -> context.send("hello"));
           application.post("/hello", context -> context.send("hello"));
--- a/entry/src/test/java/io/zinniawood/entry/internal/http/KeptConnectionTest.java
+++ b/entry/src/test/java/io/zinniawood/entry/internal/http/KeptConnectionTest.java
@@ -98,7 +98,11 @@
     NodeAddress address = freeAddress();
     try (HttpServer server =
             HttpServer.start(
-                address, new HttpServer.Limits(65_536, MAX_OPEN, 600_000), 1, this::install);
+                address,
+                new HttpServer.Limits(65_536, MAX_OPEN, 600_000),
+                1,
+                TestConnections.setup(65_536),
+                this::install);
         Socket socket = new Socket(address.host(), address.port())) {
       request(socket, "/held");
       readUntil(socket.getInputStream(), "\r\n\r\n" + ANSWER);
