Callers' connections: idle ones give way before descriptors run out

What callers saw: with 400 idle connections to a relay that may open 300 descriptors, an ordinary request was not answered within 60 s, as long as the connections stayed open; the relay could not open connections to endpoints or to the store either. An entry reached the limit too, at both of its ports.

Cause: the relay had no limit on the number of its callers' connections. That of an entry, 8,192, was above the descriptors of its VM, and a connection over it was refused, however long others had been idle.

Change: callers may have three quarters of the descriptors of the process, at most 8,192. Above that, the connection is closed whose caller has had no request in progress for longest and has taken its answers. At most a sixteenth of the descriptors is accepted at once, as accepted connections need one before others can give way; a relay that drains still empties the queue in one go. Below the limit nothing changes.

--- a/dist/src/test/java/io/zinniawood/dist/CallerCrowdTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/CallerCrowdTest.java
@@ -178,6 +178,12 @@
     withstands(GET + "Connection: close\r\n", "\r\n", 1);
   }
 
+  // Guards against connections that hold the descriptors of other callers.
+  @Test
+  void idleConnections() throws Exception {
+    check.withstands(callersAddress, 400, new CallerCrowd.Bytes(GET + "\r\n", "", 0, 0));
+  }
+
   // Guards against a listener without limits beside the one for callers.
   @Test
   void headsWithoutEndAtTheAdministrationListener() throws Exception {
--- a/dist/src/test/java/io/zinniawood/dist/EntryCrowdTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/EntryCrowdTest.java
@@ -159,6 +159,19 @@
     check.withstands();
   }
 
+  // Guards against connections that hold the descriptors of other callers.
+  @Test
+  void idleConnections() throws Exception {
+    check.withstands(
+        address(entry.callersUri()), 400, new CallerCrowd.Bytes(GET + "\r\n", "", 0, 0));
+  }
+
+  // Guards against connections that take the descriptors which the callers leave.
+  @Test
+  void idleConnectionsAtTheAdministrationListener() throws Exception {
+    check.withstands(address(entry.adminUri()), 400, new CallerCrowd.Bytes("", "", 0, 0));
+  }
+
   // Guards against a listener without limits beside the one for callers.
   @Test
   void headsWithoutEndAtTheAdministrationListener() throws Exception {
--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -30,6 +30,7 @@
 import io.zinniawood.entry.internal.relay.ClusterStateDistributor;
 import io.zinniawood.entry.internal.store.ClaimReleaser;
 import io.zinniawood.entry.internal.store.LeaseStore;
+import io.zinniawood.ingress.DescriptorLimit;
 import io.zinniawood.runtime.EventLoop;
 import io.zinniawood.wire.WireError;
 import java.lang.System.Logger.Level;
@@ -67,6 +68,9 @@
   private static final int ADMIN_IO_THREADS = 1;
   private static final int ADMIN_MAX_BODY_BYTES = 1_024;
 
+  /** Above the number of connections at which the oldest one gives way. */
+  private static final int ADMIN_MAX_CONNECTIONS = 80;
+
   private final EntryDependencies<S> dependencies;
   private final EventLoop<S, EntryEvent, EntryEffect, EntryTimer> eventLoop;
   private final ScheduledExecutorService ticker;
@@ -211,6 +215,7 @@
     return HttpServer.start(
         dependencies.settings().admin(),
         ADMIN_MAX_BODY_BYTES,
+        ADMIN_MAX_CONNECTIONS,
         ADMIN_IO_THREADS,
         new AdminConnectionSetup(),
         routes::install);
@@ -219,6 +224,7 @@
   private HttpServer startCallerServer() {
     EntrySettings settings = dependencies.settings();
     RequestIdGenerator ids = new RequestIdGenerator();
+    DescriptorLimit descriptors = DescriptorLimit.ofProcess();
     MemoryShortages shortages =
         new MemoryShortages(dependencies.logger(), dependencies.clockNanos());
     metrics.registerGauge("zinniawood_memory_refusals", shortages::refusals);
@@ -228,6 +234,7 @@
                 settings.maxBodyBytes(),
                 Runtime.getRuntime().maxMemory(),
                 PlatformDependent.maxDirectMemory(),
+                descriptors.maxConnections(),
                 CALLER_IO_THREADS),
             problem -> ProblemDocument.closingResponse(problem, ids.next()),
             shortages);
@@ -242,6 +249,7 @@
     return HttpServer.start(
         settings.callers(),
         settings.maxBodyBytes(),
+        descriptors.maxConnections() + descriptors.maxAccepted(),
         CALLER_IO_THREADS,
         connections,
         routes::install);
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnection.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnection.java
@@ -85,6 +85,12 @@
     context = added;
   }
 
+  @Override
+  public void channelActive(ChannelHandlerContext active) {
+    requestMemory.connected();
+    active.fireChannelActive();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext read, Object message) {
     if (closing) {
@@ -170,6 +176,7 @@
     countUntilSent(bytes, promise.unvoid(), message);
     if (message instanceof LastHttpContent && !requestsInProgress.isEmpty()) {
       requestMemory.add(Part.REQUEST, -requestsInProgress.remove());
+      requestMemory.requestEnded();
     }
   }
 
@@ -288,6 +295,11 @@
       return 0;
     }
 
+    @Override
+    public boolean idle() {
+      return !closing && requestsInProgress.isEmpty() && unsentBytes == 0;
+    }
+
     @Override
     public void disconnect() {
       CallerConnection.this.disconnect();
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnections.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnections.java
@@ -50,9 +50,15 @@
    * @param maxBodyBytes largest request body in bytes
    * @param heapBytes maximum size of the heap in bytes
    * @param directMemoryBytes limit of the process on direct memory in bytes
+   * @param maxConnections number of connections above which an idle one is closed
    * @param eventLoops number of event loops that serve the listener's connections
    */
-  public record Limits(int maxBodyBytes, long heapBytes, long directMemoryBytes, int eventLoops) {}
+  public record Limits(
+      int maxBodyBytes,
+      long heapBytes,
+      long directMemoryBytes,
+      int maxConnections,
+      int eventLoops) {}
 
   /**
    * Memory of the connections of one event loop.
@@ -83,9 +89,12 @@
     long heapBytes = limits.heapBytes() / limits.eventLoops();
     long minBytes = (long) limits.maxBodyBytes() * MIN_BODIES;
     return new Shares(
-        new CallerMemory(account(Math.max(heapBytes / HEAP_DIVISOR, minBytes), 0)),
+        new CallerMemory(
+            account(Math.max(heapBytes / HEAP_DIVISOR, minBytes), 0),
+            limits.maxConnections() / limits.eventLoops()),
         account(Math.max(directBytes / BODY_DIVISOR, minBytes), limits.maxBodyBytes()),
-        new CallerMemory(account(directBytes / ANSWER_DIVISOR * ANSWER_FACTOR, 0)));
+        new CallerMemory(
+            account(directBytes / ANSWER_DIVISOR * ANSWER_FACTOR, 0), limits.maxConnections()));
   }
 
   private MemoryAccount account(long bytes, int maxBufferBytes) {
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/HttpServer.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/HttpServer.java
@@ -20,12 +20,6 @@
 
   private static final int MIN_BUFFER_BYTES = 16_384;
 
-  /**
-   * Twice the most open requests of an entry, so that idle connections do not exclude callers
-   * before the limit on open requests is reached.
-   */
-  private static final int MAX_CONNECTIONS = 8_192;
-
   /** Time to connect and to send the header; allows several retransmissions of a TCP segment. */
   private static final long MAX_HEADER_MILLIS = 10_000;
 
@@ -59,6 +53,7 @@
    *
    * @param address address to listen on
    * @param maxBodyBytes largest request body in bytes
+   * @param maxConnections most open connections; additional ones are closed at once
    * @param ioThreads number of I/O threads
    * @param setup adds the limits on what a connection holds
    * @param routes adds the routes to the application
@@ -66,11 +61,12 @@
   public static HttpServer start(
       NodeAddress address,
       int maxBodyBytes,
+      int maxConnections,
       int ioThreads,
       ConnectionSetup setup,
       Consumer<Jooby> routes) {
     long maxRequestMillis = MAX_HEADER_MILLIS + 1_000L * maxBodyBytes / MIN_BODY_BYTES_PER_SECOND;
-    Limits limits = new Limits(maxBodyBytes, MAX_CONNECTIONS, maxRequestMillis);
+    Limits limits = new Limits(maxBodyBytes, maxConnections, maxRequestMillis);
     return start(address, limits, ioThreads, setup, routes);
   }
 
--- a/entry/src/test/java/io/zinniawood/entry/internal/http/TestConnections.java
+++ b/entry/src/test/java/io/zinniawood/entry/internal/http/TestConnections.java
@@ -11,7 +11,7 @@
   /** Returns the setup of a listener with one event loop. */
   static CallerConnections setup(int maxBodyBytes) {
     return new CallerConnections(
-        new CallerConnections.Limits(maxBodyBytes, MEMORY_BYTES, MEMORY_BYTES, 1),
+        new CallerConnections.Limits(maxBodyBytes, MEMORY_BYTES, MEMORY_BYTES, 1_000, 1),
         problem -> ProblemDocument.closingResponse(problem, new RequestId("refused")),
         (usedBytes, limitBytes) -> {});
   }
--- a/ingress/src/main/java/io/zinniawood/ingress/CallerMemory.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/CallerMemory.java
@@ -1,27 +1,37 @@
 package io.zinniawood.ingress;
 
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 
 /**
  * Memory that all callers' connections hold with heads, queued messages and unsent answers. If it
- * is short, the connection that can release the most gives way. A connection that holds more than
- * 1/256 of the limit leaves a quarter of it to others, so that ordinary requests are still read.
- * Bodies are counted by an account of their own.
+ * is short, the connection that can release the most gives way. If there are too many connections,
+ * the one that has been idle longest is closed. A connection that holds more than 1/256 of the
+ * limit leaves a quarter of it to others, so that ordinary requests are still read. Bodies are
+ * counted by an account of their own.
  */
 public final class CallerMemory {
   private static final int LARGE_DIVISOR = 256;
   private static final int RESERVE_DIVISOR = 4;
 
   private final MemoryAccount account;
-  private final Set<ConnectionMemory> connections = new HashSet<>();
+  private final int maxConnections;
+
+  /** In the order in which they were opened or last answered a request. */
+  private final Set<ConnectionMemory> connections = new LinkedHashSet<>();
+
   private long totalBytes;
 
-  /** Creates an empty budget that reports its use and its shortages to the account. */
-  public CallerMemory(MemoryAccount account) {
+  /**
+   * Creates an empty budget that reports its use and its shortages to the account.
+   *
+   * @param maxConnections number of connections above which an idle one gives way
+   */
+  public CallerMemory(MemoryAccount account, int maxConnections) {
     this.account = account;
+    this.maxConnections = maxConnections;
   }
 
   /** Adds a connection, which must be closed later. */
@@ -31,6 +41,23 @@
     return opened;
   }
 
+  /** Closes the connection that has been idle longest if there are too many. */
+  void limitConnections() {
+    if (connections.size() > maxConnections) {
+      connections.stream()
+          .filter(ConnectionMemory::idle)
+          .findFirst()
+          .ifPresent(ConnectionMemory::disconnect);
+    }
+  }
+
+  /** Moves a connection behind those that have been idle longer. */
+  void requestEnded(ConnectionMemory connection) {
+    if (connections.remove(connection)) {
+      connections.add(connection);
+    }
+  }
+
   void closed(ConnectionMemory connection) {
     connections.remove(connection);
   }
--- a/ingress/src/main/java/io/zinniawood/ingress/ConnectionMemory.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/ConnectionMemory.java
@@ -39,6 +39,9 @@
 
     /** Closes the connection; the rest of its answers is lost. */
     void disconnect();
+
+    /** Returns whether no request is in progress and all answers are sent. */
+    boolean idle();
   }
 
   ConnectionMemory(CallerMemory budget, Owner owner) {
@@ -64,6 +67,20 @@
     set(part, parts.getOrDefault(part, 0L) + deltaBytes);
   }
 
+  /** Counts the connection, which is open now; if there are too many, an idle one is closed. */
+  public void connected() {
+    budget.limitConnections();
+  }
+
+  /** Records that the connection has answered a request. */
+  public void requestEnded() {
+    budget.requestEnded(this);
+  }
+
+  boolean idle() {
+    return owner.idle();
+  }
+
   /** Releases all parts; the connection is closed. */
   public void close() {
     for (Part part : Part.values()) {
--- /dev/null
+++ b/ingress/src/main/java/io/zinniawood/ingress/DescriptorLimit.java
@@ -0,0 +1,37 @@
+package io.zinniawood.ingress;
+
+import com.sun.management.UnixOperatingSystemMXBean;
+import java.lang.management.ManagementFactory;
+import java.lang.management.OperatingSystemMXBean;
+
+/**
+ * Shares of the descriptors of a process that callers' connections may take. A quarter is left for
+ * endpoints, the store, peers and files.
+ *
+ * @param maxConnections number of connections above which an idle one gives way to a new one
+ * @param maxAccepted number of new connections that are accepted before idle ones give way
+ */
+public record DescriptorLimit(int maxConnections, int maxAccepted) {
+  /** Maximum where the operating system allows more; an idle connection takes 10 KB of heap. */
+  private static final int MAX_CONNECTIONS = 8_192;
+
+  private static final int MAX_ACCEPTED = 1_024;
+  private static final int DIVISOR = 16;
+  private static final int CONNECTIONS_FACTOR = 12;
+
+  /** Returns the shares under the limit of the operating system on this process. */
+  public static DescriptorLimit ofProcess() {
+    OperatingSystemMXBean system = ManagementFactory.getOperatingSystemMXBean();
+    return system instanceof UnixOperatingSystemMXBean unix
+        ? of(unix.getMaxFileDescriptorCount())
+        : new DescriptorLimit(MAX_CONNECTIONS, MAX_ACCEPTED);
+  }
+
+  /** Returns the shares of a number of descriptors. */
+  static DescriptorLimit of(long descriptors) {
+    long part = Math.max(1, descriptors / DIVISOR);
+    return new DescriptorLimit(
+        (int) Math.min(MAX_CONNECTIONS, part * CONNECTIONS_FACTOR),
+        (int) Math.min(MAX_ACCEPTED, part));
+  }
+}
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -21,6 +21,7 @@
 import io.zinniawood.core.relay.RelayState;
 import io.zinniawood.ingress.AdminConnections;
 import io.zinniawood.ingress.AdminInputLimit;
+import io.zinniawood.ingress.DescriptorLimit;
 import io.zinniawood.relay.internal.AdminHandler;
 import io.zinniawood.relay.internal.ByteArrivalHandler;
 import io.zinniawood.relay.internal.CallerCodec;
@@ -70,6 +71,11 @@
   private final ConnectionClosing closing;
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final RecentText metricsText;
+
+  /** Number of callers' connections that are accepted at once. */
+  private final ServerChannelRecvByteBufAllocator callerAccepts =
+      new ServerChannelRecvByteBufAllocator();
+
   private Channel callerListener;
   private boolean ready;
 
@@ -87,10 +93,13 @@
     this.peerAddress = parameters.peerAddress();
     this.log = log;
     this.loop = (EventLoop) group.next();
+    DescriptorLimit descriptors = DescriptorLimit.ofProcess();
+    callerAccepts.maxMessagesPerRead(descriptors.maxAccepted());
     this.memory =
         new MemoryBudget(
             PlatformDependent.maxDirectMemory(),
             Runtime.getRuntime().maxMemory(),
+            descriptors.maxConnections(),
             this::logDecision,
             System::nanoTime);
     this.runtime =
@@ -109,8 +118,8 @@
    * @throws InterruptedException if the thread is interrupted while the ports are bound
    */
   public void start(Function<ControlClient, PlatformClient> platform) throws InterruptedException {
-    bind(addresses.admin(), new AdminInitializer());
-    callerListener = bind(addresses.callers(), new CallerInitializer());
+    bind(addresses.admin(), new ServerChannelRecvByteBufAllocator(), new AdminInitializer());
+    callerListener = bind(addresses.callers(), callerAccepts, new CallerInitializer());
     PeerSender peerSender = bindPeers();
     ControlClient client =
         new ControlClient(loop, memory.account(MemoryUser.CONTROL_ANSWERS), this::logFailure);
@@ -141,17 +150,17 @@
     return channel::send;
   }
 
-  private Channel bind(NodeAddress address, ChannelInitializer<Channel> initializer)
+  private Channel bind(
+      NodeAddress address,
+      ServerChannelRecvByteBufAllocator accepts,
+      ChannelInitializer<Channel> initializer)
       throws InterruptedException {
     return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
-        // One read empties the queue, so that closing the port loses no accepted connection.
-        .option(
-            ChannelOption.RECVBUF_ALLOCATOR,
-            new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPT_BACKLOG))
+        .option(ChannelOption.RECVBUF_ALLOCATOR, accepts)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(initializer)
         .bind(address.host(), address.port())
@@ -224,7 +233,9 @@
 
     @Override
     public void drained() {
-      // A later turn of the event loop accepts what is in the queue before it closes the port.
+      // A later turn of the event loop accepts what is in the queue before it closes the port. One
+      // read empties the queue, so that closing the port loses no accepted connection.
+      callerAccepts.maxMessagesPerRead(ACCEPT_BACKLOG);
       loop.schedule(
           () -> callerListener.close().addListener(closed -> closing.start()),
           1,
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswerWriter.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswerWriter.java
@@ -50,6 +50,12 @@
     decoder = Optional.of(added);
   }
 
+  @Override
+  public void channelActive(ChannelHandlerContext active) {
+    memory.connected();
+    active.fireChannelActive();
+  }
+
   /** Returns whether the connection closes once the answer is written. */
   abstract boolean closesAfterAnswer();
 
@@ -157,6 +163,11 @@
         : EnumSet.of(ConnectionMemory.Part.DECODER, ConnectionMemory.Part.QUEUE);
   }
 
+  @Override
+  public boolean idle() {
+    return exchange == null && !closing && unsentBytes() == 0;
+  }
+
   @Override
   public long untakenBytes() {
     return exchange == null && !writable() ? unsentBytes() : 0;
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -337,6 +337,7 @@
       exchange.body().release();
       exchange = null;
       memory.set(ConnectionMemory.Part.REQUEST, 0);
+      memory.requestEnded();
     }
   }
 
--- a/relay/src/main/java/io/zinniawood/relay/internal/MemoryBudget.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/MemoryBudget.java
@@ -34,11 +34,16 @@
    *
    * @param directMemoryBytes limit of the process on direct memory
    * @param heapBytes maximum size of the heap
+   * @param maxCallerConnections number of callers' connections above which an idle one is closed
    * @param log receives a line while memory is short
    * @param nanoClock monotonic clock in nanoseconds
    */
   public MemoryBudget(
-      long directMemoryBytes, long heapBytes, Consumer<Decision> log, LongSupplier nanoClock) {
+      long directMemoryBytes,
+      long heapBytes,
+      int maxCallerConnections,
+      Consumer<Decision> log,
+      LongSupplier nanoClock) {
     this.log = log;
     this.nanoClock = nanoClock;
     for (MemoryUser user : MemoryUser.values()) {
@@ -50,7 +55,7 @@
               user.maxBufferBytes(),
               (usedBytes, limitBytes) -> memoryShort(user, usedBytes, limitBytes)));
     }
-    callers = new CallerMemory(accounts.get(MemoryUser.CALLER_CONNECTIONS));
+    callers = new CallerMemory(accounts.get(MemoryUser.CALLER_CONNECTIONS), maxCallerConnections);
     accounts.get(MemoryUser.ENDPOINT_ANSWERS).relievedBy(callers::disconnectSlowest);
   }
 
--- a/relay/src/test/java/io/zinniawood/relay/EndlessControlAnswerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/EndlessControlAnswerTest.java
@@ -48,7 +48,7 @@
   private final EventLoop loop = (EventLoop) group.next();
   private final List<Decision> lines = new CopyOnWriteArrayList<>();
   private final MemoryBudget memory =
-      new MemoryBudget(DIRECT_MEMORY_BYTES, DIRECT_MEMORY_BYTES, lines::add, () -> 0);
+      new MemoryBudget(DIRECT_MEMORY_BYTES, DIRECT_MEMORY_BYTES, 1_000, lines::add, () -> 0);
   private final ControlClient client =
       new ControlClient(
           loop, memory.account(MemoryUser.CONTROL_ANSWERS), (event, subject, failure) -> {});
--- a/relay/src/test/java/io/zinniawood/relay/RelayMetricsTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/RelayMetricsTest.java
@@ -30,7 +30,8 @@
                 8_000,
                 SchedulingSettings.AUTO,
                 1));
-    MemoryBudget memory = new MemoryBudget(64 * 1024 * 1024, 64 * 1024 * 1024, line -> {}, () -> 0);
+    MemoryBudget memory =
+        new MemoryBudget(64 * 1024 * 1024, 64 * 1024 * 1024, 1_000, line -> {}, () -> 0);
     try (DecisionLog log =
         new DecisionLog(OutputStream.nullOutputStream(), () -> Instant.EPOCH, () -> 0)) {
       RelayMetrics metrics = new RelayMetrics(state, memory, log);
--- a/relay/src/test/java/io/zinniawood/relay/internal/ConnectionMemoryTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/ConnectionMemoryTest.java
@@ -28,11 +28,15 @@
       "POST /first HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
 
   private final MemoryAccount account = new MemoryAccount(LIMIT_BYTES, 0, (used, limit) -> {});
-  private final CallerMemory memory = new CallerMemory(account);
+  private final CallerMemory memory = new CallerMemory(account, 1_000);
   private final FakeCallerListener listener = new FakeCallerListener();
 
   private EmbeddedChannel connection() {
-    listener.connectionMemory = memory;
+    return connection(memory);
+  }
+
+  private EmbeddedChannel connection(CallerMemory shared) {
+    listener.connectionMemory = shared;
     CallerHandler handler = new CallerHandler(listener);
     return new EmbeddedChannel(
         new ByteArrivalHandler(handler), CallerCodec.create(listener.limits, handler), handler);
@@ -102,6 +106,25 @@
     assertThat(account.usedBytes(), is(0L));
   }
 
+  // Guards against idle connections that use up the descriptors, and against the close of a busy
+  // one.
+  @Test
+  void connectionThatIsIdleLongestGivesWay() {
+    CallerMemory three = new CallerMemory(account, 3);
+    EmbeddedChannel answered = connection(three);
+    EmbeddedChannel unused = connection(three);
+    EmbeddedChannel busy = connection(three);
+    receive(answered, GET + "\r\n");
+    listener.answer();
+    receive(busy, GET + "\r\n");
+    EmbeddedChannel first = connection(three);
+    assertThat(unused.isOpen(), is(false));
+    assertThat(answered.isOpen() && busy.isOpen() && first.isOpen(), is(true));
+    EmbeddedChannel second = connection(three);
+    assertThat(answered.isOpen(), is(false));
+    assertThat(busy.isOpen() && first.isOpen() && second.isOpen(), is(true));
+  }
+
   // Guards against a limit that refuses a head which the published limits allow.
   @Test
   void headOfManyShortestLinesIsServedWhileMemoryIsNotShort() {
--- a/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/FakeCallerListener.java
@@ -24,7 +24,7 @@
   RequestLimits limits = RequestLimits.DEFAULT;
   MemoryAccount memory = new MemoryAccount(16 * 1024 * 1024, 8 * 1024 * 1024, (used, limit) -> {});
   CallerMemory connectionMemory =
-      new CallerMemory(new MemoryAccount(16 * 1024 * 1024, 0, (used, limit) -> {}));
+      new CallerMemory(new MemoryAccount(16 * 1024 * 1024, 0, (used, limit) -> {}), 1_000);
   boolean draining;
   boolean failing;
   private CallerHandler connection;
--- a/relay/src/test/java/io/zinniawood/relay/internal/MemoryBudgetTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/MemoryBudgetTest.java
@@ -19,7 +19,7 @@
 
   private final List<Decision> lines = new ArrayList<>();
   private final MemoryBudget budget =
-      new MemoryBudget(4 * MEGABYTE, 160 * MEGABYTE, lines::add, () -> 0);
+      new MemoryBudget(4 * MEGABYTE, 160 * MEGABYTE, 1_000, lines::add, () -> 0);
 
   /** Connection that releases everything when it is told to. */
   private final class FakeOwner implements ConnectionMemory.Owner {
@@ -45,6 +45,11 @@
     public void disconnect() {
       untakenBytes = 0;
     }
+
+    @Override
+    public boolean idle() {
+      return true;
+    }
   }
 
   // Guards against a share of heads that ignores the heap, and against a log line for each refusal.
--- a/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/RuntimeFailuresTest.java
@@ -83,7 +83,7 @@
                 SchedulingSettings.AUTO,
                 1));
     MemoryBudget memory =
-        new MemoryBudget(64 * 1024 * 1024, 64 * 1024 * 1024, line -> {}, System::nanoTime);
+        new MemoryBudget(64 * 1024 * 1024, 64 * 1024 * 1024, 1_000, line -> {}, System::nanoTime);
     RelayRuntime runtime = new RelayRuntime(state, codec, loop, memory, this);
     PlatformClient platform =
         (PlatformClient)
--- a/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/SlowCallerTest.java
@@ -72,7 +72,7 @@
   @Test
   void endpointIsNotReadWhileItsCallerIsSlow() {
     MemoryBudget memory =
-        new MemoryBudget(64 * 1024 * 1024, 64 * 1024 * 1024, line -> {}, System::nanoTime);
+        new MemoryBudget(64 * 1024 * 1024, 64 * 1024 * 1024, 1_000, line -> {}, System::nanoTime);
     RelayState state =
         new RelayState(
             new RelayParameters(
--- a/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/StreamHeadTest.java
@@ -91,7 +91,8 @@
             state,
             new FailingCodec(FailingCodec.Method.NONE),
             loop,
-            new MemoryBudget(64 * 1024 * 1024, 64 * 1024 * 1024, line -> {}, System::nanoTime),
+            new MemoryBudget(
+                64 * 1024 * 1024, 64 * 1024 * 1024, 1_000, line -> {}, System::nanoTime),
             this);
     PlatformClient platform =
         (PlatformClient)
