Tests: crowds beside a drain, a start and the faults of the soak

EntryCrowdTest and CallerCrowdTest terminate their process beside callers that never finish: it must end by itself with exit code 0. An entry is restarted while callers keep connecting. The relays of the soak now have the options of the deployment and 4,100 descriptors, as their memory counts.

--- a/dist/src/test/java/io/zinniawood/dist/CallerCrowd.java
+++ b/dist/src/test/java/io/zinniawood/dist/CallerCrowd.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Callers that send the same bytes on many connections and read no answers. */
-final class CallerCrowd implements AutoCloseable {
+public final class CallerCrowd implements AutoCloseable {
   private static final int RECEIVE_BUFFER_BYTES = 4_096;
 
   private final List<Socket> connections = new ArrayList<>();
@@ -26,10 +26,10 @@
    * @param repetitions how many times they follow
    * @param pauseMillis pause after each repetition, in milliseconds
    */
-  record Bytes(String opening, String repeated, int repetitions, long pauseMillis) {}
+  public record Bytes(String opening, String repeated, int repetitions, long pauseMillis) {}
 
   /** Opens the connections and sends on each of them until it is closed. */
-  void send(NodeAddress address, int callers, Bytes bytes) {
+  public void send(NodeAddress address, int callers, Bytes bytes) {
     byte[] opening = bytes.opening().getBytes(StandardCharsets.ISO_8859_1);
     byte[] repeated = bytes.repeated().getBytes(StandardCharsets.ISO_8859_1);
     for (int count = 0; count < callers; count++) {
--- a/dist/src/test/java/io/zinniawood/dist/CallerCrowdTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/CallerCrowdTest.java
@@ -184,6 +184,16 @@
     check.withstands(callersAddress, 400, new CallerCrowd.Bytes(GET + "\r\n", "", 0, 0));
   }
 
+  // Guards against a drain that waits for callers which never finish.
+  @Test
+  void drainBesideCrowds() throws Exception {
+    check.join(callersAddress, 30, new CallerCrowd.Bytes(GET, "a:\r\n", 2_000, 5));
+    check.join(callersAddress, 30, new CallerCrowd.Bytes(CHUNKED, "1\r\nx\r\n", 2_000, 5));
+    check.join(callersAddress, 30, new CallerCrowd.Bytes("", GET + "\r\n", 1_000, 5));
+    check.awaitOrdinaryAnswer();
+    check.drains();
+  }
+
   // Guards against a listener without limits beside the one for callers.
   @Test
   void headsWithoutEndAtTheAdministrationListener() throws Exception {
--- a/dist/src/test/java/io/zinniawood/dist/CrowdCheck.java
+++ b/dist/src/test/java/io/zinniawood/dist/CrowdCheck.java
@@ -79,6 +79,12 @@
     }
   }
 
+  /** Terminates the process beside the crowd; it must end by itself, with exit code 0. */
+  void drains() {
+    process.signal("TERM");
+    assertThat("exit code of the drain", process.awaitExitCode(), is(0));
+  }
+
   private void checkProcess() {
     assertThat("the process lives", process.isAlive(), is(true));
     assertThat(process.usage().residentBytes(), lessThan(bounds.residentBytes()));
--- a/dist/src/test/java/io/zinniawood/dist/EntryCrowdTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/EntryCrowdTest.java
@@ -3,6 +3,7 @@
 import io.zinniawood.core.model.NodeAddress;
 import java.io.IOException;
 import java.net.URI;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -42,15 +43,18 @@
     cluster.addService("credit-1");
     cluster.addEntry("entry-1", LIMITS);
     entry = cluster.entry("entry-1");
-    // A new client opens a new connection.
-    check =
-        new CrowdCheck(
-            entry.process(),
-            BOUNDS,
-            () -> new Caller().get(entry.callersUri(), "/services/credit/ledger").status() == 200);
+    check = newCheck();
     check.awaitOrdinaryAnswer();
   }
 
+  private CrowdCheck newCheck() {
+    // A new client opens a new connection.
+    return new CrowdCheck(
+        entry.process(),
+        BOUNDS,
+        () -> new Caller().get(entry.callersUri(), "/services/credit/ledger").status() == 200);
+  }
+
   @AfterEach
   void stop() throws IOException {
     check.close();
@@ -172,6 +176,31 @@
     check.withstands(address(entry.adminUri()), 400, new CallerCrowd.Bytes("", "", 0, 0));
   }
 
+  // Guards against connections that are accepted before the limits apply.
+  @Test
+  void crowdDuringTheStart() throws Exception {
+    check.close();
+    cluster.restartEntry("entry-1", LIMITS);
+    entry = cluster.entry("entry-1");
+    check = newCheck();
+    for (int count = 0; count < 100; count++) {
+      check.join(address(entry.callersUri()), 5, new CallerCrowd.Bytes(GET, SHORT_LINES, 1_000, 0));
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    check.withstands();
+  }
+
+  // Guards against a drain that waits for callers which never finish.
+  @Test
+  void drainBesideCrowds() throws Exception {
+    NodeAddress callers = address(entry.callersUri());
+    check.join(callers, 30, new CallerCrowd.Bytes(GET, "a:\r\n", 2_000, 5));
+    check.join(callers, 30, new CallerCrowd.Bytes(CHUNKED, "1\r\nx\r\n", 2_000, 5));
+    check.join(callers, 30, new CallerCrowd.Bytes("", (GET + "\r\n").repeat(10), 1_000, 5));
+    check.awaitOrdinaryAnswer();
+    check.drains();
+  }
+
   // Guards against a listener without limits beside the one for callers.
   @Test
   void headsWithoutEndAtTheAdministrationListener() throws Exception {
--- a/dist/src/test/java/io/zinniawood/dist/ProcessCluster.java
+++ b/dist/src/test/java/io/zinniawood/dist/ProcessCluster.java
@@ -166,12 +166,8 @@
     NodeAddress callers = Ports.free();
     NodeAddress admin = Ports.free();
     NodeAddress peers = Ports.free();
-    RoleProcess process =
-        RoleProcess.start(
-            "entry",
-            name + "-" + id,
-            limits,
-            """
+    String settings =
+        """
         vm = "%s"
         data_centre = "%s"
         callers = "%s"
@@ -181,13 +177,22 @@
         poll_ms = %d
         drain_grace_ms = 500
         """
-                .formatted(id, DATA_CENTRE, callers, admin, peers, platformUri(), pollMillis));
+            .formatted(id, DATA_CENTRE, callers, admin, peers, platformUri(), pollMillis);
+    RoleProcess process = RoleProcess.start("entry", name + "-" + id, limits, settings);
     entries.put(
         id,
         new Entry(process, URI.create("http://" + callers), URI.create("http://" + admin), peers));
     putVm(id, "ENTRY", "entries", peers.port());
   }
 
+  /** Kills an entry process and starts it again on the same addresses. */
+  void restartEntry(String id, RoleProcess.Limits limits) {
+    Entry ended = entries.get(id);
+    ended.process().kill();
+    RoleProcess process = RoleProcess.restart("entry", name + "-" + id, limits);
+    entries.put(id, new Entry(process, ended.callersUri(), ended.adminUri(), ended.peers()));
+  }
+
   @Override
   public void close() {
     entries.values().forEach(entry -> entry.process().close());
--- a/dist/src/test/java/io/zinniawood/dist/ProcessUsage.java
+++ b/dist/src/test/java/io/zinniawood/dist/ProcessUsage.java
@@ -12,7 +12,7 @@
  * @param cpuMillis processor time in user and system mode, in milliseconds
  * @param residentBytes resident memory in bytes
  */
-record ProcessUsage(long cpuMillis, long residentBytes) {
+public record ProcessUsage(long cpuMillis, long residentBytes) {
   /** Length of a clock tick; USER_HZ is 100 on Linux. */
   private static final long MILLIS_PER_TICK = 10;
 
--- a/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
+++ b/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
@@ -22,7 +22,7 @@
    * @param javaOptions options of the JVM, separated by spaces
    * @param descriptors maximum number of open descriptors
    */
-  record Limits(String javaOptions, int descriptors) {
+  public record Limits(String javaOptions, int descriptors) {
     static final Limits NONE = new Limits("", Integer.MAX_VALUE);
 
     private void apply(ProcessBuilder builder) {
@@ -48,7 +48,7 @@
   }
 
   /** Writes the settings to a file and starts a role with it under limits. */
-  static RoleProcess start(String role, String name, Limits limits, String settings) {
+  public static RoleProcess start(String role, String name, Limits limits, String settings) {
     try {
       Files.createDirectories(LOG_FOLDER);
       Path file = Files.writeString(LOG_FOLDER.resolve(name + ".toml"), settings);
@@ -58,6 +58,11 @@
     }
   }
 
+  /** Starts a role with the settings that were written for its earlier process. */
+  static RoleProcess restart(String role, String name, Limits limits) {
+    return start(role, name, LOG_FOLDER.resolve(name + ".toml"), limits);
+  }
+
   /** Starts a role with an existing settings file. */
   public static RoleProcess start(String role, String name, Path settingsFile) {
     return start(role, name, settingsFile, "");
@@ -136,7 +141,7 @@
   }
 
   /** Returns the current processor time and resident memory of the process. */
-  ProcessUsage usage() {
+  public ProcessUsage usage() {
     return ProcessUsage.of(process.pid());
   }
 
--- a/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /**
  * Runs the soak for a range of seeds: {@code benchmark.sh soak.RelaySoak FIRST-SEED LAST-SEED}.
@@ -45,7 +46,7 @@
     PrintStream output = System.out;
     int failures = 0;
     for (long seed = Long.parseLong(args[0]); seed <= Long.parseLong(args[1]); seed++) {
-      List<String> violations = runSeed(seed, RECOVERY_SECONDS);
+      List<String> violations = runSeed(seed, RECOVERY_SECONDS, faults -> {});
       output.println("seed " + seed + ": " + (violations.isEmpty() ? "no violations" : violations));
       failures += violations.isEmpty() ? 0 : 1;
     }
@@ -58,8 +59,9 @@
    *
    * @param seed seed of the random faults and requests
    * @param recoverySeconds time within which all relays must serve after the last fault, in seconds
+   * @param besideEachFault starts further faults beside each one
    */
-  static List<String> runSeed(long seed, long recoverySeconds)
+  static List<String> runSeed(long seed, long recoverySeconds, Consumer<SoakFaults> besideEachFault)
       throws IOException, InterruptedException {
     Violations violations = new Violations();
     ScheduledExecutorService timers =
@@ -84,11 +86,18 @@
             RESTART_CHECK_MILLIS,
             TimeUnit.MILLISECONDS);
       }
-      SoakFaults faults = new SoakFaults(cluster, new Random(seed), new Random(-seed), timers);
+      SoakFaults faults =
+          new SoakFaults(
+              cluster,
+              new Random(seed),
+              new Random(-seed),
+              new SoakCrowds(cluster, violations, new Random(seed + 1)),
+              timers);
       Random gaps = new Random(~seed);
       long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(FAULT_PHASE_SECONDS);
       while (System.nanoTime() - endNanos < 0) {
         faults.startRandomFault();
+        besideEachFault.accept(faults);
         for (int number = 0; number < ANSWER_FAULTS_PER_FAULT; number++) {
           faults.startAnswerFault();
         }
--- a/dist/src/test/java/io/zinniawood/dist/soak/RelaySoakTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/RelaySoakTest.java
@@ -21,6 +21,6 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 11, 14, 15})
   void guaranteesHoldUnderFaults(long seed) throws Exception {
-    assertThat("seed " + seed, RelaySoak.runSeed(seed, RECOVERY_SECONDS), empty());
+    assertThat("seed " + seed, RelaySoak.runSeed(seed, RECOVERY_SECONDS, faults -> {}), empty());
   }
 }
--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakCluster.java
@@ -15,6 +15,14 @@
 /** Relay processes, a store and endpoints, with fault proxies on the connections between them. */
 final class SoakCluster implements AutoCloseable {
   private static final int RELAY_COUNT = 3;
+
+  /** The options of the deployment. */
+  private static final RoleProcess.Limits LIMITS =
+      new RoleProcess.Limits(
+          "-Xmx160m -Xss512k -XX:TieredStopAtLevel=1 -XX:+ExitOnOutOfMemoryError"
+              + " -XX:MaxDirectMemorySize=64m",
+          4_100);
+
   private static final int FAULTY_ENDPOINTS = 4;
 
   /** Exit code of a process that SIGHUP has ended. */
@@ -66,6 +74,7 @@
           RoleProcess.start(
               "relay",
               "soak-relay-%d.%d".formatted(number, incarnation.get()),
+              LIMITS,
               """
               vm = "relay-%d"
               data_centre = "home"
--- a/dist/src/test/java/io/zinniawood/dist/soak/SoakFaults.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/SoakFaults.java
@@ -32,6 +32,7 @@
   /** Separate from the other faults, so that their order in the seeds of the test stays. */
   private final Random answerRandom;
 
+  private final SoakCrowds crowds;
   private final ScheduledExecutorService timers;
   private final List<Fault> faults = new ArrayList<>();
 
@@ -42,10 +43,15 @@
   }
 
   SoakFaults(
-      SoakCluster cluster, Random random, Random answerRandom, ScheduledExecutorService timers) {
+      SoakCluster cluster,
+      Random random,
+      Random answerRandom,
+      SoakCrowds crowds,
+      ScheduledExecutorService timers) {
     this.cluster = cluster;
     this.random = random;
     this.answerRandom = answerRandom;
+    this.crowds = crowds;
     this.timers = timers;
     faults.add(this::pauseRelay);
     faults.add(this::killRelay);
@@ -69,6 +75,11 @@
     timers.schedule(end, random.nextInt(MAX_FAULT_DURATION_MILLIS), TimeUnit.MILLISECONDS);
   }
 
+  /** Starts one crowd of callers and schedules its end. */
+  void startCrowd() {
+    timers.schedule(crowds.start(), MAX_FAULT_DURATION_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   /** Starts one fault of the answers of an endpoint, or kills it, and schedules the end. */
   void startAnswerFault() {
     FaultyEndpointProcess endpoint =
