Callers' connections: a reason of its own for the limit on connections

A relay logged the close of the connection that was idle longest as answer-not-taken, which sends the reader of the log to slow callers. It is now connection-limit. A limit on descriptors that the system does not tell counts as unknown and not as one connection.

--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnection.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnection.java
@@ -300,6 +300,11 @@
       return !closing && requestsInProgress.isEmpty() && unsentBytes == 0;
     }
 
+    @Override
+    public void closeIdle() {
+      disconnect();
+    }
+
     @Override
     public void disconnect() {
       CallerConnection.this.disconnect();
--- a/ingress/src/main/java/io/zinniawood/ingress/CallerMemory.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/CallerMemory.java
@@ -47,7 +47,7 @@
       connections.stream()
           .filter(ConnectionMemory::idle)
           .findFirst()
-          .ifPresent(ConnectionMemory::disconnect);
+          .ifPresent(ConnectionMemory::closeIdle);
     }
   }
 
--- a/ingress/src/main/java/io/zinniawood/ingress/ConnectionMemory.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/ConnectionMemory.java
@@ -42,6 +42,9 @@
 
     /** Returns whether no request is in progress and all answers are sent. */
     boolean idle();
+
+    /** Closes the idle connection, as callers have too many. */
+    void closeIdle();
   }
 
   ConnectionMemory(CallerMemory budget, Owner owner) {
@@ -81,6 +84,10 @@
     return owner.idle();
   }
 
+  void closeIdle() {
+    owner.closeIdle();
+  }
+
   /** Releases all parts; the connection is closed. */
   public void close() {
     for (Part part : Part.values()) {
--- a/ingress/src/main/java/io/zinniawood/ingress/DescriptorLimit.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/DescriptorLimit.java
@@ -24,11 +24,14 @@
     OperatingSystemMXBean system = ManagementFactory.getOperatingSystemMXBean();
     return system instanceof UnixOperatingSystemMXBean unix
         ? of(unix.getMaxFileDescriptorCount())
-        : new DescriptorLimit(MAX_CONNECTIONS, MAX_ACCEPTED);
+        : of(0);
   }
 
-  /** Returns the shares of a number of descriptors. */
+  /** Returns the shares of a number of descriptors, 0 or less if it is unknown. */
   static DescriptorLimit of(long descriptors) {
+    if (descriptors <= 0) {
+      return new DescriptorLimit(MAX_CONNECTIONS, MAX_ACCEPTED);
+    }
     long part = Math.max(1, descriptors / DIVISOR);
     return new DescriptorLimit(
         (int) Math.min(MAX_CONNECTIONS, part * CONNECTIONS_FACTOR),
--- /dev/null
+++ b/ingress/src/test/java/io/zinniawood/ingress/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the limits on callers' connections. */
+package io.zinniawood.ingress;
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -385,6 +385,11 @@
     close(ConnectionClose.Reason.ANSWER_NOT_TAKEN, "unsentBytes " + unsentBytes());
   }
 
+  @Override
+  public void closeIdle() {
+    close(ConnectionClose.Reason.CONNECTION_LIMIT, "");
+  }
+
   @Override
   public void giveWay() {
     refuseInput("memory-short", CallerAnswers::memoryShort);
--- a/relay/src/main/java/io/zinniawood/relay/internal/ConnectionClose.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/ConnectionClose.java
@@ -38,6 +38,8 @@
     CALLER_LEFT_QUEUE("caller-left-queue"),
     /** The last answer said that the connection closes; what arrived after it is dropped. */
     CLOSE_ANNOUNCED("close-announced"),
+    /** The connection was idle for longest when callers had too many connections. */
+    CONNECTION_LIMIT("connection-limit"),
     /** The process drains and the connection is idle. */
     DRAINING("draining"),
     /** The connection was idle for longer than the idle timeout. */
--- a/relay/src/test/java/io/zinniawood/relay/internal/MemoryBudgetTest.java
+++ b/relay/src/test/java/io/zinniawood/relay/internal/MemoryBudgetTest.java
@@ -50,6 +50,11 @@
     public boolean idle() {
       return true;
     }
+
+    @Override
+    public void closeIdle() {
+      memory.close();
+    }
   }
 
   // Guards against a share of heads that ignores the heap, and against a log line for each refusal.
