--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnections.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnections.java
@@ -84,7 +84,8 @@
     this.shortages = shortages;
   }
 
-  private Shares newShares() {
+  /** Returns the unused shares of one event loop. */
+  Shares newShares() {
     long directBytes = limits.directMemoryBytes() / limits.eventLoops();
     long heapBytes = limits.heapBytes() / limits.eventLoops();
     long minBytes = (long) limits.maxBodyBytes() * MIN_BODIES;
@@ -103,8 +104,13 @@
 
   @Override
   public void install(Channel connection) {
-    Shares shares =
-        sharesByLoop.computeIfAbsent((EventLoop) connection.eventLoop(), loop -> newShares());
+    install(
+        connection,
+        sharesByLoop.computeIfAbsent((EventLoop) connection.eventLoop(), loop -> newShares()));
+  }
+
+  /** Prepares a connection that counts against the given shares. */
+  void install(Channel connection, Shares shares) {
     Queue<HttpMethod> unanswered = new ArrayDeque<>();
     CallerConnection handler =
         new CallerConnection(shares, limits.maxBodyBytes(), unanswered, refusals);
