Relay: a drain does not wait for requests that are never completed

What callers and operators saw: a relay that was told to stop did not end before the end of its grace period (30 s by default) while callers sent heads or bodies byte by byte; it served nobody meanwhile.

Cause: after the last request in progress has ended, the drain waits for connections with a partly received request, however slowly it arrives. In trials with a log line for each connection of the drain, all had a body in progress whose last byte was 0 to 26 ms old.

Change: 2.5 s after that point such requests are refused with 503 "draining" and Retry-After; they have not run. A request that becomes complete before is served as until now.

Evidence: CallerCrowdTest#drainBesideCrowds with a grace period of 3,600 s and callers that take 100 s: the relay did not end within 60 s before, the test now takes 9 s. EntryCrowdTest#drainBesideCrowds passes with and without.

--- a/dist/src/test/java/io/zinniawood/dist/CallerCrowdTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/CallerCrowdTest.java
@@ -64,6 +64,7 @@
         admin = "%s"
         store = "%s"
         first_start = "true"
+        grace_s = 3600
         """
             .formatted(callersAddress, adminAddress, store.address());
     Path file = Files.writeString(folder.resolve("relay.toml"), settings);
@@ -187,8 +188,8 @@
   // Guards against a drain that waits for callers which never finish.
   @Test
   void drainBesideCrowds() throws Exception {
-    check.join(callersAddress, 30, new CallerCrowd.Bytes(GET, "a:\r\n", 2_000, 5));
-    check.join(callersAddress, 30, new CallerCrowd.Bytes(CHUNKED, "1\r\nx\r\n", 2_000, 5));
+    check.join(callersAddress, 30, new CallerCrowd.Bytes(GET, "a:\r\n", 20_000, 5));
+    check.join(callersAddress, 30, new CallerCrowd.Bytes(CHUNKED, "1\r\nx\r\n", 20_000, 5));
     check.join(callersAddress, 30, new CallerCrowd.Bytes("", GET + "\r\n", 1_000, 5));
     check.awaitOrdinaryAnswer();
     check.drains();
--- a/dist/src/test/java/io/zinniawood/dist/EntryCrowdTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/EntryCrowdTest.java
@@ -194,8 +194,8 @@
   @Test
   void drainBesideCrowds() throws Exception {
     NodeAddress callers = address(entry.callersUri());
-    check.join(callers, 30, new CallerCrowd.Bytes(GET, "a:\r\n", 2_000, 5));
-    check.join(callers, 30, new CallerCrowd.Bytes(CHUNKED, "1\r\nx\r\n", 2_000, 5));
+    check.join(callers, 30, new CallerCrowd.Bytes(GET, "a:\r\n", 20_000, 5));
+    check.join(callers, 30, new CallerCrowd.Bytes(CHUNKED, "1\r\nx\r\n", 20_000, 5));
     check.join(callers, 30, new CallerCrowd.Bytes("", (GET + "\r\n").repeat(10), 1_000, 5));
     check.awaitOrdinaryAnswer();
     check.drains();
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswers.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerAnswers.java
@@ -29,6 +29,9 @@
   /** Retry-After, in milliseconds, of a request whose body finds no memory. */
   private static final long MEMORY_RETRY_MILLIS = 1_000;
 
+  /** Retry-After, in milliseconds, of a request that a stopping relay refuses, as in the core. */
+  private static final long DRAINING_RETRY_MILLIS = 200;
+
   private CallerAnswers() {}
 
   /** Returns the interim answer that asks for the body. */
@@ -67,6 +70,11 @@
     return local(LocalAnswer.notRun("memory-short", MEMORY_RETRY_MILLIS));
   }
 
+  /** Returns the refusal of a request that is not received completely when the process stops. */
+  static FullHttpResponse draining() {
+    return local(LocalAnswer.notRun("draining", DRAINING_RETRY_MILLIS));
+  }
+
   /** Returns an answer that the relay generated. */
   static FullHttpResponse local(LocalAnswer answer) {
     String reason = "{\"reason\":\"" + answer.reason() + "\"}";
--- a/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/CallerHandler.java
@@ -341,6 +341,13 @@
     }
   }
 
+  /** Refuses a request that is partly received, as the process is to stop; it has not run. */
+  public void refuseUnfinished() {
+    if (exchange == null && !closing && busy()) {
+      rejectAndClose(CallerAnswers.draining());
+    }
+  }
+
   /** Refuses a request that was not read completely, so it has not run. */
   private void refuseForMemory() {
     rejectAndClose(CallerAnswers.memoryShort());
--- a/relay/src/main/java/io/zinniawood/relay/internal/ConnectionClosing.java
+++ b/relay/src/main/java/io/zinniawood/relay/internal/ConnectionClosing.java
@@ -8,7 +8,8 @@
 
 /**
  * Closes the callers' connections of a process that is to stop. Connections close once their
- * answers are sent, and quiet ones after a while; the process may exit when none is left.
+ * answers are sent, and quiet ones after a while. Requests that are still received then are
+ * refused. The process may exit when no connection is left.
  */
 public final class ConnectionClosing {
   /** Time after the request to terminate at which idle connections are closed first. */
@@ -17,6 +18,12 @@
   /** Time without bytes for a connection to count as idle; a request may be on its way before. */
   private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  /**
+   * Time after the end of the last request in progress for which requests that are partly received
+   * may become complete. Callers that send slowly would otherwise hold the process until its kill.
+   */
+  private static final long UNFINISHED_MILLIS = 2_500;
+
   private static final long CHECK_INTERVAL_MILLIS = 10;
 
   /** Part of the grace period that is left for the exit itself. */
@@ -73,9 +80,17 @@
 
   /** Closes all connections; must be called on the event loop once the port is closed. */
   public void start() {
+    loop.schedule(
+        () -> List.copyOf(callers).forEach(CallerHandler::refuseUnfinished),
+        UNFINISHED_MILLIS,
+        TimeUnit.MILLISECONDS);
+    awaitClosed();
+  }
+
+  private void awaitClosed() {
     closeQuiet();
     if (!callers.isEmpty() && System.nanoTime() - endNanos < 0) {
-      loop.schedule(this::start, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(this::awaitClosed, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
       return;
     }
     onClosed.accept(
