--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnections.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnections.java
@@ -22,9 +22,6 @@
 public final class CallerConnections implements ConnectionSetup {
   private static final int MAX_REQUEST_LINE_BYTES = 8_192;
 
-  /** Limit of the decoder; the routes reject headers above a lower limit. */
-  private static final int MAX_DECODED_HEADER_BYTES = 65_536;
-
   /** Share of the heap for heads and for bodies of requests in progress. */
   private static final int HEAP_DIVISOR = 4;
 
@@ -117,7 +114,7 @@
     HttpDecoderConfig config =
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-            .setMaxHeaderSize(MAX_DECODED_HEADER_BYTES);
+            .setMaxHeaderSize(HttpServer.MAX_DECODED_HEADER_BYTES);
     CallerRequestDecoder decoder =
         new CallerRequestDecoder(config, RequestHeaders.MAX_HEADER_BYTES, unanswered, handler);
     handler.decodedBy(decoder);
--- a/entry/src/main/java/io/zinniawood/entry/internal/http/HttpServer.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/HttpServer.java
@@ -16,7 +16,7 @@
    * Limit of Netty's decoder, which truncates a longer header. The routes reject headers above
    * {@link RequestHeaders#MAX_HEADER_BYTES}, which is well below this limit.
    */
-  private static final int MAX_DECODED_HEADER_BYTES = 65_536;
+  static final int MAX_DECODED_HEADER_BYTES = 65_536;
 
   private static final int MIN_BUFFER_BYTES = 16_384;
 
