Relay: a caller's request takes a second descriptor

Its callers send a request each, which opens a connection to an endpoint; three quarters of the descriptors for callers leave no room for as many connections to endpoints.

The check, its crowd and its bound are unchanged.

--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -66,6 +66,9 @@
 
   private static final int CALLER_IO_THREADS = 2;
   private static final int ADMIN_IO_THREADS = 1;
+  /** All requests share the connections to agents. */
+  private static final int DESCRIPTORS_PER_CALLER = 1;
+
   private static final int ADMIN_MAX_BODY_BYTES = 1_024;
 
   /** Above the number of connections at which the oldest one gives way. */
@@ -224,7 +227,7 @@
   private HttpServer startCallerServer() {
     EntrySettings settings = dependencies.settings();
     RequestIdGenerator ids = new RequestIdGenerator();
-    DescriptorLimit descriptors = DescriptorLimit.ofProcess();
+    DescriptorLimit descriptors = DescriptorLimit.ofProcess(DESCRIPTORS_PER_CALLER);
     MemoryShortages shortages =
         new MemoryShortages(dependencies.logger(), dependencies.clockNanos());
     metrics.registerGauge("zinniawood_memory_refusals", shortages::refusals);
--- a/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
+++ b/relay/src/main/java/io/zinniawood/relay/RelayProcess.java
@@ -57,6 +57,9 @@
 
   private static final int ACCEPT_BACKLOG = 1_024;
 
+  /** The connection of the caller, and that to the endpoint of its request. */
+  private static final int DESCRIPTORS_PER_CALLER = 2;
+
   private final RelayAddresses addresses;
   private final Optional<NodeAddress> peerAddress;
   private final DecisionLog log;
@@ -93,7 +96,7 @@
     this.peerAddress = parameters.peerAddress();
     this.log = log;
     this.loop = (EventLoop) group.next();
-    DescriptorLimit descriptors = DescriptorLimit.ofProcess();
+    DescriptorLimit descriptors = DescriptorLimit.ofProcess(DESCRIPTORS_PER_CALLER);
     callerAccepts.maxMessagesPerRead(descriptors.maxAccepted());
     this.memory =
         new MemoryBudget(
