--- a/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
+++ b/entry/src/main/java/io/zinniawood/entry/EntryProcess.java
@@ -66,6 +66,7 @@
 
   private static final int CALLER_IO_THREADS = 2;
   private static final int ADMIN_IO_THREADS = 1;
+
   /** All requests share the connections to agents. */
   private static final int DESCRIPTORS_PER_CALLER = 1;
 
