CallerConnection: what is unsent is known to the account of its answers

The handler counted unsent bytes in a field beside the account that it gives the same numbers. It now asks the account, by a method that had no caller. Behaviour as before; unit tests of entry, relay and ingress pass.

--- a/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnection.java
+++ b/entry/src/main/java/io/zinniawood/entry/internal/http/CallerConnection.java
@@ -54,7 +54,6 @@
   private ChannelHandlerContext context;
   private HttpRequest head;
   private AccountedBytes body;
-  private long unsentBytes;
   private boolean closing;
 
   /**
@@ -183,16 +182,12 @@
   private void countUntilSent(long bytes, ChannelPromise promise, Object message) {
     ChannelFuture unused = context.write(message, promise);
     if (!promise.isDone()) {
-      addUnsent(bytes);
-      ChannelPromise unusedToo = promise.addListener(sent -> addUnsent(-bytes));
+      answerMemory.add(Part.ANSWERS, bytes);
+      ChannelPromise unusedToo =
+          promise.addListener(sent -> answerMemory.add(Part.ANSWERS, -bytes));
     }
   }
 
-  private void addUnsent(long bytes) {
-    unsentBytes += bytes;
-    answerMemory.add(Part.ANSWERS, bytes);
-  }
-
   /** Pauses reading while the caller does not take its answers. */
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext changed) {
@@ -297,7 +292,7 @@
 
     @Override
     public boolean idle() {
-      return !closing && requestsInProgress.isEmpty() && unsentBytes == 0;
+      return !closing && requestsInProgress.isEmpty() && answerMemory.heldBytes() == 0;
     }
 
     @Override
--- a/ingress/src/main/java/io/zinniawood/ingress/ConnectionMemory.java
+++ b/ingress/src/main/java/io/zinniawood/ingress/ConnectionMemory.java
@@ -97,7 +97,8 @@
     budget.closed(this);
   }
 
-  long heldBytes() {
+  /** Returns the size of all parts, in bytes. */
+  public long heldBytes() {
     return heldBytes;
   }
 
