Crowd tests: one loop over seeds, one place for the limits of a small entry

CrowdSoak repeated the loop of RelaySoak. EntryCrowdTest and PeerCrowdTest repeated the options and the memory bound of their entry, with a comment that called the heap a quarter of the launcher's, which is 224 MB by now. Options, bounds, crowds and assertions are unchanged.

--- a/dist/src/test/java/io/zinniawood/dist/CrowdCheck.java
+++ b/dist/src/test/java/io/zinniawood/dist/CrowdCheck.java
@@ -20,6 +20,16 @@
   /** Limit against a hang; far above the timeouts that end some of the crowds. */
   private static final long ANSWER_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+  /** Options of an entry whose heap and direct memory a small crowd fills. */
+  static final String SMALL_ENTRY_OPTIONS =
+      "-Xmx64m -XX:MaxDirectMemorySize=16m -XX:+ExitOnOutOfMemoryError";
+
+  /**
+   * Memory of the smallest VM of an entry, 430 MB, less the 240 MB by which the options are below a
+   * heap of 256 MB and a direct memory of 64 MB.
+   */
+  static final long SMALL_ENTRY_BYTES = 190_000_000;
+
   private final RoleProcess process;
   private final Bounds bounds;
   private final BooleanSupplier ordinaryAnswered;
--- a/dist/src/test/java/io/zinniawood/dist/EntryCrowdTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/EntryCrowdTest.java
@@ -11,19 +11,13 @@
 
 /** Tests an entry process with a small heap beside callers that use up its memory. */
 final class EntryCrowdTest {
-  /**
-   * A quarter of the heap and direct memory of the launcher, and few descriptors, so that a small
-   * crowd uses them up.
-   */
+  /** Few, so that a small crowd uses them up. */
+  private static final int DESCRIPTORS = 300;
+
   private static final RoleProcess.Limits LIMITS =
-      new RoleProcess.Limits(
-          "-Xmx64m -XX:MaxDirectMemorySize=16m -XX:+ExitOnOutOfMemoryError", 300);
-
-  /**
-   * Memory of the smallest VM of an entry, 430 MB, less the 240 MB by which the options lower the
-   * heap and the direct memory.
-   */
-  private static final CrowdCheck.Bounds BOUNDS = new CrowdCheck.Bounds(190_000_000, 300);
+      new RoleProcess.Limits(CrowdCheck.SMALL_ENTRY_OPTIONS, DESCRIPTORS);
+  private static final CrowdCheck.Bounds BOUNDS =
+      new CrowdCheck.Bounds(CrowdCheck.SMALL_ENTRY_BYTES, DESCRIPTORS);
 
   private static final int CALLERS = 100;
   private static final String KEY = "Authorization: Bearer " + ProcessCluster.API_KEY + "\r\n";
--- a/dist/src/test/java/io/zinniawood/dist/PeerCrowdTest.java
+++ b/dist/src/test/java/io/zinniawood/dist/PeerCrowdTest.java
@@ -1,6 +1,5 @@
 package io.zinniawood.dist;
 
-import io.zinniawood.core.model.NodeAddress;
 import io.zinniawood.wire.generated.WireProto;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -15,16 +14,12 @@
  * memory.
  */
 final class PeerCrowdTest {
-  /** A quarter of the heap and direct memory of the launcher, so that a small crowd fills them. */
   private static final RoleProcess.Limits ENTRY_LIMITS =
-      new RoleProcess.Limits(
-          "-Xmx64m -XX:MaxDirectMemorySize=16m -XX:+ExitOnOutOfMemoryError", Integer.MAX_VALUE);
+      new RoleProcess.Limits(CrowdCheck.SMALL_ENTRY_OPTIONS, Integer.MAX_VALUE);
 
-  /**
-   * Memory of the smallest VM of an entry, 430 MB, less the 240 MB by which the options lower the
-   * heap and the direct memory, and its descriptors.
-   */
-  private static final CrowdCheck.Bounds ENTRY_BOUNDS = new CrowdCheck.Bounds(190_000_000, 4_100);
+  /** Bounds of a small entry, and the descriptors of its VM. */
+  private static final CrowdCheck.Bounds ENTRY_BOUNDS =
+      new CrowdCheck.Bounds(CrowdCheck.SMALL_ENTRY_BYTES, 4_100);
 
   /** Memory of an agent at the design size, and the descriptors of its VM. */
   private static final CrowdCheck.Bounds AGENT_BOUNDS = new CrowdCheck.Bounds(128_000_000, 4_096);
@@ -98,8 +93,7 @@
   }
 
   private void agentWithstands(CallerCrowd.Bytes bytes) throws Exception {
-    NodeAddress address = endpoint.peers();
-    agentCheck.withstands(address, CONNECTIONS, bytes);
+    agentCheck.withstands(endpoint.peers(), CONNECTIONS, bytes);
   }
 
   // Guards against large frames that are collected for connections without a handshake.
--- a/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/RelaySoak.java
@@ -43,10 +43,20 @@
 
   /** Runs the seeds of the arguments; the exit code is 1 if a run found a violation. */
   public static void main(String[] args) throws Exception {
+    runSeeds(args, faults -> {});
+  }
+
+  /**
+   * Runs the seeds from the first to the last argument and exits with code 1 if a run found a
+   * violation, with 0 otherwise.
+   *
+   * @param besideEachFault starts further faults beside each one
+   */
+  static void runSeeds(String[] args, Consumer<SoakFaults> besideEachFault) throws Exception {
     PrintStream output = System.out;
     int failures = 0;
     for (long seed = Long.parseLong(args[0]); seed <= Long.parseLong(args[1]); seed++) {
-      List<String> violations = runSeed(seed, RECOVERY_SECONDS, faults -> {});
+      List<String> violations = runSeed(seed, RECOVERY_SECONDS, besideEachFault);
       output.println("seed " + seed + ": " + (violations.isEmpty() ? "no violations" : violations));
       failures += violations.isEmpty() ? 0 : 1;
     }
