--- a/review/src-2/review2/SilentRemoval.java
+++ b/review/src-2/review2/SilentRemoval.java
@@ -53,18 +53,19 @@
       run.sleepUntil(base + 12.3);
       leaver.leave();
       long left = System.nanoTime();
-      run.log("%s has left: its entry is removed, it goes on serving for 7 s", leaver.id);
-      run.sleepUntil(base + 19.3);
+      run.log("%s has left: its entry is removed, it goes on serving for 3.3 s", leaver.id);
+      run.sleepUntil(base + 15.6);
       leaver.close();
       run.log("%s exits", leaver.id);
-      run.sleepUntil(base + 20);
+      run.sleepUntil(base + 18);
       run.stopTraffic();
-      run.sleepUntil(base + 22);
+      run.sleepUntil(base + 20);
       // In touch again 3 s after the channels fell silent; the bound for a replica is 2 s.
       long inTouch = silent + 3_050_000_000L;
       long all = 0;
       for (Relay relay : relays) {
         long late = 0;
+        long lost = 0;
         double last = 0;
         for (Replica.Arrival arrival : leaver.arrivals) {
           Case.Sent sent = run.sent.get(arrival.attempt());
@@ -73,10 +74,13 @@
               && arrival.nanos() - left > 2_300_000_000L) {
             late++;
             last = (arrival.nanos() - left) / 1e9;
+            lost += sent.status == 200 ? 0 : 1;
           }
         }
-        run.log("%s: %d late requests, the last %.3f s after the removal", relay.vm, late, last);
-        System.out.printf("%s: %d late, last %.3f s%n", relay.vm, late, last);
+        run.log(
+            "%s: %d late requests, the last %.3f s after the removal; %d of them not answered 200",
+            relay.vm, late, last, lost);
+        System.out.printf("%s: %d late, last %.3f s, %d lost%n", relay.vm, late, last, lost);
         all += late;
       }
       run.logRequests();
