--- a/review/src-2/review2/LateCheckIns.java
+++ b/review/src-2/review2/LateCheckIns.java
@@ -56,6 +56,9 @@
         store.put("servers", leaver.id, leaver.row(lost2));
         run.log("the store performs check-in %d", lost2);
       }
+      run.sleepUntil(base + 10.9);
+      leaver.close();
+      run.log("%s exits", leaver.id);
       run.sleepUntil(base + 12.2);
       store.remove("servers", leaver.id);
       run.log("the entry of %s is removed after three intervals of silence", leaver.id);
@@ -64,10 +67,15 @@
       run.sleepUntil(base + 16);
       long late =
           leaver.arrivals.stream().filter(arrival -> arrival.nanos() - left > 2_300_000_000L).count();
+      long lost =
+          leaver.arrivals.stream()
+              .filter(arrival -> run.sent.get(arrival.attempt()).status != 200)
+              .count();
       run.logRequests();
       replicas.forEach(run::logArrivals);
       run.log("requests at %s more than 2.3 s after its removal: %d", leaver.id, late);
-      System.out.println("late requests: " + late);
+      run.log("requests that %s ran and that were not answered 200: %d", leaver.id, lost);
+      System.out.println("late requests: " + late + ", lost: " + lost);
       return late > 0 ? 1 : 0;
     }
   }
