Relay: log where a removal was read, and what an ignored shared read held

A relay that had missed a removal could not be told from one that had lost a datagram: endpoint-removed did not say who had read the removal, and peer-read-ignored did not name the removals of the message. endpoint-removed now has source and version; peer-read-ignored has after and removed.

--- a/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
+++ b/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
@@ -20,19 +20,29 @@
     }
     for (TrackedEndpoint known : turn.state.fleet.all()) {
       if (!present.contains(known.id())) {
-        logRemoval(turn, known.id());
+        logRemoval(turn, known.id(), "list", version);
       }
     }
     logIgnored(turn, turn.state.fleet.replaceAll(endpoints, version, turn.nowNanos));
   }
 
+  /**
+   * Applies changes of the endpoint list.
+   *
+   * @param source where the changes were read: "feed", or the VM of the relay that shared them
+   * @param version version of the store up to which the changes are complete
+   */
   static void endpointsChanged(
-      RelayTurn turn, List<FleetEndpoint> changed, List<EndpointId> removed) {
+      RelayTurn turn,
+      List<FleetEndpoint> changed,
+      List<EndpointId> removed,
+      String source,
+      StoreVersion version) {
     for (FleetEndpoint endpoint : changed) {
       logChange(turn, endpoint);
     }
     for (EndpointId id : removed) {
-      logRemoval(turn, id);
+      logRemoval(turn, id, source, version);
     }
     logIgnored(turn, turn.state.fleet.applyChanges(changed, removed, turn.nowNanos));
   }
@@ -116,8 +126,17 @@
         endpoint.rowVersion());
   }
 
-  private static void logRemoval(RelayTurn turn, EndpointId id) {
+  private static void logRemoval(
+      RelayTurn turn, EndpointId id, String source, StoreVersion version) {
     turn.log(
-        "endpoint-removed", "endpoint", id.value(), "known", turn.state.fleet.find(id).isPresent());
+        "endpoint-removed",
+        "endpoint",
+        id.value(),
+        "known",
+        turn.state.fleet.find(id).isPresent(),
+        "source",
+        source,
+        "version",
+        version);
   }
 }
--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Keeps the routes and the endpoint list up to date. Calls to the store are limited and shared by
@@ -100,7 +101,7 @@
     }
     List<SharedRead> reads = sharedReads(turn, event);
     turn.state.endpointsVersion = Optional.of(event.version());
-    FleetUpdates.endpointsChanged(turn, event.changed(), event.removed());
+    FleetUpdates.endpointsChanged(turn, event.changed(), event.removed(), "feed", event.version());
     for (SharedRead read : reads) {
       PeerExchange.send(turn, Optional.of(read));
     }
@@ -243,10 +244,14 @@
           "peer-read-ignored",
           "vm",
           message.vm().value(),
+          "after",
+          read.afterVersion(),
           "version",
           read.version(),
           "known",
-          known);
+          known,
+          "removed",
+          read.removed().stream().map(EndpointId::value).collect(Collectors.joining(",")));
       return;
     }
     available(turn);
@@ -261,7 +266,8 @@
               endpoint ->
                   changed.add(endpoint.entry().asOf(heartbeat.sequence(), heartbeat.rowVersion())));
     }
-    FleetUpdates.endpointsChanged(turn, changed, read.removed());
+    FleetUpdates.endpointsChanged(
+        turn, changed, read.removed(), message.vm().value(), read.version());
   }
 
   private static boolean knowsAll(RelayTurn turn, SharedRead read) {
