Shared reads: a removal goes with the version that it belongs to

Cause: a long read is split into messages by version. All removals went into the first message, whatever their version. A relay that had read on itself dropped this message as old, applied the later ones and so moved its version past a removal that it had never seen. Its own reads begin after that version.

Change: an event of the feed carries the version of each removal. SharedReads puts each change, removals included, into the message whose range of versions holds it, and splits only between two versions. A removal of unknown version goes into the last message. Messages are now split by the size of their entries, so that those with long ids or many removals fit into a packet too.

RelayPeersTest.removalOfLongReadReachesRelayThatHasReadOnItself fails if the removals are put into the first message again (trial on a scratch copy). PeerMessageCodecTest.messagesOfLongReadFitIntoPackets replaces largestMessageFitsIntoPacket: it has the same bound and encodes the messages of a real read, with ids of 12 and 200 characters, where the former test built one message by hand.

--- a/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
+++ b/core/src/main/java/io/zinniawood/core/relay/RelayEvent.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.fleet.RemovedEntry;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.EndpointIncarnation;
 import io.zinniawood.core.id.StoreVersion;
@@ -68,7 +69,7 @@
    */
   record EndpointsChanged(
       List<FleetEndpoint> changed,
-      List<EndpointId> removed,
+      List<RemovedEntry> removed,
       StoreVersion afterVersion,
       StoreVersion version,
       long storeMillis)
--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.relay;
 
 import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.fleet.RemovedEntry;
 import io.zinniawood.core.fleet.TrackedEndpoint;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.StoreVersion;
@@ -44,12 +45,6 @@
   /** Consecutive failed reads of the endpoints after which the store counts as lost. */
   private static final int FAILURES_UNTIL_LOST = 2;
 
-  /** Maximum number of entries in a message between relays, so that it fits into a packet. */
-  private static final int MAX_ENTRIES_PER_MESSAGE = 50;
-
-  /** Entries that take the space of one changed entry, relative to a heartbeat. */
-  private static final int CHANGED_ENTRY_WEIGHT = 4;
-
   private StoreReads() {}
 
   static void tick(RelayTurn turn) {
@@ -95,18 +90,25 @@
     if (!answered(turn, event.version(), event.storeMillis())) {
       return;
     }
+    RelayState state = turn.state;
     if (!event.afterVersion().sameEra(event.version())) {
-      turn.state.endpointReads.invalidate();
+      state.endpointReads.invalidate();
       return;
     }
-    List<SharedRead> reads = sharedReads(turn, event);
-    turn.state.endpointsVersion = Optional.of(event.version());
-    FleetUpdates.endpointsChanged(turn, event.changed(), event.removed(), "feed", event.version());
+    List<SharedRead> reads =
+        SharedReads.split(event, event.afterVersion(), entry -> onlyCheckIn(turn, entry));
+    state.endpointsVersion = Optional.of(event.version());
+    FleetUpdates.endpointsChanged(
+        turn, event.changed(), ids(event.removed()), "feed", event.version());
     for (SharedRead read : reads) {
       PeerExchange.send(turn, Optional.of(read));
     }
   }
 
+  private static List<EndpointId> ids(List<RemovedEntry> removed) {
+    return removed.stream().map(RemovedEntry::id).toList();
+  }
+
   /** Records an answer about the endpoints; returns whether it is of the present era. */
   private static boolean answered(RelayTurn turn, StoreVersion version, long storeMillis) {
     RelayState state = turn.state;
@@ -230,98 +232,87 @@
       return;
     }
     StoreVersion known = state.endpointsVersion.get();
-    if (read.afterVersion().isAfter(known) || !knowsAll(turn, read)) {
+    if (read.afterVersion().isAfter(known)) {
       // A message was lost.
       state.endpointReads.invalidate();
       return;
     }
-    state.storeClock.observe(read.storeMillis(), turn.nowNanos);
-    long ageMillis = state.storeClock.ageMillis(read.storeMillis(), turn.nowNanos);
-    state.endpointReads.confirmed(turn.nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis));
     if (!read.version().isAfter(known)) {
-      state.ignoredLog.log(
-          turn,
-          "peer-read-ignored",
-          "vm",
-          message.vm().value(),
-          "after",
-          read.afterVersion(),
-          "version",
-          read.version(),
-          "known",
-          known,
-          "removed",
-          read.removed().stream().map(EndpointId::value).collect(Collectors.joining(",")));
+      confirm(turn, read);
+      if (!read.version().equals(known)) {
+        logIgnored(turn, message.vm().value(), read.afterVersion(), read.version(), read.removed());
+      }
+      return;
+    }
+    Optional<List<FleetEndpoint>> changed = changedEntries(turn, read, known);
+    if (changed.isEmpty()) {
+      state.endpointReads.invalidate();
       return;
     }
+    confirm(turn, read);
     available(turn);
     state.fleet.storeAnsweredElsewhere(message.storeSteadyMillis(), turn.nowNanos);
     state.endpointsVersion = Optional.of(read.version());
-    List<FleetEndpoint> changed = new ArrayList<>(read.changed());
-    for (SharedRead.Heartbeat heartbeat : read.heartbeats()) {
-      state
-          .fleet
-          .find(heartbeat.endpoint())
-          .ifPresent(
-              endpoint ->
-                  changed.add(endpoint.entry().asOf(heartbeat.sequence(), heartbeat.rowVersion())));
-    }
     FleetUpdates.endpointsChanged(
-        turn, changed, read.removed(), message.vm().value(), read.version());
+        turn, changed.get(), read.removed(), message.vm().value(), read.version());
   }
 
-  private static boolean knowsAll(RelayTurn turn, SharedRead read) {
-    for (SharedRead.Heartbeat heartbeat : read.heartbeats()) {
-      boolean known =
-          turn.state
-              .fleet
-              .find(heartbeat.endpoint())
-              .filter(found -> found.entry().rowVersion().sameEra(heartbeat.rowVersion()))
-              .isPresent();
-      if (!known) {
-        return false;
-      }
-    }
-    return true;
+  /** Counts the view as fresh from the time at which the store gave the answer. */
+  private static void confirm(RelayTurn turn, SharedRead read) {
+    RelayState state = turn.state;
+    state.storeClock.observe(read.storeMillis(), turn.nowNanos);
+    long ageMillis = state.storeClock.ageMillis(read.storeMillis(), turn.nowNanos);
+    state.endpointReads.confirmed(turn.nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis));
+  }
+
+  private static void logIgnored(
+      RelayTurn turn,
+      String reader,
+      StoreVersion after,
+      StoreVersion version,
+      List<EndpointId> removed) {
+    turn.state.ignoredLog.log(
+        turn,
+        "peer-read-ignored",
+        "vm",
+        reader,
+        "after",
+        after,
+        "version",
+        version,
+        "known",
+        turn.state.endpointsVersion.map(StoreVersion::toString).orElse("none"),
+        "removed",
+        removed.stream().map(EndpointId::value).collect(Collectors.joining(",")));
   }
 
   /**
-   * Splits the changes into messages. The entries are in the order of their versions, so each
-   * message is complete up to the version of its last entry.
+   * Returns the entries that a shared read changes, or empty if this relay lacks the entry that a
+   * heartbeat continues, so that it must read the store itself.
    */
-  private static List<SharedRead> sharedReads(RelayTurn turn, RelayEvent.EndpointsChanged event) {
-    List<FleetEndpoint> entries = new ArrayList<>(event.changed());
-    entries.sort(
-        (left, right) -> Long.compare(left.rowVersion().number(), right.rowVersion().number()));
-    List<SharedRead> reads = new ArrayList<>();
-    List<FleetEndpoint> changed = new ArrayList<>();
-    List<SharedRead.Heartbeat> heartbeats = new ArrayList<>();
-    // Removals go into the first message: a relay that lacks it reads the store from there on.
-    List<EndpointId> removed = event.removed();
-    StoreVersion after = event.afterVersion();
-    for (FleetEndpoint entry : entries) {
-      int weight = changed.size() * CHANGED_ENTRY_WEIGHT + heartbeats.size();
-      if (weight >= MAX_ENTRIES_PER_MESSAGE) {
-        StoreVersion version = entry.rowVersion().withNumber(entry.rowVersion().number() - 1);
-        reads.add(
-            new SharedRead(after, version, event.storeMillis(), changed, heartbeats, removed));
-        after = version;
-        changed.clear();
-        heartbeats.clear();
-        removed = List.of();
+  private static Optional<List<FleetEndpoint>> changedEntries(
+      RelayTurn turn, SharedRead read, StoreVersion known) {
+    List<FleetEndpoint> changed = new ArrayList<>(read.changed());
+    for (SharedRead.Heartbeat heartbeat : read.heartbeats()) {
+      if (!heartbeat.rowVersion().isAfter(known)) {
+        continue;
       }
-      if (onlyHeartbeat(turn, entry)) {
-        heartbeats.add(new SharedRead.Heartbeat(entry.id(), entry.sequence(), entry.rowVersion()));
-      } else {
-        changed.add(entry);
+      Optional<FleetEndpoint> continued =
+          turn.state
+              .fleet
+              .find(heartbeat.endpoint())
+              .map(TrackedEndpoint::entry)
+              .filter(entry -> entry.rowVersion().sameEra(heartbeat.rowVersion()));
+      if (continued.isEmpty()) {
+        return Optional.empty();
       }
+      changed.add(continued.get().asOf(heartbeat.sequence(), heartbeat.rowVersion()));
     }
-    reads.add(
-        new SharedRead(after, event.version(), event.storeMillis(), changed, heartbeats, removed));
-    return reads;
+    return Optional.of(changed);
   }
 
-  private static boolean onlyHeartbeat(RelayTurn turn, FleetEndpoint entry) {
+  /** Returns whether an entry differs from the known one only by its check-in. */
+  private static boolean onlyCheckIn(RelayTurn turn, FleetEndpoint entry) {
     return turn.state
         .fleet
         .find(entry.id())
--- a/core/src/test/java/io/zinniawood/core/relay/ModelStore.java
+++ b/core/src/test/java/io/zinniawood/core/relay/ModelStore.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.fleet.RemovedEntry;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.StoreVersion;
@@ -122,11 +123,11 @@
       }
     }
     changed.sort(Comparator.comparing(row -> row.rowVersion().number()));
-    List<EndpointId> removed = new ArrayList<>();
+    List<RemovedEntry> removed = new ArrayList<>();
     content.removedNumbers.forEach(
         (id, number) -> {
           if (number > after.number()) {
-            removed.add(id);
+            removed.add(new RemovedEntry(id, version(number)));
           }
         });
     return new RelayEvent.EndpointsChanged(
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -10,6 +10,7 @@
 import io.vavr.control.Option;
 import io.zinniawood.core.entry.LeaseRow;
 import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.fleet.RemovedEntry;
 import io.zinniawood.core.id.EndpointId;
 import io.zinniawood.core.id.FencingNumber;
 import io.zinniawood.core.id.StoreEra;
@@ -290,36 +291,52 @@
         is(new FencingNumber(4)));
   }
 
-  // All relays must end up with the same list, however the changes are split into messages.
-  @Test
-  void readerSendsWhatItReadInCompleteSteps() {
+  /** Returns the messages of a relay that reads 40 new entries, and a removal after them. */
+  private static List<SharedRead> messagesOfLongRead(EndpointId removed, StoreVersion after) {
     RelayHarness reader = new RelayHarness();
     reader.post(
         new RelayEvent.PresencesRead(
             Map.of(new VmId("relay-2"), new PresenceRow(version(3), Optional.of(READER_ADDRESS)))));
-    reader.post(new RelayEvent.EndpointsListed(List.of(), version(100), reader.storeMillis()));
+    reader.post(new RelayEvent.EndpointsListed(List.of(), after, reader.storeMillis()));
     List<FleetEndpoint> changed = new ArrayList<>();
     for (int index = 0; index < 40; index++) {
-      changed.add(reader.plain("p" + index).withRowVersion(version(101 + index)));
+      changed.add(reader.plain("p" + index).withRowVersion(version(after.number() + 1 + index)));
     }
     reader.post(
         new RelayEvent.EndpointsChanged(
             changed,
-            List.of(new EndpointId("gone")),
-            version(100),
-            version(200),
+            List.of(new RemovedEntry(removed, version(after.number() + 50))),
+            after,
+            version(after.number() + 100),
             reader.storeMillis()));
+    return reader.effectsOf(RelayEffect.SendToPeers.class).stream()
+        .flatMap(sent -> sent.message().read().stream())
+        .toList();
+  }
+
+  // All relays must end up with the same list, however the changes are split into messages.
+  @Test
+  void readerSendsWhatItReadInCompleteSteps() {
     StoreVersion known = version(100);
     int entries = 0;
-    for (RelayEffect.SendToPeers sent : reader.effectsOf(RelayEffect.SendToPeers.class)) {
-      if (sent.message().read().isPresent()) {
-        SharedRead read = sent.message().read().get();
-        assertThat(read.afterVersion(), is(known));
-        known = read.version();
-        entries += read.changed().size();
-      }
+    for (SharedRead read : messagesOfLongRead(new EndpointId("gone"), version(100))) {
+      assertThat(read.afterVersion(), is(known));
+      known = read.version();
+      entries += read.changed().size();
     }
     assertThat(known, is(version(200)));
     assertThat(entries, is(40));
   }
+
+  // A relay that had read on itself left out the first message of a long read as known. That
+  // message held all removals, so it used a removed endpoint until the endpoint exited.
+  @Test
+  void removalOfLongReadReachesRelayThatHasReadOnItself() {
+    List<SharedRead> messages = messagesOfLongRead(endpoint.id(), version(1_000));
+    StoreVersion firstEnd = messages.get(0).version();
+    receive(
+        new SharedRead(version, firstEnd, relay.storeMillis(), List.of(), List.of(), List.of()));
+    messages.forEach(this::receive);
+    relay.state().fleet.all().forEach(known -> assertThat(known.id(), is(not(endpoint.id()))));
+  }
 }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayStoreRestoreTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayStoreRestoreTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 
 import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.fleet.RemovedEntry;
 import io.zinniawood.core.id.StoreEra;
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.id.VmId;
@@ -111,7 +112,7 @@
     relay.post(
         new RelayEvent.EndpointsChanged(
             List.of(),
-            List.of(ready(FORMER, 90).id()),
+            List.of(new RemovedEntry(ready(FORMER, 90).id(), version(FORMER, 105))),
             version(FORMER, 100),
             version(FORMER, 110),
             relay.storeMillis()));
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.zinniawood.core.fleet.FleetEndpoint;
+import io.zinniawood.core.fleet.RemovedEntry;
 import io.zinniawood.core.id.AcceleratorKind;
 import io.zinniawood.core.id.DataCentreId;
 import io.zinniawood.core.id.EndpointId;
@@ -33,12 +34,22 @@
 import io.zinniawood.core.quarantine.StartOrder;
 import io.zinniawood.core.relay.LeaseNotice;
 import io.zinniawood.core.relay.PeerMessage;
+import io.zinniawood.core.relay.PresenceRow;
+import io.zinniawood.core.relay.RelayEffect;
+import io.zinniawood.core.relay.RelayEvent;
+import io.zinniawood.core.relay.RelayParameters;
+import io.zinniawood.core.relay.RelayReducer;
+import io.zinniawood.core.relay.RelayState;
+import io.zinniawood.core.relay.SchedulingSettings;
 import io.zinniawood.core.relay.SharedRead;
 import io.zinniawood.wire.generated.RelayProto;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class PeerMessageCodecTest {
   private static final StoreEra ERA = new StoreEra(3);
@@ -49,8 +60,13 @@
 
   private static FleetEndpoint endpoint(
       Optional<AcceleratorKind> accelerator, Optional<LayerRange> layers) {
+    return endpoint(new EndpointId("i-0123456789"), accelerator, layers);
+  }
+
+  private static FleetEndpoint endpoint(
+      EndpointId id, Optional<AcceleratorKind> accelerator, Optional<LayerRange> layers) {
     return new FleetEndpoint(
-        new EndpointId("i-0123456789"),
+        id,
         new ServiceName("service"),
         new NodeAddress("10.1.64.12", 8_429),
         new DataCentreId("helsinki-a"),
@@ -161,21 +177,67 @@
     assertThat(PeerMessageCodec.decode(PeerMessageCodec.encode(message)), is(Optional.of(message)));
   }
 
+  /** Returns the messages of a relay that reads check-ins, new entries and removals at once. */
+  private static List<PeerMessage> messagesOfLongRead(String idFormat) {
+    List<FleetEndpoint> listed = new ArrayList<>();
+    List<FleetEndpoint> changed = new ArrayList<>();
+    List<RemovedEntry> removed = new ArrayList<>();
+    for (int index = 0; index < 300; index++) {
+      EndpointId id = new EndpointId(idFormat.formatted(index));
+      FleetEndpoint entry =
+          endpoint(
+              id, Optional.of(new AcceleratorKind("a100s")), Optional.of(new LayerRange(40, 80)));
+      if (index % 3 < 2) {
+        changed.add(entry.asOf(99_999, version(1_000_000 + index)));
+      } else {
+        removed.add(new RemovedEntry(id, version(1_000_000 + index)));
+      }
+      if (index % 3 == 0) {
+        listed.add(entry.asOf(99_998, version(999_000)));
+      }
+    }
+    VmId vm = new VmId("front-helsinki-a-1");
+    NodeAddress address = new NodeAddress("10.1.0.40", 7_340);
+    RelayState reader =
+        new RelayState(
+            new RelayParameters(
+                vm,
+                new DataCentreId("helsinki-a"),
+                Optional.of(address),
+                false,
+                8_000,
+                SchedulingSettings.AUTO,
+                1));
+    List<PeerMessage> messages = new ArrayList<>();
+    for (RelayEvent event :
+        List.of(
+            new RelayEvent.EndpointsListed(listed, version(999_999), 5_000_000_000L),
+            new RelayEvent.PresencesRead(
+                Map.of(
+                    new VmId("front-tampere-1"),
+                    new PresenceRow(version(3), Optional.of(new NodeAddress("10.3.0.40", 7_340))))),
+            new RelayEvent.EndpointsChanged(
+                changed, removed, version(999_999), version(1_000_400), 5_000_000_010L))) {
+      for (RelayEffect effect : new RelayReducer().reduce(reader, 1, event).effects()) {
+        if (effect instanceof RelayEffect.SendToPeers sent) {
+          messages.add(sent.message());
+        }
+      }
+    }
+    return messages;
+  }
+
   // Fragments of a datagram are lost together, so a message must fit into one packet.
-  @Test
-  void largestMessageFitsIntoPacket() {
-    List<SharedRead.Heartbeat> heartbeats = new ArrayList<>();
-    for (int index = 0; index < 50; index++) {
-      heartbeats.add(
-          new SharedRead.Heartbeat(
-              new EndpointId("i-%010d".formatted(index)), 99_999, version(999_999)));
+  @ParameterizedTest
+  @ValueSource(strings = {"i-%010d", "%0200d"})
+  void messagesOfLongReadFitIntoPackets(String idFormat) {
+    int entries = 0;
+    for (PeerMessage message : messagesOfLongRead(idFormat)) {
+      assertThat(PeerMessageCodec.encode(message).length, lessThanOrEqualTo(1_400));
+      SharedRead read = message.read().orElseThrow();
+      entries += read.changed().size() + read.heartbeats().size() + read.removed().size();
     }
-    byte[] bytes =
-        PeerMessageCodec.encode(
-            message(
-                new SharedRead(
-                    version(1), version(2), 5_000_000_000L, List.of(), heartbeats, List.of())));
-    assertThat(bytes.length, lessThanOrEqualTo(1_400));
+    assertThat(entries, is(300));
   }
 
   private static PeerMessage message(LimitNotice limits) {
