Shared reads: a check-in names the state that it continues

What callers would see: a relay that has missed the message with a change of an endpoint keeps the former state for good, for example that it is not draining, and goes on sending requests there. Not seen with real processes.

Cause: the reader sends an entry as a mere check-in if only its check-in differs from what the reader knows. The reader may have learned the change from another relay in the meantime, while the receiver has not.

Change: a check-in carries a hash of the rest of the entry. A receiver whose entry has another hash reads the store. A relay of an earlier build sends no hash; beside it, relays read the store themselves.

--- a/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
@@ -8,6 +8,7 @@
 import io.zinniawood.core.id.StoreVersion;
 import io.zinniawood.core.model.LayerRange;
 import io.zinniawood.core.model.NodeAddress;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -70,6 +71,25 @@
         version);
   }
 
+  /**
+   * Returns a hash of everything but the check-in and the version of the row. It is equal on all
+   * nodes.
+   */
+  public int contentHash() {
+    return Objects.hash(
+        id.value(),
+        service.value(),
+        address.host(),
+        address.port(),
+        dataCentre.value(),
+        slots,
+        draining,
+        accelerator.map(AcceleratorKind::value).orElse(""),
+        layers.map(LayerRange::fromLayer).orElse(0),
+        layers.map(LayerRange::toLayerExclusive).orElse(0),
+        startedMillis);
+  }
+
   /**
    * Returns whether the endpoint wrote this entry before another one, as far as both tell. The
    * versions of the row do not tell: the store may perform a write seconds after it was sent.
--- a/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SharedRead.java
@@ -34,6 +34,9 @@
    * Entry of the endpoint list of which only the row version and the check-in changed.
    *
    * @param sequence number of the check-in; 0 if unknown
+   * @param contentHash {@link FleetEndpoint#contentHash} of the entry; a receiver whose entry has
+   *     another one cannot use the heartbeat
    */
-  public record Heartbeat(EndpointId endpoint, long sequence, StoreVersion rowVersion) {}
+  public record Heartbeat(
+      EndpointId endpoint, long sequence, StoreVersion rowVersion, int contentHash) {}
 }
--- a/core/src/main/java/io/zinniawood/core/relay/SharedReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SharedReads.java
@@ -48,7 +48,9 @@
     }
 
     void addHeartbeat(FleetEndpoint entry) {
-      heartbeats.add(new SharedRead.Heartbeat(entry.id(), entry.sequence(), entry.rowVersion()));
+      heartbeats.add(
+          new SharedRead.Heartbeat(
+              entry.id(), entry.sequence(), entry.rowVersion(), entry.contentHash()));
       bytes += HEARTBEAT_BYTES + utf8Bytes(entry.id().value());
     }
 
--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -302,7 +302,8 @@
               .fleet
               .find(heartbeat.endpoint())
               .map(TrackedEndpoint::entry)
-              .filter(entry -> entry.rowVersion().sameEra(heartbeat.rowVersion()));
+              .filter(entry -> entry.rowVersion().sameEra(heartbeat.rowVersion()))
+              .filter(entry -> entry.contentHash() == heartbeat.contentHash());
       if (continued.isEmpty()) {
         return Optional.empty();
       }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -339,4 +339,25 @@
     messages.forEach(this::receive);
     relay.state().fleet.all().forEach(known -> assertThat(known.id(), is(not(endpoint.id()))));
   }
+
+  // A change that the reader knew from another relay was told as a mere check-in. A relay that had
+  // missed it kept the former state for good, here that of an endpoint that is not draining.
+  @Test
+  void checkInOfAnotherStateThanTheKnownOneMakesRelayReadTheStore() {
+    FleetEndpoint draining =
+        relay
+            .endpoint("p", RelayHarness.PLAIN, Optional.empty(), true)
+            .withRowVersion(version(1_015));
+    receive(
+        new SharedRead(
+            version,
+            version(1_020),
+            relay.storeMillis(),
+            List.of(),
+            List.of(
+                new SharedRead.Heartbeat(endpoint.id(), 0, version(1_015), draining.contentHash())),
+            List.of()));
+    relay.advanceMillis(5);
+    assertThat(relay.lastEffect(RelayEffect.ReadEndpointChanges.class).afterVersion(), is(version));
+  }
 }
--- a/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
+++ b/wire/src/main/java/io/zinniawood/wire/PeerMessageCodec.java
@@ -76,7 +76,8 @@
           RelayProto.Heartbeat.newBuilder()
               .setId(heartbeat.endpoint().value())
               .setSequence(heartbeat.sequence())
-              .setRowVersion(heartbeat.rowVersion().number()));
+              .setRowVersion(heartbeat.rowVersion().number())
+              .setContentHash(heartbeat.contentHash()));
     }
     for (EndpointId removed : read.removed()) {
       builder.addRemoved(removed.value());
@@ -161,7 +162,8 @@
           new SharedRead.Heartbeat(
               new EndpointId(heartbeat.getId()),
               heartbeat.getSequence(),
-              new StoreVersion(era, heartbeat.getRowVersion())));
+              new StoreVersion(era, heartbeat.getRowVersion()),
+              heartbeat.getContentHash()));
     }
     List<EndpointId> removed = new ArrayList<>();
     for (String id : read.getRemovedList()) {
--- a/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
+++ b/wire/src/test/java/io/zinniawood/wire/PeerMessageCodecTest.java
@@ -172,7 +172,7 @@
                     endpoint(
                         Optional.of(new AcceleratorKind("l4")), Optional.of(new LayerRange(0, 9))),
                     endpoint(Optional.empty(), Optional.empty())),
-                List.of(new SharedRead.Heartbeat(new EndpointId("i-1"), 7, version(105))),
+                List.of(new SharedRead.Heartbeat(new EndpointId("i-1"), 7, version(105), -9)),
                 List.of(new EndpointId("i-2"))));
     assertThat(PeerMessageCodec.decode(PeerMessageCodec.encode(message)), is(Optional.of(message)));
   }
