Store reads: a late answer does not set the version of the endpoint list back

What callers would see: requests refused for want of an endpoint that has started again, or sent to one that has been removed, until the next read.

Cause: the answer to a read of changes was applied whenever it came. While it was on its way, messages of other relays could have moved the version on; the answer then applied older removals and set the version back.

Change: such an answer is ignored and logged. An answer whose changes begin after the known version, or that comes while the list is to be read anew, leads to a new read. A relay shares only what it read beyond its own version.

--- a/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/StoreReads.java
@@ -91,12 +91,20 @@
       return;
     }
     RelayState state = turn.state;
-    if (!event.afterVersion().sameEra(event.version())) {
+    Optional<StoreVersion> known =
+        state.endpointsVersion.filter(version -> version.sameEra(event.version()));
+    if (known.isEmpty() || beginsLater(event.afterVersion(), known.get())) {
+      // Changes between what is known and what was read are missing.
       state.endpointReads.invalidate();
       return;
     }
+    if (known.get().isAfter(event.version())) {
+      // While the answer was on its way, other relays shared what they had read after it.
+      logIgnored(turn, "store", event.afterVersion(), event.version(), ids(event.removed()));
+      return;
+    }
     List<SharedRead> reads =
-        SharedReads.split(event, event.afterVersion(), entry -> onlyCheckIn(turn, entry));
+        SharedReads.split(event, known.get(), entry -> onlyCheckIn(turn, entry));
     state.endpointsVersion = Optional.of(event.version());
     FleetUpdates.endpointsChanged(
         turn, event.changed(), ids(event.removed()), "feed", event.version());
@@ -105,6 +113,10 @@
     }
   }
 
+  private static boolean beginsLater(StoreVersion after, StoreVersion known) {
+    return !after.sameEra(known) || after.isAfter(known);
+  }
+
   private static List<EndpointId> ids(List<RemovedEntry> removed) {
     return removed.stream().map(RemovedEntry::id).toList();
   }
--- a/core/src/test/java/io/zinniawood/core/relay/ModelStore.java
+++ b/core/src/test/java/io/zinniawood/core/relay/ModelStore.java
@@ -95,6 +95,20 @@
     }
   }
 
+  /** Returns the version of the store. */
+  StoreVersion version() {
+    return version(content.number);
+  }
+
+  Optional<FleetEndpoint> endpoint(EndpointId id) {
+    return Optional.ofNullable(content.endpoints.get(id));
+  }
+
+  /** Returns the number of the version that removed an entry, or 0 if none did or it is listed. */
+  long removedNumber(EndpointId id) {
+    return content.removedNumbers.getOrDefault(id, 0L);
+  }
+
   List<EndpointId> listed() {
     return List.copyOf(content.endpoints.keySet());
   }
--- a/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/io/zinniawood/core/relay/RelayPeersTest.java
@@ -340,6 +340,21 @@
     relay.state().fleet.all().forEach(known -> assertThat(known.id(), is(not(endpoint.id()))));
   }
 
+  // An answer that came after messages with later changes set the version back and removed an
+  // endpoint that had started again since.
+  @Test
+  void lateAnswerDoesNotRemoveEndpointThatHasStartedAgain() {
+    receive(read(0, List.of(RelayHarness.restarted(endpoint, 2, version(1_018)))));
+    relay.post(
+        new RelayEvent.EndpointsChanged(
+            List.of(),
+            List.of(new RemovedEntry(endpoint.id(), version(1_012))),
+            version(1_010),
+            version(1_013),
+            relay.storeMillis()));
+    assertThat(relay.sends(relay.request("book")), hasSize(1));
+  }
+
   // A change that the reader knew from another relay was told as a mere check-in. A relay that had
   // missed it kept the former state for good, here that of an endpoint that is not draining.
   @Test
