Fleet: late check-ins do not bring a removed endpoint back into use

Cause: two check-ins that had got no answer were performed by the store after the removal. The first one listed the endpoint again, as not to be used. The second one counted as a start that goes on to check in, although both were older than the last check-in that the relay had seen: the listed entry was the only memory of it, and the late one had replaced that. The same rule let two late check-ins in a row replace a later one of a listed endpoint, and a later start under the same id.

Change: CheckInHistory remembers the last check-in of each start beyond the removal of its entry, and is asked for listed and removed endpoints alike. Check-ins below it count only after they have come for 10 s, which is longer than a write can be late. Before, an entry of somebody else with a higher sequence was corrected by the second check-in, now after 10 s; entries without born, or of another start, are corrected as before.

--- a/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetEndpoint.java
@@ -90,16 +90,6 @@
         startedMillis);
   }
 
-  /**
-   * Returns whether the endpoint wrote this entry before another one, as far as both tell. The
-   * versions of the row do not tell: the store may perform a write seconds after it was sent.
-   */
-  public boolean writtenBefore(FleetEndpoint other) {
-    return startedMillis == other.startedMillis
-        ? sequence > 0 && sequence < other.sequence
-        : startedMillis > 0 && startedMillis < other.startedMillis;
-  }
-
   /** Returns whether this entry is a later check-in of the start that wrote another one. */
   public boolean continues(FleetEndpoint earlier) {
     return startedMillis == earlier.startedMillis && sequence > earlier.sequence;
--- a/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/FleetView.java
@@ -50,6 +50,7 @@
   private final Map<EndpointId, EndpointPause> unlistedPausesById = new HashMap<>();
 
   private final Map<EndpointId, Departure> departures = new HashMap<>();
+  private final CheckInHistory checkIns = new CheckInHistory();
   private StoreVersion listVersion = new StoreVersion(StoreEra.UNNAMED, 0);
 
   /** Version that the store had when this process first saw its present era; empty at first. */
@@ -144,21 +145,13 @@
    * as they may have expired in it and reappear, unless the endpoint has said that it leaves or has
    * checked in since.
    *
-   * @return entries that were ignored for their version
+   * @return entries that were ignored for their version, or because they were written late
    */
   public List<FleetEndpoint> applyChanges(
       List<FleetEndpoint> changed, List<EndpointId> removed, long nowNanos) {
     List<FleetEndpoint> ignored = new ArrayList<>();
     for (FleetEndpoint endpoint : changed) {
-      TrackedEndpoint known = endpointsById.get(endpoint.id());
-      boolean perhapsCopy = perhapsCopy(endpoint);
-      if (known == null) {
-        endpointsById.put(endpoint.id(), trackedEndpoint(endpoint, departed(endpoint)));
-        lastEndpointAddedNanos = nowNanos;
-      } else if (known.supersededBy(endpoint, perhapsCopy)) {
-        known.update(endpoint, nowNanos, MAX_HEARTBEAT_LAG_NANOS, perhapsCopy);
-      } else {
-        known.entryIgnored(endpoint);
+      if (!apply(endpoint, nowNanos)) {
         ignored.add(endpoint);
       }
     }
@@ -174,6 +167,30 @@
     return ignored;
   }
 
+  /** Applies an entry; returns false if it is ignored. */
+  private boolean apply(FleetEndpoint endpoint, long nowNanos) {
+    Optional<TrackedEndpoint> known = find(endpoint.id());
+    boolean perhapsCopy = perhapsCopy(endpoint);
+    if (known.filter(found -> !found.supersededBy(endpoint, perhapsCopy)).isPresent()) {
+      return false;
+    }
+    boolean late = !perhapsCopy && checkIns.writtenLate(endpoint, nowNanos);
+    if (late) {
+      checkIns.recordLate(endpoint, nowNanos);
+    } else if (!perhapsCopy) {
+      checkIns.recordCheckIn(endpoint, nowNanos);
+    }
+    if (known.isEmpty()) {
+      endpointsById.put(endpoint.id(), trackedEndpoint(endpoint, late || departed(endpoint)));
+      lastEndpointAddedNanos = nowNanos;
+      return true;
+    }
+    if (!late) {
+      known.get().update(endpoint, nowNanos, MAX_HEARTBEAT_LAG_NANOS, perhapsCopy);
+    }
+    return !late;
+  }
+
   private boolean checkedInAfterOutage(TrackedEndpoint known) {
     return known.checkInNanos().isPresent()
         && store.madeAfterOutage(known.checkInNanos().getAsLong());
@@ -205,6 +222,7 @@
     limits.removeExpired(nowNanos);
     departures.values().removeIf(gone -> nowNanos - gone.atNanos() >= MAX_COPY_AGE_NANOS);
     endpointsById.values().removeIf(known -> removed(known, nowNanos));
+    checkIns.removeExpired(endpointsById::containsKey, nowNanos);
   }
 
   private boolean removed(TrackedEndpoint known, long nowNanos) {
--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -27,9 +27,6 @@
   private final int loadHash;
   private FleetEndpoint entry;
 
-  /** Entry in a later version of the row that seems to have been written before this one. */
-  private Optional<FleetEndpoint> ignoredEntry = Optional.empty();
-
   private int inFlight;
   private long tokensInFlight;
   private long promptTokensInFlight;
@@ -96,28 +93,14 @@
   }
 
   /**
-   * Returns whether an entry is to replace the present one. An entry that was written before the
-   * present one is a write that the store performed late, unless its start goes on to check in: its
-   * clock was set back, or the present entry is from somebody else.
+   * Returns whether an entry is in a version of the row that is not older than the present one.
    *
    * @param perhapsCopy whether the entry may come from a copy of the store, so that it may be older
    */
   boolean supersededBy(FleetEndpoint other, boolean perhapsCopy) {
-    if (other.rowVersion().sameEra(entry.rowVersion())) {
-      return !entry.rowVersion().isAfter(other.rowVersion())
-          && (!other.writtenBefore(entry) || ignoredEntry.filter(other::continues).isPresent());
-    }
-    return !perhapsCopy || other.startedMillis() >= entry.startedMillis();
-  }
-
-  /** Records an entry that did not replace the present one. */
-  void entryIgnored(FleetEndpoint ignored) {
-    boolean laterRow =
-        ignored.rowVersion().sameEra(entry.rowVersion())
-            && ignored.rowVersion().isAfter(entry.rowVersion());
-    if (laterRow) {
-      ignoredEntry = Optional.of(ignored);
-    }
+    return other.rowVersion().sameEra(entry.rowVersion())
+        ? !entry.rowVersion().isAfter(other.rowVersion())
+        : !perhapsCopy || other.startedMillis() >= entry.startedMillis();
   }
 
   /**
@@ -151,7 +134,6 @@
     // Leaving is final for a start; a row of another era may come from before it.
     boolean staysDraining = sameEra && entry.draining() && newer.sameIncarnation(entry);
     entry = staysDraining ? newer.asDraining() : newer;
-    ignoredEntry = Optional.empty();
     checkInNanos = OptionalLong.of(nowNanos);
     removalScheduled = false;
   }
--- a/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
+++ b/core/src/main/java/io/zinniawood/core/relay/FleetUpdates.java
@@ -56,6 +56,8 @@
           entry.id().value(),
           "draining",
           entry.draining(),
+          "sequence",
+          entry.sequence(),
           "rowVersion",
           entry.rowVersion(),
           "known",
--- a/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
@@ -190,6 +190,54 @@
     assertThat(usable(1_001), is(true));
   }
 
+  // Two late check-ins in a row were taken for a start that goes on, and a removed endpoint was
+  // used
+  // until it exited, as the check-ins that it had made after them were forgotten with its entry.
+  @Test
+  void checkInsPerformedLateDoNotBringRemovedEndpointBackIntoUse() {
+    replaceAll(List.of(checkIn(1, 12, 12)), 0);
+    fleet.applyChanges(List.of(), List.of(ID), millis(100));
+    change(checkIn(1, 8, 14), 1_000);
+    change(checkIn(1, 9, 15), 2_100);
+    assertThat(usable(2_101), is(false));
+    fleet.applyChanges(List.of(), List.of(ID), millis(5_000));
+    change(checkIn(1, 10, 17), 5_500);
+    change(checkIn(1, 11, 18), 6_000);
+    assertThat(usable(6_001), is(false));
+    change(checkIn(1, 13, 19), 7_000);
+    assertThat("used once it checks in after what was known", usable(7_001), is(true));
+  }
+
+  // The same while the endpoint is listed: the row of a check-in that was sent before draining.
+  @Test
+  void checkInsPerformedLateDoNotReplaceLaterOneOfTheSameStart() {
+    replaceAll(List.of(checkIn(1, 12, 12)), 0);
+    change(checkIn(1, 8, 14), 1_000);
+    change(checkIn(1, 9, 15), 2_100);
+    assertThat(fleet.find(ID).orElseThrow().entry().sequence(), is(12L));
+  }
+
+  // The same for a start that was followed by another one under the same id.
+  @Test
+  void checkInsPerformedLateDoNotReplaceLaterStart() {
+    replaceAll(List.of(checkIn(1, 12, 12)), 0);
+    change(checkIn(2, 1, 13), 500);
+    change(checkIn(1, 8, 14), 1_000);
+    change(checkIn(1, 9, 15), 2_100);
+    assertThat(fleet.find(ID).orElseThrow().entry().startedMillis(), is(2L));
+  }
+
+  // An entry of somebody else with a high sequence must not keep an endpoint out of use for good.
+  @Test
+  void lowerSequenceCountsOnceItGoesOnForLongerThanWritesAreLate() {
+    replaceAll(List.of(checkIn(1, 12, 12)), 0);
+    change(checkIn(1, 9_999, 13), 100);
+    for (int sequence = 13; sequence < 23; sequence++) {
+      change(checkIn(1, sequence, sequence + 1), (sequence - 12) * 1_200L);
+    }
+    assertThat(fleet.find(ID).orElseThrow().entry().sequence(), is(22L));
+  }
+
   private void interruptStoreUntil(long millis) {
     fleet.storeAnswered(0);
     fleet.storeLost();
