Fleet: an entry that is read twice is one check-in

What callers would see: requests to an endpoint that has left, if a late check-in listed it again. Found by a test, not seen with real processes.

Cause: an endpoint that is listed again after its removal is used from its next check-in on. Any entry counted as the next check-in, also the same row when this relay's read and a message of another one both held it.

Change: only a later version of the row with a higher sequence counts.

FleetViewTest.entryThatIsReadTwiceDoesNotBringRemovedEndpointBackIntoUse fails without the change (trial on a scratch copy).

--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -111,10 +111,10 @@
    */
   void update(FleetEndpoint newer, long nowNanos, long heartbeatLagNanos, boolean perhapsCopy) {
     boolean sameEra = newer.rowVersion().sameEra(entry.rowVersion());
+    boolean copyOfWithdrawn = perhapsCopy && !sameEra && (entry.draining() || refuted());
     withdrawn =
-        perhapsCopy
-            && newer.sameIncarnation(entry)
-            && (withdrawn || (!sameEra && (entry.draining() || refuted())));
+        newer.sameIncarnation(entry)
+            && (copyOfWithdrawn || (withdrawn && (perhapsCopy || !isLaterCheckIn(newer))));
     if (!newer.sameIncarnation(entry)) {
       slowdownFactor = 1;
       failureRate = 0;
@@ -138,6 +138,13 @@
     removalScheduled = false;
   }
 
+  /** Returns whether an entry is another check-in, rather than the present one read again. */
+  private boolean isLaterCheckIn(FleetEndpoint newer) {
+    return !newer.rowVersion().sameEra(entry.rowVersion())
+        || (newer.rowVersion().isAfter(entry.rowVersion())
+            && (newer.sequence() == 0 || newer.sequence() > entry.sequence()));
+  }
+
   /** Returns whether new requests may be sent to the endpoint. */
   public boolean usable(long nowNanos) {
     return usableAfterPause(nowNanos, nowNanos);
--- a/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
+++ b/core/src/test/java/io/zinniawood/core/fleet/FleetViewTest.java
@@ -238,6 +238,19 @@
     assertThat(fleet.find(ID).orElseThrow().entry().sequence(), is(22L));
   }
 
+  // The first entry after a removal was read twice, by this process and another one, and counted as
+  // two check-ins.
+  @Test
+  void entryThatIsReadTwiceDoesNotBringRemovedEndpointBackIntoUse() {
+    replaceAll(List.of(checkIn(1, 3, 3)), 0);
+    fleet.applyChanges(List.of(), List.of(ID), millis(10));
+    change(checkIn(1, 4, 5), 20);
+    change(checkIn(1, 4, 5), 30);
+    assertThat(usable(40), is(false));
+    change(checkIn(1, 5, 6), 1_000);
+    assertThat(usable(1_001), is(true));
+  }
+
   private void interruptStoreUntil(long millis) {
     fleet.storeAnswered(0);
     fleet.storeLost();
