Soak: end the processes of a run that is interrupted

What was seen: after RelaySoak had been ended by hand, three of its relays were left over and ran on beside the next runs.

Cause: only the regular end of a run closed its processes, and a signal to benchmark.sh did not reach the JVM.

A harness that is killed by SIGKILL still leaves its processes.

--- a/dist/src/test/benchmark.sh
+++ b/dist/src/test/benchmark.sh
@@ -12,4 +12,12 @@
 java -Xmx2g -XX:-UsePerfData -Djava.net.preferIPv4Stack=true \
   -Dzinniawood.binary="$copy/zinniawood" \
   -cp "$copy/test-classes:$copy/zinniawood.jar" \
-  "io.zinniawood.dist.$@"
+  "io.zinniawood.dist.$@" &
+java=$!
+# Without this, a signal to the shell leaves the benchmark and its processes running.
+trap 'kill "$java" 2>/dev/null || true' INT TERM
+status=0
+wait "$java" || status=$?
+# A signal ends the first wait; the second one waits for the benchmark to end its processes.
+wait "$java" 2>/dev/null || true
+exit "$status"
--- a/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
+++ b/dist/src/test/java/io/zinniawood/dist/RoleProcess.java
@@ -86,7 +86,7 @@
               .redirectErrorStream(true)
               .redirectOutput(LOG_FOLDER.resolve(name + ".log").toFile());
       limits.apply(builder);
-      return new RoleProcess(name, builder.start());
+      return new RoleProcess(name, ChildProcesses.start(builder));
     } catch (IOException failure) {
       throw new UncheckedIOException("cannot start process " + name, failure);
     }
--- a/dist/src/test/java/io/zinniawood/dist/soak/FaultyEndpointProcess.java
+++ b/dist/src/test/java/io/zinniawood/dist/soak/FaultyEndpointProcess.java
@@ -1,6 +1,7 @@
 package io.zinniawood.dist.soak;
 
 import io.zinniawood.cli.local.Ports;
+import io.zinniawood.dist.ChildProcesses;
 import io.zinniawood.dist.users.AnswerLedger;
 import io.zinniawood.dist.users.EndpointFault;
 import io.zinniawood.dist.users.FaultyEndpoint;
@@ -52,23 +53,24 @@
     starts++;
     try {
       process =
-          new ProcessBuilder(
-                  Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                  "-Xmx48m",
-                  "-XX:+UseSerialGC",
-                  "-XX:-UsePerfData",
-                  "-cp",
-                  testClasses() + ":" + EXECUTABLE.resolveSibling("zinniawood.jar"),
-                  FaultyEndpoint.class.getName(),
-                  Integer.toString(store.address().port()),
-                  id,
-                  service,
-                  Integer.toString(port),
-                  ledgerFile.toString(),
-                  Long.toString(seed + starts))
-              .redirectErrorStream(true)
-              .redirectOutput(LOG_FOLDER.resolve("soak-%s.%d.log".formatted(name, starts)).toFile())
-              .start();
+          ChildProcesses.start(
+              new ProcessBuilder(
+                      Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                      "-Xmx48m",
+                      "-XX:+UseSerialGC",
+                      "-XX:-UsePerfData",
+                      "-cp",
+                      testClasses() + ":" + EXECUTABLE.resolveSibling("zinniawood.jar"),
+                      FaultyEndpoint.class.getName(),
+                      Integer.toString(store.address().port()),
+                      id,
+                      service,
+                      Integer.toString(port),
+                      ledgerFile.toString(),
+                      Long.toString(seed + starts))
+                  .redirectErrorStream(true)
+                  .redirectOutput(
+                      LOG_FOLDER.resolve("soak-%s.%d.log".formatted(name, starts)).toFile()));
     } catch (IOException failure) {
       throw new UncheckedIOException("cannot start endpoint " + name, failure);
     }
