--- a/core/src/main/java/io/zinniawood/core/fleet/CheckInHistory.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/CheckInHistory.java
@@ -1,6 +1,7 @@
 package io.zinniawood.core.fleet;
 
 import io.zinniawood.core.id.EndpointId;
+import io.zinniawood.core.id.EndpointIncarnation;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -25,20 +26,24 @@
 
   private final Map<EndpointId, Starts> startsById = new HashMap<>();
 
+  /** What is remembered of the starts of one endpoint. */
   private static final class Starts {
-    /** Sequence of the last check-in of each start, in the order of their last check-ins. */
-    final Map<Long, Long> sequenceByStartedMillis = new LinkedHashMap<>();
+    /** Sequence of the last check-in of each start, in the order of these check-ins. */
+    final Map<EndpointIncarnation, Long> lastSequences = new LinkedHashMap<>();
 
+    /** Start that made the last check-in of all. */
     long latestStartedMillis;
+
     long lastCheckInNanos;
 
-    /** Last entry that seemed to be late, and since when such entries of its start have come. */
+    /** Last entry that seemed to be written late; empty after a check-in. */
     Optional<FleetEndpoint> lateEntry = Optional.empty();
 
+    /** Time at which the first of the successive late entries of that start came. */
     long lateSinceNanos;
 
     boolean precedesCheckIn(FleetEndpoint entry) {
-      Long last = sequenceByStartedMillis.get(entry.startedMillis());
+      Long last = lastSequences.get(entry.incarnation());
       return last != null && entry.sequence() > 0 && entry.sequence() < last;
     }
 
@@ -82,11 +87,11 @@
   /** Records a check-in that was not written late. */
   void recordCheckIn(FleetEndpoint entry, long nowNanos) {
     Starts starts = startsById.computeIfAbsent(entry.id(), id -> new Starts());
-    starts.sequenceByStartedMillis.remove(entry.startedMillis());
-    starts.sequenceByStartedMillis.put(entry.startedMillis(), entry.sequence());
-    if (starts.sequenceByStartedMillis.size() > MAX_STARTS) {
-      starts.sequenceByStartedMillis.remove(
-          starts.sequenceByStartedMillis.keySet().iterator().next());
+    // Removed first, so that the start becomes the last one in the order.
+    starts.lastSequences.remove(entry.incarnation());
+    starts.lastSequences.put(entry.incarnation(), entry.sequence());
+    if (starts.lastSequences.size() > MAX_STARTS) {
+      starts.lastSequences.remove(starts.lastSequences.keySet().iterator().next());
     }
     starts.latestStartedMillis = entry.startedMillis();
     starts.lastCheckInNanos = nowNanos;
--- a/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
+++ b/core/src/main/java/io/zinniawood/core/fleet/TrackedEndpoint.java
@@ -93,7 +93,8 @@
   }
 
   /**
-   * Returns whether an entry is in a version of the row that is not older than the present one.
+   * Returns whether an entry is in a version of the row that is not older than the present one. In
+   * another era of the store, only a copy of an earlier start counts as older.
    *
    * @param perhapsCopy whether the entry may come from a copy of the store, so that it may be older
    */
--- a/core/src/main/java/io/zinniawood/core/relay/SharedReads.java
+++ b/core/src/main/java/io/zinniawood/core/relay/SharedReads.java
@@ -21,7 +21,7 @@
   /** Maximum size of the entries of a message; a packet of 1,400 bytes holds other fields too. */
   private static final int MAX_ENTRIES_BYTES = 1_200;
 
-  /** Size of an encoded entry without its texts. */
+  // Sizes of encoded entries without their texts.
   private static final int CHANGED_BYTES = 60;
 
   private static final int HEARTBEAT_BYTES = 20;
